--- /dev/null
+++ b/locktide/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions (rules.py) and the types they share with any host (interface.py)."""
--- /dev/null
+++ b/locktide/dispatch/interface.py
@@ -0,0 +1,243 @@
+"""What passes between the decisions and any host; nothing here decides.
+
+A host builds one `rules.Dispatcher` for each dispatcher it runs, from the terms below, and then calls
+`turn(now, news)` whenever it has news: `now` is the clock, `news` a list of the news types below in the
+order in which they came about. The call returns the list of orders to carry out, in order, at that same
+moment. Nothing else passes either way. All times and spans are whole microseconds; the ids of submissions,
+workers and tenants are whatever the host uses and come back unchanged.
+
+A second protocol needs a host of its own that builds the same news and carries out the same orders; it
+inherits the four rules, which the decisions keep.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+# How far a submission may be repeated.
+REISSUABLE = "reissuable"
+NUMBERED = "numbered"
+AT_MOST_ONCE = "at-most-once"
+
+# Who drops a repeat of a numbered submission.
+EVERYONE = "everyone"
+SAME_ZONE = "same zone"
+SAME_CELL = "same cell"
+
+# How a dispatch ended.
+DONE = "done"
+ERROR = "error"
+FULL = "full"
+TIMED_OUT = "timed out"
+NO_CONNECTION = "no connection"
+RESET = "reset"
+WITHDRAWN = "withdrawn"
+NEVER_SENT = "never sent"
+PROVEN_NOT_RUN = frozenset((FULL, NO_CONNECTION, NEVER_SENT))
+
+# What a piece of list news is, and what a listed worker is doing.
+WHOLE = "whole"
+CHANGES = "changes"
+REMEMBERED = "remembered"
+LIST_FAILED = "failed"
+READY = "ready"
+DRAINING = "draining"
+GONE = "gone"
+
+
+# --- terms, given at start -------------------------------------------------------------------------------
+
+
+@dataclass(slots=True)
+class Grade:
+    """A service grade. `kind` is the one kind of worker that runs it, or None for any."""
+
+    name: str
+    effect: str
+    group: str
+    memory_span: int
+    soft_limit: int
+    stretch: float
+    time_limit: int
+    revenue: float
+    overdue_revenue: float
+    kind: str | None
+
+
+@dataclass(slots=True)
+class DispatchTerms:
+    """How often and how one submission may be dispatched."""
+
+    most_dispatches: int
+    second_copies: bool
+    may_withdraw: bool
+
+
+@dataclass(slots=True)
+class ClientTerms:
+    """What clients are told, and which share of the service each tenant has (submissions a second)."""
+
+    longest_advice: int
+    quotas: dict[Any, float]
+    beyond_share: float
+
+
+@dataclass(slots=True)
+class ColdTerms:
+    """When a freshly started worker falls over."""
+
+    factor: float
+    window: int
+    cold_from: float
+    warm_after: int
+
+
+@dataclass(slots=True)
+class ListTerms:
+    """How the worker list is had: pushed, or only when asked for."""
+
+    must_ask: bool
+    ask_within: int
+
+
+@dataclass(slots=True)
+class SignTerms:
+    """What workers tell: the start of a job, its progress every so often, free slots in a load report."""
+
+    tells_start: bool
+    progress_every: int
+    free_slots: str | None
+
+
+# --- news, from the host to the decisions ---------------------------------------------------------------
+
+
+@dataclass(slots=True)
+class Listed:
+    worker: Any
+    zone: str
+    kind: str
+    cell: int
+    state: str
+    rating: float
+    started_at: int
+
+
+@dataclass(slots=True)
+class ListNews:
+    kind: str
+    entries: list[Listed]
+
+
+@dataclass(slots=True)
+class Arrival:
+    submission: Any
+    grade: str
+    time_limit_at: int
+    width: float = 1.0
+    work_hint: int = 0
+    tenant: Any = None
+    retry: bool = False
+
+
+@dataclass(slots=True)
+class Started:
+    submission: Any
+    shot: int
+
+
+@dataclass(slots=True)
+class Progressed:
+    submission: Any
+    shot: int
+    share: float
+
+
+@dataclass(slots=True)
+class StreamBegan:
+    submission: Any
+    shot: int
+
+
+@dataclass(slots=True)
+class Ended:
+    """The end of one dispatch. `final` says that the submission itself has its answer."""
+
+    submission: Any
+    shot: int
+    outcome: str
+    final: bool
+    load: dict[str, float] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class ClientGone:
+    submission: Any
+
+
+@dataclass(slots=True)
+class TimerDue:
+    mark: int
+
+
+@dataclass(slots=True)
+class ProbeEnded:
+    worker: Any
+    outcome: str
+    load: dict[str, float] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class PeerSays:
+    peer: int
+    message: bytes
+
+
+# --- orders, from the decisions to the host -------------------------------------------------------------
+
+
+@dataclass(slots=True)
+class Dispatch:
+    """The dispatches of one submission count 0, 1, 2 ... in the order of these orders."""
+
+    submission: Any
+    worker: Any
+
+
+@dataclass(slots=True)
+class Withdraw:
+    submission: Any
+    shot: int
+
+
+@dataclass(slots=True)
+class Deny:
+    submission: Any
+    come_back_after: int
+
+
+@dataclass(slots=True)
+class Terminate:
+    submission: Any
+
+
+@dataclass(slots=True)
+class Wake:
+    after: int
+    mark: int
+
+
+@dataclass(slots=True)
+class WatchList:
+    on: bool
+
+
+@dataclass(slots=True)
+class FetchList:
+    pass
+
+
+@dataclass(slots=True)
+class Log:
+    line: str
--- /dev/null
+++ b/locktide/dispatch/rules.py
@@ -0,0 +1,308 @@
+"""Every decision of locktide, for all deployments.
+
+How it is called: a host builds one Dispatcher(seed, terms ...) and calls turn(now, news) whenever it has
+news; the list of orders that comes back is carried out at that moment. The types of both are in
+locktide/dispatch/interface.py.
+
+The ordinary path is the design's: an aged pool, released in rounds, oldest first; in each round each
+submission makes one fresh uniform draw among the ready workers that fit, and goes out if our own outstanding
+slots there plus its width stay within the cap c, or nothing of ours is there. What comes back proven not to
+have run rejoins the pool with its age.
+
+The mechanisms beside it:
+1. The worker list: asked for, watched, asked again with growing gaps where it must be asked for.
+"""
+
+from __future__ import annotations
+
+from bisect import insort
+from typing import Any, Generator
+
+from locktide.dispatch import interface as say
+from locktide.dispatch.interface import (
+    AT_MOST_ONCE, EVERYONE, NUMBERED, PROVEN_NOT_RUN, REISSUABLE, SAME_CELL, SAME_ZONE,
+)
+
+
+class Chance:
+    """A linear congruential generator (Knuth's MMIX constants), of which only the high bits are used."""
+
+    __slots__ = ("state",)
+
+    def __init__(self, seed: int) -> None:
+        self.state = seed & 0xFFFFFFFFFFFFFFFF
+
+    def below(self, bound: int) -> int:
+        self.state = (self.state * 6364136223846793005 + 1442695040888963407) & 0xFFFFFFFFFFFFFFFF
+        return ((self.state >> 32) * bound) >> 32
+
+
+class Worker:
+    __slots__ = ("id", "zone", "kind", "cell", "state", "started_at", "own", "cap")
+
+    def __init__(self, entry: say.Listed) -> None:
+        self.id = entry.worker
+        self.own = 0.0  # slots of ours outstanding there
+        self.cap = 1.0
+        self.update(entry)
+
+    def update(self, entry: say.Listed) -> None:
+        self.zone, self.kind, self.cell = entry.zone, entry.kind, entry.cell
+        self.state, self.started_at = entry.state, entry.started_at
+
+
+class Dispatch:
+    __slots__ = ("submission", "shot", "worker", "sent_at", "started_at")
+
+    def __init__(self, submission: Submission, shot: int, worker: Worker, now: int) -> None:
+        self.submission, self.shot, self.worker, self.sent_at = submission, shot, worker, now
+        self.started_at = 0
+
+
+class Submission:
+    __slots__ = ("id", "grade", "width", "arrived_at", "limit_at", "order", "shots", "out", "held", "course", "pooled")
+
+    def __init__(self, arrival: say.Arrival, grade: say.Grade, now: int, order: int) -> None:
+        self.id, self.grade, self.width = arrival.submission, grade, arrival.width
+        self.arrived_at, self.limit_at, self.order = now, arrival.time_limit_at, order
+        self.shots: list[Dispatch] = []
+        self.out: list[Dispatch] = []  # dispatches without an outcome
+        self.held: list[Dispatch] = []  # dispatches not proven never to have run
+        self.pooled = False
+        self.course: Course
+
+    def __lt__(self, other: Submission) -> bool:
+        return self.order < other.order
+
+    def may_repeat_on(self, worker: Worker, now: int) -> bool:
+        """Rule two, for one more dispatch: what may have run is repeated only where repeats are dropped."""
+        grade = self.grade
+        if not self.held or grade.effect == REISSUABLE:
+            return True
+        if grade.effect == AT_MOST_ONCE:
+            return False
+        first = self.held[0]
+        if now >= first.sent_at + grade.memory_span:
+            return False
+        if grade.group == SAME_ZONE:
+            return worker.zone == first.worker.zone
+        if grade.group == SAME_CELL:
+            return worker.cell == first.worker.cell
+        return True
+
+    def may_deny(self) -> bool:
+        """Rule two, for a denial: it promises the client that trying again is harmless."""
+        grade = self.grade
+        return not self.held or grade.effect == REISSUABLE or (grade.effect == NUMBERED and grade.group == EVERYONE)
+
+
+# What a course yields, and with what it is resumed.
+POOL = "pool"  # wait for a draw; resumed with a Worker, with None when waiting no longer pays, or as WAIT
+WAIT = "wait"  # wait for news of a dispatch; resumed with its say.Ended
+Course = Generator[str, Any, None]
+
+
+class WorkerList:
+    """Follows the list; where it must be asked for, watches it and asks again after a failure."""
+
+    __slots__ = ("workers", "terms", "watched", "failures", "ask_at")
+
+    def __init__(self, terms: say.ListTerms) -> None:
+        self.workers: dict[Any, Worker] = {}
+        self.terms, self.watched, self.failures, self.ask_at = terms, False, 0, 0
+
+    def take(self, news: say.ListNews) -> None:
+        seen = set()
+        for entry in news.entries:
+            seen.add(entry.worker)
+            worker = self.workers.get(entry.worker)
+            if worker is None:
+                self.workers[entry.worker] = Worker(entry)
+            else:
+                worker.update(entry)
+        if news.kind in (say.WHOLE, say.REMEMBERED):
+            for worker in self.workers.values():
+                if worker.id not in seen:
+                    worker.state = say.GONE
+
+    def ready(self) -> list[Worker]:
+        return [worker for worker in self.workers.values() if worker.state == say.READY]
+
+
+class Dispatcher:
+    def __init__(
+        self, seed: int, step: int, fleet: int, grades: list[say.Grade], dispatching: say.DispatchTerms,
+        clients: say.ClientTerms, cold: say.ColdTerms, listing: say.ListTerms, signs: say.SignTerms,
+    ) -> None:
+        self.chance = Chance(seed)
+        self.step, self.fleet = step, fleet
+        self.grades = {grade.name: grade for grade in grades}
+        self.dispatching, self.clients, self.signs = dispatching, clients, signs
+        self.list = WorkerList(listing)
+        self.ready: list[Worker] = []
+        self.submissions: dict[Any, Submission] = {}
+        self.pool: list[Submission] = []
+        self.orders: list[Any] = []
+        self.now = 0
+        self.arrivals = 0
+        self.marks = 0
+        self.timers: dict[int, Any] = {}
+        self.round_timer = False
+
+    # --- one submission, from arrival to its final answer
+
+    def course(self, sub: Submission) -> Course:
+        news: Any = None
+        while True:
+            news = yield POOL if news is None else WAIT
+            if type(news) is Worker:
+                self.send(sub, news)
+                continue
+            if news is None:
+                break
+            if news.final:
+                return
+            if news.outcome in PROVEN_NOT_RUN or sub.grade.effect != AT_MOST_ONCE:
+                news = None
+            if self.now >= sub.limit_at or len(sub.shots) >= self.dispatching.most_dispatches or news is not None:
+                break
+        self.answer(sub)
+
+    def answer(self, sub: Submission) -> None:
+        if sub.may_deny():
+            self.orders.append(say.Deny(sub.id, 0))
+        else:
+            self.orders.append(say.Terminate(sub.id))
+
+    def advance(self, sub: Submission, news: Any) -> None:
+        """Resumes a course with its news, and puts the submission where the course wants it."""
+        try:
+            wanted = sub.course.send(news)
+        except StopIteration:
+            self.submissions.pop(sub.id, None)
+            wanted = WAIT
+        if wanted is POOL and not sub.pooled:
+            sub.pooled = True
+            insort(self.pool, sub)
+        elif wanted is WAIT and sub.pooled:
+            sub.pooled = False
+            self.pool.remove(sub)
+
+    def send(self, sub: Submission, worker: Worker) -> None:
+        dispatch = Dispatch(sub, len(sub.shots), worker, self.now)
+        sub.shots.append(dispatch)
+        sub.out.append(dispatch)
+        sub.held.append(dispatch)
+        worker.own += sub.width
+        self.orders.append(say.Dispatch(sub.id, worker.id))
+
+    # --- news
+
+    def turn(self, now: int, news: list[Any]) -> list[Any]:
+        self.now = now
+        self.orders = []
+        for piece in news:
+            TAKE[type(piece)](self, piece)
+        if self.list.terms.must_ask and not self.list.watched and now >= self.list.ask_at:
+            self.ask()
+        if self.pool:
+            self.round()
+        if self.pool and not self.round_timer:
+            self.round_timer = True
+            self.wake(self.step, "round")
+        return self.orders
+
+    def wake(self, after: int, what: Any) -> None:
+        self.marks += 1
+        self.timers[self.marks] = what
+        self.orders.append(say.Wake(after, self.marks))
+
+    def take_timer(self, due: say.TimerDue) -> None:
+        what = self.timers.pop(due.mark, None)
+        if what == "round":
+            self.round_timer = False
+
+    def ask(self) -> None:
+        self.list.watched = True
+        self.orders.append(say.WatchList(True))
+
+    def take_list(self, news: say.ListNews) -> None:
+        if news.kind == say.LIST_FAILED:
+            # Guards against a list service that is down or crowded: each failure doubles the wait, up to the
+            # time after which we count as told anyway; the draw keeps the dispatchers from asking together.
+            gap = min(self.list.terms.ask_within, 250_000 << min(self.list.failures, 8))
+            gap = gap // 2 + self.chance.below(gap // 2 + 1)
+            self.list.failures += 1
+            self.list.watched, self.list.ask_at = False, self.now + gap
+            self.wake(gap, "ask")
+            return
+        if news.kind != say.REMEMBERED:
+            self.list.failures = 0
+        self.list.take(news)
+        self.ready = self.list.ready()
+
+    def take_arrival(self, arrival: say.Arrival) -> None:
+        self.arrivals += 1
+        sub = Submission(arrival, self.grades[arrival.grade], self.now, self.arrivals)
+        self.submissions[sub.id] = sub
+        sub.course = self.course(sub)
+        self.advance(sub, None)
+
+    def find(self, submission: Any, shot: int) -> Dispatch | None:
+        sub = self.submissions.get(submission)
+        return sub.shots[shot] if sub is not None and shot < len(sub.shots) else None
+
+    def take_started(self, news: say.Started) -> None:
+        dispatch = self.find(news.submission, news.shot)
+        if dispatch is not None:
+            dispatch.started_at = self.now
+
+    def take_ended(self, news: say.Ended) -> None:
+        dispatch = self.find(news.submission, news.shot)
+        if dispatch is None or dispatch not in dispatch.submission.out:
+            return
+        sub, worker = dispatch.submission, dispatch.worker
+        worker.own -= sub.width
+        sub.out.remove(dispatch)
+        if news.outcome in PROVEN_NOT_RUN:
+            sub.held.remove(dispatch)
+        self.advance(sub, news)
+
+    def take_gone(self, news: say.ClientGone) -> None:
+        sub = self.submissions.get(news.submission)
+        if sub is not None:
+            self.advance(sub, say.Ended(sub.id, -1, say.NEVER_SENT, True))
+
+    def take_nothing(self, news: Any) -> None:
+        """News that no decision rests on yet."""
+
+    # --- the round
+
+    def round(self) -> None:
+        for sub in list(self.pool):
+            if self.now >= sub.limit_at - 2 * self.step:
+                self.advance(sub, None)
+                continue
+            fitting = [
+                worker for worker in self.ready
+                if (sub.grade.kind is None or sub.grade.kind == worker.kind) and sub.may_repeat_on(worker, self.now)
+            ]
+            if not fitting:
+                continue
+            worker = fitting[self.chance.below(len(fitting))]
+            if not worker.own or worker.own + sub.width <= worker.cap:
+                self.advance(sub, worker)
+
+
+TAKE = {
+    say.ListNews: Dispatcher.take_list,
+    say.Arrival: Dispatcher.take_arrival,
+    say.Started: Dispatcher.take_started,
+    say.Progressed: Dispatcher.take_nothing,
+    say.StreamBegan: Dispatcher.take_nothing,
+    say.Ended: Dispatcher.take_ended,
+    say.ClientGone: Dispatcher.take_gone,
+    say.TimerDue: Dispatcher.take_timer,
+    say.ProbeEnded: Dispatcher.take_nothing,
+    say.PeerSays: Dispatcher.take_nothing,
+}
--- /dev/null
+++ b/locktide/simhost/__init__.py
@@ -0,0 +1,1 @@
+"""The host for the simulator's wire: it translates, and decides nothing."""
--- /dev/null
+++ b/locktide/simhost/__main__.py
@@ -0,0 +1,5 @@
+import sys
+
+from locktide.simhost.host import main
+
+sys.exit(main())
--- /dev/null
+++ b/locktide/simhost/host.py
@@ -0,0 +1,114 @@
+"""Many instances of the decisions behind the simulator's wire, on standard input and output."""
+
+from __future__ import annotations
+
+import sys
+import traceback
+from typing import Any, BinaryIO, Iterator
+
+from locktide.dispatch import interface as say
+from locktide.dispatch.rules import Dispatcher
+from locktide.simhost import wire
+
+
+class Host:
+    """Reads batches, hands each instance its news in order, and writes one reply for each batch."""
+
+    def __init__(self) -> None:
+        self.instances: dict[int, Dispatcher] = {}
+        self.sheets: dict[int, list[say.Listed]] = {}
+        self.line_number = 0
+
+    def lines(self, source: BinaryIO) -> Iterator[str]:
+        for raw in source:
+            self.line_number += 1
+            try:
+                text = raw.decode("utf-8").rstrip("\r\n")
+            except UnicodeDecodeError:
+                raise wire.Malformed("expected UTF-8 text") from None
+            yield text
+
+    def batch(self, lines: Iterator[str], opening: str) -> bytes:
+        """One batch, from its opening SYNC line to EOB, into its reply."""
+        message, fields = wire.split(opening)
+        if message != "SYNC":
+            raise wire.Malformed(f"expected SYNC, not {message!r}")
+        now = wire.micros(wire.word(fields, "AtTime"))
+        news: dict[int, list[Any]] = {}  # of each instance with news, in order; the orders go out in this order
+        current: int | None = None
+        for line in lines:
+            if line == "EOB":
+                break
+            message, fields = wire.split(line)
+            translate = wire.NEWS.get(message)
+            if translate is not None:
+                piece = translate(fields)
+                if current is None or current not in self.instances:
+                    raise wire.Malformed(f"expected news of a started instance, not of {current}")
+                if piece is not None:
+                    news.setdefault(current, []).append(piece)
+                else:
+                    news.setdefault(current, [])
+            elif message == "TO":
+                current = wire.integer(fields, "DispatcherId")
+            elif message == "DIRECTORY":
+                sheet, count = wire.integer(fields, "Sheet"), wire.integer(fields, "Items")
+                items = []
+                for _ in range(count):
+                    items.append(wire.item(next(lines, "")))
+                self.sheets[sheet] = items
+            elif message == "UPDATE":
+                if current is None or current not in self.instances:
+                    raise wire.Malformed(f"expected news of a started instance, not of {current}")
+                kind = wire.one_of(wire.LISTS, fields, "Mode")
+                entries: list[say.Listed] = []
+                if kind != say.LIST_FAILED:
+                    sheet = wire.integer(fields, "Sheet")
+                    if sheet not in self.sheets:
+                        raise wire.Malformed(f"expected a Sheet that a DIRECTORY has set up, not {sheet}")
+                    entries = self.sheets[sheet]
+                news.setdefault(current, []).append(say.ListNews(kind, entries))
+            elif message == "SPAWN":
+                if current is None:
+                    raise wire.Malformed("expected a TO line before SPAWN")
+                self.instances[current] = Dispatcher(wire.integer(fields, "RngSeed"), *wire.terms(fields["Config"]))
+                news[current] = []
+            elif message == "RETIRE":
+                if current is not None:
+                    self.instances.pop(current, None)
+                    news.pop(current, None)
+            else:
+                raise wire.Malformed(f"expected a message of the wire page, not {message!r}")
+        else:
+            raise wire.Malformed("expected EOB before the end of input")
+        return self.reply(now, news)
+
+    def reply(self, now: int, news: dict[int, list[Any]]) -> bytes:
+        out: list[str] = []
+        for instance, pieces in news.items():
+            try:
+                orders = [wire.line(order) for order in self.instances[instance].turn(now, pieces)]
+            except Exception as trouble:
+                traceback.print_exc(file=sys.stderr)
+                orders = ["GIVE_IN Line=" + " ".join(f"{type(trouble).__name__}: {trouble}".split())]
+            if orders:
+                out.append(f"AS DispatcherId={instance}")
+                out.extend(orders)
+        out.append("END\n")
+        return "\n".join(out).encode()
+
+
+def main() -> int:
+    host = Host()
+    lines = host.lines(sys.stdin.buffer)
+    try:
+        for opening in lines:
+            if opening:
+                sys.stdout.buffer.write(host.batch(lines, opening))
+                sys.stdout.buffer.flush()
+    except wire.Malformed as trouble:
+        print(f"line {host.line_number}: {trouble}", file=sys.stderr)
+        return 2
+    except BrokenPipeError:
+        return 1
+    return 0
--- /dev/null
+++ b/locktide/simhost/wire.py
@@ -0,0 +1,248 @@
+"""The simulator's wire, to and from the types of locktide.dispatch.interface."""
+
+from __future__ import annotations
+
+import base64
+import json
+from typing import Any, Callable
+
+from locktide.dispatch import interface as say
+
+Fields = dict[str, str]
+
+EFFECTS = {"free": say.REISSUABLE, "guarded": say.NUMBERED, "single_shot": say.AT_MOST_ONCE}
+GROUPS = {"all": say.EVERYONE, "zone": say.SAME_ZONE, "cell": say.SAME_CELL}
+STATES = {"in_service": say.READY, "terminating": say.DRAINING, "terminated": say.GONE}
+LISTS = {"INCREMENTAL": say.CHANGES, "FULL": say.WHOLE, "SAVED": say.REMEMBERED, "FAILED": say.LIST_FAILED}
+OUTCOMES = {
+    "OK": say.DONE,
+    "INTERNAL": say.ERROR,
+    "RESOURCE_EXHAUSTED": say.FULL,
+    "DEADLINE_EXCEEDED": say.TIMED_OUT,
+    "UNAVAILABLE": say.NO_CONNECTION,
+    "ABORTED": say.RESET,
+    "CANCELLED": say.WITHDRAWN,
+    "TOO_LATE": say.NEVER_SENT,
+}
+
+
+class Malformed(Exception):
+    """A line that the wire page does not allow; the text says what was expected."""
+
+
+def micros(text: Any) -> int:
+    """Milliseconds, fractions allowed, to whole microseconds."""
+    try:
+        return round(float(text) * 1000)
+    except (ValueError, OverflowError):
+        raise Malformed(f"expected a time in milliseconds, not {text!r}") from None
+
+
+def millis(span: int) -> str:
+    return f"{span / 1000:.3f}"
+
+
+def split(line: str) -> tuple[str, Fields]:
+    """A line into its message and its fields; a text field runs to the end of the line."""
+    message, _, rest = line.partition(" ")
+    if message == "SPAWN":  # Config is the one text field the simulator sends
+        rest, _, text = rest.partition("Config=")
+        tail = {"Config": text}
+    else:
+        tail = {}
+    try:
+        fields = dict([part.split("=", 1) for part in rest.split()])
+    except ValueError:
+        raise Malformed(f"expected name=value parts after {message}") from None
+    fields.update(tail)
+    return message, fields
+
+
+def integer(fields: Fields, name: str) -> int:
+    try:
+        return int(fields[name])
+    except KeyError:
+        raise Malformed(f"expected the field {name}") from None
+    except ValueError:
+        raise Malformed(f"expected a whole number in {name}, not {fields[name]!r}") from None
+
+
+def number(fields: Fields, name: str, absent: float) -> float:
+    text = fields.get(name)
+    if text is None:
+        return absent
+    try:
+        return float(text)
+    except ValueError:
+        raise Malformed(f"expected a number in {name}, not {text!r}") from None
+
+
+def word(fields: Fields, name: str) -> str:
+    try:
+        return fields[name]
+    except KeyError:
+        raise Malformed(f"expected the field {name}") from None
+
+
+def one_of(table: dict[str, str], fields: Fields, name: str) -> str:
+    text = word(fields, name)
+    try:
+        return table[text]
+    except KeyError:
+        raise Malformed(f"expected one of {', '.join(table)} in {name}, not {text!r}") from None
+
+
+def load(fields: Fields) -> dict[str, float]:
+    text = fields.get("Load", "-")
+    if text in ("-", ""):
+        return {}
+    try:
+        return {name: float(value) for name, value in (pair.split(":", 1) for pair in text.split(","))}
+    except ValueError:
+        raise Malformed(f"expected name:value pairs in Load, not {text!r}") from None
+
+
+def item(line: str) -> say.Listed:
+    message, fields = split(line)
+    if message != "ITEM":
+        raise Malformed(f"expected ITEM, not {message!r}")
+    return say.Listed(
+        word(fields, "Worker"),
+        fields.get("FailureDomain", ""),
+        fields.get("Model", ""),
+        int(number(fields, "Cluster", 0)),
+        one_of(STATES, fields, "Readiness"),
+        number(fields, "Rating", 1.0),
+        micros(fields.get("StartedAt", 0)),
+    )
+
+
+def arrival(fields: Fields) -> say.Arrival:
+    tenant = fields.get("ClientGroup", "0")
+    return say.Arrival(
+        integer(fields, "Corr"),
+        word(fields, "Cls"),
+        micros(word(fields, "GiveUpAt")),
+        number(fields, "Width", 1.0),
+        micros(fields.get("Work", 0)),
+        None if tenant == "0" else tenant,
+        fields.get("Repeat", "0") == "1",
+    )
+
+
+def note(fields: Fields) -> say.Started | say.Progressed | None:
+    what = integer(fields, "What")
+    if what == 1:
+        return say.Started(integer(fields, "Corr"), integer(fields, "Shot"))
+    if what == 2:
+        return say.Progressed(integer(fields, "Corr"), integer(fields, "Shot"), number(fields, "Value", 0.0))
+    return None
+
+
+def ended(fields: Fields) -> say.Ended:
+    return say.Ended(
+        integer(fields, "Corr"),
+        integer(fields, "Shot"),
+        one_of(OUTCOMES, fields, "Verdict"),
+        fields.get("Last", "0") == "1",
+        load(fields),
+    )
+
+
+def peer(fields: Fields) -> say.PeerSays:
+    text = word(fields, "Bytes")
+    try:
+        return say.PeerSays(integer(fields, "From"), b"" if text == "-" else base64.b64decode(text, validate=True))
+    except ValueError:
+        raise Malformed("expected base64 in Bytes") from None
+
+
+NEWS: dict[str, Callable[[Fields], Any]] = {
+    "QUERY": arrival,
+    "HEADERS": lambda fields: say.StreamBegan(integer(fields, "Corr"), integer(fields, "Shot")),
+    "NOTE": note,
+    "ENDED": ended,
+    "TIMED_OUT_CLIENT": lambda fields: say.ClientGone(integer(fields, "Corr")),
+    "DUE": lambda fields: say.TimerDue(integer(fields, "Cookie")),
+    "PROBE_RESULT": lambda fields: say.ProbeEnded(
+        word(fields, "Worker"), one_of(OUTCOMES, fields, "Verdict"), load(fields)
+    ),
+    "NEIGHBOUR_SAYS": peer,
+}
+
+
+def line(order: Any) -> str:
+    """The wire line of one order."""
+    if type(order) is say.Dispatch:
+        return f"FORWARD Corr={order.submission} Worker={order.worker}"
+    if type(order) is say.Wake:
+        return f"WAKE_ME Delay={millis(order.after)} Cookie={order.mark}"
+    if type(order) is say.Deny:
+        return f"REJECT Corr={order.submission} ComeBack={millis(order.come_back_after)}"
+    if type(order) is say.Terminate:
+        return f"FINISH_ERROR Corr={order.submission}"
+    if type(order) is say.Withdraw:
+        return f"WITHDRAW Corr={order.submission} Shot={order.shot}"
+    if type(order) is say.WatchList:
+        return f"STREAM_CHANGES Want={int(order.on)}"
+    if type(order) is say.FetchList:
+        return "FETCH"
+    return "WRITE_LOG Line=" + " ".join(order.line.split())
+
+
+def terms(text: str) -> tuple[Any, ...]:
+    """The start terms out of the settings, as `rules.Dispatcher` takes them after the seed."""
+    try:
+        told = json.loads(text)
+        kinds = told.get("Kinds", [])
+        domain = told.get("Domain", {})
+        wanted = domain.get("ClassKind", [])
+        stretches = domain.get("ClassStretch", [])
+        grades = []
+        for place, entry in enumerate(told["ServiceGrades"]):
+            kind = wanted[place] if place < len(wanted) else -1
+            stretch = stretches[place] if place < len(stretches) else entry.get("AimStretch", 0.0)
+            grades.append(
+                say.Grade(
+                    entry["Name"],
+                    EFFECTS[entry["Semantics"]],
+                    GROUPS[entry.get("Group", "all")],
+                    micros(entry.get("MemorySpan", 0)),
+                    micros(entry["SoftLimit"]),
+                    float(stretch),
+                    micros(entry["TimeLimit"]),
+                    float(entry.get("Revenue", 1.0)),
+                    float(entry.get("OverdueRevenue", 0.0)),
+                    kinds[kind] if isinstance(kind, int) and 0 <= kind < len(kinds) else None,
+                )
+            )
+        ceilings = told.get("Ceilings", {})
+        rules = told.get("Rules", {})
+        report = told.get("LoadReport", {}).get("Fields", [])
+        free = next((x for x in ("x0", "x1") if domain.get(f"Report{x.upper()}") == "free slots" and x in report), None)
+        advice = micros(ceilings.get("MaxRetryAfter", 0)) if ceilings.get("RetryAfter") else 0
+        return (
+            micros(told.get("Step", 1.0)),
+            int(told.get("FleetSize", 1)),
+            grades,
+            say.DispatchTerms(
+                int(ceilings.get("MaxDispatches", 1)),
+                bool(ceilings.get("SecondCopies", False)),
+                bool(ceilings.get("MayCancel", False)),
+            ),
+            say.ClientTerms(
+                advice,
+                {realm["Name"]: float(realm.get("QuotaPerS", 0.0)) for realm in told.get("Realms", [])},
+                float(told.get("BeyondShareRevenue", 1.0)),
+            ),
+            say.ColdTerms(
+                float(rules.get("OverloadFactor", 1.0)),
+                micros(rules.get("OverloadFor", 0)),
+                float(rules.get("ColdFrom", 1.0)),
+                micros(rules.get("Cold", 0)),
+            ),
+            say.ListTerms(told.get("Discovery") == "subscribe", micros(rules.get("AskWithin", 10000))),
+            say.SignTerms(bool(domain.get("TellsStart", False)), micros(domain.get("Progress", 0)), free),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError, IndexError) as trouble:
+        raise Malformed(f"expected settings as on the wire page: {trouble!r}") from None
