--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -10,12 +10,17 @@
 have run rejoins the pool with its age.
 
 The mechanisms beside it:
-1. The worker list: asked for, watched, asked again with growing gaps where it must be asked for.
+1. Learned cap: c of each worker, in slots, rises when a dispatch sent at the cap starts promptly and falls when
+   one starts late or is answered 'full'; while one of ours waits there past the prompt span, there is no room.
+2. Denials: on arrival, when the pool ahead would use up the slack before the soft limit; in the pool, once the
+   slack is gone. Slack is what the soft limit leaves beside the run itself, learned by grade.
+3. The worker list: asked for, watched, asked again with growing gaps where it must be asked for.
 """
 
 from __future__ import annotations
 
 from bisect import insort
+from math import exp
 from typing import Any, Generator
 
 from locktide.dispatch import interface as say
@@ -37,34 +42,94 @@
         return ((self.state >> 32) * bound) >> 32
 
 
+class Fading:
+    """A sum that fades by 1/e in each span, brought up to date when it is read or added to."""
+
+    __slots__ = ("sum", "at", "span")
+
+    def __init__(self, span: int) -> None:
+        self.sum, self.at, self.span = 0.0, 0, span
+
+    def read(self, now: int) -> float:
+        if now != self.at:
+            self.sum *= exp((self.at - now) / self.span)
+            self.at = now
+        return self.sum
+
+    def add(self, amount: float, now: int) -> None:
+        self.sum = self.read(now) + amount
+
+
+class Runs:
+    """How long a grade's submissions run, from the start to a good end, over the whole fleet."""
+
+    __slots__ = ("time", "count")
+
+    def __init__(self) -> None:
+        # Long enough for some tens of ends at ten a second, short enough to follow a slowdown of all.
+        self.time, self.count = Fading(10_000_000), Fading(10_000_000)
+
+    def add(self, run: int, now: int) -> None:
+        self.time.add(run, now)
+        self.count.add(1.0, now)
+
+    def mean(self, now: int) -> float:
+        count = self.count.read(now)
+        return self.time.read(now) / count if count > 0.1 else 0.0
+
+
 class Worker:
-    __slots__ = ("id", "zone", "kind", "cell", "state", "started_at", "own", "cap")
+    __slots__ = ("id", "zone", "kind", "cell", "state", "started_at", "own", "cap", "waiting")
 
     def __init__(self, entry: say.Listed) -> None:
         self.id = entry.worker
         self.own = 0.0  # slots of ours outstanding there
         self.cap = 1.0
+        self.waiting: dict[Dispatch, None] = {}  # ours there that have not started, oldest first
         self.update(entry)
 
     def update(self, entry: say.Listed) -> None:
         self.zone, self.kind, self.cell = entry.zone, entry.kind, entry.cell
         self.state, self.started_at = entry.state, entry.started_at
 
+    def has_room(self, width: float, now: int, prompt: int) -> bool:
+        if not self.own:
+            return True
+        if self.own + width > self.cap:
+            return False
+        # Guards against stacking up behind a queue or on a worker that has gone silent.
+        return not self.waiting or now - next(iter(self.waiting)).sent_at <= prompt
+
+    def started_promptly(self, at_cap: bool, width: float) -> None:
+        if at_cap:
+            # A quarter of the width a start: the cap about doubles in four prompt starts at the cap of one.
+            self.cap += 0.25 * width
+
+    def started_late(self) -> None:
+        # Halfway to half: a late start weighs about as much as two prompt ones at a cap of two.
+        self.cap = max(1.0, 0.75 * self.cap)
+
 
 class Dispatch:
-    __slots__ = ("submission", "shot", "worker", "sent_at", "started_at")
+    __slots__ = ("submission", "shot", "worker", "sent_at", "started_at", "at_cap")
 
     def __init__(self, submission: Submission, shot: int, worker: Worker, now: int) -> None:
         self.submission, self.shot, self.worker, self.sent_at = submission, shot, worker, now
+        self.at_cap = worker.own + submission.width > worker.cap - 1  # it took the last room there was
         self.started_at = 0
 
 
 class Submission:
-    __slots__ = ("id", "grade", "width", "arrived_at", "limit_at", "order", "shots", "out", "held", "course", "pooled")
+    __slots__ = (
+        "id", "grade", "width", "hint", "arrived_at", "limit_at", "leave_at", "order", "shots", "out", "held",
+        "course", "pooled",
+    )
 
     def __init__(self, arrival: say.Arrival, grade: say.Grade, now: int, order: int) -> None:
         self.id, self.grade, self.width = arrival.submission, grade, arrival.width
-        self.arrived_at, self.limit_at, self.order = now, arrival.time_limit_at, order
+        self.hint, self.order = arrival.work_hint, order
+        self.arrived_at, self.limit_at = now, arrival.time_limit_at
+        self.leave_at = self.limit_at  # when waiting in the pool stops to pay
         self.shots: list[Dispatch] = []
         self.out: list[Dispatch] = []  # dispatches without an outcome
         self.held: list[Dispatch] = []  # dispatches not proven never to have run
@@ -139,7 +204,11 @@
         self.grades = {grade.name: grade for grade in grades}
         self.dispatching, self.clients, self.signs = dispatching, clients, signs
         self.list = WorkerList(listing)
-        self.ready: list[Worker] = []
+        self.fitting: dict[str | None, list[Worker]] = {}  # ready workers by kind; None: all of them
+        # Late is a start that eats a quarter of the shortest soft limit: it still leaves room to act on.
+        self.prompt = min(grade.soft_limit for grade in grades) // 4
+        self.runs = {grade.name: Runs() for grade in grades}
+        self.released = Fading(2_000_000)  # short, so that a denial follows the rate of the moment
         self.submissions: dict[Any, Submission] = {}
         self.pool: list[Submission] = []
         self.orders: list[Any] = []
@@ -152,6 +221,9 @@
     # --- one submission, from arrival to its final answer
 
     def course(self, sub: Submission) -> Course:
+        if self.wait_ahead() > self.slack(sub):
+            self.orders.append(say.Deny(sub.id, 0))
+            return
         news: Any = None
         while True:
             news = yield POOL if news is None else WAIT
@@ -168,6 +240,17 @@
                 break
         self.answer(sub)
 
+    def slack(self, sub: Submission) -> float:
+        """How long a submission may wait for its start and still end within its soft limit."""
+        grade = sub.grade
+        run = sub.hint or self.runs[grade.name].mean(self.now)
+        return min(grade.soft_limit + (grade.stretch - 1.0) * run, sub.limit_at - self.now - run)
+
+    def wait_ahead(self) -> float:
+        """How long the pool takes to empty, at the rate at which submissions have lately left it for a worker."""
+        released = self.released.read(self.now)
+        return len(self.pool) * self.released.span / released if released >= 5.0 else 0.0
+
     def answer(self, sub: Submission) -> None:
         if sub.may_deny():
             self.orders.append(say.Deny(sub.id, 0))
@@ -193,7 +276,9 @@
         sub.shots.append(dispatch)
         sub.out.append(dispatch)
         sub.held.append(dispatch)
+        self.released.add(1.0, self.now)
         worker.own += sub.width
+        worker.waiting[dispatch] = None
         self.orders.append(say.Dispatch(sub.id, worker.id))
 
     # --- news
@@ -205,7 +290,9 @@
             TAKE[type(piece)](self, piece)
         if self.list.terms.must_ask and not self.list.watched and now >= self.list.ask_at:
             self.ask()
-        if self.pool:
+        for sub in [sub for sub in self.pool if sub.leave_at <= now]:
+            self.advance(sub, None)
+        if self.pool and self.fitting:
             self.round()
         if self.pool and not self.round_timer:
             self.round_timer = True
@@ -239,12 +326,16 @@
         if news.kind != say.REMEMBERED:
             self.list.failures = 0
         self.list.take(news)
-        self.ready = self.list.ready()
+        ready = self.list.ready()
+        self.fitting = {None: ready}
+        for kind in {grade.kind for grade in self.grades.values()} - {None}:
+            self.fitting[kind] = [worker for worker in ready if worker.kind == kind]
 
     def take_arrival(self, arrival: say.Arrival) -> None:
         self.arrivals += 1
         sub = Submission(arrival, self.grades[arrival.grade], self.now, self.arrivals)
         self.submissions[sub.id] = sub
+        sub.leave_at = min(sub.limit_at - 2 * self.step, self.now + max(0, int(self.slack(sub))))
         sub.course = self.course(sub)
         self.advance(sub, None)
 
@@ -256,6 +347,16 @@
         dispatch = self.find(news.submission, news.shot)
         if dispatch is not None:
             dispatch.started_at = self.now
+            self.settle(dispatch, self.now - dispatch.sent_at <= self.prompt)
+
+    def settle(self, dispatch: Dispatch, prompt: bool) -> None:
+        """The first word on a dispatch: it started, or ended before we heard that it had."""
+        worker = dispatch.worker
+        if worker.waiting.pop(dispatch, 0) is None:
+            if prompt:
+                worker.started_promptly(dispatch.at_cap, dispatch.submission.width)
+            else:
+                worker.started_late()
 
     def take_ended(self, news: say.Ended) -> None:
         dispatch = self.find(news.submission, news.shot)
@@ -264,6 +365,9 @@
         sub, worker = dispatch.submission, dispatch.worker
         worker.own -= sub.width
         sub.out.remove(dispatch)
+        self.settle(dispatch, news.outcome == say.DONE)
+        if news.outcome == say.DONE and dispatch.started_at:
+            self.runs[sub.grade.name].add(self.now - dispatch.started_at, self.now)
         if news.outcome in PROVEN_NOT_RUN:
             sub.held.remove(dispatch)
         self.advance(sub, news)
@@ -279,19 +383,22 @@
     # --- the round
 
     def round(self) -> None:
+        now, prompt = self.now, self.prompt
+        everyone = self.fitting.get(None, [])
+        # Guards the CPU against a long pool before a full fleet: the round ends once no worker has room.
+        room = sum([worker.has_room(1.0, now, prompt) for worker in everyone])
         for sub in list(self.pool):
-            if self.now >= sub.limit_at - 2 * self.step:
-                self.advance(sub, None)
-                continue
-            fitting = [
-                worker for worker in self.ready
-                if (sub.grade.kind is None or sub.grade.kind == worker.kind) and sub.may_repeat_on(worker, self.now)
-            ]
+            if room <= 0:
+                break
+            fitting = self.fitting[sub.grade.kind]
+            if sub.held:
+                fitting = [worker for worker in fitting if sub.may_repeat_on(worker, now)]
             if not fitting:
                 continue
             worker = fitting[self.chance.below(len(fitting))]
-            if not worker.own or worker.own + sub.width <= worker.cap:
+            if worker.has_room(sub.width, now, prompt):
                 self.advance(sub, worker)
+                room -= not worker.has_room(1.0, now, prompt)
 
 
 TAKE = {
