--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -208,7 +208,7 @@
         # Late is a start that eats a quarter of the shortest soft limit: it still leaves room to act on.
         self.prompt = min(grade.soft_limit for grade in grades) // 4
         self.runs = {grade.name: Runs() for grade in grades}
-        self.released = Fading(2_000_000)  # short, so that a denial follows the rate of the moment
+        self.released = Fading(5_000_000)  # short, so that a denial follows the rate of the moment
         self.submissions: dict[Any, Submission] = {}
         self.pool: list[Submission] = []
         self.orders: list[Any] = []
@@ -221,7 +221,7 @@
     # --- one submission, from arrival to its final answer
 
     def course(self, sub: Submission) -> Course:
-        if self.wait_ahead() > self.slack(sub):
+        if self.wait_ahead() > 1.5 * self.slack(sub):
             self.orders.append(say.Deny(sub.id, 0))
             return
         news: Any = None
@@ -244,7 +244,10 @@
         """How long a submission may wait for its start and still end within its soft limit."""
         grade = sub.grade
         run = sub.hint or self.runs[grade.name].mean(self.now)
-        return min(grade.soft_limit + (grade.stretch - 1.0) * run, sub.limit_at - self.now - run)
+        # Half the usual run still counts as possible: a hint is rough and the fastest worker is twice the mean.
+        if self.now + run / 2 > sub.limit_at:
+            return 0.0
+        return grade.soft_limit + (grade.stretch - 1.0) * run
 
     def wait_ahead(self) -> float:
         """How long the pool takes to empty, at the rate at which submissions have lately left it for a worker."""
