--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -12,9 +12,11 @@
 The mechanisms beside it:
 1. Learned cap: c of each worker, in slots, rises when a dispatch sent at the cap starts promptly and falls when
    one starts late or is answered 'full'; while one of ours waits there past the prompt span, there is no room.
-2. Denials: on arrival, when the pool ahead would use up the slack before the soft limit; in the pool, once the
-   slack is gone. Slack is what the soft limit leaves beside the run itself, learned by grade.
-3. The worker list: asked for, watched, asked again with growing gaps where it must be asked for.
+2. Denials: once half the slack has gone by in the pool. Slack is what the soft limit leaves beside the run
+   itself, learned by grade.
+3. Further dispatches: a dispatch that has not started after part of the slack, or has gone silent, is withdrawn
+   or doubled where the grade allows it; how often follows how many of the recent ones succeeded.
+4. The worker list: asked for, watched, asked again with growing gaps where it must be asked for.
 """
 
 from __future__ import annotations
@@ -111,18 +113,19 @@
 
 
 class Dispatch:
-    __slots__ = ("submission", "shot", "worker", "sent_at", "started_at", "at_cap")
+    __slots__ = ("submission", "shot", "worker", "sent_at", "started_at", "heard_at", "at_cap", "further")
 
     def __init__(self, submission: Submission, shot: int, worker: Worker, now: int) -> None:
         self.submission, self.shot, self.worker, self.sent_at = submission, shot, worker, now
         self.at_cap = worker.own + submission.width > worker.cap - 1  # it took the last room there was
-        self.started_at = 0
+        self.started_at = self.heard_at = 0
+        self.further = bool(submission.held)
 
 
 class Submission:
     __slots__ = (
         "id", "grade", "width", "hint", "arrived_at", "limit_at", "leave_at", "order", "shots", "out", "held",
-        "course", "pooled",
+        "course", "pooled", "answered",
     )
 
     def __init__(self, arrival: say.Arrival, grade: say.Grade, now: int, order: int) -> None:
@@ -133,7 +136,7 @@
         self.shots: list[Dispatch] = []
         self.out: list[Dispatch] = []  # dispatches without an outcome
         self.held: list[Dispatch] = []  # dispatches not proven never to have run
-        self.pooled = False
+        self.pooled = self.answered = False
         self.course: Course
 
     def __lt__(self, other: Submission) -> bool:
@@ -208,7 +211,7 @@
         # Late is a start that eats a quarter of the shortest soft limit: it still leaves room to act on.
         self.prompt = min(grade.soft_limit for grade in grades) // 4
         self.runs = {grade.name: Runs() for grade in grades}
-        self.released = Fading(5_000_000)  # short, so that a denial follows the rate of the moment
+        self.credit = 10.0  # of further dispatches; ten let a dispatcher meet a sudden trouble at once
         self.submissions: dict[Any, Submission] = {}
         self.pool: list[Submission] = []
         self.orders: list[Any] = []
@@ -221,25 +224,52 @@
     # --- one submission, from arrival to its final answer
 
     def course(self, sub: Submission) -> Course:
-        if self.wait_ahead() > 1.5 * self.slack(sub):
-            self.orders.append(say.Deny(sub.id, 0))
-            return
-        news: Any = None
+        where = POOL
         while True:
-            news = yield POOL if news is None else WAIT
+            news = yield where
             if type(news) is Worker:
                 self.send(sub, news)
-                continue
-            if news is None:
-                break
-            if news.final:
+                where = WAIT
+            elif news is None:  # waiting in the pool no longer pays
+                if not sub.out:
+                    break
+                where = WAIT
+            elif type(news) is Dispatch:  # in doubt: no start, or no sign of life
+                where = self.doubt(news)
+            elif type(news) is say.Started:
+                where = WAIT
+                for other in sub.out:  # the copies that still wait are of no more use
+                    if not other.started_at:
+                        self.withdraw(other)
+            elif news.final:
+                for other in sub.out:
+                    self.withdraw(other)
                 return
-            if news.outcome in PROVEN_NOT_RUN or sub.grade.effect != AT_MOST_ONCE:
-                news = None
-            if self.now >= sub.limit_at or len(sub.shots) >= self.dispatching.most_dispatches or news is not None:
-                break
+            elif not sub.out:
+                if self.now >= sub.limit_at or not self.may_dispatch(sub):
+                    break
+                where = POOL
         self.answer(sub)
 
+    def may_dispatch(self, sub: Submission) -> bool:
+        if len(sub.shots) >= self.dispatching.most_dispatches:
+            return False
+        return not sub.held or sub.grade.effect != AT_MOST_ONCE
+
+    def doubt(self, dispatch: Dispatch) -> str:
+        """A further dispatch for one in doubt, beside it or in its place, while such ones pay."""
+        sub = dispatch.submission
+        if not self.may_dispatch(sub) or self.credit < 1.0:
+            return WAIT
+        if self.dispatching.second_copies:
+            return POOL
+        self.withdraw(dispatch)
+        return WAIT
+
+    def withdraw(self, dispatch: Dispatch) -> None:
+        if self.dispatching.may_withdraw:
+            self.orders.append(say.Withdraw(dispatch.submission.id, dispatch.shot))
+
     def slack(self, sub: Submission) -> float:
         """How long a submission may wait for its start and still end within its soft limit."""
         grade = sub.grade
@@ -249,11 +279,6 @@
             return 0.0
         return grade.soft_limit + (grade.stretch - 1.0) * run
 
-    def wait_ahead(self) -> float:
-        """How long the pool takes to empty, at the rate at which submissions have lately left it for a worker."""
-        released = self.released.read(self.now)
-        return len(self.pool) * self.released.span / released if released >= 5.0 else 0.0
-
     def answer(self, sub: Submission) -> None:
         if sub.may_deny():
             self.orders.append(say.Deny(sub.id, 0))
@@ -265,8 +290,10 @@
         try:
             wanted = sub.course.send(news)
         except StopIteration:
-            self.submissions.pop(sub.id, None)
+            sub.answered = True
             wanted = WAIT
+            if not sub.out:
+                self.submissions.pop(sub.id, None)
         if wanted is POOL and not sub.pooled:
             sub.pooled = True
             insort(self.pool, sub)
@@ -276,10 +303,14 @@
 
     def send(self, sub: Submission, worker: Worker) -> None:
         dispatch = Dispatch(sub, len(sub.shots), worker, self.now)
+        if dispatch.further:
+            self.credit -= 1.0
+        if sub.grade.effect != AT_MOST_ONCE and self.signs.tells_start:
+            # An eighth of the slack: seven more such waits, or one wait and a whole queue elsewhere, still fit.
+            self.wake(max(self.prompt, int(self.slack(sub)) // 8), dispatch)
         sub.shots.append(dispatch)
         sub.out.append(dispatch)
         sub.held.append(dispatch)
-        self.released.add(1.0, self.now)
         worker.own += sub.width
         worker.waiting[dispatch] = None
         self.orders.append(say.Dispatch(sub.id, worker.id))
@@ -311,6 +342,20 @@
         what = self.timers.pop(due.mark, None)
         if what == "round":
             self.round_timer = False
+        elif type(what) is Dispatch and what in what.submission.out and not what.submission.answered:
+            self.check(what)
+
+    def check(self, dispatch: Dispatch) -> None:
+        """Looks at a dispatch that should have given a sign by now."""
+        if not dispatch.started_at:
+            self.advance(dispatch.submission, dispatch)
+            return
+        every = self.signs.progress_every
+        # One and a half: a progress note may be late by the network, never by half its gap.
+        if every and self.now - dispatch.heard_at > every * 3 // 2:
+            self.advance(dispatch.submission, dispatch)
+        elif every:
+            self.wake(every * 3 // 2, dispatch)
 
     def ask(self) -> None:
         self.list.watched = True
@@ -338,7 +383,7 @@
         self.arrivals += 1
         sub = Submission(arrival, self.grades[arrival.grade], self.now, self.arrivals)
         self.submissions[sub.id] = sub
-        sub.leave_at = min(sub.limit_at - 2 * self.step, self.now + max(0, int(self.slack(sub))))
+        sub.leave_at = min(sub.limit_at - 2 * self.step, self.now + max(0, int(0.5 * self.slack(sub))))
         sub.course = self.course(sub)
         self.advance(sub, None)
 
@@ -349,9 +394,19 @@
     def take_started(self, news: say.Started) -> None:
         dispatch = self.find(news.submission, news.shot)
         if dispatch is not None:
-            dispatch.started_at = self.now
+            dispatch.started_at = dispatch.heard_at = self.now
+            sub = dispatch.submission
+            if not sub.answered and (sub.pooled or len(sub.out) > 1):
+                self.advance(sub, news)
+            if sub.grade.effect != AT_MOST_ONCE and self.signs.progress_every:
+                self.wake(self.signs.progress_every * 3 // 2, dispatch)
             self.settle(dispatch, self.now - dispatch.sent_at <= self.prompt)
 
+    def take_progress(self, news: say.Progressed) -> None:
+        dispatch = self.find(news.submission, news.shot)
+        if dispatch is not None:
+            dispatch.heard_at = self.now
+
     def settle(self, dispatch: Dispatch, prompt: bool) -> None:
         """The first word on a dispatch: it started, or ended before we heard that it had."""
         worker = dispatch.worker
@@ -371,13 +426,19 @@
         self.settle(dispatch, news.outcome == say.DONE)
         if news.outcome == say.DONE and dispatch.started_at:
             self.runs[sub.grade.name].add(self.now - dispatch.started_at, self.now)
+        if news.outcome == say.DONE:
+            # A further dispatch that succeeds pays for the next; of the others a tenth may be followed by one.
+            self.credit = min(10.0, self.credit + (1.0 if dispatch.further else 0.1))
         if news.outcome in PROVEN_NOT_RUN:
             sub.held.remove(dispatch)
-        self.advance(sub, news)
+        if not sub.answered:
+            self.advance(sub, news)
+        elif not sub.out:
+            del self.submissions[sub.id]
 
     def take_gone(self, news: say.ClientGone) -> None:
         sub = self.submissions.get(news.submission)
-        if sub is not None:
+        if sub is not None and not sub.answered:
             self.advance(sub, say.Ended(sub.id, -1, say.NEVER_SENT, True))
 
     def take_nothing(self, news: Any) -> None:
@@ -395,7 +456,8 @@
                 break
             fitting = self.fitting[sub.grade.kind]
             if sub.held:
-                fitting = [worker for worker in fitting if sub.may_repeat_on(worker, now)]
+                taken = [dispatch.worker for dispatch in sub.held]
+                fitting = [worker for worker in fitting if worker not in taken and sub.may_repeat_on(worker, now)]
             if not fitting:
                 continue
             worker = fitting[self.chance.below(len(fitting))]
@@ -408,7 +470,7 @@
     say.ListNews: Dispatcher.take_list,
     say.Arrival: Dispatcher.take_arrival,
     say.Started: Dispatcher.take_started,
-    say.Progressed: Dispatcher.take_nothing,
+    say.Progressed: Dispatcher.take_progress,
     say.StreamBegan: Dispatcher.take_nothing,
     say.Ended: Dispatcher.take_ended,
     say.ClientGone: Dispatcher.take_gone,
