--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -263,6 +263,9 @@
             return WAIT
         if self.dispatching.second_copies:
             return POOL
+        # Guards against giving up a place in a queue for a worse one: what is bound to a group waits its turn.
+        if not dispatch.started_at and sub.grade.effect != REISSUABLE:
+            return WAIT
         self.withdraw(dispatch)
         return WAIT
 
@@ -325,6 +328,9 @@
         if self.list.terms.must_ask and not self.list.watched and now >= self.list.ask_at:
             self.ask()
         for sub in [sub for sub in self.pool if sub.leave_at <= now]:
+            if sub.held and now < sub.limit_at - 2 * self.step:
+                sub.leave_at = sub.limit_at - 2 * self.step  # it may have run: a late answer beats none
+                continue
             self.advance(sub, None)
         if self.pool and self.fitting:
             self.round()
@@ -407,10 +413,15 @@
         if dispatch is not None:
             dispatch.heard_at = self.now
 
+    def earn(self, credit: float) -> None:
+        self.credit = min(10.0, self.credit + credit)
+
     def settle(self, dispatch: Dispatch, prompt: bool) -> None:
         """The first word on a dispatch: it started, or ended before we heard that it had."""
         worker = dispatch.worker
         if worker.waiting.pop(dispatch, 0) is None:
+            if prompt and dispatch.further:
+                self.earn(1.0)  # it found a better place, and pays for the next
             if prompt:
                 worker.started_promptly(dispatch.at_cap, dispatch.submission.width)
             else:
@@ -427,8 +438,7 @@
         if news.outcome == say.DONE and dispatch.started_at:
             self.runs[sub.grade.name].add(self.now - dispatch.started_at, self.now)
         if news.outcome == say.DONE:
-            # A further dispatch that succeeds pays for the next; of the others a tenth may be followed by one.
-            self.credit = min(10.0, self.credit + (1.0 if dispatch.further else 0.1))
+            self.earn(0.1)  # a tenth of what goes well may be followed by a further dispatch all the same
         if news.outcome in PROVEN_NOT_RUN:
             sub.held.remove(dispatch)
         if not sub.answered:
