Health posterior, first try: blames queues, forgets success too slowly

No start within an eighth of the slack is normal behind a queue, so it must not count as silence; and half a good record hides an unreachable worker for five failures.

--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -16,7 +16,10 @@
    itself, learned by grade.
 3. Further dispatches: a dispatch that has not started after part of the slack, or has gone silent, is withdrawn
    or doubled where the grade allows it; how often follows how many of the recent ones succeeded.
-4. The worker list: asked for, watched, asked again with growing gaps where it must be asked for.
+4. Health posterior: failed connections, resets, errors and silence make a worker doubtful; a draw from the
+   posterior of its chance of success decides each second whether it gets one submission. Where more than half
+   are doubtful the fault is taken to be elsewhere, and nobody is.
+5. The worker list: asked for, watched, asked again with growing gaps where it must be asked for.
 """
 
 from __future__ import annotations
@@ -81,12 +84,16 @@
 
 
 class Worker:
-    __slots__ = ("id", "zone", "kind", "cell", "state", "started_at", "own", "cap", "waiting")
+    __slots__ = ("id", "zone", "kind", "cell", "state", "started_at", "own", "cap", "waiting", "heard_at", "good", "bad", "drawn_at")
 
     def __init__(self, entry: say.Listed) -> None:
         self.id = entry.worker
         self.own = 0.0  # slots of ours outstanding there
         self.cap = 1.0
+        self.heard_at = 0  # when it last gave a sign of life
+        # Ten seconds: past the longest pause of a sound worker, short beside an outage that someone must mend.
+        self.good, self.bad = Fading(10_000_000), Fading(10_000_000)
+        self.drawn_at = 0
         self.waiting: dict[Dispatch, None] = {}  # ours there that have not started, oldest first
         self.update(entry)
 
@@ -102,6 +109,29 @@
         # Guards against stacking up behind a queue or on a worker that has gone silent.
         return not self.waiting or now - next(iter(self.waiting)).sent_at <= prompt
 
+    def doubtful(self, now: int) -> bool:
+        return self.bad.read(now) >= 0.5
+
+    def succeeded(self, now: int) -> None:
+        self.heard_at = now
+        self.good.add(1.0, now)
+
+    def failed(self, now: int) -> None:
+        # Guards against a long good record that hides a fresh outage: a failure halves what success counts for.
+        self.good.add(-0.5 * self.good.read(now), now)
+        self.bad.add(1.0, now)
+
+    def trusted(self, now: int, chance: Chance) -> bool:
+        """For a doubtful worker: whether it gets one more submission, drawn anew at most once a second."""
+        if now < self.drawn_at + 1_000_000:
+            return False
+        self.drawn_at = now
+        # The a-th smallest of a + b - 1 uniform draws has the distribution Beta(a, b). Eight of each tell enough.
+        a = 1 + min(8, round(self.good.read(now)))
+        b = 1 + min(8, round(self.bad.read(now)))
+        draws = sorted([chance.below(1 << 20) for _ in range(a + b - 1)])
+        return draws[a - 1] > 1 << 19
+
     def started_promptly(self, at_cap: bool, width: float) -> None:
         if at_cap:
             # A quarter of the width a start: the cap about doubles in four prompt starts at the cap of one.
@@ -113,13 +143,14 @@
 
 
 class Dispatch:
-    __slots__ = ("submission", "shot", "worker", "sent_at", "started_at", "heard_at", "at_cap", "further")
+    __slots__ = ("submission", "shot", "worker", "sent_at", "started_at", "heard_at", "at_cap", "further", "blamed")
 
     def __init__(self, submission: Submission, shot: int, worker: Worker, now: int) -> None:
         self.submission, self.shot, self.worker, self.sent_at = submission, shot, worker, now
         self.at_cap = worker.own + submission.width > worker.cap - 1  # it took the last room there was
         self.started_at = self.heard_at = 0
         self.further = bool(submission.held)
+        self.blamed = False
 
 
 class Submission:
@@ -308,7 +339,7 @@
         dispatch = Dispatch(sub, len(sub.shots), worker, self.now)
         if dispatch.further:
             self.credit -= 1.0
-        if sub.grade.effect != AT_MOST_ONCE and self.signs.tells_start:
+        if self.signs.tells_start:
             # An eighth of the slack: seven more such waits, or one wait and a whole queue elsewhere, still fit.
             self.wake(max(self.prompt, int(self.slack(sub)) // 8), dispatch)
         sub.shots.append(dispatch)
@@ -354,11 +385,15 @@
     def check(self, dispatch: Dispatch) -> None:
         """Looks at a dispatch that should have given a sign by now."""
         if not dispatch.started_at:
+            if dispatch.worker.heard_at < dispatch.sent_at:
+                dispatch.blamed = True
+                dispatch.worker.failed(self.now)
             self.advance(dispatch.submission, dispatch)
             return
         every = self.signs.progress_every
         # One and a half: a progress note may be late by the network, never by half its gap.
         if every and self.now - dispatch.heard_at > every * 3 // 2:
+            dispatch.worker.failed(self.now)
             self.advance(dispatch.submission, dispatch)
         elif every:
             self.wake(every * 3 // 2, dispatch)
@@ -402,16 +437,19 @@
         if dispatch is not None:
             dispatch.started_at = dispatch.heard_at = self.now
             sub = dispatch.submission
+            dispatch.worker.heard_at = self.now
+            if dispatch.blamed:  # it was slow to say so, not silent
+                dispatch.worker.bad.add(-1.0, self.now)
             if not sub.answered and (sub.pooled or len(sub.out) > 1):
                 self.advance(sub, news)
-            if sub.grade.effect != AT_MOST_ONCE and self.signs.progress_every:
+            if self.signs.progress_every:
                 self.wake(self.signs.progress_every * 3 // 2, dispatch)
             self.settle(dispatch, self.now - dispatch.sent_at <= self.prompt)
 
     def take_progress(self, news: say.Progressed) -> None:
         dispatch = self.find(news.submission, news.shot)
         if dispatch is not None:
-            dispatch.heard_at = self.now
+            dispatch.heard_at = dispatch.worker.heard_at = self.now
 
     def earn(self, credit: float) -> None:
         self.credit = min(10.0, self.credit + credit)
@@ -437,7 +475,12 @@
         self.settle(dispatch, news.outcome == say.DONE)
         if news.outcome == say.DONE and dispatch.started_at:
             self.runs[sub.grade.name].add(self.now - dispatch.started_at, self.now)
+        if news.outcome in (say.ERROR, say.RESET, say.NO_CONNECTION):
+            worker.failed(self.now)
+        elif news.outcome == say.FULL:
+            worker.heard_at = self.now
         if news.outcome == say.DONE:
+            worker.succeeded(self.now)
             self.earn(0.1)  # a tenth of what goes well may be followed by a further dispatch all the same
         if news.outcome in PROVEN_NOT_RUN:
             sub.held.remove(dispatch)
@@ -471,11 +514,18 @@
             if not fitting:
                 continue
             worker = fitting[self.chance.below(len(fitting))]
-            if worker.has_room(sub.width, now, prompt):
+            if worker.has_room(sub.width, now, prompt) and (
+                not worker.doubtful(now) or self.all_doubtful() or worker.trusted(now, self.chance)
+            ):
                 self.advance(sub, worker)
                 room -= not worker.has_room(1.0, now, prompt)
 
 
+    def all_doubtful(self) -> bool:
+        everyone = self.fitting[None]
+        return 2 * sum([worker.doubtful(self.now) for worker in everyone]) > len(everyone)
+
+
 TAKE = {
     say.ListNews: Dispatcher.take_list,
     say.Arrival: Dispatcher.take_arrival,
