--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -115,10 +115,12 @@
     def succeeded(self, now: int) -> None:
         self.heard_at = now
         self.good.add(1.0, now)
+        # Guards against shunning a worker that has come back: two good ends outweigh one bad.
+        self.bad.add(-0.5 * self.bad.read(now), now)
 
     def failed(self, now: int) -> None:
-        # Guards against a long good record that hides a fresh outage: a failure halves what success counts for.
-        self.good.add(-0.5 * self.good.read(now), now)
+        # Guards against a long good record that hides a fresh outage: a failure cuts it to a quarter.
+        self.good.add(-0.75 * self.good.read(now), now)
         self.bad.add(1.0, now)
 
     def trusted(self, now: int, chance: Chance) -> bool:
@@ -385,7 +387,11 @@
     def check(self, dispatch: Dispatch) -> None:
         """Looks at a dispatch that should have given a sign by now."""
         if not dispatch.started_at:
-            if dispatch.worker.heard_at < dispatch.sent_at:
+            # A queue moves within twice the usual run, at the latest; before that, no start is no one's fault.
+            blame_at = dispatch.sent_at + 2 * int(self.runs[dispatch.submission.grade.name].mean(self.now))
+            if self.now < blame_at:
+                self.wake(blame_at - self.now, dispatch)
+            elif dispatch.worker.heard_at < dispatch.sent_at and not dispatch.blamed:
                 dispatch.blamed = True
                 dispatch.worker.failed(self.now)
             self.advance(dispatch.submission, dispatch)
