--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -315,6 +315,17 @@
             return 0.0
         return grade.soft_limit + (grade.stretch - 1.0) * run
 
+    def patience(self, sub: Submission) -> int:
+        """How long a submission waits in the pool: half its slack, as runs vary, and half the shortest usual one.
+
+        Guards against an overload in which long-slack work fills the pool and the short grades get nothing.
+        """
+        shortest = min([
+            grade.soft_limit + (grade.stretch - 1.0) * self.runs[grade.name].mean(self.now)
+            for grade in self.grades.values()
+        ])
+        return max(0, int(0.5 * min(self.slack(sub), shortest)))
+
     def answer(self, sub: Submission) -> None:
         if sub.may_deny():
             self.orders.append(say.Deny(sub.id, 0))
@@ -430,7 +441,7 @@
         self.arrivals += 1
         sub = Submission(arrival, self.grades[arrival.grade], self.now, self.arrivals)
         self.submissions[sub.id] = sub
-        sub.leave_at = min(sub.limit_at - 2 * self.step, self.now + max(0, int(0.5 * self.slack(sub))))
+        sub.leave_at = min(sub.limit_at - 2 * self.step, self.now + self.patience(sub))
         sub.course = self.course(sub)
         self.advance(sub, None)
 
