--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -324,7 +324,7 @@
             grade.soft_limit + (grade.stretch - 1.0) * self.runs[grade.name].mean(self.now)
             for grade in self.grades.values()
         ])
-        return max(0, int(min(0.5 * self.slack(sub), shortest)))
+        return max(0, int(0.25 * min(self.slack(sub), shortest)))
 
     def answer(self, sub: Submission) -> None:
         if sub.may_deny():
