--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -324,7 +324,10 @@
             grade.soft_limit + (grade.stretch - 1.0) * self.runs[grade.name].mean(self.now)
             for grade in self.grades.values()
         ])
-        return max(0, int(0.25 * min(self.slack(sub), shortest)))
+        usual = self.runs[sub.grade.name].mean(self.now)
+        if sub.hint and usual:
+            shortest *= max(1.0, sub.hint / usual)  # a heavier submission earns more, and may wait longer for it
+        return max(0, int(0.3 * min(self.slack(sub), shortest)))
 
     def answer(self, sub: Submission) -> None:
         if sub.may_deny():
