--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -19,7 +19,9 @@
 4. Health posterior: failed connections, resets, errors and silence make a worker doubtful; a draw from the
    posterior of its chance of success decides each second whether it gets one submission. Where more than half
    are doubtful the fault is taken to be elsewhere, and nobody is.
-5. The worker list: asked for, watched, asked again with growing gaps where it must be asked for.
+5. Cold budget: a worker that has just started gets no more than our share, one in the number of dispatchers, of
+   the work that would push it over, counted as work per window; until it is warm.
+6. The worker list: asked for, watched, asked again with growing gaps where it must be asked for.
 """
 
 from __future__ import annotations
@@ -84,7 +86,7 @@
 
 
 class Worker:
-    __slots__ = ("id", "zone", "kind", "cell", "state", "started_at", "own", "cap", "waiting", "heard_at", "good", "bad", "drawn_at")
+    __slots__ = ("id", "zone", "kind", "cell", "state", "started_at", "own", "cap", "waiting", "heard_at", "good", "bad", "drawn_at", "sent_cold")
 
     def __init__(self, entry: say.Listed) -> None:
         self.id = entry.worker
@@ -94,6 +96,7 @@
         # Ten seconds: past the longest pause of a sound worker, short beside an outage that someone must mend.
         self.good, self.bad = Fading(10_000_000), Fading(10_000_000)
         self.drawn_at = 0
+        self.sent_cold = Fading(1_000_000)
         self.waiting: dict[Dispatch, None] = {}  # ours there that have not started, oldest first
         self.update(entry)
 
@@ -203,6 +206,33 @@
 Course = Generator[str, Any, None]
 
 
+class ColdBudget:
+    """Our share of what may be sent to a worker that is not warm yet."""
+
+    __slots__ = ("terms", "share", "slots")
+
+    def __init__(self, terms: say.ColdTerms, fleet: int) -> None:
+        self.terms = terms
+        # A sum that fades over one window lets through 1.63 times its level in the worst window; so 0.6 of it.
+        self.share = 0.6 * terms.factor * terms.window / fleet
+        # How many slots a worker has is told nowhere: the most of ours seen running at once on one, and at least
+        # two, which makes our count of a submission's work err to the high side.
+        self.slots = 2.0
+
+    def allows(self, worker: Worker, work: float, now: int) -> bool:
+        terms = self.terms
+        age = now - worker.started_at
+        if not worker.started_at or age >= terms.warm_after:
+            return True
+        capacity = terms.cold_from + (1.0 - terms.cold_from) * age / terms.warm_after
+        return worker.sent_cold.read(now) + work / self.slots <= self.share * capacity
+
+    def count(self, worker: Worker, work: float, now: int) -> None:
+        if worker.started_at and now < worker.started_at + self.terms.warm_after:
+            worker.sent_cold.span = self.terms.window
+            worker.sent_cold.add(work / self.slots, now)
+
+
 class WorkerList:
     """Follows the list; where it must be asked for, watches it and asks again after a failure."""
 
@@ -240,6 +270,7 @@
         self.grades = {grade.name: grade for grade in grades}
         self.dispatching, self.clients, self.signs = dispatching, clients, signs
         self.list = WorkerList(listing)
+        self.cold = ColdBudget(cold, fleet)
         self.fitting: dict[str | None, list[Worker]] = {}  # ready workers by kind; None: all of them
         # Late is a start that eats a quarter of the shortest soft limit: it still leaves room to act on.
         self.prompt = min(grade.soft_limit for grade in grades) // 4
@@ -315,6 +346,10 @@
             return 0.0
         return grade.soft_limit + (grade.stretch - 1.0) * run
 
+    def work(self, sub: Submission) -> float:
+        """The work of a submission: its usual run, or what is hinted, on each of its slots."""
+        return sub.width * (sub.hint or self.runs[sub.grade.name].mean(self.now) or sub.grade.soft_limit)
+
     def patience(self, sub: Submission) -> int:
         """How long a submission waits in the pool: half its slack, as runs vary, and half the shortest usual one.
 
@@ -362,6 +397,7 @@
         sub.out.append(dispatch)
         sub.held.append(dispatch)
         worker.own += sub.width
+        self.cold.count(worker, self.work(sub), self.now)
         worker.waiting[dispatch] = None
         self.orders.append(say.Dispatch(sub.id, worker.id))
 
@@ -458,6 +494,8 @@
             dispatch.started_at = dispatch.heard_at = self.now
             sub = dispatch.submission
             dispatch.worker.heard_at = self.now
+            running = dispatch.worker.own - sum([other.submission.width for other in dispatch.worker.waiting])
+            self.cold.slots = max(self.cold.slots, running)
             if dispatch.blamed:  # it was slow to say so, not silent
                 dispatch.worker.bad.add(-1.0, self.now)
             if not sub.answered and (sub.pooled or len(sub.out) > 1):
@@ -534,7 +572,7 @@
             if not fitting:
                 continue
             worker = fitting[self.chance.below(len(fitting))]
-            if worker.has_room(sub.width, now, prompt) and (
+            if worker.has_room(sub.width, now, prompt) and self.cold.allows(worker, self.work(sub), now) and (
                 not worker.doubtful(now) or self.all_doubtful() or worker.trusted(now, self.chance)
             ):
                 self.advance(sub, worker)
