--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -213,8 +213,7 @@
 
     def __init__(self, terms: say.ColdTerms, fleet: int) -> None:
         self.terms = terms
-        # A sum that fades over one window lets through 1.63 times its level in the worst window; so 0.6 of it.
-        self.share = 0.6 * terms.factor * terms.window / fleet
+        self.share = terms.factor * terms.window / fleet
         # How many slots a worker has is told nowhere: the most of ours seen running at once on one, and at least
         # two, which makes our count of a submission's work err to the high side.
         self.slots = 2.0
