--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -86,7 +86,7 @@
 
 
 class Worker:
-    __slots__ = ("id", "zone", "kind", "cell", "state", "started_at", "own", "cap", "waiting", "heard_at", "good", "bad", "drawn_at", "sent_cold")
+    __slots__ = ("id", "zone", "kind", "cell", "state", "started_at", "own", "cap", "waiting", "heard_at", "good", "bad", "drawn_at", "sent_cold", "rest_until")
 
     def __init__(self, entry: say.Listed) -> None:
         self.id = entry.worker
@@ -96,6 +96,7 @@
         # Ten seconds: past the longest pause of a sound worker, short beside an outage that someone must mend.
         self.good, self.bad = Fading(10_000_000), Fading(10_000_000)
         self.drawn_at = 0
+        self.rest_until = 0  # while the cap is under one: when we have held our share there on average
         self.sent_cold = Fading(1_000_000)
         self.waiting: dict[Dispatch, None] = {}  # ours there that have not started, oldest first
         self.update(entry)
@@ -106,7 +107,7 @@
 
     def has_room(self, width: float, now: int, prompt: int) -> bool:
         if not self.own:
-            return True
+            return now >= self.rest_until
         if self.own + width > self.cap:
             return False
         # Guards against stacking up behind a queue or on a worker that has gone silent.
@@ -143,8 +144,15 @@
             self.cap += 0.25 * width
 
     def started_late(self) -> None:
-        # Halfway to half: a late start weighs about as much as two prompt ones at a cap of two.
-        self.cap = max(1.0, 0.75 * self.cap)
+        # Halfway to half: a late start weighs about as much as two prompt ones at a cap of two. At a fifth, one
+        # submission in five stays, we still learn when the crowd there has gone.
+        self.cap = max(0.2, 0.75 * self.cap)
+
+    def left(self, stay: int, now: int) -> None:
+        # Guards against many dispatchers that each keep one submission on every worker: with a cap under one we
+        # stay away so long that our own outstanding work there is the cap on average.
+        if not self.own and self.cap < 1.0:
+            self.rest_until = now + int(stay * (1.0 / self.cap - 1.0))
 
 
 class Dispatch:
@@ -528,6 +536,7 @@
             return
         sub, worker = dispatch.submission, dispatch.worker
         worker.own -= sub.width
+        worker.left(self.now - dispatch.sent_at, self.now)
         sub.out.remove(dispatch)
         self.settle(dispatch, news.outcome == say.DONE)
         if news.outcome == say.DONE and dispatch.started_at:
