--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -143,10 +143,9 @@
             # A quarter of the width a start: the cap about doubles in four prompt starts at the cap of one.
             self.cap += 0.25 * width
 
-    def started_late(self) -> None:
-        # Halfway to half: a late start weighs about as much as two prompt ones at a cap of two. At a fifth, one
-        # submission in five stays, we still learn when the crowd there has gone.
-        self.cap = max(0.2, 0.75 * self.cap)
+    def started_late(self, floor: float) -> None:
+        # Halfway to half: a late start weighs about as much as two prompt ones at a cap of two.
+        self.cap = max(floor, 0.75 * self.cap)
 
     def left(self, stay: int, now: int) -> None:
         # Guards against many dispatchers that each keep one submission on every worker: with a cap under one we
@@ -528,7 +527,8 @@
             if prompt:
                 worker.started_promptly(dispatch.at_cap, dispatch.submission.width)
             else:
-                worker.started_late()
+                # With all dispatchers at the floor, a worker holds two for each slot: one that runs, one that waits.
+                worker.started_late(min(1.0, 2.0 * self.cold.slots / self.fleet))
 
     def take_ended(self, news: say.Ended) -> None:
         dispatch = self.find(news.submission, news.shot)
