--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -527,8 +527,8 @@
             if prompt:
                 worker.started_promptly(dispatch.at_cap, dispatch.submission.width)
             else:
-                # With all dispatchers at the floor, a worker holds two for each slot: one that runs, one that waits.
-                worker.started_late(min(1.0, 2.0 * self.cold.slots / self.fleet))
+                # With all dispatchers at the floor, a worker holds three for each slot: one runs, two wait.
+                worker.started_late(min(1.0, 3.0 * self.cold.slots / self.fleet))
 
     def take_ended(self, news: say.Ended) -> None:
         dispatch = self.find(news.submission, news.shot)
