--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -86,7 +86,7 @@
 
 
 class Worker:
-    __slots__ = ("id", "zone", "kind", "cell", "state", "started_at", "own", "cap", "waiting", "heard_at", "good", "bad", "drawn_at", "sent_cold", "rest_until", "slots")
+    __slots__ = ("id", "zone", "kind", "cell", "state", "started_at", "own", "cap", "waiting", "heard_at", "good", "bad", "drawn_at", "sent_cold", "rest_until")
 
     def __init__(self, entry: say.Listed) -> None:
         self.id = entry.worker
@@ -96,7 +96,6 @@
         # Ten seconds: past the longest pause of a sound worker, short beside an outage that someone must mend.
         self.good, self.bad = Fading(10_000_000), Fading(10_000_000)
         self.drawn_at = 0
-        self.slots = 0.0  # as far as load reports have told
         self.rest_until = 0  # while the cap is under one: when we have held our share there on average
         self.sent_cold = Fading(1_000_000)
         self.waiting: dict[Dispatch, None] = {}  # ours there that have not started, oldest first
@@ -107,10 +106,8 @@
         self.state, self.started_at = entry.state, entry.started_at
 
     def has_room(self, width: float, now: int, prompt: int) -> bool:
-        if now < self.rest_until:
-            return False
         if not self.own:
-            return True
+            return now >= self.rest_until
         if self.own + width > self.cap:
             return False
         # Guards against stacking up behind a queue or on a worker that has gone silent.
@@ -150,15 +147,6 @@
         # Halfway to half: a late start weighs about as much as two prompt ones at a cap of two.
         self.cap = max(floor, 0.75 * self.cap)
 
-    def report(self, load: dict[str, float], free_slots: str, usual_run: float, now: int) -> None:
-        """A load report: while others' work queues there, we rest until that queue should have been started."""
-        free, held = load.get(free_slots, 0.0), load.get("inflight", 0.0)
-        if free >= 1.0:
-            self.slots = max(self.slots, float(round(free + held)))
-        queue = load.get("queue", held - self.slots if self.slots else 0.0)
-        if queue >= 1.0 and free < 0.5 and self.slots:
-            self.rest_until = max(self.rest_until, now + int(queue * usual_run / self.slots))
-
     def left(self, stay: int, now: int) -> None:
         # Guards against many dispatchers that each keep one submission on every worker: with a cap under one we
         # stay away so long that our own outstanding work there is the cap on average.
@@ -293,7 +281,6 @@
         # Late is a start that eats a quarter of the shortest soft limit: it still leaves room to act on.
         self.prompt = min(grade.soft_limit for grade in grades) // 4
         self.runs = {grade.name: Runs() for grade in grades}
-        self.all_runs = Runs()
         self.credit = 10.0  # of further dispatches; ten let a dispatcher meet a sudden trouble at once
         self.submissions: dict[Any, Submission] = {}
         self.pool: list[Submission] = []
@@ -554,9 +541,6 @@
         self.settle(dispatch, news.outcome == say.DONE)
         if news.outcome == say.DONE and dispatch.started_at:
             self.runs[sub.grade.name].add(self.now - dispatch.started_at, self.now)
-            self.all_runs.add(self.now - dispatch.started_at, self.now)
-        if news.load and self.signs.free_slots:
-            worker.report(news.load, self.signs.free_slots, self.all_runs.mean(self.now), self.now)
         if news.outcome in (say.ERROR, say.RESET, say.NO_CONNECTION):
             worker.failed(self.now)
         elif news.outcome == say.FULL:
