--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -10,29 +10,37 @@
 have run rejoins the pool with its age.
 
 The mechanisms beside it:
-1. Learned cap: c of each worker, in slots, rises when a dispatch sent at the cap starts promptly and falls when
-   one starts late or is answered 'full'; while one of ours waits there past the prompt span, there is no room.
-2. Denials: once half the slack has gone by in the pool. Slack is what the soft limit leaves beside the run
-   itself, learned by grade.
-3. Further dispatches: a dispatch that has not started after part of the slack, or has gone silent, is withdrawn
-   or doubled where the grade allows it; how often follows how many of the recent ones succeeded.
-4. Health posterior: failed connections, resets, errors and silence make a worker doubtful; a draw from the
+1. Learned cap: c of each worker, in slots, rises when a dispatch sent at the cap starts promptly and falls
+   when one starts late or is answered 'full'. While one of ours waits there past the prompt span there is no
+   room, and under a cap of one we rest between submissions.
+2. Health posterior: failed connections, resets, errors and silence make a worker doubtful; a draw from the
    posterior of its chance of success decides each second whether it gets one submission. Where more than half
    are doubtful the fault is taken to be elsewhere, and nobody is.
-5. Cold budget: a worker that has just started gets no more than our share, one in the number of dispatchers, of
-   the work that would push it over, counted as work per window; until it is warm.
+3. Further dispatches: a dispatch that has not started after part of the slack, or has gone silent, is doubled
+   or withdrawn where the grade allows it; how often follows how many of the recent ones succeeded.
+4. Cold budget: a worker that has just started gets no more than our share, one in the number of dispatchers,
+   of the work that would push it over, counted as work per window, until it is warm.
+5. Denials: once a share of the slack has gone by in the pool, the same for all grades. Slack is what the soft
+   limit leaves beside the run itself, which is learned by grade.
 6. The worker list: asked for, watched, asked again with growing gaps where it must be asked for.
 """
 
 from __future__ import annotations
 
 from bisect import insort
+from collections.abc import Callable, Generator
 from math import exp
-from typing import Any, Generator
+from typing import Any
 
 from locktide.dispatch import interface as say
 from locktide.dispatch.interface import (
-    AT_MOST_ONCE, EVERYONE, NUMBERED, PROVEN_NOT_RUN, REISSUABLE, SAME_CELL, SAME_ZONE,
+    AT_MOST_ONCE,
+    EVERYONE,
+    NUMBERED,
+    PROVEN_NOT_RUN,
+    REISSUABLE,
+    SAME_CELL,
+    SAME_ZONE,
 )
 
 
@@ -86,14 +94,17 @@
 
 
 class Worker:
-    __slots__ = ("id", "zone", "kind", "cell", "state", "started_at", "own", "cap", "waiting", "heard_at", "good", "bad", "drawn_at", "sent_cold", "rest_until")
+    __slots__ = (
+        "id", "zone", "kind", "cell", "state", "started_at", "own", "cap", "waiting", "rest_until",
+        "heard_at", "good", "bad", "drawn_at", "sent_cold",
+    )
 
     def __init__(self, entry: say.Listed) -> None:
         self.id = entry.worker
         self.own = 0.0  # slots of ours outstanding there
         self.cap = 1.0
         self.heard_at = 0  # when it last gave a sign of life
-        # Ten seconds: past the longest pause of a sound worker, short beside an outage that someone must mend.
+        # Ten seconds: past the longest pause of a sound worker, short beside a lasting outage.
         self.good, self.bad = Fading(10_000_000), Fading(10_000_000)
         self.drawn_at = 0
         self.rest_until = 0  # while the cap is under one: when we have held our share there on average
@@ -132,7 +143,7 @@
         if now < self.drawn_at + 1_000_000:
             return False
         self.drawn_at = now
-        # The a-th smallest of a + b - 1 uniform draws has the distribution Beta(a, b). Eight of each tell enough.
+        # The a-th smallest of a + b - 1 uniform draws is distributed as Beta(a, b). Eight of each suffice.
         a = 1 + min(8, round(self.good.read(now)))
         b = 1 + min(8, round(self.bad.read(now)))
         draws = sorted([chance.below(1 << 20) for _ in range(a + b - 1)])
@@ -148,14 +159,16 @@
         self.cap = max(floor, 0.75 * self.cap)
 
     def left(self, stay: int, now: int) -> None:
-        # Guards against many dispatchers that each keep one submission on every worker: with a cap under one we
-        # stay away so long that our own outstanding work there is the cap on average.
+        # Guards against many dispatchers that each keep one submission on every worker: with a cap under one
+        # we stay away so long that our own outstanding work there is the cap on average.
         if not self.own and self.cap < 1.0:
             self.rest_until = now + int(stay * (1.0 / self.cap - 1.0))
 
 
 class Dispatch:
-    __slots__ = ("submission", "shot", "worker", "sent_at", "started_at", "heard_at", "at_cap", "further", "blamed")
+    __slots__ = (
+        "submission", "shot", "worker", "sent_at", "started_at", "heard_at", "at_cap", "further", "blamed",
+    )
 
     def __init__(self, submission: Submission, shot: int, worker: Worker, now: int) -> None:
         self.submission, self.shot, self.worker, self.sent_at = submission, shot, worker, now
@@ -204,7 +217,9 @@
     def may_deny(self) -> bool:
         """Rule two, for a denial: it promises the client that trying again is harmless."""
         grade = self.grade
-        return not self.held or grade.effect == REISSUABLE or (grade.effect == NUMBERED and grade.group == EVERYONE)
+        if not self.held or grade.effect == REISSUABLE:
+            return True
+        return grade.effect == NUMBERED and grade.group == EVERYONE
 
 
 # What a course yields, and with what it is resumed.
@@ -221,8 +236,8 @@
     def __init__(self, terms: say.ColdTerms, fleet: int) -> None:
         self.terms = terms
         self.share = terms.factor * terms.window / fleet
-        # How many slots a worker has is told nowhere: the most of ours seen running at once on one, and at least
-        # two, which makes our count of a submission's work err to the high side.
+        # How many slots a worker has is told nowhere: the most of ours seen running at once on one, and at
+        # least two, which makes our count of a submission's work err to the high side.
         self.slots = 2.0
 
     def allows(self, worker: Worker, work: float, now: int) -> bool:
@@ -333,7 +348,7 @@
             return WAIT
         if self.dispatching.second_copies:
             return POOL
-        # Guards against giving up a place in a queue for a worse one: what is bound to a group waits its turn.
+        # Guards against giving up a place in a queue for a worse one: bound work waits its turn.
         if not dispatch.started_at and sub.grade.effect != REISSUABLE:
             return WAIT
         self.withdraw(dispatch)
@@ -347,7 +362,7 @@
         """How long a submission may wait for its start and still end within its soft limit."""
         grade = sub.grade
         run = sub.hint or self.runs[grade.name].mean(self.now)
-        # Half the usual run still counts as possible: a hint is rough and the fastest worker is twice the mean.
+        # Half the run still counts as possible: a hint is rough and the fastest worker is twice the mean.
         if self.now + run / 2 > sub.limit_at:
             return 0.0
         return grade.soft_limit + (grade.stretch - 1.0) * run
@@ -357,9 +372,11 @@
         return sub.width * (sub.hint or self.runs[sub.grade.name].mean(self.now) or sub.grade.soft_limit)
 
     def patience(self, sub: Submission) -> int:
-        """How long a submission waits in the pool: half its slack, as runs vary, and half the shortest usual one.
+        """How long a submission waits in the pool.
 
-        Guards against an overload in which long-slack work fills the pool and the short grades get nothing.
+        Guards against an overload in which long-slack work fills the pool and the short grades get nothing:
+        all wait a share of the shortest usual slack. At 0.3 of it even runs well over the usual end in time;
+        0.5 left more answers late, 0.25 denied more in short bursts.
         """
         shortest = min([
             grade.soft_limit + (grade.stretch - 1.0) * self.runs[grade.name].mean(self.now)
@@ -367,7 +384,7 @@
         ])
         usual = self.runs[sub.grade.name].mean(self.now)
         if sub.hint and usual:
-            shortest *= max(1.0, sub.hint / usual)  # a heavier submission earns more, and may wait longer for it
+            shortest *= max(1.0, sub.hint / usual)  # a heavier submission earns more, and may wait longer
         return max(0, int(0.3 * min(self.slack(sub), shortest)))
 
     def answer(self, sub: Submission) -> None:
@@ -397,7 +414,7 @@
         if dispatch.further:
             self.credit -= 1.0
         if self.signs.tells_start:
-            # An eighth of the slack: seven more such waits, or one wait and a whole queue elsewhere, still fit.
+            # An eighth of the slack: several more such waits, or one and a queue elsewhere, still fit.
             self.wake(max(self.prompt, int(self.slack(sub)) // 8), dispatch)
         sub.shots.append(dispatch)
         sub.out.append(dispatch)
@@ -443,7 +460,7 @@
     def check(self, dispatch: Dispatch) -> None:
         """Looks at a dispatch that should have given a sign by now."""
         if not dispatch.started_at:
-            # A queue moves within twice the usual run, at the latest; before that, no start is no one's fault.
+            # A queue moves within twice the usual run; before that, no start is no one's fault.
             blame_at = dispatch.sent_at + 2 * int(self.runs[dispatch.submission.grade.name].mean(self.now))
             if self.now < blame_at:
                 self.wake(blame_at - self.now, dispatch)
@@ -576,7 +593,9 @@
             fitting = self.fitting[sub.grade.kind]
             if sub.held:
                 taken = [dispatch.worker for dispatch in sub.held]
-                fitting = [worker for worker in fitting if worker not in taken and sub.may_repeat_on(worker, now)]
+                fitting = [
+                    worker for worker in fitting if worker not in taken and sub.may_repeat_on(worker, now)
+                ]
             if not fitting:
                 continue
             worker = fitting[self.chance.below(len(fitting))]
@@ -592,7 +611,7 @@
         return 2 * sum([worker.doubtful(self.now) for worker in everyone]) > len(everyone)
 
 
-TAKE = {
+TAKE: dict[type, Callable[[Dispatcher, Any], None]] = {
     say.ListNews: Dispatcher.take_list,
     say.Arrival: Dispatcher.take_arrival,
     say.Started: Dispatcher.take_started,
--- a/locktide/simhost/host.py
+++ b/locktide/simhost/host.py
@@ -4,7 +4,8 @@
 
 import sys
 import traceback
-from typing import Any, BinaryIO, Iterator
+from collections.abc import Iterator
+from typing import Any, BinaryIO
 
 from locktide.dispatch import interface as say
 from locktide.dispatch.rules import Dispatcher
@@ -34,7 +35,7 @@
         if message != "SYNC":
             raise wire.Malformed(f"expected SYNC, not {message!r}")
         now = wire.micros(wire.word(fields, "AtTime"))
-        news: dict[int, list[Any]] = {}  # of each instance with news, in order; the orders go out in this order
+        news: dict[int, list[Any]] = {}  # by instance, in the order in which their orders go out
         current: int | None = None
         for line in lines:
             if line == "EOB":
@@ -71,7 +72,8 @@
             elif message == "SPAWN":
                 if current is None:
                     raise wire.Malformed("expected a TO line before SPAWN")
-                self.instances[current] = Dispatcher(wire.integer(fields, "RngSeed"), *wire.terms(fields["Config"]))
+                terms = wire.terms(fields["Config"])
+                self.instances[current] = Dispatcher(wire.integer(fields, "RngSeed"), *terms)
                 news[current] = []
             elif message == "RETIRE":
                 if current is not None:
--- a/locktide/simhost/wire.py
+++ b/locktide/simhost/wire.py
@@ -4,7 +4,8 @@
 
 import base64
 import json
-from typing import Any, Callable
+from collections.abc import Callable
+from typing import Any
 
 from locktide.dispatch import interface as say
 
@@ -152,9 +153,10 @@
 def peer(fields: Fields) -> say.PeerSays:
     text = word(fields, "Bytes")
     try:
-        return say.PeerSays(integer(fields, "From"), b"" if text == "-" else base64.b64decode(text, validate=True))
+        message = b"" if text == "-" else base64.b64decode(text, validate=True)
     except ValueError:
         raise Malformed("expected base64 in Bytes") from None
+    return say.PeerSays(integer(fields, "From"), message)
 
 
 NEWS: dict[str, Callable[[Fields], Any]] = {
@@ -219,7 +221,8 @@
         ceilings = told.get("Ceilings", {})
         rules = told.get("Rules", {})
         report = told.get("LoadReport", {}).get("Fields", [])
-        free = next((x for x in ("x0", "x1") if domain.get(f"Report{x.upper()}") == "free slots" and x in report), None)
+        extras = {"x0": domain.get("ReportX0"), "x1": domain.get("ReportX1")}
+        free = next((x for x, told_as in extras.items() if told_as == "free slots" and x in report), None)
         advice = micros(ceilings.get("MaxRetryAfter", 0)) if ceilings.get("RetryAfter") else 0
         return (
             micros(told.get("Step", 1.0)),
--- /dev/null
+++ b/tests/helpers.py
@@ -0,0 +1,152 @@
+"""A checked dispatcher: hands news to the decisions and checks the four rules after every step."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from locktide.dispatch import interface as say
+from locktide.dispatch.rules import Dispatcher
+
+STEP, SLACK, GRACE = 4_000, 16_000, 250_000
+GRADES = [
+    say.Grade("view", say.REISSUABLE, say.EVERYONE, 0, 250_000, 2.0, 3_000_000, 5.0, 0.5, None),
+    say.Grade("record", say.NUMBERED, say.SAME_CELL, 4_000_000, 900_000, 2.0, 6_000_000, 9.0, 0.5, None),
+    say.Grade("zoned", say.NUMBERED, say.SAME_ZONE, 4_000_000, 900_000, 2.0, 6_000_000, 9.0, 0.5, None),
+    say.Grade("close", say.NUMBERED, say.EVERYONE, 4_000_000, 900_000, 2.0, 6_000_000, 9.0, 0.5, None),
+    say.Grade("cash", say.AT_MOST_ONCE, say.EVERYONE, 0, 300_000, 2.0, 5_000_000, 7.0, 0.5, None),
+]
+COLD = say.ColdTerms(4.0, 1_000_000, 0.3, 8_000_000)
+
+
+def listed(name: str, state: str = say.READY, started_at: int = 0, cell: int = 0) -> say.Listed:
+    return say.Listed(name, f"zone-{cell}", "box", cell, state, 1.0, started_at)
+
+
+class Checked:
+    def __init__(self, seed: int = 1, fleet: int = 3, must_ask: bool = False, copies: bool = True) -> None:
+        self.copies, self.fleet, self.now = copies, fleet, 1_000_000
+        self.most = 3
+        self.dispatcher = Dispatcher(
+            seed, STEP, fleet, GRADES, say.DispatchTerms(self.most, copies, True),
+            say.ClientTerms(2_000_000, {"dairy": 5.0}, 0.1), COLD, say.ListTerms(must_ask, 10_000_000),
+            say.SignTerms(True, 1_000_000, None),
+        )
+        self.grades = {grade.name: grade for grade in GRADES}
+        self.arrivals: dict[int, say.Arrival] = {}
+        self.answered: dict[int, str] = {}
+        self.shots: dict[int, list[dict[str, Any]]] = {}
+        self.workers: dict[str, say.Listed] = {}
+        self.timers: list[tuple[int, int]] = []
+        self.cold: dict[tuple[str, int], list[tuple[int, float]]] = {}
+        self.orders: list[Any] = []
+
+    def turn(self, *news: Any) -> list[Any]:
+        for piece in news:
+            self.note(piece)
+        orders = self.dispatcher.turn(self.now, list(news))
+        for order in orders:
+            self.check(order)
+        self.orders += orders
+        for submission, arrival in self.arrivals.items():
+            if submission not in self.answered:
+                assert self.now <= arrival.time_limit_at + SLACK, "rule one: no answer in time"
+        return orders
+
+    def pass_time(self, span: int) -> list[Any]:
+        """Lets time go by; timers come due and dispatches that reach the time limit time out."""
+        orders, until = [], self.now + span
+        while self.now < until:
+            self.now += STEP
+            due = [mark for at, mark in self.timers if at <= self.now]
+            self.timers = [timer for timer in self.timers if timer[0] > self.now]
+            late = [
+                say.Ended(submission, place, say.TIMED_OUT, False)
+                for submission, shots in self.shots.items() for place, shot in enumerate(shots)
+                if shot["outcome"] is None and self.now >= self.arrivals[submission].time_limit_at
+            ]
+            if due or late:
+                orders += self.turn(*[say.TimerDue(mark) for mark in due], *late)
+        return orders
+
+    def arrive(self, submission: int, grade: str, width: float = 1.0, hint: int = 0) -> list[Any]:
+        limit_at = self.now + self.grades[grade].time_limit
+        return self.turn(say.Arrival(submission, grade, limit_at, width, hint))
+
+    def end(self, submission: int, shot: int, outcome: str) -> list[Any]:
+        return self.turn(say.Ended(submission, shot, outcome, outcome == say.DONE))
+
+    def list(self, *entries: say.Listed, kind: str = say.WHOLE) -> list[Any]:
+        return self.turn(say.ListNews(kind, list(entries)))
+
+    def out(self) -> list[tuple[int, int]]:
+        return [
+            (submission, place) for submission, shots in self.shots.items()
+            for place, shot in enumerate(shots) if shot["outcome"] is None
+        ]
+
+    def note(self, piece: Any) -> None:
+        if type(piece) is say.Arrival:
+            self.arrivals[piece.submission] = piece
+            self.shots[piece.submission] = []
+        elif type(piece) is say.Ended:
+            self.shots[piece.submission][piece.shot]["outcome"] = piece.outcome
+            if piece.final:
+                self.answered.setdefault(piece.submission, "done")
+        elif type(piece) is say.ClientGone:
+            self.answered.setdefault(piece.submission, "gone")
+        elif type(piece) is say.ListNews:
+            if piece.kind in (say.WHOLE, say.REMEMBERED):
+                for name in self.workers:
+                    self.workers[name] = listed(name, say.GONE)
+            for entry in piece.entries:
+                self.workers[entry.worker] = entry
+
+    def check(self, order: Any) -> None:
+        if type(order) is say.Wake:
+            assert order.after >= 0
+            self.timers.append((self.now + max(order.after, STEP), order.mark))
+        elif type(order) is say.Dispatch:
+            self.check_dispatch(order)
+        elif type(order) in (say.Deny, say.Terminate):
+            assert order.submission not in self.answered, "rule one: a second answer"
+            grade = self.grades[self.arrivals[order.submission].grade]
+            if type(order) is say.Deny and self.held(order.submission):
+                harmless = (grade.effect, grade.group) == (say.NUMBERED, say.EVERYONE)
+                assert harmless or grade.effect == say.REISSUABLE, "rule two: a denial of what may have run"
+            self.answered[order.submission] = "denied" if type(order) is say.Deny else "terminated"
+        elif type(order) is say.Withdraw:
+            assert order.shot < len(self.shots[order.submission])
+
+    def held(self, submission: int) -> list[dict[str, Any]]:
+        return [shot for shot in self.shots[submission] if shot["outcome"] not in say.PROVEN_NOT_RUN]
+
+    def check_dispatch(self, order: say.Dispatch) -> None:
+        arrival = self.arrivals[order.submission]
+        grade, worker = self.grades[arrival.grade], self.workers[order.worker]
+        held = self.held(order.submission)
+        assert order.submission not in self.answered, "rule one: a dispatch after the answer"
+        assert worker.state == say.READY, "rule three: a dispatch to a worker that drains or is gone"
+        assert len(self.shots[order.submission]) < self.most
+        assert self.copies or all(shot["outcome"] for shot in held), "two dispatches at once"
+        if held and grade.effect == say.AT_MOST_ONCE:
+            raise AssertionError("rule two: at-most-once work sent again")
+        if held and grade.effect == say.NUMBERED:
+            assert self.now < held[0]["at"] + grade.memory_span, "rule two: past the memory span"
+            for shot in held:
+                if grade.group == say.SAME_CELL:
+                    assert shot["cell"] == worker.cell, "rule two: outside the cell"
+                elif grade.group == say.SAME_ZONE:
+                    assert shot["zone"] == worker.zone, "rule two: outside the zone"
+        age = self.now - worker.started_at
+        if worker.started_at and age < COLD.warm_after:
+            sent = self.cold.setdefault((order.worker, worker.started_at), [])
+            sent.append((self.now, arrival.width * arrival.work_hint))
+            lately = sum(work for at, work in sent if at > self.now - COLD.window)
+            slots = self.dispatcher.cold.slots
+            capacity = slots * (COLD.cold_from + (1.0 - COLD.cold_from) * age / COLD.warm_after)
+            share = COLD.factor * COLD.window / self.fleet
+            # A sum that fades over a window lets through 1.63 times its level; two covers its growth.
+            assert not arrival.work_hint or lately <= 2.0 * share * capacity, "rule four: over our share"
+        self.shots[order.submission].append(
+            dict(at=self.now, worker=order.worker, cell=worker.cell, zone=worker.zone, outcome=None)
+        )
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,211 @@
+"""The decisions by themselves: random days under the four rules, plain cases, and each failure found."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from helpers import GRADES, STEP, Checked, listed
+
+from locktide.dispatch import interface as say
+from locktide.dispatch.rules import Chance
+
+OUTCOMES = [
+    say.DONE, say.DONE, say.DONE, say.DONE, say.ERROR, say.FULL, say.TIMED_OUT, say.NO_CONNECTION, say.RESET,
+    say.NEVER_SENT,
+]
+
+
+@pytest.mark.parametrize("seed", range(24))
+def test_random_days_keep_the_rules(seed: int) -> None:
+    dice = random.Random(seed)
+    service = Checked(seed, fleet=dice.randint(1, 5), must_ask=seed % 2 == 0, copies=seed % 3 != 0)
+    names = [f"w{n}" for n in range(dice.randint(1, 8))]
+    service.list(*[listed(name, cell=place % 2) for place, name in enumerate(names)], kind=say.REMEMBERED)
+    for submission in range(300):
+        hint = dice.choice([20_000, 200_000, 900_000])
+        service.arrive(submission, dice.choice(GRADES).name, dice.choice([1.0, 1.0, 2.0, 4.0]), hint)
+        service.pass_time(STEP * dice.randint(0, 20))
+        for submitted, shot in service.out():
+            draw = dice.random()
+            if draw < 0.05:
+                service.turn(say.Started(submitted, shot))
+            elif draw < 0.10:
+                service.turn(say.Progressed(submitted, shot, dice.random()))
+            elif draw < 0.2:
+                service.end(submitted, shot, dice.choice(OUTCOMES))
+            elif draw < 0.21 and submitted not in service.answered:
+                service.turn(say.ClientGone(submitted))
+        for order in [order for order in service.orders if type(order) is say.Withdraw]:
+            if (order.submission, order.shot) in service.out() and dice.random() < 0.7:
+                service.end(order.submission, order.shot, say.WITHDRAWN)
+        if dice.random() < 0.1:
+            place = dice.randrange(len(names))
+            state = dice.choice([say.READY, say.READY, say.READY, say.DRAINING, say.GONE])
+            started_at = dice.choice([0, service.now])
+            service.list(listed(names[place], state, started_at, place % 2), kind=say.CHANGES)
+        if dice.random() < 0.03:
+            service.list(kind=say.LIST_FAILED)
+    service.pass_time(7_000_000)
+    assert set(service.answered) == set(service.arrivals)
+    assert not service.dispatcher.submissions, "an ended submission is still held"
+
+
+def test_same_news_same_orders() -> None:
+    first, second = Checked(seed=5), Checked(seed=5)
+    for service in (first, second):
+        service.list(*[listed(f"w{n}") for n in range(5)])
+        for submission in range(40):
+            service.arrive(submission, "close")
+            service.pass_time(STEP)
+    assert first.orders == second.orders
+
+
+def test_oldest_goes_first() -> None:
+    service = Checked()
+    service.arrive(1, "cash")
+    service.pass_time(STEP)
+    service.arrive(2, "cash")
+    orders = service.list(listed("w"))
+    assert [order.submission for order in orders if type(order) is say.Dispatch] == [1]
+
+
+def test_full_rejoins_and_may_go_anywhere() -> None:
+    service = Checked(copies=False)
+    service.list(listed("w0", cell=0))
+    service.arrive(1, "record")
+    service.list(listed("w1", cell=1))
+    service.end(1, 0, say.FULL)
+    service.pass_time(STEP * 4)
+    assert [shot["worker"] for shot in service.shots[1]] == ["w0", "w1"]
+
+
+def test_no_worker_known_is_denied_in_time() -> None:
+    service = Checked()
+    service.arrive(1, "cash")
+    service.pass_time(6_000_000)
+    assert service.answered[1] == "denied"
+
+
+def test_error_of_at_most_once_work_is_terminated_at_once() -> None:
+    service = Checked()
+    service.list(listed("w"))
+    service.arrive(1, "cash")
+    orders = service.end(1, 0, say.ERROR)
+    assert [type(order) for order in orders] == [say.Terminate]
+
+
+def test_list_is_asked_for_and_asked_again_after_failure() -> None:
+    service = Checked(must_ask=True)
+    assert say.WatchList(True) in service.list(kind=say.REMEMBERED)
+    assert say.WatchList(True) not in service.list(kind=say.LIST_FAILED)
+    assert say.WatchList(True) in service.pass_time(11_000_000)
+
+
+def test_chance_is_even() -> None:
+    chance, seen = Chance(7), [0] * 5
+    for _ in range(5000):
+        seen[chance.below(5)] += 1
+    assert min(seen) > 900
+
+
+# --- failures found -------------------------------------------------------------------------------------
+
+
+def test_no_room_anywhere_still_answers_in_time() -> None:
+    """Overload days: a round that ended for want of room skipped the check of the time limit."""
+    service = Checked()
+    service.list(listed("w"))
+    for submission in range(20):
+        service.arrive(submission, "cash")
+    service.pass_time(5_100_000)
+    assert len(service.answered) == 20
+
+
+def test_a_round_without_room_draws_nothing() -> None:
+    """A pool in front of 180 full workers used up the CPU of a day."""
+    service = Checked()
+    service.list(listed("w"))
+    for submission in range(20):
+        service.arrive(submission, "record")
+    before = service.dispatcher.chance.state
+    service.pass_time(STEP * 3)
+    assert service.dispatcher.chance.state == before
+
+
+def test_withdrawn_work_is_not_terminated_while_it_may_still_run() -> None:
+    """Numbered work that was withdrawn late in its slack was terminated once back in the pool."""
+    service = Checked(copies=False)
+    service.list(listed("w0"), listed("w1"))
+    service.arrive(1, "view")
+    assert say.Withdraw(1, 0) in service.pass_time(200_000)
+    service.list(listed("w0", say.DRAINING), listed("w1", say.DRAINING))
+    service.end(1, 0, say.WITHDRAWN)
+    service.pass_time(500_000)
+    assert 1 not in service.answered
+
+
+def test_work_bound_to_a_cell_keeps_its_place_in_a_queue() -> None:
+    """Withdrawing numbered work for want of a start traded its place for a worse one."""
+    service = Checked(copies=False)
+    service.list(listed("w0"), listed("w1"))
+    service.arrive(1, "record")
+    assert not [order for order in service.pass_time(2_000_000) if type(order) is say.Withdraw]
+
+
+def test_an_unreachable_worker_is_soon_left_alone() -> None:
+    """A site that could not be reached drew three in four sends."""
+    service = Checked()
+    service.list(*[listed(f"w{n}") for n in range(4)])
+    for submission in range(200):
+        service.arrive(submission, "view")
+        service.pass_time(25_000)
+        for submitted, shot in service.out():
+            bad = service.shots[submitted][shot]["worker"] == "w0"
+            service.end(submitted, shot, say.NO_CONNECTION if bad else say.DONE)
+    tried = [shot["worker"] for shots in service.shots.values() for shot in shots].count("w0")
+    assert 1 <= tried <= 12
+
+
+def test_a_fault_of_all_workers_is_no_ones() -> None:
+    """With every worker doubtful, shunning them all would deny everything."""
+    service = Checked()
+    service.list(*[listed(f"w{n}") for n in range(4)])
+    for worker in service.dispatcher.list.workers.values():
+        for _ in range(5):
+            worker.failed(service.now)
+    service.arrive(1, "view")
+    service.pass_time(STEP * 2)
+    assert service.shots[1]
+
+
+def test_long_slack_does_not_fill_the_pool() -> None:
+    """In an overload the grade with the shortest slack got nothing, as others waited ten times as long."""
+    service = Checked()
+    service.arrive(1, "view")
+    service.arrive(2, "record")
+    first, second = (service.dispatcher.submissions[n] for n in (1, 2))
+    assert first.leave_at == second.leave_at
+
+
+def test_one_of_many_dispatchers_rests_at_a_crowded_worker() -> None:
+    """Seventeen dispatchers that each keep one submission on every worker leave no gate at all."""
+    service = Checked(fleet=17)
+    service.list(listed("w"))
+    for submission in range(6):
+        service.arrive(submission, "cash")
+        service.pass_time(1_000_000)
+        if (submission, 0) in service.out():
+            service.turn(say.Started(submission, 0))
+            service.end(submission, 0, say.DONE)
+    service.arrive(7, "cash")
+    service.pass_time(STEP * 2)
+    assert not service.shots[7]
+
+
+def test_a_heavy_hint_is_not_denied_at_once() -> None:
+    """Work hinted to run near its time limit was denied on arrival, though a fast worker could end it."""
+    service = Checked()
+    service.list(listed("w"))
+    service.arrive(1, "record", hint=6_500_000)
+    assert service.shots[1]
