--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -78,19 +78,19 @@
 class Runs:
     """How long a grade's submissions run, from the start to a good end, over the whole fleet."""
 
-    __slots__ = ("time", "count")
+    __slots__ = ("time", "count", "guess")
 
-    def __init__(self) -> None:
+    def __init__(self, guess: int) -> None:
         # Long enough for some tens of ends at ten a second, short enough to follow a slowdown of all.
         self.time, self.count = Fading(10_000_000), Fading(10_000_000)
+        self.guess = guess  # counts as one run
 
     def add(self, run: int, now: int) -> None:
         self.time.add(run, now)
         self.count.add(1.0, now)
 
     def mean(self, now: int) -> float:
-        count = self.count.read(now)
-        return self.time.read(now) / count if count > 0.1 else 0.0
+        return (self.time.read(now) + self.guess) / (self.count.read(now) + 1.0)
 
 
 class Worker:
@@ -295,7 +295,7 @@
         self.fitting: dict[str | None, list[Worker]] = {}  # ready workers by kind; None: all of them
         # Late is a start that eats a quarter of the shortest soft limit: it still leaves room to act on.
         self.prompt = min(grade.soft_limit for grade in grades) // 4
-        self.runs = {grade.name: Runs() for grade in grades}
+        self.runs = {grade.name: Runs(grade.soft_limit) for grade in grades}
         self.credit = 10.0  # of further dispatches; ten let a dispatcher meet a sudden trouble at once
         self.submissions: dict[Any, Submission] = {}
         self.pool: list[Submission] = []
@@ -369,7 +369,7 @@
 
     def work(self, sub: Submission) -> float:
         """The work of a submission: its usual run, or what is hinted, on each of its slots."""
-        return sub.width * (sub.hint or self.runs[sub.grade.name].mean(self.now) or sub.grade.soft_limit)
+        return sub.width * (sub.hint or self.runs[sub.grade.name].mean(self.now))
 
     def patience(self, sub: Submission) -> int:
         """How long a submission waits in the pool.
@@ -383,7 +383,7 @@
             for grade in self.grades.values()
         ])
         usual = self.runs[sub.grade.name].mean(self.now)
-        if sub.hint and usual:
+        if sub.hint:
             shortest *= max(1.0, sub.hint / usual)  # a heavier submission earns more, and may wait longer
         return max(0, int(0.3 * min(self.slack(sub), shortest)))
 
