--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -83,14 +83,15 @@
     def __init__(self, guess: int) -> None:
         # Long enough for some tens of ends at ten a second, short enough to follow a slowdown of all.
         self.time, self.count = Fading(10_000_000), Fading(10_000_000)
-        self.guess = guess  # counts as one run
+        self.guess = guess  # while no run is known
 
     def add(self, run: int, now: int) -> None:
         self.time.add(run, now)
         self.count.add(1.0, now)
 
     def mean(self, now: int) -> float:
-        return (self.time.read(now) + self.guess) / (self.count.read(now) + 1.0)
+        count = self.count.read(now)
+        return self.time.read(now) / count if count > 0.1 else self.guess
 
 
 class Worker:
