--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -530,8 +530,18 @@
 
     def take_progress(self, news: say.Progressed) -> None:
         dispatch = self.find(news.submission, news.shot)
-        if dispatch is not None:
-            dispatch.heard_at = dispatch.worker.heard_at = self.now
+        if dispatch is None:
+            return
+        dispatch.heard_at = dispatch.worker.heard_at = self.now
+        sub = dispatch.submission
+        usual = sub.hint or self.runs[sub.grade.name].mean(self.now)
+        whole = (self.now - dispatch.started_at) / max(news.share, 0.001)
+        # Guards against a worker that runs everything slowly. Four times the usual run is past both the slowest
+        # sound worker and the common spread of sizes; one heavy submission alone makes a worker doubtful for a
+        # moment, and its good ends soon outweigh it.
+        if dispatch.started_at and whole > 4.0 * usual and not dispatch.blamed:
+            dispatch.blamed = True
+            dispatch.worker.failed(self.now)
 
     def earn(self, credit: float) -> None:
         self.credit = min(10.0, self.credit + credit)
