--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -78,21 +78,30 @@
 class Runs:
     """How long a grade's submissions run, from the start to a good end, over the whole fleet."""
 
-    __slots__ = ("time", "count", "guess")
+    __slots__ = ("time", "count", "square", "guess")
 
     def __init__(self, guess: int) -> None:
         # Long enough for some tens of ends at ten a second, short enough to follow a slowdown of all.
         self.time, self.count = Fading(10_000_000), Fading(10_000_000)
+        self.square = Fading(10_000_000)
         self.guess = guess  # while no run is known
 
     def add(self, run: int, now: int) -> None:
         self.time.add(run, now)
+        self.square.add(run * run, now)
         self.count.add(1.0, now)
 
     def mean(self, now: int) -> float:
         count = self.count.read(now)
         return self.time.read(now) / count if count > 0.1 else self.guess
 
+    def long(self, now: int) -> float:
+        """Three deviations over the mean; with no spread known yet, three means over it."""
+        mean, count = self.mean(now), self.count.read(now)
+        if count < 5.0:
+            return 4.0 * mean
+        return mean + 3.0 * max(0.0, self.square.read(now) / count - mean * mean) ** 0.5
+
 
 class Worker:
     __slots__ = (
@@ -534,12 +543,13 @@
             return
         dispatch.heard_at = dispatch.worker.heard_at = self.now
         sub = dispatch.submission
-        usual = sub.hint or self.runs[sub.grade.name].mean(self.now)
+        # Four times a hint, or three deviations over the usual run where there is none, is past the slowest sound
+        # worker and the common spread of sizes.
+        long = 4.0 * sub.hint or self.runs[sub.grade.name].long(self.now)
         whole = (self.now - dispatch.started_at) / max(news.share, 0.001)
-        # Guards against a worker that runs everything slowly. Four times the usual run is past both the slowest
-        # sound worker and the common spread of sizes; one heavy submission alone makes a worker doubtful for a
-        # moment, and its good ends soon outweigh it.
-        if dispatch.started_at and whole > 4.0 * usual and not dispatch.blamed:
+        # Guards against a worker that runs everything slowly. One heavy submission alone makes a worker doubtful
+        # for a moment, and its good ends soon outweigh it.
+        if dispatch.started_at and whole > long and not dispatch.blamed:
             dispatch.blamed = True
             dispatch.worker.failed(self.now)
 
