--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -549,9 +549,17 @@
         whole = (self.now - dispatch.started_at) / max(news.share, 0.001)
         # Guards against a worker that runs everything slowly. One heavy submission alone makes a worker doubtful
         # for a moment, and its good ends soon outweigh it.
-        if dispatch.started_at and whole > long and not dispatch.blamed:
+        if not dispatch.started_at or whole <= long:
+            return
+        if not dispatch.blamed:
             dispatch.blamed = True
             dispatch.worker.failed(self.now)
+        # Guards against leaving work on a slow worker to its time limit. It takes a second witness beside this
+        # dispatch, so that a heavy submission is not moved, and more left to run than a run elsewhere takes.
+        elsewhere = sub.hint or self.runs[sub.grade.name].mean(self.now)
+        if dispatch.worker.bad.read(self.now) >= 1.5 and whole * (1.0 - news.share) > 2.0 * elsewhere:
+            if not sub.answered and not sub.pooled and len(sub.out) == 1:
+                self.advance(sub, dispatch)
 
     def earn(self, credit: float) -> None:
         self.credit = min(10.0, self.credit + credit)
