--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -554,12 +554,11 @@
         if not dispatch.blamed:
             dispatch.blamed = True
             dispatch.worker.failed(self.now)
-        # Guards against leaving work on a slow worker to its time limit. It takes a second witness beside this
-        # dispatch, so that a heavy submission is not moved, and more left to run than a run elsewhere takes.
+        # Guards against leaving work on a slow worker to its time limit: it moves if twice a usual run elsewhere
+        # is less than what is left. A heavy submission is not worth moving, but past the spread it is rare.
         elsewhere = sub.hint or self.runs[sub.grade.name].mean(self.now)
-        if dispatch.worker.bad.read(self.now) >= 1.5 and whole * (1.0 - news.share) > 2.0 * elsewhere:
-            if not sub.answered and not sub.pooled and len(sub.out) == 1:
-                self.advance(sub, dispatch)
+        if whole * (1.0 - news.share) > 2.0 * elsewhere and not sub.answered and len(sub.out) == 1:
+            self.advance(sub, dispatch)
 
     def earn(self, credit: float) -> None:
         self.credit = min(10.0, self.credit + credit)
