--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -549,16 +549,9 @@
         whole = (self.now - dispatch.started_at) / max(news.share, 0.001)
         # Guards against a worker that runs everything slowly. One heavy submission alone makes a worker doubtful
         # for a moment, and its good ends soon outweigh it.
-        if not dispatch.started_at or whole <= long:
-            return
-        if not dispatch.blamed:
+        if dispatch.started_at and whole > long and not dispatch.blamed:
             dispatch.blamed = True
             dispatch.worker.failed(self.now)
-        # Guards against leaving work on a slow worker to its time limit: it moves if twice a usual run elsewhere
-        # is less than what is left. A heavy submission is not worth moving, but past the spread it is rare.
-        elsewhere = sub.hint or self.runs[sub.grade.name].mean(self.now)
-        if whole * (1.0 - news.share) > 2.0 * elsewhere and not sub.answered and len(sub.out) == 1:
-            self.advance(sub, dispatch)
 
     def earn(self, credit: float) -> None:
         self.credit = min(10.0, self.credit + credit)
