--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -305,6 +305,7 @@
         self.fitting: dict[str | None, list[Worker]] = {}  # ready workers by kind; None: all of them
         # Late is a start that eats a quarter of the shortest soft limit: it still leaves room to act on.
         self.prompt = min(grade.soft_limit for grade in grades) // 4
+        self.all_once = all([grade.effect == AT_MOST_ONCE for grade in grades])
         self.runs = {grade.name: Runs(grade.soft_limit) for grade in grades}
         self.credit = 10.0  # of further dispatches; ten let a dispatcher meet a sudden trouble at once
         self.submissions: dict[Any, Submission] = {}
@@ -621,7 +622,10 @@
                 continue
             worker = fitting[self.chance.below(len(fitting))]
             if worker.has_room(sub.width, now, prompt) and self.cold.allows(worker, self.work(sub), now) and (
-                not worker.doubtful(now) or self.all_doubtful() or worker.trusted(now, self.chance)
+                not worker.doubtful(now) or self.all_doubtful() or (
+                    # Guards against losing for good what cannot be sent again: others do the trying.
+                    (sub.grade.effect != AT_MOST_ONCE or self.all_once) and worker.trusted(now, self.chance)
+                )
             ):
                 self.advance(sub, worker)
                 room -= not worker.has_room(1.0, now, prompt)
