--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -106,14 +106,14 @@
 class Worker:
     __slots__ = (
         "id", "zone", "kind", "cell", "state", "started_at", "own", "cap", "waiting", "rest_until",
-        "silent_since", "good", "bad", "drawn_at", "sent_cold",
+        "heard_at", "good", "bad", "drawn_at", "sent_cold",
     )
 
     def __init__(self, entry: say.Listed) -> None:
         self.id = entry.worker
         self.own = 0.0  # slots of ours outstanding there
         self.cap = 1.0
-        self.silent_since = 0  # our first dispatch there after its last sign of life; 0 while it owes us none
+        self.heard_at = 0  # when it last gave a sign of life
         # Ten seconds: past the longest pause of a sound worker, short beside a lasting outage.
         self.good, self.bad = Fading(10_000_000), Fading(10_000_000)
         self.drawn_at = 0
@@ -138,6 +138,7 @@
         return self.bad.read(now) >= 0.5
 
     def succeeded(self, now: int) -> None:
+        self.heard_at = now
         self.good.add(1.0, now)
         # Guards against shunning a worker that has come back: two good ends outweigh one bad.
         self.bad.add(-0.5 * self.bad.read(now), now)
@@ -432,7 +433,6 @@
         worker.own += sub.width
         self.cold.count(worker, self.work(sub), self.now)
         worker.waiting[dispatch] = None
-        worker.silent_since = worker.silent_since or self.now
         self.orders.append(say.Dispatch(sub.id, worker.id))
 
     # --- news
@@ -475,8 +475,9 @@
             blame_at = dispatch.sent_at + 2 * int(self.runs[dispatch.submission.grade.name].mean(self.now))
             if self.now < blame_at:
                 self.wake(blame_at - self.now, dispatch)
-            else:
-                self.blame_silence(dispatch)
+            elif dispatch.worker.heard_at < dispatch.sent_at and not dispatch.blamed:
+                dispatch.blamed = True
+                dispatch.worker.failed(self.now)
             self.advance(dispatch.submission, dispatch)
             return
         every = self.signs.progress_every
@@ -517,14 +518,6 @@
         sub.course = self.course(sub)
         self.advance(sub, None)
 
-    def blame_silence(self, dispatch: Dispatch) -> None:
-        """A dispatch that has not started, or was withdrawn before it had, counts against a silent worker."""
-        worker = dispatch.worker
-        usual = self.runs[dispatch.submission.grade.name].mean(self.now)
-        if worker.silent_since and self.now - worker.silent_since >= 2.0 * usual and not dispatch.blamed:
-            dispatch.blamed = True
-            worker.failed(self.now)
-
     def find(self, submission: Any, shot: int) -> Dispatch | None:
         sub = self.submissions.get(submission)
         return sub.shots[shot] if sub is not None and shot < len(sub.shots) else None
@@ -534,7 +527,7 @@
         if dispatch is not None:
             dispatch.started_at = dispatch.heard_at = self.now
             sub = dispatch.submission
-            dispatch.worker.silent_since = 0
+            dispatch.worker.heard_at = self.now
             running = dispatch.worker.own - sum([other.submission.width for other in dispatch.worker.waiting])
             self.cold.slots = max(self.cold.slots, running)
             if dispatch.blamed:  # it was slow to say so, not silent
@@ -549,8 +542,7 @@
         dispatch = self.find(news.submission, news.shot)
         if dispatch is None:
             return
-        dispatch.heard_at = self.now
-        dispatch.worker.silent_since = 0
+        dispatch.heard_at = dispatch.worker.heard_at = self.now
         sub = dispatch.submission
         # Four times a hint, or three deviations over the usual run where there is none, is past the slowest sound
         # worker and the common spread of sizes.
@@ -590,11 +582,8 @@
             self.runs[sub.grade.name].add(self.now - dispatch.started_at, self.now)
         if news.outcome in (say.ERROR, say.RESET, say.NO_CONNECTION):
             worker.failed(self.now)
-        elif news.outcome in (say.FULL, say.DONE):
-            worker.silent_since = 0
-        elif news.outcome == say.WITHDRAWN and not dispatch.started_at:
-            # Guards against a hung worker that looks free again each time a copy elsewhere has won.
-            self.blame_silence(dispatch)
+        elif news.outcome == say.FULL:
+            worker.heard_at = self.now
         if news.outcome == say.DONE:
             worker.succeeded(self.now)
             self.earn(0.1)  # a tenth of what goes well may be followed by a further dispatch all the same
