--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -162,11 +162,11 @@
     def started_promptly(self, at_cap: bool, width: float) -> None:
         if at_cap:
             # A quarter of the width a start: the cap about doubles in four prompt starts at the cap of one.
-            self.cap += 0.25 * width
+            self.cap += 0.5 * width
 
     def started_late(self, floor: float) -> None:
         # Halfway to half: a late start weighs about as much as two prompt ones at a cap of two.
-        self.cap = max(floor, 0.5 * self.cap)
+        self.cap = max(floor, 0.75 * self.cap)
 
     def left(self, stay: int, now: int) -> None:
         # Guards against many dispatchers that each keep one submission on every worker: with a cap under one
