--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -162,7 +162,7 @@
     def started_promptly(self, at_cap: bool, width: float) -> None:
         if at_cap:
             # A quarter of the width a start: the cap about doubles in four prompt starts at the cap of one.
-            self.cap += width
+            self.cap += 0.25 * width
 
     def started_late(self, floor: float) -> None:
         # Halfway to half: a late start weighs about as much as two prompt ones at a cap of two.
