--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -621,7 +621,8 @@
             if not fitting:
                 continue
             worker = fitting[self.chance.below(len(fitting))]
-            if worker.has_room(sub.width, now, prompt) and self.cold.allows(worker, self.work(sub), now) and (
+            width = sub.width if 2 * now < sub.arrived_at + sub.leave_at else 0.0
+            if worker.has_room(width, now, prompt) and self.cold.allows(worker, self.work(sub), now) and (
                 not worker.doubtful(now) or self.all_doubtful() or (
                     # Guards against losing for good what cannot be sent again: others do the trying.
                     (sub.grade.effect != AT_MOST_ONCE or self.all_once) and worker.trusted(now, self.chance)
