--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -621,7 +621,9 @@
             if not fitting:
                 continue
             worker = fitting[self.chance.below(len(fitting))]
-            width = sub.width if 2 * now < sub.arrived_at + sub.leave_at else 0.0
+            # Guards against stranding wide submissions where we always have something out: past half its patience
+            # one goes out where a single slot still fits.
+            width = sub.width if 2 * now < sub.arrived_at + sub.leave_at else 1.0
             if worker.has_room(width, now, prompt) and self.cold.allows(worker, self.work(sub), now) and (
                 not worker.doubtful(now) or self.all_doubtful() or (
                     # Guards against losing for good what cannot be sent again: others do the trying.
