--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -557,6 +557,15 @@
     def earn(self, credit: float) -> None:
         self.credit = min(10.0, self.credit + credit)
 
+    def floor(self) -> float:
+        """The least cap: our share of the slots, and up to one submission while all floors hold three a slot.
+
+        Guards at one end against two dispatchers that cut each other to one submission on every worker, at the
+        other against seventeen whose floors of one would be no gate at all.
+        """
+        share = self.cold.slots / self.fleet
+        return max(share, min(1.0, 3.0 * share))
+
     def settle(self, dispatch: Dispatch, prompt: bool) -> None:
         """The first word on a dispatch: it started, or ended before we heard that it had."""
         worker = dispatch.worker
@@ -566,8 +575,7 @@
             if prompt:
                 worker.started_promptly(dispatch.at_cap, dispatch.submission.width)
             else:
-                # With all dispatchers at the floor, a worker holds three for each slot: one runs, two wait.
-                worker.started_late(min(1.0, 3.0 * self.cold.slots / self.fleet))
+                worker.started_late(self.floor())
 
     def take_ended(self, news: say.Ended) -> None:
         dispatch = self.find(news.submission, news.shot)
@@ -621,10 +629,7 @@
             if not fitting:
                 continue
             worker = fitting[self.chance.below(len(fitting))]
-            # Guards against stranding wide submissions where we always have something out: past half its patience
-            # one goes out where a single slot still fits.
-            width = sub.width if 2 * now < sub.arrived_at + sub.leave_at else 1.0
-            if worker.has_room(width, now, prompt) and self.cold.allows(worker, self.work(sub), now) and (
+            if worker.has_room(sub.width, now, prompt) and self.cold.allows(worker, self.work(sub), now) and (
                 not worker.doubtful(now) or self.all_doubtful() or (
                     # Guards against losing for good what cannot be sent again: others do the trying.
                     (sub.grade.effect != AT_MOST_ONCE or self.all_once) and worker.trusted(now, self.chance)
