--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -109,10 +109,10 @@
         "heard_at", "good", "bad", "drawn_at", "sent_cold",
     )
 
-    def __init__(self, entry: say.Listed) -> None:
+    def __init__(self, entry: say.Listed, cap: float) -> None:
         self.id = entry.worker
         self.own = 0.0  # slots of ours outstanding there
-        self.cap = 1.0
+        self.cap = cap
         self.heard_at = 0  # when it last gave a sign of life
         # Ten seconds: past the longest pause of a sound worker, short beside a lasting outage.
         self.good, self.bad = Fading(10_000_000), Fading(10_000_000)
@@ -273,13 +273,13 @@
         self.workers: dict[Any, Worker] = {}
         self.terms, self.watched, self.failures, self.ask_at = terms, False, 0, 0
 
-    def take(self, news: say.ListNews) -> None:
+    def take(self, news: say.ListNews, cap: float) -> None:
         seen = set()
         for entry in news.entries:
             seen.add(entry.worker)
             worker = self.workers.get(entry.worker)
             if worker is None:
-                self.workers[entry.worker] = Worker(entry)
+                self.workers[entry.worker] = Worker(entry, cap)
             else:
                 worker.update(entry)
         if news.kind in (say.WHOLE, say.REMEMBERED):
@@ -504,7 +504,7 @@
             return
         if news.kind != say.REMEMBERED:
             self.list.failures = 0
-        self.list.take(news)
+        self.list.take(news, max(1.0, self.floor()))
         ready = self.list.ready()
         self.fitting = {None: ready}
         for kind in {grade.kind for grade in self.grades.values()} - {None}:
