--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -103,6 +103,28 @@
         return mean + 3.0 * max(0.0, self.square.read(now) / count - mean * mean) ** 0.5
 
 
+class Shares:
+    """Tells what is beyond its tenant's share: a bucket for each tenant, filled at our part of its quota."""
+
+    __slots__ = ("rates", "levels")
+
+    def __init__(self, quotas: dict[Any, float], fleet: int) -> None:
+        self.rates = {tenant: quota / fleet / 1e6 for tenant, quota in quotas.items()}
+        # Two seconds of the quota at most: traffic comes in bunches, and one dispatcher sees more than its part.
+        self.levels = {tenant: [2e6 * rate, 0.0] for tenant, rate in self.rates.items()}
+
+    def beyond(self, tenant: Any, now: int) -> bool:
+        if tenant not in self.rates:
+            return False
+        rate, bucket = self.rates[tenant], self.levels[tenant]
+        bucket[0] = min(2e6 * rate + 1.0, bucket[0] + (now - bucket[1]) * rate)
+        bucket[1] = now
+        if bucket[0] < 1.0:
+            return True
+        bucket[0] -= 1.0
+        return False
+
+
 class Worker:
     __slots__ = (
         "id", "zone", "kind", "cell", "state", "started_at", "own", "cap", "waiting", "rest_until",
@@ -302,6 +324,7 @@
         self.dispatching, self.clients, self.signs = dispatching, clients, signs
         self.list = WorkerList(listing)
         self.cold = ColdBudget(cold, fleet)
+        self.shares = Shares(clients.quotas, fleet)
         self.fitting: dict[str | None, list[Worker]] = {}  # ready workers by kind; None: all of them
         # Late is a start that eats a quarter of the shortest soft limit: it still leaves room to act on.
         self.prompt = min(grade.soft_limit for grade in grades) // 4
@@ -514,7 +537,10 @@
         self.arrivals += 1
         sub = Submission(arrival, self.grades[arrival.grade], self.now, self.arrivals)
         self.submissions[sub.id] = sub
-        sub.leave_at = min(sub.limit_at - 2 * self.step, self.now + self.patience(sub))
+        patience = self.patience(sub)
+        if self.shares.beyond(arrival.tenant, self.now):
+            patience = int(patience * self.clients.beyond_share)  # it waits as long as it is worth
+        sub.leave_at = min(sub.limit_at - 2 * self.step, self.now + patience)
         sub.course = self.course(sub)
         self.advance(sub, None)
 
