--- a/locktide/dispatch/interface.py
+++ b/locktide/dispatch/interface.py
@@ -76,11 +76,21 @@
 
 @dataclass(slots=True)
 class ClientTerms:
-    """What clients are told, and which share of the service each tenant has (submissions a second)."""
+    """What clients may be told."""
 
     longest_advice: int
+
+
+@dataclass(slots=True)
+class ShareTerms:
+    """How many submissions a second each tenant may ask of all dispatchers, and what more than that is worth.
+
+    `may_tell` says whether dispatchers may send each other short messages.
+    """
+
     quotas: dict[Any, float]
     beyond_share: float
+    may_tell: bool
 
 
 @dataclass(slots=True)
@@ -228,6 +238,11 @@
     mark: int
 
 
+@dataclass(slots=True)
+class TellPeers:
+    message: bytes
+
+
 @dataclass(slots=True)
 class WatchList:
     on: bool
--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -20,8 +20,9 @@
    or withdrawn where the grade allows it; how often follows how many of the recent ones succeeded.
 4. Cold budget: a worker that has just started gets no more than our share, one in the number of dispatchers,
    of the work that would push it over, counted as work per window, until it is warm.
-5. Denials: once a share of the slack has gone by in the pool, the same for all grades. Slack is what the soft
-   limit leaves beside the run itself, which is learned by grade.
+5. Denials and shares: denied is what has waited a share of the slack in the pool, the same for all grades.
+   Slack is what the soft limit leaves beside the run, learned by grade. Work beyond its tenant's share waits
+   only as long as it is worth; where dispatchers may tell each other their arrivals, our part follows them.
 6. The worker list: asked for, watched, asked again with growing gaps where it must be asked for.
 """
 
@@ -29,7 +30,7 @@
 
 from bisect import insort
 from collections.abc import Callable, Generator
-from math import exp
+from math import exp, sqrt
 from typing import Any
 
 from locktide.dispatch import interface as say
@@ -93,37 +94,67 @@
 
     def mean(self, now: int) -> float:
         count = self.count.read(now)
-        return self.time.read(now) / count if count > 0.1 else self.guess
+        # At least a microsecond: a start and an end that are heard together make a run of none.
+        return max(1.0, self.time.read(now) / count) if count > 0.1 else self.guess
 
     def long(self, now: int) -> float:
         """Three deviations over the mean; with no spread known yet, three means over it."""
         mean, count = self.mean(now), self.count.read(now)
         if count < 5.0:
             return 4.0 * mean
-        return mean + 3.0 * max(0.0, self.square.read(now) / count - mean * mean) ** 0.5
+        return mean + 3.0 * sqrt(max(0.0, self.square.read(now) / count - mean * mean))
+
+
+def usual_slack(grade: say.Grade, run: float) -> float:
+    # At least a quarter of the soft limit: where the usual run uses it up, a shorter one may still do.
+    return max(0.25 * grade.soft_limit, grade.soft_limit + (grade.stretch - 1.0) * run)
 
 
 class Shares:
     """Tells what is beyond its tenant's share: a bucket for each tenant, filled at our part of its quota."""
 
-    __slots__ = ("rates", "levels")
+    __slots__ = ("terms", "fleet", "levels", "arrivals", "peers", "told_at")
+
+    def __init__(self, terms: say.ShareTerms, fleet: int) -> None:
+        self.terms, self.fleet = terms, fleet
+        self.levels = {tenant: [5.0 * quota / fleet, 0.0] for tenant, quota in terms.quotas.items()}
+        self.arrivals = Fading(5_000_000)  # some tens of submissions, and shorter than a burst
+        self.peers: dict[int, tuple[int, int]] = {}  # what each peer said of its arrivals, and when
+        self.told_at = 0
 
-    def __init__(self, quotas: dict[Any, float], fleet: int) -> None:
-        self.rates = {tenant: quota / fleet / 1e6 for tenant, quota in quotas.items()}
-        # Two seconds of the quota at most: traffic comes in bunches, and one dispatcher sees more than its part.
-        self.levels = {tenant: [2e6 * rate, 0.0] for tenant, rate in self.rates.items()}
+    def part(self, now: int) -> float:
+        """Our part of all traffic: told by the peers where they may, else an equal one."""
+        heard = [arrivals for arrivals, at in self.peers.values() if now - at < 10_000_000]
+        if self.fleet == 1 or len(heard) < len(self.peers) or not heard:
+            return 1.0 / self.fleet
+        ours = max(1.0, self.arrivals.read(now))
+        return ours / (ours + sum(heard) * (self.fleet - 1) / len(heard))
 
     def beyond(self, tenant: Any, now: int) -> bool:
-        if tenant not in self.rates:
+        bucket = self.levels.get(tenant)
+        if bucket is None:
             return False
-        rate, bucket = self.rates[tenant], self.levels[tenant]
-        bucket[0] = min(2e6 * rate + 1.0, bucket[0] + (now - bucket[1]) * rate)
+        rate = self.terms.quotas[tenant] * self.part(now)
+        # Five seconds of the quota at most: traffic comes in bunches.
+        bucket[0] = min(5.0 * rate + 1.0, bucket[0] + (now - bucket[1]) * rate / 1e6)
         bucket[1] = now
         if bucket[0] < 1.0:
             return True
         bucket[0] -= 1.0
         return False
 
+    def arrived(self, now: int) -> say.TellPeers | None:
+        """Counts an arrival; every two seconds, well within a burst, there is something to tell the peers."""
+        self.arrivals.add(1.0, now)
+        if not self.terms.may_tell or self.fleet == 1 or now - self.told_at < 2_000_000:
+            return None
+        self.told_at = now
+        return say.TellPeers(b"%d" % round(self.arrivals.read(now)))
+
+    def heard(self, news: say.PeerSays, now: int) -> None:
+        if news.message.isdigit():
+            self.peers[news.peer] = (int(news.message), now)
+
 
 class Worker:
     __slots__ = (
@@ -316,7 +347,8 @@
 class Dispatcher:
     def __init__(
         self, seed: int, step: int, fleet: int, grades: list[say.Grade], dispatching: say.DispatchTerms,
-        clients: say.ClientTerms, cold: say.ColdTerms, listing: say.ListTerms, signs: say.SignTerms,
+        clients: say.ClientTerms, shares: say.ShareTerms, cold: say.ColdTerms, listing: say.ListTerms,
+        signs: say.SignTerms,
     ) -> None:
         self.chance = Chance(seed)
         self.step, self.fleet = step, fleet
@@ -324,7 +356,7 @@
         self.dispatching, self.clients, self.signs = dispatching, clients, signs
         self.list = WorkerList(listing)
         self.cold = ColdBudget(cold, fleet)
-        self.shares = Shares(clients.quotas, fleet)
+        self.shares = Shares(shares, fleet)
         self.fitting: dict[str | None, list[Worker]] = {}  # ready workers by kind; None: all of them
         # Late is a start that eats a quarter of the shortest soft limit: it still leaves room to act on.
         self.prompt = min(grade.soft_limit for grade in grades) // 4
@@ -399,7 +431,7 @@
         # Half the run still counts as possible: a hint is rough and the fastest worker is twice the mean.
         if self.now + run / 2 > sub.limit_at:
             return 0.0
-        return grade.soft_limit + (grade.stretch - 1.0) * run
+        return usual_slack(grade, run)
 
     def work(self, sub: Submission) -> float:
         """The work of a submission: its usual run, or what is hinted, on each of its slots."""
@@ -413,8 +445,7 @@
         0.5 left more answers late, 0.25 denied more in short bursts.
         """
         shortest = min([
-            grade.soft_limit + (grade.stretch - 1.0) * self.runs[grade.name].mean(self.now)
-            for grade in self.grades.values()
+            usual_slack(grade, self.runs[grade.name].mean(self.now)) for grade in self.grades.values()
         ])
         usual = self.runs[sub.grade.name].mean(self.now)
         if sub.hint:
@@ -537,9 +568,12 @@
         self.arrivals += 1
         sub = Submission(arrival, self.grades[arrival.grade], self.now, self.arrivals)
         self.submissions[sub.id] = sub
+        tell = self.shares.arrived(self.now)
+        if tell:
+            self.orders.append(tell)
         patience = self.patience(sub)
         if self.shares.beyond(arrival.tenant, self.now):
-            patience = int(patience * self.clients.beyond_share)  # it waits as long as it is worth
+            patience = int(patience * self.shares.terms.beyond_share)  # it waits as long as it is worth
         sub.leave_at = min(sub.limit_at - 2 * self.step, self.now + patience)
         sub.course = self.course(sub)
         self.advance(sub, None)
@@ -570,12 +604,12 @@
             return
         dispatch.heard_at = dispatch.worker.heard_at = self.now
         sub = dispatch.submission
-        # Four times a hint, or three deviations over the usual run where there is none, is past the slowest sound
-        # worker and the common spread of sizes.
+        # Four times a hint, or three deviations over the usual run where there is none, is past the slowest
+        # sound worker and the common spread of sizes.
         long = 4.0 * sub.hint or self.runs[sub.grade.name].long(self.now)
         whole = (self.now - dispatch.started_at) / max(news.share, 0.001)
-        # Guards against a worker that runs everything slowly. One heavy submission alone makes a worker doubtful
-        # for a moment, and its good ends soon outweigh it.
+        # Guards against a worker that runs everything slowly. One heavy submission alone makes a worker
+        # doubtful for a moment, and its good ends soon outweigh it.
         if dispatch.started_at and whole > long and not dispatch.blamed:
             dispatch.blamed = True
             dispatch.worker.failed(self.now)
@@ -586,10 +620,10 @@
     def floor(self) -> float:
         """The least cap: our share of the slots, and up to one submission while all floors hold three a slot.
 
-        Guards at one end against two dispatchers that cut each other to one submission on every worker, at the
-        other against seventeen whose floors of one would be no gate at all.
+        Guards at one end against two dispatchers that cut each other to one submission on every worker, at
+        the other against seventeen whose floors of one would be no gate at all.
         """
-        share = self.cold.slots / self.fleet
+        share = self.cold.slots * self.shares.part(self.now)
         return max(share, min(1.0, 3.0 * share))
 
     def settle(self, dispatch: Dispatch, prompt: bool) -> None:
@@ -633,6 +667,9 @@
         if sub is not None and not sub.answered:
             self.advance(sub, say.Ended(sub.id, -1, say.NEVER_SENT, True))
 
+    def take_peer(self, news: say.PeerSays) -> None:
+        self.shares.heard(news, self.now)
+
     def take_nothing(self, news: Any) -> None:
         """News that no decision rests on yet."""
 
@@ -680,5 +717,5 @@
     say.ClientGone: Dispatcher.take_gone,
     say.TimerDue: Dispatcher.take_timer,
     say.ProbeEnded: Dispatcher.take_nothing,
-    say.PeerSays: Dispatcher.take_nothing,
+    say.PeerSays: Dispatcher.take_peer,
 }
--- a/locktide/simhost/wire.py
+++ b/locktide/simhost/wire.py
@@ -185,6 +185,8 @@
         return f"FINISH_ERROR Corr={order.submission}"
     if type(order) is say.Withdraw:
         return f"WITHDRAW Corr={order.submission} Shot={order.shot}"
+    if type(order) is say.TellPeers:
+        return f"NOTIFY Peer=* Bytes={base64.b64encode(order.message).decode() or '-'}"
     if type(order) is say.WatchList:
         return f"STREAM_CHANGES Want={int(order.on)}"
     if type(order) is say.FetchList:
@@ -233,10 +235,11 @@
                 bool(ceilings.get("SecondCopies", False)),
                 bool(ceilings.get("MayCancel", False)),
             ),
-            say.ClientTerms(
-                advice,
+            say.ClientTerms(advice),
+            say.ShareTerms(
                 {realm["Name"]: float(realm.get("QuotaPerS", 0.0)) for realm in told.get("Realms", [])},
                 float(told.get("BeyondShareRevenue", 1.0)),
+                bool(ceilings.get("Peers", False)),
             ),
             say.ColdTerms(
                 float(rules.get("OverloadFactor", 1.0)),
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -24,11 +24,12 @@
 
 class Checked:
     def __init__(self, seed: int = 1, fleet: int = 3, must_ask: bool = False, copies: bool = True) -> None:
-        self.copies, self.fleet, self.now = copies, fleet, 1_000_000
+        self.copies, self.fleet, self.now = copies, fleet, 10_000_000
         self.most = 3
         self.dispatcher = Dispatcher(
             seed, STEP, fleet, GRADES, say.DispatchTerms(self.most, copies, True),
-            say.ClientTerms(2_000_000, {"dairy": 5.0}, 0.1), COLD, say.ListTerms(must_ask, 10_000_000),
+            say.ClientTerms(2_000_000), say.ShareTerms({"dairy": 5.0}, 0.1, must_ask), COLD,
+            say.ListTerms(must_ask, 10_000_000),
             say.SignTerms(True, 1_000_000, None),
         )
         self.grades = {grade.name: grade for grade in GRADES}
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -209,3 +209,41 @@
     service.list(listed("w"))
     service.arrive(1, "record", hint=6_500_000)
     assert service.shots[1]
+
+
+def test_no_stretch_is_no_reason_to_deny_at_once() -> None:
+    """A grade whose soft limit does not grow with the work was denied on arrival while no run was known."""
+    service = Checked()
+    service.dispatcher.grades["cash"].stretch = 0.0
+    service.list(listed("w"))
+    service.arrive(1, "cash")
+    assert service.shots[1]
+
+
+def test_work_beyond_its_share_is_denied_first() -> None:
+    """In an overload a third of what was served was beyond its tenant's share and earned next to nothing."""
+    service = Checked()
+    for submission in range(40):
+        service.turn(say.Arrival(submission, "view", service.now + 3_000_000, tenant="dairy"))
+    held = service.dispatcher.submissions
+    assert held[0].leave_at > held[39].leave_at
+
+
+def test_peers_tell_which_part_is_ours() -> None:
+    """A busy dispatcher took too small a part for its own, and denied work within its share."""
+    service = Checked(fleet=2, must_ask=True)
+    service.turn(say.PeerSays(1, b"1"), say.PeerSays(1, b"junk"))
+    orders = [order for n in range(9) for order in service.arrive(n, "cash")]
+    assert [order.message for order in orders if type(order) is say.TellPeers] == [b"1"]
+    assert service.dispatcher.shares.part(service.now) == pytest.approx(0.9)
+
+
+def test_slow_progress_makes_a_worker_doubtful() -> None:
+    """Work kept going to workers that ran everything four to ten times slower."""
+    service = Checked()
+    service.list(listed("w"))
+    service.arrive(1, "record")
+    service.turn(say.Started(1, 0))
+    service.pass_time(2_000_000)
+    service.turn(say.Progressed(1, 0, 0.05))
+    assert service.dispatcher.list.workers["w"].doubtful(service.now)
