--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -454,7 +454,9 @@
 
     def answer(self, sub: Submission) -> None:
         if sub.may_deny():
-            self.orders.append(say.Deny(sub.id, 0))
+            # A usual run from now a slot has come free for each that runs; sooner, the pool is as it was.
+            advice = min(self.clients.longest_advice, int(self.runs[sub.grade.name].mean(self.now)))
+            self.orders.append(say.Deny(sub.id, advice))
         else:
             self.orders.append(say.Terminate(sub.id))
 
