--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -454,8 +454,9 @@
 
     def answer(self, sub: Submission) -> None:
         if sub.may_deny():
-            # A usual run from now a slot has come free for each that runs; sooner, the pool is as it was.
-            advice = min(self.clients.longest_advice, int(self.runs[sub.grade.name].mean(self.now)))
+            # A denial means that work waits for longer than it pays: what comes back soon would take the place of
+            # fresh work and be late, so the longest that clients heed.
+            advice = self.clients.longest_advice
             self.orders.append(say.Deny(sub.id, advice))
         else:
             self.orders.append(say.Terminate(sub.id))
