--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -454,9 +454,8 @@
 
     def answer(self, sub: Submission) -> None:
         if sub.may_deny():
-            # A denial means that work waits for longer than it pays: what comes back soon would take the place of
-            # fresh work and be late, so the longest that clients heed.
-            advice = self.clients.longest_advice
+            # One more patience: the crowd may be gone by then, and a start is still in time.
+            advice = min(self.clients.longest_advice, self.patience(sub))
             self.orders.append(say.Deny(sub.id, advice))
         else:
             self.orders.append(say.Terminate(sub.id))
