--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -244,7 +244,7 @@
 class Submission:
     __slots__ = (
         "id", "grade", "width", "hint", "arrived_at", "limit_at", "leave_at", "order", "shots", "out", "held",
-        "course", "pooled", "answered",
+        "course", "pooled", "answered", "beyond_share",
     )
 
     def __init__(self, arrival: say.Arrival, grade: say.Grade, now: int, order: int) -> None:
@@ -255,7 +255,7 @@
         self.shots: list[Dispatch] = []
         self.out: list[Dispatch] = []  # dispatches without an outcome
         self.held: list[Dispatch] = []  # dispatches not proven never to have run
-        self.pooled = self.answered = False
+        self.pooled = self.answered = self.beyond_share = False
         self.course: Course
 
     def __lt__(self, other: Submission) -> bool:
@@ -454,8 +454,8 @@
 
     def answer(self, sub: Submission) -> None:
         if sub.may_deny():
-            # One more patience: the crowd may be gone by then, and a start is still in time.
-            advice = min(self.clients.longest_advice, self.patience(sub))
+            # Beyond its share work stays away as long as clients heed; within it, an early return is still in time.
+            advice = self.clients.longest_advice if sub.beyond_share else 0
             self.orders.append(say.Deny(sub.id, advice))
         else:
             self.orders.append(say.Terminate(sub.id))
@@ -575,6 +575,7 @@
             self.orders.append(tell)
         patience = self.patience(sub)
         if self.shares.beyond(arrival.tenant, self.now):
+            sub.beyond_share = True
             patience = int(patience * self.shares.terms.beyond_share)  # it waits as long as it is worth
         sub.leave_at = min(sub.limit_at - 2 * self.step, self.now + patience)
         sub.course = self.course(sub)
