--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -244,7 +244,7 @@
 class Submission:
     __slots__ = (
         "id", "grade", "width", "hint", "arrived_at", "limit_at", "leave_at", "order", "shots", "out", "held",
-        "course", "pooled", "answered", "beyond_share",
+        "course", "pooled", "answered",
     )
 
     def __init__(self, arrival: say.Arrival, grade: say.Grade, now: int, order: int) -> None:
@@ -255,7 +255,7 @@
         self.shots: list[Dispatch] = []
         self.out: list[Dispatch] = []  # dispatches without an outcome
         self.held: list[Dispatch] = []  # dispatches not proven never to have run
-        self.pooled = self.answered = self.beyond_share = False
+        self.pooled = self.answered = False
         self.course: Course
 
     def __lt__(self, other: Submission) -> bool:
@@ -362,6 +362,7 @@
         self.prompt = min(grade.soft_limit for grade in grades) // 4
         self.all_once = all([grade.effect == AT_MOST_ONCE for grade in grades])
         self.runs = {grade.name: Runs(grade.soft_limit) for grade in grades}
+        self.outstanding = 0  # dispatches of ours without an outcome
         self.credit = 10.0  # of further dispatches; ten let a dispatcher meet a sudden trouble at once
         self.submissions: dict[Any, Submission] = {}
         self.pool: list[Submission] = []
@@ -454,8 +455,10 @@
 
     def answer(self, sub: Submission) -> None:
         if sub.may_deny():
-            # Beyond its share work stays away as long as clients heed; within it, an early return is still in time.
-            advice = self.clients.longest_advice if sub.beyond_share else 0
+            # The next of ours should end by then. Later advice brings clients back when any answer is late, and
+            # they take the place of fresh work.
+            run = self.runs[sub.grade.name].mean(self.now)
+            advice = min(self.clients.longest_advice, int(run / max(1, self.outstanding)))
             self.orders.append(say.Deny(sub.id, advice))
         else:
             self.orders.append(say.Terminate(sub.id))
@@ -485,6 +488,7 @@
             self.wake(max(self.prompt, int(self.slack(sub)) // 8), dispatch)
         sub.shots.append(dispatch)
         sub.out.append(dispatch)
+        self.outstanding += 1
         sub.held.append(dispatch)
         worker.own += sub.width
         self.cold.count(worker, self.work(sub), self.now)
@@ -575,7 +579,6 @@
             self.orders.append(tell)
         patience = self.patience(sub)
         if self.shares.beyond(arrival.tenant, self.now):
-            sub.beyond_share = True
             patience = int(patience * self.shares.terms.beyond_share)  # it waits as long as it is worth
         sub.leave_at = min(sub.limit_at - 2 * self.step, self.now + patience)
         sub.course = self.course(sub)
@@ -648,6 +651,7 @@
         worker.own -= sub.width
         worker.left(self.now - dispatch.sent_at, self.now)
         sub.out.remove(dispatch)
+        self.outstanding -= 1
         self.settle(dispatch, news.outcome == say.DONE)
         if news.outcome == say.DONE and dispatch.started_at:
             self.runs[sub.grade.name].add(self.now - dispatch.started_at, self.now)
