--- a/locktide/dispatch/interface.py
+++ b/locktide/dispatch/interface.py
@@ -113,11 +113,10 @@
 
 @dataclass(slots=True)
 class SignTerms:
-    """What workers tell: the start of a job, its progress every so often, free slots in a load report."""
+    """What workers tell: the start of a job, and its progress every so often."""
 
     tells_start: bool
     progress_every: int
-    free_slots: str | None
 
 
 # --- news, from the host to the decisions ---------------------------------------------------------------
--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -362,6 +362,7 @@
         self.prompt = min(grade.soft_limit for grade in grades) // 4
         self.all_once = all([grade.effect == AT_MOST_ONCE for grade in grades])
         self.runs = {grade.name: Runs(grade.soft_limit) for grade in grades}
+        self.quiet_until = 0
         self.outstanding = 0  # dispatches of ours without an outcome
         self.credit = 10.0  # of further dispatches; ten let a dispatcher meet a sudden trouble at once
         self.submissions: dict[Any, Submission] = {}
@@ -455,14 +456,29 @@
 
     def answer(self, sub: Submission) -> None:
         if sub.may_deny():
-            # The next of ours should end by then. Later advice brings clients back when any answer is late, and
-            # they take the place of fresh work.
+            # The next of ours should end by then. Later advice brings clients back when any answer is late,
+            # and they take the place of fresh work.
             run = self.runs[sub.grade.name].mean(self.now)
             advice = min(self.clients.longest_advice, int(run / max(1, self.outstanding)))
             self.orders.append(say.Deny(sub.id, advice))
+            if self.now >= self.quiet_until:  # one line in five seconds tells enough of an overload
+                self.quiet_until = self.now + 5_000_000
+                waited = (self.now - sub.arrived_at) // 1000
+                self.log(
+                    f"denying {sub.grade.name} after {waited} ms: {len(self.pool)} waiting, {self.outstanding} out,"
+                    f" {len(self.fitting.get(None, []))} workers ready"
+                )
         else:
             self.orders.append(say.Terminate(sub.id))
 
+    def log(self, line: str) -> None:
+        self.orders.append(say.Log(line))
+
+    def blame(self, worker: Worker, reason: str) -> None:
+        if not worker.doubtful(self.now):
+            self.log(f"avoiding worker {worker.id}: {reason}")
+        worker.failed(self.now)
+
     def advance(self, sub: Submission, news: Any) -> None:
         """Resumes a course with its news, and puts the submission where the course wants it."""
         try:
@@ -537,13 +553,13 @@
                 self.wake(blame_at - self.now, dispatch)
             elif dispatch.worker.heard_at < dispatch.sent_at and not dispatch.blamed:
                 dispatch.blamed = True
-                dispatch.worker.failed(self.now)
+                self.blame(dispatch.worker, "no start and no sign of life")
             self.advance(dispatch.submission, dispatch)
             return
         every = self.signs.progress_every
         # One and a half: a progress note may be late by the network, never by half its gap.
         if every and self.now - dispatch.heard_at > every * 3 // 2:
-            dispatch.worker.failed(self.now)
+            self.blame(dispatch.worker, "no progress told")
             self.advance(dispatch.submission, dispatch)
         elif every:
             self.wake(every * 3 // 2, dispatch)
@@ -559,6 +575,7 @@
             gap = min(self.list.terms.ask_within, 250_000 << min(self.list.failures, 8))
             gap = gap // 2 + self.chance.below(gap // 2 + 1)
             self.list.failures += 1
+            self.log(f"worker list failed, time {self.list.failures}: asking again in {gap // 1000} ms")
             self.list.watched, self.list.ask_at = False, self.now + gap
             self.wake(gap, "ask")
             return
@@ -618,7 +635,7 @@
         # doubtful for a moment, and its good ends soon outweigh it.
         if dispatch.started_at and whole > long and not dispatch.blamed:
             dispatch.blamed = True
-            dispatch.worker.failed(self.now)
+            self.blame(dispatch.worker, "slow progress")
 
     def earn(self, credit: float) -> None:
         self.credit = min(10.0, self.credit + credit)
@@ -656,7 +673,7 @@
         if news.outcome == say.DONE and dispatch.started_at:
             self.runs[sub.grade.name].add(self.now - dispatch.started_at, self.now)
         if news.outcome in (say.ERROR, say.RESET, say.NO_CONNECTION):
-            worker.failed(self.now)
+            self.blame(worker, news.outcome)
         elif news.outcome == say.FULL:
             worker.heard_at = self.now
         if news.outcome == say.DONE:
@@ -708,7 +725,6 @@
                 self.advance(sub, worker)
                 room -= not worker.has_room(1.0, now, prompt)
 
-
     def all_doubtful(self) -> bool:
         everyone = self.fitting[None]
         return 2 * sum([worker.doubtful(self.now) for worker in everyone]) > len(everyone)
--- a/locktide/simhost/wire.py
+++ b/locktide/simhost/wire.py
@@ -222,9 +222,6 @@
             )
         ceilings = told.get("Ceilings", {})
         rules = told.get("Rules", {})
-        report = told.get("LoadReport", {}).get("Fields", [])
-        extras = {"x0": domain.get("ReportX0"), "x1": domain.get("ReportX1")}
-        free = next((x for x, told_as in extras.items() if told_as == "free slots" and x in report), None)
         advice = micros(ceilings.get("MaxRetryAfter", 0)) if ceilings.get("RetryAfter") else 0
         return (
             micros(told.get("Step", 1.0)),
@@ -248,7 +245,7 @@
                 micros(rules.get("Cold", 0)),
             ),
             say.ListTerms(told.get("Discovery") == "subscribe", micros(rules.get("AskWithin", 10000))),
-            say.SignTerms(bool(domain.get("TellsStart", False)), micros(domain.get("Progress", 0)), free),
+            say.SignTerms(bool(domain.get("TellsStart", False)), micros(domain.get("Progress", 0))),
         )
     except (KeyError, TypeError, ValueError, AttributeError, IndexError) as trouble:
         raise Malformed(f"expected settings as on the wire page: {trouble!r}") from None
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -30,7 +30,7 @@
             seed, STEP, fleet, GRADES, say.DispatchTerms(self.most, copies, True),
             say.ClientTerms(2_000_000), say.ShareTerms({"dairy": 5.0}, 0.1, must_ask), COLD,
             say.ListTerms(must_ask, 10_000_000),
-            say.SignTerms(True, 1_000_000, None),
+            say.SignTerms(True, 1_000_000),
         )
         self.grades = {grade.name: grade for grade in GRADES}
         self.arrivals: dict[int, say.Arrival] = {}
