--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -464,10 +464,8 @@
             if self.now >= self.quiet_until:  # one line in five seconds tells enough of an overload
                 self.quiet_until = self.now + 5_000_000
                 waited = (self.now - sub.arrived_at) // 1000
-                self.log(
-                    f"denying {sub.grade.name} after {waited} ms: {len(self.pool)} waiting, {self.outstanding} out,"
-                    f" {len(self.fitting.get(None, []))} workers ready"
-                )
+                waits = f"{len(self.pool)} waiting, {self.outstanding} out"
+                self.log(f"denying {sub.grade.name} after {waited} ms: {waits}")
         else:
             self.orders.append(say.Terminate(sub.id))
 
