--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -298,7 +298,7 @@
 
     def __init__(self, terms: say.ColdTerms, fleet: int) -> None:
         self.terms = terms
-        self.share = terms.factor * terms.window / fleet
+        self.share = 1.5 * terms.window / fleet
         # How many slots a worker has is told nowhere: the most of ours seen running at once on one, and at
         # least two, which makes our count of a submission's work err to the high side.
         self.slots = 2.0
