Cold budget by our part of the traffic

One in the number of dispatchers starves a busy dispatcher of new workers; the parts still add up to one.

--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -18,8 +18,8 @@
    are doubtful the fault is taken to be elsewhere, and nobody is.
 3. Further dispatches: a dispatch that has not started after part of the slack, or has gone silent, is doubled
    or withdrawn where the grade allows it; how often follows how many of the recent ones succeeded.
-4. Cold budget: a worker that has just started gets no more than our share, one in the number of dispatchers,
-   of the work that would push it over, counted as work per window, until it is warm.
+4. Cold budget: a worker that has just started gets no more than our part of the work that would push it over,
+   counted as work per window, until it is warm.
 5. Denials and shares: denied is what has waited a share of the slack in the pool, the same for all grades.
    Slack is what the soft limit leaves beside the run, learned by grade. Work beyond its tenant's share waits
    only as long as it is worth; where dispatchers may tell each other their arrivals, our part follows them.
@@ -294,22 +294,22 @@
 class ColdBudget:
     """Our share of what may be sent to a worker that is not warm yet."""
 
-    __slots__ = ("terms", "share", "slots")
+    __slots__ = ("terms", "slots")
 
-    def __init__(self, terms: say.ColdTerms, fleet: int) -> None:
+    def __init__(self, terms: say.ColdTerms) -> None:
         self.terms = terms
-        self.share = 1.5 * terms.window / fleet
         # How many slots a worker has is told nowhere: the most of ours seen running at once on one, and at
         # least two, which makes our count of a submission's work err to the high side.
         self.slots = 2.0
 
-    def allows(self, worker: Worker, work: float, now: int) -> bool:
+    def allows(self, worker: Worker, work: float, part: float, now: int) -> bool:
         terms = self.terms
         age = now - worker.started_at
         if not worker.started_at or age >= terms.warm_after:
             return True
         capacity = terms.cold_from + (1.0 - terms.cold_from) * age / terms.warm_after
-        return worker.sent_cold.read(now) + work / self.slots <= self.share * capacity
+        share = part * terms.factor * terms.window * capacity
+        return worker.sent_cold.read(now) + work / self.slots <= share
 
     def count(self, worker: Worker, work: float, now: int) -> None:
         if worker.started_at and now < worker.started_at + self.terms.warm_after:
@@ -355,7 +355,7 @@
         self.grades = {grade.name: grade for grade in grades}
         self.dispatching, self.clients, self.signs = dispatching, clients, signs
         self.list = WorkerList(listing)
-        self.cold = ColdBudget(cold, fleet)
+        self.cold = ColdBudget(cold)
         self.shares = Shares(shares, fleet)
         self.fitting: dict[str | None, list[Worker]] = {}  # ready workers by kind; None: all of them
         # Late is a start that eats a quarter of the shortest soft limit: it still leaves room to act on.
@@ -714,7 +714,7 @@
             if not fitting:
                 continue
             worker = fitting[self.chance.below(len(fitting))]
-            if worker.has_room(sub.width, now, prompt) and self.cold.allows(worker, self.work(sub), now) and (
+            if worker.has_room(sub.width, now, prompt) and self.cold_allows(worker, sub) and (
                 not worker.doubtful(now) or self.all_doubtful() or (
                     # Guards against losing for good what cannot be sent again: others do the trying.
                     (sub.grade.effect != AT_MOST_ONCE or self.all_once) and worker.trusted(now, self.chance)
@@ -723,6 +723,11 @@
                 self.advance(sub, worker)
                 room -= not worker.has_room(1.0, now, prompt)
 
+    def cold_allows(self, worker: Worker, sub: Submission) -> bool:
+        if not worker.started_at:
+            return True
+        return self.cold.allows(worker, self.work(sub), self.shares.part(self.now), self.now)
+
     def all_doubtful(self) -> bool:
         everyone = self.fitting[None]
         return 2 * sum([worker.doubtful(self.now) for worker in everyone]) > len(everyone)
