--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -173,13 +173,9 @@
         self.rest_until = 0  # while the cap is under one: when we have held our share there on average
         self.sent_cold = Fading(1_000_000)
         self.waiting: dict[Dispatch, None] = {}  # ours there that have not started, oldest first
-        self.started_at = entry.started_at
         self.update(entry)
 
     def update(self, entry: say.Listed) -> None:
-        if entry.started_at != self.started_at:  # a new process: the record of the old one says nothing of it
-            self.good.sum = self.bad.sum = 0.0
-            self.rest_until = 0
         self.zone, self.kind, self.cell = entry.zone, entry.kind, entry.cell
         self.state, self.started_at = entry.state, entry.started_at
 
