--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -452,7 +452,8 @@
         usual = self.runs[sub.grade.name].mean(self.now)
         if sub.hint:
             shortest *= max(1.0, sub.hint / usual)  # a heavier submission earns more, and may wait longer
-        return max(0, int(0.3 * min(self.slack(sub), shortest)))
+        slack = self.slack(sub)
+        return int(0.3 * min(slack, sqrt(slack * shortest)))
 
     def answer(self, sub: Submission) -> None:
         if sub.may_deny():
