--- a/locktide/dispatch/interface.py
+++ b/locktide/dispatch/interface.py
@@ -93,6 +93,13 @@
     may_tell: bool
 
 
+@dataclass(slots=True)
+class GoalTerms:
+    """What service is measured by: how much of it the worst-served grade decides, from 0 to 1."""
+
+    worst_grade: float
+
+
 @dataclass(slots=True)
 class ColdTerms:
     """When a freshly started worker falls over."""
--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -347,8 +347,8 @@
 class Dispatcher:
     def __init__(
         self, seed: int, step: int, fleet: int, grades: list[say.Grade], dispatching: say.DispatchTerms,
-        clients: say.ClientTerms, shares: say.ShareTerms, cold: say.ColdTerms, listing: say.ListTerms,
-        signs: say.SignTerms,
+        clients: say.ClientTerms, shares: say.ShareTerms, goal: say.GoalTerms, cold: say.ColdTerms,
+        listing: say.ListTerms, signs: say.SignTerms,
     ) -> None:
         self.chance = Chance(seed)
         self.step, self.fleet = step, fleet
@@ -362,6 +362,9 @@
         self.prompt = min(grade.soft_limit for grade in grades) // 4
         self.all_once = all([grade.effect == AT_MOST_ONCE for grade in grades])
         self.runs = {grade.name: Runs(grade.soft_limit) for grade in grades}
+        # How far all grades wait alike. Long slack put to use serves the whole better, an even wait the grade
+        # that is served worst; wholly even from where that grade decides a third of the goal.
+        self.evenness = min(1.0, 0.3 + 2.0 * goal.worst_grade)
         self.quiet_until = 0
         self.outstanding = 0  # dispatches of ours without an outcome
         self.credit = 10.0  # of further dispatches; ten let a dispatcher meet a sudden trouble at once
@@ -443,7 +446,7 @@
         """How long a submission waits in the pool.
 
         Guards against an overload in which long-slack work fills the pool and the short grades get nothing:
-        all wait a share of the shortest usual slack. At 0.3 of it even runs well over the usual end in time;
+        all wait a share of a slack between their own and the shortest usual one. At 0.3 of it even runs well over the usual end in time;
         0.5 left more answers late, 0.25 denied more in short bursts.
         """
         shortest = min([
@@ -453,7 +456,7 @@
         if sub.hint:
             shortest *= max(1.0, sub.hint / usual)  # a heavier submission earns more, and may wait longer
         slack = self.slack(sub)
-        return int(0.3 * min(slack, sqrt(slack * shortest)))
+        return int(0.3 * min(slack, slack ** (1.0 - self.evenness) * shortest ** self.evenness))
 
     def answer(self, sub: Submission) -> None:
         if sub.may_deny():
--- a/locktide/simhost/wire.py
+++ b/locktide/simhost/wire.py
@@ -238,6 +238,7 @@
                 float(told.get("BeyondShareRevenue", 1.0)),
                 bool(ceilings.get("Peers", False)),
             ),
+            say.GoalTerms(float(told.get("ObjectiveMix", {}).get("WorstClass", 0.0))),
             say.ColdTerms(
                 float(rules.get("OverloadFactor", 1.0)),
                 micros(rules.get("OverloadFor", 0)),
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -23,12 +23,15 @@
 
 
 class Checked:
-    def __init__(self, seed: int = 1, fleet: int = 3, must_ask: bool = False, copies: bool = True) -> None:
+    def __init__(
+        self, seed: int = 1, fleet: int = 3, must_ask: bool = False, copies: bool = True, worst_grade: float = 0.4
+    ) -> None:
         self.copies, self.fleet, self.now = copies, fleet, 10_000_000
         self.most = 3
         self.dispatcher = Dispatcher(
             seed, STEP, fleet, GRADES, say.DispatchTerms(self.most, copies, True),
-            say.ClientTerms(2_000_000), say.ShareTerms({"dairy": 5.0}, 0.1, must_ask), COLD,
+            say.ClientTerms(2_000_000), say.ShareTerms({"dairy": 5.0}, 0.1, must_ask),
+            say.GoalTerms(worst_grade), COLD,
             say.ListTerms(must_ask, 10_000_000),
             say.SignTerms(True, 1_000_000),
         )
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -186,6 +186,11 @@
     service.arrive(2, "record")
     first, second = (service.dispatcher.submissions[n] for n in (1, 2))
     assert first.leave_at == second.leave_at
+    service = Checked(worst_grade=0.1)
+    service.arrive(1, "view")
+    service.arrive(2, "record")
+    first, second = (service.dispatcher.submissions[n] for n in (1, 2))
+    assert first.leave_at < second.leave_at
 
 
 def test_one_of_many_dispatchers_rests_at_a_crowded_worker() -> None:
