--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -446,8 +446,8 @@
         """How long a submission waits in the pool.
 
         Guards against an overload in which long-slack work fills the pool and the short grades get nothing:
-        all wait a share of a slack between their own and the shortest usual one. At 0.3 of it even runs well over the usual end in time;
-        0.5 left more answers late, 0.25 denied more in short bursts.
+        all wait a share of a slack between their own and the shortest usual one. At 0.3 of it even runs well
+        over the usual end in time; 0.5 left more answers late, 0.25 denied more in short bursts.
         """
         shortest = min([
             usual_slack(grade, self.runs[grade.name].mean(self.now)) for grade in self.grades.values()
