--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -24,7 +24,8 @@
 
 class Checked:
     def __init__(
-        self, seed: int = 1, fleet: int = 3, must_ask: bool = False, copies: bool = True, worst_grade: float = 0.4
+        self, seed: int = 1, fleet: int = 3, must_ask: bool = False, copies: bool = True,
+        worst_grade: float = 0.4,
     ) -> None:
         self.copies, self.fleet, self.now = copies, fleet, 10_000_000
         self.most = 3
