--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -13,16 +13,17 @@
 1. Learned cap: c of each worker, in slots, rises when a dispatch sent at the cap starts promptly and falls
    when one starts late or is answered 'full'. While one of ours waits there past the prompt span there is no
    room, and under a cap of one we rest between submissions.
-2. Health posterior: failed connections, resets, errors and silence make a worker doubtful; a draw from the
-   posterior of its chance of success decides each second whether it gets one submission. Where more than half
+2. Health posterior: failed connections, resets, errors, silence and slow progress make a worker doubtful; a
+   draw from the posterior of its chance of success decides each second whether it gets one submission. Where more than half
    are doubtful the fault is taken to be elsewhere, and nobody is.
 3. Further dispatches: a dispatch that has not started after part of the slack, or has gone silent, is doubled
    or withdrawn where the grade allows it; how often follows how many of the recent ones succeeded.
 4. Cold budget: a worker that has just started gets no more than our part of the work that would push it over,
    counted as work per window, until it is warm.
-5. Denials and shares: denied is what has waited a share of the slack in the pool, the same for all grades.
-   Slack is what the soft limit leaves beside the run, learned by grade. Work beyond its tenant's share waits
-   only as long as it is worth; where dispatchers may tell each other their arrivals, our part follows them.
+5. Denials and shares: denied is what has waited a share of the slack in the pool, the more alike for all
+   grades the more the goal weighs the worst-served one. Slack is what the soft limit leaves beside the run,
+   learned by grade. Work beyond its tenant's share waits only as long as it is worth; where dispatchers may
+   tell each other their arrivals, our part of quotas and slots follows them.
 6. The worker list: asked for, watched, asked again with growing gaps where it must be asked for.
 """
 
@@ -214,11 +215,11 @@
 
     def started_promptly(self, at_cap: bool, width: float) -> None:
         if at_cap:
-            # A quarter of the width a start: the cap about doubles in four prompt starts at the cap of one.
+            # A quarter of the width: four prompt starts make a cap of one two. More and less both scored worse.
             self.cap += 0.25 * width
 
     def started_late(self, floor: float) -> None:
-        # Halfway to half: a late start weighs about as much as two prompt ones at a cap of two.
+        # A quarter off: at a cap of two, a late start undoes two prompt ones. Halving scored worse.
         self.cap = max(floor, 0.75 * self.cap)
 
     def left(self, stay: int, now: int) -> None:
@@ -292,7 +293,7 @@
 
 
 class ColdBudget:
-    """Our share of what may be sent to a worker that is not warm yet."""
+    """Our part of what may be sent to a worker that is not warm yet."""
 
     __slots__ = ("terms", "slots")
 
