--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -14,8 +14,8 @@
    when one starts late or is answered 'full'. While one of ours waits there past the prompt span there is no
    room, and under a cap of one we rest between submissions.
 2. Health posterior: failed connections, resets, errors, silence and slow progress make a worker doubtful; a
-   draw from the posterior of its chance of success decides each second whether it gets one submission. Where more than half
-   are doubtful the fault is taken to be elsewhere, and nobody is.
+   draw from the posterior of its chance of success decides each second whether it gets one submission. Where
+   more than half are doubtful the fault is taken to be elsewhere, and nobody is.
 3. Further dispatches: a dispatch that has not started after part of the slack, or has gone silent, is doubled
    or withdrawn where the grade allows it; how often follows how many of the recent ones succeeded.
 4. Cold budget: a worker that has just started gets no more than our part of the work that would push it over,
@@ -215,7 +215,7 @@
 
     def started_promptly(self, at_cap: bool, width: float) -> None:
         if at_cap:
-            # A quarter of the width: four prompt starts make a cap of one two. More and less both scored worse.
+            # A quarter of the width: four prompt starts make a cap of one two. More and less scored worse.
             self.cap += 0.25 * width
 
     def started_late(self, floor: float) -> None:
