--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -360,7 +360,7 @@
         self.shares = Shares(shares, fleet)
         self.fitting: dict[str | None, list[Worker]] = {}  # ready workers by kind; None: all of them
         # Late is a start that eats a quarter of the shortest soft limit: it still leaves room to act on.
-        self.prompt = min(grade.soft_limit for grade in grades) // 8
+        self.prompt = min(grade.soft_limit for grade in grades) // 4
         self.all_once = all([grade.effect == AT_MOST_ONCE for grade in grades])
         self.runs = {grade.name: Runs(grade.soft_limit) for grade in grades}
         # How far all grades wait alike. Long slack put to use serves the whole better, an even wait the grade
