--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -361,6 +361,7 @@
         self.fitting: dict[str | None, list[Worker]] = {}  # ready workers by kind; None: all of them
         # Late is a start that eats a quarter of the shortest soft limit: it still leaves room to act on.
         self.prompt = min(grade.soft_limit for grade in grades) // 4
+        self.all_once = all([grade.effect == AT_MOST_ONCE for grade in grades])
         self.runs = {grade.name: Runs(grade.soft_limit) for grade in grades}
         # How far all grades wait alike. Long slack put to use serves the whole better, an even wait the grade
         # that is served worst; wholly even from where that grade decides a third of the goal.
@@ -719,7 +720,10 @@
                 continue
             worker = fitting[self.chance.below(len(fitting))]
             if worker.has_room(sub.width, now, prompt) and self.cold_allows(worker, sub) and (
-                not worker.doubtful(now) or self.all_doubtful() or worker.trusted(now, self.chance)
+                not worker.doubtful(now) or self.all_doubtful() or (
+                    # Guards against losing for good what cannot be sent again: others do the trying.
+                    (sub.grade.effect != AT_MOST_ONCE or self.all_once) and worker.trusted(now, self.chance)
+                )
             ):
                 self.advance(sub, worker)
                 room -= not worker.has_room(1.0, now, prompt)
