Read-through: one test of a cold worker, outcomes sorted once, one check of an instance

No decision changes. Whether a worker is cold was asked in three places; the end of a dispatch was compared with 'done' twice; the host checked for a started instance in two places; a field of the dispatcher was never read.

--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -288,7 +288,7 @@
 
 # What a course yields, and with what it is resumed.
 POOL = "pool"  # wait for a draw; resumed with a Worker, with None when waiting no longer pays, or as WAIT
-WAIT = "wait"  # wait for news of a dispatch; resumed with its say.Ended
+WAIT = "wait"  # wait for a dispatch: its say.Started or say.Ended, or the Dispatch itself when in doubt
 Course = Generator[str, Any, None]
 
 
@@ -303,19 +303,20 @@
         # least two, which makes our count of a submission's work err to the high side.
         self.slots = 2.0
 
+    def is_cold(self, worker: Worker, now: int) -> bool:
+        return worker.started_at != 0 and now < worker.started_at + self.terms.warm_after
+
     def allows(self, worker: Worker, work: float, part: float, now: int) -> bool:
+        """Whether a cold worker may get this work, too, out of our part."""
         terms = self.terms
         age = now - worker.started_at
-        if not worker.started_at or age >= terms.warm_after:
-            return True
         capacity = terms.cold_from + (1.0 - terms.cold_from) * age / terms.warm_after
         share = part * terms.factor * terms.window * capacity
         return worker.sent_cold.read(now) + work / self.slots <= share
 
     def count(self, worker: Worker, work: float, now: int) -> None:
-        if worker.started_at and now < worker.started_at + self.terms.warm_after:
-            worker.sent_cold.span = self.terms.window
-            worker.sent_cold.add(work / self.slots, now)
+        worker.sent_cold.span = self.terms.window
+        worker.sent_cold.add(work / self.slots, now)
 
 
 class WorkerList:
@@ -352,7 +353,7 @@
         listing: say.ListTerms, signs: say.SignTerms,
     ) -> None:
         self.chance = Chance(seed)
-        self.step, self.fleet = step, fleet
+        self.step = step
         self.grades = {grade.name: grade for grade in grades}
         self.dispatching, self.clients, self.signs = dispatching, clients, signs
         self.list = WorkerList(listing)
@@ -453,9 +454,8 @@
         shortest = min([
             usual_slack(grade, self.runs[grade.name].mean(self.now)) for grade in self.grades.values()
         ])
-        usual = self.runs[sub.grade.name].mean(self.now)
-        if sub.hint:
-            shortest *= max(1.0, sub.hint / usual)  # a heavier submission earns more, and may wait longer
+        if sub.hint:  # a heavier submission earns more, and may wait longer
+            shortest *= max(1.0, sub.hint / self.runs[sub.grade.name].mean(self.now))
         slack = self.slack(sub)
         return int(0.3 * min(slack, slack ** (1.0 - self.evenness) * shortest ** self.evenness))
 
@@ -510,7 +510,8 @@
         self.outstanding += 1
         sub.held.append(dispatch)
         worker.own += sub.width
-        self.cold.count(worker, self.work(sub), self.now)
+        if self.cold.is_cold(worker, self.now):
+            self.cold.count(worker, self.work(sub), self.now)
         worker.waiting[dispatch] = None
         self.orders.append(say.Dispatch(sub.id, worker.id))
 
@@ -610,19 +611,19 @@
 
     def take_started(self, news: say.Started) -> None:
         dispatch = self.find(news.submission, news.shot)
-        if dispatch is not None:
-            dispatch.started_at = dispatch.heard_at = self.now
-            sub = dispatch.submission
-            dispatch.worker.heard_at = self.now
-            running = dispatch.worker.own - sum([other.submission.width for other in dispatch.worker.waiting])
-            self.cold.slots = max(self.cold.slots, running)
-            if dispatch.blamed:  # it was slow to say so, not silent
-                dispatch.worker.bad.add(-1.0, self.now)
-            if not sub.answered and (sub.pooled or len(sub.out) > 1):
-                self.advance(sub, news)
-            if self.signs.progress_every:
-                self.wake(self.signs.progress_every * 3 // 2, dispatch)
-            self.settle(dispatch, self.now - dispatch.sent_at <= self.prompt)
+        if dispatch is None:
+            return
+        sub, worker = dispatch.submission, dispatch.worker
+        dispatch.started_at = dispatch.heard_at = worker.heard_at = self.now
+        running = worker.own - sum([other.submission.width for other in worker.waiting])
+        self.cold.slots = max(self.cold.slots, running)
+        if dispatch.blamed:  # it was slow to say so, not silent
+            worker.bad.add(-1.0, self.now)
+        if not sub.answered and (sub.pooled or len(sub.out) > 1):
+            self.advance(sub, news)
+        if self.signs.progress_every:
+            self.wake(self.signs.progress_every * 3 // 2, dispatch)
+        self.settle(dispatch, self.now - dispatch.sent_at <= self.prompt)
 
     def take_progress(self, news: say.Progressed) -> None:
         dispatch = self.find(news.submission, news.shot)
@@ -673,15 +674,15 @@
         sub.out.remove(dispatch)
         self.outstanding -= 1
         self.settle(dispatch, news.outcome == say.DONE)
-        if news.outcome == say.DONE and dispatch.started_at:
-            self.runs[sub.grade.name].add(self.now - dispatch.started_at, self.now)
-        if news.outcome in (say.ERROR, say.RESET, say.NO_CONNECTION):
-            self.blame(worker, news.outcome)
-        elif news.outcome == say.FULL:
-            worker.heard_at = self.now
         if news.outcome == say.DONE:
+            if dispatch.started_at:
+                self.runs[sub.grade.name].add(self.now - dispatch.started_at, self.now)
             worker.succeeded(self.now)
             self.earn(0.1)  # a tenth of what goes well may be followed by a further dispatch all the same
+        elif news.outcome in (say.ERROR, say.RESET, say.NO_CONNECTION):
+            self.blame(worker, news.outcome)
+        elif news.outcome == say.FULL:
+            worker.heard_at = self.now
         if news.outcome in PROVEN_NOT_RUN:
             sub.held.remove(dispatch)
         if not sub.answered:
@@ -704,7 +705,7 @@
 
     def round(self) -> None:
         now, prompt = self.now, self.prompt
-        everyone = self.fitting.get(None, [])
+        everyone = self.fitting[None]
         # Guards the CPU against a long pool before a full fleet: the round ends once no worker has room.
         room = sum([worker.has_room(1.0, now, prompt) for worker in everyone])
         for sub in list(self.pool):
@@ -729,7 +730,7 @@
                 room -= not worker.has_room(1.0, now, prompt)
 
     def cold_allows(self, worker: Worker, sub: Submission) -> bool:
-        if not worker.started_at:
+        if not self.cold.is_cold(worker, self.now):
             return True
         return self.cold.allows(worker, self.work(sub), self.shares.part(self.now), self.now)
 
--- a/locktide/simhost/host.py
+++ b/locktide/simhost/host.py
@@ -29,6 +29,11 @@
                 raise wire.Malformed("expected UTF-8 text") from None
             yield text
 
+    def started(self, instance: int | None) -> int:
+        if instance is None or instance not in self.instances:
+            raise wire.Malformed(f"expected news of a started instance, not of {instance}")
+        return instance
+
     def batch(self, lines: Iterator[str], opening: str) -> bytes:
         """One batch, from its opening SYNC line to EOB, into its reply."""
         message, fields = wire.split(opening)
@@ -44,12 +49,9 @@
             translate = wire.NEWS.get(message)
             if translate is not None:
                 piece = translate(fields)
-                if current is None or current not in self.instances:
-                    raise wire.Malformed(f"expected news of a started instance, not of {current}")
+                pieces = news.setdefault(self.started(current), [])
                 if piece is not None:
-                    news.setdefault(current, []).append(piece)
-                else:
-                    news.setdefault(current, [])
+                    pieces.append(piece)
             elif message == "TO":
                 current = wire.integer(fields, "DispatcherId")
             elif message == "DIRECTORY":
@@ -59,8 +61,7 @@
                     items.append(wire.item(next(lines, "")))
                 self.sheets[sheet] = items
             elif message == "UPDATE":
-                if current is None or current not in self.instances:
-                    raise wire.Malformed(f"expected news of a started instance, not of {current}")
+                instance = self.started(current)
                 kind = wire.one_of(wire.LISTS, fields, "Mode")
                 entries: list[say.Listed] = []
                 if kind != say.LIST_FAILED:
@@ -68,7 +69,7 @@
                     if sheet not in self.sheets:
                         raise wire.Malformed(f"expected a Sheet that a DIRECTORY has set up, not {sheet}")
                     entries = self.sheets[sheet]
-                news.setdefault(current, []).append(say.ListNews(kind, entries))
+                news.setdefault(instance, []).append(say.ListNews(kind, entries))
             elif message == "SPAWN":
                 if current is None:
                     raise wire.Malformed("expected a TO line before SPAWN")
