--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -306,12 +306,14 @@
     def is_cold(self, worker: Worker, now: int) -> bool:
         return worker.started_at != 0 and now < worker.started_at + self.terms.warm_after
 
+    def warmth(self, worker: Worker, now: int) -> float:
+        """The least share of its capacity that a cold worker has by now."""
+        terms = self.terms
+        return terms.cold_from + (1.0 - terms.cold_from) * (now - worker.started_at) / terms.warm_after
+
     def allows(self, worker: Worker, work: float, part: float, now: int) -> bool:
         """Whether a cold worker may get this work, too, out of our part."""
-        terms = self.terms
-        age = now - worker.started_at
-        capacity = terms.cold_from + (1.0 - terms.cold_from) * age / terms.warm_after
-        share = part * terms.factor * terms.window * capacity
+        share = part * self.terms.factor * self.terms.window * self.warmth(worker, now)
         return worker.sent_cold.read(now) + work / self.slots <= share
 
     def count(self, worker: Worker, work: float, now: int) -> None:
@@ -732,6 +734,10 @@
     def cold_allows(self, worker: Worker, sub: Submission) -> bool:
         if not self.cold.is_cold(worker, self.now):
             return True
+        # Guards against many dispatchers that each send a fresh worker its even share: the rule lets it get
+        # several times what it can do, and its queue fills. It takes a draw as often as it has capacity.
+        if self.chance.below(1 << 20) > self.cold.warmth(worker, self.now) * (1 << 20):
+            return False
         return self.cold.allows(worker, self.work(sub), self.shares.part(self.now), self.now)
 
     def all_doubtful(self) -> bool:
