Cold budget by draw where our part is under one submission: fresh workers carry work

Cause, found in the record of the deploy at full size: with 76 dispatchers the part of the cold budget is smaller than any one submission, so fresh workers got nothing until warm, then everything. Now one draw a window decides, so that all together keep to half of what pushes a worker over.

--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -160,7 +160,7 @@
 class Worker:
     __slots__ = (
         "id", "zone", "kind", "cell", "state", "started_at", "own", "cap", "waiting", "rest_until",
-        "heard_at", "good", "bad", "drawn_at", "sent_cold",
+        "heard_at", "good", "bad", "drawn_at", "sent_cold", "cold_drawn_at",
     )
 
     def __init__(self, entry: say.Listed, cap: float) -> None:
@@ -173,6 +173,7 @@
         self.drawn_at = 0
         self.rest_until = 0  # while the cap is under one: when we have held our share there on average
         self.sent_cold = Fading(1_000_000)
+        self.cold_drawn_at = 0
         self.waiting: dict[Dispatch, None] = {}  # ours there that have not started, oldest first
         self.update(entry)
 
@@ -311,10 +312,19 @@
         terms = self.terms
         return terms.cold_from + (1.0 - terms.cold_from) * (now - worker.started_at) / terms.warm_after
 
-    def allows(self, worker: Worker, work: float, part: float, now: int) -> bool:
+    def allows(self, worker: Worker, work: float, part: float, now: int, chance: Chance) -> bool:
         """Whether a cold worker may get this work, too, out of our part."""
+        need = work / self.slots
         share = part * self.terms.factor * self.terms.window * self.warmth(worker, now)
-        return worker.sent_cold.read(now) + work / self.slots <= share
+        if need <= share:
+            return worker.sent_cold.read(now) + need <= share
+        # Guards against leaving fresh workers idle until they are warm where our part is far less than one
+        # submission: once in a window we draw, so that all dispatchers together keep to half of what would
+        # push it over. The other half is for the odds of many draws, and for two draws that fall together.
+        if now < worker.cold_drawn_at + self.terms.window:
+            return False
+        worker.cold_drawn_at = now
+        return chance.below(1 << 20) * need < 0.5 * share * (1 << 20)
 
     def count(self, worker: Worker, work: float, now: int) -> None:
         worker.sent_cold.span = self.terms.window
@@ -734,11 +744,7 @@
     def cold_allows(self, worker: Worker, sub: Submission) -> bool:
         if not self.cold.is_cold(worker, self.now):
             return True
-        # Guards against many dispatchers that each send a fresh worker its even share: the rule lets it get
-        # several times what it can do, and its queue fills. It takes a draw as often as it has capacity.
-        if self.chance.below(1 << 20) > self.cold.warmth(worker, self.now) * (1 << 20):
-            return False
-        return self.cold.allows(worker, self.work(sub), self.shares.part(self.now), self.now)
+        return self.cold.allows(worker, self.work(sub), self.shares.part(self.now), self.now, self.chance)
 
     def all_doubtful(self) -> bool:
         everyone = self.fitting[None]
