Draws of empty workers hold by the learned pace of their kind where c is under one

Cause: one of many dispatchers sees an end a worker in some minutes, so caps cannot follow speed, and slow kinds had runs of 9 s beside 0.4 s on fast ones.

--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -106,6 +106,34 @@
         return mean + 3.0 * sqrt(max(0.0, self.square.read(now) / count - mean * mean))
 
 
+class Paces:
+    """How fast each kind of machine runs what we send it, beside the others.
+
+    Guards against even draws where our part of a worker is far less than one slot: we see too few ends on any
+    one worker for its cap to follow its speed, and the slow kinds get more than they can do.
+    """
+
+    __slots__ = ("sums", "taking")
+
+    def __init__(self) -> None:
+        self.sums: dict[str, tuple[Fading, Fading]] = {}
+        self.taking: dict[str, float] = {}  # the chance that a draw of an empty worker of this kind holds
+
+    def add(self, kind: str, pace: float, now: int) -> None:
+        # A minute: kinds keep their speeds, and one of many dispatchers sees an end in some seconds.
+        if kind not in self.sums:
+            self.sums[kind] = Fading(60_000_000), Fading(60_000_000)
+        time, count = self.sums[kind]
+        time.add(pace, now)
+        count.add(1.0, now)
+        # Two ends at the usual pace come first, so that a single run does not decide.
+        paces = {
+            kind: (time.read(now) + 2.0) / (count.read(now) + 2.0) for kind, (time, count) in self.sums.items()
+        }
+        least = min(paces.values())
+        self.taking = {kind: least / pace for kind, pace in paces.items()}
+
+
 def usual_slack(grade: say.Grade, run: float) -> float:
     # At least a quarter of the soft limit: where the usual run uses it up, a shorter one may still do.
     return max(0.25 * grade.soft_limit, grade.soft_limit + (grade.stretch - 1.0) * run)
@@ -376,6 +404,7 @@
         self.prompt = min(grade.soft_limit for grade in grades) // 4
         self.all_once = all([grade.effect == AT_MOST_ONCE for grade in grades])
         self.runs = {grade.name: Runs(grade.soft_limit) for grade in grades}
+        self.paces = Paces()
         # How far all grades wait alike. Long slack put to use serves the whole better, an even wait the grade
         # that is served worst; wholly even from where that grade decides a third of the goal.
         self.evenness = min(1.0, 0.3 + 2.0 * goal.worst_grade)
@@ -688,7 +717,10 @@
         self.settle(dispatch, news.outcome == say.DONE)
         if news.outcome == say.DONE:
             if dispatch.started_at:
-                self.runs[sub.grade.name].add(self.now - dispatch.started_at, self.now)
+                run = self.now - dispatch.started_at
+                usual = sub.hint or self.runs[sub.grade.name].mean(self.now)
+                self.paces.add(worker.kind, run / usual, self.now)
+                self.runs[sub.grade.name].add(run, self.now)
             worker.succeeded(self.now)
             self.earn(0.1)  # a tenth of what goes well may be followed by a further dispatch all the same
         elif news.outcome in (say.ERROR, say.RESET, say.NO_CONNECTION):
@@ -732,7 +764,7 @@
             if not fitting:
                 continue
             worker = fitting[self.chance.below(len(fitting))]
-            if worker.has_room(sub.width, now, prompt) and self.cold_allows(worker, sub) and (
+            if worker.has_room(sub.width, now, prompt) and self.holds(worker) and self.cold_allows(worker, sub) and (
                 not worker.doubtful(now) or self.all_doubtful() or (
                     # Guards against losing for good what cannot be sent again: others do the trying.
                     (sub.grade.effect != AT_MOST_ONCE or self.all_once) and worker.trusted(now, self.chance)
@@ -741,6 +773,12 @@
                 self.advance(sub, worker)
                 room -= not worker.has_room(1.0, now, prompt)
 
+    def holds(self, worker: Worker) -> bool:
+        """Whether the draw of a worker stands, where c is under one and cannot tell a slow kind from a fast."""
+        if worker.own or self.floor() >= 1.0:
+            return True
+        return self.chance.below(1 << 20) < self.paces.taking.get(worker.kind, 1.0) * (1 << 20)
+
     def cold_allows(self, worker: Worker, sub: Submission) -> bool:
         if not self.cold.is_cold(worker, self.now):
             return True
