--- a/locktide/dispatch/interface.py
+++ b/locktide/dispatch/interface.py
@@ -85,12 +85,14 @@
 class ShareTerms:
     """How many submissions a second each tenant may ask of all dispatchers, and what more than that is worth.
 
-    `may_tell` says whether dispatchers may send each other short messages.
+    `may_tell` says whether dispatchers may send each other short messages; they are numbered from 0, and `me`
+    is our own number.
     """
 
     quotas: dict[Any, float]
     beyond_share: float
     may_tell: bool
+    me: int
 
 
 @dataclass(slots=True)
@@ -245,7 +247,8 @@
 
 
 @dataclass(slots=True)
-class TellPeers:
+class TellPeer:
+    peer: int
     message: bytes
 
 
--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -12,19 +12,19 @@
 The mechanisms beside it:
 1. Learned cap: c of each worker, in slots, rises when a dispatch sent at the cap starts promptly and falls
    when one starts late or is answered 'full'. While one of ours waits there past the prompt span there is no
-   room, and under a cap of one we rest between submissions.
+   room, and under a cap of one we rest between submissions. Where our even part of a worker is under a third
+   of a slot, the draw of an empty one holds by the pace of its kind.
 2. Health posterior: failed connections, resets, errors, silence and slow progress make a worker doubtful; a
    draw from the posterior of its chance of success decides each second whether it gets one submission. Where
    more than half are doubtful the fault is taken to be elsewhere, and nobody is.
 3. Further dispatches: a dispatch that has not started after part of the slack, or has gone silent, is doubled
    or withdrawn where the grade allows it; how often follows how many of the recent ones succeeded.
 4. Cold budget: a worker that has just started gets no more than our part of the work that would push it over,
-   counted as work per window, until it is warm.
+   counted as work per window, until it is warm; by a draw where that is less than one submission.
 5. Denials and shares: denied is what has waited a share of the slack in the pool, the more alike for all
-   grades the more the goal weighs the worst-served one. Slack is what the soft limit leaves beside the run,
-   learned by grade. Work beyond its tenant's share waits only as long as it is worth; where dispatchers may
-   tell each other their arrivals, our part of quotas and slots follows them.
-6. The worker list: asked for, watched, asked again with growing gaps where it must be asked for.
+   grades the more the goal weighs the worst-served one. Work beyond its tenant's share waits only as long as
+   it is worth; where dispatchers may tell each other their arrivals, our part follows them.
+6. The worker list: watched and asked again with growing gaps where it must be asked for.
 """
 
 from __future__ import annotations
@@ -35,15 +35,6 @@
 from typing import Any
 
 from locktide.dispatch import interface as say
-from locktide.dispatch.interface import (
-    AT_MOST_ONCE,
-    EVERYONE,
-    NUMBERED,
-    PROVEN_NOT_RUN,
-    REISSUABLE,
-    SAME_CELL,
-    SAME_ZONE,
-)
 
 
 class Chance:
@@ -123,13 +114,11 @@
         # A minute: kinds keep their speeds, and one of many dispatchers sees an end in some seconds.
         if kind not in self.sums:
             self.sums[kind] = Fading(60_000_000), Fading(60_000_000)
-        time, count = self.sums[kind]
-        time.add(pace, now)
+        took, count = self.sums[kind]
+        took.add(pace, now)
         count.add(1.0, now)
         # Two ends at the usual pace come first, so that a single run does not decide.
-        paces = {
-            kind: (time.read(now) + 2.0) / (count.read(now) + 2.0) for kind, (time, count) in self.sums.items()
-        }
+        paces = {of: (sum.read(now) + 2.0) / (n.read(now) + 2.0) for of, (sum, n) in self.sums.items()}
         least = min(paces.values())
         self.taking = {kind: least / pace for kind, pace in paces.items()}
 
@@ -142,7 +131,7 @@
 class Shares:
     """Tells what is beyond its tenant's share: a bucket for each tenant, filled at our part of its quota."""
 
-    __slots__ = ("terms", "fleet", "levels", "arrivals", "peers", "told_at")
+    __slots__ = ("terms", "fleet", "levels", "arrivals", "peers", "told_at", "reach")
 
     def __init__(self, terms: say.ShareTerms, fleet: int) -> None:
         self.terms, self.fleet = terms, fleet
@@ -150,14 +139,20 @@
         self.arrivals = Fading(5_000_000)  # some tens of submissions, and shorter than a burst
         self.peers: dict[int, tuple[int, int]] = {}  # what each peer said of its arrivals, and when
         self.told_at = 0
+        # Guards against a price that grows with the fleet: four peers hear each message, drawn anew.
+        self.reach = min(4, fleet - 1)
 
     def part(self, now: int) -> float:
         """Our part of all traffic: told by the peers where they may, else an equal one."""
         heard = [arrivals for arrivals, at in self.peers.values() if now - at < 10_000_000]
-        if self.fleet == 1 or len(heard) < len(self.peers) or not heard:
+        if len(heard) < max(1, self.reach):
             return 1.0 / self.fleet
+        # A peer speaks with its arrivals, once in two seconds: one with under 2.5 of them in five seconds is
+        # heard less often, and stands for more like it.
+        weights = [max(1.0, 2.5 / max(1, arrivals)) for arrivals in heard]
+        told = sum([weight * arrivals for weight, arrivals in zip(weights, heard, strict=True)])
         ours = max(1.0, self.arrivals.read(now))
-        return ours / (ours + sum(heard) * (self.fleet - 1) / len(heard))
+        return ours / (ours + told / sum(weights) * (self.fleet - 1))
 
     def beyond(self, tenant: Any, now: int) -> bool:
         bucket = self.levels.get(tenant)
@@ -172,13 +167,17 @@
         bucket[0] -= 1.0
         return False
 
-    def arrived(self, now: int) -> say.TellPeers | None:
+    def arrived(self, now: int, chance: Chance) -> list[say.TellPeer]:
         """Counts an arrival; every two seconds, well within a burst, there is something to tell the peers."""
         self.arrivals.add(1.0, now)
-        if not self.terms.may_tell or self.fleet == 1 or now - self.told_at < 2_000_000:
-            return None
+        if not self.terms.may_tell or not self.reach or now - self.told_at < 2_000_000:
+            return []
         self.told_at = now
-        return say.TellPeers(b"%d" % round(self.arrivals.read(now)))
+        message = b"%d" % round(self.arrivals.read(now))
+        peers = [peer for peer in range(self.fleet) if peer != self.terms.me]
+        if len(peers) > self.reach:
+            peers = [peers.pop(chance.below(len(peers))) for _ in range(self.reach)]
+        return [say.TellPeer(peer, message) for peer in peers]
 
     def heard(self, news: say.PeerSays, now: int) -> None:
         if news.message.isdigit():
@@ -242,15 +241,6 @@
         draws = sorted([chance.below(1 << 20) for _ in range(a + b - 1)])
         return draws[a - 1] > 1 << 19
 
-    def started_promptly(self, at_cap: bool, width: float) -> None:
-        if at_cap:
-            # A quarter of the width: four prompt starts make a cap of one two. More and less scored worse.
-            self.cap += 0.25 * width
-
-    def started_late(self, floor: float) -> None:
-        # A quarter off: at a cap of two, a late start undoes two prompt ones. Halving scored worse.
-        self.cap = max(floor, 0.75 * self.cap)
-
     def left(self, stay: int, now: int) -> None:
         # Guards against many dispatchers that each keep one submission on every worker: with a cap under one
         # we stay away so long that our own outstanding work there is the cap on average.
@@ -294,25 +284,24 @@
     def may_repeat_on(self, worker: Worker, now: int) -> bool:
         """Rule two, for one more dispatch: what may have run is repeated only where repeats are dropped."""
         grade = self.grade
-        if not self.held or grade.effect == REISSUABLE:
+        if not self.held or grade.effect == say.REISSUABLE:
             return True
-        if grade.effect == AT_MOST_ONCE:
+        if grade.effect == say.AT_MOST_ONCE:
             return False
         first = self.held[0]
         if now >= first.sent_at + grade.memory_span:
             return False
-        if grade.group == SAME_ZONE:
-            return worker.zone == first.worker.zone
-        if grade.group == SAME_CELL:
-            return worker.cell == first.worker.cell
-        return True
+        if grade.group == say.EVERYONE:
+            return True
+        zone = grade.group == say.SAME_ZONE
+        return worker.zone == first.worker.zone if zone else worker.cell == first.worker.cell
 
     def may_deny(self) -> bool:
         """Rule two, for a denial: it promises the client that trying again is harmless."""
         grade = self.grade
-        if not self.held or grade.effect == REISSUABLE:
+        if not self.held or grade.effect == say.REISSUABLE:
             return True
-        return grade.effect == NUMBERED and grade.group == EVERYONE
+        return grade.effect == say.NUMBERED and grade.group == say.EVERYONE
 
 
 # What a course yields, and with what it is resumed.
@@ -349,7 +338,7 @@
         # Guards against leaving fresh workers idle until they are warm where our part is far less than one
         # submission: once in a window we draw, so that all dispatchers together keep to half of what would
         # push it over. The other half is for the odds of many draws, and for two draws that fall together.
-        if now < worker.cold_drawn_at + self.terms.window:
+        if now < worker.cold_drawn_at + self.terms.window or need > 0.5 * share / part:
             return False
         worker.cold_drawn_at = now
         return chance.below(1 << 20) * need < 0.5 * share * (1 << 20)
@@ -382,9 +371,6 @@
                 if worker.id not in seen:
                     worker.state = say.GONE
 
-    def ready(self) -> list[Worker]:
-        return [worker for worker in self.workers.values() if worker.state == say.READY]
-
 
 class Dispatcher:
     def __init__(
@@ -402,7 +388,7 @@
         self.fitting: dict[str | None, list[Worker]] = {}  # ready workers by kind; None: all of them
         # Late is a start that eats a quarter of the shortest soft limit: it still leaves room to act on.
         self.prompt = min(grade.soft_limit for grade in grades) // 4
-        self.all_once = all([grade.effect == AT_MOST_ONCE for grade in grades])
+        self.all_once = all([grade.effect == say.AT_MOST_ONCE for grade in grades])
         self.runs = {grade.name: Runs(grade.soft_limit) for grade in grades}
         self.paces = Paces()
         # How far all grades wait alike. Long slack put to use serves the whole better, an even wait the grade
@@ -453,7 +439,7 @@
     def may_dispatch(self, sub: Submission) -> bool:
         if len(sub.shots) >= self.dispatching.most_dispatches:
             return False
-        return not sub.held or sub.grade.effect != AT_MOST_ONCE
+        return not sub.held or sub.grade.effect != say.AT_MOST_ONCE
 
     def doubt(self, dispatch: Dispatch) -> str:
         """A further dispatch for one in doubt, beside it or in its place, while such ones pay."""
@@ -463,7 +449,7 @@
         if self.dispatching.second_copies:
             return POOL
         # Guards against giving up a place in a queue for a worse one: bound work waits its turn.
-        if not dispatch.started_at and sub.grade.effect != REISSUABLE:
+        if not dispatch.started_at and sub.grade.effect != say.REISSUABLE:
             return WAIT
         self.withdraw(dispatch)
         return WAIT
@@ -562,9 +548,12 @@
         self.now = now
         self.orders = []
         for piece in news:
-            TAKE[type(piece)](self, piece)
+            take = TAKE.get(type(piece))  # no decision rests on news of streams and probes yet
+            if take:
+                take(self, piece)
         if self.list.terms.must_ask and not self.list.watched and now >= self.list.ask_at:
-            self.ask()
+            self.list.watched = True
+            self.orders.append(say.WatchList(True))
         for sub in [sub for sub in self.pool if sub.leave_at <= now]:
             if sub.held and now < sub.limit_at - 2 * self.step:
                 sub.leave_at = sub.limit_at - 2 * self.step  # it may have run: a late answer beats none
@@ -609,10 +598,6 @@
         elif every:
             self.wake(every * 3 // 2, dispatch)
 
-    def ask(self) -> None:
-        self.list.watched = True
-        self.orders.append(say.WatchList(True))
-
     def take_list(self, news: say.ListNews) -> None:
         if news.kind == say.LIST_FAILED:
             # Guards against a list service that is down or crowded: each failure doubles the wait, up to the
@@ -627,7 +612,7 @@
         if news.kind != say.REMEMBERED:
             self.list.failures = 0
         self.list.take(news, max(1.0, self.floor()))
-        ready = self.list.ready()
+        ready = [worker for worker in self.list.workers.values() if worker.state == say.READY]
         self.fitting = {None: ready}
         for kind in {grade.kind for grade in self.grades.values()} - {None}:
             self.fitting[kind] = [worker for worker in ready if worker.kind == kind]
@@ -636,9 +621,7 @@
         self.arrivals += 1
         sub = Submission(arrival, self.grades[arrival.grade], self.now, self.arrivals)
         self.submissions[sub.id] = sub
-        tell = self.shares.arrived(self.now)
-        if tell:
-            self.orders.append(tell)
+        self.orders += self.shares.arrived(self.now, self.chance)
         patience = self.patience(sub)
         if self.shares.beyond(arrival.tenant, self.now):
             patience = int(patience * self.shares.terms.beyond_share)  # it waits as long as it is worth
@@ -682,9 +665,6 @@
             dispatch.blamed = True
             self.blame(dispatch.worker, "slow progress")
 
-    def earn(self, credit: float) -> None:
-        self.credit = min(10.0, self.credit + credit)
-
     def floor(self) -> float:
         """The least cap: our share of the slots, and up to one submission while all floors hold three a slot.
 
@@ -699,11 +679,13 @@
         worker = dispatch.worker
         if worker.waiting.pop(dispatch, 0) is None:
             if prompt and dispatch.further:
-                self.earn(1.0)  # it found a better place, and pays for the next
-            if prompt:
-                worker.started_promptly(dispatch.at_cap, dispatch.submission.width)
-            else:
-                worker.started_late(self.floor())
+                self.credit = min(10.0, self.credit + 1.0)  # it found a better place: the next is paid for
+            if prompt and dispatch.at_cap:
+                # A quarter of the width: four prompt starts make a cap of one two. Others scored worse.
+                worker.cap += 0.25 * dispatch.submission.width
+            elif not prompt:
+                # A quarter off: at a cap of two, a late start undoes two prompt ones. Halving scored worse.
+                worker.cap = max(self.floor(), 0.75 * worker.cap)
 
     def take_ended(self, news: say.Ended) -> None:
         dispatch = self.find(news.submission, news.shot)
@@ -719,15 +701,17 @@
             if dispatch.started_at:
                 run = self.now - dispatch.started_at
                 usual = sub.hint or self.runs[sub.grade.name].mean(self.now)
-                self.paces.add(worker.kind, run / usual, self.now)
+                # Four times the usual is a heavy submission, not a slow kind.
+                self.paces.add(worker.kind, min(4.0, run / usual), self.now)
                 self.runs[sub.grade.name].add(run, self.now)
             worker.succeeded(self.now)
-            self.earn(0.1)  # a tenth of what goes well may be followed by a further dispatch all the same
+            # A tenth of what goes well may be followed by a further dispatch all the same.
+            self.credit = min(10.0, self.credit + 0.1)
         elif news.outcome in (say.ERROR, say.RESET, say.NO_CONNECTION):
             self.blame(worker, news.outcome)
         elif news.outcome == say.FULL:
             worker.heard_at = self.now
-        if news.outcome in PROVEN_NOT_RUN:
+        if news.outcome in say.PROVEN_NOT_RUN:
             sub.held.remove(dispatch)
         if not sub.answered:
             self.advance(sub, news)
@@ -739,12 +723,6 @@
         if sub is not None and not sub.answered:
             self.advance(sub, say.Ended(sub.id, -1, say.NEVER_SENT, True))
 
-    def take_peer(self, news: say.PeerSays) -> None:
-        self.shares.heard(news, self.now)
-
-    def take_nothing(self, news: Any) -> None:
-        """News that no decision rests on yet."""
-
     # --- the round
 
     def round(self) -> None:
@@ -764,18 +742,19 @@
             if not fitting:
                 continue
             worker = fitting[self.chance.below(len(fitting))]
-            if worker.has_room(sub.width, now, prompt) and self.holds(worker) and self.cold_allows(worker, sub) and (
-                not worker.doubtful(now) or self.all_doubtful() or (
-                    # Guards against losing for good what cannot be sent again: others do the trying.
-                    (sub.grade.effect != AT_MOST_ONCE or self.all_once) and worker.trusted(now, self.chance)
-                )
+            room_there = worker.has_room(sub.width, now, prompt) and self.holds(worker)
+            if room_there and self.cold_allows(worker, sub) and (
+                not worker.doubtful(now) or self.all_doubtful()
+                # Guards against losing for good what cannot be sent again: others do the trying.
+                or (sub.grade.effect != say.AT_MOST_ONCE or self.all_once)
+                and worker.trusted(now, self.chance)
             ):
                 self.advance(sub, worker)
                 room -= not worker.has_room(1.0, now, prompt)
 
     def holds(self, worker: Worker) -> bool:
-        """Whether the draw of a worker stands, where c is under one and cannot tell a slow kind from a fast."""
-        if worker.own or self.floor() >= 1.0:
+        """Whether a draw stands, where c is under one and cannot tell a slow kind from a fast."""
+        if worker.own or 3.0 * self.cold.slots >= self.shares.fleet:
             return True
         return self.chance.below(1 << 20) < self.paces.taking.get(worker.kind, 1.0) * (1 << 20)
 
@@ -794,10 +773,8 @@
     say.Arrival: Dispatcher.take_arrival,
     say.Started: Dispatcher.take_started,
     say.Progressed: Dispatcher.take_progress,
-    say.StreamBegan: Dispatcher.take_nothing,
     say.Ended: Dispatcher.take_ended,
     say.ClientGone: Dispatcher.take_gone,
     say.TimerDue: Dispatcher.take_timer,
-    say.ProbeEnded: Dispatcher.take_nothing,
-    say.PeerSays: Dispatcher.take_peer,
+    say.PeerSays: lambda self, news: self.shares.heard(news, self.now),
 }
--- a/locktide/simhost/wire.py
+++ b/locktide/simhost/wire.py
@@ -185,8 +185,8 @@
         return f"FINISH_ERROR Corr={order.submission}"
     if type(order) is say.Withdraw:
         return f"WITHDRAW Corr={order.submission} Shot={order.shot}"
-    if type(order) is say.TellPeers:
-        return f"NOTIFY Peer=* Bytes={base64.b64encode(order.message).decode() or '-'}"
+    if type(order) is say.TellPeer:
+        return f"NOTIFY Peer={order.peer} Bytes={base64.b64encode(order.message).decode() or '-'}"
     if type(order) is say.WatchList:
         return f"STREAM_CHANGES Want={int(order.on)}"
     if type(order) is say.FetchList:
@@ -237,6 +237,7 @@
                 {realm["Name"]: float(realm.get("QuotaPerS", 0.0)) for realm in told.get("Realms", [])},
                 float(told.get("BeyondShareRevenue", 1.0)),
                 bool(ceilings.get("Peers", False)),
+                int(told.get("Me", 0)),
             ),
             say.GoalTerms(float(told.get("ObjectiveMix", {}).get("WorstClass", 0.0))),
             say.ColdTerms(
