--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -611,7 +611,7 @@
             return
         if news.kind != say.REMEMBERED:
             self.list.failures = 0
-        self.list.take(news, max(1.0, self.floor()))
+        self.list.take(news, self.floor())
         ready = [worker for worker in self.list.workers.values() if worker.state == say.READY]
         self.fitting = {None: ready}
         for kind in {grade.kind for grade in self.grades.values()} - {None}:
