--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -75,8 +75,7 @@
 
     def __init__(self, guess: int) -> None:
         # Long enough for some tens of ends at ten a second, short enough to follow a slowdown of all.
-        self.time, self.count = Fading(10_000_000), Fading(10_000_000)
-        self.square = Fading(10_000_000)
+        self.time, self.count, self.square = Fading(10_000_000), Fading(10_000_000), Fading(10_000_000)
         self.guess = guess  # while no run is known
 
     def add(self, run: int, now: int) -> None:
@@ -186,10 +185,8 @@
 
 
 class Worker:
-    __slots__ = (
-        "id", "zone", "kind", "cell", "state", "started_at", "own", "cap", "waiting", "rest_until",
-        "heard_at", "good", "bad", "drawn_at", "sent_cold", "cold_drawn_at",
-    )
+    __slots__ = ("id", "zone", "kind", "cell", "state", "started_at", "own", "cap", "waiting", "rest_until",
+                 "heard_at", "good", "bad", "drawn_at", "sent_cold", "cold_drawn_at")
 
     def __init__(self, entry: say.Listed, cap: float) -> None:
         self.id = entry.worker
@@ -250,9 +247,8 @@
 
 
 class Dispatch:
-    __slots__ = (
-        "submission", "shot", "worker", "sent_at", "started_at", "heard_at", "at_cap", "further", "blamed",
-    )
+    __slots__ = ("submission", "shot", "worker", "sent_at", "started_at", "heard_at", "at_cap", "further",
+                 "blamed")
 
     def __init__(self, submission: Submission, shot: int, worker: Worker, now: int) -> None:
         self.submission, self.shot, self.worker, self.sent_at = submission, shot, worker, now
@@ -263,10 +259,8 @@
 
 
 class Submission:
-    __slots__ = (
-        "id", "grade", "width", "hint", "arrived_at", "limit_at", "leave_at", "order", "shots", "out", "held",
-        "course", "pooled", "answered",
-    )
+    __slots__ = ("id", "grade", "width", "hint", "arrived_at", "limit_at", "leave_at", "order", "shots",
+                 "out", "held", "course", "pooled", "answered")
 
     def __init__(self, arrival: say.Arrival, grade: say.Grade, now: int, order: int) -> None:
         self.id, self.grade, self.width = arrival.submission, grade, arrival.width
@@ -292,10 +286,9 @@
         first = self.held[0]
         if now >= first.sent_at + grade.memory_span:
             return False
-        if grade.group == say.EVERYONE:
-            return True
-        zone = grade.group == say.SAME_ZONE
-        return worker.zone == first.worker.zone if zone else worker.cell == first.worker.cell
+        if grade.group == say.SAME_ZONE:
+            return worker.zone == first.worker.zone
+        return grade.group == say.EVERYONE or worker.cell == first.worker.cell
 
     def may_deny(self) -> bool:
         """Rule two, for a denial: it promises the client that trying again is harmless."""
@@ -318,8 +311,7 @@
 
     def __init__(self, terms: say.ColdTerms) -> None:
         self.terms = terms
-        # How many slots a worker has is told nowhere: the most of ours seen running at once on one, and at
-        # least two, which makes our count of a submission's work err to the high side.
+        # How many slots a worker has is told nowhere: the most of ours seen running on one, two at least.
         self.slots = 2.0
 
     def is_cold(self, worker: Worker, now: int) -> bool:
@@ -359,18 +351,15 @@
         self.terms, self.watched, self.failures, self.ask_at = terms, False, 0, 0
 
     def take(self, news: say.ListNews, cap: float) -> None:
-        seen = set()
         for entry in news.entries:
-            seen.add(entry.worker)
             worker = self.workers.get(entry.worker)
             if worker is None:
                 self.workers[entry.worker] = Worker(entry, cap)
             else:
                 worker.update(entry)
         if news.kind in (say.WHOLE, say.REMEMBERED):
-            for worker in self.workers.values():
-                if worker.id not in seen:
-                    worker.state = say.GONE
+            for absent in self.workers.keys() - {entry.worker for entry in news.entries}:
+                self.workers[absent].state = say.GONE
 
 
 class Dispatcher:
