--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -438,12 +438,17 @@
             return WAIT
         if self.dispatching.second_copies:
             return POOL
-        # Guards against giving up a place in a queue for a worse one: bound work waits its turn.
-        if not dispatch.started_at and sub.grade.effect != say.REISSUABLE:
+        # Guards against giving up a place in a queue for a worse one: bound work waits its turn, until it is
+        # as good as lost there.
+        if not dispatch.started_at and sub.grade.effect != say.REISSUABLE and self.now < self.lost_at(dispatch):
             return WAIT
         self.withdraw(dispatch)
         return WAIT
 
+    def lost_at(self, dispatch: Dispatch) -> int:
+        # Two fifths of the time limit: what has not started by then seldom ends, and elsewhere it still can.
+        return dispatch.sent_at + dispatch.submission.grade.time_limit * 2 // 5
+
     def withdraw(self, dispatch: Dispatch) -> None:
         if self.dispatching.may_withdraw:
             self.orders.append(say.Withdraw(dispatch.submission.id, dispatch.shot))
@@ -578,6 +583,8 @@
             elif dispatch.worker.heard_at < dispatch.sent_at and not dispatch.blamed:
                 dispatch.blamed = True
                 self.blame(dispatch.worker, "no start and no sign of life")
+            if blame_at <= self.now < self.lost_at(dispatch):
+                self.wake(self.lost_at(dispatch) - self.now, dispatch)
             self.advance(dispatch.submission, dispatch)
             return
         every = self.signs.progress_every
