--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -446,8 +446,8 @@
         return WAIT
 
     def lost_at(self, dispatch: Dispatch) -> int:
-        # Two fifths of the time limit: what has not started by then seldom ends, and elsewhere it still can.
-        return dispatch.sent_at + dispatch.submission.grade.time_limit * 2 // 5
+        # Half the time limit: what has not started by then seldom ends, and elsewhere it still can.
+        return dispatch.sent_at + dispatch.submission.grade.time_limit // 2
 
     def withdraw(self, dispatch: Dispatch) -> None:
         if self.dispatching.may_withdraw:
