--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -663,13 +663,13 @@
             self.blame(dispatch.worker, "slow progress")
 
     def floor(self) -> float:
-        """The least cap: our share of the slots, and up to one submission while all floors hold one and a half a slot.
+        """The least cap: our share of the slots, and up to one submission while all floors hold three a slot.
 
         Guards at one end against two dispatchers that cut each other to one submission on every worker, at
         the other against seventeen whose floors of one would be no gate at all.
         """
         share = self.cold.slots * self.shares.part(self.now)
-        return max(share, min(1.0, 1.5 * share))
+        return max(share, min(1.0, 3.0 * share))
 
     def settle(self, dispatch: Dispatch, prompt: bool) -> None:
         """The first word on a dispatch: it started, or ended before we heard that it had."""
