--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -385,7 +385,8 @@
         # that is served worst; wholly even from where that grade decides a third of the goal.
         self.evenness = min(1.0, 0.3 + 2.0 * goal.worst_grade)
         self.quiet_until = 0
-        self.outstanding = 0  # dispatches of ours without an outcome
+        self.outstanding = 0.0  # slots of ours without an outcome
+        self.most = 0.0  # how many of them there may be, where one worker tells us too little
         self.credit = 10.0  # of further dispatches; ten let a dispatcher meet a sudden trouble at once
         self.submissions: dict[Any, Submission] = {}
         self.pool: list[Submission] = []
@@ -529,7 +530,7 @@
             self.wake(max(self.prompt, int(self.slack(sub)) // 8), dispatch)
         sub.shots.append(dispatch)
         sub.out.append(dispatch)
-        self.outstanding += 1
+        self.outstanding += sub.width
         sub.held.append(dispatch)
         worker.own += sub.width
         if self.cold.is_cold(worker, self.now):
@@ -611,6 +612,7 @@
         self.list.take(news, self.floor())
         ready = [worker for worker in self.list.workers.values() if worker.state == say.READY]
         self.fitting = {None: ready}
+        self.most = self.most or 3.0 * self.least_out()
         for kind in {grade.kind for grade in self.grades.values()} - {None}:
             self.fitting[kind] = [worker for worker in ready if worker.kind == kind]
 
@@ -671,10 +673,17 @@
         share = self.cold.slots * self.shares.part(self.now)
         return max(share, min(1.0, 3.0 * share))
 
+    def least_out(self) -> float:
+        return max(1.0, self.cold.slots * self.shares.part(self.now) * len(self.fitting[None]))
+
     def settle(self, dispatch: Dispatch, prompt: bool) -> None:
         """The first word on a dispatch: it started, or ended before we heard that it had."""
-        worker = dispatch.worker
+        worker, width = dispatch.worker, dispatch.submission.width
         if worker.waiting.pop(dispatch, 0) is None:
+            if prompt and self.outstanding + width > self.most:
+                self.most += 0.25 * width
+            elif self.now - dispatch.sent_at > self.slack(dispatch.submission) / 2:
+                self.most = max(self.least_out(), 0.75 * self.most)
             if prompt and dispatch.further:
                 self.credit = min(10.0, self.credit + 1.0)  # it found a better place: the next is paid for
             if prompt and dispatch.at_cap:
@@ -692,7 +701,7 @@
         worker.own -= sub.width
         worker.left(self.now - dispatch.sent_at, self.now)
         sub.out.remove(dispatch)
-        self.outstanding -= 1
+        self.outstanding -= sub.width
         self.settle(dispatch, news.outcome == say.DONE)
         if news.outcome == say.DONE:
             if dispatch.started_at:
@@ -730,6 +739,8 @@
         for sub in list(self.pool):
             if room <= 0:
                 break
+            if self.sparse() and self.outstanding and self.outstanding + sub.width > self.most:
+                continue
             fitting = self.fitting[sub.grade.kind]
             if sub.held:
                 taken = [dispatch.worker for dispatch in sub.held]
@@ -749,9 +760,13 @@
                 self.advance(sub, worker)
                 room -= not worker.has_room(1.0, now, prompt)
 
+    def sparse(self) -> bool:
+        """Whether our even part of a worker is so small that one worker tells us too little."""
+        return 3.0 * self.cold.slots < self.shares.fleet
+
     def holds(self, worker: Worker) -> bool:
         """Whether a draw stands, where c is under one and cannot tell a slow kind from a fast."""
-        if worker.own or 3.0 * self.cold.slots >= self.shares.fleet:
+        if worker.own or not self.sparse():
             return True
         return self.chance.below(1 << 20) < self.paces.taking.get(worker.kind, 1.0) * (1 << 20)
 
