--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -682,7 +682,7 @@
         if worker.waiting.pop(dispatch, 0) is None:
             if prompt and self.outstanding + width > self.most:
                 self.most += 0.25 * width
-            elif self.now - dispatch.sent_at > self.slack(dispatch.submission) / 2:
+            elif self.now - dispatch.sent_at > self.slack(dispatch.submission):
                 self.most = max(self.least_out(), 0.75 * self.most)
             if prompt and dispatch.further:
                 self.credit = min(10.0, self.credit + 1.0)  # it found a better place: the next is paid for
