--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -386,7 +386,8 @@
         self.evenness = min(1.0, 0.3 + 2.0 * goal.worst_grade)
         self.quiet_until = 0
         self.outstanding = 0.0  # slots of ours without an outcome
-        self.most = 0.0  # how many of them there may be, where one worker tells us too little
+        self.most = 1e9  # how many of them there may be, where one worker tells us too little
+        self.starts, self.lost = Fading(10_000_000), Fading(10_000_000)
         self.credit = 10.0  # of further dispatches; ten let a dispatcher meet a sudden trouble at once
         self.submissions: dict[Any, Submission] = {}
         self.pool: list[Submission] = []
@@ -612,7 +613,6 @@
         self.list.take(news, self.floor())
         ready = [worker for worker in self.list.workers.values() if worker.state == say.READY]
         self.fitting = {None: ready}
-        self.most = self.most or 3.0 * self.least_out()
         for kind in {grade.kind for grade in self.grades.values()} - {None}:
             self.fitting[kind] = [worker for worker in ready if worker.kind == kind]
 
@@ -673,17 +673,22 @@
         share = self.cold.slots * self.shares.part(self.now)
         return max(share, min(1.0, 3.0 * share))
 
-    def least_out(self) -> float:
-        return max(1.0, self.cold.slots * self.shares.part(self.now) * len(self.fitting[None]))
+    def crowded(self) -> bool:
+        """Whether more than a quarter of the recent starts came past their slack; two good ones come first."""
+        return self.lost.read(self.now) > 0.25 * (2.0 + self.starts.read(self.now))
 
     def settle(self, dispatch: Dispatch, prompt: bool) -> None:
         """The first word on a dispatch: it started, or ended before we heard that it had."""
         worker, width = dispatch.worker, dispatch.submission.width
         if worker.waiting.pop(dispatch, 0) is None:
+            self.starts.add(1.0, self.now)
             if prompt and self.outstanding + width > self.most:
                 self.most += 0.25 * width
             elif self.now - dispatch.sent_at > self.slack(dispatch.submission):
-                self.most = max(self.least_out(), 0.75 * self.most)
+                self.lost.add(1.0, self.now)
+                if self.crowded():
+                    least = self.cold.slots * self.shares.part(self.now) * len(self.fitting[None])
+                    self.most = max(1.0, least, 0.75 * min(self.most, self.outstanding + width))
             if prompt and dispatch.further:
                 self.credit = min(10.0, self.credit + 1.0)  # it found a better place: the next is paid for
             if prompt and dispatch.at_cap:
@@ -732,14 +737,14 @@
     # --- the round
 
     def round(self) -> None:
-        now, prompt = self.now, self.prompt
+        now, prompt, crowded = self.now, self.prompt, self.sparse() and self.crowded()
         everyone = self.fitting[None]
         # Guards the CPU against a long pool before a full fleet: the round ends once no worker has room.
         room = sum([worker.has_room(1.0, now, prompt) for worker in everyone])
         for sub in list(self.pool):
             if room <= 0:
                 break
-            if self.sparse() and self.outstanding and self.outstanding + sub.width > self.most:
+            if crowded and self.outstanding and self.outstanding + sub.width > self.most:
                 continue
             fitting = self.fitting[sub.grade.kind]
             if sub.held:
