--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -674,8 +674,8 @@
         return max(share, min(1.0, 3.0 * share))
 
     def crowded(self) -> bool:
-        """Whether more than a quarter of the recent starts came past their slack; two good ones come first."""
-        return self.lost.read(self.now) > 0.25 * (2.0 + self.starts.read(self.now))
+        """Whether more than a tenth of the recent starts came past their slack; two good ones come first."""
+        return self.lost.read(self.now) > 0.1 * (2.0 + self.starts.read(self.now))
 
     def settle(self, dispatch: Dispatch, prompt: bool) -> None:
         """The first word on a dispatch: it started, or ended before we heard that it had."""
