--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -673,9 +673,15 @@
         share = self.cold.slots * self.shares.part(self.now)
         return max(share, min(1.0, 3.0 * share))
 
+    def our_slots(self) -> float:
+        return self.cold.slots * self.shares.part(self.now) * len(self.fitting[None])
+
     def crowded(self) -> bool:
-        """Whether more than a tenth of the recent starts came past their slack; two good ones come first."""
-        return self.lost.read(self.now) > 0.1 * (2.0 + self.starts.read(self.now))
+        """Whether a twentieth of the recent starts came past their slack, where that calls for a gate."""
+        # Under three slots of our part, one submission more or less is too much, and calm days would suffer.
+        if not self.sparse() or self.our_slots() < 1.5:
+            return False
+        return self.lost.read(self.now) > 0.1 * self.starts.read(self.now)
 
     def settle(self, dispatch: Dispatch, prompt: bool) -> None:
         """The first word on a dispatch: it started, or ended before we heard that it had."""
@@ -687,8 +693,7 @@
             elif self.now - dispatch.sent_at > self.slack(dispatch.submission):
                 self.lost.add(1.0, self.now)
                 if self.crowded():
-                    least = self.cold.slots * self.shares.part(self.now) * len(self.fitting[None])
-                    self.most = max(1.0, least, 0.75 * min(self.most, self.outstanding + width))
+                    self.most = max(self.our_slots(), 0.75 * min(self.most, self.outstanding + width))
             if prompt and dispatch.further:
                 self.credit = min(10.0, self.credit + 1.0)  # it found a better place: the next is paid for
             if prompt and dispatch.at_cap:
@@ -737,7 +742,7 @@
     # --- the round
 
     def round(self) -> None:
-        now, prompt, crowded = self.now, self.prompt, self.sparse() and self.crowded()
+        now, prompt, crowded = self.now, self.prompt, self.crowded()
         everyone = self.fitting[None]
         # Guards the CPU against a long pool before a full fleet: the round ends once no worker has room.
         room = sum([worker.has_room(1.0, now, prompt) for worker in everyone])
