--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -139,16 +139,14 @@
         self.arrivals = Fading(5_000_000)  # some tens of submissions, and shorter than a burst
         self.peers: dict[int, tuple[int, int]] = {}  # what each peer said of its arrivals, and when
         self.told_at = 0
-        # Guards against a price that grows with the fleet: four peers hear each message, drawn anew.
-        self.reach = min(4, fleet - 1)
+        self.reach = min(4, fleet - 1)  # guards against a price that grows with the fleet
 
     def part(self, now: int) -> float:
         """Our part of all traffic: told by the peers where they may, else an equal one."""
         heard = [arrivals for arrivals, at in self.peers.values() if now - at < 10_000_000]
         if len(heard) < max(1, self.reach):
             return 1.0 / self.fleet
-        # A peer speaks with its arrivals, once in two seconds: one with under 2.5 of them in five seconds is
-        # heard less often, and stands for more like it.
+        # One with under 2.5 arrivals in five seconds speaks less often than each two, and stands for more.
         weights = [max(1.0, 2.5 / max(1, arrivals)) for arrivals in heard]
         told = sum([weight * arrivals for weight, arrivals in zip(weights, heard, strict=True)])
         ours = max(1.0, self.arrivals.read(now))
@@ -248,12 +246,14 @@
 
 class Dispatch:
     __slots__ = ("submission", "shot", "worker", "sent_at", "started_at", "heard_at", "at_cap", "further",
-                 "blamed")
+                 "blamed", "lost_at")
 
     def __init__(self, submission: Submission, shot: int, worker: Worker, now: int) -> None:
         self.submission, self.shot, self.worker, self.sent_at = submission, shot, worker, now
         self.at_cap = worker.own + submission.width > worker.cap - 1  # it took the last room there was
         self.started_at = self.heard_at = 0
+        # Half the time limit: what has not started by then seldom ends, and elsewhere it still can.
+        self.lost_at = now + submission.grade.time_limit // 2
         self.further = bool(submission.held)
         self.blamed = False
 
@@ -328,9 +328,9 @@
         share = part * self.terms.factor * self.terms.window * self.warmth(worker, now)
         if need <= share:
             return worker.sent_cold.read(now) + need <= share
-        # Guards against leaving fresh workers idle until they are warm where our part is far less than one
-        # submission: once in a window we draw, so that all dispatchers together keep to half of what would
-        # push it over. The other half is for the odds of many draws, and for two draws that fall together.
+        # Guards against leaving fresh workers idle until warm where our part is less than one submission: we
+        # draw once a window, so that all together keep to half of what would push one over. The other half is
+        # for the odds of many draws, and for two that fall together.
         if now < worker.cold_drawn_at + self.terms.window or need > 0.5 * share / part:
             return False
         worker.cold_drawn_at = now
@@ -385,9 +385,7 @@
         # that is served worst; wholly even from where that grade decides a third of the goal.
         self.evenness = min(1.0, 0.3 + 2.0 * goal.worst_grade)
         self.quiet_until = 0
-        self.outstanding = 0.0  # slots of ours without an outcome
-        self.most = 1e9  # how many of them there may be, where one worker tells us too little
-        self.starts, self.lost = Fading(10_000_000), Fading(10_000_000)
+        self.outstanding = 0  # dispatches of ours without an outcome
         self.credit = 10.0  # of further dispatches; ten let a dispatcher meet a sudden trouble at once
         self.submissions: dict[Any, Submission] = {}
         self.pool: list[Submission] = []
@@ -442,15 +440,11 @@
             return POOL
         # Guards against giving up a place in a queue for a worse one: bound work waits its turn, until it is
         # as good as lost there.
-        if not dispatch.started_at and sub.grade.effect != say.REISSUABLE and self.now < self.lost_at(dispatch):
+        if not dispatch.started_at and sub.grade.effect != say.REISSUABLE and self.now < dispatch.lost_at:
             return WAIT
         self.withdraw(dispatch)
         return WAIT
 
-    def lost_at(self, dispatch: Dispatch) -> int:
-        # Half the time limit: what has not started by then seldom ends, and elsewhere it still can.
-        return dispatch.sent_at + dispatch.submission.grade.time_limit // 2
-
     def withdraw(self, dispatch: Dispatch) -> None:
         if self.dispatching.may_withdraw:
             self.orders.append(say.Withdraw(dispatch.submission.id, dispatch.shot))
@@ -531,7 +525,7 @@
             self.wake(max(self.prompt, int(self.slack(sub)) // 8), dispatch)
         sub.shots.append(dispatch)
         sub.out.append(dispatch)
-        self.outstanding += sub.width
+        self.outstanding += 1
         sub.held.append(dispatch)
         worker.own += sub.width
         if self.cold.is_cold(worker, self.now):
@@ -585,8 +579,8 @@
             elif dispatch.worker.heard_at < dispatch.sent_at and not dispatch.blamed:
                 dispatch.blamed = True
                 self.blame(dispatch.worker, "no start and no sign of life")
-            if blame_at <= self.now < self.lost_at(dispatch):
-                self.wake(self.lost_at(dispatch) - self.now, dispatch)
+            if blame_at <= self.now < dispatch.lost_at:
+                self.wake(dispatch.lost_at - self.now, dispatch)
             self.advance(dispatch.submission, dispatch)
             return
         every = self.signs.progress_every
@@ -673,27 +667,10 @@
         share = self.cold.slots * self.shares.part(self.now)
         return max(share, min(1.0, 3.0 * share))
 
-    def our_slots(self) -> float:
-        return self.cold.slots * self.shares.part(self.now) * len(self.fitting[None])
-
-    def crowded(self) -> bool:
-        """Whether a twentieth of the recent starts came past their slack, where that calls for a gate."""
-        # Under three slots of our part, one submission more or less is too much, and calm days would suffer.
-        if not self.sparse() or self.our_slots() < 1.5:
-            return False
-        return self.lost.read(self.now) > 0.1 * self.starts.read(self.now)
-
     def settle(self, dispatch: Dispatch, prompt: bool) -> None:
         """The first word on a dispatch: it started, or ended before we heard that it had."""
-        worker, width = dispatch.worker, dispatch.submission.width
+        worker = dispatch.worker
         if worker.waiting.pop(dispatch, 0) is None:
-            self.starts.add(1.0, self.now)
-            if prompt and self.outstanding + width > self.most:
-                self.most += 0.25 * width
-            elif self.now - dispatch.sent_at > self.slack(dispatch.submission):
-                self.lost.add(1.0, self.now)
-                if self.crowded():
-                    self.most = max(self.our_slots(), 0.75 * min(self.most, self.outstanding + width))
             if prompt and dispatch.further:
                 self.credit = min(10.0, self.credit + 1.0)  # it found a better place: the next is paid for
             if prompt and dispatch.at_cap:
@@ -711,7 +688,7 @@
         worker.own -= sub.width
         worker.left(self.now - dispatch.sent_at, self.now)
         sub.out.remove(dispatch)
-        self.outstanding -= sub.width
+        self.outstanding -= 1
         self.settle(dispatch, news.outcome == say.DONE)
         if news.outcome == say.DONE:
             if dispatch.started_at:
@@ -742,15 +719,13 @@
     # --- the round
 
     def round(self) -> None:
-        now, prompt, crowded = self.now, self.prompt, self.crowded()
+        now, prompt = self.now, self.prompt
         everyone = self.fitting[None]
         # Guards the CPU against a long pool before a full fleet: the round ends once no worker has room.
         room = sum([worker.has_room(1.0, now, prompt) for worker in everyone])
         for sub in list(self.pool):
             if room <= 0:
                 break
-            if crowded and self.outstanding and self.outstanding + sub.width > self.most:
-                continue
             fitting = self.fitting[sub.grade.kind]
             if sub.held:
                 taken = [dispatch.worker for dispatch in sub.held]
@@ -770,20 +745,15 @@
                 self.advance(sub, worker)
                 room -= not worker.has_room(1.0, now, prompt)
 
-    def sparse(self) -> bool:
-        """Whether our even part of a worker is so small that one worker tells us too little."""
-        return 3.0 * self.cold.slots < self.shares.fleet
-
     def holds(self, worker: Worker) -> bool:
         """Whether a draw stands, where c is under one and cannot tell a slow kind from a fast."""
-        if worker.own or not self.sparse():
-            return True
-        return self.chance.below(1 << 20) < self.paces.taking.get(worker.kind, 1.0) * (1 << 20)
+        holds = worker.own > 0 or 3.0 * self.cold.slots >= self.shares.fleet
+        return holds or self.chance.below(1 << 20) < self.paces.taking.get(worker.kind, 1.0) * (1 << 20)
 
     def cold_allows(self, worker: Worker, sub: Submission) -> bool:
-        if not self.cold.is_cold(worker, self.now):
-            return True
-        return self.cold.allows(worker, self.work(sub), self.shares.part(self.now), self.now, self.chance)
+        return not self.cold.is_cold(worker, self.now) or self.cold.allows(
+            worker, self.work(sub), self.shares.part(self.now), self.now, self.chance
+        )
 
     def all_doubtful(self) -> bool:
         everyone = self.fitting[None]
