--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -385,7 +385,8 @@
         # that is served worst; wholly even from where that grade decides a third of the goal.
         self.evenness = min(1.0, 0.3 + 2.0 * goal.worst_grade)
         self.quiet_until = 0
-        self.outstanding = 0  # dispatches of ours without an outcome
+        self.outstanding = 0.0  # slots of ours without an outcome
+        self.most = 1e9  # how many of them there may be, where one worker tells us too little
         self.credit = 10.0  # of further dispatches; ten let a dispatcher meet a sudden trouble at once
         self.submissions: dict[Any, Submission] = {}
         self.pool: list[Submission] = []
@@ -525,7 +526,7 @@
             self.wake(max(self.prompt, int(self.slack(sub)) // 8), dispatch)
         sub.shots.append(dispatch)
         sub.out.append(dispatch)
-        self.outstanding += 1
+        self.outstanding += sub.width
         sub.held.append(dispatch)
         worker.own += sub.width
         if self.cold.is_cold(worker, self.now):
@@ -669,8 +670,13 @@
 
     def settle(self, dispatch: Dispatch, prompt: bool) -> None:
         """The first word on a dispatch: it started, or ended before we heard that it had."""
-        worker = dispatch.worker
+        worker, width = dispatch.worker, dispatch.submission.width
         if worker.waiting.pop(dispatch, 0) is None:
+            if prompt and self.outstanding + width > self.most:
+                self.most += 0.25 * width
+            elif self.now - dispatch.sent_at > self.slack(dispatch.submission) and self.sparse():
+                # Four out at least: with fewer one more or less is too much, and calm days would suffer.
+                self.most = max(4.0, 0.75 * min(self.most, self.outstanding + width))
             if prompt and dispatch.further:
                 self.credit = min(10.0, self.credit + 1.0)  # it found a better place: the next is paid for
             if prompt and dispatch.at_cap:
@@ -688,7 +694,7 @@
         worker.own -= sub.width
         worker.left(self.now - dispatch.sent_at, self.now)
         sub.out.remove(dispatch)
-        self.outstanding -= 1
+        self.outstanding -= sub.width
         self.settle(dispatch, news.outcome == say.DONE)
         if news.outcome == say.DONE:
             if dispatch.started_at:
@@ -726,6 +732,8 @@
         for sub in list(self.pool):
             if room <= 0:
                 break
+            if self.outstanding + sub.width > self.most:
+                continue
             fitting = self.fitting[sub.grade.kind]
             if sub.held:
                 taken = [dispatch.worker for dispatch in sub.held]
@@ -745,10 +753,13 @@
                 self.advance(sub, worker)
                 room -= not worker.has_room(1.0, now, prompt)
 
+    def sparse(self) -> bool:
+        """Whether our even part of a worker is so small that one worker tells us too little."""
+        return 3.0 * self.cold.slots < self.shares.fleet
+
     def holds(self, worker: Worker) -> bool:
         """Whether a draw stands, where c is under one and cannot tell a slow kind from a fast."""
-        holds = worker.own > 0 or 3.0 * self.cold.slots >= self.shares.fleet
-        return holds or self.chance.below(1 << 20) < self.paces.taking.get(worker.kind, 1.0) * (1 << 20)
+        return worker.own > 0 or not self.sparse() or self.chance.below(1 << 20) < self.paces.taking.get(worker.kind, 1.0) * (1 << 20)
 
     def cold_allows(self, worker: Worker, sub: Submission) -> bool:
         return not self.cold.is_cold(worker, self.now) or self.cold.allows(
