--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -386,7 +386,7 @@
         self.evenness = min(1.0, 0.3 + 2.0 * goal.worst_grade)
         self.quiet_until = 0
         self.outstanding = 0.0  # slots of ours without an outcome
-        self.most = 1e9  # how many of them there may be, where one worker tells us too little
+        self.most = 16.0  # how many of them there may be, where one worker tells us too little
         self.credit = 10.0  # of further dispatches; ten let a dispatcher meet a sudden trouble at once
         self.submissions: dict[Any, Submission] = {}
         self.pool: list[Submission] = []
@@ -675,8 +675,10 @@
             if prompt and self.outstanding + width > self.most:
                 self.most += 0.25 * width
             elif self.now - dispatch.sent_at > self.slack(dispatch.submission) and self.sparse():
-                # Four out at least: with fewer one more or less is too much, and calm days would suffer.
-                self.most = max(4.0, 0.75 * min(self.most, self.outstanding + width))
+                # At least four and half as much again as our part of all slots: with fewer, one more or less
+                # is too much, and calm days would suffer.
+                ours = self.cold.slots * self.shares.part(self.now) * len(self.fitting[None])
+                self.most = max(4.0, 1.5 * ours, 0.75 * self.most)
             if prompt and dispatch.further:
                 self.credit = min(10.0, self.credit + 1.0)  # it found a better place: the next is paid for
             if prompt and dispatch.at_cap:
