--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -675,10 +675,10 @@
             if prompt and self.outstanding + width > self.most:
                 self.most += 0.25 * width
             elif self.now - dispatch.sent_at > self.slack(dispatch.submission) and self.sparse():
-                # At least four and half as much again as our part of all slots: with fewer, one more or less
+                # At least four and three times our part of all slots, as caps do: with fewer, one more or less
                 # is too much, and calm days would suffer.
                 ours = self.cold.slots * self.shares.part(self.now) * len(self.fitting[None])
-                self.most = max(4.0, 1.5 * ours, 0.9 * self.most)
+                self.most = max(4.0, 3.0 * ours, 0.9 * self.most)
             if prompt and dispatch.further:
                 self.credit = min(10.0, self.credit + 1.0)  # it found a better place: the next is paid for
             if prompt and dispatch.at_cap:
