--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -13,7 +13,7 @@
 1. Learned cap: c of each worker, in slots, rises when a dispatch sent at the cap starts promptly and falls
    when one starts late or is answered 'full'. While one of ours waits there past the prompt span there is no
    room, and under a cap of one we rest between submissions. Where our even part of a worker is under a third
-   of a slot, the draw of an empty one holds by the pace of its kind.
+   of a slot, the draw of an empty one holds by the pace of its kind, and a cap on all of ours acts beside c.
 2. Health posterior: failed connections, resets, errors, silence and slow progress make a worker doubtful; a
    draw from the posterior of its chance of success decides each second whether it gets one submission. Where
    more than half are doubtful the fault is taken to be elsewhere, and nobody is.
@@ -116,7 +116,7 @@
         took, count = self.sums[kind]
         took.add(pace, now)
         count.add(1.0, now)
-        # Two ends at the usual pace come first, so that a single run does not decide.
+        # Two ends at the usual pace come first: a single run does not decide.
         paces = {of: (sum.read(now) + 2.0) / (n.read(now) + 2.0) for of, (sum, n) in self.sums.items()}
         least = min(paces.values())
         # The square, so that waits become even and not only loads; the plain ratio scored less on all three.
@@ -386,7 +386,8 @@
         self.evenness = min(1.0, 0.3 + 2.0 * goal.worst_grade)
         self.quiet_until = 0
         self.outstanding = 0.0  # slots of ours without an outcome
-        self.most = 16.0  # how many of them there may be, where one worker tells us too little
+        self.sparse = 3.0 * self.cold.slots < fleet  # our even part of a worker is under a third of a slot
+        self.most = 16.0  # slots of ours that may then be out: four times the least, for a calm day
         self.credit = 10.0  # of further dispatches; ten let a dispatcher meet a sudden trouble at once
         self.submissions: dict[Any, Submission] = {}
         self.pool: list[Submission] = []
@@ -428,9 +429,8 @@
         self.answer(sub)
 
     def may_dispatch(self, sub: Submission) -> bool:
-        if len(sub.shots) >= self.dispatching.most_dispatches:
-            return False
-        return not sub.held or sub.grade.effect != say.AT_MOST_ONCE
+        left = len(sub.shots) < self.dispatching.most_dispatches
+        return left and (not sub.held or sub.grade.effect != say.AT_MOST_ONCE)
 
     def doubt(self, dispatch: Dispatch) -> str:
         """A further dispatch for one in doubt, beside it or in its place, while such ones pay."""
@@ -452,12 +452,9 @@
 
     def slack(self, sub: Submission) -> float:
         """How long a submission may wait for its start and still end within its soft limit."""
-        grade = sub.grade
-        run = sub.hint or self.runs[grade.name].mean(self.now)
+        run = sub.hint or self.runs[sub.grade.name].mean(self.now)
         # Half the run still counts as possible: a hint is rough and the fastest worker is twice the mean.
-        if self.now + run / 2 > sub.limit_at:
-            return 0.0
-        return usual_slack(grade, run)
+        return usual_slack(sub.grade, run) if self.now + run / 2 <= sub.limit_at else 0.0
 
     def work(self, sub: Submission) -> float:
         """The work of a submission: its usual run, or what is hinted, on each of its slots."""
@@ -470,9 +467,7 @@
         all wait a share of a slack between their own and the shortest usual one. At 0.3 of it even runs well
         over the usual end in time; 0.5 left more answers late, 0.25 denied more in short bursts.
         """
-        shortest = min([
-            usual_slack(grade, self.runs[grade.name].mean(self.now)) for grade in self.grades.values()
-        ])
+        shortest = min([usual_slack(at, self.runs[of].mean(self.now)) for of, at in self.grades.items()])
         if sub.hint:  # a heavier submission earns more, and may wait longer
             shortest *= max(1.0, sub.hint / self.runs[sub.grade.name].mean(self.now))
         slack = self.slack(sub)
@@ -487,9 +482,8 @@
             self.orders.append(say.Deny(sub.id, advice))
             if self.now >= self.quiet_until:  # one line in five seconds tells enough of an overload
                 self.quiet_until = self.now + 5_000_000
-                waited = (self.now - sub.arrived_at) // 1000
-                waits = f"{len(self.pool)} waiting, {self.outstanding} out"
-                self.log(f"denying {sub.grade.name} after {waited} ms: {waits}")
+                waits = f"{len(self.pool)} waiting, {self.outstanding:g} slots out"
+                self.log(f"denying {sub.grade.name} after {(self.now - sub.arrived_at) // 1000} ms: {waits}")
         else:
             self.orders.append(say.Terminate(sub.id))
 
@@ -635,6 +629,7 @@
         dispatch.started_at = dispatch.heard_at = worker.heard_at = self.now
         running = worker.own - sum([other.submission.width for other in worker.waiting])
         self.cold.slots = max(self.cold.slots, running)
+        self.sparse = 3.0 * self.cold.slots < self.shares.fleet
         if dispatch.blamed:  # it was slow to say so, not silent
             worker.bad.add(-1.0, self.now)
         if not sub.answered and (sub.pooled or len(sub.out) > 1):
@@ -649,22 +644,18 @@
             return
         dispatch.heard_at = dispatch.worker.heard_at = self.now
         sub = dispatch.submission
-        # Four times a hint, or three deviations over the usual run where there is none, is past the slowest
-        # sound worker and the common spread of sizes.
+        # Four times a hint, or three deviations over the usual run, is past a sound worker and common sizes.
         long = 4.0 * sub.hint or self.runs[sub.grade.name].long(self.now)
         whole = (self.now - dispatch.started_at) / max(news.share, 0.001)
-        # Guards against a worker that runs everything slowly. One heavy submission alone makes a worker
-        # doubtful for a moment, and its good ends soon outweigh it.
+        # Guards against a worker that runs everything slowly; good ends soon outweigh one heavy submission.
         if dispatch.started_at and whole > long and not dispatch.blamed:
             dispatch.blamed = True
             self.blame(dispatch.worker, "slow progress")
 
     def floor(self) -> float:
-        """The least cap: our share of the slots, and up to one submission while all floors hold three a slot.
-
-        Guards at one end against two dispatchers that cut each other to one submission on every worker, at
-        the other against seventeen whose floors of one would be no gate at all.
-        """
+        """The least cap: our share of the slots, or one submission while all floors hold three a slot."""
+        # Guards against two dispatchers that cut each other to one submission on every worker, and against
+        # seventeen whose floors of one would be no gate at all.
         share = self.cold.slots * self.shares.part(self.now)
         return max(share, min(1.0, 3.0 * share))
 
@@ -674,9 +665,9 @@
         if worker.waiting.pop(dispatch, 0) is None:
             if prompt and self.outstanding + width > self.most:
                 self.most += 0.25 * width
-            elif self.now - dispatch.sent_at > self.slack(dispatch.submission) and self.sparse():
-                # At least four and three times our part of all slots, as caps do: with fewer, one more or less
-                # is too much, and calm days would suffer.
+            elif self.now - dispatch.sent_at > self.slack(dispatch.submission) and self.sparse:
+                # Guards against many dispatchers that pile up work before any learns of a worker. Under four,
+                # or three a slot of our part, one is too much; larger cuts closed calm days.
                 ours = self.cold.slots * self.shares.part(self.now) * len(self.fitting[None])
                 self.most = max(4.0, 3.0 * ours, 0.9 * self.most)
             if prompt and dispatch.further:
@@ -728,9 +719,8 @@
 
     def round(self) -> None:
         now, prompt = self.now, self.prompt
-        everyone = self.fitting[None]
         # Guards the CPU against a long pool before a full fleet: the round ends once no worker has room.
-        room = sum([worker.has_room(1.0, now, prompt) for worker in everyone])
+        room = sum([worker.has_room(1.0, now, prompt) for worker in self.fitting[None]])
         for sub in list(self.pool):
             if room <= 0:
                 break
@@ -755,13 +745,10 @@
                 self.advance(sub, worker)
                 room -= not worker.has_room(1.0, now, prompt)
 
-    def sparse(self) -> bool:
-        """Whether our even part of a worker is so small that one worker tells us too little."""
-        return 3.0 * self.cold.slots < self.shares.fleet
-
     def holds(self, worker: Worker) -> bool:
         """Whether a draw stands, where c is under one and cannot tell a slow kind from a fast."""
-        return worker.own > 0 or not self.sparse() or self.chance.below(1 << 20) < self.paces.taking.get(worker.kind, 1.0) * (1 << 20)
+        sure = worker.own > 0 or not self.sparse
+        return sure or self.chance.below(1 << 20) < self.paces.taking.get(worker.kind, 1.0) * (1 << 20)
 
     def cold_allows(self, worker: Worker, sub: Submission) -> bool:
         return not self.cold.is_cold(worker, self.now) or self.cold.allows(
@@ -769,8 +756,7 @@
         )
 
     def all_doubtful(self) -> bool:
-        everyone = self.fitting[None]
-        return 2 * sum([worker.doubtful(self.now) for worker in everyone]) > len(everyone)
+        return 2 * sum([worker.doubtful(self.now) for worker in self.fitting[None]]) > len(self.fitting[None])
 
 
 TAKE: dict[type, Callable[[Dispatcher, Any], None]] = {
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -280,3 +280,24 @@
     service.pass_time(2_000_000)
     service.turn(say.Progressed(1, 0, 0.05))
     assert service.dispatcher.list.workers["w"].doubtful(service.now)
+
+
+def test_starts_past_the_slack_close_a_gate_on_all_of_ours() -> None:
+    """One of 76 dispatchers learned of no worker in time, and a release buried all in queues of 25."""
+    for fleet, dispatches in ((76, 0), (3, 1)):
+        service = Checked(fleet=fleet)
+        service.list(*[listed(f"w{n}") for n in range(60)])
+        for submission in range(12):
+            service.arrive(submission, "cash", hint=10_000)
+        service.pass_time(1_500_000)
+        service.turn(*[say.Started(submission, shot) for submission, shot in service.out()])
+        service.arrive(99, "cash", hint=10_000)
+        assert len(service.shots[99]) == dispatches
+
+
+def test_bound_work_leaves_a_queue_in_which_it_is_lost() -> None:
+    """A worker stuck on heavy work held a queue until its clients gave up."""
+    service = Checked(copies=False)
+    service.list(listed("w0"), listed("w1"))
+    service.arrive(1, "record")
+    assert say.Withdraw(1, 0) in service.pass_time(3_200_000)
