--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -477,8 +477,8 @@
         if sub.may_deny():
             # The next of ours should end by then. Later advice brings clients back when any answer is late,
             # and they take the place of fresh work.
-            run = self.runs[sub.grade.name].mean(self.now)
-            advice = min(self.clients.longest_advice, int(run / max(1, self.outstanding)))
+            run, out = self.runs[sub.grade.name].mean(self.now), len(self.submissions) - len(self.pool)
+            advice = min(self.clients.longest_advice, int(run / max(1, out)))
             self.orders.append(say.Deny(sub.id, advice))
             if self.now >= self.quiet_until:  # one line in five seconds tells enough of an overload
                 self.quiet_until = self.now + 5_000_000
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -293,6 +293,7 @@
         service.turn(*[say.Started(submission, shot) for submission, shot in service.out()])
         for submission in range(90, 110):
             service.arrive(submission, "cash", hint=10_000)
+        service.pass_time(STEP * 8)
         assert sum(len(service.shots[submission]) for submission in range(90, 110)) == dispatches
 
 
