--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -392,9 +392,7 @@
         self.submissions: dict[Any, Submission] = {}
         self.pool: list[Submission] = []
         self.orders: list[Any] = []
-        self.now = 0
-        self.arrivals = 0
-        self.marks = 0
+        self.now = self.arrivals = self.marks = 0
         self.timers: dict[int, Any] = {}
         self.round_timer = False
 
@@ -549,7 +547,8 @@
             self.round()
         if self.pool and not self.round_timer:
             self.round_timer = True
-            self.wake(self.step, "round")
+            # Guards the CPU: where all that wait were sent before, four steps between rounds will do.
+            self.wake(self.step if any([not sub.held for sub in self.pool]) else 4 * self.step, "round")
         return self.orders
 
     def wake(self, after: int, what: Any) -> None:
@@ -654,8 +653,7 @@
 
     def floor(self) -> float:
         """The least cap: our share of the slots, or one submission while all floors hold three a slot."""
-        # Guards against two dispatchers that cut each other to one submission on every worker, and against
-        # seventeen whose floors of one would be no gate at all.
+        # Guards against two that cut each other to one submission a worker, and seventeen with no gate.
         share = self.cold.slots * self.shares.part(self.now)
         return max(share, min(1.0, 3.0 * share))
 
@@ -719,8 +717,10 @@
 
     def round(self) -> None:
         now, prompt = self.now, self.prompt
-        # Guards the CPU against a long pool before a full fleet: the round ends once no worker has room.
-        room = sum([worker.has_room(1.0, now, prompt) for worker in self.fitting[None]])
+        # Guards the CPU: a round ends once no worker has room, but a short pool is not worth the count.
+        room = len(self.pool) + 1
+        if 8 * room > len(self.fitting[None]):
+            room = sum([worker.has_room(1.0, now, prompt) for worker in self.fitting[None]])
         for sub in list(self.pool):
             if room <= 0:
                 break
