--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -473,8 +473,7 @@
 
     def answer(self, sub: Submission) -> None:
         if sub.may_deny():
-            # The next of ours should end by then. Later advice brings clients back when any answer is late,
-            # and they take the place of fresh work.
+            # The next of ours should end by then; clients that come later take the place of fresh work.
             run, out = self.runs[sub.grade.name].mean(self.now), len(self.submissions) - len(self.pool)
             advice = min(self.clients.longest_advice, int(run / max(1, out)))
             self.orders.append(say.Deny(sub.id, advice))
@@ -548,7 +547,8 @@
         if self.pool and not self.round_timer:
             self.round_timer = True
             # Guards the CPU: where all that wait were sent before, four steps between rounds will do.
-            self.wake(self.step if any([not sub.held for sub in self.pool]) else 4 * self.step, "round")
+            fresh = not self.sparse or any([not sub.held for sub in self.pool])
+            self.wake(self.step if fresh else 4 * self.step, "round")
         return self.orders
 
     def wake(self, after: int, what: Any) -> None:
@@ -719,7 +719,7 @@
         now, prompt = self.now, self.prompt
         # Guards the CPU: a round ends once no worker has room, but a short pool is not worth the count.
         room = len(self.pool) + 1
-        if 8 * room > len(self.fitting[None]):
+        if not self.sparse or 8 * room > len(self.fitting[None]):
             room = sum([worker.has_room(1.0, now, prompt) for worker in self.fitting[None]])
         for sub in list(self.pool):
             if room <= 0:
