--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -667,7 +667,7 @@
                 # Guards against many dispatchers that pile up work before any learns of a worker. Under four,
                 # or three a slot of our part, one is too much; larger cuts closed calm days.
                 ours = self.cold.slots * self.shares.part(self.now) * len(self.fitting[None])
-                self.most = max(4.0, 3.0 * ours, 0.9 * self.most)
+                self.most = max(4.0, 3.0 * ours, 0.95 * self.most)
             if prompt and dispatch.further:
                 self.credit = min(10.0, self.credit + 1.0)  # it found a better place: the next is paid for
             if prompt and dispatch.at_cap:
