--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -139,12 +139,12 @@
         self.arrivals = Fading(5_000_000)  # some tens of submissions, and shorter than a burst
         self.peers: dict[int, tuple[int, int]] = {}  # what each peer said of its arrivals, and when
         self.told_at = 0
-        self.reach = min(4, fleet - 1)  # guards against a price that grows with the fleet
+        self.reach = fleet - 1 if fleet <= 5 else 2  # a price, and CPU, must not grow with the fleet
 
     def part(self, now: int) -> float:
         """Our part of all traffic: told by the peers where they may, else an equal one."""
         heard = [arrivals for arrivals, at in self.peers.values() if now - at < 10_000_000]
-        if len(heard) < max(1, self.reach):
+        if len(heard) < max(1, min(4, self.fleet - 1)):  # four make a fair sample
             return 1.0 / self.fleet
         # One with under 2.5 arrivals in five seconds speaks less often than each two, and stands for more.
         weights = [max(1.0, 2.5 / max(1, arrivals)) for arrivals in heard]
