--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -49,6 +49,9 @@
         self.state = (self.state * 6364136223846793005 + 1442695040888963407) & 0xFFFFFFFFFFFFFFFF
         return ((self.state >> 32) * bound) >> 32
 
+    def falls(self, odds: float) -> bool:
+        return self.below(1 << 20) < odds * (1 << 20)
+
 
 class Fading:
     """A sum that fades by 1/e in each span, brought up to date when it is read or added to."""
@@ -193,10 +196,9 @@
         self.heard_at = 0  # when it last gave a sign of life
         # Ten seconds: past the longest pause of a sound worker, short beside a lasting outage.
         self.good, self.bad = Fading(10_000_000), Fading(10_000_000)
-        self.drawn_at = 0
         self.rest_until = 0  # while the cap is under one: when we have held our share there on average
         self.sent_cold = Fading(1_000_000)
-        self.cold_drawn_at = 0
+        self.drawn_at = self.cold_drawn_at = 0
         self.waiting: dict[Dispatch, None] = {}  # ours there that have not started, oldest first
         self.update(entry)
 
@@ -334,7 +336,7 @@
         if now < worker.cold_drawn_at + self.terms.window or need > 0.5 * share / part:
             return False
         worker.cold_drawn_at = now
-        return chance.below(1 << 20) * need < 0.5 * share * (1 << 20)
+        return chance.falls(0.5 * share / need)
 
     def count(self, worker: Worker, work: float, now: int) -> None:
         worker.sent_cold.span = self.terms.window
@@ -427,8 +429,8 @@
         self.answer(sub)
 
     def may_dispatch(self, sub: Submission) -> bool:
-        left = len(sub.shots) < self.dispatching.most_dispatches
-        return left and (not sub.held or sub.grade.effect != say.AT_MOST_ONCE)
+        once = sub.held and sub.grade.effect == say.AT_MOST_ONCE
+        return len(sub.shots) < self.dispatching.most_dispatches and not once
 
     def doubt(self, dispatch: Dispatch) -> str:
         """A further dispatch for one in doubt, beside it or in its place, while such ones pay."""
@@ -672,7 +674,7 @@
                 self.credit = min(10.0, self.credit + 1.0)  # it found a better place: the next is paid for
             if prompt and dispatch.at_cap:
                 # A quarter of the width: four prompt starts make a cap of one two. Others scored worse.
-                worker.cap += 0.25 * dispatch.submission.width
+                worker.cap += 0.25 * width
             elif not prompt:
                 # A quarter off: at a cap of two, a late start undoes two prompt ones. Halving scored worse.
                 worker.cap = max(self.floor(), 0.75 * worker.cap)
@@ -747,8 +749,7 @@
 
     def holds(self, worker: Worker) -> bool:
         """Whether a draw stands, where c is under one and cannot tell a slow kind from a fast."""
-        sure = worker.own > 0 or not self.sparse
-        return sure or self.chance.below(1 << 20) < self.paces.taking.get(worker.kind, 1.0) * (1 << 20)
+        return worker.own > 0 or not self.sparse or self.chance.falls(self.paces.taking.get(worker.kind, 1.0))
 
     def cold_allows(self, worker: Worker, sub: Submission) -> bool:
         return not self.cold.is_cold(worker, self.now) or self.cold.allows(
