--- /dev/null
+++ b/locktide/config/checks.py
@@ -0,0 +1,85 @@
+"""Reads fields out of decoded JSON; what is wrong with one is said with its name."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from math import isfinite
+from typing import Any
+
+
+class Faulty(Exception):
+    """A key that is missing or holds what it may not; the text begins with the key."""
+
+    def __init__(self, key: str, wrong: str) -> None:
+        super().__init__(f"{key}: {wrong}")
+
+
+_MUST = object()
+
+
+class Table:
+    """A JSON object and where it stands, as `settings.Rules`."""
+
+    def __init__(self, raw: Any, path: str = "") -> None:
+        if not isinstance(raw, dict):
+            raise Faulty(path or "the whole", f"expected an object, not {raw!r:.40}")
+        self.raw, self.path = raw, path
+
+    def key(self, name: str) -> str:
+        return f"{self.path}.{name}" if self.path else name
+
+    def get(self, name: str, absent: Any = _MUST) -> Any:
+        if name in self.raw:
+            return self.raw[name]
+        if absent is _MUST:
+            raise Faulty(self.key(name), "is missing")
+        return absent
+
+    def text(self, name: str, absent: Any = _MUST) -> str:
+        value = self.get(name, absent)
+        if not isinstance(value, str):
+            raise Faulty(self.key(name), f"expected a text, not {value!r:.40}")
+        return value
+
+    def number(self, name: str, absent: Any = _MUST, least: float = 0.0) -> float:
+        value = self.get(name, absent)
+        if isinstance(value, bool) or not isinstance(value, int | float) or not isfinite(value):
+            raise Faulty(self.key(name), f"expected a number, not {value!r:.40}")
+        if value < least:
+            raise Faulty(self.key(name), f"expected at least {least:g}, not {value!r}")
+        return float(value)
+
+    def whole(self, name: str, absent: Any = _MUST, least: int = 0) -> int:
+        value = self.number(name, absent, least)
+        if value != int(value):
+            raise Faulty(self.key(name), f"expected a whole number, not {value!r}")
+        return int(value)
+
+    def span(self, name: str, absent: Any = _MUST) -> int:
+        """Milliseconds, fractions allowed, as whole microseconds."""
+        return round(self.number(name, absent) * 1000)
+
+    def flag(self, name: str, absent: Any = _MUST) -> bool:
+        value = self.get(name, absent)
+        if not isinstance(value, bool):
+            raise Faulty(self.key(name), f"expected true or false, not {value!r:.40}")
+        return value
+
+    def one_of(self, table: dict[str, str], name: str, absent: Any = _MUST) -> str:
+        value = self.get(name, absent)
+        if not isinstance(value, str) or value not in table:
+            raise Faulty(self.key(name), f"expected one of {', '.join(table)}, not {value!r:.40}")
+        return table[value]
+
+    def table(self, name: str, absent: Any = _MUST) -> Table:
+        return Table(self.get(name, absent), self.key(name))
+
+    def row(self, name: str, absent: Any = _MUST) -> list[Any]:
+        value = self.get(name, absent)
+        if not isinstance(value, list):
+            raise Faulty(self.key(name), f"expected a list, not {value!r:.40}")
+        return value
+
+    def tables(self, name: str, absent: Any = _MUST) -> Iterator[Table]:
+        for place, entry in enumerate(self.row(name, absent)):
+            yield Table(entry, f"{self.key(name)}[{place}]")
--- /dev/null
+++ b/locktide/config/settings.py
@@ -0,0 +1,69 @@
+"""The deployment's `settings`, the same object on the simulator's wire and in a real dispatcher's JSON."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from locktide.config.checks import Faulty, Table
+from locktide.dispatch import interface as say
+
+EFFECTS = {"free": say.REISSUABLE, "guarded": say.NUMBERED, "single_shot": say.AT_MOST_ONCE}
+GROUPS = {"all": say.EVERYONE, "zone": say.SAME_ZONE, "cell": say.SAME_CELL}
+
+
+def grades(told: Table, domain: Table) -> list[say.Grade]:
+    kinds = told.row("Kinds", [])
+    wanted, stretches = domain.row("ClassKind", []), domain.row("ClassStretch", [])
+    found = []
+    for place, entry in enumerate(told.tables("ServiceGrades")):
+        kind = wanted[place] if place < len(wanted) else -1
+        stretch = stretches[place] if place < len(stretches) else entry.number("AimStretch", 0.0)
+        if isinstance(stretch, bool) or not isinstance(stretch, int | float):
+            raise Faulty(domain.key(f"ClassStretch[{place}]"), f"expected a number, not {stretch!r:.40}")
+        found.append(
+            say.Grade(
+                entry.text("Name"),
+                entry.one_of(EFFECTS, "Semantics"),
+                entry.one_of(GROUPS, "Group", "all"),
+                entry.span("MemorySpan", 0),
+                entry.span("SoftLimit"),
+                float(stretch),
+                entry.span("TimeLimit"),
+                entry.number("Revenue", 1.0),
+                entry.number("OverdueRevenue", 0.0),
+                kinds[kind] if isinstance(kind, int) and 0 <= kind < len(kinds) else None,
+            )
+        )
+    if not found:
+        raise Faulty(told.key("ServiceGrades"), "expected at least one service grade")
+    return found
+
+
+def terms(told: Table) -> tuple[Any, ...]:
+    """The start terms, as `rules.Dispatcher` takes them after the seed."""
+    domain, ceilings = told.table("Domain", {}), told.table("Ceilings", {})
+    limits = told.table("Rules", {})
+    quotas = {realm.text("Name"): realm.number("QuotaPerS", 0.0) for realm in told.tables("Realms", [])}
+    return (
+        told.span("Step", 1.0),
+        told.whole("FleetSize", 1, least=1),
+        grades(told, domain),
+        say.DispatchTerms(
+            ceilings.whole("MaxDispatches", 1, least=1),
+            ceilings.flag("SecondCopies", False),
+            ceilings.flag("MayCancel", False),
+        ),
+        say.ClientTerms(ceilings.span("MaxRetryAfter", 0) if ceilings.flag("RetryAfter", False) else 0),
+        say.ShareTerms(
+            quotas, told.number("BeyondShareRevenue", 1.0), ceilings.flag("Peers", False), told.whole("Me", 0)
+        ),
+        say.GoalTerms(told.table("ObjectiveMix", {}).number("WorstClass", 0.0)),
+        say.ColdTerms(
+            limits.number("OverloadFactor", 1.0),
+            limits.span("OverloadFor", 0),
+            limits.number("ColdFrom", 1.0),
+            limits.span("Cold", 0),
+        ),
+        say.ListTerms(told.get("Discovery", "automatic") == "subscribe", limits.span("AskWithin", 10000)),
+        say.SignTerms(domain.flag("TellsStart", False), domain.span("Progress", 0)),
+    )
--- /dev/null
+++ b/locktide/config/start.py
@@ -0,0 +1,68 @@
+"""What one real dispatcher is told at start: the GW_* variables and the JSON that GW_CONFIG names."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from locktide.config.checks import Faulty, Table
+from locktide.config.settings import terms
+
+Address = tuple[str, int]
+
+
+@dataclass(slots=True)
+class Start:
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    descriptors: int
+    known: Any  # the remembered list, in discovery's form
+    connect_within: int
+    idle_close: int  # workers close connections that stood idle so long
+    terms: tuple[Any, ...]
+
+
+def address(key: str, text: str) -> Address:
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise Faulty(key, f"expected HOST:PORT, not {text!r:.60}")
+    return host.strip("[]"), int(port)
+
+
+def read(environment: Mapping[str, str]) -> Start:
+    """A variable that is set goes before the same thing in the JSON."""
+    path = environment.get("GW_CONFIG")
+    if not path:
+        raise Faulty("GW_CONFIG", "is not set")
+    try:
+        with open(path, encoding="utf-8") as source:
+            whole = Table(json.load(source))
+    except (OSError, ValueError) as trouble:
+        raise Faulty("GW_CONFIG", f"{path}: {trouble}") from None
+    limits, told = whole.table("limits", {}), whole.table("settings")
+    ceilings = told.table("Ceilings", {})
+
+    def place(variable: str, name: str) -> Address:
+        text = environment.get(variable)
+        return address(variable, text) if text else address(name, whole.text(name))
+
+    seed = whole.text("seed", "0")
+    try:
+        number = int(seed, 16)
+    except ValueError:
+        raise Faulty("seed", f"expected a hexadecimal number, not {seed!r:.40}") from None
+    return Start(
+        environment.get("GW_NAME") or whole.text("name"),
+        place("GW_LISTEN", "listen"),
+        place("GW_DISCOVERY", "discovery"),
+        number,
+        limits.whole("sockets", 1024, least=64),
+        whole.table("known", {"rev": 0, "all": True, "targets": []}).raw,
+        ceilings.span("ConnectTimeout", 250.0),
+        ceilings.span("IdleClose", 15000.0),
+        terms(told),
+    )
--- /dev/null
+++ b/locktide/net/descriptors.py
@@ -0,0 +1,60 @@
+"""The budget of open sockets: each connection takes a place before it opens and gives it back once closed."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+# Standard streams, the loop's own, the listening socket, the watch and its successor, and some to spare.
+APART = 24
+
+
+def divide(descriptors: int) -> tuple[Allotment, Allotment]:
+    """Clients' part and workers' part. A worker connection serves one dispatch after another, a client's is
+    held for as long as the submission runs: so three in four go to clients."""
+    clients = (descriptors - APART) * 3 // 4
+    return Allotment(clients), Allotment(descriptors - APART - clients)
+
+
+class Allotment:
+    """So many places; at the edge the connection that has rested longest is closed for the next one."""
+
+    def __init__(self, limit: int) -> None:
+        self.limit, self.used = limit, 0
+        self.resting: dict[Any, Callable[[], None]] = {}  # how each idle connection is closed, longest first
+        self.waiting: deque[asyncio.Future[None]] = deque()
+
+    async def take(self) -> None:
+        while self.used >= self.limit:
+            if self.resting:
+                self.resting.pop(next(iter(self.resting)))()
+                if self.used < self.limit:
+                    break
+            place = asyncio.get_running_loop().create_future()
+            self.waiting.append(place)
+            try:
+                await place
+            except asyncio.CancelledError:
+                if not place.cancelled():
+                    self.wake()  # it was ours and goes to the next
+                raise
+        self.used += 1
+
+    def give_back(self) -> None:
+        self.used -= 1
+        self.wake()
+
+    def wake(self) -> None:
+        while self.waiting:
+            place = self.waiting.popleft()
+            if not place.done():
+                place.set_result(None)
+                return
+
+    def rests(self, connection: Any, close: Callable[[], None]) -> None:
+        self.resting[connection] = close
+
+    def works(self, connection: Any) -> None:
+        self.resting.pop(connection, None)
--- /dev/null
+++ b/locktide/net/server.py
@@ -0,0 +1,210 @@
+"""The one address on which clients hand in submissions and workers call back."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Collection
+from contextlib import suppress
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+from locktide.config.start import Address
+from locktide.net.descriptors import Allotment
+from locktide.net.log import Log
+from locktide.protocol import clients
+
+READ = 65536
+MOST_UNREAD = 2 * READ  # of a client that goes on writing while it waits
+HALF_READ_FOR = 10.0  # seconds for one message to come in; far over the slowest honest sender
+BACKLOG = 1024
+
+
+@dataclass(slots=True)
+class Answer:
+    status: int
+    body: bytes = b""
+    headers: list[tuple[str, str]] = field(default_factory=list)
+
+
+class Desk(Protocol):
+    """Who takes what the server reads."""
+
+    def ready(self) -> bool: ...
+
+    def submitted(self, message: clients.Submitted) -> asyncio.Future[Answer] | None:
+        """The answer to come; None where a submission of that id is open."""
+
+    def gone(self, message: clients.Submitted) -> None: ...
+
+    def called(self, message: clients.Called) -> None: ...
+
+
+class Server:
+    """Owns the listening socket and the connections that it accepted."""
+
+    def __init__(
+        self, places: Allotment, grades: Collection[str], numbered: Collection[str], desk: Desk, log: Log
+    ) -> None:
+        self.places, self.grades, self.numbered, self.desk, self.log = places, grades, numbered, desk, log
+        self.callers: dict[Caller, asyncio.Task[None]] = {}
+        self.stopping = False
+
+    def listen(self, address: Address) -> None:
+        self.socket = socket.create_server(address, backlog=BACKLOG)
+        self.socket.setblocking(False)
+        self.accepting = asyncio.create_task(self.accept())
+
+    async def accept(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            # What must wait for a place waits in the kernel's queue: a connection is never turned away.
+            await self.places.take()
+            try:
+                connection, _ = await loop.sock_accept(self.socket)
+                reader = asyncio.StreamReader(limit=READ)
+                protocol = asyncio.StreamReaderProtocol(reader)
+                transport, _ = await loop.connect_accepted_socket(
+                    lambda protocol=protocol: protocol, connection  # type: ignore[misc]
+                )
+            except OSError as trouble:
+                self.places.give_back()
+                self.log.say(f"clients: cannot accept ({trouble})")
+                await asyncio.sleep(0.01)
+                continue
+            caller = Caller(self, reader, asyncio.StreamWriter(transport, protocol, reader, loop))
+            self.callers[caller] = asyncio.create_task(self.serve(caller))
+
+    async def serve(self, caller: Caller) -> None:
+        try:
+            await caller.converse()
+        except OSError:
+            pass  # the other side is gone; what it had handed in has been told
+        except Exception as trouble:
+            self.log.say(f"clients: a connection ended by {type(trouble).__name__}: {trouble}")
+        finally:
+            await caller.close()
+            del self.callers[caller]
+            self.places.give_back()
+
+    def wind_down(self) -> None:
+        """From now on connections end with their answers; those of clients that are at rest end now."""
+        self.stopping = True
+        for caller in self.callers:
+            if caller.resting and not caller.calls_back:
+                caller.writer.close()
+
+    async def stop(self) -> None:
+        """Takes in nothing more; ends what is left."""
+        self.accepting.cancel()
+        self.socket.close()
+        for task in list(self.callers.values()):
+            task.cancel()
+        await asyncio.gather(*self.callers.values(), return_exceptions=True)
+
+
+class Caller:
+    """One accepted connection."""
+
+    def __init__(self, server: Server, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.server, self.reader, self.writer = server, reader, writer
+        self.talk = clients.Conversation(server.grades, server.numbered)
+        self.reading: asyncio.Task[bytes] | None = None
+        self.resting = self.calls_back = False
+
+    def read(self) -> asyncio.Task[bytes]:
+        """The read that is going on, or a new one: it outlives the wait for an answer."""
+        if self.reading is None:
+            self.reading = asyncio.ensure_future(self.reader.read(READ))
+        return self.reading
+
+    def take(self) -> bytes:
+        assert self.reading is not None
+        data, self.reading = self.reading.result(), None
+        self.talk.feed(data)
+        return data
+
+    async def converse(self) -> None:
+        while not self.talk.last:
+            message = self.talk.next()
+            if message is None:
+                if not await self.more():
+                    return
+            elif isinstance(message, clients.Over):
+                return
+            elif isinstance(message, clients.Submitted):
+                if not await self.submission(message):
+                    return
+            elif isinstance(message, clients.Called):
+                self.calls_back = True
+                self.server.desk.called(message)
+                await self.write(Answer(204))
+            elif isinstance(message, clients.Asked):
+                good = not message.ready or self.server.desk.ready()
+                await self.write(Answer(200, b"ok\n") if good else Answer(500, b"not ready\n"))
+            else:
+                await self.write(Answer(message.status, message.reason.encode() + b"\n"))
+                if self.talk.last:
+                    await self.linger()
+
+    async def more(self) -> bool:
+        """Waits for more of a message, as long as it takes if none has begun; whether there is more."""
+        if self.talk.wants_go_ahead():
+            self.writer.writelines(self.talk.go_ahead())
+        if self.talk.between:
+            self.resting = True
+            self.server.places.rests(self, self.writer.close)
+            await asyncio.wait([self.read()])
+            self.resting = False
+            self.server.places.works(self)
+            # Closed by us while at rest: what came all the same was not read, and is sent anew elsewhere.
+            if self.writer.is_closing():
+                return False
+        elif not (await asyncio.wait([self.read()], timeout=HALF_READ_FOR))[0]:
+            return False
+        return bool(self.take())
+
+    async def submission(self, message: clients.Submitted) -> bool:
+        """Hands it in and waits for its answer, or for the client to go away."""
+        answer = self.server.desk.submitted(message)
+        if answer is None:
+            await self.write(Answer(409, b"a submission of this id is open\n"))
+            return True
+        try:
+            while not answer.done():
+                first: list[asyncio.Future[Any]] = [answer, self.read()]
+                await asyncio.wait(first, return_when=asyncio.FIRST_COMPLETED)
+                if not answer.done() and (not self.take() or self.talk.unread > MOST_UNREAD):
+                    return False
+            await self.write(answer.result())
+            return True
+        finally:
+            if not answer.done():
+                self.server.desk.gone(message)
+
+    async def write(self, answer: Answer) -> None:
+        last = self.server.stopping and not self.calls_back
+        self.writer.writelines(self.talk.answer(answer.status, answer.body, answer.headers, last))
+        await self.writer.drain()
+
+    async def linger(self) -> None:
+        """Reads on for a moment, so that what is still coming does not reset the answer on its way."""
+        with suppress(TimeoutError, OSError):
+            async with asyncio.timeout(1.0):
+                self.writer.write_eof()
+                while self.take_raw(await asyncio.shield(self.read())):
+                    pass
+
+    def take_raw(self, data: bytes) -> bool:
+        self.reading = None
+        return bool(data)
+
+    async def close(self) -> None:
+        self.server.places.works(self)
+        if self.reading is not None:
+            self.reading.cancel()
+        self.writer.close()
+        with suppress(TimeoutError, OSError):
+            async with asyncio.timeout(1.0):
+                await self.writer.wait_closed()
+        self.writer.transport.abort()
--- /dev/null
+++ b/locktide/net/watch.py
@@ -0,0 +1,62 @@
+"""Follows the worker list at discovery."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from locktide.config.checks import Faulty
+from locktide.config.start import Address
+from locktide.net.log import Log
+from locktide.protocol import discovery
+from locktide.protocol.exchange import Broken, Exchange
+
+# News that does not reach us counts as told 2 s after the wait is over: a short wait keeps that close. One
+# call a second costs well under a thousandth of a core.
+WAIT_MS = 1000
+# The agent answers at once when the wait is over; half a second later it is silent, and we call anew.
+PATIENCE = 0.5
+GAP = 0.1  # after a call that failed at once; the next must come within 200 ms
+
+
+class Watch:
+    def __init__(self, address: Address, take: Callable[[discovery.Sheet], None], log: Log) -> None:
+        self.address, self.take, self.log = address, take, log
+        self.version: int | None = None  # until the first answer we ask for the whole list
+        self.failing = False
+
+    async def run(self) -> None:
+        while True:
+            try:
+                await self.follow()
+            except (OSError, Broken, ValueError, Faulty) as trouble:
+                if not self.failing:
+                    what = f"{type(trouble).__name__}: {trouble}"
+                    self.log.say(f"worker list: no answer ({what}), calling anew")
+                self.failing = True
+                if not isinstance(trouble, TimeoutError):
+                    await asyncio.sleep(GAP)
+
+    async def follow(self) -> None:
+        """Calls on one connection for as long as it answers."""
+        connecting = asyncio.open_connection(*self.address, limit=1 << 20)
+        reader, writer = await asyncio.wait_for(connecting, PATIENCE)
+        try:
+            exchange = Exchange(f"{self.address[0]}:{self.address[1]}", discovery.LARGEST_LIST)
+            while exchange.at_rest:
+                writer.writelines(exchange.ask(discovery.question(self.version, WAIT_MS)))
+                reply = None
+                async with asyncio.timeout(WAIT_MS / 1000 + PATIENCE):
+                    while reply is None:
+                        reply = exchange.feed(await reader.read(1 << 20))
+                if reply.status != 200:
+                    raise Broken(f"status {reply.status}")
+                sheet = discovery.parse(reply.body)
+                self.version = sheet.version
+                if self.failing:
+                    self.failing = False
+                    self.log.say(f"worker list: answers again, version {sheet.version}")
+                if sheet.whole or sheet.entries:
+                    self.take(sheet)
+        finally:
+            writer.transport.abort()
--- /dev/null
+++ b/locktide/net/workers.py
@@ -0,0 +1,125 @@
+"""Connections to workers: opened when needed, kept for the next dispatch, closed before a worker would."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from locktide.config.start import Address
+from locktide.dispatch import interface as say
+from locktide.net.descriptors import Allotment
+from locktide.protocol.exchange import Broken, Exchange, Question, Reply
+
+READ = 65536
+
+
+class Line:
+    """One connection to a worker; it carries one question at a time."""
+
+    __slots__ = ("worker", "address", "reader", "writer", "exchange", "rested_at")
+
+    def __init__(
+        self, worker: str, address: Address, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.worker, self.address, self.reader, self.writer = worker, address, reader, writer
+        self.exchange = Exchange(f"{address[0]}:{address[1]}")
+        self.rested_at = 0.0
+        # So that `drain` returns only once all is in the kernel's hands: before that, it has not been sent.
+        writer.transport.set_write_buffer_limits(high=0)
+
+    @property
+    def fresh(self) -> bool:
+        """Nothing has come since the last reply: neither an end nor what nobody asked for."""
+        return not self.reader.at_eof() and not self.writer.is_closing()
+
+
+class Lines:
+    """Owns all connections to workers; `close` is the one place where one is given back."""
+
+    def __init__(self, places: Allotment, connect_within: int, idle_close: int) -> None:
+        self.places = places
+        self.connect_within = connect_within / 1e6
+        # Half: what we write must not cross the worker's own closing, however late either of us runs.
+        self.idle_for = idle_close / 2e6
+        self.idle: dict[str, list[Line]] = {}  # by worker, rested longest first
+
+    async def ask(
+        self, worker: str, address: Address, build: Callable[[], Question | None], sent: Callable[[], None]
+    ) -> Reply | str:
+        """One question and its reply, or the outcome that took its place.
+
+        `build` is called right before the first byte and gives None where nothing must go out any more;
+        `sent` is called once the last byte is written. Cancelled, it closes the connection.
+        """
+        try:
+            line = await self.open(worker, address)
+        except OSError:
+            return say.NO_CONNECTION
+        if line is None:
+            return say.NEVER_SENT
+        whole = False
+        try:
+            question = build()
+            if question is None:
+                return say.NEVER_SENT
+            line.writer.writelines(line.exchange.ask(question))
+            await line.writer.drain()
+            whole = True
+            sent()
+            reply = None
+            while reply is None:
+                reply = line.exchange.feed(await line.reader.read(READ))
+            return reply
+        except (OSError, Broken):
+            return say.RESET if whole else say.NO_CONNECTION
+        finally:
+            self.rest(line)
+
+    async def open(self, worker: str, address: Address) -> Line | None:
+        """A connection that is at rest, else a new one; None where no place came free in time."""
+        while lines := self.idle.get(worker):
+            line = lines.pop()
+            self.places.works(line)
+            if line.fresh and line.address == address:
+                return line
+            self.close(line)
+        try:
+            await asyncio.wait_for(self.places.take(), self.connect_within)
+        except TimeoutError:
+            return None
+        try:
+            connecting = asyncio.open_connection(*address, limit=READ)
+            reader, writer = await asyncio.wait_for(connecting, self.connect_within)
+        except BaseException:
+            self.places.give_back()
+            raise
+        return Line(worker, address, reader, writer)
+
+    def rest(self, line: Line) -> None:
+        if not line.exchange.at_rest or not line.fresh:
+            self.close(line)
+            return
+        line.rested_at = asyncio.get_running_loop().time()
+        self.idle.setdefault(line.worker, []).append(line)
+        self.places.rests(line, lambda: self.drop(line))
+
+    def drop(self, line: Line) -> None:
+        self.idle[line.worker].remove(line)
+        self.close(line)
+
+    def close(self, line: Line) -> None:
+        self.places.works(line)
+        line.writer.transport.abort()
+        self.places.give_back()
+
+    def forget(self, worker: str) -> None:
+        """Closes what rests: the worker is gone, has moved, or has started anew."""
+        for line in self.idle.pop(worker, []):
+            self.close(line)
+
+    def sweep(self) -> None:
+        """Closes what has rested long enough or was closed by the worker."""
+        before = asyncio.get_running_loop().time() - self.idle_for
+        for lines in self.idle.values():
+            for line in [line for line in lines if line.rested_at < before or not line.fresh]:
+                self.drop(line)
--- /dev/null
+++ b/locktide/node/node.py
@@ -0,0 +1,277 @@
+"""One dispatcher: turns what the sockets bring into news, and carries out the orders; it decides nothing."""
+
+from __future__ import annotations
+
+import asyncio
+import traceback
+from collections.abc import Callable
+from typing import Any
+
+from locktide.config.start import Start
+from locktide.dispatch import interface as say
+from locktide.dispatch.rules import Dispatcher
+from locktide.net.descriptors import divide
+from locktide.net.log import Log
+from locktide.net.server import Answer, Server
+from locktide.net.watch import Watch
+from locktide.net.workers import Lines
+from locktide.node.clock import Clock
+from locktide.node.records import Fleet, Held, Shot
+from locktide.protocol import clients, discovery, names, workers
+from locktide.protocol.exchange import Question, Reply
+
+# What is left of the client's time when we call it up: its way to us, ours back, and a late turn of the loop.
+ON_THE_WAY = 25_000
+# After that, how long the decisions have for their answer before one goes out without them.
+OVERDUE = 10_000
+# Connections go on coming for 0.4 s after SIGTERM.
+ACCEPT_ON = 0.5
+# SIGKILL comes 3.7 s after SIGTERM at the earliest; what is open shortly before is answered as terminated.
+LONGEST_STOP = 3.4
+
+
+class Node:
+    def __init__(self, start: Start, known: discovery.Sheet, log: Log) -> None:
+        loop = asyncio.get_running_loop()
+        self.loop, self.log, self.clock = loop, log, Clock(loop)
+        grades: list[say.Grade] = start.terms[2]
+        self.dispatcher = Dispatcher(start.seed, *start.terms)
+        self.held: dict[str, Held] = {}
+        self.fleet = Fleet()
+        self.news: list[Any] = []
+        self.handing_over = False
+        self.serving = False
+        self.tasks: set[asyncio.Task[None]] = set()  # dispatches and withdrawals on their way
+        self.connect_within = start.connect_within
+        to_clients, to_workers = divide(start.descriptors)
+        self.lines = Lines(to_workers, start.connect_within, start.idle_close)
+        numbered = [grade.name for grade in grades if grade.effect == say.NUMBERED]
+        self.server = Server(to_clients, [grade.name for grade in grades], numbered, self, log)
+        self.watch = Watch(start.discovery, self.take_list, log)
+        self.listen_at = start.listen
+        self.orders: dict[type, Callable[[Any], None]] = {
+            say.Dispatch: self.dispatch,
+            say.Withdraw: self.withdraw,
+            say.Deny: self.deny,
+            say.Terminate: self.terminate,
+            say.Wake: self.wake,
+            say.Log: lambda order: log.say(order.line),
+            # The watch is always on, and the protocol has no messages between dispatchers.
+            say.WatchList: lambda order: None,
+            say.FetchList: lambda order: None,
+            say.TellPeer: lambda order: None,
+        }
+        self.fleet.take(known)
+        self.tell(say.ListNews(say.REMEMBERED, known.entries))
+
+    # --- the life of the dispatcher
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Serves until `stop`, finishes what it has taken, and returns."""
+        watching = asyncio.create_task(self.watch.run())
+        sweeping = asyncio.create_task(self.sweep())
+        self.server.listen(self.listen_at)
+        await asyncio.sleep(0)  # the remembered list is handed over before the first submission
+        self.serving = True
+        host, port = self.listen_at
+        self.log.say(f"serving on {host}:{port}, {len(self.fleet.entries)} workers known")
+        await stop.wait()
+        begun = self.loop.time()
+        self.log.say(f"stopping: {self.open()} submissions open")
+        self.server.wind_down()
+        while self.loop.time() - begun < ACCEPT_ON or self.open():
+            if self.loop.time() - begun > LONGEST_STOP:
+                self.give_up()
+                break
+            await asyncio.sleep(0.02)
+        await asyncio.sleep(0.05)  # the last answers leave
+        watching.cancel()
+        sweeping.cancel()
+        await self.server.stop()
+        self.log.say("stopped")
+
+    def open(self) -> int:
+        return sum(held.open for held in self.held.values())
+
+    def give_up(self) -> None:
+        for held in list(self.held.values()):
+            if held.open:
+                held.answer.set_result(Answer(502, b"stopping\n"))
+
+    async def sweep(self) -> None:
+        while True:
+            await asyncio.sleep(1.0)
+            self.lines.sweep()
+
+    # --- news in, orders out
+
+    def tell(self, piece: Any) -> None:
+        """Puts a piece of news with the others; all that is ready by then goes in one call."""
+        self.news.append(piece)
+        if not self.handing_over:
+            self.handing_over = True
+            self.loop.call_soon(self.hand_over)
+
+    def hand_over(self) -> None:
+        self.handing_over = False
+        news, self.news = self.news, []
+        try:
+            orders = self.dispatcher.turn(self.clock.now(), news)
+        except Exception:
+            self.log.say("the decisions failed: " + " | ".join(traceback.format_exc().splitlines()[-3:]))
+            return
+        for order in orders:
+            self.orders[type(order)](order)
+
+    def wake(self, order: say.Wake) -> None:
+        self.loop.call_later(order.after / 1e6, self.tell, say.TimerDue(order.mark))
+
+    def take_list(self, sheet: discovery.Sheet) -> None:
+        for worker in self.fleet.take(sheet):
+            self.lines.forget(worker)
+        self.tell(say.ListNews(say.WHOLE if sheet.whole else say.CHANGES, sheet.entries))
+
+    # --- submissions
+
+    def ready(self) -> bool:
+        return self.serving
+
+    def submitted(self, message: clients.Submitted) -> asyncio.Future[Answer] | None:
+        if message.id in self.held:
+            return None
+        now = self.clock.now()
+        limit_at = now + message.patience - min(ON_THE_WAY, message.patience // 4)
+        held = Held(message, limit_at, self.loop.create_future())
+        self.held[message.id] = held
+        held.timer = self.loop.call_at(self.clock.at(limit_at), self.time_out, held)
+        self.tell(say.Arrival(message.id, message.grade, limit_at, message.width, retry=message.retry))
+        return held.answer
+
+    def gone(self, message: clients.Submitted) -> None:
+        held = self.held.get(message.id)
+        if held is not None and held.open:
+            held.answer.cancel()
+            self.tell(say.ClientGone(message.id))
+            self.let_go(held)
+
+    def answer(self, held: Held, answer: Answer) -> None:
+        if held.open:
+            held.answer.set_result(answer)
+        self.let_go(held)
+
+    def let_go(self, held: Held) -> None:
+        if held.settled:
+            if held.timer is not None:
+                held.timer.cancel()
+            self.held.pop(held.message.id, None)
+
+    def deny(self, order: say.Deny) -> None:
+        advice = [("Retry-After", f"{order.come_back_after / 1e6:.3f}")] if order.come_back_after else []
+        if order.submission in self.held:
+            self.answer(self.held[order.submission], Answer(503, b"denied\n", advice))
+
+    def terminate(self, order: say.Terminate) -> None:
+        if order.submission in self.held:
+            self.answer(self.held[order.submission], Answer(502, b"terminated\n"))
+
+    def time_out(self, held: Held) -> None:
+        """The time limit: nobody waits any longer, neither for a dispatch nor with the client."""
+        for shot in held.out():
+            self.call_off(held, shot)
+            self.end(held, shot, say.TIMED_OUT)
+        held.timer = self.loop.call_later(OVERDUE / 1e6, self.overdue, held)
+
+    def overdue(self, held: Held) -> None:
+        if held.open:
+            self.log.say(f"submission {held.message.id}: no answer from the decisions in time, terminated")
+            self.answer(held, Answer(504, b"terminated\n"))
+
+    # --- dispatches
+
+    def dispatch(self, order: say.Dispatch) -> None:
+        held = self.held[order.submission]
+        shot = Shot(len(held.shots), order.worker)
+        held.shots.append(shot)
+        shot.task = self.start(self.carry(held, shot))
+
+    def start(self, work: Any) -> asyncio.Task[None]:
+        task: asyncio.Task[None] = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    async def carry(self, held: Held, shot: Shot) -> None:
+        """Takes one dispatch to its worker; what becomes of the job is told by callback."""
+        def build() -> Question | None:
+            left = held.limit_at - self.clock.now()
+            if shot.outcome or not held.open or left <= 0 or not self.fleet.may_send(shot.worker):
+                return None
+            shot.begun = True
+            return workers.job(held.message, left)
+
+        def sent() -> None:
+            shot.written = True
+
+        address = self.fleet.addresses[shot.worker]
+        reply = await self.lines.ask(shot.worker, address, build, sent)
+        outcome = workers.outcome(reply) if isinstance(reply, Reply) else reply
+        if outcome is None:
+            shot.accepted = True
+            if shot.withdrawing or shot.outcome == say.TIMED_OUT:
+                self.start(self.delete(held, shot))
+        else:
+            self.end(held, shot, outcome)
+
+    def end(self, held: Held, shot: Shot, outcome: str) -> None:
+        """The one outcome of a dispatch; the first that is known counts."""
+        if shot.outcome:
+            return
+        shot.outcome = outcome
+        final = not held.open
+        self.tell(say.Ended(held.message.id, shot.number, outcome, final))
+        self.let_go(held)
+
+    def withdraw(self, order: say.Withdraw) -> None:
+        held = self.held.get(order.submission)
+        if held is None or order.shot >= len(held.shots):
+            return
+        shot = held.shots[order.shot]
+        if shot.outcome or shot.withdrawing:
+            return
+        shot.withdrawing = True
+        if self.call_off(held, shot):
+            self.end(held, shot, say.WITHDRAWN if shot.begun else say.NEVER_SENT)
+
+    def call_off(self, held: Held, shot: Shot) -> bool:
+        """Before the 202 by closing the connection, which is done at once; after it by a message."""
+        if not shot.accepted:
+            assert shot.task is not None
+            shot.task.cancel()
+            return True
+        self.start(self.delete(held, shot))
+        return False
+
+    async def delete(self, held: Held, shot: Shot) -> None:
+        address = self.fleet.addresses[shot.worker]
+        question = workers.withdrawal(held.message.id)
+        try:
+            # As long as a connection may take, and no longer: a silent worker must not hold up the rest.
+            async with asyncio.timeout(2 * self.connect_within / 1e6):
+                await self.lines.ask(shot.worker, address, lambda: question, lambda: None)
+        except TimeoutError:
+            self.log.say(f"worker {shot.worker}: no answer to a withdrawal")
+        self.end(held, shot, say.WITHDRAWN)
+
+    def called(self, message: clients.Called) -> None:
+        held = self.held.get(message.submission)
+        shot = held.out_at(message.worker) if held is not None else None
+        if held is None or shot is None:
+            return  # late, or for nobody: it is acknowledged all the same
+        if message.state == names.STARTED:
+            self.tell(say.Started(message.submission, shot.number))
+        elif message.state == names.RUNNING:
+            self.tell(say.Progressed(message.submission, shot.number, message.share))
+        elif message.outcome is not None:
+            if message.outcome == say.DONE and held.open:
+                held.answer.set_result(Answer(200, message.result))
+            self.end(held, shot, message.outcome)
--- /dev/null
+++ b/locktide/protocol/clients.py
@@ -0,0 +1,218 @@
+"""The other side of a connection on which we are asked: clients, and workers that call back."""
+
+from __future__ import annotations
+
+import json
+import re
+from collections.abc import Collection
+from dataclasses import dataclass
+from urllib.parse import unquote
+
+import h11
+
+from locktide.protocol import names
+
+# What concerns one connection only, or is written anew for the next one.
+NOT_ONWARD = frozenset(
+    name.encode()
+    for name in (
+        "host", "connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding",
+        "upgrade", "expect", "content-length", names.TIME_LIMIT.lower(),
+    )
+)
+SPAN = re.compile(r"(\d{1,12}(?:\.\d{1,9})?)([mu])")
+
+
+@dataclass(slots=True)
+class Submitted:
+    id: str
+    grade: str
+    patience: int  # how long the client waits for the answer, in microseconds
+    width: float
+    retry: bool
+    method: str
+    target: str
+    onward: list[tuple[str, str]]  # header fields that go on to the worker unchanged
+    body: bytes
+
+
+@dataclass(slots=True)
+class Called:
+    """What a worker tells of a job. `outcome` is set where that ends the dispatch."""
+
+    submission: str
+    worker: str
+    state: str
+    share: float
+    outcome: str | None
+    result: bytes
+
+
+@dataclass(slots=True)
+class Asked:
+    """Whether we are ready, or only whether we live."""
+
+    ready: bool
+
+
+@dataclass(slots=True)
+class Mistaken:
+    """A message that is not taken; `status` is a 4xx."""
+
+    status: int
+    reason: str
+
+
+class Over:
+    """The other side has closed."""
+
+
+Message = Submitted | Called | Asked | Mistaken | Over
+
+
+class Conversation:
+    """Fed bytes; gives one message at a time, and writes the answer to each before the next is given."""
+
+    def __init__(self, grades: Collection[str], numbered: Collection[str]) -> None:
+        self.machine = h11.Connection(h11.SERVER)
+        self.grades, self.numbered = grades, numbered
+        self.head: h11.Request | None = None
+        self.body = bytearray()
+        self.last = False  # nothing can follow on this connection
+
+    def feed(self, data: bytes) -> None:
+        try:
+            self.machine.receive_data(data)
+        except RuntimeError:  # more after the end of the stream; the end is what counts
+            pass
+
+    @property
+    def between(self) -> bool:
+        """No byte of a message is here that has not been answered."""
+        return self.machine.their_state is h11.IDLE and not self.machine.trailing_data[0]
+
+    @property
+    def unread(self) -> int:
+        return len(self.machine.trailing_data[0])
+
+    def wants_go_ahead(self) -> bool:
+        return self.machine.they_are_waiting_for_100_continue
+
+    def go_ahead(self) -> list[bytes]:
+        event = h11.InformationalResponse(status_code=100, headers=[])
+        return self.machine.send_with_data_passthrough(event) or []
+
+    def next(self) -> Message | None:
+        """The next message; None until more is fed."""
+        try:
+            while True:
+                event = self.machine.next_event()
+                if event is h11.NEED_DATA or event is h11.PAUSED:
+                    return None
+                if isinstance(event, h11.Request):
+                    self.head, self.body = event, bytearray()
+                    for name, value in event.headers:
+                        if name == b"content-length" and int(value) > names.LARGEST_BODY:
+                            return self.too_large()
+                elif isinstance(event, h11.Data):
+                    self.body += event.data
+                    if len(self.body) > names.LARGEST_BODY:
+                        return self.too_large()
+                elif isinstance(event, h11.EndOfMessage):
+                    return self.message()
+                elif isinstance(event, h11.ConnectionClosed):
+                    return Over()
+        except h11.RemoteProtocolError as trouble:
+            self.last = True
+            return Mistaken(trouble.error_status_hint, str(trouble))
+
+    def too_large(self) -> Mistaken:
+        self.last = True
+        return Mistaken(413, f"a body holds at most {names.LARGEST_BODY} bytes")
+
+    def message(self) -> Message:
+        assert self.head is not None
+        try:
+            method, target = self.head.method.decode("ascii"), self.head.target.decode("ascii")
+            fields = {name.decode("ascii"): value.decode("latin-1") for name, value in self.head.headers}
+        except UnicodeDecodeError:
+            return Mistaken(400, "a head holds ASCII")
+        path = target.partition("?")[0]
+        if path in (names.READY, names.LIVE):
+            return Asked(path == names.READY) if method in ("GET", "HEAD") else Mistaken(405, "expected GET")
+        if path == names.CALLBACK:
+            return self.callback() if method == "POST" else Mistaken(405, "expected POST")
+        first = unquote(path.split("/")[1]) if path.startswith("/") else ""
+        if first not in self.grades:
+            return Mistaken(404, "no such path")
+        if method != "POST":
+            return Mistaken(405, "expected POST")
+        return self.submission(first, method, target, fields)
+
+    def submission(self, grade: str, method: str, target: str, fields: dict[str, str]) -> Message:
+        assert self.head is not None
+        if fields.get(names.GRADE.lower(), grade) != grade:
+            return Mistaken(400, f"{names.GRADE} and the path differ")
+        id = fields.get(names.ID.lower(), "")
+        if not id:
+            return Mistaken(400, f"{names.ID} is missing")
+        span = SPAN.fullmatch(fields.get(names.TIME_LIMIT.lower(), ""))
+        if not span:
+            return Mistaken(400, f"{names.TIME_LIMIT}: expected a number and m or u")
+        if grade in self.numbered and not fields.get(names.NUMBER.lower()):
+            return Mistaken(400, f"{names.NUMBER} is missing")
+        width = 1.0
+        for pair in fields.get(names.EXTRAS.lower(), "").split(","):
+            name, _, value = pair.strip().partition("=")
+            if name == names.WIDTH:
+                if not re.fullmatch(r"\d{1,6}(\.\d{1,6})?", value) or not float(value):
+                    return Mistaken(400, f"{names.EXTRAS}: expected a number of {names.WIDTH}")
+                width = float(value)
+        onward = [
+            (raw.decode("ascii"), value.decode("latin-1"))
+            for (name, value), (raw, _) in zip(
+                self.head.headers, self.head.headers.raw_items(), strict=True
+            )
+            if name not in NOT_ONWARD
+        ]
+        patience = round(float(span[1]) * (1000 if span[2] == "m" else 1))
+        retry = fields.get(names.RETRY.lower()) == "1"
+        return Submitted(id, grade, patience, width, retry, method, target, onward, bytes(self.body))
+
+    def callback(self) -> Message:
+        try:
+            told = json.loads(self.body)
+            submission, worker, state = told["id"], told["from"], told["state"]
+            if not isinstance(submission, str) or not isinstance(worker, str):
+                raise ValueError
+            if state == names.RUNNING:
+                share = float(told["share"])
+                return Called(submission, worker, state, min(1.0, max(0.0, share)), None, b"")
+            if state == names.STARTED:
+                return Called(submission, worker, state, 0.0, None, b"")
+            result = told["result"].encode("utf-8", "surrogatepass") if state == "done" else b""
+            return Called(submission, worker, state, 0.0, names.ENDS[state], result)
+        except (ValueError, KeyError, TypeError, AttributeError, RecursionError):
+            return Mistaken(400, "expected a callback")
+
+    def answer(self, status: int, body: bytes, headers: list[tuple[str, str]], last: bool) -> list[bytes]:
+        """The answer to the message given last, in pieces; `last` closes the connection after it."""
+        self.last = self.last or last
+        if self.machine.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            self.last = True
+            return []
+        if status != 204:
+            headers = [*headers, ("Content-Length", str(len(body)))]
+        if self.last:
+            headers = [*headers, ("Connection", "close")]
+        send = self.machine.send_with_data_passthrough
+        pieces = send(h11.Response(status_code=status, headers=headers)) or []
+        if body and (self.head is None or self.head.method != b"HEAD"):
+            pieces += send(h11.Data(data=body)) or []
+        pieces += send(h11.EndOfMessage()) or []
+        if (self.machine.our_state, self.machine.their_state) == (h11.DONE, h11.DONE) and not self.last:
+            self.machine.start_next_cycle()
+        else:
+            self.last = True
+        self.head = None
+        return pieces
--- /dev/null
+++ b/locktide/protocol/exchange.py
@@ -0,0 +1,87 @@
+"""Our side of a connection on which we ask: one question, one reply, then the next."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import h11
+
+from locktide.protocol import names
+
+Headers = list[tuple[str, str]]
+
+
+class Broken(Exception):
+    """The connection ended, or said what HTTP does not allow, before the reply was whole."""
+
+
+@dataclass(slots=True)
+class Question:
+    method: str
+    target: str
+    headers: Headers
+    body: bytes = b""
+
+
+@dataclass(slots=True)
+class Reply:
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class Exchange:
+    """Fed what comes in; gives what is to be written as pieces, and the reply once it is whole."""
+
+    def __init__(self, host: str, largest: int = names.LARGEST_BODY) -> None:
+        self.machine = h11.Connection(h11.CLIENT)
+        self.host, self.largest = host, largest
+        self.reply: Reply | None = None
+        self.body = bytearray()
+
+    def ask(self, question: Question) -> list[bytes]:
+        self.reply, self.body = None, bytearray()
+        headers = [("Host", self.host), *question.headers]
+        if question.body or question.method == "POST":
+            headers.append(("Content-Length", str(len(question.body))))
+        pieces: list[bytes] = []
+        events: list[h11.Event] = [
+            h11.Request(method=question.method, target=question.target, headers=headers),
+            h11.EndOfMessage(),
+        ]
+        if question.body:
+            events.insert(1, h11.Data(data=question.body))
+        for event in events:
+            pieces += self.machine.send_with_data_passthrough(event) or []
+        return pieces
+
+    def feed(self, data: bytes) -> Reply | None:
+        """Takes what was read, nothing at the end of the stream; the reply once it is whole."""
+        try:
+            self.machine.receive_data(data)
+            while True:
+                event = self.machine.next_event()
+                if event is h11.NEED_DATA or event is h11.PAUSED:
+                    return None
+                if isinstance(event, h11.Response):
+                    headers = {name.decode(): value.decode("latin-1") for name, value in event.headers}
+                    self.reply = Reply(event.status_code, headers, b"")
+                elif isinstance(event, h11.Data):
+                    self.body += event.data
+                    if len(self.body) > self.largest:
+                        raise Broken("a reply over the limit")
+                elif isinstance(event, h11.EndOfMessage) and self.reply is not None:
+                    self.reply.body = bytes(self.body)
+                    if self.machine.our_state is self.machine.their_state is h11.DONE:
+                        self.machine.start_next_cycle()
+                    return self.reply
+                elif isinstance(event, h11.ConnectionClosed):
+                    raise Broken("ended before the reply")
+        except h11.RemoteProtocolError as trouble:
+            raise Broken(str(trouble)) from None
+
+    @property
+    def at_rest(self) -> bool:
+        """Nothing has been asked that is not answered, and the next question may follow."""
+        idle = self.machine.our_state is self.machine.their_state is h11.IDLE
+        return idle and not self.machine.trailing_data[0]
--- /dev/null
+++ b/locktide/protocol/names.py
@@ -0,0 +1,30 @@
+"""The names on the sockets, all in one place."""
+
+from __future__ import annotations
+
+from locktide.dispatch import interface as say
+
+# Header fields, as they go out; they are compared in lower case.
+ID = "Req-Id"
+GRADE = "Req-Kind"
+NUMBER = "Idempotency-Key"
+TIME_LIMIT = "Req-Deadline"
+RETRY = "Req-Retry"
+EXTRAS = "Req-Extra"
+DECLINED = "Srv-Declined"
+WIDTH = "slots"  # among the extras
+
+READY = "/health/ready"
+LIVE = "/health/live"
+CALLBACK = "/callback"
+JOBS = "/jobs/"
+INSTANCES = "/registry/instances"
+
+# What a worker tells by callback. The last four end a dispatch.
+STARTED = "started"
+RUNNING = "running"
+ENDS = {"done": say.DONE, "failed": say.ERROR, "returned": say.FULL, "lost": say.RESET}
+
+LIST_STATES = {"active": say.READY, "leaving": say.DRAINING, "left": say.GONE}
+
+LARGEST_BODY = 64 * 1024
--- /dev/null
+++ b/locktide/protocol/workers.py
@@ -0,0 +1,31 @@
+"""What is said to workers, and what their replies mean."""
+
+from __future__ import annotations
+
+from urllib.parse import quote
+
+from locktide.dispatch import interface as say
+from locktide.protocol import names
+from locktide.protocol.clients import Submitted
+from locktide.protocol.exchange import Question, Reply
+
+
+def job(submitted: Submitted, time_left: int) -> Question:
+    """One dispatch: the submission as it came, with the time that we will wait."""
+    return Question(
+        submitted.method, submitted.target, [*submitted.onward, (names.TIME_LIMIT, f"{time_left}u")],
+        submitted.body,
+    )
+
+
+def withdrawal(submission: str) -> Question:
+    return Question("DELETE", names.JOBS + quote(submission, safe=""), [])
+
+
+def outcome(reply: Reply) -> str | None:
+    """How the reply ends the dispatch; None where the worker has taken the job."""
+    if reply.status == 202:
+        return None
+    if reply.status in (503, 504) and reply.headers.get(names.DECLINED.lower()) == "1":
+        return say.FULL
+    return say.ERROR
--- a/locktide/simhost/wire.py
+++ b/locktide/simhost/wire.py
@@ -7,12 +7,12 @@
 from collections.abc import Callable
 from typing import Any
 
+from locktide.config import settings
+from locktide.config.checks import Faulty, Table
 from locktide.dispatch import interface as say
 
 Fields = dict[str, str]
 
-EFFECTS = {"free": say.REISSUABLE, "guarded": say.NUMBERED, "single_shot": say.AT_MOST_ONCE}
-GROUPS = {"all": say.EVERYONE, "zone": say.SAME_ZONE, "cell": say.SAME_CELL}
 STATES = {"in_service": say.READY, "terminating": say.DRAINING, "terminated": say.GONE}
 LISTS = {"INCREMENTAL": say.CHANGES, "FULL": say.WHOLE, "SAVED": say.REMEMBERED, "FAILED": say.LIST_FAILED}
 OUTCOMES = {
@@ -197,57 +197,6 @@
 def terms(text: str) -> tuple[Any, ...]:
     """The start terms out of the settings, as `rules.Dispatcher` takes them after the seed."""
     try:
-        told = json.loads(text)
-        kinds = told.get("Kinds", [])
-        domain = told.get("Domain", {})
-        wanted = domain.get("ClassKind", [])
-        stretches = domain.get("ClassStretch", [])
-        grades = []
-        for place, entry in enumerate(told["ServiceGrades"]):
-            kind = wanted[place] if place < len(wanted) else -1
-            stretch = stretches[place] if place < len(stretches) else entry.get("AimStretch", 0.0)
-            grades.append(
-                say.Grade(
-                    entry["Name"],
-                    EFFECTS[entry["Semantics"]],
-                    GROUPS[entry.get("Group", "all")],
-                    micros(entry.get("MemorySpan", 0)),
-                    micros(entry["SoftLimit"]),
-                    float(stretch),
-                    micros(entry["TimeLimit"]),
-                    float(entry.get("Revenue", 1.0)),
-                    float(entry.get("OverdueRevenue", 0.0)),
-                    kinds[kind] if isinstance(kind, int) and 0 <= kind < len(kinds) else None,
-                )
-            )
-        ceilings = told.get("Ceilings", {})
-        rules = told.get("Rules", {})
-        advice = micros(ceilings.get("MaxRetryAfter", 0)) if ceilings.get("RetryAfter") else 0
-        return (
-            micros(told.get("Step", 1.0)),
-            int(told.get("FleetSize", 1)),
-            grades,
-            say.DispatchTerms(
-                int(ceilings.get("MaxDispatches", 1)),
-                bool(ceilings.get("SecondCopies", False)),
-                bool(ceilings.get("MayCancel", False)),
-            ),
-            say.ClientTerms(advice),
-            say.ShareTerms(
-                {realm["Name"]: float(realm.get("QuotaPerS", 0.0)) for realm in told.get("Realms", [])},
-                float(told.get("BeyondShareRevenue", 1.0)),
-                bool(ceilings.get("Peers", False)),
-                int(told.get("Me", 0)),
-            ),
-            say.GoalTerms(float(told.get("ObjectiveMix", {}).get("WorstClass", 0.0))),
-            say.ColdTerms(
-                float(rules.get("OverloadFactor", 1.0)),
-                micros(rules.get("OverloadFor", 0)),
-                float(rules.get("ColdFrom", 1.0)),
-                micros(rules.get("Cold", 0)),
-            ),
-            say.ListTerms(told.get("Discovery") == "subscribe", micros(rules.get("AskWithin", 10000))),
-            say.SignTerms(bool(domain.get("TellsStart", False)), micros(domain.get("Progress", 0))),
-        )
-    except (KeyError, TypeError, ValueError, AttributeError, IndexError) as trouble:
-        raise Malformed(f"expected settings as on the wire page: {trouble!r}") from None
+        return settings.terms(Table(json.loads(text), "Config"))
+    except (Faulty, ValueError) as trouble:
+        raise Malformed(f"expected settings as on the wire page: {trouble}") from None
