--- a/locktide/net/descriptors.py
+++ b/locktide/net/descriptors.py
@@ -55,6 +55,9 @@
 
     def rests(self, connection: Any, close: Callable[[], None]) -> None:
         self.resting[connection] = close
+        if self.waiting:
+            self.works(connection)
+            close()
 
     def works(self, connection: Any) -> None:
         self.resting.pop(connection, None)
--- a/locktide/net/server.py
+++ b/locktide/net/server.py
@@ -17,7 +17,10 @@
 READ = 65536
 MOST_UNREAD = 2 * READ  # of a client that goes on writing while it waits
 HALF_READ_FOR = 10.0  # seconds for one message to come in; far over the slowest honest sender
+TAKEN_WITHIN = 10.0  # seconds for an answer to be taken off our hands; clients read as it comes
 BACKLOG = 1024
+# Places that no waiting client may hold, so that workers can always call back and readiness be asked.
+FOR_CALLBACKS = 32
 
 
 @dataclass(slots=True)
@@ -48,6 +51,8 @@
     ) -> None:
         self.places, self.grades, self.numbered, self.desk, self.log = places, grades, numbered, desk, log
         self.callers: dict[Caller, asyncio.Task[None]] = {}
+        self.waiting = 0  # callers that wait for their answer
+        self.most_waiting = places.limit - FOR_CALLBACKS
         self.stopping = False
 
     def listen(self, address: Address) -> None:
@@ -60,6 +65,7 @@
         while True:
             # What must wait for a place waits in the kernel's queue: a connection is never turned away.
             await self.places.take()
+            connection = None
             try:
                 connection, _ = await loop.sock_accept(self.socket)
                 reader = asyncio.StreamReader(limit=READ)
@@ -68,6 +74,8 @@
                     lambda protocol=protocol: protocol, connection  # type: ignore[misc]
                 )
             except OSError as trouble:
+                if connection is not None:
+                    connection.close()
                 self.places.give_back()
                 self.log.say(f"clients: cannot accept ({trouble})")
                 await asyncio.sleep(0.01)
@@ -94,6 +102,10 @@
             if caller.resting and not caller.calls_back:
                 caller.writer.close()
 
+    def busy(self) -> bool:
+        """Whether a message is on its way in or an answer on its way out."""
+        return any(not caller.resting for caller in self.callers)
+
     async def stop(self) -> None:
         """Takes in nothing more; ends what is left."""
         self.accepting.cancel()
@@ -161,15 +173,22 @@
             if self.writer.is_closing():
                 return False
         elif not (await asyncio.wait([self.read()], timeout=HALF_READ_FOR))[0]:
+            self.talk.last = True
+            await self.write(Answer(408, b"half a message\n"))
             return False
         return bool(self.take())
 
     async def submission(self, message: clients.Submitted) -> bool:
         """Hands it in and waits for its answer, or for the client to go away."""
+        if self.server.waiting >= self.server.most_waiting:
+            self.server.log.say(f"clients: {self.server.waiting} wait, no room for more, terminated")
+            await self.write(Answer(500, b"no room\n"))
+            return True
         answer = self.server.desk.submitted(message)
         if answer is None:
             await self.write(Answer(409, b"a submission of this id is open\n"))
             return True
+        self.server.waiting += 1
         try:
             while not answer.done():
                 first: list[asyncio.Future[Any]] = [answer, self.read()]
@@ -179,13 +198,14 @@
             await self.write(answer.result())
             return True
         finally:
+            self.server.waiting -= 1
             if not answer.done():
                 self.server.desk.gone(message)
 
     async def write(self, answer: Answer) -> None:
         last = self.server.stopping and not self.calls_back
         self.writer.writelines(self.talk.answer(answer.status, answer.body, answer.headers, last))
-        await self.writer.drain()
+        await asyncio.wait_for(self.writer.drain(), TAKEN_WITHIN)
 
     async def linger(self) -> None:
         """Reads on for a moment, so that what is still coming does not reset the answer on its way."""
--- a/locktide/net/watch.py
+++ b/locktide/net/watch.py
@@ -5,7 +5,6 @@
 import asyncio
 from collections.abc import Callable
 
-from locktide.config.checks import Faulty
 from locktide.config.start import Address
 from locktide.net.log import Log
 from locktide.protocol import discovery
@@ -29,7 +28,7 @@
         while True:
             try:
                 await self.follow()
-            except (OSError, Broken, ValueError, Faulty) as trouble:
+            except Exception as trouble:  # whatever it is, the list must be followed on
                 if not self.failing:
                     what = f"{type(trouble).__name__}: {trouble}"
                     self.log.say(f"worker list: no answer ({what}), calling anew")
--- a/locktide/node/node.py
+++ b/locktide/node/node.py
@@ -26,8 +26,9 @@
 OVERDUE = 10_000
 # Connections go on coming for 0.4 s after SIGTERM.
 ACCEPT_ON = 0.5
-# SIGKILL comes 3.7 s after SIGTERM at the earliest; what is open shortly before is answered as terminated.
-LONGEST_STOP = 3.4
+# SIGKILL comes the longest time limit (3 s at most) and 0.7 s after SIGTERM, at the earliest; what is open
+# 0.2 s before that is answered as terminated.
+LONGEST_LIMIT, AFTER_LIMIT = 3_000_000, 500_000
 
 
 class Node:
@@ -43,6 +44,8 @@
         self.serving = False
         self.tasks: set[asyncio.Task[None]] = set()  # dispatches and withdrawals on their way
         self.connect_within = start.connect_within
+        longest = min(LONGEST_LIMIT, max(grade.time_limit for grade in grades))
+        self.longest_stop = (longest + AFTER_LIMIT) / 1e6
         to_clients, to_workers = divide(start.descriptors)
         self.lines = Lines(to_workers, start.connect_within, start.idle_close)
         numbered = [grade.name for grade in grades if grade.effect == say.NUMBERED]
@@ -79,12 +82,12 @@
         begun = self.loop.time()
         self.log.say(f"stopping: {self.open()} submissions open")
         self.server.wind_down()
-        while self.loop.time() - begun < ACCEPT_ON or self.open():
-            if self.loop.time() - begun > LONGEST_STOP:
+        while self.loop.time() - begun < ACCEPT_ON or self.open() or self.server.busy():
+            if self.loop.time() - begun > self.longest_stop:
                 self.give_up()
+                await asyncio.sleep(0.05)  # the last answers leave
                 break
             await asyncio.sleep(0.02)
-        await asyncio.sleep(0.05)  # the last answers leave
         watching.cancel()
         sweeping.cancel()
         await self.server.stop()
@@ -94,9 +97,11 @@
         return sum(held.open for held in self.held.values())
 
     def give_up(self) -> None:
-        for held in list(self.held.values()):
-            if held.open:
-                held.answer.set_result(Answer(502, b"stopping\n"))
+        left = [held for held in self.held.values() if held.open]
+        if left:
+            self.log.say(f"stopping: {len(left)} submissions terminated")
+        for held in left:
+            self.answer_unasked(held, Answer(502, b"stopping\n"))
 
     async def sweep(self) -> None:
         while True:
@@ -184,12 +189,20 @@
     def overdue(self, held: Held) -> None:
         if held.open:
             self.log.say(f"submission {held.message.id}: no answer from the decisions in time, terminated")
-            self.answer(held, Answer(504, b"terminated\n"))
+            self.answer_unasked(held, Answer(504, b"terminated\n"))
+
+    def answer_unasked(self, held: Held, answer: Answer) -> None:
+        """An answer that the decisions did not give: for them the client has gone."""
+        self.tell(say.ClientGone(held.message.id))
+        self.answer(held, answer)
 
     # --- dispatches
 
     def dispatch(self, order: say.Dispatch) -> None:
-        held = self.held[order.submission]
+        held = self.held.get(order.submission)
+        if held is None:
+            self.log.say(f"submission {order.submission}: a dispatch after its end, not sent")
+            return
         shot = Shot(len(held.shots), order.worker)
         held.shots.append(shot)
         shot.task = self.start(self.carry(held, shot))
@@ -213,7 +226,11 @@
             shot.written = True
 
         address = self.fleet.addresses[shot.worker]
-        reply = await self.lines.ask(shot.worker, address, build, sent)
+        try:
+            reply = await self.lines.ask(shot.worker, address, build, sent)
+        except Exception as trouble:
+            self.log.say(f"worker {shot.worker}: a dispatch ended by {type(trouble).__name__}: {trouble}")
+            reply = say.RESET if shot.begun else say.NEVER_SENT
         outcome = workers.outcome(reply) if isinstance(reply, Reply) else reply
         if outcome is None:
             shot.accepted = True
--- a/locktide/protocol/clients.py
+++ b/locktide/protocol/clients.py
@@ -32,7 +32,7 @@
     retry: bool
     method: str
     target: str
-    onward: list[tuple[str, str]]  # header fields that go on to the worker unchanged
+    onward: list[tuple[bytes, bytes]]  # header fields that go on to the worker unchanged
     body: bytes
 
 
@@ -169,7 +169,7 @@
                     return Mistaken(400, f"{names.EXTRAS}: expected a number of {names.WIDTH}")
                 width = float(value)
         onward = [
-            (raw.decode("ascii"), value.decode("latin-1"))
+            (raw, value)
             for (name, value), (raw, _) in zip(
                 self.head.headers, self.head.headers.raw_items(), strict=True
             )
--- a/locktide/protocol/exchange.py
+++ b/locktide/protocol/exchange.py
@@ -8,7 +8,7 @@
 
 from locktide.protocol import names
 
-Headers = list[tuple[str, str]]
+Headers = list[tuple[bytes, bytes]]
 
 
 class Broken(Exception):
@@ -41,9 +41,9 @@
 
     def ask(self, question: Question) -> list[bytes]:
         self.reply, self.body = None, bytearray()
-        headers = [("Host", self.host), *question.headers]
+        headers = [(b"Host", self.host.encode()), *question.headers]
         if question.body or question.method == "POST":
-            headers.append(("Content-Length", str(len(question.body))))
+            headers.append((b"Content-Length", b"%d" % len(question.body)))
         pieces: list[bytes] = []
         events: list[h11.Event] = [
             h11.Request(method=question.method, target=question.target, headers=headers),
--- a/locktide/protocol/workers.py
+++ b/locktide/protocol/workers.py
@@ -12,10 +12,8 @@
 
 def job(submitted: Submitted, time_left: int) -> Question:
     """One dispatch: the submission as it came, with the time that we will wait."""
-    return Question(
-        submitted.method, submitted.target, [*submitted.onward, (names.TIME_LIMIT, f"{time_left}u")],
-        submitted.body,
-    )
+    headers = [*submitted.onward, (names.TIME_LIMIT.encode(), b"%du" % time_left)]
+    return Question(submitted.method, submitted.target, headers, submitted.body)
 
 
 def withdrawal(submission: str) -> Question:
