A withdrawal before the 202 is told once the worker has answered a DELETE, too

The worker had sent its 202 already; for it the job was taken, and closing says nothing any more. Ruled out: a withdrawal after the 202 (all DELETEs answered 204 within 1 ms of the next step), a second try of the client (one arrival), a late close (the socket is closed before the next dispatch is written). At fault: node.py, call_off, which told WITHDRAWN as soon as the connection was closed.

--- a/locktide/node/node.py
+++ b/locktide/node/node.py
@@ -256,17 +256,19 @@
         if shot.outcome or shot.withdrawing:
             return
         shot.withdrawing = True
-        if self.call_off(held, shot):
+        if not self.call_off(held, shot):
             self.end(held, shot, say.WITHDRAWN if shot.begun else say.NEVER_SENT)
 
     def call_off(self, held: Held, shot: Shot) -> bool:
-        """Before the 202 by closing the connection, which is done at once; after it by a message."""
+        """Before the 202 by closing the connection; whether a message follows, on which to wait."""
         if not shot.accepted:
             assert shot.task is not None
             shot.task.cancel()
-            return True
-        self.start(self.delete(held, shot))
-        return False
+        # Guards against a 202 that is on its way to us: the worker has taken the job, and what is dispatched
+        # elsewhere before the message has reached it is a second copy.
+        if shot.written:
+            self.start(self.delete(held, shot))
+        return shot.written
 
     async def delete(self, held: Held, shot: Shot) -> None:
         address = self.fleet.addresses[shot.worker]
