--- a/locktide/net/log.py
+++ b/locktide/net/log.py
@@ -4,6 +4,7 @@
 
 import sys
 import time
+from contextlib import suppress
 
 BURST, A_SECOND = 40, 5.0  # a bad second may be told in full; a bad hour may not fill a disk
 
@@ -22,4 +23,5 @@
         if self.dropped:
             line = f"{line} ({self.dropped} lines before this one left out)"
             self.dropped = 0
-        print(f"{time.time():.3f} {self.name} {line}", file=sys.stderr, flush=True)
+        with suppress(OSError):  # nobody reads it any more: no reason to stop
+            print(f"{time.time():.3f} {self.name} {line}", file=sys.stderr, flush=True)
--- a/locktide/node/node.py
+++ b/locktide/node/node.py
@@ -225,9 +225,8 @@
         def sent() -> None:
             shot.written = True
 
-        address = self.fleet.addresses[shot.worker]
         try:
-            reply = await self.lines.ask(shot.worker, address, build, sent)
+            reply = await self.lines.ask(shot.worker, self.fleet.addresses[shot.worker], build, sent)
         except Exception as trouble:
             self.log.say(f"worker {shot.worker}: a dispatch ended by {type(trouble).__name__}: {trouble}")
             reply = say.RESET if shot.begun else say.NEVER_SENT
