--- a/locktide/protocol/clients.py
+++ b/locktide/protocol/clients.py
@@ -124,7 +124,8 @@
                     return Over()
         except h11.RemoteProtocolError as trouble:
             self.last = True
-            return Mistaken(trouble.error_status_hint, str(trouble))
+            hint = trouble.error_status_hint  # 501 for a transfer coding that is not known
+            return Mistaken(hint if 400 <= hint < 500 else 400, str(trouble))
 
     def too_large(self) -> Mistaken:
         self.last = True
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -112,6 +112,7 @@
         (submit(body=b"x" * 65_537), 413),
         (submit().replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
          + b"10000\r\n" + b"x" * 65_536 + b"\r\n1\r\nx\r\n0\r\n\r\n", 413),
+        (submit().replace(b"Content-Length: 0", b"Transfer-Encoding: gzip"), 400),
         (post("/callback", b"{"), 400),
         (post("/callback", b"[1]"), 400),
         (call(id="a", **{"from": "w"}, state="asleep"), 400),
