--- a/locktide/net/server.py
+++ b/locktide/net/server.py
@@ -51,7 +51,8 @@
         self, places: Allotment, grades: Collection[str], numbered: Collection[str], desk: Desk, log: Log
     ) -> None:
         self.places, self.grades, self.numbered, self.desk, self.log = places, grades, numbered, desk, log
-        self.callers: dict[Caller, asyncio.Task[None]] = {}
+        self.callers: set[Caller] = set()
+        self.tasks: set[asyncio.Task[None]] = set()  # one for each accepted connection, from place to place
         self.waiting = 0  # callers that wait for their answer
         self.most_waiting = places.limit - places.limit // FOR_CALLBACKS
         self.stopping = False
@@ -72,29 +73,31 @@
                 continue
             # The one just accepted waits for its place, the others in the kernel's queue.
             await self.places.take()
-            try:
-                reader = asyncio.StreamReader(limit=READ)
-                protocol = asyncio.StreamReaderProtocol(reader)
-                transport, _ = await loop.connect_accepted_socket(
-                    lambda protocol=protocol: protocol, connection  # type: ignore[misc]
-                )
-            except OSError:  # it has gone again
-                connection.close()
-                self.places.give_back()
-                continue
-            caller = Caller(self, reader, asyncio.StreamWriter(transport, protocol, reader, loop))
-            self.callers[caller] = asyncio.create_task(self.serve(caller))
+            task = asyncio.create_task(self.serve(connection))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
 
-    async def serve(self, caller: Caller) -> None:
+    async def serve(self, connection: socket.socket) -> None:
+        """One connection, until it and its place are given back."""
+        caller = None
         try:
+            reader = asyncio.StreamReader(limit=READ)
+            protocol = asyncio.StreamReaderProtocol(reader)
+            loop = asyncio.get_running_loop()
+            transport, _ = await loop.connect_accepted_socket(lambda: protocol, connection)
+            caller = Caller(self, reader, asyncio.StreamWriter(transport, protocol, reader, loop))
+            self.callers.add(caller)
             await caller.converse()
         except OSError:
             pass  # the other side is gone; what it had handed in has been told
         except Exception as trouble:
             self.log.say(f"clients: a connection ended by {type(trouble).__name__}: {trouble}")
         finally:
-            await caller.close()
-            del self.callers[caller]
+            if caller is None:
+                connection.close()
+            else:
+                await caller.close()
+                self.callers.discard(caller)
             self.places.give_back()
 
     def wind_down(self) -> None:
@@ -106,15 +109,15 @@
 
     def busy(self) -> bool:
         """Whether a message is on its way in or an answer on its way out."""
-        return any(not caller.resting for caller in self.callers)
+        return len(self.tasks) > sum(caller.resting for caller in self.callers)
 
     async def stop(self) -> None:
         """Takes in nothing more; ends what is left."""
         self.accepting.cancel()
         self.socket.close()
-        for task in list(self.callers.values()):
+        for task in self.tasks:
             task.cancel()
-        await asyncio.gather(*self.callers.values(), return_exceptions=True)
+        await asyncio.gather(*self.tasks, return_exceptions=True)
 
 
 class Caller:
@@ -157,6 +160,7 @@
                 good = not message.ready or self.server.desk.ready()
                 await self.write(Answer(200, b"ok\n") if good else Answer(500, b"not ready\n"))
             else:
+                self.server.log.say(f"clients: not taken, {message.status}: {message.reason}")
                 await self.write(Answer(message.status, message.reason.encode() + b"\n"))
                 if self.talk.last:
                     await self.linger()
--- a/locktide/net/watch.py
+++ b/locktide/net/watch.py
@@ -15,7 +15,7 @@
 WAIT_MS = 1000
 # The agent answers at once when the wait is over; half a second later it is silent, and we call anew.
 PATIENCE = 0.5
-GAP = 0.1  # after a call that failed at once; the next must come within 200 ms
+GAP = 0.1  # after a call that broke off at once; the next must come within 200 ms
 
 
 class Watch:
--- a/locktide/net/workers.py
+++ b/locktide/net/workers.py
@@ -14,18 +14,24 @@
 
 
 class Line:
-    """One connection to a worker; it carries one question at a time."""
+    """One connection to a worker, and its place; it carries one question at a time."""
 
-    __slots__ = ("worker", "address", "reader", "writer", "exchange", "rested_at")
+    __slots__ = ("worker", "address", "reader", "writer", "exchange", "connected", "rested_at")
 
-    def __init__(
-        self, worker: str, address: Address, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        self.worker, self.address, self.reader, self.writer = worker, address, reader, writer
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+
+    def __init__(self, worker: str, address: Address) -> None:
+        self.worker, self.address = worker, address
         self.exchange = Exchange(f"{address[0]}:{address[1]}")
+        self.connected = False
         self.rested_at = 0.0
+
+    async def connect(self) -> None:
+        self.reader, self.writer = await asyncio.open_connection(*self.address, limit=READ)
+        self.connected = True
         # So that `drain` returns only once all is in the kernel's hands: before that, it has not been sent.
-        writer.transport.set_write_buffer_limits(high=0)
+        self.writer.transport.set_write_buffer_limits(high=0)
 
     @property
     def fresh(self) -> bool:
@@ -87,13 +93,13 @@
             await asyncio.wait_for(self.places.take(), self.connect_within)
         except TimeoutError:
             return None
+        line = Line(worker, address)
         try:
-            connecting = asyncio.open_connection(*address, limit=READ)
-            reader, writer = await asyncio.wait_for(connecting, self.connect_within)
+            await asyncio.wait_for(line.connect(), self.connect_within)
         except BaseException:
-            self.places.give_back()
+            self.close(line)
             raise
-        return Line(worker, address, reader, writer)
+        return line
 
     def rest(self, line: Line) -> None:
         if not line.exchange.at_rest or not line.fresh:
@@ -109,7 +115,8 @@
 
     def close(self, line: Line) -> None:
         self.places.works(line)
-        line.writer.transport.abort()
+        if line.connected:
+            line.writer.transport.abort()
         self.places.give_back()
 
     def forget(self, worker: str) -> None:
--- a/locktide/node/node.py
+++ b/locktide/node/node.py
@@ -23,7 +23,7 @@
 # What is left of the client's time when we call it up: its way to us, ours back, and a late turn of the loop.
 # With a tenth of a core, given out every 100 ms, the process stands still for 90 ms at worst.
 ON_THE_WAY = 80_000
-# Of a short time limit no more than this part: what ends in the last twentieth is seldom worth the wait.
+# Of a short time limit no more than this part: what ends in the last twentieth is seldom of use.
 PART_ON_THE_WAY = 20
 # After that, how long the decisions have for their answer before one goes out without them.
 OVERDUE = 10_000
@@ -126,7 +126,7 @@
         try:
             orders = self.dispatcher.turn(self.clock.now(), news)
         except Exception:
-            self.log.say("the decisions failed: " + " | ".join(traceback.format_exc().splitlines()[-3:]))
+            self.log.say("the decisions broke off: " + " | ".join(traceback.format_exc().splitlines()[-3:]))
             return
         for order in orders:
             self.orders[type(order)](order)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -295,7 +295,7 @@
 
 def test_a_connection_that_does_not_come_up_never_ran_and_all_is_given_back() -> None:
     async def run() -> None:
-        with socket.socket() as taken:  # bound but not listening: it refuses
+        with socket.socket() as taken:  # bound but not listening: nothing comes up
             taken.bind(("127.0.0.1", 0))
             lines = Lines(Allotment(10), 500_000, 400_000)
             question = Question("POST", "/view", [])
@@ -402,7 +402,7 @@
     asyncio.run(run())
 
 
-async def served(clerk: Clerk, places: int = 64) -> tuple[Server, Any]:
+async def listening_to(clerk: Clerk, places: int = 64) -> tuple[Server, Any]:
     server = Server(Allotment(places), [grade.name for grade in GRADES], [], clerk, Log("n0"))
     with socket.socket() as free:
         free.bind(("127.0.0.1", 0))
@@ -416,7 +416,7 @@
 
     async def run() -> None:
         clerk = Clerk()
-        server, address = await served(clerk)
+        server, address = await listening_to(clerk)
         reader, writer = await asyncio.open_connection(*address)
         writer.write(told_to("view", "a"))
         await clerk.until(1)
@@ -437,7 +437,7 @@
 def test_waiting_clients_leave_room_for_callbacks() -> None:
     async def run() -> None:
         clerk = Clerk()
-        server, address = await served(clerk, places=8)
+        server, address = await listening_to(clerk, places=8)
         writers = []
         for number in range(8):
             reader, writer = await asyncio.open_connection(*address)
@@ -469,7 +469,7 @@
             assert b"Req-Id: a\r\n" in worker.recv(65536)
             worker.sendall(TAKEN)
             process.send_signal(signal.SIGTERM)
-            assert asking.recv(100) == b""  # was between requests
+            assert asking.recv(100) == b""  # was between submissions
         late = socket.create_connection(address)  # new ones go on coming for a while
         late.sendall(told_to("view", "b"))
         assert b"Req-Id: b\r\n" in worker.recv(65536)  # on the connection that a brought up
