A stop finishes all it has taken, however long that takes

Terminating all that was open 3.5 s after SIGTERM (node.py, run) gave up work for nothing where the kill comes later, and told clients 'terminated' where a kill lets them try again.

--- a/locktide/node/node.py
+++ b/locktide/node/node.py
@@ -29,9 +29,6 @@
 OVERDUE = 10_000
 # Connections go on coming for 0.4 s after SIGTERM.
 ACCEPT_ON = 0.5
-# SIGKILL comes the longest time limit (3 s at most) and 0.7 s after SIGTERM, at the earliest; what is open
-# 0.2 s before that is answered as terminated.
-LONGEST_LIMIT, AFTER_LIMIT = 3_000_000, 500_000
 
 
 class Node:
@@ -47,8 +44,6 @@
         self.serving = False
         self.tasks: set[asyncio.Task[None]] = set()  # dispatches and withdrawals on their way
         self.connect_within = start.connect_within
-        longest = min(LONGEST_LIMIT, max(grade.time_limit for grade in grades))
-        self.longest_stop = (longest + AFTER_LIMIT) / 1e6
         to_clients, to_workers = divide(start.descriptors)
         self.lines = Lines(to_workers, start.connect_within, start.idle_close)
         numbered = [grade.name for grade in grades if grade.effect == say.NUMBERED]
@@ -86,10 +81,7 @@
         self.log.say(f"stopping: {self.open()} submissions open")
         self.server.wind_down()
         while self.loop.time() - begun < ACCEPT_ON or self.open() or self.server.busy():
-            if self.loop.time() - begun > self.longest_stop:
-                self.give_up()
-                await asyncio.sleep(0.05)  # the last answers leave
-                break
+            # However long that takes: a kill costs what is open then no more than giving it up would.
             await asyncio.sleep(0.02)
         watching.cancel()
         sweeping.cancel()
@@ -99,13 +91,6 @@
     def open(self) -> int:
         return sum(held.open for held in self.held.values())
 
-    def give_up(self) -> None:
-        left = [held for held in self.held.values() if held.open]
-        if left:
-            self.log.say(f"stopping: {len(left)} submissions terminated")
-        for held in left:
-            self.answer_unasked(held, Answer(502, b"stopping\n"))
-
     async def sweep(self) -> None:
         while True:
             await asyncio.sleep(1.0)
@@ -192,12 +177,8 @@
     def overdue(self, held: Held) -> None:
         if held.open:
             self.log.say(f"submission {held.message.id}: no answer from the decisions in time, terminated")
-            self.answer_unasked(held, Answer(504, b"terminated\n"))
-
-    def answer_unasked(self, held: Held, answer: Answer) -> None:
-        """An answer that the decisions did not give: for them the client has gone."""
-        self.tell(say.ClientGone(held.message.id))
-        self.answer(held, answer)
+            self.tell(say.ClientGone(held.message.id))  # for the decisions: nothing more is to be sent for it
+            self.answer(held, Answer(504, b"terminated\n"))
 
     # --- dispatches
 
