A reply that no longer matters is waited for a second past the time limit at most

Found by reading: where 'done' comes and the 202 never does, the dispatch has its outcome and its record goes, but the task kept waiting on the connection without end (node.py, carry). Bounded now; a stop waits for withdrawals on their way, too, and the time limit sends no second DELETE.

--- a/locktide/node/node.py
+++ b/locktide/node/node.py
@@ -27,6 +27,8 @@
 PART_ON_THE_WAY = 20
 # After that, how long the decisions have for their answer before one goes out without them.
 OVERDUE = 10_000
+# How long past the time limit a connection may still wait for a reply that no longer matters, in seconds.
+LAST_REPLY = 1.0
 # Connections go on coming for 0.4 s after SIGTERM.
 ACCEPT_ON = 0.5
 
@@ -80,7 +82,7 @@
         begun = self.loop.time()
         self.log.say(f"stopping: {self.open()} submissions open")
         self.server.wind_down()
-        while self.loop.time() - begun < ACCEPT_ON or self.open() or self.server.busy():
+        while self.loop.time() - begun < ACCEPT_ON or self.open() or self.server.busy() or self.tasks:
             # However long that takes: a kill costs what is open then no more than giving it up would.
             await asyncio.sleep(0.02)
         watching.cancel()
@@ -170,7 +172,8 @@
     def time_out(self, held: Held) -> None:
         """The time limit: nobody waits any longer, neither for a dispatch nor with the client."""
         for shot in held.out():
-            self.call_off(held, shot)
+            if not shot.withdrawing:
+                self.call_off(held, shot)
             self.end(held, shot, say.TIMED_OUT)
         held.timer = self.loop.call_later(OVERDUE / 1e6, self.overdue, held)
 
@@ -210,7 +213,9 @@
             shot.written = True
 
         try:
-            reply = await self.lines.ask(shot.worker, self.fleet.addresses[shot.worker], build, sent)
+            # The time limit ends a dispatch before this does; it is for one that a callback has ended.
+            async with asyncio.timeout_at(self.clock.at(held.limit_at) + LAST_REPLY):
+                reply = await self.lines.ask(shot.worker, self.fleet.addresses[shot.worker], build, sent)
         except Exception as trouble:
             self.log.say(f"worker {shot.worker}: a dispatch ended by {type(trouble).__name__}: {trouble}")
             reply = say.RESET if shot.begun else say.NEVER_SENT
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -214,6 +214,22 @@
     played(story)
 
 
+def test_a_reply_that_never_comes_is_not_waited_for_without_end(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("locktide.node.node.LAST_REPLY", 0.02)
+
+    async def story(play: HandPlayed) -> None:
+        play.node.submitted(submission("a", patience=200_000))
+        shot = await play.sent("a")
+        play.call("a", shot.worker, "done")
+        await play.settle()
+        assert not play.node.held and play.node.tasks
+        while play.node.tasks:
+            await asyncio.sleep(0.005)
+        assert shot.cancelled and play.outcomes() == [say.DONE]
+
+    played(story)
+
+
 def test_an_id_that_is_open_is_not_taken_twice() -> None:
     async def story(play: HandPlayed) -> None:
         assert play.node.submitted(submission("a")) is not None
