--- a/locktide/node/node.py
+++ b/locktide/node/node.py
@@ -222,8 +222,6 @@
         outcome = workers.outcome(reply) if isinstance(reply, Reply) else reply
         if outcome is None:
             shot.accepted = True
-            if shot.withdrawing or shot.outcome == say.TIMED_OUT:
-                self.start(self.delete(held, shot))
         else:
             self.end(held, shot, outcome)
 
@@ -232,8 +230,7 @@
         if shot.outcome:
             return
         shot.outcome = outcome
-        final = not held.open
-        self.tell(say.Ended(held.message.id, shot.number, outcome, final))
+        self.tell(say.Ended(held.message.id, shot.number, outcome, final=not held.open))
         self.let_go(held)
 
     def withdraw(self, order: say.Withdraw) -> None:
