--- a/locktide/config/start.py
+++ b/locktide/config/start.py
@@ -60,7 +60,7 @@
         place("GW_LISTEN", "listen"),
         place("GW_DISCOVERY", "discovery"),
         number,
-        limits.whole("sockets", 1024, least=64),
+        limits.whole("sockets", 1024, least=32),
         whole.table("known", {"rev": 0, "all": True, "targets": []}).raw,
         ceilings.span("ConnectTimeout", 250.0),
         ceilings.span("IdleClose", 15000.0),
--- a/locktide/net/descriptors.py
+++ b/locktide/net/descriptors.py
@@ -7,8 +7,9 @@
 from collections.abc import Callable
 from typing import Any
 
-# Standard streams, the loop's own, the listening socket, the watch and its successor, and some to spare.
-APART = 24
+# Standard streams (3), the loop's own (3), the listening socket, the one just accepted, the watch and its
+# successor; the rest for those that are closed but not yet given up by the loop.
+APART = 16
 
 
 def divide(descriptors: int) -> tuple[Allotment, Allotment]:
