--- a/locktide/protocol/clients.py
+++ b/locktide/protocol/clients.py
@@ -6,6 +6,7 @@
 import re
 from collections.abc import Collection
 from dataclasses import dataclass
+from http import HTTPStatus
 from urllib.parse import unquote
 
 import h11
@@ -207,7 +208,8 @@
         if self.last:
             headers = [*headers, ("Connection", "close")]
         send = self.machine.send_with_data_passthrough
-        pieces = send(h11.Response(status_code=status, headers=headers)) or []
+        reason = HTTPStatus(status).phrase
+        pieces = send(h11.Response(status_code=status, headers=headers, reason=reason)) or []
         if body and (self.head is None or self.head.method != b"HEAD"):
             pieces += send(h11.Data(data=body)) or []
         pieces += send(h11.EndOfMessage()) or []
