--- a/locktide/net/watch.py
+++ b/locktide/net/watch.py
@@ -30,7 +30,8 @@
                 await self.follow()
             except Exception as trouble:  # whatever it is, the list must be followed on
                 if not self.failing:
-                    what = f"{type(trouble).__name__}: {trouble}"
+                    silent = isinstance(trouble, TimeoutError)
+                    what = "silent" if silent else f"{type(trouble).__name__}: {trouble}"
                     self.log.say(f"worker list: no answer ({what}), calling anew")
                 self.failing = True
                 if not isinstance(trouble, TimeoutError):
