Read-through: one reply loop, one number check, one way to an answer; dead branches out

Written twice: the loop that reads a reply (net/workers, net/watch; now net/streams.reply_on, with READ), the check of a number (config/settings beside checks.Table; now checks.number), an address as text (three places; now start.spelled), the look-up before an answer (node: deny, terminate, called; now in answer). Unreachable: Conversation gave Over and swallowed bytes after the end, but the driver stops at the end of the stream and no longer feeds it; h11 takes only ASCII in the request line and in names (tried), so decoding them cannot break off. Behaviour is as it was, but that a ClassStretch of Infinity or NaN in the settings is now named as faulty.

--- a/locktide/config/checks.py
+++ b/locktide/config/checks.py
@@ -14,6 +14,14 @@
         super().__init__(f"{key}: {wrong}")
 
 
+def number(key: str, value: Any, least: float) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float) or not isfinite(value):
+        raise Faulty(key, f"expected a number, not {value!r:.40}")
+    if value < least:
+        raise Faulty(key, f"expected at least {least:g}, not {value!r}")
+    return float(value)
+
+
 _MUST = object()
 
 
@@ -42,12 +50,7 @@
         return value
 
     def number(self, name: str, absent: Any = _MUST, least: float = 0.0) -> float:
-        value = self.get(name, absent)
-        if isinstance(value, bool) or not isinstance(value, int | float) or not isfinite(value):
-            raise Faulty(self.key(name), f"expected a number, not {value!r:.40}")
-        if value < least:
-            raise Faulty(self.key(name), f"expected at least {least:g}, not {value!r}")
-        return float(value)
+        return number(self.key(name), self.get(name, absent), least)
 
     def whole(self, name: str, absent: Any = _MUST, least: int = 0) -> int:
         value = self.number(name, absent, least)
--- a/locktide/config/settings.py
+++ b/locktide/config/settings.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+from math import inf
 from typing import Any
 
-from locktide.config.checks import Faulty, Table
+from locktide.config.checks import Faulty, Table, number
 from locktide.dispatch import interface as say
 
 EFFECTS = {"free": say.REISSUABLE, "guarded": say.NUMBERED, "single_shot": say.AT_MOST_ONCE}
@@ -17,9 +18,10 @@
     found = []
     for place, entry in enumerate(told.tables("ServiceGrades")):
         kind = wanted[place] if place < len(wanted) else -1
-        stretch = stretches[place] if place < len(stretches) else entry.number("AimStretch", 0.0)
-        if isinstance(stretch, bool) or not isinstance(stretch, int | float):
-            raise Faulty(domain.key(f"ClassStretch[{place}]"), f"expected a number, not {stretch!r:.40}")
+        if place < len(stretches):
+            stretch = number(domain.key(f"ClassStretch[{place}]"), stretches[place], least=-inf)
+        else:
+            stretch = entry.number("AimStretch", 0.0)
         found.append(
             say.Grade(
                 entry.text("Name"),
@@ -27,7 +29,7 @@
                 entry.one_of(GROUPS, "Group", "all"),
                 entry.span("MemorySpan", 0),
                 entry.span("SoftLimit"),
-                float(stretch),
+                stretch,
                 entry.span("TimeLimit"),
                 entry.number("Revenue", 1.0),
                 entry.number("OverdueRevenue", 0.0),
--- a/locktide/config/start.py
+++ b/locktide/config/start.py
@@ -33,6 +33,10 @@
     return host.strip("[]"), int(port)
 
 
+def spelled(at: Address) -> str:
+    return f"{at[0]}:{at[1]}"
+
+
 def read(environment: Mapping[str, str]) -> Start:
     """A variable that is set goes before the same thing in the JSON."""
     path = environment.get("GW_CONFIG")
--- a/locktide/net/server.py
+++ b/locktide/net/server.py
@@ -12,9 +12,9 @@
 from locktide.config.start import Address
 from locktide.net.descriptors import Allotment
 from locktide.net.log import Log
+from locktide.net.streams import READ
 from locktide.protocol import clients
 
-READ = 65536
 MOST_UNREAD = 2 * READ  # of a client that goes on writing while it waits
 HALF_READ_FOR = 10.0  # seconds for one message to come in; far over the slowest honest sender
 TAKEN_WITHIN = 10.0  # seconds for an answer to be taken off our hands; clients read as it comes
@@ -138,7 +138,8 @@
     def take(self) -> bytes:
         assert self.reading is not None
         data, self.reading = self.reading.result(), None
-        self.talk.feed(data)
+        if data:
+            self.talk.feed(data)
         return data
 
     async def converse(self) -> None:
@@ -147,8 +148,6 @@
             if message is None:
                 if not await self.more():
                     return
-            elif isinstance(message, clients.Over):
-                return
             elif isinstance(message, clients.Submitted):
                 if not await self.submission(message):
                     return
@@ -218,12 +217,8 @@
         with suppress(TimeoutError, OSError):
             async with asyncio.timeout(1.0):
                 self.writer.write_eof()
-                while self.take_raw(await asyncio.shield(self.read())):
-                    pass
-
-    def take_raw(self, data: bytes) -> bool:
-        self.reading = None
-        return bool(data)
+                while await self.read():
+                    self.reading = None
 
     async def close(self) -> None:
         self.server.places.works(self)
--- a/locktide/net/watch.py
+++ b/locktide/net/watch.py
@@ -5,8 +5,9 @@
 import asyncio
 from collections.abc import Callable
 
-from locktide.config.start import Address
+from locktide.config.start import Address, spelled
 from locktide.net.log import Log
+from locktide.net.streams import READ, reply_on
 from locktide.protocol import discovery
 from locktide.protocol.exchange import Broken, Exchange
 
@@ -39,16 +40,14 @@
 
     async def follow(self) -> None:
         """Calls on one connection for as long as it answers."""
-        connecting = asyncio.open_connection(*self.address, limit=1 << 20)
+        connecting = asyncio.open_connection(*self.address, limit=READ)
         reader, writer = await asyncio.wait_for(connecting, PATIENCE)
         try:
-            exchange = Exchange(f"{self.address[0]}:{self.address[1]}", discovery.LARGEST_LIST)
+            exchange = Exchange(spelled(self.address), discovery.LARGEST_LIST)
             while exchange.at_rest:
                 writer.writelines(exchange.ask(discovery.question(self.version, WAIT_MS)))
-                reply = None
                 async with asyncio.timeout(WAIT_MS / 1000 + PATIENCE):
-                    while reply is None:
-                        reply = exchange.feed(await reader.read(1 << 20))
+                    reply = await reply_on(reader, exchange)
                 if reply.status != 200:
                     raise Broken(f"status {reply.status}")
                 sheet = discovery.parse(reply.body)
--- a/locktide/net/workers.py
+++ b/locktide/net/workers.py
@@ -5,13 +5,12 @@
 import asyncio
 from collections.abc import Callable
 
-from locktide.config.start import Address
+from locktide.config.start import Address, spelled
 from locktide.dispatch import interface as say
 from locktide.net.descriptors import Allotment
+from locktide.net.streams import READ, reply_on
 from locktide.protocol.exchange import Broken, Exchange, Question, Reply
 
-READ = 65536
-
 
 class Line:
     """One connection to a worker, and its place; it carries one question at a time."""
@@ -23,7 +22,7 @@
 
     def __init__(self, worker: str, address: Address) -> None:
         self.worker, self.address = worker, address
-        self.exchange = Exchange(f"{address[0]}:{address[1]}")
+        self.exchange = Exchange(spelled(address))
         self.connected = False
         self.rested_at = 0.0
 
@@ -72,10 +71,7 @@
             await line.writer.drain()
             whole = True
             sent()
-            reply = None
-            while reply is None:
-                reply = line.exchange.feed(await line.reader.read(READ))
-            return reply
+            return await reply_on(line.reader, line.exchange)
         except (OSError, Broken):
             return say.RESET if whole else say.NO_CONNECTION
         finally:
--- a/locktide/node/node.py
+++ b/locktide/node/node.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from locktide.config.start import Start
+from locktide.config.start import Start, spelled
 from locktide.dispatch import interface as say
 from locktide.dispatch.rules import Dispatcher
 from locktide.net.descriptors import divide
@@ -76,8 +76,7 @@
         self.server.listen(self.listen_at)
         await asyncio.sleep(0)  # the remembered list is handed over before the first submission
         self.serving = True
-        host, port = self.listen_at
-        self.log.say(f"serving on {host}:{port}, {len(self.fleet.entries)} workers known")
+        self.log.say(f"serving on {spelled(self.listen_at)}, {len(self.fleet.entries)} workers known")
         await stop.wait()
         begun = self.loop.time()
         self.log.say(f"stopping: {self.open()} submissions open")
@@ -149,25 +148,24 @@
             self.tell(say.ClientGone(message.id))
             self.let_go(held)
 
-    def answer(self, held: Held, answer: Answer) -> None:
-        if held.open:
+    def answer(self, submission: str, answer: Answer) -> None:
+        """The first answer counts."""
+        held = self.held.get(submission)
+        if held is not None and held.open:
             held.answer.set_result(answer)
-        self.let_go(held)
+            self.let_go(held)
 
     def let_go(self, held: Held) -> None:
         if held.settled:
-            if held.timer is not None:
-                held.timer.cancel()
+            held.timer.cancel()
             self.held.pop(held.message.id, None)
 
     def deny(self, order: say.Deny) -> None:
         advice = [("Retry-After", f"{order.come_back_after / 1e6:.3f}")] if order.come_back_after else []
-        if order.submission in self.held:
-            self.answer(self.held[order.submission], Answer(503, b"denied\n", advice))
+        self.answer(order.submission, Answer(503, b"denied\n", advice))
 
     def terminate(self, order: say.Terminate) -> None:
-        if order.submission in self.held:
-            self.answer(self.held[order.submission], Answer(502, b"terminated\n"))
+        self.answer(order.submission, Answer(502, b"terminated\n"))
 
     def time_out(self, held: Held) -> None:
         """The time limit: nobody waits any longer, neither for a dispatch nor with the client."""
@@ -181,7 +179,7 @@
         if held.open:
             self.log.say(f"submission {held.message.id}: no answer from the decisions in time, terminated")
             self.tell(say.ClientGone(held.message.id))  # for the decisions: nothing more is to be sent for it
-            self.answer(held, Answer(504, b"terminated\n"))
+            self.answer(held.message.id, Answer(504, b"terminated\n"))
 
     # --- dispatches
 
@@ -247,7 +245,6 @@
     def call_off(self, held: Held, shot: Shot) -> bool:
         """Before the 202 by closing the connection; whether a message follows, on which to wait."""
         if not shot.accepted:
-            assert shot.task is not None
             shot.task.cancel()
         # Guards against a 202 that is on its way to us: the worker has taken the job, and what is dispatched
         # elsewhere before the message has reached it is a second copy.
@@ -276,6 +273,6 @@
         elif message.state == names.RUNNING:
             self.tell(say.Progressed(message.submission, shot.number, message.share))
         elif message.outcome is not None:
-            if message.outcome == say.DONE and held.open:
-                held.answer.set_result(Answer(200, message.result))
+            if message.outcome == say.DONE:
+                self.answer(message.submission, Answer(200, message.result))
             self.end(held, shot, message.outcome)
--- a/locktide/node/records.py
+++ b/locktide/node/records.py
@@ -17,9 +17,10 @@
 
     __slots__ = ("number", "worker", "task", "begun", "written", "accepted", "withdrawing", "outcome")
 
+    task: asyncio.Task[None]  # takes it to its worker
+
     def __init__(self, number: int, worker: str) -> None:
         self.number, self.worker = number, worker
-        self.task: asyncio.Task[None] | None = None
         self.begun = self.written = self.accepted = self.withdrawing = False
         self.outcome: str | None = None
 
@@ -29,10 +30,11 @@
 
     __slots__ = ("message", "limit_at", "answer", "shots", "timer")
 
+    timer: asyncio.TimerHandle  # of the time limit
+
     def __init__(self, message: Submitted, limit_at: int, answer: asyncio.Future[Answer]) -> None:
         self.message, self.limit_at, self.answer = message, limit_at, answer
         self.shots: list[Shot] = []
-        self.timer: asyncio.TimerHandle | None = None
 
     @property
     def open(self) -> bool:
--- a/locktide/protocol/clients.py
+++ b/locktide/protocol/clients.py
@@ -64,15 +64,14 @@
     reason: str
 
 
-class Over:
-    """The other side has closed."""
-
-
-Message = Submitted | Called | Asked | Mistaken | Over
+Message = Submitted | Called | Asked | Mistaken
 
 
 class Conversation:
-    """Fed bytes; gives one message at a time, and writes the answer to each before the next is given."""
+    """Fed bytes; gives one message at a time, and writes the answer to each before the next is given.
+
+    The end of the stream is the driver's to notice: it ends no message.
+    """
 
     def __init__(self, grades: Collection[str], numbered: Collection[str]) -> None:
         self.machine = h11.Connection(h11.SERVER)
@@ -82,10 +81,7 @@
         self.last = False  # nothing can follow on this connection
 
     def feed(self, data: bytes) -> None:
-        try:
-            self.machine.receive_data(data)
-        except RuntimeError:  # more after the end of the stream; the end is what counts
-            pass
+        self.machine.receive_data(data)
 
     @property
     def between(self) -> bool:
@@ -121,8 +117,6 @@
                         return self.too_large()
                 elif isinstance(event, h11.EndOfMessage):
                     return self.message()
-                elif isinstance(event, h11.ConnectionClosed):
-                    return Over()
         except h11.RemoteProtocolError as trouble:
             self.last = True
             hint = trouble.error_status_hint  # 501 for a transfer coding that is not known
@@ -134,11 +128,9 @@
 
     def message(self) -> Message:
         assert self.head is not None
-        try:
-            method, target = self.head.method.decode("ascii"), self.head.target.decode("ascii")
-            fields = {name.decode("ascii"): value.decode("latin-1") for name, value in self.head.headers}
-        except UnicodeDecodeError:
-            return Mistaken(400, "a head holds ASCII")
+        # h11 takes nothing but ASCII, other than in the values of header fields.
+        method, target = self.head.method.decode("ascii"), self.head.target.decode("ascii")
+        fields = {name.decode("ascii"): value.decode("latin-1") for name, value in self.head.headers}
         path = target.partition("?")[0]
         if path in (names.READY, names.LIVE):
             return Asked(path == names.READY) if method in ("GET", "HEAD") else Mistaken(405, "expected GET")
@@ -170,13 +162,8 @@
                 if not re.fullmatch(r"\d{1,6}(\.\d{1,6})?", value) or not float(value):
                     return Mistaken(400, f"{names.EXTRAS}: expected a number of {names.WIDTH}")
                 width = float(value)
-        onward = [
-            (raw, value)
-            for (name, value), (raw, _) in zip(
-                self.head.headers, self.head.headers.raw_items(), strict=True
-            )
-            if name not in NOT_ONWARD
-        ]
+        raw_items = self.head.headers.raw_items()
+        onward = [(name, value) for name, value in raw_items if name.lower() not in NOT_ONWARD]
         patience = round(float(span[1]) * (1000 if span[2] == "m" else 1))
         retry = fields.get(names.RETRY.lower()) == "1"
         return Submitted(id, grade, patience, width, retry, method, target, onward, bytes(self.body))
