--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -37,6 +37,14 @@
     return say.Listed(name, f"zone-{cell}", "box", cell, state, 1.0, started_at)
 
 
+def terms(most: int, fleet: int, must_ask: bool, copies: bool, worst_grade: float) -> tuple[Any, ...]:
+    return (
+        STEP, fleet, GRADES, say.DispatchTerms(most, copies, True), say.ClientTerms(2_000_000),
+        say.ShareTerms({"dairy": 5.0}, 0.1, must_ask, 0), say.GoalTerms(worst_grade), COLD,
+        say.ListTerms(must_ask, 10_000_000), say.SignTerms(True, 1_000_000),
+    )
+
+
 class Checked:
     def __init__(
         self, seed: int = 1, fleet: int = 3, must_ask: bool = False, copies: bool = True,
@@ -44,13 +52,7 @@
     ) -> None:
         self.copies, self.fleet, self.now = copies, fleet, 10_000_000
         self.most = 3
-        self.dispatcher = Dispatcher(
-            seed, STEP, fleet, GRADES, say.DispatchTerms(self.most, copies, True),
-            say.ClientTerms(2_000_000), say.ShareTerms({"dairy": 5.0}, 0.1, must_ask, 0),
-            say.GoalTerms(worst_grade), COLD,
-            say.ListTerms(must_ask, 10_000_000),
-            say.SignTerms(True, 1_000_000),
-        )
+        self.dispatcher = Dispatcher(seed, *terms(self.most, fleet, must_ask, copies, worst_grade))
         self.grades = {grade.name: grade for grade in GRADES}
         self.arrivals: dict[int, say.Arrival] = {}
         self.answered: dict[int, str] = {}
@@ -201,18 +203,14 @@
     """Stands in for the connections to workers, and notes what is told to the decisions."""
 
     def __init__(self) -> None:
-        terms = (
-            STEP, 1, GRADES, say.DispatchTerms(3, False, True), say.ClientTerms(2_000_000),
-            say.ShareTerms({}, 1.0, False, 0), say.GoalTerms(0.4), COLD, say.ListTerms(False, 10_000_000),
-            say.SignTerms(True, 1_000_000),
-        )
         here = ("127.0.0.1", 9)
         names = [f"w{number}" for number in range(3)]
         known = discovery.Sheet(1, True, [listed(name) for name in names], dict.fromkeys(names, here))
         self.lines_logged: list[str] = []
         log = Log("n0")
         log.say = self.lines_logged.append  # type: ignore[method-assign]
-        self.node = Node(start.Start("n0", here, here, 7, 100, {}, 250_000, 30_000_000, terms), known, log)
+        told = start.Start("n0", here, here, 7, 100, {}, 250_000, 30_000_000, terms(3, 1, False, False, 0.4))
+        self.node = Node(told, known, log)
         self.node.lines = self  # type: ignore[assignment]
         self.asked: list[Asked] = []
         self.forgotten: list[str] = []
@@ -290,21 +288,32 @@
             await asyncio.sleep(0.001)
 
 
-def told_to(grade: str, name: str) -> bytes:
-    return (f"POST /{grade} HTTP/1.1\r\nHost: us\r\nReq-Id: {name}\r\nReq-Deadline: 9000m\r\n"
-            "Content-Length: 0\r\n\r\n").encode()
+TAKEN = b"HTTP/1.1 202 Accepted\r\nContent-Length: %d\r\n\r\n"
 
 
-def callback(**told: str) -> bytes:
-    body = json.dumps({"from": "w0", **told}).encode()
-    return b"POST /callback HTTP/1.1\r\nHost: us\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+def post(path: str, body: bytes = b"", **fields: str) -> bytes:
+    head = [f"POST {path} HTTP/1.1", "Host: us", f"Content-Length: {len(body)}"]
+    head += [f"{name.replace('_', '-')}: {value}" for name, value in fields.items()]
+    return ("\r\n".join(head) + "\r\n\r\n").encode("latin-1") + body
 
 
-def begin(folder: Path) -> tuple[subprocess.Popen[bytes], Any, socket.socket]:
-    """A dispatcher of its own process, ready, that knows one worker: the socket."""
+def submit(path: str = "/view", body: bytes = b"", **fields: str) -> bytes:
+    return post(path, body, **{"Req_Id": "a1", "Req_Deadline": "480m", **fields})
+
+
+def call(**told: Any) -> bytes:
+    return post("/callback", json.dumps(told).encode())
+
+
+def free_address() -> Any:
     with socket.socket() as free:
         free.bind(("127.0.0.1", 0))
-        address = free.getsockname()
+        return free.getsockname()
+
+
+def begin(folder: Path) -> tuple[subprocess.Popen[bytes], Any, socket.socket]:
+    """A dispatcher of its own process, ready, that knows one worker: the socket."""
+    address = free_address()
     worker = socket.create_server(("127.0.0.1", 0))
     place = "{}:{}".format(*worker.getsockname())
     entry = {"uid": "w0", "endpoint": place, "state": "active"}
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -16,7 +16,7 @@
 from typing import Any
 
 import pytest
-from helpers import GRADES, Clerk, HandPlayed, begin, callback, submission, told_to
+from helpers import GRADES, TAKEN, Clerk, HandPlayed, begin, call, free_address, submission, submit
 
 from locktide.dispatch import interface as say
 from locktide.net import watch
@@ -287,21 +287,20 @@
 # --- on loopback
 
 
-async def line_to(script: Callable[..., Awaitable[None]], times: int = 1) -> tuple[list[Reply | str], Lines]:
+async def line_to(
+    script: Callable[..., Awaitable[None]], times: int = 1, body: bytes = b"x" * 100
+) -> tuple[list[Reply | str], Lines]:
     """Asks a scripted worker some times, one after the other."""
     listening = await asyncio.start_server(script, "127.0.0.1", 0)
     address = listening.sockets[0].getsockname()
     lines, found = Lines(Allotment(10), 500_000, 400_000), []
+    question = Question("POST", "/view", [], body)
     for _ in range(times):
-        question = Question("POST", "/view", [], b"x" * 100)
-        found.append(await lines.ask("w", address, lambda q=question: q, lambda: None))  # type: ignore[misc]
+        found.append(await lines.ask("w", address, lambda: question, lambda: None))
     listening.close()
     return found, lines
 
 
-TAKEN = b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
-
-
 def test_a_break_after_the_last_byte_may_have_run() -> None:
     async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await reader.readuntil(b"x" * 100)
@@ -335,13 +334,8 @@
         writer.transport.abort()
 
     async def run() -> None:
-        listening = await asyncio.start_server(script, "127.0.0.1", 0)
-        lines = Lines(Allotment(10), 500_000, 400_000)
-        question = Question("POST", "/view", [], b"x" * 50_000_000)  # more than the kernel takes at once
-        address = listening.sockets[0].getsockname()
-        assert await lines.ask("w", address, lambda: question, lambda: None) == say.NO_CONNECTION
-        assert lines.places.used == 0
-        listening.close()
+        found, lines = await line_to(script, body=b"x" * 50_000_000)  # more than the kernel takes at once
+        assert found == [say.NO_CONNECTION] and lines.places.used == 0
 
     asyncio.run(run())
 
@@ -354,7 +348,7 @@
         try:
             while True:
                 await reader.readuntil(b"x" * 100)
-                writer.write(TAKEN)
+                writer.write(TAKEN % 0)
         except asyncio.IncompleteReadError:
             writer.close()
 
@@ -373,7 +367,7 @@
 def test_a_connection_that_the_worker_closed_is_not_written_to() -> None:
     async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await reader.readuntil(b"x" * 100)
-        writer.write(TAKEN)
+        writer.write(TAKEN % 0)
         writer.close()
 
     async def run() -> None:
@@ -425,9 +419,7 @@
 
 async def listening_to(clerk: Clerk, places: int = 64) -> tuple[Server, Any]:
     server = Server(Allotment(places), [grade.name for grade in GRADES], [], clerk, Log("n0"))
-    with socket.socket() as free:
-        free.bind(("127.0.0.1", 0))
-        address = free.getsockname()
+    address = free_address()
     server.listen(address)
     return server, address
 
@@ -439,14 +431,14 @@
         clerk = Clerk()
         server, address = await listening_to(clerk)
         reader, writer = await asyncio.open_connection(*address)
-        writer.write(told_to("view", "a"))
+        writer.write(submit(Req_Id="a", Req_Deadline="9000m"))
         await clerk.until(1)
         writer.close()
         while not clerk.left:
             await asyncio.sleep(0.001)
         assert clerk.left == ["a"]
         reader, writer = await asyncio.open_connection(*address)
-        writer.write(told_to("view", "b")[:30])
+        writer.write(submit(Req_Id="b", Req_Deadline="9000m")[:30])
         assert (await reader.read()).startswith(b"HTTP/1.1 408 ")
         writer.close()
         await server.stop()
@@ -464,12 +456,13 @@
             reader, writer = await asyncio.open_connection(*address)
             writers.append(writer)
             if number < 7:
-                writer.write(told_to("view", f"s{number}"))
+                writer.write(submit(Req_Id=f"s{number}", Req_Deadline="9000m"))
         await clerk.until(7)
-        writers[-1].write(told_to("view", "one-more"))  # is not denied: that is for the decisions to do
+        # One more is not denied: that is for the decisions to do.
+        writers[-1].write(submit(Req_Id="one-more", Req_Deadline="9000m"))
         assert (await reader.readline()).startswith(b"HTTP/1.1 500 ")
         reader, writer = await asyncio.open_connection(*address)
-        writer.write(callback(id="s0", state="started"))
+        writer.write(call(id="s0", state="started", **{"from": "w"}))
         assert (await reader.readline()).startswith(b"HTTP/1.1 204 ")
         for one in [*writers, writer]:
             one.close()
@@ -485,19 +478,19 @@
             asking.sendall(b"GET /health/ready HTTP/1.1\r\nHost: us\r\n\r\n")
             assert asking.recv(100).startswith(b"HTTP/1.1 200 ")
             waiting = socket.create_connection(address)
-            waiting.sendall(told_to("view", "a"))
+            waiting.sendall(submit(Req_Id="a", Req_Deadline="9000m"))
             worker, _ = listening.accept()
             assert b"Req-Id: a\r\n" in worker.recv(65536)
-            worker.sendall(TAKEN)
+            worker.sendall(TAKEN % 0)
             process.send_signal(signal.SIGTERM)
             assert asking.recv(100) == b""  # was between submissions
         late = socket.create_connection(address)  # new ones go on coming for a while
-        late.sendall(told_to("view", "b"))
+        late.sendall(submit(Req_Id="b", Req_Deadline="9000m"))
         assert b"Req-Id: b\r\n" in worker.recv(65536)  # on the connection that a brought up
-        worker.sendall(TAKEN)
+        worker.sendall(TAKEN % 0)
         with socket.create_connection(address) as back:
             for client, name, result in [(late, "b", "cheese"), (waiting, "a", "milk")]:
-                back.sendall(callback(id=name, state="done", result=result))
+                back.sendall(call(id=name, state="done", result=result, **{"from": "w0"}))
                 assert back.recv(100).startswith(b"HTTP/1.1 204 ")
                 answer = b""
                 while piece := client.recv(1000):  # to its end: it is closed after its answer
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import pytest
+from helpers import TAKEN, call, post, submit
 
 from locktide.config import start
 from locktide.config.checks import Faulty
@@ -15,24 +16,9 @@
 from locktide.protocol import clients, discovery, workers
 from locktide.protocol.exchange import Broken, Exchange, Question, Reply
 
-TAKEN = b"HTTP/1.1 202 Accepted\r\nContent-Length: %d\r\n\r\n"
 GRADES, NUMBERED = ("view", "record"), ("record",)
 
 
-def post(path: str, body: bytes = b"", **fields: str) -> bytes:
-    head = [f"POST {path} HTTP/1.1", "Host: us", f"Content-Length: {len(body)}"]
-    head += [f"{name.replace('_', '-')}: {value}" for name, value in fields.items()]
-    return ("\r\n".join(head) + "\r\n\r\n").encode("latin-1") + body
-
-
-def submit(path: str = "/view", body: bytes = b"", **fields: str) -> bytes:
-    return post(path, body, **{"Req_Id": "a1", "Req_Deadline": "480m", **fields})
-
-
-def call(**told: Any) -> bytes:
-    return post("/callback", json.dumps(told).encode())
-
-
 def heard(data: bytes, dice: random.Random | None = None) -> tuple[list[clients.Message], bytes]:
     """Feeds it in random pieces and answers each message; the messages and what was written."""
     talk = clients.Conversation(GRADES, NUMBERED)
