--- a/locktide/config/start.py
+++ b/locktide/config/start.py
@@ -37,8 +37,8 @@
     return f"{at[0]}:{at[1]}"
 
 
-def read(environment: Mapping[str, str]) -> Start:
-    """A variable that is set goes before the same thing in the JSON."""
+def read(environment: Mapping[str, str], again: bool = False) -> Start:
+    """A variable that is set goes before the same thing in the JSON; read again, discovery is the JSON's."""
     path = environment.get("GW_CONFIG")
     if not path:
         raise Faulty("GW_CONFIG", "is not set")
@@ -62,7 +62,7 @@
     return Start(
         environment.get("GW_NAME") or whole.text("name"),
         place("GW_LISTEN", "listen"),
-        place("GW_DISCOVERY", "discovery"),
+        address("discovery", whole.text("discovery")) if again else place("GW_DISCOVERY", "discovery"),
         number,
         limits.whole("sockets", 1024, least=32),
         whole.table("known", {"rev": 0, "all": True, "targets": []}).raw,
--- a/locktide/node/node.py
+++ b/locktide/node/node.py
@@ -50,8 +50,8 @@
         self.lines = Lines(to_workers, start.connect_within, start.idle_close)
         numbered = [grade.name for grade in grades if grade.effect == say.NUMBERED]
         self.server = Server(to_clients, [grade.name for grade in grades], numbered, self, log)
-        self.watch = Watch(start.discovery, self.take_list, log)
-        self.listen_at = start.listen
+        self.discovery, self.listen_at = start.discovery, start.listen
+        self.watching: asyncio.Task[None] | None = None
         self.orders: dict[type, Callable[[Any], None]] = {
             say.Dispatch: self.dispatch,
             say.Withdraw: self.withdraw,
@@ -71,7 +71,7 @@
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serves until `stop`, finishes what it has taken, and returns."""
-        watching = asyncio.create_task(self.watch.run())
+        self.watch()
         sweeping = asyncio.create_task(self.sweep())
         self.server.listen(self.listen_at)
         await asyncio.sleep(0)  # the remembered list is handed over before the first submission
@@ -84,11 +84,24 @@
         while self.loop.time() - begun < ACCEPT_ON or self.open() or self.server.busy() or self.tasks:
             # However long that takes: a kill costs what is open then no more than giving it up would.
             await asyncio.sleep(0.02)
-        watching.cancel()
+        if self.watching is not None:
+            self.watching.cancel()
         sweeping.cancel()
         await self.server.stop()
         self.log.say("stopped")
 
+    def watch(self) -> None:
+        """Follows the list at the address in force, from the whole of it on: each has its own versions."""
+        if self.watching is not None:
+            self.watching.cancel()
+        self.watching = asyncio.create_task(Watch(self.discovery, self.take_list, self.log).run())
+
+    def reload(self, start: Start) -> None:
+        """What can change while we serve is where discovery is; the rest counts from the next start on."""
+        self.discovery = start.discovery
+        self.log.say(f"reload: worker list from {spelled(self.discovery)}")
+        self.watch()
+
     def open(self) -> int:
         return sum(held.open for held in self.held.values())
 
--- a/locktide/protocol/clients.py
+++ b/locktide/protocol/clients.py
@@ -21,6 +21,7 @@
         "upgrade", "expect", "content-length", names.TIME_LIMIT.lower(),
     )
 )
+FRAMING = (b"content-length", b"transfer-encoding")
 SPAN = re.compile(r"(\d{1,12}(?:\.\d{1,9})?)([mu])")
 
 
@@ -108,6 +109,12 @@
                     return None
                 if isinstance(event, h11.Request):
                     self.head, self.body = event, bytearray()
+                    framed = [name for name, _ in event.headers if name in FRAMING]
+                    # Guards against a message hidden in the body of another: the two sides of a hop could
+                    # differ on where the body ends. HTTP/1.0 knows no transfer codings.
+                    if len(framed) > 1 or framed == [b"transfer-encoding"] and event.http_version < b"1.1":
+                        self.last = True
+                        return Mistaken(400, "the length of the body is told in two ways")
                     for name, value in event.headers:
                         if name == b"content-length" and int(value) > names.LARGEST_BODY:
                             return self.too_large()
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -311,7 +311,7 @@
         return free.getsockname()
 
 
-def begin(folder: Path) -> tuple[subprocess.Popen[bytes], Any, socket.socket]:
+def begin(folder: Path, discovery: str = "") -> tuple[subprocess.Popen[bytes], Any, socket.socket]:
     """A dispatcher of its own process, ready, that knows one worker: the socket."""
     address = free_address()
     worker = socket.create_server(("127.0.0.1", 0))
@@ -324,6 +324,6 @@
         "known": {"rev": 1, "all": True, "targets": [entry]}, "settings": {"ServiceGrades": [grade]},
     }))
     process = subprocess.Popen([sys.executable, "-m", "locktide"], stderr=subprocess.PIPE,
-                               env={**os.environ, "GW_CONFIG": str(path)})
+                               env={**os.environ, "GW_CONFIG": str(path), "GW_DISCOVERY": discovery})
     assert process.stderr is not None and b"serving" in process.stderr.readline()
     return process, address, worker
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -502,6 +502,40 @@
         listening.close()
 
 
+def test_sighup_moves_to_the_discovery_of_the_file_and_a_faulty_file_changes_nothing(tmp_path: Path) -> None:
+    process, _, worker = begin(tmp_path, discovery="127.0.0.1:9")  # the variable names it, too
+    path, log = tmp_path / "start.json", process.stderr
+    whole = json.loads(path.read_text())
+    assert log is not None
+    try:
+        for version in (41, 7):  # the second address has versions of its own, which are lower
+            with socket.create_server(("127.0.0.1", 0)) as agent:
+                agent.settimeout(10)
+                whole["discovery"] = "{}:{}".format(*agent.getsockname())
+                path.write_text(json.dumps(whole))
+                process.send_signal(signal.SIGHUP)
+                calling = None
+                for asked in (b" ", b"?after=%d&" % version):
+                    calling = calling or agent.accept()[0]
+                    assert calling.recv(1000).startswith(b"GET /registry/instances" + asked)
+                    body = json.dumps({"rev": version, "all": True, "targets": []}).encode()
+                    calling.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+        path.write_text(json.dumps({**whole, "settings": {}}))
+        process.send_signal(signal.SIGHUP)
+        while b"settings.ServiceGrades: is missing" not in (line := log.readline()):
+            assert line
+        process.send_signal(signal.SIGTERM)
+        while b"stopping" not in log.readline():
+            pass
+        for _ in range(20):
+            process.send_signal(signal.SIGHUP)
+            time.sleep(0.01)
+        assert process.wait(10) == 0
+    finally:
+        process.kill()
+        worker.close()
+
+
 def test_a_fault_at_start_is_one_line_and_exit_2() -> None:
     run = subprocess.run([sys.executable, "-m", "locktide"], capture_output=True, text=True,
                          env={**os.environ, "GW_CONFIG": "/nowhere"})
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -99,6 +99,9 @@
         (submit().replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
          + b"10000\r\n" + b"x" * 65_536 + b"\r\n1\r\nx\r\n0\r\n\r\n", 413),
         (submit().replace(b"Content-Length: 0", b"Transfer-Encoding: gzip"), 400),
+        (submit(Transfer_Encoding="chunked") + b"0\r\n\r\n" + submit(Req_Id="hidden"), 400),
+        (submit().replace(b"Content-Length: 0", b"Transfer-Encoding: chunked").replace(b"/1.1", b"/1.0", 1)
+         + b"0\r\n\r\n", 400),
         (post("/callback", b"{"), 400),
         (post("/callback", b"[1]"), 400),
         (call(id="a", **{"from": "w"}, state="asleep"), 400),
@@ -111,6 +114,7 @@
     found, written = heard(sent)
     assert isinstance(found[0], clients.Mistaken) and found[0].status == status
     assert written.startswith(b"HTTP/1.1 %d " % status)
+    assert not any(isinstance(message, clients.Submitted) for message in found)
 
 
 def test_a_body_of_64_kib_is_taken() -> None:
@@ -207,6 +211,9 @@
     assert (one.seed, one.descriptors) == (0x8C1F30D27A5BE964, 300)
     assert (one.idle_close, one.connect_within) == (30_000_000, 250_000)
     assert one.terms[2][0].time_limit == 6_000_000 and one.terms[1] == 1
+    moved = {"GW_CONFIG": str(tmp_path / "start.json"), "GW_DISCOVERY": "127.0.0.9:2"}
+    assert start.read(moved).discovery == ("127.0.0.9", 2)
+    assert start.read(moved, again=True).discovery == ("127.0.0.1", 8500)  # at a reload the file counts
 
 
 @pytest.mark.parametrize(
