--- a/locktide/config/start.py
+++ b/locktide/config/start.py
@@ -20,6 +20,7 @@
     discovery: Address
     seed: int
     descriptors: int
+    memory: int  # bytes
     known: Any  # the remembered list, in discovery's form
     connect_within: int
     idle_close: int  # workers close connections that stood idle so long
@@ -65,6 +66,7 @@
         address("discovery", whole.text("discovery")) if again else place("GW_DISCOVERY", "discovery"),
         number,
         limits.whole("sockets", 1024, least=32),
+        limits.whole("memory_mb", 2048, least=24) << 20,
         whole.table("known", {"rev": 0, "all": True, "targets": []}).raw,
         ceilings.span("ConnectTimeout", 250.0),
         ceilings.span("IdleClose", 15000.0),
--- a/locktide/dispatch/interface.py
+++ b/locktide/dispatch/interface.py
@@ -34,7 +34,8 @@
 RESET = "reset"
 WITHDRAWN = "withdrawn"
 NEVER_SENT = "never sent"
-PROVEN_NOT_RUN = frozenset((FULL, NO_CONNECTION, NEVER_SENT))
+UNFIT = "unfit"  # the worker has turned away the submission itself: another would, too
+PROVEN_NOT_RUN = frozenset((FULL, NO_CONNECTION, NEVER_SENT, UNFIT))
 
 # What a piece of list news is, and what a listed worker is doing.
 WHOLE = "whole"
--- a/locktide/net/descriptors.py
+++ b/locktide/net/descriptors.py
@@ -20,17 +20,20 @@
 
 
 class Allotment:
-    """So many places; at the edge the connection that has rested longest is closed for the next one."""
+    """So many places. At the edge the connection that has rested longest is closed for the next one, of those
+    that have not proven themselves first: a flood of newcomers displaces none but newcomers."""
 
     def __init__(self, limit: int) -> None:
         self.limit, self.used = limit, 0
-        self.resting: dict[Any, Callable[[], None]] = {}  # how each idle connection is closed, longest first
+        # How each idle connection is closed, longest first: those not proven, then the others.
+        self.unproven: dict[Any, Callable[[], None]] = {}
+        self.resting: dict[Any, Callable[[], None]] = {}
         self.waiting: deque[asyncio.Future[None]] = deque()
 
     async def take(self) -> None:
         while self.used >= self.limit:
-            if self.resting:
-                self.resting.pop(next(iter(self.resting)))()
+            if ranks := self.unproven or self.resting:
+                ranks.pop(next(iter(ranks)))()
                 if self.used < self.limit:
                     break
             place = asyncio.get_running_loop().create_future()
@@ -54,11 +57,12 @@
                 place.set_result(None)
                 return
 
-    def rests(self, connection: Any, close: Callable[[], None]) -> None:
-        self.resting[connection] = close
+    def rests(self, connection: Any, close: Callable[[], None], proven: bool = True) -> None:
+        (self.resting if proven else self.unproven)[connection] = close
         if self.waiting:
             self.works(connection)
             close()
 
     def works(self, connection: Any) -> None:
         self.resting.pop(connection, None)
+        self.unproven.pop(connection, None)
--- a/locktide/net/log.py
+++ b/locktide/net/log.py
@@ -6,22 +6,33 @@
 import time
 from contextlib import suppress
 
+LONGEST = 300  # characters of a line; a bad client's words may stand in it
 BURST, A_SECOND = 40, 5.0  # a bad second may be told in full; a bad hour may not fill a disk
 
 
+class Rate:
+    """How many lines of one kind may be told, and how many were not."""
+
+    def __init__(self) -> None:
+        self.level, self.at, self.dropped = float(BURST), time.monotonic(), 0
+
+
 class Log:
     def __init__(self, name: str) -> None:
-        self.name, self.level, self.at, self.dropped = name, float(BURST), time.monotonic(), 0
+        self.name = name
+        self.rates: dict[str, Rate] = {}
 
-    def say(self, line: str) -> None:
-        now = time.monotonic()
-        self.level, self.at = min(BURST, self.level + (now - self.at) * A_SECOND), now
-        if self.level < 1.0:
-            self.dropped += 1
+    def say(self, line: str, kind: str = "") -> None:
+        """Kinds are limited each on their own: bad clients must not hide what is said of workers."""
+        rate, now = self.rates.setdefault(kind, Rate()), time.monotonic()
+        rate.level, rate.at = min(BURST, rate.level + (now - rate.at) * A_SECOND), now
+        if rate.level < 1.0:
+            rate.dropped += 1
             return
-        self.level -= 1.0
-        if self.dropped:
-            line = f"{line} ({self.dropped} lines before this one left out)"
-            self.dropped = 0
+        rate.level -= 1.0
+        line = line[:LONGEST]
+        if rate.dropped:
+            line = f"{line} ({rate.dropped} lines before this one left out)"
+            rate.dropped = 0
         with suppress(OSError):  # nobody reads it any more: no reason to stop
             print(f"{time.time():.3f} {self.name} {line}", file=sys.stderr, flush=True)
--- a/locktide/net/server.py
+++ b/locktide/net/server.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import socket
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 from contextlib import suppress
 from dataclasses import dataclass, field
 from typing import Any, Protocol
@@ -12,12 +12,17 @@
 from locktide.config.start import Address
 from locktide.net.descriptors import Allotment
 from locktide.net.log import Log
-from locktide.net.streams import READ
+from locktide.net.streams import Inlet
 from locktide.protocol import clients
 
-MOST_UNREAD = 2 * READ  # of a client that goes on writing while it waits
-HALF_READ_FOR = 10.0  # seconds for one message to come in; far over the slowest honest sender
+# Seconds for a message to come in whole, from the accept for the first, from its first byte for others, and
+# for one that has not proven itself to send another. An honest client sends at once; a bad one is owed a word
+# or a close within 3 s of connecting, of which some may go by before we get to it.
+WHOLE_WITHIN = 2.0
 TAKEN_WITHIN = 10.0  # seconds for an answer to be taken off our hands; clients read as it comes
+# Seconds in which what comes after an early answer is read and dropped: closed sooner, what is under way
+# would meet a reset, which can take the answer with it. 60 MB take under one at a fifth of a core.
+DROPPED_FOR = 3.5
 BACKLOG = 1024
 # The part of the places that no waiting client may hold, so that workers can always call back and readiness
 # be asked: one in eight, as a callback takes a thousandth of the time that a client waits.
@@ -48,13 +53,15 @@
     """Owns the listening socket and the connections that it accepted."""
 
     def __init__(
-        self, places: Allotment, grades: Collection[str], numbered: Collection[str], desk: Desk, log: Log
+        self, places: Allotment, grades: Mapping[str, int], numbered: Collection[str], most_stored: int,
+        desk: Desk, log: Log,
     ) -> None:
         self.places, self.grades, self.numbered, self.desk, self.log = places, grades, numbered, desk, log
         self.callers: set[Caller] = set()
         self.tasks: set[asyncio.Task[None]] = set()  # one for each accepted connection, from place to place
         self.waiting = 0  # callers that wait for their answer
         self.most_waiting = places.limit - places.limit // FOR_CALLBACKS
+        self.stored, self.most_stored = 0, most_stored  # bytes of messages that came in, in part or whole
         self.stopping = False
 
     def listen(self, address: Address) -> None:
@@ -81,11 +88,9 @@
         """One connection, until it and its place are given back."""
         caller = None
         try:
-            reader = asyncio.StreamReader(limit=READ)
-            protocol = asyncio.StreamReaderProtocol(reader)
-            loop = asyncio.get_running_loop()
-            transport, _ = await loop.connect_accepted_socket(lambda: protocol, connection)
-            caller = Caller(self, reader, asyncio.StreamWriter(transport, protocol, reader, loop))
+            inlet, loop = Inlet(), asyncio.get_running_loop()
+            transport, _ = await loop.connect_accepted_socket(lambda: inlet, connection)
+            caller = Caller(self, inlet, asyncio.StreamWriter(transport, inlet, inlet.reader, loop))
             self.callers.add(caller)
             await caller.converse()
         except OSError:
@@ -123,18 +128,39 @@
 class Caller:
     """One accepted connection."""
 
-    def __init__(self, server: Server, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.server, self.reader, self.writer = server, reader, writer
+    def __init__(self, server: Server, inlet: Inlet, writer: asyncio.StreamWriter) -> None:
+        self.server, self.inlet, self.reader, self.writer = server, inlet, inlet.reader, writer
         self.talk = clients.Conversation(server.grades, server.numbered)
         self.reading: asyncio.Task[bytes] | None = None
         self.resting = self.calls_back = False
+        self.proven = False  # it has handed in what could be taken, or called back
+        self.stored = 0
+        self.due = self.now() + WHOLE_WITHIN  # when the message that is coming in must be whole
+
+    @staticmethod
+    def now() -> float:
+        return asyncio.get_running_loop().time()
 
     def read(self) -> asyncio.Task[bytes]:
         """The read that is going on, or a new one: it outlives the wait for an answer."""
         if self.reading is None:
-            self.reading = asyncio.ensure_future(self.reader.read(READ))
+            self.reading = asyncio.ensure_future(self.reader.read(Inlet.READ))
         return self.reading
 
+    async def come(self, within: float | None) -> bool:
+        """Whether something came in that time, or the end; without a time, waits for it."""
+        if (await asyncio.wait([self.read()], timeout=within))[0]:
+            return True
+        for _ in range(2):  # what came while we were held up is no fault of the client's
+            await asyncio.sleep(0)
+        return self.read().done()
+
+    def store(self, size: int) -> bool:
+        """Notes how many bytes are kept for this connection; whether there is room for so many."""
+        self.server.stored += size - self.stored
+        self.stored = size
+        return not size or self.server.stored <= self.server.most_stored
+
     def take(self) -> bytes:
         assert self.reading is not None
         data, self.reading = self.reading.result(), None
@@ -152,36 +178,50 @@
                 if not await self.submission(message):
                     return
             elif isinstance(message, clients.Called):
-                self.calls_back = True
+                self.calls_back = self.proven = True
                 self.server.desk.called(message)
                 await self.write(Answer(204))
             elif isinstance(message, clients.Asked):
                 good = not message.ready or self.server.desk.ready()
                 await self.write(Answer(200, b"ok\n") if good else Answer(500, b"not ready\n"))
             else:
-                self.server.log.say(f"clients: not taken, {message.status}: {message.reason}")
-                await self.write(Answer(message.status, message.reason.encode() + b"\n"))
-                if self.talk.last:
-                    await self.linger()
+                await self.turn_away(message)
 
     async def more(self) -> bool:
-        """Waits for more of a message, as long as it takes if none has begun; whether there is more."""
+        """Waits for more of a message, as long as it takes if none has begun; whether there is more.
+
+        Of those that have not proven themselves, none may rest or be half-way for long.
+        """
         if self.talk.wants_go_ahead():
             self.writer.writelines(self.talk.go_ahead())
-        if self.talk.between:
-            self.resting = True
-            self.server.places.rests(self, self.writer.close)
-            await asyncio.wait([self.read()])
-            self.resting = False
-            self.server.places.works(self)
-            # Closed by us while at rest: what came all the same was not read, and is sent anew elsewhere.
-            if self.writer.is_closing():
-                return False
-        elif not (await asyncio.wait([self.read()], timeout=HALF_READ_FOR))[0]:
-            self.talk.last = True
-            await self.write(Answer(408, b"half a message\n"))
+        self.resting = self.talk.between
+        if self.resting or not self.proven:
+            self.server.places.rests(self, self.writer.close, self.proven)
+        within = None if self.resting and self.proven else max(0.0, self.due - self.now())
+        came = await self.come(within)
+        self.server.places.works(self)
+        # Closed by us while at rest: what came all the same was not read, and is sent anew elsewhere.
+        if self.writer.is_closing() or self.resting and not came:
+            return False
+        if self.resting and self.proven:
+            self.due = self.now() + WHOLE_WITHIN
+        self.resting = False
+        if not came:
+            await self.turn_away(clients.Mistaken(408, "half a message"), last=True)
             return False
-        return bool(self.take())
+        data = self.take()
+        if not self.store(self.talk.stored):
+            self.server.log.say(f"clients: {self.server.stored} bytes stored, no room for more")
+            await self.turn_away(clients.Mistaken(500, "no room"), last=True)
+            return False
+        return bool(data)
+
+    async def turn_away(self, message: clients.Mistaken, last: bool = False) -> None:
+        self.talk.last = self.talk.last or last
+        self.server.log.say(f"clients: not taken, {message.status}: {message.reason}", "clients")
+        await self.write(Answer(message.status, message.reason.encode() + b"\n"))
+        if self.talk.last:
+            await self.drop_the_rest()
 
     async def submission(self, message: clients.Submitted) -> bool:
         """Hands it in and waits for its answer, or for the client to go away."""
@@ -191,37 +231,51 @@
             return True
         answer = self.server.desk.submitted(message)
         if answer is None:
-            await self.write(Answer(409, b"a submission of this id is open\n"))
+            await self.turn_away(clients.Mistaken(409, "a submission of this id is open"))
             return True
+        self.proven = True
+        self.store(len(message.body))
         self.server.waiting += 1
         try:
             while not answer.done():
                 first: list[asyncio.Future[Any]] = [answer, self.read()]
                 await asyncio.wait(first, return_when=asyncio.FIRST_COMPLETED)
-                if not answer.done() and (not self.take() or self.talk.unread > MOST_UNREAD):
-                    return False
-            await self.write(answer.result())
-            return True
+                if not answer.done():
+                    if not self.take():
+                        return False
+                    break  # a client hands in one at a time: what follows was meant as part of the first
+            else:
+                await self.write(answer.result())
+                return True
         finally:
             self.server.waiting -= 1
+            self.store(0)
             if not answer.done():
                 self.server.desk.gone(message)
+        await self.turn_away(clients.Mistaken(400, "something follows before the answer"), last=True)
+        return False
 
     async def write(self, answer: Answer) -> None:
         last = self.server.stopping and not self.calls_back
         self.writer.writelines(self.talk.answer(answer.status, answer.body, answer.headers, last))
         await asyncio.wait_for(self.writer.drain(), TAKEN_WITHIN)
-
-    async def linger(self) -> None:
-        """Reads on for a moment, so that what is still coming does not reset the answer on its way."""
+        self.due = self.now() + WHOLE_WITHIN
+
+    async def drop_the_rest(self) -> None:
+        """Reads on and stores nothing, so that what is still coming does not reset the answer on its way."""
+        self.store(0)
+        self.inlet.discarding = True
+        self.writer.transport.resume_reading()  # type: ignore[attr-defined]
+        self.server.places.rests(self, self.writer.close, proven=False)
         with suppress(TimeoutError, OSError):
-            async with asyncio.timeout(1.0):
+            async with asyncio.timeout(DROPPED_FOR):
                 self.writer.write_eof()
                 while await self.read():
                     self.reading = None
 
     async def close(self) -> None:
         self.server.places.works(self)
+        self.store(0)
         if self.reading is not None:
             self.reading.cancel()
         self.writer.close()
--- a/locktide/net/streams.py
+++ b/locktide/net/streams.py
@@ -1,4 +1,4 @@
-"""What the drivers that ask have in common: how much is read at once, and a reply read to its end."""
+"""What the drivers have in common: how much is read at once, and a reply read to its end."""
 
 from __future__ import annotations
 
@@ -9,6 +9,29 @@
 READ = 65536
 
 
+class Inlet(asyncio.StreamReaderProtocol, asyncio.BufferedProtocol):
+    """Feeds a stream reader by way of a buffer that all connections share, a little at a time.
+
+    Guards the memory: by itself asyncio reads up to 256 KiB at once from each of hundreds of connections.
+    What comes once `discarding` is set is read, so that the sender gets on, and kept nowhere.
+    """
+
+    READ = 8192  # a usual message is a tenth of this
+    little, much = memoryview(bytearray(READ)), memoryview(bytearray(READ * 8))
+
+    def __init__(self) -> None:
+        self.reader = asyncio.StreamReader(limit=self.READ)
+        self.discarding = False
+        super().__init__(self.reader)
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self.much if self.discarding else self.little
+
+    def buffer_updated(self, nbytes: int) -> None:
+        if not self.discarding:
+            self.reader.feed_data(bytes(self.little[:nbytes]))
+
+
 async def reply_on(reader: asyncio.StreamReader, exchange: Exchange) -> Reply:
     reply = None
     while reply is None:
--- a/locktide/node/node.py
+++ b/locktide/node/node.py
@@ -29,6 +29,9 @@
 OVERDUE = 10_000
 # How long past the time limit a connection may still wait for a reply that no longer matters, in seconds.
 LAST_REPLY = 1.0
+# Bytes that we take with hundreds of connections open and nothing stored. Half of what is left is for
+# messages on their way in or waiting; the other half is for their copies, in pieces and on their way out.
+OURS = 22 << 20
 # Connections go on coming for 0.4 s after SIGTERM.
 ACCEPT_ON = 0.5
 
@@ -49,7 +52,9 @@
         to_clients, to_workers = divide(start.descriptors)
         self.lines = Lines(to_workers, start.connect_within, start.idle_close)
         numbered = [grade.name for grade in grades if grade.effect == say.NUMBERED]
-        self.server = Server(to_clients, [grade.name for grade in grades], numbered, self, log)
+        limits = {grade.name: grade.time_limit for grade in grades}
+        most_stored = (start.memory - OURS) // 2
+        self.server = Server(to_clients, limits, numbered, most_stored, self, log)
         self.discovery, self.listen_at = start.discovery, start.listen
         self.watching: asyncio.Task[None] | None = None
         self.orders: dict[type, Callable[[Any], None]] = {
@@ -233,6 +238,10 @@
         outcome = workers.outcome(reply) if isinstance(reply, Reply) else reply
         if outcome is None:
             shot.accepted = True
+        elif outcome == say.UNFIT:
+            self.log.say(f"worker {shot.worker}: turned away submission {held.message.id}", "clients")
+            self.answer(held.message.id, Answer(400, b"turned away by a worker\n"))
+            self.end(held, shot, outcome)
         else:
             self.end(held, shot, outcome)
 
--- a/locktide/protocol/clients.py
+++ b/locktide/protocol/clients.py
@@ -4,10 +4,9 @@
 
 import json
 import re
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 from http import HTTPStatus
-from urllib.parse import unquote
 
 import h11
 
@@ -22,7 +21,17 @@
     )
 )
 FRAMING = (b"content-length", b"transfer-encoding")
-SPAN = re.compile(r"(\d{1,12}(?:\.\d{1,9})?)([mu])")
+SPAN = re.compile(r"(\d{1,12}(?:\.\d{1,9})?)([mu])", re.ASCII)
+WIDTH = re.compile(r"\d{1,3}(\.\d{1,6})?", re.ASCII)
+VISIBLE = re.compile(r"[!-~]{1,128}")  # what an id or a number may be made of
+# Each of these is told once or not at all; two of one would mean one thing to us and another to a worker.
+SINGLE = frozenset(
+    name.lower()
+    for name in (names.ID, names.GRADE, names.NUMBER, names.TIME_LIMIT, names.RETRY, names.EXTRAS)
+)
+# So many time limits of its grade a client may say that it waits. None waits for two, and beyond reason it
+# would hold a place for good.
+LONGEST_WAIT = 10
 
 
 @dataclass(slots=True)
@@ -74,9 +83,9 @@
     The end of the stream is the driver's to notice: it ends no message.
     """
 
-    def __init__(self, grades: Collection[str], numbered: Collection[str]) -> None:
+    def __init__(self, grades: Mapping[str, int], numbered: Collection[str]) -> None:
         self.machine = h11.Connection(h11.SERVER)
-        self.grades, self.numbered = grades, numbered
+        self.grades, self.numbered = grades, numbered  # the grades with their time limits
         self.head: h11.Request | None = None
         self.body = bytearray()
         self.last = False  # nothing can follow on this connection
@@ -93,6 +102,11 @@
     def unread(self) -> int:
         return len(self.machine.trailing_data[0])
 
+    @property
+    def stored(self) -> int:
+        """Bytes that are kept of a message that is not whole."""
+        return len(self.body) + self.unread
+
     def wants_go_ahead(self) -> bool:
         return self.machine.they_are_waiting_for_100_continue
 
@@ -137,43 +151,54 @@
         assert self.head is not None
         # h11 takes nothing but ASCII, other than in the values of header fields.
         method, target = self.head.method.decode("ascii"), self.head.target.decode("ascii")
-        fields = {name.decode("ascii"): value.decode("latin-1") for name, value in self.head.headers}
+        fields: dict[str, str] = {}
+        for raw_name, value in self.head.headers:
+            name = raw_name.decode("ascii")
+            if name in SINGLE and name in fields:
+                return Mistaken(400, f"{name} is told twice")
+            fields[name] = value.decode("latin-1")
         path = target.partition("?")[0]
         if path in (names.READY, names.LIVE):
             return Asked(path == names.READY) if method in ("GET", "HEAD") else Mistaken(405, "expected GET")
         if path == names.CALLBACK:
             return self.callback() if method == "POST" else Mistaken(405, "expected POST")
-        first = unquote(path.split("/")[1]) if path.startswith("/") else ""
+        first = path.split("/")[1] if path.startswith("/") else ""
         if first not in self.grades:
             return Mistaken(404, "no such path")
         if method != "POST":
             return Mistaken(405, "expected POST")
+        if self.unread:
+            # Guards against a length that is too short: what follows was meant as part of this message, and a
+            # client hands in one at a time.
+            self.last = True
+            return Mistaken(400, "something follows before the answer")
         return self.submission(first, method, target, fields)
 
     def submission(self, grade: str, method: str, target: str, fields: dict[str, str]) -> Message:
         assert self.head is not None
-        if fields.get(names.GRADE.lower(), grade) != grade:
+        if fields.get(names.GRADE.lower()) != grade:
             return Mistaken(400, f"{names.GRADE} and the path differ")
         id = fields.get(names.ID.lower(), "")
-        if not id:
-            return Mistaken(400, f"{names.ID} is missing")
+        if not VISIBLE.fullmatch(id):
+            return Mistaken(400, f"{names.ID} is missing or not an id")
         span = SPAN.fullmatch(fields.get(names.TIME_LIMIT.lower(), ""))
         if not span:
             return Mistaken(400, f"{names.TIME_LIMIT}: expected a number and m or u")
-        if grade in self.numbered and not fields.get(names.NUMBER.lower()):
-            return Mistaken(400, f"{names.NUMBER} is missing")
-        width = 1.0
-        for pair in fields.get(names.EXTRAS.lower(), "").split(","):
-            name, _, value = pair.strip().partition("=")
-            if name == names.WIDTH:
-                if not re.fullmatch(r"\d{1,6}(\.\d{1,6})?", value) or not float(value):
-                    return Mistaken(400, f"{names.EXTRAS}: expected a number of {names.WIDTH}")
-                width = float(value)
+        patience = round(float(span[1]) * (1000 if span[2] == "m" else 1))
+        if not 0 < patience <= LONGEST_WAIT * self.grades[grade]:
+            return Mistaken(400, f"{names.TIME_LIMIT}: no time at all, or far over that of the grade")
+        if not VISIBLE.fullmatch(fields.get(names.NUMBER.lower(), "" if grade in self.numbered else "-")):
+            return Mistaken(400, f"{names.NUMBER} is missing or not a number")
+        pairs = [pair.strip().partition("=") for pair in fields.get(names.EXTRAS.lower(), "").split(",")]
+        widths = [value for name, _, value in pairs if name == names.WIDTH] or ["1"]
+        width = float(widths[0]) if len(widths) == 1 and WIDTH.fullmatch(widths[0]) else 0.0
+        if not width:
+            return Mistaken(400, f"{names.EXTRAS}: expected a number of {names.WIDTH}")
         raw_items = self.head.headers.raw_items()
         onward = [(name, value) for name, value in raw_items if name.lower() not in NOT_ONWARD]
-        patience = round(float(span[1]) * (1000 if span[2] == "m" else 1))
         retry = fields.get(names.RETRY.lower()) == "1"
-        return Submitted(id, grade, patience, width, retry, method, target, onward, bytes(self.body))
+        body, self.body = bytes(self.body), bytearray()
+        return Submitted(id, grade, patience, width, retry, method, target, onward, body)
 
     def callback(self) -> Message:
         try:
@@ -211,5 +236,5 @@
             self.machine.start_next_cycle()
         else:
             self.last = True
-        self.head = None
+        self.head, self.body = None, bytearray()
         return pieces
--- a/locktide/protocol/workers.py
+++ b/locktide/protocol/workers.py
@@ -24,6 +24,8 @@
     """How the reply ends the dispatch; None where the worker has taken the job."""
     if reply.status == 202:
         return None
+    if 400 <= reply.status < 500:
+        return say.UNFIT
     if reply.status in (503, 504) and reply.headers.get(names.DECLINED.lower()) == "1":
         return say.FULL
     return say.ERROR
