In a stop nothing is taken that a kill could find unanswered

Submissions after half a second now get at most what is left until the kill. At fault: Node.submitted, which gave them all of their time. Tried and taken back: serving kept connections for half of the stop.

--- a/locktide/node/node.py
+++ b/locktide/node/node.py
@@ -34,6 +34,9 @@
 OURS = 22 << 20
 # Connections go on coming for 0.4 s after SIGTERM.
 ACCEPT_ON = 0.5
+# A kill comes no sooner than the longest time limit, or this where that is less, and a bit more after
+# SIGTERM. What we took in the first half second may be left open at the kill; what comes after it may not.
+STOP_WITHIN, STOP_BIT = 3.0, 0.7
 
 
 class Node:
@@ -47,12 +50,14 @@
         self.news: list[Any] = []
         self.handing_over = False
         self.serving = False
+        self.kill_at: float | None = None  # of the loop's time, in a stop
         self.tasks: set[asyncio.Task[None]] = set()  # dispatches and withdrawals on their way
         self.connect_within = start.connect_within
         to_clients, to_workers = divide(start.descriptors)
         self.lines = Lines(to_workers, start.connect_within, start.idle_close)
         numbered = [grade.name for grade in grades if grade.effect == say.NUMBERED]
         limits = {grade.name: grade.time_limit for grade in grades}
+        self.longest_limit = max(limits.values())
         most_stored = (start.memory - OURS) // 2
         self.server = Server(to_clients, limits, numbered, most_stored, self, log)
         self.discovery, self.listen_at = start.discovery, start.listen
@@ -84,7 +89,9 @@
         self.log.say(f"serving on {spelled(self.listen_at)}, {len(self.fleet.entries)} workers known")
         await stop.wait()
         begun = self.loop.time()
+        grace = min(STOP_WITHIN, self.longest_limit / 1e6) + STOP_BIT
         self.log.say(f"stopping: {self.open()} submissions open")
+        self.loop.call_at(begun + ACCEPT_ON, self.shorten, begun + grace)
         self.server.wind_down()
         while self.loop.time() - begun < ACCEPT_ON or self.open() or self.server.busy() or self.tasks:
             # However long that takes: a kill costs what is open then no more than giving it up would.
@@ -107,6 +114,10 @@
         self.log.say(f"reload: worker list from {spelled(self.discovery)}")
         self.watch()
 
+    def shorten(self, kill_at: float) -> None:
+        """From now on nothing is taken that would not have its answer by then."""
+        self.kill_at = kill_at
+
     def open(self) -> int:
         return sum(held.open for held in self.held.values())
 
@@ -151,8 +162,10 @@
     def submitted(self, message: clients.Submitted) -> asyncio.Future[Answer] | None:
         if message.id in self.held:
             return None
-        now = self.clock.now()
-        limit_at = now + message.patience - min(ON_THE_WAY, message.patience // PART_ON_THE_WAY)
+        now, patience = self.clock.now(), message.patience
+        if self.kill_at is not None:
+            patience = min(patience, int((self.kill_at - self.loop.time()) * 1e6))
+        limit_at = now + patience - min(ON_THE_WAY, patience // PART_ON_THE_WAY)
         held = Held(message, limit_at, self.loop.create_future())
         self.held[message.id] = held
         held.timer = self.loop.call_at(self.clock.at(limit_at), self.time_out, held)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -196,6 +196,18 @@
     played(story)
 
 
+def test_in_a_stop_nothing_is_taken_that_a_kill_could_find_open() -> None:
+    async def story(play: HandPlayed) -> None:
+        play.node.submitted(submission("a", patience=9_000_000))
+        play.node.shorten(play.node.loop.time() + 2.0)
+        play.node.submitted(submission("b", patience=9_000_000))
+        play.node.submitted(submission("c", patience=900_000))
+        left = [play.node.held[name].limit_at - play.node.clock.now() for name in "abc"]
+        assert left[0] > 8_000_000 and 1_000_000 < left[1] < 2_000_000 and left[2] < 900_000
+
+    played(story)
+
+
 def test_an_answer_is_given_even_if_the_decisions_fail() -> None:
     async def story(play: HandPlayed) -> None:
         told: list[Any] = []
@@ -602,11 +614,11 @@
             assert b"Req-Id: a\r\n" in worker.recv(65536)
             worker.sendall(TAKEN % 0)
             process.send_signal(signal.SIGTERM)
+            late = socket.create_connection(address)  # new ones go on coming for a while
+            late.sendall(submit(Req_Id="b", Req_Deadline="9000m"))
+            assert b"Req-Id: b\r\n" in worker.recv(65536)  # on the connection that a brought up
+            worker.sendall(TAKEN % 0)
             assert asking.recv(100) == b""  # was between submissions
-        late = socket.create_connection(address)  # new ones go on coming for a while
-        late.sendall(submit(Req_Id="b", Req_Deadline="9000m"))
-        assert b"Req-Id: b\r\n" in worker.recv(65536)  # on the connection that a brought up
-        worker.sendall(TAKEN % 0)
         with socket.create_connection(address) as back:
             for client, name, result in [(late, "b", "cheese"), (waiting, "a", "milk")]:
                 back.sendall(call(id=name, state="done", result=result, **{"from": "w0"}))
