A start counts from the last byte sent; no blame for slow progress before five runs

Starts of first dispatches were 113 to 165 ms late with the connection that had to come up (62 ms is prompt), 2 to 25 ms on kept ones. Ruled out: answers lost (each of 242 submissions had its own), 500s for want of room (none). At fault: Runs.long (a guess taken for a mean), Dispatcher.send (the order taken for the sending), take_ended (never sent and unfit cut the cap).

--- a/locktide/dispatch/interface.py
+++ b/locktide/dispatch/interface.py
@@ -160,6 +160,15 @@
     retry: bool = False
 
 
+@dataclass(slots=True)
+class Sent:
+    """The last byte of a dispatch is on its way. A host that tells it keeps its own delays from being taken
+    for the worker's; where it is not told, a dispatch counts as sent with its order."""
+
+    submission: Any
+    shot: int
+
+
 @dataclass(slots=True)
 class Started:
     submission: Any
--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -92,11 +92,10 @@
         return max(1.0, self.time.read(now) / count) if count > 0.1 else self.guess
 
     def long(self, now: int) -> float:
-        """Three deviations over the mean; with no spread known yet, three means over it."""
+        """Three deviations over the mean; nothing is long while few runs are known."""
         mean, count = self.mean(now), self.count.read(now)
-        if count < 5.0:
-            return 4.0 * mean
-        return mean + 3.0 * sqrt(max(0.0, self.square.read(now) / count - mean * mean))
+        variance = self.square.read(now) / max(5.0, count) - mean * mean
+        return mean + 3.0 * sqrt(max(0.0, variance)) if count >= 5.0 else 1e12
 
 
 class Paces:
@@ -191,8 +190,7 @@
 
     def __init__(self, entry: say.Listed, cap: float) -> None:
         self.id = entry.worker
-        self.own = 0.0  # slots of ours outstanding there
-        self.cap = cap
+        self.own, self.cap = 0.0, cap  # slots of ours outstanding there, and how many may be
         self.heard_at = 0  # when it last gave a sign of life
         # Ten seconds: past the longest pause of a sound worker, short beside a lasting outage.
         self.good, self.bad = Fading(10_000_000), Fading(10_000_000)
@@ -370,13 +368,10 @@
         clients: say.ClientTerms, shares: say.ShareTerms, goal: say.GoalTerms, cold: say.ColdTerms,
         listing: say.ListTerms, signs: say.SignTerms,
     ) -> None:
-        self.chance = Chance(seed)
-        self.step = step
+        self.chance, self.step = Chance(seed), step
         self.grades = {grade.name: grade for grade in grades}
         self.dispatching, self.clients, self.signs = dispatching, clients, signs
-        self.list = WorkerList(listing)
-        self.cold = ColdBudget(cold)
-        self.shares = Shares(shares, fleet)
+        self.list, self.cold, self.shares = WorkerList(listing), ColdBudget(cold), Shares(shares, fleet)
         self.fitting: dict[str | None, list[Worker]] = {}  # ready workers by kind; None: all of them
         # Late is a start that eats a quarter of the shortest soft limit: it still leaves room to act on.
         self.prompt = min(grade.soft_limit for grade in grades) // 4
@@ -386,7 +381,6 @@
         # How far all grades wait alike. Long slack put to use serves the whole better, an even wait the grade
         # that is served worst; wholly even from where that grade decides a third of the goal.
         self.evenness = min(1.0, 0.3 + 2.0 * goal.worst_grade)
-        self.quiet_until = 0
         self.outstanding = 0.0  # slots of ours without an outcome
         self.sparse = 3.0 * self.cold.slots < fleet  # our even part of a worker is under a third of a slot
         self.most = 16.0  # slots of ours that may then be out: four times the least, for a calm day
@@ -394,7 +388,7 @@
         self.submissions: dict[Any, Submission] = {}
         self.pool: list[Submission] = []
         self.orders: list[Any] = []
-        self.now = self.arrivals = self.marks = 0
+        self.now = self.arrivals = self.marks = self.quiet_until = 0
         self.timers: dict[int, Any] = {}
         self.round_timer = False
 
@@ -622,6 +616,10 @@
         sub = self.submissions.get(submission)
         return sub.shots[shot] if sub is not None and shot < len(sub.shots) else None
 
+    def take_sent(self, news: say.Sent) -> None:
+        if dispatch := self.find(news.submission, news.shot):
+            dispatch.sent_at = self.now  # guards against a new connection that makes prompt starts look late
+
     def take_started(self, news: say.Started) -> None:
         dispatch = self.find(news.submission, news.shot)
         if dispatch is None:
@@ -688,7 +686,9 @@
         worker.left(self.now - dispatch.sent_at, self.now)
         sub.out.remove(dispatch)
         self.outstanding -= sub.width
-        self.settle(dispatch, news.outcome == say.DONE)
+        if news.outcome not in (say.NEVER_SENT, say.UNFIT):  # these tell nothing of the worker's load
+            self.settle(dispatch, news.outcome == say.DONE)
+        worker.waiting.pop(dispatch, 0)
         if news.outcome == say.DONE:
             if dispatch.started_at:
                 run = self.now - dispatch.started_at
@@ -763,6 +763,7 @@
 TAKE: dict[type, Callable[[Dispatcher, Any], None]] = {
     say.ListNews: Dispatcher.take_list,
     say.Arrival: Dispatcher.take_arrival,
+    say.Sent: Dispatcher.take_sent,
     say.Started: Dispatcher.take_started,
     say.Progressed: Dispatcher.take_progress,
     say.Ended: Dispatcher.take_ended,
--- a/locktide/node/node.py
+++ b/locktide/node/node.py
@@ -240,6 +240,7 @@
 
         def sent() -> None:
             shot.written = True
+            self.tell(say.Sent(held.message.id, shot.number))
 
         try:
             # The time limit ends a dispatch before this does; it is for one that a callback has ended.
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -74,6 +74,7 @@
         shot.reply(202)
         await play.settle()
         assert play.outcomes() == [say.DONE] and not play.node.held
+        assert sum(type(piece) is say.Sent for _, news in play.turns for piece in news) == 1
 
     played(story)
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -303,3 +303,44 @@
     service.list(listed("w0"), listed("w1"))
     service.arrive(1, "record")
     assert say.Withdraw(1, 0) in service.pass_time(3_200_000)
+
+
+@pytest.mark.parametrize("told", [True, False])
+def test_a_new_connection_does_not_make_a_start_late(told: bool) -> None:
+    """Releases on sockets: the first dispatch to each worker seemed late, and its cap stayed at the floor."""
+    service = Checked(fleet=1)
+    service.list(listed("w"))
+    worker = service.dispatcher.list.workers["w"]
+    before = worker.cap = 2.0
+    for submission in (1, 2):
+        service.arrive(submission, "close")
+    service.pass_time(100_000)  # past the prompt span: the connection comes up
+    if told:
+        service.turn(say.Sent(1, 0), say.Sent(2, 0))
+    service.pass_time(20_000)
+    service.turn(say.Started(1, 0), say.Started(2, 0))
+    assert (worker.cap > before) == told
+
+
+@pytest.mark.parametrize("outcome", [say.NEVER_SENT, say.UNFIT, say.FULL])
+def test_what_no_worker_took_up_tells_nothing_of_its_load(outcome: str) -> None:
+    """Bad clients on sockets: what workers turned away as such cut their caps and made them doubtful."""
+    service = Checked(fleet=1)
+    service.list(listed("w"))
+    worker = service.dispatcher.list.workers["w"]
+    worker.cap = 3.0
+    service.arrive(1, "close")
+    service.end(1, 0, outcome)
+    assert (worker.cap < 3.0) == (outcome == say.FULL)
+    assert not worker.doubtful(service.now)
+
+
+def test_slow_progress_is_no_blame_while_few_runs_are_known() -> None:
+    """After a start on sockets: a third of the workers was avoided, as the first guess of a run is short."""
+    service = Checked()
+    service.list(listed("w"))
+    service.arrive(1, "view")
+    service.turn(say.Started(1, 0))
+    service.pass_time(1_000_000)
+    service.turn(say.Progressed(1, 0, 0.4))  # 2.5 s in all, ten times the guess
+    assert not service.dispatcher.list.workers["w"].doubtful(service.now)
