--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -375,7 +375,8 @@
         self.fitting: dict[str | None, list[Worker]] = {}  # ready workers by kind; None: all of them
         # Late is a start that eats a quarter of the shortest soft limit: it still leaves room to act on.
         self.prompt = min(grade.soft_limit for grade in grades) // 4
-        self.all_once = all([grade.effect == say.AT_MOST_ONCE for grade in grades])
+        once = [grade.effect == say.AT_MOST_ONCE for grade in grades]
+        self.some_once, self.all_once = any(once), all(once)
         self.runs = {grade.name: Runs(grade.soft_limit) for grade in grades}
         self.paces = Paces()
         # How far all grades wait alike. Long slack put to use serves the whole better, an even wait the grade
@@ -596,9 +597,8 @@
             self.list.failures = 0
         self.list.take(news, self.floor())
         ready = [worker for worker in self.list.workers.values() if worker.state == say.READY]
-        self.fitting = {None: ready}
-        for kind in {grade.kind for grade in self.grades.values()} - {None}:
-            self.fitting[kind] = [worker for worker in ready if worker.kind == kind]
+        kinds = {None} | {grade.kind for grade in self.grades.values()}
+        self.fitting = {kind: [worker for worker in ready if kind in (None, worker.kind)] for kind in kinds}
 
     def take_arrival(self, arrival: say.Arrival) -> None:
         self.arrivals += 1
@@ -621,8 +621,7 @@
             dispatch.sent_at = self.now  # guards against a new connection that makes prompt starts look late
 
     def take_started(self, news: say.Started) -> None:
-        dispatch = self.find(news.submission, news.shot)
-        if dispatch is None:
+        if (dispatch := self.find(news.submission, news.shot)) is None:
             return
         sub, worker = dispatch.submission, dispatch.worker
         dispatch.started_at = dispatch.heard_at = worker.heard_at = self.now
@@ -638,8 +637,7 @@
         self.settle(dispatch, self.now - dispatch.sent_at <= self.prompt)
 
     def take_progress(self, news: say.Progressed) -> None:
-        dispatch = self.find(news.submission, news.shot)
-        if dispatch is None:
+        if (dispatch := self.find(news.submission, news.shot)) is None:
             return
         dispatch.heard_at = dispatch.worker.heard_at = self.now
         sub = dispatch.submission
@@ -652,10 +650,13 @@
             self.blame(dispatch.worker, "slow progress")
 
     def floor(self) -> float:
-        """The least cap: our share of the slots, or one submission while all floors hold three a slot."""
-        # Guards against two that cut each other to one submission a worker, and seventeen with no gate.
+        """The least cap: our share of the slots, or one submission while all floors hold three a slot.
+
+        Guards against two that cut each other to one submission a worker, and seventeen with no gate. Twice
+        the share where all work may move on from a queue: others leave some of theirs unused.
+        """
         share = self.cold.slots * self.shares.part(self.now)
-        return max(share, min(1.0, 3.0 * share))
+        return max(share if self.some_once else 2.0 * share, min(1.0, 3.0 * share))
 
     def settle(self, dispatch: Dispatch, prompt: bool) -> None:
         """The first word on a dispatch: it started, or ended before we heard that it had."""
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -5,10 +5,10 @@
 import random
 
 import pytest
-from helpers import GRADES, STEP, Checked, listed
+from helpers import GRADES, STEP, Checked, listed, terms
 
 from locktide.dispatch import interface as say
-from locktide.dispatch.rules import Chance
+from locktide.dispatch.rules import Chance, Dispatcher
 
 OUTCOMES = [
     say.DONE, say.DONE, say.DONE, say.DONE, say.ERROR, say.FULL, say.TIMED_OUT, say.NO_CONNECTION, say.RESET,
@@ -344,3 +344,13 @@
     service.pass_time(1_000_000)
     service.turn(say.Progressed(1, 0, 0.4))  # 2.5 s in all, ten times the guess
     assert not service.dispatcher.list.workers["w"].doubtful(service.now)
+
+
+@pytest.mark.parametrize("grades, slots", [(GRADES, 1.0), (GRADES[:4], 2.0)])
+def test_two_dispatchers_do_not_leave_half_of_the_slots_empty(grades: list[say.Grade], slots: float) -> None:
+    """Every day on sockets: at half load one submission in ten was denied with half of the slots free."""
+    told = list(terms(3, 2, False, False, 0.4))
+    told[2] = grades
+    dispatcher = Dispatcher(1, *told)
+    dispatcher.turn(0, [say.ListNews(say.WHOLE, [listed("w")])])
+    assert dispatcher.list.workers["w"].cap == slots
