A worker that answers full rests; a kept connection cut off blames nobody

Ruled out: caps (raised before), width (all one slot), the 250 ms connect time (conn ends came at once). At fault: Worker.has_room and Dispatcher.round (nothing remembers a 'full' but the cap), Lines.ask and take_ended (a kept connection that breaks with no word counted as the worker's reset), course (what came back after its patience was denied).

--- a/locktide/dispatch/interface.py
+++ b/locktide/dispatch/interface.py
@@ -35,7 +35,9 @@
 WITHDRAWN = "withdrawn"
 NEVER_SENT = "never sent"
 UNFIT = "unfit"  # the worker has turned away the submission itself: another would, too
+CUT_OFF = "cut off"  # a kept connection broke with no word: it had most likely been closed as idle
 PROVEN_NOT_RUN = frozenset((FULL, NO_CONNECTION, NEVER_SENT, UNFIT))
+TELLS_NOTHING = frozenset((NEVER_SENT, UNFIT, CUT_OFF))  # of how the worker fares
 
 # What a piece of list news is, and what a listed worker is doing.
 WHOLE = "whole"
--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -186,7 +186,7 @@
 
 class Worker:
     __slots__ = ("id", "zone", "kind", "cell", "state", "started_at", "own", "cap", "waiting", "rest_until",
-                 "heard_at", "good", "bad", "drawn_at", "sent_cold", "cold_drawn_at")
+                 "heard_at", "good", "bad", "drawn_at", "sent_cold", "cold_drawn_at", "full_until")
 
     def __init__(self, entry: say.Listed, cap: float) -> None:
         self.id = entry.worker
@@ -196,7 +196,7 @@
         self.good, self.bad = Fading(10_000_000), Fading(10_000_000)
         self.rest_until = 0  # while the cap is under one: when we have held our share there on average
         self.sent_cold = Fading(1_000_000)
-        self.drawn_at = self.cold_drawn_at = 0
+        self.drawn_at = self.cold_drawn_at = self.full_until = 0
         self.waiting: dict[Dispatch, None] = {}  # ours there that have not started, oldest first
         self.update(entry)
 
@@ -206,8 +206,8 @@
 
     def has_room(self, width: float, now: int, prompt: int) -> bool:
         if not self.own:
-            return now >= self.rest_until
-        if self.own + width > self.cap:
+            return now >= max(self.rest_until, self.full_until)
+        if self.own + width > self.cap or now < self.full_until:
             return False
         # Guards against stacking up behind a queue or on a worker that has gone silent.
         return not self.waiting or now - next(iter(self.waiting)).sent_at <= prompt
@@ -232,8 +232,7 @@
             return False
         self.drawn_at = now
         # The a-th smallest of a + b - 1 uniform draws is distributed as Beta(a, b). Eight of each suffice.
-        a = 1 + min(8, round(self.good.read(now)))
-        b = 1 + min(8, round(self.bad.read(now)))
+        a, b = 1 + min(8, round(self.good.read(now))), 1 + min(8, round(self.bad.read(now)))
         draws = sorted([chance.below(1 << 20) for _ in range(a + b - 1)])
         return draws[a - 1] > 1 << 19
 
@@ -254,8 +253,7 @@
         self.started_at = self.heard_at = 0
         # Half the time limit: what has not started by then seldom ends, and elsewhere it still can.
         self.lost_at = now + submission.grade.time_limit // 2
-        self.further = bool(submission.held)
-        self.blamed = False
+        self.further, self.blamed = bool(submission.held), False
 
 
 class Submission:
@@ -382,9 +380,9 @@
         # How far all grades wait alike. Long slack put to use serves the whole better, an even wait the grade
         # that is served worst; wholly even from where that grade decides a third of the goal.
         self.evenness = min(1.0, 0.3 + 2.0 * goal.worst_grade)
-        self.outstanding = 0.0  # slots of ours without an outcome
         self.sparse = 3.0 * self.cold.slots < fleet  # our even part of a worker is under a third of a slot
-        self.most = 16.0  # slots of ours that may then be out: four times the least, for a calm day
+        # Slots of ours without an outcome, and how many may then be: four times the least, for a calm day.
+        self.outstanding, self.most = 0.0, 16.0
         self.credit = 10.0  # of further dispatches; ten let a dispatcher meet a sudden trouble at once
         self.submissions: dict[Any, Submission] = {}
         self.pool: list[Submission] = []
@@ -421,6 +419,8 @@
                 if self.now >= sub.limit_at or not self.may_dispatch(sub):
                     break
                 where = POOL
+                anew = min(sub.limit_at - 2 * self.step, self.now + self.patience(sub))
+                sub.leave_at = max(sub.leave_at, anew)  # what comes back waits its turn once more
         self.answer(sub)
 
     def may_dispatch(self, sub: Submission) -> bool:
@@ -687,7 +687,7 @@
         worker.left(self.now - dispatch.sent_at, self.now)
         sub.out.remove(dispatch)
         self.outstanding -= sub.width
-        if news.outcome not in (say.NEVER_SENT, say.UNFIT):  # these tell nothing of the worker's load
+        if news.outcome not in say.TELLS_NOTHING:
             self.settle(dispatch, news.outcome == say.DONE)
         worker.waiting.pop(dispatch, 0)
         if news.outcome == say.DONE:
@@ -703,7 +703,9 @@
         elif news.outcome in (say.ERROR, say.RESET, say.NO_CONNECTION):
             self.blame(worker, news.outcome)
         elif news.outcome == say.FULL:
+            # Guards against one that turns all away, so has nothing of ours, and draws all that waits.
             worker.heard_at = self.now
+            worker.full_until = self.now + int(self.runs[sub.grade.name].mean(self.now))
         if news.outcome in say.PROVEN_NOT_RUN:
             sub.held.remove(dispatch)
         if not sub.answered:
@@ -712,8 +714,7 @@
             del self.submissions[sub.id]
 
     def take_gone(self, news: say.ClientGone) -> None:
-        sub = self.submissions.get(news.submission)
-        if sub is not None and not sub.answered:
+        if (sub := self.submissions.get(news.submission)) and not sub.answered:
             self.advance(sub, say.Ended(sub.id, -1, say.NEVER_SENT, True))
 
     # --- the round
@@ -730,11 +731,10 @@
             if self.sparse and self.outstanding + sub.width > self.most:
                 continue
             fitting = self.fitting[sub.grade.kind]
-            if sub.held:
-                taken = [dispatch.worker for dispatch in sub.held]
-                fitting = [
-                    worker for worker in fitting if worker not in taken and sub.may_repeat_on(worker, now)
-                ]
+            if sub.shots:
+                held, tried = [one.worker for one in sub.held], [one.worker for one in sub.shots]
+                fitting = [one for one in fitting if one not in held and sub.may_repeat_on(one, now)]
+                fitting = [one for one in fitting if one not in tried] or fitting
             if not fitting:
                 continue
             worker = fitting[self.chance.below(len(fitting))]
--- a/locktide/net/workers.py
+++ b/locktide/net/workers.py
@@ -15,7 +15,7 @@
 class Line:
     """One connection to a worker, and its place; it carries one question at a time."""
 
-    __slots__ = ("worker", "address", "reader", "writer", "exchange", "connected", "rested_at")
+    __slots__ = ("worker", "address", "reader", "writer", "exchange", "connected", "kept", "rested_at")
 
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
@@ -23,7 +23,7 @@
     def __init__(self, worker: str, address: Address) -> None:
         self.worker, self.address = worker, address
         self.exchange = Exchange(spelled(address))
-        self.connected = False
+        self.connected = self.kept = False
         self.rested_at = 0.0
 
     async def connect(self) -> None:
@@ -73,7 +73,9 @@
             sent()
             return await reply_on(line.reader, line.exchange)
         except (OSError, Broken):
-            return say.RESET if whole else say.NO_CONNECTION
+            # Guards against blaming a worker that has closed a kept connection before it would have to.
+            unheard = line.kept and not line.exchange.heard
+            return say.NO_CONNECTION if not whole else say.CUT_OFF if unheard else say.RESET
         finally:
             self.rest(line)
 
@@ -101,6 +103,7 @@
         if not line.exchange.at_rest or not line.fresh:
             self.close(line)
             return
+        line.kept = True
         line.rested_at = asyncio.get_running_loop().time()
         self.idle.setdefault(line.worker, []).append(line)
         self.places.rests(line, lambda: self.drop(line))
--- a/locktide/protocol/exchange.py
+++ b/locktide/protocol/exchange.py
@@ -38,9 +38,10 @@
         self.host, self.largest = host, largest
         self.reply: Reply | None = None
         self.body = bytearray()
+        self.heard = False  # whether anything has come since the question
 
     def ask(self, question: Question) -> list[bytes]:
-        self.reply, self.body = None, bytearray()
+        self.reply, self.body, self.heard = None, bytearray(), False
         headers = [(b"Host", self.host.encode()), *question.headers]
         if question.body or question.method == "POST":
             headers.append((b"Content-Length", b"%d" % len(question.body)))
@@ -57,6 +58,7 @@
 
     def feed(self, data: bytes) -> Reply | None:
         """Takes what was read, nothing at the end of the stream; the reply once it is whole."""
+        self.heard = self.heard or bool(data)
         try:
             self.machine.receive_data(data)
             while True:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -340,6 +340,21 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("word, outcome", [(b"", say.CUT_OFF), (b"HTTP/1.1 ", say.RESET)])
+def test_a_kept_connection_that_breaks_with_no_word_is_cut_off(word: bytes, outcome: str) -> None:
+    async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        for reply in (TAKEN % 0, word):
+            await reader.readuntil(b"x" * 100)
+            writer.write(reply)
+        writer.close()
+
+    async def run() -> None:
+        found, _ = await line_to(script, times=2)
+        assert found[1] == outcome
+
+    asyncio.run(run())
+
+
 def test_a_connection_that_does_not_come_up_never_ran_and_all_is_given_back() -> None:
     async def run() -> None:
         with socket.socket() as taken:  # bound but not listening: nothing comes up
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -322,7 +322,7 @@
     assert (worker.cap > before) == told
 
 
-@pytest.mark.parametrize("outcome", [say.NEVER_SENT, say.UNFIT, say.FULL])
+@pytest.mark.parametrize("outcome", [say.NEVER_SENT, say.UNFIT, say.CUT_OFF, say.FULL])
 def test_what_no_worker_took_up_tells_nothing_of_its_load(outcome: str) -> None:
     """Bad clients on sockets: what workers turned away as such cut their caps and made them doubtful."""
     service = Checked(fleet=1)
@@ -354,3 +354,31 @@
     dispatcher = Dispatcher(1, *told)
     dispatcher.turn(0, [say.ListNews(say.WHOLE, [listed("w")])])
     assert dispatcher.list.workers["w"].cap == slots
+
+
+def test_a_worker_that_turns_all_away_does_not_draw_all_that_waits() -> None:
+    """The wide day on sockets: one worker took no views, so it was the emptiest and had each thrice."""
+    service = Checked(fleet=1, copies=False)
+    service.list(listed("w0"), listed("w1"))
+    workers = service.dispatcher.list.workers
+    service.arrive(1, "view")
+    first = workers[service.shots[1][0]["worker"]]
+    service.end(1, 0, say.FULL)
+    assert not first.has_room(1.0, service.now, 62_000) and first.has_room(1.0, service.now + 300_000, 62_000)
+    first.full_until = 0
+    service.pass_time(50_000)
+    assert {shot["worker"] for shot in service.shots[1]} == {"w0", "w1"} and len(service.shots[1]) == 2
+
+
+def test_what_comes_back_late_is_not_denied_for_the_time_it_was_away() -> None:
+    """Silent machines on sockets: a connection that did not come up took longer than the patience."""
+    service = Checked(fleet=1, copies=False)
+    service.list(listed("w0"), listed("w1"))
+    service.arrive(1, "cash")
+    for worker in service.dispatcher.list.workers.values():
+        worker.rest_until = service.now + 950_000  # so that it has to wait where it is back
+    service.pass_time(900_000)
+    service.end(1, 0, say.NO_CONNECTION)
+    assert 1 not in service.answered
+    service.pass_time(100_000)
+    assert {shot["worker"] for shot in service.shots[1]} == {"w0", "w1"}
