--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -40,7 +40,8 @@
 
 def terms(most: int, fleet: int, must_ask: bool, copies: bool, worst_grade: float) -> tuple[Any, ...]:
     return (
-        STEP, fleet, [replace(grade) for grade in GRADES], say.DispatchTerms(most, copies, True), say.ClientTerms(2_000_000),
+        STEP, fleet, [replace(grade) for grade in GRADES], say.DispatchTerms(most, copies, True),
+        say.ClientTerms(2_000_000),
         say.ShareTerms({"dairy": 5.0}, 0.1, must_ask, 0), say.GoalTerms(worst_grade), COLD,
         say.ListTerms(must_ask, 10_000_000), say.SignTerms(True, 1_000_000),
     )
