What was sent before a worker last started is lost: its slots are free, the work goes on

From reading: after a restart whose loss is told to nobody, the decisions keep the job's slots taken and its wait closes the worker until the time limit (25 s). The list's start time tells: what was written before it is gone with the process. At fault: Node.take_list, which closed the connections at rest and left the dispatches.

--- a/locktide/dispatch/interface.py
+++ b/locktide/dispatch/interface.py
@@ -35,7 +35,8 @@
 WITHDRAWN = "withdrawn"
 NEVER_SENT = "never sent"
 UNFIT = "unfit"  # the worker has turned away the submission itself: another would, too
-CUT_OFF = "cut off"  # a kept connection broke with no word: it had most likely been closed as idle
+# A kept connection broke with no word, most likely closed as idle; or the process has started anew since.
+CUT_OFF = "cut off"
 PROVEN_NOT_RUN = frozenset((FULL, NO_CONNECTION, NEVER_SENT, UNFIT))
 TELLS_NOTHING = frozenset((NEVER_SENT, UNFIT, CUT_OFF))  # of how the worker fares
 
--- a/locktide/node/node.py
+++ b/locktide/node/node.py
@@ -152,8 +152,22 @@
     def take_list(self, sheet: discovery.Sheet) -> None:
         for worker in self.fleet.take(sheet):
             self.lines.forget(worker)
+            self.lost_at(worker)
         self.tell(say.ListNews(say.WHOLE if sheet.whole else say.CHANGES, sheet.entries))
 
+    def lost_at(self, worker: str) -> None:
+        """Ends what was sent to a worker before its process last started: nobody has it any more.
+
+        Guards against waiting to the time limit for a job, and keeping its slots taken, where the word of its
+        loss does not come.
+        """
+        started_at = self.fleet.entries[worker].started_at
+        for held in list(self.held.values()):
+            for shot in held.out():
+                if shot.worker == worker and shot.written and shot.sent_at < started_at:
+                    shot.task.cancel()
+                    self.end(held, shot, say.CUT_OFF)
+
     # --- submissions
 
     def ready(self) -> bool:
@@ -239,7 +253,7 @@
             return workers.job(held.message, left)
 
         def sent() -> None:
-            shot.written = True
+            shot.written, shot.sent_at = True, self.clock.now()
             self.tell(say.Sent(held.message.id, shot.number))
 
         try:
--- a/locktide/node/records.py
+++ b/locktide/node/records.py
@@ -15,7 +15,9 @@
 class Shot:
     """One dispatch, until its outcome is told to the decisions."""
 
-    __slots__ = ("number", "worker", "task", "begun", "written", "accepted", "withdrawing", "outcome")
+    __slots__ = (
+        "number", "worker", "task", "begun", "written", "accepted", "withdrawing", "outcome", "sent_at",
+    )
 
     task: asyncio.Task[None]  # takes it to its worker
 
@@ -23,6 +25,7 @@
         self.number, self.worker = number, worker
         self.begun = self.written = self.accepted = self.withdrawing = False
         self.outcome: str | None = None
+        self.sent_at = 0  # when its last byte was written
 
 
 class Held:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -274,6 +274,22 @@
     played(story)
 
 
+def test_a_job_sent_before_the_worker_last_started_is_lost_and_a_later_one_is_not() -> None:
+    async def story(play: HandPlayed) -> None:
+        play.node.submitted(submission("a"))
+        shot = await play.sent("a")
+        shot.reply(202)
+        await play.settle()
+        play.list(shot.worker, say.READY, started_at=play.node.clock.now() - 1_000_000)  # before it was sent
+        await play.settle()
+        assert play.outcomes() == []
+        play.list(shot.worker, say.READY, started_at=play.node.clock.now() + 1)
+        await play.settle()
+        assert play.outcomes() == [say.CUT_OFF] and len(play.asked) == 2  # and goes out anew
+
+    played(story)
+
+
 def test_at_the_edge_the_connection_that_rested_longest_goes() -> None:
     async def run() -> None:
         places, closed = Allotment(2), []
