An id that was answered lately is not taken again

Each submission has an id of its own, also a second try. At fault: Node.submitted, which looked at open ones only. At other dispatchers such an id cannot be known; the worker turns it away and its client gets a 400.

--- a/locktide/net/server.py
+++ b/locktide/net/server.py
@@ -42,7 +42,7 @@
     def ready(self) -> bool: ...
 
     def submitted(self, message: clients.Submitted) -> asyncio.Future[Answer] | None:
-        """The answer to come; None where a submission of that id is open."""
+        """The answer to come; None where a submission of that id is open, or was."""
 
     def gone(self, message: clients.Submitted) -> None: ...
 
@@ -231,7 +231,7 @@
             return True
         answer = self.server.desk.submitted(message)
         if answer is None:
-            await self.turn_away(clients.Mistaken(409, "a submission of this id is open"))
+            await self.turn_away(clients.Mistaken(409, "this id is in use or was"))
             return True
         self.proven = True
         self.store(len(message.body))
--- a/locktide/node/node.py
+++ b/locktide/node/node.py
@@ -46,6 +46,7 @@
         grades: list[say.Grade] = start.terms[2]
         self.dispatcher = Dispatcher(start.seed, *start.terms)
         self.held: dict[str, Held] = {}
+        self.spent: dict[str, float] = {}  # ids that were answered, and when we forget them, oldest first
         self.fleet = Fleet()
         self.news: list[Any] = []
         self.handing_over = False
@@ -125,6 +126,8 @@
         while True:
             await asyncio.sleep(1.0)
             self.lines.sweep()
+            for submission in [one for one, until in self.spent.items() if until < self.loop.time()]:
+                del self.spent[submission]
 
     # --- news in, orders out
 
@@ -174,7 +177,7 @@
         return self.serving
 
     def submitted(self, message: clients.Submitted) -> asyncio.Future[Answer] | None:
-        if message.id in self.held:
+        if message.id in self.held or message.id in self.spent:
             return None
         now, patience = self.clock.now(), message.patience
         if self.kill_at is not None:
@@ -203,7 +206,10 @@
     def let_go(self, held: Held) -> None:
         if held.settled:
             held.timer.cancel()
-            self.held.pop(held.message.id, None)
+            if self.held.pop(held.message.id, None):
+                # Guards against the id of another client's submission: each has a new one. A worker may know
+                # it for as long as a submission may last.
+                self.spent[held.message.id] = self.loop.time() + self.longest_limit / 1e6
 
     def deny(self, order: say.Deny) -> None:
         advice = [("Retry-After", f"{order.come_back_after / 1e6:.3f}")] if order.come_back_after else []
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -259,6 +259,11 @@
     async def story(play: HandPlayed) -> None:
         assert play.node.submitted(submission("a")) is not None
         assert play.node.submitted(submission("a")) is None
+        shot = await play.sent("a")
+        shot.reply(202)
+        play.call("a", shot.worker, "done")
+        await play.settle()
+        assert not play.node.held and play.node.submitted(submission("a")) is None
 
     played(story)
 
