--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -350,9 +350,11 @@
 
     def take(self, news: say.ListNews, cap: float) -> None:
         for entry in news.entries:
-            if entry.worker not in self.workers:
+            worker = self.workers.get(entry.worker)
+            if worker is None:
                 self.workers[entry.worker] = Worker(entry, cap)
-            self.workers[entry.worker].update(entry)
+            else:
+                worker.update(entry)
         if news.kind in (say.WHOLE, say.REMEMBERED):
             for absent in self.workers.keys() - {entry.worker for entry in news.entries}:
                 self.workers[absent].state = say.GONE
@@ -373,7 +375,8 @@
         self.prompt = min(grade.soft_limit for grade in grades) // 4
         once = [grade.effect == say.AT_MOST_ONCE for grade in grades]
         self.some_once, self.all_once = any(once), all(once)
-        self.runs, self.paces = {grade.name: Runs(grade.soft_limit) for grade in grades}, Paces()
+        self.runs = {grade.name: Runs(grade.soft_limit) for grade in grades}
+        self.paces = Paces()
         # How far all grades wait alike. Long slack put to use serves the whole better, an even wait the grade
         # that is served worst; wholly even from where that grade decides a third of the goal.
         self.evenness = min(1.0, 0.3 + 2.0 * goal.worst_grade)
@@ -525,7 +528,8 @@
         self.now = now
         self.orders = []
         for piece in news:
-            if take := TAKE.get(type(piece)):  # no decision rests on news of streams and probes yet
+            take = TAKE.get(type(piece))  # no decision rests on news of streams and probes yet
+            if take:
                 take(self, piece)
         if self.list.terms.must_ask and not self.list.watched and now >= self.list.ask_at:
             self.list.watched = True
@@ -553,8 +557,6 @@
         what = self.timers.pop(due.mark, None)
         if what == "round":
             self.round_timer = False
-        elif type(what) is tuple:
-            what[0].own -= what[1]
         elif type(what) is Dispatch and what in what.submission.out and not what.submission.answered:
             self.check(what)
 
@@ -677,13 +679,10 @@
                 worker.cap = max(self.floor(), 0.75 * worker.cap)
 
     def take_ended(self, news: say.Ended) -> None:
-        if not (dispatch := self.find(news.submission, news.shot)) or dispatch not in dispatch.submission.out:
+        dispatch = self.find(news.submission, news.shot)
+        if dispatch is None or dispatch not in dispatch.submission.out:
             return
         sub, worker = dispatch.submission, dispatch.worker
-        usual = int(self.runs[sub.grade.name].mean(self.now))
-        if dispatch.started_at and news.outcome in (say.WITHDRAWN, say.TIMED_OUT):
-            worker.own += sub.width  # guards against sending more on top: what runs goes on, for a usual run
-            self.wake(max(0, dispatch.started_at + usual - self.now), (worker, sub.width))
         worker.own -= sub.width
         worker.left(self.now - dispatch.sent_at, self.now)
         sub.out.remove(dispatch)
@@ -694,8 +693,9 @@
         if news.outcome == say.DONE:
             if dispatch.started_at:
                 run = self.now - dispatch.started_at
+                usual = sub.hint or self.runs[sub.grade.name].mean(self.now)
                 # Four times the usual is a heavy submission, not a slow kind.
-                self.paces.add(worker.kind, min(4.0, run / (sub.hint or usual)), self.now)
+                self.paces.add(worker.kind, min(4.0, run / usual), self.now)
                 self.runs[sub.grade.name].add(run, self.now)
             worker.succeeded(self.now)
             # A tenth of what goes well may be followed by a further dispatch all the same.
@@ -705,7 +705,7 @@
         elif news.outcome == say.FULL:
             # Guards against one that turns all away, so has nothing of ours, and draws all that waits.
             worker.heard_at = self.now
-            worker.full_until = self.now + usual
+            worker.full_until = self.now + int(self.runs[sub.grade.name].mean(self.now))
         if news.outcome in say.PROVEN_NOT_RUN:
             sub.held.remove(dispatch)
         if not sub.answered:
