--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -24,7 +24,8 @@
 5. Denials and shares: denied is what has waited a share of the slack in the pool, the more alike for all
    grades the more the goal weighs the worst-served one. Work beyond its tenant's share waits only as long as
    it is worth; where dispatchers may tell each other their arrivals, our part follows them.
-6. The worker list: watched and asked again with growing gaps where it must be asked for.
+6. The worker list: where it must be asked for, watched from a moment drawn by chance on, and asked again
+   after gaps that are drawn, too, and grow.
 """
 
 from __future__ import annotations
@@ -348,6 +349,19 @@
         self.workers: dict[Any, Worker] = {}
         self.terms, self.watched, self.failures, self.ask_at = terms, False, 0, 0
 
+    def ask_later(self, now: int, chance: Chance) -> int:
+        """After how long we ask next: at any moment of a span that doubles with each failure.
+
+        Guards against many that start or fail together and then ask together: the list service works on each
+        call, also where the caller has been turned away, and with a queue that never empties nobody ever gets
+        an answer. It can hear all of us within the time in which each should ask; half of it is enough for
+        those that start at once. After a failure we count as told only after four times that time.
+        """
+        span = min(2 * self.terms.ask_within, self.terms.ask_within // 2 << min(self.failures, 8))
+        gap = chance.below(span)
+        self.watched, self.ask_at = False, now + gap
+        return gap
+
     def take(self, news: say.ListNews, cap: float) -> None:
         for entry in news.entries:
             worker = self.workers.get(entry.worker)
@@ -584,16 +598,14 @@
 
     def take_list(self, news: say.ListNews) -> None:
         if news.kind == say.LIST_FAILED:
-            # Guards against a list service that is down or crowded: each failure doubles the wait, up to the
-            # time after which we count as told anyway; the draw keeps the dispatchers from asking together.
-            gap = min(self.list.terms.ask_within, 250_000 << min(self.list.failures, 8))
-            gap = gap // 2 + self.chance.below(gap // 2 + 1)
             self.list.failures += 1
+            gap = self.list.ask_later(self.now, self.chance)
             self.log(f"worker list failed, time {self.list.failures}: asking again in {gap // 1000} ms")
-            self.list.watched, self.list.ask_at = False, self.now + gap
             self.wake(gap, "ask")
             return
-        if news.kind != say.REMEMBERED:
+        if news.kind == say.REMEMBERED and self.list.terms.must_ask:
+            self.wake(self.list.ask_later(self.now, self.chance), "ask")
+        else:
             self.list.failures = 0
         self.list.take(news, self.floor())
         ready = [worker for worker in self.list.workers.values() if worker.state == say.READY]
--- a/locktide/net/watch.py
+++ b/locktide/net/watch.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from locktide.config.start import Address, spelled
 from locktide.net.log import Log
@@ -19,10 +19,27 @@
 GAP = 0.1  # after a call that broke off at once; the next must come within 200 ms
 
 
+async def soon(silent: bool) -> None:
+    """When to call again an agent that answers for nothing: it was waited for, or it broke off."""
+    if not silent:
+        await asyncio.sleep(GAP)
+
+
 class Watch:
-    def __init__(self, address: Address, take: Callable[[discovery.Sheet], None], log: Log) -> None:
+    """Calls until it is cancelled.
+
+    `version` is that of the list we hold; without one the whole list is asked for. An answer may take
+    `patience` seconds more than we let it wait, and `again` waits for the moment of the next call after one
+    that failed; it is told whether that was for silence.
+    """
+
+    def __init__(
+        self, address: Address, take: Callable[[discovery.Sheet], None], log: Log,
+        version: int | None = None, patience: float = PATIENCE,
+        again: Callable[[bool], Awaitable[None]] = soon,
+    ) -> None:
         self.address, self.take, self.log = address, take, log
-        self.version: int | None = None  # until the first answer we ask for the whole list
+        self.version, self.patience, self.again = version, patience, again
         self.failing = False
 
     async def run(self) -> None:
@@ -37,8 +54,7 @@
                         f"worker list: no answer ({what}), calling anew", event="roster-silent", trouble=what
                     )
                 self.failing = True
-                if not isinstance(trouble, TimeoutError):
-                    await asyncio.sleep(GAP)
+                await self.again(isinstance(trouble, TimeoutError))
 
     async def follow(self) -> None:
         """Calls on one connection for as long as it answers."""
@@ -48,12 +64,14 @@
             exchange = Exchange(spelled(self.address), discovery.LARGEST_LIST)
             while exchange.at_rest:
                 writer.writelines(exchange.ask(discovery.question(self.version, WAIT_MS)))
-                async with asyncio.timeout(WAIT_MS / 1000 + PATIENCE):
+                async with asyncio.timeout(WAIT_MS / 1000 + self.patience):
                     reply = await reply_on(reader, exchange)
                 if reply.status != 200:
                     raise Broken(f"status {reply.status}")
                 sheet = discovery.parse(reply.body)
-                self.version = sheet.version
+                # Guards against a list remembered from elsewhere: this one counts its versions on its own.
+                behind = self.version is not None and sheet.version < self.version and not sheet.whole
+                self.version = None if behind else sheet.version
                 if self.failing:
                     self.failing = False
                     self.log.say(
--- a/locktide/node/node.py
+++ b/locktide/node/node.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import traceback
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from locktide.config.start import Start, spelled
@@ -69,6 +69,9 @@
         self.server = Server(to_clients, limits, numbered, most_stored, self, log, system)
         self.discovery, self.listen_at = start.discovery, start.listen
         self.watching: asyncio.Task[None] | None = None
+        self.listing: say.ListTerms = start.terms[8]
+        self.to_ask = asyncio.Event()  # the decisions want the list watched, and nobody does yet
+        self.version = known.version if known.entries else None
         self.orders: dict[type, Callable[[Any], None]] = {
             say.Dispatch: self.dispatch,
             say.Withdraw: self.withdraw,
@@ -76,8 +79,9 @@
             say.Terminate: self.terminate,
             say.Wake: self.wake,
             say.Log: lambda order: log.say(order.line),
-            # The watch is always on, and the protocol has no messages between dispatchers.
-            say.WatchList: lambda order: None,
+            # Where the list need not be asked for, the watch is always on; the protocol has no messages
+            # between dispatchers.
+            say.WatchList: lambda order: self.to_ask.set(),
             say.FetchList: lambda order: None,
             say.TellPeer: lambda order: None,
         }
@@ -93,7 +97,7 @@
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serves until `stop`, finishes what it has taken, and returns."""
-        self.watch()
+        self.watch(self.follow_when_asked() if self.listing.must_ask else self.follow())
         sweeping = asyncio.create_task(self.sweep())
         self.server.listen(self.listen_at)
         await asyncio.sleep(0)  # the remembered list is handed over before the first submission
@@ -118,18 +122,36 @@
         await self.server.stop()
         self.log.say("stopped", event="stopped")
 
-    def watch(self) -> None:
-        """Follows the list at the address in force, from the whole of it on: each has its own versions."""
+    def watch(self, following: Coroutine[Any, Any, None]) -> None:
         if self.watching is not None:
             self.watching.cancel()
-        self.watching = asyncio.create_task(Watch(self.discovery, self.take_list, self.log).run())
+        self.watching = asyncio.create_task(following)
+
+    async def follow(self, version: int | None = None) -> None:
+        """Follows the list at the address in force, from that version on, or from the whole of it."""
+        if not self.listing.must_ask:
+            await Watch(self.discovery, self.take_list, self.log, version).run()
+        # A call waits its turn there. Given up sooner than it would be it has been work for nothing.
+        patience = self.listing.ask_within / 2e6
+        watch = Watch(self.discovery, self.take_list, self.log, version, patience, self.ask_again)
+        await watch.run()
+
+    async def follow_when_asked(self) -> None:
+        """Where calls are work for others the decisions say when, and we ask for what we have missed only."""
+        await self.to_ask.wait()
+        await self.follow(self.version)
+
+    async def ask_again(self, silent: bool) -> None:
+        self.to_ask.clear()
+        self.tell(say.ListNews(say.LIST_FAILED, []))
+        await self.to_ask.wait()
 
     def reload(self, start: Start) -> None:
         """What can change while we serve is where discovery is; the rest counts from the next start on."""
         self.discovery = start.discovery
         at = spelled(self.discovery)
         self.log.say(f"reload: worker list from {at}", event="reloaded", roster=at)
-        self.watch()
+        self.watch(self.follow())  # from the whole list on: each address has its own versions
 
     def shorten(self, kill_at: float) -> None:
         """From now on nothing is taken that would not have its answer by then."""
--- /dev/null
+++ b/tests/test_many.py
@@ -0,0 +1,130 @@
+"""Many dispatchers at once: what is safe for one alone and harmful when all do it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from heapq import heappop, heappush
+from typing import Any
+
+import pytest
+from helpers import STEP, HandPlayed, listed, terms
+
+from locktide.dispatch import interface as say
+from locktide.dispatch.rules import Dispatcher
+from locktide.net.log import Log
+from locktide.net.watch import Watch
+from locktide.protocol import discovery, names
+
+
+class ListService:
+    """One service for all: calls wait in turn, for so long at most, and each is work, also when given up."""
+
+    COST, LONGEST = 150_000, 2_000_000
+
+    def __init__(self) -> None:
+        self.busy_until = 0
+
+    def call(self, now: int) -> tuple[int, bool]:
+        """When the answer comes, and whether it is the list."""
+        self.busy_until = max(now, self.busy_until) + self.COST
+        return min(self.busy_until, now + self.LONGEST), self.busy_until <= now + self.LONGEST
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_forty_that_start_together_all_get_the_list(seed: int) -> None:
+    """A release killed 28 of 40 at once: all asked at once, again and again, and hardly one was told."""
+    service, calls, events = ListService(), 0, []
+    fleet = [Dispatcher(seed * 100 + me, *terms(4, 40, True, False, 0.4)) for me in range(40)]
+    for me in range(40):
+        heappush(events, (0, me, say.ListNews(say.REMEMBERED, [listed("w")])))
+    told: dict[int, int] = {}
+    while events:
+        now, me, news = heappop(events)
+        if now > 40_000_000:
+            break
+        if type(news) is say.ListNews and news.kind == say.CHANGES:
+            told[me] = now
+        for order in fleet[me].turn(now, [news]):
+            if type(order) is say.Wake:
+                heappush(events, (now + max(STEP, order.after), me, say.TimerDue(order.mark)))
+            elif order == say.WatchList(True):
+                calls += 1
+                at, heard = service.call(now)
+                heappush(events, (at, me, say.ListNews(say.CHANGES if heard else say.LIST_FAILED, [])))
+    assert len(told) == 40 and max(told.values()) < 20_000_000
+    assert calls < 60, "work for the service without need"
+
+
+def told_to_ask() -> HandPlayed:
+    player = HandPlayed()
+    player.node.listing = player.node.dispatcher.list.terms = say.ListTerms(True, 200_000)
+    return player
+
+
+async def agent(answers: list[bytes], heard: list[str]) -> asyncio.Server:
+    async def converse(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while head := await reader.readline():
+            if head.startswith(b"GET"):
+                heard.append(head.split()[1].decode())
+            if head == b"\r\n" and len(heard) <= len(answers):
+                writer.write(answers[len(heard) - 1])
+        writer.close()
+
+    return await asyncio.start_server(converse, "127.0.0.1", 0)
+
+
+def sheet(version: int, whole: bool) -> bytes:
+    body = json.dumps({"rev": version, "all": whole, "targets": []}).encode()
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+
+
+BUSY = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+AFTER = names.INSTANCES + "?after=%d&wait_ms=1000"
+
+
+def test_where_calls_are_work_the_decisions_say_when_and_only_what_was_missed_is_asked_for() -> None:
+    """A call that failed was made again each tenth of a second, by all dispatchers, for the whole list."""
+
+    async def run() -> None:
+        player, heard = told_to_ask(), []
+        node = player.node
+        listening = await agent([BUSY, sheet(2, False)], heard)
+        node.discovery = listening.sockets[0].getsockname()
+        node.watch(node.follow_when_asked())
+        await asyncio.sleep(0.01)
+        assert not heard, "called before it was to"
+        node.to_ask.set()
+        failed = say.ListNews(say.LIST_FAILED, [])
+        while not any(failed in news for _, news in player.turns):
+            await asyncio.sleep(0.002)
+        assert heard == [AFTER % 1] and not node.to_ask.is_set()
+        while len(heard) < 2:  # once the decisions' own gap is over
+            await asyncio.sleep(0.002)
+        assert heard[1] == AFTER % 1
+        assert node.watching is not None
+        node.watching.cancel()
+        listening.close()
+
+    asyncio.run(run())
+
+
+def test_a_remembered_version_that_this_discovery_has_not_reached_is_given_up() -> None:
+    async def run() -> None:
+        heard: list[str] = []
+        sheets: list[discovery.Sheet] = []
+        listening = await agent([sheet(3, False), sheet(3, True)], heard)
+
+        def take(told: Any) -> None:
+            sheets.append(told)
+
+        watch = Watch(listening.sockets[0].getsockname(), take, Log("n0"), 41)
+        task = asyncio.create_task(watch.run())
+        while len(heard) < 3:
+            await asyncio.sleep(0.002)
+        assert heard == [AFTER % 41, names.INSTANCES, AFTER % 3]
+        assert [told.whole for told in sheets] == [True]
+        task.cancel()
+        listening.close()
+
+    asyncio.run(run())
