--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -187,7 +187,7 @@
 
 class Worker:
     __slots__ = ("id", "zone", "kind", "cell", "state", "started_at", "own", "cap", "waiting", "rest_until",
-                 "heard_at", "good", "bad", "drawn_at", "sent_cold", "cold_drawn_at", "full_until")
+                 "heard_at", "good", "bad", "drawn_at", "sent_cold", "full_until")
 
     def __init__(self, entry: say.Listed, cap: float) -> None:
         self.id = entry.worker
@@ -197,7 +197,7 @@
         self.good, self.bad = Fading(10_000_000), Fading(10_000_000)
         self.rest_until = 0  # while the cap is under one: when we have held our share there on average
         self.sent_cold = Fading(1_000_000)
-        self.drawn_at = self.cold_drawn_at = self.full_until = 0
+        self.drawn_at = self.full_until = 0
         self.waiting: dict[Dispatch, None] = {}  # ours there that have not started, oldest first
         self.update(entry)
 
@@ -306,10 +306,11 @@
 class ColdBudget:
     """Our part of what may be sent to a worker that is not warm yet."""
 
-    __slots__ = ("terms", "slots")
+    __slots__ = ("terms", "slots", "sent", "warm", "summed_at", "drawn_at")
 
     def __init__(self, terms: say.ColdTerms) -> None:
-        self.terms = terms
+        self.terms, self.sent = terms, Fading(max(1, terms.window))
+        self.warm, self.summed_at, self.drawn_at = 0.0, 0, 0
         # How many slots a worker has is told nowhere: the most of ours seen running on one, two at least.
         self.slots = 2.0
 
@@ -321,23 +322,34 @@
         terms = self.terms
         return terms.cold_from + (1.0 - terms.cold_from) * (now - worker.started_at) / terms.warm_after
 
-    def allows(self, worker: Worker, work: float, part: float, now: int, chance: Chance) -> bool:
+    def allows(
+        self, worker: Worker, work: float, part: float, now: int, chance: Chance, ready: list[Worker]
+    ) -> bool:
         """Whether a cold worker may get this work, too, out of our part."""
-        need = work / self.slots
-        share = part * self.terms.factor * self.terms.window * self.warmth(worker, now)
-        if need <= share:
-            return worker.sent_cold.read(now) + need <= share
-        # Guards against leaving fresh workers idle until warm where our part is less than one submission: we
-        # draw once a window, so that all together keep to half of what would push one over. The other half is
-        # for the odds of many draws, and for two that fall together.
-        if now < worker.cold_drawn_at + self.terms.window or need > 0.5 * share / part:
+        need, whole = work / self.slots, self.terms.factor * self.terms.window * self.warmth(worker, now)
+        if need <= part * whole:
+            return worker.sent_cold.read(now) + need <= part * whole
+        # Guards against leaving fresh workers idle until warm where our part of one is less than a submission:
+        # our part of all the cold ones together counts, which the uniform draw spreads evenly, and what is
+        # left of it under a submission is drawn for once a window. All together keep to half of what would
+        # push one over; the other half is for the odds of many draws, and for two that fall together.
+        if need > 0.5 * whole:
             return False
-        worker.cold_drawn_at = now
-        return chance.falls(0.5 * share / need)
+        if now >= self.summed_at + self.terms.window // 16:  # guards the CPU; warmth moves slowly beside it
+            self.summed_at = now
+            self.warm = sum([self.warmth(one, now) for one in ready if self.is_cold(one, now)])
+        left = 0.5 * part * self.terms.factor * self.terms.window * self.warm - self.sent.read(now)
+        if need <= left:
+            return True
+        if now < self.drawn_at + self.terms.window:
+            return False
+        self.drawn_at = now
+        return chance.falls(max(0.0, left / need))
 
     def count(self, worker: Worker, work: float, now: int) -> None:
         worker.sent_cold.span = self.terms.window
         worker.sent_cold.add(work / self.slots, now)
+        self.sent.add(work / self.slots, now)
 
 
 class WorkerList:
@@ -794,7 +806,7 @@
 
     def cold_allows(self, worker: Worker, sub: Submission) -> bool:
         return not self.cold.is_cold(worker, self.now) or self.cold.allows(
-            worker, self.work(sub), self.shares.part(self.now), self.now, self.chance
+            worker, self.work(sub), self.shares.part(self.now), self.now, self.chance, self.fitting[None]
         )
 
     def all_doubtful(self) -> bool:
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 import pytest
-from helpers import STEP, HandPlayed, listed, terms
+from helpers import COLD, STEP, Checked, HandPlayed, listed, terms
 
 from locktide.dispatch import interface as say
 from locktide.dispatch.rules import Dispatcher
@@ -56,6 +56,29 @@
     assert calls < 60, "work for the service without need"
 
 
+@pytest.mark.parametrize(("warm", "cold", "submissions"), [(30, 30, 3), (0, 10, 20)])
+def test_forty_together_warm_cold_workers_and_push_none_over(warm: int, cold: int, submissions: int) -> None:
+    """Six in ten workers were new: they idled for seconds, as each was drawn for by itself, while the old
+    ones had queues of ten; and where there are only cold ones, all together keep to half of what they bear.
+    """
+    got = dict.fromkeys([f"cold{n}" for n in range(cold)], 0)
+    for seed in range(40):
+        service = Checked(seed, fleet=40)
+        fresh = [listed(name, started_at=service.now) for name in got]
+        service.list(*fresh, *[listed(f"warm{n}") for n in range(warm)])
+        for submission in range(submissions):
+            service.arrive(submission, "close", hint=300_000)
+            service.pass_time(STEP)
+        for submission, shot in service.out():
+            worker = service.shots[submission][shot]["worker"]
+            if worker in got:
+                got[worker] += 1
+    # Two slots, at 0.3 of what they can do: in a window each bears so many such submissions.
+    bears = COLD.factor * COLD.window * COLD.cold_from * 2 / 300_000
+    assert sum(got.values()) > 0.3 * min(cold * bears, 40 * submissions)
+    assert sum(got.values()) <= 0.55 * cold * bears and max(got.values()) <= bears
+
+
 def told_to_ask() -> HandPlayed:
     player = HandPlayed()
     player.node.listing = player.node.dispatcher.list.terms = say.ListTerms(True, 200_000)
