--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -329,7 +329,7 @@
         need, whole = work / self.slots, self.terms.factor * self.terms.window * self.warmth(worker, now)
         if need <= part * whole:
             return worker.sent_cold.read(now) + need <= part * whole
-        # Guards against leaving fresh workers idle until warm where our part of one is less than a submission:
+        # Guards against leaving fresh workers idle until warm where our part of one is under a submission:
         # our part of all the cold ones together counts, which the uniform draw spreads evenly, and what is
         # left of it under a submission is drawn for once a window. All together keep to half of what would
         # push one over; the other half is for the odds of many draws, and for two that fall together.
