--- a/locktide/dispatch/interface.py
+++ b/locktide/dispatch/interface.py
@@ -38,6 +38,7 @@
 # A kept connection broke with no word, most likely closed as idle; or the process has started anew since.
 CUT_OFF = "cut off"
 PROVEN_NOT_RUN = frozenset((FULL, NO_CONNECTION, NEVER_SENT, UNFIT))
+UNSENT = frozenset((NO_CONNECTION, NEVER_SENT))
 TELLS_NOTHING = frozenset((NEVER_SENT, UNFIT, CUT_OFF))  # of how the worker fares
 
 # What a piece of list news is, and what a listed worker is doing.
@@ -71,11 +72,15 @@
 
 @dataclass(slots=True)
 class DispatchTerms:
-    """How often and how one submission may be dispatched."""
+    """How often and how one submission may be dispatched.
+
+    `counts_unsent`: whether one of which no last byte went out is among the most that there may be.
+    """
 
     most_dispatches: int
     second_copies: bool
     may_withdraw: bool
+    counts_unsent: bool = True
 
 
 @dataclass(slots=True)
--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -259,7 +259,7 @@
 
 class Submission:
     __slots__ = ("id", "grade", "width", "hint", "arrived_at", "limit_at", "leave_at", "order", "shots",
-                 "out", "held", "course", "pooled", "answered")
+                 "out", "held", "course", "pooled", "answered", "uncounted")
 
     def __init__(self, arrival: say.Arrival, grade: say.Grade, now: int, order: int) -> None:
         self.id, self.grade, self.width = arrival.submission, grade, arrival.width
@@ -270,6 +270,7 @@
         self.out: list[Dispatch] = []  # dispatches without an outcome
         self.held: list[Dispatch] = []  # dispatches not proven never to have run
         self.pooled = self.answered = False
+        self.uncounted = 0  # dispatches that do not count among the most there may be
         self.course: Course
 
     def __lt__(self, other: Submission) -> bool:
@@ -451,7 +452,7 @@
 
     def may_dispatch(self, sub: Submission) -> bool:
         once = sub.held and sub.grade.effect == say.AT_MOST_ONCE
-        return len(sub.shots) < self.dispatching.most_dispatches and not once
+        return len(sub.shots) - sub.uncounted < self.dispatching.most_dispatches and not once
 
     def doubt(self, dispatch: Dispatch) -> str:
         """A further dispatch for one in doubt, beside it or in its place, while such ones pay."""
@@ -758,6 +759,14 @@
             # Guards against one that turns all away, so has nothing of ours, and draws all that waits.
             worker.heard_at = self.now
             worker.full_until = self.now + int(self.runs[sub.grade.name].mean(self.now))
+        if news.outcome == say.NO_CONNECTION:
+            # Guards against spinning on what refuses: as long as a connection may take, we ask for no other.
+            worker.full_until = self.now + 250_000
+        if news.outcome in say.UNSENT and not self.dispatching.counts_unsent:
+            # Guards against using up all dispatches within milliseconds, where a zone is lost and only the
+            # lost may have what may have run: it waits until one of them is back.
+            sub.uncounted += 1
+            self.credit += dispatch.further
         if news.outcome in say.PROVEN_NOT_RUN:
             sub.held.remove(dispatch)
         if not sub.answered:
--- a/locktide/node/node.py
+++ b/locktide/node/node.py
@@ -49,6 +49,8 @@
         loop, system = asyncio.get_running_loop(), system or Real()
         self.loop, self.log, self.clock = loop, log, Clock(loop, system.wall)
         grades: list[say.Grade] = start.terms[2]
+        dispatching: say.DispatchTerms = start.terms[3]
+        dispatching.counts_unsent = False  # on sockets a dispatch counts once its last byte has come
         self.dispatcher = Dispatcher(start.seed, *start.terms)
         self.held: dict[str, Held] = {}
         self.spent: dict[str, float] = {}  # ids that were answered, and when we forget them, oldest first
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -9,6 +9,7 @@
 
 import pytest
 from helpers import COLD, STEP, Checked, HandPlayed, listed, terms
+from helpers import submission as submission_of
 
 from locktide.dispatch import interface as say
 from locktide.dispatch.rules import Dispatcher
@@ -79,6 +80,45 @@
     assert sum(got.values()) <= 0.55 * cold * bears and max(got.values()) <= bears
 
 
+def test_what_only_a_lost_zone_may_have_waits_for_it_and_spins_on_nothing() -> None:
+    """Bound to a cell in a lost zone, submissions used up three dispatches in 4 ms and were terminated."""
+    service = Checked(fleet=40, copies=False)
+    service.dispatcher.dispatching.counts_unsent = False
+    names = ["w0", "w1", "w2"]
+    service.list(*[listed(name) for name in names])
+    service.arrive(1, "record")
+    service.end(1, 0, say.RESET)
+    refused = 0
+    for _ in range(2_500_000 // STEP):
+        for submitted, shot in service.out():
+            refused += 1
+            service.end(submitted, shot, say.NO_CONNECTION)
+        service.pass_time(STEP)
+    assert not service.answered
+    assert 3 < refused <= 3 * 11, "each of three workers is tried four times a second at most"
+    warm = service.now - COLD.warm_after
+    service.list(*[listed(name, started_at=warm) for name in names], kind=say.CHANGES)
+    for _ in range(1_400_000 // STEP):
+        service.pass_time(STEP)
+        for submitted, shot in service.out():
+            service.end(submitted, shot, say.DONE)
+    assert service.answered[1] == "done"
+
+
+def test_on_sockets_only_what_was_sent_counts_among_the_dispatches() -> None:
+    async def run() -> None:
+        player = HandPlayed()
+        player.node.submitted(submission_of("a"))
+        for place in range(3):  # as many as there may be
+            await player.settle()
+            assert len(player.asked) == place + 1
+            player.asked[place].end(say.NO_CONNECTION)
+        await player.settle()
+        assert player.node.held["a"].open, "denied while it could still be sent"
+
+    asyncio.run(run())
+
+
 def told_to_ask() -> HandPlayed:
     player = HandPlayed()
     player.node.listing = player.node.dispatcher.list.terms = say.ListTerms(True, 200_000)
