A durable job for which nobody waits outlives refusals by all workers, up to its limit

A job handed in with respond-async, with minutes of its limit left, was denied within milliseconds when four workers had no room (rules.py may_dispatch, course): all dispatches were used up.

Change: for such a job what is proven not to have run does not count among its dispatches; who answered 'full' is not asked again for a usual run, so the tries stay bounded at one a worker and run, for all jobs together. Also: the word that made a job done, told once more, was written down as a late word (desk.py late).

Tests: tests/test_rules.py (fails without: denied after three refusals).

--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -259,12 +259,12 @@
 
 class Submission:
     __slots__ = ("id", "grade", "width", "hint", "arrived_at", "limit_at", "leave_at", "order", "shots",
-                 "out", "held", "course", "pooled", "answered", "uncounted")
+                 "out", "held", "course", "pooled", "answered", "patient", "uncounted")
 
     def __init__(self, arrival: say.Arrival, grade: say.Grade, now: int, order: int) -> None:
         self.id, self.grade, self.width = arrival.submission, grade, arrival.width
         self.hint, self.order = arrival.work_hint, order
-        self.arrived_at, self.limit_at = now, arrival.time_limit_at
+        self.arrived_at, self.limit_at, self.patient = now, arrival.time_limit_at, arrival.patient
         self.leave_at = self.limit_at  # when waiting in the pool stops to pay
         self.shots: list[Dispatch] = []
         self.out: list[Dispatch] = []  # dispatches without an outcome
@@ -659,6 +659,8 @@
             sub.shots.append(dispatch)
             if earlier.outcome not in say.PROVEN_NOT_RUN:
                 sub.held.append(dispatch)
+            elif sub.patient:
+                sub.uncounted += 1
             if earlier.outcome is None:
                 sub.out.append(dispatch)
                 self.outstanding += sub.width
@@ -762,7 +764,11 @@
         if news.outcome == say.NO_CONNECTION:
             # Guards against spinning on what refuses: as long as a connection may take, we ask for no other.
             worker.full_until = self.now + 250_000
-        if news.outcome in say.UNSENT and not self.dispatching.counts_unsent:
+        if sub.patient and news.outcome in say.PROVEN_NOT_RUN:
+            # Guards against giving up a job for which nobody waits, as four workers at once had no room: it
+            # waits for one. Who is full is not asked again for a usual run.
+            sub.uncounted += 1
+        elif news.outcome in say.UNSENT and not self.dispatching.counts_unsent:
             # Guards against using up all dispatches within milliseconds, where a zone is lost and only the
             # lost may have what may have run: it waits until one of them is back.
             sub.uncounted += 1
--- a/locktide/durable/desk.py
+++ b/locktide/durable/desk.py
@@ -18,7 +18,7 @@
 
 from locktide.dispatch import interface as say
 from locktide.durable import leases, recovery
-from locktide.durable.jobs import Job, Table
+from locktide.durable.jobs import DONE, Job, Table
 from locktide.durable.journal import Journal, Unwritable
 from locktide.durable.records import Accepted, Began, Ended, Finished, Late, Leased
 from locktide.durable.recovery import Moment
@@ -356,6 +356,8 @@
             (one.fence, one.worker, one.state) == (fence, message.worker, message.state) for one in job.late
         )
         ended = job.ended.get(fence)
+        # The word that made the job done, once more: its final answer says so.
+        told = told or job.state == DONE and message.outcome == say.DONE and fence == job.fence
         if told or len(job.late) >= MOST_LATE or ended is not None and ended.outcome == message.outcome:
             return None  # it says what we know
         self.log.say(
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -383,3 +383,21 @@
     assert 1 not in service.answered
     service.pass_time(100_000)
     assert {shot["worker"] for shot in service.shots[1]} == {"w0", "w1"}
+
+
+def test_a_job_for_which_nobody_waits_outlives_refusals_by_all_workers() -> None:
+    """Durable jobs were denied within milliseconds when four workers had no room, with minutes left."""
+    service = Checked(copies=False)
+    service.list(*[listed(f"w{number}") for number in range(3)])
+    service.turn(say.Arrival(1, "record", service.now + 60_000_000, patient=True))
+    full = 0
+    for _ in range(5_000_000 // STEP):
+        for submission, shot in service.out():
+            full += 1
+            service.end(submission, shot, say.FULL)
+        service.pass_time(STEP)
+    assert not service.answered and service.most < full <= 3 * 8, "once a usual run at each of three"
+    while not service.out():
+        service.pass_time(STEP)
+    service.end(1, service.out()[0][1], say.DONE)
+    assert service.answered[1] == "done"
