Durable jobs are rehearsed on loopback: real processes, a real disk, SIGKILL

Need: durable jobs were rehearsed in virtual time only; on loopback one served dispatcher was tested.

--- a/locktide/rehearse/loopback.py
+++ b/locktide/rehearse/loopback.py
@@ -95,6 +95,8 @@
         self.doors: dict[Door, None] = {}
         self.whole = asyncio.Event()  # set at each change of the links
         self.processes: dict[int, subprocess.Popen[bytes]] = {}
+        # Where jobs are durable: what a dispatcher is told, as an installation's file with that directory.
+        self.as_file: Callable[[dict[str, Any], Path], str] | None = None
         self.starts = 0
         self.tasks: dict[asyncio.Task[Any], None] = {}
         self.net = self.free_net()
@@ -176,7 +178,13 @@
     def start_dispatcher(self, number: int, told: dict[str, Any]) -> None:
         self.starts += 1
         path = self.folder / f"d{number}-{self.starts}.json"
-        path.write_text(json.dumps(told), encoding="utf-8")
+        command = [sys.executable, "-m", "locktide"]
+        if self.as_file is None:
+            path.write_text(json.dumps(told), encoding="utf-8")
+        else:
+            path = path.with_suffix(".toml")
+            path.write_text(self.as_file(told, self.folder / f"jobs-d{number}"), encoding="utf-8")
+            command = [sys.executable, "-m", "locktide.cli.main", "serve", str(path)]
         environment = {
             key: value
             for key, value in os.environ.items()
@@ -184,7 +192,7 @@
         }
         with open(self.folder / f"d{number}.log", "ab") as log:
             self.processes[number] = subprocess.Popen(
-                [sys.executable, "-m", "locktide"],
+                command,
                 cwd=self.program,
                 stderr=log,
                 stdout=log,
--- a/locktide/rehearse/play.py
+++ b/locktide/rehearse/play.py
@@ -78,9 +78,10 @@
 
 async def on_loopback(script: Script, program: Path, folder: Path, glance: Glance | None = None) -> Played:
     """In real time. Cancelled in the middle, it gives what there is, and leaves no process behind."""
-    if script.durable.on:
-        raise Troubled("durable jobs are rehearsed in virtual time only: --host virtual")
     host = Loopback(program, folder)
+    if script.durable.on:
+        refuse_on_loopback(script)
+        host.as_file = lambda told, directory: told_module.as_file(script, told, directory)
     stage = Stage(script, host)
     host.links = stage.links
     complete = True
@@ -104,6 +105,14 @@
         await host.clear_away()
 
 
+def refuse_on_loopback(script: Script) -> None:
+    """What an installation's file and a real disk cannot be told; raises Troubled."""
+    if any(incident.what == "trap-dispatcher" for incident in script.incident):
+        raise Troubled("points of a journal at which dispatchers are trapped are for --host virtual only")
+    if script.dispatcher.settings or script.roster.call:
+        raise Troubled("beside durable jobs, dispatcher.settings and roster.call are for --host virtual only")
+
+
 def spell(context: dict[str, Any]) -> str:
     trouble = context.get("exception")
     return f"{context.get('message')}: {type(trouble).__name__}: {trouble}"
--- a/locktide/rehearse/told.py
+++ b/locktide/rehearse/told.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import json
+from pathlib import Path
 from typing import Any
 
 from locktide.config.installation import EFFECTS, Durable
@@ -101,3 +103,69 @@
         beat_within=terms.beat_within,
         segment_mb=terms.segment_kb / 1024,
     )
+
+
+def as_file(script: Script, told: dict[str, Any], directory: Path) -> str:
+    """What `config` tells, as an installation's file with durable jobs in that directory.
+
+    For `locktide serve`: the platform's start has no such part.
+    """
+    terms, dispatcher, kept = script.worker, script.dispatcher, durable(script)
+    tables: dict[str, dict[str, Any]] = {
+        "serve": {"name": told["name"], "listen": told["listen"], "roster": told["discovery"]},
+        "limits": {"descriptors": dispatcher.sockets, "memory_mb": dispatcher.memory_mb},
+        "dispatches": {
+            "most": dispatcher.dispatches,
+            "connect": dispatcher.connect,
+            "idle": terms.idle_close,
+            "longest_advice": dispatcher.longest_advice,
+        },
+        "workers": {
+            "dispatchers": script.fleet.dispatchers,
+            "progress": terms.progress,
+            "cold_from": terms.cold_from,
+            "cold_for": terms.cold_for,
+            "fall_factor": terms.fall_factor,
+            "fall_for": terms.fall_for,
+        },
+        "durable": {
+            "on": True,
+            "directory": str(directory),
+            "grades": kept.grades,
+            "limit": kept.limit,
+            "keep": kept.keep,
+            "start_within": kept.start_within,
+            "beat_within": kept.beat_within,
+            "segment_mb": kept.segment_mb,
+        },
+    }
+    lines = []
+    for name, table in tables.items():
+        lines += [f"[{name}]", *assigned(table)]
+    for entry in told["known"]["targets"]:
+        known = {
+            "uid": entry["uid"],
+            "endpoint": entry["endpoint"],
+            "zone": entry["az"],
+            "model": entry["model"],
+            "cell": entry["pod_group"],
+        }
+        lines += ["[[known]]", *assigned(known)]
+    for grade in script.grade:
+        service = {
+            "name": grade.name,
+            "effect": grade.effect,
+            "memory": grade.memory,
+            "soft": grade.soft,
+            "stretch": grade.stretch,
+            "limit": grade.limit,
+            "revenue": float(grade.revenue),
+            "late": grade.late,
+        }
+        lines += ["[[grade]]", *assigned(service)]
+    return "\n".join(lines) + "\n"
+
+
+def assigned(table: dict[str, Any]) -> list[str]:
+    """A string, a number, a truth and a list of strings are spelled in JSON as in TOML."""
+    return [f"{key} = {json.dumps(value)}" for key, value in table.items()]
