--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 from heapq import heappop, heappush
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
@@ -246,3 +247,21 @@
     played = in_virtual_time(rough, lambda stage, now: calls.append(stage.calls.taken))  # type: ignore
     assert not any(played.told["rules"].values())
     assert calls[-1] <= 30, "two starts of eight, and a few that were turned away"
+
+
+def test_a_reload_asks_the_new_address_for_the_whole_list_at_once_and_after_a_failure_when_told() -> None:
+    async def run() -> None:
+        player, heard = told_to_ask(), []
+        node = player.node
+        listening = await agent([BUSY, sheet(7, True)], heard)
+        told = SimpleNamespace(discovery=listening.sockets[0].getsockname())  # only its address is read
+        node.reload(told)  # type: ignore[arg-type]
+        while len(heard) < 3:
+            await asyncio.sleep(0.002)
+        assert heard == [names.INSTANCES, names.INSTANCES, AFTER % 7]
+        assert say.ListNews(say.LIST_FAILED, []) in [piece for _, news in player.turns for piece in news]
+        assert node.watching is not None
+        node.watching.cancel()
+        listening.close()
+
+    asyncio.run(run())
