--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -19,8 +19,9 @@
    more than half are doubtful the fault is taken to be elsewhere, and nobody is.
 3. Further dispatches: a dispatch that has not started after part of the slack, or has gone silent, is doubled
    or withdrawn where the grade allows it; how often follows how many of the recent ones succeeded.
-4. Cold budget: a worker that has just started gets no more than our part of the work that would push it over,
-   counted as work per window, until it is warm; by a draw where that is less than one submission.
+4. Cold budget: a worker that has just started gets no more than our part of the work that would push it
+   over, counted as work per window, until it is warm; where that is under one submission, our part of what
+   all cold workers may get counts, with a draw for what is left of it.
 5. Denials and shares: denied is what has waited a share of the slack in the pool, the more alike for all
    grades the more the goal weighs the worst-served one. Work beyond its tenant's share waits only as long as
    it is worth; where dispatchers may tell each other their arrivals, our part follows them.
