--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 import pytest
-from helpers import COLD, STEP, Checked, HandPlayed, listed, terms
+from helpers import COLD, STEP, Checked, HandPlayed, free_address, listed, terms
 from helpers import submission as submission_of
 
 from locktide.dispatch import interface as say
@@ -265,3 +265,44 @@
         listening.close()
 
     asyncio.run(run())
+
+
+def test_a_worker_replaced_under_the_same_address_gets_nothing_meant_for_the_old_one() -> None:
+    async def run() -> None:
+        player = HandPlayed()
+        here = player.node.fleet.addresses["w0"]
+        gone = [listed(name, say.GONE) for name in ("w0", "w1", "w2")]
+        addresses = dict.fromkeys(["w0", "w1", "w2", "w9"], here)
+        player.node.take_list(discovery.Sheet(2, False, [*gone, listed("w9")], addresses))
+        player.node.submitted(submission_of("a"))
+        assert (await player.sent("a")).worker == "w9"
+        assert set(player.forgotten) >= {"w0", "w1", "w2"}, "their connections lead to another process now"
+
+    asyncio.run(run())
+
+
+def test_a_stop_while_discovery_says_nothing_finishes_what_was_taken(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("locktide.node.node.ACCEPT_ON", 0.02)
+
+    async def run() -> None:
+        player, heard, stop = told_to_ask(), [], asyncio.Event()
+        node = player.node
+        node.lines.sweep = lambda: None  # type: ignore[method-assign]
+        listening = await agent([], heard)
+        node.discovery, node.listen_at = listening.sockets[0].getsockname(), free_address()
+        running = asyncio.create_task(node.run(stop))
+        await asyncio.sleep(0.01)
+        answer = node.submitted(submission_of("a"))
+        asked = await player.sent("a")
+        stop.set()
+        await asyncio.sleep(0.05)
+        assert not running.done(), "it would leave what it has taken"
+        asked.reply(202)
+        player.call("a", asked.worker, "done", b"milk")
+        await asyncio.wait_for(running, 2.0)
+        assert answer is not None and answer.result().status == 200
+        listening.close()
+
+    asyncio.run(run())
