A refusal shortens no longer rest; a list that answers again ends the failures

Seen on a second reading. rules.py take_ended set full_until to 250 ms after a refused connection, also where a longer rest after 'full' was running. net/watch.py told the decisions of an answer only where it brought something, so after a failure the count of failures stayed, and the next break began with a span of up to twice AskWithin. Both have a test that fails without.

--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -764,7 +764,7 @@
             worker.full_until = self.now + int(self.runs[sub.grade.name].mean(self.now))
         if news.outcome == say.NO_CONNECTION:
             # Guards against spinning on what refuses: as long as a connection may take, we ask for no other.
-            worker.full_until = self.now + 250_000
+            worker.full_until = max(worker.full_until, self.now + 250_000)
         if sub.patient and news.outcome in say.PROVEN_NOT_RUN:
             # Guards against giving up a job for which nobody waits, as four workers at once had no room: it
             # waits for one. Who is full is not asked again for a usual run.
--- a/locktide/net/watch.py
+++ b/locktide/net/watch.py
@@ -73,13 +73,15 @@
                 # Guards against a list remembered from elsewhere: this one counts its versions on its own.
                 behind = self.version is not None and sheet.version < self.version and not sheet.whole
                 self.version = None if behind else sheet.version
-                if self.failing:
+                again = self.failing
+                if again:
                     self.failing = False
                     self.log.say(
                         f"worker list: answers again, version {sheet.version}",
                         event="roster-answers", version=sheet.version,
                     )
-                if sheet.whole or sheet.entries:
+                # After a failure also what brings nothing: else the gaps of the next begin where these ended.
+                if sheet.whole or sheet.entries or again:
                     self.take(sheet)
                 elif asyncio.get_running_loop().time() < asked_at + GAP:
                     # Guards against spinning where an answer comes before its time and brings nothing.
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -155,6 +155,11 @@
         while len(heard) < 2:  # once the decisions' own gap is over
             await asyncio.sleep(0.002)
         assert heard[1] == AFTER % 1
+        for _ in range(1000):  # at most: the answer to the second call is there at once
+            if not node.dispatcher.list.failures:
+                break
+            await asyncio.sleep(0.002)
+        assert node.dispatcher.list.failures == 0, "an answer that brings nothing ends the failures, too"
         assert node.watching is not None
         node.watching.cancel()
         listening.close()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -504,7 +504,7 @@
         while len(heard) < 4:
             await asyncio.sleep(0.005)
         task.cancel()
-        assert [sheet.version for sheet in sheets] == [41]
+        assert [sheet.version for sheet in sheets] == [41, 43]  # what brings nothing only after a failure
         wait = "&wait_ms=20"
         assert heard[:4] == [names.INSTANCES, names.INSTANCES + "?after=41" + wait,
                              names.INSTANCES + "?after=41" + wait, names.INSTANCES + "?after=43" + wait]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -401,3 +401,17 @@
         service.pass_time(STEP)
     service.end(1, service.out()[0][1], say.DONE)
     assert service.answered[1] == "done"
+
+
+def test_a_refused_connection_does_not_shorten_the_rest_after_full() -> None:
+    service = Checked(copies=False)
+    service.list(listed("w"))
+    worker = service.dispatcher.list.workers["w"]
+    worker.cap = 2.0
+    service.arrive(1, "record")
+    service.arrive(2, "record")
+    service.end(1, 0, say.FULL)
+    rests = worker.full_until
+    assert rests > service.now + 250_000
+    service.end(2, 0, say.NO_CONNECTION)
+    assert worker.full_until == rests
