What a restarted worker had is withdrawn there before it goes elsewhere

At fault: Node.lost_at ended what was sent before the worker's last start by the list alone; nobody had told that it had ended, nor had it been given up.

--- a/locktide/node/node.py
+++ b/locktide/node/node.py
@@ -206,17 +206,19 @@
         self.tell(say.ListNews(say.WHOLE if sheet.whole else say.CHANGES, sheet.entries))
 
     def lost_at(self, worker: str) -> None:
-        """Ends what was sent to a worker before its process last started: nobody has it any more.
+        """Withdraws what was sent to a worker before its process last started: nobody has it any more.
 
         Guards against waiting to the time limit for a job, and keeping its slots taken, where the word of its
-        loss does not come.
+        loss does not come; and against taking that for its end, which no one but the worker can tell: what
+        goes elsewhere before the new process has answered a withdrawal is a second copy.
         """
         started_at = self.fleet.entries[worker].started_at
         for held in list(self.held.values()):
             for shot in held.out():
-                if shot.worker == worker and shot.written and shot.sent_at < started_at:
-                    shot.task.cancel()
-                    self.end(held, shot, say.CUT_OFF)
+                earlier = shot.worker == worker and shot.written and shot.sent_at < started_at
+                if earlier and not shot.withdrawing:
+                    shot.withdrawing = True
+                    self.call_off(held, shot, say.CUT_OFF)
 
     # --- submissions
 
@@ -402,21 +404,23 @@
         if not self.call_off(held, shot):
             self.end(held, shot, say.WITHDRAWN if shot.begun else say.NEVER_SENT)
 
-    def call_off(self, held: Held, shot: Shot) -> bool:
-        """Before the 202 by closing the connection; whether a message follows, on which to wait."""
+    def call_off(self, held: Held, shot: Shot, outcome: str = say.WITHDRAWN) -> bool:
+        """Before the 202 by closing the connection; whether a message follows, on which to wait. Then the
+        dispatch has that outcome.
+        """
         if not shot.accepted:
             shot.task.cancel()
         # Guards against a 202 that is on its way to us: the worker has taken the job, and what is dispatched
         # elsewhere before the message has reached it is a second copy.
         if shot.written:
-            self.start(self.delete(held, shot))
+            self.start(self.delete(held, shot, outcome))
         return shot.written
 
-    async def delete(self, held: Held, shot: Shot) -> None:
+    async def delete(self, held: Held, shot: Shot, outcome: str) -> None:
         address = self.fleet.addresses.get(shot.worker)
         question = workers.withdrawal(held.message.id)
         if address is None:  # an earlier process knew where it is; we do not
-            self.end(held, shot, say.WITHDRAWN)
+            self.end(held, shot, outcome)
             return
         try:
             # As long as a connection may take, and no longer: a silent worker must not hold up the rest.
@@ -432,7 +436,7 @@
                 f"worker {shot.worker}: no answer to a withdrawal",
                 event="withdrawal-unanswered", worker=shot.worker,
             )
-        self.end(held, shot, say.WITHDRAWN)
+        self.end(held, shot, outcome)
 
     def sought(self, message: clients.Sought) -> Answer:
         return Answer(404, b"no such job\n")
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -322,8 +322,15 @@
         await play.settle()
         assert play.outcomes() == []
         play.list(shot.worker, say.READY, started_at=play.node.clock.now() + 1)
+        play.list(shot.worker, say.READY, started_at=play.node.clock.now() + 1)  # told twice, withdrawn once
         await play.settle()
-        assert play.outcomes() == [say.CUT_OFF] and len(play.asked) == 2  # and goes out anew
+        # A zone back cold: what went out anew before the new process had answered was a second copy.
+        question = play.asked[-1].build()
+        assert play.outcomes() == [] and len(play.asked) == 2
+        assert question is not None and (question.method, question.target) == ("DELETE", "/jobs/a")
+        play.asked[-1].reply(404)
+        await play.settle()
+        assert play.outcomes() == [say.CUT_OFF] and len(play.asked) == 3  # and goes out anew
 
     played(story)
 
