A spoilt entry of the list costs its worker alone; a reply told twice ends its connection

Found by reading against the fleet test's list of bad input, each shown by a test that fails without the mending: - discovery.read refused a whole list for one entry (an unknown state, an address in no form, a uid told twice), so that drains told with it and after it were not heard. Now that entry is left out and its worker, where known, gets nothing new until it is told properly; a list that is spoilt by more than half is refused whole, as before. - Line.fresh did not see bytes that came while a connection rested: a worker's second 202, or a 503 after it, would have been read as the reply to the next job, and a 503 there sends that job out a second time. - A number of hundreds of digits in a list or in a call-back's share raised OverflowError past the 400. Also held by tests, and sound before: cut-off, empty, nested and foreign answers of discovery, two reloads in a row while a call is open.

--- a/locktide/config/checks.py
+++ b/locktide/config/checks.py
@@ -15,7 +15,11 @@
 
 
 def number(key: str, value: Any, least: float) -> float:
-    if isinstance(value, bool) or not isinstance(value, int | float) or not isfinite(value):
+    try:
+        whole = not isinstance(value, bool) and isinstance(value, int | float) and isfinite(value)
+    except OverflowError:  # more digits than any figure of ours has
+        whole = False
+    if not whole:
         raise Faulty(key, f"expected a number, not {value!r:.40}")
     if value < least:
         raise Faulty(key, f"expected at least {least:g}, not {value!r}")
--- a/locktide/net/streams.py
+++ b/locktide/net/streams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Any
 
 from locktide.protocol.exchange import Exchange, Reply
 
@@ -32,6 +33,25 @@
             self.reader.feed_data(bytes(self.little[:nbytes]))
 
 
+class CountedReader(asyncio.StreamReader):
+    """Counts the bytes that come in, read or not."""
+
+    counted = 0
+
+    def feed_data(self, data: Any) -> None:
+        self.counted += len(data)
+        super().feed_data(data)
+
+
+async def open_counted(host: str, port: int) -> tuple[CountedReader, asyncio.StreamWriter]:
+    """As asyncio.open_connection, with a reader that counts."""
+    loop = asyncio.get_running_loop()
+    reader = CountedReader(limit=READ, loop=loop)
+    protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
+    transport, _ = await loop.create_connection(lambda: protocol, host, port)
+    return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
+
+
 async def reply_on(reader: asyncio.StreamReader, exchange: Exchange) -> Reply:
     reply = None
     while reply is None:
--- a/locktide/net/watch.py
+++ b/locktide/net/watch.py
@@ -70,6 +70,12 @@
                 if reply.status != 200:
                     raise Broken(f"status {reply.status}")
                 sheet = discovery.parse(reply.body)
+                if sheet.faults:
+                    count, first = len(sheet.faults), sheet.faults[0]
+                    self.log.say(
+                        f"worker list: {count} entries not taken, the first for {first}",
+                        event="roster-entries-faulty", count=count, first=first,
+                    )
                 # Guards against a list remembered from elsewhere: this one counts its versions on its own.
                 behind = self.version is not None and sheet.version < self.version and not sheet.whole
                 self.version = None if behind else sheet.version
--- a/locktide/net/workers.py
+++ b/locktide/net/workers.py
@@ -8,26 +8,28 @@
 from locktide.config.start import Address, spelled
 from locktide.dispatch import interface as say
 from locktide.net.descriptors import Allotment
-from locktide.net.streams import READ, reply_on
+from locktide.net.streams import CountedReader, open_counted, reply_on
 from locktide.protocol.exchange import Broken, Exchange, Question, Reply
 
 
 class Line:
     """One connection to a worker, and its place; it carries one question at a time."""
 
-    __slots__ = ("worker", "address", "reader", "writer", "exchange", "connected", "kept", "rested_at")
+    __slots__ = (
+        "worker", "address", "reader", "writer", "exchange", "connected", "kept", "rested_at", "read_by_then",
+    )
 
-    reader: asyncio.StreamReader
+    reader: CountedReader
     writer: asyncio.StreamWriter
 
     def __init__(self, worker: str, address: Address) -> None:
         self.worker, self.address = worker, address
         self.exchange = Exchange(spelled(address))
         self.connected = self.kept = False
-        self.rested_at = 0.0
+        self.rested_at, self.read_by_then = 0.0, 0
 
     async def connect(self) -> None:
-        self.reader, self.writer = await asyncio.open_connection(*self.address, limit=READ)
+        self.reader, self.writer = await open_counted(*self.address)
         self.connected = True
         # So that `drain` returns only once all is in the kernel's hands: before that, it has not been sent.
         self.writer.transport.set_write_buffer_limits(high=0)
@@ -35,7 +37,9 @@
     @property
     def fresh(self) -> bool:
         """Nothing has come since the last reply: neither an end nor what nobody asked for."""
-        return not self.reader.at_eof() and not self.writer.is_closing()
+        # Guards against a reply that is told twice: the second would be taken for that to the next question.
+        quiet = not self.kept or self.reader.counted == self.read_by_then
+        return quiet and not self.reader.at_eof() and not self.writer.is_closing()
 
 
 class Lines:
@@ -100,10 +104,11 @@
         return line
 
     def rest(self, line: Line) -> None:
+        line.kept = False  # what came up to here came for the question
         if not line.exchange.at_rest or not line.fresh:
             self.close(line)
             return
-        line.kept = True
+        line.kept, line.read_by_then = True, line.reader.counted
         line.rested_at = asyncio.get_running_loop().time()
         self.idle.setdefault(line.worker, []).append(line)
         self.places.rests(line, lambda: self.drop(line))
--- a/locktide/node/records.py
+++ b/locktide/node/records.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Iterable
+from dataclasses import replace
 
 from locktide.config.start import Address
 from locktide.dispatch import interface as say
@@ -68,8 +69,17 @@
         self.addresses: dict[str, Address] = {}
 
     def take(self, sheet: Sheet) -> Iterable[str]:
-        """Names the workers to which connections are of no more use."""
+        """Names the workers to which connections are of no more use; completes the sheet by what was known.
+
+        Guards against an entry that cannot be read: what is said of a worker but not understood may be that
+        it drains, so it gets nothing new, while the rest of the list counts as ever.
+        """
         stale = []
+        for worker in sheet.unclear:
+            if before := self.entries.get(worker):
+                state = say.DRAINING if before.state == say.READY else before.state
+                sheet.entries.append(replace(before, state=state))
+                sheet.addresses[worker] = self.addresses[worker]
         told = {entry.worker for entry in sheet.entries}
         if sheet.whole:
             for worker in [worker for worker in self.entries if worker not in told]:
--- a/locktide/protocol/clients.py
+++ b/locktide/protocol/clients.py
@@ -233,7 +233,7 @@
                 return Called(submission, worker, state, 0.0, None, b"", fence)
             result = told["result"].encode("utf-8", "surrogatepass") if state == "done" else b""
             return Called(submission, worker, state, 0.0, names.ENDS[state], result, fence)
-        except (ValueError, KeyError, TypeError, AttributeError, RecursionError):
+        except (ValueError, KeyError, TypeError, AttributeError, RecursionError, OverflowError):
             return Mistaken(400, "expected a callback")
 
     def answer(self, status: int, body: bytes, headers: list[tuple[str, str]], last: bool) -> list[bytes]:
--- a/locktide/protocol/discovery.py
+++ b/locktide/protocol/discovery.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import json
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
-from locktide.config.checks import Table
+from locktide.config.checks import Faulty, Table
 from locktide.config.start import Address, address
 from locktide.dispatch import interface as say
 from locktide.protocol import names
@@ -17,12 +17,17 @@
 
 @dataclass(slots=True)
 class Sheet:
-    """A whole list, or the entries that changed, with each worker's address."""
+    """A whole list, or the entries that changed, with each worker's address.
+
+    `unclear` are workers that it names but of which it does not say what can be taken; `faults` tells why.
+    """
 
     version: int
     whole: bool
     entries: list[say.Listed]
     addresses: dict[str, Address]
+    unclear: list[str] = field(default_factory=list)
+    faults: list[str] = field(default_factory=list)
 
 
 def question(after: int | None, wait_ms: int) -> Question:
@@ -30,26 +35,50 @@
     return Question("GET", names.INSTANCES + watch, [])
 
 
-def read(raw: Any, path: str) -> Sheet:
-    """Raises Faulty, with the name of the key, where it is not a list of workers."""
+def entry(told: Table) -> tuple[say.Listed, Address]:
+    listed = say.Listed(
+        told.text("uid"),
+        told.text("az", ""),
+        told.text("model", ""),
+        told.whole("pod_group", 0),
+        told.one_of(names.LIST_STATES, "state"),
+        told.number("capacity_hint", 1.0),
+        told.span("boot_ms", 0),
+    )
+    return listed, address(told.key("endpoint"), told.text("endpoint"))
+
+
+def read(raw: Any, path: str, strict: bool = True) -> Sheet:
+    """Raises Faulty, with the name of the key, where it is not a list of workers.
+
+    Unless `strict`, an entry that is faulty, or names a worker twice, is left out and noted as unclear; a
+    list of which more than half is like that is refused as a whole.
+    """
     told = Table(raw, path)
     sheet = Sheet(told.whole("rev"), told.flag("all"), [], {})
-    for entry in told.tables("targets"):
-        worker = entry.text("uid")
-        sheet.entries.append(
-            say.Listed(
-                worker,
-                entry.text("az", ""),
-                entry.text("model", ""),
-                entry.whole("pod_group", 0),
-                entry.one_of(names.LIST_STATES, "state"),
-                entry.number("capacity_hint", 1.0),
-                entry.span("boot_ms", 0),
-            )
-        )
-        sheet.addresses[worker] = address(entry.key("endpoint"), entry.text("endpoint"))
+    rows = told.row("targets")
+    for place, row in enumerate(rows):
+        where = f"{path}.targets[{place}]"
+        try:
+            listed, at = entry(Table(row, where))
+            if listed.worker in sheet.addresses or listed.worker in sheet.unclear:
+                raise Faulty(f"{where}.uid", f"{listed.worker!r:.40} is told twice")
+        except Faulty as fault:
+            if strict:
+                raise
+            sheet.faults.append(str(fault))
+            worker = row.get("uid") if isinstance(row, dict) else None
+            if isinstance(worker, str):
+                sheet.unclear.append(worker)
+                sheet.entries = [one for one in sheet.entries if one.worker != worker]
+                sheet.addresses.pop(worker, None)
+            if 2 * len(sheet.faults) > len(rows):
+                raise
+            continue
+        sheet.entries.append(listed)
+        sheet.addresses[listed.worker] = at
     return sheet
 
 
 def parse(body: bytes) -> Sheet:
-    return read(json.loads(body), "list")
+    return read(json.loads(body), "list", strict=False)
