Where only draining binds, a worker that the list drops is tried until it refuses

`standing` says for both hosts which state counts; a worker that is gone without a drain stays open, and each failure while it is unlisted halves the odds of the next try, until it is listed anew: machines that a release replaced would else be tried about once a second for ever.

--- a/locktide/config/installation.py
+++ b/locktide/config/installation.py
@@ -58,6 +58,9 @@
     cold_for: Annotated[float, seconds("until it is warm")] = 9.0
     fall_factor: Annotated[float, key("so many times what it can do knocks a cold one over", gt=0)] = 4.0
     fall_for: Annotated[float, seconds("the window over which that is counted")] = 2.0
+    gone_closes: Annotated[
+        bool, key("whether one that the roster drops, or calls gone without a drain, gets nothing new")
+    ] = True
 
 
 class Known(Part):
@@ -198,6 +201,7 @@
             "OverloadFor": workers.fall_for * 1000,
             "ColdFrom": workers.cold_from,
             "Cold": workers.cold_for * 1000,
+            "RemovalNotBinding": not workers.gone_closes,
         },
     }
 
--- a/locktide/config/settings.py
+++ b/locktide/config/settings.py
@@ -66,6 +66,9 @@
             limits.number("ColdFrom", 1.0),
             limits.span("Cold", 0),
         ),
-        say.ListTerms(told.get("Discovery", "automatic") == "subscribe", limits.span("AskWithin", 10000)),
+        say.ListTerms(
+            told.get("Discovery", "automatic") == "subscribe", limits.span("AskWithin", 10000),
+            not limits.flag("RemovalNotBinding", False),
+        ),
         say.SignTerms(domain.flag("TellsStart", False), domain.span("Progress", 0)),
     )
--- a/locktide/dispatch/interface.py
+++ b/locktide/dispatch/interface.py
@@ -123,10 +123,13 @@
 
 @dataclass(slots=True)
 class ListTerms:
-    """How the worker list is had: pushed, or only when asked for."""
+    """How the worker list is had: pushed, or only when asked for; and whether it closes a worker to new work
+    that it calls gone, or no longer names, though it never said that it drains.
+    """
 
     must_ask: bool
     ask_within: int
+    gone_binds: bool = True
 
 
 @dataclass(slots=True)
--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -186,9 +186,17 @@
             self.peers[news.peer] = (int(news.message), now)
 
 
+def standing(before: str | None, told: str, terms: say.ListTerms) -> str:
+    """The state that counts of a worker which a list calls `told`, and which stood at `before`.
+
+    Where only draining binds, a worker that is gone without it may still be up: what it does will show.
+    """
+    return before if told == say.GONE and before == say.READY and not terms.gone_binds else told
+
+
 class Worker:
     __slots__ = ("id", "zone", "kind", "cell", "state", "started_at", "own", "cap", "waiting", "rest_until",
-                 "heard_at", "good", "bad", "drawn_at", "sent_cold", "full_until")
+                 "heard_at", "good", "bad", "drawn_at", "sent_cold", "full_until", "listed", "lost")
 
     def __init__(self, entry: say.Listed, cap: float) -> None:
         self.id = entry.worker
@@ -200,11 +208,18 @@
         self.sent_cold = Fading(1_000_000)
         self.drawn_at = self.full_until = 0
         self.waiting: dict[Dispatch, None] = {}  # ours there that have not started, oldest first
-        self.update(entry)
+        self.zone, self.kind, self.cell = entry.zone, entry.kind, entry.cell
+        self.state, self.started_at, self.listed = entry.state, entry.started_at, True
+        self.lost = 0  # failures in a row while it was not listed
 
-    def update(self, entry: say.Listed) -> None:
+    def update(self, entry: say.Listed, terms: say.ListTerms) -> None:
         self.zone, self.kind, self.cell = entry.zone, entry.kind, entry.cell
-        self.state, self.started_at = entry.state, entry.started_at
+        self.started_at = entry.started_at
+        self.stand(entry.state, terms)
+
+    def stand(self, told: str, terms: say.ListTerms) -> None:
+        self.state, self.listed = standing(self.state, told, terms), told != say.GONE
+        self.lost = 0 if self.listed else self.lost
 
     def has_room(self, width: float, now: int, prompt: int) -> bool:
         if not self.own:
@@ -215,10 +230,10 @@
         return not self.waiting or now - next(iter(self.waiting)).sent_at <= prompt
 
     def doubtful(self, now: int) -> bool:
-        return self.bad.read(now) >= 0.5
+        return self.lost > 0 or self.bad.read(now) >= 0.5
 
     def succeeded(self, now: int) -> None:
-        self.heard_at = now
+        self.heard_at, self.lost = now, 0
         self.good.add(1.0, now)
         # Guards against shunning a worker that has come back: two good ends outweigh one bad.
         self.bad.add(-0.5 * self.bad.read(now), now)
@@ -227,6 +242,7 @@
         # Guards against a long good record that hides a fresh outage: a failure cuts it to a quarter.
         self.good.add(-0.75 * self.good.read(now), now)
         self.bad.add(1.0, now)
+        self.lost += not self.listed
 
     def trusted(self, now: int, chance: Chance) -> bool:
         """For a doubtful worker: whether it gets one more submission, drawn anew at most once a second."""
@@ -236,7 +252,9 @@
         # The a-th smallest of a + b - 1 uniform draws is distributed as Beta(a, b). Eight of each suffice.
         a, b = 1 + min(8, round(self.good.read(now))), 1 + min(8, round(self.bad.read(now)))
         draws = sorted([chance.below(1 << 20) for _ in range(a + b - 1)])
-        return draws[a - 1] > 1 << 19
+        # Guards against tries without end at machines that are gone for good and still count as open: the
+        # list and what is seen there agree, so each failure halves the odds, until it is listed anew.
+        return draws[a - 1] > 1 << 19 and (not self.lost or chance.falls(0.5 ** self.lost))
 
     def left(self, stay: int, now: int) -> None:
         # Guards against many dispatchers that each keep one submission on every worker: with a cap under one
@@ -382,10 +400,10 @@
             if worker is None:
                 self.workers[entry.worker] = Worker(entry, cap)
             else:
-                worker.update(entry)
+                worker.update(entry, self.terms)
         if news.kind in (say.WHOLE, say.REMEMBERED):
             for absent in self.workers.keys() - {entry.worker for entry in news.entries}:
-                self.workers[absent].state = say.GONE
+                self.workers[absent].stand(say.GONE, self.terms)
 
 
 class Dispatcher:
@@ -808,7 +826,7 @@
             worker = fitting[self.chance.below(len(fitting))]
             room_there = worker.has_room(sub.width, now, prompt) and self.holds(worker)
             if room_there and self.cold_allows(worker, sub) and (
-                not worker.doubtful(now) or self.all_doubtful()
+                not worker.doubtful(now) or worker.listed and self.all_doubtful()
                 # Guards against losing for good what cannot be sent again: others do the trying.
                 or (sub.grade.effect != say.AT_MOST_ONCE or self.all_once)
                 and worker.trusted(now, self.chance)
@@ -826,7 +844,8 @@
         )
 
     def all_doubtful(self) -> bool:
-        return 2 * sum([worker.doubtful(self.now) for worker in self.fitting[None]]) > len(self.fitting[None])
+        named = [worker for worker in self.fitting[None] if worker.listed]
+        return 2 * sum([worker.doubtful(self.now) for worker in named]) > len(named)
 
 
 TAKE: dict[type, Callable[[Dispatcher, Any], None]] = {
--- a/locktide/node/node.py
+++ b/locktide/node/node.py
@@ -54,7 +54,8 @@
         self.dispatcher = Dispatcher(start.seed, *start.terms)
         self.held: dict[str, Held] = {}
         self.spent: dict[str, float] = {}  # ids that were answered, and when we forget them, oldest first
-        self.fleet = Fleet()
+        self.listing: say.ListTerms = start.terms[8]
+        self.fleet = Fleet(self.listing)
         self.news: list[Any] = []
         self.handing_over = False
         self.serving = False
@@ -71,7 +72,6 @@
         self.server = Server(to_clients, limits, numbered, most_stored, self, log, system)
         self.discovery, self.listen_at = start.discovery, start.listen
         self.watching: asyncio.Task[None] | None = None
-        self.listing: say.ListTerms = start.terms[8]
         self.to_ask = asyncio.Event()  # the decisions want the list watched, and nobody does yet
         self.version = known.version if known.entries else None
         self.orders: dict[type, Callable[[Any], None]] = {
--- a/locktide/node/records.py
+++ b/locktide/node/records.py
@@ -8,6 +8,7 @@
 
 from locktide.config.start import Address
 from locktide.dispatch import interface as say
+from locktide.dispatch.rules import standing
 from locktide.net.server import Answer
 from locktide.protocol.clients import Submitted
 from locktide.protocol.discovery import Sheet
@@ -62,9 +63,10 @@
 
 
 class Fleet:
-    """The workers as this dispatcher's list last named them."""
+    """The workers as this dispatcher's list last named them, in the state that counts for the decisions."""
 
-    def __init__(self) -> None:
+    def __init__(self, terms: say.ListTerms) -> None:
+        self.terms = terms
         self.entries: dict[str, say.Listed] = {}
         self.addresses: dict[str, Address] = {}
 
@@ -83,14 +85,16 @@
         told = {entry.worker for entry in sheet.entries}
         if sheet.whole:
             for worker in [worker for worker in self.entries if worker not in told]:
-                self.entries[worker].state = say.GONE
+                self.entries[worker].state = standing(self.entries[worker].state, say.GONE, self.terms)
                 stale.append(worker)
         for entry in sheet.entries:
             worker, before = entry.worker, self.entries.get(entry.worker)
             moved = self.addresses.get(worker) != sheet.addresses[worker]
             if before and (moved or before.started_at != entry.started_at or entry.state == say.GONE):
                 stale.append(worker)
-            self.entries[worker], self.addresses[worker] = entry, sheet.addresses[worker]
+            state = standing(before.state if before else None, entry.state, self.terms)
+            self.entries[worker] = replace(entry, state=state)
+            self.addresses[worker] = sheet.addresses[worker]
         return stale
 
     def may_send(self, worker: str) -> bool:
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -252,6 +252,7 @@
         ([*FIRST, "Semantics"], "odd", "settings.ServiceGrades[0].Semantics: expected one of"),
         ([*FIRST, "Name"], 4, "settings.ServiceGrades[0].Name: expected a text"),
         (["settings", "Ceilings", "RetryAfter"], 1, "settings.Ceilings.RetryAfter: expected true or false"),
+        (["settings", "Rules"], {"RemovalNotBinding": "no"}, "settings.Rules.RemovalNotBinding: "),
     ],
 )
 def test_a_faulty_key_is_named(tmp_path: Path, path: list[Any], value: Any, said: str) -> None:
--- a/tests/test_rehearse.py
+++ b/tests/test_rehearse.py
@@ -246,6 +246,8 @@
     told = installation.load(path)
     begun = installation.start(told, 5)
     assert begun.listen == ("127.0.0.1", 7070) and begun.idle_close == 15_000_000
+    told.workers.gone_closes = False
+    assert begun.terms[8].gone_binds and not installation.start(told, 5).terms[8].gone_binds
     grades = begun.terms[2]
     assert [grade.effect for grade in grades] == ["reissuable", "numbered"]
     assert grades[1].memory_span == 40_000_000 and grades[1].time_limit == 25_000_000
@@ -263,6 +265,7 @@
     "[log]\nformat = 'xml'": "log.format: ",
     "[[grade]]\nname = 'a'\nsoft = 20.0": "grade[0].soft: expected no more than limit (10), found 20",
     "[[known]]\nuid = 'a'": "known[0].endpoint: expected a value, found none",
+    "[workers]\ngone_closes = 1": "workers.gone_closes: expected bool, found 1",
     "[dispatches]\nmost = true": "dispatches.most: expected int, found True",
     "[[grade]]\nname = 'a'\nlimit = nan": "grade[0].limit: expected",
     "[ldap]\nx = 1": "ldap: expected one of ",
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -7,8 +7,12 @@
 import pytest
 from helpers import GRADES, STEP, Checked, listed, terms
 
+from locktide.config import settings
+from locktide.config.checks import Table
 from locktide.dispatch import interface as say
 from locktide.dispatch.rules import Chance, Dispatcher
+from locktide.node.records import Fleet
+from locktide.protocol import discovery
 
 OUTCOMES = [
     say.DONE, say.DONE, say.DONE, say.DONE, say.ERROR, say.FULL, say.TIMED_OUT, say.NO_CONNECTION, say.RESET,
@@ -415,3 +419,56 @@
     assert rests > service.now + 250_000
     service.end(2, 0, say.NO_CONNECTION)
     assert worker.full_until == rests
+
+
+@pytest.mark.parametrize(
+    ("told", "still", "binds"),
+    [
+        ([say.DRAINING], False, False), ([say.GONE], True, False), (["dropped"], True, False),
+        ([say.DRAINING, say.GONE], False, False), ([say.DRAINING, "dropped"], False, False),
+        ([say.DRAINING, say.GONE, "anew"], True, False), ([say.GONE, "anew"], True, False),
+        (["dropped", say.DRAINING], False, False), ([say.GONE], False, True), (["dropped"], False, True),
+    ],
+)
+def test_where_only_draining_binds_the_list_alone_closes_no_other_worker(
+    told: list[str], still: bool, binds: bool
+) -> None:
+    listing = settings.terms(Table({
+        "ServiceGrades": [{"Name": "view", "Semantics": "free", "SoftLimit": 250.0, "TimeLimit": 9000.0}],
+        "Rules": {} if binds else {"RemovalNotBinding": True},
+    }))[8]
+    service, fleet = Checked(), Fleet(listing)
+    service.dispatcher.list.terms = listing
+    for state in [say.READY, *told]:
+        entry = listed("w0", say.READY if state == "anew" else state, started_at=7 * (state == "anew"))
+        entries = [] if state == "dropped" else [entry]
+        kind = say.WHOLE if state == "dropped" else say.CHANGES
+        service.dispatcher.turn(service.now, [say.ListNews(kind, entries)])
+        fleet.take(discovery.Sheet(1, kind == say.WHOLE, entries, {"w0": ("127.0.0.1", 9)}))
+    orders = service.dispatcher.turn(service.now, [say.Arrival(1, "view", service.now + 3_000_000)])
+    assert (say.Dispatch(1, "w0") in orders) == still == fleet.may_send("w0")
+
+
+def test_one_that_is_gone_from_the_list_and_refuses_is_left_alone_until_it_is_listed_anew() -> None:
+    """A release would leave as many dead machines open as it replaced, each tried about once a second."""
+
+    def sent_to_dead(seed: int, gone: bool) -> int:
+        service, sent = Checked(seed, fleet=1), 0
+        service.dispatcher.list.terms.gone_binds = False
+        both = [listed("w0"), listed("w1")]
+        service.dispatcher.turn(service.now, [say.ListNews(say.WHOLE, both)])
+        service.dispatcher.turn(service.now, [say.ListNews(say.WHOLE, both[: 2 - gone])])
+        for submission in range(400):
+            arrival = say.Arrival(submission, "view", service.now + 3_000_000)
+            for order in service.dispatcher.turn(service.now, [arrival]):
+                if type(order) is say.Dispatch:
+                    service.now += 250_000
+                    outcome = say.NO_CONNECTION if order.worker == "w1" else say.DONE
+                    sent += order.worker == "w1"
+                    ended = say.Ended(order.submission, 0, outcome, outcome == say.DONE)
+                    service.dispatcher.turn(service.now, [ended, say.ClientGone(order.submission)])
+        return sent
+
+    gone = [sent_to_dead(seed, True) for seed in range(4)]
+    named = [sent_to_dead(seed, False) for seed in range(4)]
+    assert min(gone) >= 1 and sum(gone) < 0.5 * sum(named), (gone, named)
