What shares a key is kept together; errors are judged by where else they show

Slow progress. What a job needs is kept by few workers, so uniform draws fetch it each time. A submission with a key now draws among the first two of an order that all dispatchers share (rendezvous by hash), twice as many after each half of a usual run without a place. It could do harm where keys mean nothing to the workers: two of them would take what all could.

--- a/locktide/dispatch/interface.py
+++ b/locktide/dispatch/interface.py
@@ -170,6 +170,7 @@
     tenant: Any = None
     retry: bool = False
     patient: bool = False  # nobody waits for it: it is kept to its time limit rather than denied
+    key: int | None = None  # what it is about, where submissions that share one go together
 
 
 @dataclass(slots=True)
--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -35,6 +35,7 @@
 from collections.abc import Callable, Generator
 from math import exp, sqrt
 from typing import Any
+from zlib import crc32
 
 from locktide.dispatch import interface as say
 
@@ -55,6 +56,12 @@
         return self.below(1 << 20) < odds * (1 << 20)
 
 
+def mixed(salt: int, key: int) -> int:
+    """A number that is as good as drawn for this pair."""
+    state = ((salt ^ key) * 6364136223846793005 + 1442695040888963407) & 0xFFFFFFFFFFFFFFFF
+    return ((state ^ state >> 29) * 6364136223846793005 & 0xFFFFFFFFFFFFFFFF) >> 32
+
+
 class Fading:
     """A sum that fades by 1/e in each span, brought up to date when it is read or added to."""
 
@@ -132,6 +139,32 @@
     return max(0.25 * grade.soft_limit, grade.soft_limit + (grade.stretch - 1.0) * run)
 
 
+class Verdicts:
+    """Whose errors were, by tenant: a submission's that fails wherever it goes, or a worker's.
+
+    Guards against floods of submissions that fail quickly anywhere: the workers at which they show would be
+    avoided for it, and soon all. It should also serve where a shared store fails what needs it. It could do
+    harm where most workers fail at once: their first errors then go unblamed until something ends well.
+    """
+
+    __slots__ = ("sums",)
+
+    def __init__(self) -> None:
+        self.sums: dict[Any, tuple[Fading, Fading]] = {}
+
+    def add(self, tenant: Any, submissions: bool, now: int) -> None:
+        # Ten seconds, as the workers' records that it corrects.
+        own, workers = self.sums.setdefault(tenant, (Fading(10_000_000), Fading(10_000_000)))
+        (own if submissions else workers).add(1.0, now)
+
+    def speak_against(self, tenant: Any, now: int) -> bool:
+        """Whether most of its errors that were decided lately were its own: then the next waits for proof."""
+        if tenant not in self.sums:
+            return False
+        own, workers = self.sums[tenant]
+        return own.read(now) > max(0.5, workers.read(now))
+
+
 class Shares:
     """Tells what is beyond its tenant's share: a bucket for each tenant, filled at our part of its quota."""
 
@@ -196,7 +229,8 @@
 
 class Worker:
     __slots__ = ("id", "zone", "kind", "cell", "state", "started_at", "own", "cap", "waiting", "rest_until",
-                 "heard_at", "good", "bad", "drawn_at", "sent_cold", "full_until", "listed", "lost")
+                 "heard_at", "good", "bad", "drawn_at", "sent_cold", "full_until", "listed", "lost",
+                 "well_at", "salt")
 
     def __init__(self, entry: say.Listed, cap: float) -> None:
         self.id = entry.worker
@@ -207,6 +241,8 @@
         self.rest_until = 0  # while the cap is under one: when we have held our share there on average
         self.sent_cold = Fading(1_000_000)
         self.drawn_at = self.full_until = 0
+        self.salt = crc32(str(entry.worker).encode())
+        self.well_at = 0  # when it last ended one that ran no longer than is usual
         self.waiting: dict[Dispatch, None] = {}  # ours there that have not started, oldest first
         self.zone, self.kind, self.cell = entry.zone, entry.kind, entry.cell
         self.state, self.started_at, self.listed = entry.state, entry.started_at, True
@@ -238,11 +274,21 @@
         # Guards against shunning a worker that has come back: two good ends outweigh one bad.
         self.bad.add(-0.5 * self.bad.read(now), now)
 
-    def failed(self, now: int) -> None:
+    def failed(self, now: int) -> float:
+        """Gives what it costs of the good record, for `forgive`."""
         # Guards against a long good record that hides a fresh outage: a failure cuts it to a quarter.
-        self.good.add(-0.75 * self.good.read(now), now)
+        cost = 0.75 * self.good.read(now)
+        self.good.add(-cost, now)
         self.bad.add(1.0, now)
         self.lost += not self.listed
+        return cost
+
+    def forgive(self, cost: float, since: int, now: int) -> None:
+        """As though that failure had not been, for it was not the worker's."""
+        left = exp((since - now) / self.bad.span)
+        self.good.add(cost * left, now)
+        self.bad.add(-min(left, self.bad.read(now)), now)
+        self.lost = max(0, self.lost - 1)
 
     def trusted(self, now: int, chance: Chance) -> bool:
         """For a doubtful worker: whether it gets one more submission, drawn anew at most once a second."""
@@ -265,7 +311,7 @@
 
 class Dispatch:
     __slots__ = ("submission", "shot", "worker", "sent_at", "started_at", "heard_at", "at_cap", "further",
-                 "blamed", "lost_at")
+                 "blamed", "lost_at", "cost", "erred_at")
 
     def __init__(self, submission: Submission, shot: int, worker: Worker, now: int) -> None:
         self.submission, self.shot, self.worker, self.sent_at = submission, shot, worker, now
@@ -274,11 +320,13 @@
         # Half the time limit: what has not started by then seldom ends, and elsewhere it still can.
         self.lost_at = now + submission.grade.time_limit // 2
         self.further, self.blamed = bool(submission.held), False
+        self.cost, self.erred_at = -1.0, 0  # what its error cost the worker's record; under 0: nothing so far
 
 
 class Submission:
     __slots__ = ("id", "grade", "width", "hint", "arrived_at", "limit_at", "leave_at", "order", "shots",
-                 "out", "held", "course", "pooled", "answered", "patient", "uncounted")
+                 "out", "held", "course", "pooled", "answered", "patient", "uncounted", "tenant", "erred",
+                 "spoilt", "key")
 
     def __init__(self, arrival: say.Arrival, grade: say.Grade, now: int, order: int) -> None:
         self.id, self.grade, self.width = arrival.submission, grade, arrival.width
@@ -290,6 +338,8 @@
         self.held: list[Dispatch] = []  # dispatches not proven never to have run
         self.pooled = self.answered = False
         self.uncounted = 0  # dispatches that do not count among the most there may be
+        self.tenant, self.spoilt, self.key = arrival.tenant, False, arrival.key
+        self.erred: list[Dispatch] = []  # its errors at workers that nothing else spoke against
         self.course: Course
 
     def __lt__(self, other: Submission) -> bool:
@@ -417,12 +467,13 @@
         self.dispatching, self.clients, self.signs = dispatching, clients, signs
         self.list, self.cold, self.shares = WorkerList(listing), ColdBudget(cold), Shares(shares, fleet)
         self.fitting: dict[str | None, list[Worker]] = {}  # ready workers by kind; None: all of them
+        self.rows: dict[tuple[int, str | None], list[Worker]] = {}  # the same for a key, nearest first
         # Late is a start that eats a quarter of the shortest soft limit: it still leaves room to act on.
         self.prompt = min(grade.soft_limit for grade in grades) // 4
         once = [grade.effect == say.AT_MOST_ONCE for grade in grades]
         self.some_once, self.all_once = any(once), all(once)
         self.runs = {grade.name: Runs(grade.soft_limit) for grade in grades}
-        self.paces = Paces()
+        self.paces, self.verdicts = Paces(), Verdicts()
         # How far all grades wait alike. Long slack put to use serves the whole better, an even wait the grade
         # that is served worst; wholly even from where that grade decides a third of the goal.
         self.evenness = min(1.0, 0.3 + 2.0 * goal.worst_grade)
@@ -462,7 +513,7 @@
                     self.withdraw(other)
                 return
             elif not sub.out:
-                if self.now >= sub.limit_at or not self.may_dispatch(sub):
+                if sub.spoilt or self.now >= sub.limit_at or not self.may_dispatch(sub):
                     break
                 where = POOL
                 anew = min(sub.limit_at - 2 * self.step, self.now + self.patience(sub))
@@ -519,6 +570,8 @@
             # The next of ours should end by then; clients that come later take the place of fresh work.
             run, out = self.runs[sub.grade.name].mean(self.now), len(self.submissions) - len(self.pool)
             advice = min(self.clients.longest_advice, int(run / max(1, out)))
+            if sub.spoilt:  # it would fail again
+                advice = self.clients.longest_advice
             self.orders.append(say.Deny(sub.id, advice))
             if self.now >= self.quiet_until:  # one line in five seconds tells enough of an overload
                 self.quiet_until = self.now + 5_000_000
@@ -530,10 +583,36 @@
     def log(self, line: str) -> None:
         self.orders.append(say.Log(line))
 
-    def blame(self, worker: Worker, reason: str) -> None:
+    def blame(self, worker: Worker, reason: str) -> float:
         if not worker.doubtful(self.now):
             self.log(f"avoiding worker {worker.id}: {reason}")
-        worker.failed(self.now)
+        return worker.failed(self.now)
+
+    def take_error(self, dispatch: Dispatch) -> None:
+        """Holds an error against the worker, or against the submission if it fails at a second one, too."""
+        sub, worker = dispatch.submission, dispatch.worker
+        clean = not worker.doubtful(self.now)  # else its error is no word on the submission
+        if clean and any([one.worker is not worker for one in sub.erred]):
+            sub.spoilt = True
+            self.verdicts.add(sub.tenant, True, self.now)
+            for one in sub.erred:
+                if one.cost >= 0.0:
+                    one.worker.forgive(one.cost, one.erred_at, self.now)
+            sub.erred = []
+            return
+        if clean:
+            sub.erred.append(dispatch)
+        dispatch.erred_at = self.now
+        if not self.verdicts.speak_against(sub.tenant, self.now) or not self.may_dispatch(sub):
+            dispatch.cost = self.blame(worker, say.ERROR)
+
+    def clear(self, sub: Submission) -> None:
+        """It has ended well: where it had failed before, the workers were at fault."""
+        for one in sub.erred:
+            self.verdicts.add(sub.tenant, False, self.now)
+            if one.cost < 0.0:
+                self.blame(one.worker, say.ERROR)
+        sub.erred = []
 
     def advance(self, sub: Submission, news: Any) -> None:
         """Resumes a course with its news, and puts the submission where the course wants it."""
@@ -641,6 +720,7 @@
             self.list.failures = 0
         self.list.take(news, self.floor())
         ready = [worker for worker in self.list.workers.values() if worker.state == say.READY]
+        self.rows = {}
         kinds = {None} | {grade.kind for grade in self.grades.values()}
         self.fitting = {kind: [worker for worker in ready if kind in (None, worker.kind)] for kind in kinds}
 
@@ -718,8 +798,10 @@
         # Four times a hint, or three deviations over the usual run, is past a sound worker and common sizes.
         long = 4.0 * sub.hint or self.runs[sub.grade.name].long(self.now)
         whole = (self.now - dispatch.started_at) / max(news.share, 0.001)
-        # Guards against a worker that runs everything slowly; good ends soon outweigh one heavy submission.
-        if dispatch.started_at and whole > long and not dispatch.blamed:
+        # Guards against a worker that runs everything slowly. Where it has since ended another at the usual
+        # pace, it is the submission that is heavy: where such are common all workers were avoided for them.
+        lone = dispatch.worker.well_at > dispatch.started_at
+        if dispatch.started_at and whole > long and not dispatch.blamed and not lone:
             dispatch.blamed = True
             self.blame(dispatch.worker, "slow progress")
 
@@ -770,11 +852,15 @@
                 usual = sub.hint or self.runs[sub.grade.name].mean(self.now)
                 # Four times the usual is a heavy submission, not a slow kind.
                 self.paces.add(worker.kind, min(4.0, run / usual), self.now)
+                worker.well_at = self.now if run <= usual else worker.well_at
                 self.runs[sub.grade.name].add(run, self.now)
             worker.succeeded(self.now)
+            self.clear(sub)
             # A tenth of what goes well may be followed by a further dispatch all the same.
             self.credit = min(10.0, self.credit + 0.1)
-        elif news.outcome in (say.ERROR, say.RESET, say.NO_CONNECTION):
+        elif news.outcome == say.ERROR:
+            self.take_error(dispatch)
+        elif news.outcome in (say.RESET, say.NO_CONNECTION):
             self.blame(worker, news.outcome)
         elif news.outcome == say.FULL:
             # Guards against one that turns all away, so has nothing of ours, and draws all that waits.
@@ -821,6 +907,8 @@
                 held, tried = [one.worker for one in sub.held], [one.worker for one in sub.shots]
                 fitting = [one for one in fitting if one not in held and sub.may_repeat_on(one, now)]
                 fitting = [one for one in fitting if one not in tried] or fitting
+            if sub.key is not None:
+                fitting = self.near(sub, fitting)
             if not fitting:
                 continue
             worker = fitting[self.chance.below(len(fitting))]
@@ -834,6 +922,25 @@
                 self.advance(sub, worker)
                 room -= not worker.has_room(1.0, now, prompt)
 
+    def near(self, sub: Submission, fitting: list[Worker]) -> list[Worker]:
+        """Those of the fitting workers among which a submission with a key draws: few at first, so that what
+        shares the key meets where what it needs is at hand, twice as many after each wait without a place.
+        The order is the same at all dispatchers, and one that comes or goes moves no other.
+        """
+        assert sub.key is not None
+        row = self.rows.get((sub.key, sub.grade.kind))
+        if row is None:
+            row = sorted(self.fitting[sub.grade.kind], key=lambda one: mixed(one.salt, sub.key or 0))
+            self.rows[sub.key, sub.grade.kind] = row
+        # Two: one alone queues where its key is asked for often. Half a usual run: what it needs has to be
+        # fetched elsewhere, which takes about a run; going on much sooner makes keys homeless in a burst.
+        waits = 2.0 * (self.now - sub.arrived_at) / self.runs[sub.grade.name].mean(self.now)
+        reach = 2 << int(min(10.0, waits))
+        if reach >= len(fitting):
+            return fitting
+        allowed = set(fitting)
+        return [worker for worker in row if worker in allowed][:reach]
+
     def holds(self, worker: Worker) -> bool:
         """Whether a draw stands, where c is under one and cannot tell a slow kind from a fast."""
         return worker.own > 0 or not self.sparse or self.chance.falls(self.paces.taking.get(worker.kind, 1.0))
--- a/locktide/simhost/wire.py
+++ b/locktide/simhost/wire.py
@@ -128,6 +128,7 @@
         micros(fields.get("Work", 0)),
         None if tenant == "0" else tenant,
         fields.get("Repeat", "0") == "1",
+        key=integer(fields, "NameKey") if "NameKey" in fields else None,
     )
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -472,3 +472,89 @@
     gone = [sent_to_dead(seed, True) for seed in range(4)]
     named = [sent_to_dead(seed, False) for seed in range(4)]
     assert min(gone) >= 1 and sum(gone) < 0.5 * sum(named), (gone, named)
+
+
+FLOODS = {"one tenant": ("spam", None), "certain keys": ("dairy", 7), "no common mark": (None, None)}
+
+
+@pytest.mark.parametrize("flood", FLOODS)
+def test_a_flood_that_fails_anywhere_leaves_the_health_of_every_worker_as_it_was(flood: str) -> None:
+    """One agency's worthless submissions got quick errors at all workers, and all were avoided for it."""
+    tenant, key = FLOODS[flood]
+    service = Checked(fleet=3, copies=False)
+    service.list(*[listed(f"w{number}") for number in range(8)])
+    done = 0
+    for number in range(60):
+        bad, submission = number % 2 == 0, number
+        limit_at, about = service.now + 3_000_000, key if bad else 9
+        service.turn(say.Arrival(submission, "view", limit_at, tenant=tenant, key=about))
+        for _ in range(4):
+            service.pass_time(STEP)
+            for one, shot in service.out():
+                if one == submission:
+                    service.end(one, shot, say.ERROR if bad else say.DONE)
+        if bad:
+            assert len(service.shots[submission]) == 2 and service.answered[submission] == "denied"
+        else:
+            done += service.answered.get(submission) == "done"  # a good one of that tenant is served
+    assert done == 30
+    workers = service.dispatcher.list.workers.values()
+    assert not any(worker.doubtful(service.now) for worker in workers)
+    assert max(worker.bad.read(service.now) for worker in workers) < 0.01
+
+
+def test_a_worker_that_fails_others_work_is_found_amid_a_flood() -> None:
+    service = Checked(fleet=3, copies=False)
+    service.list(*[listed(f"w{number}") for number in range(6)])
+    for submission in range(60):
+        service.turn(say.Arrival(submission, "view", service.now + 3_000_000, tenant="spam"))
+        for _ in range(4):
+            service.pass_time(STEP)
+            for one, shot in service.out():
+                if one == submission:
+                    bad = one % 2 == 0 or service.shots[one][shot]["worker"] == "w0"
+                    service.end(one, shot, say.ERROR if bad else say.DONE)
+    doubted = [name for name, one in service.dispatcher.list.workers.items() if one.doubtful(service.now)]
+    assert doubted == ["w0"]
+
+
+def test_a_heavy_submission_does_not_speak_against_a_worker_that_ends_others_as_usual() -> None:
+    """Where runs spread wide, each heavy one made its worker doubtful, on a day without any fault."""
+    for ends_others in (True, False):
+        service = Checked(fleet=1)
+        service.list(listed("w0"))
+        for submission in range(8):
+            service.arrive(submission, "view")
+            service.turn(say.Started(submission, 0))
+            service.pass_time(100_000)
+            service.end(submission, 0, say.DONE)
+        service.arrive(20, "view")
+        service.turn(say.Started(20, 0))
+        if ends_others:
+            service.arrive(21, "view")
+            service.turn(say.Started(21, 0))
+            service.pass_time(80_000)
+            service.end(21, 0, say.DONE)
+        service.pass_time(1_000_000)
+        service.turn(say.Progressed(20, 0, 0.2))
+        assert service.dispatcher.list.workers["w0"].doubtful(service.now) != ends_others
+
+
+def test_what_shares_a_key_meets_at_the_same_two_workers_of_all_dispatchers_until_they_are_full() -> None:
+    names = [f"w{number}" for number in range(20)]
+
+    def met(seed: int, key: int, listing: list[str], count: int = 1) -> list[str]:
+        service = Checked(seed, fleet=3)
+        service.list(*[listed(name) for name in listing])
+        for submission in range(count):
+            service.turn(say.Arrival(submission, "view", service.now + 3_000_000, key=key))
+        service.pass_time(400_000)
+        return [shots[0]["worker"] for shots in service.shots.values() if shots]
+
+    homes = {key: {met(seed, key, names)[0] for seed in range(12)} for key in range(30)}
+    assert all(len(home) == 2 for home in homes.values()) and len(set().union(*homes.values())) > 15
+    left_out = [name for name in names if name != "w3"]
+    for key, home in homes.items():
+        moved = {met(seed, key, left_out)[0] for seed in range(12)}
+        assert moved == home or "w3" in home and home - {"w3"} < moved
+    assert len(set(met(1, 5, names, count=40))) > 2  # more than two can take: it spreads while it waits
