--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -558,3 +558,15 @@
         moved = {met(seed, key, left_out)[0] for seed in range(12)}
         assert moved == home or "w3" in home and home - {"w3"} < moved
     assert len(set(met(1, 5, names, count=40))) > 2  # more than two can take: it spreads while it waits
+
+
+@pytest.mark.parametrize("key", [None, 5])
+def test_what_has_a_key_keeps_its_place_until_its_slack_is_gone(key: int | None) -> None:
+    """Copies of jobs that had to fetch what they need once more took a quarter of a quiet fleet."""
+    service = Checked(fleet=3)
+    service.list(*[listed(f"w{number}") for number in range(6)])
+    service.turn(say.Arrival(1, "view", service.now + 3_000_000, key=key))
+    service.pass_time(200_000)  # of a slack of 500 ms
+    assert (len(service.shots[1]) > 1) == (key is None)
+    service.pass_time(350_000)
+    assert len(service.shots[1]) >= 2
