--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -7,7 +7,7 @@
 The ordinary path is the design's: an aged pool, released in rounds, oldest first; in each round each
 submission makes one fresh uniform draw among the ready workers that fit, and goes out if our own outstanding
 slots there plus its width stay within the cap c, or nothing of ours is there. What comes back proven not to
-have run rejoins the pool with its age.
+have run rejoins the pool with its age. With a key the draw is among the few workers that are the key's own.
 
 The mechanisms beside it:
 1. Learned cap: c of each worker, in slots, rises when a dispatch sent at the cap starts promptly and falls
@@ -16,7 +16,8 @@
    of a slot, the draw of an empty one holds by the pace of its kind, and a cap on all of ours acts beside c.
 2. Health posterior: failed connections, resets, errors, silence and slow progress make a worker doubtful; a
    draw from the posterior of its chance of success decides each second whether it gets one submission. Where
-   more than half are doubtful the fault is taken to be elsewhere, and nobody is.
+   more than half are doubtful the fault is taken to be elsewhere, and nobody is. A submission that fails at
+   a second sound worker speaks against itself.
 3. Further dispatches: a dispatch that has not started after part of the slack, or has gone silent, is doubled
    or withdrawn where the grade allows it; how often follows how many of the recent ones succeeded.
 4. Cold budget: a worker that has just started gets no more than our part of the work that would push it
@@ -26,7 +27,7 @@
    grades the more the goal weighs the worst-served one. Work beyond its tenant's share waits only as long as
    it is worth; where dispatchers may tell each other their arrivals, our part follows them.
 6. The worker list: where it must be asked for, watched from a moment drawn by chance on, and asked again
-   after gaps that are drawn, too, and grow.
+   after gaps that are drawn, too, and grow. Where only draining binds, who is gone without it stays open.
 """
 
 from __future__ import annotations
@@ -932,16 +933,18 @@
         assert sub.key is not None
         row = self.rows.get((sub.key, sub.grade.kind))
         if row is None:
+            if len(self.rows) >= 1024:  # guards the memory where each submission has a key of its own
+                self.rows.clear()
             row = sorted(self.fitting[sub.grade.kind], key=lambda one: mixed(one.salt, sub.key or 0))
             self.rows[sub.key, sub.grade.kind] = row
         # Two: one alone queues where its key is asked for often. Half a usual run: what it needs has to be
         # fetched elsewhere, which takes about a run; going on much sooner makes keys homeless in a burst.
         waits = 2.0 * (self.now - sub.arrived_at) / self.runs[sub.grade.name].mean(self.now)
         reach = 2 << int(min(10.0, waits))
-        if reach >= len(fitting):
-            return fitting
-        allowed = set(fitting)
-        return [worker for worker in row if worker in allowed][:reach]
+        if len(fitting) < len(row):  # some of them it may not have
+            allowed = set(fitting)
+            row = [worker for worker in row if worker in allowed]
+        return row[:reach]
 
     def holds(self, worker: Worker) -> bool:
         """Whether a draw stands, where c is under one and cannot tell a slow kind from a fast."""
