A list with thousands of faulty entries is read in one pass

Seen on a second reading: discovery.read built the entries anew for each faulty one. What is read is the same.

--- a/locktide/protocol/discovery.py
+++ b/locktide/protocol/discovery.py
@@ -57,11 +57,12 @@
     told = Table(raw, path)
     sheet = Sheet(told.whole("rev"), told.flag("all"), [], {})
     rows = told.row("targets")
+    unclear: dict[str, None] = {}
     for place, row in enumerate(rows):
         where = f"{path}.targets[{place}]"
         try:
             listed, at = entry(Table(row, where))
-            if listed.worker in sheet.addresses or listed.worker in sheet.unclear:
+            if listed.worker in sheet.addresses or listed.worker in unclear:
                 raise Faulty(f"{where}.uid", f"{listed.worker!r:.40} is told twice")
         except Faulty as fault:
             if strict:
@@ -69,14 +70,17 @@
             sheet.faults.append(str(fault))
             worker = row.get("uid") if isinstance(row, dict) else None
             if isinstance(worker, str):
-                sheet.unclear.append(worker)
-                sheet.entries = [one for one in sheet.entries if one.worker != worker]
-                sheet.addresses.pop(worker, None)
+                unclear[worker] = None
             if 2 * len(sheet.faults) > len(rows):
                 raise
             continue
         sheet.entries.append(listed)
         sheet.addresses[listed.worker] = at
+    if unclear:  # once, at the end: a list of many thousands must not hold up the loop
+        sheet.unclear = list(unclear)
+        sheet.entries = [one for one in sheet.entries if one.worker not in unclear]
+        for worker in unclear:
+            sheet.addresses.pop(worker, None)
     return sheet
 
 
