--- a/locktide/config/settings.py
+++ b/locktide/config/settings.py
@@ -9,6 +9,7 @@
 from locktide.dispatch import interface as say
 
 EFFECTS = {"free": say.REISSUABLE, "guarded": say.NUMBERED, "single_shot": say.AT_MOST_ONCE}
+WEIGHTS = {kind: kind for kind in ("silent", "nominal", "rough", "live")}
 GROUPS = {"all": say.EVERYONE, "zone": say.SAME_ZONE, "cell": say.SAME_CELL}
 
 
@@ -69,6 +70,7 @@
         say.ListTerms(
             told.get("Discovery", "automatic") == "subscribe", limits.span("AskWithin", 10000),
             not limits.flag("RemovalNotBinding", False),
+            told.one_of(WEIGHTS, "WeightKind", "silent") == "live",
         ),
         say.SignTerms(domain.flag("TellsStart", False), domain.span("Progress", 0)),
     )
--- a/locktide/dispatch/interface.py
+++ b/locktide/dispatch/interface.py
@@ -124,12 +124,14 @@
 @dataclass(slots=True)
 class ListTerms:
     """How the worker list is had: pushed, or only when asked for; and whether it closes a worker to new work
-    that it calls gone, or no longer names, though it never said that it drains.
+    that it calls gone, or no longer names, though it never said that it drains. `live`: ratings fall with the
+    work that a worker holds, as size / (1 + submissions held a core) some time ago; else they tell sizes.
     """
 
     must_ask: bool
     ask_within: int
     gone_binds: bool = True
+    live: bool = False
 
 
 @dataclass(slots=True)
--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -41,6 +41,9 @@
 from locktide.dispatch import interface as say
 
 
+POWER = 4
+
+
 class Chance:
     """A linear congruential generator (Knuth's MMIX constants), of which only the high bits are used."""
 
@@ -231,7 +234,7 @@
 class Worker:
     __slots__ = ("id", "zone", "kind", "cell", "state", "started_at", "own", "cap", "waiting", "rest_until",
                  "heard_at", "good", "bad", "drawn_at", "sent_cold", "full_until", "listed", "lost",
-                 "well_at", "salt")
+                 "well_at", "salt", "rating")
 
     def __init__(self, entry: say.Listed, cap: float) -> None:
         self.id = entry.worker
@@ -248,9 +251,10 @@
         self.zone, self.kind, self.cell = entry.zone, entry.kind, entry.cell
         self.state, self.started_at, self.listed = entry.state, entry.started_at, True
         self.lost = 0  # failures in a row while it was not listed
+        self.rating = entry.rating
 
     def update(self, entry: say.Listed, terms: say.ListTerms) -> None:
-        self.zone, self.kind, self.cell = entry.zone, entry.kind, entry.cell
+        self.zone, self.kind, self.cell, self.rating = entry.zone, entry.kind, entry.cell, entry.rating
         self.started_at = entry.started_at
         self.stand(entry.state, terms)
 
@@ -481,6 +485,7 @@
         self.sparse = 3.0 * self.cold.slots < fleet  # our even part of a worker is under a third of a slot
         # Slots of ours without an outcome, and how many may then be: four times the least, for a calm day.
         self.outstanding, self.most = 0.0, 16.0
+        self.top = 1.0
         self.credit = 10.0  # of further dispatches; ten let a dispatcher meet a sudden trouble at once
         self.submissions: dict[Any, Submission] = {}
         self.pool: list[Submission] = []
@@ -725,6 +730,7 @@
         ready = [worker for worker in self.list.workers.values() if worker.state == say.READY]
         self.rows = {}
         kinds = {None} | {grade.kind for grade in self.grades.values()}
+        self.top = max([worker.rating for worker in ready], default=1.0)
         self.fitting = {kind: [worker for worker in ready if kind in (None, worker.kind)] for kind in kinds}
 
     def arrive(self, arrival: say.Arrival) -> Submission:
@@ -815,6 +821,8 @@
         the share where all work may move on from a queue: others leave some of theirs unused.
         """
         share = self.cold.slots * self.shares.part(self.now)
+        if self.list.terms.live:
+            return max(1.0, share)
         return max(share if self.some_once else 2.0 * share, min(1.0, 3.0 * share))
 
     def settle(self, dispatch: Dispatch, prompt: bool) -> None:
@@ -910,11 +918,16 @@
                 held, tried = [one.worker for one in sub.held], [one.worker for one in sub.shots]
                 fitting = [one for one in fitting if one not in held and sub.may_repeat_on(one, now)]
                 fitting = [one for one in fitting if one not in tried] or fitting
-            if sub.key is not None:
+            if sub.key is not None and not self.list.terms.live:
                 fitting = self.near(sub, fitting)
             if not fitting:
                 continue
             worker = fitting[self.chance.below(len(fitting))]
+            if self.list.terms.live:
+                for _ in range(8):
+                    if self.chance.falls((worker.rating / self.top) ** POWER):
+                        break
+                    worker = fitting[self.chance.below(len(fitting))]
             room_there = worker.has_room(sub.width, now, prompt) and self.holds(worker)
             if room_there and self.cold_allows(worker, sub) and (
                 not worker.doubtful(now) or worker.listed and self.all_doubtful()
@@ -948,7 +961,7 @@
 
     def holds(self, worker: Worker) -> bool:
         """Whether a draw stands, where c is under one and cannot tell a slow kind from a fast."""
-        return worker.own > 0 or not self.sparse or self.chance.falls(self.paces.taking.get(worker.kind, 1.0))
+        return worker.own > 0 or not self.sparse or self.list.terms.live or self.chance.falls(self.paces.taking.get(worker.kind, 1.0))
 
     def cold_allows(self, worker: Worker, sub: Submission) -> bool:
         return not self.cold.is_cold(worker, self.now) or self.cold.allows(
