--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -42,6 +42,7 @@
 
 
 POWER = 4
+CROWD, MEANS, WIDE = 0.8, 1.3, 1.5
 
 
 class Chance:
@@ -234,7 +235,7 @@
 class Worker:
     __slots__ = ("id", "zone", "kind", "cell", "state", "started_at", "own", "cap", "waiting", "rest_until",
                  "heard_at", "good", "bad", "drawn_at", "sent_cold", "full_until", "listed", "lost",
-                 "well_at", "salt", "rating")
+                 "well_at", "salt", "rating", "load", "odds")
 
     def __init__(self, entry: say.Listed, cap: float) -> None:
         self.id = entry.worker
@@ -251,7 +252,7 @@
         self.zone, self.kind, self.cell = entry.zone, entry.kind, entry.cell
         self.state, self.started_at, self.listed = entry.state, entry.started_at, True
         self.lost = 0  # failures in a row while it was not listed
-        self.rating = entry.rating
+        self.rating, self.load, self.odds = entry.rating, 0.0, 1.0
 
     def update(self, entry: say.Listed, terms: say.ListTerms) -> None:
         self.zone, self.kind, self.cell, self.rating = entry.zone, entry.kind, entry.cell, entry.rating
@@ -449,16 +450,23 @@
         self.watched, self.ask_at = False, now + gap
         return gap
 
-    def take(self, news: say.ListNews, cap: float) -> None:
+    def take(self, news: say.ListNews, cap: float) -> bool:
+        """Whether more has changed than ratings."""
+        changed = news.kind in (say.WHOLE, say.REMEMBERED)
         for entry in news.entries:
             worker = self.workers.get(entry.worker)
             if worker is None:
                 self.workers[entry.worker] = Worker(entry, cap)
+                changed = True
+            elif worker.state == entry.state and worker.started_at == entry.started_at:
+                worker.rating = entry.rating
             else:
                 worker.update(entry, self.terms)
+                changed = True
         if news.kind in (say.WHOLE, say.REMEMBERED):
             for absent in self.workers.keys() - {entry.worker for entry in news.entries}:
                 self.workers[absent].stand(say.GONE, self.terms)
+        return changed
 
 
 class Dispatcher:
@@ -485,7 +493,10 @@
         self.sparse = 3.0 * self.cold.slots < fleet  # our even part of a worker is under a third of a slot
         # Slots of ours without an outcome, and how many may then be: four times the least, for a calm day.
         self.outstanding, self.most = 0.0, 16.0
-        self.top = 1.0
+        self.sizes: dict[str, float] = {}  # the highest rating of each kind: what one is rated that holds nothing
+        self.crowded = 1e9
+        self.asked: dict[int, Fading] = {}
+        self.asked_all = Fading(10_000_000)
         self.credit = 10.0  # of further dispatches; ten let a dispatcher meet a sudden trouble at once
         self.submissions: dict[Any, Submission] = {}
         self.pool: list[Submission] = []
@@ -726,18 +737,39 @@
             self.wake(self.list.ask_later(self.now, self.chance), "ask")
         else:
             self.list.failures = 0
-        self.list.take(news, self.floor())
+        changed = self.list.take(news, self.floor())
+        if self.list.terms.live:
+            self.weigh(news.entries)
+        if not changed:
+            return
         ready = [worker for worker in self.list.workers.values() if worker.state == say.READY]
         self.rows = {}
         kinds = {None} | {grade.kind for grade in self.grades.values()}
-        self.top = max([worker.rating for worker in ready], default=1.0)
         self.fitting = {kind: [worker for worker in ready if kind in (None, worker.kind)] for kind in kinds}
 
+    def weigh(self, entries: list[say.Listed]) -> None:
+        """Follows the ratings that fall with load: how much each worker holds for its size."""
+        workers, sizes = self.list.workers, self.sizes
+        for entry in entries:
+            sizes[entry.kind] = max(sizes.get(entry.kind, 0.0), entry.rating)
+        top = max(sizes.values())
+        for entry in entries:
+            worker = workers[entry.worker]
+            worker.load = sizes[entry.kind] / max(1e-9, entry.rating) - 1.0
+            worker.odds = (entry.rating / top) ** POWER
+        loads = [worker.load for worker in workers.values() if worker.state == say.READY]
+        self.crowded = max(CROWD, MEANS * sum(loads) / max(1, len(loads)))
+
     def arrive(self, arrival: say.Arrival) -> Submission:
         self.arrivals += 1
         sub = Submission(arrival, self.grades[arrival.grade], self.now, self.arrivals)
         self.submissions[sub.id] = sub
         self.orders += self.shares.arrived(self.now, self.chance)
+        if sub.key is not None:
+            if len(self.asked) > 1024:
+                self.asked.clear()
+            self.asked.setdefault(sub.key, Fading(10_000_000)).add(1.0, self.now)
+            self.asked_all.add(1.0, self.now)
         patience = self.patience(sub)
         if self.shares.beyond(arrival.tenant, self.now):
             patience = int(patience * self.shares.terms.beyond_share)  # it waits as long as it is worth
@@ -821,8 +853,6 @@
         the share where all work may move on from a queue: others leave some of theirs unused.
         """
         share = self.cold.slots * self.shares.part(self.now)
-        if self.list.terms.live:
-            return max(1.0, share)
         return max(share if self.some_once else 2.0 * share, min(1.0, 3.0 * share))
 
     def settle(self, dispatch: Dispatch, prompt: bool) -> None:
@@ -918,14 +948,14 @@
                 held, tried = [one.worker for one in sub.held], [one.worker for one in sub.shots]
                 fitting = [one for one in fitting if one not in held and sub.may_repeat_on(one, now)]
                 fitting = [one for one in fitting if one not in tried] or fitting
-            if sub.key is not None and not self.list.terms.live:
+            if sub.key is not None:
                 fitting = self.near(sub, fitting)
             if not fitting:
                 continue
             worker = fitting[self.chance.below(len(fitting))]
             if self.list.terms.live:
                 for _ in range(8):
-                    if self.chance.falls((worker.rating / self.top) ** POWER):
+                    if self.chance.falls(worker.odds):
                         break
                     worker = fitting[self.chance.below(len(fitting))]
             room_there = worker.has_room(sub.width, now, prompt) and self.holds(worker)
@@ -954,6 +984,10 @@
         # fetched elsewhere, which takes about a run; going on much sooner makes keys homeless in a burst.
         waits = 2.0 * (self.now - sub.arrived_at) / self.runs[sub.grade.name].mean(self.now)
         reach = 2 << int(min(10.0, waits))
+        if self.list.terms.live:
+            share = self.asked[sub.key].read(self.now) / self.asked_all.read(self.now)
+            reach = max(2, int(WIDE * share * len(row) + 0.99)) << int(min(10.0, waits))
+            row = [worker for worker in row if worker.load < self.crowded] or row
         if len(fitting) < len(row):  # some of them it may not have
             allowed = set(fitting)
             row = [worker for worker in row if worker in allowed]
