--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -42,7 +42,7 @@
 
 
 POWER = 4
-CROWD, MEANS, WIDE = 0.8, 1.3, 1.5
+CROWD, MEANS, WIDE, MISSES = 0.8, 1.3, 1.5, 2
 
 
 class Chance:
@@ -235,7 +235,7 @@
 class Worker:
     __slots__ = ("id", "zone", "kind", "cell", "state", "started_at", "own", "cap", "waiting", "rest_until",
                  "heard_at", "good", "bad", "drawn_at", "sent_cold", "full_until", "listed", "lost",
-                 "well_at", "salt", "rating", "load", "odds")
+                 "well_at", "salt", "load", "odds", "size", "missed")
 
     def __init__(self, entry: say.Listed, cap: float) -> None:
         self.id = entry.worker
@@ -252,10 +252,10 @@
         self.zone, self.kind, self.cell = entry.zone, entry.kind, entry.cell
         self.state, self.started_at, self.listed = entry.state, entry.started_at, True
         self.lost = 0  # failures in a row while it was not listed
-        self.rating, self.load, self.odds = entry.rating, 0.0, 1.0
+        self.load, self.odds, self.size, self.missed = 0.0, 1.0, 0.0, 0
 
     def update(self, entry: say.Listed, terms: say.ListTerms) -> None:
-        self.zone, self.kind, self.cell, self.rating = entry.zone, entry.kind, entry.cell, entry.rating
+        self.zone, self.kind, self.cell = entry.zone, entry.kind, entry.cell
         self.started_at = entry.started_at
         self.stand(entry.state, terms)
 
@@ -395,6 +395,8 @@
 
     def warmth(self, worker: Worker, now: int) -> float:
         """The least share of its capacity that a cold worker has by now."""
+        if not self.is_cold(worker, now):
+            return 1.0
         terms = self.terms
         return terms.cold_from + (1.0 - terms.cold_from) * (now - worker.started_at) / terms.warm_after
 
@@ -402,7 +404,7 @@
         self, worker: Worker, work: float, part: float, now: int, chance: Chance, ready: list[Worker]
     ) -> bool:
         """Whether a cold worker may get this work, too, out of our part."""
-        need, whole = work / self.slots, self.terms.factor * self.terms.window * self.warmth(worker, now)
+        need, whole = work / max(self.slots, worker.size), self.terms.factor * self.terms.window * self.warmth(worker, now)
         if need <= part * whole:
             return worker.sent_cold.read(now) + need <= part * whole
         # Guards against leaving fresh workers idle until warm where our part of one is under a submission:
@@ -424,8 +426,9 @@
 
     def count(self, worker: Worker, work: float, now: int) -> None:
         worker.sent_cold.span = self.terms.window
-        worker.sent_cold.add(work / self.slots, now)
-        self.sent.add(work / self.slots, now)
+        need = work / max(self.slots, worker.size)
+        worker.sent_cold.add(need, now)
+        self.sent.add(need, now)
 
 
 class WorkerList:
@@ -459,7 +462,7 @@
                 self.workers[entry.worker] = Worker(entry, cap)
                 changed = True
             elif worker.state == entry.state and worker.started_at == entry.started_at:
-                worker.rating = entry.rating
+                pass
             else:
                 worker.update(entry, self.terms)
                 changed = True
@@ -738,27 +741,37 @@
         else:
             self.list.failures = 0
         changed = self.list.take(news, self.floor())
-        if self.list.terms.live:
-            self.weigh(news.entries)
         if not changed:
+            if self.list.terms.live:
+                self.weigh(news.entries)
             return
         ready = [worker for worker in self.list.workers.values() if worker.state == say.READY]
         self.rows = {}
         kinds = {None} | {grade.kind for grade in self.grades.values()}
         self.fitting = {kind: [worker for worker in ready if kind in (None, worker.kind)] for kind in kinds}
+        if self.list.terms.live:
+            self.weigh(news.entries)
 
     def weigh(self, entries: list[say.Listed]) -> None:
         """Follows the ratings that fall with load: how much each worker holds for its size."""
         workers, sizes = self.list.workers, self.sizes
         for entry in entries:
             sizes[entry.kind] = max(sizes.get(entry.kind, 0.0), entry.rating)
-        top = max(sizes.values())
+        top = max(sizes.values(), default=1.0)
         for entry in entries:
             worker = workers[entry.worker]
-            worker.load = sizes[entry.kind] / max(1e-9, entry.rating) - 1.0
+            worker.size = sizes[entry.kind]
+            worker.load = worker.size / max(1e-9, entry.rating) - 1.0
             worker.odds = (entry.rating / top) ** POWER
-        loads = [worker.load for worker in workers.values() if worker.state == say.READY]
-        self.crowded = max(CROWD, MEANS * sum(loads) / max(1, len(loads)))
+            worker.missed = 0
+        ready = self.fitting.get(None, [])
+        if 2 * len(entries) > len(ready):
+            for worker in ready:
+                if worker.load > 0.001:
+                    worker.missed += 1
+                    if worker.missed > MISSES:
+                        self.blame(worker, "its weight is no longer renewed")
+        self.crowded = max(CROWD, MEANS * sum([worker.load for worker in ready]) / max(1, len(ready)))
 
     def arrive(self, arrival: say.Arrival) -> Submission:
         self.arrivals += 1
@@ -955,7 +968,7 @@
             worker = fitting[self.chance.below(len(fitting))]
             if self.list.terms.live:
                 for _ in range(8):
-                    if self.chance.falls(worker.odds):
+                    if self.chance.falls(worker.odds * self.cold.warmth(worker, self.now)):
                         break
                     worker = fitting[self.chance.below(len(fitting))]
             room_there = worker.has_room(sub.width, now, prompt) and self.holds(worker)
