--- a/locktide/config/settings.py
+++ b/locktide/config/settings.py
@@ -45,7 +45,7 @@
 def terms(told: Table) -> tuple[Any, ...]:
     """The start terms, as `rules.Dispatcher` takes them after the seed."""
     domain, ceilings = told.table("Domain", {}), told.table("Ceilings", {})
-    limits = told.table("Rules", {})
+    limits, prices = told.table("Rules", {}), told.table("Prices", {})
     quotas = {realm.text("Name"): realm.number("QuotaPerS", 0.0) for realm in told.tables("Realms", [])}
     return (
         told.span("Step", 1.0),
@@ -73,4 +73,8 @@
             told.one_of(WEIGHTS, "WeightKind", "silent") == "live",
         ),
         say.SignTerms(domain.flag("TellsStart", False), domain.span("Progress", 0)),
+        say.PriceTerms(
+            prices.number("Handshake", 0.0), prices.number("CrossZone", 0.0), told.text("Zone", ""),
+            ceilings.span("IdleClose", 0),
+        ),
     )
--- a/locktide/dispatch/interface.py
+++ b/locktide/dispatch/interface.py
@@ -134,6 +134,18 @@
     live: bool = False
 
 
+@dataclass(slots=True)
+class PriceTerms:
+    """What a dispatch costs beside its work, in parts of what a usual submission earns: a new connection, and
+    a worker in another zone than `zone`, our own. Workers close a connection that was idle for `idle_close`.
+    """
+
+    connection: float = 0.0
+    crossing: float = 0.0
+    zone: str = ""
+    idle_close: int = 0
+
+
 @dataclass(slots=True)
 class SignTerms:
     """What workers tell: the start of a job, and its progress every so often."""
--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -32,7 +32,7 @@
 
 from __future__ import annotations
 
-from bisect import insort
+from bisect import bisect, insort
 from collections.abc import Callable, Generator
 from math import exp, sqrt
 from typing import Any
@@ -42,7 +42,7 @@
 
 
 POWER = 4
-CROWD, MEANS, WIDE, MISSES = 0.8, 1.3, 1.5, 2
+CROWD, MEANS, WIDE, MISSES, WARM, REST = 0.8, 1.3, 1.5, 2, 0.02, True
 
 
 class Chance:
@@ -235,7 +235,7 @@
 class Worker:
     __slots__ = ("id", "zone", "kind", "cell", "state", "started_at", "own", "cap", "waiting", "rest_until",
                  "heard_at", "good", "bad", "drawn_at", "sent_cold", "full_until", "listed", "lost",
-                 "well_at", "salt", "load", "odds", "size", "missed")
+                 "well_at", "salt", "load", "odds", "size", "missed", "kept")
 
     def __init__(self, entry: say.Listed, cap: float) -> None:
         self.id = entry.worker
@@ -252,6 +252,7 @@
         self.zone, self.kind, self.cell = entry.zone, entry.kind, entry.cell
         self.state, self.started_at, self.listed = entry.state, entry.started_at, True
         self.lost = 0  # failures in a row while it was not listed
+        self.kept: list[int] = []  # until when connections of ours to it are kept open and free
         self.load, self.odds, self.size, self.missed = 0.0, 1.0, 0.0, 0
 
     def update(self, entry: say.Listed, terms: say.ListTerms) -> None:
@@ -272,7 +273,7 @@
         return not self.waiting or now - next(iter(self.waiting)).sent_at <= prompt
 
     def doubtful(self, now: int) -> bool:
-        return self.lost > 0 or self.bad.read(now) >= 0.5
+        return self.lost > 0 or self.missed >= MISSES or self.bad.read(now) >= 0.5
 
     def succeeded(self, now: int) -> None:
         self.heard_at, self.lost = now, 0
@@ -302,7 +303,7 @@
             return False
         self.drawn_at = now
         # The a-th smallest of a + b - 1 uniform draws is distributed as Beta(a, b). Eight of each suffice.
-        a, b = 1 + min(8, round(self.good.read(now))), 1 + min(8, round(self.bad.read(now)))
+        a, b = 1 + min(8, round(self.good.read(now))), 1 + min(8, round(self.bad.read(now)) + self.missed)
         draws = sorted([chance.below(1 << 20) for _ in range(a + b - 1)])
         # Guards against tries without end at machines that are gone for good and still count as open: the
         # list and what is seen there agree, so each failure halves the odds, until it is listed anew.
@@ -477,9 +478,11 @@
         self, seed: int, step: int, fleet: int, grades: list[say.Grade], dispatching: say.DispatchTerms,
         clients: say.ClientTerms, shares: say.ShareTerms, goal: say.GoalTerms, cold: say.ColdTerms,
         listing: say.ListTerms, signs: say.SignTerms,
+        prices: say.PriceTerms | None = None,
     ) -> None:
         self.chance, self.step = Chance(seed), step
         self.grades = {grade.name: grade for grade in grades}
+        self.prices = prices or say.PriceTerms()
         self.dispatching, self.clients, self.signs = dispatching, clients, signs
         self.list, self.cold, self.shares = WorkerList(listing), ColdBudget(cold), Shares(shares, fleet)
         self.fitting: dict[str | None, list[Worker]] = {}  # ready workers by kind; None: all of them
@@ -496,6 +499,7 @@
         self.sparse = 3.0 * self.cold.slots < fleet  # our even part of a worker is under a third of a slot
         # Slots of ours without an outcome, and how many may then be: four times the least, for a calm day.
         self.outstanding, self.most = 0.0, 16.0
+        self.stranger = exp(-self.prices.connection / WARM)
         self.sizes: dict[str, float] = {}  # the highest rating of each kind: what one is rated that holds nothing
         self.crowded = 1e9
         self.asked: dict[int, Fading] = {}
@@ -664,6 +668,8 @@
         self.outstanding += sub.width
         sub.held.append(dispatch)
         worker.own += sub.width
+        if worker.kept:
+            worker.kept.pop()
         if self.cold.is_cold(worker, self.now):
             self.cold.count(worker, self.work(sub), self.now)
         worker.waiting[dispatch] = None
@@ -763,14 +769,16 @@
             worker.size = sizes[entry.kind]
             worker.load = worker.size / max(1e-9, entry.rating) - 1.0
             worker.odds = (entry.rating / top) ** POWER
+            if entry.zone != self.prices.zone:
+                worker.odds *= exp(-self.prices.crossing / WARM)
             worker.missed = 0
         ready = self.fitting.get(None, [])
         if 2 * len(entries) > len(ready):
             for worker in ready:
                 if worker.load > 0.001:
                     worker.missed += 1
-                    if worker.missed > MISSES:
-                        self.blame(worker, "its weight is no longer renewed")
+                    if worker.missed == MISSES:
+                        self.log(f"avoiding worker {worker.id}: its weight is no longer renewed")
         self.crowded = max(CROWD, MEANS * sum([worker.load for worker in ready]) / max(1, len(ready)))
 
     def arrive(self, arrival: say.Arrival) -> Submission:
@@ -866,6 +874,8 @@
         the share where all work may move on from a queue: others leave some of theirs unused.
         """
         share = self.cold.slots * self.shares.part(self.now)
+        if self.list.terms.live and REST:
+            return max(1.0, share)
         return max(share if self.some_once else 2.0 * share, min(1.0, 3.0 * share))
 
     def settle(self, dispatch: Dispatch, prompt: bool) -> None:
@@ -895,6 +905,9 @@
         sub, worker = dispatch.submission, dispatch.worker
         worker.own -= sub.width
         worker.left(self.now - dispatch.sent_at, self.now)
+        if news.outcome in (say.DONE, say.ERROR, say.FULL):
+            worker.kept = [until for until in worker.kept if until > self.now]
+            worker.kept.append(self.now + self.prices.idle_close)
         sub.out.remove(dispatch)
         self.outstanding -= sub.width
         if news.outcome not in say.TELLS_NOTHING:
@@ -965,12 +978,7 @@
                 fitting = self.near(sub, fitting)
             if not fitting:
                 continue
-            worker = fitting[self.chance.below(len(fitting))]
-            if self.list.terms.live:
-                for _ in range(8):
-                    if self.chance.falls(worker.odds * self.cold.warmth(worker, self.now)):
-                        break
-                    worker = fitting[self.chance.below(len(fitting))]
+            worker = self.draw(fitting)
             room_there = worker.has_room(sub.width, now, prompt) and self.holds(worker)
             if room_there and self.cold_allows(worker, sub) and (
                 not worker.doubtful(now) or worker.listed and self.all_doubtful()
@@ -981,6 +989,20 @@
                 self.advance(sub, worker)
                 room -= not worker.has_room(1.0, now, prompt)
 
+    def draw(self, fitting: list[Worker]) -> Worker:
+        if not self.list.terms.live:
+            return fitting[self.chance.below(len(fitting))]
+        sums, total, now = [], 0.0, self.now
+        for worker in fitting:
+            odds = worker.odds
+            if not worker.kept or worker.kept[-1] < now:
+                odds *= self.stranger
+            if worker.started_at:
+                odds *= self.cold.warmth(worker, now)
+            total += odds
+            sums.append(total)
+        return fitting[min(len(fitting) - 1, bisect(sums, total * self.chance.below(1 << 20) / (1 << 20)))]
+
     def near(self, sub: Submission, fitting: list[Worker]) -> list[Worker]:
         """Those of the fitting workers among which a submission with a key draws: few at first, so that what
         shares the key meets where what it needs is at hand, twice as many after each wait without a place.
