--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -41,7 +41,7 @@
 from locktide.dispatch import interface as say
 
 
-POWER = 4
+POWER = 8
 CROWD, MEANS, WIDE, MISSES, WARM, REST = 0.8, 1.3, 1.5, 2, 0.02, True
 
 
@@ -763,12 +763,11 @@
         workers, sizes = self.list.workers, self.sizes
         for entry in entries:
             sizes[entry.kind] = max(sizes.get(entry.kind, 0.0), entry.rating)
-        top = max(sizes.values(), default=1.0)
         for entry in entries:
             worker = workers[entry.worker]
             worker.size = sizes[entry.kind]
             worker.load = worker.size / max(1e-9, entry.rating) - 1.0
-            worker.odds = (entry.rating / top) ** POWER
+            worker.odds = worker.size ** 2 / (1.0 + worker.load) ** 3
             if entry.zone != self.prices.zone:
                 worker.odds *= exp(-self.prices.crossing / WARM)
             worker.missed = 0
