--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -61,10 +61,13 @@
         return self.below(1 << 20) < odds * (1 << 20)
 
 
-def mixed(salt: int, key: int) -> int:
-    """A number that is as good as drawn for this pair."""
-    state = ((salt ^ key) * 6364136223846793005 + 1442695040888963407) & 0xFFFFFFFFFFFFFFFF
-    return ((state ^ state >> 29) * 6364136223846793005 & 0xFFFFFFFFFFFFFFFF) >> 32
+def ordered(workers: list[Worker], key: int) -> list[Worker]:
+    """In an order that is as good as drawn for this key, and the same for all who know its salts."""
+    ranks = {}
+    for worker in workers:
+        state = (worker.salt ^ key) * 6364136223846793005 + 1442695040888963407 & 0xFFFFFFFFFFFFFFFF
+        ranks[(state ^ state >> 29) * 6364136223846793005 & 0xFFFFFFFFFFFFFFFF] = worker
+    return [ranks[rank] for rank in sorted(ranks)]
 
 
 class Fading:
@@ -173,32 +176,17 @@
 class Shares:
     """Tells what is beyond its tenant's share: a bucket for each tenant, filled at our part of its quota."""
 
-    __slots__ = ("terms", "fleet", "levels", "arrivals", "peers", "told_at", "reach")
+    __slots__ = ("terms", "part", "levels")
 
     def __init__(self, terms: say.ShareTerms, fleet: int) -> None:
-        self.terms, self.fleet = terms, fleet
+        self.terms, self.part = terms, 1.0 / fleet
         self.levels = {tenant: [5.0 * quota / fleet, 0.0] for tenant, quota in terms.quotas.items()}
-        self.arrivals = Fading(5_000_000)  # some tens of submissions, and shorter than a burst
-        self.peers: dict[int, tuple[int, int]] = {}  # what each peer said of its arrivals, and when
-        self.told_at = 0
-        self.reach = fleet - 1 if fleet <= 5 else 2  # a price, and CPU, must not grow with the fleet
-
-    def part(self, now: int) -> float:
-        """Our part of all traffic: told by the peers where they may, else an equal one."""
-        heard = [arrivals for arrivals, at in self.peers.values() if now - at < 10_000_000]
-        if len(heard) < max(1, min(4, self.fleet - 1)):  # four make a fair sample
-            return 1.0 / self.fleet
-        # One with under 2.5 arrivals in five seconds speaks less often than each two, and stands for more.
-        weights = [max(1.0, 2.5 / max(1, arrivals)) for arrivals in heard]
-        told = sum([weight * arrivals for weight, arrivals in zip(weights, heard, strict=True)])
-        ours = max(1.0, self.arrivals.read(now))
-        return ours / (ours + told / sum(weights) * (self.fleet - 1))
 
     def beyond(self, tenant: Any, now: int) -> bool:
         bucket = self.levels.get(tenant)
         if bucket is None:
             return False
-        rate = self.terms.quotas[tenant] * self.part(now)
+        rate = self.terms.quotas[tenant] * self.part
         # Five seconds of the quota at most: traffic comes in bunches.
         bucket[0] = min(5.0 * rate + 1.0, bucket[0] + (now - bucket[1]) * rate / 1e6)
         bucket[1] = now
@@ -207,22 +195,6 @@
         bucket[0] -= 1.0
         return False
 
-    def arrived(self, now: int, chance: Chance) -> list[say.TellPeer]:
-        """Counts an arrival; every two seconds, well within a burst, there is something to tell the peers."""
-        self.arrivals.add(1.0, now)
-        if not self.terms.may_tell or not self.reach or now - self.told_at < 2_000_000:
-            return []
-        self.told_at = now
-        message = b"%d" % round(self.arrivals.read(now))
-        peers = [peer for peer in range(self.fleet) if peer != self.terms.me]
-        if len(peers) > self.reach:
-            peers = [peers.pop(chance.below(len(peers))) for _ in range(self.reach)]
-        return [say.TellPeer(peer, message) for peer in peers]
-
-    def heard(self, news: say.PeerSays, now: int) -> None:
-        if news.message.isdigit():
-            self.peers[news.peer] = (int(news.message), now)
-
 
 def standing(before: str | None, told: str, terms: say.ListTerms) -> str:
     """The state that counts of a worker which a list calls `told`, and which stood at `before`.
@@ -784,7 +756,6 @@
         self.arrivals += 1
         sub = Submission(arrival, self.grades[arrival.grade], self.now, self.arrivals)
         self.submissions[sub.id] = sub
-        self.orders += self.shares.arrived(self.now, self.chance)
         if sub.key is not None:
             if len(self.asked) > 1024:
                 self.asked.clear()
@@ -842,7 +813,7 @@
         dispatch.started_at = dispatch.heard_at = worker.heard_at = self.now
         running = worker.own - sum([other.submission.width for other in worker.waiting])
         self.cold.slots = max(self.cold.slots, running)
-        self.sparse = 3.0 * self.cold.slots < self.shares.fleet
+        self.sparse = 3.0 * self.cold.slots * self.shares.part < 1.0
         if dispatch.blamed:  # it was slow to say so, not silent
             worker.bad.add(-1.0, self.now)
         if not sub.answered and (sub.pooled or len(sub.out) > 1):
@@ -872,7 +843,7 @@
         Guards against two that cut each other to one submission a worker, and seventeen with no gate. Twice
         the share where all work may move on from a queue: others leave some of theirs unused.
         """
-        share = self.cold.slots * self.shares.part(self.now)
+        share = self.cold.slots * self.shares.part
         if self.list.terms.live and REST:
             return max(1.0, share)
         return max(share if self.some_once else 2.0 * share, min(1.0, 3.0 * share))
@@ -886,7 +857,7 @@
             elif self.now - dispatch.sent_at > self.slack(dispatch.submission) and self.sparse:
                 # Guards against many dispatchers that pile up work before any learns of a worker. Under four,
                 # or three a slot of our part, one is too much; larger cuts closed calm days.
-                ours = self.cold.slots * self.shares.part(self.now) * len(self.fitting[None])
+                ours = self.cold.slots * self.shares.part * len(self.fitting[None])
                 self.most = max(4.0, 3.0 * ours, 0.95 * self.most)
             if prompt and dispatch.further:
                 self.credit = min(10.0, self.credit + 1.0)  # it found a better place: the next is paid for
@@ -1012,7 +983,7 @@
         if row is None:
             if len(self.rows) >= 1024:  # guards the memory where each submission has a key of its own
                 self.rows.clear()
-            row = sorted(self.fitting[sub.grade.kind], key=lambda one: mixed(one.salt, sub.key or 0))
+            row = ordered(self.fitting[sub.grade.kind], sub.key)
             self.rows[sub.key, sub.grade.kind] = row
         # Two: one alone queues where its key is asked for often. Half a usual run: what it needs has to be
         # fetched elsewhere, which takes about a run; going on much sooner makes keys homeless in a burst.
@@ -1033,7 +1004,7 @@
 
     def cold_allows(self, worker: Worker, sub: Submission) -> bool:
         return not self.cold.is_cold(worker, self.now) or self.cold.allows(
-            worker, self.work(sub), self.shares.part(self.now), self.now, self.chance, self.fitting[None]
+            worker, self.work(sub), self.shares.part, self.now, self.chance, self.fitting[None]
         )
 
     def all_doubtful(self) -> bool:
@@ -1051,5 +1022,4 @@
     say.Ended: Dispatcher.take_ended,
     say.ClientGone: Dispatcher.take_gone,
     say.TimerDue: Dispatcher.take_timer,
-    say.PeerSays: lambda self, news: self.shares.heard(news, self.now),
 }
