--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -42,7 +42,7 @@
 
 
 POWER = 8
-CROWD, MEANS, WIDE, MISSES, WARM, REST = 0.8, 1.3, 1.5, 2, 0.02, True
+CROWD, MEANS, WIDE, MISSES, WARM, REST = 0.8, 1.3, 1.0, 2, 0.02, True
 
 
 class Chance:
@@ -992,10 +992,11 @@
         if self.list.terms.live:
             share = self.asked[sub.key].read(self.now) / self.asked_all.read(self.now)
             reach = max(2, int(WIDE * share * len(row) + 0.99)) << int(min(10.0, waits))
-            row = [worker for worker in row if worker.load < self.crowded] or row
         if len(fitting) < len(row):  # some of them it may not have
             allowed = set(fitting)
             row = [worker for worker in row if worker in allowed]
+        if self.list.terms.live:
+            return [worker for worker in row[:reach] if worker.load < self.crowded]
         return row[:reach]
 
     def holds(self, worker: Worker) -> bool:
