--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -633,7 +633,7 @@
         if self.signs.tells_start:
             # An eighth of the slack: several more such waits, or one and a queue elsewhere, still fit. All
             # of it with a key: what it needs is here; elsewhere it is fetched, which costs a run each time.
-            part = 8 if sub.key is None else 1
+            part = 8 if sub.key is None else 3
             self.wake(max(self.prompt, int(self.slack(sub)) // part), dispatch)
         sub.shots.append(dispatch)
         sub.out.append(dispatch)
