--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -305,7 +305,7 @@
 class Submission:
     __slots__ = ("id", "grade", "width", "hint", "arrived_at", "limit_at", "leave_at", "order", "shots",
                  "out", "held", "course", "pooled", "answered", "patient", "uncounted", "tenant", "erred",
-                 "spoilt", "key")
+                 "spoilt", "key", "not_before")
 
     def __init__(self, arrival: say.Arrival, grade: say.Grade, now: int, order: int) -> None:
         self.id, self.grade, self.width = arrival.submission, grade, arrival.width
@@ -318,6 +318,7 @@
         self.pooled = self.answered = False
         self.uncounted = 0  # dispatches that do not count among the most there may be
         self.tenant, self.spoilt, self.key = arrival.tenant, False, arrival.key
+        self.not_before = 0  # after a refusal: when it may go out again
         self.erred: list[Dispatch] = []  # its errors at workers that nothing else spoke against
         self.course: Course
 
@@ -903,6 +904,7 @@
             # Guards against one that turns all away, so has nothing of ours, and draws all that waits.
             worker.heard_at = self.now
             worker.full_until = self.now + int(self.runs[sub.grade.name].mean(self.now))
+            sub.not_before = self.now + self.patience(sub) // self.dispatching.most_dispatches
         if news.outcome == say.NO_CONNECTION:
             # Guards against spinning on what refuses: as long as a connection may take, we ask for no other.
             worker.full_until = max(worker.full_until, self.now + 250_000)
@@ -937,7 +939,7 @@
         for sub in list(self.pool):
             if room <= 0:
                 break
-            if self.sparse and self.outstanding + sub.width > self.most:
+            if now < sub.not_before or self.sparse and self.outstanding + sub.width > self.most:
                 continue
             fitting = self.fitting[sub.grade.kind]
             if sub.shots:
