--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -474,7 +474,7 @@
         self.outstanding, self.most = 0.0, 16.0
         self.stranger = exp(-self.prices.connection / WARM)
         self.sizes: dict[str, float] = {}  # the highest rating of each kind: what one is rated that holds nothing
-        self.crowded = 1e9
+        self.crowded, self.held = 1e9, 0.0
         self.asked: dict[int, Fading] = {}
         self.asked_all = Fading(10_000_000)
         self.credit = 10.0  # of further dispatches; ten let a dispatcher meet a sudden trouble at once
@@ -634,7 +634,7 @@
         if self.signs.tells_start:
             # An eighth of the slack: several more such waits, or one and a queue elsewhere, still fit. All
             # of it with a key: what it needs is here; elsewhere it is fetched, which costs a run each time.
-            part = 8 if sub.key is None else 3
+            part = 8 if not self.list.terms.live else 3 if self.held < CROWD else 1
             self.wake(max(self.prompt, int(self.slack(sub)) // part), dispatch)
         sub.shots.append(dispatch)
         sub.out.append(dispatch)
@@ -751,7 +751,8 @@
                     worker.missed += 1
                     if worker.missed == MISSES:
                         self.log(f"avoiding worker {worker.id}: its weight is no longer renewed")
-        self.crowded = max(CROWD, MEANS * sum([worker.load for worker in ready]) / max(1, len(ready)))
+        self.held = sum([worker.load for worker in ready]) / max(1, len(ready))
+        self.crowded = max(CROWD, MEANS * self.held)
 
     def arrive(self, arrival: say.Arrival) -> Submission:
         self.arrivals += 1
