--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -42,7 +42,7 @@
 
 
 POWER = 8
-CROWD, MEANS, WIDE, MISSES, WARM, REST = 0.8, 1.3, 1.0, 2, 0.02, True
+CROWD, MEANS, WIDE, MISSES, WARM, REST = 0.8, 1.3, 1.5, 2, 0.02, True
 
 
 class Chance:
