--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -42,7 +42,7 @@
 
 
 POWER = 8
-CROWD, MEANS, WIDE, MISSES, WARM, REST = 0.8, 1.3, 1.5, 2, 0.02, True
+CROWD, MEANS, WIDE, MISSES, WARM, REST = 1.5, 2.0, 1.5, 2, 0.02, True
 
 
 class Chance:
@@ -634,7 +634,7 @@
         if self.signs.tells_start:
             # An eighth of the slack: several more such waits, or one and a queue elsewhere, still fit. All
             # of it with a key: what it needs is here; elsewhere it is fetched, which costs a run each time.
-            part = 8 if not self.list.terms.live else 3 if self.held < CROWD else 1
+            part = 8 if not self.list.terms.live else 3 if self.held < 0.8 else 1
             self.wake(max(self.prompt, int(self.slack(sub)) // part), dispatch)
         sub.shots.append(dispatch)
         sub.out.append(dispatch)
