Rule four mended: a cold worker is drawn as one of all, by its warmth, not as the emptiest

Cause: the pooled cold budget bounds what all cold workers get together and relied on a uniform draw to spread it; a fresh worker holds nothing, so draws by load turned to it, in its own zone first.

--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -34,6 +34,7 @@
 
 from bisect import bisect, insort
 from collections.abc import Callable, Generator
+from itertools import accumulate
 from math import exp, sqrt
 from typing import Any
 from zlib import crc32
@@ -42,7 +43,7 @@
 
 
 POWER = 8
-CROWD, MEANS, WIDE, MISSES, WARM, REST = 1.5, 2.0, 1.5, 2, 0.02, True
+CROWD, MEANS, WIDE, MISSES, WARM, REST = 1.5, 2.0, 1.5, 2, 0.01, True
 
 
 class Chance:
@@ -965,16 +966,22 @@
     def draw(self, fitting: list[Worker]) -> Worker:
         if not self.list.terms.live:
             return fitting[self.chance.below(len(fitting))]
-        sums, total, now = [], 0.0, self.now
+        odds, cold, now = [], [], self.now
         for worker in fitting:
-            odds = worker.odds
-            if not worker.kept or worker.kept[-1] < now:
-                odds *= self.stranger
-            if worker.started_at:
-                odds *= self.cold.warmth(worker, now)
-            total += odds
-            sums.append(total)
-        return fitting[min(len(fitting) - 1, bisect(sums, total * self.chance.below(1 << 20) / (1 << 20)))]
+            if self.cold.is_cold(worker, now):
+                cold.append(len(odds))
+                odds.append(0.0)
+            else:
+                kept = worker.kept and worker.kept[-1] >= now
+                odds.append(worker.odds if kept else worker.odds * self.stranger)
+        if cold:
+            # Guards against all dispatchers that turn to one that has just started, as it holds nothing: it
+            # is drawn as one of all, in the measure of its warmth. What the budget grants is spread so, too.
+            usual = sum(odds) / max(1, len(odds) - len(cold)) or 1.0
+            for place in cold:
+                odds[place] = usual * self.cold.warmth(fitting[place], now)
+        sums = list(accumulate(odds))
+        return fitting[min(len(fitting) - 1, bisect(sums, sums[-1] * self.chance.below(1 << 20) / (1 << 20)))]
 
     def near(self, sub: Submission, fitting: list[Worker]) -> list[Worker]:
         """Those of the fitting workers among which a submission with a key draws: few at first, so that what
