--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -43,6 +43,7 @@
 
 
 POWER = 8
+BOUND = 0.5
 CROWD, MEANS, WIDE, MISSES, WARM, REST = 1.5, 2.0, 1.5, 2, 0.01, True
 
 
@@ -474,6 +475,7 @@
         # Slots of ours without an outcome, and how many may then be: four times the least, for a calm day.
         self.outstanding, self.most = 0.0, 16.0
         self.stranger = exp(-self.prices.connection / WARM)
+        self.all_bound = all([grade.kind for grade in grades])
         self.sizes: dict[str, float] = {}  # the highest rating of each kind: what one is rated that holds nothing
         self.crowded, self.held = 1e9, 0.0
         self.asked: dict[int, Fading] = {}
@@ -741,7 +743,8 @@
             worker = workers[entry.worker]
             worker.size = sizes[entry.kind]
             worker.load = worker.size / max(1e-9, entry.rating) - 1.0
-            worker.odds = worker.size ** 2 / (1.0 + worker.load) ** 3
+            bound = BOUND if entry.kind in self.fitting and not self.all_bound else 1.0
+            worker.odds = bound * worker.size ** 2 / (1.0 + worker.load) ** 3
             if entry.zone != self.prices.zone:
                 worker.odds *= exp(-self.prices.crossing / WARM)
             worker.missed = 0
