--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -43,7 +43,7 @@
 
 
 POWER = 8
-BOUND = 0.5
+BOUND = 0.25
 CROWD, MEANS, WIDE, MISSES, WARM, REST = 1.5, 2.0, 1.5, 2, 0.01, True
 
 
