--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -198,17 +198,9 @@
         return False
 
 
-def standing(before: str | None, told: str, terms: say.ListTerms) -> str:
-    """The state that counts of a worker which a list calls `told`, and which stood at `before`.
-
-    Where only draining binds, a worker that is gone without it may still be up: what it does will show.
-    """
-    return before if told == say.GONE and before == say.READY and not terms.gone_binds else told
-
-
 class Worker:
     __slots__ = ("id", "zone", "kind", "cell", "state", "started_at", "own", "cap", "waiting", "rest_until",
-                 "heard_at", "good", "bad", "drawn_at", "sent_cold", "full_until", "listed", "lost",
+                 "heard_at", "good", "bad", "drawn_at", "sent_cold", "full_until",
                  "well_at", "salt", "load", "odds", "size", "missed", "kept")
 
     def __init__(self, entry: say.Listed, cap: float) -> None:
@@ -224,19 +216,13 @@
         self.well_at = 0  # when it last ended one that ran no longer than is usual
         self.waiting: dict[Dispatch, None] = {}  # ours there that have not started, oldest first
         self.zone, self.kind, self.cell = entry.zone, entry.kind, entry.cell
-        self.state, self.started_at, self.listed = entry.state, entry.started_at, True
-        self.lost = 0  # failures in a row while it was not listed
+        self.state, self.started_at = entry.state, entry.started_at
         self.kept: list[int] = []  # until when connections of ours to it are kept open and free
         self.load, self.odds, self.size, self.missed = 0.0, 1.0, 0.0, 0
 
-    def update(self, entry: say.Listed, terms: say.ListTerms) -> None:
+    def update(self, entry: say.Listed) -> None:
         self.zone, self.kind, self.cell = entry.zone, entry.kind, entry.cell
-        self.started_at = entry.started_at
-        self.stand(entry.state, terms)
-
-    def stand(self, told: str, terms: say.ListTerms) -> None:
-        self.state, self.listed = standing(self.state, told, terms), told != say.GONE
-        self.lost = 0 if self.listed else self.lost
+        self.state, self.started_at = entry.state, entry.started_at
 
     def has_room(self, width: float, now: int, prompt: int) -> bool:
         if not self.own:
@@ -247,10 +233,10 @@
         return not self.waiting or now - next(iter(self.waiting)).sent_at <= prompt
 
     def doubtful(self, now: int) -> bool:
-        return self.lost > 0 or self.missed >= MISSES or self.bad.read(now) >= 0.5
+        return self.missed >= MISSES or self.bad.read(now) >= 0.5
 
     def succeeded(self, now: int) -> None:
-        self.heard_at, self.lost = now, 0
+        self.heard_at = now
         self.good.add(1.0, now)
         # Guards against shunning a worker that has come back: two good ends outweigh one bad.
         self.bad.add(-0.5 * self.bad.read(now), now)
@@ -261,7 +247,6 @@
         cost = 0.75 * self.good.read(now)
         self.good.add(-cost, now)
         self.bad.add(1.0, now)
-        self.lost += not self.listed
         return cost
 
     def forgive(self, cost: float, since: int, now: int) -> None:
@@ -269,7 +254,6 @@
         left = exp((since - now) / self.bad.span)
         self.good.add(cost * left, now)
         self.bad.add(-min(left, self.bad.read(now)), now)
-        self.lost = max(0, self.lost - 1)
 
     def trusted(self, now: int, chance: Chance) -> bool:
         """For a doubtful worker: whether it gets one more submission, drawn anew at most once a second."""
@@ -279,9 +263,7 @@
         # The a-th smallest of a + b - 1 uniform draws is distributed as Beta(a, b). Eight of each suffice.
         a, b = 1 + min(8, round(self.good.read(now))), 1 + min(8, round(self.bad.read(now)) + self.missed)
         draws = sorted([chance.below(1 << 20) for _ in range(a + b - 1)])
-        # Guards against tries without end at machines that are gone for good and still count as open: the
-        # list and what is seen there agree, so each failure halves the odds, until it is listed anew.
-        return draws[a - 1] > 1 << 19 and (not self.lost or chance.falls(0.5 ** self.lost))
+        return draws[a - 1] > 1 << 19
 
     def left(self, stay: int, now: int) -> None:
         # Guards against many dispatchers that each keep one submission on every worker: with a cap under one
@@ -440,11 +422,11 @@
             elif worker.state == entry.state and worker.started_at == entry.started_at:
                 pass
             else:
-                worker.update(entry, self.terms)
+                worker.update(entry)
                 changed = True
         if news.kind in (say.WHOLE, say.REMEMBERED):
             for absent in self.workers.keys() - {entry.worker for entry in news.entries}:
-                self.workers[absent].stand(say.GONE, self.terms)
+                self.workers[absent].state = say.GONE
         return changed
 
 
@@ -502,12 +484,10 @@
                     break
                 where = WAIT
             elif type(news) is Dispatch:  # in doubt: no start, or no sign of life
-                where = self.doubt(news)
+                where = WAIT
+                self.doubt(news)
             elif type(news) is say.Started:
                 where = WAIT
-                for other in sub.out:  # the copies that still wait are of no more use
-                    if not other.started_at:
-                        self.withdraw(other)
             elif news.final:
                 for other in sub.out:
                     self.withdraw(other)
@@ -524,19 +504,14 @@
         once = sub.held and sub.grade.effect == say.AT_MOST_ONCE
         return len(sub.shots) - sub.uncounted < self.dispatching.most_dispatches and not once
 
-    def doubt(self, dispatch: Dispatch) -> str:
-        """A further dispatch for one in doubt, beside it or in its place, while such ones pay."""
+    def doubt(self, dispatch: Dispatch) -> None:
+        """A further dispatch in the place of one in doubt, while such ones pay."""
         sub = dispatch.submission
-        if not self.may_dispatch(sub) or self.credit < 1.0:
-            return WAIT
-        if self.dispatching.second_copies:
-            return POOL
         # Guards against giving up a place in a queue for a worse one: bound work waits its turn, until it is
         # as good as lost there.
-        if not dispatch.started_at and sub.grade.effect != say.REISSUABLE and self.now < dispatch.lost_at:
-            return WAIT
-        self.withdraw(dispatch)
-        return WAIT
+        bound = sub.grade.effect != say.REISSUABLE and not dispatch.started_at and self.now < dispatch.lost_at
+        if self.may_dispatch(sub) and self.credit >= 1.0 and not bound:
+            self.withdraw(dispatch)
 
     def withdraw(self, dispatch: Dispatch) -> None:
         if self.dispatching.may_withdraw:
@@ -958,7 +933,7 @@
             worker = self.draw(fitting)
             room_there = worker.has_room(sub.width, now, prompt) and self.holds(worker)
             if room_there and self.cold_allows(worker, sub) and (
-                not worker.doubtful(now) or worker.listed and self.all_doubtful()
+                not worker.doubtful(now) or self.all_doubtful()
                 # Guards against losing for good what cannot be sent again: others do the trying.
                 or (sub.grade.effect != say.AT_MOST_ONCE or self.all_once)
                 and worker.trusted(now, self.chance)
@@ -1022,8 +997,8 @@
         )
 
     def all_doubtful(self) -> bool:
-        named = [worker for worker in self.fitting[None] if worker.listed]
-        return 2 * sum([worker.doubtful(self.now) for worker in named]) > len(named)
+        ready = self.fitting[None]
+        return 2 * sum([worker.doubtful(self.now) for worker in ready]) > len(ready)
 
 
 TAKE: dict[type, Callable[[Dispatcher, Any], None]] = {
