--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -454,8 +454,7 @@
         # that is served worst; wholly even from where that grade decides a third of the goal.
         self.evenness = min(1.0, 0.3 + 2.0 * goal.worst_grade)
         self.sparse = 3.0 * self.cold.slots < fleet  # our even part of a worker is under a third of a slot
-        # Slots of ours without an outcome, and how many may then be: four times the least, for a calm day.
-        self.outstanding, self.most = 0.0, 16.0
+        self.outstanding = 0.0  # slots of ours without an outcome
         self.stranger = exp(-self.prices.connection / WARM)
         self.all_bound = all([grade.kind for grade in grades])
         self.sizes: dict[str, float] = {}  # the highest rating of each kind: what one is rated that holds nothing
@@ -833,13 +832,6 @@
         """The first word on a dispatch: it started, or ended before we heard that it had."""
         worker, width = dispatch.worker, dispatch.submission.width
         if worker.waiting.pop(dispatch, 0) is None:
-            if prompt and self.outstanding + width > self.most:
-                self.most += 0.25 * width
-            elif self.now - dispatch.sent_at > self.slack(dispatch.submission) and self.sparse:
-                # Guards against many dispatchers that pile up work before any learns of a worker. Under four,
-                # or three a slot of our part, one is too much; larger cuts closed calm days.
-                ours = self.cold.slots * self.shares.part * len(self.fitting[None])
-                self.most = max(4.0, 3.0 * ours, 0.95 * self.most)
             if prompt and dispatch.further:
                 self.credit = min(10.0, self.credit + 1.0)  # it found a better place: the next is paid for
             if prompt and dispatch.at_cap:
@@ -919,7 +911,7 @@
         for sub in list(self.pool):
             if room <= 0:
                 break
-            if now < sub.not_before or self.sparse and self.outstanding + sub.width > self.most:
+            if now < sub.not_before:
                 continue
             fitting = self.fitting[sub.grade.kind]
             if sub.shots:
