--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -8,26 +8,28 @@
 submission makes one fresh uniform draw among the ready workers that fit, and goes out if our own outstanding
 slots there plus its width stay within the cap c, or nothing of ours is there. What comes back proven not to
 have run rejoins the pool with its age. With a key the draw is among the few workers that are the key's own.
+Where the list's ratings follow load a drawn worker may decline, and the draw is made again at once: so each
+is drawn in the measure of its odds, from its rating, its warmth and what a dispatch there costs beside work.
 
 The mechanisms beside it:
 1. Learned cap: c of each worker, in slots, rises when a dispatch sent at the cap starts promptly and falls
    when one starts late or is answered 'full'. While one of ours waits there past the prompt span there is no
    room, and under a cap of one we rest between submissions. Where our even part of a worker is under a third
-   of a slot, the draw of an empty one holds by the pace of its kind, and a cap on all of ours acts beside c.
-2. Health posterior: failed connections, resets, errors, silence and slow progress make a worker doubtful; a
-   draw from the posterior of its chance of success decides each second whether it gets one submission. Where
-   more than half are doubtful the fault is taken to be elsewhere, and nobody is. A submission that fails at
-   a second sound worker speaks against itself.
-3. Further dispatches: a dispatch that has not started after part of the slack, or has gone silent, is doubled
-   or withdrawn where the grade allows it; how often follows how many of the recent ones succeeded.
+   of a slot, the draw of an empty one holds by the pace of its kind. Ratings that follow load stand for both.
+2. Health posterior: failed connections, resets, errors, silence, slow progress and a rating that stands still
+   make a worker doubtful; a draw from the posterior of its chance of success decides each second whether it
+   gets one submission. Where more than half are doubtful the fault is taken to be elsewhere, and nobody is.
+   A submission that fails at a second sound worker speaks against itself.
+3. Further dispatches: a dispatch that has not started after part of the slack, or has gone silent, is
+   withdrawn where the grade allows it; how often follows how many of the recent ones succeeded.
 4. Cold budget: a worker that has just started gets no more than our part of the work that would push it
    over, counted as work per window, until it is warm; where that is under one submission, our part of what
    all cold workers may get counts, with a draw for what is left of it.
 5. Denials and shares: denied is what has waited a share of the slack in the pool, the more alike for all
    grades the more the goal weighs the worst-served one. Work beyond its tenant's share waits only as long as
-   it is worth; where dispatchers may tell each other their arrivals, our part follows them.
+   it is worth.
 6. The worker list: where it must be asked for, watched from a moment drawn by chance on, and asked again
-   after gaps that are drawn, too, and grow. Where only draining binds, who is gone without it stays open.
+   after gaps that are drawn, too, and grow.
 """
 
 from __future__ import annotations
@@ -43,8 +45,12 @@
 
 
 POWER = 8
-BOUND = 0.25
-CROWD, MEANS, WIDE, MISSES, WARM, REST = 1.5, 2.0, 1.5, 2, 0.01, True
+# What weighs in a draw, in parts of what a usual submission earns. With 0.02 connections and crossings cost
+# more and jams less: 0.807 and 0.825 on six days, noise 0.045.
+WEIGHS = 0.01
+# News that renewed most ratings and came since a worker's own was renewed, that one counted. Two: the next
+# news came without it. Noise keeps the rating of one that holds anything from being the same twice.
+OVERDUE = 2
 
 
 class Chance:
@@ -149,32 +155,6 @@
     return max(0.25 * grade.soft_limit, grade.soft_limit + (grade.stretch - 1.0) * run)
 
 
-class Verdicts:
-    """Whose errors were, by tenant: a submission's that fails wherever it goes, or a worker's.
-
-    Guards against floods of submissions that fail quickly anywhere: the workers at which they show would be
-    avoided for it, and soon all. It should also serve where a shared store fails what needs it. It could do
-    harm where most workers fail at once: their first errors then go unblamed until something ends well.
-    """
-
-    __slots__ = ("sums",)
-
-    def __init__(self) -> None:
-        self.sums: dict[Any, tuple[Fading, Fading]] = {}
-
-    def add(self, tenant: Any, submissions: bool, now: int) -> None:
-        # Ten seconds, as the workers' records that it corrects.
-        own, workers = self.sums.setdefault(tenant, (Fading(10_000_000), Fading(10_000_000)))
-        (own if submissions else workers).add(1.0, now)
-
-    def speak_against(self, tenant: Any, now: int) -> bool:
-        """Whether most of its errors that were decided lately were its own: then the next waits for proof."""
-        if tenant not in self.sums:
-            return False
-        own, workers = self.sums[tenant]
-        return own.read(now) > max(0.5, workers.read(now))
-
-
 class Shares:
     """Tells what is beyond its tenant's share: a bucket for each tenant, filled at our part of its quota."""
 
@@ -201,7 +181,8 @@
 class Worker:
     __slots__ = ("id", "zone", "kind", "cell", "state", "started_at", "own", "cap", "waiting", "rest_until",
                  "heard_at", "good", "bad", "drawn_at", "sent_cold", "full_until",
-                 "well_at", "salt", "load", "odds", "size", "missed", "kept")
+                 "well_at", "salt", "load", "odds", "size", "missed", "kept",
+                 "rated")
 
     def __init__(self, entry: say.Listed, cap: float) -> None:
         self.id = entry.worker
@@ -218,7 +199,7 @@
         self.zone, self.kind, self.cell = entry.zone, entry.kind, entry.cell
         self.state, self.started_at = entry.state, entry.started_at
         self.kept: list[int] = []  # until when connections of ours to it are kept open and free
-        self.load, self.odds, self.size, self.missed = 0.0, 1.0, 0.0, 0
+        self.load, self.odds, self.size, self.missed, self.rated = 0.0, 1.0, 0.0, 0, 0.0
 
     def update(self, entry: say.Listed) -> None:
         self.zone, self.kind, self.cell = entry.zone, entry.kind, entry.cell
@@ -233,7 +214,7 @@
         return not self.waiting or now - next(iter(self.waiting)).sent_at <= prompt
 
     def doubtful(self, now: int) -> bool:
-        return self.missed >= MISSES or self.bad.read(now) >= 0.5
+        return self.missed >= OVERDUE or self.bad.read(now) >= 0.5
 
     def succeeded(self, now: int) -> None:
         self.heard_at = now
@@ -241,19 +222,10 @@
         # Guards against shunning a worker that has come back: two good ends outweigh one bad.
         self.bad.add(-0.5 * self.bad.read(now), now)
 
-    def failed(self, now: int) -> float:
-        """Gives what it costs of the good record, for `forgive`."""
+    def failed(self, now: int) -> None:
         # Guards against a long good record that hides a fresh outage: a failure cuts it to a quarter.
-        cost = 0.75 * self.good.read(now)
-        self.good.add(-cost, now)
+        self.good.add(-0.75 * self.good.read(now), now)
         self.bad.add(1.0, now)
-        return cost
-
-    def forgive(self, cost: float, since: int, now: int) -> None:
-        """As though that failure had not been, for it was not the worker's."""
-        left = exp((since - now) / self.bad.span)
-        self.good.add(cost * left, now)
-        self.bad.add(-min(left, self.bad.read(now)), now)
 
     def trusted(self, now: int, chance: Chance) -> bool:
         """For a doubtful worker: whether it gets one more submission, drawn anew at most once a second."""
@@ -274,7 +246,7 @@
 
 class Dispatch:
     __slots__ = ("submission", "shot", "worker", "sent_at", "started_at", "heard_at", "at_cap", "further",
-                 "blamed", "lost_at", "cost", "erred_at")
+                 "blamed", "lost_at")
 
     def __init__(self, submission: Submission, shot: int, worker: Worker, now: int) -> None:
         self.submission, self.shot, self.worker, self.sent_at = submission, shot, worker, now
@@ -283,12 +255,11 @@
         # Half the time limit: what has not started by then seldom ends, and elsewhere it still can.
         self.lost_at = now + submission.grade.time_limit // 2
         self.further, self.blamed = bool(submission.held), False
-        self.cost, self.erred_at = -1.0, 0  # what its error cost the worker's record; under 0: nothing so far
 
 
 class Submission:
     __slots__ = ("id", "grade", "width", "hint", "arrived_at", "limit_at", "leave_at", "order", "shots",
-                 "out", "held", "course", "pooled", "answered", "patient", "uncounted", "tenant", "erred",
+                 "out", "held", "course", "pooled", "answered", "patient", "uncounted", "erred",
                  "spoilt", "key", "not_before")
 
     def __init__(self, arrival: say.Arrival, grade: say.Grade, now: int, order: int) -> None:
@@ -301,9 +272,9 @@
         self.held: list[Dispatch] = []  # dispatches not proven never to have run
         self.pooled = self.answered = False
         self.uncounted = 0  # dispatches that do not count among the most there may be
-        self.tenant, self.spoilt, self.key = arrival.tenant, False, arrival.key
+        self.spoilt, self.key = False, arrival.key
         self.not_before = 0  # after a refusal: when it may go out again
-        self.erred: list[Dispatch] = []  # its errors at workers that nothing else spoke against
+        self.erred: list[Worker] = []  # sound workers at which it failed
         self.course: Course
 
     def __lt__(self, other: Submission) -> bool:
@@ -345,8 +316,7 @@
     def __init__(self, terms: say.ColdTerms) -> None:
         self.terms, self.sent = terms, Fading(max(1, terms.window))
         self.warm, self.summed_at, self.drawn_at = 0.0, 0, 0
-        # How many slots a worker has is told nowhere: the most of ours seen running on one, two at least.
-        self.slots = 2.0
+        self.slots = 2.0  # how many a worker has, where no ratings tell: the most of ours seen running on one
 
     def is_cold(self, worker: Worker, now: int) -> bool:
         return worker.started_at != 0 and now < worker.started_at + self.terms.warm_after
@@ -449,16 +419,19 @@
         once = [grade.effect == say.AT_MOST_ONCE for grade in grades]
         self.some_once, self.all_once = any(once), all(once)
         self.runs = {grade.name: Runs(grade.soft_limit) for grade in grades}
-        self.paces, self.verdicts = Paces(), Verdicts()
+        self.paces = Paces()
+        # Errors lately that were found to be a submission's or a worker's; ten seconds, as the records.
+        self.own_faults, self.worker_faults = Fading(10_000_000), Fading(10_000_000)
         # How far all grades wait alike. Long slack put to use serves the whole better, an even wait the grade
         # that is served worst; wholly even from where that grade decides a third of the goal.
         self.evenness = min(1.0, 0.3 + 2.0 * goal.worst_grade)
         self.sparse = 3.0 * self.cold.slots < fleet  # our even part of a worker is under a third of a slot
         self.outstanding = 0.0  # slots of ours without an outcome
-        self.stranger = exp(-self.prices.connection / WARM)
-        self.all_bound = all([grade.kind for grade in grades])
+        # How often a draw holds of a worker to which we have no free connection, beside one to which we have.
+        self.stranger = exp(-self.prices.connection / WEIGHS)
         self.sizes: dict[str, float] = {}  # the highest rating of each kind: what one is rated that holds nothing
-        self.crowded, self.held = 1e9, 0.0
+        self.held = 0.0  # what workers hold a core on average, as their ratings tell
+        # How often each key and any was asked for; long enough for some tens where few come to one of us.
         self.asked: dict[int, Fading] = {}
         self.asked_all = Fading(10_000_000)
         self.credit = 10.0  # of further dispatches; ten let a dispatcher meet a sudden trouble at once
@@ -557,36 +530,28 @@
     def log(self, line: str) -> None:
         self.orders.append(say.Log(line))
 
-    def blame(self, worker: Worker, reason: str) -> float:
+    def blame(self, worker: Worker, reason: str) -> None:
         if not worker.doubtful(self.now):
             self.log(f"avoiding worker {worker.id}: {reason}")
-        return worker.failed(self.now)
+        worker.failed(self.now)
 
-    def take_error(self, dispatch: Dispatch) -> None:
-        """Holds an error against the worker, or against the submission if it fails at a second one, too."""
-        sub, worker = dispatch.submission, dispatch.worker
-        clean = not worker.doubtful(self.now)  # else its error is no word on the submission
-        if clean and any([one.worker is not worker for one in sub.erred]):
-            sub.spoilt = True
-            self.verdicts.add(sub.tenant, True, self.now)
-            for one in sub.erred:
-                if one.cost >= 0.0:
-                    one.worker.forgive(one.cost, one.erred_at, self.now)
-            sub.erred = []
-            return
-        if clean:
-            sub.erred.append(dispatch)
-        dispatch.erred_at = self.now
-        if not self.verdicts.speak_against(sub.tenant, self.now) or not self.may_dispatch(sub):
-            dispatch.cost = self.blame(worker, say.ERROR)
-
-    def clear(self, sub: Submission) -> None:
-        """It has ended well: where it had failed before, the workers were at fault."""
-        for one in sub.erred:
-            self.verdicts.add(sub.tenant, False, self.now)
-            if one.cost < 0.0:
-                self.blame(one.worker, say.ERROR)
-        sub.erred = []
+    def take_error(self, sub: Submission, worker: Worker) -> None:
+        """Holds an error against the submission if it fails at a second sound worker, too; else against the
+        worker, once it has ended well elsewhere.
+
+        Guards against floods of submissions that fail quickly anywhere: the workers at which they show would
+        be avoided for it, and soon all. What cannot be sent elsewhere speaks against its worker unless most
+        of the errors decided lately were submissions' own.
+        """
+        if worker.doubtful(self.now):  # its error is no word on the submission
+            self.blame(worker, say.ERROR)
+        elif any([one is not worker for one in sub.erred]):
+            sub.spoilt, sub.erred = True, []
+            self.own_faults.add(1.0, self.now)
+        elif self.may_dispatch(sub):
+            sub.erred.append(worker)
+        elif self.own_faults.read(self.now) <= max(0.5, self.worker_faults.read(self.now)):
+            self.blame(worker, say.ERROR)
 
     def advance(self, sub: Submission, news: Any) -> None:
         """Resumes a course with its news, and puts the submission where the course wants it."""
@@ -709,35 +674,45 @@
             self.weigh(news.entries)
 
     def weigh(self, entries: list[say.Listed]) -> None:
-        """Follows the ratings that fall with load: how much each worker holds for its size."""
+        """Follows ratings that fall with load: what each worker holds a core, and how often a draw holds.
+
+        It is the same late picture for all dispatchers, and was true a second ago: draws in the measure of
+        size and load spread where the best worker for each would be everyone's. Size squared over the cube of
+        what is held: the fourth and eighth powers of it, a plain size, and powers by slack all scored less.
+        """
         workers, sizes = self.list.workers, self.sizes
         for entry in entries:
             sizes[entry.kind] = max(sizes.get(entry.kind, 0.0), entry.rating)
+        away = exp(-self.prices.crossing / WEIGHS)
         for entry in entries:
             worker = workers[entry.worker]
+            if entry.rating != worker.rated:
+                worker.rated, worker.missed = entry.rating, 0
             worker.size = sizes[entry.kind]
-            worker.load = worker.size / max(1e-9, entry.rating) - 1.0
-            bound = BOUND if entry.kind in self.fitting and not self.all_bound else 1.0
-            worker.odds = bound * worker.size ** 2 / (1.0 + worker.load) ** 3
+            worker.load = max(0.0, worker.size / max(1e-3, entry.rating) - 1.0)
+            worker.odds = max(1e-3, worker.size) ** 2 / (1.0 + worker.load) ** 3
             if entry.zone != self.prices.zone:
-                worker.odds *= exp(-self.prices.crossing / WARM)
-            worker.missed = 0
+                worker.odds *= away
+            if entry.kind in self.fitting:
+                # Guards against filling the one kind that runs a grade with what could go elsewhere. A half
+                # brought half as much.
+                worker.odds *= 0.25
         ready = self.fitting.get(None, [])
         if 2 * len(entries) > len(ready):
             for worker in ready:
-                if worker.load > 0.001:
-                    worker.missed += 1
-                    if worker.missed == MISSES:
-                        self.log(f"avoiding worker {worker.id}: its weight is no longer renewed")
+                # Guards against one that takes work and does none: its rating stands where it was, and it
+                # looks as good as the others. One that holds nothing is rated the same each time.
+                worker.missed += worker.load > 0.0
+                if worker.missed == OVERDUE:
+                    self.log(f"avoiding worker {worker.id}: its rating stands still")
         self.held = sum([worker.load for worker in ready]) / max(1, len(ready))
-        self.crowded = max(CROWD, MEANS * self.held)
 
     def arrive(self, arrival: say.Arrival) -> Submission:
         self.arrivals += 1
         sub = Submission(arrival, self.grades[arrival.grade], self.now, self.arrivals)
         self.submissions[sub.id] = sub
         if sub.key is not None:
-            if len(self.asked) > 1024:
+            if len(self.asked) >= 1024:  # as for the rows
                 self.asked.clear()
             self.asked.setdefault(sub.key, Fading(10_000_000)).add(1.0, self.now)
             self.asked_all.add(1.0, self.now)
@@ -824,7 +799,7 @@
         the share where all work may move on from a queue: others leave some of theirs unused.
         """
         share = self.cold.slots * self.shares.part
-        if self.list.terms.live and REST:
+        if self.list.terms.live:  # they tell what others hold there, and rests would waste kept connections
             return max(1.0, share)
         return max(share if self.some_once else 2.0 * share, min(1.0, 3.0 * share))
 
@@ -865,11 +840,13 @@
                 worker.well_at = self.now if run <= usual else worker.well_at
                 self.runs[sub.grade.name].add(run, self.now)
             worker.succeeded(self.now)
-            self.clear(sub)
+            for one in sub.erred:  # it has ended well: where it had failed before, the workers were at fault
+                self.worker_faults.add(1.0, self.now)
+                self.blame(one, say.ERROR)
             # A tenth of what goes well may be followed by a further dispatch all the same.
             self.credit = min(10.0, self.credit + 0.1)
         elif news.outcome == say.ERROR:
-            self.take_error(dispatch)
+            self.take_error(sub, worker)
         elif news.outcome in (say.RESET, say.NO_CONNECTION):
             self.blame(worker, news.outcome)
         elif news.outcome == say.FULL:
@@ -965,19 +942,18 @@
                 self.rows.clear()
             row = ordered(self.fitting[sub.grade.kind], sub.key)
             self.rows[sub.key, sub.grade.kind] = row
-        # Two: one alone queues where its key is asked for often. Half a usual run: what it needs has to be
-        # fetched elsewhere, which takes about a run; going on much sooner makes keys homeless in a burst.
+        # Half as many again as the key's share of what we see: some keys are a fifth of all. Two at least:
+        # one alone queues. Half a usual run: what it needs has to be fetched elsewhere, which takes about a
+        # run; going on much sooner makes keys homeless in a burst.
+        share = self.asked[sub.key].read(self.now) / self.asked_all.read(self.now) if sub.key in self.asked else 0
         waits = 2.0 * (self.now - sub.arrived_at) / self.runs[sub.grade.name].mean(self.now)
-        reach = 2 << int(min(10.0, waits))
-        if self.list.terms.live:
-            share = self.asked[sub.key].read(self.now) / self.asked_all.read(self.now)
-            reach = max(2, int(WIDE * share * len(row) + 0.99)) << int(min(10.0, waits))
+        reach = max(2, int(1.5 * share * len(row) + 0.99)) << int(min(10.0, waits))
         if len(fitting) < len(row):  # some of them it may not have
             allowed = set(fitting)
             row = [worker for worker in row if worker in allowed]
-        if self.list.terms.live:
-            return [worker for worker in row[:reach] if worker.load < self.crowded]
-        return row[:reach]
+        # Passed over are the crowded: those before reach is counted would send each key to ever new workers.
+        crowded = max(1.5, 2.0 * self.held)
+        return [worker for worker in row[:reach] if worker.load <= crowded]
 
     def holds(self, worker: Worker) -> bool:
         """Whether a draw stands, where c is under one and cannot tell a slow kind from a fast."""
