--- a/locktide/config/settings.py
+++ b/locktide/config/settings.py
@@ -53,13 +53,10 @@
         grades(told, domain),
         say.DispatchTerms(
             ceilings.whole("MaxDispatches", 1, least=1),
-            ceilings.flag("SecondCopies", False),
             ceilings.flag("MayCancel", False),
         ),
         say.ClientTerms(ceilings.span("MaxRetryAfter", 0) if ceilings.flag("RetryAfter", False) else 0),
-        say.ShareTerms(
-            quotas, told.number("BeyondShareRevenue", 1.0), ceilings.flag("Peers", False), told.whole("Me", 0)
-        ),
+        say.ShareTerms(quotas, told.number("BeyondShareRevenue", 1.0)),
         say.GoalTerms(told.table("ObjectiveMix", {}).number("WorstClass", 0.0)),
         say.ColdTerms(
             limits.number("OverloadFactor", 1.0),
@@ -69,7 +66,6 @@
         ),
         say.ListTerms(
             told.get("Discovery", "automatic") == "subscribe", limits.span("AskWithin", 10000),
-            not limits.flag("RemovalNotBinding", False),
             told.one_of(WEIGHTS, "WeightKind", "silent") == "live",
         ),
         say.SignTerms(domain.flag("TellsStart", False), domain.span("Progress", 0)),
--- a/locktide/dispatch/interface.py
+++ b/locktide/dispatch/interface.py
@@ -78,7 +78,6 @@
     """
 
     most_dispatches: int
-    second_copies: bool
     may_withdraw: bool
     counts_unsent: bool = True
 
@@ -92,16 +91,10 @@
 
 @dataclass(slots=True)
 class ShareTerms:
-    """How many submissions a second each tenant may ask of all dispatchers, and what more than that is worth.
-
-    `may_tell` says whether dispatchers may send each other short messages; they are numbered from 0, and `me`
-    is our own number.
-    """
+    """How many submissions a second each tenant may ask of all dispatchers; what more than that is worth."""
 
     quotas: dict[Any, float]
     beyond_share: float
-    may_tell: bool
-    me: int
 
 
 @dataclass(slots=True)
@@ -123,14 +116,12 @@
 
 @dataclass(slots=True)
 class ListTerms:
-    """How the worker list is had: pushed, or only when asked for; and whether it closes a worker to new work
-    that it calls gone, or no longer names, though it never said that it drains. `live`: ratings fall with the
-    work that a worker holds, as size / (1 + submissions held a core) some time ago; else they tell sizes.
+    """How the worker list is had: pushed, or only when asked for. `live`: ratings fall with the work that a
+    worker holds, as size / (1 + submissions held a core) some time ago; else they tell sizes.
     """
 
     must_ask: bool
     ask_within: int
-    gone_binds: bool = True
     live: bool = False
 
 
@@ -265,9 +256,11 @@
 
 
 @dataclass(slots=True)
-class PeerSays:
-    peer: int
-    message: bytes
+class NewTerms:
+    """The start terms anew, in their order: they hold from now on, also for what is open, but for the grade
+    that each submission came with."""
+
+    terms: tuple[Any, ...]
 
 
 # --- orders, from the decisions to the host -------------------------------------------------------------
@@ -304,12 +297,6 @@
     mark: int
 
 
-@dataclass(slots=True)
-class TellPeer:
-    peer: int
-    message: bytes
-
-
 @dataclass(slots=True)
 class WatchList:
     on: bool
--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -1,35 +1,33 @@
 """Every decision of locktide, for all deployments.
 
-How it is called: a host builds one Dispatcher(seed, terms ...) and calls turn(now, news) whenever it has
-news; the list of orders that comes back is carried out at that moment. The types of both are in
-locktide/dispatch/interface.py.
+A host builds one Dispatcher(seed, terms ...) and calls turn(now, news) whenever it has news; the orders that
+come back are carried out at that moment. The types of both are in locktide/dispatch/interface.py.
 
 The ordinary path is the design's: an aged pool, released in rounds, oldest first; in each round each
 submission makes one fresh uniform draw among the ready workers that fit, and goes out if our own outstanding
 slots there plus its width stay within the cap c, or nothing of ours is there. What comes back proven not to
 have run rejoins the pool with its age. With a key the draw is among the few workers that are the key's own.
-Where the list's ratings follow load a drawn worker may decline, and the draw is made again at once: so each
-is drawn in the measure of its odds, from its rating, its warmth and what a dispatch there costs beside work.
+Where the list's ratings follow load a drawn worker may decline, and the draw is made again at once: each is
+drawn in the measure of its odds, from its rating, its warmth and what a dispatch there costs beside work.
 
 The mechanisms beside it:
 1. Learned cap: c of each worker, in slots, rises when a dispatch sent at the cap starts promptly and falls
    when one starts late or is answered 'full'. While one of ours waits there past the prompt span there is no
-   room, and under a cap of one we rest between submissions. Where our even part of a worker is under a third
-   of a slot, the draw of an empty one holds by the pace of its kind. Ratings that follow load stand for both.
+   room. Where no ratings follow load we rest between submissions under a cap of one, and where our even part
+   of a worker is under a third of a slot, the draw of an empty one holds by the pace of its kind.
 2. Health posterior: failed connections, resets, errors, silence, slow progress and a rating that stands still
    make a worker doubtful; a draw from the posterior of its chance of success decides each second whether it
    gets one submission. Where more than half are doubtful the fault is taken to be elsewhere, and nobody is.
    A submission that fails at a second sound worker speaks against itself.
-3. Further dispatches: a dispatch that has not started after part of the slack, or has gone silent, is
-   withdrawn where the grade allows it; how often follows how many of the recent ones succeeded.
+3. Further dispatches: one that has not started after part of the slack, or has gone silent, is withdrawn
+   where the grade allows it; how often follows how many of the recent ones succeeded.
 4. Cold budget: a worker that has just started gets no more than our part of the work that would push it
    over, counted as work per window, until it is warm; where that is under one submission, our part of what
    all cold workers may get counts, with a draw for what is left of it.
 5. Denials and shares: denied is what has waited a share of the slack in the pool, the more alike for all
-   grades the more the goal weighs the worst-served one. Work beyond its tenant's share waits only as long as
-   it is worth.
-6. The worker list: where it must be asked for, watched from a moment drawn by chance on, and asked again
-   after gaps that are drawn, too, and grow.
+   grades the more the goal weighs the worst-served one; what is beyond its tenant's share waits less.
+6. The worker list: where it must be asked for, it is watched from a drawn moment on, and asked for again
+   after drawn gaps that grow.
 """
 
 from __future__ import annotations
@@ -43,7 +41,6 @@
 
 from locktide.dispatch import interface as say
 
-
 POWER = 8
 # What weighs in a draw, in parts of what a usual submission earns. With 0.02 connections and crossings cost
 # more and jams less: 0.807 and 0.825 on six days, noise 0.045.
@@ -124,10 +121,8 @@
 
 
 class Paces:
-    """How fast each kind of machine runs what we send it, beside the others.
-
-    Guards against even draws where our part of a worker is far less than one slot: we see too few ends on any
-    one worker for its cap to follow its speed, and the slow kinds get more than they can do.
+    """How fast each kind of machine runs what we send it, beside the others. Guards against even draws where
+    we see too few ends on any one worker for its cap to follow its speed: slow kinds get too much.
     """
 
     __slots__ = ("sums", "taking")
@@ -180,9 +175,8 @@
 
 class Worker:
     __slots__ = ("id", "zone", "kind", "cell", "state", "started_at", "own", "cap", "waiting", "rest_until",
-                 "heard_at", "good", "bad", "drawn_at", "sent_cold", "full_until",
-                 "well_at", "salt", "load", "odds", "size", "missed", "kept",
-                 "rated")
+                 "heard_at", "good", "bad", "drawn_at", "sent_cold", "full_until", "well_at", "salt", "load",
+                 "odds", "size", "missed", "kept", "rated")
 
     def __init__(self, entry: say.Listed, cap: float) -> None:
         self.id = entry.worker
@@ -196,9 +190,13 @@
         self.salt = crc32(str(entry.worker).encode())
         self.well_at = 0  # when it last ended one that ran no longer than is usual
         self.waiting: dict[Dispatch, None] = {}  # ours there that have not started, oldest first
-        self.zone, self.kind, self.cell = entry.zone, entry.kind, entry.cell
-        self.state, self.started_at = entry.state, entry.started_at
+        self.update(entry)
         self.kept: list[int] = []  # until when connections of ours to it are kept open and free
+        self.unrated()
+
+    def unrated(self) -> None:
+        """As though its rating had told nothing: what it holds a core, its odds in a draw, the rating of one
+        of its kind that holds nothing, how many news lacked its own, and its own."""
         self.load, self.odds, self.size, self.missed, self.rated = 0.0, 1.0, 0.0, 0, 0.0
 
     def update(self, entry: say.Listed) -> None:
@@ -277,9 +275,6 @@
         self.erred: list[Worker] = []  # sound workers at which it failed
         self.course: Course
 
-    def __lt__(self, other: Submission) -> bool:
-        return self.order < other.order
-
     def may_repeat_on(self, worker: Worker, now: int) -> bool:
         """Rule two, for one more dispatch: what may have run is repeated only where repeats are dropped."""
         grade = self.grade
@@ -314,7 +309,7 @@
     __slots__ = ("terms", "slots", "sent", "warm", "summed_at", "drawn_at")
 
     def __init__(self, terms: say.ColdTerms) -> None:
-        self.terms, self.sent = terms, Fading(max(1, terms.window))
+        self.terms, self.sent = terms, Fading(1_000_000)
         self.warm, self.summed_at, self.drawn_at = 0.0, 0, 0
         self.slots = 2.0  # how many a worker has, where no ratings tell: the most of ours seen running on one
 
@@ -332,19 +327,20 @@
         self, worker: Worker, work: float, part: float, now: int, chance: Chance, ready: list[Worker]
     ) -> bool:
         """Whether a cold worker may get this work, too, out of our part."""
-        need, whole = work / max(self.slots, worker.size), self.terms.factor * self.terms.window * self.warmth(worker, now)
+        need, most = self.need(worker, work), self.terms.factor * self.terms.window
+        whole = most * self.warmth(worker, now)
         if need <= part * whole:
             return worker.sent_cold.read(now) + need <= part * whole
         # Guards against leaving fresh workers idle until warm where our part of one is under a submission:
-        # our part of all the cold ones together counts, which the uniform draw spreads evenly, and what is
-        # left of it under a submission is drawn for once a window. All together keep to half of what would
-        # push one over; the other half is for the odds of many draws, and for two that fall together.
+        # our part of all cold ones together counts, which the draw spreads evenly, and what is left of it
+        # under a submission is drawn for once a window. All keep to half of what would push one over; the
+        # other half is for the odds of many draws, and for two that fall together.
         if need > 0.5 * whole:
             return False
         if now >= self.summed_at + self.terms.window // 16:  # guards the CPU; warmth moves slowly beside it
             self.summed_at = now
             self.warm = sum([self.warmth(one, now) for one in ready if self.is_cold(one, now)])
-        left = 0.5 * part * self.terms.factor * self.terms.window * self.warm - self.sent.read(now)
+        left = 0.5 * part * most * self.warm - self.sent.read(now)
         if need <= left:
             return True
         if now < self.drawn_at + self.terms.window:
@@ -352,11 +348,13 @@
         self.drawn_at = now
         return chance.falls(max(0.0, left / need))
 
+    def need(self, worker: Worker, work: float) -> float:
+        return work / max(self.slots, worker.size)
+
     def count(self, worker: Worker, work: float, now: int) -> None:
-        worker.sent_cold.span = self.terms.window
-        need = work / max(self.slots, worker.size)
-        worker.sent_cold.add(need, now)
-        self.sent.add(need, now)
+        worker.sent_cold.span = self.sent.span = max(1, self.terms.window)
+        worker.sent_cold.add(self.need(worker, work), now)
+        self.sent.add(self.need(worker, work), now)
 
 
 class WorkerList:
@@ -372,9 +370,9 @@
         """After how long we ask next: at any moment of a span that doubles with each failure.
 
         Guards against many that start or fail together and then ask together: the list service works on each
-        call, also where the caller has been turned away, and with a queue that never empties nobody ever gets
-        an answer. It can hear all of us within the time in which each should ask; half of it is enough for
-        those that start at once. After a failure we count as told only after four times that time.
+        call, also where the caller was turned away; with a queue that never empties nobody gets an answer. It
+        can hear all of us within the time in which each should ask; half is enough for those that start at
+        once. After a failure we count as told only after four times that time.
         """
         span = min(2 * self.terms.ask_within, self.terms.ask_within // 2 << min(self.failures, 8))
         gap = chance.below(span)
@@ -387,11 +385,8 @@
         for entry in news.entries:
             worker = self.workers.get(entry.worker)
             if worker is None:
-                self.workers[entry.worker] = Worker(entry, cap)
-                changed = True
-            elif worker.state == entry.state and worker.started_at == entry.started_at:
-                pass
-            else:
+                self.workers[entry.worker], changed = Worker(entry, cap), True
+            elif worker.state != entry.state or worker.started_at != entry.started_at:
                 worker.update(entry)
                 changed = True
         if news.kind in (say.WHOLE, say.REMEMBERED):
@@ -401,35 +396,15 @@
 
 
 class Dispatcher:
-    def __init__(
-        self, seed: int, step: int, fleet: int, grades: list[say.Grade], dispatching: say.DispatchTerms,
-        clients: say.ClientTerms, shares: say.ShareTerms, goal: say.GoalTerms, cold: say.ColdTerms,
-        listing: say.ListTerms, signs: say.SignTerms,
-        prices: say.PriceTerms | None = None,
-    ) -> None:
-        self.chance, self.step = Chance(seed), step
-        self.grades = {grade.name: grade for grade in grades}
-        self.prices = prices or say.PriceTerms()
-        self.dispatching, self.clients, self.signs = dispatching, clients, signs
-        self.list, self.cold, self.shares = WorkerList(listing), ColdBudget(cold), Shares(shares, fleet)
+    def __init__(self, seed: int, *terms: Any) -> None:
+        self.chance = Chance(seed)
         self.fitting: dict[str | None, list[Worker]] = {}  # ready workers by kind; None: all of them
         self.rows: dict[tuple[int, str | None], list[Worker]] = {}  # the same for a key, nearest first
-        # Late is a start that eats a quarter of the shortest soft limit: it still leaves room to act on.
-        self.prompt = min(grade.soft_limit for grade in grades) // 4
-        once = [grade.effect == say.AT_MOST_ONCE for grade in grades]
-        self.some_once, self.all_once = any(once), all(once)
-        self.runs = {grade.name: Runs(grade.soft_limit) for grade in grades}
         self.paces = Paces()
         # Errors lately that were found to be a submission's or a worker's; ten seconds, as the records.
         self.own_faults, self.worker_faults = Fading(10_000_000), Fading(10_000_000)
-        # How far all grades wait alike. Long slack put to use serves the whole better, an even wait the grade
-        # that is served worst; wholly even from where that grade decides a third of the goal.
-        self.evenness = min(1.0, 0.3 + 2.0 * goal.worst_grade)
-        self.sparse = 3.0 * self.cold.slots < fleet  # our even part of a worker is under a third of a slot
         self.outstanding = 0.0  # slots of ours without an outcome
-        # How often a draw holds of a worker to which we have no free connection, beside one to which we have.
-        self.stranger = exp(-self.prices.connection / WEIGHS)
-        self.sizes: dict[str, float] = {}  # the highest rating of each kind: what one is rated that holds nothing
+        self.sizes: dict[str, float] = {}  # the highest rating of each kind: of one that holds nothing
         self.held = 0.0  # what workers hold a core on average, as their ratings tell
         # How often each key and any was asked for; long enough for some tens where few come to one of us.
         self.asked: dict[int, Fading] = {}
@@ -441,6 +416,46 @@
         self.now = self.arrivals = self.marks = self.quiet_until = 0
         self.timers: dict[int, Any] = {}
         self.round_timer = False
+        self.runs: dict[str, Runs] = {}
+        self.known: dict[str, say.Grade] = {}  # also those of earlier terms, as submissions may still come
+        self.set_terms(*terms)
+
+    def set_terms(
+        self, step: int, fleet: int, grades: list[say.Grade], dispatching: say.DispatchTerms,
+        clients: say.ClientTerms, shares: say.ShareTerms, goal: say.GoalTerms, cold: say.ColdTerms,
+        listing: say.ListTerms, signs: say.SignTerms, prices: say.PriceTerms,
+    ) -> None:
+        """The terms from now on, at the start and in service. Submissions keep the grade they came with."""
+        self.step, self.grades = step, {grade.name: grade for grade in grades}
+        self.known |= self.grades
+        self.dispatching, self.clients, self.signs, self.prices = dispatching, clients, signs, prices
+        self.shares = Shares(shares, fleet)
+        if self.runs:
+            self.cold.terms, self.list.terms = cold, listing
+        else:
+            self.list, self.cold = WorkerList(listing), ColdBudget(cold)
+        # Late is a start that eats a quarter of the shortest soft limit: it still leaves room to act on.
+        self.prompt = min(grade.soft_limit for grade in grades) // 4
+        once = [grade.effect == say.AT_MOST_ONCE for grade in grades]
+        self.some_once, self.all_once = any(once), all(once)
+        self.runs = {name: self.runs.get(name) or Runs(at.soft_limit) for name, at in self.known.items()}
+        # How far all grades wait alike. Long slack put to use serves the whole better, an even wait the grade
+        # that is served worst; wholly even from where that grade decides a third of the goal.
+        self.evenness = min(1.0, 0.3 + 2.0 * goal.worst_grade)
+        self.sparse = 3.0 * self.cold.slots < fleet  # our even part of a worker is under a third of a slot
+        # How often a draw holds of a worker to which we have no free connection, beside one to which we have.
+        self.stranger = exp(-prices.connection / WEIGHS)
+        if not listing.live:
+            self.held = 0.0
+            for worker in self.list.workers.values():
+                worker.unrated()
+        self.sort()
+
+    def sort(self) -> None:
+        ready = [worker for worker in self.list.workers.values() if worker.state == say.READY]
+        self.rows = {}
+        kinds = {None} | {grade.kind for grade in self.known.values()}
+        self.fitting = {kind: [worker for worker in ready if kind in (None, worker.kind)] for kind in kinds}
 
     # --- one submission, from arrival to its final answer
 
@@ -456,9 +471,7 @@
                     break
                 where = WAIT
             elif type(news) is Dispatch:  # in doubt: no start, or no sign of life
-                where = WAIT
                 self.doubt(news)
-            elif type(news) is say.Started:
                 where = WAIT
             elif news.final:
                 for other in sub.out:
@@ -564,7 +577,7 @@
                 self.submissions.pop(sub.id, None)
         if wanted is POOL and not sub.pooled:
             sub.pooled = True
-            insort(self.pool, sub)
+            insort(self.pool, sub, key=lambda one: one.order)
         elif wanted is WAIT and sub.pooled:
             sub.pooled = False
             self.pool.remove(sub)
@@ -574,8 +587,9 @@
         if dispatch.further:
             self.credit -= 1.0
         if self.signs.tells_start:
-            # An eighth of the slack: several more such waits, or one and a queue elsewhere, still fit. All
-            # of it with a key: what it needs is here; elsewhere it is fetched, which costs a run each time.
+            # An eighth of the slack: several more such waits, or one and a queue elsewhere, still fit. Where
+            # ratings tell of free cores a third, as it was not drawn blindly; where they tell of none, all:
+            # who leaves a queue then finds none shorter, and loses a place.
             part = 8 if not self.list.terms.live else 3 if self.held < 0.8 else 1
             self.wake(max(self.prompt, int(self.slack(sub)) // part), dispatch)
         sub.shots.append(dispatch)
@@ -661,15 +675,8 @@
             self.wake(self.list.ask_later(self.now, self.chance), "ask")
         else:
             self.list.failures = 0
-        changed = self.list.take(news, self.floor())
-        if not changed:
-            if self.list.terms.live:
-                self.weigh(news.entries)
-            return
-        ready = [worker for worker in self.list.workers.values() if worker.state == say.READY]
-        self.rows = {}
-        kinds = {None} | {grade.kind for grade in self.grades.values()}
-        self.fitting = {kind: [worker for worker in ready if kind in (None, worker.kind)] for kind in kinds}
+        if self.list.take(news, self.floor()):
+            self.sort()
         if self.list.terms.live:
             self.weigh(news.entries)
 
@@ -709,7 +716,7 @@
 
     def arrive(self, arrival: say.Arrival) -> Submission:
         self.arrivals += 1
-        sub = Submission(arrival, self.grades[arrival.grade], self.now, self.arrivals)
+        sub = Submission(arrival, self.known[arrival.grade], self.now, self.arrivals)
         self.submissions[sub.id] = sub
         if sub.key is not None:
             if len(self.asked) >= 1024:  # as for the rows
@@ -764,15 +771,13 @@
     def take_started(self, news: say.Started) -> None:
         if (dispatch := self.find(news.submission, news.shot)) is None:
             return
-        sub, worker = dispatch.submission, dispatch.worker
+        worker = dispatch.worker
         dispatch.started_at = dispatch.heard_at = worker.heard_at = self.now
         running = worker.own - sum([other.submission.width for other in worker.waiting])
         self.cold.slots = max(self.cold.slots, running)
         self.sparse = 3.0 * self.cold.slots * self.shares.part < 1.0
         if dispatch.blamed:  # it was slow to say so, not silent
             worker.bad.add(-1.0, self.now)
-        if not sub.answered and (sub.pooled or len(sub.out) > 1):
-            self.advance(sub, news)
         if self.signs.progress_every:
             self.wake(self.signs.progress_every * 3 // 2, dispatch)
         self.settle(dispatch, self.now - dispatch.sent_at <= self.prompt)
@@ -853,6 +858,7 @@
             # Guards against one that turns all away, so has nothing of ours, and draws all that waits.
             worker.heard_at = self.now
             worker.full_until = self.now + int(self.runs[sub.grade.name].mean(self.now))
+            # Guards against using up all dispatches while all are full, within a part of the patience.
             sub.not_before = self.now + self.patience(sub) // self.dispatching.most_dispatches
         if news.outcome == say.NO_CONNECTION:
             # Guards against spinning on what refuses: as long as a connection may take, we ask for no other.
@@ -900,8 +906,7 @@
             if not fitting:
                 continue
             worker = self.draw(fitting)
-            room_there = worker.has_room(sub.width, now, prompt) and self.holds(worker)
-            if room_there and self.cold_allows(worker, sub) and (
+            if worker.has_room(sub.width, now, prompt) and self.holds(worker, sub) and (
                 not worker.doubtful(now) or self.all_doubtful()
                 # Guards against losing for good what cannot be sent again: others do the trying.
                 or (sub.grade.effect != say.AT_MOST_ONCE or self.all_once)
@@ -911,6 +916,7 @@
                 room -= not worker.has_room(1.0, now, prompt)
 
     def draw(self, fitting: list[Worker]) -> Worker:
+        """One uniform draw, made again until a worker holds; the same in law as one by their odds."""
         if not self.list.terms.live:
             return fitting[self.chance.below(len(fitting))]
         odds, cold, now = [], [], self.now
@@ -945,7 +951,8 @@
         # Half as many again as the key's share of what we see: some keys are a fifth of all. Two at least:
         # one alone queues. Half a usual run: what it needs has to be fetched elsewhere, which takes about a
         # run; going on much sooner makes keys homeless in a burst.
-        share = self.asked[sub.key].read(self.now) / self.asked_all.read(self.now) if sub.key in self.asked else 0
+        asked = self.asked[sub.key].read(self.now) if sub.key in self.asked else 0.0
+        share = asked / self.asked_all.read(self.now)
         waits = 2.0 * (self.now - sub.arrived_at) / self.runs[sub.grade.name].mean(self.now)
         reach = max(2, int(1.5 * share * len(row) + 0.99)) << int(min(10.0, waits))
         if len(fitting) < len(row):  # some of them it may not have
@@ -955,11 +962,12 @@
         crowded = max(1.5, 2.0 * self.held)
         return [worker for worker in row[:reach] if worker.load <= crowded]
 
-    def holds(self, worker: Worker) -> bool:
-        """Whether a draw stands, where c is under one and cannot tell a slow kind from a fast."""
-        return worker.own > 0 or not self.sparse or self.list.terms.live or self.chance.falls(self.paces.taking.get(worker.kind, 1.0))
-
-    def cold_allows(self, worker: Worker, sub: Submission) -> bool:
+    def holds(self, worker: Worker, sub: Submission) -> bool:
+        """Whether a draw stands: where c is under one and cannot tell a slow kind from a fast, and at a cold
+        worker."""
+        if self.sparse and not worker.own and not self.list.terms.live:
+            if not self.chance.falls(self.paces.taking.get(worker.kind, 1.0)):
+                return False
         return not self.cold.is_cold(worker, self.now) or self.cold.allows(
             worker, self.work(sub), self.shares.part, self.now, self.chance, self.fitting[None]
         )
@@ -978,5 +986,6 @@
     say.Progressed: Dispatcher.take_progress,
     say.Ended: Dispatcher.take_ended,
     say.ClientGone: Dispatcher.take_gone,
+    say.NewTerms: lambda self, news: self.set_terms(*news.terms),
     say.TimerDue: Dispatcher.take_timer,
 }
--- a/locktide/node/node.py
+++ b/locktide/node/node.py
@@ -55,7 +55,7 @@
         self.held: dict[str, Held] = {}
         self.spent: dict[str, float] = {}  # ids that were answered, and when we forget them, oldest first
         self.listing: say.ListTerms = start.terms[8]
-        self.fleet = Fleet(self.listing)
+        self.fleet = Fleet()
         self.news: list[Any] = []
         self.handing_over = False
         self.serving = False
@@ -81,11 +81,9 @@
             say.Terminate: self.terminate,
             say.Wake: self.wake,
             say.Log: lambda order: log.say(order.line),
-            # Where the list need not be asked for, the watch is always on; the protocol has no messages
-            # between dispatchers.
+            # Where the list need not be asked for, the watch is always on.
             say.WatchList: lambda order: self.to_ask.set(),
             say.FetchList: lambda order: None,
-            say.TellPeer: lambda order: None,
         }
         self.keeper: Keeper | None = None
         self.fleet.take(known)
--- a/locktide/node/records.py
+++ b/locktide/node/records.py
@@ -8,7 +8,6 @@
 
 from locktide.config.start import Address
 from locktide.dispatch import interface as say
-from locktide.dispatch.rules import standing
 from locktide.net.server import Answer
 from locktide.protocol.clients import Submitted
 from locktide.protocol.discovery import Sheet
@@ -65,8 +64,7 @@
 class Fleet:
     """The workers as this dispatcher's list last named them, in the state that counts for the decisions."""
 
-    def __init__(self, terms: say.ListTerms) -> None:
-        self.terms = terms
+    def __init__(self) -> None:
         self.entries: dict[str, say.Listed] = {}
         self.addresses: dict[str, Address] = {}
 
@@ -85,15 +83,14 @@
         told = {entry.worker for entry in sheet.entries}
         if sheet.whole:
             for worker in [worker for worker in self.entries if worker not in told]:
-                self.entries[worker].state = standing(self.entries[worker].state, say.GONE, self.terms)
+                self.entries[worker].state = say.GONE
                 stale.append(worker)
         for entry in sheet.entries:
             worker, before = entry.worker, self.entries.get(entry.worker)
             moved = self.addresses.get(worker) != sheet.addresses[worker]
             if before and (moved or before.started_at != entry.started_at or entry.state == say.GONE):
                 stale.append(worker)
-            state = standing(before.state if before else None, entry.state, self.terms)
-            self.entries[worker] = replace(entry, state=state)
+            self.entries[worker] = entry
             self.addresses[worker] = sheet.addresses[worker]
         return stale
 
--- a/locktide/simhost/wire.py
+++ b/locktide/simhost/wire.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import base64
 import json
 from collections.abc import Callable
 from typing import Any
@@ -151,15 +150,6 @@
     )
 
 
-def peer(fields: Fields) -> say.PeerSays:
-    text = word(fields, "Bytes")
-    try:
-        message = b"" if text == "-" else base64.b64decode(text, validate=True)
-    except ValueError:
-        raise Malformed("expected base64 in Bytes") from None
-    return say.PeerSays(integer(fields, "From"), message)
-
-
 NEWS: dict[str, Callable[[Fields], Any]] = {
     "QUERY": arrival,
     "HEADERS": lambda fields: say.StreamBegan(integer(fields, "Corr"), integer(fields, "Shot")),
@@ -170,7 +160,7 @@
     "PROBE_RESULT": lambda fields: say.ProbeEnded(
         word(fields, "Worker"), one_of(OUTCOMES, fields, "Verdict"), load(fields)
     ),
-    "NEIGHBOUR_SAYS": peer,
+    "NEIGHBOUR_SAYS": lambda fields: None,  # no dispatcher of ours tells another anything
 }
 
 
@@ -186,8 +176,6 @@
         return f"FINISH_ERROR Corr={order.submission}"
     if type(order) is say.Withdraw:
         return f"WITHDRAW Corr={order.submission} Shot={order.shot}"
-    if type(order) is say.TellPeer:
-        return f"NOTIFY Peer={order.peer} Bytes={base64.b64encode(order.message).decode() or '-'}"
     if type(order) is say.WatchList:
         return f"STREAM_CHANGES Want={int(order.on)}"
     if type(order) is say.FetchList:
