--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -1,4 +1,4 @@
-"""Every decision of locktide, for all deployments.
+"""Every decision of locktide, for all deployments; docs/design.md gives sources, departures and figures.
 
 A host builds one Dispatcher(seed, terms ...) and calls turn(now, news) whenever it has news; the orders that
 come back are carried out at that moment. The types of both are in locktide/dispatch/interface.py.
@@ -10,24 +10,9 @@
 Where the list's ratings follow load a drawn worker may decline, and the draw is made again at once: each is
 drawn in the measure of its odds, from its rating, its warmth and what a dispatch there costs beside work.
 
-The mechanisms beside it:
-1. Learned cap: c of each worker, in slots, rises when a dispatch sent at the cap starts promptly and falls
-   when one starts late or is answered 'full'. While one of ours waits there past the prompt span there is no
-   room. Where no ratings follow load we rest between submissions under a cap of one, and where our even part
-   of a worker is under a third of a slot, the draw of an empty one holds by the pace of its kind.
-2. Health posterior: failed connections, resets, errors, silence, slow progress and a rating that stands still
-   make a worker doubtful; a draw from the posterior of its chance of success decides each second whether it
-   gets one submission. Where more than half are doubtful the fault is taken to be elsewhere, and nobody is.
-   A submission that fails at a second sound worker speaks against itself.
-3. Further dispatches: one that has not started after part of the slack, or has gone silent, is withdrawn
-   where the grade allows it; how often follows how many of the recent ones succeeded.
-4. Cold budget: a worker that has just started gets no more than our part of the work that would push it
-   over, counted as work per window, until it is warm; where that is under one submission, our part of what
-   all cold workers may get counts, with a draw for what is left of it.
-5. Denials and shares: denied is what has waited a share of the slack in the pool, the more alike for all
-   grades the more the goal weighs the worst-served one; what is beyond its tenant's share waits less.
-6. The worker list: where it must be asked for, it is watched from a drawn moment on, and asked for again
-   after drawn gaps that grow.
+The mechanisms beside it: 1. the learned cap c, with rests and paces of kinds where no ratings follow load;
+2. the health posterior, which decides on tries at doubtful workers; 3. further dispatches for late starts and
+silence; 4. the cold budget; 5. denials and tenants' shares; 6. the worker list, asked for at drawn moments.
 """
 
 from __future__ import annotations
@@ -35,11 +20,12 @@
 from bisect import bisect, insort
 from collections.abc import Callable, Generator
 from itertools import accumulate
-from math import exp, sqrt
+from math import exp
 from typing import Any
 from zlib import crc32
 
 from locktide.dispatch import interface as say
+from locktide.dispatch.sums import Chance, Fading, Runs
 
 POWER = 8
 # What weighs in a draw, in parts of what a usual submission earns. With 0.02 connections and crossings cost
@@ -50,24 +36,9 @@
 OVERDUE = 2
 
 
-class Chance:
-    """A linear congruential generator (Knuth's MMIX constants), of which only the high bits are used."""
-
-    __slots__ = ("state",)
-
-    def __init__(self, seed: int) -> None:
-        self.state = seed & 0xFFFFFFFFFFFFFFFF
-
-    def below(self, bound: int) -> int:
-        self.state = (self.state * 6364136223846793005 + 1442695040888963407) & 0xFFFFFFFFFFFFFFFF
-        return ((self.state >> 32) * bound) >> 32
-
-    def falls(self, odds: float) -> bool:
-        return self.below(1 << 20) < odds * (1 << 20)
-
-
 def ordered(workers: list[Worker], key: int) -> list[Worker]:
-    """In an order that is as good as drawn for this key, and the same for all who know its salts."""
+    """In an order as good as drawn for this key, the same at all dispatchers; who comes or goes moves none.
+    """
     ranks = {}
     for worker in workers:
         state = (worker.salt ^ key) * 6364136223846793005 + 1442695040888963407 & 0xFFFFFFFFFFFFFFFF
@@ -75,58 +46,11 @@
     return [ranks[rank] for rank in sorted(ranks)]
 
 
-class Fading:
-    """A sum that fades by 1/e in each span, brought up to date when it is read or added to."""
-
-    __slots__ = ("sum", "at", "span")
-
-    def __init__(self, span: int) -> None:
-        self.sum, self.at, self.span = 0.0, 0, span
-
-    def read(self, now: int) -> float:
-        if now != self.at:
-            self.sum *= exp((self.at - now) / self.span)
-            self.at = now
-        return self.sum
-
-    def add(self, amount: float, now: int) -> None:
-        self.sum = self.read(now) + amount
-
-
-class Runs:
-    """How long a grade's submissions run, from the start to a good end, over the whole fleet."""
-
-    __slots__ = ("time", "count", "square", "guess")
-
-    def __init__(self, guess: int) -> None:
-        # Long enough for some tens of ends at ten a second, short enough to follow a slowdown of all.
-        self.time, self.count, self.square = Fading(10_000_000), Fading(10_000_000), Fading(10_000_000)
-        self.guess = guess  # while no run is known
-
-    def add(self, run: int, now: int) -> None:
-        self.time.add(run, now)
-        self.square.add(run * run, now)
-        self.count.add(1.0, now)
-
-    def mean(self, now: int) -> float:
-        count = self.count.read(now)
-        # At least a microsecond: a start and an end that are heard together make a run of none.
-        return max(1.0, self.time.read(now) / count) if count > 0.1 else self.guess
-
-    def long(self, now: int) -> float:
-        """Three deviations over the mean; nothing is long while few runs are known."""
-        mean, count = self.mean(now), self.count.read(now)
-        variance = self.square.read(now) / max(5.0, count) - mean * mean
-        return mean + 3.0 * sqrt(max(0.0, variance)) if count >= 5.0 else 1e12
-
-
 class Paces:
     """How fast each kind of machine runs what we send it, beside the others. Guards against even draws where
     we see too few ends on any one worker for its cap to follow its speed: slow kinds get too much.
     """
 
-    __slots__ = ("sums", "taking")
-
     def __init__(self) -> None:
         self.sums: dict[str, tuple[Fading, Fading]] = {}
         self.taking: dict[str, float] = {}  # the chance that a draw of an empty worker of this kind holds
@@ -153,8 +77,6 @@
 class Shares:
     """Tells what is beyond its tenant's share: a bucket for each tenant, filled at our part of its quota."""
 
-    __slots__ = ("terms", "part", "levels")
-
     def __init__(self, terms: say.ShareTerms, fleet: int) -> None:
         self.terms, self.part = terms, 1.0 / fleet
         self.levels = {tenant: [5.0 * quota / fleet, 0.0] for tenant, quota in terms.quotas.items()}
@@ -165,17 +87,14 @@
             return False
         rate = self.terms.quotas[tenant] * self.part
         # Five seconds of the quota at most: traffic comes in bunches.
-        bucket[0] = min(5.0 * rate + 1.0, bucket[0] + (now - bucket[1]) * rate / 1e6)
-        bucket[1] = now
-        if bucket[0] < 1.0:
-            return True
-        bucket[0] -= 1.0
-        return False
+        level = min(5.0 * rate + 1.0, bucket[0] + (now - bucket[1]) * rate / 1e6)
+        bucket[:] = level - (level >= 1.0), now
+        return level < 1.0
 
 
 class Worker:
     __slots__ = ("id", "zone", "kind", "cell", "state", "started_at", "own", "cap", "waiting", "rest_until",
-                 "heard_at", "good", "bad", "drawn_at", "sent_cold", "full_until", "well_at", "salt", "load",
+                 "heard_at", "good", "bad", "drawn_at", "sent_cold", "full_until", "salt", "load",
                  "odds", "size", "missed", "kept", "rated")
 
     def __init__(self, entry: say.Listed, cap: float) -> None:
@@ -188,7 +107,6 @@
         self.sent_cold = Fading(1_000_000)
         self.drawn_at = self.full_until = 0
         self.salt = crc32(str(entry.worker).encode())
-        self.well_at = 0  # when it last ended one that ran no longer than is usual
         self.waiting: dict[Dispatch, None] = {}  # ours there that have not started, oldest first
         self.update(entry)
         self.kept: list[int] = []  # until when connections of ours to it are kept open and free
@@ -280,10 +198,8 @@
         grade = self.grade
         if not self.held or grade.effect == say.REISSUABLE:
             return True
-        if grade.effect == say.AT_MOST_ONCE:
-            return False
         first = self.held[0]
-        if now >= first.sent_at + grade.memory_span:
+        if grade.effect == say.AT_MOST_ONCE or now >= first.sent_at + grade.memory_span:
             return False
         if grade.group == say.SAME_ZONE:
             return worker.zone == first.worker.zone
@@ -292,9 +208,8 @@
     def may_deny(self) -> bool:
         """Rule two, for a denial: it promises the client that trying again is harmless."""
         grade = self.grade
-        if not self.held or grade.effect == say.REISSUABLE:
-            return True
-        return grade.effect == say.NUMBERED and grade.group == say.EVERYONE
+        everywhere = grade.effect == say.NUMBERED and grade.group == say.EVERYONE
+        return not self.held or grade.effect == say.REISSUABLE or everywhere
 
 
 # What a course yields, and with what it is resumed.
@@ -306,8 +221,6 @@
 class ColdBudget:
     """Our part of what may be sent to a worker that is not warm yet."""
 
-    __slots__ = ("terms", "slots", "sent", "warm", "summed_at", "drawn_at")
-
     def __init__(self, terms: say.ColdTerms) -> None:
         self.terms, self.sent = terms, Fading(1_000_000)
         self.warm, self.summed_at, self.drawn_at = 0.0, 0, 0
@@ -360,19 +273,15 @@
 class WorkerList:
     """Follows the list; where it must be asked for, watches it and asks again after a failure."""
 
-    __slots__ = ("workers", "terms", "watched", "failures", "ask_at")
-
     def __init__(self, terms: say.ListTerms) -> None:
         self.workers: dict[Any, Worker] = {}
         self.terms, self.watched, self.failures, self.ask_at = terms, False, 0, 0
 
     def ask_later(self, now: int, chance: Chance) -> int:
-        """After how long we ask next: at any moment of a span that doubles with each failure.
-
-        Guards against many that start or fail together and then ask together: the list service works on each
-        call, also where the caller was turned away; with a queue that never empties nobody gets an answer. It
-        can hear all of us within the time in which each should ask; half is enough for those that start at
-        once. After a failure we count as told only after four times that time.
+        """After how long we ask next: at any moment of a span that doubles with each failure. Guards against
+        many that start or fail together and then ask together: the service works on each call, also where the
+        caller was turned away. It can hear all of us within the time in which each should ask; half is enough
+        for those that start at once. After a failure we count as told only after four times that time.
         """
         span = min(2 * self.terms.ask_within, self.terms.ask_within // 2 << min(self.failures, 8))
         gap = chance.below(span)
@@ -511,11 +420,10 @@
         return sub.width * (sub.hint or self.runs[sub.grade.name].mean(self.now))
 
     def patience(self, sub: Submission) -> int:
-        """How long a submission waits in the pool.
+        """How long a submission waits in the pool: a share of a slack between its own and the shortest usual.
 
-        Guards against an overload in which long-slack work fills the pool and the short grades get nothing:
-        all wait a share of a slack between their own and the shortest usual one. At 0.3 of it even runs well
-        over the usual end in time; 0.5 left more answers late, 0.25 denied more in short bursts.
+        Guards against an overload in which long-slack work fills the pool and the short grades get nothing.
+        At 0.3 even runs well over the usual end in time; 0.5 left more late, 0.25 denied more in bursts.
         """
         shortest = min([usual_slack(at, self.runs[of].mean(self.now)) for of, at in self.grades.items()])
         if sub.hint:  # a heavier submission earns more, and may wait longer
@@ -527,10 +435,8 @@
         if sub.may_deny():
             # The next of ours should end by then; clients that come later take the place of fresh work.
             run, out = self.runs[sub.grade.name].mean(self.now), len(self.submissions) - len(self.pool)
-            advice = min(self.clients.longest_advice, int(run / max(1, out)))
-            if sub.spoilt:  # it would fail again
-                advice = self.clients.longest_advice
-            self.orders.append(say.Deny(sub.id, advice))
+            advice = 1 << 60 if sub.spoilt else int(run / max(1, out))  # what is spoilt would fail again
+            self.orders.append(say.Deny(sub.id, min(self.clients.longest_advice, advice)))
             if self.now >= self.quiet_until:  # one line in five seconds tells enough of an overload
                 self.quiet_until = self.now + 5_000_000
                 waits = f"{len(self.pool)} waiting, {self.outstanding:g} slots out"
@@ -548,11 +454,10 @@
 
     def take_error(self, sub: Submission, worker: Worker) -> None:
         """Holds an error against the submission if it fails at a second sound worker, too; else against the
-        worker, once it has ended well elsewhere.
+        worker, once it has ended well elsewhere, or at once where it cannot be sent there.
 
-        Guards against floods of submissions that fail quickly anywhere: the workers at which they show would
-        be avoided for it, and soon all. What cannot be sent elsewhere speaks against its worker unless most
-        of the errors decided lately were submissions' own.
+        Guards against floods of submissions that fail anywhere: the workers at which they show, and soon all,
+        would be avoided for it. While most errors were found to be submissions' own the last case waits, too.
         """
         if worker.doubtful(self.now):  # its error is no word on the submission
             self.blame(worker, say.ERROR)
@@ -573,12 +478,12 @@
             wanted = WAIT
             if not sub.out:
                 self.submissions.pop(sub.id, None)
-        if wanted is POOL and not sub.pooled:
-            sub.pooled = True
-            insort(self.pool, sub, key=lambda one: one.order)
-        elif wanted is WAIT and sub.pooled:
-            sub.pooled = False
-            self.pool.remove(sub)
+        if sub.pooled != (wanted is POOL):
+            sub.pooled = not sub.pooled
+            if sub.pooled:
+                insort(self.pool, sub, key=lambda one: one.order)
+            else:
+                self.pool.remove(sub)
 
     def send(self, sub: Submission, worker: Worker) -> None:
         dispatch = Dispatch(sub, len(sub.shots), worker, self.now)
@@ -642,22 +547,21 @@
 
     def check(self, dispatch: Dispatch) -> None:
         """Looks at a dispatch that should have given a sign by now."""
+        every, worker = self.signs.progress_every, dispatch.worker
         if not dispatch.started_at:
             # A queue moves within twice the usual run; before that, no start is no one's fault.
             blame_at = dispatch.sent_at + 2 * int(self.runs[dispatch.submission.grade.name].mean(self.now))
             if self.now < blame_at:
                 self.wake(blame_at - self.now, dispatch)
-            elif dispatch.worker.heard_at < dispatch.sent_at and not dispatch.blamed:
+            elif worker.heard_at < dispatch.sent_at and not dispatch.blamed:
                 dispatch.blamed = True
-                self.blame(dispatch.worker, "no start and no sign of life")
+                self.blame(worker, "no start and no sign of life")
             if blame_at <= self.now < dispatch.lost_at:
                 self.wake(dispatch.lost_at - self.now, dispatch)
             self.advance(dispatch.submission, dispatch)
-            return
-        every = self.signs.progress_every
         # One and a half: a progress note may be late by the network, never by half its gap.
-        if every and self.now - dispatch.heard_at > every * 3 // 2:
-            self.blame(dispatch.worker, "no progress told")
+        elif every and self.now - dispatch.heard_at > every * 3 // 2:
+            self.blame(worker, "no progress told")
             self.advance(dispatch.submission, dispatch)
         elif every:
             self.wake(every * 3 // 2, dispatch)
@@ -681,16 +585,14 @@
     def weigh(self, entries: list[say.Listed]) -> None:
         """Follows ratings that fall with load: what each worker holds a core, and how often a draw holds.
 
-        It is the same late picture for all dispatchers, and was true a second ago: draws in the measure of
-        size and load spread where the best worker for each would be everyone's. Size squared over the cube of
-        what is held: the fourth and eighth powers of it, a plain size, and powers by slack all scored less.
+        All dispatchers have the same picture, a second late: draws in its measure spread where the best one
+        would be everyone's. Size squared over the cube of what is held: other powers scored less.
         """
         workers, sizes = self.list.workers, self.sizes
-        for entry in entries:
-            sizes[entry.kind] = max(sizes.get(entry.kind, 0.0), entry.rating)
         away = exp(-self.prices.crossing / WEIGHS)
         for entry in entries:
             worker = workers[entry.worker]
+            sizes[entry.kind] = max(sizes.get(entry.kind, 0.0), entry.rating)
             if entry.rating != worker.rated:
                 worker.rated, worker.missed = entry.rating, 0
             worker.size = sizes[entry.kind]
@@ -729,9 +631,6 @@
             sub.leave_at = min(sub.leave_at, self.now + patience)
         return sub
 
-    def take_arrival(self, arrival: say.Arrival) -> None:
-        self.begin(self.arrive(arrival))
-
     def begin(self, sub: Submission) -> None:
         sub.course = self.course(sub)
         self.advance(sub, None)
@@ -741,11 +640,11 @@
         sub = self.arrive(news.arrival)
         sub.arrived_at = news.arrived_at
         for earlier in news.shots:
-            entry = say.Listed(earlier.worker, earlier.zone, "", earlier.cell, say.GONE, 1.0, 0)
             worker = self.list.workers.get(earlier.worker)
             # Guards against a worker that has another place by now: repeats are dropped where it was then.
-            if worker is None or (worker.zone, worker.cell) != (entry.zone, entry.cell):
-                worker = Worker(entry, self.floor())
+            if worker is None or (worker.zone, worker.cell) != (earlier.zone, earlier.cell):
+                then = say.Listed(earlier.worker, earlier.zone, "", earlier.cell, say.GONE, 1.0, 0)
+                worker = Worker(then, self.floor())
             dispatch = Dispatch(sub, len(sub.shots), worker, earlier.sent_at)
             sub.shots.append(dispatch)
             if earlier.outcome not in say.PROVEN_NOT_RUN:
@@ -788,18 +687,14 @@
         # Four times a hint, or three deviations over the usual run, is past a sound worker and common sizes.
         long = 4.0 * sub.hint or self.runs[sub.grade.name].long(self.now)
         whole = (self.now - dispatch.started_at) / max(news.share, 0.001)
-        # Guards against a worker that runs everything slowly. Where it has since ended another at the usual
-        # pace, it is the submission that is heavy: where such are common all workers were avoided for them.
-        lone = dispatch.worker.well_at > dispatch.started_at
-        if dispatch.started_at and whole > long and not dispatch.blamed and not lone:
+        if dispatch.started_at and whole > long and not dispatch.blamed:
             dispatch.blamed = True
             self.blame(dispatch.worker, "slow progress")
 
     def floor(self) -> float:
-        """The least cap: our share of the slots, or one submission while all floors hold three a slot.
-
-        Guards against two that cut each other to one submission a worker, and seventeen with no gate. Twice
-        the share where all work may move on from a queue: others leave some of theirs unused.
+        """The least cap: our share of the slots, or one submission while all floors hold three a slot. Guards
+        against two that cut each other to one, and seventeen with no gate. Twice the share where all work may
+        move on from a queue: others leave some of theirs unused.
         """
         share = self.cold.slots * self.shares.part
         if self.list.terms.live:  # they tell what others hold there, and rests would waste kept connections
@@ -840,7 +735,6 @@
                 usual = sub.hint or self.runs[sub.grade.name].mean(self.now)
                 # Four times the usual is a heavy submission, not a slow kind.
                 self.paces.add(worker.kind, min(4.0, run / usual), self.now)
-                worker.well_at = self.now if run <= usual else worker.well_at
                 self.runs[sub.grade.name].add(run, self.now)
             worker.succeeded(self.now)
             for one in sub.erred:  # it has ended well: where it had failed before, the workers were at fault
@@ -861,14 +755,12 @@
         if news.outcome == say.NO_CONNECTION:
             # Guards against spinning on what refuses: as long as a connection may take, we ask for no other.
             worker.full_until = max(worker.full_until, self.now + 250_000)
-        if sub.patient and news.outcome in say.PROVEN_NOT_RUN:
-            # Guards against giving up a job for which nobody waits, as four workers at once had no room: it
-            # waits for one. Who is full is not asked again for a usual run.
-            sub.uncounted += 1
-        elif news.outcome in say.UNSENT and not self.dispatching.counts_unsent:
-            # Guards against using up all dispatches within milliseconds, where a zone is lost and only the
-            # lost may have what may have run: it waits until one of them is back.
-            sub.uncounted += 1
+        unsent = news.outcome in say.UNSENT and not self.dispatching.counts_unsent
+        # Guards against giving up a job for which nobody waits, as four workers at once had no room; and
+        # against using up all dispatches within milliseconds where a zone is lost and only the lost may have
+        # what may have run. Both wait until there is one.
+        sub.uncounted += unsent or sub.patient and news.outcome in say.PROVEN_NOT_RUN
+        if unsent and not sub.patient:
             self.credit += dispatch.further
         if news.outcome in say.PROVEN_NOT_RUN:
             sub.held.remove(dispatch)
@@ -886,9 +778,9 @@
     def round(self) -> None:
         now, prompt = self.now, self.prompt
         # Guards the CPU: a round ends once no worker has room, but a short pool is not worth the count.
-        room = len(self.pool) + 1
-        if not self.sparse or 8 * room > len(self.fitting[None]):
-            room = sum([worker.has_room(1.0, now, prompt) for worker in self.fitting[None]])
+        ready, room = self.fitting[None], len(self.pool) + 1
+        if not self.sparse or 8 * room > len(ready):
+            room = sum([worker.has_room(1.0, now, prompt) for worker in ready])
         for sub in list(self.pool):
             if room <= 0:
                 break
@@ -928,8 +820,8 @@
                 kept = worker.kept and worker.kept[-1] >= now
                 odds.append(worker.odds if kept else worker.odds * self.stranger)
         if cold:
-            # Guards against all dispatchers that turn to one that has just started, as it holds nothing: it
-            # is drawn as one of all, in the measure of its warmth. What the budget grants is spread so, too.
+            # Guards against all that turn to one that has just started, as it holds nothing: it is drawn as
+            # one of all, in the measure of its warmth, and what the budget grants is spread so, too.
             usual = sum(odds) / max(1, len(odds) - len(cold)) or 1.0
             for place in cold:
                 odds[place] = usual * self.cold.warmth(fitting[place], now)
@@ -939,7 +831,6 @@
     def near(self, sub: Submission, fitting: list[Worker]) -> list[Worker]:
         """Those of the fitting workers among which a submission with a key draws: few at first, so that what
         shares the key meets where what it needs is at hand, twice as many after each wait without a place.
-        The order is the same at all dispatchers, and one that comes or goes moves no other.
         """
         assert sub.key is not None
         row = self.rows.get((sub.key, sub.grade.kind))
@@ -948,9 +839,9 @@
                 self.rows.clear()
             row = ordered(self.fitting[sub.grade.kind], sub.key)
             self.rows[sub.key, sub.grade.kind] = row
-        # Half as many again as the key's share of what we see: some keys are a fifth of all. Two at least:
-        # one alone queues. Half a usual run: what it needs has to be fetched elsewhere, which takes about a
-        # run; going on much sooner makes keys homeless in a burst.
+        # Half as many again as the key's share of what we see, beside five of others that stand for what was
+        # before; two at least: one alone queues. Half a usual run: elsewhere what it needs has to be fetched,
+        # which takes about a run; going on much sooner makes keys homeless in a burst.
         asked = self.asked[sub.key].read(self.now) if sub.key in self.asked else 0.0
         share = asked / (5.0 + self.asked_all.read(self.now))
         waits = 2.0 * (self.now - sub.arrived_at) / self.runs[sub.grade.name].mean(self.now)
@@ -965,9 +856,9 @@
     def holds(self, worker: Worker, sub: Submission) -> bool:
         """Whether a draw stands: where c is under one and cannot tell a slow kind from a fast, and at a cold
         worker."""
-        if self.sparse and not worker.own and not self.list.terms.live:
-            if not self.chance.falls(self.paces.taking.get(worker.kind, 1.0)):
-                return False
+        blind = self.sparse and not worker.own and not self.list.terms.live
+        if blind and not self.chance.falls(self.paces.taking.get(worker.kind, 1.0)):
+            return False
         return not self.cold.is_cold(worker, self.now) or self.cold.allows(
             worker, self.work(sub), self.shares.part, self.now, self.chance, self.fitting[None]
         )
@@ -979,7 +870,7 @@
 
 TAKE: dict[type, Callable[[Dispatcher, Any], None]] = {
     say.ListNews: Dispatcher.take_list,
-    say.Arrival: Dispatcher.take_arrival,
+    say.Arrival: lambda self, news: self.begin(self.arrive(news)),
     say.Recovered: Dispatcher.take_recovered,
     say.Sent: Dispatcher.take_sent,
     say.Started: Dispatcher.take_started,
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -8,7 +8,8 @@
 from helpers import GRADES, STEP, Checked, listed, terms
 
 from locktide.dispatch import interface as say
-from locktide.dispatch.rules import Chance, Dispatcher
+from locktide.dispatch.rules import Dispatcher
+from locktide.dispatch.sums import Chance
 
 OUTCOMES = [
     say.DONE, say.DONE, say.DONE, say.DONE, say.ERROR, say.FULL, say.TIMED_OUT, say.NO_CONNECTION, say.RESET,
