--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -25,27 +25,15 @@
 from zlib import crc32
 
 from locktide.dispatch import interface as say
-from locktide.dispatch.sums import Chance, Fading, Runs
+from locktide.dispatch.sums import Chance, Fading, Runs, ordered
 
 POWER = 8
-# What weighs in a draw, in parts of what a usual submission earns. With 0.02 connections and crossings cost
-# more and jams less: 0.807 and 0.825 on six days, noise 0.045.
+# What weighs in a draw, in parts of what a usual submission earns; 0.02 scored 0.807 for 0.825, noise 0.045.
 WEIGHS = 0.01
-# News that renewed most ratings and came since a worker's own was renewed, that one counted. Two: the next
-# news came without it. Noise keeps the rating of one that holds anything from being the same twice.
+# News of most ratings since a worker's own was renewed, that one counted. Two: the next came without it.
 OVERDUE = 2
 
 
-def ordered(workers: list[Worker], key: int) -> list[Worker]:
-    """In an order as good as drawn for this key, the same at all dispatchers; who comes or goes moves none.
-    """
-    ranks = {}
-    for worker in workers:
-        state = (worker.salt ^ key) * 6364136223846793005 + 1442695040888963407 & 0xFFFFFFFFFFFFFFFF
-        ranks[(state ^ state >> 29) * 6364136223846793005 & 0xFFFFFFFFFFFFFFFF] = worker
-    return [ranks[rank] for rank in sorted(ranks)]
-
-
 class Paces:
     """How fast each kind of machine runs what we send it, beside the others. Guards against even draws where
     we see too few ends on any one worker for its cap to follow its speed: slow kinds get too much.
@@ -57,9 +45,7 @@
 
     def add(self, kind: str, pace: float, now: int) -> None:
         # A minute: kinds keep their speeds, and one of many dispatchers sees an end in some seconds.
-        if kind not in self.sums:
-            self.sums[kind] = Fading(60_000_000), Fading(60_000_000)
-        took, count = self.sums[kind]
+        took, count = self.sums.setdefault(kind, (Fading(60_000_000), Fading(60_000_000)))
         took.add(pace, now)
         count.add(1.0, now)
         # Two ends at the usual pace come first: a single run does not decide.
@@ -100,12 +86,11 @@
     def __init__(self, entry: say.Listed, cap: float) -> None:
         self.id = entry.worker
         self.own, self.cap = 0.0, cap  # slots of ours outstanding there, and how many may be
-        self.heard_at = 0  # when it last gave a sign of life
         # Ten seconds: past the longest pause of a sound worker, short beside a lasting outage.
         self.good, self.bad = Fading(10_000_000), Fading(10_000_000)
         self.rest_until = 0  # while the cap is under one: when we have held our share there on average
         self.sent_cold = Fading(1_000_000)
-        self.drawn_at = self.full_until = 0
+        self.heard_at = self.drawn_at = self.full_until = 0  # first, when it last gave a sign of life
         self.salt = crc32(str(entry.worker).encode())
         self.waiting: dict[Dispatch, None] = {}  # ours there that have not started, oldest first
         self.update(entry)
@@ -113,8 +98,8 @@
         self.unrated()
 
     def unrated(self) -> None:
-        """As though its rating had told nothing: what it holds a core, its odds in a draw, the rating of one
-        of its kind that holds nothing, how many news lacked its own, and its own."""
+        # What it holds a core, its odds in a draw, the rating of one of its kind that holds nothing, how many
+        # news lacked its own, and its own.
         self.load, self.odds, self.size, self.missed, self.rated = 0.0, 1.0, 0.0, 0, 0.0
 
     def update(self, entry: say.Listed) -> None:
@@ -187,9 +172,9 @@
         self.out: list[Dispatch] = []  # dispatches without an outcome
         self.held: list[Dispatch] = []  # dispatches not proven never to have run
         self.pooled = self.answered = False
-        self.uncounted = 0  # dispatches that do not count among the most there may be
         self.spoilt, self.key = False, arrival.key
-        self.not_before = 0  # after a refusal: when it may go out again
+        # Dispatches that do not count among the most there may be; and after a refusal, when it may go again.
+        self.uncounted = self.not_before = 0
         self.erred: list[Worker] = []  # sound workers at which it failed
         self.course: Course
 
@@ -212,14 +197,14 @@
         return not self.held or grade.effect == say.REISSUABLE or everywhere
 
 
-# What a course yields, and with what it is resumed.
-POOL = "pool"  # wait for a draw; resumed with a Worker, with None when waiting no longer pays, or as WAIT
-WAIT = "wait"  # wait for a dispatch: its say.Started or say.Ended, or the Dispatch itself when in doubt
+# What a course yields, and with what it is resumed: to wait for a draw, with a Worker, or None when that no
+# longer pays; to wait for a dispatch, with its say.Ended, or the Dispatch itself when in doubt.
+POOL, WAIT = "pool", "wait"
 Course = Generator[str, Any, None]
 
 
 class ColdBudget:
-    """Our part of what may be sent to a worker that is not warm yet."""
+    """Our part of what may be sent to a worker that is not warm yet, and whether that allows some work."""
 
     def __init__(self, terms: say.ColdTerms) -> None:
         self.terms, self.sent = terms, Fading(1_000_000)
@@ -239,7 +224,6 @@
     def allows(
         self, worker: Worker, work: float, part: float, now: int, chance: Chance, ready: list[Worker]
     ) -> bool:
-        """Whether a cold worker may get this work, too, out of our part."""
         need, most = self.need(worker, work), self.terms.factor * self.terms.window
         whole = most * self.warmth(worker, now)
         if need <= part * whole:
@@ -310,14 +294,13 @@
         self.fitting: dict[str | None, list[Worker]] = {}  # ready workers by kind; None: all of them
         self.rows: dict[tuple[int, str | None], list[Worker]] = {}  # the same for a key, nearest first
         self.paces = Paces()
-        # Errors lately that were found to be a submission's or a worker's; ten seconds, as the records.
+        # Errors lately found to be a submission's or a worker's; ten seconds, as the records.
         self.own_faults, self.worker_faults = Fading(10_000_000), Fading(10_000_000)
         self.outstanding = 0.0  # slots of ours without an outcome
         self.sizes: dict[str, float] = {}  # the highest rating of each kind: of one that holds nothing
         self.held = 0.0  # what workers hold a core on average, as their ratings tell
         # How often each key and any was asked for; long enough for some tens where few come to one of us.
-        self.asked: dict[int, Fading] = {}
-        self.asked_all = Fading(10_000_000)
+        self.asked, self.asked_all = dict[int, Fading](), Fading(10_000_000)
         self.credit = 10.0  # of further dispatches; ten let a dispatcher meet a sudden trouble at once
         self.submissions: dict[Any, Submission] = {}
         self.pool: list[Submission] = []
@@ -341,13 +324,12 @@
         self.dispatching, self.clients, self.signs, self.prices = dispatching, clients, signs, prices
         self.shares = Shares(shares, fleet)
         self.cold.terms, self.list.terms = cold, listing
-        # Late is a start that eats a quarter of the shortest soft limit: it still leaves room to act on.
-        self.prompt = min(grade.soft_limit for grade in grades) // 4
+        self.prompt = min(grade.soft_limit for grade in grades) // 4  # later is late: little is left
         once = [grade.effect == say.AT_MOST_ONCE for grade in grades]
         self.some_once, self.all_once = any(once), all(once)
         self.runs = {name: self.runs.get(name) or Runs(at.soft_limit) for name, at in self.known.items()}
-        # How far all grades wait alike. Long slack put to use serves the whole better, an even wait the grade
-        # that is served worst; wholly even from where that grade decides a third of the goal.
+        # How far all grades wait alike: long slack put to use serves the whole, an even wait the grade served
+        # worst; wholly even from where that grade decides a third of the goal.
         self.evenness = min(1.0, 0.3 + 2.0 * goal.worst_grade)
         self.sparse = 3.0 * self.cold.slots < fleet  # our even part of a worker is under a third of a slot
         # How often a draw holds of a worker to which we have no free connection, beside one to which we have.
@@ -399,8 +381,7 @@
     def doubt(self, dispatch: Dispatch) -> None:
         """A further dispatch in the place of one in doubt, while such ones pay."""
         sub = dispatch.submission
-        # Guards against giving up a place in a queue for a worse one: bound work waits its turn, until it is
-        # as good as lost there.
+        # Guards against giving up a place for a worse one: bound work waits until it is as good as lost.
         bound = sub.grade.effect != say.REISSUABLE and not dispatch.started_at and self.now < dispatch.lost_at
         if self.may_dispatch(sub) and self.credit >= 1.0 and not bound:
             self.withdraw(dispatch)
@@ -490,9 +471,8 @@
         if dispatch.further:
             self.credit -= 1.0
         if self.signs.tells_start:
-            # An eighth of the slack: several more such waits, or one and a queue elsewhere, still fit. Where
-            # ratings tell of free cores a third, as it was not drawn blindly; where they tell of none, all:
-            # who leaves a queue then finds none shorter, and loses a place.
+            # An eighth of the slack: several more such waits still fit. Where ratings tell of free cores a
+            # third, as it was not drawn blindly; where of none, all: no queue is shorter then.
             part = 8 if not self.list.terms.live else 3 if self.held < 0.8 else 1
             self.wake(max(self.prompt, int(self.slack(sub)) // part), dispatch)
         sub.shots.append(dispatch)
@@ -529,8 +509,8 @@
         if self.pool and not self.round_timer:
             self.round_timer = True
             # Guards the CPU: where all that wait were sent before, four steps between rounds will do.
-            fresh = not self.sparse or any([not sub.held for sub in self.pool])
-            self.wake(self.step if fresh else 4 * self.step, "round")
+            again = self.sparse and all([sub.held for sub in self.pool])
+            self.wake(4 * self.step if again else self.step, "round")
         return self.orders
 
     def wake(self, after: int, what: Any) -> None:
@@ -545,8 +525,7 @@
         elif type(what) is Dispatch and what in what.submission.out and not what.submission.answered:
             self.check(what)
 
-    def check(self, dispatch: Dispatch) -> None:
-        """Looks at a dispatch that should have given a sign by now."""
+    def check(self, dispatch: Dispatch) -> None:  # it should have given a sign by now
         every, worker = self.signs.progress_every, dispatch.worker
         if not dispatch.started_at:
             # A queue moves within twice the usual run; before that, no start is no one's fault.
@@ -600,15 +579,12 @@
             worker.odds = max(1e-3, worker.size) ** 2 / (1.0 + worker.load) ** 3
             if entry.zone != self.prices.zone:
                 worker.odds *= away
-            if entry.kind in self.fitting:
-                # Guards against filling the one kind that runs a grade with what could go elsewhere. A half
-                # brought half as much.
-                worker.odds *= 0.25
+            if entry.kind in self.fitting:  # guards against filling the one kind that a grade is bound to
+                worker.odds *= 0.25  # 0.5 brought two thirds as much
         ready = self.fitting.get(None, [])
         if 2 * len(entries) > len(ready):
             for worker in ready:
-                # Guards against one that takes work and does none: its rating stands where it was, and it
-                # looks as good as the others. One that holds nothing is rated the same each time.
+                # Guards against one that takes work and does none: its rating stands still while it holds some.
                 worker.missed += worker.load > 0.0
                 if worker.missed == OVERDUE:
                     self.log(f"avoiding worker {worker.id}: its rating stands still")
@@ -854,8 +830,7 @@
         return [worker for worker in row[:reach] if worker.load <= crowded]
 
     def holds(self, worker: Worker, sub: Submission) -> bool:
-        """Whether a draw stands: where c is under one and cannot tell a slow kind from a fast, and at a cold
-        worker."""
+        """Whether a draw stands: where c is under one and cannot tell slow kinds from fast, and at a cold one."""
         blind = self.sparse and not worker.own and not self.list.terms.live
         if blind and not self.chance.falls(self.paces.taking.get(worker.kind, 1.0)):
             return False
--- a/locktide/dispatch/sums.py
+++ b/locktide/dispatch/sums.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 from math import exp, sqrt
+from typing import Protocol, TypeVar
 
 
 class Chance:
@@ -64,3 +65,19 @@
         mean, count = self.mean(now), self.count.read(now)
         variance = self.square.read(now) / max(5.0, count) - mean * mean
         return mean + 3.0 * sqrt(max(0.0, variance)) if count >= 5.0 else 1e12
+
+
+class Salted(Protocol):
+    salt: int
+
+
+S = TypeVar("S", bound=Salted)
+
+
+def ordered(those: list[S], key: int) -> list[S]:
+    """In an order as good as drawn for this key, the same at all dispatchers."""
+    ranks = []
+    for one in those:
+        state = (one.salt ^ key) * 6364136223846793005 + 1442695040888963407 & 0xFFFFFFFFFFFFFFFF
+        ranks.append((state ^ state >> 29) * 6364136223846793005 & 0xFFFFFFFFFFFFFFFF)
+    return [those[place] for place in sorted(range(len(those)), key=ranks.__getitem__)]
