--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -204,7 +204,7 @@
 
 
 class ColdBudget:
-    """Our part of what may be sent to a worker that is not warm yet, and whether that allows some work."""
+    """Our part of what may be sent to a worker that is not warm yet, and whether it allows some work."""
 
     def __init__(self, terms: say.ColdTerms) -> None:
         self.terms, self.sent = terms, Fading(1_000_000)
@@ -584,7 +584,7 @@
         ready = self.fitting.get(None, [])
         if 2 * len(entries) > len(ready):
             for worker in ready:
-                # Guards against one that takes work and does none: its rating stands still while it holds some.
+                # Guards against one that takes work and does none: its rating stands still.
                 worker.missed += worker.load > 0.0
                 if worker.missed == OVERDUE:
                     self.log(f"avoiding worker {worker.id}: its rating stands still")
@@ -830,7 +830,7 @@
         return [worker for worker in row[:reach] if worker.load <= crowded]
 
     def holds(self, worker: Worker, sub: Submission) -> bool:
-        """Whether a draw stands: where c is under one and cannot tell slow kinds from fast, and at a cold one."""
+        """Whether a draw stands: where c tells no slow kind from a fast, and at a cold worker."""
         blind = self.sparse and not worker.own and not self.list.terms.live
         if blind and not self.chance.falls(self.paces.taking.get(worker.kind, 1.0)):
             return False
