--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -570,8 +570,9 @@
         workers, sizes = self.list.workers, self.sizes
         away = exp(-self.prices.crossing / WEIGHS)
         for entry in entries:
-            worker = workers[entry.worker]
             sizes[entry.kind] = max(sizes.get(entry.kind, 0.0), entry.rating)
+        for entry in entries:
+            worker = workers[entry.worker]
             if entry.rating != worker.rated:
                 worker.rated, worker.missed = entry.rating, 0
             worker.size = sizes[entry.kind]
