Only news that renewed most ratings speaks against one that it did not renew

A list given whole after a reload counted as a renewal of all, though nothing in it was new: with two in a row each worker that holds something would have been doubtful. Test: the list that brings no ratings, now also whole.

--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -568,13 +568,13 @@
         would be everyone's. Size squared over the cube of what is held: other powers scored less.
         """
         workers, sizes = self.list.workers, self.sizes
-        away = exp(-self.prices.crossing / WEIGHS)
+        away, renewed = exp(-self.prices.crossing / WEIGHS), 0
         for entry in entries:
             sizes[entry.kind] = max(sizes.get(entry.kind, 0.0), entry.rating)
         for entry in entries:
             worker = workers[entry.worker]
             if entry.rating != worker.rated:
-                worker.rated, worker.missed = entry.rating, 0
+                worker.rated, worker.missed, renewed = entry.rating, 0, renewed + 1
             worker.size = sizes[entry.kind]
             worker.load = max(0.0, worker.size / max(1e-3, entry.rating) - 1.0)
             worker.odds = max(1e-3, worker.size) ** 2 / (1.0 + worker.load) ** 3
@@ -583,7 +583,7 @@
             if entry.kind in self.fitting:  # guards against filling the one kind that a grade is bound to
                 worker.odds *= 0.25  # 0.5 brought two thirds as much
         ready = self.fitting.get(None, [])
-        if 2 * len(entries) > len(ready):
+        if 2 * renewed > len(ready):
             for worker in ready:
                 # Guards against one that takes work and does none: its rating stands still.
                 worker.missed += worker.load > 0.0
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -92,6 +92,7 @@
     for _ in range(5):
         service.list(kind=say.CHANGES)
         service.list(listed("w0", rating=4.5), kind=say.CHANGES)
+        service.list(*rated({"w0": 4.5, "w1": 5.0, "w2": 6.0}))  # whole, as after a reload, and nothing new
     assert not any(worker.doubtful(service.now) for worker in service.dispatcher.list.workers.values())
 
 
