--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -9,11 +9,14 @@
 from collections import Counter
 from pathlib import Path
 from typing import Any
+from zlib import crc32
 
 import pytest
 from helpers import COLD, GRADES, STEP, Checked, begin, call, listed, submit, terms
 
 from locktide.dispatch import interface as say
+from locktide.node.node import Node
+from locktide.protocol import clients
 
 # --- ratings that follow load ---------------------------------------------------------------------------
 
@@ -223,6 +226,28 @@
     ]
 
 
+@pytest.mark.parametrize(
+    "extras, target, told",
+    [
+        ("slots=2,hint=120.5,tenant=dairy", "/view?x=1&obj=7f3a", (2.0, 120_500, "dairy", crc32(b"7f3a"))),
+        ("", "/view", (1.0, 0, None, None)),
+        ("hint=soon", "/view?obj=", (1.0, 0, None, None)),
+        ("hint=-5,tenant=", "/view?obj=a&obj=b", (1.0, 0, "", crc32(b"a"))),
+        ("hint=1e9", "/view?obj=%ff%zz", (1.0, 0, None, crc32("\ufffd%zz".encode()))),
+    ],
+)
+def test_what_a_submission_tells_beside_its_grade_reaches_the_decisions(
+    extras: str, target: str, told: tuple[Any, ...]
+) -> None:
+    conversation = clients.Conversation({"view": 3_000_000}, ())
+    conversation.feed(submit(target, Req_Extra=extras, Req_Kind="view"))
+    message = conversation.next()
+    assert isinstance(message, clients.Submitted)
+    news = Node.arrival(message, 9_000_000)
+    assert (news.width, news.work_hint, news.tenant, news.key) == told
+    assert (news.submission, news.grade, news.time_limit_at) == ("a1", "view", 9_000_000)
+
+
 class Worker:
     """A stand-in that takes each job, tells its start and its end, and counts what it was sent."""
 
