--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -17,9 +17,8 @@
 
 from __future__ import annotations
 
-from bisect import bisect, insort
+from bisect import insort
 from collections.abc import Callable, Generator
-from itertools import accumulate
 from math import exp
 from typing import Any
 from zlib import crc32
@@ -27,7 +26,6 @@
 from locktide.dispatch import interface as say
 from locktide.dispatch.sums import Chance, Fading, Runs, ordered
 
-POWER = 8
 # What weighs in a draw, in parts of what a usual submission earns; 0.02 scored 0.807 for 0.825, noise 0.045.
 WEIGHS = 0.01
 # News of most ratings since a worker's own was renewed, that one counted. Two: the next came without it.
@@ -36,8 +34,7 @@
 
 class Paces:
     """How fast each kind of machine runs what we send it, beside the others. Guards against even draws where
-    we see too few ends on any one worker for its cap to follow its speed: slow kinds get too much.
-    """
+    we see too few ends on any one worker for its cap to follow its speed: slow kinds get too much."""
 
     def __init__(self) -> None:
         self.sums: dict[str, tuple[Fading, Fading]] = {}
@@ -208,7 +205,8 @@
 
     def __init__(self, terms: say.ColdTerms) -> None:
         self.terms, self.sent = terms, Fading(1_000_000)
-        self.warm, self.summed_at, self.drawn_at = 0.0, 0, 0
+        self.warm, self.summed_at, self.drawn_at, self.turned_at = 0.0, 0, 0, 0
+        self.turn: Worker | None = None
         self.slots = 2.0  # how many a worker has, where no ratings tell: the most of ours seen running on one
 
     def is_cold(self, worker: Worker, now: int) -> bool:
@@ -232,7 +230,7 @@
         # our part of all cold ones together counts, which the draw spreads evenly, and what is left of it
         # under a submission is drawn for once a window. All keep to half of what would push one over; the
         # other half is for the odds of many draws, and for two that fall together.
-        if need > 0.5 * whole:
+        if need > 0.25 * whole:  # a half pushed one over with others on top
             return False
         if now >= self.summed_at + self.terms.window // 16:  # guards the CPU; warmth moves slowly beside it
             self.summed_at = now
@@ -245,6 +243,14 @@
         self.drawn_at = now
         return chance.falls(max(0.0, left / need))
 
+    def turn_of(self, ready: list[Worker], now: int, chance: Chance) -> Worker:
+        """The one that is ours for a window, drawn by warmth. Guards against all that turn to the only one of
+        the cold with room (4 and 7 times what it could do)."""
+        if not self.turn or now >= self.turned_at + self.terms.window or not self.is_cold(self.turn, now):
+            cold = [one for one in ready if self.is_cold(one, now)]
+            self.turn, self.turned_at = cold[chance.by([self.warmth(one, now) for one in cold])], now
+        return self.turn
+
     def need(self, worker: Worker, work: float) -> float:
         return work / max(self.slots, worker.size)
 
@@ -265,8 +271,7 @@
         """After how long we ask next: at any moment of a span that doubles with each failure. Guards against
         many that start or fail together and then ask together: the service works on each call, also where the
         caller was turned away. It can hear all of us within the time in which each should ask; half is enough
-        for those that start at once. After a failure we count as told only after four times that time.
-        """
+        for those that start at once. After a failure we count as told only after four times that time."""
         span = min(2 * self.terms.ask_within, self.terms.ask_within // 2 << min(self.failures, 8))
         gap = chance.below(span)
         self.watched, self.ask_at = False, now + gap
@@ -404,8 +409,7 @@
         """How long a submission waits in the pool: a share of a slack between its own and the shortest usual.
 
         Guards against an overload in which long-slack work fills the pool and the short grades get nothing.
-        At 0.3 even runs well over the usual end in time; 0.5 left more late, 0.25 denied more in bursts.
-        """
+        At 0.3 even runs well over the usual end in time; 0.5 left more late, 0.25 denied more in bursts."""
         shortest = min([usual_slack(at, self.runs[of].mean(self.now)) for of, at in self.grades.items()])
         if sub.hint:  # a heavier submission earns more, and may wait longer
             shortest *= max(1.0, sub.hint / self.runs[sub.grade.name].mean(self.now))
@@ -438,8 +442,7 @@
         worker, once it has ended well elsewhere, or at once where it cannot be sent there.
 
         Guards against floods of submissions that fail anywhere: the workers at which they show, and soon all,
-        would be avoided for it. While most errors were found to be submissions' own the last case waits, too.
-        """
+        would be avoided for it. While most errors were found to be submissions' own it waits, too."""
         if worker.doubtful(self.now):  # its error is no word on the submission
             self.blame(worker, say.ERROR)
         elif any([one is not worker for one in sub.erred]):
@@ -565,8 +568,7 @@
         """Follows ratings that fall with load: what each worker holds a core, and how often a draw holds.
 
         All dispatchers have the same picture, a second late: draws in its measure spread where the best one
-        would be everyone's. Size squared over the cube of what is held: other powers scored less.
-        """
+        would be everyone's. Size squared over the cube of what is held: other powers scored less."""
         workers, sizes = self.list.workers, self.sizes
         away, renewed = exp(-self.prices.crossing / WEIGHS), 0
         for entry in entries:
@@ -671,8 +673,7 @@
     def floor(self) -> float:
         """The least cap: our share of the slots, or one submission while all floors hold three a slot. Guards
         against two that cut each other to one, and seventeen with no gate. Twice the share where all work may
-        move on from a queue: others leave some of theirs unused.
-        """
+        move on from a queue: others leave some of theirs unused."""
         share = self.cold.slots * self.shares.part
         if self.list.terms.live:  # they tell what others hold there, and rests would waste kept connections
             return max(1.0, share)
@@ -772,7 +773,7 @@
                 fitting = self.near(sub, fitting)
             if not fitting:
                 continue
-            worker = self.draw(fitting)
+            worker = self.draw(fitting, sub.key is None)
             if worker.has_room(sub.width, now, prompt) and self.holds(worker, sub) and (
                 not worker.doubtful(now) or self.all_doubtful()
                 # Guards against losing for good what cannot be sent again: others do the trying.
@@ -782,13 +783,11 @@
                 self.advance(sub, worker)
                 room -= not worker.has_room(1.0, now, prompt)
 
-    def draw(self, fitting: list[Worker]) -> Worker:
+    def draw(self, fitting: list[Worker], any_one: bool) -> Worker:
         """One uniform draw, made again until a worker holds; the same in law as one by their odds."""
         if not self.list.terms.live:
             return fitting[self.chance.below(len(fitting))]
-        odds: list[float] = []
-        cold: list[int] = []
-        now = self.now
+        odds, cold, now = list[float](), list[int](), self.now
         for worker in fitting:
             if self.cold.is_cold(worker, now):
                 cold.append(len(odds))
@@ -802,13 +801,15 @@
             usual = sum(odds) / max(1, len(odds) - len(cold)) or 1.0
             for place in cold:
                 odds[place] = usual * self.cold.warmth(fitting[place], now)
-        sums = list(accumulate(odds))
-        return fitting[min(len(fitting) - 1, bisect(sums, sums[-1] * self.chance.below(1 << 20) / (1 << 20)))]
+        drawn = fitting[self.chance.by(odds)]
+        if any_one and cold and self.cold.is_cold(drawn, now):
+            turn = self.cold.turn_of(self.fitting[None], now, self.chance)
+            drawn = turn if turn in fitting else drawn
+        return drawn
 
     def near(self, sub: Submission, fitting: list[Worker]) -> list[Worker]:
-        """Those of the fitting workers among which a submission with a key draws: few at first, so that what
-        shares the key meets where what it needs is at hand, twice as many after each wait without a place.
-        """
+        """Among which workers a submission with a key draws: few at first, so that what shares it meets where
+        what it needs is at hand, twice as many after each wait without a place."""
         assert sub.key is not None
         row = self.rows.get((sub.key, sub.grade.kind))
         if row is None:
--- a/locktide/dispatch/sums.py
+++ b/locktide/dispatch/sums.py
@@ -4,6 +4,9 @@
 
 from __future__ import annotations
 
+from bisect import bisect
+from collections.abc import Sequence
+from itertools import accumulate
 from math import exp, sqrt
 from typing import Protocol, TypeVar
 
@@ -23,6 +26,11 @@
     def falls(self, odds: float) -> bool:
         return self.below(1 << 20) < odds * (1 << 20)
 
+    def by(self, odds: Sequence[float]) -> int:
+        """A place, drawn in the measure of the odds that stand there."""
+        sums = list(accumulate(odds))
+        return min(len(sums) - 1, bisect(sums, sums[-1] * self.below(1 << 20) / (1 << 20)))
+
 
 class Fading:
     """A sum that fades by 1/e in each span, brought up to date when it is read or added to."""
