--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -108,6 +108,26 @@
     assert places["w9"] / 400 < 1.6 * warmth / 10
 
 
+def test_cold_workers_share_what_all_send_though_one_alone_has_room() -> None:
+    """The other cold ones were full and at rest: 20 dispatches in 0.45 s, 4.2 times what one could do."""
+    names = [f"w{number}" for number in range(10)]
+    work: Counter[str] = Counter()
+    for seed in range(200):
+        service = Checked(seed, fleet=200, live=True)
+        service.list(*[listed(name, rating=8.0) for name in names])
+        begun = service.now - 3_000_000
+        service.list(*[listed(name, started_at=begun, rating=8.0) for name in names])
+        for name in names[1:]:  # each has answered 'full'
+            service.dispatcher.list.workers[name].full_until = service.now + 5_000_000
+        for submission in range(8):
+            service.arrive(submission, "view", hint=300_000)
+        service.pass_time(500_000)
+        work.update(shots[0]["worker"] for shots in service.shots.values() if shots)
+    # Half of the limit, which is what its warmth allows in a window.
+    warmth = COLD.cold_from + (1 - COLD.cold_from) * 3 / 8
+    assert 0 < work["w0"] * 0.3 / 8 < 0.75 * COLD.factor * warmth
+
+
 def test_a_connection_that_is_open_is_used_again_where_new_ones_have_a_price() -> None:
     def connections(price: float) -> int:
         service = Checked(live=True, prices=say.PriceTerms(connection=price, idle_close=5_000_000))
