--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -230,7 +230,7 @@
         # our part of all cold ones together counts, which the draw spreads evenly, and what is left of it
         # under a submission is drawn for once a window. All keep to half of what would push one over; the
         # other half is for the odds of many draws, and for two that fall together.
-        if need > 0.25 * whole:  # a half pushed one over with others on top
+        if need > (0.25 if worker.size else 0.5) * whole:  # two slots for a size count double and more
             return False
         if now >= self.summed_at + self.terms.window // 16:  # guards the CPU; warmth moves slowly beside it
             self.summed_at = now
@@ -402,8 +402,8 @@
         return usual_slack(sub.grade, run) if self.now + run / 2 <= sub.limit_at else 0.0
 
     def work(self, sub: Submission) -> float:
-        """The work of a submission: its usual run, or what is hinted, on each of its slots."""
-        return sub.width * (sub.hint or self.runs[sub.grade.name].mean(self.now))
+        """Its usual run, or more if so hinted, on each slot: one rough hint in ten is a third."""
+        return sub.width * max(sub.hint, self.runs[sub.grade.name].mean(self.now))
 
     def patience(self, sub: Submission) -> int:
         """How long a submission waits in the pool: a share of a slack between its own and the shortest usual.
