Cold work counts by the usual run only once ends are known, by the hint before

Seen in the tests: with no end known the guess, the soft limit, stood for the usual run, and forty dispatchers warmed cold workers with a third of what they may (test_forty_together_warm_cold_workers, 0 warm, 10 cold).

--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -403,7 +403,7 @@
 
     def work(self, sub: Submission) -> float:
         """Its usual run, or more if so hinted, on each slot: one rough hint in ten is a third."""
-        return sub.width * max(sub.hint, self.runs[sub.grade.name].mean(self.now))
+        return sub.width * max(sub.hint, self.runs[sub.grade.name].mean(self.now, sub.hint))
 
     def patience(self, sub: Submission) -> int:
         """How long a submission waits in the pool: a share of a slack between its own and the shortest usual.
--- a/locktide/dispatch/sums.py
+++ b/locktide/dispatch/sums.py
@@ -63,10 +63,11 @@
         self.square.add(run * run, now)
         self.count.add(1.0, now)
 
-    def mean(self, now: int) -> float:
+    def mean(self, now: int, told: int = 0) -> float:
+        """Of the last ten seconds or so; what was told, or the guess, while no end is known."""
         count = self.count.read(now)
         # At least a microsecond: a start and an end that are heard together make a run of none.
-        return max(1.0, self.time.read(now) / count) if count > 0.1 else self.guess
+        return max(1.0, self.time.read(now) / count) if count > 0.1 else told or self.guess
 
     def long(self, now: int) -> float:
         """Three deviations over the mean; nothing is long while few runs are known."""
