--- a/locktide/dispatch/rules.py
+++ b/locktide/dispatch/rules.py
@@ -235,7 +235,7 @@
         if now >= self.summed_at + self.terms.window // 16:  # guards the CPU; warmth moves slowly beside it
             self.summed_at = now
             self.warm = sum([self.warmth(one, now) for one in ready if self.is_cold(one, now)])
-        left = 0.5 * part * most * self.warm - self.sent.read(now)
+        left = (0.2 if worker.size else 0.5) * part * most * self.warm - self.sent.read(now)
         if need <= left:
             return True
         if now < self.drawn_at + self.terms.window:
