--- a/locktide/dispatch/interface.py
+++ b/locktide/dispatch/interface.py
@@ -209,7 +209,7 @@
 
     arrival: Arrival
     arrived_at: int
-    shots: list[Earlier]
+    dispatches: list[Earlier]
 
 
 @dataclass(slots=True)
@@ -218,26 +218,26 @@
     for the worker's; where it is not told, a dispatch counts as sent with its order."""
 
     submission: Any
-    shot: int
+    number: int
 
 
 @dataclass(slots=True)
 class Started:
     submission: Any
-    shot: int
+    number: int
 
 
 @dataclass(slots=True)
 class Progressed:
     submission: Any
-    shot: int
+    number: int
     share: float
 
 
 @dataclass(slots=True)
 class StreamBegan:
     submission: Any
-    shot: int
+    number: int
 
 
 @dataclass(slots=True)
@@ -245,7 +245,7 @@
     """The end of one dispatch. `final` says that the submission itself has its answer."""
 
     submission: Any
-    shot: int
+    number: int
     outcome: str
     final: bool
     load: dict[str, float] = field(default_factory=dict)
@@ -311,7 +311,7 @@
 @dataclass(slots=True)
 class Withdraw:
     submission: Any
-    shot: int
+    number: int
 
 
 @dataclass(slots=True)
--- a/locktide/dispatch/rules/arrivals.py
+++ b/locktide/dispatch/rules/arrivals.py
@@ -34,7 +34,7 @@
         self.shares.agreed = news
         lent = self.shares.stage(self.now).lent
         for sub in self.pool:
-            if sub.borrower is not None and not sub.shots and not lent.get(sub.borrower):
+            if sub.borrower is not None and not sub.dispatches and not lent.get(sub.borrower):
                 sub.borrower = None
                 if not sub.patient:
                     waits = self.patience(sub) * self.shares.terms.beyond_share
@@ -44,14 +44,14 @@
         """Takes up what a process that died had taken; what may have run binds it as if we had sent it."""
         sub = self.arrive(news.arrival)
         sub.arrived_at = news.arrived_at
-        for earlier in news.shots:
+        for earlier in news.dispatches:
             worker = self.list.workers.get(earlier.worker)
             # Guards against a worker that has another place by now: repeats are dropped where it was then.
             if worker is None or (worker.zone, worker.cell) != (earlier.zone, earlier.cell):
                 then = say.Listed(earlier.worker, earlier.zone, "", earlier.cell, say.GONE, 1.0, 0)
                 worker = Worker(then, self.floor())
-            dispatch = Dispatch(sub, len(sub.shots), worker, earlier.sent_at)
-            sub.shots.append(dispatch)
+            dispatch = Dispatch(sub, len(sub.dispatches), worker, earlier.sent_at)
+            sub.dispatches.append(dispatch)
             if earlier.outcome not in say.PROVEN_NOT_RUN:
                 sub.held.append(dispatch)
             elif sub.patient:
--- a/locktide/dispatch/rules/courses.py
+++ b/locktide/dispatch/rules/courses.py
@@ -42,7 +42,7 @@
 
     def may_dispatch(self, sub: Submission) -> bool:
         once = sub.held and sub.grade.effect == say.AT_MOST_ONCE
-        return len(sub.shots) - sub.uncounted < self.dispatching.most_dispatches and not once
+        return len(sub.dispatches) - sub.uncounted < self.dispatching.most_dispatches and not once
 
     def doubt(self, dispatch: Dispatch) -> None:
         """A further dispatch in the place of one in doubt, while such ones pay."""
@@ -54,7 +54,7 @@
 
     def withdraw(self, dispatch: Dispatch) -> None:
         if self.dispatching.may_withdraw:
-            self.orders.append(say.Withdraw(dispatch.submission.id, dispatch.shot))
+            self.orders.append(say.Withdraw(dispatch.submission.id, dispatch.number))
 
     def advance(self, sub: Submission, news: Any) -> None:
         """Resumes a course with its news, and puts the submission where the course wants it."""
@@ -73,7 +73,7 @@
                 self.pool.remove(sub)
 
     def send(self, sub: Submission, worker: Worker) -> None:
-        dispatch = Dispatch(sub, len(sub.shots), worker, self.now)
+        dispatch = Dispatch(sub, len(sub.dispatches), worker, self.now)
         if dispatch.further:
             self.credit -= 1.0
         if self.signs.tells_start:
@@ -81,7 +81,7 @@
             # third, as it was not drawn blindly; where of none, all: no queue is shorter then.
             part = 8 if not self.list.terms.live else 3 if self.held < 0.8 else 1
             self.wake(max(self.prompt, int(self.slack(sub)) // part), dispatch)
-        sub.shots.append(dispatch)
+        sub.dispatches.append(dispatch)
         sub.out.append(dispatch)
         self.outstanding += sub.width
         sub.held.append(dispatch)
--- a/locktide/dispatch/rules/ends.py
+++ b/locktide/dispatch/rules/ends.py
@@ -9,16 +9,16 @@
 
 
 class Ends(Arrivals):
-    def find(self, submission: Any, shot: int) -> Dispatch | None:
+    def find(self, submission: Any, number: int) -> Dispatch | None:
         sub = self.submissions.get(submission)
-        return sub.shots[shot] if sub is not None and shot < len(sub.shots) else None
+        return sub.dispatches[number] if sub is not None and number < len(sub.dispatches) else None
 
     def take_sent(self, news: say.Sent) -> None:
-        if dispatch := self.find(news.submission, news.shot):
+        if dispatch := self.find(news.submission, news.number):
             dispatch.sent_at = self.now  # guards against a new connection that makes prompt starts look late
 
     def take_started(self, news: say.Started) -> None:
-        if (dispatch := self.find(news.submission, news.shot)) is None:
+        if (dispatch := self.find(news.submission, news.number)) is None:
             return
         worker = dispatch.worker
         dispatch.started_at = dispatch.heard_at = worker.heard_at = self.now
@@ -32,7 +32,7 @@
         self.settle(dispatch, self.now - dispatch.sent_at <= self.prompt)
 
     def take_progress(self, news: say.Progressed) -> None:
-        if (dispatch := self.find(news.submission, news.shot)) is None:
+        if (dispatch := self.find(news.submission, news.number)) is None:
             return
         dispatch.heard_at = dispatch.worker.heard_at = self.now
         sub = dispatch.submission
@@ -57,7 +57,7 @@
                 worker.cap = max(self.floor(), 0.75 * worker.cap)
 
     def take_ended(self, news: say.Ended) -> None:
-        dispatch = self.find(news.submission, news.shot)
+        dispatch = self.find(news.submission, news.number)
         if dispatch is None or dispatch not in dispatch.submission.out:
             return
         sub, worker = dispatch.submission, dispatch.worker
--- a/locktide/dispatch/rules/rounds.py
+++ b/locktide/dispatch/rules/rounds.py
@@ -20,8 +20,8 @@
             if now < sub.not_before:
                 continue
             fitting = self.fitting[sub.ground]
-            if sub.shots:
-                held, tried = [one.worker for one in sub.held], [one.worker for one in sub.shots]
+            if sub.dispatches:
+                held, tried = [one.worker for one in sub.held], [one.worker for one in sub.dispatches]
                 fitting = [one for one in fitting if one not in held and sub.may_repeat_on(one, now)]
                 fitting = [one for one in fitting if one not in tried] or fitting
             if sub.key is not None:
--- a/locktide/dispatch/rules/submission.py
+++ b/locktide/dispatch/rules/submission.py
@@ -15,11 +15,11 @@
 
 
 class Dispatch:
-    __slots__ = ("submission", "shot", "worker", "sent_at", "started_at", "heard_at", "at_cap", "further",
+    __slots__ = ("submission", "number", "worker", "sent_at", "started_at", "heard_at", "at_cap", "further",
                  "blamed", "lost_at")
 
-    def __init__(self, submission: Submission, shot: int, worker: Worker, now: int) -> None:
-        self.submission, self.shot, self.worker, self.sent_at = submission, shot, worker, now
+    def __init__(self, submission: Submission, number: int, worker: Worker, now: int) -> None:
+        self.submission, self.number, self.worker, self.sent_at = submission, number, worker, now
         self.at_cap = worker.own + submission.width > worker.cap - 1  # it took the last room there was
         self.started_at = self.heard_at = 0
         # Half the time limit: what has not started by then seldom ends, and elsewhere it still can.
@@ -28,7 +28,7 @@
 
 
 class Submission:
-    __slots__ = ("id", "grade", "width", "hint", "arrived_at", "limit_at", "leave_at", "order", "shots",
+    __slots__ = ("id", "grade", "width", "hint", "arrived_at", "limit_at", "leave_at", "order", "dispatches",
                  "out", "held", "course", "pooled", "answered", "patient", "uncounted", "erred",
                  "spoilt", "key", "not_before", "borrower", "ground")
 
@@ -37,7 +37,7 @@
         self.hint, self.order = arrival.work_hint, order
         self.arrived_at, self.limit_at, self.patient = now, arrival.time_limit_at, arrival.patient
         self.leave_at = self.limit_at  # when waiting in the pool stops to pay
-        self.shots: list[Dispatch] = []
+        self.dispatches: list[Dispatch] = []
         self.out: list[Dispatch] = []  # dispatches without an outcome
         self.held: list[Dispatch] = []  # dispatches not proven never to have run
         self.pooled = self.answered = False
--- a/locktide/durable/desk.py
+++ b/locktide/durable/desk.py
@@ -22,10 +22,10 @@
 from locktide.durable.journal import Journal, Unwritable
 from locktide.durable.records import Accepted, Began, Ended, Finished, Late, Leased
 from locktide.durable.recovery import Moment
+from locktide.net.client_connection import Answer
 from locktide.net.log import Log
-from locktide.net.server import Answer
 from locktide.node.node import Node
-from locktide.node.records import Held, Shot
+from locktide.node.records import OpenDispatch, OpenSubmission
 from locktide.protocol import clients, names
 
 WAIT = re.compile(r"wait\s*=\s*(\d{1,6})", re.ASCII)
@@ -143,7 +143,7 @@
         arrived_at = min(self.now(), step.limit_at - (job.accepted.limit_at - job.accepted.at))
         message = self.message(job.accepted, job.accepted.limit_at - job.accepted.at)
         fences = [lease.fence for lease in job.leases]
-        answer = self.node.recover(message, arrived_at, step.limit_at, step.shots, fences)
+        answer = self.node.recover(message, arrived_at, step.limit_at, step.dispatches, fences)
         answer.add_done_callback(lambda done: self.node_answered(job.id, done))
 
     @staticmethod
@@ -381,18 +381,18 @@
 
     # --- the node's keeper
 
-    def keeps(self, held: Held) -> bool:
+    def keeps(self, held: OpenSubmission) -> bool:
         return held.message.grade in self.terms.grades
 
-    async def lease(self, held: Held, shot: Shot) -> bool:
+    async def lease(self, held: OpenSubmission, dispatch: OpenDispatch) -> bool:
         job = self.table.jobs.get(held.message.id)
-        if job is None or shot.outcome:
+        if job is None or dispatch.outcome:
             return False
-        entry = self.node.fleet.entries[shot.worker]
+        entry = self.node.fleet.entries[dispatch.worker]
         now = self.now()
-        lease = self.leases.grant(job.id, shot.worker, now, after=job.fence)
-        shot.fence = lease.fence
-        record = Leased(job.id, lease.fence, shot.worker, entry.zone, entry.cell, now, lease.until)
+        lease = self.leases.grant(job.id, dispatch.worker, now, after=job.fence)
+        dispatch.fence = lease.fence
+        record = Leased(job.id, lease.fence, dispatch.worker, entry.zone, entry.cell, now, lease.until)
         try:
             await self.journal.append(record)
         except Unwritable as trouble:
@@ -404,13 +404,13 @@
         self.journal.point("lease written")
         return True
 
-    def ended(self, held: Held, shot: Shot) -> None:
-        if not shot.fence or shot.outcome is None:
+    def ended(self, held: OpenSubmission, dispatch: OpenDispatch) -> None:
+        if not dispatch.fence or dispatch.outcome is None:
             return
-        self.leases.end(held.message.id, shot.fence)
-        if shot.outcome == say.DONE:
+        self.leases.end(held.message.id, dispatch.fence)
+        if dispatch.outcome == say.DONE:
             return  # its final answer says so
-        written = self.journal.append(Ended(held.message.id, shot.fence, shot.outcome, self.now()))
+        written = self.journal.append(Ended(held.message.id, dispatch.fence, dispatch.outcome, self.now()))
         self.spawn(self.bear(written))
 
     # --- the one final answer
--- a/locktide/durable/recovery.py
+++ b/locktide/durable/recovery.py
@@ -66,8 +66,8 @@
 
     job: Job
     limit_at: int
-    shots: list[say.Earlier]
-    out: list[int]  # the places in `shots` that have no outcome
+    dispatches: list[say.Earlier]
+    out: list[int]  # the places in `dispatches` that have no outcome
 
 
 Step = End | Resume
@@ -86,7 +86,7 @@
         if limit_at <= now:
             steps.append(End(job, TERMINATED_STATUS if job.may_have_run() else DENIED_STATUS))
             continue
-        shots, out = [], []
+        dispatches, out = [], []
         for place, lease in enumerate(job.leases):
             ended = job.ended.get(lease.fence)
             outcome = ended.outcome if ended else None
@@ -97,6 +97,6 @@
                 if taken.until > limit_at:
                     taken.until = limit_at
                 out.append(place)
-            shots.append(say.Earlier(lease.worker, lease.zone, lease.cell, lease.at + memory, outcome))
-        steps.append(Resume(job, limit_at, shots, out))
+            dispatches.append(say.Earlier(lease.worker, lease.zone, lease.cell, lease.at + memory, outcome))
+        steps.append(Resume(job, limit_at, dispatches, out))
     return steps
--- /dev/null
+++ b/locktide/net/client_connection.py
@@ -0,0 +1,275 @@
+"""One accepted connection: what comes in as messages, what goes out as answers, and how it ends."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from contextlib import suppress
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any, Protocol
+
+from locktide.net.descriptors import DescriptorBudget
+from locktide.net.log import Log
+from locktide.net.streams import Inlet
+from locktide.protocol import clients
+
+# Seconds for a message to come in whole, from the accept for the first, from its first byte for others, and
+# for one that has not proven itself to send another. An honest client sends at once; a bad one is owed a word
+# or a close within 3 s of connecting, of which some may go by before we get to it.
+WHOLE_WITHIN = 2.0
+TAKEN_WITHIN = 10.0  # seconds for an answer to be taken off our hands; clients read as it comes
+# Seconds in which what comes after an early answer is read and dropped: closed sooner, what is under way
+# would meet a reset, which can take the answer with it. 60 MB take under one at a fifth of a core.
+DROPPED_FOR = 3.5
+
+
+@dataclass(slots=True)
+class Answer:
+    status: int
+    body: bytes = b""
+    headers: list[tuple[str, str]] = field(default_factory=list)
+
+
+class Desk(Protocol):
+    """Who takes what the server reads."""
+
+    def ready(self) -> bool: ...
+
+    def submitted(self, message: clients.Submitted) -> asyncio.Future[Answer] | None:
+        """The answer to come; None where a submission of that id is open, or was."""
+
+    def gone(self, message: clients.Submitted) -> None: ...
+
+    def called(self, message: clients.Called) -> Awaitable[None] | None:
+        """Where it gives something to wait for, the caller is answered after that."""
+
+    def sought(self, message: clients.Sought) -> Answer: ...
+
+
+class Host(Protocol):
+    """What all connections share: the server that accepted them."""
+
+    descriptors: DescriptorBudget
+    grades: dict[str, int]
+    numbered: set[str]
+    keeps_jobs: bool
+    desk: Desk
+    log: Log
+    waiting: int
+    most_waiting: int
+    stored: int
+    most_stored: int
+    stopping: bool
+
+
+class State(Enum):
+    """What a connection is at; `docs/design/endings.md` says what is owed in each."""
+
+    RECEIVING = "receiving"  # a message is on its way in, or may be
+    AT_REST = "at rest"  # between two messages
+    SERVING = "serving"  # a message is whole and its answer is not written
+    CLOSED = "closed"
+
+
+class Peer(Enum):
+    """Who is at the other side, as far as it has shown."""
+
+    NEWCOMER = "newcomer"  # it has not yet handed in what could be taken, nor called back
+    CLIENT = "client"
+    WORKER = "worker"  # it calls back
+
+
+class ClientConnection:
+    """One accepted connection."""
+
+    def __init__(self, server: Host, inlet: Inlet, writer: asyncio.StreamWriter) -> None:
+        self.server, self.inlet, self.reader, self.writer = server, inlet, inlet.reader, writer
+        self.talk = clients.Conversation(server.grades, server.numbered, server.keeps_jobs)
+        self.reading: asyncio.Task[bytes] | None = None
+        self.state, self.peer = State.RECEIVING, Peer.NEWCOMER
+        self.stored = 0
+        self.due = self.now() + WHOLE_WITHIN  # when the message that is coming in must be whole
+
+    def enter(self, state: State) -> None:
+        """The one place where its state changes; nothing leads back from its end."""
+        if self.state is not State.CLOSED:
+            self.state = state
+
+    @property
+    def proven(self) -> bool:
+        return self.peer is not Peer.NEWCOMER
+
+    @property
+    def at_rest(self) -> bool:
+        """Nothing is owed on it, and its peer would send anew what crosses its close."""
+        return self.state is State.AT_REST and self.proven
+
+    def show_client(self) -> None:
+        if self.peer is Peer.NEWCOMER:
+            self.peer = Peer.CLIENT
+
+    @staticmethod
+    def now() -> float:
+        return asyncio.get_running_loop().time()
+
+    def read(self) -> asyncio.Task[bytes]:
+        """The read that is going on, or a new one: it outlives the wait for an answer."""
+        if self.reading is None:
+            self.reading = asyncio.ensure_future(self.reader.read(Inlet.READ))
+        return self.reading
+
+    async def come(self, within: float | None) -> bool:
+        """Whether something came in that time, or the end; without a time, waits for it."""
+        if (await asyncio.wait([self.read()], timeout=within))[0]:
+            return True
+        for _ in range(2):  # what came while we were held up is no fault of the client's
+            await asyncio.sleep(0)
+        return self.read().done()
+
+    def store(self, size: int) -> bool:
+        """Notes how many bytes are kept for this connection; whether there is room for so many."""
+        self.server.stored += size - self.stored
+        self.stored = size
+        return not size or self.server.stored <= self.server.most_stored
+
+    def take(self) -> bytes:
+        assert self.reading is not None
+        data, self.reading = self.reading.result(), None
+        if data:
+            self.talk.feed(data)
+        return data
+
+    async def converse(self) -> None:
+        while not self.talk.last:
+            message = self.talk.next()
+            if message is None:
+                if not await self.more():
+                    return
+                continue
+            self.enter(State.SERVING)
+            if isinstance(message, clients.Submitted):
+                if not await self.submission(message):
+                    return
+            elif isinstance(message, clients.Called):
+                self.peer = Peer.WORKER
+                taken = self.server.desk.called(message)
+                if taken is not None:
+                    await taken
+                await self.write(Answer(204))
+            elif isinstance(message, clients.Sought):
+                self.show_client()
+                await self.write(self.server.desk.sought(message))
+            elif isinstance(message, clients.Asked):
+                good = not message.ready or self.server.desk.ready()
+                await self.write(Answer(200, b"ok\n") if good else Answer(500, b"not ready\n"))
+            else:
+                await self.turn_away(message)
+
+    async def more(self) -> bool:
+        """Waits for more of a message, as long as it takes if none has begun; whether there is more.
+
+        Of those that have not proven themselves, none may rest or be half-way for long.
+        """
+        if self.talk.wants_go_ahead():
+            self.writer.writelines(self.talk.go_ahead())
+        resting = self.talk.between
+        self.enter(State.AT_REST if resting else State.RECEIVING)
+        if resting or not self.proven:
+            self.server.descriptors.mark_idle(self, self.writer.close, self.proven)
+        within = None if resting and self.proven else max(0.0, self.due - self.now())
+        came = await self.come(within)
+        self.server.descriptors.mark_busy(self)
+        # Closed by us while at rest: what came all the same was not read, and is sent anew elsewhere.
+        if self.writer.is_closing() or resting and not came:
+            return False
+        if resting and self.proven:
+            self.due = self.now() + WHOLE_WITHIN
+        self.enter(State.RECEIVING)
+        if not came:
+            await self.turn_away(clients.Mistaken(408, "half a message"), last=True)
+            return False
+        data = self.take()
+        if not self.store(self.talk.stored):
+            stored = self.server.stored
+            self.server.log.say(
+                f"clients: {stored} bytes stored, no room for more", event="no-room", stored=stored
+            )
+            await self.turn_away(clients.Mistaken(500, "no room"), last=True)
+            return False
+        return bool(data)
+
+    async def turn_away(self, message: clients.Mistaken, last: bool = False) -> None:
+        self.talk.last = self.talk.last or last
+        self.server.log.say(
+            f"clients: not taken, {message.status}: {message.reason}", "clients",
+            event="not-taken", status=message.status, reason=message.reason,
+        )
+        await self.write(Answer(message.status, message.reason.encode() + b"\n"))
+        if self.talk.last:
+            await self.drop_the_rest()
+
+    async def submission(self, message: clients.Submitted) -> bool:
+        """Hands it in and waits for its answer, or for the client to go away."""
+        if self.server.waiting >= self.server.most_waiting:
+            waiting = self.server.waiting
+            self.server.log.say(
+                f"clients: {waiting} wait, no room for more, terminated", event="no-room", waiting=waiting
+            )
+            await self.write(Answer(500, b"no room\n"))
+            return True
+        answer = self.server.desk.submitted(message)
+        if answer is None:
+            await self.turn_away(clients.Mistaken(409, "this id is in use or was"))
+            return True
+        self.show_client()
+        self.store(len(message.body))
+        self.server.waiting += 1
+        try:
+            while not answer.done():
+                first: list[asyncio.Future[Any]] = [answer, self.read()]
+                await asyncio.wait(first, return_when=asyncio.FIRST_COMPLETED)
+                if not answer.done():
+                    if not self.take():
+                        return False
+                    break  # a client hands in one at a time: what follows was meant as part of the first
+            else:
+                await self.write(answer.result())
+                return True
+        finally:
+            self.server.waiting -= 1
+            self.store(0)
+            if not answer.done():
+                self.server.desk.gone(message)
+        await self.turn_away(clients.Mistaken(400, "something follows before the answer"), last=True)
+        return False
+
+    async def write(self, answer: Answer) -> None:
+        last = self.server.stopping and self.peer is not Peer.WORKER
+        self.writer.writelines(self.talk.answer(answer.status, answer.body, answer.headers, last))
+        await asyncio.wait_for(self.writer.drain(), TAKEN_WITHIN)
+        self.due = self.now() + WHOLE_WITHIN
+
+    async def drop_the_rest(self) -> None:
+        """Reads on and stores nothing, so that what is still coming does not reset the answer on its way."""
+        self.store(0)
+        self.inlet.discarding = True
+        self.writer.transport.resume_reading()  # type: ignore[attr-defined]
+        self.server.descriptors.mark_idle(self, self.writer.close, proven=False)
+        with suppress(TimeoutError, OSError):
+            async with asyncio.timeout(DROPPED_FOR):
+                self.writer.write_eof()
+                while await self.read():
+                    self.reading = None
+
+    async def close(self) -> None:
+        self.enter(State.CLOSED)
+        self.server.descriptors.mark_busy(self)
+        self.store(0)
+        if self.reading is not None:
+            self.reading.cancel()
+        self.writer.close()
+        with suppress(TimeoutError, OSError):
+            async with asyncio.timeout(1.0):
+                await self.writer.wait_closed()
+        self.writer.transport.abort()
--- a/locktide/net/descriptors.py
+++ b/locktide/net/descriptors.py
@@ -12,14 +12,14 @@
 APART = 16
 
 
-def divide(descriptors: int) -> tuple[Allotment, Allotment]:
+def divide(descriptors: int) -> tuple[DescriptorBudget, DescriptorBudget]:
     """Clients' part and workers' part. A worker connection serves one dispatch after another, a client's is
     held for as long as the submission runs: so three in four go to clients."""
     clients = (descriptors - APART) * 3 // 4
-    return Allotment(clients), Allotment(descriptors - APART - clients)
+    return DescriptorBudget(clients), DescriptorBudget(descriptors - APART - clients)
 
 
-class Allotment:
+class DescriptorBudget:
     """So many places. At the edge the connection that has rested longest is closed for the next one, of those
     that have not proven themselves first: a flood of newcomers displaces none but newcomers."""
 
@@ -30,7 +30,7 @@
         self.resting: dict[Any, Callable[[], None]] = {}
         self.waiting: deque[asyncio.Future[None]] = deque()
 
-    async def take(self) -> None:
+    async def acquire(self) -> None:
         while self.used >= self.limit:
             if ranks := self.unproven or self.resting:
                 ranks.pop(next(iter(ranks)))()
@@ -46,7 +46,7 @@
                 raise
         self.used += 1
 
-    def give_back(self) -> None:
+    def release(self) -> None:
         self.used -= 1
         self.wake()
 
@@ -57,12 +57,12 @@
                 place.set_result(None)
                 return
 
-    def rests(self, connection: Any, close: Callable[[], None], proven: bool = True) -> None:
+    def mark_idle(self, connection: Any, close: Callable[[], None], proven: bool = True) -> None:
         (self.resting if proven else self.unproven)[connection] = close
         if self.waiting:
-            self.works(connection)
+            self.mark_busy(connection)
             close()
 
-    def works(self, connection: Any) -> None:
+    def mark_busy(self, connection: Any) -> None:
         self.resting.pop(connection, None)
         self.unproven.pop(connection, None)
--- a/locktide/net/watch.py
+++ b/locktide/net/watch.py
@@ -39,7 +39,7 @@
     """
 
     def __init__(
-        self, address: Address, take: Callable[[discovery.Sheet], None], log: Log,
+        self, address: Address, take: Callable[[discovery.ListUpdate], None], log: Log,
         version: int | None = None, patience: float = PATIENCE,
         again: Callable[[bool], Awaitable[None]] = soon,
     ) -> None:
@@ -78,26 +78,26 @@
                 patience = PATIENCE
                 if reply.status != 200:
                     raise Broken(f"status {reply.status}")
-                sheet = discovery.parse(reply.body)
-                if sheet.faults:
-                    count, first = len(sheet.faults), sheet.faults[0]
+                update = discovery.parse(reply.body)
+                if update.faults:
+                    count, first = len(update.faults), update.faults[0]
                     self.log.say(
                         f"worker list: {count} entries not taken, the first for {first}",
                         event="roster-entries-faulty", count=count, first=first,
                     )
                 # Guards against a list remembered from elsewhere: this one counts its versions on its own.
-                behind = self.version is not None and sheet.version < self.version and not sheet.whole
-                self.version = None if behind else sheet.version
+                behind = self.version is not None and update.version < self.version and not update.whole
+                self.version = None if behind else update.version
                 again = self.failing
                 if again:
                     self.failing = False
                     self.log.say(
-                        f"worker list: answers again, version {sheet.version}",
-                        event="roster-answers", version=sheet.version,
+                        f"worker list: answers again, version {update.version}",
+                        event="roster-answers", version=update.version,
                     )
                 # After a failure also what brings nothing: else the gaps of the next begin where these ended.
-                if sheet.whole or sheet.entries or again:
-                    self.take(sheet)
+                if update.whole or update.entries or again:
+                    self.take(update)
                 elif asyncio.get_running_loop().time() < asked_at + GAP:
                     # Guards against spinning where an answer comes before its time and brings nothing.
                     await asyncio.sleep(GAP)
--- a/locktide/net/workers.py
+++ b/locktide/net/workers.py
@@ -7,12 +7,12 @@
 
 from locktide.config.start import Address, spelled
 from locktide.dispatch import interface as say
-from locktide.net.descriptors import Allotment
+from locktide.net.descriptors import DescriptorBudget
 from locktide.net.streams import CountedReader, open_counted, reply_on
 from locktide.protocol.exchange import Broken, Exchange, Question, Reply
 
 
-class Line:
+class WorkerConnection:
     """One connection to a worker, and its place; it carries one question at a time."""
 
     __slots__ = (
@@ -42,13 +42,13 @@
         return quiet and not self.reader.at_eof() and not self.writer.is_closing()
 
 
-class Lines:
+class WorkerConnections:
     """Owns all connections to workers; `close` is the one place where one is given back."""
 
-    def __init__(self, places: Allotment, connect_within: int, idle_close: int) -> None:
-        self.places = places
+    def __init__(self, places: DescriptorBudget, connect_within: int, idle_close: int) -> None:
+        self.descriptors = places
         self.set_spans(connect_within, idle_close)
-        self.idle: dict[str, list[Line]] = {}  # by worker, rested longest first
+        self.idle: dict[str, list[WorkerConnection]] = {}  # by worker, rested longest first
 
     def set_spans(self, connect_within: int, idle_close: int) -> None:
         """Microseconds; connections at rest are judged by them from now on, too."""
@@ -67,76 +67,76 @@
         Cancelled, it closes the connection.
         """
         try:
-            line = await self.open(worker, address, fresh)
+            connection = await self.open(worker, address, fresh)
         except OSError:
             return say.NO_CONNECTION
-        if line is None:
+        if connection is None:
             return say.NEVER_SENT
         whole = False
         try:
             question = build()
             if question is None:
                 return say.NEVER_SENT
-            line.writer.writelines(line.exchange.ask(question))
-            await line.writer.drain()
+            connection.writer.writelines(connection.exchange.ask(question))
+            await connection.writer.drain()
             whole = True
             sent()
-            return await reply_on(line.reader, line.exchange)
+            return await reply_on(connection.reader, connection.exchange)
         except (OSError, Broken):
             # Guards against blaming a worker that has closed a kept connection before it would have to.
-            unheard = line.kept and not line.exchange.heard
+            unheard = connection.kept and not connection.exchange.heard
             return say.NO_CONNECTION if not whole else say.CUT_OFF if unheard else say.RESET
         finally:
-            self.rest(line)
+            self.rest(connection)
 
-    async def open(self, worker: str, address: Address, fresh: bool) -> Line | None:
+    async def open(self, worker: str, address: Address, fresh: bool) -> WorkerConnection | None:
         """A connection that is at rest, else a new one; None where no place came free in time."""
-        while not fresh and (lines := self.idle.get(worker)):
-            line = lines.pop()
-            self.places.works(line)
-            if line.fresh and line.address == address:
-                return line
-            self.close(line)
+        while not fresh and (connections := self.idle.get(worker)):
+            connection = connections.pop()
+            self.descriptors.mark_busy(connection)
+            if connection.fresh and connection.address == address:
+                return connection
+            self.close(connection)
         try:
-            await asyncio.wait_for(self.places.take(), self.connect_within)
+            await asyncio.wait_for(self.descriptors.acquire(), self.connect_within)
         except TimeoutError:
             return None
-        line = Line(worker, address)
+        connection = WorkerConnection(worker, address)
         try:
-            await asyncio.wait_for(line.connect(), self.connect_within)
+            await asyncio.wait_for(connection.connect(), self.connect_within)
         except BaseException:
-            self.close(line)
+            self.close(connection)
             raise
-        return line
+        return connection
 
-    def rest(self, line: Line) -> None:
-        line.kept = False  # what came up to here came for the question
-        if not line.exchange.at_rest or not line.fresh:
-            self.close(line)
+    def rest(self, connection: WorkerConnection) -> None:
+        connection.kept = False  # what came up to here came for the question
+        if not connection.exchange.at_rest or not connection.fresh:
+            self.close(connection)
             return
-        line.kept, line.read_by_then = True, line.reader.counted
-        line.rested_at = asyncio.get_running_loop().time()
-        self.idle.setdefault(line.worker, []).append(line)
-        self.places.rests(line, lambda: self.drop(line))
+        connection.kept, connection.read_by_then = True, connection.reader.counted
+        connection.rested_at = asyncio.get_running_loop().time()
+        self.idle.setdefault(connection.worker, []).append(connection)
+        self.descriptors.mark_idle(connection, lambda: self.drop(connection))
 
-    def drop(self, line: Line) -> None:
-        self.idle[line.worker].remove(line)
-        self.close(line)
+    def drop(self, connection: WorkerConnection) -> None:
+        self.idle[connection.worker].remove(connection)
+        self.close(connection)
 
-    def close(self, line: Line) -> None:
-        self.places.works(line)
-        if line.connected:
-            line.writer.transport.abort()
-        self.places.give_back()
+    def close(self, connection: WorkerConnection) -> None:
+        self.descriptors.mark_busy(connection)
+        if connection.connected:
+            connection.writer.transport.abort()
+        self.descriptors.release()
 
     def forget(self, worker: str) -> None:
         """Closes what rests: the worker is gone, has moved, or has started anew."""
-        for line in self.idle.pop(worker, []):
-            self.close(line)
+        for connection in self.idle.pop(worker, []):
+            self.close(connection)
 
     def sweep(self) -> None:
         """Closes what has rested long enough or was closed by the worker."""
         before = asyncio.get_running_loop().time() - self.idle_for
-        for lines in self.idle.values():
-            for line in [line for line in lines if line.rested_at < before or not line.fresh]:
-                self.drop(line)
+        for connections in self.idle.values():
+            for one in [one for one in connections if one.rested_at < before or not one.fresh]:
+                self.drop(one)
--- a/locktide/node/base.py
+++ b/locktide/node/base.py
@@ -10,12 +10,13 @@
 from locktide.config.start import Address
 from locktide.dispatch import interface as say
 from locktide.dispatch.rules import Dispatcher
+from locktide.net.client_connection import Answer
 from locktide.net.log import Log
-from locktide.net.server import Answer, Server
-from locktide.net.workers import Lines
+from locktide.net.server import Server
+from locktide.net.workers import WorkerConnections
 from locktide.node.clock import Clock
 from locktide.node.keeping import Keeper
-from locktide.node.records import Fleet, Held
+from locktide.node.records import Fleet, OpenSubmission
 
 
 class Base:
@@ -23,7 +24,7 @@
     log: Log
     clock: Clock
     dispatcher: Dispatcher
-    lines: Lines
+    connections: WorkerConnections
     server: Server
     discovery: Address
     listing: say.ListTerms
@@ -32,7 +33,7 @@
     version: int | None  # of the list that was remembered at the start
 
     def __init__(self) -> None:
-        self.held: dict[str, Held] = {}
+        self.held: dict[str, OpenSubmission] = {}
         self.spent: dict[str, float] = {}  # ids that were answered, and when we forget them, oldest first
         self.fleet = Fleet()
         self.news: list[Any] = []
@@ -89,9 +90,9 @@
         held = self.held.get(submission)
         if held is not None and held.open:
             held.answer.set_result(answer)
-            self.let_go(held)
+            self.release_settled(held)
 
-    def let_go(self, held: Held) -> None:
+    def release_settled(self, held: OpenSubmission) -> None:
         if held.settled:
             held.timer.cancel()
             if self.held.pop(held.message.id, None):
--- a/locktide/node/keeping.py
+++ b/locktide/node/keeping.py
@@ -4,16 +4,16 @@
 
 from typing import Protocol
 
-from locktide.node.records import Held, Shot
+from locktide.node.records import OpenDispatch, OpenSubmission
 
 
 class Keeper(Protocol):
     """Joined to a node by `Node.join`; also stands between its server and it, as the server's desk."""
 
-    def keeps(self, held: Held) -> bool: ...
+    def keeps(self, held: OpenSubmission) -> bool: ...
 
-    async def lease(self, held: Held, shot: Shot) -> bool:
+    async def lease(self, held: OpenSubmission, dispatch: OpenDispatch) -> bool:
         """Before the first byte of a dispatch; whether it may go out."""
 
-    def ended(self, held: Held, shot: Shot) -> None:
+    def ended(self, held: OpenSubmission, dispatch: OpenDispatch) -> None:
         """A dispatch has its outcome."""
--- a/locktide/node/node.py
+++ b/locktide/node/node.py
@@ -12,11 +12,12 @@
 from locktide.config.start import Start, spelled
 from locktide.dispatch import interface as say
 from locktide.dispatch.rules import Dispatcher
+from locktide.net.client_connection import Desk
 from locktide.net.descriptors import divide
 from locktide.net.log import Log
-from locktide.net.server import Desk, Server
+from locktide.net.server import Server
 from locktide.net.system import Real, System
-from locktide.net.workers import Lines
+from locktide.net.workers import WorkerConnections
 from locktide.node.clock import Clock
 from locktide.node.keeping import Keeper
 from locktide.node.roster import Roster
@@ -41,13 +42,15 @@
 
 
 class Node(Roster):
-    def __init__(self, start: Start, known: discovery.Sheet, log: Log, system: System | None = None) -> None:
+    def __init__(
+        self, start: Start, known: discovery.ListUpdate, log: Log, system: System | None = None
+    ) -> None:
         super().__init__()
         loop, system = asyncio.get_running_loop(), system or Real()
         self.loop, self.log, self.clock = loop, log, Clock(loop, system.wall)
         self.dispatcher = Dispatcher(start.seed, *on_sockets(start.terms))
         to_clients, to_workers = divide(start.descriptors)
-        self.lines = Lines(to_workers, start.connect_within, start.idle_close)
+        self.connections = WorkerConnections(to_workers, start.connect_within, start.idle_close)
         most_stored = (start.memory - OURS) // 2
         self.longest_limit = 0
         self.server = Server(to_clients, {}, set(), most_stored, self, log, system)
@@ -60,7 +63,7 @@
             say.Deny: self.deny,
             say.Terminate: self.terminate,
             say.Wake: self.wake,
-            say.Close: lambda order: self.lines.forget(order.worker),
+            say.Close: lambda order: self.connections.forget(order.worker),
             say.Log: lambda order: log.say(order.line),
             # Where the list need not be asked for, the watch is always on.
             say.WatchList: lambda order: self.to_ask.set(),
@@ -112,7 +115,7 @@
         grades: list[say.Grade] = start.terms[2]
         self.listing: say.ListTerms = start.terms[8]
         self.connect_within = start.connect_within
-        self.lines.set_spans(start.connect_within, start.idle_close)
+        self.connections.set_spans(start.connect_within, start.idle_close)
         # In place: connections that are kept go by them, too.
         self.server.grades.clear()
         self.server.grades.update({grade.name: grade.time_limit for grade in grades})
@@ -142,6 +145,6 @@
     async def sweep(self) -> None:
         while True:
             await asyncio.sleep(1.0)
-            self.lines.sweep()
+            self.connections.sweep()
             for submission in [one for one, until in self.spent.items() if until < self.loop.time()]:
                 del self.spent[submission]
--- a/locktide/node/records.py
+++ b/locktide/node/records.py
@@ -5,43 +5,71 @@
 import asyncio
 from collections.abc import Iterable
 from dataclasses import replace
+from enum import IntEnum
 
 from locktide.config.start import Address
 from locktide.dispatch import interface as say
-from locktide.net.server import Answer
+from locktide.net.client_connection import Answer
 from locktide.protocol.clients import Submitted
-from locktide.protocol.discovery import Sheet
+from locktide.protocol.discovery import ListUpdate
 
 
-class Shot:
+class Stage(IntEnum):
+    """How far a dispatch has come; `docs/design/endings.md` says what is owed at each."""
+
+    ORDERED = 0  # no byte is out: it may wait for a connection
+    SENDING = 1  # some of its bytes are out
+    SENT = 2  # its last byte is with the kernel: it may run
+    ACCEPTED = 3  # its worker has answered 202
+    ENDED = 4  # it has its outcome
+
+
+class OpenDispatch:
     """One dispatch, until its outcome is told to the decisions."""
 
-    __slots__ = (
-        "number", "worker", "task", "begun", "written", "accepted", "withdrawing", "outcome", "sent_at",
-        "fence", "lapsed",
-    )
+    __slots__ = ("number", "worker", "task", "stage", "recalled", "outcome", "sent_at", "fence", "lapsed")
 
     task: asyncio.Task[None]  # takes it to its worker
 
     def __init__(self, number: int, worker: str) -> None:
         self.number, self.worker = number, worker
-        self.begun = self.written = self.accepted = self.withdrawing = False
-        self.outcome: str | None = None
+        self.stage = Stage.ORDERED
+        self.recalled = False  # its worker is being told to give it up
+        self.outcome: str | None = None  # once it has ended
         self.sent_at = 0  # when its last byte was written
         self.fence = 0  # of its lease, where the submission is a durable job
         self.lapsed = False  # that lease has run out: its worker has no claim on it any more
 
+    def reach(self, stage: Stage) -> None:
+        """The one place where its stage changes. It goes on only: what comes late (a 202 after a callback)
+        takes nothing back.
+        """
+        self.stage = max(self.stage, stage)
+
+    def end(self, outcome: str) -> bool:
+        """Whether that is its outcome: the first that is known counts."""
+        if self.stage is Stage.ENDED:
+            return False
+        self.outcome = outcome
+        self.reach(Stage.ENDED)
+        return True
+
+    @property
+    def may_run(self) -> bool:
+        """All of it was written, and how it ended is not known."""
+        return Stage.SENT <= self.stage < Stage.ENDED
+
 
-class Held:
+class OpenSubmission:
     """One submission, from its last byte until it is answered and each of its dispatches has its outcome."""
 
-    __slots__ = ("message", "limit_at", "answer", "shots", "timer")
+    __slots__ = ("message", "limit_at", "answer", "dispatches", "timer")
 
     timer: asyncio.TimerHandle  # of the time limit
 
     def __init__(self, message: Submitted, limit_at: int, answer: asyncio.Future[Answer]) -> None:
         self.message, self.limit_at, self.answer = message, limit_at, answer
-        self.shots: list[Shot] = []
+        self.dispatches: list[OpenDispatch] = []
 
     @property
     def open(self) -> bool:
@@ -49,16 +77,16 @@
 
     @property
     def settled(self) -> bool:
-        return not self.open and all(shot.outcome for shot in self.shots)
+        return not self.open and not self.out()
 
-    def out(self) -> list[Shot]:
-        return [shot for shot in self.shots if not shot.outcome]
+    def out(self) -> list[OpenDispatch]:
+        return [dispatch for dispatch in self.dispatches if dispatch.stage is not Stage.ENDED]
 
-    def out_at(self, worker: str) -> Shot | None:
+    def out_at(self, worker: str) -> OpenDispatch | None:
         """The dispatch that a word from this worker is about: one that it can have."""
-        for shot in self.out():
-            if shot.worker == worker and shot.written:
-                return shot
+        for dispatch in self.out():
+            if dispatch.worker == worker and dispatch.may_run:
+                return dispatch
         return None
 
 
@@ -69,30 +97,30 @@
         self.entries: dict[str, say.Listed] = {}
         self.addresses: dict[str, Address] = {}
 
-    def take(self, sheet: Sheet) -> Iterable[str]:
-        """Names the workers to which connections are of no more use; completes the sheet by what was known.
+    def take(self, update: ListUpdate) -> Iterable[str]:
+        """Names the workers to which connections are of no more use; completes the update by what was known.
 
         Guards against an entry that cannot be read: what is said of a worker but not understood may be that
         it drains, so it gets nothing new, while the rest of the list counts as ever.
         """
         stale = []
-        for worker in sheet.unclear:
+        for worker in update.unclear:
             if before := self.entries.get(worker):
                 state = say.DRAINING if before.state == say.READY else before.state
-                sheet.entries.append(replace(before, state=state))
-                sheet.addresses[worker] = self.addresses[worker]
-        told = {entry.worker for entry in sheet.entries}
-        if sheet.whole:
+                update.entries.append(replace(before, state=state))
+                update.addresses[worker] = self.addresses[worker]
+        told = {entry.worker for entry in update.entries}
+        if update.whole:
             for worker in [worker for worker in self.entries if worker not in told]:
                 self.entries[worker].state = say.GONE
                 stale.append(worker)
-        for entry in sheet.entries:
+        for entry in update.entries:
             worker, before = entry.worker, self.entries.get(entry.worker)
-            moved = self.addresses.get(worker) != sheet.addresses[worker]
+            moved = self.addresses.get(worker) != update.addresses[worker]
             if before and (moved or before.started_at != entry.started_at or entry.state == say.GONE):
                 stale.append(worker)
             self.entries[worker] = entry
-            self.addresses[worker] = sheet.addresses[worker]
+            self.addresses[worker] = update.addresses[worker]
         return stale
 
     def may_send(self, worker: str) -> bool:
--- a/locktide/node/roster.py
+++ b/locktide/node/roster.py
@@ -43,11 +43,11 @@
         self.tell(say.ListNews(say.LIST_FAILED, []))
         await self.to_ask.wait()
 
-    def take_list(self, sheet: discovery.Sheet) -> None:
-        for worker in self.fleet.take(sheet):
-            self.lines.forget(worker)
+    def take_list(self, update: discovery.ListUpdate) -> None:
+        for worker in self.fleet.take(update):
+            self.connections.forget(worker)
             self.lost_at(worker)
-        self.tell(say.ListNews(say.WHOLE if sheet.whole else say.CHANGES, sheet.entries))
+        self.tell(say.ListNews(say.WHOLE if update.whole else say.CHANGES, update.entries))
         self.listed.set()
 
     def lost_at(self, worker: str) -> None:
@@ -59,8 +59,8 @@
         """
         started_at = self.fleet.entries[worker].started_at
         for held in list(self.held.values()):
-            for shot in held.out():
-                earlier = shot.worker == worker and shot.written and shot.sent_at < started_at
-                if earlier and not shot.withdrawing:
-                    shot.withdrawing = True
-                    self.call_off(held, shot, say.CUT_OFF)
+            for dispatch in held.out():
+                earlier = dispatch.worker == worker and dispatch.may_run and dispatch.sent_at < started_at
+                if earlier and not dispatch.recalled:
+                    dispatch.recalled = True
+                    self.call_off(held, dispatch, say.CUT_OFF)
--- a/locktide/node/submissions.py
+++ b/locktide/node/submissions.py
@@ -5,9 +5,9 @@
 import asyncio
 
 from locktide.dispatch import interface as say
-from locktide.net.server import Answer
+from locktide.net.client_connection import Answer
 from locktide.node.dispatches import Dispatches
-from locktide.node.records import Held, Shot
+from locktide.node.records import OpenDispatch, OpenSubmission, Stage
 from locktide.protocol import clients
 
 # What is left of the client's time when we call it up: its way to us, ours back, and a late turn of the loop.
@@ -30,7 +30,7 @@
         if self.kill_at is not None and not message.patient:  # the next process goes on with those
             patience = min(patience, int((self.kill_at - self.loop.time()) * 1e6))
         limit_at = now + patience - min(ON_THE_WAY, patience // PART_ON_THE_WAY)
-        held = Held(message, limit_at, self.loop.create_future())
+        held = OpenSubmission(message, limit_at, self.loop.create_future())
         self.held[message.id] = held
         held.timer = self.loop.call_at(self.clock.at(limit_at), self.time_out, held)
         self.tell(self.arrival(message, limit_at))
@@ -44,20 +44,22 @@
         )
 
     def recover(
-        self, message: clients.Submitted, arrived_at: int, limit_at: int, shots: list[say.Earlier],
+        self, message: clients.Submitted, arrived_at: int, limit_at: int, dispatches: list[say.Earlier],
         fences: list[int],
     ) -> asyncio.Future[Answer]:
         """Takes up a job of an earlier process; its dispatches without an outcome may still be heard of."""
-        held = Held(message, limit_at, self.loop.create_future())
+        held = OpenSubmission(message, limit_at, self.loop.create_future())
         self.held[message.id] = held
         held.timer = self.loop.call_at(self.clock.at(limit_at), self.time_out, held)
-        for earlier, fence in zip(shots, fences, strict=True):
-            shot = Shot(len(held.shots), earlier.worker)
-            shot.begun = shot.written = shot.accepted = True
-            shot.outcome, shot.sent_at, shot.fence = earlier.outcome, earlier.sent_at, fence
-            shot.task = self.start(asyncio.sleep(0))  # the connection that carried it is gone
-            held.shots.append(shot)
-        self.tell(say.Recovered(self.arrival(message, limit_at), arrived_at, shots))
+        for earlier, fence in zip(dispatches, fences, strict=True):
+            dispatch = OpenDispatch(len(held.dispatches), earlier.worker)
+            dispatch.reach(Stage.ACCEPTED)
+            if earlier.outcome:
+                dispatch.end(earlier.outcome)
+            dispatch.sent_at, dispatch.fence = earlier.sent_at, fence
+            dispatch.task = self.start(asyncio.sleep(0))  # the connection that carried it is gone
+            held.dispatches.append(dispatch)
+        self.tell(say.Recovered(self.arrival(message, limit_at), arrived_at, dispatches))
         return held.answer
 
     def gone(self, message: clients.Submitted) -> None:
@@ -65,7 +67,7 @@
         if held is not None and held.open:
             held.answer.cancel()
             self.tell(say.ClientGone(message.id))
-            self.let_go(held)
+            self.release_settled(held)
 
     def deny(self, order: say.Deny) -> None:
         advice = [("Retry-After", f"{order.come_back_after / 1e6:.3f}")] if order.come_back_after else []
@@ -74,15 +76,15 @@
     def terminate(self, order: say.Terminate) -> None:
         self.answer(order.submission, Answer(502, b"terminated\n"))
 
-    def time_out(self, held: Held) -> None:
+    def time_out(self, held: OpenSubmission) -> None:
         """The time limit: nobody waits any longer, neither for a dispatch nor with the client."""
-        for shot in held.out():
-            if not shot.withdrawing:
-                self.call_off(held, shot)
-            self.end(held, shot, say.TIMED_OUT)
+        for dispatch in held.out():
+            if not dispatch.recalled:
+                self.call_off(held, dispatch)
+            self.end(held, dispatch, say.TIMED_OUT)
         held.timer = self.loop.call_later(OVERDUE / 1e6, self.overdue, held)
 
-    def overdue(self, held: Held) -> None:
+    def overdue(self, held: OpenSubmission) -> None:
         if held.open:
             id = held.message.id
             self.log.say(
--- a/locktide/node/withdrawals.py
+++ b/locktide/node/withdrawals.py
@@ -26,8 +26,8 @@
 
 
 async def give_up(
-    lines: Asking, worker: str, address: Callable[[], Address | None], submission: str, connect_within: int,
-    vain: Callable[[], bool],
+    connections: Asking, worker: str, address: Callable[[], Address | None], submission: str,
+    connect_within: int, vain: Callable[[], bool],
 ) -> bool:
     """Tells the worker, as long as it takes; whether it has been told. `connect_within` in microseconds.
 
@@ -46,7 +46,7 @@
             # As long as a connection may take, and its answer: a silent worker must not hold up the rest.
             async with asyncio.timeout(within if tries == 1 else 2 * within):
                 if at is not None:
-                    told = await lines.ask(
+                    told = await connections.ask(
                         worker, at, lambda: question, lambda whole=whole: whole.append(True),  # type: ignore[misc]
                         fresh=tries > 1,
                     )
--- a/locktide/protocol/discovery.py
+++ b/locktide/protocol/discovery.py
@@ -16,7 +16,7 @@
 
 
 @dataclass(slots=True)
-class Sheet:
+class ListUpdate:
     """A whole list, or the entries that changed, with each worker's address.
 
     `unclear` are workers that it names but of which it does not say what can be taken; `faults` tells why.
@@ -48,41 +48,41 @@
     return listed, address(told.key("endpoint"), told.text("endpoint"))
 
 
-def read(raw: Any, path: str, strict: bool = True) -> Sheet:
+def read(raw: Any, path: str, strict: bool = True) -> ListUpdate:
     """Raises Faulty, with the name of the key, where it is not a list of workers.
 
     Unless `strict`, an entry that is faulty, or names a worker twice, is left out and noted as unclear; a
     list of which more than half is like that is refused as a whole.
     """
     told = Table(raw, path)
-    sheet = Sheet(told.whole("rev"), told.flag("all"), [], {})
+    update = ListUpdate(told.whole("rev"), told.flag("all"), [], {})
     rows = told.row("targets")
     unclear: dict[str, None] = {}
     for place, row in enumerate(rows):
         where = f"{path}.targets[{place}]"
         try:
             listed, at = entry(Table(row, where))
-            if listed.worker in sheet.addresses or listed.worker in unclear:
+            if listed.worker in update.addresses or listed.worker in unclear:
                 raise Faulty(f"{where}.uid", f"{listed.worker!r:.40} is told twice")
         except Faulty as fault:
             if strict:
                 raise
-            sheet.faults.append(str(fault))
+            update.faults.append(str(fault))
             worker = row.get("uid") if isinstance(row, dict) else None
             if isinstance(worker, str):
                 unclear[worker] = None
-            if 2 * len(sheet.faults) > len(rows):
+            if 2 * len(update.faults) > len(rows):
                 raise
             continue
-        sheet.entries.append(listed)
-        sheet.addresses[listed.worker] = at
+        update.entries.append(listed)
+        update.addresses[listed.worker] = at
     if unclear:  # once, at the end: a list of many thousands must not hold up the loop
-        sheet.unclear = list(unclear)
-        sheet.entries = [one for one in sheet.entries if one.worker not in unclear]
+        update.unclear = list(unclear)
+        update.entries = [one for one in update.entries if one.worker not in unclear]
         for worker in unclear:
-            sheet.addresses.pop(worker, None)
-    return sheet
+            update.addresses.pop(worker, None)
+    return update
 
 
-def parse(body: bytes) -> Sheet:
+def parse(body: bytes) -> ListUpdate:
     return read(json.loads(body), "list", strict=False)
--- a/locktide/simhost/wire.py
+++ b/locktide/simhost/wire.py
@@ -175,7 +175,7 @@
     if type(order) is say.Terminate:
         return f"FINISH_ERROR Corr={order.submission}"
     if type(order) is say.Withdraw:
-        return f"WITHDRAW Corr={order.submission} Shot={order.shot}"
+        return f"WITHDRAW Corr={order.submission} Shot={order.number}"
     if type(order) is say.Close:
         return f"CLOSE Worker={order.worker}"
     if type(order) is say.WatchList:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -16,8 +16,8 @@
 from locktide.config import start
 from locktide.dispatch import interface as say
 from locktide.dispatch.rules import Dispatcher
+from locktide.net.client_connection import Answer
 from locktide.net.log import Log
-from locktide.net.server import Answer
 from locktide.node.node import Node
 from locktide.protocol import clients, discovery
 from locktide.protocol import names as wire_names
@@ -64,7 +64,7 @@
         self.grades = {grade.name: grade for grade in GRADES}
         self.arrivals: dict[int, say.Arrival] = {}
         self.answered: dict[int, str] = {}
-        self.shots: dict[int, list[dict[str, Any]]] = {}
+        self.dispatches: dict[int, list[dict[str, Any]]] = {}
         self.workers: dict[str, say.Listed] = {}
         self.timers: list[tuple[int, int]] = []
         self.cold: dict[tuple[str, int], list[tuple[int, float]]] = {}
@@ -91,7 +91,7 @@
             self.timers = [timer for timer in self.timers if timer[0] > self.now]
             late = [
                 say.Ended(submission, place, say.TIMED_OUT, False)
-                for submission, shots in self.shots.items() for place, shot in enumerate(shots)
+                for submission, shots in self.dispatches.items() for place, shot in enumerate(shots)
                 if shot["outcome"] is None and self.now >= self.arrivals[submission].time_limit_at
             ]
             if due or late:
@@ -110,16 +110,16 @@
 
     def out(self) -> list[tuple[int, int]]:
         return [
-            (submission, place) for submission, shots in self.shots.items()
+            (submission, place) for submission, shots in self.dispatches.items()
             for place, shot in enumerate(shots) if shot["outcome"] is None
         ]
 
     def note(self, piece: Any) -> None:
         if type(piece) is say.Arrival:
             self.arrivals[piece.submission] = piece
-            self.shots[piece.submission] = []
+            self.dispatches[piece.submission] = []
         elif type(piece) is say.Ended:
-            self.shots[piece.submission][piece.shot]["outcome"] = piece.outcome
+            self.dispatches[piece.submission][piece.number]["outcome"] = piece.outcome
             if piece.final:
                 self.answered.setdefault(piece.submission, "done")
         elif type(piece) is say.ClientGone:
@@ -145,10 +145,10 @@
                 assert harmless or grade.effect == say.REISSUABLE, "rule two: a denial of what may have run"
             self.answered[order.submission] = "denied" if type(order) is say.Deny else "terminated"
         elif type(order) is say.Withdraw:
-            assert order.shot < len(self.shots[order.submission])
+            assert order.number < len(self.dispatches[order.submission])
 
     def held(self, submission: int) -> list[dict[str, Any]]:
-        return [shot for shot in self.shots[submission] if shot["outcome"] not in say.PROVEN_NOT_RUN]
+        return [shot for shot in self.dispatches[submission] if shot["outcome"] not in say.PROVEN_NOT_RUN]
 
     def check_dispatch(self, order: say.Dispatch) -> None:
         arrival = self.arrivals[order.submission]
@@ -156,7 +156,7 @@
         held = self.held(order.submission)
         assert order.submission not in self.answered, "rule one: a dispatch after the answer"
         assert worker.state == say.READY, "rule three: a dispatch to a worker that drains or is gone"
-        counted = self.shots[order.submission]
+        counted = self.dispatches[order.submission]
         if arrival.patient:
             counted = [shot for shot in counted if shot["outcome"] not in say.PROVEN_NOT_RUN]
         elif not self.dispatcher.dispatching.counts_unsent:
@@ -184,7 +184,7 @@
             # lets through one submission of at most half of what all may send, beside our part.
             most = max(2.0 * whole / self.fleet, 0.5 * whole + whole / self.fleet)
             assert not arrival.work_hint or lately <= most, "rule four: over our share"
-        self.shots[order.submission].append(
+        self.dispatches[order.submission].append(
             dict(at=self.now, worker=order.worker, cell=worker.cell, zone=worker.zone, outcome=None)
         )
 
@@ -220,14 +220,14 @@
     def __init__(self) -> None:
         here = ("127.0.0.1", 9)
         names = [f"w{number}" for number in range(3)]
-        known = discovery.Sheet(1, True, [listed(name) for name in names], dict.fromkeys(names, here))
+        known = discovery.ListUpdate(1, True, [listed(name) for name in names], dict.fromkeys(names, here))
         self.lines_logged: list[str] = []
         log = Log("n0")
         log.say = lambda line, *_, **__: self.lines_logged.append(line)  # type: ignore[method-assign]
         told = start.Start("n0", here, here, 7, 100, 80 << 20, {}, 250_000, 30_000_000,
                            terms(3, 1, False, 0.4))
         self.node = Node(told, known, log)
-        self.node.lines = self  # type: ignore[assignment]
+        self.node.connections = self  # type: ignore[assignment]
         self.asked: list[Asked] = []
         self.forgotten: list[str] = []
         self.turns: list[tuple[int, list[Any]]] = []
@@ -264,7 +264,7 @@
         """The dispatch of that submission, with no byte written."""
         await self.settle()
         place = list(self.node.held).index(name)
-        assert self.node.held[name].shots
+        assert self.node.held[name].dispatches
         return self.asked[place]
 
     async def sent(self, name: str) -> Asked:
@@ -278,7 +278,7 @@
 
     def list(self, worker: str, state: str, started_at: int = 0) -> None:
         entry = listed(worker, state, started_at)
-        self.node.take_list(discovery.Sheet(2, False, [entry], {worker: ("127.0.0.1", 9)}))
+        self.node.take_list(discovery.ListUpdate(2, False, [entry], {worker: ("127.0.0.1", 9)}))
 
     def outcomes(self) -> list[str]:
         return [piece.outcome for _, news in self.turns for piece in news if type(piece) is say.Ended]
--- a/tests/test_bound.py
+++ b/tests/test_bound.py
@@ -42,8 +42,8 @@
     assert [sub for sub, _ in made.out()] == [2]
     made.list(here, replace(there, state=say.READY))
     made.pass_time(40_000)
-    worker = made.dispatcher.submissions[1].shots[0].worker
-    assert worker.id == "w1" and len(made.dispatcher.submissions[1].shots) == 1
+    worker = made.dispatcher.submissions[1].dispatches[0].worker
+    assert worker.id == "w1" and len(made.dispatcher.submissions[1].dispatches) == 1
 
 
 def test_resting_connections_are_closed_at_the_notice_and_after_each_end_there() -> None:
@@ -83,7 +83,7 @@
 
         listening = await asyncio.start_server(worker, "127.0.0.1", 0)
         here = listening.sockets[0].getsockname()
-        known = discovery.Sheet(1, True, [listed("w0")], {"w0": here})
+        known = discovery.ListUpdate(1, True, [listed("w0")], {"w0": here})
         told = start.Start("n0", here, here, 7, 100, 80 << 20, {}, 250_000, 30_000_000, bound(100_000))
         node = Node(told, known, Log("n0"))
         node.submitted(submission("a"))
@@ -91,7 +91,7 @@
         if not late:
             answer.set()
             await asyncio.sleep(0.05)
-        node.take_list(discovery.Sheet(2, False, [listed("w0", say.DRAINING)], {"w0": here}))
+        node.take_list(discovery.ListUpdate(2, False, [listed("w0", say.DRAINING)], {"w0": here}))
         begun = loop.time()
         if late:
             await asyncio.sleep(0.05)
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -221,15 +221,15 @@
 
 def test_nothing_may_be_sent_after_the_answer(monkeypatch: pytest.MonkeyPatch) -> None:
     """The node itself refuses such an order; without that the checker must see it."""
-    let_go = node_module.Node.let_go
+    release_settled = node_module.Node.release_settled
 
     def forgetful(self: Any, held: Any) -> None:
-        if held.shots:
-            let_go(self, held)
+        if held.dispatches:
+            release_settled(self, held)
 
-    monkeypatch.setattr(node_module.Node, "let_go", forgetful)
-    monkeypatch.setattr(records.Held, "open", property(lambda self: not self.shots or not all(
-        shot.outcome for shot in self.shots
+    monkeypatch.setattr(node_module.Node, "release_settled", forgetful)
+    monkeypatch.setattr(records.OpenSubmission, "open", property(lambda self: not self.dispatches or not all(
+        shot.outcome for shot in self.dispatches
     )))
     answer = node_module.Node.answer
 
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -373,9 +373,9 @@
     assert [end.status for end in ends] == [503, 502]
     old, ran, new = (step for step in steps if isinstance(step, Resume))
     # Written at 1001 s and open for 100: 9 s later, on our clock, 91 are left.
-    assert old.limit_at == now + 91 * S and old.out == [0] and old.shots[0].outcome is None
-    assert old.shots[0].sent_at == now - 6 * S
-    assert ran.out == [] and ran.shots[0].outcome == say.RESET and new.shots == []
+    assert old.limit_at == now + 91 * S and old.out == [0] and old.dispatches[0].outcome is None
+    assert old.dispatches[0].sent_at == now - 6 * S
+    assert ran.out == [] and ran.dispatches[0].outcome == say.RESET and new.dispatches == []
 
 
 def test_after_a_clock_that_stepped_back_nothing_is_repeated() -> None:
@@ -383,7 +383,7 @@
         BEGAN, accepted("a", 1001 * S), leased("a", at=1002 * S), Ended("a", 1, say.RESET, 1003 * S)
     )
     (step,) = recovery.plan(table, leases.Leases(TERMS), Span(0, recovery.UNKNOWN_SPAN), 5000 * S)
-    assert isinstance(step, Resume) and step.shots[0].sent_at < -recovery.UNKNOWN_SPAN // 2
+    assert isinstance(step, Resume) and step.dispatches[0].sent_at < -recovery.UNKNOWN_SPAN // 2
 
 
 def recovered(*shots: say.Earlier, grade: str = "record") -> tuple[Dispatcher, list[Any]]:
--- a/tests/test_hostile.py
+++ b/tests/test_hostile.py
@@ -13,8 +13,8 @@
 from locktide.config import start
 from locktide.config.checks import Faulty
 from locktide.net import watch as watch_module
-from locktide.net.descriptors import Allotment
-from locktide.net.workers import Lines
+from locktide.net.descriptors import DescriptorBudget
+from locktide.net.workers import WorkerConnections
 from locktide.protocol import clients, discovery
 from locktide.protocol.exchange import Question, Reply
 
@@ -165,14 +165,15 @@
     async def story() -> None:
         listening = await asyncio.start_server(script, "127.0.0.1", 0)
         at = listening.sockets[0].getsockname()
-        lines, question = Lines(Allotment(10), 500_000, 400_000), Question("POST", "/view", [], b"x" * 100)
+        lines = WorkerConnections(DescriptorBudget(10), 500_000, 400_000)
+        question = Question("POST", "/view", [], b"x" * 100)
         for _ in range(2):
             found = await lines.ask("w", at, lambda: question, lambda: None)
             assert isinstance(found, Reply) and found.status == 202
             kept = lines.idle["w"][0]
             while met == 1 and kept.fresh:
                 await asyncio.sleep(0.001)
-        assert met == 2 and lines.places.used == 1
+        assert met == 2 and lines.descriptors.used == 1
         listening.close()
 
     asyncio.run(story())
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -61,7 +61,7 @@
             service.arrive(submission, "close", hint=300_000)
             service.pass_time(STEP)
         for submission, shot in service.out():
-            worker = service.shots[submission][shot]["worker"]
+            worker = service.dispatches[submission][shot]["worker"]
             if worker in got:
                 got[worker] += 1
     # Two slots, at 0.3 of what they can do: in a window each bears so many such submissions.
@@ -170,7 +170,7 @@
 def test_a_remembered_version_that_this_discovery_has_not_reached_is_given_up() -> None:
     async def run() -> None:
         heard: list[str] = []
-        sheets: list[discovery.Sheet] = []
+        sheets: list[discovery.ListUpdate] = []
         listening = await agent([sheet(3, False), sheet(3, True)], heard)
 
         def take(told: Any) -> None:
@@ -279,7 +279,7 @@
         here = player.node.fleet.addresses["w0"]
         gone = [listed(name, say.GONE) for name in ("w0", "w1", "w2")]
         addresses = dict.fromkeys(["w0", "w1", "w2", "w9"], here)
-        player.node.take_list(discovery.Sheet(2, False, [*gone, listed("w9")], addresses))
+        player.node.take_list(discovery.ListUpdate(2, False, [*gone, listed("w9")], addresses))
         player.node.submitted(submission_of("a"))
         assert (await player.sent("a")).worker == "w9"
         assert set(player.forgotten) >= {"w0", "w1", "w2"}, "their connections lead to another process now"
@@ -295,7 +295,7 @@
     async def run() -> None:
         player, heard, stop = told_to_ask(), [], asyncio.Event()
         node = player.node
-        node.lines.sweep = lambda: None  # type: ignore[method-assign]
+        node.connections.sweep = lambda: None  # type: ignore[method-assign]
         listening = await agent([], heard)
         node.discovery, node.listen_at = listening.sockets[0].getsockname(), free_address()
         running = asyncio.create_task(node.run(stop))
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -36,7 +36,7 @@
         service.list(*rated(ratings, **started), kind=say.CHANGES)
         service.arrive(1, "view")
         service.pass_time(10 * STEP)
-        places[service.shots[1][0]["worker"]] += 1
+        places[service.dispatches[1][0]["worker"]] += 1
     return places
 
 
@@ -79,7 +79,8 @@
             service.pass_time(2 * STEP)
             for one, shot in service.out():
                 service.end(one, shot, say.DONE)
-        return {service.shots[one][0]["worker"] for one in range(first, first + 40) if service.shots[one]}
+        met = [service.dispatches[one] for one in range(first, first + 40)]
+        return {dispatches[0]["worker"] for dispatches in met if dispatches}
 
     assert sent(0) == set(ratings)
     assert say.Log("avoiding worker w2: its rating stands still") in renewed("w2")
@@ -122,7 +123,7 @@
         for submission in range(8):
             service.arrive(submission, "view", hint=300_000)
         service.pass_time(500_000)
-        work.update(shots[0]["worker"] for shots in service.shots.values() if shots)
+        work.update(shots[0]["worker"] for shots in service.dispatches.values() if shots)
     # Half of the limit, which is what its warmth allows in a window.
     warmth = COLD.cold_from + (1 - COLD.cold_from) * 3 / 8
     assert 0 < work["w0"] * 0.3 / 8 < 0.75 * COLD.factor * warmth
@@ -136,7 +137,7 @@
             service.arrive(submission, "view")
             service.pass_time(5 * STEP)
             service.end(submission, 0, say.DONE)
-        return len({service.shots[submission][0]["worker"] for submission in range(60)})
+        return len({service.dispatches[submission][0]["worker"] for submission in range(60)})
 
     assert connections(0.05) < 6 and connections(0.0) == 10
 
@@ -151,7 +152,7 @@
         service.arrive(submission, "view")
         service.pass_time(STEP)
         service.end(submission, 0, say.DONE)
-    slow = sum(service.shots[one][0]["worker"] in ("w0", "w1", "w2", "w3", "w4") for one in range(200))
+    slow = sum(service.dispatches[one][0]["worker"] in ("w0", "w1", "w2", "w3", "w4") for one in range(200))
     assert 20 < slow < 65  # a quarter as often
 
 
@@ -173,9 +174,9 @@
     service.arrive(1, "record")
     service.end(1, 0, say.FULL)
     service.pass_time(2 * STEP)
-    assert len(service.shots[1]) == 1 and 1 not in service.answered
+    assert len(service.dispatches[1]) == 1 and 1 not in service.answered
     service.pass_time(200_000)
-    assert len(service.shots[1]) == 2
+    assert len(service.dispatches[1]) == 2
 
 
 def test_what_is_given_up_is_answered_at_once() -> None:
@@ -212,8 +213,8 @@
                 outcomes = [say.DONE, say.DONE, say.FULL, say.ERROR, say.RESET]
                 service.end(submitted, shot, dice.choice(outcomes))
         for order in [order for order in service.orders if type(order) is say.Withdraw]:
-            if (order.submission, order.shot) in service.out() and dice.random() < 0.7:
-                service.end(order.submission, order.shot, say.WITHDRAWN)
+            if (order.submission, order.number) in service.out() and dice.random() < 0.7:
+                service.end(order.submission, order.number, say.WITHDRAWN)
         if dice.random() < 0.2:
             place = dice.randrange(6)
             rating = dice.random() * 9
@@ -240,7 +241,7 @@
     told[2] = [grade for grade in GRADES if grade.name != "cash"]
     service.turn(say.NewTerms(tuple(told)))
     service.list(listed("w0"))
-    assert service.shots[1]
+    assert service.dispatches[1]
     assert [type(order) for order in service.end(1, 0, say.ERROR) if type(order) is not say.Log] == [
         say.Terminate
     ]
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -20,10 +20,11 @@
 
 from locktide.dispatch import interface as say
 from locktide.net import watch
-from locktide.net.descriptors import Allotment
+from locktide.net.client_connection import Answer, Peer, State
+from locktide.net.descriptors import DescriptorBudget
 from locktide.net.log import BURST, Log
-from locktide.net.server import Answer, Server
-from locktide.net.workers import Lines
+from locktide.net.server import Server
+from locktide.net.workers import WorkerConnections
 from locktide.protocol import discovery, names
 from locktide.protocol.exchange import Question, Reply
 
@@ -337,23 +338,23 @@
 
 def test_at_the_edge_the_connection_that_rested_longest_goes() -> None:
     async def run() -> None:
-        places, closed = Allotment(2), []
+        places, closed = DescriptorBudget(2), []
 
         def close(name: str) -> Callable[[], None]:
-            return lambda: (closed.append(name), places.give_back())[0]
+            return lambda: (closed.append(name), places.release())[0]
 
-        await places.take()
-        await places.take()
-        places.rests("one", close("one"))
-        places.rests("two", close("two"))
-        await places.take()
+        await places.acquire()
+        await places.acquire()
+        places.mark_idle("one", close("one"))
+        places.mark_idle("two", close("two"))
+        await places.acquire()
         assert closed == ["one"] and places.used == 2
-        places.works("two")
-        waiting = [asyncio.create_task(places.take()) for _ in range(2)]
+        places.mark_busy("two")
+        waiting = [asyncio.create_task(places.acquire()) for _ in range(2)]
         await asyncio.sleep(0)
         waiting[0].cancel()
         await asyncio.sleep(0)
-        places.rests("two", close("two"))  # another waits for its place
+        places.mark_idle("two", close("two"))  # another waits for its place
         await asyncio.wait_for(waiting[1], 5.0)
         assert closed == ["one", "two"] and places.used == 2 and not places.resting
 
@@ -377,11 +378,11 @@
 
 async def line_to(
     script: Callable[..., Awaitable[None]], times: int = 1, body: bytes = b"x" * 100
-) -> tuple[list[Reply | str], Lines]:
+) -> tuple[list[Reply | str], WorkerConnections]:
     """Asks a scripted worker some times, one after the other."""
     listening = await asyncio.start_server(script, "127.0.0.1", 0)
     address = listening.sockets[0].getsockname()
-    lines, found = Lines(Allotment(10), 500_000, 400_000), []
+    lines, found = WorkerConnections(DescriptorBudget(10), 500_000, 400_000), []
     question = Question("POST", "/view", [], body)
     for _ in range(times):
         found.append(await lines.ask("w", address, lambda: question, lambda: None))
@@ -396,7 +397,7 @@
 
     async def run() -> None:
         found, lines = await line_to(script)
-        assert found == [say.RESET] and lines.places.used == 0
+        assert found == [say.RESET] and lines.descriptors.used == 0
 
     asyncio.run(run())
 
@@ -420,11 +421,11 @@
     async def run() -> None:
         with socket.socket() as taken:  # bound but not listening: nothing comes up
             taken.bind(("127.0.0.1", 0))
-            lines = Lines(Allotment(10), 500_000, 400_000)
+            lines = WorkerConnections(DescriptorBudget(10), 500_000, 400_000)
             question = Question("POST", "/view", [])
             outcome = await lines.ask("w", taken.getsockname(), lambda: question, lambda: None)
-            assert outcome == say.NO_CONNECTION and lines.places.used == 0
-        full = Lines(Allotment(0), 10_000, 400_000)
+            assert outcome == say.NO_CONNECTION and lines.descriptors.used == 0
+        full = WorkerConnections(DescriptorBudget(0), 10_000, 400_000)
         assert await full.ask("w", ("127.0.0.1", 9), lambda: None, lambda: None) == say.NEVER_SENT
 
     asyncio.run(run())
@@ -438,7 +439,7 @@
 
     async def run() -> None:
         found, lines = await line_to(script, body=b"x" * 50_000_000)  # more than the kernel takes at once
-        assert found == [say.NO_CONNECTION] and lines.places.used == 0
+        assert found == [say.NO_CONNECTION] and lines.descriptors.used == 0
 
     asyncio.run(run())
 
@@ -459,10 +460,10 @@
         found, lines = await line_to(script, times=3)
         assert [reply.status for reply in found if isinstance(reply, Reply)] == [202] * 3 and len(met) == 1
         lines.sweep()
-        assert lines.places.used == 1
+        assert lines.descriptors.used == 1
         lines.idle["w"][0].rested_at -= 0.21  # past half of the stated idle time
         lines.sweep()
-        assert lines.places.used == 0
+        assert lines.descriptors.used == 0
 
     asyncio.run(run())
 
@@ -476,14 +477,15 @@
     async def run() -> None:
         listening = await asyncio.start_server(script, "127.0.0.1", 0)
         address = listening.sockets[0].getsockname()
-        lines, question = Lines(Allotment(10), 500_000, 400_000), Question("POST", "/view", [], b"x" * 100)
+        lines = WorkerConnections(DescriptorBudget(10), 500_000, 400_000)
+        question = Question("POST", "/view", [], b"x" * 100)
         for _ in range(2):
             reply = await lines.ask("w", address, lambda: question, lambda: None)
             assert isinstance(reply, Reply)
             while lines.idle["w"] and lines.idle["w"][0].fresh:
                 await asyncio.sleep(0.001)  # until its end has come
         lines.sweep()
-        assert lines.places.used == 0
+        assert lines.descriptors.used == 0
         listening.close()
 
     asyncio.run(run())
@@ -505,7 +507,7 @@
 
     async def run() -> None:
         listening = await asyncio.start_server(agent, "127.0.0.1", 0)
-        sheets: list[discovery.Sheet] = []
+        sheets: list[discovery.ListUpdate] = []
         following = watch.Watch(listening.sockets[0].getsockname(), sheets.append, Log("n0"))
         task = asyncio.create_task(following.run())
         while len(heard) < 4:
@@ -522,14 +524,14 @@
 
 async def listening_to(clerk: Clerk, places: int = 64) -> tuple[Server, Any]:
     limits = {grade.name: grade.time_limit for grade in GRADES}
-    server = Server(Allotment(places), dict(limits), set(), 200_000, clerk, Log("n0"))
+    server = Server(DescriptorBudget(places), dict(limits), set(), 200_000, clerk, Log("n0"))
     address = free_address()
     server.listen(address)
     return server, address
 
 
 def test_a_client_that_closes_has_gone_and_half_a_message_is_a_408(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("locktide.net.server.WHOLE_WITHIN", 0.02)
+    monkeypatch.setattr("locktide.net.client_connection.WHOLE_WITHIN", 0.02)
 
     async def run() -> None:
         clerk = Clerk()
@@ -546,7 +548,7 @@
         assert (await reader.read()).startswith(b"HTTP/1.1 408 ")
         writer.close()
         await server.stop()
-        assert server.places.used == 0
+        assert server.descriptors.used == 0
 
     asyncio.run(run())
 
@@ -563,7 +565,7 @@
 def test_a_silent_or_dripping_newcomer_is_closed_and_a_kept_connection_is_not(
     monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr("locktide.net.server.WHOLE_WITHIN", 0.1)
+    monkeypatch.setattr("locktide.net.client_connection.WHOLE_WITHIN", 0.1)
 
     async def run() -> None:
         server, address = await listening_to(Clerk())
@@ -582,7 +584,7 @@
         for writer in (proven, silent_writer, drip):
             writer.close()
         await server.stop()
-        assert server.places.used == server.stored == 0
+        assert server.descriptors.used == server.stored == 0
 
     asyncio.run(run())
 
@@ -753,14 +755,14 @@
 def test_a_stop_ends_kept_connections_at_rest_and_not_those_just_opened() -> None:
     async def play() -> None:
         clerk = Clerk()
-        server = Server(Allotment(20), {"view": 3_000_000}, set(), 1 << 20, clerk, Log("n0"))
+        server = Server(DescriptorBudget(20), {"view": 3_000_000}, set(), 1 << 20, clerk, Log("n0"))
         address = free_address()
         server.listen(address)
         kept_reader, kept = await asyncio.open_connection(*address)
         kept.write(b"GET /health/live HTTP/1.1\r\nHost: us\r\n\r\n")
         await kept_reader.readuntil(b"ok\n")
         caller = next(iter(server.callers))
-        caller.proven = True  # as by a submission that was answered
+        caller.peer = Peer.CLIENT  # as by a submission that was answered
         _, fresh = await asyncio.open_connection(*address)
         while len(server.callers) < 2:
             await asyncio.sleep(0.001)
@@ -777,7 +779,7 @@
     """Bytes that were at the socket before the word to stop are a message that was handed in."""
     async def play() -> None:
         clerk, stop = Clerk(), asyncio.Event()
-        server = Server(Allotment(20), {"view": 3_000_000}, set(), 1 << 20, clerk, Log("n0"))
+        server = Server(DescriptorBudget(20), {"view": 3_000_000}, set(), 1 << 20, clerk, Log("n0"))
         address = free_address()
         server.listen(address)
 
@@ -788,9 +790,9 @@
         stopping = asyncio.create_task(stopped())
         kept = socket.create_connection(address)
         kept.sendall(b"GET /health/live HTTP/1.1\r\nHost: us\r\n\r\n")
-        while not server.callers or not next(iter(server.callers)).resting:
+        while not server.callers or next(iter(server.callers)).state is not State.AT_REST:
             await asyncio.sleep(0.001)
-        next(iter(server.callers)).proven = True  # as by a submission that was answered
+        next(iter(server.callers)).peer = Peer.CLIENT  # as by a submission that was answered
         await asyncio.sleep(0.02)
         kept.sendall(submit())  # nothing of ours runs between this ...
         stop.set()  # ... and that
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -38,8 +38,8 @@
             elif draw < 0.21 and submitted not in service.answered:
                 service.turn(say.ClientGone(submitted))
         for order in [order for order in service.orders if type(order) is say.Withdraw]:
-            if (order.submission, order.shot) in service.out() and dice.random() < 0.7:
-                service.end(order.submission, order.shot, say.WITHDRAWN)
+            if (order.submission, order.number) in service.out() and dice.random() < 0.7:
+                service.end(order.submission, order.number, say.WITHDRAWN)
         if dice.random() < 0.1:
             place = dice.randrange(len(names))
             state = dice.choice([say.READY, say.READY, say.READY, say.DRAINING, say.GONE])
@@ -78,7 +78,7 @@
     service.list(listed("w1", cell=1))
     service.end(1, 0, say.FULL)
     service.pass_time(200_000)
-    assert [shot["worker"] for shot in service.shots[1]] == ["w0", "w1"]
+    assert [shot["worker"] for shot in service.dispatches[1]] == ["w0", "w1"]
 
 
 def test_no_worker_known_is_denied_in_time() -> None:
@@ -163,9 +163,9 @@
         service.arrive(submission, "view")
         service.pass_time(25_000)
         for submitted, shot in service.out():
-            bad = service.shots[submitted][shot]["worker"] == "w0"
+            bad = service.dispatches[submitted][shot]["worker"] == "w0"
             service.end(submitted, shot, say.NO_CONNECTION if bad else say.DONE)
-    tried = [shot["worker"] for shots in service.shots.values() for shot in shots].count("w0")
+    tried = [shot["worker"] for shots in service.dispatches.values() for shot in shots].count("w0")
     assert 1 <= tried <= 12
 
 
@@ -178,7 +178,7 @@
             worker.failed(service.now)
     service.arrive(1, "view")
     service.pass_time(STEP * 2)
-    assert service.shots[1]
+    assert service.dispatches[1]
 
 
 def test_long_slack_does_not_fill_the_pool() -> None:
@@ -205,7 +205,7 @@
     service.end(0, 0, say.DONE)
     service.arrive(1, "cash")
     service.pass_time(STEP * 2)
-    assert not service.shots[1]
+    assert not service.dispatches[1]
 
 
 def test_a_heavy_hint_is_not_denied_at_once() -> None:
@@ -213,7 +213,7 @@
     service = Checked()
     service.list(listed("w"))
     service.arrive(1, "record", hint=6_500_000)
-    assert service.shots[1]
+    assert service.dispatches[1]
 
 
 def test_no_stretch_is_no_reason_to_deny_at_once() -> None:
@@ -222,7 +222,7 @@
     service.dispatcher.grades["cash"].stretch = 0.0
     service.list(listed("w"))
     service.arrive(1, "cash")
-    assert service.shots[1]
+    assert service.dispatches[1]
 
 
 def test_work_beyond_its_share_is_denied_first() -> None:
@@ -333,12 +333,13 @@
     service.list(listed("w0"), listed("w1"))
     workers = service.dispatcher.list.workers
     service.arrive(1, "view")
-    first = workers[service.shots[1][0]["worker"]]
+    first = workers[service.dispatches[1][0]["worker"]]
     service.end(1, 0, say.FULL)
     assert not first.has_room(1.0, service.now, 62_000) and first.has_room(1.0, service.now + 300_000, 62_000)
     first.full_until = 0
     service.pass_time(50_000)
-    assert {shot["worker"] for shot in service.shots[1]} == {"w0", "w1"} and len(service.shots[1]) == 2
+    assert {one["worker"] for one in service.dispatches[1]} == {"w0", "w1"}
+    assert len(service.dispatches[1]) == 2
 
 
 def test_what_comes_back_late_is_not_denied_for_the_time_it_was_away() -> None:
@@ -352,7 +353,7 @@
     service.end(1, 0, say.NO_CONNECTION)
     assert 1 not in service.answered
     service.pass_time(100_000)
-    assert {shot["worker"] for shot in service.shots[1]} == {"w0", "w1"}
+    assert {shot["worker"] for shot in service.dispatches[1]} == {"w0", "w1"}
 
 
 def test_a_job_for_which_nobody_waits_outlives_refusals_by_all_workers() -> None:
@@ -407,7 +408,7 @@
                 if one == submission:
                     service.end(one, shot, say.ERROR if bad else say.DONE)
         if bad:
-            assert len(service.shots[submission]) == 2 and service.answered[submission] == "denied"
+            assert len(service.dispatches[submission]) == 2 and service.answered[submission] == "denied"
         else:
             done += service.answered.get(submission) == "done"  # a good one of that tenant is served
     assert done == 30
@@ -425,7 +426,7 @@
             service.pass_time(STEP)
             for one, shot in service.out():
                 if one == submission:
-                    bad = one % 2 == 0 or service.shots[one][shot]["worker"] == "w0"
+                    bad = one % 2 == 0 or service.dispatches[one][shot]["worker"] == "w0"
                     service.end(one, shot, say.ERROR if bad else say.DONE)
     doubted = [name for name, one in service.dispatcher.list.workers.items() if one.doubtful(service.now)]
     assert doubted == ["w0"]
@@ -443,7 +444,7 @@
         for submission in range(count):
             service.turn(say.Arrival(submission, "view", service.now + 3_000_000, key=key))
         service.pass_time(400_000)
-        return [shots[0]["worker"] for one, shots in service.shots.items() if shots and one < count]
+        return [shots[0]["worker"] for one, shots in service.dispatches.items() if shots and one < count]
 
     homes = {key: {met(seed, key, names)[0] for seed in range(12)} for key in range(30)}
     assert all(len(home) == 2 for home in homes.values()) and len(set().union(*homes.values())) > 15
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -46,7 +46,7 @@
     async def run() -> None:
         agent = Agent()
         listening = await asyncio.start_server(agent.serve, "127.0.0.1", 0)
-        sheets: list[discovery.Sheet] = []
+        sheets: list[discovery.ListUpdate] = []
         task = asyncio.create_task(Watch(listening.sockets[0].getsockname(), sheets.append, Log("n0")).run())
         while not sheets:
             await asyncio.sleep(0.005)
@@ -95,7 +95,7 @@
     async def run() -> None:
         agent, player, stop = Agent(), HandPlayed(), asyncio.Event()
         agent.changed, agent.silent, node = ("w0", "w1"), silent, player.node
-        node.lines.sweep = lambda: None  # type: ignore[method-assign]
+        node.connections.sweep = lambda: None  # type: ignore[method-assign]
         listening = await asyncio.start_server(agent.serve, "127.0.0.1", 0)
         node.discovery, node.listen_at = listening.sockets[0].getsockname(), free_address()
         running = asyncio.create_task(node.run(stop))
