Clients: nothing begun once gone, lingering closes, evictions that wait for what came

Four faults at the ends of clients' connections, each with tests that failed before (tests/test_endings.py).

An eviction closed more than one. DescriptorBudget closed whatever came to rest while an eviction was under way, some rounds of the loop: each connection just accepted marks itself idle in that window and was shut with its first message unread. Ruled out: the order of victims (468 places, oldest first). Now one for each that waits, and after what has come was read. A client's end was heard some turns of the loop after the poll that found it, and a dispatch of that turn went out; what was read after its client had gone was begun. The stream's end is now told in the turn that sees it, a dispatch waits one turn, and nothing is begun for who has gone. A connection was closed over what might still come: the reset took the part of the last answer that the client had not read. One lingering close for stops, last answers and errors: shut, read and drop, then close. 4. A start listened before it had its list: what a front sent to it went out by the remembered one. And a stop took one last look without reading first, and forgot an accepted connection that waited for its place.

--- a/locktide/net/client_connection.py
+++ b/locktide/net/client_connection.py
@@ -7,6 +7,7 @@
 from contextlib import suppress
 from dataclasses import dataclass, field
 from enum import Enum
+from functools import partial
 from typing import Any, Protocol
 
 from locktide.net.descriptors import DescriptorBudget
@@ -19,9 +20,10 @@
 # or a close within 3 s of connecting, of which some may go by before we get to it.
 WHOLE_WITHIN = 2.0
 TAKEN_WITHIN = 10.0  # seconds for an answer to be taken off our hands; clients read as it comes
-# Seconds in which what comes after an early answer is read and dropped: closed sooner, what is under way
-# would meet a reset, which can take the answer with it. 60 MB take under one at a fifth of a core.
-DROPPED_FOR = 3.5
+# Seconds in which what comes after our side is shut is read and dropped: closed sooner, what is under way
+# would meet a reset, which can take the last answer with it. After an early answer the rest of its message
+# comes: 60 MB take under one at a fifth of a core. Else no more than what crossed it, within a round trip.
+DROPPED_FOR, LINGER_FOR = 3.5, 1.0
 
 
 @dataclass(slots=True)
@@ -69,6 +71,7 @@
     RECEIVING = "receiving"  # a message is on its way in, or may be
     AT_REST = "at rest"  # between two messages
     SERVING = "serving"  # a message is whole and its answer is not written
+    LINGERING = "lingering"  # our side is shut: what comes is read, dropped and never sent on
     CLOSED = "closed"
 
 
@@ -88,7 +91,8 @@
         self.talk = clients.Conversation(server.grades, server.numbered, server.keeps_jobs)
         self.reading: asyncio.Task[bytes] | None = None
         self.state, self.peer = State.RECEIVING, Peer.NEWCOMER
-        self.stored = 0
+        self.stored = self.taken = 0  # bytes that are kept, and that came in since the start
+        self.linger_until: asyncio.TimerHandle | None = None
         self.due = self.now() + WHOLE_WITHIN  # when the message that is coming in must be whole
 
     def enter(self, state: State) -> None:
@@ -103,7 +107,8 @@
     @property
     def at_rest(self) -> bool:
         """Nothing is owed on it, and its peer would send anew what crosses its close."""
-        return self.state is State.AT_REST and self.proven
+        quiet = self.inlet.came == self.taken and not self.inlet.ended
+        return self.state is State.AT_REST and self.proven and quiet
 
     def show_client(self) -> None:
         if self.peer is Peer.NEWCOMER:
@@ -137,10 +142,14 @@
         assert self.reading is not None
         data, self.reading = self.reading.result(), None
         if data:
+            self.taken += len(data)
             self.talk.feed(data)
         return data
 
     async def converse(self) -> None:
+        """Message after message, until one side ends it."""
+        # So that a written answer is in the kernel's hands and no close cuts it short.
+        self.writer.transport.set_write_buffer_limits(high=0)
         while not self.talk.last:
             message = self.talk.next()
             if message is None:
@@ -165,6 +174,7 @@
                 await self.write(Answer(200, b"ok\n") if good else Answer(500, b"not ready\n"))
             else:
                 await self.turn_away(message)
+        await self.linger(LINGER_FOR)
 
     async def more(self) -> bool:
         """Waits for more of a message, as long as it takes if none has begun; whether there is more.
@@ -180,8 +190,12 @@
         within = None if resting and self.proven else max(0.0, self.due - self.now())
         came = await self.come(within)
         self.server.descriptors.mark_busy(self)
-        # Closed by us while at rest: what came all the same was not read, and is sent anew elsewhere.
-        if self.writer.is_closing() or resting and not came:
+        # Shut by us while at rest: what came all the same was not read, and is sent anew elsewhere.
+        if self.state is State.LINGERING or self.writer.is_closing():
+            await self.linger(LINGER_FOR)
+            return False
+        if resting and not came:  # a newcomer that says nothing
+            await self.linger(LINGER_FOR)
             return False
         if resting and self.proven:
             self.due = self.now() + WHOLE_WITHIN
@@ -207,10 +221,12 @@
         )
         await self.write(Answer(message.status, message.reason.encode() + b"\n"))
         if self.talk.last:
-            await self.drop_the_rest()
+            await self.linger(DROPPED_FOR)
 
     async def submission(self, message: clients.Submitted) -> bool:
         """Hands it in and waits for its answer, or for the client to go away."""
+        if self.inlet.ended:
+            return False  # it had gone before we came to read it: nothing is begun for it
         if self.server.waiting >= self.server.most_waiting:
             waiting = self.server.waiting
             self.server.log.say(
@@ -225,6 +241,7 @@
         self.show_client()
         self.store(len(message.body))
         self.server.waiting += 1
+        self.inlet.at_end = leave = partial(self.leave, message, answer)
         try:
             while not answer.done():
                 first: list[asyncio.Future[Any]] = [answer, self.read()]
@@ -234,36 +251,56 @@
                         return False
                     break  # a client hands in one at a time: what follows was meant as part of the first
             else:
+                if answer.cancelled():
+                    return False  # it has gone
                 await self.write(answer.result())
                 return True
         finally:
             self.server.waiting -= 1
             self.store(0)
-            if not answer.done():
-                self.server.desk.gone(message)
+            leave()
         await self.turn_away(clients.Mistaken(400, "something follows before the answer"), last=True)
         return False
 
+    def leave(self, message: clients.Submitted, answer: asyncio.Future[Answer]) -> None:
+        """Its client has gone, or we have given it up: nothing more is begun for it from this turn on."""
+        if self.inlet.at_end is not None:
+            self.inlet.at_end = None
+            if not answer.done():
+                self.server.desk.gone(message)
+
     async def write(self, answer: Answer) -> None:
         last = self.server.stopping and self.peer is not Peer.WORKER
         self.writer.writelines(self.talk.answer(answer.status, answer.body, answer.headers, last))
         await asyncio.wait_for(self.writer.drain(), TAKEN_WITHIN)
         self.due = self.now() + WHOLE_WITHIN
 
-    async def drop_the_rest(self) -> None:
-        """Reads on and stores nothing, so that what is still coming does not reset the answer on its way."""
+    def shut(self, within: float) -> None:
+        """Our side ends. What comes from now on is read, so that it does not reset what we wrote last, and
+        never sent on; in so many seconds at the latest, or once its place is wanted, the connection closes.
+        """
+        if self.state in (State.LINGERING, State.CLOSED):
+            return
+        self.enter(State.LINGERING)
         self.store(0)
         self.inlet.discarding = True
-        self.writer.transport.resume_reading()  # type: ignore[attr-defined]
+        with suppress(OSError, RuntimeError):  # the other side has ended it altogether
+            self.writer.write_eof()
+            self.writer.transport.resume_reading()  # type: ignore[attr-defined]
         self.server.descriptors.mark_idle(self, self.writer.close, proven=False)
-        with suppress(TimeoutError, OSError):
-            async with asyncio.timeout(DROPPED_FOR):
-                self.writer.write_eof()
-                while await self.read():
-                    self.reading = None
+        self.linger_until = asyncio.get_running_loop().call_later(within, self.writer.close)
+
+    async def linger(self, within: float) -> None:
+        """The one way in which we end a connection: shut, then read to the other side's end."""
+        self.shut(within)
+        with suppress(OSError):
+            while await self.read():
+                self.reading = None
 
     async def close(self) -> None:
         self.enter(State.CLOSED)
+        if self.linger_until is not None:
+            self.linger_until.cancel()
         self.server.descriptors.mark_busy(self)
         self.store(0)
         if self.reading is not None:
--- a/locktide/net/descriptors.py
+++ b/locktide/net/descriptors.py
@@ -10,6 +10,15 @@
 # Standard streams (3), the loop's own (3), the listening socket, the one just accepted, the watch and its
 # successor; the rest for those that are closed but not yet given up by the loop.
 APART = 16
+# Rounds of the loop from bytes at a socket until their connection no longer counts as at rest: the poll, the
+# stream, the read, the wait for it, the conversation; and one more.
+READ_FIRST = 6
+
+
+async def read_first() -> None:
+    """Lets all be read that has come by now: the word to close takes a shorter way than bytes do."""
+    for _ in range(READ_FIRST):
+        await asyncio.sleep(0)
 
 
 def divide(descriptors: int) -> tuple[DescriptorBudget, DescriptorBudget]:
@@ -21,7 +30,11 @@
 
 class DescriptorBudget:
     """So many places. At the edge the connection that has rested longest is closed for the next one, of those
-    that have not proven themselves first: a flood of newcomers displaces none but newcomers."""
+    that have not proven themselves first: a flood of newcomers displaces none but newcomers.
+
+    One is evicted for each that waits, and none beside: an eviction takes some rounds of the loop, and what
+    came to rest meanwhile, as does each that was just opened, was closed with its first message unread.
+    """
 
     def __init__(self, limit: int) -> None:
         self.limit, self.used = limit, 0
@@ -29,15 +42,14 @@
         self.unproven: dict[Any, Callable[[], None]] = {}
         self.resting: dict[Any, Callable[[], None]] = {}
         self.waiting: deque[asyncio.Future[None]] = deque()
+        self.evicted: set[Any] = set()  # told to close, and their places not given back yet
+        self.evicting: asyncio.Task[None] | None = None
 
     async def acquire(self) -> None:
         while self.used >= self.limit:
-            if ranks := self.unproven or self.resting:
-                ranks.pop(next(iter(ranks)))()
-                if self.used < self.limit:
-                    break
             place = asyncio.get_running_loop().create_future()
             self.waiting.append(place)
+            self.evict_soon()
             try:
                 await place
             except asyncio.CancelledError:
@@ -46,8 +58,10 @@
                 raise
         self.used += 1
 
-    def release(self) -> None:
+    def release(self, connection: Any) -> None:
         self.used -= 1
+        self.mark_busy(connection)
+        self.evicted.discard(connection)
         self.wake()
 
     def wake(self) -> None:
@@ -60,9 +74,26 @@
     def mark_idle(self, connection: Any, close: Callable[[], None], proven: bool = True) -> None:
         (self.resting if proven else self.unproven)[connection] = close
         if self.waiting:
-            self.mark_busy(connection)
-            close()
+            self.evict_soon()
 
     def mark_busy(self, connection: Any) -> None:
         self.resting.pop(connection, None)
         self.unproven.pop(connection, None)
+
+    def evict_soon(self) -> None:
+        if self.evicting is None:
+            self.evicting = asyncio.create_task(self.evict())
+
+    async def evict(self) -> None:
+        try:
+            # Guards against closing one in the turn in which its message comes.
+            await read_first()
+            wanted = sum(not place.done() for place in self.waiting) - len(self.evicted)
+            for _ in range(wanted):
+                if ranks := self.unproven or self.resting:
+                    connection = next(iter(ranks))
+                    close = ranks.pop(connection)
+                    self.evicted.add(connection)
+                    close()
+        finally:
+            self.evicting = None
--- a/locktide/net/server.py
+++ b/locktide/net/server.py
@@ -6,16 +6,13 @@
 import socket
 
 from locktide.config.start import Address
-from locktide.net.client_connection import ClientConnection, Desk, Peer
-from locktide.net.descriptors import DescriptorBudget
+from locktide.net.client_connection import LINGER_FOR, ClientConnection, Desk, Peer
+from locktide.net.descriptors import DescriptorBudget, read_first
 from locktide.net.log import Log
 from locktide.net.streams import Inlet
 from locktide.net.system import Real, System
 
 BACKLOG = 1024
-# Rounds of the loop from bytes at a socket until their connection no longer counts as at rest: the poll, the
-# stream, the read, the wait for it, the conversation; and one more.
-READ_FIRST = 6
 # The part of the places that no waiting client may hold, so that workers can always call back and readiness
 # be asked: one in eight, as a callback takes a thousandth of the time that a client waits.
 FOR_CALLBACKS = 8
@@ -38,6 +35,7 @@
         self.waiting = 0  # callers that wait for their answer
         self.most_waiting = descriptors.limit - descriptors.limit // FOR_CALLBACKS
         self.stored, self.most_stored = 0, most_stored  # bytes of messages that came in, in part or whole
+        self.placing = False  # whether an accepted connection waits for its place
         self.stopping = False
 
     def listen(self, address: Address) -> None:
@@ -57,7 +55,9 @@
                 await asyncio.sleep(0.01)
                 continue
             # The one just accepted waits for its place, the others in the kernel's queue.
+            self.placing = True
             await self.descriptors.acquire()
+            self.placing = False
             task = asyncio.create_task(self.serve(connection))
             self.tasks[task] = None
             task.add_done_callback(self.tasks.pop)
@@ -82,7 +82,7 @@
             else:
                 await caller.close()
                 self.callers.pop(caller, None)
-            self.descriptors.release()
+            self.descriptors.release(caller)
 
     async def wind_down(self) -> None:
         """From now on connections end with their answers; those of clients that are at rest end now.
@@ -93,11 +93,10 @@
         our loop than bytes do. Seen on loopback, three and four lost at once some 100 ms after SIGTERM.
         """
         self.stopping = True
-        for _ in range(READ_FIRST):
-            await asyncio.sleep(0)
+        await read_first()
         for caller in self.callers:
             if caller.at_rest and caller.peer is not Peer.WORKER:
-                caller.writer.close()
+                caller.shut(LINGER_FOR)
 
     def busy(self) -> bool:
         """Whether a message is on its way in, or may be, or an answer on its way out.
@@ -105,7 +104,7 @@
         Guards against closing with no word a connection that was just opened: its first message may be on its
         way, and nobody sends that anew. Those that send nothing are closed in their time.
         """
-        return len(self.tasks) > sum(caller.at_rest for caller in self.callers)
+        return self.placing or len(self.tasks) > sum(caller.at_rest for caller in self.callers)
 
     async def stop(self) -> None:
         """Takes in nothing more; ends what is left."""
--- a/locktide/net/streams.py
+++ b/locktide/net/streams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 from locktide.protocol.exchange import Exchange, Reply
@@ -15,6 +16,9 @@
 
     Guards the memory: by itself asyncio reads up to 256 KiB at once from each of hundreds of connections.
     What comes once `discarding` is set is read, so that the sender gets on, and kept nowhere.
+
+    `at_end` is called in the very turn in which the other side's end or a reset is seen, before anything that
+    this turn begins: who reads the stream hears of it some turns of the loop later.
     """
 
     READ = 8192  # a usual message is a tenth of this
@@ -22,7 +26,9 @@
 
     def __init__(self) -> None:
         self.reader = asyncio.StreamReader(limit=self.READ)
-        self.discarding = False
+        self.discarding = self.ended = False
+        self.came = 0  # bytes that were fed to the reader, read or not
+        self.at_end: Callable[[], None] | None = None
         super().__init__(self.reader)
 
     def get_buffer(self, sizehint: int) -> memoryview:
@@ -30,8 +36,23 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         if not self.discarding:
+            self.came += nbytes
             self.reader.feed_data(bytes(self.little[:nbytes]))
 
+    def eof_received(self) -> bool | None:
+        self.end()
+        return super().eof_received()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.end()
+        super().connection_lost(exc)
+
+    def end(self) -> None:
+        if not self.ended:
+            self.ended = True
+            if self.at_end is not None:
+                self.at_end()
+
 
 class CountedReader(asyncio.StreamReader):
     """Counts the bytes that come in, read or not."""
--- a/locktide/net/workers.py
+++ b/locktide/net/workers.py
@@ -127,7 +127,7 @@
         self.descriptors.mark_busy(connection)
         if connection.connected:
             connection.writer.transport.abort()
-        self.descriptors.release()
+        self.descriptors.release(connection)
 
     def forget(self, worker: str) -> None:
         """Closes what rests: the worker is gone, has moved, or has started anew."""
--- a/locktide/node/node.py
+++ b/locktide/node/node.py
@@ -13,7 +13,7 @@
 from locktide.dispatch import interface as say
 from locktide.dispatch.rules import Dispatcher
 from locktide.net.client_connection import Desk
-from locktide.net.descriptors import divide
+from locktide.net.descriptors import divide, read_first
 from locktide.net.log import Log
 from locktide.net.server import Server
 from locktide.net.system import Real, System
@@ -82,7 +82,6 @@
         """Serves until `stop`, finishes what it has taken, and returns."""
         self.watch(self.follow_when_asked() if self.listing.must_ask else self.follow())
         sweeping = asyncio.create_task(self.sweep())
-        self.server.listen(self.listen_at)
         await asyncio.sleep(0)  # the remembered list is handed over before the first submission
         if not self.listing.must_ask:
             # What the agent has counts as told from our first moment on. One that is silent does not hold us
@@ -95,13 +94,16 @@
             f"serving on {spelled(self.listen_at)}, {workers} workers known",
             event="serving", listen=spelled(self.listen_at), workers=workers,
         )
+        # Not before: a front goes on sending to a dispatcher that has died, and what it sends would go out on
+        # the strength of a list of before.
+        self.server.listen(self.listen_at)
         await stop.wait()
         begun = self.loop.time()
         grace = min(STOP_WITHIN, self.longest_limit / 1e6) + STOP_BIT
         self.log.say(f"stopping: {self.open()} submissions open", event="stopping", open=self.open())
         self.loop.call_at(begun + ACCEPT_ON, self.shorten, begun + grace)
         await self.server.wind_down()
-        while self.loop.time() - begun < ACCEPT_ON or self.open() or self.server.busy() or self.awaited():
+        while self.loop.time() - begun < ACCEPT_ON or self.owes():
             # However long that takes: a kill costs what is open then no more than giving it up would.
             await asyncio.sleep(0.02)
         if self.watching is not None:
@@ -110,12 +112,17 @@
         await self.server.stop()
         self.log.say("stopped", event="stopped")
 
+            await read_first()  # so that the last look is past all that has come
     def take_terms(self, start: Start) -> None:
         """The settings that may change while we serve; name, address, seed and limits are the process's."""
         grades: list[say.Grade] = start.terms[2]
         self.listing: say.ListTerms = start.terms[8]
         self.connect_within = start.connect_within
         self.connections.set_spans(start.connect_within, start.idle_close)
+    def owes(self) -> bool:
+        """Whether a stop waits: for an answer, a connection not at rest, a worker to be told."""
+        return bool(self.open()) or self.server.busy() or self.awaited()
+
         # In place: connections that are kept go by them, too.
         self.server.grades.clear()
         self.server.grades.update({grade.name: grade.time_limit for grade in grades})
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -290,13 +290,15 @@
     def __init__(self) -> None:
         self.taken: list[str] = []
         self.left: list[str] = []
+        self.answers: list[asyncio.Future[Answer]] = []
 
     def ready(self) -> bool:
         return True
 
     def submitted(self, message: clients.Submitted) -> asyncio.Future[Answer]:
         self.taken.append(message.id)
-        return asyncio.get_running_loop().create_future()
+        self.answers.append(asyncio.get_running_loop().create_future())
+        return self.answers[-1]
 
     def gone(self, message: clients.Submitted) -> None:
         self.left.append(message.id)
--- /dev/null
+++ b/tests/test_endings.py
@@ -0,0 +1,309 @@
+"""What is owed when something ends (docs/design/endings.md): each crossing forced, by what was observed."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+from helpers import GRADES, Clerk, HandPlayed, call, free_address, submit
+
+from locktide.dispatch import interface as say
+from locktide.net.client_connection import Answer, Peer, State
+from locktide.net.descriptors import DescriptorBudget
+from locktide.net.log import Log
+from locktide.net.server import Server
+from locktide.protocol.exchange import Reply
+
+
+def reset(client: socket.socket) -> None:
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    client.close()
+
+
+def served(story: Callable[[Server, Clerk, Any], Awaitable[None]], places: int = 64) -> None:
+    async def run() -> None:
+        clerk, address = Clerk(), free_address()
+        limits = {grade.name: grade.time_limit for grade in GRADES}
+        server = Server(DescriptorBudget(places), limits, set(), 400_000, clerk, Log("n0"))
+        server.listen(address)
+        await story(server, clerk, address)
+        await server.stop()
+        assert server.descriptors.used == server.stored == server.waiting == 0  # all was given back
+
+    asyncio.run(run())
+
+
+def played(story: Callable[[HandPlayed], Awaitable[None]]) -> None:
+    async def run() -> None:
+        await story(HandPlayed())
+
+    asyncio.run(run())
+
+
+async def until(done: Callable[[], Any]) -> None:
+    async with asyncio.timeout(10.0):
+        while not done():
+            await asyncio.sleep(0.001)
+
+
+# --- a client that goes
+
+
+@pytest.mark.parametrize("go", [socket.socket.close, lambda client: client.shutdown(socket.SHUT_WR)])
+def test_what_is_read_once_its_client_has_gone_is_not_begun(go: Callable[[socket.socket], None]) -> None:
+    async def story(server: Server, clerk: Clerk, address: Any) -> None:
+        client = socket.create_connection(address)
+        client.sendall(submit())
+        go(client)  # nothing of ours has run since the connection came up
+        while not server.tasks:
+            await asyncio.sleep(0)
+        await until(lambda: not server.tasks)
+        assert clerk.taken == []
+        client.close()
+
+    served(story)
+
+
+class Prompt(HandPlayed):
+    """Its connections to workers are at hand: each first byte goes out in the turn in which it may."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.begun: list[str] = []
+
+    async def ask(
+        self, worker: str, address: Any, build: Any, sent: Any, fresh: bool = False
+    ) -> Reply | str:
+        question = build()
+        if question is None:
+            return say.NEVER_SENT
+        self.begun.append(f"{question.method} {worker}")
+        sent()
+        return await super().ask(worker, address, build, sent, fresh)
+
+
+@pytest.mark.parametrize("go", [socket.socket.close, reset])
+def test_nothing_is_begun_for_a_client_that_went_before(go: Callable[[socket.socket], None]) -> None:
+    """First and further dispatches alike. The end of a stream is heard some turns after it has come; what
+    ends a wait in the pool takes fewer to the first byte."""
+    async def run() -> None:
+        play, address = Prompt(), free_address()
+        play.node.server.listen(address)
+        for worker in ("w0", "w1", "w2"):
+            play.list(worker, say.DRAINING)
+        client = socket.create_connection(address)
+        client.sendall(submit(Req_Deadline="3000m"))
+        await until(lambda: play.node.held)
+        await play.settle()
+        go(client)
+        play.list("w1", say.READY)  # nothing of ours ran in between
+        await until(lambda: not play.node.held)
+        assert play.begun == []
+
+        client = socket.create_connection(address)
+        client.sendall(submit(Req_Id="a2", Req_Deadline="3000m"))
+        await until(lambda: play.begun)
+        play.list("w2", say.READY)
+        go(client)
+        play.asked[-1].end(say.RESET)  # it would go to another
+        await until(lambda: not play.node.held)
+        assert play.begun == ["POST w1"]
+        await play.node.server.stop()
+
+    asyncio.run(run())
+
+
+# --- our side of a client's connection
+
+
+def test_an_answer_that_is_last_outlives_what_the_client_still_writes() -> None:
+    """A socket that is closed altogether answers what comes with a reset, and the kernel drops what the
+    client has not taken yet."""
+    async def story(server: Server, clerk: Clerk, address: Any) -> None:
+        result = b"x" * 300_000
+        client = socket.socket()
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        client.connect(address)
+        client.setblocking(False)
+        client.sendall(submit(Req_Deadline="3000m"))
+        await clerk.until(1)
+        server.stopping = True
+        caller = next(iter(server.callers))
+        clerk.answers[0].set_result(Answer(200, result))
+        await until(lambda: caller.state is State.LINGERING or caller.writer.is_closing())
+        client.sendall(submit(Req_Id="a2"))
+        received, loop = b"", asyncio.get_running_loop()
+        while piece := await asyncio.wait_for(loop.sock_recv(client, 65536), 10.0):
+            received += piece
+        assert received.endswith(b"\r\n\r\n" + result) and clerk.taken == ["a1"]
+        client.close()
+        await until(lambda: not server.tasks)
+
+    served(story)
+
+
+@pytest.mark.parametrize("first", ["bytes", "stop"])
+def test_a_request_that_crosses_a_stop_is_served_or_never_sent_on(first: str) -> None:
+    async def story(server: Server, clerk: Clerk, address: Any) -> None:
+        client = socket.create_connection(address)
+        client.setblocking(False)
+        await until(lambda: server.callers)
+        caller = next(iter(server.callers))
+        caller.peer = Peer.CLIENT  # as by a submission that was answered
+        await until(lambda: caller.state is State.AT_REST)
+        if first == "bytes":
+            client.sendall(submit())
+            await server.wind_down()
+            await clerk.until(1)
+            clerk.answers[0].set_result(Answer(200, b"done"))
+        else:
+            await server.wind_down()
+            client.sendall(submit())
+        received, loop = b"", asyncio.get_running_loop()
+        while piece := await asyncio.wait_for(loop.sock_recv(client, 65536), 10.0):
+            received += piece
+        # Without an answer it ends with an end, never with a reset, and the client sends it anew elsewhere.
+        assert received.endswith(b"done") if first == "bytes" else (received, clerk.taken) == (b"", [])
+        client.close()
+        await until(lambda: not server.tasks)
+
+    served(story)
+
+
+def test_a_lingering_connection_ends_in_its_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("locktide.net.server.LINGER_FOR", 0.05)
+
+    async def story(server: Server, clerk: Clerk, address: Any) -> None:
+        client = socket.create_connection(address)  # rests, and never ends its side
+        await until(lambda: server.callers)
+        caller = next(iter(server.callers))
+        caller.peer = Peer.CLIENT
+        await until(lambda: caller.state is State.AT_REST)
+        await server.wind_down()
+        assert server.busy()
+        await until(lambda: not server.busy())
+        client.close()
+
+    served(story)
+
+
+# --- descriptors
+
+
+def test_one_is_evicted_for_each_that_waits_and_none_beside() -> None:
+    """What came to rest while an eviction was under way was closed, too: new ones, their message unread."""
+    async def run() -> None:
+        places, closed = DescriptorBudget(2), []
+        for name in ("old", "newer"):
+            await places.acquire()
+            places.mark_idle(name, lambda name=name: closed.append(name), proven=False)  # type: ignore[misc]
+        waiting = asyncio.create_task(places.acquire())
+        await until(lambda: closed)
+        places.mark_busy("newer")
+        places.mark_idle("newer", lambda: closed.append("newer"), proven=False)  # as each does once open
+        for _ in range(20):
+            await asyncio.sleep(0)
+        assert closed == ["old"]
+        places.release("old")
+        await waiting
+        assert places.used == 2 and not places.evicted
+
+    asyncio.run(run())
+
+
+def test_a_message_that_has_come_goes_before_an_eviction() -> None:
+    async def story(server: Server, clerk: Clerk, address: Any) -> None:
+        clients, loop = [socket.create_connection(address) for _ in range(2)], asyncio.get_running_loop()
+        await until(lambda: len(server.callers) == 2)
+        await until(lambda: all(one.state is State.AT_REST for one in server.callers))
+        clients[0].sendall(submit())  # the one that rested longest
+        clients.append(socket.create_connection(address))
+        for one in clients:
+            one.setblocking(False)
+        assert await asyncio.wait_for(loop.sock_recv(clients[1], 1), 5.0) == b""  # the other one goes
+        await asyncio.wait_for(clerk.until(1), 5.0)
+        clerk.answers[0].set_result(Answer(200, b"done"))
+        assert (await asyncio.wait_for(loop.sock_recv(clients[0], 1000), 5.0)).endswith(b"done")
+        for one in clients:
+            one.close()
+        await until(lambda: not server.tasks)
+
+    served(story, places=2)
+
+
+def test_idle_clients_that_fill_the_descriptors_shut_out_neither_callbacks_nor_clients() -> None:
+    async def story(server: Server, clerk: Clerk, address: Any) -> None:
+        idle = [socket.create_connection(address) for _ in range(40)]
+        for turn in range(30):
+            reader, writer = await asyncio.open_connection(*address)
+            if turn % 2:
+                writer.write(call(id="s0", state="started", **{"from": "w"}))
+                assert (await reader.readline()).startswith(b"HTTP/1.1 204 ")
+            else:
+                writer.write(submit(Req_Id=f"s{turn}"))
+                await clerk.until(turn // 2 + 1)
+                clerk.answers[-1].set_result(Answer(200))
+                assert (await reader.readline()).startswith(b"HTTP/1.1 200 ")
+            writer.close()
+            idle += [socket.create_connection(address) for _ in range(3)]
+        for one in idle:
+            one.close()
+        await until(lambda: not server.tasks)
+
+    served(story, places=8)
+
+
+def test_a_stop_waits_for_a_connection_that_waits_for_its_place() -> None:
+    async def story(server: Server, clerk: Clerk, address: Any) -> None:
+        first = socket.create_connection(address)
+        first.sendall(submit())
+        await clerk.until(1)
+        caller = next(iter(server.callers))
+        second = socket.create_connection(address)
+        await until(lambda: server.descriptors.waiting)
+        caller.state, caller.peer = State.AT_REST, Peer.CLIENT  # as if nothing else were owed
+        assert server.busy()
+        caller.state = State.SERVING
+        reset(first)
+        await until(lambda: len(server.callers) == 1 and caller not in server.callers)
+        second.close()
+
+    served(story, places=1)
+
+
+# --- a start
+
+
+def test_nothing_is_accepted_before_the_list_is_had() -> None:
+    """A front sends on to a dispatcher that died and came back; what it sent went out by the old list."""
+    async def run() -> None:
+        play, stop, asked, go = HandPlayed(), asyncio.Event(), asyncio.Event(), asyncio.Event()
+
+        async def agent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            asked.set()
+            await go.wait()
+            body = b'{"rev": 9, "all": true, "targets": []}'
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+            await reader.read()
+
+        listening = await asyncio.start_server(agent, "127.0.0.1", 0)
+        node = play.node
+        node.discovery, node.listen_at = listening.sockets[0].getsockname(), free_address()
+        running = asyncio.create_task(node.run(stop))
+        await asked.wait()
+        with pytest.raises(ConnectionRefusedError):
+            socket.create_connection(node.listen_at)
+        go.set()
+        await until(node.ready)
+        socket.create_connection(node.listen_at).close()
+        assert not any(node.fleet.may_send(worker) for worker in ("w0", "w1", "w2"))
+        running.cancel()
+        await node.server.stop()
+        listening.close()
+
+    asyncio.run(run())
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -341,7 +341,7 @@
         places, closed = DescriptorBudget(2), []
 
         def close(name: str) -> Callable[[], None]:
-            return lambda: (closed.append(name), places.release())[0]
+            return lambda: (closed.append(name), places.release(name))[0]
 
         await places.acquire()
         await places.acquire()
