Dispatches: no repeat past the memory span, none ended by a word on another

All dispatchers had a reset from the worker at 15.023 s, 4.2 s after its drain; the grade's repeats are dropped for 4 s. What may go nowhere any more is answered at once, not at its time limit.

What the worker has is now given up there first, then counts as reset or cut off.

--- a/locktide/dispatch/interface.py
+++ b/locktide/dispatch/interface.py
@@ -302,13 +302,16 @@
 
 @dataclass(slots=True)
 class Dispatch:
-    """The dispatches of one submission count 0, 1, 2 ... in the order of these orders."""
+    """The dispatches of one submission count 0, 1, 2 ... in the order of these orders. `before`: no byte of
+    it may go out from that moment on; 0 where the time limit alone counts.
+    """
 
     submission: Any
     worker: Any
 
 
 @dataclass(slots=True)
+    before: int = 0
 class Withdraw:
     submission: Any
     number: int
--- a/locktide/dispatch/rules/courses.py
+++ b/locktide/dispatch/rules/courses.py
@@ -41,7 +41,7 @@
         self.answer(sub)
 
     def may_dispatch(self, sub: Submission) -> bool:
-        once = sub.held and sub.grade.effect == say.AT_MOST_ONCE
+        once = sub.held and sub.grade.effect == say.AT_MOST_ONCE or 0 < sub.repeats_until() <= self.now
         return len(sub.dispatches) - sub.uncounted < self.dispatching.most_dispatches and not once
 
     def doubt(self, dispatch: Dispatch) -> None:
@@ -73,7 +73,7 @@
                 self.pool.remove(sub)
 
     def send(self, sub: Submission, worker: Worker) -> None:
-        dispatch = Dispatch(sub, len(sub.dispatches), worker, self.now)
+        dispatch, before = Dispatch(sub, len(sub.dispatches), worker, self.now), sub.repeats_until()
         if dispatch.further:
             self.credit -= 1.0
         if self.signs.tells_start:
@@ -91,7 +91,7 @@
         if self.cold.is_cold(worker, self.now):
             self.cold.count(worker, self.work(sub), self.now)
         worker.waiting[dispatch] = None
-        self.orders.append(say.Dispatch(sub.id, worker.id))
+        self.orders.append(say.Dispatch(sub.id, worker.id, before))
 
     def check(self, dispatch: Dispatch) -> None:  # it should have given a sign by now
         every, worker = self.signs.progress_every, dispatch.worker
--- a/locktide/dispatch/rules/denials.py
+++ b/locktide/dispatch/rules/denials.py
@@ -32,6 +32,12 @@
         slack = self.slack(sub)
         return int(0.3 * min(slack, slack ** (1.0 - self.evenness) * shortest ** self.evenness))
 
+    def last_chance(self, sub: Submission) -> int:
+        """Until when what may have run waits in the pool. Guards against holding back the answer of one that
+        may go nowhere any more: once its repeats are no longer dropped it is given up."""
+        last = sub.limit_at - 2 * self.step
+        return min(last, sub.repeats_until() or last)
+
     def answer(self, sub: Submission) -> None:
         if sub.may_deny():
             # The next of ours should end by then; clients that come later take the place of fresh work.
--- a/locktide/dispatch/rules/dispatcher.py
+++ b/locktide/dispatch/rules/dispatcher.py
@@ -23,8 +23,8 @@
             self.list.watched = True
             self.orders.append(say.WatchList(True))
         for sub in [sub for sub in self.pool if sub.leave_at <= now]:
-            if sub.held and now < sub.limit_at - 2 * self.step:
-                sub.leave_at = sub.limit_at - 2 * self.step  # it may have run: a late answer beats none
+            if sub.held and now < (last := self.last_chance(sub)):
+                sub.leave_at = last  # it may have run: a late answer beats none
                 continue
             self.advance(sub, None)
         if self.pool and self.fitting:
--- a/locktide/dispatch/rules/submission.py
+++ b/locktide/dispatch/rules/submission.py
@@ -55,12 +55,17 @@
         if not self.held or grade.effect == say.REISSUABLE:
             return True
         first = self.held[0]
-        if grade.effect == say.AT_MOST_ONCE or now >= first.sent_at + grade.memory_span:
+        if grade.effect == say.AT_MOST_ONCE or now >= self.repeats_until():
             return False
         if grade.group == say.SAME_ZONE:
             return worker.zone == first.worker.zone
         return grade.group == say.EVERYONE or worker.cell == first.worker.cell
 
+    def repeats_until(self) -> int:
+        """Rule two: from when on its repeats are no longer dropped, so none goes out; 0: unbound."""
+        bound = self.held and self.grade.effect == say.NUMBERED
+        return self.held[0].sent_at + self.grade.memory_span if bound else 0
+
     def may_deny(self) -> bool:
         """Rule two, for a denial: it promises the client that trying again is harmless."""
         grade = self.grade
--- a/locktide/net/streams.py
+++ b/locktide/net/streams.py
@@ -64,13 +64,29 @@
         super().feed_data(data)
 
 
-async def open_counted(host: str, port: int) -> tuple[CountedReader, asyncio.StreamWriter]:
-    """As asyncio.open_connection, with a reader that counts."""
+class Outlet(asyncio.StreamReaderProtocol):
+    """Calls `taken` in the very turn in which the kernel takes the last byte that was written.
+
+    Guards against learning it later than an end or a cancellation of the same turn: whether a message was
+    whole decides whether it may have run.
+    """
+
+    taken: Callable[[], None] | None = None
+
+    def resume_writing(self) -> None:
+        super().resume_writing()
+        if self.taken is not None:
+            self.taken()
+
+
+async def open_counted(host: str, port: int) -> tuple[CountedReader, asyncio.StreamWriter, Outlet]:
+    """As asyncio.open_connection, with a reader that counts, and writes that wait in no buffer of ours."""
     loop = asyncio.get_running_loop()
     reader = CountedReader(limit=READ, loop=loop)
-    protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
+    protocol = Outlet(reader, loop=loop)
     transport, _ = await loop.create_connection(lambda: protocol, host, port)
-    return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
+    transport.set_write_buffer_limits(high=0)
+    return reader, asyncio.StreamWriter(transport, protocol, reader, loop), protocol
 
 
 async def reply_on(reader: asyncio.StreamReader, exchange: Exchange) -> Reply:
--- a/locktide/net/workers.py
+++ b/locktide/net/workers.py
@@ -8,31 +8,51 @@
 from locktide.config.start import Address, spelled
 from locktide.dispatch import interface as say
 from locktide.net.descriptors import DescriptorBudget
-from locktide.net.streams import CountedReader, open_counted, reply_on
+from locktide.net.streams import CountedReader, Outlet, open_counted, reply_on
 from locktide.protocol.exchange import Broken, Exchange, Question, Reply
 
+# Seconds in which a connection carries no further question after a reply that ended one. A worker may tell a
+# reply twice, some milliseconds apart: the second was read as that to the next question, and a job that runs
+# was taken for turned away. A 202 told twice only says of the next what is as good as so.
+ECHO = 0.05
+# In place of an outcome: what came back is no reply, or half of one. Its worker lives and may have taken it.
+SPOILT = "spoilt"
+
 
 class WorkerConnection:
     """One connection to a worker, and its place; it carries one question at a time."""
 
     __slots__ = (
-        "worker", "address", "reader", "writer", "exchange", "connected", "kept", "rested_at", "read_by_then",
+        "worker", "address", "reader", "writer", "outlet", "exchange", "connected", "kept", "rested_at",
+        "read_by_then", "usable_at",
     )
 
     reader: CountedReader
     writer: asyncio.StreamWriter
+    outlet: Outlet
 
     def __init__(self, worker: str, address: Address) -> None:
         self.worker, self.address = worker, address
         self.exchange = Exchange(spelled(address))
         self.connected = self.kept = False
-        self.rested_at, self.read_by_then = 0.0, 0
+        self.rested_at, self.read_by_then, self.usable_at = 0.0, 0, 0.0
 
     async def connect(self) -> None:
-        self.reader, self.writer = await open_counted(*self.address)
+        self.reader, self.writer, self.outlet = await open_counted(*self.address)
         self.connected = True
-        # So that `drain` returns only once all is in the kernel's hands: before that, it has not been sent.
-        self.writer.transport.set_write_buffer_limits(high=0)
+
+    async def write(self, question: Question, whole: Callable[[], None]) -> None:
+        """Calls `whole` once the kernel has its last byte: before that, it has not been sent."""
+        transport = self.writer.transport
+        self.outlet.taken = whole
+        try:
+            self.writer.writelines(self.exchange.ask(question))
+            if not transport.is_closing() and not transport.get_write_buffer_size():
+                whole()
+            else:
+                await self.writer.drain()
+        finally:
+            self.outlet.taken = None
 
     @property
     def fresh(self) -> bool:
@@ -73,26 +93,39 @@
         if connection is None:
             return say.NEVER_SENT
         whole = False
+
+        def written() -> None:
+            nonlocal whole
+            if not whole:
+                whole = True
+                sent()
+
         try:
             question = build()
             if question is None:
                 return say.NEVER_SENT
-            connection.writer.writelines(connection.exchange.ask(question))
-            await connection.writer.drain()
-            whole = True
-            sent()
-            return await reply_on(connection.reader, connection.exchange)
+            await connection.write(question, written)
+            reply = await reply_on(connection.reader, connection.exchange)
+            if reply.status != 202:
+                connection.usable_at = asyncio.get_running_loop().time() + ECHO
+            return reply
         except (OSError, Broken):
+            if not whole:
+                return say.NO_CONNECTION
+            if connection.exchange.heard:
+                return SPOILT
             # Guards against blaming a worker that has closed a kept connection before it would have to.
-            unheard = connection.kept and not connection.exchange.heard
-            return say.NO_CONNECTION if not whole else say.CUT_OFF if unheard else say.RESET
+            return say.CUT_OFF if connection.kept else say.RESET
         finally:
             self.rest(connection)
 
     async def open(self, worker: str, address: Address, fresh: bool) -> WorkerConnection | None:
         """A connection that is at rest, else a new one; None where no place came free in time."""
-        while not fresh and (connections := self.idle.get(worker)):
-            connection = connections.pop()
+        now = asyncio.get_running_loop().time()
+        for connection in reversed([] if fresh else self.idle.get(worker, [])[:]):
+            if connection.usable_at > now:
+                continue
+            self.idle[worker].remove(connection)
             self.descriptors.mark_busy(connection)
             if connection.fresh and connection.address == address:
                 return connection
--- a/locktide/node/dispatches.py
+++ b/locktide/node/dispatches.py
@@ -7,6 +7,7 @@
 
 from locktide.dispatch import interface as say
 from locktide.net.client_connection import Answer
+from locktide.net.workers import SPOILT
 from locktide.node.base import Base
 from locktide.node.records import OpenDispatch, OpenSubmission, Stage
 from locktide.node.withdrawals import give_up
@@ -28,15 +29,19 @@
             )
             return
         dispatch = OpenDispatch(len(held.dispatches), order.worker)
+        dispatch.before = order.before
         held.dispatches.append(dispatch)
         dispatch.task = self.start(self.carry(held, dispatch), held.message.patient)
 
     async def carry(self, held: OpenSubmission, dispatch: OpenDispatch) -> None:
         """Takes one dispatch to its worker; what becomes of the job is told by callback."""
         def build() -> Question | None:
-            left = held.limit_at - self.clock.now()
+            now = self.clock.now()
+            left = held.limit_at - now
             ended = dispatch.stage is Stage.ENDED or not held.open or left <= 0
-            if ended or not self.fleet.may_send(dispatch.worker):
+            # Guards against a connection that came up late: repeats are dropped no longer.
+            late = dispatch.before and now >= dispatch.before
+            if ended or late or not self.fleet.may_send(dispatch.worker):
                 return None
             dispatch.reach(Stage.SENDING)
             return workers.job(held.message, left, dispatch.fence)
@@ -46,6 +51,9 @@
             dispatch.sent_at = self.clock.now()
             self.tell(say.Sent(held.message.id, dispatch.number))
 
+        # A reset is told a turn after the poll that found it: what has ended by now is heard before the first
+        # byte goes out.
+        await asyncio.sleep(0)
         kept = self.keeper is not None and self.keeper.keeps(held)
         if self.keeper is not None and kept and not await self.keeper.lease(held, dispatch):
             self.end(held, dispatch, say.NEVER_SENT)
@@ -63,7 +71,10 @@
             )
             reply = say.RESET if dispatch.stage >= Stage.SENDING else say.NEVER_SENT
         outcome = workers.outcome(reply) if isinstance(reply, Reply) else reply
-        if outcome is None:
+        if outcome == SPOILT or dispatch.taken and outcome in (say.RESET, say.CUT_OFF):
+            # Guards against a second copy: the worker has it, or may, whatever became of its reply.
+            self.recall(held, dispatch, say.RESET)
+        elif outcome is None:
             dispatch.reach(Stage.ACCEPTED)
         elif outcome == say.UNFIT:
             id = held.message.id
@@ -106,12 +117,17 @@
                 dispatch.lapsed = True
                 self.withdraw(say.Withdraw(submission, dispatch.number))
 
+    def recall(self, held: OpenSubmission, dispatch: OpenDispatch, outcome: str) -> None:
+        """It ends with that outcome, once its worker has been told to give it up."""
+        if dispatch.may_run and not dispatch.recalled:
+            dispatch.recalled = True
+            self.call_off(held, dispatch, outcome)
+
     def call_off(self, held: OpenSubmission, dispatch: OpenDispatch, outcome: str = say.WITHDRAWN) -> bool:
         """Before the 202 by closing the connection; whether a message follows, on which to wait. Then the
         dispatch has that outcome.
         """
-        if dispatch.stage < Stage.ACCEPTED:
-            dispatch.task.cancel()
+        dispatch.task.cancel()  # which closes the connection, where its reply is still waited for
         # Guards against a 202 that is on its way to us: the worker has taken the job, and what is dispatched
         # elsewhere before the message has reached it is a second copy.
         if dispatch.may_run:
@@ -137,6 +153,7 @@
         dispatch = held.out_at(message.worker) if held is not None else None
         if held is None or dispatch is None:
             return  # late, or for nobody: it is acknowledged all the same
+        dispatch.reach(Stage.ACCEPTED)
         if message.state == names.STARTED:
             self.tell(say.Started(message.submission, dispatch.number))
         elif message.state == names.RUNNING:
@@ -144,4 +161,8 @@
         elif message.outcome is not None:
             if message.outcome == say.DONE:
                 self.answer(message.submission, Answer(200, message.result))
+            elif held.taken_earlier(dispatch):
+                # Guards against a word told again of the earlier one there: this one may run all the same.
+                self.recall(held, dispatch, say.CUT_OFF)
+                return
             self.end(held, dispatch, message.outcome)
--- a/locktide/node/records.py
+++ b/locktide/node/records.py
@@ -20,21 +20,26 @@
     ORDERED = 0  # no byte is out: it may wait for a connection
     SENDING = 1  # some of its bytes are out
     SENT = 2  # its last byte is with the kernel: it may run
-    ACCEPTED = 3  # its worker has answered 202
+    ACCEPTED = 3  # its worker has it: it has answered 202, or called back
     ENDED = 4  # it has its outcome
 
 
 class OpenDispatch:
     """One dispatch, until its outcome is told to the decisions."""
 
-    __slots__ = ("number", "worker", "task", "stage", "recalled", "outcome", "sent_at", "fence", "lapsed")
+    __slots__ = (
+        "number", "worker", "task", "stage", "before", "recalled", "taken", "outcome", "sent_at", "fence",
+        "lapsed",
+    )
 
     task: asyncio.Task[None]  # takes it to its worker
 
     def __init__(self, number: int, worker: str) -> None:
         self.number, self.worker = number, worker
         self.stage = Stage.ORDERED
+        self.before = 0  # from when on no byte of it may go out; 0 where the time limit alone counts
         self.recalled = False  # its worker is being told to give it up
+        self.taken = False  # its worker has said by 202 or by callback that it has the job
         self.outcome: str | None = None  # once it has ended
         self.sent_at = 0  # when its last byte was written
         self.fence = 0  # of its lease, where the submission is a durable job
@@ -44,6 +49,7 @@
         """The one place where its stage changes. It goes on only: what comes late (a 202 after a callback)
         takes nothing back.
         """
+        self.taken = self.taken or stage is Stage.ACCEPTED
         self.stage = max(self.stage, stage)
 
     def end(self, outcome: str) -> bool:
@@ -82,6 +88,10 @@
     def out(self) -> list[OpenDispatch]:
         return [dispatch for dispatch in self.dispatches if dispatch.stage is not Stage.ENDED]
 
+    def taken_earlier(self, later: OpenDispatch) -> bool:
+        """Whether that worker had taken one before: a word of it may be about either."""
+        return any(one.taken and one.worker == later.worker for one in self.dispatches[: later.number])
+
     def out_at(self, worker: str) -> OpenDispatch | None:
         """The dispatch that a word from this worker is about: one that it can have."""
         for dispatch in self.out():
--- a/locktide/node/roster.py
+++ b/locktide/node/roster.py
@@ -61,6 +61,5 @@
         for held in list(self.held.values()):
             for dispatch in held.out():
                 earlier = dispatch.worker == worker and dispatch.may_run and dispatch.sent_at < started_at
-                if earlier and not dispatch.recalled:
-                    dispatch.recalled = True
-                    self.call_off(held, dispatch, say.CUT_OFF)
+                if earlier:
+                    self.recall(held, dispatch, say.CUT_OFF)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -9,14 +9,15 @@
 from typing import Any
 
 import pytest
-from helpers import GRADES, Clerk, HandPlayed, call, free_address, submit
+from helpers import GRADES, Clerk, HandPlayed, call, free_address, submission, submit
 
 from locktide.dispatch import interface as say
 from locktide.net.client_connection import Answer, Peer, State
 from locktide.net.descriptors import DescriptorBudget
 from locktide.net.log import Log
 from locktide.net.server import Server
-from locktide.protocol.exchange import Reply
+from locktide.net.workers import SPOILT, WorkerConnection, WorkerConnections
+from locktide.protocol.exchange import Question, Reply
 
 
 def reset(client: socket.socket) -> None:
@@ -307,3 +308,149 @@
         listening.close()
 
     asyncio.run(run())
+
+
+# --- a dispatch
+
+
+def test_the_last_byte_counts_in_the_turn_in_which_the_kernel_takes_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Called off in that very turn a whole message was taken for half a one, and nobody told its worker."""
+    made: list[WorkerConnection] = []
+    connect = WorkerConnection.connect
+
+    async def noted(connection: WorkerConnection) -> None:
+        await connect(connection)
+        made.append(connection)
+
+    monkeypatch.setattr(WorkerConnection, "connect", noted)
+
+    async def run() -> None:
+        listening = socket.create_server(("127.0.0.1", 0))
+        connections, sent = WorkerConnections(DescriptorBudget(4), 500_000, 400_000), []
+        question = Question("POST", "/view", [], b"x" * 20_000_000)  # more than the kernel takes at once
+        at = listening.getsockname()
+        asking = asyncio.create_task(
+            connections.ask("w", at, lambda: question, lambda: sent.append(True))
+        )
+        await until(lambda: made and made[0].writer.transport.get_write_buffer_size())
+        worker, received = listening.accept()[0], [0]
+
+        def read_all() -> None:
+            while piece := worker.recv(1 << 20):
+                received[0] += len(piece)
+
+        reading = asyncio.create_task(asyncio.to_thread(read_all))
+        while made[0].writer.transport.get_write_buffer_size():
+            await asyncio.sleep(0)
+        asking.cancel()  # before anything that waits for the write has run
+        with pytest.raises(asyncio.CancelledError):
+            await asking
+        await reading
+        assert received[0] > 20_000_000 and sent == [True] and connections.descriptors.used == 0
+        worker.close()
+        listening.close()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("status, meets", [(202, 1), (204, 2), (503, 2)])
+def test_a_connection_whose_reply_may_be_told_twice_rests_first(status: int, meets: int) -> None:
+    """The second telling of a 503, some milliseconds late, was read as the next job's, which ran."""
+    met: list[bool] = []
+
+    async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        met.append(True)
+        try:
+            while True:
+                await reader.readuntil(b"x" * 100)
+                writer.write(b"HTTP/1.1 %d Told\r\nContent-Length: 0\r\n\r\n" % status)
+        except asyncio.IncompleteReadError:
+            writer.close()
+
+    async def run() -> None:
+        listening = await asyncio.start_server(script, "127.0.0.1", 0)
+        at = listening.sockets[0].getsockname()
+        connections = WorkerConnections(DescriptorBudget(10), 500_000, 400_000)
+        question = Question("POST", "/view", [], b"x" * 100)
+        for _ in range(2):
+            await connections.ask("w", at, lambda: question, lambda: None)
+        assert len(met) == meets
+        for kept in connections.idle["w"]:
+            kept.usable_at -= 1.0  # it has rested
+        await connections.ask("w", at, lambda: question, lambda: None)
+        assert len(met) == meets and connections.descriptors.used == meets
+        connections.forget("w")
+        listening.close()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("first", ["callback", "break"])
+def test_what_a_worker_has_is_given_up_there_before_its_broken_connection_counts(first: str) -> None:
+    async def story(play: HandPlayed) -> None:
+        play.node.submitted(submission("a"))
+        shot = await play.sent("a")
+        if first == "callback":  # it has started: the break before the 202 does not end that
+            play.call("a", shot.worker, "started")
+            shot.end(say.RESET)
+        else:
+            shot.end(SPOILT)  # half a reply: it may have
+        await play.settle()
+        assert play.outcomes() == [] and len(play.asked) == 2
+        question = play.asked[-1].build()
+        assert question is not None and question.method == "DELETE"
+        play.asked[-1].reply(204)
+        await play.settle()
+        assert play.outcomes() == [say.RESET]
+
+    played(story)
+
+
+def test_a_word_told_again_of_an_earlier_dispatch_does_not_end_the_later_one_there() -> None:
+    """'returned' came a second time, as its 204 was lost: what ran by then was taken for never run."""
+    async def story(play: HandPlayed) -> None:
+        play.list("w1", say.DRAINING)
+        play.list("w2", say.DRAINING)
+        play.node.submitted(submission("a", grade="cash"))
+        first = await play.sent("a")
+        first.reply(202)
+        play.call("a", "w0", "returned")
+        await play.settle()
+        held, rules = play.node.held["a"], play.node.dispatcher
+        rules.list.workers["w0"].full_until = rules.submissions["a"].not_before = 0
+        await until(lambda: len(held.dispatches) == 2)  # there is nowhere else to go
+        await play.settle()
+        assert play.asked[-1].build() is not None
+        play.asked[-1].sent()
+        play.call("a", "w0", "returned")
+        await play.settle()
+        assert play.outcomes() == [say.FULL] and play.asked[-1].build().method == "DELETE"  # type: ignore
+        play.asked[-1].reply(204)
+        await play.settle()
+        assert play.outcomes() == [say.FULL, say.CUT_OFF] and not held.open  # at-most-once: given up
+
+    played(story)
+
+
+def test_no_repeat_goes_out_once_it_is_no_longer_dropped() -> None:
+    """The connection came up late; the order was given in time."""
+    async def story(play: HandPlayed) -> None:
+        play.node.submitted(submission("a", grade="record", patience=6_000_000))
+        first = await play.sent("a")
+        first.end(say.RESET)
+        held = play.node.held["a"]
+        await until(lambda: len(held.dispatches) == 2)
+        await play.settle()
+        late = play.asked[-1]
+        sent_at = held.dispatches[0].sent_at
+        memory = next(grade for grade in GRADES if grade.name == "record").memory_span
+        assert abs(held.dispatches[1].before - sent_at - memory) < 100_000
+        play.node.clock.offset += (held.dispatches[1].before - play.node.clock.now() + 1000) / 1e6
+        assert late.build() is None
+        late.end(say.NEVER_SENT)
+        await play.settle()
+        assert not held.open and held.answer.result().status == 502  # and is given up at once
+
+    played(story)
