Decisions: a fault costs the submission on which it shows, which is answered at once

An exception in a turn of the decisions lost the whole batch of news and all orders; what was in it was owed until a timer noticed (Base.hand_over). Now each piece of news, each draw and each order is taken by itself: the submission is given up with 502 at once, what is out of it is withdrawn, the rest goes on. Tests by a fault at arrival, at a draw, at a timer and in an order; all failed before.

--- a/locktide/dispatch/interface.py
+++ b/locktide/dispatch/interface.py
@@ -311,10 +311,10 @@
 
     submission: Any
     worker: Any
+    before: int = 0
 
 
 @dataclass(slots=True)
-    before: int = 0
 class Withdraw:
     submission: Any
     number: int
@@ -354,6 +354,16 @@
     pass
 
 
+@dataclass(slots=True)
+class BrokeOff:
+    """A piece of news on which the decisions broke off; nothing of it counts. `submission`: the one it was
+    about, which is to be answered by the host, as no order for it will come; None for any other.
+    """
+
+    submission: Any
+    what: str
+
+
 @dataclass(slots=True)
 class Log:
     line: str
--- a/locktide/dispatch/rules/base.py
+++ b/locktide/dispatch/rules/base.py
@@ -1,6 +1,7 @@
 """What all mechanisms stand on: the terms, what is known of the fleet, and the orders."""
 
 from math import exp
+from traceback import format_exc
 from typing import Any
 
 from locktide.dispatch import interface as say
@@ -83,6 +84,18 @@
             worker.kept = []
             self.orders.append(say.Close(worker.id))
 
+    def break_off(self, submission: Any) -> None:
+        """For a fault of ours: it costs the piece of news, or the submission, on which it shows, alone."""
+        where = " | ".join(format_exc().splitlines()[-3:])
+        if sub := self.submissions.get(submission):
+            sub.answered = True
+            if sub.pooled:
+                sub.pooled = False
+                self.pool.remove(sub)
+            if not sub.out:
+                del self.submissions[submission]
+        self.orders.append(say.BrokeOff(submission, where))
+
     def log(self, line: str) -> None:
         self.orders.append(say.Log(line))
 
--- a/locktide/dispatch/rules/dispatcher.py
+++ b/locktide/dispatch/rules/dispatcher.py
@@ -17,8 +17,13 @@
         self.orders = []
         for piece in news:
             take = TAKE.get(type(piece))  # no decision rests on news of streams and probes yet
-            if take:
-                take(self, piece)
+            about = self.timers.get(piece.mark) if type(piece) is say.TimerDue else piece
+            try:
+                if take:
+                    take(self, piece)
+            except Exception:
+                one = getattr(getattr(about, "arrival", about), "submission", None)
+                self.break_off(getattr(one, "id", one))
         if self.list.terms.must_ask and not self.list.watched and now >= self.list.ask_at:
             self.list.watched = True
             self.orders.append(say.WatchList(True))
@@ -26,7 +31,10 @@
             if sub.held and now < (last := self.last_chance(sub)):
                 sub.leave_at = last  # it may have run: a late answer beats none
                 continue
-            self.advance(sub, None)
+            try:
+                self.advance(sub, None)
+            except Exception:
+                self.break_off(sub.id)
         if self.pool and self.fitting:
             self.round()
         if self.pool and not self.round_timer:
--- a/locktide/dispatch/rules/rounds.py
+++ b/locktide/dispatch/rules/rounds.py
@@ -19,24 +19,33 @@
                 break
             if now < sub.not_before:
                 continue
-            fitting = self.fitting[sub.ground]
-            if sub.dispatches:
-                held, tried = [one.worker for one in sub.held], [one.worker for one in sub.dispatches]
-                fitting = [one for one in fitting if one not in held and sub.may_repeat_on(one, now)]
-                fitting = [one for one in fitting if one not in tried] or fitting
-            if sub.key is not None:
-                fitting = self.near(sub, fitting)
-            if not fitting:
-                continue
-            worker = self.draw(fitting, sub.key is None)
-            if worker.has_room(sub.width, now, prompt) and self.holds(worker, sub) and (
-                not worker.doubtful(now) or self.all_doubtful()
-                # Guards against losing for good what cannot be sent again: others do the trying.
-                or (sub.grade.effect != say.AT_MOST_ONCE or self.all_once)
-                and worker.trusted(now, self.chance)
-            ):
-                self.advance(sub, worker)
-                room -= not worker.has_room(1.0, now, prompt)
+            try:
+                room -= self.try_one(sub)
+            except Exception:
+                self.break_off(sub.id)
+
+    def try_one(self, sub: Submission) -> bool:
+        """One draw for it; whether that took the last room of a worker."""
+        now, prompt = self.now, self.prompt
+        fitting = self.fitting[sub.ground]
+        if sub.dispatches:
+            held, tried = [one.worker for one in sub.held], [one.worker for one in sub.dispatches]
+            fitting = [one for one in fitting if one not in held and sub.may_repeat_on(one, now)]
+            fitting = [one for one in fitting if one not in tried] or fitting
+        if sub.key is not None:
+            fitting = self.near(sub, fitting)
+        if not fitting:
+            return False
+        worker = self.draw(fitting, sub.key is None)
+        if worker.has_room(sub.width, now, prompt) and self.holds(worker, sub) and (
+            not worker.doubtful(now) or self.all_doubtful()
+            # Guards against losing for good what cannot be sent again: others do the trying.
+            or (sub.grade.effect != say.AT_MOST_ONCE or self.all_once)
+            and worker.trusted(now, self.chance)
+        ):
+            self.advance(sub, worker)
+            return not worker.has_room(1.0, now, prompt)
+        return False
 
     def draw(self, fitting: list[Worker], any_one: bool) -> Worker:
         """One uniform draw, made again until a worker holds; the same in law as one by their odds."""
--- a/locktide/node/base.py
+++ b/locktide/node/base.py
@@ -67,10 +67,17 @@
             self.log.say(f"the decisions broke off: {what}", event="decisions-broke-off", trouble=what)
             return
         for order in orders:
-            for hear in self.hearers:
-                hear(order)
-            if not self.left_to_the_next(order):
-                self.orders[type(order)](order)
+            try:
+                self.carry_out(order)
+            except Exception:  # one order that fails costs itself alone
+                what = " | ".join(traceback.format_exc().splitlines()[-3:])
+                self.log.say(f"an order was not carried out: {what}", event="order-failed", trouble=what)
+
+    def carry_out(self, order: Any) -> None:
+        for hear in self.hearers:
+            hear(order)
+        if not self.left_to_the_next(order):
+            self.orders[type(order)](order)
 
     def left_to_the_next(self, order: Any) -> bool:
         """Whether it is about a job that the next process goes on with: what is on disk stays as it is."""
--- a/locktide/node/node.py
+++ b/locktide/node/node.py
@@ -67,6 +67,7 @@
             say.Withdraw: self.withdraw,
             say.Deny: self.deny,
             say.Terminate: self.terminate,
+            say.BrokeOff: self.broke_off,
             say.Wake: self.wake,
             say.Close: lambda order: self.connections.forget(order.worker),
             say.Log: lambda order: log.say(order.line),
@@ -93,15 +94,15 @@
             # up for long: then the remembered list is all there is.
             with suppress(TimeoutError):
                 await asyncio.wait_for(self.listed.wait(), FIRST_LIST)
+        # Not before: a front goes on sending to a dispatcher that has died, and what it sends would go out on
+        # the strength of a list of before.
+        self.server.listen(self.listen_at)
         self.serving = True
         workers = len(self.fleet.entries)
         self.log.say(
             f"serving on {spelled(self.listen_at)}, {workers} workers known",
             event="serving", listen=spelled(self.listen_at), workers=workers,
         )
-        # Not before: a front goes on sending to a dispatcher that has died, and what it sends would go out on
-        # the strength of a list of before.
-        self.server.listen(self.listen_at)
         await stop.wait()
         begun = self.loop.time()
         grace = min(STOP_WITHIN, self.longest_limit / 1e6) + STOP_BIT
@@ -111,23 +112,23 @@
         while self.loop.time() - begun < ACCEPT_ON or self.owes():
             # However long that takes: a kill costs what is open then no more than giving it up would.
             await asyncio.sleep(0.02)
+            await read_first()  # so that the last look is past all that has come
         if self.watching is not None:
             self.watching.cancel()
         sweeping.cancel()
         await self.server.stop()
         self.log.say("stopped", event="stopped")
 
-            await read_first()  # so that the last look is past all that has come
+    def owes(self) -> bool:
+        """Whether a stop waits: for an answer, a connection not at rest, a worker to be told."""
+        return bool(self.open()) or self.server.busy() or self.awaited()
+
     def take_terms(self, start: Start) -> None:
         """The settings that may change while we serve; name, address, seed and limits are the process's."""
         grades: list[say.Grade] = start.terms[2]
         self.listing: say.ListTerms = start.terms[8]
         self.connect_within = start.connect_within
         self.connections.set_spans(start.connect_within, start.idle_close)
-    def owes(self) -> bool:
-        """Whether a stop waits: for an answer, a connection not at rest, a worker to be told."""
-        return bool(self.open()) or self.server.busy() or self.awaited()
-
         # In place: connections that are kept go by them, too.
         self.server.grades.clear()
         self.server.grades.update({grade.name: grade.time_limit for grade in grades})
--- a/locktide/node/submissions.py
+++ b/locktide/node/submissions.py
@@ -76,6 +76,16 @@
     def terminate(self, order: say.Terminate) -> None:
         self.answer(order.submission, Answer(502, b"terminated\n"))
 
+    def broke_off(self, order: say.BrokeOff) -> None:
+        """The decisions have failed on one submission: it is answered at once, what is out is given up."""
+        what = order.what
+        self.log.say(f"the decisions broke off: {what}", event="decisions-broke-off", trouble=what)
+        held = self.held.get(order.submission)
+        if held is not None:
+            self.answer(order.submission, Answer(502, b"terminated\n"))
+            for dispatch in held.out():
+                self.withdraw(say.Withdraw(order.submission, dispatch.number))
+
     def time_out(self, held: OpenSubmission) -> None:
         """The time limit: nobody waits any longer, neither for a dispatch nor with the client."""
         for dispatch in held.out():
--- a/locktide/simhost/wire.py
+++ b/locktide/simhost/wire.py
@@ -182,6 +182,8 @@
         return f"STREAM_CHANGES Want={int(order.on)}"
     if type(order) is say.FetchList:
         return "FETCH"
+    if type(order) is say.BrokeOff:  # a fault of ours is handed in here, not lived with
+        raise RuntimeError(order.what)
     return "WRITE_LOG Line=" + " ".join(order.line.split())
 
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -499,3 +499,68 @@
         listening.close()
 
     played(story)
+
+
+# --- the decisions
+
+
+@pytest.mark.parametrize("where", ["patience", "draw"])
+def test_a_fault_in_the_decisions_costs_the_submission_on_which_it_shows_alone(where: str) -> None:
+    async def story(play: HandPlayed) -> None:
+        rules: Any = play.node.dispatcher
+        sound = getattr(rules, where)
+
+        def faulty(*given: Any) -> Any:
+            poor = given[0].id == "poor" if where == "patience" else rules.pool[0].id == "poor"
+            if poor:
+                raise ValueError("out of sorts")
+            return sound(*given)
+
+        setattr(rules, where, faulty)
+        answers = {name: play.node.submitted(submission(name)) for name in ("one", "poor", "two")}
+        await play.settle()
+        assert answers["poor"] is not None and answers["poor"].result().status == 502
+        assert [len(play.node.held[name].dispatches) for name in ("one", "two")] == [1, 1]
+        assert "poor" not in play.node.held and any("out of sorts" in line for line in play.lines_logged)
+
+    played(story)
+
+
+def test_a_fault_at_a_timer_of_the_decisions_costs_its_submission_alone() -> None:
+    async def story(play: HandPlayed) -> None:
+        rules: Any = play.node.dispatcher
+
+        def faulty(dispatch: Any) -> None:
+            raise ValueError("out of sorts")
+
+        rules.check = faulty
+        answer = play.node.submitted(submission("a"))
+        (await play.sent("a")).reply(202)
+        mark = next(mark for mark, what in rules.timers.items() if what != "round")
+        play.node.tell(say.TimerDue(mark))
+        await play.settle()
+        assert answer is not None and answer.result().status == 502
+        assert play.asked[-1].build().method == "DELETE"  # type: ignore[union-attr]
+        play.asked[-1].reply(204)
+        await play.settle()
+        assert not play.node.held and not rules.submissions
+
+    played(story)
+
+
+def test_an_order_that_fails_costs_itself_alone() -> None:
+    async def story(play: HandPlayed) -> None:
+        carry = play.node.orders[say.Dispatch]
+
+        def faulty(order: say.Dispatch) -> None:
+            if order.submission == "poor":
+                raise ValueError("out of sorts")
+            carry(order)
+
+        play.node.orders[say.Dispatch] = faulty
+        for name in ("poor", "one", "two"):
+            play.node.submitted(submission(name))
+        await play.settle()
+        assert [len(play.node.held[name].dispatches) for name in ("poor", "one", "two")] == [0, 1, 1]
+
+    played(story)
