--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,91 @@
+"""Orders of all that may end something, drawn and played in virtual time (docs/design/endings.md)."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+from rig import play
+
+from locktide.dispatch import interface as say
+from locktide.net.client_connection import ClientConnection
+from locktide.net.descriptors import DescriptorBudget
+from locktide.net.workers import WorkerConnections
+from locktide.node import dispatches
+from locktide.node.base import Base
+from locktide.node.roster import Roster
+
+KINDS = [
+    "view", "cash", "record", "close", "reset", "shut", "take", "refuse", "break", "half", "started", "done",
+    "failed", "returned", "lost", "leaving", "active", "left", "mute", "speak", "hup", "term",
+]
+EVENTS = st.lists(
+    st.tuples(st.sampled_from(KINDS), st.integers(0, 5), st.sampled_from([0.0, 0.001, 0.002, 0.02, 0.3])),
+    max_size=30,
+)
+
+
+@settings(
+    max_examples=150, derandomize=True, deadline=None, database=None,
+    suppress_health_check=[HealthCheck.too_slow],
+)
+@given(st.sampled_from(["view", "cash", "record"]), EVENTS)
+def test_whatever_the_order_nothing_is_owed_at_the_end(
+    first: str, events: list[tuple[str, int, float]]
+) -> None:
+    rig = play([(first, 0, 0.0), (first, 0, 0.0), *events])
+    assert rig.faults == []
+
+
+def story(*words: str) -> list[tuple[str, int, float]]:
+    """Each word an event, 20 ms after the one before; `word:2` for the third worker, job or client. "speak"
+    changes nothing but the time."""
+    pairs = [word.partition(":") for word in words for word in word.split()]
+    return [(kind, int(number or 0), 0.02) for kind, _, number in pairs]
+
+
+def ignore(*_: Any, **__: Any) -> None:
+    pass
+
+
+async def told_at_once(*_: Any) -> bool:
+    return True
+
+
+def none_to_the_first(self: Any, submission: str, answer: Any) -> None:
+    if submission != "r0":
+        ANSWER(self, submission, answer)
+
+
+async def never_ran(self: Any, *given: Any, **named: Any) -> Any:
+    found = await ASK(self, *given, **named)
+    return say.NO_CONNECTION if found in (say.RESET, say.CUT_OFF) else found
+
+
+def first_list_only(self: Any, update: Any) -> None:
+    if update.whole:
+        TAKE_LIST(self, update)
+
+
+ANSWER, ASK, TAKE_LIST = Base.answer, WorkerConnections.ask, Roster.take_list
+WHILE = "speak " * 20
+SEEDED = [
+    ("gone", ClientConnection, "leave", ignore, story("view close", WHILE, "break")),
+    ("drain", Roster, "take_list", first_list_only, story("leaving:0 leaving:1", WHILE, "view " * 4)),
+    ("copies", dispatches, "give_up", told_at_once, story("view take", WHILE)),
+    ("twice", WorkerConnections, "ask", never_ran, story("cash break")),
+    ("lost", Base, "answer", none_to_the_first, story("view take done")),
+    ("descriptors", DescriptorBudget, "release", ignore, story("view take done")),
+]
+
+
+@pytest.mark.parametrize("kind, where, name, faulty, events", SEEDED, ids=[seeded[0] for seeded in SEEDED])
+def test_the_oracle_finds_a_seeded_fault(
+    kind: str, where: Any, name: str, faulty: Any, events: list[Any], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    assert play(events).faults == []
+    monkeypatch.setattr(where, name, faulty)
+    found = play(events).faults
+    assert any(fault.split()[1].startswith(kind) for fault in found), found
