--- a/locktide/dispatch/__init__.py
+++ b/locktide/dispatch/__init__.py
@@ -1,1 +1,1 @@
-"""The decisions (rules/) and the types they share with any host (interface.py)."""
+"""The decisions (rules/) and the types they share with any host (interface/)."""
--- /dev/null
+++ b/locktide/dispatch/interface/orders.py
@@ -0,0 +1,72 @@
+"""Orders, from the decisions to the host."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+
+@dataclass(slots=True)
+class Dispatch:
+    """The dispatches of one submission count 0, 1, 2 ... in the order of these orders. `before`: no byte of
+    it may go out from that moment on; 0 where the time limit alone counts.
+    """
+
+    submission: Any
+    worker: Any
+    before: int = 0
+
+
+@dataclass(slots=True)
+class Withdraw:
+    submission: Any
+    number: int
+
+
+@dataclass(slots=True)
+class Deny:
+    submission: Any
+    come_back_after: int
+
+
+@dataclass(slots=True)
+class Terminate:
+    submission: Any
+
+
+@dataclass(slots=True)
+class Wake:
+    after: int
+    mark: int
+
+
+@dataclass(slots=True)
+class Close:
+    """Closes the connections to a worker that are at rest."""
+
+    worker: Any
+
+
+@dataclass(slots=True)
+class WatchList:
+    on: bool
+
+
+@dataclass(slots=True)
+class FetchList:
+    pass
+
+
+@dataclass(slots=True)
+class BrokeOff:
+    """A piece of news on which the decisions broke off; nothing of it counts. `submission`: the one it was
+    about, which is to be answered by the host, as no order for it will come; None for any other.
+    """
+
+    submission: Any
+    what: str
+
+
+@dataclass(slots=True)
+class Log:
+    line: str
--- a/locktide/dispatch/rules/__init__.py
+++ b/locktide/dispatch/rules/__init__.py
@@ -1,7 +1,7 @@
 """Every decision of locktide, for all deployments; docs/design.md gives sources, departures and figures.
 
 A host builds one Dispatcher(seed, terms ...) and calls turn(now, news) whenever it has news; the orders that
-come back are carried out at that moment. The types of both are in locktide/dispatch/interface.py.
+come back are carried out at that moment. The types of both are in locktide/dispatch/interface/.
 
 The ordinary path is the design's: an aged pool, released in rounds, oldest first; in each round each
 submission makes one fresh uniform draw among the ready workers that fit, and goes out if our own outstanding
