--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -6,11 +6,13 @@
 import socket
 import struct
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from typing import Any
 
 import pytest
-from helpers import GRADES, Checked, Clerk, HandPlayed, call, free_address, listed, submission, submit
+from helpers import GRADES, Checked, Clerk, HandPlayed, call, free_address, listed, submission, submit, terms
 
+from locktide.config.start import Start
 from locktide.dispatch import interface as say
 from locktide.net.client_connection import Answer, Peer, State
 from locktide.net.descriptors import DescriptorBudget
@@ -457,6 +459,32 @@
     played(story)
 
 
+@pytest.mark.parametrize("when", ["ordered", "sent"])
+def test_a_reload_leaves_what_is_open_its_grade_and_its_memory_span(when: str) -> None:
+    async def story(play: HandPlayed) -> None:
+        play.node.submitted(submission("a", grade="record", patience=6_000_000))
+        first = await (play.ordered if when == "ordered" else play.sent)("a")
+        told = list(terms(3, 1, False, 0.4))
+        changed: dict[str, Any] = {"effect": say.AT_MOST_ONCE, "memory_span": 0, "time_limit": 50_000}
+        told[2] = [replace(grade, **changed) for grade in told[2]]
+        here = ("127.0.0.1", 9)
+        play.node.reload(Start("n0", here, here, 7, 100, 80 << 20, {}, 250_000, 30_000_000, tuple(told)))
+        if when == "ordered":
+            assert first.build() is not None
+            first.sent()
+        await play.settle()
+        first.end(say.RESET)
+        held = play.node.held["a"]
+        await until(lambda: len(held.dispatches) == 2)  # numbered, as it came: it may be repeated
+        memory = next(grade for grade in GRADES if grade.name == "record").memory_span
+        assert abs(held.dispatches[1].before - held.dispatches[0].sent_at - memory) < 100_000
+        assert held.limit_at - play.node.clock.now() > 5_000_000
+        assert play.node.watching is not None
+        play.node.watching.cancel()
+
+    played(story)
+
+
 # --- the watch
 
 
