Dispatches: a refusal does not end what its worker has said to run; evicted ones do not linger

Found on reading again: a reply that refuses, spoilt or told for another, after a callback that the job has started, counted as never run, and was sent again. It is given up there first. Test: refusal, failed before.

--- a/locktide/net/client_connection.py
+++ b/locktide/net/client_connection.py
@@ -190,11 +190,10 @@
         within = None if resting and self.proven else max(0.0, self.due - self.now())
         came = await self.come(within)
         self.server.descriptors.mark_busy(self)
-        # Shut by us while at rest: what came all the same was not read, and is sent anew elsewhere.
-        if self.state is State.LINGERING or self.writer.is_closing():
-            await self.linger(LINGER_FOR)
+        # Ended by us while at rest: what came all the same was not read, and is sent anew elsewhere.
+        if self.writer.is_closing():
             return False
-        if resting and not came:  # a newcomer that says nothing
+        if self.state is State.LINGERING or resting and not came:  # the latter a newcomer that says nothing
             await self.linger(LINGER_FOR)
             return False
         if resting and self.proven:
--- a/locktide/node/dispatches.py
+++ b/locktide/node/dispatches.py
@@ -16,6 +16,9 @@
 
 # How long past the time limit a connection may still wait for a reply that no longer matters, in seconds.
 LAST_REPLY = 1.0
+# What a connection may tell of a job of which its worker has said by callback that it runs: no end of it, and
+# a refusal least of all, as that would be sent again.
+NO_WORD = frozenset((say.RESET, say.CUT_OFF, say.FULL, say.UNFIT))
 
 
 class Dispatches(Base):
@@ -71,7 +74,7 @@
             )
             reply = say.RESET if dispatch.stage >= Stage.SENDING else say.NEVER_SENT
         outcome = workers.outcome(reply) if isinstance(reply, Reply) else reply
-        if outcome == SPOILT or dispatch.taken and outcome in (say.RESET, say.CUT_OFF):
+        if outcome == SPOILT or dispatch.taken and outcome in NO_WORD:
             # Guards against a second copy: the worker has it, or may, whatever became of its reply.
             self.recall(held, dispatch, say.RESET)
         elif outcome is None:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -390,14 +390,14 @@
     asyncio.run(run())
 
 
-@pytest.mark.parametrize("first", ["callback", "break"])
+@pytest.mark.parametrize("first", ["callback", "break", "refusal"])
 def test_what_a_worker_has_is_given_up_there_before_its_broken_connection_counts(first: str) -> None:
     async def story(play: HandPlayed) -> None:
         play.node.submitted(submission("a"))
         shot = await play.sent("a")
-        if first == "callback":  # it has started: the break before the 202 does not end that
+        if first != "break":  # it has started: neither a break before the 202 nor a refusal ends that
             play.call("a", shot.worker, "started")
-            shot.end(say.RESET)
+            shot.end(say.RESET if first == "callback" else say.FULL)
         else:
             shot.end(SPOILT)  # half a reply: it may have
         await play.settle()
