Accord: who counts as dead and speaks hears it, and an earlier process of its later one

Ruled out: lost datagrams (none is in the quiet) and loans. Change (accord/members/reunion.py): who speaks hears what is held against it; an earlier process hears of the later one at its own address; each full exchange goes also to one that counts as dead. No word and no promise changed.

--- a/locktide/accord/members/swim.py
+++ b/locktide/accord/members/swim.py
@@ -8,6 +8,7 @@
 
 from locktide.accord.members import suspicion
 from locktide.accord.members.probing import Probed, Suspected
+from locktide.accord.members.reunion import Reunion
 from locktide.accord.members.rumours import MOST, Rumours
 from locktide.accord.members.suspicion import ANSWER, INDIRECT, PERIOD, Health
 from locktide.accord.members.table import ALIVE, DEAD, LEFT, STATES, SUSPECT, Table
@@ -35,6 +36,7 @@
         self.number = 0
         self.events: list[tuple[str, Row]] = []
         self.replaced = False  # a later process of our name was heard of
+        self.reunion = Reunion(self.table, chance)
 
     # --- what others ask
 
@@ -69,6 +71,7 @@
                 self.rumours.add(row)
         if before is None:
             return
+        self.reunion.note(before, row)
         self.rumours.add(row)
         if row.state == SUSPECT:
             held = self.suspected[row.name] = Suspected(now, {by})
@@ -103,7 +106,9 @@
         if isinstance(word, Ping):
             if word.row is not None:
                 self.learn(word.row, now, sender)  # Lifeguard's buddy: who is suspected hears it first
-            return self.to(sender, Ack(word.number, self.tell()))
+            outdone = self.reunion.outdo(said)
+            more: Sends = [(outdone[0], Whole([outdone[1]], False))] if outdone else []
+            return self.to(sender, Ack(word.number, self.reunion.doubts(said) + self.tell())) + more
         if isinstance(word, Probe):
             return self.relay(sender, word)
         if isinstance(word, Ack):
@@ -156,6 +161,7 @@
             drawn = self.address(others[self.chance.below(len(others))]) if others else None
             for address in [drawn] if drawn else self.seeds:
                 sends += self.whole(address, answer=True)
+            sends += self.whole(self.reunion.lost(), answer=True)
         return sends
 
     def probe(self, now: int) -> Sends:
--- /dev/null
+++ b/tests/test_accord_members.py
@@ -0,0 +1,83 @@
+"""Members that are thought dead, or outdone by a later process of their name, and live."""
+
+from __future__ import annotations
+
+import pytest
+
+from locktide.accord.members.suspicion import PERIOD
+from locktide.accord.members.swim import WHOLE_EVERY, Address, Swim
+from locktide.accord.members.table import DEAD
+from locktide.accord.words import VERSION, Ping, Row, Said, Whole
+from locktide.dispatch.sums import Chance
+from locktide.rehearse.accord import days
+
+
+def member(name: str, start: int = 1, port: int = 0) -> Swim:
+    address = ("10.0.0.1", port or 9000 + int(name[1:]))
+    return Swim((name, start), address, [("10.0.0.1", 9000)], Chance(int(name[1:]) + start), 0)
+
+
+def know(of: Swim, *others: Swim) -> None:
+    for other in others:
+        of.learn(other.me, 0, other.who[0])
+
+
+def dead(row: Row) -> Row:
+    return Row(row.name, row.start, row.turn, DEAD, row.address)
+
+
+def pass_on(sends: list[tuple[Address, object]], sender: Swim, to: Swim, now: int) -> None:
+    for address, word in sends:
+        if address == to.me.address:
+            to.hear(Said(VERSION, *sender.who, word), now)
+
+
+def test_one_that_counts_as_dead_and_speaks_hears_it_and_refutes() -> None:
+    """Nobody asked it anything any more, and the news of its death was told no longer."""
+    one, other = member("d0"), member("d1")
+    know(one, other)
+    know(other, one)
+    one.learn(dead(other.me), 0, "d0")
+    one.rumours.told.clear()
+    pass_on(one.hear(Said(VERSION, *other.who, Ping(7, None, [])), 1000), one, other, 1000)
+    assert other.me.turn == 1
+    pass_on(other.tick(PERIOD), other, one, PERIOD)
+    assert one.alive() == ["d0", "d1"]
+
+
+def test_two_groups_that_hold_each_other_dead_find_each_other_again() -> None:
+    all_of_them = [member(f"d{number}") for number in range(4)]
+    for one in all_of_them:
+        know(one, *[other for other in all_of_them if other is not one])
+    for one in all_of_them:
+        for other in all_of_them:
+            if (all_of_them.index(one) < 2) != (all_of_them.index(other) < 2):
+                one.learn(dead(other.me), 0, one.who[0])
+        one.rumours.told.clear()
+    now = 0
+    while now < 6 * WHOLE_EVERY and any(len(one.alive()) < 4 for one in all_of_them):
+        now = min(one.due for one in all_of_them)
+        queue = [(one, send) for one in all_of_them if one.due <= now for send in one.tick(now)]
+        while queue:
+            sender, (address, word) = queue.pop(0)
+            for to in all_of_them:
+                if to.me.address == address:
+                    queue += [(to, send) for send in to.hear(Said(VERSION, *sender.who, word), now)]
+    assert all(len(one.alive()) == 4 for one in all_of_them)
+
+
+def test_an_earlier_process_is_told_of_the_later_one_at_its_own_address() -> None:
+    """What was meant for the name went to the later one, also when that was dead; the earlier never heard."""
+    one, earlier, later = member("d0"), member("d1"), member("d1", start=5, port=9501)
+    know(one, earlier, later)
+    one.learn(dead(later.me), 0, "d0")
+    sends = one.hear(Said(VERSION, *earlier.who, Ping(7, None, [])), 1000)
+    assert any(address == earlier.me.address and isinstance(word, Whole) for address, word in sends)
+    pass_on(sends, one, earlier, 1000)
+    assert earlier.replaced and not later.replaced
+
+
+@pytest.mark.parametrize("seed", [8, 38, 56])
+def test_days_on_which_members_and_ledgers_differed_after_quiet(seed: int) -> None:
+    came = days.play(seed)
+    assert came.agree and came.ledgers == 1 and came.overruns == 0
