Guards: stored jobs and datagrams pinned byte for byte; tags no longer follow class names

Also keys of exported jobs, stored outcome words, and keys of a 202 body (in test_durable.py). No other msgspec struct crosses a socket or disk: config and scripts read TOML only.

Result: 30 new tests pass, on this code and on the code before it. Full suite not run.

--- a/locktide/accord/words.py
+++ b/locktide/accord/words.py
@@ -38,11 +38,11 @@
     address: tuple[str, Annotated[int, Meta(ge=0, le=65535)]]
 
 
-class Word(msgspec.Struct, array_like=True, tag=True):
+class Word(msgspec.Struct, array_like=True):
     pass
 
 
-class Ping(Word):
+class Ping(Word, tag="Ping"):
     """Answered by an Ack of the same number. `row` is what its sender believes of who is asked."""
 
     number: int
@@ -50,7 +50,7 @@
     rumours: list[Row]
 
 
-class Probe(Word):
+class Probe(Word, tag="Probe"):
     """Asks for a ping of `name`: an indirect probe."""
 
     number: int
@@ -58,29 +58,29 @@
     rumours: list[Row]
 
 
-class Ack(Word):
+class Ack(Word, tag="Ack"):
     number: int
     rumours: list[Row]
 
 
-class Nack(Word):
+class Nack(Word, tag="Nack"):
     """In answer to a Probe: it was heard, and the one probed has not answered yet."""
 
     number: int
 
 
-class Whole(Word):
+class Whole(Word, tag="Whole"):
     """A part of a full exchange; the last that was asked for answers in kind."""
 
     rows: list[Row]
     answer: bool
 
 
-class Prepare(Word):
+class Prepare(Word, tag="Prepare"):
     ballot: Ballot
 
 
-class Promise(Word):
+class Promise(Word, tag="Promise"):
     """`owner` holds the lease, as far as this elector knows; `refused` where it has promised `ballot`."""
 
     asked: Ballot
@@ -89,24 +89,24 @@
     refused: bool
 
 
-class Propose(Word):
+class Propose(Word, tag="Propose"):
     ballot: Ballot
     owner: Who
 
 
-class Accepted(Word):
+class Accepted(Word, tag="Accepted"):
     asked: Ballot
     ballot: Ballot
     refused: bool
 
 
-class Lead(Word):
+class Lead(Word, tag="Lead"):
     """The owner of the lease says so; `term` is the ballot with which it began to hold it."""
 
     term: Ballot
 
 
-class Ask(Word):
+class Ask(Word, tag="Ask"):
     """A member tells what it holds and wants. `held` and `loans` are in force as of grant `seq` of term `of`;
     `wants` is its demand by budget, in whatever unit the budget has.
     """
@@ -122,7 +122,7 @@
     book: int = 0
 
 
-class Grant(Word):
+class Grant(Word, tag="Grant"):
     """In answer to the Ask of that number: parts in millionths, counted from when the Ask was sent. `soon`:
     there is more to come, once others have let go of it.
     """
@@ -135,7 +135,7 @@
     soon: bool
 
 
-class Recall(Word):
+class Recall(Word, tag="Recall"):
     """Who divides calls back what was lent of these budgets, as their owners have come again. It only makes
     haste: a loan ends by itself.
     """
@@ -162,7 +162,7 @@
     entries: list[Entry]
 
 
-class Heads(Word):
+class Heads(Word, tag="Heads"):
     """How far the sender has read each writer whose name is after `after` and no further than `upto`, and
     what is closed of these; only its digest, where `upto` is empty. `sum` is of the tenants and resources.
     """
@@ -176,18 +176,18 @@
     answer: bool
 
 
-class Rows(Word):
+class Rows(Word, tag="Rows"):
     sum: int
     groups: list[Group]
 
 
-class Look(Word):
+class Look(Word, tag="Look"):
     """Of `locktide accord show`: answered on loopback only."""
 
     number: int
 
 
-class Seen(Word):
+class Seen(Word, tag="Seen"):
     """A page of what a member sees, as JSON; `pages` in all."""
 
     number: int
--- a/locktide/durable/records.py
+++ b/locktide/durable/records.py
@@ -7,11 +7,11 @@
 import msgspec
 
 
-class Record(msgspec.Struct, array_like=True, tag=True):
+class Record(msgspec.Struct, array_like=True):
     pass
 
 
-class Began(Record):
+class Began(Record, tag="Began"):
     """A dispatcher has taken over the journal. `boot` and `boot_at` tell how time went on if its clock is
     set.
     """
@@ -21,7 +21,7 @@
     boot_at: int  # microseconds since the machine's start
 
 
-class Accepted(Record):
+class Accepted(Record, tag="Accepted"):
     id: str
     key: str  # the number of a numbered one, or what its client calls it by; empty for none
     digest: str
@@ -35,7 +35,7 @@
     width: float
 
 
-class Leased(Record):
+class Leased(Record, tag="Leased"):
     """Written before the first byte of the dispatch: from here on it may have run."""
 
     id: str
@@ -47,14 +47,14 @@
     until: int
 
 
-class Ended(Record):
+class Ended(Record, tag="Ended"):
     id: str
     fence: int
     outcome: str
     at: int
 
 
-class Finished(Record):
+class Finished(Record, tag="Finished"):
     """The one final answer."""
 
     id: str
@@ -64,7 +64,7 @@
     at: int
 
 
-class Late(Record):
+class Late(Record, tag="Late"):
     """What a worker said under a lease that had ended: kept for who looks, of no effect."""
 
     id: str
@@ -74,7 +74,7 @@
     at: int
 
 
-class Kept(Record):
+class Kept(Record, tag="Kept"):
     """A job as it stood, in a snapshot: everything that was said of it before."""
 
     accepted: Accepted
@@ -84,7 +84,7 @@
     late: list[Late]
 
 
-class Whole(Record):
+class Whole(Record, tag="Whole"):
     """The snapshot in this segment is complete: older segments are of no more use."""
 
     jobs: int
--- /dev/null
+++ b/tests/test_datagram_bytes.py
@@ -0,0 +1,213 @@
+"""Datagrams between dispatchers, byte for byte: dispatchers of different releases talk to each other.
+
+The bytes were written once by the program of commit 53c25d5 (format version 2), before its classes were
+renamed. Fields are given by name, so that two of one type cannot change places unseen.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+from typing import Any
+from zlib import crc32
+
+import pytest
+
+from locktide.accord import words
+from locktide.accord.agent import Agent
+from locktide.accord.budgets.purse import Budget
+from locktide.accord.driver import look, open_driver
+from locktide.accord.ledger.book import Book
+from locktide.accord.ledger.ledger import Terms as LedgerTerms
+from locktide.accord.seen import seen
+from locktide.accord.terms import Terms
+from locktide.accord.words import Entry, Row, pack, unpack
+from locktide.rehearse.accord.processes import free_port
+
+SENDER = ("d0", 1_700_000_000_000_001)
+BALLOT, LATER = (3, "d1", 7), (2**40, "d2", 8)
+ROW = Row(name="d1", start=1_700_000_000_000_000, turn=2, state=3, address=("127.0.0.1", 9001))
+OTHER_ROW = Row(name="d2", start=5, turn=0, state=1, address=("10.0.0.2", 65_535))
+ENTRY = Entry(place=65_535, version=2, held=[1000, 0], waits=[500])
+
+# Each message with its whole datagram in hex: CRC-32, then [version, sender, its start, [tag, fields...]].
+DATAGRAMS: list[tuple[Any, str]] = [
+    (
+        words.Ping(number=300, row=ROW, rumours=[OTHER_ROW]),
+        "41c041a09402a26430cf00060a24181e400194a450696e67cd012c95a26431cf00060a24181e4000020392a93132372e"
+        "302e302e31cd23299195a2643205000192a831302e302e302e32cdffff",
+    ),
+    (
+        words.Ping(number=1, row=None, rumours=[]),
+        "7c269ad19402a26430cf00060a24181e400194a450696e6701c090",
+    ),
+    (
+        words.Probe(number=2, name="d2", rumours=[ROW]),
+        "09f3d43e9402a26430cf00060a24181e400194a550726f626502a264329195a26431cf00060a24181e4000020392a931"
+        "32372e302e302e31cd2329",
+    ),
+    (
+        words.Ack(number=3, rumours=[ROW]),
+        "acce7da69402a26430cf00060a24181e400193a341636b039195a26431cf00060a24181e4000020392a93132372e302e"
+        "302e31cd2329",
+    ),
+    (
+        words.Nack(number=4),
+        "b20b43579402a26430cf00060a24181e400192a44e61636b04",
+    ),
+    (
+        words.Whole(rows=[ROW, OTHER_ROW], answer=True),
+        "7d90ea2e9402a26430cf00060a24181e400193a557686f6c659295a26431cf00060a24181e4000020392a93132372e30"
+        "2e302e31cd232995a2643205000192a831302e302e302e32cdffffc3",
+    ),
+    (
+        words.Prepare(ballot=LATER),
+        "83a8190b9402a26430cf00060a24181e400192a75072657061726593cf0000010000000000a2643208",
+    ),
+    (
+        words.Promise(asked=BALLOT, ballot=LATER, owner=("d3", 9), refused=True),
+        "d45a12c49402a26430cf00060a24181e400195a750726f6d6973659303a264310793cf0000010000000000a264320892"
+        "a2643309c3",
+    ),
+    (
+        words.Promise(asked=BALLOT, ballot=LATER, owner=None, refused=False),
+        "536515ec9402a26430cf00060a24181e400195a750726f6d6973659303a264310793cf0000010000000000a2643208c0"
+        "c2",
+    ),
+    (
+        words.Propose(ballot=BALLOT, owner=("d3", 9)),
+        "c15507369402a26430cf00060a24181e400193a750726f706f73659303a264310792a2643309",
+    ),
+    (
+        words.Accepted(asked=BALLOT, ballot=LATER, refused=False),
+        "aca4d2359402a26430cf00060a24181e400194a841636365707465649303a264310793cf0000010000000000a2643208"
+        "c2",
+    ),
+    (
+        words.Lead(term=BALLOT),
+        "4524ba239402a26430cf00060a24181e400192a44c6561649303a2643107",
+    ),
+    (
+        words.Ask(term=LATER, number=5, of=BALLOT, seq=6, held={0: 250_000}, wants={1: 70_000},
+                  loans=[(0, 1, 9)], leaving=True, book=0xFEDCBA98),
+        "2ad2c9ba9402a26430cf00060a24181e40019aa341736b93cf0000010000000000a2643208059303a2643107068100ce"
+        "0003d0908101ce000111709193000109c3cefedcba98",
+    ),
+    (
+        words.Ask(term=LATER, number=5, of=None, seq=0, held={}, wants={}, loans=[], leaving=False),
+        "3470393b9402a26430cf00060a24181e40019aa341736b93cf0000010000000000a264320805c000808090c200",
+    ),
+    (
+        words.Grant(term=BALLOT, number=7, seq=8, parts={0: 1_000_000, 255: 1}, loans=[(2, 3, 400)],
+                    soon=True),
+        "1331e0879402a26430cf00060a24181e400197a54772616e749303a264310707088200ce000f4240ccff0191930203cd"
+        "0190c3",
+    ),
+    (
+        words.Recall(term=BALLOT, owners=[0, 4]),
+        "a0b153339402a26430cf00060a24181e400193a6526563616c6c9303a2643107920004",
+    ),
+    (
+        words.Heads(sum=11, digest=2**63 + 1, heads=[("d1", 7, 12)], closed=[("d2", 8, 13)], after="d0",
+                    upto="d9", answer=True),
+        "8f800ca29402a26430cf00060a24181e400198a548656164730bcf80000000000000019193a26431070c9193a2643208"
+        "0da26430a26439c3",
+    ),
+    (
+        words.Rows(sum=14, groups=[words.Group(name="d1", start=7, after=15, entries=[ENTRY])]),
+        "8267cded9402a26430cf00060a24181e400193a4526f77730e9194a26431070f9194cdffff0292cd03e80091cd01f4",
+    ),
+    (
+        words.Look(number=16),
+        "3bd44a1d9402a26430cf00060a24181e400192a44c6f6f6b10",
+    ),
+    (
+        words.Seen(number=17, page=18, pages=19, text='{"name": "\u00fc"}'),
+        "a28a0aa29402a26430cf00060a24181e400195a45365656e111213ae7b226e616d65223a2022c3bc227d",
+    ),
+]
+
+INSPECTED = {
+    "name": "d0", "start": 1, "leads": False, "led_by": None, "term": None, "health": 0,
+    "stepped_down": False, "parts": {"bakery": 100_000, "dairy": 100_000}, "loans": [],
+    "ledger": {
+        "digest": "0000000000000000", "contended": False, "order": [], "held": {}, "fair": {}, "over": [],
+    },
+    "for_us": 0,
+    "members": [{"name": "d0", "start": 1, "turn": 0, "state": "alive", "address": "127.0.0.1:9000"}],
+}
+
+
+def terms(address: tuple[str, int]) -> Terms:
+    ledger = LedgerTerms(["slots"], {"dairy": 1, "bakery": 2}, {}, [1000], 1_000_000)
+    budgets = [Budget("dairy", 5.0, 25.0, True), Budget("bakery", 1.0, 1.0)]
+    return Terms(("d0", 1), address, {"d0": address}, [], budgets, 0.2, 2, ledger=ledger)
+
+
+@pytest.mark.parametrize(("message", "datagram"), DATAGRAMS, ids=lambda value: type(value).__name__)
+def test_each_message_has_the_same_bytes_both_ways(message: Any, datagram: str) -> None:
+    assert pack(SENDER, message).hex() == datagram
+    envelope = unpack(bytes.fromhex(datagram))
+    assert envelope is not None
+    assert (envelope.version, envelope.sender, envelope.start) == (2, *SENDER)
+    assert type(envelope.word) is type(message) and envelope.word == message
+
+
+def test_no_message_type_is_left_out() -> None:
+    tags = {words.READER.decode(bytes.fromhex(datagram)[4:]).word.__struct_config__.tag
+            for _, datagram in DATAGRAMS}
+    assert tags == {
+        "Ping", "Probe", "Ack", "Nack", "Whole", "Prepare", "Promise", "Propose", "Accepted", "Lead", "Ask",
+        "Grant", "Recall", "Heads", "Rows", "Look", "Seen",
+    }
+    assert {kind.__struct_config__.tag for kind in words.Word.__subclasses__()} == tags
+
+
+def test_only_whole_datagrams_of_this_version_are_read() -> None:
+    good = bytes.fromhex("3eb1290e" "9402a00092a44c6f6f6b10")
+    body = good[4:]
+    assert unpack(good) is not None
+    assert unpack(good[:-1]) is None
+    assert unpack(crc32(body).to_bytes(4, "little") + body) is None
+    for version in (b"\x01", b"\x03"):
+        other = body[:1] + version + body[2:]
+        assert unpack(crc32(other).to_bytes(4, "big") + other) is None
+    for length in (1200, 1201):
+        longest = pack(("d0", 7), words.Seen(number=1, page=0, pages=1, text="x" * (length - 22)))
+        assert len(longest) == length
+        assert (unpack(longest) is not None) is (length == 1200)
+    assert (words.LARGEST, words.VERSION) == (1200, 2)
+
+
+def test_digests_and_sums_that_members_compare_are_the_same() -> None:
+    agent = Agent(terms(("127.0.0.1", 9000)), 0)
+    assert agent.ledger is not None
+    assert (agent.book, agent.ledger.gossip.sum_) == (443426513, 1457360318)
+    book = Book()
+    book.put(("d1", 7), ENTRY)
+    assert book.digest == 2019037609288762282
+    book.close("d2", (8, 13))
+    assert book.digest == 11458797023336671415
+
+
+def test_an_inspection_shows_the_same_keys() -> None:
+    assert json.dumps(seen(Agent(terms(("127.0.0.1", 9000)), 0), 0)) == json.dumps(INSPECTED)
+
+
+def test_an_inspection_over_the_socket_shows_the_same_keys() -> None:
+    class Silent:
+        def say(self, line: str, kind: str = "", event: str = "", **fields: Any) -> None:
+            pass
+
+    async def run() -> dict[str, Any]:
+        here = ("127.0.0.1", free_port(socket.SOCK_DGRAM))
+        driver = await open_driver(terms(here), Silent(), None, here)
+        try:
+            return await look(here)
+        finally:
+            await driver.close()
+
+    page = asyncio.run(run())
+    assert list(page) == [*INSPECTED, "refused_datagrams"]
+    assert page["members"][0].keys() == INSPECTED["members"][0].keys()  # type: ignore[index,attr-defined]
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -581,6 +581,7 @@
     assert ask(address, "GET", "/jobs/nobody")[0] == 404
     status, _, body = ask(address, "GET", "/jobs/a1")
     assert status == 202 and json.loads(body)["state"] == "open"
+    assert list(json.loads(body)) == ["id", "state", "dispatches"]  # keys that clients read
     refused = command("serve", path)
     assert refused.returncode == 1 and "another dispatcher has it" in refused.stderr
     process.send_signal(signal.SIGKILL)
--- /dev/null
+++ b/tests/test_stored_data.py
@@ -0,0 +1,239 @@
+"""Stored bytes of durable jobs, as an earlier program wrote them: no renaming may change how they are read.
+
+The segments under `tests/data/durable_journal/` were written once by the program of commit 53c25d5, before
+its classes were renamed, through `Journal.append` by four openings of one directory in turn, with a record
+`Began` each. The first accepted jobs 1 to 12. The second had a segment size of 16 bytes, so that it wrote a
+snapshot (segment 3), and an OSError was raised at its point "before old segments go", so that the older
+segments stayed. The third accepted jobs 13 to 24. Of what the fourth wrote the last nine bytes were cut
+off, within the final answer of job 20. The files are never written anew: a test that fails here has found a
+change of the format.
+"""
+
+from __future__ import annotations
+
+import shutil
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+
+from locktide.cli.jobs import told
+from locktide.dispatch import interface as say
+from locktide.durable import frames, journal, leases, records, recovery
+from locktide.durable.disk import Folder
+from locktide.durable.jobs import Job, Table
+from locktide.durable.journal import Found, Journal
+
+STORED = Path(__file__).parent / "data" / "durable_journal"
+# Unix microseconds at which the first process began. Times in the tables below are relative to it.
+EPOCH = 1_700_000_000_000_000
+HEADERS = [(b"content-type", b"text/plain"), (b"x-bytes", b"\xff\x80")]
+LONG_BODY = b"x" * 300
+SEGMENTS = {
+    "0000000001.journal": 3096,
+    "0000000002.journal": 52,
+    "0000000003.journal": 2930,
+    "0000000004.journal": 2184,
+    "0000000005.journal": 142,  # without its torn end
+}
+
+# Each job as: id, state, grade, key, digest, method, target, headers, body, accepted at, time limit at,
+# width, leases (fence, worker, zone, cell, at, until), ends of leases (key in the table, fence, outcome, at),
+# final answer (status, body, advice, at), late words (fence, worker, state, at).
+JOBS: list[tuple[Any, ...]] = [
+    ("job-01", "open", "record", "key-1", "digest-1", "POST", "/record/1", [], b"body \x00\xff 1",
+     1000000, 62000000, 0.25, [], [], None, []),
+    ("job-02", "open", "record", "", "digest-2", "POST", "/record/2", [], b"body \x00\xff 2",
+     2000000, 64000000, 0.5, [(1, "w3", "zone-1", 12, 2000102, 22000104)], [], None, []),
+    ("job-03", "open", "batch", "key-3", "digest-3", "POST", "/batch/3", [], b"body \x00\xff 3",
+     3000000, 8000000, 0.75, [(1, "w4", "zone-1", 10, 3000103, 23000106)], [], None, []),
+    ("job-04", "open", "record", "", "digest-4", "POST", "/record/4", HEADERS, b"body \x00\xff 4",
+     4000000, 68000000, 1.0, [(1, "w5", "zone-1", 11, 4000104, 24000108)],
+     [(1, 1, "error", 4000904)], None, []),
+    ("job-05", "done", "record", "key-5", "digest-5", "PUT", "/record/5", [], b"body \x00\xff 5",
+     5000000, 70000000, 1.25,
+     [(1, "w6", "zone-1", 12, 5000105, 25000110), (2, "w7", "zone-2", 12, 5001005, 25001010)],
+     [(1, 1, "full", 5000905)],
+     (200, b"result \x00\xff", 0, 14000005), [(1, "w6", "done", 15000001)]),
+    ("job-06", "terminated", "batch", "", "digest-6", "POST", "/batch/6", [], b"body \x00\xff 6",
+     6000000, 72000000, 1.5,
+     [(1, "w7", "zone-1", 10, 6000106, 26000112), (2, "w8", "zone-2", 10, 6001006, 26001012)],
+     [(1, 1, "timed out", 6000906)],
+     (502, b"terminated\n", 0, 14000007), [(1, "w7", "failed", 15000002)]),
+    ("job-07", "denied", "record", "key-7", "digest-7", "POST", "/record/7", [], LONG_BODY,
+     7000000, 74000000, 1.75, [(1, "w1", "zone-1", 11, 7000107, 27000114)],
+     [(1, 1, "no connection", 7000907)],
+     (503, b"denied\n", 2500000, 14000008), []),
+    ("job-08", "open", "record", "", "digest-8", "POST", "/record/8", HEADERS, b"",
+     8000000, 76000000, 2.0, [(1, "w2", "zone-1", 12, 8000108, 28000116)],
+     [(1, 1, "reset", 8000908)], None, []),
+    ("job-09", "terminated", "batch", "key-9", "digest-9", "POST", "/batch/9", [], b"body \x00\xff 9",
+     9000000, 78000000, 2.25,
+     [(1, "w3", "zone-1", 10, 9000109, 29000118), (2, "w4", "zone-2", 10, 9001009, 29001018)],
+     [(1, 1, "withdrawn", 9000909)],
+     (504, b"its limit\n", 0, 24000013), []),
+    ("job-10", "open", "record", "", "digest-10", "PUT", "/record/10", [], b"body \x00\xff 10",
+     10000000, 80000000, 2.5,
+     [(1, "w4", "zone-1", 11, 10000110, 30000120), (2, "w5", "zone-2", 11, 10001010, 30001020)],
+     [(1, 1, "never sent", 10000910)], None, []),
+    ("job-11", "open", "record", "key-11", "digest-11", "POST", "/record/11", [], b"body \x00\xff 11",
+     11000000, 82000000, 2.75, [(1, "w5", "zone-1", 12, 11000111, 31000122)],
+     [(1, 1, "unfit", 11000911)], None, []),
+    ("job-12", "open", "batch", "", "digest-12", "POST", "/batch/12", HEADERS, b"body \x00\xff 12",
+     12000000, 84000000, 3.0, [(1, "w6", "zone-1", 10, 12000112, 32000124)],
+     [(1, 1, "cut off", 12000912)], None, []),
+    ("job-13", "open", "record", "key-13", "digest-13", "POST", "/record/13", [], b"body \x00\xff 13",
+     13000000, 18000000, 3.25, [], [], None, []),
+    ("job-14", "open", "record", "", "digest-14", "POST", "/record/14", [], b"body \x00\xff 14",
+     14000000, 88000000, 3.5, [], [], None, []),
+    ("job-15", "open", "batch", "key-15", "digest-15", "PUT", "/batch/15", [], b"body \x00\xff 15",
+     15000000, 90000000, 3.75, [(1, "w2", "zone-1", 10, 15000115, 35000130)], [], None, []),
+    ("job-16", "open", "record", "", "digest-16", "POST", "/record/16", HEADERS, b"body \x00\xff 16",
+     16000000, 92000000, 4.0,
+     [(1, "w3", "zone-1", 11, 16000116, 36000132), (2, "w4", "zone-2", 11, 24000012, 44000028)],
+     [(1, 1, "no connection", 24000011)], None, []),
+    ("job-17", "done", "record", "key-17", "digest-17", "POST", "/record/17", [], b"body \x00\xff 17",
+     17000000, 94000000, 4.25, [(1, "w4", "zone-1", 12, 17000117, 37000134)], [],
+     (200, b"", 0, 24000014), [(3, "w1", "done", 24000015)]),
+    ("job-18", "denied", "batch", "", "digest-18", "POST", "/batch/18", [], b"body \x00\xff 18",
+     18000000, 96000000, 4.5, [(1, "w5", "zone-1", 10, 18000118, 38000136)], [],
+     (503, b"no room\n", 1000000, 25000001), []),
+    ("job-19", "open", "record", "key-19", "digest-19", "POST", "/record/19", [], b"body \x00\xff 19",
+     19000000, 98000000, 4.75, [(1, "w6", "zone-1", 11, 19000119, 39000138)],
+     [(1, 1, "reset", 25000002)], None, []),
+    ("job-20", "open", "record", "", "digest-20", "PUT", "/record/20", HEADERS, b"body \x00\xff 20",
+     20000000, 100000000, 5.0, [(1, "w7", "zone-1", 12, 20000120, 40000140)], [], None, []),
+    ("job-21", "open", "batch", "key-21", "digest-21", "POST", "/batch/21", [], b"body \x00\xff 21",
+     21000000, 102000000, 5.25, [(1, "w1", "zone-1", 10, 21000121, 41000142)], [], None, []),
+    ("job-22", "open", "record", "", "digest-22", "POST", "/record/22", [], b"body \x00\xff 22",
+     22000000, 104000000, 5.5, [(1, "w2", "zone-1", 11, 22000122, 42000144)], [], None, []),
+    ("job-23", "open", "record", "key-23", "digest-23", "POST", "/record/23", [], b"body \x00\xff 23",
+     23000000, 106000000, 5.75, [(1, "w3", "zone-1", 12, 23000123, 43000146)], [], None, []),
+    ("job-24", "open", "batch", "", "digest-24", "POST", "/batch/24", HEADERS, b"body \x00\xff 24",
+     24000000, 108000000, 6.0, [(1, "w4", "zone-1", 10, 24000124, 44000148)], [], None, []),
+]
+
+# What recovery makes of the open jobs, oldest first: id, time limit at, places of leases without an end.
+RESUMED = [
+    ("job-01", 62000000, []),
+    ("job-02", 64000000, [0]),
+    ("job-04", 68000000, []),
+    ("job-08", 76000000, []),
+    ("job-10", 80000000, [1]),
+    ("job-11", 82000000, []),
+    ("job-12", 84000000, []),
+    ("job-14", 88000000, []),
+    ("job-15", 90000000, [0]),
+    ("job-16", 92000000, [1]),
+    ("job-19", 98000000, []),
+    ("job-20", 100000000, [0]),
+    ("job-21", 102000000, [0]),
+    ("job-22", 104000000, [0]),
+    ("job-23", 106000000, [0]),
+    ("job-24", 108000000, [0]),
+]
+ENDED = [("job-03", 502), ("job-13", 503)]
+
+EXPORTED = {
+    "id": "job-05", "grade": "record", "key": "key-5", "state": "done",
+    "accepted_at": "2023-11-14T22:13:25.000+00:00", "time_limit_at": "2023-11-14T22:14:30.000+00:00",
+    "target": "/record/5", "body": "Ym9keSAA/yA1", "may_have_run": True,
+    "leases": [
+        {"fence": 1, "worker": "w6", "zone": "zone-1", "cell": 12, "at": "2023-11-14T22:13:25.000+00:00",
+         "until_at_first": "2023-11-14T22:13:45.000+00:00", "outcome": "full"},
+        {"fence": 2, "worker": "w7", "zone": "zone-2", "cell": 12, "at": "2023-11-14T22:13:25.001+00:00",
+         "until_at_first": "2023-11-14T22:13:45.001+00:00", "outcome": None},
+    ],
+    "late_words": [{"fence": 1, "worker": "w6", "state": "done", "at": "2023-11-14T22:13:35.000+00:00"}],
+    "finished_at": "2023-11-14T22:13:34.000+00:00", "status": 200, "result": "cmVzdWx0IAD/",
+}
+
+
+@pytest.fixture
+def stored(tmp_path: Path) -> Path:
+    """A copy that may be written to."""
+    return Path(shutil.copytree(STORED, tmp_path / "journal"))
+
+
+def row(job: Job) -> tuple[Any, ...]:
+    accepted, final = job.accepted, job.finished
+    return (
+        job.id, job.state, accepted.grade, accepted.key, accepted.digest, accepted.method, accepted.target,
+        accepted.onward, accepted.body, accepted.at - EPOCH, accepted.limit_at - EPOCH, accepted.width,
+        [(lease.fence, lease.worker, lease.zone, lease.cell, lease.at - EPOCH, lease.until - EPOCH)
+         for lease in job.leases],
+        [(fence, end.fence, end.outcome, end.at - EPOCH) for fence, end in job.ended.items()],
+        (final.status, final.body, final.advice, final.at - EPOCH) if final else None,
+        [(late.fence, late.worker, late.state, late.at - EPOCH) for late in job.late],
+    )
+
+
+def test_a_stored_journal_is_opened_and_recovered_as_before(stored: Path) -> None:
+    log = Journal(Folder(stored), 1 << 30)
+    log.open()
+    log.close()
+    assert (log.found.segments, log.found.records, log.found.bytes) == (5, 90, 8446)
+    assert log.found.torn == ["0000000005.journal: at byte 142: 42 bytes of a record of 51"]
+    assert log.found.damaged == []
+    table = log.table
+    assert [row(job) for job in table.jobs.values()] == JOBS
+    assert [id for id, job in table.jobs.items() if not job.may_have_run()] == [
+        "job-01", "job-07", "job-11", "job-13", "job-14",
+    ]
+    assert table.by_key == {(job[2], job[3]): job[0] for job in JOBS if job[3]}
+    assert (table.opened, table.last_at - EPOCH) == (18, 25_000_002)
+    began = table.began
+    assert began is not None
+    assert (began.at - EPOCH, began.boot, began.boot_at) == (25_000_000, "boot-b", 8_000_000)
+    # The torn end is cut off, the rest stands as it was, and a segment of our own has begun.
+    assert {path.name: path.stat().st_size for path in stored.glob("*.journal")} == SEGMENTS | {
+        "0000000006.journal": 16
+    }
+    for name, size in SEGMENTS.items():
+        assert (stored / name).read_bytes() == (STORED / name).read_bytes()[:size]
+    assert (stored / "0000000006.journal").read_bytes().hex() == "4c4b54444a4f4253" "01000000" "06000000"
+
+
+def test_the_stored_open_jobs_are_ended_or_resumed_as_before(stored: Path) -> None:
+    table = Table()
+    journal.read(Folder(stored), table, Found())
+    holders = leases.Leases(leases.Terms(5_000_000, 2_000_000))
+    span = recovery.Span(1_000_000, 2_000_000)
+    steps = recovery.plan(table, holders, span, table.last_at + 1_000_000)
+    resumed = [step for step in steps if isinstance(step, recovery.Resume)]
+    assert [(step.job.id, step.limit_at - EPOCH, step.out) for step in resumed] == RESUMED
+    assert [(step.job.id, step.status) for step in steps if isinstance(step, recovery.End)] == ENDED
+    dispatches = next(step.dispatches for step in resumed if step.job.id == "job-16")
+    assert [(one.worker, one.zone, one.cell, one.sent_at - EPOCH, one.outcome) for one in dispatches] == [
+        ("w3", "zone-1", 11, 15_000_116, "no connection"),
+        ("w4", "zone-2", 11, 23_000_012, None),
+    ]
+
+
+def test_every_stored_record_is_written_again_in_the_same_bytes() -> None:
+    tags = set()
+    for number, (name, size) in enumerate(SEGMENTS.items(), start=1):
+        data = (STORED / name).read_bytes()
+        payloads = [item[1] for item in frames.records(data) if isinstance(item, tuple)]
+        tags |= {msgspec.msgpack.decode(payload)[0] for payload in payloads}
+        again = [frames.frame(records.encode(records.decode(payload))) for payload in payloads]
+        assert journal.segment_name(number) == name
+        assert frames.header(number) + b"".join(again) == data[:size]
+    assert tags == {"Began", "Accepted", "Leased", "Ended", "Finished", "Late", "Kept", "Whole"}
+
+
+def test_outcomes_are_stored_in_the_same_words() -> None:
+    assert [
+        say.ERROR, say.FULL, say.TIMED_OUT, say.NO_CONNECTION, say.RESET, say.WITHDRAWN, say.NEVER_SENT,
+        say.UNFIT, say.CUT_OFF,
+    ] == [
+        "error", "full", "timed out", "no connection", "reset", "withdrawn", "never sent", "unfit", "cut off",
+    ]
+    assert say.PROVEN_NOT_RUN == {"full", "no connection", "never sent", "unfit"}
+
+
+def test_a_stored_job_is_exported_under_the_same_keys(stored: Path) -> None:
+    table = Table()
+    journal.read(Folder(stored), table, Found())
+    assert told(table.jobs["job-05"]) == EXPORTED
