Test that a quota falls back to its floor before it is spent after the lease

A process stopped past its lease that spends first would have spent what others hold by then.

Change: two tests in test_accord.py, one on a quota by itself (just before, at and after the expiry), one on a member that was stopped past its lease and spends before its next tick. No change of the code.

--- a/tests/test_accord.py
+++ b/tests/test_accord.py
@@ -233,6 +233,35 @@
     assert not world.meter.overruns()
 
 
+@pytest.mark.parametrize("late", [0, 1, 10 * SECOND])
+def test_after_its_lease_a_quota_spends_its_floor_before_anything_else_is_told_to_it(late: int) -> None:
+    """Of 100 tokens a second and a burst of 100: a floor of three tokens, and 50 more under the lease."""
+    whole, expiry = purse.Budget("dairy", 100.0, 100.0), 3 * SECOND
+
+    def tokens_at(now: int) -> int:
+        quota = purse.Purse([whole], reserve=0.15, most=5, now=0)
+        quota.settle({"dairy": 500_000}, expiry, {}, 0, 0)
+        return sum(quota.spend("dairy", now) is not None for _ in range(100))
+
+    assert tokens_at(expiry - 1) == 53
+    assert tokens_at(expiry + late) == 3
+
+
+def test_a_process_stopped_past_its_lease_spends_its_floor_before_its_next_tick() -> None:
+    world = settled()
+    stopped = next(process for process in world.all if process.agent.giver is None)
+    agent, rate, burst = stopped.agent, 60, 60
+    held, floor = agent.purse.parts["dairy"], agent.purse.floor
+    assert held > 3 * floor > 0
+    stopped.pause()
+    while stopped.clock() < agent.purse.until:
+        world.run(world.now + 100_000)
+    assert agent.purse.parts["dairy"] == held, "nothing has told it yet"
+    spent = sum(agent.spend("dairy", stopped.clock()) is not None for _ in range(rate + burst))
+    assert spent <= burst * floor // 1_000_000
+    assert agent.purse.parts["dairy"] == floor
+
+
 @pytest.mark.parametrize("seed", range(6))
 def test_a_day_of_faults_overruns_no_budget(seed: int) -> None:
     told = days.play(seed)
