Test that a job is not repeated once its deduplication window has ended

A job for which nobody waits stays in the pool past that end; there a repeat is ordered if this check is dropped, so it is no doubled check, and stays.

Change: a test in test_rules.py: a job that may have run, and another worker of its cell that comes one microsecond before the end, at the end and a second after it. No change of the code.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -374,6 +374,24 @@
     assert service.answered[1] == "done"
 
 
+@pytest.mark.parametrize("before_the_end, attempts", [(1, 2), (0, 1), (-1_000_000, 1)])
+def test_a_job_is_repeated_until_its_deduplication_window_ends_and_no_longer(
+    before_the_end: int, attempts: int
+) -> None:
+    """A job that may have run waits on after the window: its client set no end to that."""
+    service = Checked()
+    service.list(listed("w0"))
+    service.turn(say.Arrival(1, "record", service.now + 60_000_000, patient=True))
+    window_ends_at = service.dispatches[1][0]["at"] + service.grades["record"].memory_span
+    service.end(1, 0, say.RESET)
+    service.pass_time(1_000_000)
+    assert len(service.dispatches[1]) == 1, "a repeat goes to another worker of its cell, and there is none"
+    service.now = window_ends_at - before_the_end
+    service.list(listed("w0"), listed("w1"))
+    service.pass_time(1_000_000)
+    assert [shot["worker"] for shot in service.dispatches[1]] == ["w0", "w1"][:attempts]
+
+
 def test_a_refused_connection_does_not_shorten_the_rest_after_full() -> None:
     service = Checked()
     service.list(listed("w"))
