Test that a good end halves what stands against a worker

Cause: with the halving taken out of Worker.succeeded no test failed; a worker that has come back would be shunned until its failures have faded.

Change: a test in test_rules.py, by way of the decisions: one reset, then two good ends at the same moment. No change of the code.

Measured: passes as the code stands; fails with the halving dropped, and with a quarter taken off in place of a half.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -257,6 +257,23 @@
     assert paces.taking["box"] == 1.0 and 0.1 < paces.taking["crate"] < 0.25
 
 
+def test_a_good_end_halves_what_stands_against_a_worker() -> None:
+    """So that one that has come back is not shunned until its failures have faded, some ten seconds."""
+    service = Checked(fleet=1)
+    service.list(listed("w"))
+    worker = service.dispatcher.list.workers["w"]
+    service.arrive(0, "view")
+    service.end(0, 0, say.RESET)
+    records = [worker.bad.read(service.now)]
+    suspected = [worker.doubtful(service.now)]
+    for submission in (1, 2):  # at the same moment: nothing fades
+        service.arrive(submission, "view")
+        service.end(submission, 0, say.DONE)
+        records.append(worker.bad.read(service.now))
+        suspected.append(worker.doubtful(service.now))
+    assert records == [1.0, 0.5, 0.25] and suspected == [True, True, False]
+
+
 def test_slow_progress_makes_a_worker_doubtful() -> None:
     """Work kept going to workers that ran everything four to ten times slower."""
     service = Checked()
