The interrupt test waits for the middle of a run, and looks at its own processes only

Cause: it waited two seconds, whatever had come up by then, and in /proc it took the dispatchers of any other run of the same test for its own. Two runs started 2 s apart: the first failed with the other's two dispatchers as left behind. Trials with the suite in the background of a shell failed, too: interrupts are ignored there, so none was heard.

Change: waits until its dispatcher d1 was killed and started again in the run and both run; 60 s are but the bound of a failure. The run lasts 60 s in place of 5, so that a late interrupt is still in the middle. Processes are told by the test's own folder; interrupts are as at a terminal. Beside what it asked before: the part holds submissions, and the run has not ended by itself.

--- a/tests/test_rehearse.py
+++ b/tests/test_rehearse.py
@@ -124,35 +124,56 @@
     assert min(one["up"] for one in played["over_time"]) <= 4
 
 
-def left_behind() -> list[str]:
-    found = []
+def left_behind(folder: Path) -> list[str]:
+    """Dispatchers whose configuration is below that folder; other runs of this test have others."""
+    found, below = [], f"GW_CONFIG={folder}/".encode()
     for entry in Path("/proc").iterdir():
         try:
             words = (entry / "environ").read_bytes() if entry.name.isdigit() else b""
         except OSError:
             continue
-        if b"GW_CONFIG=" in words and b"locktide-interrupted" in words:
+        if below in words:
             found.append(entry.name)
     return found
 
 
-def test_an_interrupt_in_the_middle_gives_a_part_and_leaves_no_process(short: Path, tmp_path: Path) -> None:
+def test_an_interrupt_in_the_middle_gives_a_part_and_leaves_no_process(tmp_path: Path) -> None:
+    """In the middle: a dispatcher was killed under traffic and both run again, long before the end."""
+    long = tmp_path / "long.toml"
+    killed = 'at = {}\nfor = 0.5\nwhat = "kill-dispatcher"'
+    assert SHORT.count("length = 5.0") == SHORT.count(killed.format("2.0")) == 1
+    text = SHORT.replace("length = 5.0", "length = 60.0")
+    # Early, so that no client has come near its time limit by then.
+    long.write_text(text.replace(killed.format("2.0"), killed.format("0.5")))
     folder = tmp_path / "locktide-interrupted"
     folder.mkdir()
     process = subprocess.Popen(
-        [sys.executable, "-m", "locktide.cli.main", "rehearse", str(short), "--json"], cwd=HERE,
+        [sys.executable, "-m", "locktide.cli.main", "rehearse", str(long), "--json"], cwd=HERE,
         stdout=subprocess.PIPE, stderr=subprocess.PIPE, env={**os.environ, "TMPDIR": str(folder)},
+        # As at a terminal: a shell starts what it runs in the background with interrupts ignored.
+        preexec_fn=lambda: signal.signal(signal.SIGINT, signal.SIG_DFL),
     )
-    until = time.monotonic() + 30
-    while not left_behind() and time.monotonic() < until:
-        time.sleep(0.05)
-    time.sleep(2.0)
-    process.send_signal(signal.SIGINT)
-    printed, complained = process.communicate(timeout=30)
+
+    def in_the_middle() -> bool:
+        started_again = any(folder.glob("*/d1-3.json"))  # the third start of a dispatcher in this run
+        return started_again and len(left_behind(folder)) == 2
+
+    try:
+        until = time.monotonic() + 60
+        while not in_the_middle():
+            assert process.poll() is None, "it has ended by itself"
+            assert time.monotonic() < until, "its dispatchers did not come up"
+            time.sleep(0.05)
+        process.send_signal(signal.SIGINT)
+        printed, complained = process.communicate(timeout=60)
+    finally:
+        if process.poll() is None:
+            process.send_signal(signal.SIGINT)
+            process.wait(timeout=60)
     told = json.loads(printed)
     assert process.returncode == 130, complained
-    assert not told["complete"] and told["rules"]["lost"] == 0
-    assert not left_behind() and not list(folder.iterdir())
+    assert not told["complete"] and told["rules"]["lost"] == 0 and told["submissions"] > 0
+    assert not left_behind(folder) and not list(folder.iterdir())
 
 
 def test_a_run_that_came_too_late_does_not_count(tmp_path: Path) -> None:
