Guards: fixtures of parsed values on one line each

Cause: the fixtures took 12,600 lines, which hide every other change in a diff.

Change: the same values without line breaks, written anew from the old files' own JSON.

--- a/tests/test_parsed_values.py
+++ b/tests/test_parsed_values.py
@@ -270,7 +270,7 @@
 
 
 def as_text(parts: dict[str, Any]) -> str:
-    return json.dumps(rendered(parts), indent=1, sort_keys=True, ensure_ascii=False) + "\n"
+    return json.dumps(rendered(parts), sort_keys=True, ensure_ascii=False) + "\n"
 
 
 def parsed_input(path: Path) -> str:
