--- a/locktide/accord/agent.py
+++ b/locktide/accord/agent.py
@@ -234,10 +234,15 @@
         until, loans_until = self.holder.until if held else 0, self.holder.loans_until if loans else 0
         names = self.names
         moved = self.purse.settle(
-            {names[place]: part for place, part in held.items() if place < len(names)}, until,
-            {(names[owner], names[borrower]): part for (owner, borrower), part in loans.items()
-             if max(owner, borrower) < len(names)},
-            loans_until, now,
+            {names[place]: part for place, part in held.items() if place < len(names)},
+            until,
+            {
+                (names[owner], names[borrower]): part
+                for (owner, borrower), part in loans.items()
+                if max(owner, borrower) < len(names)
+            },
+            loans_until,
+            now,
         )
         if self.ledger is not None and self.ledger.standing.over != self.over:
             self.over, moved = self.ledger.standing.over, True
--- a/locktide/accord/budgets/giver.py
+++ b/locktide/accord/budgets/giver.py
@@ -30,8 +30,15 @@
     """
 
     def __init__(
-        self, term: Ballot, movable: Parts, now: int, span: int = PART, every: int = ASK, floor: int = 0,
-        loan: int = LOAN, broker: Broker | None = None,
+        self,
+        term: Ballot,
+        movable: Parts,
+        now: int,
+        span: int = PART,
+        every: int = ASK,
+        floor: int = 0,
+        loan: int = LOAN,
+        broker: Broker | None = None,
     ) -> None:
         self.floor = floor  # what each has beside that, of every budget
         self.term, self.movable, self.gap = term, movable, every // 2
@@ -63,8 +70,9 @@
         account.told(word, now + self.lasts, now + self.loan_lasts, word.of == self.term)
         self.count(who, now)
         if self.broker is not None:
-            self.recall([name for name, want in account.wants.items()
-                         if want and self.broker.wanted(name, now)], now)
+            self.recall(
+                [name for name, want in account.wants.items() if want and self.broker.wanted(name, now)], now
+            )
         if word.leaving:
             return None
         steps = now >= account.moved_at + self.gap
@@ -119,7 +127,8 @@
         if now < self.renews_until:
             return False
         short = [
-            budget for budget, want in account.wants.items()
+            budget
+            for budget, want in account.wants.items()
             if self.back(budget, now)
             and parts.get(budget, 0) < self.target(who, budget, now) * (1.0 - divide.STILL)
         ]
@@ -168,7 +177,8 @@
         for who, account in self.accounts.items():
             worst = account.worst(now)
             theirs = [
-                owner for owner in owners
+                owner
+                for owner in owners
                 if worst.get(owner) and not (anew and account.heard_at >= self.came_back(owner))
             ]
             if theirs:
--- a/locktide/accord/driver.py
+++ b/locktide/accord/driver.py
@@ -104,9 +104,14 @@
         self.say_more()
         self.tell_node()
         if self.trace is not None:
-            told = {"at": self.now(), "parts": purse.parts, "until": purse.until, "floor": purse.floor,
-                    "loans": [[*pair, part] for pair, part in purse.loans.items()],
-                    "loans_until": purse.loans_until}
+            told = {
+                "at": self.now(),
+                "parts": purse.parts,
+                "until": purse.until,
+                "floor": purse.floor,
+                "loans": [[*pair, part] for pair, part in purse.loans.items()],
+                "loans_until": purse.loans_until,
+            }
             print(json.dumps(told), file=self.trace, flush=True)
 
     def say_more(self) -> None:
--- a/locktide/accord/ledger/holdings.py
+++ b/locktide/accord/ledger/holdings.py
@@ -30,10 +30,14 @@
         self.held: dict[int, Vector] = {}
         self.waits: dict[int, Vector] = {}
         self.hearing: dict[type, Callable[[Any], None]] = {
-            say.Arrival: self.arrival, say.Dispatch: self.dispatch, say.Ended: self.ended,
+            say.Arrival: self.arrival,
+            say.Dispatch: self.dispatch,
+            say.Ended: self.ended,
             # Guards against counting for ever as waiting what its client has left: no order tells of that.
             say.ClientGone: self.answered,
-            say.Deny: self.answered, say.Terminate: self.answered, say.ListNews: self.listed,
+            say.Deny: self.answered,
+            say.Terminate: self.answered,
+            say.ListNews: self.listed,
         }
 
     def hear(self, piece: Any) -> None:
--- a/locktide/accord/ledger/ledger.py
+++ b/locktide/accord/ledger/ledger.py
@@ -127,7 +127,8 @@
         as soon as for anyone. Who lives all the same writes them anew.
         """
         gone = {
-            who for who in self.book.writers
+            who
+            for who in self.book.writers
             if who != self.who and (who[0] not in alive or starts.get(who[0], 0) > who[1])
         }
         self.gone_at = {who: self.gone_at.get(who, now) for who in gone}
@@ -159,8 +160,10 @@
         )
         names = self.names
         self.standing = Standing(
-            self.book.digest, [names[place] for place in order],
+            self.book.digest,
+            [names[place] for place in order],
             {names[place]: part for place, part in sorted(shares.items())},
             {names[place]: part for place, part in sorted(fair.items())},
-            bool(short), frozenset(names[place] for place in over),
+            bool(short),
+            frozenset(names[place] for place in over),
         )
--- a/locktide/accord/seen.py
+++ b/locktide/accord/seen.py
@@ -23,8 +23,13 @@
         "ledger": ledger_of(agent),
         "for_us": max(0, agent.holder.until - now) if held else 0,
         "members": [
-            {"name": row.name, "start": row.start, "turn": row.turn, "state": STATES[row.state],
-             "address": f"{row.address[0]}:{row.address[1]}"}
+            {
+                "name": row.name,
+                "start": row.start,
+                "turn": row.turn,
+                "state": STATES[row.state],
+                "address": f"{row.address[0]}:{row.address[1]}",
+            }
             for row in sorted(agent.swim.table.rows.values(), key=lambda row: row.name)
         ],
     }
@@ -35,6 +40,10 @@
         return {}
     standing = agent.ledger.standing
     return {
-        "digest": f"{standing.digest:016x}", "contended": standing.contended, "order": standing.order,
-        "held": standing.held, "fair": standing.fair, "over": sorted(standing.over),
+        "digest": f"{standing.digest:016x}",
+        "contended": standing.contended,
+        "order": standing.order,
+        "held": standing.held,
+        "fair": standing.fair,
+        "over": sorted(standing.over),
     }
--- a/locktide/cli/accord.py
+++ b/locktide/cli/accord.py
@@ -47,5 +47,7 @@
         click.echo(f"ledger {ledger['digest']}, {'contended' if ledger['contended'] else 'not contended'}")
         for name in ledger["order"]:
             held, fair = (ledger[key].get(name, 0) / (1 << 40) for key in ("held", "fair"))
-            click.echo(f"  {name:<24} holds {100 * held:.2f}%, fair {100 * fair:.2f}%"
-                       + (" (over)" if name in ledger["over"] else ""))
+            click.echo(
+                f"  {name:<24} holds {100 * held:.2f}%, fair {100 * fair:.2f}%"
+                + (" (over)" if name in ledger["over"] else "")
+            )
--- a/locktide/cli/check.py
+++ b/locktide/cli/check.py
@@ -28,7 +28,10 @@
 @click.command()
 @click.argument("files", nargs=-1, type=click.Path(path_type=Path))
 @click.option(
-    "--as", "kind", type=click.Choice(["auto", "installation", "rehearsal"]), default="auto",
+    "--as",
+    "kind",
+    type=click.Choice(["auto", "installation", "rehearsal"]),
+    default="auto",
     help="What the files are; by default told by their tables.",
 )
 @click.option("--keys", is_flag=True, help="List every key of that kind with its default and its meaning.")
--- a/locktide/cli/jobs.py
+++ b/locktide/cli/jobs.py
@@ -40,14 +40,23 @@
     """A job as plain values; bodies in base64."""
     accepted, finished = job.accepted, job.finished
     return {
-        "id": job.id, "grade": accepted.grade, "key": accepted.key, "state": job.state,
-        "accepted_at": moment(accepted.at), "time_limit_at": moment(accepted.limit_at),
-        "target": accepted.target, "body": base64.b64encode(accepted.body).decode(),
+        "id": job.id,
+        "grade": accepted.grade,
+        "key": accepted.key,
+        "state": job.state,
+        "accepted_at": moment(accepted.at),
+        "time_limit_at": moment(accepted.limit_at),
+        "target": accepted.target,
+        "body": base64.b64encode(accepted.body).decode(),
         "may_have_run": job.may_have_run(),
         "leases": [
             {
-                "fence": lease.fence, "worker": lease.worker, "zone": lease.zone, "cell": lease.cell,
-                "at": moment(lease.at), "until_at_first": moment(lease.until),
+                "fence": lease.fence,
+                "worker": lease.worker,
+                "zone": lease.zone,
+                "cell": lease.cell,
+                "at": moment(lease.at),
+                "until_at_first": moment(lease.until),
                 "outcome": job.ended[lease.fence].outcome if lease.fence in job.ended else None,
             }
             for lease in job.leases
@@ -132,7 +141,9 @@
             f"{name}: {cost.rate:.0f} jobs/s, accepted in {cost.p50 * 1000:.2f} ms (half), "
             f"{cost.p99 * 1000:.2f} ms (99%), {cost.syncs} syncs for {cost.count} jobs"
         )
-    click.echo(f"group commit over one sync each: {group.rate / each.rate:.1f} times the jobs, "
-               f"{group.p99 / each.p99:.2f} of the 99% wait")
+    click.echo(
+        f"group commit over one sync each: {group.rate / each.rate:.1f} times the jobs, "
+        f"{group.p99 / each.p99:.2f} of the 99% wait"
+    )
     for took in ours.recoveries(directory, [int(size) for size in sizes.split(",")], times):
         click.echo(f"recovery of {took.jobs} open jobs: {took.mean:.3f} s mean, {took.worst:.3f} worst")
--- a/locktide/cli/main.py
+++ b/locktide/cli/main.py
@@ -23,9 +23,7 @@
         return found
 
 
-@click.command(
-    cls=Parts, context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 110}
-)
+@click.command(cls=Parts, context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 110})
 @click.version_option(package_name="locktide")
 def main() -> None:
     """A dispatcher that pushes jobs to workers.
--- a/locktide/cli/rehearse.py
+++ b/locktide/cli/rehearse.py
@@ -83,9 +83,7 @@
     return seed, told
 
 
-def play_all(
-    side: Side, seeds: list[int], host: str, jobs: int
-) -> Iterator[tuple[int, dict[str, Any]]]:
+def play_all(side: Side, seeds: list[int], host: str, jobs: int) -> Iterator[tuple[int, dict[str, Any]]]:
     if jobs == 1 or len(seeds) == 1:
         for seed in seeds:
             yield play_quietly((side, seed, host))
@@ -111,6 +109,7 @@
 
     Guards against rehearsals that go on unseen, with their dispatchers.
     """
+
     def look() -> None:
         while os.getppid() == parent:
             time.sleep(LOOK_EVERY)
@@ -125,26 +124,63 @@
 
 @click.command()
 @click.argument("file", type=click.Path(path_type=Path), required=False)
-@click.option("--host", type=click.Choice(["loopback", "virtual"]), default="loopback",
-              show_default=True, help="Real processes in real time, or the same code in virtual time.")
+@click.option(
+    "--host",
+    type=click.Choice(["loopback", "virtual"]),
+    default="loopback",
+    show_default=True,
+    help="Real processes in real time, or the same code in virtual time.",
+)
 @click.option("--seeds", default="", help="As 3, 1-10 or 1,5,8-12; by default the script's own.")
-@click.option("--times", type=click.IntRange(1, 1000), default=1, show_default=True,
-              help="Play each seed so often; in virtual time all must come out alike.")
+@click.option(
+    "--times",
+    type=click.IntRange(1, 1000),
+    default=1,
+    show_default=True,
+    help="Play each seed so often; in virtual time all must come out alike.",
+)
 @click.option("--random", "drawn", is_flag=True, help="A rough day drawn for each seed; no script.")
 @click.option("--durable", is_flag=True, help="With --random: durable jobs, and dispatchers that die often.")
-@click.option("--against", type=click.Path(path_type=Path, exists=True),
-              help="Play this too on the same seeds: another script, or another checkout (a folder).")
-@click.option("--program", type=click.Path(path_type=Path, exists=True, file_okay=False),
-              default=ROOT, help="The checkout whose dispatchers are run on loopback; by default this one.")
-@click.option("--jobs", type=click.IntRange(1, 256), default=1, show_default=True,
-              help="So many seeds at once, each in a process of its own.")
-@click.option("--out", type=click.Path(path_type=Path), default=Path("rehearsed"), show_default=True,
-              help="The folder for reports.")
+@click.option(
+    "--against",
+    type=click.Path(path_type=Path, exists=True),
+    help="Play this too on the same seeds: another script, or another checkout (a folder).",
+)
+@click.option(
+    "--program",
+    type=click.Path(path_type=Path, exists=True, file_okay=False),
+    default=ROOT,
+    help="The checkout whose dispatchers are run on loopback; by default this one.",
+)
+@click.option(
+    "--jobs",
+    type=click.IntRange(1, 256),
+    default=1,
+    show_default=True,
+    help="So many seeds at once, each in a process of its own.",
+)
+@click.option(
+    "--out",
+    type=click.Path(path_type=Path),
+    default=Path("rehearsed"),
+    show_default=True,
+    help="The folder for reports.",
+)
 @click.option("--json", "as_json", is_flag=True, help="Print outcomes as JSON lines, write no report.")
 @click.option("--logs", is_flag=True, help="With one seed: print what the dispatchers logged.")
 def rehearse(
-    file: Path | None, host: str, seeds: str, times: int, drawn: bool, durable: bool, against: Path | None,
-    program: Path, jobs: int, out: Path, as_json: bool, logs: bool,
+    file: Path | None,
+    host: str,
+    seeds: str,
+    times: int,
+    drawn: bool,
+    durable: bool,
+    against: Path | None,
+    program: Path,
+    jobs: int,
+    out: Path,
+    as_json: bool,
+    logs: bool,
 ) -> None:
     """Play the rehearsal in FILE (without one: a quarter of the workers dead and back cold in a slowdown).
 
@@ -197,9 +233,7 @@
     return 0 if told.get("counts", True) else LATE
 
 
-def one(
-    side: Side, seed: int, host: str, out: Path, as_json: bool, logs: bool, console: Console
-) -> int:
+def one(side: Side, seed: int, host: str, out: Path, as_json: bool, logs: bool, console: Console) -> int:
     chosen = side.of(seed)
     progress, glance = table.watched(console, chosen.length, chosen.name)
     if console.is_terminal:
@@ -221,7 +255,13 @@
 
 
 def several(
-    first: Side, second: Side | None, seeds: list[int], host: str, jobs: int, out: Path, as_json: bool,
+    first: Side,
+    second: Side | None,
+    seeds: list[int],
+    host: str,
+    jobs: int,
+    out: Path,
+    as_json: bool,
     console: Console,
 ) -> int:
     worst, service = 0, []
--- a/locktide/config/settings.py
+++ b/locktide/config/settings.py
@@ -53,10 +53,7 @@
         told.span("Step", 1.0),
         told.whole("FleetSize", 1, least=1),
         grades(told, domain),
-        say.DispatchTerms(
-            ceilings.whole("MaxDispatches", 1, least=1),
-            ceilings.flag("MayCancel", False),
-        ),
+        say.DispatchTerms(ceilings.whole("MaxDispatches", 1, least=1), ceilings.flag("MayCancel", False)),
         say.ClientTerms(ceilings.span("MaxRetryAfter", 0) if ceilings.flag("RetryAfter", False) else 0),
         say.ShareTerms(quotas, told.number("BeyondShareRevenue", 1.0)),
         say.GoalTerms(told.table("ObjectiveMix", {}).number("WorstClass", 0.0)),
@@ -67,12 +64,16 @@
             limits.span("Cold", 0),
         ),
         say.ListTerms(
-            told.get("Discovery", "automatic") == "subscribe", limits.span("AskWithin", 10000),
-            told.one_of(WEIGHTS, "WeightKind", "silent") == "live", limits.span("HangUpWithin", 0),
+            told.get("Discovery", "automatic") == "subscribe",
+            limits.span("AskWithin", 10000),
+            told.one_of(WEIGHTS, "WeightKind", "silent") == "live",
+            limits.span("HangUpWithin", 0),
         ),
         say.SignTerms(domain.flag("TellsStart", False), domain.span("Progress", 0)),
         say.PriceTerms(
-            prices.number("Handshake", 0.0), prices.number("CrossZone", 0.0), told.text("Zone", ""),
+            prices.number("Handshake", 0.0),
+            prices.number("CrossZone", 0.0),
+            told.text("Zone", ""),
             ceilings.span("IdleClose", 0),
         ),
     )
--- a/locktide/dispatch/rules/base.py
+++ b/locktide/dispatch/rules/base.py
@@ -42,9 +42,18 @@
         self.set_terms(*terms)
 
     def set_terms(
-        self, step: int, fleet: int, grades: list[say.Grade], dispatching: say.DispatchTerms,
-        clients: say.ClientTerms, shares: say.ShareTerms, goal: say.GoalTerms, cold: say.ColdTerms,
-        listing: say.ListTerms, signs: say.SignTerms, prices: say.PriceTerms,
+        self,
+        step: int,
+        fleet: int,
+        grades: list[say.Grade],
+        dispatching: say.DispatchTerms,
+        clients: say.ClientTerms,
+        shares: say.ShareTerms,
+        goal: say.GoalTerms,
+        cold: say.ColdTerms,
+        listing: say.ListTerms,
+        signs: say.SignTerms,
+        prices: say.PriceTerms,
     ) -> None:
         """The terms from now on, at the start and in service. Submissions keep the grade they came with."""
         self.step, self.grades = step, {grade.name: grade for grade in grades}
--- a/locktide/dispatch/rules/denials.py
+++ b/locktide/dispatch/rules/denials.py
@@ -30,7 +30,7 @@
         if sub.hint:  # a heavier submission earns more, and may wait longer
             shortest *= max(1.0, sub.hint / self.runs[sub.grade.name].mean(self.now))
         slack = self.slack(sub)
-        return int(0.3 * min(slack, slack ** (1.0 - self.evenness) * shortest ** self.evenness))
+        return int(0.3 * min(slack, slack ** (1.0 - self.evenness) * shortest**self.evenness))
 
     def last_chance(self, sub: Submission) -> int:
         """Until when what may have run waits in the pool. Guards against holding back the answer of one that
--- a/locktide/dispatch/rules/rounds.py
+++ b/locktide/dispatch/rules/rounds.py
@@ -37,11 +37,16 @@
         if not fitting:
             return False
         worker = self.draw(fitting, sub.key is None)
-        if worker.has_room(sub.width, now, prompt) and self.holds(worker, sub) and (
-            not worker.doubtful(now) or self.all_doubtful()
-            # Guards against losing for good what cannot be sent again: others do the trying.
-            or (sub.grade.effect != say.AT_MOST_ONCE or self.all_once)
-            and worker.trusted(now, self.chance)
+        if (
+            worker.has_room(sub.width, now, prompt)
+            and self.holds(worker, sub)
+            and (
+                not worker.doubtful(now)
+                or self.all_doubtful()
+                # Guards against losing for good what cannot be sent again: others do the trying.
+                or (sub.grade.effect != say.AT_MOST_ONCE or self.all_once)
+                and worker.trusted(now, self.chance)
+            )
         ):
             self.advance(sub, worker)
             return not worker.has_room(1.0, now, prompt)
--- a/locktide/dispatch/rules/submission.py
+++ b/locktide/dispatch/rules/submission.py
@@ -15,8 +15,18 @@
 
 
 class Dispatch:
-    __slots__ = ("submission", "number", "worker", "sent_at", "started_at", "heard_at", "at_cap", "further",
-                 "blamed", "lost_at")
+    __slots__ = (
+        "submission",
+        "number",
+        "worker",
+        "sent_at",
+        "started_at",
+        "heard_at",
+        "at_cap",
+        "further",
+        "blamed",
+        "lost_at",
+    )
 
     def __init__(self, submission: Submission, number: int, worker: Worker, now: int) -> None:
         self.submission, self.number, self.worker, self.sent_at = submission, number, worker, now
@@ -28,9 +38,30 @@
 
 
 class Submission:
-    __slots__ = ("id", "grade", "width", "hint", "arrived_at", "limit_at", "leave_at", "order", "dispatches",
-                 "out", "held", "course", "pooled", "answered", "patient", "uncounted", "erred",
-                 "spoilt", "key", "not_before", "borrower", "ground")
+    __slots__ = (
+        "id",
+        "grade",
+        "width",
+        "hint",
+        "arrived_at",
+        "limit_at",
+        "leave_at",
+        "order",
+        "dispatches",
+        "out",
+        "held",
+        "course",
+        "pooled",
+        "answered",
+        "patient",
+        "uncounted",
+        "erred",
+        "spoilt",
+        "key",
+        "not_before",
+        "borrower",
+        "ground",
+    )
 
     def __init__(self, arrival: say.Arrival, grade: say.Grade, now: int, order: int) -> None:
         self.id, self.grade, self.width = arrival.submission, grade, arrival.width
--- a/locktide/dispatch/rules/worker.py
+++ b/locktide/dispatch/rules/worker.py
@@ -13,9 +13,31 @@
 
 
 class Worker:
-    __slots__ = ("id", "zone", "kind", "cell", "state", "started_at", "own", "cap", "waiting", "rest_until",
-                 "heard_at", "good", "bad", "drawn_at", "sent_cold", "full_until", "salt", "load",
-                 "odds", "size", "missed", "kept", "rated")
+    __slots__ = (
+        "id",
+        "zone",
+        "kind",
+        "cell",
+        "state",
+        "started_at",
+        "own",
+        "cap",
+        "waiting",
+        "rest_until",
+        "heard_at",
+        "good",
+        "bad",
+        "drawn_at",
+        "sent_cold",
+        "full_until",
+        "salt",
+        "load",
+        "odds",
+        "size",
+        "missed",
+        "kept",
+        "rated",
+    )
 
     def __init__(self, entry: say.Listed, cap: float) -> None:
         self.id = entry.worker
--- a/locktide/fleet/tenants.py
+++ b/locktide/fleet/tenants.py
@@ -75,8 +75,10 @@
         floor = tenant.rate * script.accord.burst * script.accord.reserve
         most = script.fleet.dispatchers + script.accord.spare
         if script.accord.on and script.accord.reserve and floor < most:
-            found.append(f"tenant[{place}].rate: expected a rate whose floors hold a submission each, found "
-                         f"{tenant.rate:g}")
+            found.append(
+                f"tenant[{place}].rate: expected a rate whose floors hold a submission each, found "
+                f"{tenant.rate:g}"
+            )
     names = [one.name for one in script.accord.resource]
     for place, grade in enumerate(script.grade):
         for name in grade.holds:
--- a/locktide/net/client_connection.py
+++ b/locktide/net/client_connection.py
@@ -216,8 +216,11 @@
     async def turn_away(self, message: clients.Mistaken, last: bool = False) -> None:
         self.talk.last = self.talk.last or last
         self.server.log.say(
-            f"clients: not taken, {message.status}: {message.reason}", "clients",
-            event="not-taken", status=message.status, reason=message.reason,
+            f"clients: not taken, {message.status}: {message.reason}",
+            "clients",
+            event="not-taken",
+            status=message.status,
+            reason=message.reason,
         )
         await self.write(Answer(message.status, message.reason.encode() + b"\n"))
         if self.talk.last:
--- a/locktide/net/server.py
+++ b/locktide/net/server.py
@@ -22,8 +22,14 @@
     """Owns the listening socket and the connections that it accepted."""
 
     def __init__(
-        self, descriptors: DescriptorBudget, grades: dict[str, int], numbered: set[str], most_stored: int,
-        desk: Desk, log: Log, system: System | None = None,
+        self,
+        descriptors: DescriptorBudget,
+        grades: dict[str, int],
+        numbered: set[str],
+        most_stored: int,
+        desk: Desk,
+        log: Log,
+        system: System | None = None,
     ) -> None:
         self.descriptors, self.grades, self.numbered = descriptors, grades, numbered
         self.desk, self.log = desk, log
--- a/locktide/net/watch.py
+++ b/locktide/net/watch.py
@@ -39,8 +39,12 @@
     """
 
     def __init__(
-        self, address: Address, take: Callable[[discovery.ListUpdate], None], log: Log,
-        version: int | None = None, patience: float = PATIENCE,
+        self,
+        address: Address,
+        take: Callable[[discovery.ListUpdate], None],
+        log: Log,
+        version: int | None = None,
+        patience: float = PATIENCE,
         again: Callable[[bool], Awaitable[None]] = soon,
     ) -> None:
         self.address, self.take, self.log = address, take, log
@@ -83,7 +87,9 @@
                     count, first = len(update.faults), update.faults[0]
                     self.log.say(
                         f"worker list: {count} entries not taken, the first for {first}",
-                        event="roster-entries-faulty", count=count, first=first,
+                        event="roster-entries-faulty",
+                        count=count,
+                        first=first,
                     )
                 # Guards against a list remembered from elsewhere: this one counts its versions on its own.
                 behind = self.version is not None and update.version < self.version and not update.whole
@@ -93,7 +99,8 @@
                     self.failing = False
                     self.log.say(
                         f"worker list: answers again, version {update.version}",
-                        event="roster-answers", version=update.version,
+                        event="roster-answers",
+                        version=update.version,
                     )
                 # After a failure also what brings nothing: else the gaps of the next begin where these ended.
                 if update.whole or update.entries or again:
--- a/locktide/net/workers.py
+++ b/locktide/net/workers.py
@@ -23,8 +23,17 @@
     """One connection to a worker, and its place; it carries one question at a time."""
 
     __slots__ = (
-        "worker", "address", "reader", "writer", "outlet", "exchange", "connected", "kept", "rested_at",
-        "read_by_then", "usable_at",
+        "worker",
+        "address",
+        "reader",
+        "writer",
+        "outlet",
+        "exchange",
+        "connected",
+        "kept",
+        "rested_at",
+        "read_by_then",
+        "usable_at",
     )
 
     reader: CountedReader
@@ -77,7 +86,11 @@
         self.idle_for = idle_close / 2e6
 
     async def ask(
-        self, worker: str, address: Address, build: Callable[[], Question | None], sent: Callable[[], None],
+        self,
+        worker: str,
+        address: Address,
+        build: Callable[[], Question | None],
+        sent: Callable[[], None],
         fresh: bool = False,
     ) -> Reply | str:
         """One question and its reply, or the outcome that took its place.
--- a/locktide/node/dispatches.py
+++ b/locktide/node/dispatches.py
@@ -28,7 +28,8 @@
             id = order.submission
             self.log.say(
                 f"submission {id}: a dispatch after its end, not sent",
-                event="dispatch-too-late", submission=id,
+                event="dispatch-too-late",
+                submission=id,
             )
             return
         dispatch = OpenDispatch(len(held.dispatches), order.worker)
@@ -38,6 +39,7 @@
 
     async def carry(self, held: OpenSubmission, dispatch: OpenDispatch) -> None:
         """Takes one dispatch to its worker; what becomes of the job is told by callback."""
+
         def build() -> Question | None:
             now = self.clock.now()
             left = held.limit_at - now
@@ -70,7 +72,9 @@
             what = f"{type(trouble).__name__}: {trouble}"
             self.log.say(
                 f"worker {dispatch.worker}: a dispatch ended by {what}",
-                event="dispatch-broke-off", worker=dispatch.worker, trouble=what,
+                event="dispatch-broke-off",
+                worker=dispatch.worker,
+                trouble=what,
             )
             reply = say.RESET if dispatch.stage >= Stage.SENDING else say.NEVER_SENT
         outcome = workers.outcome(reply) if isinstance(reply, Reply) else reply
@@ -82,8 +86,11 @@
         elif outcome == say.UNFIT:
             id = held.message.id
             self.log.say(
-                f"worker {dispatch.worker}: turned away submission {id}", "clients",
-                event="turned-away", worker=dispatch.worker, submission=id,
+                f"worker {dispatch.worker}: turned away submission {id}",
+                "clients",
+                event="turned-away",
+                worker=dispatch.worker,
+                submission=id,
             )
             self.answer(held.message.id, Answer(400, b"turned away by a worker\n"))
             self.end(held, dispatch, outcome)
@@ -147,7 +154,8 @@
         if not await give_up(self.connections, dispatch.worker, address, id, within, vain):
             self.log.say(
                 f"worker {dispatch.worker}: no answer to a withdrawal",
-                event="withdrawal-unanswered", worker=dispatch.worker,
+                event="withdrawal-unanswered",
+                worker=dispatch.worker,
             )
         self.end(held, dispatch, outcome)
 
--- a/locktide/node/node.py
+++ b/locktide/node/node.py
@@ -109,7 +109,9 @@
         workers = len(self.fleet.entries)
         self.log.say(
             f"serving on {spelled(self.listen_at)}, {workers} workers known",
-            event="serving", listen=spelled(self.listen_at), workers=workers,
+            event="serving",
+            listen=spelled(self.listen_at),
+            workers=workers,
         )
         await stop.wait()
         begun = self.loop.time()
@@ -156,7 +158,10 @@
         at, grades = spelled(self.discovery), ", ".join(self.server.grades)
         self.log.say(
             f"reload: settings taken, {self.open()} submissions open; grades {grades}; worker list from {at}",
-            event="reloaded", roster=at, open=self.open(), grades=grades,
+            event="reloaded",
+            roster=at,
+            open=self.open(),
+            grades=grades,
         )
         self.watch(self.follow())  # from the whole list on: each address has its own versions
 
--- a/locktide/node/records.py
+++ b/locktide/node/records.py
@@ -28,7 +28,16 @@
     """One dispatch, until its outcome is told to the decisions."""
 
     __slots__ = (
-        "number", "worker", "task", "stage", "before", "recalled", "taken", "outcome", "sent_at", "fence",
+        "number",
+        "worker",
+        "task",
+        "stage",
+        "before",
+        "recalled",
+        "taken",
+        "outcome",
+        "sent_at",
+        "fence",
         "lapsed",
     )
 
--- a/locktide/node/service.py
+++ b/locktide/node/service.py
@@ -27,7 +27,10 @@
 
 
 async def serve(
-    told: Start, known: discovery.ListUpdate, log: Log, again: Callable[[], Start],
+    told: Start,
+    known: discovery.ListUpdate,
+    log: Log,
+    again: Callable[[], Start],
     join: Sequence[Callable[[Node], Awaitable[Part]]] = (),
 ) -> None:
     """Serves until SIGTERM or SIGINT; `again` reads the terms anew at SIGHUP and may raise Faulty. Each of
--- a/locktide/node/submissions.py
+++ b/locktide/node/submissions.py
@@ -39,12 +39,23 @@
     @staticmethod
     def arrival(message: clients.Submitted, limit_at: int) -> say.Arrival:
         return say.Arrival(
-            message.id, message.grade, limit_at, message.width, message.hint, message.tenant,
-            message.retry, message.patient, message.key,
+            message.id,
+            message.grade,
+            limit_at,
+            message.width,
+            message.hint,
+            message.tenant,
+            message.retry,
+            message.patient,
+            message.key,
         )
 
     def recover(
-        self, message: clients.Submitted, arrived_at: int, limit_at: int, dispatches: list[say.Earlier],
+        self,
+        message: clients.Submitted,
+        arrived_at: int,
+        limit_at: int,
+        dispatches: list[say.Earlier],
         fences: list[int],
     ) -> asyncio.Future[Answer]:
         """Takes up a job of an earlier process; its dispatches without an outcome may still be heard of."""
@@ -99,7 +110,8 @@
             id = held.message.id
             self.log.say(
                 f"submission {id}: no answer from the decisions in time, terminated",
-                event="overdue", submission=id,
+                event="overdue",
+                submission=id,
             )
             self.tell(say.ClientGone(held.message.id))  # for the decisions: nothing more is to be sent for it
             self.answer(held.message.id, Answer(504, b"terminated\n"))
--- a/locktide/node/withdrawals.py
+++ b/locktide/node/withdrawals.py
@@ -20,14 +20,22 @@
 
 class Asking(Protocol):
     async def ask(
-        self, worker: str, address: Address, build: Callable[[], Question | None], sent: Callable[[], None],
+        self,
+        worker: str,
+        address: Address,
+        build: Callable[[], Question | None],
+        sent: Callable[[], None],
         fresh: bool = False,
     ) -> Reply | str: ...
 
 
 async def give_up(
-    connections: Asking, worker: str, address: Callable[[], Address | None], submission: str,
-    connect_within: int, vain: Callable[[], bool],
+    connections: Asking,
+    worker: str,
+    address: Callable[[], Address | None],
+    submission: str,
+    connect_within: int,
+    vain: Callable[[], bool],
 ) -> bool:
     """Tells the worker, as long as it takes; whether it has been told. `connect_within` in microseconds.
 
@@ -47,7 +55,10 @@
             async with asyncio.timeout(within if tries == 1 else 2 * within):
                 if at is not None:
                     told = await connections.ask(
-                        worker, at, lambda: question, lambda whole=whole: whole.append(True),  # type: ignore[misc]
+                        worker,
+                        at,
+                        lambda: question,
+                        lambda whole=whole: whole.append(True),  # type: ignore[misc]
                         fresh=tries > 1,
                     )
                     if isinstance(told, Reply):
--- a/locktide/protocol/clients.py
+++ b/locktide/protocol/clients.py
@@ -18,8 +18,17 @@
 NOT_ONWARD = frozenset(
     name.encode()
     for name in (
-        "host", "connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding",
-        "upgrade", "expect", "content-length", names.TIME_LIMIT.lower(),
+        "host",
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "expect",
+        "content-length",
+        names.TIME_LIMIT.lower(),
     )
 )
 FRAMING = (b"content-length", b"transfer-encoding")
@@ -181,7 +190,7 @@
         if path == names.CALLBACK:
             return self.callback() if method == "POST" else Mistaken(405, "expected POST")
         if self.keeps_jobs and path.startswith(names.JOBS):
-            id = unquote(path[len(names.JOBS):])
+            id = unquote(path[len(names.JOBS) :])
             if not VISIBLE.fullmatch(id):
                 return Mistaken(404, "no such job")
             return Sought(id) if method == "GET" else Mistaken(405, "expected GET")
@@ -227,8 +236,18 @@
         retry = fields.get(names.RETRY.lower()) == "1"
         body, self.body = bytes(self.body), bytearray()
         return Submitted(
-            id, grade, patience, width, retry, method, target, onward, body,
-            hint=hint, tenant=extras.get(names.TENANT), key=key,
+            id,
+            grade,
+            patience,
+            width,
+            retry,
+            method,
+            target,
+            onward,
+            body,
+            hint=hint,
+            tenant=extras.get(names.TENANT),
+            key=key,
         )
 
     def callback(self) -> Message:
--- a/locktide/rehearse/accord/__main__.py
+++ b/locktide/rehearse/accord/__main__.py
@@ -40,15 +40,25 @@
             borrowed += told.borrowed
             returns += told.returns
             unequal += told.ledgers > 1
-    click.echo(json.dumps({
-        "emulated": True, "days": played, "seconds": round(time.monotonic() - begun, 1),
-        "faults": dict(sorted(counts.items())), "spent": spent, "of it borrowed": borrowed,
-        "returns of owners that had lent": returns,
-        "days whose ledgers differ two seconds after the last change": unequal,
-        "overruns": sum(one.overruns for one in broken),
-        "broken": [(one.seed, one.first) for one in broken[:10]],
-        "days whose members disagree at the end": disagree, "days that nobody leads at the end": unled,
-    }, indent=1))
+    click.echo(
+        json.dumps(
+            {
+                "emulated": True,
+                "days": played,
+                "seconds": round(time.monotonic() - begun, 1),
+                "faults": dict(sorted(counts.items())),
+                "spent": spent,
+                "of it borrowed": borrowed,
+                "returns of owners that had lent": returns,
+                "days whose ledgers differ two seconds after the last change": unequal,
+                "overruns": sum(one.overruns for one in broken),
+                "broken": [(one.seed, one.first) for one in broken[:10]],
+                "days whose members disagree at the end": disagree,
+                "days that nobody leads at the end": unled,
+            },
+            indent=1,
+        )
+    )
     sys.exit(bool(broken))
 
 
@@ -77,12 +87,23 @@
             reclaims += told.reclaims
             equal += told.ledgers <= 1
     reclaims.sort()
-    click.echo(json.dumps({
-        "emulated": True, "runs": len(runs), "faults": dict(sorted(faults.items())), "overruns": broken,
-        "runs whose members agree at the end": agree, "submissions": asked, "loans": loans,
-        "returns of owners that had lent": len(reclaims), "their loans over after": percentiles(reclaims),
-        "runs whose ledgers are equal after two seconds of quiet": equal,
-    }, indent=1))
+    click.echo(
+        json.dumps(
+            {
+                "emulated": True,
+                "runs": len(runs),
+                "faults": dict(sorted(faults.items())),
+                "overruns": broken,
+                "runs whose members agree at the end": agree,
+                "submissions": asked,
+                "loans": loans,
+                "returns of owners that had lent": len(reclaims),
+                "their loans over after": percentiles(reclaims),
+                "runs whose ledgers are equal after two seconds of quiet": equal,
+            },
+            indent=1,
+        )
+    )
     sys.exit(bool(broken))
 
 
@@ -92,9 +113,7 @@
     """What a tenant gets of its rate with 80% of its traffic at one of five members."""
     for trouble in skew.TROUBLES:
         told = [skew.play(trouble, seed) for seed in range(1, seeds + 1)]
-        static, divided = (
-            [getattr(one, side) for one in told] for side in ("static", "divided")
-        )
+        static, divided = ([getattr(one, side) for one in told] for side in ("static", "divided"))
         click.echo(
             f"{trouble}: static {sum(static) / seeds:.3f}, divided {sum(divided) / seeds:.3f} "
             f"(least {min(divided):.3f}), overruns {sum(one.overruns for one in told)}"
--- a/locktide/rehearse/accord/cost.py
+++ b/locktide/rehearse/accord/cost.py
@@ -37,7 +37,10 @@
     names = [f"d{number}" for number in range(members)]
     budgets = tuple(Budget(f"t{number}", 100.0, 500.0, True) for number in range(tenants))
     terms = Terms(
-        ["slots", "memory"], {budget.name: 1 for budget in budgets}, {"plain": [1000, 200]}, [3000, 8000],
+        ["slots", "memory"],
+        {budget.name: 1 for budget in budgets},
+        {"plain": [1000, 200]},
+        [3000, 8000],
         20 * SECOND,
     )
     electors = min(5, members - 1 + members % 2)
@@ -79,7 +82,8 @@
         last = world.now if all(know) else 0
     totals = list(sent.values())
     return Cost(
-        members, tenants,
+        members,
+        tenants,
         sum(row[0] for row in totals) / members / LENGTH,
         sum(row[1] for row in totals) / members / LENGTH / 1000,
         max(row[2] for row in totals),
--- a/locktide/rehearse/accord/days.py
+++ b/locktide/rehearse/accord/days.py
@@ -18,17 +18,29 @@
 LENGTH = 42 * SECOND
 # Tenants of which some are idle for a while and others ask for more than they have; and what is never lent.
 BUDGETS = (
-    Budget("dairy", 60.0, 60.0, True), Budget("goats", 40.0, 80.0, True), Budget("sheep", 90.0, 90.0, True),
+    Budget("dairy", 60.0, 60.0, True),
+    Budget("goats", 40.0, 80.0, True),
+    Budget("sheep", 90.0, 90.0, True),
     Budget("cold"),
 )
 QUIET = 20 * SECOND  # at the end: what was done is undone, and all that live should agree again
 SETTLES = 2 * SECOND  # at the very end no job comes, goes out or ends
-LEDGER = Terms(
-    ["slots"], {"dairy": 1, "goats": 2, "sheep": 1}, {"plain": [1000]}, [3000], 5 * SECOND
-)
+LEDGER = Terms(["slots"], {"dairy": 1, "goats": 2, "sheep": 1}, {"plain": [1000]}, [3000], 5 * SECOND)
 FAULTS = (
-    "cut", "cut one way", "lossy", "doubling", "late", "garbling", "truncating", "pause", "kill", "restart",
-    "twice", "two thirds", "majority gone", "leave",
+    "cut",
+    "cut one way",
+    "lossy",
+    "doubling",
+    "late",
+    "garbling",
+    "truncating",
+    "pause",
+    "kill",
+    "restart",
+    "twice",
+    "two thirds",
+    "majority gone",
+    "leave",
 )
 
 
@@ -168,8 +180,11 @@
         world.at(0, self.traffic)
         # Faults overlap: some at any moment, a few of which are rare.
         for _ in range(self.random.randrange(4, 16)):
-            world.at(self.random.randrange(3 * SECOND, LENGTH - QUIET - SECOND), self.fault,
-                     self.random.choice(FAULTS[:-4] * 3 + FAULTS[-4:]))
+            world.at(
+                self.random.randrange(3 * SECOND, LENGTH - QUIET - SECOND),
+                self.fault,
+                self.random.choice(FAULTS[:-4] * 3 + FAULTS[-4:]),
+            )
         world.at(LENGTH - QUIET, setattr, world, "net", Net())
         world.run(LENGTH)
         return self.outcome(world.meter.overruns())
@@ -185,12 +200,18 @@
         purse = live[0].agent.purse if live else None
         most = purse.movable + purse.floor * len(live) if purse is not None else 0
         return Outcome(
-            self.seed, len(self.names), dict(self.counts), len(overruns),
+            self.seed,
+            len(self.names),
+            dict(self.counts),
+            len(overruns),
             f"{overruns[0].at / 1e6:.3f} s: {overruns[0].budget}, {overruns[0].what}" if overruns else "",
-            sum(one.spent for one in world.all), sum(one.borrowed for one in world.all),
-            len(world.meter.reclaims(3 * SECOND)), total / most if most else 0.0,
+            sum(one.spent for one in world.all),
+            sum(one.borrowed for one in world.all),
+            len(world.meter.reclaims(3 * SECOND)),
+            total / most if most else 0.0,
             len({one.agent.ledger.standing.digest for one in live if one.agent.ledger is not None}),
-            len(views) <= 1, bool(leads) or not able,
+            len(views) <= 1,
+            bool(leads) or not able,
         )
 
 
--- a/locktide/rehearse/accord/fair.py
+++ b/locktide/rehearse/accord/fair.py
@@ -18,13 +18,13 @@
 LONGEST = 6 * SECOND
 
 
-def solved(
-    capacity: list[int], demands: dict[int, list[int]], weights: dict[int, int]
-) -> dict[int, float]:
+def solved(capacity: list[int], demands: dict[int, list[int]], weights: dict[int, int]) -> dict[int, float]:
     """The dominant shares of weighted progressive filling, by halving."""
     wanted = {
-        name: max((amount / whole if whole else 1.0) if amount else 0.0
-                  for amount, whole in zip(demand, capacity, strict=True))
+        name: max(
+            (amount / whole if whole else 1.0) if amount else 0.0
+            for amount, whole in zip(demand, capacity, strict=True)
+        )
         for name, demand in demands.items()
     }
     fixed = {name: 0.0 for name, most in wanted.items() if most == 0.0}
@@ -50,7 +50,8 @@
         shares = given(low)
         full = [place for place, whole in enumerate(capacity) if used(shares, place) >= whole * (1 - 1e-9)]
         done = {
-            name for name in open_
+            name
+            for name in open_
             if shares[name] >= wanted[name] - 1e-12 or any(demands[name][place] for place in full)
         } or set(open_)
         fixed |= {name: shares[name] for name in done}
@@ -109,7 +110,8 @@
     def quiet(self) -> None:
         """What was at those that died is gone."""
         self.jobs = {
-            job: told for job, told in self.jobs.items()
+            job: told
+            for job, told in self.jobs.items()
             if (process := self.world.live(told[0])) is not None and process.alive
         }
 
--- a/locktide/rehearse/accord/idle.py
+++ b/locktide/rehearse/accord/idle.py
@@ -17,8 +17,14 @@
 SECOND, STEP = 1_000_000, 20_000
 TENANTS, IDLE, RATE, BY = 10, 6, 60.0, 2.5
 WARM, LENGTH = 14, 20  # seconds: until loans have settled, and in which service is counted
-TROUBLES = ("none", "a tenth lost", "a borrower paused", "a borrower killed", "who divides killed",
-            "a borrower cut off")
+TROUBLES = (
+    "none",
+    "a tenth lost",
+    "a borrower paused",
+    "a borrower killed",
+    "who divides killed",
+    "a borrower cut off",
+)
 
 
 @dataclass
--- a/locktide/rehearse/accord/meter.py
+++ b/locktide/rehearse/accord/meter.py
@@ -56,8 +56,14 @@
     asked: dict[str, list[int]] = field(default_factory=lambda: defaultdict(list))  # when, of each budget
 
     def in_force(
-        self, process: Any, at: int, parts: dict[str, int], until: int, floor: int,
-        loans: dict[tuple[str, str], int] | None = None, loans_until: int = 0,
+        self,
+        process: Any,
+        at: int,
+        parts: dict[str, int],
+        until: int,
+        floor: int,
+        loans: dict[tuple[str, str], int] | None = None,
+        loans_until: int = 0,
     ) -> None:
         self.told[process].append(Told(at, dict(parts), until, floor, dict(loans or {}), loans_until))
 
--- a/locktide/rehearse/accord/processes.py
+++ b/locktide/rehearse/accord/processes.py
@@ -24,8 +24,20 @@
 from locktide.rehearse.accord.world import Net
 
 HOST = "127.0.0.1"
-FAULTS = ("cut", "cut one way", "lossy", "late", "doubling", "garbling", "pause", "kill", "restart", "twice",
-          "two thirds", "stop")
+FAULTS = (
+    "cut",
+    "cut one way",
+    "lossy",
+    "late",
+    "doubling",
+    "garbling",
+    "pause",
+    "kill",
+    "restart",
+    "twice",
+    "two thirds",
+    "stop",
+)
 READY_WITHIN = 20.0
 QUIET = 8.0  # seconds at the end of a run
 # Of them so many without a submission: what waits is given up after a second, then there are two of quiet.
@@ -108,8 +120,11 @@
                     continue
                 number += 1
                 fields = {
-                    "Host": "us", names.ID: f"{self.seed}-{number}", names.GRADE: "view",
-                    names.TIME_LIMIT: "900m", names.EXTRAS: f"{names.WIDTH}=1,{names.TENANT}={tenant}",
+                    "Host": "us",
+                    names.ID: f"{self.seed}-{number}",
+                    names.GRADE: "view",
+                    names.TIME_LIMIT: "900m",
+                    names.EXTRAS: f"{names.WIDTH}=1,{names.TENANT}={tenant}",
                     "Content-Length": "0",
                 }
                 head = "\r\n".join(["POST /view HTTP/1.1", *(f"{a}: {b}" for a, b in fields.items()), "", ""])
@@ -126,18 +141,39 @@
     def file(self, name: str, listen: tuple[str, int], reach: tuple[str, int], trace: Path) -> Path:
         self.serving[name] = (HOST, free_port(socket.SOCK_STREAM))
         lines = [
-            "[serve]", f'name = "{name}"', f'listen = "{HOST}:{self.serving[name][1]}"',
-            f'roster = "{HOST}:9"', "[log]", 'format = "json"',
-            "[accord]", "on = true", f'listen = "{listen[0]}:{listen[1]}"',
-            f'reach = "{reach[0]}:{reach[1]}"', f"most = {len(self.names) + 2}",
-            f'trace = "{trace}"', "lend = 0.6",
+            "[serve]",
+            f'name = "{name}"',
+            f'listen = "{HOST}:{self.serving[name][1]}"',
+            f'roster = "{HOST}:9"',
+            "[log]",
+            'format = "json"',
+            "[accord]",
+            "on = true",
+            f'listen = "{listen[0]}:{listen[1]}"',
+            f'reach = "{reach[0]}:{reach[1]}"',
+            f"most = {len(self.names) + 2}",
+            f'trace = "{trace}"',
+            "lend = 0.6",
         ]
         for elector in self.electors:
             at = self.reach[elector] if elector != name or reach == self.reach[name] else reach
             lines += ["[[accord.electors]]", f'name = "{elector}"', f'address = "{at[0]}:{at[1]}"']
-        lines += ["[[tenant]]", 'name = "dairy"', "rate = 100.0", "[[tenant]]", 'name = "goats"',
-                  "rate = 50.0", "[[accord.resource]]", 'name = "slots"', "each = 4.0",
-                  "[[grade]]", 'name = "view"', "limit = 3.0", "[grade.holds]", "slots = 1.0"]
+        lines += [
+            "[[tenant]]",
+            'name = "dairy"',
+            "rate = 100.0",
+            "[[tenant]]",
+            'name = "goats"',
+            "rate = 50.0",
+            "[[accord.resource]]",
+            'name = "slots"',
+            "each = 4.0",
+            "[[grade]]",
+            'name = "view"',
+            "limit = 3.0",
+            "[grade.holds]",
+            "slots = 1.0",
+        ]
         path = trace.with_suffix(".toml")
         path.write_text("\n".join(lines) + "\n")
         return path
@@ -150,8 +186,11 @@
             self.relay.senders[listen] = name
         with open(trace.with_suffix(".log"), "ab") as log:
             process = subprocess.Popen(
-                [sys.executable, *self.program, "serve", str(path)], stderr=log, stdout=log,
-                stdin=subprocess.DEVNULL, env={**os.environ, "PYTHONPATH": str(Path(__file__).parents[3])},
+                [sys.executable, *self.program, "serve", str(path)],
+                stderr=log,
+                stdout=log,
+                stdin=subprocess.DEVNULL,
+                env={**os.environ, "PYTHONPATH": str(Path(__file__).parents[3])},
             )
         life = Life(name, process, trace)
         self.lives.append(life)
@@ -261,18 +300,32 @@
             for line in life.trace.read_text().splitlines() if life.trace.exists() else ():
                 told, changes = json.loads(line), changes + 1
                 loans = {(owner, borrower): part for owner, borrower, part in told["loans"]}
-                meter.in_force(life.trace.name, told["at"], told["parts"], told["until"], told["floor"],
-                               loans, told["loans_until"])
+                meter.in_force(
+                    life.trace.name,
+                    told["at"],
+                    told["parts"],
+                    told["until"],
+                    told["floor"],
+                    loans,
+                    told["loans_until"],
+                )
             if life.ended_at:
                 meter.end(life.trace.name, life.ended_at)
         for at, tenant in self.asked:
             meter.ask(tenant, at)
         reclaims = [one.loans_over / 1e6 for one in meter.reclaims(3_000_000)]
         return Outcome(
-            self.seed, len(self.names), dict(self.counts),
+            self.seed,
+            len(self.names),
+            dict(self.counts),
             [f"{one.at}: {one.budget}, {one.what}" for one in meter.overruns()[:5]],
-            self.relay.passed, self.relay.lost, changes, len(self.asked), sum(1 for _ in meter.lent()),
-            reclaims, len(digests),
+            self.relay.passed,
+            self.relay.lost,
+            changes,
+            len(self.asked),
+            sum(1 for _ in meter.lent()),
+            reclaims,
+            len(digests),
             len(views) == len(self.live()) and all(view == views[0] for view in views),
         )
 
--- a/locktide/rehearse/accord/search.py
+++ b/locktide/rehearse/accord/search.py
@@ -119,6 +119,7 @@
 
 def steps(state: bytes, restarts: int) -> Iterator[tuple[str, State]]:
     """Each state that may follow, and by what."""
+
     def copy() -> State:
         made: State = pickle.loads(state)
         return made
--- a/locktide/rehearse/accord/world.py
+++ b/locktide/rehearse/accord/world.py
@@ -139,9 +139,16 @@
 
 class World:
     def __init__(
-        self, seed: int, names: list[str], electors: int = 3, most: int = 0, reserve: float = 0.15,
-        budgets: tuple[Budget, ...] = (Budget("dairy", 60.0, 60.0), Budget("cold")), skewed: bool = True,
-        of: Callable[[Terms, int], Agent] = Agent, lend: float = 0.0,
+        self,
+        seed: int,
+        names: list[str],
+        electors: int = 3,
+        most: int = 0,
+        reserve: float = 0.15,
+        budgets: tuple[Budget, ...] = (Budget("dairy", 60.0, 60.0), Budget("cold")),
+        skewed: bool = True,
+        of: Callable[[Terms, int], Agent] = Agent,
+        lend: float = 0.0,
         ledger: LedgerTerms | None = None,
     ) -> None:
         self.random, self.now, self.made = Random(seed), 0, 0
@@ -159,8 +166,16 @@
     def make(self, process: Process) -> Agent:
         seeds = list(self.electors.values())
         terms = Terms(
-            (process.name, process.start), process.address, self.electors, seeds, self.budgets, self.reserve,
-            self.most, self.random.randrange(1 << 60), self.lend, self.ledger,
+            (process.name, process.start),
+            process.address,
+            self.electors,
+            seeds,
+            self.budgets,
+            self.reserve,
+            self.most,
+            self.random.randrange(1 << 60),
+            self.lend,
+            self.ledger,
         )
         return self.of(terms, process.clock())
 
--- a/locktide/rehearse/agreed.py
+++ b/locktide/rehearse/agreed.py
@@ -39,8 +39,15 @@
         for line in trace.lines:
             told, changes = json.loads(line), changes + 1
             loans = {(owner, borrower): part for owner, borrower, part in told["loans"]}
-            meter.in_force((trace.number, place), told["at"], told["parts"], told["until"], told["floor"],
-                           loans, told["loans_until"])
+            meter.in_force(
+                (trace.number, place),
+                told["at"],
+                told["parts"],
+                told["until"],
+                told["floor"],
+                loans,
+                told["loans_until"],
+            )
         if trace.ended_at:
             meter.end((trace.number, place), trace.ended_at)
     for at, tenant in sorted((tried.sent_at, ask.tenant) for ask in asks for tried in ask.tries):
--- a/locktide/rehearse/loopback.py
+++ b/locktide/rehearse/loopback.py
@@ -280,7 +280,8 @@
         """What dispatchers traced, and when the rehearsal began by its clock."""
         return [
             Traced(
-                number, path.read_text().splitlines() if path.exists() else [],
+                number,
+                path.read_text().splitlines() if path.exists() else [],
                 self.ended_at.get(process.pid, 0),
             )
             for number, path, process in self.lives
--- a/locktide/rehearse/roster.py
+++ b/locktide/rehearse/roster.py
@@ -79,7 +79,13 @@
 
 class AgentSite:
     def __init__(
-        self, host: Host, number: int, agent: Agent, seed: int, whole: float, endpoint: Callable[[int], str],
+        self,
+        host: Host,
+        number: int,
+        agent: Agent,
+        seed: int,
+        whole: float,
+        endpoint: Callable[[int], str],
         calls: Calls | None = None,
     ) -> None:
         self.calls, self.watch_until = calls, 0
--- a/locktide/rehearse/table.py
+++ b/locktide/rehearse/table.py
@@ -45,10 +45,12 @@
         console.print(
             f"accord: {accord['overruns']} overruns, {accord['reclaims']} reclaims (worst "
             f"{figure(reclaim['worst'])} s, {accord['late_reclaims']} late), {accord['loans']} loans, "
-            f"{accord['ledgers_at_the_end']} ledgers at the end", style=style,
+            f"{accord['ledgers_at_the_end']} ledgers at the end",
+            style=style,
+        )
+        tenants = ", ".join(
+            f"{name} {figure(row['done'])} of {row['asked']}" for name, row in accord["tenants"].items()
         )
-        tenants = ", ".join(f"{name} {figure(row['done'])} of {row['asked']}"
-                            for name, row in accord["tenants"].items())
         console.print(f"tenants, done of what was asked: {tenants}")
         for line in accord["first"]:
             console.print(f"  {line}", style="red", markup=False)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -35,28 +35,48 @@
 
 
 def listed(
-    name: str, state: str = say.READY, started_at: int = 0, cell: int = 0, rating: float = 1.0,
+    name: str,
+    state: str = say.READY,
+    started_at: int = 0,
+    cell: int = 0,
+    rating: float = 1.0,
     kind: str = "box",
 ) -> say.Listed:
     return say.Listed(name, f"zone-{cell}", kind, cell, state, rating, started_at)
 
 
 def terms(
-    most: int, fleet: int, must_ask: bool, worst_grade: float, live: bool = False,
+    most: int,
+    fleet: int,
+    must_ask: bool,
+    worst_grade: float,
+    live: bool = False,
     prices: say.PriceTerms | None = None,
 ) -> tuple[Any, ...]:
     return (
-        STEP, fleet, [replace(grade) for grade in GRADES], say.DispatchTerms(most, True),
+        STEP,
+        fleet,
+        [replace(grade) for grade in GRADES],
+        say.DispatchTerms(most, True),
         say.ClientTerms(2_000_000),
-        say.ShareTerms({"dairy": 5.0}, 0.1), say.GoalTerms(worst_grade), COLD,
-        say.ListTerms(must_ask, 10_000_000, live), say.SignTerms(True, 1_000_000), prices or say.PriceTerms(),
+        say.ShareTerms({"dairy": 5.0}, 0.1),
+        say.GoalTerms(worst_grade),
+        COLD,
+        say.ListTerms(must_ask, 10_000_000, live),
+        say.SignTerms(True, 1_000_000),
+        prices or say.PriceTerms(),
     )
 
 
 class Checked:
     def __init__(
-        self, seed: int = 1, fleet: int = 3, must_ask: bool = False, worst_grade: float = 0.4,
-        live: bool = False, prices: say.PriceTerms | None = None,
+        self,
+        seed: int = 1,
+        fleet: int = 3,
+        must_ask: bool = False,
+        worst_grade: float = 0.4,
+        live: bool = False,
+        prices: say.PriceTerms | None = None,
     ) -> None:
         self.fleet, self.now = fleet, 10_000_000
         self.most = 3
@@ -91,7 +111,8 @@
             self.timers = [timer for timer in self.timers if timer[0] > self.now]
             late = [
                 say.Ended(submission, place, say.TIMED_OUT, False)
-                for submission, shots in self.dispatches.items() for place, shot in enumerate(shots)
+                for submission, shots in self.dispatches.items()
+                for place, shot in enumerate(shots)
                 if shot["outcome"] is None and self.now >= self.arrivals[submission].time_limit_at
             ]
             if due or late:
@@ -110,8 +131,10 @@
 
     def out(self) -> list[tuple[int, int]]:
         return [
-            (submission, place) for submission, shots in self.dispatches.items()
-            for place, shot in enumerate(shots) if shot["outcome"] is None
+            (submission, place)
+            for submission, shots in self.dispatches.items()
+            for place, shot in enumerate(shots)
+            if shot["outcome"] is None
         ]
 
     def note(self, piece: Any) -> None:
@@ -224,8 +247,9 @@
         self.lines_logged: list[str] = []
         log = Log("n0")
         log.say = lambda line, *_, **__: self.lines_logged.append(line)  # type: ignore[method-assign]
-        told = start.Start("n0", here, here, 7, 100, 80 << 20, {}, 250_000, 30_000_000,
-                           terms(3, 1, False, 0.4))
+        told = start.Start(
+            "n0", here, here, 7, 100, 80 << 20, {}, 250_000, 30_000_000, terms(3, 1, False, 0.4)
+        )
         self.node = Node(told, known, log)
         self.node.connections = self  # type: ignore[assignment]
         self.asked: list[Asked] = []
@@ -239,9 +263,7 @@
 
         self.node.dispatcher.turn = noted  # type: ignore[method-assign]
 
-    async def ask(
-        self, worker: str, address: Any, build: Any, sent: Any, fresh: bool = False
-    ) -> Reply | str:
+    async def ask(self, worker: str, address: Any, build: Any, sent: Any, fresh: bool = False) -> Reply | str:
         asked = Asked(worker, build, sent, fresh)
         self.asked.append(asked)
         try:
@@ -348,11 +370,22 @@
     entry = {"uid": "w0", "endpoint": place, "state": "active"}
     grade = {"Name": "view", "Semantics": "free", "SoftLimit": 250.0, "TimeLimit": 9000.0}
     path = folder / "start.json"
-    path.write_text(json.dumps({
-        "name": "n0", "listen": "{}:{}".format(*address), "discovery": "127.0.0.1:9", "seed": "9",
-        "known": {"rev": 1, "all": True, "targets": [entry]}, "settings": {"ServiceGrades": [grade]},
-    }))
-    process = subprocess.Popen([sys.executable, "-m", "locktide"], stderr=subprocess.PIPE,
-                               env={**os.environ, "GW_CONFIG": str(path), "GW_DISCOVERY": discovery})
+    path.write_text(
+        json.dumps(
+            {
+                "name": "n0",
+                "listen": "{}:{}".format(*address),
+                "discovery": "127.0.0.1:9",
+                "seed": "9",
+                "known": {"rev": 1, "all": True, "targets": [entry]},
+                "settings": {"ServiceGrades": [grade]},
+            }
+        )
+    )
+    process = subprocess.Popen(
+        [sys.executable, "-m", "locktide"],
+        stderr=subprocess.PIPE,
+        env={**os.environ, "GW_CONFIG": str(path), "GW_DISCOVERY": discovery},
+    )
     until_serving(process)
     return process, address, worker
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -330,9 +330,7 @@
     return rig
 
 
-async def act(
-    rig: Rig, node: Node, stop: asyncio.Event, kind: str, number: int, told: start.Start
-) -> None:
+async def act(rig: Rig, node: Node, stop: asyncio.Event, kind: str, number: int, told: start.Start) -> None:
     if kind in LIMIT:
         await rig.client(kind)
     elif kind in ("close", "reset", "shut"):
--- a/tests/test_accord.py
+++ b/tests/test_accord.py
@@ -27,7 +27,11 @@
 
 
 ROWS = st.builds(
-    Row, st.text(max_size=20), st.integers(0, 2**53), st.integers(0, 99), st.integers(0, 3),
+    Row,
+    st.text(max_size=20),
+    st.integers(0, 2**53),
+    st.integers(0, 99),
+    st.integers(0, 3),
     st.tuples(st.text(max_size=20), st.integers(0, 65535)),
 )
 PARTS = st.dictionaries(st.integers(0, 255), st.integers(0, 10**6), max_size=5)
@@ -36,8 +40,17 @@
 WORDS: Any = st.one_of(
     st.builds(Ping, st.integers(0, 2**40), st.none() | ROWS, st.lists(ROWS, max_size=4)),
     st.builds(Whole, st.lists(ROWS, max_size=4), st.booleans()),
-    st.builds(words.Ask, BALLOTS, st.integers(0, 99), st.none() | BALLOTS, st.integers(0, 99), PARTS, PARTS,
-              LENT, st.booleans()),
+    st.builds(
+        words.Ask,
+        BALLOTS,
+        st.integers(0, 99),
+        st.none() | BALLOTS,
+        st.integers(0, 99),
+        PARTS,
+        PARTS,
+        LENT,
+        st.booleans(),
+    ),
     st.builds(Grant, BALLOTS, st.integers(0, 99), st.integers(0, 99), PARTS, LENT, st.booleans()),
     st.builds(words.Recall, BALLOTS, st.lists(st.integers(0, 255), max_size=3)),
 )
@@ -53,10 +66,15 @@
 def test_nothing_is_believed_of_a_garbled_datagram_and_nothing_crashes() -> None:
     drawn = random.Random(5)
     rows = [Row(f"d{n}", 10**15, 3, n % 4, HERE) for n in range(9)]
-    good = [pack(("d1", 5), word) for word in (
-        Ping(4, rows[0], rows), Whole(rows, True), Lead((3, "d1", 5)),
-        Grant((3, "d1", 5), 8, 9, {0: 5}, [(0, 1, 7)], True),
-    )]
+    good = [
+        pack(("d1", 5), word)
+        for word in (
+            Ping(4, rows[0], rows),
+            Whole(rows, True),
+            Lead((3, "d1", 5)),
+            Grant((3, "d1", 5), 8, 9, {0: 5}, [(0, 1, 7)], True),
+        )
+    ]
     assert all(unpack(datagram) for datagram in good)
     for _ in range(20_000):
         changed = bytearray(drawn.choice(good))
@@ -366,9 +384,12 @@
         for _ in range(300):
             world.run(world.now + 10_000)
             live = [one for one in world.all if one.alive]
-            both += sum(
-                one.agent.candidate is not None and one.agent.candidate.leads(one.clock()) for one in live
-            ) > 1
+            both += (
+                sum(
+                    one.agent.candidate is not None and one.agent.candidate.leads(one.clock()) for one in live
+                )
+                > 1
+            )
         assert not world.meter.overruns(), "who is new waits out what the other gave, on top of that"
     assert bool(both) == eager
 
--- a/tests/test_accord_ledger.py
+++ b/tests/test_accord_ledger.py
@@ -32,10 +32,13 @@
     return Entry(row.place, row.version, [row.version, row.place], [0, row.version])
 
 
-STEPS = st.lists(st.one_of(
-    st.tuples(st.just("put"), st.sampled_from("ab"), st.integers(1, 2), ENTRIES),
-    st.tuples(st.just("close"), st.sampled_from("ab"), st.integers(1, 2), st.integers(0, 9)),
-), max_size=14)
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("put"), st.sampled_from("ab"), st.integers(1, 2), ENTRIES),
+        st.tuples(st.just("close"), st.sampled_from("ab"), st.integers(1, 2), st.integers(0, 9)),
+    ),
+    max_size=14,
+)
 
 
 def taken(steps: list[Any]) -> Book:
@@ -92,8 +95,11 @@
 
 
 @settings(max_examples=300)
-@given(st.lists(st.integers(500, 5_000), min_size=2, max_size=2), DEMANDS, st.lists(
-    st.integers(1, 4), min_size=6, max_size=6))
+@given(
+    st.lists(st.integers(500, 5_000), min_size=2, max_size=2),
+    DEMANDS,
+    st.lists(st.integers(1, 4), min_size=6, max_size=6),
+)
 def test_as_an_independent_solver_has_it(capacity: list[int], demands: Any, weights: list[int]) -> None:
     weigh = dict(enumerate(weights))
     found = fill(capacity, demands, weigh)
@@ -122,9 +128,9 @@
         """How much of its demand one could do with what another was given."""
         most = dominant(demands[of], capacity)
         part = found[of] / most if most else 0.0
-        return min([1.0, *[
-            part * demands[of][place] / wants for place, wants in enumerate(demands[name]) if wants
-        ]])
+        return min(
+            [1.0, *[part * demands[of][place] / wants for place, wants in enumerate(demands[name]) if wants]]
+        )
 
     for name in demands:
         if any(demands[name]):
--- a/tests/test_accord_lending.py
+++ b/tests/test_accord_lending.py
@@ -126,8 +126,14 @@
 
 
 def test_what_cold_workers_bear_is_never_lent() -> None:
-    made = world((Budget("busy", 20.0, 20.0, True), Budget("cold"), Budget("cold windows", 50.0, 50.0, False),
-                  Budget("idle", 50.0, 50.0, True)))
+    made = world(
+        (
+            Budget("busy", 20.0, 20.0, True),
+            Budget("cold"),
+            Budget("cold windows", 50.0, 50.0, False),
+            Budget("idle", 50.0, 50.0, True),
+        )
+    )
     asked(made, 14 * SECOND)
     lenders = {pair[0] for told in made.meter.told.values() for one in told for pair in one.loans}
     assert lenders == {"idle"} and not made.meter.overruns()
@@ -166,8 +172,9 @@
 ) -> None:
     if fault:
         fault(monkeypatch)
-    made = world((Budget("busy", 20.0, 20.0, True), Budget("idle", 50.0, 50.0, True),
-                  Budget("other", 50.0, 50.0)))
+    made = world(
+        (Budget("busy", 20.0, 20.0, True), Budget("idle", 50.0, 50.0, True), Budget("other", 50.0, 50.0))
+    )
     asked(made, 14 * SECOND)
     borrower = next(one for one in made.all if one.agent.purse.loans and one.agent.giver is None)
     made.net.cut = {pair for name in made.names for pair in ((borrower.name, name), (name, borrower.name))}
--- a/tests/test_accord_processes.py
+++ b/tests/test_accord_processes.py
@@ -39,11 +39,14 @@
 class Greedy(Processes):
     """Whoever divides gives the whole to each."""
 
-    program = ("-c", (
-        "from locktide.accord.budgets import giver\n"
-        "giver.Giver.part = lambda self, who, budget, held, steps, now: self.movable[budget]\n"
-        "from locktide.cli.main import main; main()"
-    ))
+    program = (
+        "-c",
+        (
+            "from locktide.accord.budgets import giver\n"
+            "giver.Giver.part = lambda self, who, budget, held, steps, now: self.movable[budget]\n"
+            "from locktide.cli.main import main; main()"
+        ),
+    )
 
 
 def test_a_fault_in_the_program_is_found_by_the_meter(
@@ -124,22 +127,36 @@
     assert pack(("", 0), Look(1)) != sent[0]
 
 
-@pytest.mark.parametrize(("change", "key"), [
-    (("most = 3", "most = 3\nreserve = 1.5"), "accord.reserve"),
-    (("[[accord.ele", '[[accord.electors]]\nname = "d1"\naddress = "127.0.0.1:7"\n[[accord.ele'),
-     "accord.electors: expected an odd number"),
-    (('address = "127.0.0.1:8"', 'address = "127.0.0.1:9"'), "accord.electors[0].address"),
-    (("rate = 40.0", "rate = 1.0"), "tenant[0].rate"),
-    (("most = 3", "most = 0"), "accord.most"),
-    (("most = 3", 'most = 3\nreach = "nowhere"'), "accord.reach"),
-    (("[[grade]]", "".join(f'[[tenant]]\nname = "t{n}"\nrate = 40.0\n' for n in range(50)) + "[[grade]]"),
-     "tenant: expected 50 at most"),
-    (("[[grade]]", '[[accord.resource]]\nname = "slots"\neach = 4.0\n' * 2 + "[[grade]]"),
-     "accord.resource[1].name"),
-    (('name = "view"', 'name = "view"\nholds = {slots = 1.0}'),
-     "grade[0].holds: expected an accord.resource"),
-    (("most = 3", "most = 3\nlend = 1.5"), "accord.lend"),
-])
+@pytest.mark.parametrize(
+    ("change", "key"),
+    [
+        (("most = 3", "most = 3\nreserve = 1.5"), "accord.reserve"),
+        (
+            ("[[accord.ele", '[[accord.electors]]\nname = "d1"\naddress = "127.0.0.1:7"\n[[accord.ele'),
+            "accord.electors: expected an odd number",
+        ),
+        (('address = "127.0.0.1:8"', 'address = "127.0.0.1:9"'), "accord.electors[0].address"),
+        (("rate = 40.0", "rate = 1.0"), "tenant[0].rate"),
+        (("most = 3", "most = 0"), "accord.most"),
+        (("most = 3", 'most = 3\nreach = "nowhere"'), "accord.reach"),
+        (
+            (
+                "[[grade]]",
+                "".join(f'[[tenant]]\nname = "t{n}"\nrate = 40.0\n' for n in range(50)) + "[[grade]]",
+            ),
+            "tenant: expected 50 at most",
+        ),
+        (
+            ("[[grade]]", '[[accord.resource]]\nname = "slots"\neach = 4.0\n' * 2 + "[[grade]]"),
+            "accord.resource[1].name",
+        ),
+        (
+            ('name = "view"', 'name = "view"\nholds = {slots = 1.0}'),
+            "grade[0].holds: expected an accord.resource",
+        ),
+        (("most = 3", "most = 3\nlend = 1.5"), "accord.lend"),
+    ],
+)
 def test_a_faulty_accord_names_its_key(change: tuple[str, str], key: str) -> None:
     text = FILE.format(port=7, udp=8)
     assert installation.parse(text).accord.on
--- a/tests/test_accord_rehearse.py
+++ b/tests/test_accord_rehearse.py
@@ -22,9 +22,7 @@
 
 def shorter(name: str, **changes: Any) -> scripts.Script:
     told = scripts.load(HERE / "deploy" / "rehearsals" / f"{name}.toml")
-    incidents = [
-        msgspec.structs.replace(one, at=one.at / 2, length=one.length / 2) for one in told.incident
-    ]
+    incidents = [msgspec.structs.replace(one, at=one.at / 2, length=one.length / 2) for one in told.incident]
     return msgspec.structs.replace(told, length=told.length / 3, incident=incidents[:3], **changes)
 
 
@@ -72,13 +70,16 @@
     assert {ask.home for ask in asks if ask.tenant == "sheep"} == {2}
 
 
-@pytest.mark.parametrize(("change", "key"), [
-    (("home = 2", "home = 9"), "tenant[2].home"),
-    (("idle = [[0.5, 17.0]]", "idle = [[17.0, 0.5]]"), "tenant[2].idle"),
-    (('name = "sheep"', 'name = "goats"'), "tenant[2].name"),
-    (("rate = 50.0", "rate = 0.5"), "tenant[0].rate"),
-    (("holds = {slots = 1.0", "holds = {salt = 1.0"), "grade[0].holds"),
-])
+@pytest.mark.parametrize(
+    ("change", "key"),
+    [
+        (("home = 2", "home = 9"), "tenant[2].home"),
+        (("idle = [[0.5, 17.0]]", "idle = [[17.0, 0.5]]"), "tenant[2].idle"),
+        (('name = "sheep"', 'name = "goats"'), "tenant[2].name"),
+        (("rate = 50.0", "rate = 0.5"), "tenant[0].rate"),
+        (("holds = {slots = 1.0", "holds = {salt = 1.0"), "grade[0].holds"),
+    ],
+)
 def test_a_faulty_tenant_names_its_key(change: tuple[str, str], key: str) -> None:
     text = (HERE / "deploy" / "rehearsals" / "accord-lend.toml").read_text()
     assert change[0] in text
--- a/tests/test_bound.py
+++ b/tests/test_bound.py
@@ -26,10 +26,14 @@
     return tuple(told)
 
 
-@pytest.mark.parametrize("where", [
-    {"zones": frozenset(["zone-1"])}, {"kinds": frozenset(["other"])},
-    {"zones": frozenset(["zone-1"]), "kinds": frozenset(["other"])},
-])
+@pytest.mark.parametrize(
+    "where",
+    [
+        {"zones": frozenset(["zone-1"])},
+        {"kinds": frozenset(["other"])},
+        {"zones": frozenset(["zone-1"]), "kinds": frozenset(["other"])},
+    ],
+)
 def test_a_bound_grade_is_held_while_its_workers_are_down_and_goes_nowhere_else(where: Any) -> None:
     # stlucia-rating, rough-1, 0.03 s: 'quote' went to a zone that is not open to it; kochi-tables likewise.
     made = Checked()
@@ -68,6 +72,7 @@
 @pytest.mark.parametrize("late", [False, True])
 def test_on_sockets_an_idle_connection_to_a_draining_worker_is_closed_in_time(late: bool) -> None:
     """At the notice, and where its answer comes only after that, with the last outcome there."""
+
     async def run() -> None:
         loop, closed, answer = asyncio.get_running_loop(), asyncio.Event(), asyncio.Event()
         asked = asyncio.Event()
@@ -107,27 +112,46 @@
 
 
 def test_a_bound_grade_waits_on_sockets_and_is_read_from_json_and_toml_alike() -> None:
-    grade = {"Name": "view", "Semantics": "free", "SoftLimit": 250.0, "TimeLimit": 9000.0,
-             "ConfinedTo": ["a"], "KindsAllowed": ["big", "small"]}
+    grade = {
+        "Name": "view",
+        "Semantics": "free",
+        "SoftLimit": 250.0,
+        "TimeLimit": 9000.0,
+        "ConfinedTo": ["a"],
+        "KindsAllowed": ["big", "small"],
+    }
     told = settings.terms(Table({"ServiceGrades": [grade], "Rules": {"HangUpWithin": 250.0}}))
     assert told[2][0].ground == (frozenset(["big", "small"]), frozenset(["a"]))
     assert told[8].hang_up_within == 250_000
     text = '[workers]\nhang_up = 0.25\n[[grade]]\nname = "view"\nmodels = ["big", "small"]\nzones = ["a"]\n'
-    read = start.from_table(Table({
-        "name": "n0", "listen": "127.0.0.1:7", "discovery": "127.0.0.1:9", "seed": "1",
-        "limits": {"sockets": 64, "memory_mb": 80}, "known": {"rev": 0, "all": True, "targets": []},
-        "settings": installation.as_settings(installation.parse(text)),
-    }), {})
+    read = start.from_table(
+        Table(
+            {
+                "name": "n0",
+                "listen": "127.0.0.1:7",
+                "discovery": "127.0.0.1:9",
+                "seed": "1",
+                "limits": {"sockets": 64, "memory_mb": 80},
+                "known": {"rev": 0, "all": True, "targets": []},
+                "settings": installation.as_settings(installation.parse(text)),
+            }
+        ),
+        {},
+    )
     assert read.terms[2][0].ground == told[2][0].ground and read.terms[8].hang_up_within == 250_000
     plain = settings.terms(Table({"ServiceGrades": [{**grade, "ConfinedTo": ["a"]}]}))
     del grade["ConfinedTo"], grade["KindsAllowed"]
     assert settings.terms(Table({"ServiceGrades": [grade]}))[2][0].ground is None and plain[2][0].ground
 
 
-@pytest.mark.parametrize(("change", "key"), [
-    ({"KindsAllowed": "big"}, "KindsAllowed"), ({"ConfinedTo": [3]}, "ConfinedTo[0]"),
-    ({"ConfinedTo": []}, "ConfinedTo"),
-])
+@pytest.mark.parametrize(
+    ("change", "key"),
+    [
+        ({"KindsAllowed": "big"}, "KindsAllowed"),
+        ({"ConfinedTo": [3]}, "ConfinedTo[0]"),
+        ({"ConfinedTo": []}, "ConfinedTo"),
+    ],
+)
 def test_a_faulty_bound_is_named(change: Any, key: str) -> None:
     grade = {"Name": "view", "Semantics": "free", "SoftLimit": 250.0, "TimeLimit": 9000.0}
     with pytest.raises(Faulty) as found:
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -197,14 +197,21 @@
         (DeniesWhatRan, errors, "", {"doubled"}),
         (Copies, None, "", {"copies"}),
         (Deaf, None, LINGERS, {"drain"}),
-        (Pushes, None, '[[incident]]\nat = 1.0\nfor = 1.0\nwhat = "kill"\nwhom = "w1"\nspread = 0.0\n',
-         {"pushed"}),
+        (
+            Pushes,
+            None,
+            '[[incident]]\nat = 1.0\nfor = 1.0\nwhat = "kill"\nwhom = "w1"\nspread = 0.0\n',
+            {"pushed"},
+        ),
         (Plain, None, "", set()),
     ],
 )
 def test_the_checker_catches_the_rule_that_is_broken_and_no_other(
-    monkeypatch: pytest.MonkeyPatch, decisions: type[Plain], change: Callable[[str], str] | None,
-    incident: str, rules: set[str],
+    monkeypatch: pytest.MonkeyPatch,
+    decisions: type[Plain],
+    change: Callable[[str], str] | None,
+    incident: str,
+    rules: set[str],
 ) -> None:
     monkeypatch.setattr(node_module, "Dispatcher", decisions)
     if decisions is Silent:
@@ -228,9 +235,11 @@
             release_settled(self, held)
 
     monkeypatch.setattr(node_module.Node, "release_settled", forgetful)
-    monkeypatch.setattr(records.OpenSubmission, "open", property(lambda self: not self.dispatches or not all(
-        shot.outcome for shot in self.dispatches
-    )))
+    monkeypatch.setattr(
+        records.OpenSubmission,
+        "open",
+        property(lambda self: not self.dispatches or not all(shot.outcome for shot in self.dispatches)),
+    )
     answer = node_module.Node.answer
 
     def once(self: Any, submission: str, given: Any) -> None:
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -31,10 +31,17 @@
             say.Grade("long", say.REISSUABLE, say.EVERYONE, 0, 2_000_000, 2.0, 25_000_000, 5.0, 0.5, None),
         ]
         terms = (
-            STEP, fleet, grades, say.DispatchTerms(4, True, False), say.ClientTerms(0),
-            say.ShareTerms({}, 1.0), say.GoalTerms(0.4),
-            say.ColdTerms(FACTOR, WINDOW, COLD_FROM, WARM_AFTER, margin), say.ListTerms(False, 10_000_000),
-            say.SignTerms(True, 1_000_000), say.PriceTerms(),
+            STEP,
+            fleet,
+            grades,
+            say.DispatchTerms(4, True, False),
+            say.ClientTerms(0),
+            say.ShareTerms({}, 1.0),
+            say.GoalTerms(0.4),
+            say.ColdTerms(FACTOR, WINDOW, COLD_FROM, WARM_AFTER, margin),
+            say.ListTerms(False, 10_000_000),
+            say.SignTerms(True, 1_000_000),
+            say.PriceTerms(),
         )
         self.fleet = [Dispatcher(seed * 1000 + one, *terms) for one in range(fleet)]
         self.begun = 10_000_000
--- a/tests/test_datagram_bytes.py
+++ b/tests/test_datagram_bytes.py
@@ -38,10 +38,7 @@
         "41c041a09402a26430cf00060a24181e400194a450696e67cd012c95a26431cf00060a24181e4000020392a93132372e"
         "302e302e31cd23299195a2643205000192a831302e302e302e32cdffff",
     ),
-    (
-        words.Ping(number=1, row=None, rumours=[]),
-        "7c269ad19402a26430cf00060a24181e400194a450696e6701c090",
-    ),
+    (words.Ping(number=1, row=None, rumours=[]), "7c269ad19402a26430cf00060a24181e400194a450696e6701c090"),
     (
         words.Probe(number=2, name="d2", rumours=[ROW]),
         "09f3d43e9402a26430cf00060a24181e400194a550726f626502a264329195a26431cf00060a24181e4000020392a931"
@@ -52,10 +49,7 @@
         "acce7da69402a26430cf00060a24181e400193a341636b039195a26431cf00060a24181e4000020392a93132372e302e"
         "302e31cd2329",
     ),
-    (
-        words.Nack(number=4),
-        "b20b43579402a26430cf00060a24181e400192a44e61636b04",
-    ),
+    (words.Nack(number=4), "b20b43579402a26430cf00060a24181e400192a44e61636b04"),
     (
         words.Whole(rows=[ROW, OTHER_ROW], answer=True),
         "7d90ea2e9402a26430cf00060a24181e400193a557686f6c659295a26431cf00060a24181e4000020392a93132372e30"
@@ -84,13 +78,19 @@
         "aca4d2359402a26430cf00060a24181e400194a841636365707465649303a264310793cf0000010000000000a2643208"
         "c2",
     ),
-    (
-        words.Lead(term=BALLOT),
-        "4524ba239402a26430cf00060a24181e400192a44c6561649303a2643107",
-    ),
-    (
-        words.Ask(term=LATER, number=5, of=BALLOT, seq=6, held={0: 250_000}, wants={1: 70_000},
-                  loans=[(0, 1, 9)], leaving=True, book=0xFEDCBA98),
+    (words.Lead(term=BALLOT), "4524ba239402a26430cf00060a24181e400192a44c6561649303a2643107"),
+    (
+        words.Ask(
+            term=LATER,
+            number=5,
+            of=BALLOT,
+            seq=6,
+            held={0: 250_000},
+            wants={1: 70_000},
+            loans=[(0, 1, 9)],
+            leaving=True,
+            book=0xFEDCBA98,
+        ),
         "2ad2c9ba9402a26430cf00060a24181e40019aa341736b93cf0000010000000000a2643208059303a2643107068100ce"
         "0003d0908101ce000111709193000109c3cefedcba98",
     ),
@@ -99,8 +99,9 @@
         "3470393b9402a26430cf00060a24181e40019aa341736b93cf0000010000000000a264320805c000808090c200",
     ),
     (
-        words.Grant(term=BALLOT, number=7, seq=8, parts={0: 1_000_000, 255: 1}, loans=[(2, 3, 400)],
-                    soon=True),
+        words.Grant(
+            term=BALLOT, number=7, seq=8, parts={0: 1_000_000, 255: 1}, loans=[(2, 3, 400)], soon=True
+        ),
         "1331e0879402a26430cf00060a24181e400197a54772616e749303a264310707088200ce000f4240ccff0191930203cd"
         "0190c3",
     ),
@@ -109,8 +110,15 @@
         "a0b153339402a26430cf00060a24181e400193a6526563616c6c9303a2643107920004",
     ),
     (
-        words.Heads(sum=11, digest=2**63 + 1, heads=[("d1", 7, 12)], closed=[("d2", 8, 13)], after="d0",
-                    upto="d9", answer=True),
+        words.Heads(
+            sum=11,
+            digest=2**63 + 1,
+            heads=[("d1", 7, 12)],
+            closed=[("d2", 8, 13)],
+            after="d0",
+            upto="d9",
+            answer=True,
+        ),
         "8f800ca29402a26430cf00060a24181e400198a548656164730bcf80000000000000019193a26431070c9193a2643208"
         "0da26430a26439c3",
     ),
@@ -118,10 +126,7 @@
         words.Rows(sum=14, groups=[words.Group(name="d1", start=7, after=15, entries=[ENTRY])]),
         "8267cded9402a26430cf00060a24181e400193a4526f77730e9194a26431070f9194cdffff0292cd03e80091cd01f4",
     ),
-    (
-        words.Look(number=16),
-        "3bd44a1d9402a26430cf00060a24181e400192a44c6f6f6b10",
-    ),
+    (words.Look(number=16), "3bd44a1d9402a26430cf00060a24181e400192a44c6f6f6b10"),
     (
         words.Seen(number=17, page=18, pages=19, text='{"name": "\u00fc"}'),
         "a28a0aa29402a26430cf00060a24181e400195a45365656e111213ae7b226e616d65223a2022c3bc227d",
@@ -129,10 +134,22 @@
 ]
 
 INSPECTED = {
-    "name": "d0", "start": 1, "leads": False, "led_by": None, "term": None, "health": 0,
-    "stepped_down": False, "parts": {"bakery": 100_000, "dairy": 100_000}, "loans": [],
+    "name": "d0",
+    "start": 1,
+    "leads": False,
+    "led_by": None,
+    "term": None,
+    "health": 0,
+    "stepped_down": False,
+    "parts": {"bakery": 100_000, "dairy": 100_000},
+    "loans": [],
     "ledger": {
-        "digest": "0000000000000000", "contended": False, "order": [], "held": {}, "fair": {}, "over": [],
+        "digest": "0000000000000000",
+        "contended": False,
+        "order": [],
+        "held": {},
+        "fair": {},
+        "over": [],
     },
     "for_us": 0,
     "members": [{"name": "d0", "start": 1, "turn": 0, "state": "alive", "address": "127.0.0.1:9000"}],
@@ -155,11 +172,28 @@
 
 
 def test_no_message_type_is_left_out() -> None:
-    tags = {words.READER.decode(bytes.fromhex(datagram)[4:]).word.__struct_config__.tag
-            for _, datagram in DATAGRAMS}
+    tags = {
+        words.READER.decode(bytes.fromhex(datagram)[4:]).word.__struct_config__.tag
+        for _, datagram in DATAGRAMS
+    }
     assert tags == {
-        "Ping", "Probe", "Ack", "Nack", "Whole", "Prepare", "Promise", "Propose", "Accepted", "Lead", "Ask",
-        "Grant", "Recall", "Heads", "Rows", "Look", "Seen",
+        "Ping",
+        "Probe",
+        "Ack",
+        "Nack",
+        "Whole",
+        "Prepare",
+        "Promise",
+        "Propose",
+        "Accepted",
+        "Lead",
+        "Ask",
+        "Grant",
+        "Recall",
+        "Heads",
+        "Rows",
+        "Look",
+        "Seen",
     }
     assert {kind.__struct_config__.tag for kind in words.Word.__subclasses__()} == tags
 
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -138,7 +138,7 @@
     first.open()
     held = sorted(tmp_path.iterdir())
     asked = subprocess.run(
-        [sys.executable, "-c", OPENS, str(tmp_path)], cwd=HERE, capture_output=True, text=True,
+        [sys.executable, "-c", OPENS, str(tmp_path)], cwd=HERE, capture_output=True, text=True
     )
     assert "another dispatcher has it" in asked.stderr and sorted(tmp_path.iterdir()) == held
     with pytest.raises(Taken):
@@ -277,8 +277,11 @@
         lease = self.leases.grant(job, worker, self.now)
         before = [one["fence"] for one in self.granted if one["job"] == job]
         assert lease.fence == max(before, default=0) + 1
-        self.granted.append(dict(job=job, worker=worker, fence=lease.fence, until=self.now + 20 * S,
-                                 started=False, over=False))
+        self.granted.append(
+            dict(
+                job=job, worker=worker, fence=lease.fence, until=self.now + 20 * S, started=False, over=False
+            )
+        )
 
     @rule(span=st.integers(1, 9 * S))
     def wait(self, span: int) -> None:
@@ -360,10 +363,17 @@
 
 def test_recovery_ends_waits_and_goes_on_oldest_first() -> None:
     table = table_of(
-        BEGAN, accepted("new", 1005 * S), accepted("old", 1001 * S), accepted("ran", 1002 * S),
-        accepted("gone", 900 * S), accepted("gone and ran", 901 * S), accepted("done", 1003 * S),
-        leased("old", at=1004 * S, until=1020 * S), leased("ran", at=1004 * S),
-        Ended("ran", 1, say.RESET, 1006 * S), leased("gone and ran", at=1004 * S),
+        BEGAN,
+        accepted("new", 1005 * S),
+        accepted("old", 1001 * S),
+        accepted("ran", 1002 * S),
+        accepted("gone", 900 * S),
+        accepted("gone and ran", 901 * S),
+        accepted("done", 1003 * S),
+        leased("old", at=1004 * S, until=1020 * S),
+        leased("ran", at=1004 * S),
+        Ended("ran", 1, say.RESET, 1006 * S),
+        leased("gone and ran", at=1004 * S),
         Finished("done", 200, b"", 0, 1006 * S),
     )
     now = 5000 * S
@@ -511,7 +521,7 @@
     assert any("jobs-recovered" in line and "records=0" not in line for line in played.said)
 
 
-@pytest.mark.parametrize("more", ['[dispatcher.settings]\nStep = 8.0\n', "[roster]\ncall = 0.1\n"])
+@pytest.mark.parametrize("more", ["[dispatcher.settings]\nStep = 8.0\n", "[roster]\ncall = 0.1\n"])
 def test_what_a_real_process_cannot_be_told_is_refused(more: str, tmp_path: Path) -> None:
     with pytest.raises(Troubled, match="virtual"):
         asyncio.run(on_loopback(script.parse(KEPT + more), HERE, tmp_path))
@@ -530,18 +540,36 @@
 
 
 def hand_in(address: Any, id: str, key: str, body: str = "milk", prefer: str = "respond-async") -> Any:
-    return ask(address, "POST", "/record", body, Req_Id=id, Req_Kind="record", Req_Deadline="9000m",
-               Idempotency_Key=key, Prefer=prefer)
+    return ask(
+        address,
+        "POST",
+        "/record",
+        body,
+        Req_Id=id,
+        Req_Kind="record",
+        Req_Deadline="9000m",
+        Idempotency_Key=key,
+        Prefer=prefer,
+    )
 
 
 def command(*words: Any) -> subprocess.CompletedProcess[str]:
-    return subprocess.run([sys.executable, "-m", "locktide.cli.main", *map(str, words)], cwd=HERE,
-                          capture_output=True, text=True, timeout=60)
+    return subprocess.run(
+        [sys.executable, "-m", "locktide.cli.main", *map(str, words)],
+        cwd=HERE,
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
 
 
 def serve(path: Path) -> subprocess.Popen[str]:
-    process = subprocess.Popen([sys.executable, "-m", "locktide.cli.main", "serve", str(path), "--log-format",
-                                "json"], cwd=HERE, stderr=subprocess.PIPE, text=True)
+    process = subprocess.Popen(
+        [sys.executable, "-m", "locktide.cli.main", "serve", str(path), "--log-format", "json"],
+        cwd=HERE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
     assert process.stderr is not None
     line = process.stderr.readline()
     while line and json.loads(line)["event"] != "serving":
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -79,9 +79,7 @@
         super().__init__()
         self.begun: list[str] = []
 
-    async def ask(
-        self, worker: str, address: Any, build: Any, sent: Any, fresh: bool = False
-    ) -> Reply | str:
+    async def ask(self, worker: str, address: Any, build: Any, sent: Any, fresh: bool = False) -> Reply | str:
         question = build()
         if question is None:
             return say.NEVER_SENT
@@ -94,6 +92,7 @@
 def test_nothing_is_begun_for_a_client_that_went_before(go: Callable[[socket.socket], None]) -> None:
     """First and further dispatches alike. The end of a stream is heard some turns after it has come; what
     ends a wait in the pool takes fewer to the first byte."""
+
     async def run() -> None:
         play, address = Prompt(), free_address()
         play.node.server.listen(address)
@@ -127,6 +126,7 @@
 def test_an_answer_that_is_last_outlives_what_the_client_still_writes() -> None:
     """A socket that is closed altogether answers what comes with a reset, and the kernel drops what the
     client has not taken yet."""
+
     async def story(server: Server, clerk: Clerk, address: Any) -> None:
         result = b"x" * 300_000
         client = socket.socket()
@@ -200,6 +200,7 @@
 
 def test_one_is_evicted_for_each_that_waits_and_none_beside() -> None:
     """What came to rest while an eviction was under way was closed, too: new ones, their message unread."""
+
     async def run() -> None:
         places, closed = DescriptorBudget(2), []
         for name in ("old", "newer"):
@@ -284,6 +285,7 @@
 
 def test_nothing_is_accepted_before_the_list_is_had() -> None:
     """A front sends on to a dispatcher that died and came back; what it sent went out by the old list."""
+
     async def run() -> None:
         play, stop, asked, go = HandPlayed(), asyncio.Event(), asyncio.Event(), asyncio.Event()
 
@@ -334,9 +336,7 @@
         connections, sent = WorkerConnections(DescriptorBudget(4), 500_000, 400_000), []
         question = Question("POST", "/view", [], b"x" * 20_000_000)  # more than the kernel takes at once
         at = listening.getsockname()
-        asking = asyncio.create_task(
-            connections.ask("w", at, lambda: question, lambda: sent.append(True))
-        )
+        asking = asyncio.create_task(connections.ask("w", at, lambda: question, lambda: sent.append(True)))
         await until(lambda: made and made[0].writer.transport.get_write_buffer_size())
         worker, received = listening.accept()[0], [0]
 
@@ -413,6 +413,7 @@
 
 def test_a_word_told_again_of_an_earlier_dispatch_does_not_end_the_later_one_there() -> None:
     """'returned' came a second time, as its 204 was lost: what ran by then was taken for never run."""
+
     async def story(play: HandPlayed) -> None:
         play.list("w1", say.DRAINING)
         play.list("w2", say.DRAINING)
@@ -439,6 +440,7 @@
 
 def test_no_repeat_goes_out_once_it_is_no_longer_dropped() -> None:
     """The connection came up late; the order was given in time."""
+
     async def story(play: HandPlayed) -> None:
         play.node.submitted(submission("a", grade="record", patience=6_000_000))
         first = await play.sent("a")
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -114,11 +114,11 @@
     assert pod.takes("k", 10 * S) is not first
 
 
-
 OPERATIONS = st.lists(
     st.tuples(
         st.sampled_from(["offer", "wide", "withdraw", "hold", "slow", "drain", "kill"]),
-        st.integers(0, 12), st.integers(0, 900_000),
+        st.integers(0, 12),
+        st.integers(0, 900_000),
     ),
     max_size=40,
 )
@@ -232,10 +232,14 @@
 @pytest.mark.parametrize(
     ("effect", "ended", "again"),
     [
-        ("reissuable", traffic.TERMINATED, True), ("reissuable", traffic.BROKEN, True),
-        ("numbered", traffic.DENIED, True), ("numbered", traffic.BROKEN, False),
-        ("at-most-once", traffic.REFUSED, True), ("at-most-once", traffic.TERMINATED, False),
-        ("reissuable", traffic.ANSWERED, False), ("reissuable", traffic.SILENT, False),
+        ("reissuable", traffic.TERMINATED, True),
+        ("reissuable", traffic.BROKEN, True),
+        ("numbered", traffic.DENIED, True),
+        ("numbered", traffic.BROKEN, False),
+        ("at-most-once", traffic.REFUSED, True),
+        ("at-most-once", traffic.TERMINATED, False),
+        ("reissuable", traffic.ANSWERED, False),
+        ("reissuable", traffic.SILENT, False),
     ],
 )
 def test_clients_try_again_only_what_is_harmless(effect: str, ended: str, again: bool) -> None:
--- a/tests/test_hostile.py
+++ b/tests/test_hostile.py
@@ -78,9 +78,15 @@
     monkeypatch.setattr(watch_module, "GAP", 0.002)
     good = reply(sheet(entry("w5")))
     answers = [
-        good[:-9], reply(b"{\"rev\": 3"), reply(b"[]"), reply(b"[" * 100_000),
-        reply(sheet(entry("w0", state=7))), b"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n",
-        b"what is this\r\n\r\n", b"", good,
+        good[:-9],
+        reply(b'{"rev": 3'),
+        reply(b"[]"),
+        reply(b"[" * 100_000),
+        reply(sheet(entry("w0", state=7))),
+        b"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n",
+        b"what is this\r\n\r\n",
+        b"",
+        good,
     ]
     calls = 0
 
@@ -132,8 +138,9 @@
         while not calls:
             await asyncio.sleep(0.001)
         here = new.sockets[0].getsockname()
-        told = start.Start("n0", free_address(), here, 7, 100, 80 << 20, {}, 250_000, 30_000_000,
-                            terms(3, 1, False, 0.4))
+        told = start.Start(
+            "n0", free_address(), here, 7, 100, 80 << 20, {}, 250_000, 30_000_000, terms(3, 1, False, 0.4)
+        )
         play.node.reload(told)
         play.node.reload(told)
         while "w5" not in play.node.fleet.entries or not ended:
@@ -179,7 +186,7 @@
     asyncio.run(story())
 
 
-@pytest.mark.parametrize("share", ["NaN", "-3", "1e999", "1" + 400 * "0", "\"half\"", "null", "{}"])
+@pytest.mark.parametrize("share", ["NaN", "-3", "1e999", "1" + 400 * "0", '"half"', "null", "{}"])
 def test_a_share_out_of_range_is_a_share_or_a_400(share: str) -> None:
     talk = clients.Conversation({"view": 3_000_000}, [])
     told = f'{{"id": "a", "from": "w0", "state": "running", "share": {share}}}'
--- a/tests/test_light.py
+++ b/tests/test_light.py
@@ -15,8 +15,12 @@
 
 
 def test_the_run_path_imports_the_standard_library_and_h11_alone() -> None:
-    asked = subprocess.run([sys.executable, "-I", "-c", f"import sys; sys.path.insert(0, '.')\n{OURS}"],
-                           capture_output=True, text=True, check=True)
+    asked = subprocess.run(
+        [sys.executable, "-I", "-c", f"import sys; sys.path.insert(0, '.')\n{OURS}"],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
     # typing_extensions and the like would show here too
     assert set(asked.stdout.split()) == {"locktide", "h11"}
 
@@ -24,12 +28,19 @@
 def test_parts_that_are_off_are_not_loaded() -> None:
     asked = subprocess.run(
         [sys.executable, "-c", "import sys, locktide.__main__; print(*sys.modules)"],
-        capture_output=True, text=True, check=True,
+        capture_output=True,
+        text=True,
+        check=True,
     )
     loaded = set(asked.stdout.split())
     parts = {name for name in loaded if name.startswith("locktide.")}
     assert {name.split(".")[1] for name in parts} <= {
-        "__main__", "config", "dispatch", "net", "node", "protocol"
+        "__main__",
+        "config",
+        "dispatch",
+        "net",
+        "node",
+        "protocol",
     }
     assert "locktide.config.typed" not in loaded and "locktide.config.installation" not in loaded
 
@@ -37,7 +48,9 @@
 def test_serving_by_a_file_loads_nothing_of_rehearsals() -> None:
     asked = subprocess.run(
         [sys.executable, "-c", "import sys, locktide.cli.serve, locktide.durable.start; print(*sys.modules)"],
-        capture_output=True, text=True, check=True,
+        capture_output=True,
+        text=True,
+        check=True,
     )
     loaded = {name.partition(".")[0] for name in asked.stdout.split()}
     assert not loaded & {"numpy", "matplotlib", "hdrh"}
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -290,9 +290,7 @@
     asyncio.run(run())
 
 
-def test_a_stop_while_discovery_says_nothing_finishes_what_was_taken(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
+def test_a_stop_while_discovery_says_nothing_finishes_what_was_taken(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr("locktide.node.node.ACCEPT_ON", 0.02)
 
     async def run() -> None:
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -308,7 +308,9 @@
     here["settings"]["ServiceGrades"].append(once)
     there = json.loads(json.dumps(here))
     there["settings"] |= {
-        "WeightKind": "live", "Zone": "north", "FleetSize": 40,
+        "WeightKind": "live",
+        "Zone": "north",
+        "FleetSize": 40,
         "Prices": {"Handshake": 0.05, "CrossZone": 0.02},
     }
     there["settings"]["ServiceGrades"][1] |= {"TimeLimit": 7000.0}
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -18,6 +18,7 @@
 
 def played(story: Callable[[HandPlayed], Awaitable[None]]) -> None:
     """Runs a story against a node whose connections to workers are played by hand."""
+
     async def run() -> None:
         await story(HandPlayed())
 
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -18,8 +18,28 @@
 from locktide.node.roster import Roster
 
 KINDS = [
-    "view", "cash", "record", "close", "reset", "shut", "take", "refuse", "break", "half", "started", "done",
-    "failed", "returned", "lost", "leaving", "active", "left", "mute", "speak", "hup", "term",
+    "view",
+    "cash",
+    "record",
+    "close",
+    "reset",
+    "shut",
+    "take",
+    "refuse",
+    "break",
+    "half",
+    "started",
+    "done",
+    "failed",
+    "returned",
+    "lost",
+    "leaving",
+    "active",
+    "left",
+    "mute",
+    "speak",
+    "hup",
+    "term",
 ]
 EVENTS = st.lists(
     st.tuples(st.sampled_from(KINDS), st.integers(0, 5), st.sampled_from([0.0, 0.001, 0.002, 0.02, 0.3])),
@@ -28,7 +48,10 @@
 
 
 @settings(
-    max_examples=150, derandomize=True, deadline=None, database=None,
+    max_examples=150,
+    derandomize=True,
+    deadline=None,
+    database=None,
     suppress_health_check=[HealthCheck.too_slow],
 )
 @given(st.sampled_from(["view", "cash", "record"]), EVENTS)
--- a/tests/test_parsed_values.py
+++ b/tests/test_parsed_values.py
@@ -73,10 +73,7 @@
     ),
     accord.Elector: ("accord-elector", "name address"),
     accord.Resource: ("accord-resource", "name each"),
-    accord.Accord: (
-        "accord",
-        "on listen reach electors seeds reserve most burst lend resource trace",
-    ),
+    accord.Accord: ("accord", "on listen reach electors seeds reserve most burst lend resource trace"),
     script.Kind: ("script-kind", "name share cores speed"),
     script.Fleet: ("script-fleet", "dispatchers workers zones pod kinds"),
     script.Worker: (
@@ -93,10 +90,7 @@
     ),
     script.Network: ("script-network", "same cross client jitter shred"),
     script.Front: ("script-front", "notice check"),
-    script.Durable: (
-        "script-durable",
-        "on grades asks limit start_within beat_within sync segment_kb zeros",
-    ),
+    script.Durable: ("script-durable", "on grades asks limit start_within beat_within sync segment_kb zeros"),
     script.Dispatcher: (
         "script-dispatcher",
         "dispatches drain_grace longest_advice connect sockets memory_mb settings",
@@ -141,7 +135,16 @@
 }
 # The scheduler's configuration: a stable label of each section, in the program's order.
 SECTIONS = (
-    "step", "fleet", "grades", "dispatching", "clients", "shares", "goal", "cold", "listing", "signs",
+    "step",
+    "fleet",
+    "grades",
+    "dispatching",
+    "clients",
+    "shares",
+    "goal",
+    "cold",
+    "listing",
+    "signs",
     "prices",
 )
 # Constants of the program, once they are no plain words any more.
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -81,6 +81,10 @@
 
 
 def test_a_fault_at_start_is_one_line_and_exit_2() -> None:
-    run = subprocess.run([sys.executable, "-m", "locktide"], capture_output=True, text=True,
-                         env={**os.environ, "GW_CONFIG": "/nowhere"})
+    run = subprocess.run(
+        [sys.executable, "-m", "locktide"],
+        capture_output=True,
+        text=True,
+        env={**os.environ, "GW_CONFIG": "/nowhere"},
+    )
     assert run.returncode == 2 and re.fullmatch(r"locktide: GW_CONFIG: .*\n", run.stderr)
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -49,8 +49,15 @@
     talk = clients.Conversation(GRADES, NUMBERED)
     for number, body in enumerate(bodies):
         for whole in (
-            submit(f"/record?obj={number}", body, Req_Id=f"id{number}", Idempotency_Key=f"k{number}",
-                   Req_Extra="memory=3,slots=2", Req_Retry="1", X_Note="caf\xe9"),
+            submit(
+                f"/record?obj={number}",
+                body,
+                Req_Id=f"id{number}",
+                Idempotency_Key=f"k{number}",
+                Req_Extra="memory=3,slots=2",
+                Req_Retry="1",
+                X_Note="caf\xe9",
+            ),
             call(id=f"id{number}", **{"from": "w"}, state="running", share=0.25),
         ):
             messages, written = heard(whole, dice, talk)
@@ -114,12 +121,20 @@
         (submit() + submit(Req_Id="hidden"), 400),
         (submit("/vie%77", Req_Kind="view"), 404),
         (submit(body=b"x" * 65_537), 413),
-        (submit().replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
-         + b"10000\r\n" + b"x" * 65_536 + b"\r\n1\r\nx\r\n0\r\n\r\n", 413),
+        (
+            submit().replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+            + b"10000\r\n"
+            + b"x" * 65_536
+            + b"\r\n1\r\nx\r\n0\r\n\r\n",
+            413,
+        ),
         (submit().replace(b"Content-Length: 0", b"Transfer-Encoding: gzip"), 400),
         (submit(Transfer_Encoding="chunked") + b"0\r\n\r\n" + submit(Req_Id="hidden"), 400),
-        (submit().replace(b"Content-Length: 0", b"Transfer-Encoding: chunked").replace(b"/1.1", b"/1.0", 1)
-         + b"0\r\n\r\n", 400),
+        (
+            submit().replace(b"Content-Length: 0", b"Transfer-Encoding: chunked").replace(b"/1.1", b"/1.0", 1)
+            + b"0\r\n\r\n",
+            400,
+        ),
         (post("/callback", b"{"), 400),
         (post("/callback", b"[1]"), 400),
         (call(id="a", **{"from": "w"}, state="asleep"), 400),
@@ -198,8 +213,16 @@
     assert reply is not None and not exchange.at_rest
 
 
-ENTRY = {"uid": "s-1", "endpoint": "127.0.0.1:7070", "az": "a", "model": "m", "pod_group": 3,
-         "state": "active", "capacity_hint": 1.5, "boot_ms": 1796122933760}
+ENTRY = {
+    "uid": "s-1",
+    "endpoint": "127.0.0.1:7070",
+    "az": "a",
+    "model": "m",
+    "pod_group": 3,
+    "state": "active",
+    "capacity_hint": 1.5,
+    "boot_ms": 1796122933760,
+}
 
 
 def test_a_list_is_read_with_start_times_in_microseconds_of_unix_time() -> None:
@@ -212,8 +235,12 @@
 FIRST = ["settings", "ServiceGrades", 0]
 GRADE = {"Name": "view", "Semantics": "free", "SoftLimit": 250.0, "TimeLimit": 6000.0}
 WHOLE = {
-    "name": "n3", "listen": "127.0.0.1:7070", "discovery": "127.0.0.1:8500", "seed": "8c1f30d27a5be964",
-    "limits": {"sockets": 300}, "known": {"rev": 1, "all": True, "targets": []},
+    "name": "n3",
+    "listen": "127.0.0.1:7070",
+    "discovery": "127.0.0.1:8500",
+    "seed": "8c1f30d27a5be964",
+    "limits": {"sockets": 300},
+    "known": {"rev": 1, "all": True, "targets": []},
     "settings": {"ServiceGrades": [GRADE], "Ceilings": {"IdleClose": 30000.0, "RetryAfter": True}, "New": {}},
 }
 
--- a/tests/test_recorded_decisions.py
+++ b/tests/test_recorded_decisions.py
@@ -48,18 +48,29 @@
 NEVER_ORDERED = {"fetch"}  # no rule orders it
 
 EFFECTS = {
-    "idempotent": program.REISSUABLE, "idempotent-with-key": program.NUMBERED,
+    "idempotent": program.REISSUABLE,
+    "idempotent-with-key": program.NUMBERED,
     "at-most-once": program.AT_MOST_ONCE,
 }
 SCOPES = {"all": program.EVERYONE, "zone": program.SAME_ZONE, "cell": program.SAME_CELL}
 OUTCOMES = {
-    "done": program.DONE, "error": program.ERROR, "full": program.FULL, "timed-out": program.TIMED_OUT,
-    "no-connection": program.NO_CONNECTION, "reset": program.RESET, "cancelled": program.WITHDRAWN,
-    "never-sent": program.NEVER_SENT, "unfit": program.UNFIT, "cut-off": program.CUT_OFF,
+    "done": program.DONE,
+    "error": program.ERROR,
+    "full": program.FULL,
+    "timed-out": program.TIMED_OUT,
+    "no-connection": program.NO_CONNECTION,
+    "reset": program.RESET,
+    "cancelled": program.WITHDRAWN,
+    "never-sent": program.NEVER_SENT,
+    "unfit": program.UNFIT,
+    "cut-off": program.CUT_OFF,
 }
 LIST_KINDS = {
-    "whole": program.WHOLE, "changes": program.CHANGES, "remembered": program.REMEMBERED,
-    "failed": program.LIST_FAILED, "silent": program.LIST_SILENT,
+    "whole": program.WHOLE,
+    "changes": program.CHANGES,
+    "remembered": program.REMEMBERED,
+    "failed": program.LIST_FAILED,
+    "silent": program.LIST_SILENT,
 }
 STATES = {"ready": program.READY, "draining": program.DRAINING, "gone": program.GONE}
 
@@ -116,9 +127,18 @@
 
 def program_grade(one: Class) -> Any:
     return program.Grade(
-        name=one.name, effect=EFFECTS[one.effect], group=SCOPES[one.scope], memory_span=one.memory,
-        soft_limit=one.objective, stretch=one.stretch, time_limit=one.deadline, revenue=one.revenue,
-        overdue_revenue=one.overdue, kind=one.kind, kinds=one.kinds, zones=one.zones,
+        name=one.name,
+        effect=EFFECTS[one.effect],
+        group=SCOPES[one.scope],
+        memory_span=one.memory,
+        soft_limit=one.objective,
+        stretch=one.stretch,
+        time_limit=one.deadline,
+        revenue=one.revenue,
+        overdue_revenue=one.overdue,
+        kind=one.kind,
+        kinds=one.kinds,
+        zones=one.zones,
     )
 
 
@@ -128,23 +148,32 @@
         settings.fleet,
         [program_grade(one) for one in settings.classes],
         program.DispatchTerms(
-            most_dispatches=settings.most_attempts, may_withdraw=settings.may_cancel,
+            most_dispatches=settings.most_attempts,
+            may_withdraw=settings.may_cancel,
             counts_unsent=settings.counts_unsent,
         ),
         program.ClientTerms(longest_advice=settings.longest_advice),
         program.ShareTerms(quotas=dict(settings.quotas), beyond_share=settings.beyond_quota),
         program.GoalTerms(worst_grade=settings.worst_class),
         program.ColdTerms(
-            factor=settings.cold_factor, window=settings.cold_window, cold_from=settings.cold_from,
-            warm_after=settings.warm_after, margin=settings.cold_margin,
+            factor=settings.cold_factor,
+            window=settings.cold_window,
+            cold_from=settings.cold_from,
+            warm_after=settings.warm_after,
+            margin=settings.cold_margin,
         ),
         program.ListTerms(
-            must_ask=settings.must_ask, ask_within=settings.ask_within, live=settings.live,
-            hang_up_within=settings.close_within, told_within=settings.told_within,
+            must_ask=settings.must_ask,
+            ask_within=settings.ask_within,
+            live=settings.live,
+            hang_up_within=settings.close_within,
+            told_within=settings.told_within,
         ),
         program.SignTerms(tells_start=settings.tells_start, progress_every=settings.progress_every),
         program.PriceTerms(
-            connection=settings.connection_price, crossing=settings.crossing_price, zone=settings.zone,
+            connection=settings.connection_price,
+            crossing=settings.crossing_price,
+            zone=settings.zone,
             idle_close=settings.idle_close,
         ),
     )
@@ -161,12 +190,26 @@
 
 
 def arrival(
-    request: int, class_name: str, deadline_at: int, width: float = 1.0, hint: int = 0,
-    tenant: str | None = None, retry: bool = False, patient: bool = False, key: int | None = None,
+    request: int,
+    class_name: str,
+    deadline_at: int,
+    width: float = 1.0,
+    hint: int = 0,
+    tenant: str | None = None,
+    retry: bool = False,
+    patient: bool = False,
+    key: int | None = None,
 ) -> Any:
     return program.Arrival(
-        submission=request, grade=class_name, time_limit_at=deadline_at, width=width, work_hint=hint,
-        tenant=tenant, retry=retry, patient=patient, key=key,
+        submission=request,
+        grade=class_name,
+        time_limit_at=deadline_at,
+        width=width,
+        work_hint=hint,
+        tenant=tenant,
+        retry=retry,
+        patient=patient,
+        key=key,
     )
 
 
@@ -215,11 +258,14 @@
     return program.NewTerms(terms=program_terms(settings))
 
 
-def listed(
-    worker: str, zone: str, kind: str, cell: int, state: str, rating: float, started_at: int
-) -> Any:
+def listed(worker: str, zone: str, kind: str, cell: int, state: str, rating: float, started_at: int) -> Any:
     return program.Listed(
-        worker=worker, zone=zone, kind=kind, cell=cell, state=STATES[state], rating=rating,
+        worker=worker,
+        zone=zone,
+        kind=kind,
+        cell=cell,
+        state=STATES[state],
+        rating=rating,
         started_at=started_at,
     )
 
@@ -481,8 +527,15 @@
             deadline_at += 4_000_000
         key = dice.below(workload.keys) if dice.chance(workload.key_odds) else None
         request = arrival(
-            number, one.name, deadline_at, dice.pick(workload.widths), dice.pick(workload.hints),
-            dice.pick(workload.tenants), dice.chance(0.1), patient, key,
+            number,
+            one.name,
+            deadline_at,
+            dice.pick(workload.widths),
+            dice.pick(workload.hints),
+            dice.pick(workload.tenants),
+            dice.chance(0.1),
+            patient,
+            key,
         )
         self.requests[number] = EmulatedRequest(deadline_at, is_spoilt=dice.chance(0.03))
         if dice.chance(0.04):
@@ -562,8 +615,12 @@
             name = f"n{len(self.workers)}"
             started_at = dice.pick((0, self.now))
             worker = EmulatedWorker(
-                name, dice.pick(("zone-0", "zone-1")), dice.pick(self.workload.kinds), dice.below(3),
-                dice.pick(("ready", "ready", "draining")), started_at,
+                name,
+                dice.pick(("zone-0", "zone-1")),
+                dice.pick(self.workload.kinds),
+                dice.below(3),
+                dice.pick(("ready", "ready", "draining")),
+                started_at,
             )
             self.workers[name] = worker
         elif worker.state == "ready" and draw < 0.6:
@@ -615,12 +672,21 @@
 ONCE = Class("once", "at-most-once", objective=400_000, deadline=4_000_000)
 MIXED = [ANY, ZONED, CELLED, EVERYWHERE, ONCE]
 BOUND = [
-    ANY, Class("one-kind", kind="slow"), Class("two-kinds", kinds=frozenset({"fast", "standard"})),
+    ANY,
+    Class("one-kind", kind="slow"),
+    Class("two-kinds", kinds=frozenset({"fast", "standard"})),
     Class("one-zone", "idempotent-with-key", "all", zones=frozenset({"zone-1"})),
 ]
 LIVE = Settings(
-    MIXED, fleet=2, live=True, close_within=250_000, connection_price=0.01, crossing_price=0.005,
-    zone="zone-0", idle_close=2_000_000, worst_class=0.4,
+    MIXED,
+    fleet=2,
+    live=True,
+    close_within=250_000,
+    connection_price=0.01,
+    crossing_price=0.005,
+    zone="zone-0",
+    idle_close=2_000_000,
+    worst_class=0.4,
 )
 QUOTAS = {"dairy": 6.25, "goats": 2.5, "sheep": 1.25}
 
@@ -630,39 +696,75 @@
     "live-overload": Workload(LIVE, 3, gap=8_000, run=400_000, requests=500, list_odds=0.02),
     "once": Workload(Settings([ONCE, Class("once-more", "at-most-once")], fleet=1), 4, trouble_odds=0.15),
     "sparse": Workload(
-        Settings(MIXED, fleet=40, must_ask=True, told_within=1_500_000, ask_within=3_000_000), 5,
-        first_list="remembered", workers=14, gap=25_000,
+        Settings(MIXED, fleet=40, must_ask=True, told_within=1_500_000, ask_within=3_000_000),
+        5,
+        first_list="remembered",
+        workers=14,
+        gap=25_000,
     ),
     "shares": Workload(
-        Settings(MIXED, quotas=QUOTAS, beyond_quota=0.25, fleet=2), 6, gap=12_000, requests=500,
-        tenants=(None, "dairy", "goats", "sheep", "stranger"), patient_odds=0.1,
+        Settings(MIXED, quotas=QUOTAS, beyond_quota=0.25, fleet=2),
+        6,
+        gap=12_000,
+        requests=500,
+        tenants=(None, "dairy", "goats", "sheep", "stranger"),
+        patient_odds=0.1,
     ),
     "bound": Workload(
-        Settings(BOUND, live=True, progress_every=0), 7, key_odds=0.3, list_odds=0.12, gap=25_000,
+        Settings(BOUND, live=True, progress_every=0), 7, key_odds=0.3, list_odds=0.12, gap=25_000
     ),
     "unsent": Workload(
-        Settings(MIXED, counts_unsent=False, may_cancel=False, tells_start=False, progress_every=0,
-                 longest_advice=0, fleet=1),
-        8, patient_odds=0.2, trouble_odds=0.2, requests=250,
+        Settings(
+            MIXED,
+            counts_unsent=False,
+            may_cancel=False,
+            tells_start=False,
+            progress_every=0,
+            longest_advice=0,
+            fleet=1,
+        ),
+        8,
+        patient_odds=0.2,
+        trouble_odds=0.2,
+        requests=250,
     ),
     "many-keys": Workload(
-        Settings([ANY, ONCE], fleet=2, progress_every=0), 9, key_odds=1.0, keys=1_000_000, requests=1150,
-        run=60_000, gap=30_000, list_odds=0.0, trouble_odds=0.01,
+        Settings([ANY, ONCE], fleet=2, progress_every=0),
+        9,
+        key_odds=1.0,
+        keys=1_000_000,
+        requests=1150,
+        run=60_000,
+        gap=30_000,
+        list_odds=0.0,
+        trouble_odds=0.01,
     ),
     "reloads": Workload(
-        LIVE, 10, reloads=(
-            Settings(MIXED, fleet=6, most_attempts=5), Settings([ANY, ZONED], step=8_000, fleet=1),
-            Settings(MIXED, fleet=30, cold_margin=0.5, worst_class=0.0), LIVE,
+        LIVE,
+        10,
+        reloads=(
+            Settings(MIXED, fleet=6, most_attempts=5),
+            Settings([ANY, ZONED], step=8_000, fleet=1),
+            Settings(MIXED, fleet=30, cold_margin=0.5, worst_class=0.0),
+            LIVE,
         ),
     ),
     "sick": Workload(
-        Settings([ANY, EVERYWHERE], fleet=2, most_attempts=6), 11, all_sick=True, trouble_odds=0.3,
-        list_odds=0.02, error_odds=0.2,
+        Settings([ANY, EVERYWHERE], fleet=2, most_attempts=6),
+        11,
+        all_sick=True,
+        trouble_odds=0.3,
+        list_odds=0.02,
+        error_odds=0.2,
     ),
     "restarts": Workload(Settings(MIXED, fleet=8, warm_after=20_000_000), 12, list_odds=0.5, gap=20_000),
     "live-restarts": Workload(
-        Settings(MIXED, fleet=12, live=True, warm_after=20_000_000), 13, list_odds=0.4, gap=20_000,
-        requests=250, workers=6,
+        Settings(MIXED, fleet=12, live=True, warm_after=20_000_000),
+        13,
+        list_odds=0.4,
+        gap=20_000,
+        requests=250,
+        workers=6,
     ),
 }
 
@@ -682,38 +784,83 @@
     "mixed": Recorded(
         "916f91ac2a58f30d747a6ae598ef3bb34534d83c230ecfa63254fefb1b072d57",
         "3d08e7a694cd1dbd6562bb9a59cc3c9bbc53446f123c61dfd3cd5b45659af511",
-        {"cancel": 10, "dispatch": 327, "fail": 15, "internal-error": 18, "log": 31, "reject": 77,
-         "wake": 3733},
+        {
+            "cancel": 10,
+            "dispatch": 327,
+            "fail": 15,
+            "internal-error": 18,
+            "log": 31,
+            "reject": 77,
+            "wake": 3733,
+        },
     ),
     "live": Recorded(
         "722fa24075bbd5529fe7ff0dd627842f4ce8eb8aa8751d227f0224538ce47676",
         "157f550cb8b3a4f945de17e55912e70aa9e8fbdfc51790abc38f7f5bba64b366",
-        {"cancel": 4, "close": 28, "dispatch": 139, "fail": 8, "internal-error": 4, "log": 27,
-         "reject": 219, "wake": 2163},
+        {
+            "cancel": 4,
+            "close": 28,
+            "dispatch": 139,
+            "fail": 8,
+            "internal-error": 4,
+            "log": 27,
+            "reject": 219,
+            "wake": 2163,
+        },
     ),
     "live-overload": Recorded(
         "d487bd1cfb6f9209d1c3062c651fcaa0716fe3a7dd2adc260df888458a2534dd",
         "cf3b4b43d6e535640de68a7779606adf388d7840d222c29479c507544c80a038",
-        {"cancel": 5, "close": 1, "dispatch": 64, "fail": 4, "internal-error": 2, "log": 14, "reject": 433,
-         "wake": 1298},
+        {
+            "cancel": 5,
+            "close": 1,
+            "dispatch": 64,
+            "fail": 4,
+            "internal-error": 2,
+            "log": 14,
+            "reject": 433,
+            "wake": 1298,
+        },
     ),
     "once": Recorded(
         "4fa8e30bf3c11ae243e571aadf2bd73394d23743ceeac395c44d5d7a87f10da0",
         "613c14720b3df643baa9a54ef6e88ce52617a632078920a4f5d7aaf99fe96824",
-        {"cancel": 3, "dispatch": 318, "fail": 60, "internal-error": 2, "log": 33, "reject": 73,
-         "wake": 3193},
+        {
+            "cancel": 3,
+            "dispatch": 318,
+            "fail": 60,
+            "internal-error": 2,
+            "log": 33,
+            "reject": 73,
+            "wake": 3193,
+        },
     ),
     "sparse": Recorded(
         "283a903766d5f39f8bd379e1207d4f6e94b7e40945e066e7695a6d2918456024",
         "1dc423a5c39e640ba680a036e3e66f386ba44d4d85a556763e0f031f5e42dc06",
-        {"cancel": 18, "dispatch": 374, "fail": 17, "internal-error": 3, "log": 41, "reject": 58,
-         "wake": 3144, "watch": 14},
+        {
+            "cancel": 18,
+            "dispatch": 374,
+            "fail": 17,
+            "internal-error": 3,
+            "log": 41,
+            "reject": 58,
+            "wake": 3144,
+            "watch": 14,
+        },
     ),
     "shares": Recorded(
         "6248e78c209f788532205869b61de64ccd9c376142f041b73b507105af2381fd",
         "e6d290463e633664db37f64c1390301b655a8ea3e12f91e354d310f393c5162e",
-        {"cancel": 12, "dispatch": 239, "fail": 17, "internal-error": 2, "log": 29, "reject": 285,
-         "wake": 2322},
+        {
+            "cancel": 12,
+            "dispatch": 239,
+            "fail": 17,
+            "internal-error": 2,
+            "log": 29,
+            "reject": 285,
+            "wake": 2322,
+        },
     ),
     "bound": Recorded(
         "bb0ace667862c623969268d51ad3f6012fa808078296b8c03d2b86e263470f18",
@@ -733,8 +880,16 @@
     "reloads": Recorded(
         "86689d43d106911aaebf96fa5ff13071375cd263cd9df5efbb09955ec8f2ed92",
         "cf5f35e20861ecf6618753e14d0b4af52dc3cce174e0928a6862c354aaffd252",
-        {"cancel": 26, "close": 6, "dispatch": 366, "fail": 14, "internal-error": 1, "log": 38,
-         "reject": 22, "wake": 2376},
+        {
+            "cancel": 26,
+            "close": 6,
+            "dispatch": 366,
+            "fail": 14,
+            "internal-error": 1,
+            "log": 38,
+            "reject": 22,
+            "wake": 2376,
+        },
     ),
     "sick": Recorded(
         "d29e38788e3ed19fedafe1da50f2b2c7bd2d40b123282fb2681b7e8150c6df0f",
@@ -744,14 +899,28 @@
     "restarts": Recorded(
         "1cd5b8b86550de1e10191250ac0e1b7782e260dfa70a173a0603af85b03dd4f9",
         "966342a4d69157a031979ac75e5737be8b809a6f39f414e1b8cf64d13becc9b6",
-        {"cancel": 4, "dispatch": 116, "fail": 5, "internal-error": 6, "log": 37, "reject": 234,
-         "wake": 2262},
+        {
+            "cancel": 4,
+            "dispatch": 116,
+            "fail": 5,
+            "internal-error": 6,
+            "log": 37,
+            "reject": 234,
+            "wake": 2262,
+        },
     ),
     "live-restarts": Recorded(
         "e10a330696436a93e9d2c429396d55dee8f54ace81947aa64af092edb00741ff",
         "e0f000b896089354173bd9dd5e3c4d0259971cb9562e71c3ef69f9cb3b89187e",
-        {"cancel": 3, "dispatch": 146, "fail": 5, "internal-error": 2, "log": 26, "reject": 104,
-         "wake": 1629},
+        {
+            "cancel": 3,
+            "dispatch": 146,
+            "fail": 5,
+            "internal-error": 2,
+            "log": 26,
+            "reject": 104,
+            "wake": 1629,
+        },
     ),
 }
 
@@ -776,7 +945,8 @@
 def test_every_event_and_command_type_takes_part() -> None:
     runs = [run_of(name) for name in WORKLOADS]
     defined = {
-        one for one in vars(event_module).values()
+        one
+        for one in vars(event_module).values()
         if isinstance(one, type) and one.__module__ == event_module.__name__
     }
     given = {one for run in runs for one in run.event_types}
@@ -787,7 +957,8 @@
 
 def test_the_table_renders_every_command_and_field() -> None:
     defined = {
-        one for one in vars(command_module).values()
+        one
+        for one in vars(command_module).values()
         if isinstance(one, type) and one.__module__ == command_module.__name__
     }
     assert set(COMMANDS) == defined
--- a/tests/test_rehearse.py
+++ b/tests/test_rehearse.py
@@ -77,8 +77,14 @@
 
 def command(*words: str, **more: Any) -> subprocess.CompletedProcess[str]:
     environment = {**os.environ, **more}
-    return subprocess.run([sys.executable, "-m", "locktide.cli.main", *words], cwd=HERE, env=environment,
-                          capture_output=True, text=True, timeout=120)
+    return subprocess.run(
+        [sys.executable, "-m", "locktide.cli.main", *words],
+        cwd=HERE,
+        env=environment,
+        capture_output=True,
+        text=True,
+        timeout=120,
+    )
 
 
 @pytest.fixture
@@ -148,8 +154,11 @@
     folder = tmp_path / "locktide-interrupted"
     folder.mkdir()
     process = subprocess.Popen(
-        [sys.executable, "-m", "locktide.cli.main", "rehearse", str(long), "--json"], cwd=HERE,
-        stdout=subprocess.PIPE, stderr=subprocess.PIPE, env={**os.environ, "TMPDIR": str(folder)},
+        [sys.executable, "-m", "locktide.cli.main", "rehearse", str(long), "--json"],
+        cwd=HERE,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        env={**os.environ, "TMPDIR": str(folder)},
         # As at a terminal: a shell starts what it runs in the background with interrupts ignored.
         preexec_fn=lambda: signal.signal(signal.SIGINT, signal.SIG_DFL),
     )
@@ -229,10 +238,21 @@
 def test_two_scripts_are_compared_on_the_same_seeds(short: Path, tmp_path: Path) -> None:
     worse = tmp_path / "worse.toml"
     worse.write_text(SHORT + '[[incident]]\nat = 0.5\nfor = 4.0\nwhat = "shared-slow"\nfactor = 4.0\n')
-    done = CliRunner().invoke(main, [
-        "rehearse", str(short), "--against", str(worse), "--host", "virtual", "--seeds", "1-3",
-        "--out", str(tmp_path / "out"),
-    ])
+    done = CliRunner().invoke(
+        main,
+        [
+            "rehearse",
+            str(short),
+            "--against",
+            str(worse),
+            "--host",
+            "virtual",
+            "--seeds",
+            "1-3",
+            "--out",
+            str(tmp_path / "out"),
+        ],
+    )
     assert done.exit_code == 0, done.output
     assert "worse less short: -" in done.output and "3 pairs" in done.output
     assert len(list((tmp_path / "out" / "worse-virtual").glob("*.json"))) == 3
@@ -243,7 +263,10 @@
     found = compare.paired(first, {1: 0.6, 2: 0.8, 3: 0.8, 9: 0.1})
     # differences 0.1, 0.2, 0.1: mean 0.1333, deviation 0.05774, t 4.303, so 0.1333 -+ 0.1434
     assert (found.count, round(found.mean, 4), round(found.low, 4), round(found.high, 4)) == (
-        3, 0.1333, -0.0101, 0.2768
+        3,
+        0.1333,
+        -0.0101,
+        0.2768,
     )
     assert not found.told_apart
     with pytest.raises(ValueError):
@@ -268,8 +291,10 @@
     told = installation.load(path)
     begun = installation.start(told, 5)
     assert begun.listen == ("127.0.0.1", 7070) and begun.idle_close == 15_000_000
-    assert not begun.terms[8].live and not begun.terms[8].must_ask and begun.terms[10] == say.PriceTerms(
-        idle_close=15_000_000
+    assert (
+        not begun.terms[8].live
+        and not begun.terms[8].must_ask
+        and begun.terms[10] == say.PriceTerms(idle_close=15_000_000)
     )
     told.workers.ratings, told.serve.zone, told.serve.ask = "live", "north", True
     told.worth.connection, told.worth.crossing, told.worth.worst_grade = 0.05, 0.02, 0.3
@@ -314,8 +339,12 @@
     path = tmp_path / "here.toml"
     here = "127.251.3.1"
     path.write_text(f'[serve]\nlisten = "{here}:7070"\nroster = "{here}:9"\n[[grade]]\nname = "view"\n')
-    process = subprocess.Popen([sys.executable, "-m", "locktide.cli.main", "serve", str(path), "--log-format",
-                                "json"], cwd=HERE, stderr=subprocess.PIPE, text=True)
+    process = subprocess.Popen(
+        [sys.executable, "-m", "locktide.cli.main", "serve", str(path), "--log-format", "json"],
+        cwd=HERE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
     assert process.stderr is not None
     while (told := json.loads(process.stderr.readline()))["event"] == "roster-silent":
         pass
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -12,7 +12,15 @@
 from locktide.dispatch.sums import Chance
 
 OUTCOMES = [
-    say.DONE, say.DONE, say.DONE, say.DONE, say.ERROR, say.FULL, say.TIMED_OUT, say.NO_CONNECTION, say.RESET,
+    say.DONE,
+    say.DONE,
+    say.DONE,
+    say.DONE,
+    say.ERROR,
+    say.FULL,
+    say.TIMED_OUT,
+    say.NO_CONNECTION,
+    say.RESET,
     say.NEVER_SENT,
 ]
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -161,8 +161,12 @@
         task.cancel()
         assert [sheet.version for sheet in sheets] == [41, 43]  # what brings nothing only after a failure
         wait = "&wait_ms=20"
-        assert heard[:4] == [names.INSTANCES, names.INSTANCES + "?after=41" + wait,
-                             names.INSTANCES + "?after=41&wait_ms=0", names.INSTANCES + "?after=43" + wait]
+        assert heard[:4] == [
+            names.INSTANCES,
+            names.INSTANCES + "?after=41" + wait,
+            names.INSTANCES + "?after=41&wait_ms=0",
+            names.INSTANCES + "?after=43" + wait,
+        ]
         listening.close()
 
     asyncio.run(run())
@@ -209,7 +213,7 @@
 
 
 def test_a_silent_or_dripping_newcomer_is_closed_and_a_kept_connection_is_not(
-    monkeypatch: pytest.MonkeyPatch
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr("locktide.net.client_connection.WHOLE_WITHIN", 0.1)
 
@@ -352,6 +356,7 @@
 
 def test_a_stop_reads_what_has_come_before_it_ends_what_is_at_rest() -> None:
     """Bytes that were at the socket before the word to stop are a message that was handed in."""
+
     async def play() -> None:
         clerk, stop = Clerk(), asyncio.Event()
         server = Server(DescriptorBudget(20), {"view": 3_000_000}, set(), 1 << 20, clerk, Log("n0"))
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -12,10 +12,14 @@
 from locktide.dispatch import interface as say
 from locktide.simhost import host, wire
 
-SETTINGS = json.dumps({
-    "FleetSize": 2, "Step": 4.0, "New": [1],
-    "ServiceGrades": [{"Name": "view", "Semantics": "free", "SoftLimit": 250.0, "TimeLimit": 6000.0}],
-})
+SETTINGS = json.dumps(
+    {
+        "FleetSize": 2,
+        "Step": 4.0,
+        "New": [1],
+        "ServiceGrades": [{"Name": "view", "Semantics": "free", "SoftLimit": 250.0, "TimeLimit": 6000.0}],
+    }
+)
 START = f"SYNC AtTime=10.5\nTO DispatcherId=3\nSPAWN RngSeed=9 Config={SETTINGS}\n"
 LIST = "DIRECTORY Sheet=0 Items=1\nITEM Worker={} Readiness=in_service\nUPDATE Sheet=0 Stamp=1 Mode=SAVED\n"
 
--- a/tests/test_withdrawals.py
+++ b/tests/test_withdrawals.py
@@ -129,18 +129,34 @@
     places = ["{}:{}".format(*door.getsockname()) for door in doors]
     grade = {"Name": "view", "Semantics": "free", "SoftLimit": 400.0, "TimeLimit": 9000.0}
     path = tmp_path / "start.json"
-    path.write_text(json.dumps({
-        "name": "n0", "listen": "{}:{}".format(*address), "discovery": "127.0.0.1:9", "seed": "9",
-        "known": {"rev": 1, "all": True, "targets": [
-            {"uid": f"w{place}", "endpoint": at, "state": "active"} for place, at in enumerate(places)
-        ]},
-        "settings": {
-            "ServiceGrades": [grade], "Domain": {"TellsStart": True},
-            "Ceilings": {"MaxDispatches": 4, "MayCancel": True, "ConnectTimeout": 100.0},
-        },
-    }))
-    process = subprocess.Popen([sys.executable, "-m", "locktide"], stderr=subprocess.PIPE,
-                               env={**os.environ, "GW_CONFIG": str(path), "GW_DISCOVERY": ""})
+    path.write_text(
+        json.dumps(
+            {
+                "name": "n0",
+                "listen": "{}:{}".format(*address),
+                "discovery": "127.0.0.1:9",
+                "seed": "9",
+                "known": {
+                    "rev": 1,
+                    "all": True,
+                    "targets": [
+                        {"uid": f"w{place}", "endpoint": at, "state": "active"}
+                        for place, at in enumerate(places)
+                    ],
+                },
+                "settings": {
+                    "ServiceGrades": [grade],
+                    "Domain": {"TellsStart": True},
+                    "Ceilings": {"MaxDispatches": 4, "MayCancel": True, "ConnectTimeout": 100.0},
+                },
+            }
+        )
+    )
+    process = subprocess.Popen(
+        [sys.executable, "-m", "locktide"],
+        stderr=subprocess.PIPE,
+        env={**os.environ, "GW_CONFIG": str(path), "GW_DISCOVERY": ""},
+    )
     try:
         until_serving(process)
         with socket.create_connection(address) as client:
