--- a/locktide/__main__.py
+++ b/locktide/__main__.py
@@ -8,9 +8,9 @@
 
 from locktide.config import start
 from locktide.config.checks import Faulty
-from locktide.net.log import Log
-from locktide.node.service import hold_back_reload, serve
+from locktide.dispatcher.service import hold_back_reload, serve
 from locktide.protocol import discovery
+from locktide.transport.log import Log
 
 
 def main() -> int:
--- /dev/null
+++ b/locktide/bench_adapter/__main__.py
@@ -0,0 +1,5 @@
+import sys
+
+from locktide.bench_adapter.adapter import main
+
+sys.exit(main())
--- a/locktide/simhost/host.py
+++ b/locktide/bench_adapter/adapter.py
@@ -7,9 +7,9 @@
 from collections.abc import Iterator
 from typing import Any, BinaryIO
 
-from locktide.dispatch import interface as say
-from locktide.dispatch.rules import Dispatcher
-from locktide.simhost import wire
+from locktide.bench_adapter import wire
+from locktide.scheduler import interface as say
+from locktide.scheduler.policy import Dispatcher
 
 
 class Host:
--- a/locktide/simhost/wire.py
+++ b/locktide/bench_adapter/wire.py
@@ -1,4 +1,4 @@
-"""The simulator's wire, to and from the types of locktide.dispatch.interface."""
+"""The simulator's wire, to and from the types of locktide.scheduler.interface."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 from locktide.config import settings
 from locktide.config.checks import Faulty, Table
-from locktide.dispatch import interface as say
+from locktide.scheduler import interface as say
 
 Fields = dict[str, str]
 
--- a/locktide/cli/check.py
+++ b/locktide/cli/check.py
@@ -11,7 +11,7 @@
 from locktide.cli.faulty import refuse
 from locktide.config import installation, typed
 from locktide.config.typed import Faults
-from locktide.fleet import script
+from locktide.simulation.model import scenario as script
 
 
 def kind_of(path: Path) -> str:
--- a/locktide/cli/accord.py
+++ b/locktide/cli/cluster.py
@@ -1,4 +1,4 @@
-"""`locktide accord show`: what one dispatcher sees of the others."""
+"""`locktide cluster show`: what one dispatcher sees of the others."""
 
 from __future__ import annotations
 
@@ -13,16 +13,16 @@
 
 
 @click.group()
-def accord() -> None:
+def cluster() -> None:
     """Look at what dispatchers agree upon."""
 
 
-@accord.command()
+@cluster.command()
 @click.argument("address")
 @click.option("--json", "as_json", is_flag=True, help="Print all of it as JSON.")
 def show(address: str, as_json: bool) -> None:
     """Show members and parts as the dispatcher at ADDRESS (its accord.listen) sees them, on its machine."""
-    from locktide.accord.driver import look  # noqa: PLC0415
+    from locktide.cluster.udp_transport import look  # noqa: PLC0415
 
     try:
         seen = asyncio.run(look(parsed("ADDRESS", address)))
--- a/locktide/cli/jobs.py
+++ b/locktide/cli/jobs.py
@@ -11,9 +11,10 @@
 
 import click
 
-from locktide.durable import frames, journal
 from locktide.durable.disk import Folder
 from locktide.durable.jobs import Job, Table
+from locktide.durable.log import framing as frames
+from locktide.durable.log import write_ahead_log as journal
 
 
 def look(directory: Path) -> tuple[Table, journal.Found]:
--- a/locktide/cli/logs.py
+++ b/locktide/cli/logs.py
@@ -8,7 +8,7 @@
 
 import structlog
 
-from locktide.net.log import Log
+from locktide.transport.log import Log
 
 FORMATS = ("text", "json")
 
--- a/locktide/cli/main.py
+++ b/locktide/cli/main.py
@@ -1,4 +1,4 @@
-"""`locktide`: serve, check, jobs, accord and rehearse."""
+"""`locktide`: serve, check, jobs, cluster and simulate."""
 
 from __future__ import annotations
 
@@ -6,24 +6,36 @@
 
 import click
 
-# Each command lies in the module of its name; what the others need is not loaded with it.
-COMMANDS = ("accord", "check", "jobs", "rehearse", "serve")
+# Each command with the module and function that implement it; a module is imported only for its own command.
+COMMANDS = {
+    "check": ("check", "check"),
+    "cluster": ("cluster", "cluster"),
+    "jobs": ("jobs", "jobs"),
+    "serve": ("serve", "serve"),
+    "simulate": ("simulate", "simulate"),
+}
+# Former names of commands: still accepted, not listed.
+ALIASES = {"accord": "cluster", "rehearse": "simulate"}
 
 
-class Parts(click.Group):
-    """Loads a command when it is asked for."""
+class LazyGroup(click.Group):
+    """Imports a command when it is run."""
 
     def list_commands(self, ctx: click.Context) -> list[str]:
         return list(COMMANDS)
 
     def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
-        if cmd_name not in COMMANDS:
+        name = ALIASES.get(cmd_name, cmd_name)
+        if name not in COMMANDS:
             return None
-        found: click.Command = getattr(import_module(f"locktide.cli.{cmd_name}"), cmd_name)
-        return found
+        module, function = COMMANDS[name]
+        command: click.Command = getattr(import_module(f"locktide.cli.{module}"), function)
+        return command
 
 
-@click.command(cls=Parts, context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 110})
+@click.command(
+    cls=LazyGroup, context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 110}
+)
 @click.version_option(package_name="locktide")
 def main() -> None:
     """A dispatcher that pushes jobs to workers.
--- a/locktide/cli/serve.py
+++ b/locktide/cli/serve.py
@@ -16,11 +16,11 @@
 from locktide.config.checks import Faulty
 from locktide.config.start import Start
 from locktide.config.typed import Faults
-from locktide.net.log import Log
-from locktide.node.node import Node
-from locktide.node.service import Part, hold_back_reload
-from locktide.node.service import serve as run
+from locktide.dispatcher.dispatcher import Node
+from locktide.dispatcher.service import Part, hold_back_reload
+from locktide.dispatcher.service import serve as run
 from locktide.protocol import discovery
+from locktide.transport.log import Log
 
 
 class Refused(Exception):
@@ -31,7 +31,7 @@
     """What the file switches on; a part that is off is not even imported."""
     found: list[Callable[[Node], Awaitable[Part]]] = []
     if told.accord.on:
-        from locktide.accord.start import join  # noqa: PLC0415
+        from locktide.cluster.bootstrap import join  # noqa: PLC0415
 
         async def accord(node: Node) -> Part:
             try:
@@ -42,7 +42,10 @@
         found.append(accord)
     if not told.durable.on:
         return found
-    from locktide.durable import disk, frames, journal, start  # noqa: PLC0415
+    from locktide.durable import bootstrap as start  # noqa: PLC0415
+    from locktide.durable import disk  # noqa: PLC0415
+    from locktide.durable.log import framing as frames  # noqa: PLC0415
+    from locktide.durable.log import write_ahead_log as journal  # noqa: PLC0415
 
     async def durable(node: Node) -> Part:
         try:
--- a/locktide/cli/rehearse.py
+++ b/locktide/cli/simulate.py
@@ -1,4 +1,4 @@
-"""`locktide rehearse`: plays scripts against real dispatchers and tells what came of it."""
+"""`locktide simulate`: plays scripts against real dispatchers and tells what came of it."""
 
 from __future__ import annotations
 
@@ -23,11 +23,13 @@
 
 from locktide.cli.faulty import refuse
 from locktide.config.typed import Faults
-from locktide.fleet import rough, script
-from locktide.fleet.script import Script
-from locktide.rehearse import compare, plots, table
-from locktide.rehearse.play import Glance, Played, Troubled, in_virtual_time, on_loopback, with_seed
-from locktide.rehearse.stage import NotReady
+from locktide.simulation import compare, plots
+from locktide.simulation import tables as table
+from locktide.simulation.model import random_scenario as rough
+from locktide.simulation.model import scenario as script
+from locktide.simulation.model.scenario import Script
+from locktide.simulation.run import Glance, Played, Troubled, in_virtual_time, on_loopback, with_seed
+from locktide.simulation.scenario_runner import NotReady
 
 ROOT = Path(__file__).resolve().parents[2]
 MOST_SEEDS = 100_000
@@ -168,7 +170,7 @@
 )
 @click.option("--json", "as_json", is_flag=True, help="Print outcomes as JSON lines, write no report.")
 @click.option("--logs", is_flag=True, help="With one seed: print what the dispatchers logged.")
-def rehearse(
+def simulate(
     file: Path | None,
     host: str,
     seeds: str,
--- a/locktide/accord/start.py
+++ b/locktide/cluster/bootstrap.py
@@ -5,10 +5,10 @@
 import secrets
 import time
 
-from locktide.accord.budgets.purse import Budget
-from locktide.accord.driver import Driver, Log, Node, open_driver
-from locktide.accord.ledger.ledger import Terms as LedgerTerms
-from locktide.accord.terms import Terms
+from locktide.cluster.config import Terms
+from locktide.cluster.fairness.ledger import Terms as LedgerTerms
+from locktide.cluster.quota.local_quota import Budget
+from locktide.cluster.udp_transport import Driver, Log, Node, open_driver
 from locktide.config.installation import Installation
 from locktide.config.start import Address, address
 
--- a/locktide/accord/lending/broker.py
+++ b/locktide/cluster/borrowing/loan_allocator.py
@@ -9,7 +9,7 @@
 
 from dataclasses import dataclass
 
-from locktide.accord.budgets.spans import ASK
+from locktide.cluster.quota.lease_timing import ASK
 
 # An owner that was not asked for so long is quiet; one that came again lends nothing for as long. Three
 # seconds: of a tenant with two submissions a second one gap in four hundred is longer.
--- a/locktide/accord/terms.py
+++ b/locktide/cluster/config.py
@@ -4,10 +4,10 @@
 
 from dataclasses import dataclass, field
 
-from locktide.accord.budgets.purse import Budget
-from locktide.accord.ledger.ledger import Terms as LedgerTerms
-from locktide.accord.members.swim import Address
-from locktide.accord.words import Row, Who
+from locktide.cluster.fairness.ledger import Terms as LedgerTerms
+from locktide.cluster.membership.swim import Address
+from locktide.cluster.messages import Row, Who
+from locktide.cluster.quota.local_quota import Budget
 
 
 @dataclass(frozen=True, slots=True)
--- a/locktide/accord/budgets/elector.py
+++ b/locktide/cluster/election/acceptor.py
@@ -6,8 +6,8 @@
 
 from __future__ import annotations
 
-from locktide.accord.budgets.spans import LEAD, stretched
-from locktide.accord.words import Accepted, Ballot, Prepare, Promise, Propose, Who
+from locktide.cluster.messages import Accepted, Ballot, Prepare, Promise, Propose, Who
+from locktide.cluster.quota.lease_timing import LEAD, stretched
 
 NONE: Ballot = (0, "", 0)
 
--- a/locktide/accord/budgets/candidate.py
+++ b/locktide/cluster/election/proposer.py
@@ -7,10 +7,10 @@
 
 from __future__ import annotations
 
-from locktide.accord.budgets.elector import NONE
-from locktide.accord.budgets.spans import LEAD, RENEW
-from locktide.accord.words import Accepted, Ballot, Prepare, Promise, Propose, Who, Word
-from locktide.dispatch.sums import Chance
+from locktide.cluster.election.acceptor import NONE
+from locktide.cluster.messages import Accepted, Ballot, Prepare, Promise, Propose, Who, Word
+from locktide.cluster.quota.lease_timing import LEAD, RENEW
+from locktide.scheduler.estimators import Chance
 
 Sends = list[tuple[str, Word]]
 
--- a/locktide/accord/ledger/gossip.py
+++ b/locktide/cluster/fairness/anti_entropy.py
@@ -10,8 +10,8 @@
 
 from dataclasses import dataclass
 
-from locktide.accord.ledger.book import Book
-from locktide.accord.words import LARGEST, Entry, Group, Heads, Rows, Who, Word, size
+from locktide.cluster.fairness.replicated_ledger import Book
+from locktide.cluster.messages import LARGEST, Entry, Group, Heads, Rows, Who, Word, size
 
 PAGE = 24  # writers whose heads go in one datagram, with their closings; names of sixteen bytes fit
 ROOM = LARGEST - 150  # bytes for rows, beside the rest of a datagram
--- a/locktide/accord/ledger/ledger.py
+++ b/locktide/cluster/fairness/ledger.py
@@ -8,12 +8,12 @@
 from dataclasses import dataclass, field
 from zlib import crc32
 
-from locktide.accord.ledger.book import CAPACITY, Book, capacity_of, totals
-from locktide.accord.ledger.filling import Vector, dominant, fill
-from locktide.accord.ledger.gossip import Gossip
-from locktide.accord.ledger.holdings import Holdings
-from locktide.accord.words import Entry, Heads, Rows, Who, Word
-from locktide.dispatch.sums import Chance
+from locktide.cluster.fairness.anti_entropy import Gossip
+from locktide.cluster.fairness.dominant_share import Vector, dominant, fill
+from locktide.cluster.fairness.replicated_ledger import CAPACITY, Book, capacity_of, totals
+from locktide.cluster.fairness.usage import Holdings
+from locktide.cluster.messages import Entry, Heads, Rows, Who, Word
+from locktide.scheduler.estimators import Chance
 
 # Two others are told each round. Of nine all knew within four rounds, of fifty within six.
 ROUND, OTHERS = 250_000, 2
--- a/locktide/accord/ledger/book.py
+++ b/locktide/cluster/fairness/replicated_ledger.py
@@ -12,8 +12,8 @@
 
 import msgspec
 
-from locktide.accord.ledger.filling import Vector
-from locktide.accord.words import Entry, Group, Who
+from locktide.cluster.fairness.dominant_share import Vector
+from locktide.cluster.messages import Entry, Group, Who
 
 PACK = msgspec.msgpack.Encoder()
 SUM = 1 << 64
--- a/locktide/accord/ledger/holdings.py
+++ b/locktide/cluster/fairness/usage.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from locktide.accord.ledger.filling import Vector
-from locktide.dispatch import interface as say
+from locktide.cluster.fairness.dominant_share import Vector
+from locktide.scheduler import interface as say
 
 
 @dataclass(slots=True)
--- a/locktide/accord/seen.py
+++ b/locktide/cluster/inspection.py
@@ -1,9 +1,9 @@
-"""What a member sees, as plain values: for `locktide accord show`."""
+"""What a member sees, as plain values: for `locktide cluster show`."""
 
 from __future__ import annotations
 
-from locktide.accord.agent import Agent
-from locktide.accord.members.table import STATES
+from locktide.cluster.member import Agent
+from locktide.cluster.membership.member_table import STATES
 
 
 def seen(agent: Agent, now: int) -> dict[str, object]:
--- a/locktide/accord/agent.py
+++ b/locktide/cluster/member.py
@@ -9,17 +9,13 @@
 from typing import Any
 from zlib import crc32
 
-from locktide.accord.budgets.candidate import Candidate
-from locktide.accord.budgets.elector import Elector
-from locktide.accord.budgets.giver import Giver
-from locktide.accord.budgets.holder import Holder
-from locktide.accord.budgets.purse import Purse
-from locktide.accord.budgets.spans import ASK
-from locktide.accord.ledger.ledger import Ledger
-from locktide.accord.lending.broker import Broker
-from locktide.accord.members.swim import Sends, Swim
-from locktide.accord.terms import News, Terms
-from locktide.accord.words import (
+from locktide.cluster.borrowing.loan_allocator import Broker
+from locktide.cluster.config import News, Terms
+from locktide.cluster.election.acceptor import Elector
+from locktide.cluster.election.proposer import Candidate
+from locktide.cluster.fairness.ledger import Ledger
+from locktide.cluster.membership.swim import Sends, Swim
+from locktide.cluster.messages import (
     VERSION,
     Accepted,
     Ask,
@@ -35,7 +31,11 @@
     Said,
     Word,
 )
-from locktide.dispatch.sums import Chance
+from locktide.cluster.quota.allocator import Giver
+from locktide.cluster.quota.lease_holder import Holder
+from locktide.cluster.quota.lease_timing import ASK
+from locktide.cluster.quota.local_quota import Purse
+from locktide.scheduler.estimators import Chance
 
 MILLION = 1_000_000
 
--- a/locktide/accord/members/rumours.py
+++ b/locktide/cluster/membership/dissemination.py
@@ -4,7 +4,7 @@
 
 from math import ceil, log10
 
-from locktide.accord.words import Row
+from locktide.cluster.messages import Row
 
 # Each is told so many times log10(n + 1): memberlist's four reaches all of a thousand with a tenth lost.
 RETELL = 4
--- a/locktide/accord/members/table.py
+++ b/locktide/cluster/membership/member_table.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from locktide.accord.words import Row
+from locktide.cluster.messages import Row
 
 ALIVE, SUSPECT, DEAD, LEFT = range(4)
 STATES = ("alive", "suspect", "dead", "left")
--- a/locktide/accord/members/reunion.py
+++ b/locktide/cluster/membership/partition_healing.py
@@ -6,9 +6,9 @@
 
 from __future__ import annotations
 
-from locktide.accord.members.table import DEAD, SUSPECT, Table
-from locktide.accord.words import Row, Said
-from locktide.dispatch.sums import Chance
+from locktide.cluster.membership.member_table import DEAD, SUSPECT, Table
+from locktide.cluster.messages import Row, Said
+from locktide.scheduler.estimators import Chance
 
 
 class Reunion:
--- a/locktide/accord/members/swim.py
+++ b/locktide/cluster/membership/swim.py
@@ -6,14 +6,14 @@
 
 from __future__ import annotations
 
-from locktide.accord.members import suspicion
-from locktide.accord.members.probing import Probed, Suspected
-from locktide.accord.members.reunion import Reunion
-from locktide.accord.members.rumours import MOST, Rumours
-from locktide.accord.members.suspicion import ANSWER, INDIRECT, PERIOD, Health
-from locktide.accord.members.table import ALIVE, DEAD, LEFT, STATES, SUSPECT, Table
-from locktide.accord.words import Ack, Nack, Ping, Probe, Row, Said, Who, Whole, Word
-from locktide.dispatch.sums import Chance
+from locktide.cluster.membership import suspicion
+from locktide.cluster.membership.dissemination import MOST, Rumours
+from locktide.cluster.membership.member_table import ALIVE, DEAD, LEFT, STATES, SUSPECT, Table
+from locktide.cluster.membership.partition_healing import Reunion
+from locktide.cluster.membership.probing import Probed, Suspected
+from locktide.cluster.membership.suspicion import ANSWER, INDIRECT, PERIOD, Health
+from locktide.cluster.messages import Ack, Nack, Ping, Probe, Row, Said, Who, Whole, Word
+from locktide.scheduler.estimators import Chance
 
 Address = tuple[str, int]
 Sends = list[tuple[Address, Word]]
--- a/locktide/accord/words.py
+++ b/locktide/cluster/messages.py
@@ -182,7 +182,7 @@
 
 
 class Look(Word, tag="Look"):
-    """Of `locktide accord show`: answered on loopback only."""
+    """Of `locktide cluster show`: answered on loopback only."""
 
     number: int
 
--- a/locktide/accord/budgets/account.py
+++ b/locktide/cluster/quota/account.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from locktide.accord.words import Ask, Lent
+from locktide.cluster.messages import Ask, Lent
 
 Parts = dict[int, int]  # by the budget's place
 Loans = dict[tuple[int, int], int]  # by owner and borrower
--- a/locktide/accord/budgets/giver.py
+++ b/locktide/cluster/quota/allocator.py
@@ -12,11 +12,11 @@
 
 from heapq import heappop, heappush
 
-from locktide.accord.budgets import divide
-from locktide.accord.budgets.account import Account, Loans, Parts, Promised
-from locktide.accord.budgets.spans import ASK, LOAN, PART, stretched
-from locktide.accord.lending.broker import Broker
-from locktide.accord.words import Ask, Ballot, Grant, Recall, Who
+from locktide.cluster.borrowing.loan_allocator import Broker
+from locktide.cluster.messages import Ask, Ballot, Grant, Recall, Who
+from locktide.cluster.quota import allocation as divide
+from locktide.cluster.quota.account import Account, Loans, Parts, Promised
+from locktide.cluster.quota.lease_timing import ASK, LOAN, PART, stretched
 
 # Demand of who has not asked for so long does not count, in parts of a span: it may have died.
 QUIET = 0.5
--- a/locktide/accord/budgets/holder.py
+++ b/locktide/cluster/quota/lease_holder.py
@@ -6,8 +6,8 @@
 
 from __future__ import annotations
 
-from locktide.accord.budgets.spans import ASK, LOAN, PART
-from locktide.accord.words import Ask, Ballot, Grant, Recall, Who
+from locktide.cluster.messages import Ask, Ballot, Grant, Recall, Who
+from locktide.cluster.quota.lease_timing import ASK, LOAN, PART
 
 Parts = dict[int, int]  # by the budget's place
 Loans = dict[tuple[int, int], int]
--- a/locktide/accord/budgets/purse.py
+++ b/locktide/cluster/quota/local_quota.py
@@ -6,8 +6,8 @@
 
 from dataclasses import dataclass
 
-from locktide.accord.budgets.bucket import Bucket
-from locktide.accord.budgets.divide import WHOLE
+from locktide.cluster.quota.allocation import WHOLE
+from locktide.cluster.quota.token_bucket import Bucket
 
 Parts = dict[str, int]
 Loans = dict[tuple[str, str], int]  # by owner and borrower: millionths of the owner's whole
--- a/locktide/accord/budgets/bucket.py
+++ b/locktide/cluster/quota/token_bucket.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from locktide.accord.budgets.spans import SKEW
+from locktide.cluster.quota.lease_timing import SKEW
 
 TOKEN = 1_000_000
 
--- a/locktide/accord/driver.py
+++ b/locktide/cluster/udp_transport.py
@@ -8,13 +8,13 @@
 from ipaddress import ip_address
 from typing import Any, Protocol, TextIO
 
-from locktide.accord.agent import Agent
-from locktide.accord.budgets.divide import WHOLE
-from locktide.accord.members.swim import Sends
-from locktide.accord.seen import seen
-from locktide.accord.terms import Terms
-from locktide.accord.words import Look, Said, Seen, pack, unpack
-from locktide.dispatch import interface as say
+from locktide.cluster.config import Terms
+from locktide.cluster.inspection import seen
+from locktide.cluster.member import Agent
+from locktide.cluster.membership.swim import Sends
+from locktide.cluster.messages import Look, Said, Seen, pack, unpack
+from locktide.cluster.quota.allocation import WHOLE
+from locktide.scheduler import interface as say
 
 PAGE = 900  # bytes of what is shown, to a datagram
 # Who holds too much is told anew with each change; where no news comes for so long nobody does.
--- a/locktide/config/settings.py
+++ b/locktide/config/settings.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from locktide.config.checks import Faulty, Table, number
-from locktide.dispatch import interface as say
+from locktide.scheduler import interface as say
 
 EFFECTS = {"free": say.REISSUABLE, "guarded": say.NUMBERED, "single_shot": say.AT_MOST_ONCE}
 WEIGHTS = {kind: kind for kind in ("silent", "nominal", "rough", "live")}
--- a/locktide/node/dispatches.py
+++ b/locktide/dispatcher/attempts.py
@@ -5,14 +5,16 @@
 import asyncio
 from functools import partial
 
-from locktide.dispatch import interface as say
-from locktide.net.client_connection import Answer
-from locktide.net.workers import SPOILT
-from locktide.node.base import Base
-from locktide.node.records import OpenDispatch, OpenSubmission, Stage
-from locktide.node.withdrawals import give_up
-from locktide.protocol import clients, names, workers
-from locktide.protocol.exchange import Question, Reply
+from locktide.dispatcher.base import Base
+from locktide.dispatcher.cancellation import give_up
+from locktide.dispatcher.records import OpenDispatch, OpenSubmission, Stage
+from locktide.protocol import names
+from locktide.protocol import server_connection as clients
+from locktide.protocol import worker_messages as workers
+from locktide.protocol.client_connection import Question, Reply
+from locktide.scheduler import interface as say
+from locktide.transport.client_connection import Answer
+from locktide.transport.upstream_pool import SPOILT
 
 # How long past the time limit a connection may still wait for a reply that no longer matters, in seconds.
 LAST_REPLY = 1.0
--- a/locktide/node/base.py
+++ b/locktide/dispatcher/base.py
@@ -8,15 +8,15 @@
 from typing import Any
 
 from locktide.config.start import Address
-from locktide.dispatch import interface as say
-from locktide.dispatch.rules import Dispatcher
-from locktide.net.client_connection import Answer
-from locktide.net.log import Log
-from locktide.net.server import Server
-from locktide.net.workers import WorkerConnections
-from locktide.node.clock import Clock
-from locktide.node.keeping import Keeper
-from locktide.node.records import Fleet, OpenSubmission
+from locktide.dispatcher.clock import Clock
+from locktide.dispatcher.job_store import Keeper
+from locktide.dispatcher.records import Fleet, OpenSubmission
+from locktide.scheduler import interface as say
+from locktide.scheduler.policy import Dispatcher
+from locktide.transport.client_connection import Answer
+from locktide.transport.listener import Server
+from locktide.transport.log import Log
+from locktide.transport.upstream_pool import WorkerConnections
 
 
 class Base:
--- a/locktide/node/withdrawals.py
+++ b/locktide/dispatcher/cancellation.py
@@ -7,8 +7,8 @@
 from typing import Protocol
 
 from locktide.config.start import Address
-from locktide.protocol import workers
-from locktide.protocol.exchange import Question, Reply
+from locktide.protocol import worker_messages as workers
+from locktide.protocol.client_connection import Question, Reply
 
 # How often it is tried at once. Kept connections break together: the second goes out on a new one, and the
 # third is for one that breaks by itself.
--- a/locktide/node/node.py
+++ b/locktide/dispatcher/dispatcher.py
@@ -10,18 +10,18 @@
 from dataclasses import replace
 
 from locktide.config.start import Start, spelled
-from locktide.dispatch import interface as say
-from locktide.dispatch.rules import Dispatcher
-from locktide.net.client_connection import Desk
-from locktide.net.descriptors import divide, read_first
-from locktide.net.log import Log
-from locktide.net.server import Server
-from locktide.net.system import Real, System
-from locktide.net.workers import WorkerConnections
-from locktide.node.clock import Clock
-from locktide.node.keeping import Keeper
-from locktide.node.roster import Roster
+from locktide.dispatcher.clock import Clock
+from locktide.dispatcher.endpoints import Roster
+from locktide.dispatcher.job_store import Keeper
 from locktide.protocol import discovery
+from locktide.scheduler import interface as say
+from locktide.scheduler.policy import Dispatcher
+from locktide.transport.client_connection import Desk
+from locktide.transport.descriptor_budget import divide, read_first
+from locktide.transport.listener import Server
+from locktide.transport.log import Log
+from locktide.transport.system import Real, System
+from locktide.transport.upstream_pool import WorkerConnections
 
 # On the platform's sockets a change counts as told so many microseconds after discovery had it and could be
 # reached, whatever became of a call.
--- a/locktide/node/roster.py
+++ b/locktide/dispatcher/endpoints.py
@@ -6,10 +6,10 @@
 from collections.abc import Coroutine
 from typing import Any
 
-from locktide.dispatch import interface as say
-from locktide.net.watch import Watch
-from locktide.node.submissions import Submissions
+from locktide.dispatcher.requests import Submissions
 from locktide.protocol import discovery
+from locktide.scheduler import interface as say
+from locktide.transport.endpoint_watch import Watch
 
 
 class Roster(Submissions):
--- a/locktide/node/keeping.py
+++ b/locktide/dispatcher/job_store.py
@@ -4,7 +4,7 @@
 
 from typing import Protocol
 
-from locktide.node.records import OpenDispatch, OpenSubmission
+from locktide.dispatcher.records import OpenDispatch, OpenSubmission
 
 
 class Keeper(Protocol):
--- a/locktide/node/records.py
+++ b/locktide/dispatcher/records.py
@@ -8,10 +8,10 @@
 from enum import IntEnum
 
 from locktide.config.start import Address
-from locktide.dispatch import interface as say
-from locktide.net.client_connection import Answer
-from locktide.protocol.clients import Submitted
 from locktide.protocol.discovery import ListUpdate
+from locktide.protocol.server_connection import Submitted
+from locktide.scheduler import interface as say
+from locktide.transport.client_connection import Answer
 
 
 class Stage(IntEnum):
--- a/locktide/node/submissions.py
+++ b/locktide/dispatcher/requests.py
@@ -4,11 +4,11 @@
 
 import asyncio
 
-from locktide.dispatch import interface as say
-from locktide.net.client_connection import Answer
-from locktide.node.dispatches import Dispatches
-from locktide.node.records import OpenDispatch, OpenSubmission, Stage
-from locktide.protocol import clients
+from locktide.dispatcher.attempts import Dispatches
+from locktide.dispatcher.records import OpenDispatch, OpenSubmission, Stage
+from locktide.protocol import server_connection as clients
+from locktide.scheduler import interface as say
+from locktide.transport.client_connection import Answer
 
 # What is left of the client's time when we call it up: its way to us, ours back, and a late turn of the loop.
 # With a tenth of a core, given out every 100 ms, the process stands still for 90 ms at worst.
--- a/locktide/node/service.py
+++ b/locktide/dispatcher/service.py
@@ -10,9 +10,9 @@
 
 from locktide.config.checks import Faulty
 from locktide.config.start import Start
-from locktide.net.log import Log
-from locktide.node.node import Node
+from locktide.dispatcher.dispatcher import Node
 from locktide.protocol import discovery
+from locktide.transport.log import Log
 
 
 def hold_back_reload() -> None:
--- a/locktide/durable/start.py
+++ b/locktide/durable/bootstrap.py
@@ -6,13 +6,13 @@
 from pathlib import Path
 
 from locktide.config.installation import Durable
+from locktide.dispatcher.dispatcher import Node
 from locktide.durable import leases
-from locktide.durable.desk import Desk, Terms
 from locktide.durable.disk import Disk, Folder
-from locktide.durable.journal import Journal
+from locktide.durable.job_service import Desk, Terms
+from locktide.durable.log.write_ahead_log import Journal
 from locktide.durable.recovery import Moment
-from locktide.net.log import Log
-from locktide.node.node import Node
+from locktide.transport.log import Log
 
 BOOT_ID = Path("/proc/sys/kernel/random/boot_id")
 
--- a/locktide/durable/desk.py
+++ b/locktide/durable/job_service.py
@@ -16,17 +16,18 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
-from locktide.dispatch import interface as say
+from locktide.dispatcher.dispatcher import Node
+from locktide.dispatcher.records import OpenDispatch, OpenSubmission
 from locktide.durable import leases, recovery
 from locktide.durable.jobs import DONE, Job, Table
-from locktide.durable.journal import Journal, Unwritable
-from locktide.durable.records import Accepted, Began, Ended, Finished, Late, Leased
+from locktide.durable.log.records import Accepted, Began, Ended, Finished, Late, Leased
+from locktide.durable.log.write_ahead_log import Journal, Unwritable
 from locktide.durable.recovery import Moment
-from locktide.net.client_connection import Answer
-from locktide.net.log import Log
-from locktide.node.node import Node
-from locktide.node.records import OpenDispatch, OpenSubmission
-from locktide.protocol import clients, names
+from locktide.protocol import names
+from locktide.protocol import server_connection as clients
+from locktide.scheduler import interface as say
+from locktide.transport.client_connection import Answer
+from locktide.transport.log import Log
 
 WAIT = re.compile(r"wait\s*=\s*(\d{1,6})", re.ASCII)
 LOOK_EVERY = (
--- a/locktide/durable/jobs.py
+++ b/locktide/durable/jobs.py
@@ -4,9 +4,9 @@
 
 from dataclasses import dataclass, field
 
-from locktide.dispatch import interface as say
-from locktide.durable import records
-from locktide.durable.records import Accepted, Ended, Finished, Kept, Late, Leased
+from locktide.durable.log import records
+from locktide.durable.log.records import Accepted, Ended, Finished, Kept, Late, Leased
+from locktide.scheduler import interface as say
 
 OPEN, DONE, DENIED, TERMINATED = "open", "done", "denied", "terminated"
 
--- /dev/null
+++ b/locktide/durable/log/__init__.py
@@ -0,0 +1,1 @@
+"""The write-ahead log: segments, framing of records and the records themselves."""
--- a/locktide/durable/journal.py
+++ b/locktide/durable/log/write_ahead_log.py
@@ -11,9 +11,10 @@
 
 import msgspec
 
-from locktide.durable import frames, records
 from locktide.durable.disk import Disk
 from locktide.durable.jobs import Table
+from locktide.durable.log import framing as frames
+from locktide.durable.log import records
 
 SEGMENT = re.compile(r"(\d{10})\.journal")
 # Records of a snapshot that are written before other work has its turn again: about a millisecond of it.
--- a/locktide/durable/measure.py
+++ b/locktide/durable/measure.py
@@ -10,8 +10,8 @@
 
 from locktide.durable import leases, recovery
 from locktide.durable.disk import Folder
-from locktide.durable.journal import Journal
-from locktide.durable.records import Accepted, Began, Leased
+from locktide.durable.log.records import Accepted, Began, Leased
+from locktide.durable.log.write_ahead_log import Journal
 
 CLIENTS = 64  # that hand in at once: as many wait at a busy dispatcher
 BODY = b"x" * 200
--- a/locktide/durable/recovery.py
+++ b/locktide/durable/recovery.py
@@ -6,10 +6,10 @@
 
 from dataclasses import dataclass
 
-from locktide.dispatch import interface as say
 from locktide.durable.jobs import Job, Table
 from locktide.durable.leases import Leases
-from locktide.durable.records import Began
+from locktide.durable.log.records import Began
+from locktide.scheduler import interface as say
 
 DENIED_STATUS, TERMINATED_STATUS = 503, 502
 
--- a/locktide/protocol/discovery.py
+++ b/locktide/protocol/discovery.py
@@ -8,9 +8,9 @@
 
 from locktide.config.checks import Faulty, Table
 from locktide.config.start import Address, address
-from locktide.dispatch import interface as say
 from locktide.protocol import names
-from locktide.protocol.exchange import Question
+from locktide.protocol.client_connection import Question
+from locktide.scheduler import interface as say
 
 LARGEST_LIST = 8 * 1024 * 1024  # some tens of thousands of workers
 
--- a/locktide/protocol/names.py
+++ b/locktide/protocol/names.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from locktide.dispatch import interface as say
+from locktide.scheduler import interface as say
 
 # Header fields, as they go out; they are compared in lower case.
 ID = "Req-Id"
--- a/locktide/protocol/workers.py
+++ b/locktide/protocol/worker_messages.py
@@ -4,10 +4,10 @@
 
 from urllib.parse import quote
 
-from locktide.dispatch import interface as say
 from locktide.protocol import names
-from locktide.protocol.clients import Submitted
-from locktide.protocol.exchange import Question, Reply
+from locktide.protocol.client_connection import Question, Reply
+from locktide.protocol.server_connection import Submitted
+from locktide.scheduler import interface as say
 
 
 def job(submitted: Submitted, time_left: int, fence: int = 0) -> Question:
--- a/locktide/dispatch/interface/terms.py
+++ b/locktide/scheduler/config.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from locktide.dispatch.interface.words import Ground
+from locktide.scheduler.types import Ground
 
 
 @dataclass(slots=True)
--- a/locktide/dispatch/interface/__init__.py
+++ b/locktide/scheduler/interface/__init__.py
@@ -10,7 +10,7 @@
 inherits the four rules, which the decisions keep.
 """
 
-from locktide.dispatch.interface.news import *  # noqa: F403
-from locktide.dispatch.interface.orders import *  # noqa: F403
-from locktide.dispatch.interface.terms import *  # noqa: F403
-from locktide.dispatch.interface.words import *  # noqa: F403
+from locktide.scheduler.commands import *  # noqa: F403
+from locktide.scheduler.config import *  # noqa: F403
+from locktide.scheduler.events import *  # noqa: F403
+from locktide.scheduler.types import *  # noqa: F403
--- a/locktide/dispatch/rules/__init__.py
+++ b/locktide/scheduler/policy/__init__.py
@@ -1,7 +1,7 @@
 """Every decision of locktide, for all deployments; docs/design.md gives sources, departures and figures.
 
 A host builds one Dispatcher(seed, terms ...) and calls turn(now, news) whenever it has news; the orders that
-come back are carried out at that moment. The types of both are in locktide/dispatch/interface/.
+come back are carried out at that moment. The types of both are in locktide/scheduler/interface/.
 
 The ordinary path is the design's: an aged pool, released in rounds, oldest first; in each round each
 submission makes one fresh uniform draw among the ready workers that fit, and goes out if our own outstanding
@@ -15,4 +15,4 @@
 silence; 4. the cold budget; 5. denials and tenants' shares; 6. the worker list, asked for at drawn moments.
 """
 
-from locktide.dispatch.rules.dispatcher import Dispatcher as Dispatcher
+from locktide.scheduler.policy.scheduler import Dispatcher as Dispatcher
--- a/locktide/dispatch/rules/arrivals.py
+++ b/locktide/scheduler/policy/admission.py
@@ -1,11 +1,11 @@
 """Submissions that come, anew or from an earlier process, and clients that go."""
 
-from locktide.dispatch import interface as say
-from locktide.dispatch.rules.courses import Courses
-from locktide.dispatch.rules.shares import BEYOND, LENT
-from locktide.dispatch.rules.submission import Dispatch, Submission
-from locktide.dispatch.rules.worker import Worker
-from locktide.dispatch.sums import Fading
+from locktide.scheduler import interface as say
+from locktide.scheduler.estimators import Fading
+from locktide.scheduler.policy.endpoint import Worker
+from locktide.scheduler.policy.quotas import BEYOND, LENT
+from locktide.scheduler.policy.request import Dispatch, Submission
+from locktide.scheduler.policy.retries import Courses
 
 
 class Arrivals(Courses):
--- a/locktide/dispatch/rules/base.py
+++ b/locktide/scheduler/policy/base.py
@@ -4,14 +4,14 @@
 from traceback import format_exc
 from typing import Any
 
-from locktide.dispatch import interface as say
-from locktide.dispatch.rules.cold import ColdBudget
-from locktide.dispatch.rules.listing import WorkerList
-from locktide.dispatch.rules.paces import Paces
-from locktide.dispatch.rules.shares import Shares
-from locktide.dispatch.rules.submission import Submission
-from locktide.dispatch.rules.worker import Worker
-from locktide.dispatch.sums import Chance, Fading, Runs
+from locktide.scheduler import interface as say
+from locktide.scheduler.estimators import Chance, Fading, Runs
+from locktide.scheduler.policy.endpoint import Worker
+from locktide.scheduler.policy.endpoint_list import WorkerList
+from locktide.scheduler.policy.quotas import Shares
+from locktide.scheduler.policy.request import Submission
+from locktide.scheduler.policy.slow_start import ColdBudget
+from locktide.scheduler.policy.throughput import Paces
 
 # What weighs in a draw, in parts of what a usual submission earns; 0.02 scored 0.807 for 0.825, noise 0.045.
 WEIGHS = 0.01
--- a/locktide/dispatch/rules/worker.py
+++ b/locktide/scheduler/policy/endpoint.py
@@ -5,8 +5,8 @@
 from typing import Any
 from zlib import crc32
 
-from locktide.dispatch import interface as say
-from locktide.dispatch.sums import Chance, Fading
+from locktide.scheduler import interface as say
+from locktide.scheduler.estimators import Chance, Fading
 
 # News of most ratings since a worker's own was renewed, that one counted. Two: the next came without it.
 OVERDUE = 2
--- a/locktide/dispatch/rules/listing.py
+++ b/locktide/scheduler/policy/endpoint_list.py
@@ -2,9 +2,9 @@
 
 from typing import Any
 
-from locktide.dispatch import interface as say
-from locktide.dispatch.rules.worker import Worker
-from locktide.dispatch.sums import Chance
+from locktide.scheduler import interface as say
+from locktide.scheduler.estimators import Chance
+from locktide.scheduler.policy.endpoint import Worker
 
 
 class WorkerList:
--- a/locktide/dispatch/rules/denials.py
+++ b/locktide/scheduler/policy/load_shedding.py
@@ -1,8 +1,8 @@
 """Mechanism 5: how long a submission waits, and what it is told at the end of that."""
 
-from locktide.dispatch import interface as say
-from locktide.dispatch.rules.base import Base
-from locktide.dispatch.rules.submission import Submission
+from locktide.scheduler import interface as say
+from locktide.scheduler.policy.base import Base
+from locktide.scheduler.policy.request import Submission
 
 
 def usual_slack(grade: say.Grade, run: float) -> float:
--- a/locktide/dispatch/rules/ends.py
+++ b/locktide/scheduler/policy/outcomes.py
@@ -2,10 +2,10 @@
 
 from typing import Any
 
-from locktide.dispatch import interface as say
-from locktide.dispatch.rules.arrivals import Arrivals
-from locktide.dispatch.rules.submission import Dispatch, Submission
-from locktide.dispatch.rules.worker import Worker
+from locktide.scheduler import interface as say
+from locktide.scheduler.policy.admission import Arrivals
+from locktide.scheduler.policy.endpoint import Worker
+from locktide.scheduler.policy.request import Dispatch, Submission
 
 
 class Ends(Arrivals):
--- a/locktide/dispatch/rules/rounds.py
+++ b/locktide/scheduler/policy/placement.py
@@ -1,10 +1,10 @@
 """The ordinary path: rounds over the pool, and one draw for each submission in it."""
 
-from locktide.dispatch import interface as say
-from locktide.dispatch.rules.ends import Ends
-from locktide.dispatch.rules.submission import Submission
-from locktide.dispatch.rules.worker import Worker
-from locktide.dispatch.sums import ordered
+from locktide.scheduler import interface as say
+from locktide.scheduler.estimators import ordered
+from locktide.scheduler.policy.endpoint import Worker
+from locktide.scheduler.policy.outcomes import Ends
+from locktide.scheduler.policy.request import Submission
 
 
 class Rounds(Ends):
--- a/locktide/dispatch/rules/shares.py
+++ b/locktide/scheduler/policy/quotas.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from locktide.dispatch import interface as say
+from locktide.scheduler import interface as say
 
 OWN, LENT, BEYOND = "own", "lent", "beyond"
 NONE = say.Stage(0, {})
--- a/locktide/dispatch/rules/submission.py
+++ b/locktide/scheduler/policy/request.py
@@ -5,8 +5,8 @@
 from collections.abc import Generator
 from typing import Any
 
-from locktide.dispatch import interface as say
-from locktide.dispatch.rules.worker import Worker
+from locktide.scheduler import interface as say
+from locktide.scheduler.policy.endpoint import Worker
 
 # What a course yields, and with what it is resumed: to wait for a draw, with a Worker, or None when that no
 # longer pays; to wait for a dispatch, with its say.Ended, or the Dispatch itself when in doubt.
--- a/locktide/dispatch/rules/courses.py
+++ b/locktide/scheduler/policy/retries.py
@@ -3,10 +3,10 @@
 from bisect import insort
 from typing import Any
 
-from locktide.dispatch import interface as say
-from locktide.dispatch.rules.denials import Denials
-from locktide.dispatch.rules.submission import POOL, WAIT, Course, Dispatch, Submission
-from locktide.dispatch.rules.worker import Worker
+from locktide.scheduler import interface as say
+from locktide.scheduler.policy.endpoint import Worker
+from locktide.scheduler.policy.load_shedding import Denials
+from locktide.scheduler.policy.request import POOL, WAIT, Course, Dispatch, Submission
 
 
 class Courses(Denials):
--- a/locktide/dispatch/rules/dispatcher.py
+++ b/locktide/scheduler/policy/scheduler.py
@@ -4,11 +4,11 @@
 from math import exp
 from typing import Any
 
-from locktide.dispatch import interface as say
-from locktide.dispatch.rules.base import WEIGHS
-from locktide.dispatch.rules.rounds import Rounds
-from locktide.dispatch.rules.submission import Dispatch
-from locktide.dispatch.rules.worker import OVERDUE
+from locktide.scheduler import interface as say
+from locktide.scheduler.policy.base import WEIGHS
+from locktide.scheduler.policy.endpoint import OVERDUE
+from locktide.scheduler.policy.placement import Rounds
+from locktide.scheduler.policy.request import Dispatch
 
 
 class Dispatcher(Rounds):
--- a/locktide/dispatch/rules/cold.py
+++ b/locktide/scheduler/policy/slow_start.py
@@ -1,8 +1,8 @@
 """Mechanism 4: the cold budget."""
 
-from locktide.dispatch import interface as say
-from locktide.dispatch.rules.worker import Worker
-from locktide.dispatch.sums import Chance, Fading
+from locktide.scheduler import interface as say
+from locktide.scheduler.estimators import Chance, Fading
+from locktide.scheduler.policy.endpoint import Worker
 
 
 class ColdBudget:
--- a/locktide/dispatch/rules/paces.py
+++ b/locktide/scheduler/policy/throughput.py
@@ -1,6 +1,6 @@
 """How fast kinds of machines are, where no ratings follow load."""
 
-from locktide.dispatch.sums import Fading
+from locktide.scheduler.estimators import Fading
 
 
 class Paces:
--- a/locktide/simhost/__main__.py
+++ /dev/null
@@ -1,5 +0,0 @@
-import sys
-
-from locktide.simhost.host import main
-
-sys.exit(main())
--- a/locktide/rehearse/host.py
+++ b/locktide/simulation/backend.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from locktide.fleet.network import DISPATCHER, WORKER, Machine
-from locktide.rehearse.talk import Talk
+from locktide.simulation.model.network import DISPATCHER, WORKER, Machine
+from locktide.simulation.peer_links import Talk
 
 Address = tuple[str, int]
 WORKER_PORT = 7000  # of a worker, plus the dispatcher's number: each link has an address of its own
--- a/locktide/rehearse/clients.py
+++ b/locktide/simulation/client_site.py
@@ -4,13 +4,13 @@
 
 import asyncio
 
-from locktide.fleet import traffic
-from locktide.fleet.network import CLIENT, Machine
-from locktide.fleet.traffic import Ask, Front, Try
 from locktide.protocol import names
-from locktide.protocol.exchange import Broken, Question, Reply
-from locktide.rehearse.lines import Line, Lines
-from locktide.rehearse.scene import ClientScene
+from locktide.protocol.client_connection import Broken, Question, Reply
+from locktide.simulation.connection_pool import Line, Lines
+from locktide.simulation.interfaces import ClientScene
+from locktide.simulation.model import traffic
+from locktide.simulation.model.network import CLIENT, Machine
+from locktide.simulation.model.traffic import Ask, Front, Try
 
 # How long a client's machine still listens past the time limit, so that a late answer is seen; microseconds.
 LISTENS_ON = 400_000
--- a/locktide/rehearse/accord/__main__.py
+++ b/locktide/simulation/cluster/__main__.py
@@ -1,4 +1,4 @@
-"""`python -m locktide.rehearse.accord`: days of faults by the thousand, the search, and what came of them."""
+"""`python -m locktide.simulation.cluster`: random runs with faults, the state search, and their reports."""
 
 from __future__ import annotations
 
@@ -13,7 +13,12 @@
 
 import click
 
-from locktide.rehearse.accord import cost, days, fair, idle, processes, search, skew
+from locktide.simulation.cluster import borrowing_runs as idle
+from locktide.simulation.cluster import cost, processes
+from locktide.simulation.cluster import fairness_runs as fair
+from locktide.simulation.cluster import model_checking as search
+from locktide.simulation.cluster import random_runs as days
+from locktide.simulation.cluster import skewed_demand as skew
 
 
 @click.group()
--- a/locktide/rehearse/accord/idle.py
+++ b/locktide/simulation/cluster/borrowing_runs.py
@@ -10,9 +10,9 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from locktide.accord.budgets.purse import Budget
-from locktide.rehearse.accord.meter import Reclaim
-from locktide.rehearse.accord.world import Process, World
+from locktide.cluster.quota.local_quota import Budget
+from locktide.simulation.cluster.quota_checker import Reclaim
+from locktide.simulation.cluster.virtual_cluster import Process, World
 
 SECOND, STEP = 1_000_000, 20_000
 TENANTS, IDLE, RATE, BY = 10, 6, 60.0, 2.5
--- a/locktide/rehearse/accord/cost.py
+++ b/locktide/simulation/cluster/cost.py
@@ -9,11 +9,11 @@
 import tracemalloc
 from dataclasses import dataclass
 
-from locktide.accord.agent import Agent
-from locktide.accord.budgets.purse import Budget
-from locktide.accord.ledger.ledger import Terms
-from locktide.dispatch import interface as say
-from locktide.rehearse.accord.world import World
+from locktide.cluster.fairness.ledger import Terms
+from locktide.cluster.member import Agent
+from locktide.cluster.quota.local_quota import Budget
+from locktide.scheduler import interface as say
+from locktide.simulation.cluster.virtual_cluster import World
 
 SECOND = 1_000_000
 WARM, LENGTH = 8, 10  # seconds
--- a/locktide/rehearse/accord/relay.py
+++ b/locktide/simulation/cluster/datagram_relay.py
@@ -9,7 +9,7 @@
 from random import Random
 from typing import Any
 
-from locktide.rehearse.accord.world import Net
+from locktide.simulation.cluster.virtual_cluster import Net
 
 Address = tuple[str, int]
 
--- a/locktide/rehearse/accord/fair.py
+++ b/locktide/simulation/cluster/fairness_runs.py
@@ -5,9 +5,9 @@
 
 from __future__ import annotations
 
-from locktide.accord.ledger.ledger import Terms as LedgerTerms
-from locktide.dispatch import interface as say
-from locktide.rehearse.accord.world import World
+from locktide.cluster.fairness.ledger import Terms as LedgerTerms
+from locktide.scheduler import interface as say
+from locktide.simulation.cluster.virtual_cluster import World
 
 SECOND = 1_000_000
 # Two resources; what one job of each tenant's grade holds of them, in thousandths: different bottlenecks.
--- a/locktide/rehearse/accord/search.py
+++ b/locktide/simulation/cluster/model_checking.py
@@ -13,12 +13,12 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from locktide.accord.budgets.candidate import Candidate
-from locktide.accord.budgets.elector import Elector
-from locktide.accord.budgets.giver import Giver
-from locktide.accord.budgets.holder import Holder
-from locktide.accord.words import Accepted, Ask, Grant, Lead, Prepare, Promise, Propose, Who, Word
-from locktide.dispatch.sums import Chance
+from locktide.cluster.election.acceptor import Elector
+from locktide.cluster.election.proposer import Candidate
+from locktide.cluster.messages import Accepted, Ask, Grant, Lead, Prepare, Promise, Propose, Who, Word
+from locktide.cluster.quota.allocator import Giver
+from locktide.cluster.quota.lease_holder import Holder
+from locktide.scheduler.estimators import Chance
 
 NAMES = ("a", "b", "c")
 WHOLE = 100
--- a/locktide/rehearse/accord/processes.py
+++ b/locktide/simulation/cluster/processes.py
@@ -17,11 +17,11 @@
 from random import Random
 from typing import Any
 
-from locktide.accord.driver import look
+from locktide.cluster.udp_transport import look
 from locktide.protocol import names
-from locktide.rehearse.accord.meter import Meter
-from locktide.rehearse.accord.relay import Relay
-from locktide.rehearse.accord.world import Net
+from locktide.simulation.cluster.datagram_relay import Relay
+from locktide.simulation.cluster.quota_checker import Meter
+from locktide.simulation.cluster.virtual_cluster import Net
 
 HOST = "127.0.0.1"
 FAULTS = (
--- a/locktide/rehearse/accord/days.py
+++ b/locktide/simulation/cluster/random_runs.py
@@ -8,11 +8,11 @@
 from random import Random
 from typing import Any
 
-from locktide.accord.agent import Agent
-from locktide.accord.budgets.purse import Budget
-from locktide.accord.ledger.ledger import Terms
-from locktide.dispatch import interface as say
-from locktide.rehearse.accord.world import Net, Process, World
+from locktide.cluster.fairness.ledger import Terms
+from locktide.cluster.member import Agent
+from locktide.cluster.quota.local_quota import Budget
+from locktide.scheduler import interface as say
+from locktide.simulation.cluster.virtual_cluster import Net, Process, World
 
 SECOND = 1_000_000
 LENGTH = 42 * SECOND
--- a/locktide/rehearse/accord/skew.py
+++ b/locktide/simulation/cluster/skewed_demand.py
@@ -7,8 +7,8 @@
 
 from dataclasses import dataclass
 
-from locktide.accord.budgets.purse import Budget
-from locktide.rehearse.accord.world import World
+from locktide.cluster.quota.local_quota import Budget
+from locktide.simulation.cluster.virtual_cluster import World
 
 RATE, SECOND = 100.0, 1_000_000
 FIRST, REST = 0.8, 0.05
--- a/locktide/rehearse/accord/world.py
+++ b/locktide/simulation/cluster/virtual_cluster.py
@@ -13,13 +13,13 @@
 from random import Random
 from typing import Any
 
-from locktide.accord.agent import Agent
-from locktide.accord.budgets.purse import Budget
-from locktide.accord.budgets.spans import SKEW
-from locktide.accord.ledger.ledger import Terms as LedgerTerms
-from locktide.accord.terms import Terms
-from locktide.accord.words import pack, unpack
-from locktide.rehearse.accord.meter import Meter
+from locktide.cluster.config import Terms
+from locktide.cluster.fairness.ledger import Terms as LedgerTerms
+from locktide.cluster.member import Agent
+from locktide.cluster.messages import pack, unpack
+from locktide.cluster.quota.lease_timing import SKEW
+from locktide.cluster.quota.local_quota import Budget
+from locktide.simulation.cluster.quota_checker import Meter
 
 Address = tuple[str, int]
 EPOCH = 1_800_000_000_000_000
--- a/locktide/rehearse/agreed.py
+++ b/locktide/simulation/cluster_report.py
@@ -8,9 +8,9 @@
 from dataclasses import dataclass
 from typing import Any
 
-from locktide.fleet.script import Script
-from locktide.fleet.traffic import Ask
-from locktide.rehearse.accord.meter import Meter
+from locktide.simulation.cluster.quota_checker import Meter
+from locktide.simulation.model.scenario import Script
+from locktide.simulation.model.traffic import Ask
 
 SECOND = 1_000_000
 RECLAIM = SECOND  # within which all that a returning owner had lent is over
--- a/locktide/rehearse/lines.py
+++ b/locktide/simulation/connection_pool.py
@@ -4,9 +4,9 @@
 
 import asyncio
 
-from locktide.fleet.network import Machine
-from locktide.protocol.exchange import Broken, Exchange, Question, Reply
-from locktide.rehearse.host import Address, Host
+from locktide.protocol.client_connection import Broken, Exchange, Question, Reply
+from locktide.simulation.backend import Address, Host
+from locktide.simulation.model.network import Machine
 
 READ = 65536
 
--- a/locktide/rehearse/roster.py
+++ b/locktide/simulation/discovery_site.py
@@ -9,11 +9,11 @@
 
 import h11
 
-from locktide.fleet import chance
-from locktide.fleet.roster import Agent, Calls
 from locktide.protocol import names
-from locktide.rehearse.host import Host
-from locktide.rehearse.http import Answering, Message, as_json
+from locktide.simulation.backend import Host
+from locktide.simulation.http import Answering, Message, as_json
+from locktide.simulation.model import random_streams as chance
+from locktide.simulation.model.discovery import Agent, Calls
 
 LONGEST_WAIT_MS = 60_000
 WATCH_GAP = 200_000  # a watch goes on while the next call comes so soon after the last answer
--- a/locktide/rehearse/timeline.py
+++ b/locktide/simulation/fault_injector.py
@@ -4,12 +4,13 @@
 
 from typing import Protocol
 
-from locktide.fleet import chance, traffic
-from locktide.fleet.script import DISPATCHERS, WORKERS, Incident, whom
-from locktide.fleet.worker import Shared
-from locktide.rehearse.roster import AgentSite
-from locktide.rehearse.scene import Dispatcher, Scene
-from locktide.rehearse.workers import WorkerSite
+from locktide.simulation.discovery_site import AgentSite
+from locktide.simulation.interfaces import Dispatcher, Scene
+from locktide.simulation.model import random_streams as chance
+from locktide.simulation.model import traffic
+from locktide.simulation.model.scenario import DISPATCHERS, WORKERS, Incident, whom
+from locktide.simulation.model.worker import Shared
+from locktide.simulation.worker_site import WorkerSite
 
 # A planned restart: what has not ended so long after SIGTERM is killed, in seconds; the platform gives no
 # less than the longest time limit (3 s at most) and 0.7 s more.
--- a/locktide/rehearse/scene.py
+++ b/locktide/simulation/interfaces.py
@@ -7,12 +7,12 @@
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
-from locktide.fleet.checker import Came, Checker
-from locktide.fleet.network import Links, Machine
-from locktide.fleet.roster import Agent, Entry
-from locktide.fleet.script import Script
-from locktide.fleet.traffic import Ask, Try
-from locktide.rehearse.host import Host
+from locktide.simulation.backend import Host
+from locktide.simulation.model.checker import Came, Checker
+from locktide.simulation.model.discovery import Agent, Entry
+from locktide.simulation.model.network import Links, Machine
+from locktide.simulation.model.scenario import Script
+from locktide.simulation.model.traffic import Ask, Try
 
 
 @dataclass
--- a/locktide/rehearse/lag.py
+++ b/locktide/simulation/latency.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from locktide.fleet.network import Links, Machine
+from locktide.simulation.model.network import Links, Machine
 
 # Less than this is not waited for: loopback and the turn of the loop take about as long. Microseconds.
 NOT_WORTH = 600
--- a/locktide/fleet/__init__.py
+++ b/locktide/simulation/model/__init__.py
@@ -2,5 +2,5 @@
 sees all.
 
 State machines and sums, with no socket and no clock: the time comes as an argument in whole microseconds,
-chance from seeds. `locktide.rehearse` drives them, on loopback or in virtual time.
+chance from seeds. `locktide.simulation` drives them, on loopback or in virtual time.
 """
--- a/locktide/fleet/checker.py
+++ b/locktide/simulation/model/checker.py
@@ -10,9 +10,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from locktide.fleet import traffic
-from locktide.fleet.traffic import Try
-from locktide.fleet.worker import Sent
+from locktide.simulation.model import traffic
+from locktide.simulation.model.traffic import Try
+from locktide.simulation.model.worker import Sent
 
 # How a dispatch stands, as its dispatcher can know it.
 OUT, NEVER, MAYBE, GIVEN_UP = "out", "never ran", "may have run", "given up"
--- a/locktide/fleet/network.py
+++ b/locktide/simulation/model/network.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from locktide.fleet import chance
-from locktide.fleet.script import Network
+from locktide.simulation.model import random_streams as chance
+from locktide.simulation.model.scenario import Network
 
 WORKER, DISPATCHER, CLIENT = "worker", "dispatcher", "client"
 
--- a/locktide/fleet/rough.py
+++ b/locktide/simulation/model/random_scenario.py
@@ -6,8 +6,8 @@
 
 from numpy.random import Generator
 
-from locktide.fleet import chance
-from locktide.fleet.script import (
+from locktide.simulation.model import random_streams as chance
+from locktide.simulation.model.scenario import (
     WORKER_POINTS,
     Clients,
     Dispatcher,
--- a/locktide/fleet/script.py
+++ b/locktide/simulation/model/scenario.py
@@ -12,8 +12,8 @@
 
 from locktide.config import typed
 from locktide.config.typed import Faults, Part, key, seconds
-from locktide.fleet.tenants import Agreed, Tenant
-from locktide.fleet.tenants import faults as tenant_faults
+from locktide.simulation.model.tenants import Agreed, Tenant
+from locktide.simulation.model.tenants import faults as tenant_faults
 
 
 class Kind(Part):
--- a/locktide/fleet/tenants.py
+++ b/locktide/simulation/model/tenants.py
@@ -6,11 +6,11 @@
 
 from locktide.config.accord import Resource
 from locktide.config.typed import Part, key, seconds
-from locktide.fleet import chance
+from locktide.simulation.model import random_streams as chance
 
 if TYPE_CHECKING:
-    from locktide.fleet.script import Script
-    from locktide.fleet.traffic import Ask
+    from locktide.simulation.model.scenario import Script
+    from locktide.simulation.model.traffic import Ask
 
 
 class Tenant(Part):
--- a/locktide/fleet/traffic.py
+++ b/locktide/simulation/model/traffic.py
@@ -6,8 +6,9 @@
 
 import numpy as np
 
-from locktide.fleet import chance, tenants
-from locktide.fleet.script import Grade, Script, deal_kinds
+from locktide.simulation.model import random_streams as chance
+from locktide.simulation.model import tenants
+from locktide.simulation.model.scenario import Grade, Script, deal_kinds
 
 ANSWERED, DENIED, TERMINATED, REFUSED, BROKEN, LATE, SILENT, CLOSED = (
     "done",
--- a/locktide/rehearse/outcome.py
+++ b/locktide/simulation/outcome.py
@@ -8,11 +8,11 @@
 from collections.abc import Iterable
 from typing import Any
 
-from locktide.fleet import traffic
-from locktide.fleet.checker import BLAMED
-from locktide.fleet.traffic import Ask
-from locktide.rehearse.agreed import breaches
-from locktide.rehearse.stage import Stage
+from locktide.simulation.cluster_report import breaches
+from locktide.simulation.model import traffic
+from locktide.simulation.model.checker import BLAMED
+from locktide.simulation.model.traffic import Ask
+from locktide.simulation.scenario_runner import Stage
 
 FORMAT = 1
 WINDOW_S = 5  # of the shape; the platform's bench prints its incidents in such windows
--- a/locktide/rehearse/talk.py
+++ b/locktide/simulation/peer_links.py
@@ -4,7 +4,7 @@
 
 from random import Random
 
-from locktide.rehearse.accord.world import Net
+from locktide.simulation.cluster.virtual_cluster import Net
 
 LATE = 1_000_000  # microseconds that a late datagram takes at most
 
--- a/locktide/rehearse/loopback.py
+++ b/locktide/simulation/process_backend.py
@@ -18,13 +18,13 @@
 from pathlib import Path
 from typing import Any
 
-from locktide.accord.driver import look
+from locktide.cluster.udp_transport import look
 from locktide.config.accord import Accord
-from locktide.fleet.network import Links, Machine
-from locktide.rehearse.agreed import Traced
-from locktide.rehearse.host import DISPATCHER_PORT, REACH_PORT, TALK_PORT, Address, net_address
-from locktide.rehearse.lag import Facade, Lagged, Way
-from locktide.rehearse.talk import Talk
+from locktide.simulation.backend import DISPATCHER_PORT, REACH_PORT, TALK_PORT, Address, net_address
+from locktide.simulation.cluster_report import Traced
+from locktide.simulation.latency import Facade, Lagged, Way
+from locktide.simulation.model.network import Links, Machine
+from locktide.simulation.peer_links import Talk
 
 # A run counts only if our own loop kept up: it looks every so often how late it was woken. A wake later than
 # LATE is seen in the waits; more than one in a hundred, or one by VERY_LATE, moves the figures. Seconds.
--- a/locktide/rehearse/told.py
+++ b/locktide/simulation/rendered_config.py
@@ -10,7 +10,7 @@
 
 from locktide.config.accord import Accord, Elector
 from locktide.config.installation import EFFECTS, Durable, Grade, Installation, Serve, Tenant
-from locktide.fleet.script import Script
+from locktide.simulation.model.scenario import Script
 
 
 def settings(script: Script) -> dict[str, Any]:
--- a/locktide/rehearse/play.py
+++ b/locktide/simulation/run.py
@@ -11,17 +11,18 @@
 
 import msgspec
 
-from locktide.accord.start import terms as terms_of
-from locktide.accord.terms import Terms
-from locktide.fleet.script import Script
-from locktide.rehearse import agreed, outcome
-from locktide.rehearse import told as told_module
-from locktide.rehearse.host import REACH_PORT, TALK_PORT
-from locktide.rehearse.in_time import InTime
-from locktide.rehearse.loopback import Loopback
-from locktide.rehearse.stage import Stage
-from locktide.rehearse.talk import Talk
-from locktide.virtual.loop import VirtualLoop
+from locktide.cluster.bootstrap import terms as terms_of
+from locktide.cluster.config import Terms
+from locktide.simulation import cluster_report as agreed
+from locktide.simulation import outcome
+from locktide.simulation import rendered_config as told_module
+from locktide.simulation.backend import REACH_PORT, TALK_PORT
+from locktide.simulation.model.scenario import Script
+from locktide.simulation.peer_links import Talk
+from locktide.simulation.process_backend import Loopback
+from locktide.simulation.scenario_runner import Stage
+from locktide.simulation.virtual_backend import InTime
+from locktide.simulation.virtual_time.loop import VirtualLoop
 
 Glance = Callable[[Stage, int], None]  # called now and then while it plays, with the time in microseconds
 
--- a/locktide/rehearse/stage.py
+++ b/locktide/simulation/scenario_runner.py
@@ -9,22 +9,23 @@
 
 from hdrh.histogram import HdrHistogram
 
-from locktide.fleet import chance, traffic
-from locktide.fleet.checker import Came, Checker, Terms
-from locktide.fleet.network import DISPATCHER, WORKER, Links, Machine
-from locktide.fleet.roster import ACTIVE, LEAVING, Agent, Calls, Entry
-from locktide.fleet.script import Script, deal_kinds
-from locktide.fleet.traffic import Ask, Try
-from locktide.fleet.worker import Pod, Shared, Worker
-from locktide.fleet.worker import Terms as WorkerTerms
-from locktide.rehearse import told
-from locktide.rehearse.clients import ClientSite
-from locktide.rehearse.host import DISPATCHER_PORT, ROSTER_PORT, WORKER_PORT, Host
-from locktide.rehearse.lines import Broken, Lines, Question
-from locktide.rehearse.roster import AgentEnd, AgentSite
-from locktide.rehearse.scene import Dispatcher
-from locktide.rehearse.timeline import Timeline
-from locktide.rehearse.workers import UNSETTLED, WorkerEnd, WorkerSite
+from locktide.simulation import rendered_config as told
+from locktide.simulation.backend import DISPATCHER_PORT, ROSTER_PORT, WORKER_PORT, Host
+from locktide.simulation.client_site import ClientSite
+from locktide.simulation.connection_pool import Broken, Lines, Question
+from locktide.simulation.discovery_site import AgentEnd, AgentSite
+from locktide.simulation.fault_injector import Timeline
+from locktide.simulation.interfaces import Dispatcher
+from locktide.simulation.model import random_streams as chance
+from locktide.simulation.model import traffic
+from locktide.simulation.model.checker import Came, Checker, Terms
+from locktide.simulation.model.discovery import ACTIVE, LEAVING, Agent, Calls, Entry
+from locktide.simulation.model.network import DISPATCHER, WORKER, Links, Machine
+from locktide.simulation.model.scenario import Script, deal_kinds
+from locktide.simulation.model.traffic import Ask, Try
+from locktide.simulation.model.worker import Pod, Shared, Worker
+from locktide.simulation.model.worker import Terms as WorkerTerms
+from locktide.simulation.worker_site import UNSETTLED, WorkerEnd, WorkerSite
 
 READY_WITHIN = 30.0  # seconds for all dispatchers to be ready before the traffic begins
 TAKEN_OUT_AFTER = 300_000  # microseconds that a front goes on sending to who is stopped: 0.2 to 0.4 s there
--- a/locktide/rehearse/table.py
+++ b/locktide/simulation/tables.py
@@ -9,8 +9,8 @@
 from rich.progress import BarColumn, Progress, TextColumn, TimeElapsedColumn
 from rich.table import Table
 
-from locktide.fleet.checker import BLAMED
-from locktide.rehearse.stage import Stage
+from locktide.simulation.model.checker import BLAMED
+from locktide.simulation.scenario_runner import Stage
 
 
 def figure(value: Any) -> str:
--- a/locktide/rehearse/in_time.py
+++ b/locktide/simulation/virtual_backend.py
@@ -9,24 +9,24 @@
 from functools import partial
 from typing import Any
 
-from locktide.accord.driver import Driver, open_driver
-from locktide.accord.terms import Terms
+from locktide.cluster.config import Terms
+from locktide.cluster.udp_transport import Driver, open_driver
 from locktide.config import start
 from locktide.config.checks import Table
 from locktide.config.installation import Durable
+from locktide.dispatcher.dispatcher import Node
+from locktide.durable.bootstrap import join
 from locktide.durable.recovery import Moment
-from locktide.durable.start import join
-from locktide.fleet.network import Machine
-from locktide.net.log import Log
-from locktide.node.node import Node
 from locktide.protocol import discovery
-from locktide.rehearse.agreed import Traced
-from locktide.rehearse.host import TALK_PORT, Address, net_address
-from locktide.rehearse.talk import Talk
-from locktide.virtual.disk import Platter
-from locktide.virtual.loop import VirtualLoop
-from locktide.virtual.net import Listener, Net
-from locktide.virtual.process import Process
+from locktide.simulation.backend import TALK_PORT, Address, net_address
+from locktide.simulation.cluster_report import Traced
+from locktide.simulation.model.network import Machine
+from locktide.simulation.peer_links import Talk
+from locktide.simulation.virtual_time.disk import Platter
+from locktide.simulation.virtual_time.loop import VirtualLoop
+from locktide.simulation.virtual_time.network import Listener, Net
+from locktide.simulation.virtual_time.process import Process
+from locktide.transport.log import Log
 
 EPOCH = 1_800_000_000  # the Unix time at which every virtual rehearsal begins, in seconds
 UP_AFTER = 0.3  # seconds from a dispatcher's start until it listens, as measured of the real one
--- a/locktide/virtual/datagrams.py
+++ b/locktide/simulation/virtual_time/datagrams.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from locktide.virtual.process import PROCESS, Process
+from locktide.simulation.virtual_time.process import PROCESS, Process
 
 Address = tuple[str, int]
 
--- a/locktide/virtual/disk.py
+++ b/locktide/simulation/virtual_time/disk.py
@@ -6,7 +6,7 @@
 import errno
 
 from locktide.durable.disk import Taken
-from locktide.fleet import chance
+from locktide.simulation.model import random_streams as chance
 
 SECTOR = 512
 
--- a/locktide/virtual/loop.py
+++ b/locktide/simulation/virtual_time/loop.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Coroutine, Generator
 from typing import Any, Protocol
 
-from locktide.virtual.process import PROCESS, Process
+from locktide.simulation.virtual_time.process import PROCESS, Process
 
 # A loop that does nothing but call itself would never let time pass: a fault in what runs on it.
 MOST_AT_ONCE = 2_000_000
--- a/locktide/virtual/net.py
+++ b/locktide/simulation/virtual_time/network.py
@@ -12,9 +12,9 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from locktide.virtual.datagrams import Ports
-from locktide.virtual.loop import VirtualLoop
-from locktide.virtual.process import PROCESS, Process
+from locktide.simulation.virtual_time.datagrams import Ports
+from locktide.simulation.virtual_time.loop import VirtualLoop
+from locktide.simulation.virtual_time.process import PROCESS, Process
 
 
 class Wires(Protocol):
--- a/locktide/rehearse/workers.py
+++ b/locktide/simulation/worker_site.py
@@ -8,17 +8,28 @@
 
 import h11
 
-from locktide.fleet import chance
-from locktide.fleet.checker import GIVEN_UP, MAYBE, NEVER, Came
-from locktide.fleet.network import DISPATCHER, WORKER, Machine
-from locktide.fleet.roster import ACTIVE, LEAVING, LEFT, Entry
-from locktide.fleet.worker import DONE, FAILED, FULL, RETURNED, RUNNING, STARTED, Job, Pod, Word, Worker
 from locktide.protocol import names
-from locktide.protocol.exchange import Broken, Question
-from locktide.rehearse.host import WORKER_PORT, Open
-from locktide.rehearse.http import Answering, Message, as_json
-from locktide.rehearse.lines import Lines
-from locktide.rehearse.scene import WorkerScene
+from locktide.protocol.client_connection import Broken, Question
+from locktide.simulation.backend import WORKER_PORT, Open
+from locktide.simulation.connection_pool import Lines
+from locktide.simulation.http import Answering, Message, as_json
+from locktide.simulation.interfaces import WorkerScene
+from locktide.simulation.model import random_streams as chance
+from locktide.simulation.model.checker import GIVEN_UP, MAYBE, NEVER, Came
+from locktide.simulation.model.discovery import ACTIVE, LEAVING, LEFT, Entry
+from locktide.simulation.model.network import DISPATCHER, WORKER, Machine
+from locktide.simulation.model.worker import (
+    DONE,
+    FAILED,
+    FULL,
+    RETURNED,
+    RUNNING,
+    STARTED,
+    Job,
+    Pod,
+    Word,
+    Worker,
+)
 
 CALL_WITHIN = 2.0  # seconds for the answer to a callback; dispatchers take no time over one
 EARLY_BY = 5_000  # microseconds by which the 202 follows an early callback
--- a/locktide/net/client_connection.py
+++ b/locktide/transport/client_connection.py
@@ -10,10 +10,10 @@
 from functools import partial
 from typing import Any, Protocol
 
-from locktide.net.descriptors import DescriptorBudget
-from locktide.net.log import Log
-from locktide.net.streams import Inlet
-from locktide.protocol import clients
+from locktide.protocol import server_connection as clients
+from locktide.transport.descriptor_budget import DescriptorBudget
+from locktide.transport.log import Log
+from locktide.transport.streams import Inlet
 
 # Seconds for a message to come in whole, from the accept for the first, from its first byte for others, and
 # for one that has not proven itself to send another. An honest client sends at once; a bad one is owed a word
--- a/locktide/net/watch.py
+++ b/locktide/transport/endpoint_watch.py
@@ -6,10 +6,10 @@
 from collections.abc import Awaitable, Callable
 
 from locktide.config.start import Address, spelled
-from locktide.net.log import Log
-from locktide.net.streams import READ, reply_on
 from locktide.protocol import discovery
-from locktide.protocol.exchange import Broken, Exchange
+from locktide.protocol.client_connection import Broken, Exchange
+from locktide.transport.log import Log
+from locktide.transport.streams import READ, reply_on
 
 # News that does not reach us counts as told 2 s after the wait is over: a short wait keeps that close. One
 # call a second costs well under a thousandth of a core.
--- a/locktide/net/server.py
+++ b/locktide/transport/listener.py
@@ -6,11 +6,11 @@
 import socket
 
 from locktide.config.start import Address
-from locktide.net.client_connection import LINGER_FOR, ClientConnection, Desk, Peer
-from locktide.net.descriptors import DescriptorBudget, read_first
-from locktide.net.log import Log
-from locktide.net.streams import Inlet
-from locktide.net.system import Real, System
+from locktide.transport.client_connection import LINGER_FOR, ClientConnection, Desk, Peer
+from locktide.transport.descriptor_budget import DescriptorBudget, read_first
+from locktide.transport.log import Log
+from locktide.transport.streams import Inlet
+from locktide.transport.system import Real, System
 
 BACKLOG = 1024
 # The part of the places that no waiting client may hold, so that workers can always call back and readiness
--- a/locktide/net/streams.py
+++ b/locktide/transport/streams.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from locktide.protocol.exchange import Exchange, Reply
+from locktide.protocol.client_connection import Exchange, Reply
 
 READ = 65536
 
--- a/locktide/net/workers.py
+++ b/locktide/transport/upstream_pool.py
@@ -6,10 +6,10 @@
 from collections.abc import Callable
 
 from locktide.config.start import Address, spelled
-from locktide.dispatch import interface as say
-from locktide.net.descriptors import DescriptorBudget
-from locktide.net.streams import CountedReader, Outlet, open_counted, reply_on
-from locktide.protocol.exchange import Broken, Exchange, Question, Reply
+from locktide.protocol.client_connection import Broken, Exchange, Question, Reply
+from locktide.scheduler import interface as say
+from locktide.transport.descriptor_budget import DescriptorBudget
+from locktide.transport.streams import CountedReader, Outlet, open_counted, reply_on
 
 # Seconds in which a connection carries no further question after a reply that ended one. A worker may tell a
 # reply twice, some milliseconds apart: the second was read as that to the next question, and a job that runs
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -14,14 +14,15 @@
 from typing import Any
 
 from locktide.config import start
-from locktide.dispatch import interface as say
-from locktide.dispatch.rules import Dispatcher
-from locktide.net.client_connection import Answer
-from locktide.net.log import Log
-from locktide.node.node import Node
-from locktide.protocol import clients, discovery
+from locktide.dispatcher.dispatcher import Node
+from locktide.protocol import discovery
 from locktide.protocol import names as wire_names
-from locktide.protocol.exchange import Question, Reply
+from locktide.protocol import server_connection as clients
+from locktide.protocol.client_connection import Question, Reply
+from locktide.scheduler import interface as say
+from locktide.scheduler.policy import Dispatcher
+from locktide.transport.client_connection import Answer
+from locktide.transport.log import Log
 
 STEP, SLACK, GRACE = 4_000, 16_000, 250_000
 GRADES = [
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -15,12 +15,12 @@
 from helpers import GRADES, call, submit, terms
 
 from locktide.config import start
-from locktide.dispatch import interface as say
-from locktide.net.log import Log
-from locktide.node.node import Node
+from locktide.dispatcher.dispatcher import Node
 from locktide.protocol import discovery
-from locktide.virtual.loop import VirtualLoop
-from locktide.virtual.net import Net
+from locktide.scheduler import interface as say
+from locktide.simulation.virtual_time.loop import VirtualLoop
+from locktide.simulation.virtual_time.network import Net
+from locktide.transport.log import Log
 
 HERE = ("d", 70)
 WAY = 0.001  # seconds that bytes take each way
--- a/tests/test_accord.py
+++ b/tests/test_accord.py
@@ -9,15 +9,24 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from locktide.accord import words
-from locktide.accord.agent import Agent
-from locktide.accord.budgets import bucket, candidate, divide, elector, giver, holder, purse, spans
-from locktide.accord.members import swim, table
-from locktide.accord.words import Grant, Lead, Ping, Row, Said, Whole, pack, unpack
-from locktide.dispatch.sums import Chance
-from locktide.rehearse.accord import days, search
-from locktide.rehearse.accord.meter import Meter
-from locktide.rehearse.accord.world import World
+from locktide.cluster import messages as words
+from locktide.cluster.election import acceptor as elector
+from locktide.cluster.election import proposer as candidate
+from locktide.cluster.member import Agent
+from locktide.cluster.membership import member_table as table
+from locktide.cluster.membership import swim
+from locktide.cluster.messages import Grant, Lead, Ping, Row, Said, Whole, pack, unpack
+from locktide.cluster.quota import allocation as divide
+from locktide.cluster.quota import allocator as giver
+from locktide.cluster.quota import lease_holder as holder
+from locktide.cluster.quota import lease_timing as spans
+from locktide.cluster.quota import local_quota as purse
+from locktide.cluster.quota import token_bucket as bucket
+from locktide.scheduler.estimators import Chance
+from locktide.simulation.cluster import model_checking as search
+from locktide.simulation.cluster import random_runs as days
+from locktide.simulation.cluster.quota_checker import Meter
+from locktide.simulation.cluster.virtual_cluster import World
 
 HERE = ("127.0.0.1", 9000)
 SECOND = 1_000_000
--- a/tests/test_accord_ledger.py
+++ b/tests/test_accord_ledger.py
@@ -10,14 +10,14 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from locktide.accord.ledger import book as book_module
-from locktide.accord.ledger import ledger as ledger_module
-from locktide.accord.ledger.book import CAPACITY, Book, capacity_of, totals
-from locktide.accord.ledger.filling import ONE, dominant, fill
-from locktide.accord.ledger.holdings import Holdings
-from locktide.accord.words import Entry, Group
-from locktide.dispatch import interface as say
-from locktide.rehearse.accord.fair import Fair, solved
+from locktide.cluster.fairness import ledger as ledger_module
+from locktide.cluster.fairness import replicated_ledger as book_module
+from locktide.cluster.fairness.dominant_share import ONE, dominant, fill
+from locktide.cluster.fairness.replicated_ledger import CAPACITY, Book, capacity_of, totals
+from locktide.cluster.fairness.usage import Holdings
+from locktide.cluster.messages import Entry, Group
+from locktide.scheduler import interface as say
+from locktide.simulation.cluster.fairness_runs import Fair, solved
 
 SECOND = 1_000_000
 
--- a/tests/test_accord_lending.py
+++ b/tests/test_accord_lending.py
@@ -8,12 +8,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from locktide.accord.budgets import holder, purse
-from locktide.accord.budgets.purse import Budget
-from locktide.accord.lending.broker import QUIET, Broker, fill, match
-from locktide.rehearse.accord import idle
-from locktide.rehearse.accord.meter import Meter
-from locktide.rehearse.accord.world import World
+from locktide.cluster.borrowing.loan_allocator import QUIET, Broker, fill, match
+from locktide.cluster.quota import lease_holder as holder
+from locktide.cluster.quota import local_quota as purse
+from locktide.cluster.quota.local_quota import Budget
+from locktide.simulation.cluster import borrowing_runs as idle
+from locktide.simulation.cluster.quota_checker import Meter
+from locktide.simulation.cluster.virtual_cluster import World
 
 SECOND = 1_000_000
 AMOUNTS = st.dictionaries(st.integers(0, 9), st.integers(1, 10**9), max_size=6)
--- a/tests/test_accord_members.py
+++ b/tests/test_accord_members.py
@@ -4,12 +4,12 @@
 
 import pytest
 
-from locktide.accord.members.suspicion import PERIOD
-from locktide.accord.members.swim import WHOLE_EVERY, Address, Swim
-from locktide.accord.members.table import DEAD
-from locktide.accord.words import VERSION, Ping, Row, Said, Whole
-from locktide.dispatch.sums import Chance
-from locktide.rehearse.accord import days
+from locktide.cluster.membership.member_table import DEAD
+from locktide.cluster.membership.suspicion import PERIOD
+from locktide.cluster.membership.swim import WHOLE_EVERY, Address, Swim
+from locktide.cluster.messages import VERSION, Ping, Row, Said, Whole
+from locktide.scheduler.estimators import Chance
+from locktide.simulation.cluster import random_runs as days
 
 
 def member(name: str, start: int = 1, port: int = 0) -> Swim:
--- a/tests/test_accord_processes.py
+++ b/tests/test_accord_processes.py
@@ -15,16 +15,16 @@
 from helpers import Checked, HandPlayed, submission
 from helpers import terms as terms_of
 
-from locktide.accord.budgets.purse import Budget
-from locktide.accord.driver import open_driver
-from locktide.accord.terms import Terms
-from locktide.accord.words import Look, pack, unpack
+from locktide.cluster.config import Terms
+from locktide.cluster.messages import Look, pack, unpack
+from locktide.cluster.quota.local_quota import Budget
+from locktide.cluster.udp_transport import open_driver
 from locktide.config import installation
 from locktide.config.typed import Faults
-from locktide.dispatch import interface as say
-from locktide.rehearse.accord import processes
-from locktide.rehearse.accord.processes import Processes, free_port
-from locktide.rehearse.accord.world import World
+from locktide.scheduler import interface as say
+from locktide.simulation.cluster import processes
+from locktide.simulation.cluster.processes import Processes, free_port
+from locktide.simulation.cluster.virtual_cluster import World
 
 HERE = Path(__file__).parents[1]
 
@@ -42,7 +42,7 @@
     program = (
         "-c",
         (
-            "from locktide.accord.budgets import giver\n"
+            "from locktide.cluster.quota import giver\n"
             "giver.Giver.part = lambda self, who, budget, held, steps, now: self.movable[budget]\n"
             "from locktide.cli.main import main; main()"
         ),
@@ -106,7 +106,7 @@
 
 
 def test_nobody_but_loopback_is_shown_anything() -> None:
-    from locktide.accord.driver import Driver
+    from locktide.cluster.udp_transport import Driver
 
     sent: list[bytes] = []
 
@@ -168,7 +168,7 @@
 def test_off_nothing_of_it_is_imported(tmp_path: Path) -> None:
     code = (
         "import sys, locktide.__main__, locktide.cli.serve\n"
-        "print([name for name in sys.modules if name.startswith('locktide.accord')])"
+        "print([name for name in sys.modules if name.startswith('locktide.cluster')])"
     )
     told = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, cwd=HERE)
     assert told.stdout.strip() == "[]"
--- a/tests/test_accord_rehearse.py
+++ b/tests/test_accord_rehearse.py
@@ -10,18 +10,20 @@
 import msgspec
 import pytest
 
-from locktide.accord.budgets import giver
+from locktide.cluster.quota import allocator as giver
 from locktide.config.typed import Faults
-from locktide.fleet import script as scripts
-from locktide.fleet import traffic
-from locktide.rehearse import agreed, outcome, play
+from locktide.simulation import cluster_report as agreed
+from locktide.simulation import outcome
+from locktide.simulation import run as play
+from locktide.simulation.model import scenario as scripts
+from locktide.simulation.model import traffic
 
 HERE = Path(__file__).parents[1]
-SHIPPED = sorted((HERE / "deploy" / "rehearsals").glob("accord-*.toml"))
+SHIPPED = sorted((HERE / "deploy" / "scenarios").glob("accord-*.toml"))
 
 
 def shorter(name: str, **changes: Any) -> scripts.Script:
-    told = scripts.load(HERE / "deploy" / "rehearsals" / f"{name}.toml")
+    told = scripts.load(HERE / "deploy" / "scenarios" / f"{name}.toml")
     incidents = [msgspec.structs.replace(one, at=one.at / 2, length=one.length / 2) for one in told.incident]
     return msgspec.structs.replace(told, length=told.length / 3, incident=incidents[:3], **changes)
 
@@ -62,7 +64,7 @@
 
 
 def test_tenants_are_dealt_by_their_shares_their_homes_and_their_idle_times() -> None:
-    script = scripts.load(HERE / "deploy" / "rehearsals" / "accord-lend.toml")
+    script = scripts.load(HERE / "deploy" / "scenarios" / "accord-lend.toml")
     asks = traffic.draw(script)
     names = [ask.tenant for ask in asks]
     assert set(names) == {"dairy", "goats", "sheep"} and names.count("dairy") > 3 * names.count("goats")
@@ -81,7 +83,7 @@
     ],
 )
 def test_a_faulty_tenant_names_its_key(change: tuple[str, str], key: str) -> None:
-    text = (HERE / "deploy" / "rehearsals" / "accord-lend.toml").read_text()
+    text = (HERE / "deploy" / "scenarios" / "accord-lend.toml").read_text()
     assert change[0] in text
     with pytest.raises(Faults) as found:
         scripts.parse(text.replace(*change))
--- a/tests/test_bound.py
+++ b/tests/test_bound.py
@@ -10,13 +10,14 @@
 import pytest
 from helpers import GRADES, Checked, listed, submission, terms
 
+from locktide.bench_adapter import wire
 from locktide.config import installation, settings, start
 from locktide.config.checks import Faulty, Table
-from locktide.dispatch import interface as say
-from locktide.net.log import Log
-from locktide.node.node import Node
-from locktide.protocol import clients, discovery
-from locktide.simhost import wire
+from locktide.dispatcher.dispatcher import Node
+from locktide.protocol import discovery
+from locktide.protocol import server_connection as clients
+from locktide.scheduler import interface as say
+from locktide.transport.log import Log
 
 
 def bound(hang_up: int = 0, **where: Any) -> tuple[Any, ...]:
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -7,14 +7,14 @@
 
 import pytest
 
-from locktide.dispatch import interface as say
-from locktide.fleet import script
-from locktide.fleet.script import Script
-from locktide.node import node as node_module
-from locktide.node import records
-from locktide.rehearse import outcome
-from locktide.rehearse import told as told_module
-from locktide.rehearse.play import in_virtual_time
+from locktide.dispatcher import dispatcher as node_module
+from locktide.dispatcher import records
+from locktide.scheduler import interface as say
+from locktide.simulation import outcome
+from locktide.simulation import rendered_config as told_module
+from locktide.simulation.model import scenario as script
+from locktide.simulation.model.scenario import Script
+from locktide.simulation.run import in_virtual_time
 
 QUIET = """
 name = "broken"
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -10,9 +10,9 @@
 import pytest
 from helpers import listed
 
-from locktide.dispatch import interface as say
-from locktide.dispatch.rules import Dispatcher
-from locktide.node.node import COLD_MARGIN
+from locktide.dispatcher.dispatcher import COLD_MARGIN
+from locktide.scheduler import interface as say
+from locktide.scheduler.policy import Dispatcher
 
 STEP, SLOTS, SPAN, WAY = 4_000, 3, 12_000_000, 3_000
 SPEEDS = (1.5, 1.0, 0.6)  # of the kinds
--- a/tests/test_datagram_bytes.py
+++ b/tests/test_datagram_bytes.py
@@ -14,16 +14,16 @@
 
 import pytest
 
-from locktide.accord import words
-from locktide.accord.agent import Agent
-from locktide.accord.budgets.purse import Budget
-from locktide.accord.driver import look, open_driver
-from locktide.accord.ledger.book import Book
-from locktide.accord.ledger.ledger import Terms as LedgerTerms
-from locktide.accord.seen import seen
-from locktide.accord.terms import Terms
-from locktide.accord.words import Entry, Row, pack, unpack
-from locktide.rehearse.accord.processes import free_port
+from locktide.cluster import messages as words
+from locktide.cluster.config import Terms
+from locktide.cluster.fairness.ledger import Terms as LedgerTerms
+from locktide.cluster.fairness.replicated_ledger import Book
+from locktide.cluster.inspection import seen
+from locktide.cluster.member import Agent
+from locktide.cluster.messages import Entry, Row, pack, unpack
+from locktide.cluster.quota.local_quota import Budget
+from locktide.cluster.udp_transport import look, open_driver
+from locktide.simulation.cluster.processes import free_port
 
 SENDER = ("d0", 1_700_000_000_000_001)
 BALLOT, LATER = (3, "d1", 7), (2**40, "d2", 8)
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -20,18 +20,22 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from locktide.cli.jobs import told
-from locktide.dispatch import interface as say
-from locktide.dispatch.rules import Dispatcher
-from locktide.durable import frames, journal, leases, records, recovery
+from locktide.durable import leases, recovery
 from locktide.durable.disk import Folder, Taken
 from locktide.durable.jobs import Table
-from locktide.durable.journal import Damaged, Found, Journal, Unwritable
-from locktide.durable.records import Accepted, Began, Ended, Finished, Leased
+from locktide.durable.log import framing as frames
+from locktide.durable.log import records
+from locktide.durable.log import write_ahead_log as journal
+from locktide.durable.log.records import Accepted, Began, Ended, Finished, Leased
+from locktide.durable.log.write_ahead_log import Damaged, Found, Journal, Unwritable
 from locktide.durable.recovery import End, Moment, Resume, Span
-from locktide.fleet import rough, script
-from locktide.rehearse.play import Troubled, in_virtual_time, on_loopback
-from locktide.virtual.disk import Platter
-from locktide.virtual.loop import VirtualLoop
+from locktide.scheduler import interface as say
+from locktide.scheduler.policy import Dispatcher
+from locktide.simulation.model import random_scenario as rough
+from locktide.simulation.model import scenario as script
+from locktide.simulation.run import Troubled, in_virtual_time, on_loopback
+from locktide.simulation.virtual_time.disk import Platter
+from locktide.simulation.virtual_time.loop import VirtualLoop
 
 S = 1_000_000
 HERE = Path(__file__).resolve().parents[1]
@@ -128,7 +132,7 @@
 import sys
 from pathlib import Path
 from locktide.durable.disk import Folder
-from locktide.durable.journal import Journal
+from locktide.durable.log.write_ahead_log import Journal
 Journal(Folder(Path(sys.argv[1])), 1).open()
 """
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -13,14 +13,14 @@
 from helpers import GRADES, Checked, Clerk, HandPlayed, call, free_address, listed, submission, submit, terms
 
 from locktide.config.start import Start
-from locktide.dispatch import interface as say
-from locktide.net.client_connection import Answer, Peer, State
-from locktide.net.descriptors import DescriptorBudget
-from locktide.net.log import Log
-from locktide.net.server import Server
-from locktide.net.watch import WAIT_MS
-from locktide.net.workers import SPOILT, WorkerConnection, WorkerConnections
-from locktide.protocol.exchange import Question, Reply
+from locktide.protocol.client_connection import Question, Reply
+from locktide.scheduler import interface as say
+from locktide.transport.client_connection import Answer, Peer, State
+from locktide.transport.descriptor_budget import DescriptorBudget
+from locktide.transport.endpoint_watch import WAIT_MS
+from locktide.transport.listener import Server
+from locktide.transport.log import Log
+from locktide.transport.upstream_pool import SPOILT, WorkerConnection, WorkerConnections
 
 
 def reset(client: socket.socket) -> None:
@@ -179,7 +179,7 @@
 
 
 def test_a_lingering_connection_ends_in_its_time(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("locktide.net.server.LINGER_FOR", 0.05)
+    monkeypatch.setattr("locktide.transport.listener.LINGER_FOR", 0.05)
 
     async def story(server: Server, clerk: Clerk, address: Any) -> None:
         client = socket.create_connection(address)  # rests, and never ends its side
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -9,12 +9,15 @@
 from hypothesis import strategies as st
 
 from locktide.config.typed import Faults
-from locktide.fleet import chance, rough, script, traffic
-from locktide.fleet.network import CLIENT, DISPATCHER, WORKER, Links, Machine
-from locktide.fleet.roster import ACTIVE, LEAVING, LEFT, Agent, Entry
-from locktide.fleet.script import Incident, Network, Script
-from locktide.fleet.traffic import Ask, Front, Try
-from locktide.fleet.worker import DONE, FULL, RETURNED, STARTED, TAKEN, Job, Pod, Terms, Worker
+from locktide.simulation.model import random_scenario as rough
+from locktide.simulation.model import random_streams as chance
+from locktide.simulation.model import scenario as script
+from locktide.simulation.model import traffic
+from locktide.simulation.model.discovery import ACTIVE, LEAVING, LEFT, Agent, Entry
+from locktide.simulation.model.network import CLIENT, DISPATCHER, WORKER, Links, Machine
+from locktide.simulation.model.scenario import Incident, Network, Script
+from locktide.simulation.model.traffic import Ask, Front, Try
+from locktide.simulation.model.worker import DONE, FULL, RETURNED, STARTED, TAKEN, Job, Pod, Terms, Worker
 
 S = 1_000_000
 TERMS = Terms(2, 1.0, 4, 0.25, 4 * S, 4.0, 2 * S, S, "queued", True)
--- a/tests/test_hostile.py
+++ b/tests/test_hostile.py
@@ -12,11 +12,12 @@
 
 from locktide.config import start
 from locktide.config.checks import Faulty
-from locktide.net import watch as watch_module
-from locktide.net.descriptors import DescriptorBudget
-from locktide.net.workers import WorkerConnections
-from locktide.protocol import clients, discovery
-from locktide.protocol.exchange import Question, Reply
+from locktide.protocol import discovery
+from locktide.protocol import server_connection as clients
+from locktide.protocol.client_connection import Question, Reply
+from locktide.transport import endpoint_watch as watch_module
+from locktide.transport.descriptor_budget import DescriptorBudget
+from locktide.transport.upstream_pool import WorkerConnections
 
 
 def entry(worker: str, **changed: Any) -> dict[str, Any]:
--- a/tests/test_light.py
+++ b/tests/test_light.py
@@ -37,9 +37,9 @@
     assert {name.split(".")[1] for name in parts} <= {
         "__main__",
         "config",
-        "dispatch",
-        "net",
-        "node",
+        "dispatcher",
+        "scheduler",
+        "transport",
         "protocol",
     }
     assert "locktide.config.typed" not in loaded and "locktide.config.installation" not in loaded
@@ -47,7 +47,11 @@
 
 def test_serving_by_a_file_loads_nothing_of_rehearsals() -> None:
     asked = subprocess.run(
-        [sys.executable, "-c", "import sys, locktide.cli.serve, locktide.durable.start; print(*sys.modules)"],
+        [
+            sys.executable,
+            "-c",
+            "import sys, locktide.cli.serve, locktide.durable.bootstrap; print(*sys.modules)",
+        ],
         capture_output=True,
         text=True,
         check=True,
@@ -55,4 +59,4 @@
     loaded = {name.partition(".")[0] for name in asked.stdout.split()}
     assert not loaded & {"numpy", "matplotlib", "hdrh"}
     parts = {".".join(name.split(".")[:2]) for name in asked.stdout.split()}
-    assert not parts & {"locktide.fleet", "locktide.rehearse", "locktide.virtual"}
+    assert not parts & {"locktide.simulation"}
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -12,15 +12,15 @@
 from helpers import submission as submission_of
 
 from locktide.config import start
-from locktide.dispatch import interface as say
-from locktide.dispatch.rules import Dispatcher
-from locktide.fleet import script
-from locktide.fleet.roster import Calls
-from locktide.net import watch as watch_module
-from locktide.net.log import Log
-from locktide.net.watch import Watch
 from locktide.protocol import discovery, names
-from locktide.rehearse.play import in_virtual_time
+from locktide.scheduler import interface as say
+from locktide.scheduler.policy import Dispatcher
+from locktide.simulation.model import scenario as script
+from locktide.simulation.model.discovery import Calls
+from locktide.simulation.run import in_virtual_time
+from locktide.transport import endpoint_watch as watch_module
+from locktide.transport.endpoint_watch import Watch
+from locktide.transport.log import Log
 
 
 @pytest.mark.parametrize("told_within", [0, 6_000_000])
@@ -291,7 +291,7 @@
 
 
 def test_a_stop_while_discovery_says_nothing_finishes_what_was_taken(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("locktide.node.node.ACCEPT_ON", 0.02)
+    monkeypatch.setattr("locktide.dispatcher.dispatcher.ACCEPT_ON", 0.02)
 
     async def run() -> None:
         player, heard, stop = told_to_ask(), [], asyncio.Event()
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -14,9 +14,9 @@
 import pytest
 from helpers import COLD, GRADES, STEP, Checked, begin, call, listed, submit, terms
 
-from locktide.dispatch import interface as say
-from locktide.node.node import Node
-from locktide.protocol import clients
+from locktide.dispatcher.dispatcher import Node
+from locktide.protocol import server_connection as clients
+from locktide.scheduler import interface as say
 
 # --- ratings that follow load ---------------------------------------------------------------------------
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -10,10 +10,10 @@
 import pytest
 from helpers import HandPlayed, submission
 
-from locktide.dispatch import interface as say
-from locktide.net.client_connection import Answer
-from locktide.net.descriptors import DescriptorBudget
-from locktide.net.log import BURST, Log
+from locktide.scheduler import interface as say
+from locktide.transport.client_connection import Answer
+from locktide.transport.descriptor_budget import DescriptorBudget
+from locktide.transport.log import BURST, Log
 
 
 def played(story: Callable[[HandPlayed], Awaitable[None]]) -> None:
@@ -250,7 +250,7 @@
 
 
 def test_a_reply_that_never_comes_is_not_waited_for_without_end(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("locktide.node.dispatches.LAST_REPLY", 0.02)
+    monkeypatch.setattr("locktide.dispatcher.attempts.LAST_REPLY", 0.02)
 
     async def story(play: HandPlayed) -> None:
         play.node.submitted(submission("a", patience=200_000))
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -9,13 +9,13 @@
 from hypothesis import strategies as st
 from rig import play
 
-from locktide.dispatch import interface as say
-from locktide.net.client_connection import ClientConnection
-from locktide.net.descriptors import DescriptorBudget
-from locktide.net.workers import WorkerConnections
-from locktide.node import dispatches
-from locktide.node.base import Base
-from locktide.node.roster import Roster
+from locktide.dispatcher import attempts as dispatches
+from locktide.dispatcher.base import Base
+from locktide.dispatcher.endpoints import Roster
+from locktide.scheduler import interface as say
+from locktide.transport.client_connection import ClientConnection
+from locktide.transport.descriptor_budget import DescriptorBudget
+from locktide.transport.upstream_pool import WorkerConnections
 
 KINDS = [
     "view",
--- a/tests/test_parsed_values.py
+++ b/tests/test_parsed_values.py
@@ -19,20 +19,21 @@
 import msgspec
 import pytest
 
-from locktide.accord.budgets.purse import Budget
-from locktide.accord.ledger.ledger import Terms as LedgerTerms
-from locktide.accord.start import terms as accord_terms
-from locktide.accord.terms import Terms as AccordTerms
+from locktide.bench_adapter import wire
+from locktide.cluster.bootstrap import terms as accord_terms
+from locktide.cluster.config import Terms as AccordTerms
+from locktide.cluster.fairness.ledger import Terms as LedgerTerms
+from locktide.cluster.quota.local_quota import Budget
 from locktide.config import accord, installation, start
 from locktide.config.checks import Table
-from locktide.dispatch import interface as program
-from locktide.durable.desk import Terms as JobTerms
+from locktide.durable.bootstrap import terms as durable_terms
+from locktide.durable.job_service import Terms as JobTerms
 from locktide.durable.leases import Terms as LeaseTerms
-from locktide.durable.start import terms as durable_terms
-from locktide.fleet import script, tenants
 from locktide.protocol import discovery
-from locktide.rehearse import told
-from locktide.simhost import wire
+from locktide.scheduler import interface as program
+from locktide.simulation import rendered_config as told
+from locktide.simulation.model import scenario as script
+from locktide.simulation.model import tenants
 
 ROOT = Path(__file__).resolve().parents[1]
 DATA = Path(__file__).parent / "data" / "parsed"
@@ -41,7 +42,7 @@
 # --- translation: the only part that knows the program's names
 
 SHIPPED_INSTALLATION = ROOT / "deploy" / "locktide.toml"
-SHIPPED_SCENARIOS = ROOT / "deploy" / "rehearsals"
+SHIPPED_SCENARIOS = ROOT / "deploy" / "scenarios"
 
 # Of each class a stable tag and its fields, in a stable order, as LABEL or, once renamed, LABEL=ATTRIBUTE.
 SHAPES: dict[type, tuple[str, str]] = {
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -12,9 +12,11 @@
 
 from locktide.config import start
 from locktide.config.checks import Faulty
-from locktide.dispatch import interface as say
-from locktide.protocol import clients, discovery, workers
-from locktide.protocol.exchange import Broken, Exchange, Question, Reply
+from locktide.protocol import discovery
+from locktide.protocol import server_connection as clients
+from locktide.protocol import worker_messages as workers
+from locktide.protocol.client_connection import Broken, Exchange, Question, Reply
+from locktide.scheduler import interface as say
 
 GRADES, NUMBERED = {"view": 6_000_000, "record": 6_000_000}, ("record",)
 
--- a/tests/test_recorded_decisions.py
+++ b/tests/test_recorded_decisions.py
@@ -17,10 +17,10 @@
 
 import pytest
 
-from locktide.dispatch import interface as program
-from locktide.dispatch.interface import news as event_module
-from locktide.dispatch.interface import orders as command_module
-from locktide.dispatch.rules import Dispatcher
+from locktide.scheduler import commands as command_module
+from locktide.scheduler import events as event_module
+from locktide.scheduler import interface as program
+from locktide.scheduler.policy import Dispatcher
 
 # --- translation: the only part that knows the program's names
 
--- a/tests/test_rehearse.py
+++ b/tests/test_rehearse.py
@@ -17,17 +17,18 @@
 from click.testing import CliRunner
 
 from locktide.cli.main import main
-from locktide.cli.rehearse import seeds_of
+from locktide.cli.simulate import seeds_of
 from locktide.config import installation
 from locktide.config.typed import Faults
-from locktide.dispatch import interface as say
-from locktide.fleet import rough, script
-from locktide.rehearse import compare, plots
-from locktide.rehearse.loopback import Loopback
-from locktide.rehearse.play import in_virtual_time, on_loopback, with_seed
+from locktide.scheduler import interface as say
+from locktide.simulation import compare, plots
+from locktide.simulation.model import random_scenario as rough
+from locktide.simulation.model import scenario as script
+from locktide.simulation.process_backend import Loopback
+from locktide.simulation.run import in_virtual_time, on_loopback, with_seed
 
 HERE = Path(__file__).resolve().parents[1]
-SCRIPTS = sorted((HERE / "deploy" / "rehearsals").glob("*.toml"))
+SCRIPTS = sorted((HERE / "deploy" / "scenarios").glob("*.toml"))
 SHORT = """
 name = "short"
 length = 5.0
@@ -95,7 +96,7 @@
 
 
 def test_a_seed_gives_the_same_bytes_under_every_hash_seed(short: Path) -> None:
-    words = ("rehearse", str(short), "--host", "virtual", "--json")
+    words = ("simulate", str(short), "--host", "virtual", "--json")
     first, second = (command(*words, PYTHONHASHSEED=seed) for seed in ("1", "4711"))
     assert first.returncode == second.returncode == 0, first.stderr
     assert first.stdout == second.stdout and json.loads(first.stdout)["jobs"] > 20
@@ -154,7 +155,7 @@
     folder = tmp_path / "locktide-interrupted"
     folder.mkdir()
     process = subprocess.Popen(
-        [sys.executable, "-m", "locktide.cli.main", "rehearse", str(long), "--json"],
+        [sys.executable, "-m", "locktide.cli.main", "simulate", str(long), "--json"],
         cwd=HERE,
         stdout=subprocess.PIPE,
         stderr=subprocess.PIPE,
@@ -206,7 +207,7 @@
 def test_a_faulty_script_starts_nothing(tmp_path: Path) -> None:
     path = tmp_path / "bad.toml"
     path.write_text("lenght = 4\n[[incident]]\nat = -1.0\nwhat = 'kil'\n")
-    done = command("rehearse", str(path))
+    done = command("simulate", str(path))
     assert done.returncode == 2 and not done.stdout
     keys = [line.split(": ")[2] for line in done.stderr.splitlines()]
     assert keys == ["lenght", "incident[0].at", "incident[0].what"]
@@ -214,9 +215,9 @@
 
 def test_arguments_that_make_no_sense_are_refused() -> None:
     run = CliRunner().invoke
-    assert run(main, ["rehearse", "--seeds", "3-x"]).exit_code == 2
-    assert run(main, ["rehearse", "--random", "x.toml"]).exit_code == 2
-    assert run(main, ["rehearse", "nowhere.toml"]).exit_code == 2
+    assert run(main, ["simulate", "--seeds", "3-x"]).exit_code == 2
+    assert run(main, ["simulate", "--random", "x.toml"]).exit_code == 2
+    assert run(main, ["simulate", "nowhere.toml"]).exit_code == 2
     assert run(main, ["check"]).exit_code == 2
     assert run(main, ["serve", "nowhere.toml"]).exit_code == 2
     assert seeds_of("1,4-6,4") == [1, 4, 5, 6]
@@ -241,7 +242,7 @@
     done = CliRunner().invoke(
         main,
         [
-            "rehearse",
+            "simulate",
             str(short),
             "--against",
             str(worse),
@@ -282,7 +283,7 @@
 
 
 def test_the_embedded_rehearsal_is_the_shipped_one() -> None:
-    assert script.load(HERE / "deploy" / "rehearsals" / "overlap.toml") == script.embedded()
+    assert script.load(HERE / "deploy" / "scenarios" / "overlap.toml") == script.embedded()
     assert len(SCRIPTS) >= 10
 
 
@@ -368,8 +369,18 @@
 
 
 def test_the_shape_of_a_day_follows_a_recorded_incident() -> None:
-    chosen = script.load(HERE / "deploy" / "rehearsals" / "two-restarts.toml")
+    chosen = script.load(HERE / "deploy" / "scenarios" / "two-restarts.toml")
     days = [in_virtual_time(with_seed(chosen, seed)).told["windows_5s"] for seed in range(1, 6)]
     shape = np.mean(days, axis=0)
     assert np.corrcoef(shape, RECORDED)[0, 1] >= LEAST_CORRELATION
     assert np.abs(shape - RECORDED).max() <= LARGEST_DIFFERENCE
+
+
+@pytest.mark.parametrize("old, new", [("rehearse", "simulate"), ("accord", "cluster")])
+def test_a_former_command_name_is_accepted_and_not_listed(old: str, new: str) -> None:
+    run = CliRunner().invoke
+    listed = run(main, ["--help"]).stdout
+    assert new in listed and f"\n  {old}" not in listed
+    by_old_name = run(main, [old, "--help"])
+    assert by_old_name.exit_code == 0
+    assert by_old_name.stdout == run(main, [new, "--help"]).stdout.replace(f"main {new}", f"main {old}")
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -7,9 +7,9 @@
 import pytest
 from helpers import GRADES, STEP, Checked, listed, terms
 
-from locktide.dispatch import interface as say
-from locktide.dispatch.rules import Dispatcher
-from locktide.dispatch.sums import Chance
+from locktide.scheduler import interface as say
+from locktide.scheduler.estimators import Chance
+from locktide.scheduler.policy import Dispatcher
 
 OUTCOMES = [
     say.DONE,
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -11,15 +11,15 @@
 import pytest
 from helpers import GRADES, TAKEN, Clerk, call, free_address, submit
 
-from locktide.dispatch import interface as say
-from locktide.net import watch
-from locktide.net.client_connection import Peer, State
-from locktide.net.descriptors import DescriptorBudget
-from locktide.net.log import Log
-from locktide.net.server import Server
-from locktide.net.workers import SPOILT, WorkerConnections
 from locktide.protocol import discovery, names
-from locktide.protocol.exchange import Question, Reply
+from locktide.protocol.client_connection import Question, Reply
+from locktide.scheduler import interface as say
+from locktide.transport import endpoint_watch as watch
+from locktide.transport.client_connection import Peer, State
+from locktide.transport.descriptor_budget import DescriptorBudget
+from locktide.transport.listener import Server
+from locktide.transport.log import Log
+from locktide.transport.upstream_pool import SPOILT, WorkerConnections
 
 
 async def line_to(
@@ -181,7 +181,7 @@
 
 
 def test_a_client_that_closes_has_gone_and_half_a_message_is_a_408(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("locktide.net.client_connection.WHOLE_WITHIN", 0.02)
+    monkeypatch.setattr("locktide.transport.client_connection.WHOLE_WITHIN", 0.02)
 
     async def run() -> None:
         clerk = Clerk()
@@ -215,7 +215,7 @@
 def test_a_silent_or_dripping_newcomer_is_closed_and_a_kept_connection_is_not(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr("locktide.net.client_connection.WHOLE_WITHIN", 0.1)
+    monkeypatch.setattr("locktide.transport.client_connection.WHOLE_WITHIN", 0.1)
 
     async def run() -> None:
         server, address = await listening_to(Clerk())
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -19,11 +19,14 @@
 import pytest
 
 from locktide.cli.jobs import told
-from locktide.dispatch import interface as say
-from locktide.durable import frames, journal, leases, records, recovery
+from locktide.durable import leases, recovery
 from locktide.durable.disk import Folder
 from locktide.durable.jobs import Job, Table
-from locktide.durable.journal import Found, Journal
+from locktide.durable.log import framing as frames
+from locktide.durable.log import records
+from locktide.durable.log import write_ahead_log as journal
+from locktide.durable.log.write_ahead_log import Found, Journal
+from locktide.scheduler import interface as say
 
 STORED = Path(__file__).parent / "data" / "durable_journal"
 # Unix microseconds at which the first process began. Times in the tables below are relative to it.
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -9,11 +9,11 @@
 import pytest
 from helpers import HandPlayed, begin, free_address, submit
 
-from locktide.dispatch import interface as say
-from locktide.net import watch
-from locktide.net.log import Log
-from locktide.net.watch import Watch
 from locktide.protocol import discovery
+from locktide.scheduler import interface as say
+from locktide.transport import endpoint_watch as watch
+from locktide.transport.endpoint_watch import Watch
+from locktide.transport.log import Log
 
 
 def indented(version: int, whole: bool, *workers: str) -> bytes:
--- a/tests/test_virtual.py
+++ b/tests/test_virtual.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from locktide.virtual.loop import Stuck, VirtualLoop
-from locktide.virtual.net import Net
-from locktide.virtual.process import Process
+from locktide.simulation.virtual_time.loop import Stuck, VirtualLoop
+from locktide.simulation.virtual_time.network import Net
+from locktide.simulation.virtual_time.process import Process
 
 
 class Wires:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -9,8 +9,9 @@
 
 import pytest
 
-from locktide.dispatch import interface as say
-from locktide.simhost import host, wire
+from locktide.bench_adapter import adapter as host
+from locktide.bench_adapter import wire
+from locktide.scheduler import interface as say
 
 SETTINGS = json.dumps(
     {
@@ -76,7 +77,7 @@
     ],
 )
 def test_malformed_input_is_one_line_and_exit_two(text: str, said: str) -> None:
-    command = [sys.executable, "-m", "locktide.simhost"]
+    command = [sys.executable, "-m", "locktide.bench_adapter"]
     run = subprocess.run(command, input=text, capture_output=True, text=True)
     assert run.returncode == 2 and run.stdout == ""
     assert run.stderr.startswith(said) and run.stderr.count("\n") == 1
--- a/tests/test_withdrawals.py
+++ b/tests/test_withdrawals.py
@@ -14,12 +14,12 @@
 import pytest
 from helpers import TAKEN, Asked, HandPlayed, free_address, submission, submit, until_serving
 
-from locktide.dispatch import interface as say
-from locktide.fleet import script
-from locktide.node import withdrawals
-from locktide.rehearse.play import in_virtual_time, with_seed
+from locktide.dispatcher import cancellation as withdrawals
+from locktide.scheduler import interface as say
+from locktide.simulation.model import scenario as script
+from locktide.simulation.run import in_virtual_time, with_seed
 
-ZONE_LOST = Path(__file__).parents[1] / "deploy/rehearsals/zone-lost.toml"
+ZONE_LOST = Path(__file__).parents[1] / "deploy/scenarios/zone-lost.toml"
 
 
 async def withdrawn(play: HandPlayed, taken: bool = True) -> Asked:
@@ -196,5 +196,5 @@
     async def gullible(*_: object) -> bool:
         return True
 
-    monkeypatch.setattr("locktide.node.dispatches.give_up", gullible)
+    monkeypatch.setattr("locktide.dispatcher.attempts.give_up", gullible)
     assert in_virtual_time(script.load(ZONE_LOST)).told["rules"]["copies"] > 0
