--- a/locktide/__main__.py
+++ b/locktide/__main__.py
@@ -7,7 +7,7 @@
 import sys
 
 from locktide.config import start
-from locktide.config.checks import Faulty
+from locktide.config.checks import ConfigError
 from locktide.dispatcher.service import hold_back_reload, serve
 from locktide.protocol import discovery
 from locktide.transport.log import Log
@@ -18,7 +18,7 @@
     try:
         told = start.read(os.environ)
         known = discovery.read(told.known, "known")
-    except Faulty as trouble:
+    except ConfigError as trouble:
         print(f"locktide: {trouble}", file=sys.stderr)
         return 2
     try:
--- a/locktide/bench_adapter/adapter.py
+++ b/locktide/bench_adapter/adapter.py
@@ -8,16 +8,17 @@
 from typing import Any, BinaryIO
 
 from locktide.bench_adapter import wire
-from locktide.scheduler import interface as say
-from locktide.scheduler.policy import Dispatcher
+from locktide.scheduler.events import EndpointEntry, EndpointListUpdate
+from locktide.scheduler.policy import Scheduler
+from locktide.scheduler.types import ListUpdateKind
 
 
-class Host:
+class BenchAdapter:
     """Reads batches, hands each instance its news in order, and writes one reply for each batch."""
 
     def __init__(self) -> None:
-        self.instances: dict[int, Dispatcher] = {}
-        self.sheets: dict[int, list[say.Listed]] = {}
+        self.instances: dict[int, Scheduler] = {}
+        self.sheets: dict[int, list[EndpointEntry]] = {}
         self.line_number = 0
 
     def lines(self, source: BinaryIO) -> Iterator[str]:
@@ -63,18 +64,18 @@
             elif message == "UPDATE":
                 instance = self.started(current)
                 kind = wire.one_of(wire.LISTS, fields, "Mode")
-                entries: list[say.Listed] = []
-                if kind != say.LIST_FAILED:
+                entries: list[EndpointEntry] = []
+                if kind != ListUpdateKind.FETCH_FAILED:
                     sheet = wire.integer(fields, "Sheet")
                     if sheet not in self.sheets:
                         raise wire.Malformed(f"expected a Sheet that a DIRECTORY has set up, not {sheet}")
                     entries = self.sheets[sheet]
-                news.setdefault(instance, []).append(say.ListNews(kind, entries))
+                news.setdefault(instance, []).append(EndpointListUpdate(kind, entries))
             elif message == "SPAWN":
                 if current is None:
                     raise wire.Malformed("expected a TO line before SPAWN")
                 terms = wire.terms(fields["Config"])
-                self.instances[current] = Dispatcher(wire.integer(fields, "RngSeed"), *terms)
+                self.instances[current] = Scheduler(wire.integer(fields, "RngSeed"), *terms)
                 news[current] = []
             elif message == "RETIRE":
                 if current is not None:
@@ -102,7 +103,7 @@
 
 
 def main() -> int:
-    host = Host()
+    host = BenchAdapter()
     lines = host.lines(sys.stdin.buffer)
     try:
         for opening in lines:
--- a/locktide/bench_adapter/wire.py
+++ b/locktide/bench_adapter/wire.py
@@ -3,26 +3,58 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Callable
-from typing import Any
+from collections.abc import Callable, Mapping
+from typing import Any, TypeVar
 
 from locktide.config import settings
-from locktide.config.checks import Faulty, Table
-from locktide.scheduler import interface as say
+from locktide.config.checks import ConfigError, Table
+from locktide.scheduler.commands import (
+    CancelAttempt,
+    CloseIdleConnections,
+    FailRequest,
+    FetchEndpoints,
+    RejectRequest,
+    ReportInternalError,
+    SetTimer,
+    StartAttempt,
+    WatchEndpoints,
+)
+from locktide.scheduler.events import (
+    AttemptEnded,
+    AttemptProgressed,
+    AttemptStarted,
+    ClientDisconnected,
+    EndpointEntry,
+    ProbeCompleted,
+    RequestArrived,
+    ResponseStarted,
+    TimerFired,
+)
+from locktide.scheduler.types import AttemptOutcome, EndpointState, ListUpdateKind
 
 Fields = dict[str, str]
+Choice = TypeVar("Choice")
 
-STATES = {"in_service": say.READY, "terminating": say.DRAINING, "terminated": say.GONE}
-LISTS = {"INCREMENTAL": say.CHANGES, "FULL": say.WHOLE, "SAVED": say.REMEMBERED, "FAILED": say.LIST_FAILED}
+STATES = {
+    "in_service": EndpointState.READY,
+    "terminating": EndpointState.DRAINING,
+    "terminated": EndpointState.GONE,
+}
+LISTS = {
+    "INCREMENTAL": ListUpdateKind.DELTA,
+    "FULL": ListUpdateKind.SNAPSHOT,
+    "SAVED": ListUpdateKind.CACHED,
+    "FAILED": ListUpdateKind.FETCH_FAILED,
+}
 OUTCOMES = {
-    "OK": say.DONE,
-    "INTERNAL": say.ERROR,
-    "RESOURCE_EXHAUSTED": say.FULL,
-    "DEADLINE_EXCEEDED": say.TIMED_OUT,
-    "UNAVAILABLE": say.NO_CONNECTION,
-    "ABORTED": say.RESET,
-    "CANCELLED": say.WITHDRAWN,
-    "TOO_LATE": say.NEVER_SENT,
+    "OK": AttemptOutcome.DONE,
+    "INTERNAL": AttemptOutcome.ERROR,
+    "RESOURCE_EXHAUSTED": AttemptOutcome.FULL,
+    "DEADLINE_EXCEEDED": AttemptOutcome.TIMED_OUT,
+    "UNAVAILABLE": AttemptOutcome.NO_CONNECTION,
+    "ABORTED": AttemptOutcome.RESET,
+    "CANCELLED": AttemptOutcome.CANCELLED,
+    "TOO_LATE": AttemptOutcome.NEVER_SENT,
 }
 
 
@@ -84,7 +116,7 @@
         raise Malformed(f"expected the field {name}") from None
 
 
-def one_of(table: dict[str, str], fields: Fields, name: str) -> str:
+def one_of(table: Mapping[str, Choice], fields: Fields, name: str) -> Choice:
     text = word(fields, name)
     try:
         return table[text]
@@ -102,11 +134,11 @@
         raise Malformed(f"expected name:value pairs in Load, not {text!r}") from None
 
 
-def item(line: str) -> say.Listed:
+def item(line: str) -> EndpointEntry:
     message, fields = split(line)
     if message != "ITEM":
         raise Malformed(f"expected ITEM, not {message!r}")
-    return say.Listed(
+    return EndpointEntry(
         word(fields, "Worker"),
         fields.get("FailureDomain", ""),
         fields.get("Model", ""),
@@ -117,9 +149,9 @@
     )
 
 
-def arrival(fields: Fields) -> say.Arrival:
+def arrival(fields: Fields) -> RequestArrived:
     tenant = fields.get("ClientGroup", "0")
-    return say.Arrival(
+    return RequestArrived(
         integer(fields, "Corr"),
         word(fields, "Cls"),
         micros(word(fields, "GiveUpAt")),
@@ -131,17 +163,19 @@
     )
 
 
-def note(fields: Fields) -> say.Started | say.Progressed | None:
+def note(fields: Fields) -> AttemptStarted | AttemptProgressed | None:
     what = integer(fields, "What")
     if what == 1:
-        return say.Started(integer(fields, "Corr"), integer(fields, "Shot"))
+        return AttemptStarted(integer(fields, "Corr"), integer(fields, "Shot"))
     if what == 2:
-        return say.Progressed(integer(fields, "Corr"), integer(fields, "Shot"), number(fields, "Value", 0.0))
+        return AttemptProgressed(
+            integer(fields, "Corr"), integer(fields, "Shot"), number(fields, "Value", 0.0)
+        )
     return None
 
 
-def ended(fields: Fields) -> say.Ended:
-    return say.Ended(
+def ended(fields: Fields) -> AttemptEnded:
+    return AttemptEnded(
         integer(fields, "Corr"),
         integer(fields, "Shot"),
         one_of(OUTCOMES, fields, "Verdict"),
@@ -152,12 +186,12 @@
 
 NEWS: dict[str, Callable[[Fields], Any]] = {
     "QUERY": arrival,
-    "HEADERS": lambda fields: say.StreamBegan(integer(fields, "Corr"), integer(fields, "Shot")),
+    "HEADERS": lambda fields: ResponseStarted(integer(fields, "Corr"), integer(fields, "Shot")),
     "NOTE": note,
     "ENDED": ended,
-    "TIMED_OUT_CLIENT": lambda fields: say.ClientGone(integer(fields, "Corr")),
-    "DUE": lambda fields: say.TimerDue(integer(fields, "Cookie")),
-    "PROBE_RESULT": lambda fields: say.ProbeEnded(
+    "TIMED_OUT_CLIENT": lambda fields: ClientDisconnected(integer(fields, "Corr")),
+    "DUE": lambda fields: TimerFired(integer(fields, "Cookie")),
+    "PROBE_RESULT": lambda fields: ProbeCompleted(
         word(fields, "Worker"), one_of(OUTCOMES, fields, "Verdict"), load(fields)
     ),
     "NEIGHBOUR_SAYS": lambda fields: None,  # no dispatcher of ours tells another anything
@@ -166,23 +200,23 @@
 
 def line(order: Any) -> str:
     """The wire line of one order."""
-    if type(order) is say.Dispatch:
+    if type(order) is StartAttempt:
         return f"FORWARD Corr={order.submission} Worker={order.worker}"
-    if type(order) is say.Wake:
+    if type(order) is SetTimer:
         return f"WAKE_ME Delay={millis(order.after)} Cookie={order.mark}"
-    if type(order) is say.Deny:
+    if type(order) is RejectRequest:
         return f"REJECT Corr={order.submission} ComeBack={millis(order.come_back_after)}"
-    if type(order) is say.Terminate:
+    if type(order) is FailRequest:
         return f"FINISH_ERROR Corr={order.submission}"
-    if type(order) is say.Withdraw:
+    if type(order) is CancelAttempt:
         return f"WITHDRAW Corr={order.submission} Shot={order.number}"
-    if type(order) is say.Close:
+    if type(order) is CloseIdleConnections:
         return f"CLOSE Worker={order.worker}"
-    if type(order) is say.WatchList:
+    if type(order) is WatchEndpoints:
         return f"STREAM_CHANGES Want={int(order.on)}"
-    if type(order) is say.FetchList:
+    if type(order) is FetchEndpoints:
         return "FETCH"
-    if type(order) is say.BrokeOff:  # a fault of ours is handed in here, not lived with
+    if type(order) is ReportInternalError:  # a fault of ours is handed in here, not lived with
         raise RuntimeError(order.what)
     return "WRITE_LOG Line=" + " ".join(order.line.split())
 
@@ -191,5 +225,5 @@
     """The start terms out of the settings, as `rules.Dispatcher` takes them after the seed."""
     try:
         return settings.terms(Table(json.loads(text), "Config"))
-    except (Faulty, ValueError) as trouble:
+    except (ConfigError, ValueError) as trouble:
         raise Malformed(f"expected settings as on the wire page: {trouble}") from None
--- a/locktide/cli/check.py
+++ b/locktide/cli/check.py
@@ -10,7 +10,7 @@
 
 from locktide.cli.faulty import refuse
 from locktide.config import installation, typed
-from locktide.config.typed import Faults
+from locktide.config.typed import ConfigErrors
 from locktide.simulation.model import scenario as script
 
 
@@ -57,9 +57,9 @@
                 script.load(path)
             else:
                 installation.load(path)
-        except Faults as found:
+        except ConfigErrors as found:
             faults += [line if line.startswith(str(path)) else f"{path}: {line}" for line in found.lines]
         else:
             click.echo(f"{path}: good ({chosen})")
     if faults:
-        refuse(Faults(faults))
+        refuse(ConfigErrors(faults))
--- a/locktide/cli/cluster.py
+++ b/locktide/cli/cluster.py
@@ -8,7 +8,7 @@
 
 import click
 
-from locktide.config.checks import Faulty
+from locktide.config.checks import ConfigError
 from locktide.config.start import address as parsed
 
 
@@ -22,11 +22,11 @@
 @click.option("--json", "as_json", is_flag=True, help="Print all of it as JSON.")
 def show(address: str, as_json: bool) -> None:
     """Show members and parts as the dispatcher at ADDRESS (its accord.listen) sees them, on its machine."""
-    from locktide.cluster.udp_transport import look  # noqa: PLC0415
+    from locktide.cluster.udp_transport import inspect_member  # noqa: PLC0415
 
     try:
-        seen = asyncio.run(look(parsed("ADDRESS", address)))
-    except Faulty as trouble:
+        seen = asyncio.run(inspect_member(parsed("ADDRESS", address)))
+    except ConfigError as trouble:
         raise click.BadParameter(str(trouble)) from None
     except (OSError, TimeoutError, ValueError) as trouble:
         print(f"locktide: {address}: no answer ({type(trouble).__name__})", file=sys.stderr)
--- a/locktide/cli/jobs.py
+++ b/locktide/cli/jobs.py
@@ -11,25 +11,25 @@
 
 import click
 
-from locktide.durable.disk import Folder
-from locktide.durable.jobs import Job, Table
+from locktide.durable.disk import DirectoryStorage
+from locktide.durable.jobs import Job, JobTable
 from locktide.durable.log import framing as frames
 from locktide.durable.log import write_ahead_log as journal
 
 
-def look(directory: Path) -> tuple[Table, journal.Found]:
+def look(directory: Path) -> tuple[JobTable, journal.LogContents]:
     if not directory.is_dir():
         print(f"locktide: {directory}: no such directory", file=sys.stderr)
         sys.exit(2)
-    table, found = Table(), journal.Found()
+    table, found = JobTable(), journal.LogContents()
     try:
-        journal.read(Folder(directory), table, found)
-    except (frames.Newer, frames.Foreign) as trouble:
+        journal.read(DirectoryStorage(directory), table, found)
+    except (frames.NewerFormatError, frames.ForeignFileError) as trouble:
         print(f"locktide: {trouble}", file=sys.stderr)
         sys.exit(1)
     except FileNotFoundError:  # compacted while we read: what is there now holds all
-        table, found = Table(), journal.Found()
-        journal.read(Folder(directory), table, found)
+        table, found = JobTable(), journal.LogContents()
+        journal.read(DirectoryStorage(directory), table, found)
     return table, found
 
 
--- a/locktide/cli/serve.py
+++ b/locktide/cli/serve.py
@@ -13,11 +13,11 @@
 from locktide.cli.faulty import refuse
 from locktide.cli.logs import FORMATS, Structured
 from locktide.config import installation
-from locktide.config.checks import Faulty
+from locktide.config.checks import ConfigError
 from locktide.config.start import Start
-from locktide.config.typed import Faults
-from locktide.dispatcher.dispatcher import Node
-from locktide.dispatcher.service import Part, hold_back_reload
+from locktide.config.typed import ConfigErrors
+from locktide.dispatcher.dispatcher import Dispatcher
+from locktide.dispatcher.service import AttachedService, hold_back_reload
 from locktide.dispatcher.service import serve as run
 from locktide.protocol import discovery
 from locktide.transport.log import Log
@@ -27,13 +27,15 @@
     """A part does not start; the text begins with its key."""
 
 
-def parts(told: installation.Installation, log: Log) -> list[Callable[[Node], Awaitable[Part]]]:
+def parts(
+    told: installation.Installation, log: Log
+) -> list[Callable[[Dispatcher], Awaitable[AttachedService]]]:
     """What the file switches on; a part that is off is not even imported."""
-    found: list[Callable[[Node], Awaitable[Part]]] = []
+    found: list[Callable[[Dispatcher], Awaitable[AttachedService]]] = []
     if told.accord.on:
         from locktide.cluster.bootstrap import join  # noqa: PLC0415
 
-        async def accord(node: Node) -> Part:
+        async def accord(node: Dispatcher) -> AttachedService:
             try:
                 return await join(node, told, log)
             except OSError as trouble:
@@ -47,10 +49,16 @@
     from locktide.durable.log import framing as frames  # noqa: PLC0415
     from locktide.durable.log import write_ahead_log as journal  # noqa: PLC0415
 
-    async def durable(node: Node) -> Part:
+    async def durable(node: Dispatcher) -> AttachedService:
         try:
             return await start.join(node, told.durable, log)
-        except (disk.Taken, frames.Newer, frames.Foreign, journal.Damaged, OSError) as trouble:
+        except (
+            disk.DirectoryInUseError,
+            frames.NewerFormatError,
+            frames.ForeignFileError,
+            journal.DamagedLogError,
+            OSError,
+        ) as trouble:
             raise Refused(f"durable.directory: {trouble}") from None
 
     return [durable, *found]
@@ -66,16 +74,16 @@
         told = installation.load(file)
         begun = installation.start(told, secrets.randbits(62))
         known = discovery.read(begun.known, "known")
-    except Faults as faults:
+    except ConfigErrors as faults:
         refuse(faults, str(file))
-    except Faulty as trouble:
-        refuse(Faults([str(trouble)]), str(file))
+    except ConfigError as trouble:
+        refuse(ConfigErrors([str(trouble)]), str(file))
 
     def again() -> Start:
         try:
             return installation.start(installation.load(file), 0)
-        except Faults as faults:
-            raise Faulty(str(file), "; ".join(faults.lines)) from None
+        except ConfigErrors as faults:
+            raise ConfigError(str(file), "; ".join(faults.lines)) from None
 
     log = Structured(begun.name, log_format or told.log.format)
     try:
--- a/locktide/cluster/borrowing/loan_allocator.py
+++ b/locktide/cluster/borrowing/loan_allocator.py
@@ -25,7 +25,7 @@
 
 
 @dataclass(slots=True)
-class Owner:
+class Lender:
     rate: int  # of its whole, in millionths of a token a second
     movable: int  # millionths that may be divided at all
     wanted_at: int
@@ -49,14 +49,14 @@
     return wants * 1_000_000 * 1_000_000 // (2 * ASK)
 
 
-class Broker:
+class LoanAllocator:
     def __init__(self, rates: dict[int, int], movable: dict[int, int], lend: int, now: int) -> None:
         """`rates` of the budgets that may be lent, in millionths of a token a second; `lend`: how many
         millionths of what is not used may be.
         """
         self.lend = lend
         self.owners = {
-            name: Owner(rate, movable[name], now, used=rate, used_at=now) for name, rate in rates.items()
+            name: Lender(rate, movable[name], now, used=rate, used_at=now) for name, rate in rates.items()
         }
         self.plan: Loans = {}
 
--- a/locktide/cluster/config.py
+++ b/locktide/cluster/config.py
@@ -4,29 +4,29 @@
 
 from dataclasses import dataclass, field
 
-from locktide.cluster.fairness.ledger import Terms as LedgerTerms
+from locktide.cluster.fairness.ledger import FairnessConfig
 from locktide.cluster.membership.swim import Address
-from locktide.cluster.messages import Row, Who
-from locktide.cluster.quota.local_quota import Budget
+from locktide.cluster.messages import MemberId, MemberRecord
+from locktide.cluster.quota.local_quota import QuotaSpec
 
 
 @dataclass(frozen=True, slots=True)
-class Terms:
+class ClusterConfig:
     """`electors` by name, with where they are; an odd number. `seeds` are where others are met."""
 
-    who: Who
+    who: MemberId
     address: Address
     electors: dict[str, Address]
     seeds: list[Address]
-    budgets: list[Budget]
+    budgets: list[QuotaSpec]
     reserve: float
     most: int
     seed: int = 1
     lend: float = 0.0  # part of what an owner does not use that may be lent
-    ledger: LedgerTerms | None = None
+    ledger: FairnessConfig | None = None
 
 
 @dataclass(slots=True)
-class News:
+class MemberUpdate:
     moved: bool = False
-    events: list[tuple[str, Row]] = field(default_factory=list)
+    events: list[tuple[str, MemberRecord]] = field(default_factory=list)
--- a/locktide/cluster/election/acceptor.py
+++ b/locktide/cluster/election/acceptor.py
@@ -6,18 +6,18 @@
 
 from __future__ import annotations
 
-from locktide.cluster.messages import Accepted, Ballot, Prepare, Promise, Propose, Who
+from locktide.cluster.messages import Accepted, Ballot, MemberId, Prepare, Promise, Propose
 from locktide.cluster.quota.lease_timing import LEAD, stretched
 
 NONE: Ballot = (0, "", 0)
 
 
-class Elector:
+class Acceptor:
     def __init__(self, now: int, lead: int = LEAD) -> None:
         self.lasts = stretched(lead)
         self.silent_until = now + self.lasts
         self.promised = NONE
-        self.owner: Who | None = None
+        self.owner: MemberId | None = None
         self.until = 0
 
     def prepare(self, word: Prepare, now: int) -> Promise | None:
--- a/locktide/cluster/election/proposer.py
+++ b/locktide/cluster/election/proposer.py
@@ -8,16 +8,22 @@
 from __future__ import annotations
 
 from locktide.cluster.election.acceptor import NONE
-from locktide.cluster.messages import Accepted, Ballot, Prepare, Promise, Propose, Who, Word
+from locktide.cluster.messages import Accepted, Ballot, MemberId, Message, Prepare, Promise, Propose
 from locktide.cluster.quota.lease_timing import LEAD, RENEW
-from locktide.scheduler.estimators import Chance
+from locktide.scheduler.estimators import LinearCongruentialGenerator
 
-Sends = list[tuple[str, Word]]
+Outgoing = list[tuple[str, Message]]
 
 
-class Candidate:
+class Proposer:
     def __init__(
-        self, who: Who, electors: list[str], chance: Chance, now: int, lead: int = LEAD, renew: int = RENEW
+        self,
+        who: MemberId,
+        electors: list[str],
+        chance: LinearCongruentialGenerator,
+        now: int,
+        lead: int = LEAD,
+        renew: int = RENEW,
     ) -> None:
         self.who, self.electors, self.chance = who, electors, chance
         self.lead, self.renew = lead, renew
@@ -43,7 +49,7 @@
     def due(self) -> int:
         return self.stand_at
 
-    def tick(self, now: int) -> Sends:
+    def tick(self, now: int) -> Outgoing:
         self.leads(now)
         if now < self.stand_at:
             return []
@@ -56,7 +62,7 @@
         self.proposed_until = 0
         return [(name, Prepare(self.ballot)) for name in self.electors]
 
-    def promise(self, sender: str, word: Promise, now: int) -> Sends:
+    def promise(self, sender: str, word: Promise, now: int) -> Outgoing:
         self.highest = max(self.highest, word.ballot)
         if word.asked != self.ballot or self.proposed_until or sender not in self.electors:
             return []
--- a/locktide/cluster/fairness/ledger.py
+++ b/locktide/cluster/fairness/ledger.py
@@ -8,12 +8,12 @@
 from dataclasses import dataclass, field
 from zlib import crc32
 
-from locktide.cluster.fairness.anti_entropy import Gossip
+from locktide.cluster.fairness.anti_entropy import AntiEntropy
 from locktide.cluster.fairness.dominant_share import Vector, dominant, fill
-from locktide.cluster.fairness.replicated_ledger import CAPACITY, Book, capacity_of, totals
-from locktide.cluster.fairness.usage import Holdings
-from locktide.cluster.messages import Entry, Heads, Rows, Who, Word
-from locktide.scheduler.estimators import Chance
+from locktide.cluster.fairness.replicated_ledger import CAPACITY, ReplicatedLedger, capacity_of, totals
+from locktide.cluster.fairness.usage import UsageTracker
+from locktide.cluster.messages import Delta, Digest, LedgerRow, MemberId, Message
+from locktide.scheduler.estimators import LinearCongruentialGenerator
 
 # Two others are told each round. Of nine all knew within four rounds, of fifty within six.
 ROUND, OTHERS = 250_000, 2
@@ -24,7 +24,7 @@
 
 
 @dataclass(frozen=True)
-class Terms:
+class FairnessConfig:
     """`weights` by tenant, `needs` by grade and `each` of a worker in thousandths, a vector over `resources`.
     `longest`: microseconds after which no job of a dispatcher that died is left.
     """
@@ -37,7 +37,7 @@
 
 
 @dataclass(frozen=True)
-class Standing:
+class FairnessStanding:
     """What follows from the rows: all of it is the same wherever the digest is. Shares are in ONEs."""
 
     digest: int = 0
@@ -48,28 +48,30 @@
     over: frozenset[str] = frozenset()  # who holds more than it should while others go short
 
 
-class Ledger:
-    def __init__(self, terms: Terms, who: Who, chance: Chance, now: int) -> None:
+class FairnessLedger:
+    def __init__(
+        self, terms: FairnessConfig, who: MemberId, chance: LinearCongruentialGenerator, now: int
+    ) -> None:
         self.terms, self.who, self.chance = terms, who, chance
         self.names = sorted(terms.weights)
         self.weights = {place: terms.weights[name] for place, name in enumerate(self.names)}
         places = {name: place for place, name in enumerate(self.names)}
-        self.holdings = Holdings(places, terms.needs, terms.each)
-        self.book = Book()
+        self.holdings = UsageTracker(places, terms.needs, terms.each)
+        self.book = ReplicatedLedger()
         numbered = "\0".join([*self.names, "", *terms.resources]).encode()
-        self.gossip = Gossip(self.book, crc32(numbered))
+        self.gossip = AntiEntropy(self.book, crc32(numbered))
         self.version = 0
         self.round_at = self.write_at = self.look_at = self.reckon_at = now
-        self.gone_at: dict[Who, int] = {}
-        self.standing = Standing()
+        self.gone_at: dict[MemberId, int] = {}
+        self.standing = FairnessStanding()
 
     @property
     def due(self) -> int:
         return min(self.round_at, self.write_at, self.look_at, self.reckon_at)
 
-    def tick(self, alive: list[str], starts: dict[str, int], now: int) -> list[tuple[str, Word]]:
+    def tick(self, alive: list[str], starts: dict[str, int], now: int) -> list[tuple[str, Message]]:
         """`alive` are those that may live, `starts` when the latest known process of each name began."""
-        sends: list[tuple[str, Word]] = []
+        sends: list[tuple[str, Message]] = []
         others = [name for name in alive if name != self.who[0]]
         if now >= self.write_at:
             self.write_at = now + max(WRITES, len(alive) * len(self.names) * 1_000_000 // ROWS_A_SECOND)
@@ -88,8 +90,8 @@
             self.reckon()
         return sends
 
-    def hear(self, sender: str, word: Heads | Rows) -> list[tuple[str, Word]]:
-        if isinstance(word, Rows):
+    def hear(self, sender: str, word: Digest | Delta) -> list[tuple[str, Message]]:
+        if isinstance(word, Delta):
             self.gossip.rows(word)
             return []
         return [(sender, answer) for answer in self.gossip.heard(word)]
@@ -100,7 +102,7 @@
 
     # --- own rows
 
-    def write(self) -> list[Entry]:
+    def write(self) -> list[LedgerRow]:
         """Rows that have changed, and all of them where others have closed what we wrote."""
         holdings, pages = self.holdings, self.book.writers.get(self.who)
         start, closed = self.book.closed.get(self.who[0], (0, 0))
@@ -115,7 +117,7 @@
             before = pages.rows.get(place) if pages is not None else None
             if before is None or (before.held, before.waits) != (held, waits):
                 self.version += 1
-                row = Entry(place, self.version, list(held), list(waits))
+                row = LedgerRow(place, self.version, list(held), list(waits))
                 self.book.put(self.who, row)
                 written.append(row)
         return written
@@ -159,7 +161,7 @@
             self.weights, key=lambda place: (shares.get(place, 0) * (whole // self.weights[place]), place)
         )
         names = self.names
-        self.standing = Standing(
+        self.standing = FairnessStanding(
             self.book.digest,
             [names[place] for place in order],
             {names[place]: part for place, part in sorted(shares.items())},
--- a/locktide/cluster/fairness/replicated_ledger.py
+++ b/locktide/cluster/fairness/replicated_ledger.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from locktide.cluster.fairness.dominant_share import Vector
-from locktide.cluster.messages import Entry, Group, Who
+from locktide.cluster.messages import LedgerRow, MemberId, WriterDelta
 
 PACK = msgspec.msgpack.Encoder()
 SUM = 1 << 64
@@ -23,47 +23,47 @@
 MOST_WRITERS = 4096
 
 
-def mark(told: object) -> int:
+def checksum(told: object) -> int:
     return int.from_bytes(blake2b(PACK.encode(told), digest_size=8).digest(), "big")
 
 
 @dataclass(slots=True)
-class Pages:
+class WriterRows:
     """One writer's rows. All that it wrote up to version `head` is in them, or outdone by a later one."""
 
     head: int = 0
-    rows: dict[int, Entry] = field(default_factory=dict)
+    rows: dict[int, LedgerRow] = field(default_factory=dict)
 
 
-class Book:
+class ReplicatedLedger:
     def __init__(self) -> None:
-        self.writers: dict[Who, Pages] = {}
+        self.writers: dict[MemberId, WriterRows] = {}
         self.closed: dict[str, tuple[int, int]] = {}  # by name: up to which start and version
         self.digest = 0
         # Over all writers, brought up to date with each row: reckoning anew from thousands of rows some times
         # a second would cost more than all else.
         self.held: dict[int, Vector] = {}
         self.waits: dict[int, Vector] = {}
-        self.seen: dict[Who, Vector] = {}  # capacities
+        self.seen: dict[MemberId, Vector] = {}  # capacities
 
     # --- what may count
 
-    def is_closed(self, who: Who, version: int) -> bool:
+    def is_closed(self, who: MemberId, version: int) -> bool:
         return (who[1], version) <= self.closed.get(who[0], (0, 0))
 
-    def head(self, who: Who) -> int:
+    def head(self, who: MemberId) -> int:
         start, version = self.closed.get(who[0], (0, 0))
         if who[1] < start:
             return 1 << 62  # nothing of it will count any more
         pages = self.writers.get(who)
         return max(pages.head if pages else 0, version if who[1] == start else 0)
 
-    def rows(self) -> list[tuple[Who, Entry]]:
+    def rows(self) -> list[tuple[MemberId, LedgerRow]]:
         return [(who, row) for who, pages in self.writers.items() for row in pages.rows.values()]
 
     # --- merging
 
-    def merge(self, group: Group) -> bool:
+    def merge(self, group: WriterDelta) -> bool:
         """Takes in what a writer wrote after a version; nothing where rows between are missing."""
         who = (group.name, group.start)
         if group.after > self.head(who):
@@ -73,12 +73,12 @@
             changed |= self.put(who, row)
         return changed
 
-    def put(self, who: Who, row: Entry) -> bool:
+    def put(self, who: MemberId, row: LedgerRow) -> bool:
         if self.is_closed(who, row.version) or row.place > 255 and row.place != CAPACITY:
             return False
         if who not in self.writers and len(self.writers) >= MOST_WRITERS:
             return False
-        pages = self.writers.setdefault(who, Pages(self.head(who)))
+        pages = self.writers.setdefault(who, WriterRows(self.head(who)))
         before = pages.rows.get(row.place)
         pages.head = max(pages.head, row.version)
         if before is not None and before.version >= row.version:
@@ -94,9 +94,9 @@
         if upto <= before or name not in self.closed and len(self.closed) >= MOST_WRITERS:
             return False
         if before != (0, 0):
-            self.count(-mark((name, before)))
+            self.count(-checksum((name, before)))
         self.closed[name] = upto
-        self.count(mark((name, upto)))
+        self.count(checksum((name, upto)))
         for who in [who for who in self.writers if who[0] == name]:
             pages = self.writers[who]
             for place, row in list(pages.rows.items()):
@@ -110,8 +110,8 @@
     def count(self, by: int) -> None:
         self.digest = (self.digest + by) % SUM
 
-    def add(self, who: Who, row: Entry, by: int) -> None:
-        self.count(by * mark((who, row)))
+    def add(self, who: MemberId, row: LedgerRow, by: int) -> None:
+        self.count(by * checksum((who, row)))
         if row.place == CAPACITY:
             if by > 0:
                 self.seen[who] = row.held
@@ -126,14 +126,14 @@
 
     # --- telling
 
-    def since(self, who: Who, after: int) -> list[Entry]:
+    def since(self, who: MemberId, after: int) -> list[LedgerRow]:
         """What it wrote after that version, in the order of versions."""
         pages = self.writers.get(who)
         found = [row for row in pages.rows.values() if row.version > after] if pages else []
         return sorted(found, key=lambda row: row.version)
 
 
-def capacity_of(book: Book, resources: int) -> Vector:
+def capacity_of(book: ReplicatedLedger, resources: int) -> Vector:
     """The capacities that count: the lower median of what open writers see, for each resource."""
     seen = [held for held in book.seen.values() if len(held) == resources]
     if not seen:
@@ -141,7 +141,7 @@
     return [sorted(values)[(len(values) - 1) // 2] for values in zip(*seen, strict=True)]
 
 
-def totals(book: Book, resources: int) -> tuple[dict[int, Vector], dict[int, Vector]]:
+def totals(book: ReplicatedLedger, resources: int) -> tuple[dict[int, Vector], dict[int, Vector]]:
     """What each tenant holds, and what it asks for (that and what waits), over all writers."""
     held = {place: padded(amounts, resources) for place, amounts in book.held.items()}
     waits = {place: padded(book.waits.get(place, []), resources) for place in held}
--- a/locktide/cluster/fairness/usage.py
+++ b/locktide/cluster/fairness/usage.py
@@ -7,37 +7,39 @@
 from typing import Any
 
 from locktide.cluster.fairness.dominant_share import Vector
-from locktide.scheduler import interface as say
+from locktide.scheduler.commands import FailRequest, RejectRequest, StartAttempt
+from locktide.scheduler.events import AttemptEnded, ClientDisconnected, EndpointListUpdate, RequestArrived
+from locktide.scheduler.types import EndpointState, ListUpdateKind
 
 
 @dataclass(slots=True)
-class Open:
+class OpenUsage:
     place: int  # of its tenant
     needs: Vector
     out: int = 0  # dispatches without an outcome
     answered: bool = False
 
 
-class Holdings:
+class UsageTracker:
     """`places` of tenants, `needs` by service grade for each slot of width, `each` of a worker; all amounts
     in thousandths.
     """
 
     def __init__(self, places: dict[str, int], needs: dict[str, Vector], each: Vector) -> None:
         self.places, self.needs, self.each = places, needs, each
-        self.open: dict[Any, Open] = {}
+        self.open: dict[Any, OpenUsage] = {}
         self.ready: set[Any] = set()  # workers
         self.held: dict[int, Vector] = {}
         self.waits: dict[int, Vector] = {}
         self.hearing: dict[type, Callable[[Any], None]] = {
-            say.Arrival: self.arrival,
-            say.Dispatch: self.dispatch,
-            say.Ended: self.ended,
+            RequestArrived: self.arrival,
+            StartAttempt: self.dispatch,
+            AttemptEnded: self.ended,
             # Guards against counting for ever as waiting what its client has left: no order tells of that.
-            say.ClientGone: self.answered,
-            say.Deny: self.answered,
-            say.Terminate: self.answered,
-            say.ListNews: self.listed,
+            ClientDisconnected: self.answered,
+            RejectRequest: self.answered,
+            FailRequest: self.answered,
+            EndpointListUpdate: self.listed,
         }
 
     def hear(self, piece: Any) -> None:
@@ -50,14 +52,16 @@
 
     # --- one submission
 
-    def arrival(self, piece: say.Arrival) -> None:
+    def arrival(self, piece: RequestArrived) -> None:
         place, needs = self.places.get(piece.tenant), self.needs.get(piece.grade)
         if place is None or needs is None or piece.submission in self.open:
             return
-        one = self.open[piece.submission] = Open(place, [round(amount * piece.width) for amount in needs])
+        one = self.open[piece.submission] = OpenUsage(
+            place, [round(amount * piece.width) for amount in needs]
+        )
         self.add(self.waits, one, 1)
 
-    def dispatch(self, order: say.Dispatch) -> None:
+    def dispatch(self, order: StartAttempt) -> None:
         if (one := self.open.get(order.submission)) is None:
             return
         if not one.out:
@@ -65,7 +69,7 @@
         one.out += 1
         self.add(self.held, one, 1)
 
-    def ended(self, piece: say.Ended) -> None:
+    def ended(self, piece: AttemptEnded) -> None:
         if (one := self.open.get(piece.submission)) is None:
             return
         if one.out:
@@ -87,17 +91,17 @@
             self.add(self.waits, one, -1)
             del self.open[piece.submission]
 
-    def add(self, to: dict[int, Vector], one: Open, by: int) -> None:
+    def add(self, to: dict[int, Vector], one: OpenUsage, by: int) -> None:
         sums = to.setdefault(one.place, [0] * len(self.each))
         for place, amount in enumerate(one.needs):
             sums[place] += by * amount
 
     # --- workers
 
-    def listed(self, piece: say.ListNews) -> None:
-        if piece.kind in (say.LIST_FAILED, say.LIST_SILENT):
+    def listed(self, piece: EndpointListUpdate) -> None:
+        if piece.kind in (ListUpdateKind.FETCH_FAILED, ListUpdateKind.FETCH_TIMED_OUT):
             return
-        if piece.kind in (say.WHOLE, say.REMEMBERED):
+        if piece.kind in (ListUpdateKind.SNAPSHOT, ListUpdateKind.CACHED):
             self.ready = set()
         for entry in piece.entries:
-            (self.ready.add if entry.state == say.READY else self.ready.discard)(entry.worker)
+            (self.ready.add if entry.state == EndpointState.READY else self.ready.discard)(entry.worker)
--- a/locktide/cluster/inspection.py
+++ b/locktide/cluster/inspection.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from locktide.cluster.member import Agent
+from locktide.cluster.member import ClusterMember
 from locktide.cluster.membership.member_table import STATES
 
 
-def seen(agent: Agent, now: int) -> dict[str, object]:
+def inspect(agent: ClusterMember, now: int) -> dict[str, object]:
     """What this member sees, as plain values."""
     leads = agent.candidate is not None and agent.candidate.leads(now)
     held = agent.holder.in_force(now)
@@ -20,7 +20,7 @@
         "stepped_down": agent.stepped_down,
         "parts": dict(sorted(agent.purse.parts.items())),
         "loans": [[*pair, part] for pair, part in sorted(agent.purse.loans.items())],
-        "ledger": ledger_of(agent),
+        "ledger": inspect_ledger(agent),
         "for_us": max(0, agent.holder.until - now) if held else 0,
         "members": [
             {
@@ -35,7 +35,7 @@
     }
 
 
-def ledger_of(agent: Agent) -> dict[str, object]:
+def inspect_ledger(agent: ClusterMember) -> dict[str, object]:
     if agent.ledger is None:
         return {}
     standing = agent.ledger.standing
--- a/locktide/cluster/member.py
+++ b/locktide/cluster/member.py
@@ -9,48 +9,48 @@
 from typing import Any
 from zlib import crc32
 
-from locktide.cluster.borrowing.loan_allocator import Broker
-from locktide.cluster.config import News, Terms
-from locktide.cluster.election.acceptor import Elector
-from locktide.cluster.election.proposer import Candidate
-from locktide.cluster.fairness.ledger import Ledger
-from locktide.cluster.membership.swim import Sends, Swim
+from locktide.cluster.borrowing.loan_allocator import LoanAllocator
+from locktide.cluster.config import ClusterConfig, MemberUpdate
+from locktide.cluster.election.acceptor import Acceptor
+from locktide.cluster.election.proposer import Proposer
+from locktide.cluster.fairness.ledger import FairnessLedger
+from locktide.cluster.membership.swim import Outgoing, Swim
 from locktide.cluster.messages import (
     VERSION,
     Accepted,
-    Ask,
     Ballot,
-    Grant,
-    Heads,
-    Lead,
+    Delta,
+    Digest,
+    Envelope,
+    LeaderHeartbeat,
+    LeaseGrant,
+    LeaseRequest,
+    LeaseRevocation,
+    Message,
     Prepare,
     Promise,
     Propose,
-    Recall,
-    Rows,
-    Said,
-    Word,
 )
-from locktide.cluster.quota.allocator import Giver
-from locktide.cluster.quota.lease_holder import Holder
+from locktide.cluster.quota.allocator import Allocator
+from locktide.cluster.quota.lease_holder import LeaseHolder
 from locktide.cluster.quota.lease_timing import ASK
-from locktide.cluster.quota.local_quota import Purse
-from locktide.scheduler.estimators import Chance
+from locktide.cluster.quota.local_quota import LocalQuota
+from locktide.scheduler.estimators import LinearCongruentialGenerator
 
 MILLION = 1_000_000
 
 
-class Agent:
-    def __init__(self, terms: Terms, now: int) -> None:
+class ClusterMember:
+    def __init__(self, terms: ClusterConfig, now: int) -> None:
         self.terms, self.who = terms, terms.who
-        chance = Chance(terms.seed)
+        chance = LinearCongruentialGenerator(terms.seed)
         self.swim = Swim(terms.who, terms.address, terms.seeds, chance, now)
         names = sorted(terms.electors)
-        self.elector = Elector(now) if terms.who[0] in names else None
-        self.candidate = Candidate(terms.who, names, chance, now) if self.elector else None
-        self.giver: Giver | None = None
-        self.holder = Holder(terms.who, now)
-        self.purse = Purse(terms.budgets, terms.reserve, terms.most, now)
+        self.elector = Acceptor(now) if terms.who[0] in names else None
+        self.candidate = Proposer(terms.who, names, chance, now) if self.elector else None
+        self.giver: Allocator | None = None
+        self.holder = LeaseHolder(terms.who, now)
+        self.purse = LocalQuota(terms.budgets, terms.reserve, terms.most, now)
         self.names = sorted(budget.name for budget in terms.budgets)
         self.places = {name: place for place, name in enumerate(self.names)}
         self.book = crc32("\0".join(self.names).encode())
@@ -63,9 +63,11 @@
         self.lead_at = self.fade_at = now
         self.stepped_down = False
         self.said_by_us: list[Any] = []  # words to ourselves
-        self.ledger = Ledger(terms.ledger, terms.who, chance, now) if terms.ledger is not None else None
+        self.ledger = (
+            FairnessLedger(terms.ledger, terms.who, chance, now) if terms.ledger is not None else None
+        )
         self.over: frozenset[str] = frozenset()  # tenants that hold more than they should
-        self.news = News()
+        self.news = MemberUpdate()
 
     # --- time
 
@@ -83,8 +85,8 @@
         times += [until for until in (self.purse.until, self.purse.loans_until) if until]
         return min(times)
 
-    def tick(self, now: int) -> Sends:
-        self.news = News()
+    def tick(self, now: int) -> Outgoing:
+        self.news = MemberUpdate()
         sends = self.swim.tick(now)
         if not self.stepped_down:
             if self.candidate is not None:
@@ -96,7 +98,7 @@
                 sends += self.named(self.ledger.tick(self.swim.alive(), starts, now))
         return self.close(sends, now)
 
-    def lead(self, now: int) -> Sends:
+    def lead(self, now: int) -> Outgoing:
         """While the lease is ours: tells those that live, some times a second."""
         term = self.candidate.term if self.candidate is not None and self.candidate.leads(now) else None
         if term is None:
@@ -110,14 +112,14 @@
         if now < self.lead_at:
             return []
         self.lead_at = now + ASK
-        return [send for name in self.swim.alive() for send in self.to(name, Lead(term))]
+        return [send for name in self.swim.alive() for send in self.to(name, LeaderHeartbeat(term))]
 
-    def divider(self, term: Ballot, now: int) -> Giver:
+    def divider(self, term: Ballot, now: int) -> Allocator:
         lend = int(self.terms.lend * MILLION)
-        broker = Broker(self.lendable, self.movable, lend, now) if self.lendable else None
-        return Giver(term, self.movable, now, floor=self.purse.floor, broker=broker)
+        broker = LoanAllocator(self.lendable, self.movable, lend, now) if self.lendable else None
+        return Allocator(term, self.movable, now, floor=self.purse.floor, broker=broker)
 
-    def ask(self, now: int) -> Sends:
+    def ask(self, now: int) -> Outgoing:
         """The next question, where it is time."""
         wants = {self.places[name]: want for name, want in self.purse.wants.items() if want}
         if (ask := self.holder.ask(wants, now)) is None:
@@ -130,35 +132,35 @@
 
     # --- words
 
-    def hear(self, said: Said, now: int) -> Sends:
-        self.news = News()
+    def hear(self, said: Envelope, now: int) -> Outgoing:
+        self.news = MemberUpdate()
         sends = self.swim.hear(said, now)
         if not self.stepped_down:
             sends += self.agree(said, now)
         return self.close(sends, now)
 
-    def agree(self, said: Said, now: int) -> Sends:
+    def agree(self, said: Envelope, now: int) -> Outgoing:
         """A word on budgets. Who was not chosen for a vote has none, whatever it says."""
         word, sender = said.word, said.sender
-        if isinstance(word, Heads | Rows):
+        if isinstance(word, Digest | Delta):
             return self.named(self.ledger.hear(sender, word)) if self.ledger is not None else []
         elector, candidate = self.elector, self.candidate
-        if isinstance(word, Lead):
+        if isinstance(word, LeaderHeartbeat):
             # The term names who leads: nobody is believed to do so for another.
             if word.term[1:] == (sender, said.start):
                 self.holder.led(word.term, now)
                 return self.ask(now)
-        elif isinstance(word, Grant):
+        elif isinstance(word, LeaseGrant):
             if word.term[1:] == (sender, said.start):
                 self.holder.granted(word, now)
-        elif isinstance(word, Ask):
+        elif isinstance(word, LeaseRequest):
             self.lead(now)
             if self.giver is not None and word.term == self.giver.term and word.book == self.book:
                 grant = self.giver.asked((sender, said.start), word, now)
                 recalls, self.giver.recalls = self.giver.recalls, []
                 sends = [send for who, recall in recalls for send in self.to(who[0], recall)]
                 return sends + (self.to(sender, grant) if grant is not None else [])
-        elif isinstance(word, Recall):
+        elif isinstance(word, LeaseRevocation):
             if word.term[1:] == (sender, said.start):
                 self.holder.recalled(word, now)
                 return self.ask(now)
@@ -188,10 +190,10 @@
 
     # --- the end
 
-    def leave(self, now: int) -> Sends:
+    def leave(self, now: int) -> Outgoing:
         """A clean end: gives back what is held, resigns, and tells some that it goes."""
-        self.news = News()
-        sends: Sends = []
+        self.news = MemberUpdate()
+        sends: Outgoing = []
         if not self.stepped_down and (ask := self.holder.leave(now)) is not None:
             sends += self.to(ask.term[1], ask)
         if self.candidate is not None:
@@ -211,7 +213,7 @@
 
     # --- between
 
-    def to(self, name: str, word: Word) -> Sends:
+    def to(self, name: str, word: Message) -> Outgoing:
         """Electors are where the configuration says, whoever else claims their names."""
         if name == self.who[0]:
             self.said_by_us.append(word)
@@ -219,15 +221,15 @@
         address = self.terms.electors.get(name) or self.swim.address(name)
         return [(address, word)] if address is not None else []
 
-    def named(self, sends: list[tuple[str, Word]]) -> Sends:
+    def named(self, sends: list[tuple[str, Message]]) -> Outgoing:
         return [send for name, word in sends for send in self.to(name, word)]
 
-    def close(self, sends: Sends, now: int) -> Sends:
+    def close(self, sends: Outgoing, now: int) -> Outgoing:
         """What we have told ourselves is heard; then the parts in force are settled."""
         while self.said_by_us:
             word = self.said_by_us.pop(0)
             if not self.stepped_down:
-                sends += self.agree(Said(VERSION, self.who[0], self.who[1], word), now)
+                sends += self.agree(Envelope(VERSION, self.who[0], self.who[1], word), now)
         if self.swim.replaced and not self.stepped_down:
             self.step_down(now)
         held, loans = self.holder.in_force(now), self.holder.lent(now)
@@ -246,9 +248,9 @@
         )
         if self.ledger is not None and self.ledger.standing.over != self.over:
             self.over, moved = self.ledger.standing.over, True
-        self.news = News(self.news.moved or moved, self.news.events + self.swim.events)
+        self.news = MemberUpdate(self.news.moved or moved, self.news.events + self.swim.events)
         self.swim.events = []
         return sends
 
 
-__all__ = ["Agent", "Ballot", "News", "Terms"]
+__all__ = ["Ballot", "ClusterConfig", "ClusterMember", "MemberUpdate"]
--- a/locktide/cluster/membership/dissemination.py
+++ b/locktide/cluster/membership/dissemination.py
@@ -4,7 +4,7 @@
 
 from math import ceil, log10
 
-from locktide.cluster.messages import Row
+from locktide.cluster.messages import MemberRecord
 
 # Each is told so many times log10(n + 1): memberlist's four reaches all of a thousand with a tenth lost.
 RETELL = 4
@@ -12,15 +12,15 @@
 MOST = 10
 
 
-class Rumours:
+class DisseminationQueue:
     def __init__(self) -> None:
-        self.told: dict[str, tuple[Row, int]] = {}
+        self.told: dict[str, tuple[MemberRecord, int]] = {}
 
-    def add(self, row: Row) -> None:
+    def add(self, row: MemberRecord) -> None:
         """In place of an earlier one on the same member."""
         self.told[row.name] = (row, 0)
 
-    def take(self, members: int) -> list[Row]:
+    def take(self, members: int) -> list[MemberRecord]:
         """The least told first; forgets what has been told often enough."""
         most = RETELL * ceil(log10(members + 1.0))
         chosen = sorted(self.told, key=lambda name: (self.told[name][1], name))[:MOST]
--- a/locktide/cluster/membership/member_table.py
+++ b/locktide/cluster/membership/member_table.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from locktide.cluster.messages import Row
+from locktide.cluster.messages import MemberRecord
 
 ALIVE, SUSPECT, DEAD, LEFT = range(4)
 STATES = ("alive", "suspect", "dead", "left")
@@ -17,17 +17,17 @@
 FORGET = 60_000_000
 
 
-def order(row: Row) -> tuple[int, int, int, tuple[str, int]]:
+def order(row: MemberRecord) -> tuple[int, int, int, tuple[str, int]]:
     return row.start, row.turn, row.state, row.address
 
 
-class Table:
+class MemberTable:
     def __init__(self) -> None:
-        self.rows: dict[str, Row] = {}
+        self.rows: dict[str, MemberRecord] = {}
         self.changed_at: dict[str, int] = {}
         self.living: list[str] | None = None  # reckoned anew after a change
 
-    def merge(self, row: Row, now: int) -> Row | None:
+    def merge(self, row: MemberRecord, now: int) -> MemberRecord | None:
         """Takes a row in; what was known before, or None where this is no news.
 
         A member of which nothing was known is told as one of start 0.
@@ -37,7 +37,7 @@
             return None
         self.rows[row.name], self.changed_at[row.name] = row, now
         self.living = None
-        return before or Row(row.name, 0, 0, LEFT, row.address)
+        return before or MemberRecord(row.name, 0, 0, LEFT, row.address)
 
     def alive(self) -> list[str]:
         """Those that may be alive, in the order of their names: the same wherever the rows are the same."""
--- a/locktide/cluster/membership/partition_healing.py
+++ b/locktide/cluster/membership/partition_healing.py
@@ -6,30 +6,32 @@
 
 from __future__ import annotations
 
-from locktide.cluster.membership.member_table import DEAD, SUSPECT, Table
-from locktide.cluster.messages import Row, Said
-from locktide.scheduler.estimators import Chance
+from locktide.cluster.membership.member_table import DEAD, SUSPECT, MemberTable
+from locktide.cluster.messages import Envelope, MemberRecord
+from locktide.scheduler.estimators import LinearCongruentialGenerator
 
 
-class Reunion:
-    def __init__(self, table: Table, seeds: list[tuple[str, int]], chance: Chance) -> None:
+class PartitionHealing:
+    def __init__(
+        self, table: MemberTable, seeds: list[tuple[str, int]], chance: LinearCongruentialGenerator
+    ) -> None:
         self.table, self.seeds, self.chance = table, seeds, chance
         # Earlier processes of a name, as they were known, where a later one has another address.
-        self.outdone: dict[str, Row] = {}
+        self.outdone: dict[str, MemberRecord] = {}
 
-    def note(self, row: Row, now_known: Row) -> None:
+    def note(self, row: MemberRecord, now_known: MemberRecord) -> None:
         """Of a row that was known, or is told, where another one of its name counts."""
         if 0 < row.start < now_known.start and row.address != now_known.address:
             self.outdone[row.name] = row
 
-    def doubts(self, said: Said) -> list[Row]:
+    def doubts(self, said: Envelope) -> list[MemberRecord]:
         """What we hold against who speaks to us, or know of another start of that name, to be refuted."""
         row = self.table.rows.get(said.sender)
         if row is None or row.start == said.start and row.state not in (SUSPECT, DEAD):
             return []
         return [row]
 
-    def outdo(self, said: Said) -> tuple[tuple[str, int], Row] | None:
+    def outdo(self, said: Envelope) -> tuple[tuple[str, int], MemberRecord] | None:
         """For an earlier process of a name: its address, and the row of the later one. What goes to the name
         goes to the later one's address, also when that is dead: the earlier would never hear it.
         """
--- a/locktide/cluster/membership/probing.py
+++ b/locktide/cluster/membership/probing.py
@@ -6,7 +6,7 @@
 
 
 @dataclass(slots=True)
-class Probed:
+class ProbeInProgress:
     """The probe under way. `nacks` are the indirect probers that have not said that they heard."""
 
     name: str
@@ -19,7 +19,7 @@
 
 
 @dataclass(slots=True)
-class Suspected:
+class Suspicion:
     since: int
     by: set[str]
     over_at: int = 0
--- a/locktide/cluster/membership/suspicion.py
+++ b/locktide/cluster/membership/suspicion.py
@@ -17,7 +17,7 @@
 WORST = 8  # of the local health
 
 
-def lasts(members: int, confirmers: int, health: int) -> int:
+def suspicion_timeout(members: int, confirmers: int, health: int) -> int:
     """Whole microseconds. `members` are those alive, `confirmers` the others that suspect, too."""
     least = LEAST * max(1.0, log10(max(1, members))) * PERIOD
     most = MOST * least
@@ -29,7 +29,7 @@
     return int(max(least, most - (most - least) * part))
 
 
-class Health:
+class LocalHealth:
     """The local health multiplier: 0 is good. It only ever slows us down."""
 
     def __init__(self) -> None:
--- a/locktide/cluster/membership/swim.py
+++ b/locktide/cluster/membership/swim.py
@@ -7,36 +7,53 @@
 from __future__ import annotations
 
 from locktide.cluster.membership import suspicion
-from locktide.cluster.membership.dissemination import MOST, Rumours
-from locktide.cluster.membership.member_table import ALIVE, DEAD, LEFT, STATES, SUSPECT, Table
-from locktide.cluster.membership.partition_healing import Reunion
-from locktide.cluster.membership.probing import Probed, Suspected
-from locktide.cluster.membership.suspicion import ANSWER, INDIRECT, PERIOD, Health
-from locktide.cluster.messages import Ack, Nack, Ping, Probe, Row, Said, Who, Whole, Word
-from locktide.scheduler.estimators import Chance
+from locktide.cluster.membership.dissemination import MOST, DisseminationQueue
+from locktide.cluster.membership.member_table import ALIVE, DEAD, LEFT, STATES, SUSPECT, MemberTable
+from locktide.cluster.membership.partition_healing import PartitionHealing
+from locktide.cluster.membership.probing import ProbeInProgress, Suspicion
+from locktide.cluster.membership.suspicion import ANSWER, INDIRECT, PERIOD, LocalHealth
+from locktide.cluster.messages import (
+    Ack,
+    Envelope,
+    FullSync,
+    IndirectProbe,
+    MemberId,
+    MemberRecord,
+    Message,
+    Nack,
+    Ping,
+)
+from locktide.scheduler.estimators import LinearCongruentialGenerator
 
 Address = tuple[str, int]
-Sends = list[tuple[Address, Word]]
+Outgoing = list[tuple[Address, Message]]
 # A full exchange with one drawn member: mends what rumours missed, also after a partition.
 WHOLE_EVERY = 10_000_000
 
 
 class Swim:
-    def __init__(self, who: Who, address: Address, seeds: list[Address], chance: Chance, now: int) -> None:
+    def __init__(
+        self,
+        who: MemberId,
+        address: Address,
+        seeds: list[Address],
+        chance: LinearCongruentialGenerator,
+        now: int,
+    ) -> None:
         self.who, self.seeds, self.chance = who, seeds, chance
-        self.me = Row(who[0], who[1], 0, ALIVE, address)
-        self.table, self.rumours, self.health = Table(), Rumours(), Health()
+        self.me = MemberRecord(who[0], who[1], 0, ALIVE, address)
+        self.table, self.rumours, self.health = MemberTable(), DisseminationQueue(), LocalHealth()
         self.table.merge(self.me, now)
         self.rumours.add(self.me)
         self.order: list[str] = []  # whom to probe next: a drawn order, anew each time round
         self.probe_at, self.whole_at = now, now
-        self.probed: Probed | None = None
-        self.suspected: dict[str, Suspected] = {}
+        self.probed: ProbeInProgress | None = None
+        self.suspected: dict[str, Suspicion] = {}
         self.relayed: dict[int, tuple[str, int]] = {}  # probes made for others: by number, for whom
         self.number = 0
-        self.events: list[tuple[str, Row]] = []
+        self.events: list[tuple[str, MemberRecord]] = []
         self.replaced = False  # a later process of our name was heard of
-        self.reunion = Reunion(self.table, seeds, chance)
+        self.reunion = PartitionHealing(self.table, seeds, chance)
 
     # --- what others ask
 
@@ -58,7 +75,7 @@
 
     # --- news
 
-    def learn(self, row: Row, now: int, by: str) -> None:
+    def learn(self, row: MemberRecord, now: int, by: str) -> None:
         if row.name == self.who[0]:
             self.of_us(row, now)
             return
@@ -75,14 +92,14 @@
         self.reunion.note(before, row)
         self.rumours.add(row)
         if row.state == SUSPECT:
-            held = self.suspected[row.name] = Suspected(now, {by})
+            held = self.suspected[row.name] = Suspicion(now, {by})
             held.over_at = now + self.lasts(held)
         else:
             self.suspected.pop(row.name, None)
         if (before.start, before.state) != (row.start, row.state):
             self.events.append((STATES[row.state], row))
 
-    def of_us(self, row: Row, now: int) -> None:
+    def of_us(self, row: MemberRecord, now: int) -> None:
         """What others say of us: a suspicion is refuted by a higher turn; an earlier process of our name is
         outdone by our start; a later one is another under our name.
         """
@@ -93,12 +110,12 @@
             return
         if row.start == self.me.start and row.state > ALIVE and row.turn >= self.me.turn:
             self.health.note(+1)  # we were too slow for somebody
-            self.me = Row(self.me.name, self.me.start, row.turn + 1, self.me.state, self.me.address)
+            self.me = MemberRecord(self.me.name, self.me.start, row.turn + 1, self.me.state, self.me.address)
         if row != self.me:
             self.table.merge(self.me, now)
             self.rumours.add(self.me)
 
-    def hear(self, said: Said, now: int) -> Sends:
+    def hear(self, said: Envelope, now: int) -> Outgoing:
         if self.me.state == LEFT or (said.sender, said.start) == self.who:
             return []
         sender, word = said.sender, said.word
@@ -109,31 +126,31 @@
                 self.learn(word.row, now, sender)  # Lifeguard's buddy: who is suspected hears it first
             ack = Ack(word.number, self.reunion.doubts(said) + self.tell())
             return self.to(sender, ack) + self.outdo(said)
-        if isinstance(word, Probe):
+        if isinstance(word, IndirectProbe):
             return self.relay(sender, word)
         if isinstance(word, Ack):
             return self.acked(word)
         if isinstance(word, Nack) and self.probed is not None and word.number == self.probed.number:
             self.probed.nacks.discard(sender)
-        if isinstance(word, Whole):
+        if isinstance(word, FullSync):
             for row in word.rows:
                 self.learn(row, now, sender)
             # Only what asks is answered: two that are both outdone would tell each other for ever.
             return self.whole(self.address(sender), answer=False) + self.outdo(said) if word.answer else []
         return []
 
-    def outdo(self, said: Said) -> Sends:
+    def outdo(self, said: Envelope) -> Outgoing:
         earlier = self.reunion.outdo(said)
-        return [(earlier[0], Whole([earlier[1]], False))] if earlier else []
+        return [(earlier[0], FullSync([earlier[1]], False))] if earlier else []
 
-    def acked(self, word: Ack) -> Sends:
+    def acked(self, word: Ack) -> Outgoing:
         if (relayed := self.relayed.pop(word.number, None)) is not None:
             return self.to(relayed[0], Ack(relayed[1], self.tell()))
         if self.probed is not None and word.number == self.probed.number:
             self.probed.acked = True
         return []
 
-    def relay(self, sender: str, word: Probe) -> Sends:
+    def relay(self, sender: str, word: IndirectProbe) -> Outgoing:
         if len(self.relayed) >= 256:  # guards the memory: those not answered by now will not be
             self.relayed.clear()
         self.number += 1
@@ -144,14 +161,14 @@
 
     # --- time
 
-    def tick(self, now: int) -> Sends:
+    def tick(self, now: int) -> Outgoing:
         if self.me.state == LEFT:
             return []
-        sends: Sends = []
+        sends: Outgoing = []
         for name, held in list(self.suspected.items()):
             if now >= held.over_at:
                 row = self.table.rows[name]
-                self.learn(Row(name, row.start, row.turn, DEAD, row.address), now, self.who[0])
+                self.learn(MemberRecord(name, row.start, row.turn, DEAD, row.address), now, self.who[0])
         probed = self.probed
         if probed is not None and not probed.acked and not probed.asked and now >= probed.ask_others_at:
             sends += self.ask_others(probed)
@@ -170,7 +187,7 @@
             sends += self.whole(self.reunion.lost(), answer=True)
         return sends
 
-    def probe(self, now: int) -> Sends:
+    def probe(self, now: int) -> Outgoing:
         span = self.health.stretch(PERIOD)
         self.probe_at = now + span
         if not self.others():
@@ -179,7 +196,7 @@
         name = self.next_one()
         self.number += 1
         answer = min(self.health.stretch(ANSWER), span // 2)
-        self.probed = Probed(name, self.number, now + answer, now + span - 1)
+        self.probed = ProbeInProgress(name, self.number, now + answer, now + span - 1)
         return self.to(name, Ping(self.number, self.table.rows[name], self.tell()))
 
     def next_one(self) -> str:
@@ -193,16 +210,18 @@
                 drawn = self.chance.below(place + 1)
                 self.order[place], self.order[drawn] = self.order[drawn], self.order[place]
 
-    def ask_others(self, probed: Probed) -> Sends:
+    def ask_others(self, probed: ProbeInProgress) -> Outgoing:
         probed.asked = True
         able = [name for name in self.others() if name != probed.name and name not in self.suspected]
         chosen = [able.pop(self.chance.below(len(able))) for _ in range(min(INDIRECT, len(able)))]
         probed.nacks = set(chosen)
         return [
-            send for name in chosen for send in self.to(name, Probe(probed.number, probed.name, self.tell()))
+            send
+            for name in chosen
+            for send in self.to(name, IndirectProbe(probed.number, probed.name, self.tell()))
         ]
 
-    def judge(self, probed: Probed, now: int) -> None:
+    def judge(self, probed: ProbeInProgress, now: int) -> None:
         self.probed = None
         if probed.acked:
             self.health.note(-1)
@@ -211,35 +230,35 @@
         self.health.note(len(probed.nacks) if probed.asked and probed.nacks else +1)
         row = self.table.rows.get(probed.name)
         if row is not None and row.state == ALIVE:
-            self.learn(Row(row.name, row.start, row.turn, SUSPECT, row.address), now, self.who[0])
+            self.learn(MemberRecord(row.name, row.start, row.turn, SUSPECT, row.address), now, self.who[0])
 
-    def leave(self) -> Sends:
+    def leave(self) -> Outgoing:
         """Tells some that we go by ourselves; nothing is sent after that."""
-        self.me = Row(self.me.name, self.me.start, self.me.turn, LEFT, self.me.address)
+        self.me = MemberRecord(self.me.name, self.me.start, self.me.turn, LEFT, self.me.address)
         others = self.others()
         chosen = [others.pop(self.chance.below(len(others))) for _ in range(min(2 * INDIRECT, len(others)))]
-        return [send for name in chosen for send in self.to(name, Whole([self.me], False))]
+        return [send for name in chosen for send in self.to(name, FullSync([self.me], False))]
 
     # --- words
 
     def others(self) -> list[str]:
         return [name for name in self.table.alive() if name != self.who[0]]
 
-    def lasts(self, held: Suspected) -> int:
-        return suspicion.lasts(len(self.table.alive()), len(held.by) - 1, self.health.score)
+    def lasts(self, held: Suspicion) -> int:
+        return suspicion.suspicion_timeout(len(self.table.alive()), len(held.by) - 1, self.health.score)
 
-    def tell(self) -> list[Row]:
+    def tell(self) -> list[MemberRecord]:
         return self.rumours.take(len(self.table.alive()))
 
-    def to(self, name: str, word: Word) -> Sends:
+    def to(self, name: str, word: Message) -> Outgoing:
         address = self.address(name)
         return [(address, word)] if address is not None else []
 
-    def whole(self, address: Address | None, answer: bool) -> Sends:
+    def whole(self, address: Address | None, answer: bool) -> Outgoing:
         """All we know, in as many datagrams as that takes; the last asks for as much."""
         if address is None:
             return []
         rows = sorted(self.table.rows.values(), key=lambda row: row.name)
         pages = [rows[place : place + MOST] for place in range(0, len(rows), MOST)]
         last = len(pages) - 1
-        return [(address, Whole(page, answer and place == last)) for place, page in enumerate(pages)]
+        return [(address, FullSync(page, answer and place == last)) for place, page in enumerate(pages)]
--- a/locktide/cluster/messages.py
+++ b/locktide/cluster/messages.py
@@ -13,22 +13,24 @@
 from msgspec import Meta
 
 VERSION = 2  # 1 knew no loans and no ledger
-LARGEST = 1200  # bytes of a datagram: less than any path's smallest unit, so that none is cut into pieces
+MAX_DATAGRAM = (
+    1200  # bytes of a datagram: less than any path's smallest unit, so that none is cut into pieces
+)
 
 Count = Annotated[int, Meta(ge=0)]
-Part = Annotated[int, Meta(ge=0, le=1_000_000)]  # millionths of a whole
+Millionths = Annotated[int, Meta(ge=0, le=1_000_000)]  # millionths of a whole
 # Who somebody is: the name, and when this process of it started (whole microseconds of Unix time).
-Who = tuple[str, int]
+MemberId = tuple[str, int]
 # The order of elections: a count, and who stands.
 Ballot = tuple[Count, str, int]
 # Budgets go by their place among the names in order, which is the same wherever `book`, the sum of the names,
 # is: fifty of them and the loans between them fit one datagram.
-Place = Annotated[int, Meta(ge=0, le=255)]
+QuotaIndex = Annotated[int, Meta(ge=0, le=255)]
 # A loan: whose budget, who may spend of it, and how many millionths of that budget's whole.
-Lent = tuple[Place, Place, Part]
+LoanTriple = tuple[QuotaIndex, QuotaIndex, Millionths]
 
 
-class Row(msgspec.Struct, array_like=True, frozen=True):
+class MemberRecord(msgspec.Struct, array_like=True, frozen=True):
     """One member as somebody knows it. `turn` is what it raises itself to refute a suspicion."""
 
     name: str
@@ -38,75 +40,75 @@
     address: tuple[str, Annotated[int, Meta(ge=0, le=65535)]]
 
 
-class Word(msgspec.Struct, array_like=True):
+class Message(msgspec.Struct, array_like=True):
     pass
 
 
-class Ping(Word, tag="Ping"):
+class Ping(Message, tag="Ping"):
     """Answered by an Ack of the same number. `row` is what its sender believes of who is asked."""
 
     number: int
-    row: Row | None
-    rumours: list[Row]
+    row: MemberRecord | None
+    rumours: list[MemberRecord]
 
 
-class Probe(Word, tag="Probe"):
+class IndirectProbe(Message, tag="Probe"):
     """Asks for a ping of `name`: an indirect probe."""
 
     number: int
     name: str
-    rumours: list[Row]
+    rumours: list[MemberRecord]
 
 
-class Ack(Word, tag="Ack"):
+class Ack(Message, tag="Ack"):
     number: int
-    rumours: list[Row]
+    rumours: list[MemberRecord]
 
 
-class Nack(Word, tag="Nack"):
+class Nack(Message, tag="Nack"):
     """In answer to a Probe: it was heard, and the one probed has not answered yet."""
 
     number: int
 
 
-class Whole(Word, tag="Whole"):
+class FullSync(Message, tag="Whole"):
     """A part of a full exchange; the last that was asked for answers in kind."""
 
-    rows: list[Row]
+    rows: list[MemberRecord]
     answer: bool
 
 
-class Prepare(Word, tag="Prepare"):
+class Prepare(Message, tag="Prepare"):
     ballot: Ballot
 
 
-class Promise(Word, tag="Promise"):
+class Promise(Message, tag="Promise"):
     """`owner` holds the lease, as far as this elector knows; `refused` where it has promised `ballot`."""
 
     asked: Ballot
     ballot: Ballot
-    owner: Who | None
+    owner: MemberId | None
     refused: bool
 
 
-class Propose(Word, tag="Propose"):
+class Propose(Message, tag="Propose"):
     ballot: Ballot
-    owner: Who
+    owner: MemberId
 
 
-class Accepted(Word, tag="Accepted"):
+class Accepted(Message, tag="Accepted"):
     asked: Ballot
     ballot: Ballot
     refused: bool
 
 
-class Lead(Word, tag="Lead"):
+class LeaderHeartbeat(Message, tag="Lead"):
     """The owner of the lease says so; `term` is the ballot with which it began to hold it."""
 
     term: Ballot
 
 
-class Ask(Word, tag="Ask"):
+class LeaseRequest(Message, tag="Ask"):
     """A member tells what it holds and wants. `held` and `loans` are in force as of grant `seq` of term `of`;
     `wants` is its demand by budget, in whatever unit the budget has.
     """
@@ -115,14 +117,14 @@
     number: int
     of: Ballot | None
     seq: int
-    held: dict[Place, Part]
-    wants: dict[Place, Count]
-    loans: list[Lent]
+    held: dict[QuotaIndex, Millionths]
+    wants: dict[QuotaIndex, Count]
+    loans: list[LoanTriple]
     leaving: bool
     book: int = 0
 
 
-class Grant(Word, tag="Grant"):
+class LeaseGrant(Message, tag="Grant"):
     """In answer to the Ask of that number: parts in millionths, counted from when the Ask was sent. `soon`:
     there is more to come, once others have let go of it.
     """
@@ -130,21 +132,21 @@
     term: Ballot
     number: int
     seq: int
-    parts: dict[Place, Part]
-    loans: list[Lent]
+    parts: dict[QuotaIndex, Millionths]
+    loans: list[LoanTriple]
     soon: bool
 
 
-class Recall(Word, tag="Recall"):
+class LeaseRevocation(Message, tag="Recall"):
     """Who divides calls back what was lent of these budgets, as their owners have come again. It only makes
     haste: a loan ends by itself.
     """
 
     term: Ballot
-    owners: list[Place]
+    owners: list[QuotaIndex]
 
 
-class Entry(msgspec.Struct, array_like=True, frozen=True):
+class LedgerRow(msgspec.Struct, array_like=True, frozen=True):
     """A row of the ledger: of a tenant, by its place, what it holds of each resource and what waits."""
 
     place: Count
@@ -153,16 +155,16 @@
     waits: list[Count]
 
 
-class Group(msgspec.Struct, array_like=True):
+class WriterDelta(msgspec.Struct, array_like=True):
     """Rows of one writer: all that it wrote after that version, as far as they go, in order."""
 
     name: str
     start: int
     after: Count
-    entries: list[Entry]
+    entries: list[LedgerRow]
 
 
-class Heads(Word, tag="Heads"):
+class Digest(Message, tag="Heads"):
     """How far the sender has read each writer whose name is after `after` and no further than `upto`, and
     what is closed of these; only its digest, where `upto` is empty. `sum` is of the tenants and resources.
     """
@@ -176,18 +178,18 @@
     answer: bool
 
 
-class Rows(Word, tag="Rows"):
+class Delta(Message, tag="Rows"):
     sum: int
-    groups: list[Group]
+    groups: list[WriterDelta]
 
 
-class Look(Word, tag="Look"):
+class InspectionRequest(Message, tag="Look"):
     """Of `locktide cluster show`: answered on loopback only."""
 
     number: int
 
 
-class Seen(Word, tag="Seen"):
+class InspectionPage(Message, tag="Seen"):
     """A page of what a member sees, as JSON; `pages` in all."""
 
     number: int
@@ -196,38 +198,40 @@
     text: str
 
 
-Members = Ping | Probe | Ack | Nack | Whole
-Budgets = Prepare | Promise | Propose | Accepted | Lead | Ask | Grant | Recall
-Ledger = Heads | Rows
-Any = Members | Budgets | Ledger | Look | Seen
+MembershipMessage = Ping | IndirectProbe | Ack | Nack | FullSync
+QuotaMessage = (
+    Prepare | Promise | Propose | Accepted | LeaderHeartbeat | LeaseRequest | LeaseGrant | LeaseRevocation
+)
+FairnessMessage = Digest | Delta
+AnyMessage = MembershipMessage | QuotaMessage | FairnessMessage | InspectionRequest | InspectionPage
 
 
-class Said(msgspec.Struct, array_like=True):
+class Envelope(msgspec.Struct, array_like=True):
     """A word, and by whom it was said."""
 
     version: int
     sender: str
     start: int
-    word: Any
+    word: AnyMessage
 
 
-READER: msgspec.msgpack.Decoder[Said] = msgspec.msgpack.Decoder(Said)
+READER: msgspec.msgpack.Decoder[Envelope] = msgspec.msgpack.Decoder(Envelope)
 WRITER = msgspec.msgpack.Encoder()
 
 
-def size(part: msgspec.Struct) -> int:
+def encoded_size(part: msgspec.Struct) -> int:
     """Bytes of a part of a word."""
     return len(WRITER.encode(part))
 
 
-def pack(who: Who, word: Word) -> bytes:
+def encode(who: MemberId, word: Message) -> bytes:
     body = WRITER.encode((VERSION, who[0], who[1], word))
     return crc32(body).to_bytes(4, "big") + body
 
 
-def unpack(datagram: bytes) -> Said | None:
+def decode(datagram: bytes) -> Envelope | None:
     """None for what is garbled, cut short, too long, of another version or nothing of ours."""
-    if not 4 < len(datagram) <= LARGEST or crc32(datagram[4:]) != int.from_bytes(datagram[:4], "big"):
+    if not 4 < len(datagram) <= MAX_DATAGRAM or crc32(datagram[4:]) != int.from_bytes(datagram[:4], "big"):
         return None
     try:
         said = READER.decode(datagram[4:])
--- a/locktide/cluster/quota/account.py
+++ b/locktide/cluster/quota/account.py
@@ -4,18 +4,18 @@
 
 from dataclasses import dataclass, field
 
-from locktide.cluster.messages import Ask, Lent
+from locktide.cluster.messages import LeaseRequest, LoanTriple
 
 Parts = dict[int, int]  # by the budget's place
 Loans = dict[tuple[int, int], int]  # by owner and borrower
 
 
-def loans_of(told: list[Lent]) -> Loans:
+def loans_of(told: list[LoanTriple]) -> Loans:
     return {(owner, borrower): part for owner, borrower, part in told}
 
 
 @dataclass(slots=True)
-class Promised:
+class OutstandingGrant:
     """Parts count before `until`, loans before `loans_until`, which is no later."""
 
     seq: int
@@ -43,16 +43,16 @@
 
 
 @dataclass(slots=True)
-class Account:
+class HolderAccount:
     number: int = 0  # of the last Ask that was heard
     heard_at: int = 0
     wants: Parts = field(default_factory=dict)
-    held: Promised | None = None  # as it said, in force there until then at the latest
-    under_way: Promised | None = None  # a later grant, of which it has not told yet
+    held: OutstandingGrant | None = None  # as it said, in force there until then at the latest
+    under_way: OutstandingGrant | None = None  # a later grant, of which it has not told yet
     moved_at: int = -(1 << 62)  # when its parts last made a damped step
     counted: Parts = field(default_factory=dict)  # its worst as it stands in the totals
 
-    def promised(self, now: int) -> list[Promised]:
+    def promised(self, now: int) -> list[OutstandingGrant]:
         return [one for one in (self.held, self.under_way) if one is not None and now < one.until]
 
     def worst(self, now: int) -> Parts:
@@ -71,12 +71,12 @@
                 found[pair] = max(part, found.get(pair, 0))
         return found
 
-    def told(self, word: Ask, until: int, loans_until: int, same_term: bool) -> None:
+    def told(self, word: LeaseRequest, until: int, loans_until: int, same_term: bool) -> None:
         """It holds what it says, and no grant before this question can count there any more. What was counted
         with an earlier end keeps that.
         """
         for one in (self.held, self.under_way):
             if same_term and one is not None and one.seq == word.seq:
                 until, loans_until = min(until, one.until), min(loans_until, one.loans_until)
-        self.held = Promised(word.seq, dict(word.held), loans_of(word.loans), until, loans_until)
+        self.held = OutstandingGrant(word.seq, dict(word.held), loans_of(word.loans), until, loans_until)
         self.under_way = None
--- a/locktide/cluster/quota/allocator.py
+++ b/locktide/cluster/quota/allocator.py
@@ -12,10 +12,10 @@
 
 from heapq import heappop, heappush
 
-from locktide.cluster.borrowing.loan_allocator import Broker
-from locktide.cluster.messages import Ask, Ballot, Grant, Recall, Who
+from locktide.cluster.borrowing.loan_allocator import LoanAllocator
+from locktide.cluster.messages import Ballot, LeaseGrant, LeaseRequest, LeaseRevocation, MemberId
 from locktide.cluster.quota import allocation as divide
-from locktide.cluster.quota.account import Account, Loans, Parts, Promised
+from locktide.cluster.quota.account import HolderAccount, Loans, OutstandingGrant, Parts
 from locktide.cluster.quota.lease_timing import ASK, LOAN, PART, stretched
 
 # Demand of who has not asked for so long does not count, in parts of a span: it may have died.
@@ -24,7 +24,7 @@
 MOST_LOANS = 24
 
 
-class Giver:
+class Allocator:
     """`movable`: how much of each budget is divided, in millionths of its whole. One for each term. `order`
     is who borrows first.
     """
@@ -38,31 +38,31 @@
         every: int = ASK,
         floor: int = 0,
         loan: int = LOAN,
-        broker: Broker | None = None,
+        broker: LoanAllocator | None = None,
     ) -> None:
         self.floor = floor  # what each has beside that, of every budget
         self.term, self.movable, self.gap = term, movable, every // 2
         self.lasts, self.quiet = stretched(span), int(span * QUIET)
         self.loan_lasts, self.broker = stretched(loan), broker
         self.renews_until = now + self.lasts  # by then all that others gave is over
-        self.accounts: dict[Who, Account] = {}
+        self.accounts: dict[MemberId, HolderAccount] = {}
         self.seq = 0
         # The sum of what all accounts count, and when each may count less. Between the two moments the sum is
         # too large, never too small.
         self.totals = dict.fromkeys(movable, 0)
-        self.less_at: list[tuple[int, Who]] = []
-        self.targets: dict[int, dict[Who, int]] = {}
-        self.shares: dict[Who, Loans] = {}  # of the planned loans, by member
+        self.less_at: list[tuple[int, MemberId]] = []
+        self.targets: dict[int, dict[MemberId, int]] = {}
+        self.shares: dict[MemberId, Loans] = {}  # of the planned loans, by member
         self.targets_at = -(1 << 62)
         self.order: list[int] = []
-        self.recalls: list[tuple[Who, Recall]] = []  # to be sent
+        self.recalls: list[tuple[MemberId, LeaseRevocation]] = []  # to be sent
 
-    def asked(self, who: Who, word: Ask, now: int) -> Grant | None:
+    def asked(self, who: MemberId, word: LeaseRequest, now: int) -> LeaseGrant | None:
         while self.less_at and self.less_at[0][0] <= now:
             _, other = heappop(self.less_at)
             if other in self.accounts:
                 self.count(other, now)
-        account = self.accounts.setdefault(who, Account())
+        account = self.accounts.setdefault(who, HolderAccount())
         if word.number <= account.number:
             return None  # late, or doubled: what it says is of before
         account.number, account.heard_at = word.number, now
@@ -83,12 +83,12 @@
         loans = self.lend(who, parts, now)
         self.seq += 1
         loans_until = now + self.loan_lasts if loans else now
-        account.under_way = Promised(self.seq, parts, loans, now + self.lasts, loans_until)
+        account.under_way = OutstandingGrant(self.seq, parts, loans, now + self.lasts, loans_until)
         self.count(who, now)
         told = [(owner, borrower, part) for (owner, borrower), part in loans.items()]
-        return Grant(self.term, word.number, self.seq, parts, told, self.waits(who, account, parts, now))
+        return LeaseGrant(self.term, word.number, self.seq, parts, told, self.waits(who, account, parts, now))
 
-    def count(self, who: Who, now: int) -> None:
+    def count(self, who: MemberId, now: int) -> None:
         """Brings the totals up to date with one account; forgets it once nothing of it can be in force."""
         account = self.accounts[who]
         worst, counted = account.worst(now), account.counted
@@ -102,7 +102,7 @@
         else:
             heappush(self.less_at, (account.heard_at + 11 * self.lasts, who))
 
-    def part(self, who: Who, budget: int, held: int, steps: bool, now: int) -> int:
+    def part(self, who: MemberId, budget: int, held: int, steps: bool, now: int) -> int:
         whole = self.movable[budget]
         others = self.totals[budget] - self.accounts[who].counted.get(budget, 0)
         if now < self.renews_until:
@@ -115,14 +115,14 @@
             wanted = divide.moved(held, self.target(who, budget, now), whole // len(self.targets[budget]))
         return max(0, min(wanted, whole - others))
 
-    def target(self, who: Who, budget: int, now: int) -> int:
+    def target(self, who: MemberId, budget: int, now: int) -> int:
         targets = self.divided(now)[budget]
         if who not in targets:
             self.targets_at = -(1 << 62)  # it has come since
             targets = self.divided(now)[budget]
         return targets[who]
 
-    def waits(self, who: Who, account: Account, parts: Parts, now: int) -> bool:
+    def waits(self, who: MemberId, account: HolderAccount, parts: Parts, now: int) -> bool:
         """Whether it should have more of what its owner has come back for, once that is given back."""
         if now < self.renews_until:
             return False
@@ -142,7 +142,7 @@
         owner = self.broker.owners.get(budget) if self.broker is not None else None
         return owner is not None and now < owner.holds_until
 
-    def lend(self, who: Who, parts: Parts, now: int) -> Loans:
+    def lend(self, who: MemberId, parts: Parts, now: int) -> Loans:
         """What this member may spend of others' budgets, within what is free of them."""
         if self.broker is None or now < self.renews_until:
             return {}
@@ -182,7 +182,7 @@
                 if worst.get(owner) and not (anew and account.heard_at >= self.came_back(owner))
             ]
             if theirs:
-                self.recalls.append((who, Recall(self.term, theirs)))
+                self.recalls.append((who, LeaseRevocation(self.term, theirs)))
 
     def came_back(self, owner: int) -> int:
         assert self.broker is not None
@@ -190,7 +190,7 @@
 
     # --- the division
 
-    def divided(self, now: int) -> dict[int, dict[Who, int]]:
+    def divided(self, now: int) -> dict[int, dict[MemberId, int]]:
         """The targets of all that ask; once in half of the time between two questions of one member."""
         if now >= self.targets_at + self.gap:
             self.targets_at = now
@@ -202,7 +202,7 @@
                 self.targets[budget] = divide.targets(wants, left, self.floor)
         return self.targets
 
-    def plan(self, asking: list[tuple[Who, Account]], now: int) -> Parts:
+    def plan(self, asking: list[tuple[MemberId, HolderAccount]], now: int) -> Parts:
         """Plans the loans and each member's part of them; how much of each budget is to be lent."""
         if self.broker is None or now < self.renews_until:
             return {}
--- a/locktide/cluster/quota/lease_holder.py
+++ b/locktide/cluster/quota/lease_holder.py
@@ -6,15 +6,15 @@
 
 from __future__ import annotations
 
-from locktide.cluster.messages import Ask, Ballot, Grant, Recall, Who
+from locktide.cluster.messages import Ballot, LeaseGrant, LeaseRequest, LeaseRevocation, MemberId
 from locktide.cluster.quota.lease_timing import ASK, LOAN, PART
 
 Parts = dict[int, int]  # by the budget's place
 Loans = dict[tuple[int, int], int]
 
 
-class Holder:
-    def __init__(self, who: Who, now: int, span: int = PART, every: int = ASK, loan: int = LOAN) -> None:
+class LeaseHolder:
+    def __init__(self, who: MemberId, now: int, span: int = PART, every: int = ASK, loan: int = LOAN) -> None:
         self.who, self.span, self.every, self.loan = who, span, every, loan
         self.soon = every // 4  # who waits for more than it has asks so soon again
         self.parts: Parts = {}
@@ -54,22 +54,22 @@
         self.urgent_until = now + self.span
         self.ask_at = min(self.ask_at, max(now, self.asked_at + self.every // 8))
 
-    def ask(self, wants: Parts, now: int) -> Ask | None:
+    def ask(self, wants: Parts, now: int) -> LeaseRequest | None:
         """The next question, if it is time; to the name in its term."""
         if self.term is None or now < self.ask_at or self.leaving:
             return None
         return self.question(wants, now)
 
-    def question(self, wants: Parts, now: int) -> Ask:
+    def question(self, wants: Parts, now: int) -> LeaseRequest:
         assert self.term is not None
         self.number += 1
         self.asked_at, self.ask_at = now, now + (self.soon if now < self.urgent_until else self.every)
         held, lent = dict(self.in_force(now)), self.lent(now)
         loans = [(owner, borrower, part) for (owner, borrower), part in lent.items()]
         of = self.of if held or loans else None
-        return Ask(self.term, self.number, of, self.seq, held, wants, loans, self.leaving)
+        return LeaseRequest(self.term, self.number, of, self.seq, held, wants, loans, self.leaving)
 
-    def granted(self, word: Grant, now: int) -> bool:
+    def granted(self, word: LeaseGrant, now: int) -> bool:
         """Whether it counts from now on."""
         if word.term != self.term or word.number != self.number or self.leaving:
             return False
@@ -87,7 +87,7 @@
         self.until, self.loans_until = self.asked_at + self.span, self.asked_at + self.loan
         return True
 
-    def recalled(self, word: Recall, now: int) -> None:
+    def recalled(self, word: LeaseRevocation, now: int) -> None:
         """Lets go of loans at once, and asks anew, so that parts that it does not need move, too."""
         if word.term != self.term:
             return
@@ -95,7 +95,7 @@
             del self.loans[pair]
         self.ask_at = min(self.ask_at, max(now, self.asked_at + self.every // 8))
 
-    def leave(self, now: int) -> Ask | None:
+    def leave(self, now: int) -> LeaseRequest | None:
         """Gives all back."""
         self.parts, self.until, self.loans, self.leaving = {}, 0, {}, True
         return self.question({}, now) if self.term is not None else None
--- a/locktide/cluster/quota/local_quota.py
+++ b/locktide/cluster/quota/local_quota.py
@@ -7,14 +7,14 @@
 from dataclasses import dataclass
 
 from locktide.cluster.quota.allocation import WHOLE
-from locktide.cluster.quota.token_bucket import Bucket
+from locktide.cluster.quota.token_bucket import TokenBucket
 
 Parts = dict[str, int]
 Loans = dict[tuple[str, str], int]  # by owner and borrower: millionths of the owner's whole
 
 
 @dataclass(frozen=True, slots=True)
-class Budget:
+class QuotaSpec:
     """A whole: a rate with its burst, in tokens (a second); or, with a rate of 0, only parts of something
     that is counted elsewhere. `lends`: what is not used of it may be lent; never of what cold workers bear.
     """
@@ -25,8 +25,8 @@
     lends: bool = False
 
 
-class Purse:
-    def __init__(self, budgets: list[Budget], reserve: float, most: int, now: int) -> None:
+class LocalQuota:
+    def __init__(self, budgets: list[QuotaSpec], reserve: float, most: int, now: int) -> None:
         """`reserve`: the part of each whole that is spread evenly as floors over `most` processes."""
         self.floor = int(WHOLE * reserve) // most
         self.movable = WHOLE - self.floor * most
@@ -34,7 +34,7 @@
         self.parts: Parts = {budget.name: self.floor for budget in budgets}
         self.until = 0
         self.buckets = {
-            budget.name: Bucket(budget.rate, budget.burst, self.floor, now)
+            budget.name: TokenBucket(budget.rate, budget.burst, self.floor, now)
             for budget in budgets
             if budget.rate
         }
@@ -42,7 +42,7 @@
         self.peaks: Parts = dict(self.counts)  # the same, just before they last faded
         self.loans: Loans = {}
         self.loans_until = 0
-        self.borrowed: dict[tuple[str, str], Bucket] = {}
+        self.borrowed: dict[tuple[str, str], TokenBucket] = {}
 
     def settle(self, held: Parts, until: int, loans: Loans, loans_until: int, now: int) -> bool:
         """Takes in what is held now, until then; whether anything has moved."""
@@ -67,7 +67,7 @@
         for pair, part in loans.items():
             of = self.budgets[pair[0]]
             if pair not in self.borrowed:
-                self.borrowed[pair] = Bucket(of.rate, of.burst, part, now)
+                self.borrowed[pair] = TokenBucket(of.rate, of.burst, part, now)
             self.borrowed[pair].move(part, now)
         self.loans = dict(loans)
 
--- a/locktide/cluster/quota/token_bucket.py
+++ b/locktide/cluster/quota/token_bucket.py
@@ -12,7 +12,7 @@
 TOKEN = 1_000_000
 
 
-class Bucket:
+class TokenBucket:
     """`rate` in tokens a second, `burst` in tokens, of the whole budget; parts in millionths of it."""
 
     def __init__(self, rate: float, burst: float, part: int, now: int) -> None:
--- a/locktide/cluster/udp_transport.py
+++ b/locktide/cluster/udp_transport.py
@@ -8,13 +8,13 @@
 from ipaddress import ip_address
 from typing import Any, Protocol, TextIO
 
-from locktide.cluster.config import Terms
-from locktide.cluster.inspection import seen
-from locktide.cluster.member import Agent
-from locktide.cluster.membership.swim import Sends
-from locktide.cluster.messages import Look, Said, Seen, pack, unpack
+from locktide.cluster.config import ClusterConfig
+from locktide.cluster.inspection import inspect
+from locktide.cluster.member import ClusterMember
+from locktide.cluster.membership.swim import Outgoing
+from locktide.cluster.messages import Envelope, InspectionPage, InspectionRequest, decode, encode
 from locktide.cluster.quota.allocation import WHOLE
-from locktide.scheduler import interface as say
+from locktide.scheduler.events import ConfigReloaded, QuotaSharesUpdated, QuotaStage, RequestArrived
 
 PAGE = 900  # bytes of what is shown, to a datagram
 # Who holds too much is told anew with each change; where no news comes for so long nobody does.
@@ -26,7 +26,7 @@
     def say(self, line: str, kind: str = "", event: str = "", **fields: Any) -> None: ...
 
 
-class Node(Protocol):
+class EventSource(Protocol):
     """What the part asks of a node: to be told of news, and to hear the news that it gets."""
 
     hearers: list[Callable[[Any], None]]
@@ -37,15 +37,17 @@
     def tell(self, piece: Any) -> None: ...
 
 
-class Driver(asyncio.DatagramProtocol):
+class UdpTransport(asyncio.DatagramProtocol):
     """Times are those of the loop's clock, which is the machine's monotonic one, in whole microseconds."""
 
     transport: asyncio.DatagramTransport
 
-    def __init__(self, terms: Terms, log: Log, node: Node | None, trace: TextIO | None = None) -> None:
+    def __init__(
+        self, terms: ClusterConfig, log: Log, node: EventSource | None, trace: TextIO | None = None
+    ) -> None:
         self.trace = trace  # where each change of what is in force goes, with its moment
         self.loop, self.terms, self.log, self.node = asyncio.get_running_loop(), terms, log, node
-        self.agent = Agent(terms, self.now())
+        self.agent = ClusterMember(terms, self.now())
         self.timer: asyncio.TimerHandle | None = None
         self.refused = 0  # datagrams of which nothing was believed
         self.budgets = {budget.name for budget in terms.budgets}
@@ -63,10 +65,10 @@
         self.wake()
 
     def datagram_received(self, data: bytes, source: Any) -> None:
-        said = unpack(data)
+        said = decode(data)
         if said is None:
             self.refused += 1
-        elif isinstance(said.word, Look):
+        elif isinstance(said.word, InspectionRequest):
             self.show(said.word, source)
         else:
             self.carry_out(self.agent.hear(said, self.now()))  # the clock is read after the datagram
@@ -83,9 +85,9 @@
         at = max(self.agent.due / 1e6, self.loop.time() + SMALLEST_WAIT)
         self.timer = self.loop.call_at(at, self.due)
 
-    def carry_out(self, sends: Sends) -> None:
+    def carry_out(self, sends: Outgoing) -> None:
         for address, word in sends:
-            self.transport.sendto(pack(self.terms.who, word), address)
+            self.transport.sendto(encode(self.terms.who, word), address)
         if self.agent.news.moved:
             self.told_parts()
         for what, row in self.agent.news.events:
@@ -139,26 +141,26 @@
         # What is held from now on by this loop's clock, on the decisions' one; they differ by a constant.
         until = there + max(0, purse.until - now)
         parts = {name: part / WHOLE for name, part in purse.parts.items()}
-        stages = [say.Stage(until, parts), say.Stage(1 << 62, dict.fromkeys(parts, purse.floor / WHOLE))]
+        stages = [QuotaStage(until, parts), QuotaStage(1 << 62, dict.fromkeys(parts, purse.floor / WHOLE))]
         if purse.loans:
             lent: dict[str, float] = {}
             for (owner, borrower), part in purse.loans.items():
                 rates = purse.budgets[owner].rate, purse.budgets[borrower].rate
                 if rates[1]:
                     lent[borrower] = lent.get(borrower, 0.0) + part / WHOLE * rates[0] / rates[1]
-            stages.insert(0, say.Stage(min(until, there + max(0, purse.loans_until - now)), parts, lent))
-        self.node.tell(say.Parts(stages, self.agent.over, there + OVER_FOR))
+            stages.insert(0, QuotaStage(min(until, there + max(0, purse.loans_until - now)), parts, lent))
+        self.node.tell(QuotaSharesUpdated(stages, self.agent.over, there + OVER_FOR))
 
     def heard(self, piece: Any) -> None:
         """News and orders of the node: what clients ask for is the demand that the division follows, and
         what they hold of the fleet goes into the ledger.
         """
-        if type(piece) is say.NewTerms:
+        if type(piece) is ConfigReloaded:
             self.loop.call_soon(self.tell_node)  # which made a new reckoning of shares
             return
         if (ledger := self.agent.ledger) is not None:
             ledger.holdings.hear(piece)
-        if type(piece) is say.Arrival and piece.tenant in self.budgets:
+        if type(piece) is RequestArrived and piece.tenant in self.budgets:
             due = self.agent.due
             self.agent.spend(piece.tenant, self.now())
             if self.agent.due < due:
@@ -166,19 +168,21 @@
 
     # --- a look from outside
 
-    def show(self, word: Look, source: Any) -> None:
+    def show(self, word: InspectionRequest, source: Any) -> None:
         """On loopback only: what members see is nobody else's."""
         if not ip_address(source[0]).is_loopback:
             return
-        told = json.dumps(seen(self.agent, self.now()) | {"refused_datagrams": self.refused})
+        told = json.dumps(inspect(self.agent, self.now()) | {"refused_datagrams": self.refused})
         pages = [told[place : place + PAGE] for place in range(0, len(told), PAGE)]
         for place, text in enumerate(pages):
-            self.transport.sendto(pack(self.terms.who, Seen(word.number, place, len(pages), text)), source)
+            self.transport.sendto(
+                encode(self.terms.who, InspectionPage(word.number, place, len(pages), text)), source
+            )
 
     async def close(self) -> None:
         """A clean end: gives back what it holds and says that it goes."""
         for address, word in self.agent.leave(self.now()):
-            self.transport.sendto(pack(self.terms.who, word), address)
+            self.transport.sendto(encode(self.terms.who, word), address)
         if self.timer is not None:
             self.timer.cancel()
         if self.node is not None:
@@ -189,18 +193,22 @@
         self.transport.close()
 
 
-async def open_driver(
-    terms: Terms, log: Log, node: Node | None, listen: tuple[str, int], trace: TextIO | None = None
-) -> Driver:
+async def open_udp_transport(
+    terms: ClusterConfig,
+    log: Log,
+    node: EventSource | None,
+    listen: tuple[str, int],
+    trace: TextIO | None = None,
+) -> UdpTransport:
     """Raises OSError where the address cannot be had: most likely somebody of our name has it."""
     loop = asyncio.get_running_loop()
     _, driver = await loop.create_datagram_endpoint(
-        lambda: Driver(terms, log, node, trace), local_addr=listen
+        lambda: UdpTransport(terms, log, node, trace), local_addr=listen
     )
     return driver
 
 
-async def look(address: tuple[str, int], within: float = 1.0) -> dict[str, Any]:
+async def inspect_member(address: tuple[str, int], within: float = 1.0) -> dict[str, Any]:
     """What the member at that address sees; raises OSError, TimeoutError or ValueError."""
     loop = asyncio.get_running_loop()
     pages: dict[int, str] = {}
@@ -208,8 +216,8 @@
 
     class Looking(asyncio.DatagramProtocol):
         def datagram_received(self, data: bytes, source: Any) -> None:
-            said: Said | None = unpack(data)
-            if said is not None and isinstance(said.word, Seen) and not whole.done():
+            said: Envelope | None = decode(data)
+            if said is not None and isinstance(said.word, InspectionPage) and not whole.done():
                 pages[said.word.page] = said.word.text
                 if len(pages) == said.word.pages:
                     whole.set_result("".join(pages[page] for page in sorted(pages)))
@@ -220,7 +228,7 @@
 
     transport, _ = await loop.create_datagram_endpoint(Looking, remote_addr=address)
     try:
-        transport.sendto(pack(("", 0), Look(1)))
+        transport.sendto(encode(("", 0), InspectionRequest(1)))
         told: dict[str, Any] = json.loads(await asyncio.wait_for(whole, within))
         return told
     finally:
--- a/locktide/config/accord.py
+++ b/locktide/config/accord.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Annotated
 
-from locktide.config.typed import Part, key, seconds
+from locktide.config.typed import Section, key, seconds
 
 if TYPE_CHECKING:
     from locktide.config.installation import Installation
@@ -13,19 +13,19 @@
 MOST_TENANTS = 50
 
 
-class Elector(Part):
+class Elector(Section):
     name: Annotated[str, key("of the dispatcher, as in its serve.name", pattern=".")]
     address: Annotated[str, key("HOST:PORT where it is reached, UDP", pattern=PLACE)]
 
 
-class Resource(Part):
+class Resource(Section):
     """Something that jobs hold while they are out: slots, memory, connections, fetches of a store."""
 
     name: Annotated[str, key("as in a grade's holds", pattern="^[a-z][a-z0-9_-]{0,40}$")]
     each: Annotated[float, key("how much of it each ready worker brings", gt=0, le=1e9)]
 
 
-class Accord(Part):
+class Accord(Section):
     """What dispatchers agree upon, over UDP among themselves."""
 
     on: Annotated[bool, key("whether tenants' rates are divided among dispatchers by demand")] = False
--- a/locktide/config/checks.py
+++ b/locktide/config/checks.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from math import isfinite
-from typing import Any
+from typing import Any, TypeVar
 
+Choice = TypeVar("Choice")
 
-class Faulty(Exception):
+
+class ConfigError(Exception):
     """A key that is missing or holds what it may not; the text begins with the key."""
 
     def __init__(self, key: str, wrong: str) -> None:
@@ -20,9 +22,9 @@
     except OverflowError:  # more digits than any figure of ours has
         whole = False
     if not whole:
-        raise Faulty(key, f"expected a number, not {value!r:.40}")
+        raise ConfigError(key, f"expected a number, not {value!r:.40}")
     if value < least:
-        raise Faulty(key, f"expected at least {least:g}, not {value!r}")
+        raise ConfigError(key, f"expected at least {least:g}, not {value!r}")
     return float(value)
 
 
@@ -34,7 +36,7 @@
 
     def __init__(self, raw: Any, path: str = "") -> None:
         if not isinstance(raw, dict):
-            raise Faulty(path or "the whole", f"expected an object, not {raw!r:.40}")
+            raise ConfigError(path or "the whole", f"expected an object, not {raw!r:.40}")
         self.raw, self.path = raw, path
 
     def key(self, name: str) -> str:
@@ -44,13 +46,13 @@
         if name in self.raw:
             return self.raw[name]
         if absent is _MUST:
-            raise Faulty(self.key(name), "is missing")
+            raise ConfigError(self.key(name), "is missing")
         return absent
 
     def text(self, name: str, absent: Any = _MUST) -> str:
         value = self.get(name, absent)
         if not isinstance(value, str):
-            raise Faulty(self.key(name), f"expected a text, not {value!r:.40}")
+            raise ConfigError(self.key(name), f"expected a text, not {value!r:.40}")
         return value
 
     def number(self, name: str, absent: Any = _MUST, least: float = 0.0) -> float:
@@ -59,7 +61,7 @@
     def whole(self, name: str, absent: Any = _MUST, least: int = 0) -> int:
         value = self.number(name, absent, least)
         if value != int(value):
-            raise Faulty(self.key(name), f"expected a whole number, not {value!r}")
+            raise ConfigError(self.key(name), f"expected a whole number, not {value!r}")
         return int(value)
 
     def span(self, name: str, absent: Any = _MUST) -> int:
@@ -69,13 +71,13 @@
     def flag(self, name: str, absent: Any = _MUST) -> bool:
         value = self.get(name, absent)
         if not isinstance(value, bool):
-            raise Faulty(self.key(name), f"expected true or false, not {value!r:.40}")
+            raise ConfigError(self.key(name), f"expected true or false, not {value!r:.40}")
         return value
 
-    def one_of(self, table: dict[str, str], name: str, absent: Any = _MUST) -> str:
+    def one_of(self, table: Mapping[str, Choice], name: str, absent: Any = _MUST) -> Choice:
         value = self.get(name, absent)
         if not isinstance(value, str) or value not in table:
-            raise Faulty(self.key(name), f"expected one of {', '.join(table)}, not {value!r:.40}")
+            raise ConfigError(self.key(name), f"expected one of {', '.join(table)}, not {value!r:.40}")
         return table[value]
 
     def table(self, name: str, absent: Any = _MUST) -> Table:
@@ -84,7 +86,7 @@
     def row(self, name: str, absent: Any = _MUST) -> list[Any]:
         value = self.get(name, absent)
         if not isinstance(value, list):
-            raise Faulty(self.key(name), f"expected a list, not {value!r:.40}")
+            raise ConfigError(self.key(name), f"expected a list, not {value!r:.40}")
         return value
 
     def texts(self, name: str) -> frozenset[str] | None:
@@ -93,9 +95,9 @@
             return None
         for place, text in enumerate(self.row(name)):
             if not isinstance(text, str):
-                raise Faulty(f"{self.key(name)}[{place}]", f"expected a text, not {text!r:.40}")
+                raise ConfigError(f"{self.key(name)}[{place}]", f"expected a text, not {text!r:.40}")
         if not self.raw[name]:
-            raise Faulty(self.key(name), "expected at least one")
+            raise ConfigError(self.key(name), "expected at least one")
         return frozenset(self.raw[name])
 
     def tables(self, name: str, absent: Any = _MUST) -> Iterator[Table]:
--- a/locktide/config/installation.py
+++ b/locktide/config/installation.py
@@ -13,17 +13,17 @@
 
 from locktide.config import settings, typed
 from locktide.config.accord import Accord, accord_faults
-from locktide.config.checks import Faulty, Table
+from locktide.config.checks import ConfigError, Table
 from locktide.config.start import Start, from_table
-from locktide.config.typed import Faults, Part, key, seconds
+from locktide.config.typed import ConfigErrors, Section, key, seconds
 
-EFFECTS = {effect: name for name, effect in settings.EFFECTS.items()}
+EFFECTS: dict[str, str] = {effect: name for name, effect in settings.EFFECTS.items()}
 GROUPS = {"everyone": "all", "zone": "zone", "cell": "cell"}
 
 PLACE = r"^[^\s]+:[0-9]{1,5}$"
 
 
-class Serve(Part):
+class Serve(Section):
     name: Annotated[str, key("of this dispatcher, the same after a restart", pattern=".")] = "locktide"
     listen: Annotated[str, key("HOST:PORT where clients hand in and workers call back", pattern=PLACE)] = (
         "127.0.0.1:7070"
@@ -35,16 +35,16 @@
     ask_within: Annotated[float, seconds("within which each dispatcher should then ask", gt=0)] = 10.0
 
 
-class Limits(Part):
+class Limits(Section):
     descriptors: Annotated[int, key("file descriptors that it may hold", ge=32)] = 1024
     memory_mb: Annotated[int, key("megabytes it may take", ge=24)] = 192
 
 
-class Logging(Part):
+class Logging(Section):
     format: Annotated[Literal["text", "json"], key("how lines are written to standard error")] = "text"
 
 
-class Dispatches(Part):
+class Dispatches(Section):
     most: Annotated[int, key("of one submission", ge=1, le=100)] = 4
     may_withdraw: Annotated[bool, key("whether workers take withdrawals")] = True
     connect: Annotated[float, seconds("until a connection to a worker has failed", gt=0)] = 0.25
@@ -53,7 +53,7 @@
     round: Annotated[float, seconds("between two rounds of the pool", gt=0)] = 0.004
 
 
-class Workers(Part):
+class Workers(Section):
     dispatchers: Annotated[int, key("how many dispatchers share the fleet", ge=1)] = 1
     hang_up: Annotated[float, seconds("within which idle connections to one that drains close; 0: any")] = 0.0
     tells_start: Annotated[bool, key("workers tell when a job starts")] = True
@@ -68,20 +68,20 @@
     ] = "silent"
 
 
-class Worth(Part):
+class Worth(Section):
     worst_grade: Annotated[float, key("part of the goal that the worst grade decides", ge=0, le=1)] = 0.0
     beyond_share: Annotated[float, key("worth of what is beyond its tenant's rate", ge=0, le=1)] = 1.0
     connection: Annotated[float, key("price of a new connection, in usual submissions", ge=0, le=1)] = 0.0
     crossing: Annotated[float, key("price of a dispatch to another zone, the same", ge=0, le=1)] = 0.0
 
 
-class Tenant(Part):
+class Tenant(Section):
     name: Annotated[str, key("as in the extras of a submission", pattern="^[!-+.-<>-~]{1,64}$")]
     rate: Annotated[float, key("submissions a second that it may ask of all dispatchers", ge=0)]
     weight: Annotated[float, key("its share of a contended fleet, beside others'", gt=0, le=1000)] = 1.0
 
 
-class Known(Part):
+class Known(Section):
     """A worker known at the start, until the roster answers."""
 
     uid: Annotated[str, key("as in the roster", pattern=".")]
@@ -91,7 +91,7 @@
     cell: Annotated[int, key("the pod that shares a memory of repeats", ge=0)] = 0
 
 
-class Grade(Part):
+class Grade(Section):
     name: Annotated[str, key("as in the path", pattern="^[A-Za-z0-9][A-Za-z0-9_.-]{0,60}$")]
     effect: Annotated[
         Literal["reissuable", "numbered", "at-most-once"], key("how far it may be repeated")
@@ -113,7 +113,7 @@
     ] = {}
 
 
-class Durable(Part):
+class Durable(Section):
     on: Annotated[bool, key("whether jobs are kept on disk")] = False
     directory: Annotated[str, key("where; one for each dispatcher, on a disk that lasts", pattern=".")] = (
         "/var/lib/locktide/jobs"
@@ -129,7 +129,7 @@
     damaged: Annotated[Literal["refuse", "skip"], key("at a start with a damaged journal")] = "refuse"
 
 
-class Installation(Part):
+class Installation(Section):
     serve: Serve = msgspec.field(default_factory=Serve)
     limits: Limits = msgspec.field(default_factory=Limits)
     log: Logging = msgspec.field(default_factory=Logging)
@@ -192,7 +192,7 @@
         if not port.isdigit() or not 0 < int(port) < 65536:
             faults.append(f"{name}: expected a port from 1 to 65535, found {place_told!r}")
     if faults:
-        raise Faults(faults)
+        raise ConfigErrors(faults)
     return told
 
 
@@ -279,5 +279,5 @@
             ),
             {},
         )
-    except Faulty as trouble:
-        raise Faults([str(trouble)]) from None
+    except ConfigError as trouble:
+        raise ConfigErrors([str(trouble)]) from None
--- a/locktide/config/settings.py
+++ b/locktide/config/settings.py
@@ -5,15 +5,30 @@
 from math import inf
 from typing import Any
 
-from locktide.config.checks import Faulty, Table, number
-from locktide.scheduler import interface as say
+from locktide.config.checks import ConfigError, Table, number
+from locktide.scheduler.config import (
+    ClientConfig,
+    CostConfig,
+    EndpointListConfig,
+    ObjectiveConfig,
+    ProgressConfig,
+    QuotaConfig,
+    RetryConfig,
+    ServiceClass,
+    SlowStartConfig,
+)
+from locktide.scheduler.types import DeduplicationScope, Effect
 
-EFFECTS = {"free": say.REISSUABLE, "guarded": say.NUMBERED, "single_shot": say.AT_MOST_ONCE}
+EFFECTS = {
+    "free": Effect.IDEMPOTENT,
+    "guarded": Effect.IDEMPOTENT_WITH_KEY,
+    "single_shot": Effect.AT_MOST_ONCE,
+}
 WEIGHTS = {kind: kind for kind in ("silent", "nominal", "rough", "live")}
-GROUPS = {"all": say.EVERYONE, "zone": say.SAME_ZONE, "cell": say.SAME_CELL}
+GROUPS = {"all": DeduplicationScope.FLEET, "zone": DeduplicationScope.ZONE, "cell": DeduplicationScope.CELL}
 
 
-def grades(told: Table, domain: Table) -> list[say.Grade]:
+def grades(told: Table, domain: Table) -> list[ServiceClass]:
     kinds = told.row("Kinds", [])
     wanted, stretches = domain.row("ClassKind", []), domain.row("ClassStretch", [])
     found = []
@@ -24,7 +39,7 @@
         else:
             stretch = entry.number("AimStretch", 0.0)
         found.append(
-            say.Grade(
+            ServiceClass(
                 entry.text("Name"),
                 entry.one_of(EFFECTS, "Semantics"),
                 entry.one_of(GROUPS, "Group", "all"),
@@ -40,7 +55,7 @@
             )
         )
     if not found:
-        raise Faulty(told.key("ServiceGrades"), "expected at least one service grade")
+        raise ConfigError(told.key("ServiceGrades"), "expected at least one service grade")
     return found
 
 
@@ -53,24 +68,24 @@
         told.span("Step", 1.0),
         told.whole("FleetSize", 1, least=1),
         grades(told, domain),
-        say.DispatchTerms(ceilings.whole("MaxDispatches", 1, least=1), ceilings.flag("MayCancel", False)),
-        say.ClientTerms(ceilings.span("MaxRetryAfter", 0) if ceilings.flag("RetryAfter", False) else 0),
-        say.ShareTerms(quotas, told.number("BeyondShareRevenue", 1.0)),
-        say.GoalTerms(told.table("ObjectiveMix", {}).number("WorstClass", 0.0)),
-        say.ColdTerms(
+        RetryConfig(ceilings.whole("MaxDispatches", 1, least=1), ceilings.flag("MayCancel", False)),
+        ClientConfig(ceilings.span("MaxRetryAfter", 0) if ceilings.flag("RetryAfter", False) else 0),
+        QuotaConfig(quotas, told.number("BeyondShareRevenue", 1.0)),
+        ObjectiveConfig(told.table("ObjectiveMix", {}).number("WorstClass", 0.0)),
+        SlowStartConfig(
             limits.number("OverloadFactor", 1.0),
             limits.span("OverloadFor", 0),
             limits.number("ColdFrom", 1.0),
             limits.span("Cold", 0),
         ),
-        say.ListTerms(
+        EndpointListConfig(
             told.get("Discovery", "automatic") == "subscribe",
             limits.span("AskWithin", 10000),
             told.one_of(WEIGHTS, "WeightKind", "silent") == "live",
             limits.span("HangUpWithin", 0),
         ),
-        say.SignTerms(domain.flag("TellsStart", False), domain.span("Progress", 0)),
-        say.PriceTerms(
+        ProgressConfig(domain.flag("TellsStart", False), domain.span("Progress", 0)),
+        CostConfig(
             prices.number("Handshake", 0.0),
             prices.number("CrossZone", 0.0),
             told.text("Zone", ""),
--- a/locktide/config/start.py
+++ b/locktide/config/start.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from locktide.config.checks import Faulty, Table
+from locktide.config.checks import ConfigError, Table
 from locktide.config.settings import terms
 
 Address = tuple[str, int]
@@ -30,7 +30,7 @@
 def address(key: str, text: str) -> Address:
     host, colon, port = text.rpartition(":")
     if not colon or not host or not port.isdigit() or not 0 < int(port) < 65536:
-        raise Faulty(key, f"expected HOST:PORT, not {text!r:.60}")
+        raise ConfigError(key, f"expected HOST:PORT, not {text!r:.60}")
     return host.strip("[]"), int(port)
 
 
@@ -42,12 +42,12 @@
     """A variable that is set goes before the same thing in the JSON; read again, discovery is the JSON's."""
     path = environment.get("GW_CONFIG")
     if not path:
-        raise Faulty("GW_CONFIG", "is not set")
+        raise ConfigError("GW_CONFIG", "is not set")
     try:
         with open(path, encoding="utf-8") as source:
             whole = Table(json.load(source))
     except (OSError, ValueError) as trouble:
-        raise Faulty("GW_CONFIG", f"{path}: {trouble}") from None
+        raise ConfigError("GW_CONFIG", f"{path}: {trouble}") from None
     return from_table(whole, environment, again)
 
 
@@ -64,7 +64,7 @@
     try:
         number = int(seed, 16)
     except ValueError:
-        raise Faulty("seed", f"expected a hexadecimal number, not {seed!r:.40}") from None
+        raise ConfigError("seed", f"expected a hexadecimal number, not {seed!r:.40}") from None
     return Start(
         environment.get("GW_NAME") or whole.text("name"),
         place("GW_LISTEN", "listen"),
--- a/locktide/config/typed.py
+++ b/locktide/config/typed.py
@@ -30,11 +30,11 @@
     return key(f"seconds: {says}", **(bounds or {"ge": 0}))
 
 
-class Part(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+class Section(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
     """A table of a file: every key is known, and told by its name."""
 
 
-class Faults(Exception):
+class ConfigErrors(Exception):
     """All that is wrong with one file, a line each; the exit code is 2."""
 
     def __init__(self, lines: list[str]) -> None:
@@ -51,7 +51,7 @@
     try:
         text = path.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as trouble:
-        raise Faults([f"{path}: {trouble}"]) from None
+        raise ConfigErrors([f"{path}: {trouble}"]) from None
     return read_text(kind, text, str(path))
 
 
@@ -59,7 +59,7 @@
     try:
         raw = tomllib.loads(text)
     except tomllib.TOMLDecodeError as trouble:
-        raise Faults([f"{name}: {trouble}"]) from None
+        raise ConfigErrors([f"{name}: {trouble}"]) from None
     return read(kind, raw)
 
 
@@ -67,7 +67,7 @@
     faults: list[str] = []
     made = struct(kind, raw, "", faults)
     if faults:
-        raise Faults(faults)
+        raise ConfigErrors(faults)
     return typing.cast(S, made)
 
 
--- a/locktide/dispatcher/attempts.py
+++ b/locktide/dispatcher/attempts.py
@@ -5,26 +5,35 @@
 import asyncio
 from functools import partial
 
-from locktide.dispatcher.base import Base
+from locktide.dispatcher.base import DispatcherBase
 from locktide.dispatcher.cancellation import give_up
-from locktide.dispatcher.records import OpenDispatch, OpenSubmission, Stage
+from locktide.dispatcher.records import AttemptStage, OpenAttempt, OpenRequest
 from locktide.protocol import names
 from locktide.protocol import server_connection as clients
 from locktide.protocol import worker_messages as workers
-from locktide.protocol.client_connection import Question, Reply
-from locktide.scheduler import interface as say
-from locktide.transport.client_connection import Answer
+from locktide.protocol.client_connection import UpstreamRequest, UpstreamResponse
+from locktide.scheduler.commands import CancelAttempt, StartAttempt
+from locktide.scheduler.events import AttemptEnded, AttemptProgressed, AttemptSent, AttemptStarted
+from locktide.scheduler.types import AttemptOutcome
+from locktide.transport.client_connection import Response
 from locktide.transport.upstream_pool import SPOILT
 
 # How long past the time limit a connection may still wait for a reply that no longer matters, in seconds.
 LAST_REPLY = 1.0
 # What a connection may tell of a job of which its worker has said by callback that it runs: no end of it, and
 # a refusal least of all, as that would be sent again.
-NO_WORD = frozenset((say.RESET, say.CUT_OFF, say.FULL, say.UNFIT))
-
-
-class Dispatches(Base):
-    def dispatch(self, order: say.Dispatch) -> None:
+NO_WORD = frozenset(
+    (
+        AttemptOutcome.RESET,
+        AttemptOutcome.CONNECTION_CLOSED,
+        AttemptOutcome.FULL,
+        AttemptOutcome.UNPROCESSABLE,
+    )
+)
+
+
+class AttemptLayer(DispatcherBase):
+    def dispatch(self, order: StartAttempt) -> None:
         held = self.held.get(order.submission)
         if held is None:
             id = order.submission
@@ -34,36 +43,36 @@
                 submission=id,
             )
             return
-        dispatch = OpenDispatch(len(held.dispatches), order.worker)
+        dispatch = OpenAttempt(len(held.dispatches), order.worker)
         dispatch.before = order.before
         held.dispatches.append(dispatch)
         dispatch.task = self.start(self.carry(held, dispatch), held.message.patient)
 
-    async def carry(self, held: OpenSubmission, dispatch: OpenDispatch) -> None:
+    async def carry(self, held: OpenRequest, dispatch: OpenAttempt) -> None:
         """Takes one dispatch to its worker; what becomes of the job is told by callback."""
 
-        def build() -> Question | None:
+        def build() -> UpstreamRequest | None:
             now = self.clock.now()
             left = held.limit_at - now
-            ended = dispatch.stage is Stage.ENDED or not held.open or left <= 0
+            ended = dispatch.stage is AttemptStage.ENDED or not held.open or left <= 0
             # Guards against a connection that came up late: repeats are dropped no longer.
             late = dispatch.before and now >= dispatch.before
             if ended or late or not self.fleet.may_send(dispatch.worker):
                 return None
-            dispatch.reach(Stage.SENDING)
+            dispatch.reach(AttemptStage.SENDING)
             return workers.job(held.message, left, dispatch.fence)
 
         def sent() -> None:
-            dispatch.reach(Stage.SENT)
+            dispatch.reach(AttemptStage.SENT)
             dispatch.sent_at = self.clock.now()
-            self.tell(say.Sent(held.message.id, dispatch.number))
+            self.tell(AttemptSent(held.message.id, dispatch.number))
 
         # A reset is told a turn after the poll that found it: what has ended by now is heard before the first
         # byte goes out.
         await asyncio.sleep(0)
         kept = self.keeper is not None and self.keeper.keeps(held)
         if self.keeper is not None and kept and not await self.keeper.lease(held, dispatch):
-            self.end(held, dispatch, say.NEVER_SENT)
+            self.end(held, dispatch, AttemptOutcome.NEVER_SENT)
             return
         try:
             # The time limit ends a dispatch before this does; it is for one that a callback has ended.
@@ -78,14 +87,16 @@
                 worker=dispatch.worker,
                 trouble=what,
             )
-            reply = say.RESET if dispatch.stage >= Stage.SENDING else say.NEVER_SENT
-        outcome = workers.outcome(reply) if isinstance(reply, Reply) else reply
+            reply = (
+                AttemptOutcome.RESET if dispatch.stage >= AttemptStage.SENDING else AttemptOutcome.NEVER_SENT
+            )
+        outcome = workers.outcome(reply) if isinstance(reply, UpstreamResponse) else reply
         if outcome == SPOILT or dispatch.taken and outcome in NO_WORD:
             # Guards against a second copy: the worker has it, or may, whatever became of its reply.
-            self.recall(held, dispatch, say.RESET)
+            self.recall(held, dispatch, AttemptOutcome.RESET)
         elif outcome is None:
-            dispatch.reach(Stage.ACCEPTED)
-        elif outcome == say.UNFIT:
+            dispatch.reach(AttemptStage.ACCEPTED)
+        elif outcome == AttemptOutcome.UNPROCESSABLE:
             id = held.message.id
             self.log.say(
                 f"worker {dispatch.worker}: turned away submission {id}",
@@ -94,30 +105,36 @@
                 worker=dispatch.worker,
                 submission=id,
             )
-            self.answer(held.message.id, Answer(400, b"turned away by a worker\n"))
+            self.answer(held.message.id, Response(400, b"turned away by a worker\n"))
             self.end(held, dispatch, outcome)
         else:
             self.end(held, dispatch, outcome)
 
-    def end(self, held: OpenSubmission, dispatch: OpenDispatch, outcome: str) -> None:
+    def end(self, held: OpenRequest, dispatch: OpenAttempt, outcome: str) -> None:
         """The one outcome of a dispatch; the first that is known counts."""
         if not dispatch.end(outcome):
             return
         if self.keeper is not None and self.keeper.keeps(held):
             self.keeper.ended(held, dispatch)
-        self.tell(say.Ended(held.message.id, dispatch.number, outcome, final=not held.open))
+        self.tell(AttemptEnded(held.message.id, dispatch.number, outcome, final=not held.open))
         self.release_settled(held)
 
-    def withdraw(self, order: say.Withdraw) -> None:
+    def withdraw(self, order: CancelAttempt) -> None:
         held = self.held.get(order.submission)
         if held is None or order.number >= len(held.dispatches):
             return
         dispatch = held.dispatches[order.number]
-        if dispatch.stage is Stage.ENDED or dispatch.recalled:
+        if dispatch.stage is AttemptStage.ENDED or dispatch.recalled:
             return
         dispatch.recalled = True
         if not self.call_off(held, dispatch):
-            self.end(held, dispatch, say.WITHDRAWN if dispatch.stage >= Stage.SENDING else say.NEVER_SENT)
+            self.end(
+                held,
+                dispatch,
+                AttemptOutcome.CANCELLED
+                if dispatch.stage >= AttemptStage.SENDING
+                else AttemptOutcome.NEVER_SENT,
+            )
 
     def expire(self, submission: str, fence: int) -> None:
         """The lease of a dispatch has run out: it is withdrawn, and ends once its worker knows or cannot be
@@ -127,15 +144,17 @@
         for dispatch in held.out() if held is not None else ():
             if dispatch.fence == fence:
                 dispatch.lapsed = True
-                self.withdraw(say.Withdraw(submission, dispatch.number))
+                self.withdraw(CancelAttempt(submission, dispatch.number))
 
-    def recall(self, held: OpenSubmission, dispatch: OpenDispatch, outcome: str) -> None:
+    def recall(self, held: OpenRequest, dispatch: OpenAttempt, outcome: str) -> None:
         """It ends with that outcome, once its worker has been told to give it up."""
         if dispatch.may_run and not dispatch.recalled:
             dispatch.recalled = True
             self.call_off(held, dispatch, outcome)
 
-    def call_off(self, held: OpenSubmission, dispatch: OpenDispatch, outcome: str = say.WITHDRAWN) -> bool:
+    def call_off(
+        self, held: OpenRequest, dispatch: OpenAttempt, outcome: str = AttemptOutcome.CANCELLED
+    ) -> bool:
         """Before the 202 by closing the connection; whether a message follows, on which to wait. Then the
         dispatch has that outcome.
         """
@@ -146,10 +165,10 @@
             self.start(self.delete(held, dispatch, outcome))
         return dispatch.may_run
 
-    async def delete(self, held: OpenSubmission, dispatch: OpenDispatch, outcome: str) -> None:
+    async def delete(self, held: OpenRequest, dispatch: OpenAttempt, outcome: str) -> None:
         def vain() -> bool:
             # Before the 202 the closed connection has given it up; the message is for one on its way.
-            return dispatch.stage is not Stage.ACCEPTED or not held.open or dispatch.lapsed
+            return dispatch.stage is not AttemptStage.ACCEPTED or not held.open or dispatch.lapsed
 
         address = partial(self.fleet.addresses.get, dispatch.worker)
         id, within = held.message.id, self.connect_within
@@ -161,21 +180,21 @@
             )
         self.end(held, dispatch, outcome)
 
-    def called(self, message: clients.Called) -> None:
+    def called(self, message: clients.Callback) -> None:
         held = self.held.get(message.submission)
         dispatch = held.out_at(message.worker) if held is not None else None
         if held is None or dispatch is None:
             return  # late, or for nobody: it is acknowledged all the same
-        dispatch.reach(Stage.ACCEPTED)
+        dispatch.reach(AttemptStage.ACCEPTED)
         if message.state == names.STARTED:
-            self.tell(say.Started(message.submission, dispatch.number))
+            self.tell(AttemptStarted(message.submission, dispatch.number))
         elif message.state == names.RUNNING:
-            self.tell(say.Progressed(message.submission, dispatch.number, message.share))
+            self.tell(AttemptProgressed(message.submission, dispatch.number, message.share))
         elif message.outcome is not None:
-            if message.outcome == say.DONE:
-                self.answer(message.submission, Answer(200, message.result))
+            if message.outcome == AttemptOutcome.DONE:
+                self.answer(message.submission, Response(200, message.result))
             elif held.taken_earlier(dispatch):
                 # Guards against a word told again of the earlier one there: this one may run all the same.
-                self.recall(held, dispatch, say.CUT_OFF)
+                self.recall(held, dispatch, AttemptOutcome.CONNECTION_CLOSED)
                 return
             self.end(held, dispatch, message.outcome)
--- a/locktide/dispatcher/base.py
+++ b/locktide/dispatcher/base.py
@@ -9,33 +9,35 @@
 
 from locktide.config.start import Address
 from locktide.dispatcher.clock import Clock
-from locktide.dispatcher.job_store import Keeper
-from locktide.dispatcher.records import Fleet, OpenSubmission
-from locktide.scheduler import interface as say
-from locktide.scheduler.policy import Dispatcher
-from locktide.transport.client_connection import Answer
-from locktide.transport.listener import Server
+from locktide.dispatcher.job_store import JobStore
+from locktide.dispatcher.records import EndpointDirectory, OpenRequest
+from locktide.scheduler.commands import SetTimer
+from locktide.scheduler.config import EndpointListConfig
+from locktide.scheduler.events import TimerFired
+from locktide.scheduler.policy import Scheduler
+from locktide.transport.client_connection import Response
+from locktide.transport.listener import Listener
 from locktide.transport.log import Log
-from locktide.transport.upstream_pool import WorkerConnections
+from locktide.transport.upstream_pool import UpstreamPool
 
 
-class Base:
+class DispatcherBase:
     loop: asyncio.AbstractEventLoop
     log: Log
     clock: Clock
-    dispatcher: Dispatcher
-    connections: WorkerConnections
-    server: Server
+    dispatcher: Scheduler
+    connections: UpstreamPool
+    server: Listener
     discovery: Address
-    listing: say.ListTerms
+    listing: EndpointListConfig
     connect_within: int  # microseconds
     longest_limit: int  # the same
     version: int | None  # of the list that was remembered at the start
 
     def __init__(self) -> None:
-        self.held: dict[str, OpenSubmission] = {}
+        self.held: dict[str, OpenRequest] = {}
         self.spent: dict[str, float] = {}  # ids that were answered, and when we forget them, oldest first
-        self.fleet = Fleet()
+        self.fleet = EndpointDirectory()
         self.news: list[Any] = []
         self.handing_over = False
         self.serving = False
@@ -43,7 +45,7 @@
         # Dispatches and withdrawals on their way, and whether a stop need not wait for them.
         self.tasks: dict[asyncio.Task[None], bool] = {}
         self.orders: dict[type, Callable[[Any], None]] = {}
-        self.keeper: Keeper | None = None
+        self.keeper: JobStore | None = None
         self.hearers: list[Callable[[Any], None]] = []  # parts that hear each piece of news and each order
 
     # --- news in, orders out
@@ -91,22 +93,22 @@
         held = self.held.get(getattr(order, "submission", ""))
         return self.kill_at is not None and held is not None and held.message.patient
 
-    def wake(self, order: say.Wake) -> None:
-        self.loop.call_later(order.after / 1e6, self.tell, say.TimerDue(order.mark))
+    def wake(self, order: SetTimer) -> None:
+        self.loop.call_later(order.after / 1e6, self.tell, TimerFired(order.mark))
 
     # --- what is open
 
     def open(self) -> int:
         return sum(held.open and not held.message.patient for held in self.held.values())
 
-    def answer(self, submission: str, answer: Answer) -> None:
+    def answer(self, submission: str, answer: Response) -> None:
         """The first answer counts."""
         held = self.held.get(submission)
         if held is not None and held.open:
             held.answer.set_result(answer)
             self.release_settled(held)
 
-    def release_settled(self, held: OpenSubmission) -> None:
+    def release_settled(self, held: OpenRequest) -> None:
         if held.settled:
             held.timer.cancel()
             if self.held.pop(held.message.id, None):
--- a/locktide/dispatcher/cancellation.py
+++ b/locktide/dispatcher/cancellation.py
@@ -8,7 +8,7 @@
 
 from locktide.config.start import Address
 from locktide.protocol import worker_messages as workers
-from locktide.protocol.client_connection import Question, Reply
+from locktide.protocol.client_connection import UpstreamRequest, UpstreamResponse
 
 # How often it is tried at once. Kept connections break together: the second goes out on a new one, and the
 # third is for one that breaks by itself.
@@ -23,10 +23,10 @@
         self,
         worker: str,
         address: Address,
-        build: Callable[[], Question | None],
+        build: Callable[[], UpstreamRequest | None],
         sent: Callable[[], None],
         fresh: bool = False,
-    ) -> Reply | str: ...
+    ) -> UpstreamResponse | str: ...
 
 
 async def give_up(
@@ -61,7 +61,7 @@
                         lambda whole=whole: whole.append(True),  # type: ignore[misc]
                         fresh=tries > 1,
                     )
-                    if isinstance(told, Reply):
+                    if isinstance(told, UpstreamResponse):
                         return True
         except TimeoutError:
             if whole and tries > 1:
--- a/locktide/dispatcher/dispatcher.py
+++ b/locktide/dispatcher/dispatcher.py
@@ -11,17 +11,31 @@
 
 from locktide.config.start import Start, spelled
 from locktide.dispatcher.clock import Clock
-from locktide.dispatcher.endpoints import Roster
-from locktide.dispatcher.job_store import Keeper
+from locktide.dispatcher.endpoints import EndpointFollower
+from locktide.dispatcher.job_store import JobStore
 from locktide.protocol import discovery
-from locktide.scheduler import interface as say
-from locktide.scheduler.policy import Dispatcher
-from locktide.transport.client_connection import Desk
+from locktide.scheduler.commands import (
+    CancelAttempt,
+    CloseIdleConnections,
+    FailRequest,
+    FetchEndpoints,
+    LogMessage,
+    RejectRequest,
+    ReportInternalError,
+    SetTimer,
+    StartAttempt,
+    WatchEndpoints,
+)
+from locktide.scheduler.config import EndpointListConfig, RetryConfig, ServiceClass, SlowStartConfig
+from locktide.scheduler.events import ConfigReloaded, EndpointListUpdate
+from locktide.scheduler.policy import Scheduler
+from locktide.scheduler.types import Effect, ListUpdateKind
+from locktide.transport.client_connection import RequestHandler
 from locktide.transport.descriptor_budget import divide, read_first
-from locktide.transport.listener import Server
+from locktide.transport.listener import Listener
 from locktide.transport.log import Log
-from locktide.transport.system import Real, System
-from locktide.transport.upstream_pool import WorkerConnections
+from locktide.transport.system import RealSystem, System
+from locktide.transport.upstream_pool import UpstreamPool
 
 # On the platform's sockets a change counts as told so many microseconds after discovery had it and could be
 # reached, whatever became of a call.
@@ -42,11 +56,11 @@
 STOP_WITHIN, STOP_BIT = 3.0, 0.7
 
 
-def on_sockets(start: Start) -> Start:
+def with_socket_terms(start: Start) -> Start:
     """What the platform's sockets add to the settings; in new terms, as others may hold those given."""
-    dispatching: say.DispatchTerms = start.terms[3]
-    cold: say.ColdTerms = start.terms[7]
-    listing: say.ListTerms = start.terms[8]
+    dispatching: RetryConfig = start.terms[3]
+    cold: SlowStartConfig = start.terms[7]
+    listing: EndpointListConfig = start.terms[8]
     terms = list(start.terms)
     terms[3] = replace(dispatching, counts_unsent=False)  # one counts once its last byte has come
     terms[7] = replace(cold, margin=COLD_MARGIN)
@@ -54,39 +68,39 @@
     return replace(start, terms=tuple(terms))
 
 
-class Node(Roster):
+class Dispatcher(EndpointFollower):
     def __init__(
-        self, start: Start, known: discovery.ListUpdate, log: Log, system: System | None = None
+        self, start: Start, known: discovery.DiscoveryUpdate, log: Log, system: System | None = None
     ) -> None:
         super().__init__()
-        loop, system, start = asyncio.get_running_loop(), system or Real(), on_sockets(start)
+        loop, system, start = asyncio.get_running_loop(), system or RealSystem(), with_socket_terms(start)
         self.loop, self.log, self.clock = loop, log, Clock(loop, system.wall)
-        self.dispatcher = Dispatcher(start.seed, *start.terms)
+        self.dispatcher = Scheduler(start.seed, *start.terms)
         to_clients, to_workers = divide(start.descriptors)
-        self.connections = WorkerConnections(to_workers, start.connect_within, start.idle_close)
+        self.connections = UpstreamPool(to_workers, start.connect_within, start.idle_close)
         most_stored = (start.memory - OURS) // 2
         self.longest_limit = 0
-        self.server = Server(to_clients, {}, set(), most_stored, self, log, system)
+        self.server = Listener(to_clients, {}, set(), most_stored, self, log, system)
         self.take_terms(start)
         self.discovery, self.listen_at = start.discovery, start.listen
         self.version = known.version if known.entries else None
         self.orders = {
-            say.Dispatch: self.dispatch,
-            say.Withdraw: self.withdraw,
-            say.Deny: self.deny,
-            say.Terminate: self.terminate,
-            say.BrokeOff: self.broke_off,
-            say.Wake: self.wake,
-            say.Close: lambda order: self.connections.forget(order.worker),
-            say.Log: lambda order: log.say(order.line),
+            StartAttempt: self.dispatch,
+            CancelAttempt: self.withdraw,
+            RejectRequest: self.deny,
+            FailRequest: self.terminate,
+            ReportInternalError: self.broke_off,
+            SetTimer: self.wake,
+            CloseIdleConnections: lambda order: self.connections.forget(order.worker),
+            LogMessage: lambda order: log.say(order.line),
             # Where the list need not be asked for, the watch is always on.
-            say.WatchList: lambda order: self.to_ask.set(),
-            say.FetchList: lambda order: None,
+            WatchEndpoints: lambda order: self.to_ask.set(),
+            FetchEndpoints: lambda order: None,
         }
         self.fleet.take(known)
-        self.tell(say.ListNews(say.REMEMBERED, known.entries))
+        self.tell(EndpointListUpdate(ListUpdateKind.CACHED, known.entries))
 
-    def join(self, keeper: Keeper, desk: Desk) -> None:
+    def join(self, keeper: JobStore, desk: RequestHandler) -> None:
         """From now on durable jobs are kept by `keeper`, and clients are met at `desk`."""
         self.keeper, self.server.desk, self.server.keeps_jobs = keeper, desk, True
 
@@ -135,15 +149,17 @@
 
     def take_terms(self, start: Start) -> None:
         """The settings that may change while we serve; name, address, seed and limits are the process's."""
-        grades: list[say.Grade] = start.terms[2]
-        self.listing: say.ListTerms = start.terms[8]
+        grades: list[ServiceClass] = start.terms[2]
+        self.listing: EndpointListConfig = start.terms[8]
         self.connect_within = start.connect_within
         self.connections.set_spans(start.connect_within, start.idle_close)
         # In place: connections that are kept go by them, too.
         self.server.grades.clear()
         self.server.grades.update({grade.name: grade.time_limit for grade in grades})
         self.server.numbered.clear()
-        self.server.numbered.update([grade.name for grade in grades if grade.effect == say.NUMBERED])
+        self.server.numbered.update(
+            [grade.name for grade in grades if grade.effect == Effect.IDEMPOTENT_WITH_KEY]
+        )
         # Never less than before: what was taken under a longer limit may still be open.
         self.longest_limit = max(self.longest_limit, *self.server.grades.values())
 
@@ -151,10 +167,10 @@
         """Settings and roster in force from now on. What is open keeps its limits and its grade, connections
         and jobs go on, and the way back is the same step.
         """
-        start = on_sockets(start)
+        start = with_socket_terms(start)
         self.discovery = start.discovery
         self.take_terms(start)
-        self.tell(say.NewTerms(start.terms))
+        self.tell(ConfigReloaded(start.terms))
         at, grades = spelled(self.discovery), ", ".join(self.server.grades)
         self.log.say(
             f"reload: settings taken, {self.open()} submissions open; grades {grades}; worker list from {at}",
--- a/locktide/dispatcher/endpoints.py
+++ b/locktide/dispatcher/endpoints.py
@@ -6,13 +6,14 @@
 from collections.abc import Coroutine
 from typing import Any
 
-from locktide.dispatcher.requests import Submissions
+from locktide.dispatcher.requests import RequestLayer
 from locktide.protocol import discovery
-from locktide.scheduler import interface as say
-from locktide.transport.endpoint_watch import Watch
+from locktide.scheduler.events import EndpointListUpdate
+from locktide.scheduler.types import AttemptOutcome, ListUpdateKind
+from locktide.transport.endpoint_watch import EndpointWatch
 
 
-class Roster(Submissions):
+class EndpointFollower(RequestLayer):
     def __init__(self) -> None:
         super().__init__()
         self.watching: asyncio.Task[None] | None = None
@@ -27,11 +28,11 @@
     async def follow(self, version: int | None = None) -> None:
         """Follows the list at the address in force, from that version on, or from the whole of it."""
         if not self.listing.must_ask:
-            await Watch(self.discovery, self.take_list, self.log, version).run()
+            await EndpointWatch(self.discovery, self.take_list, self.log, version).run()
         # A call waits its turn there. Given up sooner than it would be it has been work for nothing; but one
         # that is not answered in half of the time in which we have to know was not heard.
         patience = min(self.listing.ask_within, self.listing.told_within or self.listing.ask_within) / 2e6
-        watch = Watch(self.discovery, self.take_list, self.log, version, patience, self.ask_again)
+        watch = EndpointWatch(self.discovery, self.take_list, self.log, version, patience, self.ask_again)
         await watch.run()
 
     async def follow_when_asked(self) -> None:
@@ -41,14 +42,20 @@
 
     async def ask_again(self, silent: bool) -> None:
         self.to_ask.clear()
-        self.tell(say.ListNews(say.LIST_SILENT if silent else say.LIST_FAILED, []))
+        self.tell(
+            EndpointListUpdate(ListUpdateKind.FETCH_TIMED_OUT if silent else ListUpdateKind.FETCH_FAILED, [])
+        )
         await self.to_ask.wait()
 
-    def take_list(self, update: discovery.ListUpdate) -> None:
+    def take_list(self, update: discovery.DiscoveryUpdate) -> None:
         for worker in self.fleet.take(update):
             self.connections.forget(worker)
             self.lost_at(worker)
-        self.tell(say.ListNews(say.WHOLE if update.whole else say.CHANGES, update.entries))
+        self.tell(
+            EndpointListUpdate(
+                ListUpdateKind.SNAPSHOT if update.whole else ListUpdateKind.DELTA, update.entries
+            )
+        )
         self.listed.set()
 
     def lost_at(self, worker: str) -> None:
@@ -63,4 +70,4 @@
             for dispatch in held.out():
                 earlier = dispatch.worker == worker and dispatch.may_run and dispatch.sent_at < started_at
                 if earlier:
-                    self.recall(held, dispatch, say.CUT_OFF)
+                    self.recall(held, dispatch, AttemptOutcome.CONNECTION_CLOSED)
--- a/locktide/dispatcher/job_store.py
+++ b/locktide/dispatcher/job_store.py
@@ -4,16 +4,16 @@
 
 from typing import Protocol
 
-from locktide.dispatcher.records import OpenDispatch, OpenSubmission
+from locktide.dispatcher.records import OpenAttempt, OpenRequest
 
 
-class Keeper(Protocol):
+class JobStore(Protocol):
     """Joined to a node by `Node.join`; also stands between its server and it, as the server's desk."""
 
-    def keeps(self, held: OpenSubmission) -> bool: ...
+    def keeps(self, held: OpenRequest) -> bool: ...
 
-    async def lease(self, held: OpenSubmission, dispatch: OpenDispatch) -> bool:
+    async def lease(self, held: OpenRequest, dispatch: OpenAttempt) -> bool:
         """Before the first byte of a dispatch; whether it may go out."""
 
-    def ended(self, held: OpenSubmission, dispatch: OpenDispatch) -> None:
+    def ended(self, held: OpenRequest, dispatch: OpenAttempt) -> None:
         """A dispatch has its outcome."""
--- a/locktide/dispatcher/records.py
+++ b/locktide/dispatcher/records.py
@@ -8,13 +8,14 @@
 from enum import IntEnum
 
 from locktide.config.start import Address
-from locktide.protocol.discovery import ListUpdate
-from locktide.protocol.server_connection import Submitted
-from locktide.scheduler import interface as say
-from locktide.transport.client_connection import Answer
+from locktide.protocol.discovery import DiscoveryUpdate
+from locktide.protocol.server_connection import SubmitRequest
+from locktide.scheduler.events import EndpointEntry
+from locktide.scheduler.types import EndpointState
+from locktide.transport.client_connection import Response
 
 
-class Stage(IntEnum):
+class AttemptStage(IntEnum):
     """How far a dispatch has come; `docs/design/endings.md` says what is owed at each."""
 
     ORDERED = 0  # no byte is out: it may wait for a connection
@@ -24,7 +25,7 @@
     ENDED = 4  # it has its outcome
 
 
-class OpenDispatch:
+class OpenAttempt:
     """One dispatch, until its outcome is told to the decisions."""
 
     __slots__ = (
@@ -45,7 +46,7 @@
 
     def __init__(self, number: int, worker: str) -> None:
         self.number, self.worker = number, worker
-        self.stage = Stage.ORDERED
+        self.stage = AttemptStage.ORDERED
         self.before = 0  # from when on no byte of it may go out; 0 where the time limit alone counts
         self.recalled = False  # its worker is being told to give it up
         self.taken = False  # its worker has said by 202 or by callback that it has the job
@@ -54,37 +55,37 @@
         self.fence = 0  # of its lease, where the submission is a durable job
         self.lapsed = False  # that lease has run out: its worker has no claim on it any more
 
-    def reach(self, stage: Stage) -> None:
+    def reach(self, stage: AttemptStage) -> None:
         """The one place where its stage changes. It goes on only: what comes late (a 202 after a callback)
         takes nothing back.
         """
-        self.taken = self.taken or stage is Stage.ACCEPTED
+        self.taken = self.taken or stage is AttemptStage.ACCEPTED
         self.stage = max(self.stage, stage)
 
     def end(self, outcome: str) -> bool:
         """Whether that is its outcome: the first that is known counts."""
-        if self.stage is Stage.ENDED:
+        if self.stage is AttemptStage.ENDED:
             return False
         self.outcome = outcome
-        self.reach(Stage.ENDED)
+        self.reach(AttemptStage.ENDED)
         return True
 
     @property
     def may_run(self) -> bool:
         """All of it was written, and how it ended is not known."""
-        return Stage.SENT <= self.stage < Stage.ENDED
+        return AttemptStage.SENT <= self.stage < AttemptStage.ENDED
 
 
-class OpenSubmission:
+class OpenRequest:
     """One submission, from its last byte until it is answered and each of its dispatches has its outcome."""
 
     __slots__ = ("message", "limit_at", "answer", "dispatches", "timer")
 
     timer: asyncio.TimerHandle  # of the time limit
 
-    def __init__(self, message: Submitted, limit_at: int, answer: asyncio.Future[Answer]) -> None:
+    def __init__(self, message: SubmitRequest, limit_at: int, answer: asyncio.Future[Response]) -> None:
         self.message, self.limit_at, self.answer = message, limit_at, answer
-        self.dispatches: list[OpenDispatch] = []
+        self.dispatches: list[OpenAttempt] = []
 
     @property
     def open(self) -> bool:
@@ -94,14 +95,14 @@
     def settled(self) -> bool:
         return not self.open and not self.out()
 
-    def out(self) -> list[OpenDispatch]:
-        return [dispatch for dispatch in self.dispatches if dispatch.stage is not Stage.ENDED]
+    def out(self) -> list[OpenAttempt]:
+        return [dispatch for dispatch in self.dispatches if dispatch.stage is not AttemptStage.ENDED]
 
-    def taken_earlier(self, later: OpenDispatch) -> bool:
+    def taken_earlier(self, later: OpenAttempt) -> bool:
         """Whether that worker had taken one before: a word of it may be about either."""
         return any(one.taken and one.worker == later.worker for one in self.dispatches[: later.number])
 
-    def out_at(self, worker: str) -> OpenDispatch | None:
+    def out_at(self, worker: str) -> OpenAttempt | None:
         """The dispatch that a word from this worker is about: one that it can have."""
         for dispatch in self.out():
             if dispatch.worker == worker and dispatch.may_run:
@@ -109,14 +110,14 @@
         return None
 
 
-class Fleet:
+class EndpointDirectory:
     """The workers as this dispatcher's list last named them, in the state that counts for the decisions."""
 
     def __init__(self) -> None:
-        self.entries: dict[str, say.Listed] = {}
+        self.entries: dict[str, EndpointEntry] = {}
         self.addresses: dict[str, Address] = {}
 
-    def take(self, update: ListUpdate) -> Iterable[str]:
+    def take(self, update: DiscoveryUpdate) -> Iterable[str]:
         """Names the workers to which connections are of no more use; completes the update by what was known.
 
         Guards against an entry that cannot be read: what is said of a worker but not understood may be that
@@ -125,18 +126,20 @@
         stale = []
         for worker in update.unclear:
             if before := self.entries.get(worker):
-                state = say.DRAINING if before.state == say.READY else before.state
+                state = EndpointState.DRAINING if before.state == EndpointState.READY else before.state
                 update.entries.append(replace(before, state=state))
                 update.addresses[worker] = self.addresses[worker]
         told = {entry.worker for entry in update.entries}
         if update.whole:
             for worker in [worker for worker in self.entries if worker not in told]:
-                self.entries[worker].state = say.GONE
+                self.entries[worker].state = EndpointState.GONE
                 stale.append(worker)
         for entry in update.entries:
             worker, before = entry.worker, self.entries.get(entry.worker)
             moved = self.addresses.get(worker) != update.addresses[worker]
-            if before and (moved or before.started_at != entry.started_at or entry.state == say.GONE):
+            if before and (
+                moved or before.started_at != entry.started_at or entry.state == EndpointState.GONE
+            ):
                 stale.append(worker)
             self.entries[worker] = entry
             self.addresses[worker] = update.addresses[worker]
@@ -144,4 +147,4 @@
 
     def may_send(self, worker: str) -> bool:
         entry = self.entries.get(worker)
-        return entry is not None and entry.state == say.READY
+        return entry is not None and entry.state == EndpointState.READY
--- a/locktide/dispatcher/service.py
+++ b/locktide/dispatcher/service.py
@@ -8,9 +8,9 @@
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Protocol
 
-from locktide.config.checks import Faulty
+from locktide.config.checks import ConfigError
 from locktide.config.start import Start
-from locktide.dispatcher.dispatcher import Node
+from locktide.dispatcher.dispatcher import Dispatcher
 from locktide.protocol import discovery
 from locktide.transport.log import Log
 
@@ -20,7 +20,7 @@
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
 
 
-class Part(Protocol):
+class AttachedService(Protocol):
     """What was joined to the node, until it is closed."""
 
     async def close(self) -> None: ...
@@ -28,10 +28,10 @@
 
 async def serve(
     told: Start,
-    known: discovery.ListUpdate,
+    known: discovery.DiscoveryUpdate,
     log: Log,
     again: Callable[[], Start],
-    join: Sequence[Callable[[Node], Awaitable[Part]]] = (),
+    join: Sequence[Callable[[Dispatcher], Awaitable[AttachedService]]] = (),
 ) -> None:
     """Serves until SIGTERM or SIGINT; `again` reads the terms anew at SIGHUP and may raise Faulty. Each of
     `join` adds a part to the node before it serves, and may raise what ends the start.
@@ -40,12 +40,12 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    node = Node(told, known, log)
+    node = Dispatcher(told, known, log)
 
     def reload() -> None:
         try:
             node.reload(again())
-        except Faulty as trouble:
+        except ConfigError as trouble:
             log.say(f"reload: {trouble}; the old terms stay", event="reload-faulty", trouble=str(trouble))
 
     loop.add_signal_handler(signal.SIGHUP, reload)
--- a/locktide/durable/disk.py
+++ b/locktide/durable/disk.py
@@ -14,11 +14,11 @@
 LOCK = "LOCK"
 
 
-class Taken(Exception):
+class DirectoryInUseError(Exception):
     """Another process has this directory."""
 
 
-class Disk(Protocol):
+class Storage(Protocol):
     """What has been appended is safe from a crash of the machine once a `sync` that began later has ended."""
 
     def names(self) -> list[str]: ...
@@ -43,7 +43,7 @@
     def give_back(self) -> None: ...
 
 
-class Folder:
+class DirectoryStorage:
     """A directory of the file system; it is made if it is not there."""
 
     def __init__(self, path: Path) -> None:
@@ -103,7 +103,7 @@
             os.close(self.lock)
             self.lock = None
             if trouble.errno in (errno.EAGAIN, errno.EACCES):
-                raise Taken(f"{self.path}: another dispatcher has it") from None
+                raise DirectoryInUseError(f"{self.path}: another dispatcher has it") from None
             raise
 
     def give_back(self) -> None:
--- a/locktide/durable/job_service.py
+++ b/locktide/durable/job_service.py
@@ -16,17 +16,24 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
-from locktide.dispatcher.dispatcher import Node
-from locktide.dispatcher.records import OpenDispatch, OpenSubmission
+from locktide.dispatcher.dispatcher import Dispatcher
+from locktide.dispatcher.records import OpenAttempt, OpenRequest
 from locktide.durable import leases, recovery
-from locktide.durable.jobs import DONE, Job, Table
-from locktide.durable.log.records import Accepted, Began, Ended, Finished, Late, Leased
-from locktide.durable.log.write_ahead_log import Journal, Unwritable
-from locktide.durable.recovery import Moment
+from locktide.durable.jobs import DONE, Job, JobTable
+from locktide.durable.log.records import (
+    AttemptEnded,
+    JobAccepted,
+    JobFinished,
+    LateReport,
+    LeaseGranted,
+    WriterStarted,
+)
+from locktide.durable.log.write_ahead_log import LogWriteError, WriteAheadLog
+from locktide.durable.recovery import ClockReading
 from locktide.protocol import names
 from locktide.protocol import server_connection as clients
-from locktide.scheduler import interface as say
-from locktide.transport.client_connection import Answer
+from locktide.scheduler.types import AttemptOutcome
+from locktide.transport.client_connection import Response
 from locktide.transport.log import Log
 
 WAIT = re.compile(r"wait\s*=\s*(\d{1,6})", re.ASCII)
@@ -42,7 +49,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Terms:
+class JobConfig:
     """Spans in microseconds."""
 
     grades: Collection[str]
@@ -50,33 +57,33 @@
     keep: int  # how long a final answer can be asked for
     most_open: int
     pace: float  # jobs taken up a second after a crash
-    leases: leases.Terms
+    leases: leases.LeaseConfig
 
 
 @dataclass(slots=True)
-class Wish:
+class Preference:
     """What a client wants of a submission: to be told at once that it is taken, or after so long a wait."""
 
     detached: bool
     wait: float
 
 
-def wish(fields: dict[str, str]) -> Wish:
+def read_preference(fields: dict[str, str]) -> Preference:
     """By the Prefer header (RFC 7240): respond-async, and wait=SECONDS."""
     told = fields.get(names.PREFER.lower(), "")
     wait = WAIT.search(told)
     detached = "respond-async" in [part.partition(";")[0].strip().lower() for part in told.split(",")]
-    return Wish(detached, float(wait[1]) if wait else 0.0)
+    return Preference(detached, float(wait[1]) if wait else 0.0)
 
 
-class Desk:
+class JobService:
     """One dispatcher's durable jobs: the node's keeper and the server's desk."""
 
-    def __init__(self, node: Node, journal: Journal, terms: Terms, log: Log) -> None:
+    def __init__(self, node: Dispatcher, journal: WriteAheadLog, terms: JobConfig, log: Log) -> None:
         self.node, self.journal, self.terms, self.log = node, journal, terms, log
-        self.leases = leases.Leases(terms.leases)
-        self.followers: dict[str, list[asyncio.Future[Answer]]] = {}
-        self.by_submission: dict[str, asyncio.Future[Answer]] = {}
+        self.leases = leases.LeaseTable(terms.leases)
+        self.followers: dict[str, list[asyncio.Future[Response]]] = {}
+        self.by_submission: dict[str, asyncio.Future[Response]] = {}
         self.written: dict[str, asyncio.Task[None]] = {}  # final answers on their way to the disk
         self.settled: set[str] = set()  # jobs whose final answer is on the disk
         self.accepting: dict[str, asyncio.Future[None]] = {}  # jobs on their way to the disk
@@ -86,7 +93,7 @@
         node.join(self, self)
 
     @property
-    def table(self) -> Table:
+    def table(self) -> JobTable:
         return self.journal.table
 
     def now(self) -> int:
@@ -100,15 +107,15 @@
 
     # --- the start
 
-    async def recover(self, moment: Moment) -> None:
+    async def recover(self, moment: ClockReading) -> None:
         """Takes up what an earlier process left, after `Journal.open` and before the node serves."""
-        span = recovery.gone_by(self.table.began, self.table.last_at, moment)
+        span = recovery.elapsed_since(self.table.began, self.table.last_at, moment)
         now = self.now()
         steps = recovery.plan(self.table, self.leases, span, now)
         found = self.journal.found
-        await self.journal.append(Began(now, moment.boot, moment.boot_at))
-        ends = [step for step in steps if isinstance(step, recovery.End)]
-        resumes = [step for step in steps if isinstance(step, recovery.Resume)]
+        await self.journal.append(WriterStarted(now, moment.boot, moment.boot_at))
+        ends = [step for step in steps if isinstance(step, recovery.FinishJob)]
+        resumes = [step for step in steps if isinstance(step, recovery.ResumeJob)]
         self.log.say(
             f"jobs: {found.records} records in {found.segments} segments: {len(resumes)} to go on with, "
             f"{len(ends)} past their limit, {len(found.torn)} torn ends cut off",
@@ -121,7 +128,7 @@
             damaged=len(found.damaged),
         )
         for end in ends:
-            self.finish(end.job.id, Answer(end.status, b"its time was up while no dispatcher ran\n"))
+            self.finish(end.job.id, Response(end.status, b"its time was up while no dispatcher ran\n"))
         # Those that may still run are only waited for: no new load, and their workers may call at any moment.
         for step in resumes:
             if step.out:
@@ -131,7 +138,7 @@
         self.spawn(self.resume_paced(waiting))
         self.spawn(self.look_after())
 
-    async def resume_paced(self, steps: list[recovery.Resume]) -> None:
+    async def resume_paced(self, steps: list[recovery.ResumeJob]) -> None:
         """Oldest first, so many a second: a start must not be a storm."""
         for number, step in enumerate(steps):
             if number and number % max(1, int(self.terms.pace / 20)) == 0:
@@ -139,7 +146,7 @@
             self.resuming.pop(step.job.id, None)
             self.resume(step)
 
-    def resume(self, step: recovery.Resume) -> None:
+    def resume(self, step: recovery.ResumeJob) -> None:
         job = step.job
         arrived_at = min(self.now(), step.limit_at - (job.accepted.limit_at - job.accepted.at))
         message = self.message(job.accepted, job.accepted.limit_at - job.accepted.at)
@@ -148,8 +155,8 @@
         answer.add_done_callback(lambda done: self.node_answered(job.id, done))
 
     @staticmethod
-    def message(told: Accepted, patience: int) -> clients.Submitted:
-        return clients.Submitted(
+    def message(told: JobAccepted, patience: int) -> clients.SubmitRequest:
+        return clients.SubmitRequest(
             told.id,
             told.grade,
             patience,
@@ -186,18 +193,18 @@
     def ready(self) -> bool:
         return self.node.ready()
 
-    def submitted(self, message: clients.Submitted) -> asyncio.Future[Answer] | None:
+    def submitted(self, message: clients.SubmitRequest) -> asyncio.Future[Response] | None:
         if message.grade not in self.terms.grades:
             return self.node.submitted(message)
         fields = {name.decode().lower(): value.decode("latin-1") for name, value in message.onward}
-        wanted, key = wish(fields), fields.get(names.NUMBER.lower(), "")
+        wanted, key = read_preference(fields), fields.get(names.NUMBER.lower(), "")
         whole = b"\0".join((message.method.encode(), message.target.encode(), message.body))
         digest = hashlib.sha256(whole).hexdigest()
         known = self.table.find(message.grade, key) if key else None
-        answer: asyncio.Future[Answer] = self.node.loop.create_future()
+        answer: asyncio.Future[Response] = self.node.loop.create_future()
         if known is not None:
             if known.accepted.digest != digest:
-                answer.set_result(Answer(422, b"this number was used for another submission\n"))
+                answer.set_result(Response(422, b"this number was used for another submission\n"))
                 return answer
             self.follow(known.id, message, wanted, answer)
             return answer
@@ -210,7 +217,7 @@
         now = self.now()
         prefer = names.PREFER.lower().encode()
         onward = [(name, value) for name, value in message.onward if name.lower() != prefer]
-        record = Accepted(
+        record = JobAccepted(
             message.id,
             key,
             digest,
@@ -229,12 +236,12 @@
         return answer
 
     async def accept(
-        self, record: Accepted, written: asyncio.Future[None], patience: int, detached: bool
+        self, record: JobAccepted, written: asyncio.Future[None], patience: int, detached: bool
     ) -> None:
         """Once it is on the disk it is dispatched; where it cannot be written it was never accepted."""
         try:
             await written
-        except Unwritable as trouble:
+        except LogWriteError as trouble:
             self.table.drop(record.id)
             self.log.say(f"jobs: not accepted: {trouble}", event="job-not-accepted", trouble=str(trouble))
             self.tell(record.id, self.denied("it could not be written down"))
@@ -245,16 +252,16 @@
         left = patience - (self.now() - record.at)
         taken = self.node.submitted(replace(self.message(record, max(1, left)), patient=detached))
         if taken is None:
-            self.finish(record.id, Answer(503, b"this id is in use\n"))
+            self.finish(record.id, Response(503, b"this id is in use\n"))
             return
         taken.add_done_callback(lambda done: self.node_answered(record.id, done))
 
     @staticmethod
-    def denied(why: str) -> Answer:
-        return Answer(503, f"denied: {why}\n".encode(), [("Retry-After", f"{BUSY_AFTER:g}")])
+    def denied(why: str) -> Response:
+        return Response(503, f"denied: {why}\n".encode(), [("Retry-After", f"{BUSY_AFTER:g}")])
 
     def follow(
-        self, id: str, message: clients.Submitted, wanted: Wish, answer: asyncio.Future[Answer]
+        self, id: str, message: clients.SubmitRequest, wanted: Preference, answer: asyncio.Future[Response]
     ) -> None:
         """Has `answer` set by the final one, or as the client wants it."""
         self.by_submission[message.id] = answer
@@ -271,14 +278,14 @@
             # Its own wait may be shorter than the job's time, where it has come to one that was there.
             self.node.loop.call_later(message.patience / 1e6, self.give_up, id, answer)
 
-    def unfollow(self, id: str, answer: asyncio.Future[Answer]) -> None:
+    def unfollow(self, id: str, answer: asyncio.Future[Response]) -> None:
         left = [one for one in self.followers.get(id, ()) if one is not answer]
         if left:
             self.followers[id] = left
         else:
             self.followers.pop(id, None)
 
-    async def detach(self, id: str, wait: float, answer: asyncio.Future[Answer]) -> None:
+    async def detach(self, id: str, wait: float, answer: asyncio.Future[Response]) -> None:
         if (written := self.accepting.get(id)) is not None:
             await asyncio.wait([written])
             if written.exception() is not None:
@@ -288,14 +295,14 @@
         if not answer.done():
             answer.set_result(self.under_way(id))
 
-    def give_up(self, id: str, answer: asyncio.Future[Answer]) -> None:
+    def give_up(self, id: str, answer: asyncio.Future[Response]) -> None:
         if not answer.done():
-            answer.set_result(Answer(504, b"it is not done yet\n", [("Location", names.JOBS + id)]))
+            answer.set_result(Response(504, b"it is not done yet\n", [("Location", names.JOBS + id)]))
 
-    def under_way(self, id: str) -> Answer:
+    def under_way(self, id: str) -> Response:
         job = self.table.jobs[id]
         told = {"id": id, "state": job.state, "dispatches": len(job.leases)}
-        return Answer(
+        return Response(
             202,
             json.dumps(told).encode() + b"\n",
             [
@@ -306,31 +313,31 @@
             ],
         )
 
-    def final(self, job: Job) -> Answer:
+    def final(self, job: Job) -> Response:
         assert job.finished is not None
         headers = [(names.JOB_STATE, job.state), ("Location", names.JOBS + job.id)]
         if job.finished.advice:
             headers.append(("Retry-After", f"{job.finished.advice / 1e6:.3f}"))
-        return Answer(job.finished.status, job.finished.body, headers)
+        return Response(job.finished.status, job.finished.body, headers)
 
-    def sought(self, message: clients.Sought) -> Answer:
+    def sought(self, message: clients.JobQuery) -> Response:
         """Where a job stands: 202 while it is open, then 200 with its state and what came of it."""
         job = self.table.jobs.get(message.id)
         if job is None or message.id in self.accepting:
-            return Answer(404, b"no such job\n")
+            return Response(404, b"no such job\n")
         if message.id not in self.settled:
             return self.under_way(message.id)
         found = self.final(job)
         return replace(found, status=200)
 
-    def gone(self, message: clients.Submitted) -> None:
+    def gone(self, message: clients.SubmitRequest) -> None:
         """A client has gone away; its job goes on."""
         if message.grade not in self.terms.grades:
             self.node.gone(message)
         elif (answer := self.by_submission.get(message.id)) is not None:
             answer.cancel()
 
-    def called(self, message: clients.Called) -> Awaitable[None] | None:
+    def called(self, message: clients.Callback) -> Awaitable[None] | None:
         job = self.table.jobs.get(message.submission)
         if job is None:
             self.node.called(message)
@@ -340,14 +347,14 @@
         if heard in (leases.FENCED, leases.UNKNOWN):
             return self.late(job, message) if last else None
         self.node.called(message)
-        if message.outcome == say.DONE:
-            self.finish(job.id, Answer(200, message.result))
+        if message.outcome == AttemptOutcome.DONE:
+            self.finish(job.id, Response(200, message.result))
         # The worker may forget it only once we cannot: until then it calls again.
         if (task := self.written.get(job.id)) is not None:
             return asyncio.shield(task)
         return None
 
-    def late(self, job: Job, message: clients.Called) -> Awaitable[None] | None:
+    def late(self, job: Job, message: clients.Callback) -> Awaitable[None] | None:
         """A word under a lease that has ended is written down as what it is, and changes nothing."""
         if job.id in self.written:
             return asyncio.shield(self.written[job.id])  # the same word once more
@@ -358,7 +365,7 @@
         )
         ended = job.ended.get(fence)
         # The word that made the job done, once more: its final answer says so.
-        told = told or job.state == DONE and message.outcome == say.DONE and fence == job.fence
+        told = told or job.state == DONE and message.outcome == AttemptOutcome.DONE and fence == job.fence
         if told or len(job.late) >= MOST_LATE or ended is not None and ended.outcome == message.outcome:
             return None  # it says what we know
         self.log.say(
@@ -369,7 +376,7 @@
             worker=message.worker,
             state=message.state,
         )
-        written = self.journal.append(Late(job.id, fence, message.worker, message.state, self.now()))
+        written = self.journal.append(LateReport(job.id, fence, message.worker, message.state, self.now()))
         return self.spawn(self.bear(written))
 
     @staticmethod
@@ -377,15 +384,15 @@
         """For what may be lost: a crash would make more of it than it was, never less."""
         try:
             await written
-        except Unwritable:
+        except LogWriteError:
             pass
 
     # --- the node's keeper
 
-    def keeps(self, held: OpenSubmission) -> bool:
+    def keeps(self, held: OpenRequest) -> bool:
         return held.message.grade in self.terms.grades
 
-    async def lease(self, held: OpenSubmission, dispatch: OpenDispatch) -> bool:
+    async def lease(self, held: OpenRequest, dispatch: OpenAttempt) -> bool:
         job = self.table.jobs.get(held.message.id)
         if job is None or dispatch.outcome:
             return False
@@ -393,43 +400,45 @@
         now = self.now()
         lease = self.leases.grant(job.id, dispatch.worker, now, after=job.fence)
         dispatch.fence = lease.fence
-        record = Leased(job.id, lease.fence, dispatch.worker, entry.zone, entry.cell, now, lease.until)
+        record = LeaseGranted(job.id, lease.fence, dispatch.worker, entry.zone, entry.cell, now, lease.until)
         try:
             await self.journal.append(record)
-        except Unwritable as trouble:
+        except LogWriteError as trouble:
             # Nothing of it went out, whatever the disk says: it is ended in what we hold.
             self.leases.end(job.id, lease.fence)
-            self.table.apply(Ended(job.id, lease.fence, say.NEVER_SENT, now))
+            self.table.apply(AttemptEnded(job.id, lease.fence, AttemptOutcome.NEVER_SENT, now))
             self.log.say(f"jobs: no lease: {trouble}", event="lease-not-written", trouble=str(trouble))
             return False
         self.journal.point("lease written")
         return True
 
-    def ended(self, held: OpenSubmission, dispatch: OpenDispatch) -> None:
+    def ended(self, held: OpenRequest, dispatch: OpenAttempt) -> None:
         if not dispatch.fence or dispatch.outcome is None:
             return
         self.leases.end(held.message.id, dispatch.fence)
-        if dispatch.outcome == say.DONE:
+        if dispatch.outcome == AttemptOutcome.DONE:
             return  # its final answer says so
-        written = self.journal.append(Ended(held.message.id, dispatch.fence, dispatch.outcome, self.now()))
+        written = self.journal.append(
+            AttemptEnded(held.message.id, dispatch.fence, dispatch.outcome, self.now())
+        )
         self.spawn(self.bear(written))
 
     # --- the one final answer
 
-    def node_answered(self, id: str, done: asyncio.Future[Answer]) -> None:
+    def node_answered(self, id: str, done: asyncio.Future[Response]) -> None:
         if not done.cancelled():
             self.finish(id, done.result())
 
-    def finish(self, id: str, answer: Answer) -> None:
+    def finish(self, id: str, answer: Response) -> None:
         job = self.table.jobs.get(id)
         if job is None or id in self.written or job.finished is not None:
             return
         advice = dict(answer.headers).get("Retry-After")
         after = int(float(advice) * 1e6) if advice else 0
-        record = Finished(id, answer.status, answer.body, after, self.now())
+        record = JobFinished(id, answer.status, answer.body, after, self.now())
         self.written[id] = self.spawn(self.write_final(record))
 
-    async def write_final(self, record: Finished) -> None:
+    async def write_final(self, record: JobFinished) -> None:
         """Tells nobody before it is on the disk. Tried again while it cannot be written: the job is not lost,
         as a start from what stands would end it, or find it done.
         """
@@ -438,7 +447,7 @@
             try:
                 await self.journal.append(record)
                 break
-            except Unwritable as trouble:
+            except LogWriteError as trouble:
                 why = str(trouble)
                 self.log.say(f"jobs: no final answer: {why}", event="final-not-written", trouble=why)
                 await asyncio.sleep(WRITE_AGAIN)
@@ -448,7 +457,7 @@
         self.written.pop(record.id, None)
         self.tell(record.id, self.final(self.table.jobs[record.id]))
 
-    def tell(self, id: str, answer: Answer) -> None:
+    def tell(self, id: str, answer: Response) -> None:
         for follower in self.followers.pop(id, []):
             if not follower.done():
                 follower.set_result(replace(answer, headers=list(answer.headers)))
--- a/locktide/durable/jobs.py
+++ b/locktide/durable/jobs.py
@@ -5,19 +5,26 @@
 from dataclasses import dataclass, field
 
 from locktide.durable.log import records
-from locktide.durable.log.records import Accepted, Ended, Finished, Kept, Late, Leased
-from locktide.scheduler import interface as say
+from locktide.durable.log.records import (
+    AttemptEnded,
+    JobAccepted,
+    JobFinished,
+    JobSnapshot,
+    LateReport,
+    LeaseGranted,
+)
+from locktide.scheduler.types import PROVEN_NOT_RUN
 
 OPEN, DONE, DENIED, TERMINATED = "open", "done", "denied", "terminated"
 
 
 @dataclass(slots=True)
 class Job:
-    accepted: Accepted
-    leases: list[Leased] = field(default_factory=list)
-    ended: dict[int, Ended] = field(default_factory=dict)  # by fence
-    finished: Finished | None = None
-    late: list[Late] = field(default_factory=list)
+    accepted: JobAccepted
+    leases: list[LeaseGranted] = field(default_factory=list)
+    ended: dict[int, AttemptEnded] = field(default_factory=dict)  # by fence
+    finished: JobFinished | None = None
+    late: list[LateReport] = field(default_factory=list)
 
     @property
     def id(self) -> str:
@@ -34,21 +41,21 @@
         """Of the last lease; 0 for none."""
         return self.leases[-1].fence if self.leases else 0
 
-    def out(self) -> list[Leased]:
+    def out(self) -> list[LeaseGranted]:
         """Leases without an end."""
         return [lease for lease in self.leases if lease.fence not in self.ended]
 
     def may_have_run(self) -> bool:
         return any(
-            lease.fence not in self.ended or self.ended[lease.fence].outcome not in say.PROVEN_NOT_RUN
+            lease.fence not in self.ended or self.ended[lease.fence].outcome not in PROVEN_NOT_RUN
             for lease in self.leases
         )
 
-    def kept(self) -> Kept:
-        return Kept(self.accepted, self.leases, list(self.ended.values()), self.finished, self.late)
+    def kept(self) -> JobSnapshot:
+        return JobSnapshot(self.accepted, self.leases, list(self.ended.values()), self.finished, self.late)
 
 
-class Table:
+class JobTable:
     """All jobs that are open, or finished and kept for their clients."""
 
     def __init__(self) -> None:
@@ -56,11 +63,11 @@
         self.by_key: dict[tuple[str, str], str] = {}  # grade and key -> id
         self.opened = 0
         self.last_at = 0  # the latest time that any record tells
-        self.began: records.Began | None = None  # of the last process
+        self.began: records.WriterStarted | None = None  # of the last process
 
-    def apply(self, record: records.Any) -> None:
+    def apply(self, record: records.AnyRecord) -> None:
         """What is said of a job that is not known is of one whose client's time to ask has gone by."""
-        if isinstance(record, Kept):
+        if isinstance(record, JobSnapshot):
             self.add(
                 Job(
                     record.accepted,
@@ -71,20 +78,20 @@
                 )
             )
             return
-        if isinstance(record, records.Whole):
+        if isinstance(record, records.SnapshotComplete):
             return
         self.last_at = max(self.last_at, record.at)
-        if isinstance(record, records.Began):
+        if isinstance(record, records.WriterStarted):
             self.began = record
-        elif isinstance(record, Accepted):
+        elif isinstance(record, JobAccepted):
             if record.id not in self.jobs:
                 self.add(Job(record))
         elif job := self.jobs.get(record.id):
-            if isinstance(record, Leased):
+            if isinstance(record, LeaseGranted):
                 job.leases.append(record)
-            elif isinstance(record, Ended):
+            elif isinstance(record, AttemptEnded):
                 job.ended.setdefault(record.fence, record)
-            elif isinstance(record, Late):
+            elif isinstance(record, LateReport):
                 job.late.append(record)
             elif job.finished is None:  # the first final answer is the one
                 job.finished = record
--- a/locktide/durable/leases.py
+++ b/locktide/durable/leases.py
@@ -13,7 +13,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Terms:
+class LeaseConfig:
     """How long a worker may be silent."""
 
     start_within: int  # from the dispatch, until it says that the job has started: it may wait in a queue
@@ -35,10 +35,10 @@
     ended: bool = False
 
 
-class Leases:
+class LeaseTable:
     """The leases of one dispatcher, by job and fence."""
 
-    def __init__(self, terms: Terms) -> None:
+    def __init__(self, terms: LeaseConfig) -> None:
         self.terms = terms
         self.held: dict[str, list[Lease]] = {}
 
--- a/locktide/durable/log/framing.py
+++ b/locktide/durable/log/framing.py
@@ -22,16 +22,16 @@
 TORN, DAMAGED = "torn", "damaged"
 
 
-class Newer(Exception):
+class NewerFormatError(Exception):
     """A segment of a later format: written by a later locktide, and not to be touched by this one."""
 
 
-class Foreign(Exception):
+class ForeignFileError(Exception):
     """Not a segment at all."""
 
 
 @dataclass(slots=True)
-class Trouble:
+class FramingFault:
     """What a segment holds from `at` on that is no record."""
 
     kind: str  # TORN: a write that was under way; DAMAGED: what had been written has changed
@@ -53,21 +53,21 @@
 def check_header(data: bytes, name: str) -> int:
     """The segment's number; raises Newer or Foreign."""
     if len(data) < HEADER.size:
-        raise Foreign(f"{name}: {len(data)} bytes, no header")
+        raise ForeignFileError(f"{name}: {len(data)} bytes, no header")
     magic, version, number = HEADER.unpack_from(data)
     if magic != MAGIC:
-        raise Foreign(f"{name}: not a journal of jobs")
+        raise ForeignFileError(f"{name}: not a journal of jobs")
     if version > VERSION:
-        raise Newer(f"{name}: format {version}, this locktide knows up to {VERSION}")
+        raise NewerFormatError(f"{name}: format {version}, this locktide knows up to {VERSION}")
     return int(number)
 
 
-def records(data: bytes) -> Iterator[tuple[int, bytes] | Trouble]:
+def records(data: bytes) -> Iterator[tuple[int, bytes] | FramingFault]:
     """Each payload with its place, and at the end what is no record, if anything is."""
     at = HEADER.size
     while at < len(data):
         if at + FRAME.size > len(data):
-            yield Trouble(TORN, at, f"{len(data) - at} bytes of a record's head")
+            yield FramingFault(TORN, at, f"{len(data) - at} bytes of a record's head")
             return
         length, checksum = FRAME.unpack_from(data, at)
         begin, end = at + FRAME.size, at + FRAME.size + length
@@ -79,21 +79,21 @@
         return
 
 
-def trouble(data: bytes, at: int, length: int, end: int) -> Trouble:
+def trouble(data: bytes, at: int, length: int, end: int) -> FramingFault:
     """A write that a crash cut short, or one that was whole and has changed.
 
     Torn is only what a crash can leave behind: the file ends within the record, or is zeros from a sector's
     edge to its end. Whatever else is wrong was once read as good, and nothing of it may be dropped unseen.
     """
     if not any(data[at:]):
-        return Trouble(TORN, at, "nothing but zeros")
+        return FramingFault(TORN, at, "nothing but zeros")
     zeros = len(data) - len(data.rstrip(b"\0"))
     edge = -(-(len(data) - zeros) // SECTOR) * SECTOR
     if zeros and edge < len(data) and edge < end:
-        return Trouble(TORN, at, "a record that ends in sectors of zeros")
+        return FramingFault(TORN, at, "a record that ends in sectors of zeros")
     if 0 < length <= LARGEST and end > len(data) and not follows(data, at):
-        return Trouble(TORN, at, f"{len(data) - at} bytes of a record of {end - at}")
-    return Trouble(DAMAGED, at, "a record whose checksum does not fit")
+        return FramingFault(TORN, at, f"{len(data) - at} bytes of a record of {end - at}")
+    return FramingFault(DAMAGED, at, "a record whose checksum does not fit")
 
 
 def follows(data: bytes, at: int) -> bool:
--- a/locktide/durable/log/records.py
+++ b/locktide/durable/log/records.py
@@ -11,7 +11,7 @@
     pass
 
 
-class Began(Record, tag="Began"):
+class WriterStarted(Record, tag="Began"):
     """A dispatcher has taken over the journal. `boot` and `boot_at` tell how time went on if its clock is
     set.
     """
@@ -21,7 +21,7 @@
     boot_at: int  # microseconds since the machine's start
 
 
-class Accepted(Record, tag="Accepted"):
+class JobAccepted(Record, tag="Accepted"):
     id: str
     key: str  # the number of a numbered one, or what its client calls it by; empty for none
     digest: str
@@ -35,7 +35,7 @@
     width: float
 
 
-class Leased(Record, tag="Leased"):
+class LeaseGranted(Record, tag="Leased"):
     """Written before the first byte of the dispatch: from here on it may have run."""
 
     id: str
@@ -47,14 +47,14 @@
     until: int
 
 
-class Ended(Record, tag="Ended"):
+class AttemptEnded(Record, tag="Ended"):
     id: str
     fence: int
     outcome: str
     at: int
 
 
-class Finished(Record, tag="Finished"):
+class JobFinished(Record, tag="Finished"):
     """The one final answer."""
 
     id: str
@@ -64,7 +64,7 @@
     at: int
 
 
-class Late(Record, tag="Late"):
+class LateReport(Record, tag="Late"):
     """What a worker said under a lease that had ended: kept for who looks, of no effect."""
 
     id: str
@@ -74,27 +74,36 @@
     at: int
 
 
-class Kept(Record, tag="Kept"):
+class JobSnapshot(Record, tag="Kept"):
     """A job as it stood, in a snapshot: everything that was said of it before."""
 
-    accepted: Accepted
-    leases: list[Leased]
-    ended: list[Ended]
-    finished: Finished | None
-    late: list[Late]
+    accepted: JobAccepted
+    leases: list[LeaseGranted]
+    ended: list[AttemptEnded]
+    finished: JobFinished | None
+    late: list[LateReport]
 
 
-class Whole(Record, tag="Whole"):
+class SnapshotComplete(Record, tag="Whole"):
     """The snapshot in this segment is complete: older segments are of no more use."""
 
     jobs: int
 
 
-Any = Began | Accepted | Leased | Ended | Finished | Late | Kept | Whole
+AnyRecord = (
+    WriterStarted
+    | JobAccepted
+    | LeaseGranted
+    | AttemptEnded
+    | JobFinished
+    | LateReport
+    | JobSnapshot
+    | SnapshotComplete
+)
 encode = msgspec.msgpack.Encoder().encode
-_decoder: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(Any)
+_decoder: msgspec.msgpack.Decoder[AnyRecord] = msgspec.msgpack.Decoder(AnyRecord)
 
 
-def decode(payload: bytes) -> Any:
+def decode(payload: bytes) -> AnyRecord:
     """Raises msgspec.DecodeError."""
     return _decoder.decode(payload)
--- a/locktide/durable/log/write_ahead_log.py
+++ b/locktide/durable/log/write_ahead_log.py
@@ -11,8 +11,8 @@
 
 import msgspec
 
-from locktide.durable.disk import Disk
-from locktide.durable.jobs import Table
+from locktide.durable.disk import Storage
+from locktide.durable.jobs import JobTable
 from locktide.durable.log import framing as frames
 from locktide.durable.log import records
 
@@ -21,16 +21,16 @@
 CHUNK = 100
 
 
-class Damaged(Exception):
+class DamagedLogError(Exception):
     """The journal holds what was once good and is not any more. Nothing was changed."""
 
 
-class Unwritable(Exception):
+class LogWriteError(Exception):
     """The disk is full or broken: what was to be written does not stand."""
 
 
 @dataclass(slots=True)
-class Found:
+class LogContents:
     """What a start found, for the log and for `locktide jobs verify`."""
 
     segments: int = 0
@@ -50,7 +50,7 @@
     return data[: len(whole)] != whole and whole.startswith(data.rstrip(b"\0"))
 
 
-def read(disk: Disk, table: Table, found: Found) -> dict[str, int]:
+def read(disk: Storage, table: JobTable, found: LogContents) -> dict[str, int]:
     """Applies all good records; the size up to which each segment is good. Raises Newer and Foreign.
 
     What is damaged is noted and the rest of its segment is left out; whether that is borne is the caller's to
@@ -69,7 +69,7 @@
         found.segments += 1
         sizes[name] = len(data)
         for item in frames.records(data):
-            if isinstance(item, frames.Trouble):
+            if isinstance(item, frames.FramingFault):
                 what = f"{name}: at byte {item.at}: {item.why}"
                 # Only the segment that was written last can have been cut short.
                 torn = item.kind == frames.TORN and last
@@ -88,13 +88,13 @@
     return sizes
 
 
-class Journal:
+class WriteAheadLog:
     """Owns the segments of one directory. `append` returns once the record is on the disk."""
 
-    def __init__(self, disk: Disk, segment_bytes: int, group: bool = True) -> None:
+    def __init__(self, disk: Storage, segment_bytes: int, group: bool = True) -> None:
         self.disk, self.segment_bytes, self.group = disk, segment_bytes, group
-        self.table = Table()
-        self.found = Found()
+        self.table = JobTable()
+        self.found = LogContents()
         self.name, self.size = "", 0
         self.waiting: list[tuple[bytes, asyncio.Future[None]]] = []
         self.writing: asyncio.Task[None] | None = None
@@ -112,7 +112,7 @@
         try:
             sizes = read(self.disk, self.table, self.found)
             if self.found.damaged and not skip_damaged:
-                raise Damaged("; ".join(self.found.damaged))
+                raise DamagedLogError("; ".join(self.found.damaged))
         except BaseException:
             self.disk.give_back()
             raise
@@ -138,14 +138,14 @@
 
     # --- writing
 
-    def append(self, record: records.Any) -> asyncio.Future[None]:
+    def append(self, record: records.AnyRecord) -> asyncio.Future[None]:
         """Applies it and writes it behind all that was appended before; done once it is on the disk.
 
         Raises Unwritable out of the future; the caller must not go on as if it stood.
         """
         done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         if self.broken:
-            done.set_exception(Unwritable(self.broken))
+            done.set_exception(LogWriteError(self.broken))
             return done
         self.table.apply(record)
         self.waiting.append((frames.frame(records.encode(record)), done))
@@ -213,7 +213,7 @@
     def fail(batch: list[tuple[bytes, asyncio.Future[None]]], why: str) -> None:
         for _, done in batch:
             if not done.done():
-                done.set_exception(Unwritable(why))
+                done.set_exception(LogWriteError(why))
 
     async def settle(self) -> None:
         """Until nothing waits to be written."""
@@ -238,12 +238,12 @@
                 jobs = [self.table.jobs[id] for id in ids[place : place + CHUNK] if id in self.table.jobs]
                 if jobs:
                     await asyncio.gather(*(self.append(job.kept()) for job in jobs))
-            await self.append(records.Whole(len(ids)))
+            await self.append(records.SnapshotComplete(len(ids)))
             self.point("before old segments go")
             for name in older:
                 self.disk.remove(name)
             self.point("after old segments went")
-        except (Unwritable, OSError):
+        except (LogWriteError, OSError):
             pass  # the older segments stand, and are read with the new one
         finally:
             self.compacting = None
--- a/locktide/durable/measure.py
+++ b/locktide/durable/measure.py
@@ -9,9 +9,9 @@
 from pathlib import Path
 
 from locktide.durable import leases, recovery
-from locktide.durable.disk import Folder
-from locktide.durable.log.records import Accepted, Began, Leased
-from locktide.durable.log.write_ahead_log import Journal
+from locktide.durable.disk import DirectoryStorage
+from locktide.durable.log.records import JobAccepted, LeaseGranted, WriterStarted
+from locktide.durable.log.write_ahead_log import WriteAheadLog
 
 CLIENTS = 64  # that hand in at once: as many wait at a busy dispatcher
 BODY = b"x" * 200
@@ -42,16 +42,16 @@
     worst: float
 
 
-def job(number: int) -> Accepted:
+def job(number: int) -> JobAccepted:
     id = f"job-{number:08d}"
     onward = [(b"req-id", id.encode()), (b"idempotency-key", id.encode())]
     limit_at = number + 100 * S
-    return Accepted(id, id, "0" * 64, "record", "POST", "/record", onward, BODY, number, limit_at, 1.0)
+    return JobAccepted(id, id, "0" * 64, "record", "POST", "/record", onward, BODY, number, limit_at, 1.0)
 
 
 async def acceptance(folder: Path, count: int, group: bool) -> Cost:
     """Each client hands in its next job once the last one is on the disk."""
-    journal = Journal(Folder(folder), 1 << 40, group)
+    journal = WriteAheadLog(DirectoryStorage(folder), 1 << 40, group)
     journal.open()
     waits: list[float] = []
     numbers = iter(range(count))
@@ -72,23 +72,23 @@
 
 async def write(folder: Path, count: int) -> None:
     """A journal with so many open jobs; every fourth is on lease."""
-    journal = Journal(Folder(folder), 1 << 40)
+    journal = WriteAheadLog(DirectoryStorage(folder), 1 << 40)
     journal.open()
-    begun = [journal.append(Began(0, "boot", 0))]
+    begun = [journal.append(WriterStarted(0, "boot", 0))]
     for number in range(count):
         begun.append(journal.append(job(number)))
         if not number % 4:
-            begun.append(journal.append(Leased(job(number).id, 1, "w0", "", 0, number, 60 * S)))
+            begun.append(journal.append(LeaseGranted(job(number).id, 1, "w0", "", 0, number, 60 * S)))
     await asyncio.gather(*begun)
     journal.close()
 
 
 def recover(folder: Path) -> float:
     begun = time.perf_counter()
-    journal = Journal(Folder(folder), 1 << 40)
+    journal = WriteAheadLog(DirectoryStorage(folder), 1 << 40)
     journal.open()
-    held = leases.Leases(leases.Terms(60 * S, 15 * S))
-    steps = recovery.plan(journal.table, held, recovery.Span(0, 0), journal.table.last_at)
+    held = leases.LeaseTable(leases.LeaseConfig(60 * S, 15 * S))
+    steps = recovery.plan(journal.table, held, recovery.ElapsedBounds(0, 0), journal.table.last_at)
     took = time.perf_counter() - begun
     assert len(steps) == journal.table.opened
     journal.close()
--- a/locktide/durable/recovery.py
+++ b/locktide/durable/recovery.py
@@ -6,16 +6,16 @@
 
 from dataclasses import dataclass
 
-from locktide.durable.jobs import Job, Table
-from locktide.durable.leases import Leases
-from locktide.durable.log.records import Began
-from locktide.scheduler import interface as say
+from locktide.durable.jobs import Job, JobTable
+from locktide.durable.leases import LeaseTable
+from locktide.durable.log.records import WriterStarted
+from locktide.scheduler.events import RecoveredAttempt
 
 DENIED_STATUS, TERMINATED_STATUS = 503, 502
 
 
 @dataclass(frozen=True, slots=True)
-class Moment:
+class ClockReading:
     """The machine's clocks: Unix time, which may be set, and time since its start, which may not.
     Microseconds.
     """
@@ -26,7 +26,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Span:
+class ElapsedBounds:
     """How much time has gone by since the last process wrote: between `least` and `most`."""
 
     least: int
@@ -36,24 +36,24 @@
 UNKNOWN_SPAN = 10**15  # longer than any memory: nothing can be counted on
 
 
-def gone_by(began: Began | None, last_at: int, now: Moment) -> Span:
+def elapsed_since(began: WriterStarted | None, last_at: int, now: ClockReading) -> ElapsedBounds:
     """Since the last record. On the same boot it is known whatever the clock was set to.
 
     Guards against a clock that was stepped back: on another boot it is all there is, and where it shows a
     time before the last record, nothing is known of how long we were away.
     """
     if began is None:
-        return Span(0, 0)
+        return ElapsedBounds(0, 0)
     if began.boot == now.boot and now.boot_at >= began.boot_at:
         gone = max(0, began.at + (now.boot_at - began.boot_at) - last_at)
-        return Span(gone, gone)
+        return ElapsedBounds(gone, gone)
     if now.at < last_at:
-        return Span(0, UNKNOWN_SPAN)
-    return Span(now.at - last_at, now.at - last_at)
+        return ElapsedBounds(0, UNKNOWN_SPAN)
+    return ElapsedBounds(now.at - last_at, now.at - last_at)
 
 
 @dataclass(slots=True)
-class End:
+class FinishJob:
     """A job whose time is up: its one final answer, for its client to fetch."""
 
     job: Job
@@ -61,30 +61,30 @@
 
 
 @dataclass(slots=True)
-class Resume:
+class ResumeJob:
     """A job to go on with. Of each dispatch what is known; those still out are waited for."""
 
     job: Job
     limit_at: int
-    dispatches: list[say.Earlier]
+    dispatches: list[RecoveredAttempt]
     out: list[int]  # the places in `dispatches` that have no outcome
 
 
-Step = End | Resume
+RecoveryStep = FinishJob | ResumeJob
 
 
-def plan(table: Table, leases: Leases, span: Span, now: int) -> list[Step]:
+def plan(table: JobTable, leases: LeaseTable, span: ElapsedBounds, now: int) -> list[RecoveryStep]:
     """For all open jobs, oldest first; `now` is our clock, on which the leases are taken over.
 
     Times of the last process are brought onto our clock by the least time that has gone by, so that a limit
     is not cut short; the memory of repeats is counted by the most, so that nothing is repeated past it.
     """
-    steps: list[Step] = []
+    steps: list[RecoveryStep] = []
     ours, memory = now - table.last_at - span.least, now - table.last_at - span.most
     for job in table.open():
         limit_at = job.accepted.limit_at + ours
         if limit_at <= now:
-            steps.append(End(job, TERMINATED_STATUS if job.may_have_run() else DENIED_STATUS))
+            steps.append(FinishJob(job, TERMINATED_STATUS if job.may_have_run() else DENIED_STATUS))
             continue
         dispatches, out = [], []
         for place, lease in enumerate(job.leases):
@@ -97,6 +97,8 @@
                 if taken.until > limit_at:
                     taken.until = limit_at
                 out.append(place)
-            dispatches.append(say.Earlier(lease.worker, lease.zone, lease.cell, lease.at + memory, outcome))
-        steps.append(Resume(job, limit_at, dispatches, out))
+            dispatches.append(
+                RecoveredAttempt(lease.worker, lease.zone, lease.cell, lease.at + memory, outcome)
+            )
+        steps.append(ResumeJob(job, limit_at, dispatches, out))
     return steps
--- a/locktide/protocol/client_connection.py
+++ b/locktide/protocol/client_connection.py
@@ -11,12 +11,12 @@
 Headers = list[tuple[bytes, bytes]]
 
 
-class Broken(Exception):
+class ProtocolError(Exception):
     """The connection ended, or said what HTTP does not allow, before the reply was whole."""
 
 
 @dataclass(slots=True)
-class Question:
+class UpstreamRequest:
     method: str
     target: str
     headers: Headers
@@ -24,23 +24,23 @@
 
 
 @dataclass(slots=True)
-class Reply:
+class UpstreamResponse:
     status: int
     headers: dict[str, str]
     body: bytes
 
 
-class Exchange:
+class ClientHttpConnection:
     """Fed what comes in; gives what is to be written as pieces, and the reply once it is whole."""
 
     def __init__(self, host: str, largest: int = names.LARGEST_BODY) -> None:
         self.machine = h11.Connection(h11.CLIENT)
         self.host, self.largest = host, largest
-        self.reply: Reply | None = None
+        self.reply: UpstreamResponse | None = None
         self.body = bytearray()
         self.heard = False  # whether anything has come since the question
 
-    def ask(self, question: Question) -> list[bytes]:
+    def ask(self, question: UpstreamRequest) -> list[bytes]:
         self.reply, self.body, self.heard = None, bytearray(), False
         headers = [(b"Host", self.host.encode()), *question.headers]
         if question.body or question.method == "POST":
@@ -56,7 +56,7 @@
             pieces += self.machine.send_with_data_passthrough(event) or []
         return pieces
 
-    def feed(self, data: bytes) -> Reply | None:
+    def feed(self, data: bytes) -> UpstreamResponse | None:
         """Takes what was read, nothing at the end of the stream; the reply once it is whole."""
         self.heard = self.heard or bool(data)
         try:
@@ -67,20 +67,20 @@
                     return None
                 if isinstance(event, h11.Response):
                     headers = {name.decode(): value.decode("latin-1") for name, value in event.headers}
-                    self.reply = Reply(event.status_code, headers, b"")
+                    self.reply = UpstreamResponse(event.status_code, headers, b"")
                 elif isinstance(event, h11.Data):
                     self.body += event.data
                     if len(self.body) > self.largest:
-                        raise Broken("a reply over the limit")
+                        raise ProtocolError("a reply over the limit")
                 elif isinstance(event, h11.EndOfMessage) and self.reply is not None:
                     self.reply.body = bytes(self.body)
                     if self.machine.our_state is self.machine.their_state is h11.DONE:
                         self.machine.start_next_cycle()
                     return self.reply
                 elif isinstance(event, h11.ConnectionClosed):
-                    raise Broken("ended before the reply")
+                    raise ProtocolError("ended before the reply")
         except h11.RemoteProtocolError as trouble:
-            raise Broken(str(trouble)) from None
+            raise ProtocolError(str(trouble)) from None
 
     @property
     def at_rest(self) -> bool:
