--- a/locktide/protocol/discovery.py
+++ b/locktide/protocol/discovery.py
@@ -6,17 +6,17 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from locktide.config.checks import Faulty, Table
+from locktide.config.checks import ConfigError, Table
 from locktide.config.start import Address, address
 from locktide.protocol import names
-from locktide.protocol.client_connection import Question
-from locktide.scheduler import interface as say
+from locktide.protocol.client_connection import UpstreamRequest
+from locktide.scheduler.events import EndpointEntry
 
 LARGEST_LIST = 8 * 1024 * 1024  # some tens of thousands of workers
 
 
 @dataclass(slots=True)
-class ListUpdate:
+class DiscoveryUpdate:
     """A whole list, or the entries that changed, with each worker's address.
 
     `unclear` are workers that it names but of which it does not say what can be taken; `faults` tells why.
@@ -24,19 +24,19 @@
 
     version: int
     whole: bool
-    entries: list[say.Listed]
+    entries: list[EndpointEntry]
     addresses: dict[str, Address]
     unclear: list[str] = field(default_factory=list)
     faults: list[str] = field(default_factory=list)
 
 
-def question(after: int | None, wait_ms: int) -> Question:
+def question(after: int | None, wait_ms: int) -> UpstreamRequest:
     watch = "" if after is None else f"?after={after}&wait_ms={wait_ms}"
-    return Question("GET", names.INSTANCES + watch, [])
+    return UpstreamRequest("GET", names.INSTANCES + watch, [])
 
 
-def entry(told: Table) -> tuple[say.Listed, Address]:
-    listed = say.Listed(
+def entry(told: Table) -> tuple[EndpointEntry, Address]:
+    listed = EndpointEntry(
         told.text("uid"),
         told.text("az", ""),
         told.text("model", ""),
@@ -48,14 +48,14 @@
     return listed, address(told.key("endpoint"), told.text("endpoint"))
 
 
-def read(raw: Any, path: str, strict: bool = True) -> ListUpdate:
+def read(raw: Any, path: str, strict: bool = True) -> DiscoveryUpdate:
     """Raises Faulty, with the name of the key, where it is not a list of workers.
 
     Unless `strict`, an entry that is faulty, or names a worker twice, is left out and noted as unclear; a
     list of which more than half is like that is refused as a whole.
     """
     told = Table(raw, path)
-    update = ListUpdate(told.whole("rev"), told.flag("all"), [], {})
+    update = DiscoveryUpdate(told.whole("rev"), told.flag("all"), [], {})
     rows = told.row("targets")
     unclear: dict[str, None] = {}
     for place, row in enumerate(rows):
@@ -63,8 +63,8 @@
         try:
             listed, at = entry(Table(row, where))
             if listed.worker in update.addresses or listed.worker in unclear:
-                raise Faulty(f"{where}.uid", f"{listed.worker!r:.40} is told twice")
-        except Faulty as fault:
+                raise ConfigError(f"{where}.uid", f"{listed.worker!r:.40} is told twice")
+        except ConfigError as fault:
             if strict:
                 raise
             update.faults.append(str(fault))
@@ -84,5 +84,5 @@
     return update
 
 
-def parse(body: bytes) -> ListUpdate:
+def parse(body: bytes) -> DiscoveryUpdate:
     return read(json.loads(body), "list", strict=False)
--- a/locktide/protocol/names.py
+++ b/locktide/protocol/names.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from locktide.scheduler import interface as say
+from locktide.scheduler.types import AttemptOutcome, EndpointState
 
 # Header fields, as they go out; they are compared in lower case.
 ID = "Req-Id"
@@ -29,8 +29,13 @@
 # What a worker tells by callback. The last four end a dispatch.
 STARTED = "started"
 RUNNING = "running"
-ENDS = {"done": say.DONE, "failed": say.ERROR, "returned": say.FULL, "lost": say.RESET}
+ENDS = {
+    "done": AttemptOutcome.DONE,
+    "failed": AttemptOutcome.ERROR,
+    "returned": AttemptOutcome.FULL,
+    "lost": AttemptOutcome.RESET,
+}
 
-LIST_STATES = {"active": say.READY, "leaving": say.DRAINING, "left": say.GONE}
+LIST_STATES = {"active": EndpointState.READY, "leaving": EndpointState.DRAINING, "left": EndpointState.GONE}
 
 LARGEST_BODY = 64 * 1024
--- a/locktide/protocol/server_connection.py
+++ b/locktide/protocol/server_connection.py
@@ -47,7 +47,7 @@
 
 
 @dataclass(slots=True)
-class Submitted:
+class SubmitRequest:
     id: str
     grade: str
     patience: int  # how long the client waits for the answer, in microseconds
@@ -64,7 +64,7 @@
 
 
 @dataclass(slots=True)
-class Called:
+class Callback:
     """What a worker tells of a job. `outcome` is set where that ends the dispatch."""
 
     submission: str
@@ -77,31 +77,31 @@
 
 
 @dataclass(slots=True)
-class Sought:
+class JobQuery:
     """Where a durable job stands."""
 
     id: str
 
 
 @dataclass(slots=True)
-class Asked:
+class HealthQuery:
     """Whether we are ready, or only whether we live."""
 
     ready: bool
 
 
 @dataclass(slots=True)
-class Mistaken:
+class BadRequest:
     """A message that is not taken; `status` is a 4xx."""
 
     status: int
     reason: str
 
 
-Message = Submitted | Called | Sought | Asked | Mistaken
+Message = SubmitRequest | Callback | JobQuery | HealthQuery | BadRequest
 
 
-class Conversation:
+class ServerHttpConnection:
     """Fed bytes; gives one message at a time, and writes the answer to each before the next is given.
 
     The end of the stream is the driver's to notice: it ends no message.
@@ -155,7 +155,7 @@
                     # differ on where the body ends. HTTP/1.0 knows no transfer codings.
                     if len(framed) > 1 or framed == [b"transfer-encoding"] and event.http_version < b"1.1":
                         self.last = True
-                        return Mistaken(400, "the length of the body is told in two ways")
+                        return BadRequest(400, "the length of the body is told in two ways")
                     for name, value in event.headers:
                         if name == b"content-length" and int(value) > names.LARGEST_BODY:
                             return self.too_large()
@@ -168,11 +168,11 @@
         except h11.RemoteProtocolError as trouble:
             self.last = True
             hint = trouble.error_status_hint  # 501 for a transfer coding that is not known
-            return Mistaken(hint if 400 <= hint < 500 else 400, str(trouble))
+            return BadRequest(hint if 400 <= hint < 500 else 400, str(trouble))
 
-    def too_large(self) -> Mistaken:
+    def too_large(self) -> BadRequest:
         self.last = True
-        return Mistaken(413, f"a body holds at most {names.LARGEST_BODY} bytes")
+        return BadRequest(413, f"a body holds at most {names.LARGEST_BODY} bytes")
 
     def message(self) -> Message:
         assert self.head is not None
@@ -182,50 +182,54 @@
         for raw_name, value in self.head.headers:
             name = raw_name.decode("ascii")
             if name in SINGLE and name in fields:
-                return Mistaken(400, f"{name} is told twice")
+                return BadRequest(400, f"{name} is told twice")
             fields[name] = value.decode("latin-1")
         path = target.partition("?")[0]
         if path in (names.READY, names.LIVE):
-            return Asked(path == names.READY) if method in ("GET", "HEAD") else Mistaken(405, "expected GET")
+            return (
+                HealthQuery(path == names.READY)
+                if method in ("GET", "HEAD")
+                else BadRequest(405, "expected GET")
+            )
         if path == names.CALLBACK:
-            return self.callback() if method == "POST" else Mistaken(405, "expected POST")
+            return self.callback() if method == "POST" else BadRequest(405, "expected POST")
         if self.keeps_jobs and path.startswith(names.JOBS):
             id = unquote(path[len(names.JOBS) :])
             if not VISIBLE.fullmatch(id):
-                return Mistaken(404, "no such job")
-            return Sought(id) if method == "GET" else Mistaken(405, "expected GET")
+                return BadRequest(404, "no such job")
+            return JobQuery(id) if method == "GET" else BadRequest(405, "expected GET")
         first = path.split("/")[1] if path.startswith("/") else ""
         if first not in self.grades:
-            return Mistaken(404, "no such path")
+            return BadRequest(404, "no such path")
         if method != "POST":
-            return Mistaken(405, "expected POST")
+            return BadRequest(405, "expected POST")
         if self.unread:
             # Guards against a length that is too short: what follows was meant as part of this message, and a
             # client hands in one at a time.
             self.last = True
-            return Mistaken(400, "something follows before the answer")
+            return BadRequest(400, "something follows before the answer")
         return self.submission(first, method, target, fields)
 
     def submission(self, grade: str, method: str, target: str, fields: dict[str, str]) -> Message:
         assert self.head is not None
         if fields.get(names.GRADE.lower()) != grade:
-            return Mistaken(400, f"{names.GRADE} and the path differ")
+            return BadRequest(400, f"{names.GRADE} and the path differ")
         id = fields.get(names.ID.lower(), "")
         if not VISIBLE.fullmatch(id):
-            return Mistaken(400, f"{names.ID} is missing or not an id")
+            return BadRequest(400, f"{names.ID} is missing or not an id")
         span = SPAN.fullmatch(fields.get(names.TIME_LIMIT.lower(), ""))
         if not span:
-            return Mistaken(400, f"{names.TIME_LIMIT}: expected a number and m or u")
+            return BadRequest(400, f"{names.TIME_LIMIT}: expected a number and m or u")
         patience = round(float(span[1]) * (1000 if span[2] == "m" else 1))
         if not 0 < patience <= LONGEST_WAIT * self.grades[grade]:
-            return Mistaken(400, f"{names.TIME_LIMIT}: no time at all, or far over that of the grade")
+            return BadRequest(400, f"{names.TIME_LIMIT}: no time at all, or far over that of the grade")
         if not VISIBLE.fullmatch(fields.get(names.NUMBER.lower(), "" if grade in self.numbered else "-")):
-            return Mistaken(400, f"{names.NUMBER} is missing or not a number")
+            return BadRequest(400, f"{names.NUMBER} is missing or not a number")
         pairs = [pair.strip().partition("=") for pair in fields.get(names.EXTRAS.lower(), "").split(",")]
         widths = [value for name, _, value in pairs if name == names.WIDTH] or ["1"]
         width = float(widths[0]) if len(widths) == 1 and WIDTH.fullmatch(widths[0]) else 0.0
         if not width:
-            return Mistaken(400, f"{names.EXTRAS}: expected a number of {names.WIDTH}")
+            return BadRequest(400, f"{names.EXTRAS}: expected a number of {names.WIDTH}")
         extras = {name: value for name, _, value in pairs}
         told_hint = extras.get(names.HINT, "")
         hint = round(float(told_hint) * 1000) if HINT.fullmatch(told_hint) else 0  # it only advises
@@ -235,7 +239,7 @@
         onward = [(name, value) for name, value in raw_items if name.lower() not in NOT_ONWARD]
         retry = fields.get(names.RETRY.lower()) == "1"
         body, self.body = bytes(self.body), bytearray()
-        return Submitted(
+        return SubmitRequest(
             id,
             grade,
             patience,
@@ -260,13 +264,13 @@
             fence = fence if isinstance(fence, int) else None
             if state == names.RUNNING:
                 share = float(told["share"])
-                return Called(submission, worker, state, min(1.0, max(0.0, share)), None, b"", fence)
+                return Callback(submission, worker, state, min(1.0, max(0.0, share)), None, b"", fence)
             if state == names.STARTED:
-                return Called(submission, worker, state, 0.0, None, b"", fence)
+                return Callback(submission, worker, state, 0.0, None, b"", fence)
             result = told["result"].encode("utf-8", "surrogatepass") if state == "done" else b""
-            return Called(submission, worker, state, 0.0, names.ENDS[state], result, fence)
+            return Callback(submission, worker, state, 0.0, names.ENDS[state], result, fence)
         except (ValueError, KeyError, TypeError, AttributeError, RecursionError, OverflowError):
-            return Mistaken(400, "expected a callback")
+            return BadRequest(400, "expected a callback")
 
     def answer(self, status: int, body: bytes, headers: list[tuple[str, str]], last: bool) -> list[bytes]:
         """The answer to the message given last, in pieces; `last` closes the connection after it."""
--- a/locktide/scheduler/commands.py
+++ b/locktide/scheduler/commands.py
@@ -7,7 +7,7 @@
 
 
 @dataclass(slots=True)
-class Dispatch:
+class StartAttempt:
     """The dispatches of one submission count 0, 1, 2 ... in the order of these orders. `before`: no byte of
     it may go out from that moment on; 0 where the time limit alone counts.
     """
@@ -18,47 +18,47 @@
 
 
 @dataclass(slots=True)
-class Withdraw:
+class CancelAttempt:
     submission: Any
     number: int
 
 
 @dataclass(slots=True)
-class Deny:
+class RejectRequest:
     submission: Any
     come_back_after: int
 
 
 @dataclass(slots=True)
-class Terminate:
+class FailRequest:
     submission: Any
 
 
 @dataclass(slots=True)
-class Wake:
+class SetTimer:
     after: int
     mark: int
 
 
 @dataclass(slots=True)
-class Close:
+class CloseIdleConnections:
     """Closes the connections to a worker that are at rest."""
 
     worker: Any
 
 
 @dataclass(slots=True)
-class WatchList:
+class WatchEndpoints:
     on: bool
 
 
 @dataclass(slots=True)
-class FetchList:
+class FetchEndpoints:
     pass
 
 
 @dataclass(slots=True)
-class BrokeOff:
+class ReportInternalError:
     """A piece of news on which the decisions broke off; nothing of it counts. `submission`: the one it was
     about, which is to be answered by the host, as no order for it will come; None for any other.
     """
@@ -68,5 +68,5 @@
 
 
 @dataclass(slots=True)
-class Log:
+class LogMessage:
     line: str
--- a/locktide/scheduler/config.py
+++ b/locktide/scheduler/config.py
@@ -5,11 +5,11 @@
 from dataclasses import dataclass
 from typing import Any
 
-from locktide.scheduler.types import Ground
+from locktide.scheduler.types import PlacementConstraint
 
 
 @dataclass(slots=True)
-class Grade:
+class ServiceClass:
     """A service grade. `kind` is the one kind of worker that runs it, or None for any; `kinds` and `zones`
     are those to which it may be sent at all, or None for all."""
 
@@ -27,14 +27,14 @@
     zones: frozenset[str] | None = None
 
     @property
-    def ground(self) -> Ground | None:
+    def ground(self) -> PlacementConstraint | None:
         """To which kinds and zones it is bound; the same for grades that are bound alike."""
         kinds = self.kinds if self.kind is None else frozenset([self.kind])
         return None if kinds is None and self.zones is None else (kinds, self.zones)
 
 
 @dataclass(slots=True)
-class DispatchTerms:
+class RetryConfig:
     """How often and how one submission may be dispatched.
 
     `counts_unsent`: whether one of which no last byte went out is among the most that there may be.
@@ -46,14 +46,14 @@
 
 
 @dataclass(slots=True)
-class ClientTerms:
+class ClientConfig:
     """What clients may be told."""
 
     longest_advice: int
 
 
 @dataclass(slots=True)
-class ShareTerms:
+class QuotaConfig:
     """How many submissions a second each tenant may ask of all dispatchers; what more than that is worth."""
 
     quotas: dict[Any, float]
@@ -61,14 +61,14 @@
 
 
 @dataclass(slots=True)
-class GoalTerms:
+class ObjectiveConfig:
     """What service is measured by: how much of it the worst-served grade decides, from 0 to 1."""
 
     worst_grade: float
 
 
 @dataclass(slots=True)
-class ColdTerms:
+class SlowStartConfig:
     """When a freshly started worker falls over. Of what the settings allow all dispatchers together may plan
     to send `margin`, as sizes and draws differ by chance.
     """
@@ -81,7 +81,7 @@
 
 
 @dataclass(slots=True)
-class ListTerms:
+class EndpointListConfig:
     """How the worker list is had: pushed, or only when asked for. `live`: ratings fall with the work that a
     worker holds, as size / (1 + submissions held a core) some time ago; else they tell sizes.
     """
@@ -95,7 +95,7 @@
 
 
 @dataclass(slots=True)
-class PriceTerms:
+class CostConfig:
     """What a dispatch costs beside its work, in parts of what a usual submission earns: a new connection, and
     a worker in another zone than `zone`, our own. Workers close a connection that was idle for `idle_close`.
     """
@@ -107,7 +107,7 @@
 
 
 @dataclass(slots=True)
-class SignTerms:
+class ProgressConfig:
     """What workers tell: the start of a job, and its progress every so often."""
 
     tells_start: bool
--- a/locktide/scheduler/estimators.py
+++ b/locktide/scheduler/estimators.py
@@ -11,7 +11,7 @@
 from typing import Protocol, TypeVar
 
 
-class Chance:
+class LinearCongruentialGenerator:
     """A linear congruential generator (Knuth's MMIX constants), of which only the high bits are used."""
 
     __slots__ = ("state",)
@@ -32,7 +32,7 @@
         return min(len(sums) - 1, bisect(sums, sums[-1] * self.below(1 << 20) / (1 << 20)))
 
 
-class Fading:
+class DecayingSum:
     """A sum that fades by 1/e in each span, brought up to date when it is read or added to."""
 
     __slots__ = ("sum", "at", "span")
@@ -50,12 +50,16 @@
         self.sum = self.read(now) + amount
 
 
-class Runs:
+class RunTimeEstimator:
     """How long a grade's submissions run, from the start to a good end, over the whole fleet."""
 
     def __init__(self, guess: int) -> None:
         # Long enough for some tens of ends at ten a second, short enough to follow a slowdown of all.
-        self.time, self.count, self.square = Fading(10_000_000), Fading(10_000_000), Fading(10_000_000)
+        self.time, self.count, self.square = (
+            DecayingSum(10_000_000),
+            DecayingSum(10_000_000),
+            DecayingSum(10_000_000),
+        )
         self.guess = guess  # while no run is known
 
     def add(self, run: int, now: int) -> None:
@@ -83,7 +87,7 @@
 S = TypeVar("S", bound=Salted)
 
 
-def ordered(those: list[S], key: int) -> list[S]:
+def rendezvous_order(those: list[S], key: int) -> list[S]:
     """In an order as good as drawn for this key, the same at all dispatchers."""
     ranks = []
     for one in those:
--- a/locktide/scheduler/events.py
+++ b/locktide/scheduler/events.py
@@ -7,7 +7,7 @@
 
 
 @dataclass(slots=True)
-class Listed:
+class EndpointEntry:
     worker: Any
     zone: str
     kind: str
@@ -18,13 +18,13 @@
 
 
 @dataclass(slots=True)
-class ListNews:
+class EndpointListUpdate:
     kind: str
-    entries: list[Listed]
+    entries: list[EndpointEntry]
 
 
 @dataclass(slots=True)
-class Arrival:
+class RequestArrived:
     submission: Any
     grade: str
     time_limit_at: int
@@ -37,7 +37,7 @@
 
 
 @dataclass(slots=True)
-class Earlier:
+class RecoveredAttempt:
     """A dispatch that an earlier process made, as far as it is known. `outcome` is None while it may still
     run; the zone and cell are the worker's of then."""
 
@@ -49,16 +49,16 @@
 
 
 @dataclass(slots=True)
-class Recovered:
+class RequestRecovered:
     """A submission that an earlier process had taken. Its dispatches count on from those that are told."""
 
-    arrival: Arrival
+    arrival: RequestArrived
     arrived_at: int
-    dispatches: list[Earlier]
+    dispatches: list[RecoveredAttempt]
 
 
 @dataclass(slots=True)
-class Sent:
+class AttemptSent:
     """The last byte of a dispatch is on its way. A host that tells it keeps its own delays from being taken
     for the worker's; where it is not told, a dispatch counts as sent with its order."""
 
@@ -67,26 +67,26 @@
 
 
 @dataclass(slots=True)
-class Started:
+class AttemptStarted:
     submission: Any
     number: int
 
 
 @dataclass(slots=True)
-class Progressed:
+class AttemptProgressed:
     submission: Any
     number: int
     share: float
 
 
 @dataclass(slots=True)
-class StreamBegan:
+class ResponseStarted:
     submission: Any
     number: int
 
 
 @dataclass(slots=True)
-class Ended:
+class AttemptEnded:
     """The end of one dispatch. `final` says that the submission itself has its answer."""
 
     submission: Any
@@ -97,24 +97,24 @@
 
 
 @dataclass(slots=True)
-class ClientGone:
+class ClientDisconnected:
     submission: Any
 
 
 @dataclass(slots=True)
-class TimerDue:
+class TimerFired:
     mark: int
 
 
 @dataclass(slots=True)
-class ProbeEnded:
+class ProbeCompleted:
     worker: Any
     outcome: str
     load: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
-class NewTerms:
+class ConfigReloaded:
     """The start terms anew, in their order: they hold from now on, also for what is open, but for the grade
     that each submission came with."""
 
@@ -122,7 +122,7 @@
 
 
 @dataclass(slots=True)
-class Stage:
+class QuotaStage:
     """Parts of tenants' quotas that are in force before a moment; `lent` is what each was lent beside its
     own, in parts of its own quota."""
 
@@ -132,11 +132,11 @@
 
 
 @dataclass(slots=True)
-class Parts:
+class QuotaSharesUpdated:
     """Our parts of tenants' quotas, as the dispatchers have agreed: one stage after the other. Who is not
     named has the even part, as all have where this is never told and after the last stage. `over` hold more
     than their fair share of a contended fleet, as far as is known before `over_until`."""
 
-    stages: list[Stage]
+    stages: list[QuotaStage]
     over: frozenset[Any] = frozenset()
     over_until: int = 0
--- a/locktide/scheduler/policy/__init__.py
+++ b/locktide/scheduler/policy/__init__.py
@@ -15,4 +15,4 @@
 silence; 4. the cold budget; 5. denials and tenants' shares; 6. the worker list, asked for at drawn moments.
 """
 
-from locktide.scheduler.policy.scheduler import Dispatcher as Dispatcher
+from locktide.scheduler.policy.scheduler import Scheduler as Scheduler
--- a/locktide/scheduler/policy/admission.py
+++ b/locktide/scheduler/policy/admission.py
@@ -1,22 +1,30 @@
 """Submissions that come, anew or from an earlier process, and clients that go."""
 
-from locktide.scheduler import interface as say
-from locktide.scheduler.estimators import Fading
-from locktide.scheduler.policy.endpoint import Worker
+from locktide.scheduler.estimators import DecayingSum
+from locktide.scheduler.events import (
+    AttemptEnded,
+    ClientDisconnected,
+    EndpointEntry,
+    QuotaSharesUpdated,
+    RequestArrived,
+    RequestRecovered,
+)
+from locktide.scheduler.policy.endpoint import Endpoint
 from locktide.scheduler.policy.quotas import BEYOND, LENT
-from locktide.scheduler.policy.request import Dispatch, Submission
+from locktide.scheduler.policy.request import Attempt, Request
 from locktide.scheduler.policy.retries import Courses
+from locktide.scheduler.types import PROVEN_NOT_RUN, AttemptOutcome, EndpointState
 
 
 class Arrivals(Courses):
-    def arrive(self, arrival: say.Arrival) -> Submission:
+    def arrive(self, arrival: RequestArrived) -> Request:
         self.arrivals += 1
-        sub = Submission(arrival, self.known[arrival.grade], self.now, self.arrivals)
+        sub = Request(arrival, self.known[arrival.grade], self.now, self.arrivals)
         self.submissions[sub.id] = sub
         if sub.key is not None:
             if len(self.asked) >= 1024:  # as for the rows
                 self.asked.clear()
-            self.asked.setdefault(sub.key, Fading(10_000_000)).add(1.0, self.now)
+            self.asked.setdefault(sub.key, DecayingSum(10_000_000)).add(1.0, self.now)
             self.asked_all.add(1.0, self.now)
         patience = self.patience(sub)
         covered = self.shares.covers(arrival.tenant, self.now)
@@ -28,7 +36,7 @@
             sub.leave_at = min(sub.leave_at, self.now + patience)
         return sub
 
-    def take_parts(self, news: say.Parts) -> None:
+    def take_parts(self, news: QuotaSharesUpdated) -> None:
         """What is in force from now on. What came under a loan that is over and has not gone out goes on as
         beyond its tenant's share: an owner that is back is not kept waiting by it."""
         self.shares.agreed = news
@@ -40,7 +48,7 @@
                     waits = self.patience(sub) * self.shares.terms.beyond_share
                     sub.leave_at = min(sub.leave_at, sub.arrived_at + int(waits))
 
-    def take_recovered(self, news: say.Recovered) -> None:
+    def take_recovered(self, news: RequestRecovered) -> None:
         """Takes up what a process that died had taken; what may have run binds it as if we had sent it."""
         sub = self.arrive(news.arrival)
         sub.arrived_at = news.arrived_at
@@ -48,11 +56,13 @@
             worker = self.list.workers.get(earlier.worker)
             # Guards against a worker that has another place by now: repeats are dropped where it was then.
             if worker is None or (worker.zone, worker.cell) != (earlier.zone, earlier.cell):
-                then = say.Listed(earlier.worker, earlier.zone, "", earlier.cell, say.GONE, 1.0, 0)
-                worker = Worker(then, self.floor())
-            dispatch = Dispatch(sub, len(sub.dispatches), worker, earlier.sent_at)
+                then = EndpointEntry(
+                    earlier.worker, earlier.zone, "", earlier.cell, EndpointState.GONE, 1.0, 0
+                )
+                worker = Endpoint(then, self.floor())
+            dispatch = Attempt(sub, len(sub.dispatches), worker, earlier.sent_at)
             sub.dispatches.append(dispatch)
-            if earlier.outcome not in say.PROVEN_NOT_RUN:
+            if earlier.outcome not in PROVEN_NOT_RUN:
                 sub.held.append(dispatch)
             elif sub.patient:
                 sub.uncounted += 1
@@ -71,6 +81,6 @@
             return max(1.0, share)
         return max(share if self.some_once else 2.0 * share, min(1.0, 3.0 * share))
 
-    def take_gone(self, news: say.ClientGone) -> None:
+    def take_gone(self, news: ClientDisconnected) -> None:
         if (sub := self.submissions.get(news.submission)) and not sub.answered:
-            self.advance(sub, say.Ended(sub.id, -1, say.NEVER_SENT, True))
+            self.advance(sub, AttemptEnded(sub.id, -1, AttemptOutcome.NEVER_SENT, True))
--- a/locktide/scheduler/policy/base.py
+++ b/locktide/scheduler/policy/base.py
@@ -4,14 +4,26 @@
 from traceback import format_exc
 from typing import Any
 
-from locktide.scheduler import interface as say
-from locktide.scheduler.estimators import Chance, Fading, Runs
-from locktide.scheduler.policy.endpoint import Worker
-from locktide.scheduler.policy.endpoint_list import WorkerList
-from locktide.scheduler.policy.quotas import Shares
-from locktide.scheduler.policy.request import Submission
-from locktide.scheduler.policy.slow_start import ColdBudget
-from locktide.scheduler.policy.throughput import Paces
+from locktide.scheduler.commands import CloseIdleConnections, LogMessage, ReportInternalError, SetTimer
+from locktide.scheduler.config import (
+    ClientConfig,
+    CostConfig,
+    EndpointListConfig,
+    ObjectiveConfig,
+    ProgressConfig,
+    QuotaConfig,
+    RetryConfig,
+    ServiceClass,
+    SlowStartConfig,
+)
+from locktide.scheduler.estimators import DecayingSum, LinearCongruentialGenerator, RunTimeEstimator
+from locktide.scheduler.policy.endpoint import Endpoint
+from locktide.scheduler.policy.endpoint_list import EndpointList
+from locktide.scheduler.policy.quotas import TenantQuotas
+from locktide.scheduler.policy.request import Request
+from locktide.scheduler.policy.slow_start import SlowStartBudget
+from locktide.scheduler.policy.throughput import ThroughputEstimator
+from locktide.scheduler.types import Effect, EndpointState, PlacementConstraint
 
 # What weighs in a draw, in parts of what a usual submission earns; 0.02 scored 0.807 for 0.825, noise 0.045.
 WEIGHS = 0.01
@@ -19,52 +31,54 @@
 
 class Base:
     def __init__(self, seed: int, *terms: Any) -> None:
-        self.chance = Chance(seed)
+        self.chance = LinearCongruentialGenerator(seed)
         # Ready workers to which what is bound alike may go; None: all of them. And for a key, nearest first.
-        self.fitting: dict[say.Ground | None, list[Worker]] = {}
-        self.rows: dict[tuple[int, say.Ground | None], list[Worker]] = {}
-        self.paces = Paces()
+        self.fitting: dict[PlacementConstraint | None, list[Endpoint]] = {}
+        self.rows: dict[tuple[int, PlacementConstraint | None], list[Endpoint]] = {}
+        self.paces = ThroughputEstimator()
         # Errors lately found to be a submission's or a worker's; ten seconds, as the records.
-        self.own_faults, self.worker_faults = Fading(10_000_000), Fading(10_000_000)
+        self.own_faults, self.worker_faults = DecayingSum(10_000_000), DecayingSum(10_000_000)
         self.outstanding = 0.0  # slots of ours without an outcome
         self.sizes: dict[str, float] = {}  # the highest rating of each kind: of one that holds nothing
         self.held = 0.0  # what workers hold a core on average, as their ratings tell
         # How often each key and any was asked for; long enough for some tens where few come to one of us.
-        self.asked, self.asked_all = dict[int, Fading](), Fading(10_000_000)
+        self.asked, self.asked_all = dict[int, DecayingSum](), DecayingSum(10_000_000)
         self.credit = 10.0  # of further dispatches; ten let a dispatcher meet a sudden trouble at once
-        self.submissions: dict[Any, Submission] = {}
-        self.pool, self.orders = list[Submission](), list[Any]()
+        self.submissions: dict[Any, Request] = {}
+        self.pool, self.orders = list[Request](), list[Any]()
         self.now = self.arrivals = self.marks = self.quiet_until = 0
         self.timers, self.round_timer = dict[int, Any](), False
-        self.runs: dict[str, Runs] = {}
-        self.known: dict[str, say.Grade] = {}  # also those of earlier terms, as submissions may still come
-        self.cold, self.list = ColdBudget(terms[7]), WorkerList(terms[8])
+        self.runs: dict[str, RunTimeEstimator] = {}
+        self.known: dict[str, ServiceClass] = {}  # also those of earlier terms, as submissions may still come
+        self.cold, self.list = SlowStartBudget(terms[7]), EndpointList(terms[8])
         self.set_terms(*terms)
 
     def set_terms(
         self,
         step: int,
         fleet: int,
-        grades: list[say.Grade],
-        dispatching: say.DispatchTerms,
-        clients: say.ClientTerms,
-        shares: say.ShareTerms,
-        goal: say.GoalTerms,
-        cold: say.ColdTerms,
-        listing: say.ListTerms,
-        signs: say.SignTerms,
-        prices: say.PriceTerms,
+        grades: list[ServiceClass],
+        dispatching: RetryConfig,
+        clients: ClientConfig,
+        shares: QuotaConfig,
+        goal: ObjectiveConfig,
+        cold: SlowStartConfig,
+        listing: EndpointListConfig,
+        signs: ProgressConfig,
+        prices: CostConfig,
     ) -> None:
         """The terms from now on, at the start and in service. Submissions keep the grade they came with."""
         self.step, self.grades = step, {grade.name: grade for grade in grades}
         self.known |= self.grades
         self.dispatching, self.clients, self.signs, self.prices = dispatching, clients, signs, prices
-        self.shares = Shares(shares, fleet)
+        self.shares = TenantQuotas(shares, fleet)
         self.cold.terms, self.list.terms = cold, listing
         self.prompt = min(grade.soft_limit for grade in grades) // 4  # later is late: little is left
-        once = [grade.effect == say.AT_MOST_ONCE for grade in grades]
+        once = [grade.effect == Effect.AT_MOST_ONCE for grade in grades]
         self.some_once, self.all_once = any(once), all(once)
-        self.runs = {name: self.runs.get(name) or Runs(at.soft_limit) for name, at in self.known.items()}
+        self.runs = {
+            name: self.runs.get(name) or RunTimeEstimator(at.soft_limit) for name, at in self.known.items()
+        }
         # How far all grades wait alike: long slack put to use serves the whole, an even wait the grade served
         # worst; wholly even from where that grade decides a third of the goal.
         self.evenness = min(1.0, 0.3 + 2.0 * goal.worst_grade)
@@ -78,7 +92,7 @@
         self.sort()
 
     def sort(self) -> None:
-        ready = [worker for worker in self.list.workers.values() if worker.state == say.READY]
+        ready = [worker for worker in self.list.workers.values() if worker.state == EndpointState.READY]
         self.rows = {}
         self.lone = {grade.kind for grade in self.known.values()}  # kinds to which a grade is bound alone
         grounds = {None} | {grade.ground for grade in self.known.values()}
@@ -87,11 +101,11 @@
             for ground in grounds
         }
 
-    def hang_up(self, worker: Worker) -> None:
+    def hang_up(self, worker: Endpoint) -> None:
         """At the notice of a drain and after each end there: what rests is closed, as no more work goes."""
-        if worker.state == say.DRAINING and self.list.terms.hang_up_within:
+        if worker.state == EndpointState.DRAINING and self.list.terms.hang_up_within:
             worker.kept = []
-            self.orders.append(say.Close(worker.id))
+            self.orders.append(CloseIdleConnections(worker.id))
 
     def break_off(self, submission: Any) -> None:
         """For a fault of ours: it costs the piece of news, or the submission, on which it shows, alone."""
@@ -103,17 +117,17 @@
                 self.pool.remove(sub)
             if not sub.out:
                 del self.submissions[submission]
-        self.orders.append(say.BrokeOff(submission, where))
+        self.orders.append(ReportInternalError(submission, where))
 
     def log(self, line: str) -> None:
-        self.orders.append(say.Log(line))
+        self.orders.append(LogMessage(line))
 
     def wake(self, after: int, what: Any) -> None:
         self.marks += 1
         self.timers[self.marks] = what
-        self.orders.append(say.Wake(after, self.marks))
+        self.orders.append(SetTimer(after, self.marks))
 
-    def blame(self, worker: Worker, reason: str) -> None:
+    def blame(self, worker: Endpoint, reason: str) -> None:
         if not worker.doubtful(self.now):
             self.log(f"avoiding worker {worker.id}: {reason}")
         worker.failed(self.now)
--- a/locktide/scheduler/policy/endpoint.py
+++ b/locktide/scheduler/policy/endpoint.py
@@ -5,14 +5,15 @@
 from typing import Any
 from zlib import crc32
 
-from locktide.scheduler import interface as say
-from locktide.scheduler.estimators import Chance, Fading
+from locktide.scheduler.estimators import DecayingSum, LinearCongruentialGenerator
+from locktide.scheduler.events import EndpointEntry
+from locktide.scheduler.types import PlacementConstraint
 
 # News of most ratings since a worker's own was renewed, that one counted. Two: the next came without it.
 OVERDUE = 2
 
 
-class Worker:
+class Endpoint:
     __slots__ = (
         "id",
         "zone",
@@ -39,13 +40,13 @@
         "rated",
     )
 
-    def __init__(self, entry: say.Listed, cap: float) -> None:
+    def __init__(self, entry: EndpointEntry, cap: float) -> None:
         self.id = entry.worker
         self.own, self.cap = 0.0, cap  # slots of ours outstanding there, and how many may be
         # Ten seconds: past the longest pause of a sound worker, short beside a lasting outage.
-        self.good, self.bad = Fading(10_000_000), Fading(10_000_000)
+        self.good, self.bad = DecayingSum(10_000_000), DecayingSum(10_000_000)
         self.rest_until = 0  # while the cap is under one: when we have held our share there on average
-        self.sent_cold = Fading(1_000_000)
+        self.sent_cold = DecayingSum(1_000_000)
         self.heard_at = self.drawn_at = self.full_until = 0  # first, when it last gave a sign of life
         self.salt = crc32(str(entry.worker).encode())
         self.waiting: dict[Any, None] = {}  # dispatches of ours there that have not started, oldest first
@@ -58,11 +59,11 @@
         # news lacked its own, and its own.
         self.load, self.odds, self.size, self.missed, self.rated = 0.0, 1.0, 0.0, 0, 0.0
 
-    def update(self, entry: say.Listed) -> None:
+    def update(self, entry: EndpointEntry) -> None:
         self.zone, self.kind, self.cell = entry.zone, entry.kind, entry.cell
         self.state, self.started_at = entry.state, entry.started_at
 
-    def stands_on(self, ground: say.Ground) -> bool:
+    def stands_on(self, ground: PlacementConstraint) -> bool:
         kinds, zones = ground
         return (kinds is None or self.kind in kinds) and (zones is None or self.zone in zones)
 
@@ -88,7 +89,7 @@
         self.good.add(-0.75 * self.good.read(now), now)
         self.bad.add(1.0, now)
 
-    def trusted(self, now: int, chance: Chance) -> bool:
+    def trusted(self, now: int, chance: LinearCongruentialGenerator) -> bool:
         """For a doubtful worker: whether it gets one more submission, drawn anew at most once a second."""
         if now < self.drawn_at + 1_000_000:
             return False
--- a/locktide/scheduler/policy/endpoint_list.py
+++ b/locktide/scheduler/policy/endpoint_list.py
@@ -2,20 +2,22 @@
 
 from typing import Any
 
-from locktide.scheduler import interface as say
-from locktide.scheduler.estimators import Chance
-from locktide.scheduler.policy.endpoint import Worker
+from locktide.scheduler.config import EndpointListConfig
+from locktide.scheduler.estimators import LinearCongruentialGenerator
+from locktide.scheduler.events import EndpointListUpdate
+from locktide.scheduler.policy.endpoint import Endpoint
+from locktide.scheduler.types import EndpointState, ListUpdateKind
 
 
-class WorkerList:
+class EndpointList:
     """Follows the list; where it must be asked for, watches it and asks again after a failure."""
 
-    def __init__(self, terms: say.ListTerms) -> None:
-        self.workers: dict[Any, Worker] = {}
-        self.leaving: list[Worker] = []  # of which the last news told that they drain
+    def __init__(self, terms: EndpointListConfig) -> None:
+        self.workers: dict[Any, Endpoint] = {}
+        self.leaving: list[Endpoint] = []  # of which the last news told that they drain
         self.terms, self.watched, self.failures, self.ask_at = terms, False, 0, 0
 
-    def ask_later(self, now: int, chance: Chance, silent: bool = False) -> int:
+    def ask_later(self, now: int, chance: LinearCongruentialGenerator, silent: bool = False) -> int:
         """After how long we ask next: at any moment of a span that doubles with each failure. Guards against
         many that start or fail together and then ask together: the service works on each call, also where the
         caller was turned away. It can hear all of us within the time in which each should ask; half is enough
@@ -29,21 +31,21 @@
         self.watched, self.ask_at = False, now + gap
         return gap
 
-    def take(self, news: say.ListNews, cap: float) -> bool:
+    def take(self, news: EndpointListUpdate, cap: float) -> bool:
         """Whether more has changed than ratings."""
-        changed, self.leaving = news.kind in (say.WHOLE, say.REMEMBERED), []
+        changed, self.leaving = news.kind in (ListUpdateKind.SNAPSHOT, ListUpdateKind.CACHED), []
         for entry in news.entries:
             worker = self.workers.get(entry.worker)
             if worker is None:
-                self.workers[entry.worker], changed = Worker(entry, cap), True
-                if entry.state == say.DRAINING:
+                self.workers[entry.worker], changed = Endpoint(entry, cap), True
+                if entry.state == EndpointState.DRAINING:
                     self.leaving.append(self.workers[entry.worker])
             elif worker.state != entry.state or worker.started_at != entry.started_at:
-                if entry.state == say.DRAINING:
+                if entry.state == EndpointState.DRAINING:
                     self.leaving.append(worker)
                 worker.update(entry)
                 changed = True
-        if news.kind in (say.WHOLE, say.REMEMBERED):
+        if news.kind in (ListUpdateKind.SNAPSHOT, ListUpdateKind.CACHED):
             for absent in self.workers.keys() - {entry.worker for entry in news.entries}:
-                self.workers[absent].state = say.GONE
+                self.workers[absent].state = EndpointState.GONE
         return changed
--- a/locktide/scheduler/policy/load_shedding.py
+++ b/locktide/scheduler/policy/load_shedding.py
@@ -1,27 +1,28 @@
 """Mechanism 5: how long a submission waits, and what it is told at the end of that."""
 
-from locktide.scheduler import interface as say
+from locktide.scheduler.commands import FailRequest, RejectRequest
+from locktide.scheduler.config import ServiceClass
 from locktide.scheduler.policy.base import Base
-from locktide.scheduler.policy.request import Submission
+from locktide.scheduler.policy.request import Request
 
 
-def usual_slack(grade: say.Grade, run: float) -> float:
+def usual_slack(grade: ServiceClass, run: float) -> float:
     # At least a quarter of the soft limit: where the usual run uses it up, a shorter one may still do.
     return max(0.25 * grade.soft_limit, grade.soft_limit + (grade.stretch - 1.0) * run)
 
 
 class Denials(Base):
-    def slack(self, sub: Submission) -> float:
+    def slack(self, sub: Request) -> float:
         """How long a submission may wait for its start and still end within its soft limit."""
         run = sub.hint or self.runs[sub.grade.name].mean(self.now)
         # Half the run still counts as possible: a hint is rough and the fastest worker is twice the mean.
         return usual_slack(sub.grade, run) if self.now + run / 2 <= sub.limit_at else 0.0
 
-    def work(self, sub: Submission) -> float:
+    def work(self, sub: Request) -> float:
         """Its usual run, or more if so hinted, on each slot: one rough hint in ten is a third."""
         return sub.width * max(sub.hint, self.runs[sub.grade.name].mean(self.now, sub.hint))
 
-    def patience(self, sub: Submission) -> int:
+    def patience(self, sub: Request) -> int:
         """How long a submission waits in the pool: a share of a slack between its own and the shortest usual.
 
         Guards against an overload in which long-slack work fills the pool and the short grades get nothing.
@@ -32,21 +33,21 @@
         slack = self.slack(sub)
         return int(0.3 * min(slack, slack ** (1.0 - self.evenness) * shortest**self.evenness))
 
-    def last_chance(self, sub: Submission) -> int:
+    def last_chance(self, sub: Request) -> int:
         """Until when what may have run waits in the pool. Guards against holding back the answer of one that
         may go nowhere any more: once its repeats are no longer dropped it is given up."""
         last = sub.limit_at - 2 * self.step
         return min(last, sub.repeats_until() or last)
 
-    def answer(self, sub: Submission) -> None:
+    def answer(self, sub: Request) -> None:
         if sub.may_deny():
             # The next of ours should end by then; clients that come later take the place of fresh work.
             run, out = self.runs[sub.grade.name].mean(self.now), len(self.submissions) - len(self.pool)
             advice = 1 << 60 if sub.spoilt else int(run / max(1, out))  # what is spoilt would fail again
-            self.orders.append(say.Deny(sub.id, min(self.clients.longest_advice, advice)))
+            self.orders.append(RejectRequest(sub.id, min(self.clients.longest_advice, advice)))
             if self.now >= self.quiet_until:  # one line in five seconds tells enough of an overload
                 self.quiet_until = self.now + 5_000_000
                 waits = f"{len(self.pool)} waiting, {self.outstanding:g} slots out"
                 self.log(f"denying {sub.grade.name} after {(self.now - sub.arrived_at) // 1000} ms: {waits}")
         else:
-            self.orders.append(say.Terminate(sub.id))
+            self.orders.append(FailRequest(sub.id))
--- a/locktide/scheduler/policy/outcomes.py
+++ b/locktide/scheduler/policy/outcomes.py
@@ -2,22 +2,23 @@
 
 from typing import Any
 
-from locktide.scheduler import interface as say
+from locktide.scheduler.events import AttemptEnded, AttemptProgressed, AttemptSent, AttemptStarted
 from locktide.scheduler.policy.admission import Arrivals
-from locktide.scheduler.policy.endpoint import Worker
-from locktide.scheduler.policy.request import Dispatch, Submission
+from locktide.scheduler.policy.endpoint import Endpoint
+from locktide.scheduler.policy.request import Attempt, Request
+from locktide.scheduler.types import PROVEN_NOT_RUN, UNINFORMATIVE, UNSENT, AttemptOutcome
 
 
 class Ends(Arrivals):
-    def find(self, submission: Any, number: int) -> Dispatch | None:
+    def find(self, submission: Any, number: int) -> Attempt | None:
         sub = self.submissions.get(submission)
         return sub.dispatches[number] if sub is not None and number < len(sub.dispatches) else None
 
-    def take_sent(self, news: say.Sent) -> None:
+    def take_sent(self, news: AttemptSent) -> None:
         if dispatch := self.find(news.submission, news.number):
             dispatch.sent_at = self.now  # guards against a new connection that makes prompt starts look late
 
-    def take_started(self, news: say.Started) -> None:
+    def take_started(self, news: AttemptStarted) -> None:
         if (dispatch := self.find(news.submission, news.number)) is None:
             return
         worker = dispatch.worker
@@ -31,7 +32,7 @@
             self.wake(self.signs.progress_every * 3 // 2, dispatch)
         self.settle(dispatch, self.now - dispatch.sent_at <= self.prompt)
 
-    def take_progress(self, news: say.Progressed) -> None:
+    def take_progress(self, news: AttemptProgressed) -> None:
         if (dispatch := self.find(news.submission, news.number)) is None:
             return
         dispatch.heard_at = dispatch.worker.heard_at = self.now
@@ -43,7 +44,7 @@
             dispatch.blamed = True
             self.blame(dispatch.worker, "slow progress")
 
-    def settle(self, dispatch: Dispatch, prompt: bool) -> None:
+    def settle(self, dispatch: Attempt, prompt: bool) -> None:
         """The first word on a dispatch: it started, or ended before we heard that it had."""
         worker, width = dispatch.worker, dispatch.submission.width
         if worker.waiting.pop(dispatch, 0) is None:
@@ -56,23 +57,23 @@
                 # A quarter off: at a cap of two, a late start undoes two prompt ones. Halving scored worse.
                 worker.cap = max(self.floor(), 0.75 * worker.cap)
 
-    def take_ended(self, news: say.Ended) -> None:
+    def take_ended(self, news: AttemptEnded) -> None:
         dispatch = self.find(news.submission, news.number)
         if dispatch is None or dispatch not in dispatch.submission.out:
             return
         sub, worker = dispatch.submission, dispatch.worker
         worker.own -= sub.width
         worker.left(self.now - dispatch.sent_at, self.now)
-        if news.outcome in (say.DONE, say.ERROR, say.FULL):
+        if news.outcome in (AttemptOutcome.DONE, AttemptOutcome.ERROR, AttemptOutcome.FULL):
             worker.kept = [until for until in worker.kept if until > self.now]
             worker.kept.append(self.now + self.prices.idle_close)
         self.hang_up(worker)
         sub.out.remove(dispatch)
         self.outstanding -= sub.width
-        if news.outcome not in say.TELLS_NOTHING:
-            self.settle(dispatch, news.outcome == say.DONE)
+        if news.outcome not in UNINFORMATIVE:
+            self.settle(dispatch, news.outcome == AttemptOutcome.DONE)
         worker.waiting.pop(dispatch, 0)
-        if news.outcome == say.DONE:
+        if news.outcome == AttemptOutcome.DONE:
             if dispatch.started_at:
                 run = self.now - dispatch.started_at
                 usual = sub.hint or self.runs[sub.grade.name].mean(self.now)
@@ -82,48 +83,48 @@
             worker.succeeded(self.now)
             for one in sub.erred:  # it has ended well: where it had failed before, the workers were at fault
                 self.worker_faults.add(1.0, self.now)
-                self.blame(one, say.ERROR)
+                self.blame(one, AttemptOutcome.ERROR)
             # A tenth of what goes well may be followed by a further dispatch all the same.
             self.credit = min(10.0, self.credit + 0.1)
-        elif news.outcome == say.ERROR:
+        elif news.outcome == AttemptOutcome.ERROR:
             self.take_error(sub, worker)
-        elif news.outcome in (say.RESET, say.NO_CONNECTION):
+        elif news.outcome in (AttemptOutcome.RESET, AttemptOutcome.NO_CONNECTION):
             self.blame(worker, news.outcome)
-        elif news.outcome == say.FULL:
+        elif news.outcome == AttemptOutcome.FULL:
             # Guards against one that turns all away, so has nothing of ours, and draws all that waits.
             worker.heard_at = self.now
             worker.full_until = self.now + int(self.runs[sub.grade.name].mean(self.now))
             # Guards against using up all dispatches while all are full, within a part of the patience.
             sub.not_before = self.now + self.patience(sub) // self.dispatching.most_dispatches
-        if news.outcome == say.NO_CONNECTION:
+        if news.outcome == AttemptOutcome.NO_CONNECTION:
             # Guards against spinning on what refuses: as long as a connection may take, we ask for no other.
             worker.full_until = max(worker.full_until, self.now + 250_000)
-        unsent = news.outcome in say.UNSENT and not self.dispatching.counts_unsent
+        unsent = news.outcome in UNSENT and not self.dispatching.counts_unsent
         # Guards against giving up a job for which nobody waits, as four workers at once had no room; and
         # against using up all dispatches within milliseconds where a zone is lost and only the lost may have
         # what may have run. Both wait until there is one.
-        sub.uncounted += unsent or sub.patient and news.outcome in say.PROVEN_NOT_RUN
+        sub.uncounted += unsent or sub.patient and news.outcome in PROVEN_NOT_RUN
         if unsent and not sub.patient:
             self.credit += dispatch.further
-        if news.outcome in say.PROVEN_NOT_RUN:
+        if news.outcome in PROVEN_NOT_RUN:
             sub.held.remove(dispatch)
         if not sub.answered:
             self.advance(sub, news)
         elif not sub.out:
             del self.submissions[sub.id]
 
-    def take_error(self, sub: Submission, worker: Worker) -> None:
+    def take_error(self, sub: Request, worker: Endpoint) -> None:
         """Holds an error against the submission if it fails at a second sound worker, too; else against the
         worker, once it has ended well elsewhere, or at once where it cannot be sent there.
 
         Guards against floods of submissions that fail anywhere: the workers at which they show, and soon all,
         would be avoided for it. While most errors were found to be submissions' own it waits, too."""
         if worker.doubtful(self.now):  # its error is no word on the submission
-            self.blame(worker, say.ERROR)
+            self.blame(worker, AttemptOutcome.ERROR)
         elif any([one is not worker for one in sub.erred]):
             sub.spoilt, sub.erred = True, []
             self.own_faults.add(1.0, self.now)
         elif self.may_dispatch(sub):
             sub.erred.append(worker)
         elif self.own_faults.read(self.now) <= max(0.5, self.worker_faults.read(self.now)):
-            self.blame(worker, say.ERROR)
+            self.blame(worker, AttemptOutcome.ERROR)
--- a/locktide/scheduler/policy/placement.py
+++ b/locktide/scheduler/policy/placement.py
@@ -1,10 +1,10 @@
 """The ordinary path: rounds over the pool, and one draw for each submission in it."""
 
-from locktide.scheduler import interface as say
-from locktide.scheduler.estimators import ordered
-from locktide.scheduler.policy.endpoint import Worker
+from locktide.scheduler.estimators import rendezvous_order
+from locktide.scheduler.policy.endpoint import Endpoint
 from locktide.scheduler.policy.outcomes import Ends
-from locktide.scheduler.policy.request import Submission
+from locktide.scheduler.policy.request import Request
+from locktide.scheduler.types import Effect
 
 
 class Rounds(Ends):
@@ -24,7 +24,7 @@
             except Exception:
                 self.break_off(sub.id)
 
-    def try_one(self, sub: Submission) -> bool:
+    def try_one(self, sub: Request) -> bool:
         """One draw for it; whether that took the last room of a worker."""
         now, prompt = self.now, self.prompt
         fitting = self.fitting[sub.ground]
@@ -44,7 +44,7 @@
                 not worker.doubtful(now)
                 or self.all_doubtful()
                 # Guards against losing for good what cannot be sent again: others do the trying.
-                or (sub.grade.effect != say.AT_MOST_ONCE or self.all_once)
+                or (sub.grade.effect != Effect.AT_MOST_ONCE or self.all_once)
                 and worker.trusted(now, self.chance)
             )
         ):
@@ -52,7 +52,7 @@
             return not worker.has_room(1.0, now, prompt)
         return False
 
-    def draw(self, fitting: list[Worker], any_one: bool) -> Worker:
+    def draw(self, fitting: list[Endpoint], any_one: bool) -> Endpoint:
         """One uniform draw, made again until a worker holds; the same in law as one by their odds."""
         if not self.list.terms.live:
             return fitting[self.chance.below(len(fitting))]
@@ -76,7 +76,7 @@
             drawn = turn if turn in fitting else drawn
         return drawn
 
-    def near(self, sub: Submission, fitting: list[Worker]) -> list[Worker]:
+    def near(self, sub: Request, fitting: list[Endpoint]) -> list[Endpoint]:
         """Among which workers a submission with a key draws: few at first, so that what shares it meets where
         what it needs is at hand, twice as many after each wait without a place."""
         assert sub.key is not None
@@ -84,7 +84,7 @@
         if row is None:
             if len(self.rows) >= 1024:  # guards the memory where each submission has a key of its own
                 self.rows.clear()
-            row = ordered(self.fitting[sub.ground], sub.key)
+            row = rendezvous_order(self.fitting[sub.ground], sub.key)
             self.rows[sub.key, sub.ground] = row
         # Half as many again as the key's share of what we see, beside five of others that stand for what was
         # before; two at least: one alone queues. Half a usual run: elsewhere what it needs has to be fetched,
@@ -100,7 +100,7 @@
         crowded = max(1.5, 2.0 * self.held)
         return [worker for worker in row[:reach] if worker.load <= crowded]
 
-    def holds(self, worker: Worker, sub: Submission) -> bool:
+    def holds(self, worker: Endpoint, sub: Request) -> bool:
         """Whether a draw stands: where c tells no slow kind from a fast, and at a cold worker."""
         blind = self.sparse and not worker.own and not self.list.terms.live
         if blind and not self.chance.falls(self.paces.taking.get(worker.kind, 1.0)):
--- a/locktide/scheduler/policy/quotas.py
+++ b/locktide/scheduler/policy/quotas.py
@@ -2,21 +2,22 @@
 
 from typing import Any
 
-from locktide.scheduler import interface as say
+from locktide.scheduler.config import QuotaConfig
+from locktide.scheduler.events import QuotaSharesUpdated, QuotaStage
 
 OWN, LENT, BEYOND = "own", "lent", "beyond"
-NONE = say.Stage(0, {})
+NONE = QuotaStage(0, {})
 
 
-class Shares:
+class TenantQuotas:
     """Tells what is beyond its tenant's share: a bucket for each tenant, filled at our part of its quota."""
 
-    def __init__(self, terms: say.ShareTerms, fleet: int) -> None:
-        self.terms, self.part, self.agreed = terms, 1.0 / fleet, say.Parts([])
+    def __init__(self, terms: QuotaConfig, fleet: int) -> None:
+        self.terms, self.part, self.agreed = terms, 1.0 / fleet, QuotaSharesUpdated([])
         self.levels = {tenant: [5.0 * quota / fleet, 0.0] for tenant, quota in terms.quotas.items()}
         self.lent = dict[Any, list[float]]()  # the same of what others have lent them
 
-    def stage(self, now: int) -> say.Stage:
+    def stage(self, now: int) -> QuotaStage:
         return next((stage for stage in self.agreed.stages if now < stage.until), NONE)
 
     def covers(self, tenant: Any, now: int) -> str:
--- a/locktide/scheduler/policy/request.py
+++ b/locktide/scheduler/policy/request.py
@@ -5,16 +5,18 @@
 from collections.abc import Generator
 from typing import Any
 
-from locktide.scheduler import interface as say
-from locktide.scheduler.policy.endpoint import Worker
+from locktide.scheduler.config import ServiceClass
+from locktide.scheduler.events import RequestArrived
+from locktide.scheduler.policy.endpoint import Endpoint
+from locktide.scheduler.types import DeduplicationScope, Effect
 
 # What a course yields, and with what it is resumed: to wait for a draw, with a Worker, or None when that no
-# longer pays; to wait for a dispatch, with its say.Ended, or the Dispatch itself when in doubt.
+# longer pays; to wait for a dispatch, with its AttemptEnded, or the Dispatch itself when in doubt.
 POOL, WAIT = "pool", "wait"
 Course = Generator[str, Any, None]
 
 
-class Dispatch:
+class Attempt:
     __slots__ = (
         "submission",
         "number",
@@ -28,7 +30,7 @@
         "lost_at",
     )
 
-    def __init__(self, submission: Submission, number: int, worker: Worker, now: int) -> None:
+    def __init__(self, submission: Request, number: int, worker: Endpoint, now: int) -> None:
         self.submission, self.number, self.worker, self.sent_at = submission, number, worker, now
         self.at_cap = worker.own + submission.width > worker.cap - 1  # it took the last room there was
         self.started_at = self.heard_at = 0
@@ -37,7 +39,7 @@
         self.further, self.blamed = bool(submission.held), False
 
 
-class Submission:
+class Request:
     __slots__ = (
         "id",
         "grade",
@@ -63,42 +65,42 @@
         "ground",
     )
 
-    def __init__(self, arrival: say.Arrival, grade: say.Grade, now: int, order: int) -> None:
+    def __init__(self, arrival: RequestArrived, grade: ServiceClass, now: int, order: int) -> None:
         self.id, self.grade, self.width = arrival.submission, grade, arrival.width
         self.hint, self.order = arrival.work_hint, order
         self.arrived_at, self.limit_at, self.patient = now, arrival.time_limit_at, arrival.patient
         self.leave_at = self.limit_at  # when waiting in the pool stops to pay
-        self.dispatches: list[Dispatch] = []
-        self.out: list[Dispatch] = []  # dispatches without an outcome
-        self.held: list[Dispatch] = []  # dispatches not proven never to have run
+        self.dispatches: list[Attempt] = []
+        self.out: list[Attempt] = []  # dispatches without an outcome
+        self.held: list[Attempt] = []  # dispatches not proven never to have run
         self.pooled = self.answered = False
         self.spoilt, self.key = False, arrival.key
         # Dispatches that do not count among the most there may be; and after a refusal, when it may go again.
         self.uncounted = self.not_before = 0
-        self.erred: list[Worker] = []  # sound workers at which it failed
+        self.erred: list[Endpoint] = []  # sound workers at which it failed
         self.ground = grade.ground
         self.borrower: Any = None  # its tenant, where a loan covers it
         self.course: Course
 
-    def may_repeat_on(self, worker: Worker, now: int) -> bool:
+    def may_repeat_on(self, worker: Endpoint, now: int) -> bool:
         """Rule two, for one more dispatch: what may have run is repeated only where repeats are dropped."""
         grade = self.grade
-        if not self.held or grade.effect == say.REISSUABLE:
+        if not self.held or grade.effect == Effect.IDEMPOTENT:
             return True
         first = self.held[0]
-        if grade.effect == say.AT_MOST_ONCE or now >= self.repeats_until():
+        if grade.effect == Effect.AT_MOST_ONCE or now >= self.repeats_until():
             return False
-        if grade.group == say.SAME_ZONE:
+        if grade.group == DeduplicationScope.ZONE:
             return worker.zone == first.worker.zone
-        return grade.group == say.EVERYONE or worker.cell == first.worker.cell
+        return grade.group == DeduplicationScope.FLEET or worker.cell == first.worker.cell
 
     def repeats_until(self) -> int:
         """Rule two: from when on its repeats are no longer dropped, so none goes out; 0: unbound."""
-        bound = self.held and self.grade.effect == say.NUMBERED
+        bound = self.held and self.grade.effect == Effect.IDEMPOTENT_WITH_KEY
         return self.held[0].sent_at + self.grade.memory_span if bound else 0
 
     def may_deny(self) -> bool:
         """Rule two, for a denial: it promises the client that trying again is harmless."""
         grade = self.grade
-        everywhere = grade.effect == say.NUMBERED and grade.group == say.EVERYONE
-        return not self.held or grade.effect == say.REISSUABLE or everywhere
+        everywhere = grade.effect == Effect.IDEMPOTENT_WITH_KEY and grade.group == DeduplicationScope.FLEET
+        return not self.held or grade.effect == Effect.IDEMPOTENT or everywhere
--- a/locktide/scheduler/policy/retries.py
+++ b/locktide/scheduler/policy/retries.py
@@ -3,29 +3,30 @@
 from bisect import insort
 from typing import Any
 
-from locktide.scheduler import interface as say
-from locktide.scheduler.policy.endpoint import Worker
+from locktide.scheduler.commands import CancelAttempt, StartAttempt
+from locktide.scheduler.policy.endpoint import Endpoint
 from locktide.scheduler.policy.load_shedding import Denials
-from locktide.scheduler.policy.request import POOL, WAIT, Course, Dispatch, Submission
+from locktide.scheduler.policy.request import POOL, WAIT, Attempt, Course, Request
+from locktide.scheduler.types import Effect
 
 
 class Courses(Denials):
-    def begin(self, sub: Submission) -> None:
+    def begin(self, sub: Request) -> None:
         sub.course = self.course(sub)
         self.advance(sub, None)
 
-    def course(self, sub: Submission) -> Course:
+    def course(self, sub: Request) -> Course:
         where = WAIT if sub.out else POOL
         while sub.out or self.may_dispatch(sub):  # one that was recovered may have had all it may have
             news = yield where
-            if type(news) is Worker:
+            if type(news) is Endpoint:
                 self.send(sub, news)
                 where = WAIT
             elif news is None:  # waiting in the pool no longer pays
                 if not sub.out:
                     break
                 where = WAIT
-            elif type(news) is Dispatch:  # in doubt: no start, or no sign of life
+            elif type(news) is Attempt:  # in doubt: no start, or no sign of life
                 self.doubt(news)
                 where = WAIT
             elif news.final:
@@ -40,23 +41,25 @@
                 sub.leave_at = max(sub.leave_at, anew)  # what comes back waits its turn once more
         self.answer(sub)
 
-    def may_dispatch(self, sub: Submission) -> bool:
-        once = sub.held and sub.grade.effect == say.AT_MOST_ONCE or 0 < sub.repeats_until() <= self.now
+    def may_dispatch(self, sub: Request) -> bool:
+        once = sub.held and sub.grade.effect == Effect.AT_MOST_ONCE or 0 < sub.repeats_until() <= self.now
         return len(sub.dispatches) - sub.uncounted < self.dispatching.most_dispatches and not once
 
-    def doubt(self, dispatch: Dispatch) -> None:
+    def doubt(self, dispatch: Attempt) -> None:
         """A further dispatch in the place of one in doubt, while such ones pay."""
         sub = dispatch.submission
         # Guards against giving up a place for a worse one: bound work waits until it is as good as lost.
-        bound = sub.grade.effect != say.REISSUABLE and not dispatch.started_at and self.now < dispatch.lost_at
+        bound = (
+            sub.grade.effect != Effect.IDEMPOTENT and not dispatch.started_at and self.now < dispatch.lost_at
+        )
         if self.may_dispatch(sub) and self.credit >= 1.0 and not bound:
             self.withdraw(dispatch)
 
-    def withdraw(self, dispatch: Dispatch) -> None:
+    def withdraw(self, dispatch: Attempt) -> None:
         if self.dispatching.may_withdraw:
-            self.orders.append(say.Withdraw(dispatch.submission.id, dispatch.number))
+            self.orders.append(CancelAttempt(dispatch.submission.id, dispatch.number))
 
-    def advance(self, sub: Submission, news: Any) -> None:
+    def advance(self, sub: Request, news: Any) -> None:
         """Resumes a course with its news, and puts the submission where the course wants it."""
         try:
             wanted = sub.course.send(news)
@@ -72,8 +75,8 @@
             else:
                 self.pool.remove(sub)
 
-    def send(self, sub: Submission, worker: Worker) -> None:
-        dispatch, before = Dispatch(sub, len(sub.dispatches), worker, self.now), sub.repeats_until()
+    def send(self, sub: Request, worker: Endpoint) -> None:
+        dispatch, before = Attempt(sub, len(sub.dispatches), worker, self.now), sub.repeats_until()
         if dispatch.further:
             self.credit -= 1.0
         if self.signs.tells_start:
@@ -91,9 +94,9 @@
         if self.cold.is_cold(worker, self.now):
             self.cold.count(worker, self.work(sub), self.now)
         worker.waiting[dispatch] = None
-        self.orders.append(say.Dispatch(sub.id, worker.id, before))
+        self.orders.append(StartAttempt(sub.id, worker.id, before))
 
-    def check(self, dispatch: Dispatch) -> None:  # it should have given a sign by now
+    def check(self, dispatch: Attempt) -> None:  # it should have given a sign by now
         every, worker = self.signs.progress_every, dispatch.worker
         if not dispatch.started_at:
             # A queue moves within twice the usual run; before that, no start is no one's fault.
--- a/locktide/scheduler/policy/scheduler.py
+++ b/locktide/scheduler/policy/scheduler.py
@@ -4,20 +4,35 @@
 from math import exp
 from typing import Any
 
-from locktide.scheduler import interface as say
+from locktide.scheduler.commands import WatchEndpoints
+from locktide.scheduler.events import (
+    AttemptEnded,
+    AttemptProgressed,
+    AttemptSent,
+    AttemptStarted,
+    ClientDisconnected,
+    ConfigReloaded,
+    EndpointEntry,
+    EndpointListUpdate,
+    QuotaSharesUpdated,
+    RequestArrived,
+    RequestRecovered,
+    TimerFired,
+)
 from locktide.scheduler.policy.base import WEIGHS
 from locktide.scheduler.policy.endpoint import OVERDUE
 from locktide.scheduler.policy.placement import Rounds
-from locktide.scheduler.policy.request import Dispatch
+from locktide.scheduler.policy.request import Attempt
+from locktide.scheduler.types import ListUpdateKind
 
 
-class Dispatcher(Rounds):
+class Scheduler(Rounds):
     def turn(self, now: int, news: list[Any]) -> list[Any]:
         self.now = now
         self.orders = []
         for piece in news:
-            take = TAKE.get(type(piece))  # no decision rests on news of streams and probes yet
-            about = self.timers.get(piece.mark) if type(piece) is say.TimerDue else piece
+            take = EVENT_HANDLERS.get(type(piece))  # no decision rests on news of streams and probes yet
+            about = self.timers.get(piece.mark) if type(piece) is TimerFired else piece
             try:
                 if take:
                     take(self, piece)
@@ -26,7 +41,7 @@
                 self.break_off(getattr(one, "id", one))
         if self.list.terms.must_ask and not self.list.watched and now >= self.list.ask_at:
             self.list.watched = True
-            self.orders.append(say.WatchList(True))
+            self.orders.append(WatchEndpoints(True))
         for sub in [sub for sub in self.pool if sub.leave_at <= now]:
             if sub.held and now < (last := self.last_chance(sub)):
                 sub.leave_at = last  # it may have run: a late answer beats none
@@ -47,21 +62,21 @@
             self.wake(4 * self.step if again else self.step, "round")
         return self.orders
 
-    def take_timer(self, due: say.TimerDue) -> None:
+    def take_timer(self, due: TimerFired) -> None:
         what = self.timers.pop(due.mark, None)
         if what == "round":
             self.round_timer = False
-        elif type(what) is Dispatch and what in what.submission.out and not what.submission.answered:
+        elif type(what) is Attempt and what in what.submission.out and not what.submission.answered:
             self.check(what)
 
-    def take_list(self, news: say.ListNews) -> None:
-        if news.kind in (say.LIST_FAILED, say.LIST_SILENT):
+    def take_list(self, news: EndpointListUpdate) -> None:
+        if news.kind in (ListUpdateKind.FETCH_FAILED, ListUpdateKind.FETCH_TIMED_OUT):
             self.list.failures += 1
-            gap = self.list.ask_later(self.now, self.chance, news.kind == say.LIST_SILENT)
+            gap = self.list.ask_later(self.now, self.chance, news.kind == ListUpdateKind.FETCH_TIMED_OUT)
             self.log(f"worker list failed, time {self.list.failures}: asking again in {gap // 1000} ms")
             self.wake(gap, "ask")
             return
-        if news.kind == say.REMEMBERED and self.list.terms.must_ask:
+        if news.kind == ListUpdateKind.CACHED and self.list.terms.must_ask:
             self.wake(self.list.ask_later(self.now, self.chance), "ask")
         else:
             self.list.failures = 0
@@ -72,7 +87,7 @@
         if self.list.terms.live:
             self.weigh(news.entries)
 
-    def weigh(self, entries: list[say.Listed]) -> None:
+    def weigh(self, entries: list[EndpointEntry]) -> None:
         """Follows ratings that fall with load: what each worker holds a core, and how often a draw holds.
 
         All dispatchers have the same picture, a second late: draws in its measure spread where the best one
@@ -102,16 +117,16 @@
         self.held = sum([worker.load for worker in ready]) / max(1, len(ready))
 
 
-TAKE: dict[type, Callable[[Dispatcher, Any], None]] = {
-    say.ListNews: Dispatcher.take_list,
-    say.Arrival: lambda self, news: self.begin(self.arrive(news)),
-    say.Recovered: Dispatcher.take_recovered,
-    say.Sent: Dispatcher.take_sent,
-    say.Started: Dispatcher.take_started,
-    say.Progressed: Dispatcher.take_progress,
-    say.Ended: Dispatcher.take_ended,
-    say.ClientGone: Dispatcher.take_gone,
-    say.NewTerms: lambda self, news: self.set_terms(*news.terms),
-    say.Parts: Dispatcher.take_parts,
-    say.TimerDue: Dispatcher.take_timer,
+EVENT_HANDLERS: dict[type, Callable[[Scheduler, Any], None]] = {
+    EndpointListUpdate: Scheduler.take_list,
+    RequestArrived: lambda self, news: self.begin(self.arrive(news)),
+    RequestRecovered: Scheduler.take_recovered,
+    AttemptSent: Scheduler.take_sent,
+    AttemptStarted: Scheduler.take_started,
+    AttemptProgressed: Scheduler.take_progress,
+    AttemptEnded: Scheduler.take_ended,
+    ClientDisconnected: Scheduler.take_gone,
+    ConfigReloaded: lambda self, news: self.set_terms(*news.terms),
+    QuotaSharesUpdated: Scheduler.take_parts,
+    TimerFired: Scheduler.take_timer,
 }
--- a/locktide/scheduler/policy/slow_start.py
+++ b/locktide/scheduler/policy/slow_start.py
@@ -1,23 +1,23 @@
 """Mechanism 4: the cold budget."""
 
-from locktide.scheduler import interface as say
-from locktide.scheduler.estimators import Chance, Fading
-from locktide.scheduler.policy.endpoint import Worker
+from locktide.scheduler.config import SlowStartConfig
+from locktide.scheduler.estimators import DecayingSum, LinearCongruentialGenerator
+from locktide.scheduler.policy.endpoint import Endpoint
 
 
-class ColdBudget:
+class SlowStartBudget:
     """Our part of what may be sent to a worker that is not warm yet, and whether it allows some work."""
 
-    def __init__(self, terms: say.ColdTerms) -> None:
-        self.terms, self.sent = terms, Fading(1_000_000)
+    def __init__(self, terms: SlowStartConfig) -> None:
+        self.terms, self.sent = terms, DecayingSum(1_000_000)
         self.warm, self.summed_at, self.drawn_at, self.turned_at = 0.0, 0, 0, 0
-        self.turn: Worker | None = None
+        self.turn: Endpoint | None = None
         self.slots = 2.0  # how many a worker has, where no ratings tell: the most of ours seen running on one
 
-    def is_cold(self, worker: Worker, now: int) -> bool:
+    def is_cold(self, worker: Endpoint, now: int) -> bool:
         return worker.started_at != 0 and now < worker.started_at + self.terms.warm_after
 
-    def warmth(self, worker: Worker, now: int) -> float:
+    def warmth(self, worker: Endpoint, now: int) -> float:
         """The least share of its capacity that a cold worker has by now."""
         if not self.is_cold(worker, now):
             return 1.0
@@ -25,7 +25,13 @@
         return terms.cold_from + (1.0 - terms.cold_from) * (now - worker.started_at) / terms.warm_after
 
     def allows(
-        self, worker: Worker, work: float, part: float, now: int, chance: Chance, ready: list[Worker]
+        self,
+        worker: Endpoint,
+        work: float,
+        part: float,
+        now: int,
+        chance: LinearCongruentialGenerator,
+        ready: list[Endpoint],
     ) -> bool:
         need, most = self.need(worker, work), self.terms.margin * self.terms.factor * self.terms.window
         whole = most * self.warmth(worker, now)
@@ -50,7 +56,7 @@
         self.drawn_at = now
         return chance.falls(max(0.0, left / need))
 
-    def turn_of(self, ready: list[Worker], now: int, chance: Chance) -> Worker:
+    def turn_of(self, ready: list[Endpoint], now: int, chance: LinearCongruentialGenerator) -> Endpoint:
         """The one that is ours for a window, drawn by warmth. Guards against all that turn to the only one of
         the cold with room (4 and 7 times what it could do)."""
         if not self.turn or now >= self.turned_at + self.terms.window or not self.is_cold(self.turn, now):
@@ -58,10 +64,10 @@
             self.turn, self.turned_at = cold[chance.by([self.warmth(one, now) for one in cold])], now
         return self.turn
 
-    def need(self, worker: Worker, work: float) -> float:
+    def need(self, worker: Endpoint, work: float) -> float:
         return work / max(self.slots, worker.size)
 
-    def count(self, worker: Worker, work: float, now: int) -> None:
+    def count(self, worker: Endpoint, work: float, now: int) -> None:
         worker.sent_cold.span = self.sent.span = max(1, self.terms.window)
         worker.sent_cold.add(self.need(worker, work), now)
         self.sent.add(self.need(worker, work), now)
--- a/locktide/scheduler/types.py
+++ b/locktide/scheduler/types.py
@@ -1,42 +1,74 @@
-"""The words that stand for effects, groups, outcomes and states."""
+"""Enumerations shared by events, commands and configuration."""
 
 from __future__ import annotations
 
-# How far a submission may be repeated.
-REISSUABLE = "reissuable"
-NUMBERED = "numbered"
-AT_MOST_ONCE = "at-most-once"
-
-# Who drops a repeat of a numbered submission.
-EVERYONE = "everyone"
-SAME_ZONE = "same zone"
-SAME_CELL = "same cell"
-
-# How a dispatch ended.
-DONE = "done"
-ERROR = "error"
-FULL = "full"
-TIMED_OUT = "timed out"
-NO_CONNECTION = "no connection"
-RESET = "reset"
-WITHDRAWN = "withdrawn"
-NEVER_SENT = "never sent"
-UNFIT = "unfit"  # the worker has turned away the submission itself: another would, too
-# A kept connection broke with no word, most likely closed as idle; or the process has started anew since.
-CUT_OFF = "cut off"
-PROVEN_NOT_RUN = frozenset((FULL, NO_CONNECTION, NEVER_SENT, UNFIT))
-UNSENT = frozenset((NO_CONNECTION, NEVER_SENT))
-TELLS_NOTHING = frozenset((NEVER_SENT, UNFIT, CUT_OFF))  # of how the worker fares
-
-# What a piece of list news is, and what a listed worker is doing.
-WHOLE = "whole"
-CHANGES = "changes"
-REMEMBERED = "remembered"
-LIST_FAILED = "failed"  # the service has turned a call away
-LIST_SILENT = "silent"  # or has not answered: it was not reached, so the call was no work for it
-READY = "ready"
-DRAINING = "draining"
-GONE = "gone"
-
-
-Ground = tuple[frozenset[str] | None, frozenset[str] | None]  # kinds, zones; None: any
+from enum import StrEnum
+
+
+class Effect(StrEnum):
+    """How far a request of a service class may be repeated."""
+
+    IDEMPOTENT = "reissuable"
+    IDEMPOTENT_WITH_KEY = "numbered"  # repeats are dropped within a scope and a time window
+    AT_MOST_ONCE = "at-most-once"
+
+
+class DeduplicationScope(StrEnum):
+    """Which workers drop a repeat of a request that carries an idempotency key."""
+
+    FLEET = "everyone"
+    ZONE = "same zone"
+    CELL = "same cell"
+
+
+class AttemptOutcome(StrEnum):
+    """How an attempt ended."""
+
+    DONE = "done"
+    ERROR = "error"
+    FULL = "full"
+    TIMED_OUT = "timed out"
+    NO_CONNECTION = "no connection"
+    RESET = "reset"
+    CANCELLED = "withdrawn"
+    NEVER_SENT = "never sent"
+    UNPROCESSABLE = "unfit"  # the worker rejected the request itself: any other worker would, too
+    # An idle connection broke without a word, most likely closed as idle, or the worker has restarted since.
+    CONNECTION_CLOSED = "cut off"
+
+
+PROVEN_NOT_RUN = frozenset(
+    (
+        AttemptOutcome.FULL,
+        AttemptOutcome.NO_CONNECTION,
+        AttemptOutcome.NEVER_SENT,
+        AttemptOutcome.UNPROCESSABLE,
+    )
+)
+UNSENT = frozenset((AttemptOutcome.NO_CONNECTION, AttemptOutcome.NEVER_SENT))
+# Outcomes that say nothing about the health of the worker.
+UNINFORMATIVE = frozenset(
+    (AttemptOutcome.NEVER_SENT, AttemptOutcome.UNPROCESSABLE, AttemptOutcome.CONNECTION_CLOSED)
+)
+
+
+class ListUpdateKind(StrEnum):
+    """What an update of the endpoint list carries."""
+
+    SNAPSHOT = "whole"
+    DELTA = "changes"
+    CACHED = "remembered"  # the list as this dispatcher last had it, from before its start
+    FETCH_FAILED = "failed"  # the service turned a call away
+    FETCH_TIMED_OUT = "silent"  # the service did not answer: the call was not received
+
+
+class EndpointState(StrEnum):
+    """What a listed worker is doing."""
+
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+# Worker types and zones to which a service class is confined; None stands for any.
+PlacementConstraint = tuple[frozenset[str] | None, frozenset[str] | None]
--- a/locktide/simulation/client_site.py
+++ b/locktide/simulation/client_site.py
@@ -5,8 +5,8 @@
 import asyncio
 
 from locktide.protocol import names
-from locktide.protocol.client_connection import Broken, Question, Reply
-from locktide.simulation.connection_pool import Line, Lines
+from locktide.protocol.client_connection import ProtocolError, UpstreamRequest, UpstreamResponse
+from locktide.simulation.connection_pool import ClientConnectionPool, IdleConnection
 from locktide.simulation.interfaces import ClientScene
 from locktide.simulation.model import traffic
 from locktide.simulation.model.network import CLIENT, Machine
@@ -31,7 +31,7 @@
         self.front = Front(dispatchers or everybody, notice, stage.script.seed, zone)
         host = stage.host
         self.lines = [
-            Lines(host, self.machine, there, (host.address(there), stage.dispatcher_port))
+            ClientConnectionPool(host, self.machine, there, (host.address(there), stage.dispatcher_port))
             for there in stage.dispatcher_machines
         ]
 
@@ -108,7 +108,7 @@
         until = host.now() + int((stage.script.durable.limit + KEPT_GRACE) * 1e6)
         tried = stage.tries[place[len(names.JOBS) :]]
         while host.now() < until:
-            reply = await self.ask_kept(Question("GET", place, []), home)
+            reply = await self.ask_kept(UpstreamRequest("GET", place, []), home)
             state = reply.headers.get("job-state") if reply is not None else None
             if reply is not None and (state or reply.status == 404):
                 break
@@ -130,7 +130,7 @@
             ask.answered_at = host.now()
             stage.waits(ask)
 
-    async def ask_kept(self, question: Question, home: int) -> Reply | None:
+    async def ask_kept(self, question: UpstreamRequest, home: int) -> UpstreamResponse | None:
         """One question to that dispatcher; None where it gave no answer."""
         lines = self.lines[home]
         line = None
@@ -138,14 +138,14 @@
             async with asyncio.timeout(ANSWER_WITHIN):
                 line = await lines.take()
                 reply = await line.ask(question)
-        except (OSError, Broken, TimeoutError):
+        except (OSError, ProtocolError, TimeoutError):
             if line is not None:
                 lines.drop(line)
             return None
         lines.give_back(line)
         return reply
 
-    def question(self, tried: Try) -> Question:
+    def question(self, tried: Try) -> UpstreamRequest:
         ask = tried.ask
         headers = [
             (names.ID.encode(), tried.id.encode()),
@@ -161,7 +161,7 @@
         extras += [f"{names.TENANT}={ask.tenant}"] if ask.tenant else []
         if extras:
             headers.append((names.EXTRAS.encode(), ", ".join(extras).encode()))
-        return Question("POST", f"/{ask.grade.name}", headers, self.stage.body(ask))
+        return UpstreamRequest("POST", f"/{ask.grade.name}", headers, self.stage.body(ask))
 
     async def attempt(self, tried: Try) -> None:
         """Sets how the try ended, and tells the checker."""
@@ -188,7 +188,7 @@
             stage.checker.closed(tried, host.now())
             del trouble
             return
-        except Broken:
+        except ProtocolError:
             tried.ended = traffic.BROKEN
             self.blame(tried, life, "ended with no whole answer")
             return
@@ -202,7 +202,7 @@
             self.stage.checker.killed([tried])
         self.stage.checker.unanswered(tried, self.stage.host.now(), how)
 
-    async def ask(self, tried: Try) -> Reply:
+    async def ask(self, tried: Try) -> UpstreamResponse:
         """Raises OSError where it was never handed in, Broken where it was and no answer came."""
         lines = self.lines[tried.dispatcher]
         for anew in (False, True):
@@ -211,25 +211,25 @@
                     line = await lines.take(anew)
             except (OSError, TimeoutError):
                 if anew:
-                    raise Broken("ended while it was handed in, and none is there") from None
+                    raise ProtocolError("ended while it was handed in, and none is there") from None
                 raise OSError("no connection") from None
             sent_at = self.stage.host.now()
             try:
                 reply = await line.ask(self.question(tried))
-            except (OSError, Broken) as trouble:
+            except (OSError, ProtocolError) as trouble:
                 lines.drop(line)
                 if self.crossed(line, tried, sent_at) and not anew:
                     continue  # closed between submissions, unread: sent once more on a new one
-                raise Broken(str(trouble)) from None
+                raise ProtocolError(str(trouble)) from None
             except asyncio.CancelledError:
                 lines.drop(line)
                 raise
             self.more(tried, line)
             lines.give_back(line)
             return reply
-        raise Broken("closed twice")
+        raise ProtocolError("closed twice")
 
-    def crossed(self, line: Line, tried: Try, sent_at: int) -> bool:
+    def crossed(self, line: IdleConnection, tried: Try, sent_at: int) -> bool:
         """Whether a kept connection was closed before what was sent on it can have been read."""
         there = self.stage.dispatchers[tried.dispatcher].machine
         both_ways = 2 * self.stage.links.most(self.machine, there) + CROSSING
@@ -252,12 +252,12 @@
         links = self.stage.links
         return links.cut(self.machine, there) or self.stage.links_changed_at() >= tried.sent_at
 
-    def more(self, tried: Try, line: Line) -> None:
+    def more(self, tried: Try, line: IdleConnection) -> None:
         """What follows an answer unasked is a second one."""
         if line.exchange.machine.trailing_data[0]:
             self.stage.checker.answered(tried, self.stage.host.now(), 0, b"")
 
-    def answered(self, tried: Try, reply: Reply) -> None:
+    def answered(self, tried: Try, reply: UpstreamResponse) -> None:
         now = self.stage.host.now()
         late = now > tried.limit_at + self.stage.checker.terms.slack
         if late and self.cut_off(tried):
--- a/locktide/simulation/cluster/borrowing_runs.py
+++ b/locktide/simulation/cluster/borrowing_runs.py
@@ -10,9 +10,9 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from locktide.cluster.quota.local_quota import Budget
+from locktide.cluster.quota.local_quota import QuotaSpec
 from locktide.simulation.cluster.quota_checker import Reclaim
-from locktide.simulation.cluster.virtual_cluster import Process, World
+from locktide.simulation.cluster.virtual_cluster import Process, VirtualCluster
 
 SECOND, STEP = 1_000_000, 20_000
 TENANTS, IDLE, RATE, BY = 10, 6, 60.0, 2.5
@@ -40,8 +40,8 @@
     def __init__(self, seed: int, lend: float) -> None:
         self.random = Random(seed)
         names = [f"d{number}" for number in range(5)]
-        budgets = tuple(Budget(f"t{number}", RATE, 2 * RATE, True) for number in range(TENANTS))
-        self.world = World(seed, names, 5, 6, reserve=0.1, budgets=budgets, lend=lend)
+        budgets = tuple(QuotaSpec(f"t{number}", RATE, 2 * RATE, True) for number in range(TENANTS))
+        self.world = VirtualCluster(seed, names, 5, 6, reserve=0.1, budgets=budgets, lend=lend)
         for name in names:
             self.world.begin(name)
         # By tenant and member: submissions a second.
--- a/locktide/simulation/cluster/cost.py
+++ b/locktide/simulation/cluster/cost.py
@@ -9,11 +9,13 @@
 import tracemalloc
 from dataclasses import dataclass
 
-from locktide.cluster.fairness.ledger import Terms
-from locktide.cluster.member import Agent
-from locktide.cluster.quota.local_quota import Budget
-from locktide.scheduler import interface as say
-from locktide.simulation.cluster.virtual_cluster import World
+from locktide.cluster.fairness.ledger import FairnessConfig
+from locktide.cluster.member import ClusterMember
+from locktide.cluster.quota.local_quota import QuotaSpec
+from locktide.scheduler.commands import StartAttempt
+from locktide.scheduler.events import AttemptEnded, RequestArrived
+from locktide.scheduler.types import AttemptOutcome
+from locktide.simulation.cluster.virtual_cluster import VirtualCluster
 
 SECOND = 1_000_000
 WARM, LENGTH = 8, 10  # seconds
@@ -35,8 +37,8 @@
 
 def measure(members: int, tenants: int, seed: int = 1) -> Cost:
     names = [f"d{number}" for number in range(members)]
-    budgets = tuple(Budget(f"t{number}", 100.0, 500.0, True) for number in range(tenants))
-    terms = Terms(
+    budgets = tuple(QuotaSpec(f"t{number}", 100.0, 500.0, True) for number in range(tenants))
+    terms = FairnessConfig(
         ["slots", "memory"],
         {budget.name: 1 for budget in budgets},
         {"plain": [1000, 200]},
@@ -44,7 +46,7 @@
         20 * SECOND,
     )
     electors = min(5, members - 1 + members % 2)
-    world = World(seed, names, electors, members + 2, 0.5, budgets, lend=0.5, ledger=terms)
+    world = VirtualCluster(seed, names, electors, members + 2, 0.5, budgets, lend=0.5, ledger=terms)
     sent: dict[str, list[int]] = {name: [0, 0, 0] for name in names}
     send, counting, spent = world.send, False, 0.0
 
@@ -66,9 +68,9 @@
             process.spend(tenant)
             assert process.agent.ledger is not None
             holdings, job = process.agent.ledger.holdings, f"j{step}"
-            holdings.hear(say.Arrival(job, "plain", 1 << 60, tenant=tenant))
-            holdings.hear(say.Dispatch(job, "w0"))
-            holdings.hear(say.Ended(f"j{step - 2}", 0, say.DONE, True))
+            holdings.hear(RequestArrived(job, "plain", 1 << 60, tenant=tenant))
+            holdings.hear(StartAttempt(job, "w0"))
+            holdings.hear(AttemptEnded(f"j{step - 2}", 0, AttemptOutcome.DONE, True))
         world.run(world.now + SECOND // 2)
     counting, spent = False, time.process_time() - begun
     leader = next((one.name for one in world.all if one.agent.giver is not None), "")
@@ -95,11 +97,11 @@
     )
 
 
-def memory(world: World) -> float:
+def memory(world: VirtualCluster) -> float:
     """Megabytes of one more agent that has heard of all the others."""
     tracemalloc.start()
     before = tracemalloc.take_snapshot()
-    agent: Agent = world.make(world.all[0])
+    agent: ClusterMember = world.make(world.all[0])
     for row in world.all[0].agent.swim.table.rows.values():
         agent.swim.learn(row, world.all[0].clock(), "")
     after = tracemalloc.take_snapshot()
--- a/locktide/simulation/cluster/fairness_runs.py
+++ b/locktide/simulation/cluster/fairness_runs.py
@@ -5,9 +5,11 @@
 
 from __future__ import annotations
 
-from locktide.cluster.fairness.ledger import Terms as LedgerTerms
-from locktide.scheduler import interface as say
-from locktide.simulation.cluster.virtual_cluster import World
+from locktide.cluster.fairness.ledger import FairnessConfig
+from locktide.scheduler.commands import StartAttempt
+from locktide.scheduler.events import AttemptEnded, EndpointEntry, EndpointListUpdate, RequestArrived
+from locktide.scheduler.types import AttemptOutcome, EndpointState, ListUpdateKind
+from locktide.simulation.cluster.virtual_cluster import VirtualCluster
 
 SECOND = 1_000_000
 # Two resources; what one job of each tenant's grade holds of them, in thousandths: different bottlenecks.
@@ -64,18 +66,20 @@
 
     def __init__(self, seed: int, members: int, lose: float = 0.0) -> None:
         names = [f"d{number}" for number in range(members)]
-        self.terms = LedgerTerms(
+        self.terms = FairnessConfig(
             RESOURCES, {name: weight for name, (_, weight) in TENANTS.items()}, NEEDS, EACH, LONGEST
         )
-        self.world = World(seed, names, min(5, members - 1 + members % 2), members + 2, ledger=self.terms)
+        self.world = VirtualCluster(
+            seed, names, min(5, members - 1 + members % 2), members + 2, ledger=self.terms
+        )
         self.random, self.made = self.world.random, 0
         self.world.net.lose = lose
         self.jobs: dict[str, tuple[str, str, bool]] = {}  # by id: member, tenant, whether it is out
-        entries = [say.Listed(f"w{n}", "z", "k", 0, say.READY, 1.0, 0) for n in range(WORKERS)]
+        entries = [EndpointEntry(f"w{n}", "z", "k", 0, EndpointState.READY, 1.0, 0) for n in range(WORKERS)]
         for name in names:
             process = self.world.begin(name)
             assert process.agent.ledger is not None
-            process.agent.ledger.holdings.hear(say.ListNews(say.WHOLE, entries))
+            process.agent.ledger.holdings.hear(EndpointListUpdate(ListUpdateKind.SNAPSHOT, entries))
 
     def tell(self, member: str, piece: object) -> None:
         process = self.world.live(member)
@@ -91,15 +95,15 @@
                 skewed = tenant == "dairy" and self.random.random() < 0.8
                 member = self.world.names[0] if skewed else self.random.choice(self.world.names)
                 self.jobs[job] = (member, tenant, False)
-                self.tell(member, say.Arrival(job, grade, 1 << 60, tenant=tenant))
+                self.tell(member, RequestArrived(job, grade, 1 << 60, tenant=tenant))
         for job, (member, tenant, out) in list(self.jobs.items()):
             draw = self.random.random()
             if not out and draw < 0.1:
                 self.jobs[job] = (member, tenant, True)
-                self.tell(member, say.Dispatch(job, "w0"))
+                self.tell(member, StartAttempt(job, "w0"))
             elif out and draw < 0.01:
                 del self.jobs[job]
-                self.tell(member, say.Ended(job, 0, say.DONE, True))
+                self.tell(member, AttemptEnded(job, 0, AttemptOutcome.DONE, True))
 
     def run(self, seconds: float) -> None:
         until = self.world.now + int(seconds * SECOND)
--- a/locktide/simulation/cluster/model_checking.py
+++ b/locktide/simulation/cluster/model_checking.py
@@ -13,12 +13,22 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from locktide.cluster.election.acceptor import Elector
-from locktide.cluster.election.proposer import Candidate
-from locktide.cluster.messages import Accepted, Ask, Grant, Lead, Prepare, Promise, Propose, Who, Word
-from locktide.cluster.quota.allocator import Giver
-from locktide.cluster.quota.lease_holder import Holder
-from locktide.scheduler.estimators import Chance
+from locktide.cluster.election.acceptor import Acceptor
+from locktide.cluster.election.proposer import Proposer
+from locktide.cluster.messages import (
+    Accepted,
+    LeaderHeartbeat,
+    LeaseGrant,
+    LeaseRequest,
+    MemberId,
+    Message,
+    Prepare,
+    Promise,
+    Propose,
+)
+from locktide.cluster.quota.allocator import Allocator
+from locktide.cluster.quota.lease_holder import LeaseHolder
+from locktide.scheduler.estimators import LinearCongruentialGenerator
 
 NAMES = ("a", "b", "c")
 WHOLE = 100
@@ -32,32 +42,36 @@
 
     def __init__(self, name: str, start: int, now: int) -> None:
         self.who = (name, start)
-        self.elector = Elector(now, LEAD)
+        self.elector = Acceptor(now, LEAD)
         stands = name in NAMES[:2]
-        self.candidate = Candidate(self.who, list(NAMES), Chance(1), now, LEAD, RENEW) if stands else None
-        self.giver: Giver | None = None
-        self.holder = Holder(self.who, now, PART, ASK)
+        self.candidate = (
+            Proposer(self.who, list(NAMES), LinearCongruentialGenerator(1), now, LEAD, RENEW)
+            if stands
+            else None
+        )
+        self.giver: Allocator | None = None
+        self.holder = LeaseHolder(self.who, now, PART, ASK)
         self.lead_at = now
 
-    def tick(self, now: int) -> list[tuple[str, Word]]:
-        sends: list[tuple[str, Word]] = []
+    def tick(self, now: int) -> list[tuple[str, Message]]:
+        sends: list[tuple[str, Message]] = []
         if self.candidate is not None:
             sends += self.candidate.tick(now)
             if not self.candidate.leads(now):
                 self.giver = None
             elif self.giver is None or self.giver.term != self.candidate.term:
                 assert self.candidate.term is not None
-                self.giver, self.lead_at = Giver(self.candidate.term, {0: WHOLE}, now, PART, ASK), now
+                self.giver, self.lead_at = Allocator(self.candidate.term, {0: WHOLE}, now, PART, ASK), now
             if self.giver is not None and now >= self.lead_at:
                 self.lead_at = now + ASK
-                sends += [(name, Lead(self.giver.term)) for name in NAMES]
+                sends += [(name, LeaderHeartbeat(self.giver.term)) for name in NAMES]
         # The one that does not stand wants all, so that parts have to move.
         if ask := self.holder.ask({0: 9 if self.who[0] == "c" else 1}, now):
             sends.append((ask.term[1], ask))
         return sends
 
-    def hear(self, by: Who, word: Any, now: int) -> list[tuple[str, Word]]:
-        reply: Word | None = None
+    def hear(self, by: MemberId, word: Any, now: int) -> list[tuple[str, Message]]:
+        reply: Message | None = None
         sender = by[0]
         if isinstance(word, Prepare):
             reply = self.elector.prepare(word, now)
@@ -67,11 +81,11 @@
             return self.candidate.promise(sender, word, now)
         elif isinstance(word, Accepted) and self.candidate is not None:
             self.candidate.was_accepted(sender, word, now)
-        elif isinstance(word, Lead):
+        elif isinstance(word, LeaderHeartbeat):
             self.holder.led(word.term, now)
-        elif isinstance(word, Grant):
+        elif isinstance(word, LeaseGrant):
             self.holder.granted(word, now)
-        elif isinstance(word, Ask) and self.candidate is not None and self.candidate.leads(now):
+        elif isinstance(word, LeaseRequest) and self.candidate is not None and self.candidate.leads(now):
             if self.giver is not None and word.term == self.giver.term:
                 reply = self.giver.asked(by, word, now)
         return [(sender, reply)] if reply is not None else []
@@ -83,7 +97,7 @@
     starts: int = 0
     restarts: int = 0
     members: dict[str, Member] = field(default_factory=dict)
-    under_way: list[tuple[Who, str, Any]] = field(default_factory=list)  # sender, receiver, word
+    under_way: list[tuple[MemberId, str, Any]] = field(default_factory=list)  # sender, receiver, word
 
     def add(self, sender: str, sends: list[tuple[str, Any]]) -> None:
         """What one says to itself arrives at once."""
--- a/locktide/simulation/cluster/processes.py
+++ b/locktide/simulation/cluster/processes.py
@@ -17,10 +17,10 @@
 from random import Random
 from typing import Any
 
-from locktide.cluster.udp_transport import look
+from locktide.cluster.udp_transport import inspect_member
 from locktide.protocol import names
 from locktide.simulation.cluster.datagram_relay import Relay
-from locktide.simulation.cluster.quota_checker import Meter
+from locktide.simulation.cluster.quota_checker import QuotaChecker
 from locktide.simulation.cluster.virtual_cluster import Net
 
 HOST = "127.0.0.1"
@@ -292,10 +292,10 @@
         views, digests = [], set()
         for life in self.live():
             with suppress(OSError, TimeoutError, ValueError):
-                seen = await look(self.listen[life.name])
+                seen = await inspect_member(self.listen[life.name])
                 digests.add(seen["ledger"].get("digest"))
                 views.append([row["name"] for row in seen["members"] if row["state"] in ("alive", "suspect")])
-        meter, changes = Meter({"dairy": (0.0, 0.0), "goats": (0.0, 0.0)}), 0
+        meter, changes = QuotaChecker({"dairy": (0.0, 0.0), "goats": (0.0, 0.0)}), 0
         for life in self.lives:
             for line in life.trace.read_text().splitlines() if life.trace.exists() else ():
                 told, changes = json.loads(line), changes + 1
--- a/locktide/simulation/cluster/quota_checker.py
+++ b/locktide/simulation/cluster/quota_checker.py
@@ -48,7 +48,7 @@
 
 
 @dataclass
-class Meter:
+class QuotaChecker:
     rates: dict[str, tuple[float, float]]  # of each budget: tokens a second, and the burst
     told: dict[Any, list[Told]] = field(default_factory=lambda: defaultdict(list))
     ended: dict[Any, int] = field(default_factory=dict)
--- a/locktide/simulation/cluster/random_runs.py
+++ b/locktide/simulation/cluster/random_runs.py
@@ -8,24 +8,28 @@
 from random import Random
 from typing import Any
 
-from locktide.cluster.fairness.ledger import Terms
-from locktide.cluster.member import Agent
-from locktide.cluster.quota.local_quota import Budget
-from locktide.scheduler import interface as say
-from locktide.simulation.cluster.virtual_cluster import Net, Process, World
+from locktide.cluster.fairness.ledger import FairnessConfig
+from locktide.cluster.member import ClusterMember
+from locktide.cluster.quota.local_quota import QuotaSpec
+from locktide.scheduler.commands import StartAttempt
+from locktide.scheduler.events import AttemptEnded, EndpointEntry, EndpointListUpdate, RequestArrived
+from locktide.scheduler.types import AttemptOutcome, EndpointState, ListUpdateKind
+from locktide.simulation.cluster.virtual_cluster import Net, Process, VirtualCluster
 
 SECOND = 1_000_000
 LENGTH = 42 * SECOND
 # Tenants of which some are idle for a while and others ask for more than they have; and what is never lent.
 BUDGETS = (
-    Budget("dairy", 60.0, 60.0, True),
-    Budget("goats", 40.0, 80.0, True),
-    Budget("sheep", 90.0, 90.0, True),
-    Budget("cold"),
+    QuotaSpec("dairy", 60.0, 60.0, True),
+    QuotaSpec("goats", 40.0, 80.0, True),
+    QuotaSpec("sheep", 90.0, 90.0, True),
+    QuotaSpec("cold"),
 )
 QUIET = 20 * SECOND  # at the end: what was done is undone, and all that live should agree again
 SETTLES = 2 * SECOND  # at the very end no job comes, goes out or ends
-LEDGER = Terms(["slots"], {"dairy": 1, "goats": 2, "sheep": 1}, {"plain": [1000]}, [3000], 5 * SECOND)
+LEDGER = FairnessConfig(
+    ["slots"], {"dairy": 1, "goats": 2, "sheep": 1}, {"plain": [1000]}, [3000], 5 * SECOND
+)
 FAULTS = (
     "cut",
     "cut one way",
@@ -67,11 +71,11 @@
 class Day:
     """One world with its traffic; each fault is a method that undoes itself after a drawn time."""
 
-    def __init__(self, seed: int, members: int, of: Callable[..., Agent] = Agent) -> None:
+    def __init__(self, seed: int, members: int, of: Callable[..., ClusterMember] = ClusterMember) -> None:
         self.seed, self.random = seed, Random(seed * 7919 + members)
         names = [f"d{number}" for number in range(members)]
         self.electors = 3 if members < 5 else 5
-        self.world = World(
+        self.world = VirtualCluster(
             seed, names, self.electors, members + 3, of=of, budgets=BUDGETS, lend=0.8, ledger=LEDGER
         )
         self.jobs = 0
@@ -105,17 +109,17 @@
         assert process.agent.ledger is not None
         holdings = process.agent.ledger.holdings
         if not holdings.ready:
-            entries = [say.Listed(f"w{n}", "z", "k", 0, say.READY, 1.0, 0) for n in range(8)]
-            holdings.hear(say.ListNews(say.WHOLE, entries))
+            entries = [EndpointEntry(f"w{n}", "z", "k", 0, EndpointState.READY, 1.0, 0) for n in range(8)]
+            holdings.hear(EndpointListUpdate(ListUpdateKind.SNAPSHOT, entries))
         self.jobs += 1
         tenant = self.random.choice(("dairy", "goats", "sheep"))
-        holdings.hear(say.Arrival(f"j{self.jobs}", "plain", 1 << 60, tenant=tenant))
+        holdings.hear(RequestArrived(f"j{self.jobs}", "plain", 1 << 60, tenant=tenant))
         for job, one in list(holdings.open.items()):
             draw = self.random.random()
             if not one.out and draw < 0.3:
-                holdings.hear(say.Dispatch(job, "w0"))
+                holdings.hear(StartAttempt(job, "w0"))
             elif one.out and draw < 0.1:
-                holdings.hear(say.Ended(job, 0, say.DONE, True))
+                holdings.hear(AttemptEnded(job, 0, AttemptOutcome.DONE, True))
 
     def some(self) -> Process | None:
         live = [process for process in self.world.all if process.alive and not process.paused]
@@ -215,6 +219,6 @@
         )
 
 
-def play(seed: int, members: int = 0, of: Callable[..., Agent] = Agent) -> Outcome:
+def play(seed: int, members: int = 0, of: Callable[..., ClusterMember] = ClusterMember) -> Outcome:
     """The same day for the same seed; 3, 5 or 9 members in turn where it is not said how many."""
     return Day(seed, members or (3, 5, 9)[seed % 3], of).play()
--- a/locktide/simulation/cluster/skewed_demand.py
+++ b/locktide/simulation/cluster/skewed_demand.py
@@ -7,8 +7,8 @@
 
 from dataclasses import dataclass
 
-from locktide.cluster.quota.local_quota import Budget
-from locktide.simulation.cluster.virtual_cluster import World
+from locktide.cluster.quota.local_quota import QuotaSpec
+from locktide.simulation.cluster.virtual_cluster import VirtualCluster
 
 RATE, SECOND = 100.0, 1_000_000
 FIRST, REST = 0.8, 0.05
@@ -25,8 +25,8 @@
 
 
 def play(trouble: str, seed: int) -> Skewed:
-    names, budgets = [f"d{number}" for number in range(5)], (Budget("dairy", RATE, 5 * RATE),)
-    world = World(seed, names, 5, 7, reserve=0.1, budgets=budgets)
+    names, budgets = [f"d{number}" for number in range(5)], (QuotaSpec("dairy", RATE, 5 * RATE),)
+    world = VirtualCluster(seed, names, 5, 7, reserve=0.1, budgets=budgets)
     for name in world.names:
         world.begin(name)
     world.run(WARM * SECOND // 2)
@@ -53,7 +53,7 @@
     return Skewed(trouble, even / asked, served / asked, len(world.meter.overruns()))
 
 
-def begin(world: World, trouble: str) -> None:
+def begin(world: VirtualCluster, trouble: str) -> None:
     other = next(one for one in world.all if one.name != "d0" and one.agent.giver is None)
     if trouble == "kill of another":
         other.kill()
--- a/locktide/simulation/cluster/virtual_cluster.py
+++ b/locktide/simulation/cluster/virtual_cluster.py
@@ -13,13 +13,13 @@
 from random import Random
 from typing import Any
 
-from locktide.cluster.config import Terms
-from locktide.cluster.fairness.ledger import Terms as LedgerTerms
-from locktide.cluster.member import Agent
-from locktide.cluster.messages import pack, unpack
+from locktide.cluster.config import ClusterConfig
+from locktide.cluster.fairness.ledger import FairnessConfig
+from locktide.cluster.member import ClusterMember
+from locktide.cluster.messages import decode, encode
 from locktide.cluster.quota.lease_timing import SKEW
-from locktide.cluster.quota.local_quota import Budget
-from locktide.simulation.cluster.quota_checker import Meter
+from locktide.cluster.quota.local_quota import QuotaSpec
+from locktide.simulation.cluster.quota_checker import QuotaChecker
 
 Address = tuple[str, int]
 EPOCH = 1_800_000_000_000_000
@@ -41,7 +41,7 @@
 
 
 class Process:
-    def __init__(self, world: World, name: str, port: int, skew: float) -> None:
+    def __init__(self, world: VirtualCluster, name: str, port: int, skew: float) -> None:
         self.world, self.name, self.address = world, name, ("10.0.0.1", port)
         self.rate = 1.0 + skew
         self.offset = world.random.randrange(10**12)
@@ -87,14 +87,14 @@
         if self.paused:
             self.waiting = [*self.waiting, datagram][:HELD_BACK]
             return
-        said = unpack(datagram)
+        said = decode(datagram)
         if said is not None:
             self.done(self.agent.hear(said, self.clock()))
             self.wake()
 
     def done(self, sends: list[Any]) -> None:
         for address, word in sends:
-            self.world.send(self, address, pack((self.name, self.start), word))
+            self.world.send(self, address, encode((self.name, self.start), word))
         if self.agent.news.moved:
             self.log()
         self.world.events += [(self.world.now, self.name, what, row) for what, row in self.agent.news.events]
@@ -137,7 +137,7 @@
             self.kill()
 
 
-class World:
+class VirtualCluster:
     def __init__(
         self,
         seed: int,
@@ -145,11 +145,11 @@
         electors: int = 3,
         most: int = 0,
         reserve: float = 0.15,
-        budgets: tuple[Budget, ...] = (Budget("dairy", 60.0, 60.0), Budget("cold")),
+        budgets: tuple[QuotaSpec, ...] = (QuotaSpec("dairy", 60.0, 60.0), QuotaSpec("cold")),
         skewed: bool = True,
-        of: Callable[[Terms, int], Agent] = Agent,
+        of: Callable[[ClusterConfig, int], ClusterMember] = ClusterMember,
         lend: float = 0.0,
-        ledger: LedgerTerms | None = None,
+        ledger: FairnessConfig | None = None,
     ) -> None:
         self.random, self.now, self.made = Random(seed), 0, 0
         self.queue: list[tuple[int, int, Callable[..., Any], tuple[Any, ...]]] = []
@@ -157,15 +157,15 @@
         self.most = most or len(names) + 2
         self.electors = {name: ("10.0.0.1", 9000 + place) for place, name in enumerate(names[:electors])}
         self.net, self.skewed, self.lend, self.ledger = Net(), skewed, lend, ledger
-        self.meter = Meter({budget.name: (budget.rate, budget.burst) for budget in budgets})
+        self.meter = QuotaChecker({budget.name: (budget.rate, budget.burst) for budget in budgets})
         self.events: list[tuple[int, str, str, Any]] = []
         self.bound: dict[Address, Process] = {}
         self.all: list[Process] = []
         self.sent = self.bytes = 0
 
-    def make(self, process: Process) -> Agent:
+    def make(self, process: Process) -> ClusterMember:
         seeds = list(self.electors.values())
-        terms = Terms(
+        terms = ClusterConfig(
             (process.name, process.start),
             process.address,
             self.electors,
--- a/locktide/simulation/cluster_report.py
+++ b/locktide/simulation/cluster_report.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from locktide.simulation.cluster.quota_checker import Meter
+from locktide.simulation.cluster.quota_checker import QuotaChecker
 from locktide.simulation.model.scenario import Script
 from locktide.simulation.model.traffic import Ask
 
@@ -33,7 +33,7 @@
     """`begun` is when the rehearsal's time began, in microseconds of the traces' clock; `digests` are those
     of the ledgers of all that live, after QUIET.
     """
-    meter = Meter({tenant.name: (0.0, 0.0) for tenant in script.tenant})
+    meter = QuotaChecker({tenant.name: (0.0, 0.0) for tenant in script.tenant})
     changes = 0
     for place, trace in enumerate(traces):
         for line in trace.lines:
--- a/locktide/simulation/connection_pool.py
+++ b/locktide/simulation/connection_pool.py
@@ -4,24 +4,29 @@
 
 import asyncio
 
-from locktide.protocol.client_connection import Broken, Exchange, Question, Reply
+from locktide.protocol.client_connection import (
+    ClientHttpConnection,
+    ProtocolError,
+    UpstreamRequest,
+    UpstreamResponse,
+)
 from locktide.simulation.backend import Address, Host
 from locktide.simulation.model.network import Machine
 
 READ = 65536
 
 
-class Line:
+class IdleConnection:
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, host: str) -> None:
         self.reader, self.writer = reader, writer
-        self.exchange = Exchange(host)
+        self.exchange = ClientHttpConnection(host)
         self.kept = False
 
     @property
     def fresh(self) -> bool:
         return self.exchange.at_rest and not self.reader.at_eof() and not self.writer.is_closing()
 
-    async def ask(self, question: Question) -> Reply:
+    async def ask(self, question: UpstreamRequest) -> UpstreamResponse:
         """Raises Broken or OSError where the connection ends before the reply is whole."""
         self.writer.writelines(self.exchange.ask(question))
         while (reply := self.exchange.feed(await self.reader.read(READ))) is None:
@@ -32,15 +37,15 @@
         self.writer.close()
 
 
-class Lines:
+class ClientConnectionPool:
     """Owns the connections from one machine to one dispatcher."""
 
     def __init__(self, host: Host, here: Machine, there: Machine, address: Address) -> None:
         self.host, self.here, self.there, self.address = host, here, there, address
-        self.idle: list[Line] = []
-        self.all: dict[Line, None] = {}
+        self.idle: list[IdleConnection] = []
+        self.all: dict[IdleConnection, None] = {}
 
-    async def take(self, anew: bool = False) -> Line:
+    async def take(self, anew: bool = False) -> IdleConnection:
         """Raises OSError where none can be opened."""
         while self.idle and not anew:
             line = self.idle.pop()
@@ -49,17 +54,17 @@
                 return line
             self.drop(line)
         reader, writer = await self.host.connect(self.here, self.there, self.address)
-        line = Line(reader, writer, "{}:{}".format(*self.address))
+        line = IdleConnection(reader, writer, "{}:{}".format(*self.address))
         self.all[line] = None
         return line
 
-    def give_back(self, line: Line) -> None:
+    def give_back(self, line: IdleConnection) -> None:
         if line.fresh:
             self.idle.append(line)
         else:
             self.drop(line)
 
-    def drop(self, line: Line) -> None:
+    def drop(self, line: IdleConnection) -> None:
         self.all.pop(line, None)
         line.close()
 
@@ -71,4 +76,4 @@
             self.drop(line)
 
 
-__all__ = ["Broken", "Line", "Lines", "Question", "Reply"]
+__all__ = ["ClientConnectionPool", "IdleConnection", "ProtocolError", "UpstreamRequest", "UpstreamResponse"]
--- a/locktide/simulation/model/scenario.py
+++ b/locktide/simulation/model/scenario.py
@@ -11,19 +11,19 @@
 import msgspec
 
 from locktide.config import typed
-from locktide.config.typed import Faults, Part, key, seconds
+from locktide.config.typed import ConfigErrors, Section, key, seconds
 from locktide.simulation.model.tenants import Agreed, Tenant
 from locktide.simulation.model.tenants import faults as tenant_faults
 
 
-class Kind(Part):
+class Kind(Section):
     name: Annotated[str, key("what the roster calls this kind of machine")] = "standard"
     share: Annotated[float, key("part of the fleet, against the other kinds' parts", gt=0)] = 1.0
     cores: Annotated[int, key("jobs of width 1 that run at once", ge=1, le=256)] = 3
     speed: Annotated[float, key("work a second and core; 1 does a second's work in a second", gt=0)] = 1.0
 
 
-class Fleet(Part):
+class Fleet(Section):
     dispatchers: Annotated[int, key("processes of locktide", ge=1, le=200)] = 3
     workers: Annotated[int, key("workers at the start", ge=1, le=2000)] = 12
     zones: Annotated[int, key("data centres, over which both are dealt out in turn", ge=1, le=20)] = 2
@@ -37,7 +37,7 @@
     )
 
 
-class Worker(Part):
+class Worker(Section):
     queue: Annotated[int, key("jobs that wait for each core before 'full'", ge=0)] = 7
     cold_from: Annotated[float, key("part of its speed that a worker has at its start", gt=0, le=1)] = 0.35
     cold_for: Annotated[float, seconds("until it is warm; the speed rises evenly")] = 7.0
@@ -61,13 +61,13 @@
     hands_back: Annotated[bool, key("a worker that drains hands back what has not started")] = True
 
 
-class Shared(Part):
+class Shared(Section):
     capacity: Annotated[
         float, key("jobs that the thing all depend on bears at full speed; 0 for no bound", ge=0)
     ] = 0.0
 
 
-class Roster(Part):
+class Roster(Section):
     notice: Annotated[float, seconds("until the roster sees that a process has died")] = 2.0
     add: Annotated[float, seconds("until it lists one that has started")] = 1.0
     spread: Annotated[float, seconds("by which dispatchers hear at different times, at most")] = 0.1
@@ -77,7 +77,7 @@
     ask_within: Annotated[float, seconds("within which each dispatcher should ask", gt=0)] = 10.0
 
 
-class Clients(Part):
+class Clients(Section):
     load: Annotated[float, key("work asked for, as a part of what the warm fleet can do", gt=0)] = 0.6
     retries: Annotated[float, key("tries after the first, on average", ge=0)] = 1.0
     backoff: Annotated[float, seconds("before the first retry; doubled each time")] = 0.05
@@ -88,7 +88,7 @@
     bodies: Annotated[int, key("bytes of a submission's body", ge=0, le=65536)] = 200
 
 
-class Grade(Part):
+class Grade(Section):
     name: Annotated[str, key("as in the path", pattern="^[a-z][a-z0-9-]{0,40}$")]
     share: Annotated[float, key("part of the submissions", gt=0)] = 1.0
     work: Annotated[float, seconds("of running at speed 1, on average", gt=0)] = 0.5
@@ -106,7 +106,7 @@
     holds: Annotated[dict[str, float], key("of each accord.resource, for each of its width")] = {}
 
 
-class Network(Part):
+class Network(Section):
     same: Annotated[float, seconds("one way within a zone")] = 0.0003
     cross: Annotated[float, seconds("one way between zones")] = 0.007
     client: Annotated[float, seconds("one way between clients and dispatchers")] = 0.0007
@@ -116,12 +116,12 @@
     ] = 0.02
 
 
-class Front(Part):
+class Front(Section):
     notice: Annotated[float, seconds("until the front sees that a dispatcher is dead")] = 2.0
     check: Annotated[float, seconds("between two questions whether one is ready", gt=0)] = 0.2
 
 
-class Durable(Part):
+class Durable(Section):
     on: Annotated[bool, key("jobs of these grades are kept on a disk (in virtual time)")] = False
     grades: Annotated[list[str], key("names of grades; none: all of them")] = []
     asks: Annotated[bool, key("clients ask for what came of their jobs; if not, they wait")] = True
@@ -133,7 +133,7 @@
     zeros: Annotated[float, key("part of the crashes that leave sectors of zeros", ge=0, le=1)] = 0.3
 
 
-class Dispatcher(Part):
+class Dispatcher(Section):
     dispatches: Annotated[int, key("of one submission at most", ge=1, le=20)] = 4
     drain_grace: Annotated[float, seconds("after which nothing new may go to a draining worker", gt=0)] = 0.25
     longest_advice: Annotated[float, seconds("the longest Retry-After; 0 for none")] = 2.0
@@ -189,7 +189,7 @@
 WORKER_POINTS = ("before-202", "after-202", "before-started", "before-done")
 
 
-class Incident(Part):
+class Incident(Section):
     at: Annotated[float, seconds("from the start of the rehearsal")]
     length: Annotated[float, seconds("how long it lasts")] = msgspec.field(name="for", default=0.0)
     what: Annotated[What, key("what happens")] = "kill"
@@ -227,7 +227,7 @@
     ]
 
 
-class Script(Part):
+class Script(Section):
     name: Annotated[str, key("stands in the report", pattern="^[A-Za-z0-9_.-]{1,60}$")] = "unnamed"
     says: Annotated[str, key("one line on what is rehearsed")] = ""
     seed: Annotated[int, key("of all chance in the rehearsal", ge=0, lt=2**62)] = 1
@@ -374,7 +374,7 @@
                 faults.append(f"{where}.whom: expected {wanted}, found {str(found)!r}")
     faults += tenant_faults(script)
     if faults:
-        raise Faults(faults)
+        raise ConfigErrors(faults)
     return script
 
 
--- a/locktide/simulation/model/tenants.py
+++ b/locktide/simulation/model/tenants.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Annotated
 
 from locktide.config.accord import Resource
-from locktide.config.typed import Part, key, seconds
+from locktide.config.typed import Section, key, seconds
 from locktide.simulation.model import random_streams as chance
 
 if TYPE_CHECKING:
@@ -13,7 +13,7 @@
     from locktide.simulation.model.traffic import Ask
 
 
-class Tenant(Part):
+class Tenant(Section):
     name: Annotated[str, key("as submissions name it", pattern="^[a-z][a-z0-9-]{0,40}$")]
     rate: Annotated[float, key("submissions a second that it may ask of all dispatchers", gt=0)]
     weight: Annotated[float, key("its share of a contended fleet, beside others'", gt=0, le=1000)] = 1.0
@@ -23,7 +23,7 @@
     idle: Annotated[list[list[float]], key("[from, to] in seconds: when it asks for nothing")] = []
 
 
-class Agreed(Part):
+class Agreed(Section):
     """Whether dispatchers agree upon tenants' rates, over UDP; all of it as in an installation's file."""
 
     on: Annotated[bool, key("dispatchers divide tenants' rates")] = False
--- a/locktide/simulation/process_backend.py
+++ b/locktide/simulation/process_backend.py
@@ -18,7 +18,7 @@
 from pathlib import Path
 from typing import Any
 
-from locktide.cluster.udp_transport import look
+from locktide.cluster.udp_transport import inspect_member
 from locktide.config.accord import Accord
 from locktide.simulation.backend import DISPATCHER_PORT, REACH_PORT, TALK_PORT, Address, net_address
 from locktide.simulation.cluster_report import Traced
@@ -272,7 +272,7 @@
         for number, (_, process) in {number: (path, process) for number, path, process in self.lives}.items():
             if process.poll() is None:
                 with suppress(OSError, TimeoutError, ValueError):
-                    seen = await look((self.told_at[number], TALK_PORT))
+                    seen = await inspect_member((self.told_at[number], TALK_PORT))
                     found.append(str(seen["ledger"].get("digest", "")))
         return found
 
--- a/locktide/simulation/run.py
+++ b/locktide/simulation/run.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from locktide.cluster.bootstrap import terms as terms_of
-from locktide.cluster.config import Terms
+from locktide.cluster.config import ClusterConfig
 from locktide.simulation import cluster_report as agreed
 from locktide.simulation import outcome
 from locktide.simulation import rendered_config as told_module
@@ -54,7 +54,7 @@
         host.talk = Talk(script.seed)
         places = [f"{host.address(machine)}:{TALK_PORT}" for machine in stage.dispatcher_machines]
 
-        def agree(number: int, name: str, address: str) -> Terms:
+        def agree(number: int, name: str, address: str) -> ClusterConfig:
             accord = told_module.agreed(script, places[number], places[number], places, "")
             return terms_of(told_module.installation(script, name, accord))
 
--- a/locktide/simulation/scenario_runner.py
+++ b/locktide/simulation/scenario_runner.py
@@ -12,7 +12,7 @@
 from locktide.simulation import rendered_config as told
 from locktide.simulation.backend import DISPATCHER_PORT, ROSTER_PORT, WORKER_PORT, Host
 from locktide.simulation.client_site import ClientSite
-from locktide.simulation.connection_pool import Broken, Lines, Question
+from locktide.simulation.connection_pool import ClientConnectionPool, ProtocolError, UpstreamRequest
 from locktide.simulation.discovery_site import AgentEnd, AgentSite
 from locktide.simulation.fault_injector import Timeline
 from locktide.simulation.interfaces import Dispatcher
@@ -293,15 +293,17 @@
         while True:
             life = dispatcher.life
             if dispatcher.alive and not dispatcher.stopping:
-                lines = Lines(self.host, site.machine, dispatcher.machine, site.lines[number].address)
+                lines = ClientConnectionPool(
+                    self.host, site.machine, dispatcher.machine, site.lines[number].address
+                )
                 try:
                     async with asyncio.timeout(1.0):
                         line = await lines.take()
-                        reply = await line.ask(Question("GET", "/health/ready", []))
+                        reply = await line.ask(UpstreamRequest("GET", "/health/ready", []))
                     if reply.status == 200 and dispatcher.life == life and dispatcher.alive:
                         for each in self.clients:
                             each.front.ready(number)
-                except (OSError, TimeoutError, Broken):
+                except (OSError, TimeoutError, ProtocolError):
                     pass  # not ready
                 finally:
                     lines.close()
--- a/locktide/simulation/virtual_backend.py
+++ b/locktide/simulation/virtual_backend.py
@@ -9,14 +9,14 @@
 from functools import partial
 from typing import Any
 
-from locktide.cluster.config import Terms
-from locktide.cluster.udp_transport import Driver, open_driver
+from locktide.cluster.config import ClusterConfig
+from locktide.cluster.udp_transport import UdpTransport, open_udp_transport
 from locktide.config import start
 from locktide.config.checks import Table
 from locktide.config.installation import Durable
-from locktide.dispatcher.dispatcher import Node
+from locktide.dispatcher.dispatcher import Dispatcher
 from locktide.durable.bootstrap import join
-from locktide.durable.recovery import Moment
+from locktide.durable.recovery import ClockReading
 from locktide.protocol import discovery
 from locktide.simulation.backend import TALK_PORT, Address, net_address
 from locktide.simulation.cluster_report import Traced
@@ -85,10 +85,10 @@
         self.all: list[Process] = []  # also those that have died
         self.talk = Talk(0)
         # Where dispatchers agree: the terms of one, by its number, name and address.
-        self.agree: Callable[[int, str, str], Terms] | None = None
+        self.agree: Callable[[int, str, str], ClusterConfig] | None = None
         self.traces: list[tuple[int, Process, io.StringIO]] = []
         self.ended_at: dict[Process, int] = {}
-        self.drivers: dict[int, tuple[Process, Driver]] = {}
+        self.drivers: dict[int, tuple[Process, UdpTransport]] = {}
 
     # --- the host
 
@@ -141,7 +141,7 @@
         async def run() -> None:
             await asyncio.sleep(UP_AFTER)
             log = Kept(name, self.loop, self.said)
-            node = Node(read, known, log, self)
+            node = Dispatcher(read, known, log, self)
             desk = None
             if kept is not None:
                 told_durable, platter = kept
@@ -158,14 +158,14 @@
 
         self.loop.create_task(run(), context=context).add_done_callback(self.ended)
 
-    async def joined(self, number: int, process: Process, node: Node, log: Log) -> Driver:
+    async def joined(self, number: int, process: Process, node: Dispatcher, log: Log) -> UdpTransport:
         assert self.agree is not None
         trace = io.StringIO()
         self.traces.append((number, process, trace))
         terms = self.agree(number, process.name, process.address)
         # Its start tells it from an earlier process, as the clock does elsewhere.
         terms = replace(terms, who=(process.name, round(self.wall() * 1e6)), seed=len(self.traces))
-        driver = await open_driver(terms, log, node, (process.address, TALK_PORT), Copied(trace))
+        driver = await open_udp_transport(terms, log, node, (process.address, TALK_PORT), Copied(trace))
         self.drivers[number] = process, driver
         return driver
 
@@ -198,10 +198,10 @@
         if number in self.platters:
             self.platters[number].crash()
 
-    def moment(self) -> Moment:
+    def moment(self) -> ClockReading:
         """The machines start once, with the rehearsal."""
         at = round(self.wall() * 1e6)
-        return Moment(at, "virtual", round(self.loop.time() * 1e6))
+        return ClockReading(at, "virtual", round(self.loop.time() * 1e6))
 
     def kept(self, number: int) -> tuple[Durable, Platter] | None:
         """The terms and the disk of a dispatcher that keeps jobs."""
--- a/locktide/simulation/virtual_time/disk.py
+++ b/locktide/simulation/virtual_time/disk.py
@@ -5,7 +5,7 @@
 import asyncio
 import errno
 
-from locktide.durable.disk import Taken
+from locktide.durable.disk import DirectoryInUseError
 from locktide.simulation.model import random_streams as chance
 
 SECTOR = 512
@@ -104,7 +104,7 @@
 
     def take(self) -> None:
         if self.platter.mounted is not None:
-            raise Taken("another dispatcher has it")
+            raise DirectoryInUseError("another dispatcher has it")
         self.platter.mounted = self
 
     def give_back(self) -> None:
--- a/locktide/simulation/worker_site.py
+++ b/locktide/simulation/worker_site.py
@@ -9,9 +9,9 @@
 import h11
 
 from locktide.protocol import names
-from locktide.protocol.client_connection import Broken, Question
+from locktide.protocol.client_connection import ProtocolError, UpstreamRequest
 from locktide.simulation.backend import WORKER_PORT, Open
-from locktide.simulation.connection_pool import Lines
+from locktide.simulation.connection_pool import ClientConnectionPool
 from locktide.simulation.http import Answering, Message, as_json
 from locktide.simulation.interfaces import WorkerScene
 from locktide.simulation.model import random_streams as chance
@@ -119,7 +119,7 @@
         self.due: int | None = None
         host = stage.host
         self.lines = [
-            Lines(host, self.machine, there, (host.address(there), stage.dispatcher_port))
+            ClientConnectionPool(host, self.machine, there, (host.address(there), stage.dispatcher_port))
             for there in stage.dispatcher_machines
         ]
 
@@ -316,7 +316,7 @@
         if before is not None:
             await asyncio.wait([before])
         terms, body = self.stage.script.worker, as_json(told)
-        question = Question("POST", names.CALLBACK, [], body)
+        question = UpstreamRequest("POST", names.CALLBACK, [], body)
         again = chance.unit(self.stage.script.seed, "twice", job.key, told["state"]) < terms.twice
         for _ in range(terms.call_tries):
             if await self.post(job.sender, question):
@@ -325,14 +325,14 @@
                 return
             await asyncio.sleep(terms.call_gap)
 
-    async def post(self, sender: int, question: Question) -> bool:
+    async def post(self, sender: int, question: UpstreamRequest) -> bool:
         lines = self.lines[sender]
         line = None
         try:
             async with asyncio.timeout(CALL_WITHIN):
                 line = await lines.take()
                 reply = await line.ask(question)
-        except (OSError, Broken, TimeoutError):
+        except (OSError, ProtocolError, TimeoutError):
             if line is not None:
                 lines.drop(line)
             return False
--- a/locktide/transport/client_connection.py
+++ b/locktide/transport/client_connection.py
@@ -13,7 +13,7 @@
 from locktide.protocol import server_connection as clients
 from locktide.transport.descriptor_budget import DescriptorBudget
 from locktide.transport.log import Log
-from locktide.transport.streams import Inlet
+from locktide.transport.streams import SharedBufferProtocol
 
 # Seconds for a message to come in whole, from the accept for the first, from its first byte for others, and
 # for one that has not proven itself to send another. An honest client sends at once; a bad one is owed a word
@@ -27,36 +27,36 @@
 
 
 @dataclass(slots=True)
-class Answer:
+class Response:
     status: int
     body: bytes = b""
     headers: list[tuple[str, str]] = field(default_factory=list)
 
 
-class Desk(Protocol):
+class RequestHandler(Protocol):
     """Who takes what the server reads."""
 
     def ready(self) -> bool: ...
 
-    def submitted(self, message: clients.Submitted) -> asyncio.Future[Answer] | None:
+    def submitted(self, message: clients.SubmitRequest) -> asyncio.Future[Response] | None:
         """The answer to come; None where a submission of that id is open, or was."""
 
-    def gone(self, message: clients.Submitted) -> None: ...
+    def gone(self, message: clients.SubmitRequest) -> None: ...
 
-    def called(self, message: clients.Called) -> Awaitable[None] | None:
+    def called(self, message: clients.Callback) -> Awaitable[None] | None:
         """Where it gives something to wait for, the caller is answered after that."""
 
-    def sought(self, message: clients.Sought) -> Answer: ...
+    def sought(self, message: clients.JobQuery) -> Response: ...
 
 
-class Host(Protocol):
+class ConnectionContext(Protocol):
     """What all connections share: the server that accepted them."""
 
     descriptors: DescriptorBudget
     grades: dict[str, int]
     numbered: set[str]
     keeps_jobs: bool
-    desk: Desk
+    desk: RequestHandler
     log: Log
     waiting: int
     most_waiting: int
@@ -65,7 +65,7 @@
     stopping: bool
 
 
-class State(Enum):
+class ConnectionState(Enum):
     """What a connection is at; `docs/design/endings.md` says what is owed in each."""
 
     RECEIVING = "receiving"  # a message is on its way in, or may be
@@ -75,7 +75,7 @@
     CLOSED = "closed"
 
 
-class Peer(Enum):
+class PeerRole(Enum):
     """Who is at the other side, as far as it has shown."""
 
     NEWCOMER = "newcomer"  # it has not yet handed in what could be taken, nor called back
@@ -86,34 +86,36 @@
 class ClientConnection:
     """One accepted connection."""
 
-    def __init__(self, server: Host, inlet: Inlet, writer: asyncio.StreamWriter) -> None:
+    def __init__(
+        self, server: ConnectionContext, inlet: SharedBufferProtocol, writer: asyncio.StreamWriter
+    ) -> None:
         self.server, self.inlet, self.reader, self.writer = server, inlet, inlet.reader, writer
-        self.talk = clients.Conversation(server.grades, server.numbered, server.keeps_jobs)
+        self.talk = clients.ServerHttpConnection(server.grades, server.numbered, server.keeps_jobs)
         self.reading: asyncio.Task[bytes] | None = None
-        self.state, self.peer = State.RECEIVING, Peer.NEWCOMER
+        self.state, self.peer = ConnectionState.RECEIVING, PeerRole.NEWCOMER
         self.stored = self.taken = 0  # bytes that are kept, and that came in since the start
         self.linger_until: asyncio.TimerHandle | None = None
         self.due = self.now() + WHOLE_WITHIN  # when the message that is coming in must be whole
 
-    def enter(self, state: State) -> None:
+    def enter(self, state: ConnectionState) -> None:
         """The one place where its state changes; nothing leads back once our side is shut."""
-        ending = self.state in (State.LINGERING, State.CLOSED)
-        if not ending or state is State.CLOSED:
+        ending = self.state in (ConnectionState.LINGERING, ConnectionState.CLOSED)
+        if not ending or state is ConnectionState.CLOSED:
             self.state = state
 
     @property
     def proven(self) -> bool:
-        return self.peer is not Peer.NEWCOMER
+        return self.peer is not PeerRole.NEWCOMER
 
     @property
     def at_rest(self) -> bool:
         """Nothing is owed on it, and its peer would send anew what crosses its close."""
         quiet = self.inlet.came == self.taken and not self.inlet.ended
-        return self.state is State.AT_REST and self.proven and quiet
+        return self.state is ConnectionState.AT_REST and self.proven and quiet
 
     def show_client(self) -> None:
-        if self.peer is Peer.NEWCOMER:
-            self.peer = Peer.CLIENT
+        if self.peer is PeerRole.NEWCOMER:
+            self.peer = PeerRole.CLIENT
 
     @staticmethod
     def now() -> float:
@@ -122,7 +124,7 @@
     def read(self) -> asyncio.Task[bytes]:
         """The read that is going on, or a new one: it outlives the wait for an answer."""
         if self.reading is None:
-            self.reading = asyncio.ensure_future(self.reader.read(Inlet.READ))
+            self.reading = asyncio.ensure_future(self.reader.read(SharedBufferProtocol.READ))
         return self.reading
 
     async def come(self, within: float | None) -> bool:
@@ -157,22 +159,22 @@
                 if not await self.more():
                     return
                 continue
-            self.enter(State.SERVING)
-            if isinstance(message, clients.Submitted):
+            self.enter(ConnectionState.SERVING)
+            if isinstance(message, clients.SubmitRequest):
                 if not await self.submission(message):
                     return
-            elif isinstance(message, clients.Called):
-                self.peer = Peer.WORKER
+            elif isinstance(message, clients.Callback):
+                self.peer = PeerRole.WORKER
                 taken = self.server.desk.called(message)
                 if taken is not None:
                     await taken
-                await self.write(Answer(204))
-            elif isinstance(message, clients.Sought):
+                await self.write(Response(204))
+            elif isinstance(message, clients.JobQuery):
                 self.show_client()
                 await self.write(self.server.desk.sought(message))
-            elif isinstance(message, clients.Asked):
+            elif isinstance(message, clients.HealthQuery):
                 good = not message.ready or self.server.desk.ready()
-                await self.write(Answer(200, b"ok\n") if good else Answer(500, b"not ready\n"))
+                await self.write(Response(200, b"ok\n") if good else Response(500, b"not ready\n"))
             else:
                 await self.turn_away(message)
         await self.linger(LINGER_FOR)
@@ -185,7 +187,7 @@
         if self.talk.wants_go_ahead():
             self.writer.writelines(self.talk.go_ahead())
         resting = self.talk.between
-        self.enter(State.AT_REST if resting else State.RECEIVING)
+        self.enter(ConnectionState.AT_REST if resting else ConnectionState.RECEIVING)
         if resting or not self.proven:
             self.server.descriptors.mark_idle(self, self.writer.close, self.proven)
         within = None if resting and self.proven else max(0.0, self.due - self.now())
@@ -194,14 +196,16 @@
         # Ended by us while at rest: what came all the same was not read, and is sent anew elsewhere.
         if self.writer.is_closing():
             return False
-        if self.state is State.LINGERING or resting and not came:  # the latter a newcomer that says nothing
+        if (
+            self.state is ConnectionState.LINGERING or resting and not came
+        ):  # the latter a newcomer that says nothing
             await self.linger(LINGER_FOR)
             return False
         if resting and self.proven:
             self.due = self.now() + WHOLE_WITHIN
-        self.enter(State.RECEIVING)
+        self.enter(ConnectionState.RECEIVING)
         if not came:
-            await self.turn_away(clients.Mistaken(408, "half a message"), last=True)
+            await self.turn_away(clients.BadRequest(408, "half a message"), last=True)
             return False
         data = self.take()
         if not self.store(self.talk.stored):
@@ -209,11 +213,11 @@
             self.server.log.say(
                 f"clients: {stored} bytes stored, no room for more", event="no-room", stored=stored
             )
-            await self.turn_away(clients.Mistaken(500, "no room"), last=True)
+            await self.turn_away(clients.BadRequest(500, "no room"), last=True)
             return False
         return bool(data)
 
-    async def turn_away(self, message: clients.Mistaken, last: bool = False) -> None:
+    async def turn_away(self, message: clients.BadRequest, last: bool = False) -> None:
         self.talk.last = self.talk.last or last
         self.server.log.say(
             f"clients: not taken, {message.status}: {message.reason}",
@@ -222,11 +226,11 @@
             status=message.status,
             reason=message.reason,
         )
-        await self.write(Answer(message.status, message.reason.encode() + b"\n"))
+        await self.write(Response(message.status, message.reason.encode() + b"\n"))
         if self.talk.last:
             await self.linger(DROPPED_FOR)
 
-    async def submission(self, message: clients.Submitted) -> bool:
+    async def submission(self, message: clients.SubmitRequest) -> bool:
         """Hands it in and waits for its answer, or for the client to go away."""
         if self.inlet.ended:
             return False  # it had gone before we came to read it: nothing is begun for it
@@ -235,11 +239,11 @@
             self.server.log.say(
                 f"clients: {waiting} wait, no room for more, terminated", event="no-room", waiting=waiting
             )
-            await self.write(Answer(500, b"no room\n"))
+            await self.write(Response(500, b"no room\n"))
             return True
         answer = self.server.desk.submitted(message)
         if answer is None:
-            await self.turn_away(clients.Mistaken(409, "this id is in use or was"))
+            await self.turn_away(clients.BadRequest(409, "this id is in use or was"))
             return True
         self.show_client()
         self.store(len(message.body))
@@ -262,18 +266,18 @@
             self.server.waiting -= 1
             self.store(0)
             leave()
-        await self.turn_away(clients.Mistaken(400, "something follows before the answer"), last=True)
+        await self.turn_away(clients.BadRequest(400, "something follows before the answer"), last=True)
         return False
 
-    def leave(self, message: clients.Submitted, answer: asyncio.Future[Answer]) -> None:
+    def leave(self, message: clients.SubmitRequest, answer: asyncio.Future[Response]) -> None:
         """Its client has gone, or we have given it up: nothing more is begun for it from this turn on."""
         if self.inlet.at_end is not None:
             self.inlet.at_end = None
             if not answer.done():
                 self.server.desk.gone(message)
 
-    async def write(self, answer: Answer) -> None:
-        last = self.server.stopping and self.peer is not Peer.WORKER
+    async def write(self, answer: Response) -> None:
+        last = self.server.stopping and self.peer is not PeerRole.WORKER
         self.writer.writelines(self.talk.answer(answer.status, answer.body, answer.headers, last))
         await asyncio.wait_for(self.writer.drain(), TAKEN_WITHIN)
         self.due = self.now() + WHOLE_WITHIN
@@ -282,9 +286,9 @@
         """Our side ends. What comes from now on is read, so that it does not reset what we wrote last, and
         never sent on; in so many seconds at the latest, or once its place is wanted, the connection closes.
         """
-        if self.state in (State.LINGERING, State.CLOSED):
+        if self.state in (ConnectionState.LINGERING, ConnectionState.CLOSED):
             return
-        self.enter(State.LINGERING)
+        self.enter(ConnectionState.LINGERING)
         self.store(0)
         self.inlet.discarding = True
         with suppress(OSError, RuntimeError):  # the other side has ended it altogether
@@ -301,7 +305,7 @@
                 self.reading = None
 
     async def close(self) -> None:
-        self.enter(State.CLOSED)
+        self.enter(ConnectionState.CLOSED)
         if self.linger_until is not None:
             self.linger_until.cancel()
         self.server.descriptors.mark_busy(self)
--- a/locktide/transport/endpoint_watch.py
+++ b/locktide/transport/endpoint_watch.py
@@ -7,7 +7,7 @@
 
 from locktide.config.start import Address, spelled
 from locktide.protocol import discovery
-from locktide.protocol.client_connection import Broken, Exchange
+from locktide.protocol.client_connection import ClientHttpConnection, ProtocolError
 from locktide.transport.log import Log
 from locktide.transport.streams import READ, reply_on
 
@@ -28,7 +28,7 @@
         await asyncio.sleep(GAP)
 
 
-class Watch:
+class EndpointWatch:
     """Calls until it is cancelled.
 
     `version` is that of the list we hold; without one the whole list is asked for. Where calls are work for
@@ -41,7 +41,7 @@
     def __init__(
         self,
         address: Address,
-        take: Callable[[discovery.ListUpdate], None],
+        take: Callable[[discovery.DiscoveryUpdate], None],
         log: Log,
         version: int | None = None,
         patience: float = PATIENCE,
@@ -70,7 +70,7 @@
         connecting = asyncio.open_connection(*self.address, limit=READ)
         reader, writer = await asyncio.wait_for(connecting, PATIENCE)
         try:
-            exchange = Exchange(spelled(self.address), discovery.LARGEST_LIST)
+            exchange = ClientHttpConnection(spelled(self.address), discovery.LARGEST_LIST)
             patience = self.patience
             while exchange.at_rest:
                 asked_at = asyncio.get_running_loop().time()
@@ -81,7 +81,7 @@
                     reply = await reply_on(reader, exchange)
                 patience = PATIENCE
                 if reply.status != 200:
-                    raise Broken(f"status {reply.status}")
+                    raise ProtocolError(f"status {reply.status}")
                 update = discovery.parse(reply.body)
                 if update.faults:
                     count, first = len(update.faults), update.faults[0]
--- a/locktide/transport/listener.py
+++ b/locktide/transport/listener.py
@@ -6,11 +6,11 @@
 import socket
 
 from locktide.config.start import Address
-from locktide.transport.client_connection import LINGER_FOR, ClientConnection, Desk, Peer
+from locktide.transport.client_connection import LINGER_FOR, ClientConnection, PeerRole, RequestHandler
 from locktide.transport.descriptor_budget import DescriptorBudget, read_first
 from locktide.transport.log import Log
-from locktide.transport.streams import Inlet
-from locktide.transport.system import Real, System
+from locktide.transport.streams import SharedBufferProtocol
+from locktide.transport.system import RealSystem, System
 
 BACKLOG = 1024
 # The part of the places that no waiting client may hold, so that workers can always call back and readiness
@@ -18,7 +18,7 @@
 FOR_CALLBACKS = 8
 
 
-class Server:
+class Listener:
     """Owns the listening socket and the connections that it accepted."""
 
     def __init__(
@@ -27,13 +27,13 @@
         grades: dict[str, int],
         numbered: set[str],
         most_stored: int,
-        desk: Desk,
+        desk: RequestHandler,
         log: Log,
         system: System | None = None,
     ) -> None:
         self.descriptors, self.grades, self.numbered = descriptors, grades, numbered
         self.desk, self.log = desk, log
-        self.system = system or Real()
+        self.system = system or RealSystem()
         self.keeps_jobs = False  # whether clients may ask for durable jobs
         # In the order in which they came: what is done to all of them is done alike in every run.
         self.callers: dict[ClientConnection, None] = {}
@@ -72,7 +72,7 @@
         """One connection, until it and its place are given back."""
         caller = None
         try:
-            inlet, loop = Inlet(), asyncio.get_running_loop()
+            inlet, loop = SharedBufferProtocol(), asyncio.get_running_loop()
             transport, _ = await loop.connect_accepted_socket(lambda: inlet, connection)
             caller = ClientConnection(self, inlet, asyncio.StreamWriter(transport, inlet, inlet.reader, loop))
             self.callers[caller] = None
@@ -101,7 +101,7 @@
         self.stopping = True
         await read_first()
         for caller in self.callers:
-            if caller.at_rest and caller.peer is not Peer.WORKER:
+            if caller.at_rest and caller.peer is not PeerRole.WORKER:
                 caller.shut(LINGER_FOR)
 
     def busy(self) -> bool:
--- a/locktide/transport/streams.py
+++ b/locktide/transport/streams.py
@@ -6,12 +6,12 @@
 from collections.abc import Callable
 from typing import Any
 
-from locktide.protocol.client_connection import Exchange, Reply
+from locktide.protocol.client_connection import ClientHttpConnection, UpstreamResponse
 
 READ = 65536
 
 
-class Inlet(asyncio.StreamReaderProtocol, asyncio.BufferedProtocol):
+class SharedBufferProtocol(asyncio.StreamReaderProtocol, asyncio.BufferedProtocol):
     """Feeds a stream reader by way of a buffer that all connections share, a little at a time.
 
     Guards the memory: by itself asyncio reads up to 256 KiB at once from each of hundreds of connections.
@@ -54,7 +54,7 @@
                 self.at_end()
 
 
-class CountedReader(asyncio.StreamReader):
+class CountingStreamReader(asyncio.StreamReader):
     """Counts the bytes that come in, read or not."""
 
     counted = 0
@@ -64,7 +64,7 @@
         super().feed_data(data)
 
 
-class Outlet(asyncio.StreamReaderProtocol):
+class DrainNotifyingProtocol(asyncio.StreamReaderProtocol):
     """Calls `taken` in the very turn in which the kernel takes the last byte that was written.
 
     Guards against learning it later than an end or a cancellation of the same turn: whether a message was
@@ -79,17 +79,19 @@
             self.taken()
 
 
-async def open_counted(host: str, port: int) -> tuple[CountedReader, asyncio.StreamWriter, Outlet]:
+async def open_counted(
+    host: str, port: int
+) -> tuple[CountingStreamReader, asyncio.StreamWriter, DrainNotifyingProtocol]:
     """As asyncio.open_connection, with a reader that counts, and writes that wait in no buffer of ours."""
     loop = asyncio.get_running_loop()
-    reader = CountedReader(limit=READ, loop=loop)
-    protocol = Outlet(reader, loop=loop)
+    reader = CountingStreamReader(limit=READ, loop=loop)
+    protocol = DrainNotifyingProtocol(reader, loop=loop)
     transport, _ = await loop.create_connection(lambda: protocol, host, port)
     transport.set_write_buffer_limits(high=0)
     return reader, asyncio.StreamWriter(transport, protocol, reader, loop), protocol
 
 
-async def reply_on(reader: asyncio.StreamReader, exchange: Exchange) -> Reply:
+async def reply_on(reader: asyncio.StreamReader, exchange: ClientHttpConnection) -> UpstreamResponse:
     reply = None
     while reply is None:
         reply = exchange.feed(await reader.read(READ))
--- a/locktide/transport/system.py
+++ b/locktide/transport/system.py
@@ -21,7 +21,7 @@
         """A socket on which the event loop can accept; raises OSError."""
 
 
-class Real:
+class RealSystem:
     def wall(self) -> float:
         return time.time()
 
--- a/locktide/transport/upstream_pool.py
+++ b/locktide/transport/upstream_pool.py
@@ -6,10 +6,15 @@
 from collections.abc import Callable
 
 from locktide.config.start import Address, spelled
-from locktide.protocol.client_connection import Broken, Exchange, Question, Reply
-from locktide.scheduler import interface as say
+from locktide.protocol.client_connection import (
+    ClientHttpConnection,
+    ProtocolError,
+    UpstreamRequest,
+    UpstreamResponse,
+)
+from locktide.scheduler.types import AttemptOutcome
 from locktide.transport.descriptor_budget import DescriptorBudget
-from locktide.transport.streams import CountedReader, Outlet, open_counted, reply_on
+from locktide.transport.streams import CountingStreamReader, DrainNotifyingProtocol, open_counted, reply_on
 
 # Seconds in which a connection carries no further question after a reply that ended one. A worker may tell a
 # reply twice, some milliseconds apart: the second was read as that to the next question, and a job that runs
@@ -19,7 +24,7 @@
 SPOILT = "spoilt"
 
 
-class WorkerConnection:
+class UpstreamConnection:
     """One connection to a worker, and its place; it carries one question at a time."""
 
     __slots__ = (
@@ -36,13 +41,13 @@
         "usable_at",
     )
 
-    reader: CountedReader
+    reader: CountingStreamReader
     writer: asyncio.StreamWriter
-    outlet: Outlet
+    outlet: DrainNotifyingProtocol
 
     def __init__(self, worker: str, address: Address) -> None:
         self.worker, self.address = worker, address
-        self.exchange = Exchange(spelled(address))
+        self.exchange = ClientHttpConnection(spelled(address))
         self.connected = self.kept = False
         self.rested_at, self.read_by_then, self.usable_at = 0.0, 0, 0.0
 
@@ -50,7 +55,7 @@
         self.reader, self.writer, self.outlet = await open_counted(*self.address)
         self.connected = True
 
-    async def write(self, question: Question, whole: Callable[[], None]) -> None:
+    async def write(self, question: UpstreamRequest, whole: Callable[[], None]) -> None:
         """Calls `whole` once the kernel has its last byte: before that, it has not been sent."""
         transport = self.writer.transport
         self.outlet.taken = whole
@@ -71,13 +76,13 @@
         return quiet and not self.reader.at_eof() and not self.writer.is_closing()
 
 
-class WorkerConnections:
+class UpstreamPool:
     """Owns all connections to workers; `close` is the one place where one is given back."""
 
     def __init__(self, descriptors: DescriptorBudget, connect_within: int, idle_close: int) -> None:
         self.descriptors = descriptors
         self.set_spans(connect_within, idle_close)
-        self.idle: dict[str, list[WorkerConnection]] = {}  # by worker, rested longest first
+        self.idle: dict[str, list[UpstreamConnection]] = {}  # by worker, rested longest first
 
     def set_spans(self, connect_within: int, idle_close: int) -> None:
         """Microseconds; connections at rest are judged by them from now on, too."""
@@ -89,10 +94,10 @@
         self,
         worker: str,
         address: Address,
-        build: Callable[[], Question | None],
+        build: Callable[[], UpstreamRequest | None],
         sent: Callable[[], None],
         fresh: bool = False,
-    ) -> Reply | str:
+    ) -> UpstreamResponse | str:
         """One question and its reply, or the outcome that took its place.
 
         `build` is called right before the first byte and gives None where nothing must go out any more;
@@ -102,9 +107,9 @@
         try:
             connection = await self.open(worker, address, fresh)
         except OSError:
-            return say.NO_CONNECTION
+            return AttemptOutcome.NO_CONNECTION
         if connection is None:
-            return say.NEVER_SENT
+            return AttemptOutcome.NEVER_SENT
         whole = False
 
         def written() -> None:
@@ -116,23 +121,23 @@
         try:
             question = build()
             if question is None:
-                return say.NEVER_SENT
+                return AttemptOutcome.NEVER_SENT
             await connection.write(question, written)
             reply = await reply_on(connection.reader, connection.exchange)
             if reply.status != 202:
                 connection.usable_at = asyncio.get_running_loop().time() + ECHO
             return reply
-        except (OSError, Broken):
+        except (OSError, ProtocolError):
             if not whole:
-                return say.NO_CONNECTION
+                return AttemptOutcome.NO_CONNECTION
             if connection.exchange.heard:
                 return SPOILT
             # Guards against blaming a worker that has closed a kept connection before it would have to.
-            return say.CUT_OFF if connection.kept else say.RESET
+            return AttemptOutcome.CONNECTION_CLOSED if connection.kept else AttemptOutcome.RESET
         finally:
             self.rest(connection)
 
-    async def open(self, worker: str, address: Address, fresh: bool) -> WorkerConnection | None:
+    async def open(self, worker: str, address: Address, fresh: bool) -> UpstreamConnection | None:
         """A connection that is at rest, else a new one; None where no place came free in time."""
         now = asyncio.get_running_loop().time()
         for connection in reversed([] if fresh else self.idle.get(worker, [])[:]):
@@ -147,7 +152,7 @@
             await asyncio.wait_for(self.descriptors.acquire(), self.connect_within)
         except TimeoutError:
             return None
-        connection = WorkerConnection(worker, address)
+        connection = UpstreamConnection(worker, address)
         try:
             await asyncio.wait_for(connection.connect(), self.connect_within)
         except BaseException:
@@ -155,7 +160,7 @@
             raise
         return connection
 
-    def rest(self, connection: WorkerConnection) -> None:
+    def rest(self, connection: UpstreamConnection) -> None:
         connection.kept = False  # what came up to here came for the question
         if not connection.exchange.at_rest or not connection.fresh:
             self.close(connection)
@@ -165,11 +170,11 @@
         self.idle.setdefault(connection.worker, []).append(connection)
         self.descriptors.mark_idle(connection, lambda: self.drop(connection))
 
-    def drop(self, connection: WorkerConnection) -> None:
+    def drop(self, connection: UpstreamConnection) -> None:
         self.idle[connection.worker].remove(connection)
         self.close(connection)
 
-    def close(self, connection: WorkerConnection) -> None:
+    def close(self, connection: UpstreamConnection) -> None:
         self.descriptors.mark_busy(connection)
         if connection.connected:
             connection.writer.transport.abort()
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -14,36 +14,101 @@
 from typing import Any
 
 from locktide.config import start
-from locktide.dispatcher.dispatcher import Node
+from locktide.dispatcher.dispatcher import Dispatcher
 from locktide.protocol import discovery
 from locktide.protocol import names as wire_names
 from locktide.protocol import server_connection as clients
-from locktide.protocol.client_connection import Question, Reply
-from locktide.scheduler import interface as say
-from locktide.scheduler.policy import Dispatcher
-from locktide.transport.client_connection import Answer
+from locktide.protocol.client_connection import UpstreamRequest, UpstreamResponse
+from locktide.scheduler.commands import CancelAttempt, FailRequest, RejectRequest, SetTimer, StartAttempt
+from locktide.scheduler.config import (
+    ClientConfig,
+    CostConfig,
+    EndpointListConfig,
+    ObjectiveConfig,
+    ProgressConfig,
+    QuotaConfig,
+    RetryConfig,
+    ServiceClass,
+    SlowStartConfig,
+)
+from locktide.scheduler.events import (
+    AttemptEnded,
+    ClientDisconnected,
+    EndpointEntry,
+    EndpointListUpdate,
+    RequestArrived,
+    TimerFired,
+)
+from locktide.scheduler.policy import Scheduler
+from locktide.scheduler.types import (
+    PROVEN_NOT_RUN,
+    UNSENT,
+    AttemptOutcome,
+    DeduplicationScope,
+    Effect,
+    EndpointState,
+    ListUpdateKind,
+)
+from locktide.transport.client_connection import Response
 from locktide.transport.log import Log
 
 STEP, SLACK, GRACE = 4_000, 16_000, 250_000
 GRADES = [
-    say.Grade("view", say.REISSUABLE, say.EVERYONE, 0, 250_000, 2.0, 3_000_000, 5.0, 0.5, None),
-    say.Grade("record", say.NUMBERED, say.SAME_CELL, 4_000_000, 900_000, 2.0, 6_000_000, 9.0, 0.5, None),
-    say.Grade("zoned", say.NUMBERED, say.SAME_ZONE, 4_000_000, 900_000, 2.0, 6_000_000, 9.0, 0.5, None),
-    say.Grade("close", say.NUMBERED, say.EVERYONE, 4_000_000, 900_000, 2.0, 6_000_000, 9.0, 0.5, None),
-    say.Grade("cash", say.AT_MOST_ONCE, say.EVERYONE, 0, 300_000, 2.0, 5_000_000, 7.0, 0.5, None),
+    ServiceClass(
+        "view", Effect.IDEMPOTENT, DeduplicationScope.FLEET, 0, 250_000, 2.0, 3_000_000, 5.0, 0.5, None
+    ),
+    ServiceClass(
+        "record",
+        Effect.IDEMPOTENT_WITH_KEY,
+        DeduplicationScope.CELL,
+        4_000_000,
+        900_000,
+        2.0,
+        6_000_000,
+        9.0,
+        0.5,
+        None,
+    ),
+    ServiceClass(
+        "zoned",
+        Effect.IDEMPOTENT_WITH_KEY,
+        DeduplicationScope.ZONE,
+        4_000_000,
+        900_000,
+        2.0,
+        6_000_000,
+        9.0,
+        0.5,
+        None,
+    ),
+    ServiceClass(
+        "close",
+        Effect.IDEMPOTENT_WITH_KEY,
+        DeduplicationScope.FLEET,
+        4_000_000,
+        900_000,
+        2.0,
+        6_000_000,
+        9.0,
+        0.5,
+        None,
+    ),
+    ServiceClass(
+        "cash", Effect.AT_MOST_ONCE, DeduplicationScope.FLEET, 0, 300_000, 2.0, 5_000_000, 7.0, 0.5, None
+    ),
 ]
-COLD = say.ColdTerms(4.0, 1_000_000, 0.3, 8_000_000)
+COLD = SlowStartConfig(4.0, 1_000_000, 0.3, 8_000_000)
 
 
 def listed(
     name: str,
-    state: str = say.READY,
+    state: str = EndpointState.READY,
     started_at: int = 0,
     cell: int = 0,
     rating: float = 1.0,
     kind: str = "box",
-) -> say.Listed:
-    return say.Listed(name, f"zone-{cell}", kind, cell, state, rating, started_at)
+) -> EndpointEntry:
+    return EndpointEntry(name, f"zone-{cell}", kind, cell, state, rating, started_at)
 
 
 def terms(
@@ -52,20 +117,20 @@
     must_ask: bool,
     worst_grade: float,
     live: bool = False,
-    prices: say.PriceTerms | None = None,
+    prices: CostConfig | None = None,
 ) -> tuple[Any, ...]:
     return (
         STEP,
         fleet,
         [replace(grade) for grade in GRADES],
-        say.DispatchTerms(most, True),
-        say.ClientTerms(2_000_000),
-        say.ShareTerms({"dairy": 5.0}, 0.1),
-        say.GoalTerms(worst_grade),
+        RetryConfig(most, True),
+        ClientConfig(2_000_000),
+        QuotaConfig({"dairy": 5.0}, 0.1),
+        ObjectiveConfig(worst_grade),
         COLD,
-        say.ListTerms(must_ask, 10_000_000, live),
-        say.SignTerms(True, 1_000_000),
-        prices or say.PriceTerms(),
+        EndpointListConfig(must_ask, 10_000_000, live),
+        ProgressConfig(True, 1_000_000),
+        prices or CostConfig(),
     )
 
 
@@ -77,16 +142,16 @@
         must_ask: bool = False,
         worst_grade: float = 0.4,
         live: bool = False,
-        prices: say.PriceTerms | None = None,
+        prices: CostConfig | None = None,
     ) -> None:
         self.fleet, self.now = fleet, 10_000_000
         self.most = 3
-        self.dispatcher = Dispatcher(seed, *terms(self.most, fleet, must_ask, worst_grade, live, prices))
+        self.dispatcher = Scheduler(seed, *terms(self.most, fleet, must_ask, worst_grade, live, prices))
         self.grades = {grade.name: grade for grade in GRADES}
-        self.arrivals: dict[int, say.Arrival] = {}
+        self.arrivals: dict[int, RequestArrived] = {}
         self.answered: dict[int, str] = {}
         self.dispatches: dict[int, list[dict[str, Any]]] = {}
-        self.workers: dict[str, say.Listed] = {}
+        self.workers: dict[str, EndpointEntry] = {}
         self.timers: list[tuple[int, int]] = []
         self.cold: dict[tuple[str, int], list[tuple[int, float]]] = {}
         self.orders: list[Any] = []
@@ -111,24 +176,24 @@
             due = [mark for at, mark in self.timers if at <= self.now]
             self.timers = [timer for timer in self.timers if timer[0] > self.now]
             late = [
-                say.Ended(submission, place, say.TIMED_OUT, False)
+                AttemptEnded(submission, place, AttemptOutcome.TIMED_OUT, False)
                 for submission, shots in self.dispatches.items()
                 for place, shot in enumerate(shots)
                 if shot["outcome"] is None and self.now >= self.arrivals[submission].time_limit_at
             ]
             if due or late:
-                orders += self.turn(*[say.TimerDue(mark) for mark in due], *late)
+                orders += self.turn(*[TimerFired(mark) for mark in due], *late)
         return orders
 
     def arrive(self, submission: int, grade: str, width: float = 1.0, hint: int = 0) -> list[Any]:
         limit_at = self.now + self.grades[grade].time_limit
-        return self.turn(say.Arrival(submission, grade, limit_at, width, hint))
+        return self.turn(RequestArrived(submission, grade, limit_at, width, hint))
 
     def end(self, submission: int, shot: int, outcome: str) -> list[Any]:
-        return self.turn(say.Ended(submission, shot, outcome, outcome == say.DONE))
+        return self.turn(AttemptEnded(submission, shot, outcome, outcome == AttemptOutcome.DONE))
 
-    def list(self, *entries: say.Listed, kind: str = say.WHOLE) -> list[Any]:
-        return self.turn(say.ListNews(kind, list(entries)))
+    def list(self, *entries: EndpointEntry, kind: str = ListUpdateKind.SNAPSHOT) -> list[Any]:
+        return self.turn(EndpointListUpdate(kind, list(entries)))
 
     def out(self) -> list[tuple[int, int]]:
         return [
@@ -139,62 +204,69 @@
         ]
 
     def note(self, piece: Any) -> None:
-        if type(piece) is say.Arrival:
+        if type(piece) is RequestArrived:
             self.arrivals[piece.submission] = piece
             self.dispatches[piece.submission] = []
-        elif type(piece) is say.Ended:
+        elif type(piece) is AttemptEnded:
             self.dispatches[piece.submission][piece.number]["outcome"] = piece.outcome
             if piece.final:
                 self.answered.setdefault(piece.submission, "done")
-        elif type(piece) is say.ClientGone:
+        elif type(piece) is ClientDisconnected:
             self.answered.setdefault(piece.submission, "gone")
-        elif type(piece) is say.ListNews:
-            if piece.kind in (say.WHOLE, say.REMEMBERED):
+        elif type(piece) is EndpointListUpdate:
+            if piece.kind in (ListUpdateKind.SNAPSHOT, ListUpdateKind.CACHED):
                 for name in self.workers:
-                    self.workers[name] = listed(name, say.GONE)
+                    self.workers[name] = listed(name, EndpointState.GONE)
             for entry in piece.entries:
                 self.workers[entry.worker] = entry
 
     def check(self, order: Any) -> None:
-        if type(order) is say.Wake:
+        if type(order) is SetTimer:
             assert order.after >= 0
             self.timers.append((self.now + max(order.after, STEP), order.mark))
-        elif type(order) is say.Dispatch:
+        elif type(order) is StartAttempt:
             self.check_dispatch(order)
-        elif type(order) in (say.Deny, say.Terminate):
+        elif type(order) in (RejectRequest, FailRequest):
             assert order.submission not in self.answered, "rule one: a second answer"
             grade = self.grades[self.arrivals[order.submission].grade]
-            if type(order) is say.Deny and self.held(order.submission):
-                harmless = (grade.effect, grade.group) == (say.NUMBERED, say.EVERYONE)
-                assert harmless or grade.effect == say.REISSUABLE, "rule two: a denial of what may have run"
-            self.answered[order.submission] = "denied" if type(order) is say.Deny else "terminated"
-        elif type(order) is say.Withdraw:
+            if type(order) is RejectRequest and self.held(order.submission):
+                harmless = (grade.effect, grade.group) == (
+                    Effect.IDEMPOTENT_WITH_KEY,
+                    DeduplicationScope.FLEET,
+                )
+                assert (
+                    harmless or grade.effect == Effect.IDEMPOTENT
+                ), "rule two: a denial of what may have run"
+            self.answered[order.submission] = "denied" if type(order) is RejectRequest else "terminated"
+        elif type(order) is CancelAttempt:
             assert order.number < len(self.dispatches[order.submission])
 
     def held(self, submission: int) -> list[dict[str, Any]]:
-        return [shot for shot in self.dispatches[submission] if shot["outcome"] not in say.PROVEN_NOT_RUN]
+        return [shot for shot in self.dispatches[submission] if shot["outcome"] not in PROVEN_NOT_RUN]
 
-    def check_dispatch(self, order: say.Dispatch) -> None:
+    def check_dispatch(self, order: StartAttempt) -> None:
         arrival = self.arrivals[order.submission]
         grade, worker = self.grades[arrival.grade], self.workers[order.worker]
         held = self.held(order.submission)
         assert order.submission not in self.answered, "rule one: a dispatch after the answer"
-        assert worker.state == say.READY, "rule three: a dispatch to a worker that drains or is gone"
+        assert (
+            worker.state == EndpointState.READY
+        ), "rule three: a dispatch to a worker that drains or is gone"
         counted = self.dispatches[order.submission]
         if arrival.patient:
-            counted = [shot for shot in counted if shot["outcome"] not in say.PROVEN_NOT_RUN]
+            counted = [shot for shot in counted if shot["outcome"] not in PROVEN_NOT_RUN]
         elif not self.dispatcher.dispatching.counts_unsent:
-            counted = [shot for shot in counted if shot["outcome"] not in say.UNSENT]
+            counted = [shot for shot in counted if shot["outcome"] not in UNSENT]
         assert len(counted) < self.most
         assert all(shot["outcome"] for shot in held), "two dispatches at once"
-        if held and grade.effect == say.AT_MOST_ONCE:
+        if held and grade.effect == Effect.AT_MOST_ONCE:
             raise AssertionError("rule two: at-most-once work sent again")
-        if held and grade.effect == say.NUMBERED:
+        if held and grade.effect == Effect.IDEMPOTENT_WITH_KEY:
             assert self.now < held[0]["at"] + grade.memory_span, "rule two: past the memory span"
             for shot in held:
-                if grade.group == say.SAME_CELL:
+                if grade.group == DeduplicationScope.CELL:
                     assert shot["cell"] == worker.cell, "rule two: outside the cell"
-                elif grade.group == say.SAME_ZONE:
+                elif grade.group == DeduplicationScope.ZONE:
                     assert shot["zone"] == worker.zone, "rule two: outside the zone"
         age = self.now - worker.started_at
         if worker.started_at and age < COLD.warm_after:
@@ -216,23 +288,23 @@
 # --- a node whose connections to workers are played by hand
 
 
-def submission(name: str, grade: str = "view", patience: int = 3_000_000) -> clients.Submitted:
+def submission(name: str, grade: str = "view", patience: int = 3_000_000) -> clients.SubmitRequest:
     onward = [(b"Req-Id", name.encode())]
-    return clients.Submitted(name, grade, patience, 1.0, False, "POST", f"/{grade}", onward, b"")
+    return clients.SubmitRequest(name, grade, patience, 1.0, False, "POST", f"/{grade}", onward, b"")
 
 
 class Asked:
     """One question that the node put to a worker."""
 
     def __init__(
-        self, worker: str, build: Callable[[], Question | None], sent: Callable[[], None], fresh: bool
+        self, worker: str, build: Callable[[], UpstreamRequest | None], sent: Callable[[], None], fresh: bool
     ) -> None:
         self.worker, self.build, self.sent, self.fresh = worker, build, sent, fresh
-        self.ended: asyncio.Future[Reply | str] = asyncio.get_running_loop().create_future()
+        self.ended: asyncio.Future[UpstreamResponse | str] = asyncio.get_running_loop().create_future()
         self.cancelled = False
 
     def reply(self, status: int) -> None:
-        self.ended.set_result(Reply(status, {}, b""))
+        self.ended.set_result(UpstreamResponse(status, {}, b""))
 
     def end(self, outcome: str) -> None:
         self.ended.set_result(outcome)
@@ -244,14 +316,16 @@
     def __init__(self) -> None:
         here = ("127.0.0.1", 9)
         names = [f"w{number}" for number in range(3)]
-        known = discovery.ListUpdate(1, True, [listed(name) for name in names], dict.fromkeys(names, here))
+        known = discovery.DiscoveryUpdate(
+            1, True, [listed(name) for name in names], dict.fromkeys(names, here)
+        )
         self.lines_logged: list[str] = []
         log = Log("n0")
         log.say = lambda line, *_, **__: self.lines_logged.append(line)  # type: ignore[method-assign]
         told = start.Start(
             "n0", here, here, 7, 100, 80 << 20, {}, 250_000, 30_000_000, terms(3, 1, False, 0.4)
         )
-        self.node = Node(told, known, log)
+        self.node = Dispatcher(told, known, log)
         self.node.connections = self  # type: ignore[assignment]
         self.asked: list[Asked] = []
         self.forgotten: list[str] = []
@@ -264,7 +338,9 @@
 
         self.node.dispatcher.turn = noted  # type: ignore[method-assign]
 
-    async def ask(self, worker: str, address: Any, build: Any, sent: Any, fresh: bool = False) -> Reply | str:
+    async def ask(
+        self, worker: str, address: Any, build: Any, sent: Any, fresh: bool = False
+    ) -> UpstreamResponse | str:
         asked = Asked(worker, build, sent, fresh)
         self.asked.append(asked)
         try:
@@ -297,14 +373,14 @@
         return asked
 
     def call(self, name: str, worker: str, state: str, result: bytes = b"") -> None:
-        self.node.called(clients.Called(name, worker, state, 0.0, wire_names.ENDS.get(state), result))
+        self.node.called(clients.Callback(name, worker, state, 0.0, wire_names.ENDS.get(state), result))
 
     def list(self, worker: str, state: str, started_at: int = 0) -> None:
         entry = listed(worker, state, started_at)
-        self.node.take_list(discovery.ListUpdate(2, False, [entry], {worker: ("127.0.0.1", 9)}))
+        self.node.take_list(discovery.DiscoveryUpdate(2, False, [entry], {worker: ("127.0.0.1", 9)}))
 
     def outcomes(self) -> list[str]:
-        return [piece.outcome for _, news in self.turns for piece in news if type(piece) is say.Ended]
+        return [piece.outcome for _, news in self.turns for piece in news if type(piece) is AttemptEnded]
 
 
 class Clerk:
@@ -313,20 +389,20 @@
     def __init__(self) -> None:
         self.taken: list[str] = []
         self.left: list[str] = []
-        self.answers: list[asyncio.Future[Answer]] = []
+        self.answers: list[asyncio.Future[Response]] = []
 
     def ready(self) -> bool:
         return True
 
-    def submitted(self, message: clients.Submitted) -> asyncio.Future[Answer]:
+    def submitted(self, message: clients.SubmitRequest) -> asyncio.Future[Response]:
         self.taken.append(message.id)
         self.answers.append(asyncio.get_running_loop().create_future())
         return self.answers[-1]
 
-    def gone(self, message: clients.Submitted) -> None:
+    def gone(self, message: clients.SubmitRequest) -> None:
         self.left.append(message.id)
 
-    def called(self, message: clients.Called) -> None:
+    def called(self, message: clients.Callback) -> None:
         pass
 
     async def until(self, count: int) -> None:
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -15,9 +15,9 @@
 from helpers import GRADES, call, submit, terms
 
 from locktide.config import start
-from locktide.dispatcher.dispatcher import Node
+from locktide.dispatcher.dispatcher import Dispatcher
 from locktide.protocol import discovery
-from locktide.scheduler import interface as say
+from locktide.scheduler.types import Effect
 from locktide.simulation.virtual_time.loop import VirtualLoop
 from locktide.simulation.virtual_time.network import Net
 from locktide.transport.log import Log
@@ -250,7 +250,7 @@
         self.jobs.append(job)
         if any(not one.over for one in earlier):
             self.fault(f"copies: {job.id} at w{job.worker} while it is out at w{earlier[-1].worker}")
-        if EFFECTS[asked.grade] == say.AT_MOST_ONCE and any(one.over != "never" for one in earlier):
+        if EFFECTS[asked.grade] == Effect.AT_MOST_ONCE and any(one.over != "never" for one in earlier):
             self.fault(f"twice: {job.id}, which may have run")
         if asked.left_at is not None and now - WAY > asked.left_at + AFTER_CLOSE:
             self.fault(f"gone: {job.id} begun {now - asked.left_at:.3f} s after its client left")
@@ -260,7 +260,7 @@
         if asked.peer.buffer.startswith(b"HTTP/1.1 "):
             self.fault(f"after: {job.id} sent on after its answer")
 
-    def settle(self, node: Node) -> None:
+    def settle(self, node: Dispatcher) -> None:
         """After the end: each request has one whole answer, or a stated loss."""
         for asked in self.asked:
             got = asked.peer.buffer.count(b"HTTP/1.1 ")
@@ -295,7 +295,7 @@
             rig.net.listen(lambda number=number: Peer(rig.worker(number)), f"w{number}", 1)  # type: ignore
         log = Log("d")
         log.say = lambda line, *_, **__: rig.lines.append(line)  # type: ignore[method-assign]
-        node = Node(told, discovery.ListUpdate(0, True, [], {}), log, rig)
+        node = Dispatcher(told, discovery.DiscoveryUpdate(0, True, [], {}), log, rig)
         stop = asyncio.Event()
         running = asyncio.create_task(node.run(stop))
         while not node.ready():
@@ -330,7 +330,9 @@
     return rig
 
 
-async def act(rig: Rig, node: Node, stop: asyncio.Event, kind: str, number: int, told: start.Start) -> None:
+async def act(
+    rig: Rig, node: Dispatcher, stop: asyncio.Event, kind: str, number: int, told: start.Start
+) -> None:
     if kind in LIMIT:
         await rig.client(kind)
     elif kind in ("close", "reset", "shut"):
--- a/tests/test_accord.py
+++ b/tests/test_accord.py
@@ -12,21 +12,30 @@
 from locktide.cluster import messages as words
 from locktide.cluster.election import acceptor as elector
 from locktide.cluster.election import proposer as candidate
-from locktide.cluster.member import Agent
+from locktide.cluster.member import ClusterMember
 from locktide.cluster.membership import member_table as table
 from locktide.cluster.membership import swim
-from locktide.cluster.messages import Grant, Lead, Ping, Row, Said, Whole, pack, unpack
+from locktide.cluster.messages import (
+    Envelope,
+    FullSync,
+    LeaderHeartbeat,
+    LeaseGrant,
+    MemberRecord,
+    Ping,
+    decode,
+    encode,
+)
 from locktide.cluster.quota import allocation as divide
 from locktide.cluster.quota import allocator as giver
 from locktide.cluster.quota import lease_holder as holder
 from locktide.cluster.quota import lease_timing as spans
 from locktide.cluster.quota import local_quota as purse
 from locktide.cluster.quota import token_bucket as bucket
-from locktide.scheduler.estimators import Chance
+from locktide.scheduler.estimators import LinearCongruentialGenerator
 from locktide.simulation.cluster import model_checking as search
 from locktide.simulation.cluster import random_runs as days
-from locktide.simulation.cluster.quota_checker import Meter
-from locktide.simulation.cluster.virtual_cluster import World
+from locktide.simulation.cluster.quota_checker import QuotaChecker
+from locktide.simulation.cluster.virtual_cluster import VirtualCluster
 
 HERE = ("127.0.0.1", 9000)
 SECOND = 1_000_000
@@ -36,7 +45,7 @@
 
 
 ROWS = st.builds(
-    Row,
+    MemberRecord,
     st.text(max_size=20),
     st.integers(0, 2**53),
     st.integers(0, 99),
@@ -48,9 +57,9 @@
 BALLOTS = st.tuples(st.integers(0, 2**40), st.text(max_size=20), st.integers(0, 2**53))
 WORDS: Any = st.one_of(
     st.builds(Ping, st.integers(0, 2**40), st.none() | ROWS, st.lists(ROWS, max_size=4)),
-    st.builds(Whole, st.lists(ROWS, max_size=4), st.booleans()),
+    st.builds(FullSync, st.lists(ROWS, max_size=4), st.booleans()),
     st.builds(
-        words.Ask,
+        words.LeaseRequest,
         BALLOTS,
         st.integers(0, 99),
         st.none() | BALLOTS,
@@ -60,43 +69,43 @@
         LENT,
         st.booleans(),
     ),
-    st.builds(Grant, BALLOTS, st.integers(0, 99), st.integers(0, 99), PARTS, LENT, st.booleans()),
-    st.builds(words.Recall, BALLOTS, st.lists(st.integers(0, 255), max_size=3)),
+    st.builds(LeaseGrant, BALLOTS, st.integers(0, 99), st.integers(0, 99), PARTS, LENT, st.booleans()),
+    st.builds(words.LeaseRevocation, BALLOTS, st.lists(st.integers(0, 255), max_size=3)),
 )
 
 
 @given(WORDS)
 def test_words_come_back_as_they_were_packed(word: Any) -> None:
-    datagram = pack(("d0", 7), word)
-    if len(datagram) <= words.LARGEST:
-        assert unpack(datagram) == Said(words.VERSION, "d0", 7, word)
+    datagram = encode(("d0", 7), word)
+    if len(datagram) <= words.MAX_DATAGRAM:
+        assert decode(datagram) == Envelope(words.VERSION, "d0", 7, word)
 
 
 def test_nothing_is_believed_of_a_garbled_datagram_and_nothing_crashes() -> None:
     drawn = random.Random(5)
-    rows = [Row(f"d{n}", 10**15, 3, n % 4, HERE) for n in range(9)]
+    rows = [MemberRecord(f"d{n}", 10**15, 3, n % 4, HERE) for n in range(9)]
     good = [
-        pack(("d1", 5), word)
+        encode(("d1", 5), word)
         for word in (
             Ping(4, rows[0], rows),
-            Whole(rows, True),
-            Lead((3, "d1", 5)),
-            Grant((3, "d1", 5), 8, 9, {0: 5}, [(0, 1, 7)], True),
+            FullSync(rows, True),
+            LeaderHeartbeat((3, "d1", 5)),
+            LeaseGrant((3, "d1", 5), 8, 9, {0: 5}, [(0, 1, 7)], True),
         )
     ]
-    assert all(unpack(datagram) for datagram in good)
+    assert all(decode(datagram) for datagram in good)
     for _ in range(20_000):
         changed = bytearray(drawn.choice(good))
         for _ in range(drawn.randrange(1, 4)):
             changed[drawn.randrange(len(changed))] ^= 1 << drawn.randrange(8)
         del changed[drawn.choice((len(changed), drawn.randrange(len(changed) + 1))) :]
-        assert bytes(changed) in good or unpack(bytes(changed)) is None
+        assert bytes(changed) in good or decode(bytes(changed)) is None
     # With a sum that fits it is somebody's word, whatever it says: it must be refused or taken, not raise.
-    agent = World(1, ["d0"]).begin("d0").agent
+    agent = VirtualCluster(1, ["d0"]).begin("d0").agent
     for _ in range(20_000):
         body = bytearray(drawn.choice(good)[4:])
         body[drawn.randrange(len(body))] = drawn.randrange(256)
-        said = unpack(words.crc32(bytes(body)).to_bytes(4, "big") + bytes(body))
+        said = decode(words.crc32(bytes(body)).to_bytes(4, "big") + bytes(body))
         if said is not None:
             agent.hear(said, agent.lead_at)
 
@@ -105,8 +114,8 @@
 
 
 @given(st.lists(ROWS.filter(lambda row: row.name < "c"), max_size=12), st.randoms())
-def test_merging_does_not_depend_on_the_order(rows: list[Row], drawn: random.Random) -> None:
-    first, second = table.Table(), table.Table()
+def test_merging_does_not_depend_on_the_order(rows: list[MemberRecord], drawn: random.Random) -> None:
+    first, second = table.MemberTable(), table.MemberTable()
     for row in rows:
         first.merge(row, 0)
     mixed = rows * 2
@@ -116,8 +125,8 @@
     assert first.rows == second.rows and first.alive() == second.alive()
 
 
-def settled(seed: int = 3, members: int = 5, until: int = 8) -> World:
-    world = World(seed, [f"d{number}" for number in range(members)], 3 if members < 5 else 5)
+def settled(seed: int = 3, members: int = 5, until: int = 8) -> VirtualCluster:
+    world = VirtualCluster(seed, [f"d{number}" for number in range(members)], 3 if members < 5 else 5)
     for name in world.names:
         world.begin(name)
     world.run(until * SECOND)
@@ -162,7 +171,7 @@
 
 
 def test_who_has_stepped_down_is_not_woken_for_what_it_no_longer_does() -> None:
-    world = World(3, ["d0", "d1", "d2"], ledger=days.LEDGER, lend=0.5)
+    world = VirtualCluster(3, ["d0", "d1", "d2"], ledger=days.LEDGER, lend=0.5)
     for name in world.names:
         world.begin(name)
     world.run(4 * SECOND)
@@ -173,10 +182,10 @@
 
 
 def test_a_swim_that_hears_nobody_asks_its_seeds_and_holds_on() -> None:
-    alone = swim.Swim(("d0", 5), HERE, [("127.0.0.1", 9001)], Chance(1), 0)
+    alone = swim.Swim(("d0", 5), HERE, [("127.0.0.1", 9001)], LinearCongruentialGenerator(1), 0)
     asked = 0
     for _ in range(60):
-        asked += sum(type(word) is Whole for _, word in alone.tick(alone.due))
+        asked += sum(type(word) is FullSync for _, word in alone.tick(alone.due))
     assert asked > 20 and alone.alive() == ["d0"]
 
 
@@ -202,9 +211,9 @@
 @settings(max_examples=60)
 @given(st.lists(st.tuples(st.integers(1, 400_000), st.integers(0, 3), st.integers(0, 10**6)), max_size=60))
 def test_buckets_whose_parts_move_spend_no_more_than_the_one_whole(steps: list[tuple[int, int, int]]) -> None:
-    meter, now = Meter({"x": (50.0, 10.0)}), 0
+    meter, now = QuotaChecker({"x": (50.0, 10.0)}), 0
     parts = [250_000] * 4
-    buckets = [bucket.Bucket(50.0, 10.0, part, 0) for part in parts]
+    buckets = [bucket.TokenBucket(50.0, 10.0, part, 0) for part in parts]
     for span, place, part in steps:
         now += span
         free = 1_000_000 - sum(parts) + parts[place]
@@ -263,10 +272,10 @@
 @pytest.mark.parametrize("late", [0, 1, 10 * SECOND])
 def test_after_its_lease_a_quota_spends_its_floor_before_anything_else_is_told_to_it(late: int) -> None:
     """Of 100 tokens a second and a burst of 100: a floor of three tokens, and 50 more under the lease."""
-    whole, expiry = purse.Budget("dairy", 100.0, 100.0), 3 * SECOND
+    whole, expiry = purse.QuotaSpec("dairy", 100.0, 100.0), 3 * SECOND
 
     def tokens_at(now: int) -> int:
-        quota = purse.Purse([whole], reserve=0.15, most=5, now=0)
+        quota = purse.LocalQuota([whole], reserve=0.15, most=5, now=0)
         quota.settle({"dairy": 500_000}, expiry, {}, 0, 0)
         return sum(quota.spend("dairy", now) is not None for _ in range(100))
 
@@ -309,30 +318,30 @@
 
 
 def forgets_expiry(monkeypatch: pytest.MonkeyPatch) -> None:
-    settle = purse.Purse.settle
+    settle = purse.LocalQuota.settle
 
     def kept(self: Any, held: Any, until: int, loans: Any, loans_until: int, now: int) -> bool:
         moved = settle(self, held, until, loans, loans_until, now)
         self.until = 1 << 61 if held else 0
         return moved
 
-    monkeypatch.setattr(holder.Holder, "in_force", lambda self, now: self.parts)
-    monkeypatch.setattr(purse.Purse, "lapse", lambda self, now: False)
-    monkeypatch.setattr(purse.Purse, "settle", kept)
+    monkeypatch.setattr(holder.LeaseHolder, "in_force", lambda self, now: self.parts)
+    monkeypatch.setattr(purse.LocalQuota, "lapse", lambda self, now: False)
+    monkeypatch.setattr(purse.LocalQuota, "settle", kept)
 
 
 def waits_out_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
-    begin = giver.Giver.__init__
+    begin = giver.Allocator.__init__
 
     def eager(self: Any, *args: Any, **more: Any) -> None:
         begin(self, *args, **more)
         self.renews_until = 0
 
-    monkeypatch.setattr(giver.Giver, "__init__", eager)
+    monkeypatch.setattr(giver.Allocator, "__init__", eager)
 
 
 def doubles_the_burst(monkeypatch: pytest.MonkeyPatch) -> None:
-    move = bucket.Bucket.move
+    move = bucket.TokenBucket.move
 
     def brings(self: Any, part: int, now: int) -> None:
         self.fill(now)
@@ -340,11 +349,11 @@
         move(self, part, now)
         self.level += grown
 
-    monkeypatch.setattr(bucket.Bucket, "move", brings)
+    monkeypatch.setattr(bucket.TokenBucket, "move", brings)
 
 
 def elects_two(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(candidate.Candidate, "enough", property(lambda self: 1))
+    monkeypatch.setattr(candidate.Proposer, "enough", property(lambda self: 1))
 
 
 @pytest.mark.parametrize("doubled", [False, True])
@@ -371,14 +380,14 @@
 @pytest.mark.parametrize("eager", [False, True])
 def test_an_elector_that_began_anew_must_be_silent(eager: bool, monkeypatch: pytest.MonkeyPatch) -> None:
     """Of three electors one leads by the vote of another, which begins anew and votes for the third."""
-    begin = elector.Elector.__init__
+    begin = elector.Acceptor.__init__
 
     def talks(self: Any, now: int, lead: int = spans.LEAD) -> None:
         begin(self, now, lead)
         self.silent_until = 0
 
     if eager:
-        monkeypatch.setattr(elector.Elector, "__init__", talks)
+        monkeypatch.setattr(elector.Acceptor, "__init__", talks)
     both = 0
     for seed in range(6):
         world = settled(seed, 3)
@@ -407,13 +416,13 @@
     def grasping(self: Any, who: Any, budget: str, held: int, steps: bool, now: int) -> int:
         return int(self.movable[budget])
 
-    monkeypatch.setattr(giver.Giver, "part", grasping)
+    monkeypatch.setattr(giver.Allocator, "part", grasping)
     found = search.search(4_000)
     assert found.breach
 
 
 def test_the_meter_by_hand() -> None:
-    meter = Meter({"x": (10.0, 5.0)})
+    meter = QuotaChecker({"x": (10.0, 5.0)})
     meter.in_force("a", 0, {"x": 600_000}, 100, 50_000)
     meter.in_force("b", 100, {"x": 900_000}, 300, 50_000)
     assert not meter.overruns(), "what ends at an instant does not overlap what begins there"
@@ -429,4 +438,4 @@
 
 
 def test_an_agent_is_what_the_world_runs() -> None:
-    assert World(1, ["d0"]).of is Agent
+    assert VirtualCluster(1, ["d0"]).of is ClusterMember
--- a/tests/test_accord_ledger.py
+++ b/tests/test_accord_ledger.py
@@ -13,10 +13,18 @@
 from locktide.cluster.fairness import ledger as ledger_module
 from locktide.cluster.fairness import replicated_ledger as book_module
 from locktide.cluster.fairness.dominant_share import ONE, dominant, fill
-from locktide.cluster.fairness.replicated_ledger import CAPACITY, Book, capacity_of, totals
-from locktide.cluster.fairness.usage import Holdings
-from locktide.cluster.messages import Entry, Group
-from locktide.scheduler import interface as say
+from locktide.cluster.fairness.replicated_ledger import CAPACITY, ReplicatedLedger, capacity_of, totals
+from locktide.cluster.fairness.usage import UsageTracker
+from locktide.cluster.messages import LedgerRow, WriterDelta
+from locktide.scheduler.commands import FailRequest, StartAttempt
+from locktide.scheduler.events import (
+    AttemptEnded,
+    ClientDisconnected,
+    EndpointEntry,
+    EndpointListUpdate,
+    RequestArrived,
+)
+from locktide.scheduler.types import AttemptOutcome, EndpointState, ListUpdateKind
 from locktide.simulation.cluster.fairness_runs import Fair, solved
 
 SECOND = 1_000_000
@@ -24,12 +32,12 @@
 # --- rows
 
 
-ENTRIES = st.builds(Entry, st.integers(0, 3), st.integers(1, 9), st.just([1, 2]), st.just([0, 0]))
+ENTRIES = st.builds(LedgerRow, st.integers(0, 3), st.integers(1, 9), st.just([1, 2]), st.just([0, 0]))
 
 
-def versioned(row: Entry) -> Entry:
+def versioned(row: LedgerRow) -> LedgerRow:
     """What a version of a row says: the same wherever it is read."""
-    return Entry(row.place, row.version, [row.version, row.place], [0, row.version])
+    return LedgerRow(row.place, row.version, [row.version, row.place], [0, row.version])
 
 
 STEPS = st.lists(
@@ -41,8 +49,8 @@
 )
 
 
-def taken(steps: list[Any]) -> Book:
-    book = Book()
+def taken(steps: list[Any]) -> ReplicatedLedger:
+    book = ReplicatedLedger()
     for what, name, start, told in steps:
         if what == "put":
             book.put((name, start), versioned(told))
@@ -51,7 +59,7 @@
     return book
 
 
-def plain(book: Book) -> Any:
+def plain(book: ReplicatedLedger) -> Any:
     return sorted((who, row.place, row.version) for who, row in book.rows()), sorted(book.closed.items())
 
 
@@ -64,17 +72,17 @@
 
 
 def test_a_group_that_leaves_a_hole_is_not_taken() -> None:
-    here = Book()
-    row = Entry(0, 5, [1], [0])
-    assert not here.merge(Group("a", 1, 3, [row])) and here.head(("a", 1)) == 0
-    assert here.merge(Group("a", 1, 0, [row])) and here.head(("a", 1)) == 5
-    assert not here.merge(Group("a", 1, 5, [])), "nothing new"
+    here = ReplicatedLedger()
+    row = LedgerRow(0, 5, [1], [0])
+    assert not here.merge(WriterDelta("a", 1, 3, [row])) and here.head(("a", 1)) == 0
+    assert here.merge(WriterDelta("a", 1, 0, [row])) and here.head(("a", 1)) == 5
+    assert not here.merge(WriterDelta("a", 1, 5, [])), "nothing new"
 
 
 def test_the_capacity_is_the_lower_median_of_what_open_writers_see() -> None:
-    here = Book()
+    here = ReplicatedLedger()
     for number, seen in enumerate((8, 12, 100)):
-        here.put((f"d{number}", 1), Entry(CAPACITY, 1, [seen], [0]))
+        here.put((f"d{number}", 1), LedgerRow(CAPACITY, 1, [seen], [0]))
     assert capacity_of(here, 1) == [12]
     here.close("d2", (1, 1))
     assert capacity_of(here, 1) == [8]
@@ -157,46 +165,50 @@
 
 
 def test_what_waits_and_what_is_out_follows_the_news_and_orders() -> None:
-    here = Holdings({"dairy": 0}, {"view": [1000, 50]}, [4000, 0])
-    here.hear(say.Arrival("a", "view", 9, width=2.0, tenant="dairy"))
-    here.hear(say.Arrival("b", "view", 9, tenant="nobody"))
+    here = UsageTracker({"dairy": 0}, {"view": [1000, 50]}, [4000, 0])
+    here.hear(RequestArrived("a", "view", 9, width=2.0, tenant="dairy"))
+    here.hear(RequestArrived("b", "view", 9, tenant="nobody"))
     assert here.waits == {0: [2000, 100]} and not here.held
-    here.hear(say.Dispatch("a", "w"))
-    here.hear(say.Dispatch("a", "v"))
+    here.hear(StartAttempt("a", "w"))
+    here.hear(StartAttempt("a", "v"))
     assert here.held == {0: [4000, 200]} and here.waits == {0: [0, 0]}
-    here.hear(say.Ended("a", 0, say.FULL, False))
-    here.hear(say.Ended("a", 1, say.FULL, False))
+    here.hear(AttemptEnded("a", 0, AttemptOutcome.FULL, False))
+    here.hear(AttemptEnded("a", 1, AttemptOutcome.FULL, False))
     assert here.held == {0: [0, 0]} and here.waits == {0: [2000, 100]}
-    here.hear(say.Dispatch("a", "w"))
-    here.hear(say.Terminate("a"))
+    here.hear(StartAttempt("a", "w"))
+    here.hear(FailRequest("a"))
     assert here.held == {0: [2000, 100]} and here.open, "it runs on"
-    here.hear(say.Ended("a", 2, say.WITHDRAWN, False))
+    here.hear(AttemptEnded("a", 2, AttemptOutcome.CANCELLED, False))
     assert not here.open and here.held == here.waits == {0: [0, 0]}
-    entry = say.Listed("w", "z", "k", 0, say.READY, 1.0, 0)
-    here.hear(say.ListNews(say.WHOLE, [entry]))
+    entry = EndpointEntry("w", "z", "k", 0, EndpointState.READY, 1.0, 0)
+    here.hear(EndpointListUpdate(ListUpdateKind.SNAPSHOT, [entry]))
     assert here.capacity() == [4000, 0]
-    here.hear(say.ListNews(say.CHANGES, [say.Listed("w", "z", "k", 0, say.DRAINING, 1.0, 0)]))
+    here.hear(
+        EndpointListUpdate(
+            ListUpdateKind.DELTA, [EndpointEntry("w", "z", "k", 0, EndpointState.DRAINING, 1.0, 0)]
+        )
+    )
     assert here.capacity() == [0, 0]
 
 
 def test_what_its_client_has_left_waits_no_more() -> None:
-    here = Holdings({"dairy": 0}, {"view": [1000]}, [4000])
+    here = UsageTracker({"dairy": 0}, {"view": [1000]}, [4000])
     for job in ("a", "b"):
-        here.hear(say.Arrival(job, "view", 9, tenant="dairy"))
-    here.hear(say.Dispatch("b", "w"))
-    here.hear(say.ClientGone("a"))
-    here.hear(say.ClientGone("b"))
+        here.hear(RequestArrived(job, "view", 9, tenant="dairy"))
+    here.hear(StartAttempt("b", "w"))
+    here.hear(ClientDisconnected("a"))
+    here.hear(ClientDisconnected("b"))
     assert here.waits == {0: [0]} and here.held == {0: [1000]} and list(here.open) == ["b"]
-    here.hear(say.Ended("b", 0, say.WITHDRAWN, False))
+    here.hear(AttemptEnded("b", 0, AttemptOutcome.CANCELLED, False))
     assert not here.open and here.held == {0: [0]}
 
 
 def test_a_peer_that_tells_of_writers_without_end_fills_no_memory(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(book_module, "MOST_WRITERS", 5)
-    here = Book()
+    here = ReplicatedLedger()
     for number in range(50):
-        here.put((f"x{number}", 1), Entry(0, 1, [1], [0]))
-        here.put(("x0", 1), Entry(1000 + number, 2, [1], [0]))
+        here.put((f"x{number}", 1), LedgerRow(0, 1, [1], [0]))
+        here.put(("x0", 1), LedgerRow(1000 + number, 2, [1], [0]))
         here.close(f"y{number}", (1, 1))
     assert len(here.writers) == len(here.closed) == 5 and len(here.writers["x0", 1].rows) == 1
 
@@ -247,7 +259,7 @@
 
 
 def test_a_row_counted_twice_is_found_by_a_recount(monkeypatch: pytest.MonkeyPatch) -> None:
-    def twice(book: Book, resources: int) -> Any:
+    def twice(book: ReplicatedLedger, resources: int) -> Any:
         held, asked = totals(book, resources)
         who, row = next((who, row) for who, row in book.rows() if row.place != CAPACITY and any(row.held))
         return held | {row.place: [a + b for a, b in zip(held[row.place], row.held, strict=True)]}, asked
