--- a/tests/test_accord_lending.py
+++ b/tests/test_accord_lending.py
@@ -8,13 +8,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from locktide.cluster.borrowing.loan_allocator import QUIET, Broker, fill, match
+from locktide.cluster.borrowing.loan_allocator import QUIET, LoanAllocator, fill, match
 from locktide.cluster.quota import lease_holder as holder
 from locktide.cluster.quota import local_quota as purse
-from locktide.cluster.quota.local_quota import Budget
+from locktide.cluster.quota.local_quota import QuotaSpec
 from locktide.simulation.cluster import borrowing_runs as idle
-from locktide.simulation.cluster.quota_checker import Meter
-from locktide.simulation.cluster.virtual_cluster import World
+from locktide.simulation.cluster.quota_checker import QuotaChecker
+from locktide.simulation.cluster.virtual_cluster import VirtualCluster
 
 SECOND = 1_000_000
 AMOUNTS = st.dictionaries(st.integers(0, 9), st.integers(1, 10**9), max_size=6)
@@ -47,9 +47,9 @@
     return int(rate * 0.6)
 
 
-def broker() -> Broker:
+def broker() -> LoanAllocator:
     rates = {0: 100 * 10**6, 1: 100 * 10**6, 2: 50 * 10**6}
-    made = Broker(rates, dict.fromkeys(range(3), 900_000), 800_000, 0)
+    made = LoanAllocator(rates, dict.fromkeys(range(3), 900_000), 800_000, 0)
     for step in range(120):
         made.divide({0: wants(250)}, [], {}, step * SECOND // 4)
     return made
@@ -111,14 +111,14 @@
     assert not lent.overruns and lent.served > alone.served + 0.3
 
 
-def world(budgets: tuple[Budget, ...]) -> World:
-    made = World(3, ["d0", "d1", "d2"], 3, 4, budgets=budgets, lend=0.8)
+def world(budgets: tuple[QuotaSpec, ...]) -> VirtualCluster:
+    made = VirtualCluster(3, ["d0", "d1", "d2"], 3, 4, budgets=budgets, lend=0.8)
     for name in made.names:
         made.begin(name)
     return made
 
 
-def asked(made: World, until: int) -> None:
+def asked(made: VirtualCluster, until: int) -> None:
     while made.now < until:
         made.run(made.now + 20_000)
         for process in made.all:
@@ -129,10 +129,10 @@
 def test_what_cold_workers_bear_is_never_lent() -> None:
     made = world(
         (
-            Budget("busy", 20.0, 20.0, True),
-            Budget("cold"),
-            Budget("cold windows", 50.0, 50.0, False),
-            Budget("idle", 50.0, 50.0, True),
+            QuotaSpec("busy", 20.0, 20.0, True),
+            QuotaSpec("cold"),
+            QuotaSpec("cold windows", 50.0, 50.0, False),
+            QuotaSpec("idle", 50.0, 50.0, True),
         )
     )
     asked(made, 14 * SECOND)
@@ -145,26 +145,26 @@
 
 def passed_on(monkeypatch: pytest.MonkeyPatch) -> None:
     """Who is lent something lends it to another."""
-    settle = purse.Purse.settle
+    settle = purse.LocalQuota.settle
 
     def hands_on(self: Any, held: Any, until: int, loans: Any, loans_until: int, now: int) -> bool:
         more = {(borrower, "other"): part // 2 for (_, borrower), part in loans.items()}
         return settle(self, held, until, loans | more, loans_until, now)
 
-    monkeypatch.setattr(purse.Purse, "settle", hands_on)
+    monkeypatch.setattr(purse.LocalQuota, "settle", hands_on)
 
 
 def kept(monkeypatch: pytest.MonkeyPatch) -> None:
     """A loan's end is ignored, and so is its recall."""
-    settle = purse.Purse.settle
+    settle = purse.LocalQuota.settle
 
     def endless(self: Any, held: Any, until: int, loans: Any, loans_until: int, now: int) -> bool:
         return settle(self, held, until, loans, 1 << 60 if loans else 0, now)
 
-    monkeypatch.setattr(holder.Holder, "lent", lambda self, now: self.loans)
-    monkeypatch.setattr(holder.Holder, "recalled", lambda self, word, now: None)
-    monkeypatch.setattr(purse.Purse, "settle", endless)
-    monkeypatch.setattr(purse.Purse, "lapse", lambda self, now: False)
+    monkeypatch.setattr(holder.LeaseHolder, "lent", lambda self, now: self.loans)
+    monkeypatch.setattr(holder.LeaseHolder, "recalled", lambda self, word, now: None)
+    monkeypatch.setattr(purse.LocalQuota, "settle", endless)
+    monkeypatch.setattr(purse.LocalQuota, "lapse", lambda self, now: False)
 
 
 @pytest.mark.parametrize("fault", [None, passed_on, kept])
@@ -174,7 +174,11 @@
     if fault:
         fault(monkeypatch)
     made = world(
-        (Budget("busy", 20.0, 20.0, True), Budget("idle", 50.0, 50.0, True), Budget("other", 50.0, 50.0))
+        (
+            QuotaSpec("busy", 20.0, 20.0, True),
+            QuotaSpec("idle", 50.0, 50.0, True),
+            QuotaSpec("other", 50.0, 50.0),
+        )
     )
     asked(made, 14 * SECOND)
     borrower = next(one for one in made.all if one.agent.purse.loans and one.agent.giver is None)
@@ -187,7 +191,7 @@
 
 
 def test_the_meter_times_a_reclaim_by_hand() -> None:
-    meter = Meter({"x": (0.0, 0.0)})
+    meter = QuotaChecker({"x": (0.0, 0.0)})
     meter.in_force("a", 0, {"x": 200_000}, 10**9, 0, {("x", "y"): 700_000}, 10**9)
     meter.ask("x", 0)
     meter.ask("x", 5 * SECOND)
--- a/tests/test_accord_members.py
+++ b/tests/test_accord_members.py
@@ -7,14 +7,16 @@
 from locktide.cluster.membership.member_table import DEAD
 from locktide.cluster.membership.suspicion import PERIOD
 from locktide.cluster.membership.swim import WHOLE_EVERY, Address, Swim
-from locktide.cluster.messages import VERSION, Ping, Row, Said, Whole
-from locktide.scheduler.estimators import Chance
+from locktide.cluster.messages import VERSION, Envelope, FullSync, MemberRecord, Ping
+from locktide.scheduler.estimators import LinearCongruentialGenerator
 from locktide.simulation.cluster import random_runs as days
 
 
 def member(name: str, start: int = 1, port: int = 0) -> Swim:
     address = ("10.0.0.1", port or 9000 + int(name[1:]))
-    return Swim((name, start), address, [("10.0.0.1", 9000)], Chance(int(name[1:]) + start), 0)
+    return Swim(
+        (name, start), address, [("10.0.0.1", 9000)], LinearCongruentialGenerator(int(name[1:]) + start), 0
+    )
 
 
 def know(of: Swim, *others: Swim) -> None:
@@ -22,14 +24,14 @@
         of.learn(other.me, 0, other.who[0])
 
 
-def dead(row: Row) -> Row:
-    return Row(row.name, row.start, row.turn, DEAD, row.address)
+def dead(row: MemberRecord) -> MemberRecord:
+    return MemberRecord(row.name, row.start, row.turn, DEAD, row.address)
 
 
 def pass_on(sends: list[tuple[Address, object]], sender: Swim, to: Swim, now: int) -> None:
     for address, word in sends:
         if address == to.me.address:
-            to.hear(Said(VERSION, *sender.who, word), now)
+            to.hear(Envelope(VERSION, *sender.who, word), now)
 
 
 def test_one_that_counts_as_dead_and_speaks_hears_it_and_refutes() -> None:
@@ -39,7 +41,7 @@
     know(other, one)
     one.learn(dead(other.me), 0, "d0")
     one.rumours.told.clear()
-    pass_on(one.hear(Said(VERSION, *other.who, Ping(7, None, [])), 1000), one, other, 1000)
+    pass_on(one.hear(Envelope(VERSION, *other.who, Ping(7, None, [])), 1000), one, other, 1000)
     assert other.me.turn == 1
     pass_on(other.tick(PERIOD), other, one, PERIOD)
     assert one.alive() == ["d0", "d1"]
@@ -67,7 +69,7 @@
             sender, (address, word) = queue.pop(0)
             for to in all_of_them:
                 if to.me.address == address:
-                    queue += [(to, send) for send in to.hear(Said(VERSION, *sender.who, word), now)]
+                    queue += [(to, send) for send in to.hear(Envelope(VERSION, *sender.who, word), now)]
     assert all(len(one.alive()) == 4 for one in all_of_them)
 
 
@@ -77,13 +79,13 @@
     one, earlier, later = member("d0"), member("d1"), member("d1", start=5, port=9501)
     know(one, *((earlier, later) if known else (later,)))
     one.learn(dead(later.me), 0, "d0")
-    word = Ping(7, None, []) if known else Whole([earlier.me], True)  # else its own words tell where it is
-    sends = one.hear(Said(VERSION, *earlier.who, word), 1000)
-    assert any(address == earlier.me.address and isinstance(word, Whole) for address, word in sends)
-    told = [word for address, word in sends if address == earlier.me.address and isinstance(word, Whole)]
+    word = Ping(7, None, []) if known else FullSync([earlier.me], True)  # else its own words tell where it is
+    sends = one.hear(Envelope(VERSION, *earlier.who, word), 1000)
+    assert any(address == earlier.me.address and isinstance(word, FullSync) for address, word in sends)
+    told = [word for address, word in sends if address == earlier.me.address and isinstance(word, FullSync)]
     assert not any(word.answer for word in told)
     # What only tells is not answered: two that are both outdone would go on for ever (drawn day 59).
-    assert one.hear(Said(VERSION, *earlier.who, Whole([earlier.me], False)), 1000) == []
+    assert one.hear(Envelope(VERSION, *earlier.who, FullSync([earlier.me], False)), 1000) == []
     pass_on(sends, one, earlier, 1000)
     assert earlier.replaced and not later.replaced
 
--- a/tests/test_accord_processes.py
+++ b/tests/test_accord_processes.py
@@ -15,16 +15,17 @@
 from helpers import Checked, HandPlayed, submission
 from helpers import terms as terms_of
 
-from locktide.cluster.config import Terms
-from locktide.cluster.messages import Look, pack, unpack
-from locktide.cluster.quota.local_quota import Budget
-from locktide.cluster.udp_transport import open_driver
+from locktide.cluster.config import ClusterConfig
+from locktide.cluster.messages import InspectionRequest, decode, encode
+from locktide.cluster.quota.local_quota import QuotaSpec
+from locktide.cluster.udp_transport import open_udp_transport
 from locktide.config import installation
-from locktide.config.typed import Faults
-from locktide.scheduler import interface as say
+from locktide.config.typed import ConfigErrors
+from locktide.scheduler.commands import RejectRequest
+from locktide.scheduler.events import ConfigReloaded, QuotaSharesUpdated, QuotaStage, RequestArrived
 from locktide.simulation.cluster import processes
 from locktide.simulation.cluster.processes import Processes, free_port
-from locktide.simulation.cluster.virtual_cluster import World
+from locktide.simulation.cluster.virtual_cluster import VirtualCluster
 
 HERE = Path(__file__).parents[1]
 
@@ -42,8 +43,8 @@
     program = (
         "-c",
         (
-            "from locktide.cluster.quota import giver\n"
-            "giver.Giver.part = lambda self, who, budget, held, steps, now: self.movable[budget]\n"
+            "from locktide.cluster.quota import allocator\n"
+            "allocator.Allocator.part = lambda self, who, budget, held, steps, now: self.movable[budget]\n"
             "from locktide.cli.main import main; main()"
         ),
     )
@@ -106,25 +107,25 @@
 
 
 def test_nobody_but_loopback_is_shown_anything() -> None:
-    from locktide.cluster.udp_transport import Driver
+    from locktide.cluster.udp_transport import UdpTransport
 
     sent: list[bytes] = []
 
     class Shown:
         terms = type("T", (), {"who": ("d0", 1)})
         refused = 0
-        agent = World(1, ["d0"]).begin("d0").agent
+        agent = VirtualCluster(1, ["d0"]).begin("d0").agent
         transport = type("S", (), {"sendto": lambda self, data, to: sent.append(data)})()
 
         def now(self) -> int:
             return 0
 
-    Driver.show(Shown(), Look(1), ("10.0.0.9", 5))  # type: ignore[arg-type]
+    UdpTransport.show(Shown(), InspectionRequest(1), ("10.0.0.9", 5))  # type: ignore[arg-type]
     assert not sent
-    Driver.show(Shown(), Look(1), ("127.0.0.1", 5))  # type: ignore[arg-type]
-    said = unpack(sent[0])
+    UdpTransport.show(Shown(), InspectionRequest(1), ("127.0.0.1", 5))  # type: ignore[arg-type]
+    said = decode(sent[0])
     assert said is not None and json.loads(said.word.text)["name"] == "d0"  # type: ignore[union-attr]
-    assert pack(("", 0), Look(1)) != sent[0]
+    assert encode(("", 0), InspectionRequest(1)) != sent[0]
 
 
 @pytest.mark.parametrize(
@@ -160,7 +161,7 @@
 def test_a_faulty_accord_names_its_key(change: tuple[str, str], key: str) -> None:
     text = FILE.format(port=7, udp=8)
     assert installation.parse(text).accord.on
-    with pytest.raises(Faults) as found:
+    with pytest.raises(ConfigErrors) as found:
         installation.parse(text.replace(*change))
     assert key in str(found.value)
 
@@ -174,7 +175,7 @@
     assert told.stdout.strip() == "[]"
 
 
-def checked(parts: say.Parts | None, after: int = 0) -> Checked:
+def checked(parts: QuotaSharesUpdated | None, after: int = 0) -> Checked:
     made = Checked(fleet=10)
     if parts is not None:
         made.turn(parts)
@@ -197,59 +198,61 @@
 def test_the_decisions_go_by_the_parts_until_they_are_over_and_by_even_ones_where_none_are_told() -> None:
     # A rate of five a second: a tenth of it, all of it, and after its time the floor.
     assert taken(checked(None)).count("own") == 2
-    stages = [say.Stage(30_000_000, {"dairy": 1.0}), say.Stage(1 << 62, {"dairy": 0.1})]
-    assert taken(checked(say.Parts(stages))).count("own") == 20
-    assert taken(checked(say.Parts(stages), after=30_000_000)).count("own") == 2
-    lent = [say.Stage(30_000_000, {"dairy": 0.2}, {"dairy": 0.4}), *stages[1:]]
-    found = taken(checked(say.Parts(lent)))
+    stages = [QuotaStage(30_000_000, {"dairy": 1.0}), QuotaStage(1 << 62, {"dairy": 0.1})]
+    assert taken(checked(QuotaSharesUpdated(stages))).count("own") == 20
+    assert taken(checked(QuotaSharesUpdated(stages), after=30_000_000)).count("own") == 2
+    lent = [QuotaStage(30_000_000, {"dairy": 0.2}, {"dairy": 0.4}), *stages[1:]]
+    found = taken(checked(QuotaSharesUpdated(lent)))
     assert (found.count("own"), found.count("lent")) == (4, 7)
-    assert "lent" not in taken(checked(say.Parts(lent), after=30_000_000))
-    over = taken(checked(say.Parts(stages, frozenset(["dairy"]), 20_000_000)))
+    assert "lent" not in taken(checked(QuotaSharesUpdated(lent), after=30_000_000))
+    over = taken(checked(QuotaSharesUpdated(stages, frozenset(["dairy"]), 20_000_000)))
     assert set(over) == {"beyond"}
-    assert "own" in taken(checked(say.Parts(stages, frozenset(["dairy"]), 20_000_000), after=20_000_000))
+    assert "own" in taken(
+        checked(QuotaSharesUpdated(stages, frozenset(["dairy"]), 20_000_000), after=20_000_000)
+    )
 
 
 def test_what_came_under_a_loan_that_is_over_waits_as_beyond_its_share_or_is_denied_at_once() -> None:
     """Nobody is ready, so all wait; what may have run is never withdrawn for it, as nothing of it is out."""
-    lent = [say.Stage(1 << 62, {"dairy": 0.0}, {"dairy": 1.0})]
+    lent = [QuotaStage(1 << 62, {"dairy": 0.0}, {"dairy": 1.0})]
     made = Checked(fleet=1)
-    made.turn(say.Parts(lent))
+    made.turn(QuotaSharesUpdated(lent))
     made.dispatcher.shares.levels["dairy"][0] = 0.0
     made.dispatcher.shares.covers("dairy", made.now)  # from here on a loan makes tokens, it brings none
     made.now += 1_000_000
     for number in range(4):
-        made.turn(say.Arrival(f"s{number}", "record", made.now + 6_000_000, tenant="dairy"))
+        made.turn(RequestArrived(f"s{number}", "record", made.now + 6_000_000, tenant="dairy"))
     pool = made.dispatcher.pool
     before = [sub.leave_at for sub in pool]
     assert [sub.borrower for sub in pool] == ["dairy"] * 4
-    made.turn(say.Parts([say.Stage(1 << 62, {"dairy": 0.0}, {"dairy": 0.5})]))
+    made.turn(QuotaSharesUpdated([QuotaStage(1 << 62, {"dairy": 0.0}, {"dairy": 0.5})]))
     assert [sub.leave_at for sub in pool] == before, "the loan is smaller, not over"
-    made.turn(say.Parts([say.Stage(1 << 62, {"dairy": 0.0})]))
+    made.turn(QuotaSharesUpdated([QuotaStage(1 << 62, {"dairy": 0.0})]))
     assert [sub.leave_at < early for sub, early in zip(pool, before, strict=True)] == [True] * 4
     assert [sub.borrower for sub in pool] == [None] * 4
     later = max(sub.leave_at for sub in pool)
     made.now = later
     orders = made.turn()
-    assert sum(type(order) is say.Deny for order in orders) == 4
+    assert sum(type(order) is RejectRequest for order in orders) == 4
 
 
 def test_the_part_tells_the_node_and_counts_what_is_asked_of_it() -> None:
     async def run() -> None:
         play = HandPlayed()
         here = ("127.0.0.1", free_port(socket.SOCK_DGRAM))
-        budgets = [Budget("dairy", 5.0, 25.0)]
-        terms = Terms(("d0", 1), here, {"d0": here}, [], budgets, 0.2, 2)
-        driver = await open_driver(terms, play.node.log, play.node, here)
+        budgets = [QuotaSpec("dairy", 5.0, 25.0)]
+        terms = ClusterConfig(("d0", 1), here, {"d0": here}, [], budgets, 0.2, 2)
+        driver = await open_udp_transport(terms, play.node.log, play.node, here)
         asked = submission("a")
         asked.tenant = "dairy"
         play.node.submitted(asked)
         assert driver.agent.purse.wants == {"dairy": 1}
         await play.settle()
-        told = [piece for _, news in play.turns for piece in news if type(piece) is say.Parts]
+        told = [piece for _, news in play.turns for piece in news if type(piece) is QuotaSharesUpdated]
         assert [stage.parts for stage in told[0].stages] == [{"dairy": 0.1}] * 2
         assert play.node.dispatcher.shares.agreed is told[-1]
         count = len(play.turns)
-        play.node.tell(say.NewTerms(terms_of(3, 1, False, 0.4)))
+        play.node.tell(ConfigReloaded(terms_of(3, 1, False, 0.4)))
         await asyncio.sleep(0.01)
         assert len(play.turns) > count
         assert play.node.dispatcher.shares.agreed.stages[-1].parts == {"dairy": 0.1}
--- a/tests/test_bound.py
+++ b/tests/test_bound.py
@@ -12,11 +12,13 @@
 
 from locktide.bench_adapter import wire
 from locktide.config import installation, settings, start
-from locktide.config.checks import Faulty, Table
-from locktide.dispatcher.dispatcher import Node
+from locktide.config.checks import ConfigError, Table
+from locktide.dispatcher.dispatcher import Dispatcher
 from locktide.protocol import discovery
 from locktide.protocol import server_connection as clients
-from locktide.scheduler import interface as say
+from locktide.scheduler.commands import CloseIdleConnections
+from locktide.scheduler.events import ConfigReloaded
+from locktide.scheduler.types import AttemptOutcome, EndpointState, ListUpdateKind
 from locktide.transport.log import Log
 
 
@@ -38,14 +40,14 @@
 def test_a_bound_grade_is_held_while_its_workers_are_down_and_goes_nowhere_else(where: Any) -> None:
     # stlucia-rating, rough-1, 0.03 s: 'quote' went to a zone that is not open to it; kochi-tables likewise.
     made = Checked()
-    made.turn(say.NewTerms(bound(**where)))
+    made.turn(ConfigReloaded(bound(**where)))
     here = listed("w0", cell=0)
-    there = listed("w1", state=say.GONE, cell=1, kind="other")
+    there = listed("w1", state=EndpointState.GONE, cell=1, kind="other")
     made.list(here, there)
     made.arrive(1, "view")
     made.arrive(2, "record")
     assert [sub for sub, _ in made.out()] == [2]
-    made.list(here, replace(there, state=say.READY))
+    made.list(here, replace(there, state=EndpointState.READY))
     made.pass_time(40_000)
     worker = made.dispatcher.submissions[1].dispatches[0].worker
     assert worker.id == "w1" and len(made.dispatcher.submissions[1].dispatches) == 1
@@ -53,21 +55,23 @@
 
 def test_resting_connections_are_closed_at_the_notice_and_after_each_end_there() -> None:
     made = Checked()
-    made.turn(say.NewTerms(bound(100_000)))
+    made.turn(ConfigReloaded(bound(100_000)))
     made.list(listed("w0"))
     made.arrive(1, "view")
-    drains = made.list(listed("w0", state=say.DRAINING), kind=say.CHANGES)
-    assert say.Close("w0") in drains
-    assert say.Close("w0") in made.end(1, 0, say.DONE)
-    assert wire.line(say.Close("w0")) == "CLOSE Worker=w0"
+    drains = made.list(listed("w0", state=EndpointState.DRAINING), kind=ListUpdateKind.DELTA)
+    assert CloseIdleConnections("w0") in drains
+    assert CloseIdleConnections("w0") in made.end(1, 0, AttemptOutcome.DONE)
+    assert wire.line(CloseIdleConnections("w0")) == "CLOSE Worker=w0"
 
 
 def test_nothing_is_closed_where_no_time_is_stated() -> None:
     made = Checked()
     made.list(listed("w0"))
     made.arrive(1, "view")
-    assert say.Close("w0") not in made.list(listed("w0", state=say.DRAINING), kind=say.CHANGES)
-    assert say.Close("w0") not in made.end(1, 0, say.DONE)
+    assert CloseIdleConnections("w0") not in made.list(
+        listed("w0", state=EndpointState.DRAINING), kind=ListUpdateKind.DELTA
+    )
+    assert CloseIdleConnections("w0") not in made.end(1, 0, AttemptOutcome.DONE)
 
 
 @pytest.mark.parametrize("late", [False, True])
@@ -89,22 +93,24 @@
 
         listening = await asyncio.start_server(worker, "127.0.0.1", 0)
         here = listening.sockets[0].getsockname()
-        known = discovery.ListUpdate(1, True, [listed("w0")], {"w0": here})
+        known = discovery.DiscoveryUpdate(1, True, [listed("w0")], {"w0": here})
         told = start.Start("n0", here, here, 7, 100, 80 << 20, {}, 250_000, 30_000_000, bound(100_000))
-        node = Node(told, known, Log("n0"))
+        node = Dispatcher(told, known, Log("n0"))
         node.submitted(submission("a"))
         await asyncio.wait_for(asked.wait(), 2.0)
         if not late:
             answer.set()
             await asyncio.sleep(0.05)
-        node.take_list(discovery.ListUpdate(2, False, [listed("w0", say.DRAINING)], {"w0": here}))
+        node.take_list(
+            discovery.DiscoveryUpdate(2, False, [listed("w0", EndpointState.DRAINING)], {"w0": here})
+        )
         begun = loop.time()
         if late:
             await asyncio.sleep(0.05)
             assert not closed.is_set(), "it is at work"
             answer.set()
             await asyncio.sleep(0.05)
-            node.called(clients.Called("a", "w0", "done", 0.0, say.DONE, b""))
+            node.called(clients.Callback("a", "w0", "done", 0.0, AttemptOutcome.DONE, b""))
         await asyncio.wait_for(closed.wait(), 1.0)
         assert loop.time() - begun < 0.2
         listening.close()
@@ -155,6 +161,6 @@
 )
 def test_a_faulty_bound_is_named(change: Any, key: str) -> None:
     grade = {"Name": "view", "Semantics": "free", "SoftLimit": 250.0, "TimeLimit": 9000.0}
-    with pytest.raises(Faulty) as found:
+    with pytest.raises(ConfigError) as found:
         settings.terms(Table(json.loads(json.dumps({"ServiceGrades": [grade | change]}))))
     assert key in str(found.value)
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -9,7 +9,15 @@
 
 from locktide.dispatcher import dispatcher as node_module
 from locktide.dispatcher import records
-from locktide.scheduler import interface as say
+from locktide.scheduler.commands import FailRequest, RejectRequest, SetTimer, StartAttempt
+from locktide.scheduler.events import (
+    AttemptEnded,
+    EndpointEntry,
+    EndpointListUpdate,
+    RequestArrived,
+    TimerFired,
+)
+from locktide.scheduler.types import EndpointState
 from locktide.simulation import outcome
 from locktide.simulation import rendered_config as told_module
 from locktide.simulation.model import scenario as script
@@ -57,12 +65,12 @@
     """Sends each submission to the ready workers in turn, and keeps the rules where nothing goes wrong."""
 
     def __init__(self, seed: int, *terms: Any) -> None:
-        self.workers: dict[str, say.Listed] = {}
-        self.kept: dict[str, say.Arrival] = {}
+        self.workers: dict[str, EndpointEntry] = {}
+        self.kept: dict[str, RequestArrived] = {}
         self.turns = 0
 
     def ready(self) -> list[str]:
-        return [name for name, entry in self.workers.items() if entry.state == say.READY]
+        return [name for name, entry in self.workers.items() if entry.state == EndpointState.READY]
 
     def next(self) -> str:
         self.turns += 1
@@ -72,24 +80,24 @@
     def turn(self, now: int, news: list[Any]) -> list[Any]:
         orders: list[Any] = []
         for piece in news:
-            if type(piece) is say.ListNews:
+            if type(piece) is EndpointListUpdate:
                 self.workers |= {entry.worker: entry for entry in piece.entries}
-            elif type(piece) is say.Arrival:
+            elif type(piece) is RequestArrived:
                 self.kept[piece.submission] = piece
                 orders += self.arrived(now, piece)
-            elif type(piece) is say.Ended and not piece.final:
+            elif type(piece) is AttemptEnded and not piece.final:
                 orders += self.ended(now, piece)
-            elif type(piece) is say.TimerDue:
+            elif type(piece) is TimerFired:
                 orders += self.due(now, piece.mark)
             else:
                 orders += self.other(now, piece)
         return orders
 
-    def arrived(self, now: int, piece: say.Arrival) -> list[Any]:
-        return [say.Dispatch(piece.submission, self.next())]
+    def arrived(self, now: int, piece: RequestArrived) -> list[Any]:
+        return [StartAttempt(piece.submission, self.next())]
 
-    def ended(self, now: int, piece: say.Ended) -> list[Any]:
-        return [say.Terminate(piece.submission)]
+    def ended(self, now: int, piece: AttemptEnded) -> list[Any]:
+        return [FailRequest(piece.submission)]
 
     def due(self, now: int, mark: int) -> list[Any]:
         return []
@@ -101,7 +109,7 @@
 class Silent(Plain):
     """Lost: holds every fifth for good. The node's own guard against that is taken away in the test."""
 
-    def arrived(self, now: int, piece: say.Arrival) -> list[Any]:
+    def arrived(self, now: int, piece: RequestArrived) -> list[Any]:
         self.turns += 1
         return [] if self.turns % 5 == 0 else super().arrived(now, piece)
 
@@ -109,19 +117,19 @@
 class Twice(Plain):
     """Doubled: dispatches again after an error, whatever the grade."""
 
-    def ended(self, now: int, piece: say.Ended) -> list[Any]:
-        return [say.Dispatch(piece.submission, self.next())]
+    def ended(self, now: int, piece: AttemptEnded) -> list[Any]:
+        return [StartAttempt(piece.submission, self.next())]
 
 
 class DeniesWhatRan(Plain):
-    def ended(self, now: int, piece: say.Ended) -> list[Any]:
-        return [say.Deny(piece.submission, 0)]
+    def ended(self, now: int, piece: AttemptEnded) -> list[Any]:
+        return [RejectRequest(piece.submission, 0)]
 
 
 class Copies(Plain):
     """Two dispatches at once, of what may be repeated."""
 
-    def arrived(self, now: int, piece: say.Arrival) -> list[Any]:
+    def arrived(self, now: int, piece: RequestArrived) -> list[Any]:
         first = super().arrived(now, piece)
         return first + super().arrived(now, piece) if piece.grade == "view" else first
 
@@ -143,19 +151,19 @@
 class AfterAll(Plain):
     """After: sends once more a second after the answer."""
 
-    def arrived(self, now: int, piece: say.Arrival) -> list[Any]:
+    def arrived(self, now: int, piece: RequestArrived) -> list[Any]:
         self.turns += 1
         mark = len(self.kept)
         self.marks = getattr(self, "marks", {}) | {mark: piece.submission}
-        return [say.Deny(piece.submission, 0), say.Wake(300_000, mark)]
+        return [RejectRequest(piece.submission, 0), SetTimer(300_000, mark)]
 
     def due(self, now: int, mark: int) -> list[Any]:
-        return [say.Dispatch(self.marks[mark], self.next())]
+        return [StartAttempt(self.marks[mark], self.next())]
 
 
 def play(monkeypatch: pytest.MonkeyPatch, decisions: type[Plain] | None, more: str = "") -> dict[str, Any]:
     if decisions is not None:
-        monkeypatch.setattr(node_module, "Dispatcher", decisions)
+        monkeypatch.setattr(node_module, "Scheduler", decisions)
     chosen = script.parse(more + QUIET if not more.startswith("[[") else QUIET + more)
     return in_virtual_time(chosen).told
 
@@ -213,11 +221,11 @@
     incident: str,
     rules: set[str],
 ) -> None:
-    monkeypatch.setattr(node_module, "Dispatcher", decisions)
+    monkeypatch.setattr(node_module, "Scheduler", decisions)
     if decisions is Silent:
-        monkeypatch.setattr(node_module.Node, "overdue", lambda self, held: None)
+        monkeypatch.setattr(node_module.Dispatcher, "overdue", lambda self, held: None)
     if decisions is Deaf:
-        monkeypatch.setattr(records.Fleet, "may_send", lambda self, worker: True)
+        monkeypatch.setattr(records.EndpointDirectory, "may_send", lambda self, worker: True)
     text = (change or str)(QUIET) + incident
     text = text.replace("incident = []\n", "" if incident else "incident = []\n")
     quick = "[roster]\nnotice = 0.2\nadd = 0.2\n[worker]\ncold_from = 0.1\nqueue = 99"
@@ -228,38 +236,38 @@
 
 def test_nothing_may_be_sent_after_the_answer(monkeypatch: pytest.MonkeyPatch) -> None:
     """The node itself refuses such an order; without that the checker must see it."""
-    release_settled = node_module.Node.release_settled
+    release_settled = node_module.Dispatcher.release_settled
 
     def forgetful(self: Any, held: Any) -> None:
         if held.dispatches:
             release_settled(self, held)
 
-    monkeypatch.setattr(node_module.Node, "release_settled", forgetful)
+    monkeypatch.setattr(node_module.Dispatcher, "release_settled", forgetful)
     monkeypatch.setattr(
-        records.OpenSubmission,
+        records.OpenRequest,
         "open",
         property(lambda self: not self.dispatches or not all(shot.outcome for shot in self.dispatches)),
     )
-    answer = node_module.Node.answer
+    answer = node_module.Dispatcher.answer
 
     def once(self: Any, submission: str, given: Any) -> None:
         held = self.held.get(submission)
         if held is not None and not held.answer.done():
             answer(self, submission, given)
 
-    monkeypatch.setattr(node_module.Node, "answer", once)
+    monkeypatch.setattr(node_module.Dispatcher, "answer", once)
     assert "after" in broken(play(monkeypatch, AfterAll))
 
 
 def test_a_late_answer_and_one_that_no_worker_made_are_seen(monkeypatch: pytest.MonkeyPatch) -> None:
-    answer = node_module.Node.answer
+    answer = node_module.Dispatcher.answer
 
     def late(self: Any, submission: str, given: Any) -> None:
         held = self.held[submission]
         self.loop.call_at(self.clock.at(held.limit_at) + 0.3, answer, self, submission, given)
 
-    monkeypatch.setattr(node_module.Node, "answer", late)
-    monkeypatch.setattr(node_module.Node, "time_out", lambda self, held: None)
+    monkeypatch.setattr(node_module.Dispatcher, "answer", late)
+    monkeypatch.setattr(node_module.Dispatcher, "time_out", lambda self, held: None)
     told = play(monkeypatch, Plain)
     assert broken(told) == {"late"} and set(told["answers"]) == {"late"}
 
@@ -267,7 +275,7 @@
         given.body = b"made up"
         answer(self, submission, given)
 
-    monkeypatch.setattr(node_module.Node, "answer", forged)
+    monkeypatch.setattr(node_module.Dispatcher, "answer", forged)
     assert broken(play(monkeypatch, Plain)) == {"forged"}
 
 
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -11,8 +11,27 @@
 from helpers import listed
 
 from locktide.dispatcher.dispatcher import COLD_MARGIN
-from locktide.scheduler import interface as say
-from locktide.scheduler.policy import Dispatcher
+from locktide.scheduler.commands import CancelAttempt, SetTimer, StartAttempt
+from locktide.scheduler.config import (
+    ClientConfig,
+    CostConfig,
+    EndpointListConfig,
+    ObjectiveConfig,
+    ProgressConfig,
+    QuotaConfig,
+    RetryConfig,
+    ServiceClass,
+    SlowStartConfig,
+)
+from locktide.scheduler.events import (
+    AttemptEnded,
+    AttemptStarted,
+    EndpointListUpdate,
+    RequestArrived,
+    TimerFired,
+)
+from locktide.scheduler.policy import Scheduler
+from locktide.scheduler.types import AttemptOutcome, DeduplicationScope, Effect, ListUpdateKind
 
 STEP, SLOTS, SPAN, WAY = 4_000, 3, 12_000_000, 3_000
 SPEEDS = (1.5, 1.0, 0.6)  # of the kinds
@@ -27,23 +46,45 @@
     def __init__(self, seed: int, fleet: int, warm: int, cold: int, margin: float) -> None:
         self.dice, self.events, self.made, self.now = Random(seed), list[Any](), 0, 0
         grades = [
-            say.Grade("view", say.REISSUABLE, say.EVERYONE, 0, 250_000, 2.0, 6_000_000, 5.0, 0.5, None),
-            say.Grade("long", say.REISSUABLE, say.EVERYONE, 0, 2_000_000, 2.0, 25_000_000, 5.0, 0.5, None),
+            ServiceClass(
+                "view",
+                Effect.IDEMPOTENT,
+                DeduplicationScope.FLEET,
+                0,
+                250_000,
+                2.0,
+                6_000_000,
+                5.0,
+                0.5,
+                None,
+            ),
+            ServiceClass(
+                "long",
+                Effect.IDEMPOTENT,
+                DeduplicationScope.FLEET,
+                0,
+                2_000_000,
+                2.0,
+                25_000_000,
+                5.0,
+                0.5,
+                None,
+            ),
         ]
         terms = (
             STEP,
             fleet,
             grades,
-            say.DispatchTerms(4, True, False),
-            say.ClientTerms(0),
-            say.ShareTerms({}, 1.0),
-            say.GoalTerms(0.4),
-            say.ColdTerms(FACTOR, WINDOW, COLD_FROM, WARM_AFTER, margin),
-            say.ListTerms(False, 10_000_000),
-            say.SignTerms(True, 1_000_000),
-            say.PriceTerms(),
+            RetryConfig(4, True, False),
+            ClientConfig(0),
+            QuotaConfig({}, 1.0),
+            ObjectiveConfig(0.4),
+            SlowStartConfig(FACTOR, WINDOW, COLD_FROM, WARM_AFTER, margin),
+            EndpointListConfig(False, 10_000_000),
+            ProgressConfig(True, 1_000_000),
+            CostConfig(),
         )
-        self.fleet = [Dispatcher(seed * 1000 + one, *terms) for one in range(fleet)]
+        self.fleet = [Scheduler(seed * 1000 + one, *terms) for one in range(fleet)]
         self.begun = 10_000_000
         self.names = [f"warm{one}" for one in range(warm)] + [f"cold{one}" for one in range(cold)]
         self.speed = {name: SPEEDS[place % 3] for place, name in enumerate(self.names)}
@@ -57,7 +98,7 @@
             for name in self.names
         ]
         for one in range(fleet):
-            self.at(self.begun, self.tell, one, say.ListNews(say.WHOLE, entries))
+            self.at(self.begun, self.tell, one, EndpointListUpdate(ListUpdateKind.SNAPSHOT, entries))
         rate = 1.1 * SLOTS * sum(self.speed.values()) / self.usual
         moment, number = float(self.begun), 0
         while moment < self.begun + SPAN:
@@ -92,15 +133,15 @@
     def come(self, one: int, number: int) -> None:
         grade = self.dice.choices(list(SHARES), list(SHARES.values()))[0]
         self.work[number] = self.dice.lognormvariate(-0.125, 0.5) * WORK[grade]
-        self.tell(one, say.Arrival(number, grade, self.now + 25_000_000))
+        self.tell(one, RequestArrived(number, grade, self.now + 25_000_000))
 
     def tell(self, one: int, news: Any) -> None:
         for order in self.fleet[one].turn(self.now, [news]):
-            if type(order) is say.Wake:
-                self.at(self.now + max(STEP, order.after), self.tell, one, say.TimerDue(order.mark))
-            elif type(order) is say.Dispatch:
+            if type(order) is SetTimer:
+                self.at(self.now + max(STEP, order.after), self.tell, one, TimerFired(order.mark))
+            elif type(order) is StartAttempt:
                 self.at(self.now + WAY, self.reach, one, order.submission, order.worker)
-            elif type(order) is say.Withdraw:
+            elif type(order) is CancelAttempt:
                 self.at(self.now + 2 * WAY, self.give_up, one, order)
 
     def reach(self, one: int, number: int, name: str) -> None:
@@ -113,24 +154,24 @@
     def begin(self, one: int, number: int, name: str) -> None:
         self.running[name] += 1
         place = len(self.fleet[one].submissions[number].dispatches) - 1
-        self.tell(one, say.Started(number, place))
+        self.tell(one, AttemptStarted(number, place))
         took = int(self.work[number] / self.speed[name] / self.warmth(name))
         self.at(self.now + took, self.end, one, number, place, name)
 
     def end(self, one: int, number: int, place: int, name: str) -> None:
         self.running[name] -= 1
         if number in self.fleet[one].submissions:
-            self.tell(one, say.Ended(number, place, say.DONE, True))
+            self.tell(one, AttemptEnded(number, place, AttemptOutcome.DONE, True))
         while self.queue[name] and self.running[name] < SLOTS:
             other, waiting = self.queue[name].pop(0)
             if waiting in self.fleet[other].submissions:
                 self.begin(other, waiting, name)
 
-    def give_up(self, one: int, order: say.Withdraw) -> None:
+    def give_up(self, one: int, order: CancelAttempt) -> None:
         for queue in self.queue.values():
             if (one, order.submission) in queue:
                 queue.remove((one, order.submission))
-                self.tell(one, say.Ended(order.submission, order.number, say.WITHDRAWN, False))
+                self.tell(one, AttemptEnded(order.submission, order.number, AttemptOutcome.CANCELLED, False))
                 return
 
 
--- a/tests/test_datagram_bytes.py
+++ b/tests/test_datagram_bytes.py
@@ -15,21 +15,21 @@
 import pytest
 
 from locktide.cluster import messages as words
-from locktide.cluster.config import Terms
-from locktide.cluster.fairness.ledger import Terms as LedgerTerms
-from locktide.cluster.fairness.replicated_ledger import Book
-from locktide.cluster.inspection import seen
-from locktide.cluster.member import Agent
-from locktide.cluster.messages import Entry, Row, pack, unpack
-from locktide.cluster.quota.local_quota import Budget
-from locktide.cluster.udp_transport import look, open_driver
+from locktide.cluster.config import ClusterConfig
+from locktide.cluster.fairness.ledger import FairnessConfig
+from locktide.cluster.fairness.replicated_ledger import ReplicatedLedger
+from locktide.cluster.inspection import inspect
+from locktide.cluster.member import ClusterMember
+from locktide.cluster.messages import LedgerRow, MemberRecord, decode, encode
+from locktide.cluster.quota.local_quota import QuotaSpec
+from locktide.cluster.udp_transport import inspect_member, open_udp_transport
 from locktide.simulation.cluster.processes import free_port
 
 SENDER = ("d0", 1_700_000_000_000_001)
 BALLOT, LATER = (3, "d1", 7), (2**40, "d2", 8)
-ROW = Row(name="d1", start=1_700_000_000_000_000, turn=2, state=3, address=("127.0.0.1", 9001))
-OTHER_ROW = Row(name="d2", start=5, turn=0, state=1, address=("10.0.0.2", 65_535))
-ENTRY = Entry(place=65_535, version=2, held=[1000, 0], waits=[500])
+ROW = MemberRecord(name="d1", start=1_700_000_000_000_000, turn=2, state=3, address=("127.0.0.1", 9001))
+OTHER_ROW = MemberRecord(name="d2", start=5, turn=0, state=1, address=("10.0.0.2", 65_535))
+ENTRY = LedgerRow(place=65_535, version=2, held=[1000, 0], waits=[500])
 
 # Each message with its whole datagram in hex: CRC-32, then [version, sender, its start, [tag, fields...]].
 DATAGRAMS: list[tuple[Any, str]] = [
@@ -40,7 +40,7 @@
     ),
     (words.Ping(number=1, row=None, rumours=[]), "7c269ad19402a26430cf00060a24181e400194a450696e6701c090"),
     (
-        words.Probe(number=2, name="d2", rumours=[ROW]),
+        words.IndirectProbe(number=2, name="d2", rumours=[ROW]),
         "09f3d43e9402a26430cf00060a24181e400194a550726f626502a264329195a26431cf00060a24181e4000020392a931"
         "32372e302e302e31cd2329",
     ),
@@ -51,7 +51,7 @@
     ),
     (words.Nack(number=4), "b20b43579402a26430cf00060a24181e400192a44e61636b04"),
     (
-        words.Whole(rows=[ROW, OTHER_ROW], answer=True),
+        words.FullSync(rows=[ROW, OTHER_ROW], answer=True),
         "7d90ea2e9402a26430cf00060a24181e400193a557686f6c659295a26431cf00060a24181e4000020392a93132372e30"
         "2e302e31cd232995a2643205000192a831302e302e302e32cdffffc3",
     ),
@@ -78,9 +78,9 @@
         "aca4d2359402a26430cf00060a24181e400194a841636365707465649303a264310793cf0000010000000000a2643208"
         "c2",
     ),
-    (words.Lead(term=BALLOT), "4524ba239402a26430cf00060a24181e400192a44c6561649303a2643107"),
+    (words.LeaderHeartbeat(term=BALLOT), "4524ba239402a26430cf00060a24181e400192a44c6561649303a2643107"),
     (
-        words.Ask(
+        words.LeaseRequest(
             term=LATER,
             number=5,
             of=BALLOT,
@@ -95,22 +95,22 @@
         "0003d0908101ce000111709193000109c3cefedcba98",
     ),
     (
-        words.Ask(term=LATER, number=5, of=None, seq=0, held={}, wants={}, loans=[], leaving=False),
+        words.LeaseRequest(term=LATER, number=5, of=None, seq=0, held={}, wants={}, loans=[], leaving=False),
         "3470393b9402a26430cf00060a24181e40019aa341736b93cf0000010000000000a264320805c000808090c200",
     ),
     (
-        words.Grant(
+        words.LeaseGrant(
             term=BALLOT, number=7, seq=8, parts={0: 1_000_000, 255: 1}, loans=[(2, 3, 400)], soon=True
         ),
         "1331e0879402a26430cf00060a24181e400197a54772616e749303a264310707088200ce000f4240ccff0191930203cd"
         "0190c3",
     ),
     (
-        words.Recall(term=BALLOT, owners=[0, 4]),
+        words.LeaseRevocation(term=BALLOT, owners=[0, 4]),
         "a0b153339402a26430cf00060a24181e400193a6526563616c6c9303a2643107920004",
     ),
     (
-        words.Heads(
+        words.Digest(
             sum=11,
             digest=2**63 + 1,
             heads=[("d1", 7, 12)],
@@ -123,12 +123,12 @@
         "0da26430a26439c3",
     ),
     (
-        words.Rows(sum=14, groups=[words.Group(name="d1", start=7, after=15, entries=[ENTRY])]),
+        words.Delta(sum=14, groups=[words.WriterDelta(name="d1", start=7, after=15, entries=[ENTRY])]),
         "8267cded9402a26430cf00060a24181e400193a4526f77730e9194a26431070f9194cdffff0292cd03e80091cd01f4",
     ),
-    (words.Look(number=16), "3bd44a1d9402a26430cf00060a24181e400192a44c6f6f6b10"),
+    (words.InspectionRequest(number=16), "3bd44a1d9402a26430cf00060a24181e400192a44c6f6f6b10"),
     (
-        words.Seen(number=17, page=18, pages=19, text='{"name": "\u00fc"}'),
+        words.InspectionPage(number=17, page=18, pages=19, text='{"name": "\u00fc"}'),
         "a28a0aa29402a26430cf00060a24181e400195a45365656e111213ae7b226e616d65223a2022c3bc227d",
     ),
 ]
@@ -156,16 +156,16 @@
 }
 
 
-def terms(address: tuple[str, int]) -> Terms:
-    ledger = LedgerTerms(["slots"], {"dairy": 1, "bakery": 2}, {}, [1000], 1_000_000)
-    budgets = [Budget("dairy", 5.0, 25.0, True), Budget("bakery", 1.0, 1.0)]
-    return Terms(("d0", 1), address, {"d0": address}, [], budgets, 0.2, 2, ledger=ledger)
+def terms(address: tuple[str, int]) -> ClusterConfig:
+    ledger = FairnessConfig(["slots"], {"dairy": 1, "bakery": 2}, {}, [1000], 1_000_000)
+    budgets = [QuotaSpec("dairy", 5.0, 25.0, True), QuotaSpec("bakery", 1.0, 1.0)]
+    return ClusterConfig(("d0", 1), address, {"d0": address}, [], budgets, 0.2, 2, ledger=ledger)
 
 
 @pytest.mark.parametrize(("message", "datagram"), DATAGRAMS, ids=lambda value: type(value).__name__)
 def test_each_message_has_the_same_bytes_both_ways(message: Any, datagram: str) -> None:
-    assert pack(SENDER, message).hex() == datagram
-    envelope = unpack(bytes.fromhex(datagram))
+    assert encode(SENDER, message).hex() == datagram
+    envelope = decode(bytes.fromhex(datagram))
     assert envelope is not None
     assert (envelope.version, envelope.sender, envelope.start) == (2, *SENDER)
     assert type(envelope.word) is type(message) and envelope.word == message
@@ -195,30 +195,30 @@
         "Look",
         "Seen",
     }
-    assert {kind.__struct_config__.tag for kind in words.Word.__subclasses__()} == tags
+    assert {kind.__struct_config__.tag for kind in words.Message.__subclasses__()} == tags
 
 
 def test_only_whole_datagrams_of_this_version_are_read() -> None:
     good = bytes.fromhex("3eb1290e" "9402a00092a44c6f6f6b10")
     body = good[4:]
-    assert unpack(good) is not None
-    assert unpack(good[:-1]) is None
-    assert unpack(crc32(body).to_bytes(4, "little") + body) is None
+    assert decode(good) is not None
+    assert decode(good[:-1]) is None
+    assert decode(crc32(body).to_bytes(4, "little") + body) is None
     for version in (b"\x01", b"\x03"):
         other = body[:1] + version + body[2:]
-        assert unpack(crc32(other).to_bytes(4, "big") + other) is None
+        assert decode(crc32(other).to_bytes(4, "big") + other) is None
     for length in (1200, 1201):
-        longest = pack(("d0", 7), words.Seen(number=1, page=0, pages=1, text="x" * (length - 22)))
+        longest = encode(("d0", 7), words.InspectionPage(number=1, page=0, pages=1, text="x" * (length - 22)))
         assert len(longest) == length
-        assert (unpack(longest) is not None) is (length == 1200)
-    assert (words.LARGEST, words.VERSION) == (1200, 2)
+        assert (decode(longest) is not None) is (length == 1200)
+    assert (words.MAX_DATAGRAM, words.VERSION) == (1200, 2)
 
 
 def test_digests_and_sums_that_members_compare_are_the_same() -> None:
-    agent = Agent(terms(("127.0.0.1", 9000)), 0)
+    agent = ClusterMember(terms(("127.0.0.1", 9000)), 0)
     assert agent.ledger is not None
     assert (agent.book, agent.ledger.gossip.sum_) == (443426513, 1457360318)
-    book = Book()
+    book = ReplicatedLedger()
     book.put(("d1", 7), ENTRY)
     assert book.digest == 2019037609288762282
     book.close("d2", (8, 13))
@@ -226,7 +226,7 @@
 
 
 def test_an_inspection_shows_the_same_keys() -> None:
-    assert json.dumps(seen(Agent(terms(("127.0.0.1", 9000)), 0), 0)) == json.dumps(INSPECTED)
+    assert json.dumps(inspect(ClusterMember(terms(("127.0.0.1", 9000)), 0), 0)) == json.dumps(INSPECTED)
 
 
 def test_an_inspection_over_the_socket_shows_the_same_keys() -> None:
@@ -236,9 +236,9 @@
 
     async def run() -> dict[str, Any]:
         here = ("127.0.0.1", free_port(socket.SOCK_DGRAM))
-        driver = await open_driver(terms(here), Silent(), None, here)
+        driver = await open_udp_transport(terms(here), Silent(), None, here)
         try:
-            return await look(here)
+            return await inspect_member(here)
         finally:
             await driver.close()
 
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -21,16 +21,18 @@
 
 from locktide.cli.jobs import told
 from locktide.durable import leases, recovery
-from locktide.durable.disk import Folder, Taken
-from locktide.durable.jobs import Table
+from locktide.durable.disk import DirectoryInUseError, DirectoryStorage
+from locktide.durable.jobs import JobTable
 from locktide.durable.log import framing as frames
 from locktide.durable.log import records
 from locktide.durable.log import write_ahead_log as journal
-from locktide.durable.log.records import Accepted, Began, Ended, Finished, Leased
-from locktide.durable.log.write_ahead_log import Damaged, Found, Journal, Unwritable
-from locktide.durable.recovery import End, Moment, Resume, Span
-from locktide.scheduler import interface as say
-from locktide.scheduler.policy import Dispatcher
+from locktide.durable.log.records import AttemptEnded, JobAccepted, JobFinished, LeaseGranted, WriterStarted
+from locktide.durable.log.write_ahead_log import DamagedLogError, LogContents, LogWriteError, WriteAheadLog
+from locktide.durable.recovery import ClockReading, ElapsedBounds, FinishJob, ResumeJob
+from locktide.scheduler.commands import FailRequest, LogMessage, SetTimer, StartAttempt
+from locktide.scheduler.events import EndpointListUpdate, RecoveredAttempt, RequestArrived, RequestRecovered
+from locktide.scheduler.policy import Scheduler
+from locktide.scheduler.types import AttemptOutcome, ListUpdateKind
 from locktide.simulation.model import random_scenario as rough
 from locktide.simulation.model import scenario as script
 from locktide.simulation.run import Troubled, in_virtual_time, on_loopback
@@ -41,12 +43,12 @@
 HERE = Path(__file__).resolve().parents[1]
 
 
-def accepted(id: str, at: int = 0, grade: str = "record", key: str = "") -> Accepted:
-    return Accepted(id, key, "digest", grade, "POST", f"/{grade}", [], b"body", at, at + 100 * S, 1.0)
+def accepted(id: str, at: int = 0, grade: str = "record", key: str = "") -> JobAccepted:
+    return JobAccepted(id, key, "digest", grade, "POST", f"/{grade}", [], b"body", at, at + 100 * S, 1.0)
 
 
-def leased(id: str, fence: int = 1, worker: str = "w0", at: int = 0, until: int = 20 * S) -> Leased:
-    return Leased(id, fence, worker, "zone-0", 0, at, until)
+def leased(id: str, fence: int = 1, worker: str = "w0", at: int = 0, until: int = 20 * S) -> LeaseGranted:
+    return LeaseGranted(id, fence, worker, "zone-0", 0, at, until)
 
 
 def virtually(work: Any) -> Any:
@@ -54,8 +56,8 @@
     return loop.run_until_complete(work)
 
 
-def opened(platter: Platter, **more: Any) -> Journal:
-    one = Journal(platter.mount(), more.pop("segment_bytes", 1 << 30), more.pop("group", True))
+def opened(platter: Platter, **more: Any) -> WriteAheadLog:
+    one = WriteAheadLog(platter.mount(), more.pop("segment_bytes", 1 << 30), more.pop("group", True))
     one.open(**more)
     return one
 
@@ -88,7 +90,7 @@
     place = frames.HEADER.size + place % (len(whole) - frames.HEADER.size - len(framed[-1]))
     whole[place] ^= 1 << bit
     read = list(frames.records(bytes(whole)))
-    assert isinstance(read[-1], frames.Trouble) and read[-1].kind == frames.DAMAGED
+    assert isinstance(read[-1], frames.FramingFault) and read[-1].kind == frames.DAMAGED
 
 
 def test_sectors_of_zeros_at_the_end_are_what_a_crash_leaves() -> None:
@@ -103,10 +105,13 @@
     name = tmp_path / journal.segment_name(1)
     newer = bytearray(frames.header(1))
     newer[8] = frames.VERSION + 1
-    for data, refusal in ((bytes(newer), frames.Newer), (b"something else entirely", frames.Foreign)):
+    for data, refusal in (
+        (bytes(newer), frames.NewerFormatError),
+        (b"something else entirely", frames.ForeignFileError),
+    ):
         name.write_bytes(data)
         with pytest.raises(refusal):
-            Journal(Folder(tmp_path), 1 << 20).open()
+            WriteAheadLog(DirectoryStorage(tmp_path), 1 << 20).open()
         assert name.read_bytes() == data and len(list(tmp_path.glob("*.journal"))) == 1
 
 
@@ -119,7 +124,7 @@
         platter.crash()
         platter.files[journal.segment_name(1)][200] ^= 4
         before = bytes(platter.files[journal.segment_name(1)])
-        with pytest.raises(Damaged, match="at byte"):
+        with pytest.raises(DamagedLogError, match="at byte"):
             opened(platter)
         assert bytes(platter.files[journal.segment_name(1)]) == before and platter.mounted is None
         other = opened(platter, skip_damaged=True)
@@ -131,24 +136,24 @@
 OPENS = """
 import sys
 from pathlib import Path
-from locktide.durable.disk import Folder
-from locktide.durable.log.write_ahead_log import Journal
-Journal(Folder(Path(sys.argv[1])), 1).open()
+from locktide.durable.disk import DirectoryStorage
+from locktide.durable.log.write_ahead_log import WriteAheadLog
+WriteAheadLog(DirectoryStorage(Path(sys.argv[1])), 1).open()
 """
 
 
 def test_two_dispatchers_cannot_have_one_directory(tmp_path: Path) -> None:
-    first = Journal(Folder(tmp_path), 1 << 20)
+    first = WriteAheadLog(DirectoryStorage(tmp_path), 1 << 20)
     first.open()
     held = sorted(tmp_path.iterdir())
     asked = subprocess.run(
         [sys.executable, "-c", OPENS, str(tmp_path)], cwd=HERE, capture_output=True, text=True
     )
     assert "another dispatcher has it" in asked.stderr and sorted(tmp_path.iterdir()) == held
-    with pytest.raises(Taken):
-        Journal(Folder(tmp_path), 1 << 20).open()
+    with pytest.raises(DirectoryInUseError):
+        WriteAheadLog(DirectoryStorage(tmp_path), 1 << 20).open()
     first.close()
-    Journal(Folder(tmp_path), 1 << 20).open()
+    WriteAheadLog(DirectoryStorage(tmp_path), 1 << 20).open()
 
 
 # --- group commit, full disks, compaction
@@ -187,7 +192,7 @@
             task.cancel()
         # Killed while it recovers, three times in a row.
         for _ in range(3):
-            appended = again.append(Began(0, "boot", 0))
+            appended = again.append(WriterStarted(0, "boot", 0))
             await asyncio.sleep(0)
             platter.crash()
             appended.cancel()
@@ -204,7 +209,7 @@
         one = opened(platter)
         await one.append(accepted("before"))
         platter.room = 50
-        with pytest.raises(Unwritable, match="no space"):
+        with pytest.raises(LogWriteError, match="no space"):
             await one.append(accepted("too much"))
         platter.room = None
         await one.append(accepted("after"))
@@ -220,10 +225,10 @@
         platter = Platter(1, 0.001)
         one = opened(platter)
         platter.fails_sync = True
-        with pytest.raises(Unwritable):
+        with pytest.raises(LogWriteError):
             await one.append(accepted("a"))
         platter.fails_sync = False
-        with pytest.raises(Unwritable, match="sync failed"):
+        with pytest.raises(LogWriteError, match="sync failed"):
             await one.append(accepted("b"))
 
     virtually(play())
@@ -245,7 +250,7 @@
             await one.append(accepted(id, number))
             if number % 10:
                 await one.append(leased(id))
-                await one.append(Finished(id, 200, b"result", 0, number))
+                await one.append(JobFinished(id, 200, b"result", 0, number))
                 one.table.forget(number, 50)
             if platter.mounted is None:
                 break
@@ -264,7 +269,7 @@
 # --- leases
 
 
-TERMS = leases.Terms(20 * S, 5 * S)
+TERMS = leases.LeaseConfig(20 * S, 5 * S)
 
 
 class Model(RuleBasedStateMachine):
@@ -272,7 +277,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.leases = leases.Leases(TERMS)
+        self.leases = leases.LeaseTable(TERMS)
         self.now = 0
         self.granted: list[dict[str, Any]] = []
 
@@ -334,7 +339,7 @@
 
 
 def test_a_worker_that_lives_and_says_nothing_holds_a_job_no_longer_than_its_lease() -> None:
-    held = leases.Leases(TERMS)
+    held = leases.LeaseTable(TERMS)
     held.grant("a", "x", 0)
     assert held.heard("a", "x", 1, S, False, True) == leases.RENEWS
     assert not held.due(6 * S - 1)
@@ -347,22 +352,28 @@
 # --- recovery
 
 
-def table_of(*said: records.Any) -> Table:
-    table = Table()
+def table_of(*said: records.AnyRecord) -> JobTable:
+    table = JobTable()
     for record in said:
         table.apply(record)
     return table
 
 
-BEGAN = Began(1000 * S, "boot", 50 * S)
+BEGAN = WriterStarted(1000 * S, "boot", 50 * S)
 
 
 def test_time_goes_on_by_the_boot_clock_whatever_the_day_says() -> None:
     last = 1010 * S
-    assert recovery.gone_by(BEGAN, last, Moment(400 * S, "boot", 90 * S)) == Span(30 * S, 30 * S)
-    assert recovery.gone_by(BEGAN, last, Moment(1025 * S, "other", 3 * S)) == Span(15 * S, 15 * S)
-    stepped = recovery.gone_by(BEGAN, last, Moment(900 * S, "other", 3 * S))
-    assert stepped == Span(0, recovery.UNKNOWN_SPAN)  # no limit is cut short, no memory is counted on
+    assert recovery.elapsed_since(BEGAN, last, ClockReading(400 * S, "boot", 90 * S)) == ElapsedBounds(
+        30 * S, 30 * S
+    )
+    assert recovery.elapsed_since(BEGAN, last, ClockReading(1025 * S, "other", 3 * S)) == ElapsedBounds(
+        15 * S, 15 * S
+    )
+    stepped = recovery.elapsed_since(BEGAN, last, ClockReading(900 * S, "other", 3 * S))
+    assert stepped == ElapsedBounds(
+        0, recovery.UNKNOWN_SPAN
+    )  # no limit is cut short, no memory is counted on
 
 
 def test_recovery_ends_waits_and_goes_on_oldest_first() -> None:
@@ -376,67 +387,76 @@
         accepted("done", 1003 * S),
         leased("old", at=1004 * S, until=1020 * S),
         leased("ran", at=1004 * S),
-        Ended("ran", 1, say.RESET, 1006 * S),
+        AttemptEnded("ran", 1, AttemptOutcome.RESET, 1006 * S),
         leased("gone and ran", at=1004 * S),
-        Finished("done", 200, b"", 0, 1006 * S),
+        JobFinished("done", 200, b"", 0, 1006 * S),
     )
     now = 5000 * S
-    steps = recovery.plan(table, leases.Leases(TERMS), Span(4 * S, 4 * S), now)
+    steps = recovery.plan(table, leases.LeaseTable(TERMS), ElapsedBounds(4 * S, 4 * S), now)
     assert [step.job.id for step in steps] == ["gone", "gone and ran", "old", "ran", "new"]
-    ends = [step for step in steps if isinstance(step, End)]
+    ends = [step for step in steps if isinstance(step, FinishJob)]
     assert [end.status for end in ends] == [503, 502]
-    old, ran, new = (step for step in steps if isinstance(step, Resume))
+    old, ran, new = (step for step in steps if isinstance(step, ResumeJob))
     # Written at 1001 s and open for 100: 9 s later, on our clock, 91 are left.
     assert old.limit_at == now + 91 * S and old.out == [0] and old.dispatches[0].outcome is None
     assert old.dispatches[0].sent_at == now - 6 * S
-    assert ran.out == [] and ran.dispatches[0].outcome == say.RESET and new.dispatches == []
+    assert ran.out == [] and ran.dispatches[0].outcome == AttemptOutcome.RESET and new.dispatches == []
 
 
 def test_after_a_clock_that_stepped_back_nothing_is_repeated() -> None:
     table = table_of(
-        BEGAN, accepted("a", 1001 * S), leased("a", at=1002 * S), Ended("a", 1, say.RESET, 1003 * S)
+        BEGAN,
+        accepted("a", 1001 * S),
+        leased("a", at=1002 * S),
+        AttemptEnded("a", 1, AttemptOutcome.RESET, 1003 * S),
+    )
+    (step,) = recovery.plan(
+        table, leases.LeaseTable(TERMS), ElapsedBounds(0, recovery.UNKNOWN_SPAN), 5000 * S
     )
-    (step,) = recovery.plan(table, leases.Leases(TERMS), Span(0, recovery.UNKNOWN_SPAN), 5000 * S)
-    assert isinstance(step, Resume) and step.dispatches[0].sent_at < -recovery.UNKNOWN_SPAN // 2
+    assert isinstance(step, ResumeJob) and step.dispatches[0].sent_at < -recovery.UNKNOWN_SPAN // 2
 
 
-def recovered(*shots: say.Earlier, grade: str = "record") -> tuple[Dispatcher, list[Any]]:
+def recovered(*shots: RecoveredAttempt, grade: str = "record") -> tuple[Scheduler, list[Any]]:
     """What the decisions make of a submission of an earlier process, over two seconds."""
-    decisions = Dispatcher(1, *terms(3, 1, False, False, 0.4))
+    decisions = Scheduler(1, *terms(3, 1, False, False, 0.4))
     now = 10_000_000
     entries = [listed("w0"), listed("w1", cell=1), listed("w2")]
-    decisions.turn(now, [say.ListNews(say.WHOLE, entries)])
-    arrival = say.Arrival("a", grade, now + 5 * S, patient=True)
-    orders = decisions.turn(now, [say.Recovered(arrival, now - S, list(shots))])
+    decisions.turn(now, [EndpointListUpdate(ListUpdateKind.SNAPSHOT, entries)])
+    arrival = RequestArrived("a", grade, now + 5 * S, patient=True)
+    orders = decisions.turn(now, [RequestRecovered(arrival, now - S, list(shots))])
     for _ in range(20):
         now += 100_000
         orders += decisions.turn(now, [])
-    return decisions, [order for order in orders if not isinstance(order, say.Wake | say.Log)]
+    return decisions, [order for order in orders if not isinstance(order, SetTimer | LogMessage)]
 
 
-def earlier(outcome: str | None, worker: str = "w0", age: int = S, cell: int = 0) -> say.Earlier:
-    return say.Earlier(worker, f"zone-{cell}", cell, 10_000_000 - age, outcome)
+def earlier(outcome: str | None, worker: str = "w0", age: int = S, cell: int = 0) -> RecoveredAttempt:
+    return RecoveredAttempt(worker, f"zone-{cell}", cell, 10_000_000 - age, outcome)
 
 
 def test_the_decisions_go_on_with_what_may_have_run() -> None:
     _, orders = recovered()
-    assert [type(order) for order in orders] == [say.Dispatch]
+    assert [type(order) for order in orders] == [StartAttempt]
     _, orders = recovered(earlier(None))  # still out: waited for
     assert orders == []
-    _, orders = recovered(earlier(say.RESET))
+    _, orders = recovered(earlier(AttemptOutcome.RESET))
     assert [order.worker for order in orders] == ["w2"]  # inside its cell alone, elsewhere than before
-    _, orders = recovered(earlier(say.RESET, worker="unlisted", cell=1))
+    _, orders = recovered(earlier(AttemptOutcome.RESET, worker="unlisted", cell=1))
     assert [order.worker for order in orders] == ["w1"]
-    _, orders = recovered(earlier(say.RESET, age=5 * S))  # past the memory of four seconds
-    assert not [order for order in orders if isinstance(order, say.Dispatch)]
-    _, orders = recovered(earlier(say.RESET), grade="cash")  # at most once
-    assert [type(order) for order in orders] == [say.Terminate]
-    _, orders = recovered(earlier(say.FULL), grade="cash")  # proven not to have run
-    assert [type(order) for order in orders] == [say.Dispatch]
-    _, orders = recovered(earlier(say.FULL), earlier(say.FULL), earlier(say.FULL))  # nobody waits: it goes on
-    assert [type(order) for order in orders] == [say.Dispatch]
-    _, orders = recovered(earlier(say.RESET), earlier(say.RESET), earlier(say.RESET))  # all that it may have
-    assert [type(order) for order in orders] == [say.Terminate]
+    _, orders = recovered(earlier(AttemptOutcome.RESET, age=5 * S))  # past the memory of four seconds
+    assert not [order for order in orders if isinstance(order, StartAttempt)]
+    _, orders = recovered(earlier(AttemptOutcome.RESET), grade="cash")  # at most once
+    assert [type(order) for order in orders] == [FailRequest]
+    _, orders = recovered(earlier(AttemptOutcome.FULL), grade="cash")  # proven not to have run
+    assert [type(order) for order in orders] == [StartAttempt]
+    _, orders = recovered(
+        earlier(AttemptOutcome.FULL), earlier(AttemptOutcome.FULL), earlier(AttemptOutcome.FULL)
+    )  # nobody waits: it goes on
+    assert [type(order) for order in orders] == [StartAttempt]
+    _, orders = recovered(
+        earlier(AttemptOutcome.RESET), earlier(AttemptOutcome.RESET), earlier(AttemptOutcome.RESET)
+    )  # all that it may have
+    assert [type(order) for order in orders] == [FailRequest]
 
 
 # --- dispatchers that are killed
@@ -643,8 +663,8 @@
     for word in ("verify", "export"):
         done = command("jobs", word, folder)
         assert done.returncode == 0 and done.stdout and "DAMAGED" not in done.stdout
-    found = Found()
-    table = Table()
-    journal.read(Folder(folder), table, found)
+    found = LogContents()
+    table = JobTable()
+    journal.read(DirectoryStorage(folder), table, found)
     shown = told(table.jobs["a1"])
     assert shown["state"] == "done" and [one["worker"] for one in shown["late_words"]] == ["w9"]
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -13,14 +13,17 @@
 from helpers import GRADES, Checked, Clerk, HandPlayed, call, free_address, listed, submission, submit, terms
 
 from locktide.config.start import Start
-from locktide.protocol.client_connection import Question, Reply
-from locktide.scheduler import interface as say
-from locktide.transport.client_connection import Answer, Peer, State
+from locktide.protocol.client_connection import UpstreamRequest, UpstreamResponse
+from locktide.scheduler.commands import StartAttempt, WatchEndpoints
+from locktide.scheduler.config import EndpointListConfig
+from locktide.scheduler.events import EndpointListUpdate, TimerFired
+from locktide.scheduler.types import AttemptOutcome, Effect, EndpointState, ListUpdateKind
+from locktide.transport.client_connection import ConnectionState, PeerRole, Response
 from locktide.transport.descriptor_budget import DescriptorBudget
 from locktide.transport.endpoint_watch import WAIT_MS
-from locktide.transport.listener import Server
+from locktide.transport.listener import Listener
 from locktide.transport.log import Log
-from locktide.transport.upstream_pool import SPOILT, WorkerConnection, WorkerConnections
+from locktide.transport.upstream_pool import SPOILT, UpstreamConnection, UpstreamPool
 
 
 def reset(client: socket.socket) -> None:
@@ -28,11 +31,11 @@
     client.close()
 
 
-def served(story: Callable[[Server, Clerk, Any], Awaitable[None]], places: int = 64) -> None:
+def served(story: Callable[[Listener, Clerk, Any], Awaitable[None]], places: int = 64) -> None:
     async def run() -> None:
         clerk, address = Clerk(), free_address()
         limits = {grade.name: grade.time_limit for grade in GRADES}
-        server = Server(DescriptorBudget(places), limits, set(), 400_000, clerk, Log("n0"))
+        server = Listener(DescriptorBudget(places), limits, set(), 400_000, clerk, Log("n0"))
         server.listen(address)
         await story(server, clerk, address)
         await server.stop()
@@ -59,7 +62,7 @@
 
 @pytest.mark.parametrize("go", [socket.socket.close, lambda client: client.shutdown(socket.SHUT_WR)])
 def test_what_is_read_once_its_client_has_gone_is_not_begun(go: Callable[[socket.socket], None]) -> None:
-    async def story(server: Server, clerk: Clerk, address: Any) -> None:
+    async def story(server: Listener, clerk: Clerk, address: Any) -> None:
         client = socket.create_connection(address)
         client.sendall(submit())
         go(client)  # nothing of ours has run since the connection came up
@@ -79,10 +82,12 @@
         super().__init__()
         self.begun: list[str] = []
 
-    async def ask(self, worker: str, address: Any, build: Any, sent: Any, fresh: bool = False) -> Reply | str:
+    async def ask(
+        self, worker: str, address: Any, build: Any, sent: Any, fresh: bool = False
+    ) -> UpstreamResponse | str:
         question = build()
         if question is None:
-            return say.NEVER_SENT
+            return AttemptOutcome.NEVER_SENT
         self.begun.append(f"{question.method} {worker}")
         sent()
         return await super().ask(worker, address, build, sent, fresh)
@@ -97,22 +102,22 @@
         play, address = Prompt(), free_address()
         play.node.server.listen(address)
         for worker in ("w0", "w1", "w2"):
-            play.list(worker, say.DRAINING)
+            play.list(worker, EndpointState.DRAINING)
         client = socket.create_connection(address)
         client.sendall(submit(Req_Deadline="3000m"))
         await until(lambda: play.node.held)
         await play.settle()
         go(client)
-        play.list("w1", say.READY)  # nothing of ours ran in between
+        play.list("w1", EndpointState.READY)  # nothing of ours ran in between
         await until(lambda: not play.node.held)
         assert play.begun == []
 
         client = socket.create_connection(address)
         client.sendall(submit(Req_Id="a2", Req_Deadline="3000m"))
         await until(lambda: play.begun)
-        play.list("w2", say.READY)
+        play.list("w2", EndpointState.READY)
         go(client)
-        play.asked[-1].end(say.RESET)  # it would go to another
+        play.asked[-1].end(AttemptOutcome.RESET)  # it would go to another
         await until(lambda: not play.node.held)
         assert play.begun == ["POST w1"]
         await play.node.server.stop()
@@ -127,7 +132,7 @@
     """A socket that is closed altogether answers what comes with a reset, and the kernel drops what the
     client has not taken yet."""
 
-    async def story(server: Server, clerk: Clerk, address: Any) -> None:
+    async def story(server: Listener, clerk: Clerk, address: Any) -> None:
         result = b"x" * 300_000
         client = socket.socket()
         client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
@@ -137,8 +142,8 @@
         await clerk.until(1)
         server.stopping = True
         caller = next(iter(server.callers))
-        clerk.answers[0].set_result(Answer(200, result))
-        await until(lambda: caller.state is State.LINGERING or caller.writer.is_closing())
+        clerk.answers[0].set_result(Response(200, result))
+        await until(lambda: caller.state is ConnectionState.LINGERING or caller.writer.is_closing())
         client.sendall(submit(Req_Id="a2"))
         received, loop = b"", asyncio.get_running_loop()
         while piece := await asyncio.wait_for(loop.sock_recv(client, 65536), 10.0):
@@ -152,18 +157,18 @@
 
 @pytest.mark.parametrize("first", ["bytes", "stop"])
 def test_a_request_that_crosses_a_stop_is_served_or_never_sent_on(first: str) -> None:
-    async def story(server: Server, clerk: Clerk, address: Any) -> None:
+    async def story(server: Listener, clerk: Clerk, address: Any) -> None:
         client = socket.create_connection(address)
         client.setblocking(False)
         await until(lambda: server.callers)
         caller = next(iter(server.callers))
-        caller.peer = Peer.CLIENT  # as by a submission that was answered
-        await until(lambda: caller.state is State.AT_REST)
+        caller.peer = PeerRole.CLIENT  # as by a submission that was answered
+        await until(lambda: caller.state is ConnectionState.AT_REST)
         if first == "bytes":
             client.sendall(submit())
             await server.wind_down()
             await clerk.until(1)
-            clerk.answers[0].set_result(Answer(200, b"done"))
+            clerk.answers[0].set_result(Response(200, b"done"))
         else:
             await server.wind_down()
             client.sendall(submit())
@@ -181,12 +186,12 @@
 def test_a_lingering_connection_ends_in_its_time(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr("locktide.transport.listener.LINGER_FOR", 0.05)
 
-    async def story(server: Server, clerk: Clerk, address: Any) -> None:
+    async def story(server: Listener, clerk: Clerk, address: Any) -> None:
         client = socket.create_connection(address)  # rests, and never ends its side
         await until(lambda: server.callers)
         caller = next(iter(server.callers))
-        caller.peer = Peer.CLIENT
-        await until(lambda: caller.state is State.AT_REST)
+        caller.peer = PeerRole.CLIENT
+        await until(lambda: caller.state is ConnectionState.AT_REST)
         await server.wind_down()
         assert server.busy()
         await until(lambda: not server.busy())
@@ -221,17 +226,17 @@
 
 
 def test_a_message_that_has_come_goes_before_an_eviction() -> None:
-    async def story(server: Server, clerk: Clerk, address: Any) -> None:
+    async def story(server: Listener, clerk: Clerk, address: Any) -> None:
         clients, loop = [socket.create_connection(address) for _ in range(2)], asyncio.get_running_loop()
         await until(lambda: len(server.callers) == 2)
-        await until(lambda: all(one.state is State.AT_REST for one in server.callers))
+        await until(lambda: all(one.state is ConnectionState.AT_REST for one in server.callers))
         clients[0].sendall(submit())  # the one that rested longest
         clients.append(socket.create_connection(address))
         for one in clients:
             one.setblocking(False)
         assert await asyncio.wait_for(loop.sock_recv(clients[1], 1), 5.0) == b""  # the other one goes
         await asyncio.wait_for(clerk.until(1), 5.0)
-        clerk.answers[0].set_result(Answer(200, b"done"))
+        clerk.answers[0].set_result(Response(200, b"done"))
         assert (await asyncio.wait_for(loop.sock_recv(clients[0], 1000), 5.0)).endswith(b"done")
         for one in clients:
             one.close()
@@ -241,7 +246,7 @@
 
 
 def test_idle_clients_that_fill_the_descriptors_shut_out_neither_callbacks_nor_clients() -> None:
-    async def story(server: Server, clerk: Clerk, address: Any) -> None:
+    async def story(server: Listener, clerk: Clerk, address: Any) -> None:
         idle = [socket.create_connection(address) for _ in range(40)]
         for turn in range(30):
             reader, writer = await asyncio.open_connection(*address)
@@ -251,7 +256,7 @@
             else:
                 writer.write(submit(Req_Id=f"s{turn}"))
                 await clerk.until(turn // 2 + 1)
-                clerk.answers[-1].set_result(Answer(200))
+                clerk.answers[-1].set_result(Response(200))
                 assert (await reader.readline()).startswith(b"HTTP/1.1 200 ")
             writer.close()
             idle += [socket.create_connection(address) for _ in range(3)]
@@ -263,16 +268,16 @@
 
 
 def test_a_stop_waits_for_a_connection_that_waits_for_its_place() -> None:
-    async def story(server: Server, clerk: Clerk, address: Any) -> None:
+    async def story(server: Listener, clerk: Clerk, address: Any) -> None:
         first = socket.create_connection(address)
         first.sendall(submit())
         await clerk.until(1)
         caller = next(iter(server.callers))
         second = socket.create_connection(address)
         await until(lambda: server.descriptors.waiting)
-        caller.state, caller.peer = State.AT_REST, Peer.CLIENT  # as if nothing else were owed
+        caller.state, caller.peer = ConnectionState.AT_REST, PeerRole.CLIENT  # as if nothing else were owed
         assert server.busy()
-        caller.state = State.SERVING
+        caller.state = ConnectionState.SERVING
         reset(first)
         await until(lambda: len(server.callers) == 1 and caller not in server.callers)
         second.close()
@@ -322,19 +327,21 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Called off in that very turn a whole message was taken for half a one, and nobody told its worker."""
-    made: list[WorkerConnection] = []
-    connect = WorkerConnection.connect
+    made: list[UpstreamConnection] = []
+    connect = UpstreamConnection.connect
 
-    async def noted(connection: WorkerConnection) -> None:
+    async def noted(connection: UpstreamConnection) -> None:
         await connect(connection)
         made.append(connection)
 
-    monkeypatch.setattr(WorkerConnection, "connect", noted)
+    monkeypatch.setattr(UpstreamConnection, "connect", noted)
 
     async def run() -> None:
         listening = socket.create_server(("127.0.0.1", 0))
-        connections, sent = WorkerConnections(DescriptorBudget(4), 500_000, 400_000), []
-        question = Question("POST", "/view", [], b"x" * 20_000_000)  # more than the kernel takes at once
+        connections, sent = UpstreamPool(DescriptorBudget(4), 500_000, 400_000), []
+        question = UpstreamRequest(
+            "POST", "/view", [], b"x" * 20_000_000
+        )  # more than the kernel takes at once
         at = listening.getsockname()
         asking = asyncio.create_task(connections.ask("w", at, lambda: question, lambda: sent.append(True)))
         await until(lambda: made and made[0].writer.transport.get_write_buffer_size())
@@ -375,8 +382,8 @@
     async def run() -> None:
         listening = await asyncio.start_server(script, "127.0.0.1", 0)
         at = listening.sockets[0].getsockname()
-        connections = WorkerConnections(DescriptorBudget(10), 500_000, 400_000)
-        question = Question("POST", "/view", [], b"x" * 100)
+        connections = UpstreamPool(DescriptorBudget(10), 500_000, 400_000)
+        question = UpstreamRequest("POST", "/view", [], b"x" * 100)
         for _ in range(2):
             await connections.ask("w", at, lambda: question, lambda: None)
         assert len(met) == meets
@@ -397,7 +404,7 @@
         shot = await play.sent("a")
         if first != "break":  # it has started: neither a break before the 202 nor a refusal ends that
             play.call("a", shot.worker, "started")
-            shot.end(say.RESET if first == "callback" else say.FULL)
+            shot.end(AttemptOutcome.RESET if first == "callback" else AttemptOutcome.FULL)
         else:
             shot.end(SPOILT)  # half a reply: it may have
         await play.settle()
@@ -406,7 +413,7 @@
         assert question is not None and question.method == "DELETE"
         play.asked[-1].reply(204)
         await play.settle()
-        assert play.outcomes() == [say.RESET]
+        assert play.outcomes() == [AttemptOutcome.RESET]
 
     played(story)
 
@@ -415,8 +422,8 @@
     """'returned' came a second time, as its 204 was lost: what ran by then was taken for never run."""
 
     async def story(play: HandPlayed) -> None:
-        play.list("w1", say.DRAINING)
-        play.list("w2", say.DRAINING)
+        play.list("w1", EndpointState.DRAINING)
+        play.list("w2", EndpointState.DRAINING)
         play.node.submitted(submission("a", grade="cash"))
         first = await play.sent("a")
         first.reply(202)
@@ -430,10 +437,12 @@
         play.asked[-1].sent()
         play.call("a", "w0", "returned")
         await play.settle()
-        assert play.outcomes() == [say.FULL] and play.asked[-1].build().method == "DELETE"  # type: ignore
+        assert play.outcomes() == [AttemptOutcome.FULL] and play.asked[-1].build().method == "DELETE"  # type: ignore
         play.asked[-1].reply(204)
         await play.settle()
-        assert play.outcomes() == [say.FULL, say.CUT_OFF] and not held.open  # at-most-once: given up
+        assert (
+            play.outcomes() == [AttemptOutcome.FULL, AttemptOutcome.CONNECTION_CLOSED] and not held.open
+        )  # at-most-once: given up
 
     played(story)
 
@@ -444,7 +453,7 @@
     async def story(play: HandPlayed) -> None:
         play.node.submitted(submission("a", grade="record", patience=6_000_000))
         first = await play.sent("a")
-        first.end(say.RESET)
+        first.end(AttemptOutcome.RESET)
         held = play.node.held["a"]
         await until(lambda: len(held.dispatches) == 2)
         await play.settle()
@@ -454,7 +463,7 @@
         assert abs(held.dispatches[1].before - sent_at - memory) < 100_000
         play.node.clock.offset += (held.dispatches[1].before - play.node.clock.now() + 1000) / 1e6
         assert late.build() is None
-        late.end(say.NEVER_SENT)
+        late.end(AttemptOutcome.NEVER_SENT)
         await play.settle()
         assert not held.open and held.answer.result().status == 502  # and is given up at once
 
@@ -467,7 +476,7 @@
         play.node.submitted(submission("a", grade="record", patience=6_000_000))
         first = await (play.ordered if when == "ordered" else play.sent)("a")
         told = list(terms(3, 1, False, 0.4))
-        changed: dict[str, Any] = {"effect": say.AT_MOST_ONCE, "memory_span": 0, "time_limit": 50_000}
+        changed: dict[str, Any] = {"effect": Effect.AT_MOST_ONCE, "memory_span": 0, "time_limit": 50_000}
         told[2] = [replace(grade, **changed) for grade in told[2]]
         here = ("127.0.0.1", 9)
         play.node.reload(Start("n0", here, here, 7, 100, 80 << 20, {}, 250_000, 30_000_000, tuple(told)))
@@ -475,7 +484,7 @@
             assert first.build() is not None
             first.sent()
         await play.settle()
-        first.end(say.RESET)
+        first.end(AttemptOutcome.RESET)
         held = play.node.held["a"]
         await until(lambda: len(held.dispatches) == 2)  # numbered, as it came: it may be repeated
         memory = next(grade for grade in GRADES if grade.name == "record").memory_span
@@ -490,19 +499,21 @@
 # --- the watch
 
 
-@pytest.mark.parametrize("kind, most", [(say.LIST_SILENT, 2_000_000), (say.LIST_FAILED, 4_000_000)])
+@pytest.mark.parametrize(
+    "kind, most", [(ListUpdateKind.FETCH_TIMED_OUT, 2_000_000), (ListUpdateKind.FETCH_FAILED, 4_000_000)]
+)
 def test_after_a_call_that_failed_the_next_comes_before_a_change_counts_as_told(kind: str, most: int) -> None:
     """Four spans of `ask_within` were allowed after it, and used: up to ten seconds by a list from before."""
     for seed in range(20):
         service = Checked(seed, must_ask=True)
         service.dispatcher.list.terms.told_within = 6_000_000
-        service.list(listed("w0"), kind=say.REMEMBERED)
-        while say.WatchList(True) not in service.pass_time(100_000):
+        service.list(listed("w0"), kind=ListUpdateKind.CACHED)
+        while WatchEndpoints(True) not in service.pass_time(100_000):
             pass
         for _ in range(4):  # an outage
             service.list(kind=kind)
             failed_at = service.now
-            while say.WatchList(True) not in service.pass_time(20_000):
+            while WatchEndpoints(True) not in service.pass_time(20_000):
                 assert service.now - failed_at <= most
 
 
@@ -516,14 +527,18 @@
             calls.append(play.node.loop.time())
 
         listening = await asyncio.start_server(silent, "127.0.0.1", 0)
-        listing = say.ListTerms(True, 10_000_000, told_within=200_000)
+        listing = EndpointListConfig(True, 10_000_000, told_within=200_000)
         play.node.listing = play.node.dispatcher.list.terms = listing
         play.node.discovery = listening.sockets[0].getsockname()
         play.node.watch(play.node.follow())
         await until(lambda: len(calls) == 2)
         # It may wait as long as we ask it to (WAIT_MS), and half of that time beyond.
         assert calls[1] - calls[0] < WAIT_MS / 1000 + 1.0
-        await until(lambda: any(say.ListNews(say.LIST_SILENT, []) in news for _, news in play.turns))
+        await until(
+            lambda: any(
+                EndpointListUpdate(ListUpdateKind.FETCH_TIMED_OUT, []) in news for _, news in play.turns
+            )
+        )
         assert play.node.watching is not None
         play.node.watching.cancel()
         listening.close()
@@ -567,7 +582,7 @@
         answer = play.node.submitted(submission("a"))
         (await play.sent("a")).reply(202)
         mark = next(mark for mark, what in rules.timers.items() if what != "round")
-        play.node.tell(say.TimerDue(mark))
+        play.node.tell(TimerFired(mark))
         await play.settle()
         assert answer is not None and answer.result().status == 502
         assert play.asked[-1].build().method == "DELETE"  # type: ignore[union-attr]
@@ -603,14 +618,14 @@
 
 def test_an_order_that_fails_costs_itself_alone() -> None:
     async def story(play: HandPlayed) -> None:
-        carry = play.node.orders[say.Dispatch]
+        carry = play.node.orders[StartAttempt]
 
-        def faulty(order: say.Dispatch) -> None:
+        def faulty(order: StartAttempt) -> None:
             if order.submission == "poor":
                 raise ValueError("out of sorts")
             carry(order)
 
-        play.node.orders[say.Dispatch] = faulty
+        play.node.orders[StartAttempt] = faulty
         for name in ("poor", "one", "two"):
             play.node.submitted(submission(name))
         await play.settle()
--- a/tests/test_hostile.py
+++ b/tests/test_hostile.py
@@ -11,13 +11,13 @@
 from helpers import TAKEN, HandPlayed, free_address, post, terms
 
 from locktide.config import start
-from locktide.config.checks import Faulty
+from locktide.config.checks import ConfigError
 from locktide.protocol import discovery
 from locktide.protocol import server_connection as clients
-from locktide.protocol.client_connection import Question, Reply
+from locktide.protocol.client_connection import UpstreamRequest, UpstreamResponse
 from locktide.transport import endpoint_watch as watch_module
 from locktide.transport.descriptor_budget import DescriptorBudget
-from locktide.transport.upstream_pool import WorkerConnections
+from locktide.transport.upstream_pool import UpstreamPool
 
 
 def entry(worker: str, **changed: Any) -> dict[str, Any]:
@@ -62,7 +62,7 @@
 
 
 def test_a_list_that_is_mostly_spoilt_is_refused_whole_and_an_unknown_worker_is_not_made_up() -> None:
-    with pytest.raises(Faulty, match="expected one of"):
+    with pytest.raises(ConfigError, match="expected one of"):
         discovery.parse(sheet(entry("w0", state="odd"), entry("w1", state="odd"), entry("w2")))
     told = discovery.parse(sheet(entry("new", state="odd"), entry("w1")))
     assert [one.worker for one in told.entries] == ["w1"] and told.unclear == ["new"]
@@ -173,11 +173,11 @@
     async def story() -> None:
         listening = await asyncio.start_server(script, "127.0.0.1", 0)
         at = listening.sockets[0].getsockname()
-        lines = WorkerConnections(DescriptorBudget(10), 500_000, 400_000)
-        question = Question("POST", "/view", [], b"x" * 100)
+        lines = UpstreamPool(DescriptorBudget(10), 500_000, 400_000)
+        question = UpstreamRequest("POST", "/view", [], b"x" * 100)
         for _ in range(2):
             found = await lines.ask("w", at, lambda: question, lambda: None)
-            assert isinstance(found, Reply) and found.status == 202
+            assert isinstance(found, UpstreamResponse) and found.status == 202
             kept = lines.idle["w"][0]
             while met == 1 and kept.fresh:
                 await asyncio.sleep(0.001)
@@ -189,11 +189,11 @@
 
 @pytest.mark.parametrize("share", ["NaN", "-3", "1e999", "1" + 400 * "0", '"half"', "null", "{}"])
 def test_a_share_out_of_range_is_a_share_or_a_400(share: str) -> None:
-    talk = clients.Conversation({"view": 3_000_000}, [])
+    talk = clients.ServerHttpConnection({"view": 3_000_000}, [])
     told = f'{{"id": "a", "from": "w0", "state": "running", "share": {share}}}'
     talk.feed(post("/callback", told.encode()))
     message = talk.next()
-    if isinstance(message, clients.Called):
+    if isinstance(message, clients.Callback):
         assert 0.0 <= message.share <= 1.0
     else:
-        assert isinstance(message, clients.Mistaken) and message.status == 400
+        assert isinstance(message, clients.BadRequest) and message.status == 400
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -13,13 +13,16 @@
 
 from locktide.config import start
 from locktide.protocol import discovery, names
-from locktide.scheduler import interface as say
-from locktide.scheduler.policy import Dispatcher
+from locktide.scheduler.commands import SetTimer, WatchEndpoints
+from locktide.scheduler.config import EndpointListConfig
+from locktide.scheduler.events import EndpointListUpdate, TimerFired
+from locktide.scheduler.policy import Scheduler
+from locktide.scheduler.types import AttemptOutcome, EndpointState, ListUpdateKind
 from locktide.simulation.model import scenario as script
 from locktide.simulation.model.discovery import Calls
 from locktide.simulation.run import in_virtual_time
 from locktide.transport import endpoint_watch as watch_module
-from locktide.transport.endpoint_watch import Watch
+from locktide.transport.endpoint_watch import EndpointWatch
 from locktide.transport.log import Log
 
 
@@ -28,24 +31,33 @@
 def test_forty_that_start_together_all_get_the_list(seed: int, told_within: int) -> None:
     """A release killed 28 of 40 at once: all asked at once, again and again, and hardly one was told."""
     service, events = Calls(150_000, 2_000_000), []
-    fleet = [Dispatcher(seed * 100 + me, *terms(4, 40, True, False, 0.4)) for me in range(40)]
+    fleet = [Scheduler(seed * 100 + me, *terms(4, 40, True, False, 0.4)) for me in range(40)]
     for one in fleet:
         one.list.terms.told_within = told_within
     for me in range(40):
-        heappush(events, (0, me, say.ListNews(say.REMEMBERED, [listed("w")])))
+        heappush(events, (0, me, EndpointListUpdate(ListUpdateKind.CACHED, [listed("w")])))
     told: dict[int, int] = {}
     while events:
         now, me, news = heappop(events)
         if now > 40_000_000:
             break
-        if type(news) is say.ListNews and news.kind == say.CHANGES:
+        if type(news) is EndpointListUpdate and news.kind == ListUpdateKind.DELTA:
             told[me] = now
         for order in fleet[me].turn(now, [news]):
-            if type(order) is say.Wake:
-                heappush(events, (now + max(STEP, order.after), me, say.TimerDue(order.mark)))
-            elif order == say.WatchList(True):
+            if type(order) is SetTimer:
+                heappush(events, (now + max(STEP, order.after), me, TimerFired(order.mark)))
+            elif order == WatchEndpoints(True):
                 at, heard = service.call(now)
-                heappush(events, (at, me, say.ListNews(say.CHANGES if heard else say.LIST_FAILED, [])))
+                heappush(
+                    events,
+                    (
+                        at,
+                        me,
+                        EndpointListUpdate(
+                            ListUpdateKind.DELTA if heard else ListUpdateKind.FETCH_FAILED, []
+                        ),
+                    ),
+                )
     assert len(told) == 40 and max(told.values()) < 20_000_000
     assert service.taken < 60, "work for the service without need"
 
@@ -80,21 +92,21 @@
     names = ["w0", "w1", "w2"]
     service.list(*[listed(name) for name in names])
     service.arrive(1, "record")
-    service.end(1, 0, say.RESET)
+    service.end(1, 0, AttemptOutcome.RESET)
     refused = 0
     for _ in range(2_500_000 // STEP):
         for submitted, shot in service.out():
             refused += 1
-            service.end(submitted, shot, say.NO_CONNECTION)
+            service.end(submitted, shot, AttemptOutcome.NO_CONNECTION)
         service.pass_time(STEP)
     assert not service.answered
     assert 3 < refused <= 3 * 11, "each of three workers is tried four times a second at most"
     warm = service.now - COLD.warm_after
-    service.list(*[listed(name, started_at=warm) for name in names], kind=say.CHANGES)
+    service.list(*[listed(name, started_at=warm) for name in names], kind=ListUpdateKind.DELTA)
     for _ in range(1_400_000 // STEP):
         service.pass_time(STEP)
         for submitted, shot in service.out():
-            service.end(submitted, shot, say.DONE)
+            service.end(submitted, shot, AttemptOutcome.DONE)
     assert service.answered[1] == "done"
 
 
@@ -105,7 +117,7 @@
         for place in range(3):  # as many as there may be
             await player.settle()
             assert len(player.asked) == place + 1
-            player.asked[place].end(say.NO_CONNECTION)
+            player.asked[place].end(AttemptOutcome.NO_CONNECTION)
         await player.settle()
         assert player.node.held["a"].open, "denied while it could still be sent"
 
@@ -114,7 +126,7 @@
 
 def told_to_ask() -> HandPlayed:
     player = HandPlayed()
-    player.node.listing = player.node.dispatcher.list.terms = say.ListTerms(True, 200_000)
+    player.node.listing = player.node.dispatcher.list.terms = EndpointListConfig(True, 200_000)
     return player
 
 
@@ -151,7 +163,7 @@
         await asyncio.sleep(0.01)
         assert not heard, "called before it was to"
         node.to_ask.set()
-        failed = say.ListNews(say.LIST_FAILED, [])
+        failed = EndpointListUpdate(ListUpdateKind.FETCH_FAILED, [])
         while not any(failed in news for _, news in player.turns):
             await asyncio.sleep(0.002)
         assert heard == [AFTER % 1] and not node.to_ask.is_set()
@@ -173,13 +185,13 @@
 def test_a_remembered_version_that_this_discovery_has_not_reached_is_given_up() -> None:
     async def run() -> None:
         heard: list[str] = []
-        sheets: list[discovery.ListUpdate] = []
+        sheets: list[discovery.DiscoveryUpdate] = []
         listening = await agent([sheet(3, False), sheet(3, True)], heard)
 
         def take(told: Any) -> None:
             sheets.append(told)
 
-        watch = Watch(listening.sockets[0].getsockname(), take, Log("n0"), 41)
+        watch = EndpointWatch(listening.sockets[0].getsockname(), take, Log("n0"), 41)
         task = asyncio.create_task(watch.run())
         while len(heard) < 3:
             await asyncio.sleep(0.002)
@@ -195,7 +207,7 @@
     async def run() -> None:
         heard: list[str] = []
         listening = await agent([sheet(3, True)] + [sheet(3, False)] * 1000, heard)
-        watch = Watch(listening.sockets[0].getsockname(), lambda told: None, Log("n0"))
+        watch = EndpointWatch(listening.sockets[0].getsockname(), lambda told: None, Log("n0"))
         task = asyncio.create_task(watch.run())
         await asyncio.sleep(0.35)
         assert 3 <= len(heard) <= 6
@@ -213,7 +225,7 @@
     async def run() -> None:
         player, heard = told_to_ask(), []
         node = player.node
-        player.node.listing = player.node.dispatcher.list.terms = say.ListTerms(True, 20_000)
+        player.node.listing = player.node.dispatcher.list.terms = EndpointListConfig(True, 20_000)
         listening = await agent([], heard)
         node.discovery = listening.sockets[0].getsockname()
         node.to_ask.set()
@@ -224,7 +236,7 @@
             await asyncio.sleep(0.005)
             if len(heard) == 4:
                 break
-        failed = say.ListNews(say.LIST_SILENT, [])
+        failed = EndpointListUpdate(ListUpdateKind.FETCH_TIMED_OUT, [])
         told = sum(failed in news for _, news in player.turns)
         assert len(heard) == 4 and 3 <= told <= 4, "one call for each time that the decisions said so"
         assert node.watching is not None
@@ -268,7 +280,9 @@
         while len(heard) < 3:
             await asyncio.sleep(0.002)
         assert heard == [names.INSTANCES, names.INSTANCES, AFTER % 7]
-        assert say.ListNews(say.LIST_FAILED, []) in [piece for _, news in player.turns for piece in news]
+        assert EndpointListUpdate(ListUpdateKind.FETCH_FAILED, []) in [
+            piece for _, news in player.turns for piece in news
+        ]
         assert node.watching is not None
         node.watching.cancel()
         listening.close()
@@ -280,9 +294,9 @@
     async def run() -> None:
         player = HandPlayed()
         here = player.node.fleet.addresses["w0"]
-        gone = [listed(name, say.GONE) for name in ("w0", "w1", "w2")]
+        gone = [listed(name, EndpointState.GONE) for name in ("w0", "w1", "w2")]
         addresses = dict.fromkeys(["w0", "w1", "w2", "w9"], here)
-        player.node.take_list(discovery.ListUpdate(2, False, [*gone, listed("w9")], addresses))
+        player.node.take_list(discovery.DiscoveryUpdate(2, False, [*gone, listed("w9")], addresses))
         player.node.submitted(submission_of("a"))
         assert (await player.sent("a")).worker == "w9"
         assert set(player.forgotten) >= {"w0", "w1", "w2"}, "their connections lead to another process now"
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -14,26 +14,29 @@
 import pytest
 from helpers import COLD, GRADES, STEP, Checked, begin, call, listed, submit, terms
 
-from locktide.dispatcher.dispatcher import Node
+from locktide.dispatcher.dispatcher import Dispatcher
 from locktide.protocol import server_connection as clients
-from locktide.scheduler import interface as say
+from locktide.scheduler.commands import CancelAttempt, FailRequest, LogMessage, RejectRequest, WatchEndpoints
+from locktide.scheduler.config import CostConfig, ServiceClass
+from locktide.scheduler.events import ConfigReloaded, EndpointEntry
+from locktide.scheduler.types import AttemptOutcome, Effect, ListUpdateKind
 
 # --- ratings that follow load ---------------------------------------------------------------------------
 
 
-def rated(ratings: dict[str, float], **started: int) -> list[say.Listed]:
+def rated(ratings: dict[str, float], **started: int) -> list[EndpointEntry]:
     return [listed(name, rating=rating, started_at=started.get(name, 0)) for name, rating in ratings.items()]
 
 
 def first_places(
-    ratings: dict[str, float], seeds: int = 400, prices: say.PriceTerms | None = None, **started: int
+    ratings: dict[str, float], seeds: int = 400, prices: CostConfig | None = None, **started: int
 ) -> Counter[str]:
     """Where as many dispatchers, who all know the same, send the first submission of each."""
     places: Counter[str] = Counter()
     for seed in range(seeds):
         service = Checked(seed, fleet=seeds, live=True, prices=prices)
         service.list(*rated(dict.fromkeys(ratings, 8.0)))  # the size of each
-        service.list(*rated(ratings, **started), kind=say.CHANGES)
+        service.list(*rated(ratings, **started), kind=ListUpdateKind.DELTA)
         service.arrive(1, "view")
         service.pass_time(10 * STEP)
         places[service.dispatches[1][0]["worker"]] += 1
@@ -51,12 +54,12 @@
 def test_ratings_that_are_wrong_cost_little(rating: float) -> None:
     service = Checked(fleet=5, live=True)
     service.list(*rated({"w0": 8.0, "w1": 8.0, "w2": 8.0}))
-    service.list(*rated({"w0": rating, "w1": 6.0, "w2": 5.0}), kind=say.CHANGES)
+    service.list(*rated({"w0": rating, "w1": 6.0, "w2": 5.0}), kind=ListUpdateKind.DELTA)
     for submission in range(60):
         service.arrive(submission, "view")
         service.pass_time(20 * STEP)
         for one, shot in service.out():
-            service.end(one, shot, say.DONE)
+            service.end(one, shot, AttemptOutcome.DONE)
     assert sum(answer == "done" for answer in service.answered.values()) > 55
 
 
@@ -65,25 +68,27 @@
     service = Checked(live=True)
     ratings = {f"w{number}": 6.0 for number in range(4)}
     service.list(*rated(dict.fromkeys(ratings, 8.0)))
-    service.list(*rated(ratings), kind=say.CHANGES)
+    service.list(*rated(ratings), kind=ListUpdateKind.DELTA)
 
     def renewed(*but: str) -> list[Any]:
         for name in ratings:
             ratings[name] += 0.01
         service.pass_time(700_000)
-        return service.list(*rated({n: r for n, r in ratings.items() if n not in but}), kind=say.CHANGES)
+        return service.list(
+            *rated({n: r for n, r in ratings.items() if n not in but}), kind=ListUpdateKind.DELTA
+        )
 
     def sent(first: int) -> set[str]:
         for submission in range(first, first + 40):
             service.arrive(submission, "cash")
             service.pass_time(2 * STEP)
             for one, shot in service.out():
-                service.end(one, shot, say.DONE)
+                service.end(one, shot, AttemptOutcome.DONE)
         met = [service.dispatches[one] for one in range(first, first + 40)]
         return {dispatches[0]["worker"] for dispatches in met if dispatches}
 
     assert sent(0) == set(ratings)
-    assert say.Log("avoiding worker w2: its rating stands still") in renewed("w2")
+    assert LogMessage("avoiding worker w2: its rating stands still") in renewed("w2")
     assert sent(100) == set(ratings) - {"w2"}
     renewed()
     assert sent(200) == set(ratings)
@@ -92,10 +97,10 @@
 def test_a_list_that_brings_no_ratings_speaks_against_nobody() -> None:
     service = Checked(live=True)
     service.list(*rated({"w0": 8.0, "w1": 8.0, "w2": 8.0}))
-    service.list(*rated({"w0": 4.0, "w1": 5.0, "w2": 6.0}), kind=say.CHANGES)
+    service.list(*rated({"w0": 4.0, "w1": 5.0, "w2": 6.0}), kind=ListUpdateKind.DELTA)
     for _ in range(5):
-        service.list(kind=say.CHANGES)
-        service.list(listed("w0", rating=4.5), kind=say.CHANGES)
+        service.list(kind=ListUpdateKind.DELTA)
+        service.list(listed("w0", rating=4.5), kind=ListUpdateKind.DELTA)
         service.list(*rated({"w0": 4.5, "w1": 5.0, "w2": 6.0}))  # whole, as after a reload, and nothing new
     assert not any(worker.doubtful(service.now) for worker in service.dispatcher.list.workers.values())
 
@@ -131,12 +136,12 @@
 
 def test_a_connection_that_is_open_is_used_again_where_new_ones_have_a_price() -> None:
     def connections(price: float) -> int:
-        service = Checked(live=True, prices=say.PriceTerms(connection=price, idle_close=5_000_000))
+        service = Checked(live=True, prices=CostConfig(connection=price, idle_close=5_000_000))
         service.list(*rated({f"w{number}": 8.0 for number in range(10)}))
         for submission in range(60):
             service.arrive(submission, "view")
             service.pass_time(5 * STEP)
-            service.end(submission, 0, say.DONE)
+            service.end(submission, 0, AttemptOutcome.DONE)
         return len({service.dispatches[submission][0]["worker"] for submission in range(60)})
 
     assert connections(0.05) < 6 and connections(0.0) == 10
@@ -145,13 +150,16 @@
 def test_what_may_go_anywhere_leaves_the_kind_that_a_grade_is_bound_to() -> None:
     service = Checked(live=True)
     told = list(terms(3, 3, False, 0.4, live=True))
-    told[2] = [*GRADES, say.Grade("bound", say.REISSUABLE, "", 0, 250_000, 2.0, 3_000_000, 5.0, 0.5, "slow")]
-    service.turn(say.NewTerms(tuple(told)))
+    told[2] = [
+        *GRADES,
+        ServiceClass("bound", Effect.IDEMPOTENT, "", 0, 250_000, 2.0, 3_000_000, 5.0, 0.5, "slow"),
+    ]
+    service.turn(ConfigReloaded(tuple(told)))
     service.list(*[listed(f"w{n}", rating=8.0, kind="slow" if n < 5 else "fast") for n in range(10)])
     for submission in range(200):
         service.arrive(submission, "view")
         service.pass_time(STEP)
-        service.end(submission, 0, say.DONE)
+        service.end(submission, 0, AttemptOutcome.DONE)
     slow = sum(service.dispatches[one][0]["worker"] in ("w0", "w1", "w2", "w3", "w4") for one in range(200))
     assert 20 < slow < 65  # a quarter as often
 
@@ -161,10 +169,10 @@
     """In a saturated fleet a quarter of all left a queue, and seven in ten were turned away elsewhere."""
     service = Checked(live=True)
     service.list(*rated({f"w{number}": 8.0 for number in range(6)}))
-    service.list(*rated({f"w{number}": rating for number in range(6)}), kind=say.CHANGES)
+    service.list(*rated({f"w{number}": rating for number in range(6)}), kind=ListUpdateKind.DELTA)
     service.arrive(1, "view")
     service.pass_time(300_000)  # of a slack of 500 ms
-    withdrawn = [order for order in service.orders if type(order) is say.Withdraw]
+    withdrawn = [order for order in service.orders if type(order) is CancelAttempt]
     assert bool(withdrawn) == moved
 
 
@@ -172,7 +180,7 @@
     service = Checked(live=True)
     service.list(*rated({f"w{number}": 8.0 for number in range(6)}))
     service.arrive(1, "record")
-    service.end(1, 0, say.FULL)
+    service.end(1, 0, AttemptOutcome.FULL)
     service.pass_time(2 * STEP)
     assert len(service.dispatches[1]) == 1 and 1 not in service.answered
     service.pass_time(200_000)
@@ -184,16 +192,16 @@
     service.list(*rated({f"w{number}": 8.0 for number in range(6)}))
     service.arrive(1, "record")
     for shot in range(service.most):
-        orders = service.end(1, shot, say.FULL)
+        orders = service.end(1, shot, AttemptOutcome.FULL)
         if shot < service.most - 1:
             service.pass_time(300_000)
-    assert [order.submission for order in orders if type(order) is say.Deny] == [1]
+    assert [order.submission for order in orders if type(order) is RejectRequest] == [1]
     assert service.arrivals[1].time_limit_at - service.now > 4_000_000, "its client has long to wait yet"
 
 
 # --- settings taken anew --------------------------------------------------------------------------------
 
-THERE = terms(3, 7, True, 0.3, live=True, prices=say.PriceTerms(0.05, 0.02, "zone-0", 5_000_000))
+THERE = terms(3, 7, True, 0.3, live=True, prices=CostConfig(0.05, 0.02, "zone-0", 5_000_000))
 HERE = terms(3, 3, False, 0.4)
 
 
@@ -205,20 +213,26 @@
     service.list(*[listed(name, cell=n % 2) for n, name in enumerate(names)])
     for submission in range(200):
         if submission % 25 == 24:
-            service.turn(say.NewTerms(THERE if submission % 50 == 24 else HERE))
+            service.turn(ConfigReloaded(THERE if submission % 50 == 24 else HERE))
         service.arrive(submission, dice.choice(GRADES).name, dice.choice([1.0, 2.0, 4.0]))
         service.pass_time(STEP * dice.randint(0, 10))
         for submitted, shot in service.out():
             if dice.random() < 0.2:
-                outcomes = [say.DONE, say.DONE, say.FULL, say.ERROR, say.RESET]
+                outcomes = [
+                    AttemptOutcome.DONE,
+                    AttemptOutcome.DONE,
+                    AttemptOutcome.FULL,
+                    AttemptOutcome.ERROR,
+                    AttemptOutcome.RESET,
+                ]
                 service.end(submitted, shot, dice.choice(outcomes))
-        for order in [order for order in service.orders if type(order) is say.Withdraw]:
+        for order in [order for order in service.orders if type(order) is CancelAttempt]:
             if (order.submission, order.number) in service.out() and dice.random() < 0.7:
-                service.end(order.submission, order.number, say.WITHDRAWN)
+                service.end(order.submission, order.number, AttemptOutcome.CANCELLED)
         if dice.random() < 0.2:
             place = dice.randrange(6)
             rating = dice.random() * 9
-            service.list(listed(names[place], cell=place % 2, rating=rating), kind=say.CHANGES)
+            service.list(listed(names[place], cell=place % 2, rating=rating), kind=ListUpdateKind.DELTA)
     service.pass_time(7_000_000)
     assert set(service.answered) == set(service.arrivals)
 
@@ -226,12 +240,12 @@
 def test_the_way_back_leaves_nothing_of_the_other_settings() -> None:
     service = Checked()
     service.list(*rated({"w0": 8.0, "w1": 8.0}))
-    service.turn(say.NewTerms(THERE))
-    service.list(*rated({"w0": 2.0, "w1": 8.0}), kind=say.CHANGES)
+    service.turn(ConfigReloaded(THERE))
+    service.list(*rated({"w0": 2.0, "w1": 8.0}), kind=ListUpdateKind.DELTA)
     assert service.dispatcher.list.workers["w0"].load == 3.0 and service.dispatcher.held == 1.5
-    orders = service.turn(say.NewTerms(HERE))
+    orders = service.turn(ConfigReloaded(HERE))
     assert service.dispatcher.list.workers["w0"].load == service.dispatcher.held == 0.0
-    assert not [order for order in orders if type(order) is say.WatchList]
+    assert not [order for order in orders if type(order) is WatchEndpoints]
 
 
 def test_what_is_open_keeps_its_grade_when_that_goes() -> None:
@@ -239,12 +253,12 @@
     service.arrive(1, "cash")
     told = list(HERE)
     told[2] = [grade for grade in GRADES if grade.name != "cash"]
-    service.turn(say.NewTerms(tuple(told)))
+    service.turn(ConfigReloaded(tuple(told)))
     service.list(listed("w0"))
     assert service.dispatches[1]
-    assert [type(order) for order in service.end(1, 0, say.ERROR) if type(order) is not say.Log] == [
-        say.Terminate
-    ]
+    assert [
+        type(order) for order in service.end(1, 0, AttemptOutcome.ERROR) if type(order) is not LogMessage
+    ] == [FailRequest]
 
 
 @pytest.mark.parametrize(
@@ -260,11 +274,11 @@
 def test_what_a_submission_tells_beside_its_grade_reaches_the_decisions(
     extras: str, target: str, told: tuple[Any, ...]
 ) -> None:
-    conversation = clients.Conversation({"view": 3_000_000}, ())
+    conversation = clients.ServerHttpConnection({"view": 3_000_000}, ())
     conversation.feed(submit(target, Req_Extra=extras, Req_Kind="view"))
     message = conversation.next()
-    assert isinstance(message, clients.Submitted)
-    news = Node.arrival(message, 9_000_000)
+    assert isinstance(message, clients.SubmitRequest)
+    news = Dispatcher.arrival(message, 9_000_000)
     assert (news.width, news.work_hint, news.tenant, news.key) == told
     assert (news.submission, news.grade, news.time_limit_at) == ("a1", "view", 9_000_000)
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -10,8 +10,10 @@
 import pytest
 from helpers import HandPlayed, submission
 
-from locktide.scheduler import interface as say
-from locktide.transport.client_connection import Answer
+from locktide.scheduler.commands import FailRequest, RejectRequest
+from locktide.scheduler.events import AttemptSent, ClientDisconnected, EndpointListUpdate
+from locktide.scheduler.types import AttemptOutcome, EndpointState, ListUpdateKind
+from locktide.transport.client_connection import Response
 from locktide.transport.descriptor_budget import DescriptorBudget
 from locktide.transport.log import BURST, Log
 
@@ -30,7 +32,7 @@
         assert abs(play.node.clock.now() - time.time_ns() // 1000) < 1_000_000
         await play.settle()
         first = play.turns[0][1][0]
-        assert type(first) is say.ListNews and first.kind == say.REMEMBERED
+        assert type(first) is EndpointListUpdate and first.kind == ListUpdateKind.CACHED
         assert [entry.started_at for entry in first.entries] == [0, 0, 0]
 
     played(story)
@@ -58,12 +60,12 @@
         play.call("b", shot.worker, "done", b"whose")  # for nobody
         assert not answer.done()
         play.call("a", shot.worker, "done", b"r\x00\xff")
-        assert answer.result() == Answer(200, b"r\x00\xff")
+        assert answer.result() == Response(200, b"r\x00\xff")
         play.call("a", shot.worker, "done", b"twice")
         shot.reply(202)
         await play.settle()
-        assert play.outcomes() == [say.DONE] and not play.node.held
-        assert sum(type(piece) is say.Sent for _, news in play.turns for piece in news) == 1
+        assert play.outcomes() == [AttemptOutcome.DONE] and not play.node.held
+        assert sum(type(piece) is AttemptSent for _, news in play.turns for piece in news) == 1
 
     played(story)
 
@@ -85,19 +87,19 @@
         play.node.submitted(submission("a", patience=800_000 if change == "late" else 3_000_000))
         shot = await play.ordered("a")
         if change == "draining":
-            play.list(shot.worker, say.DRAINING)
+            play.list(shot.worker, EndpointState.DRAINING)
         elif change == "gone":
-            play.list(shot.worker, say.GONE)
+            play.list(shot.worker, EndpointState.GONE)
         elif change == "answered":
-            play.node.held["a"].answer.set_result(Answer(502))
+            play.node.held["a"].answer.set_result(Response(502))
         elif change == "late":
             play.node.clock.offset += 1.0
         question = shot.build()
         assert (question is not None) == (change == "none")
         if question is None:
-            shot.end(say.NEVER_SENT)
+            shot.end(AttemptOutcome.NEVER_SENT)
             await play.settle()
-            assert play.outcomes()[0] == say.NEVER_SENT
+            assert play.outcomes()[0] == AttemptOutcome.NEVER_SENT
 
     played(story)
 
@@ -119,7 +121,7 @@
         assert (question.method, question.target) == ("DELETE", "/jobs/b%2F1")
         play.asked[-1].reply(204)
         await play.settle()
-        assert play.outcomes() == [say.WITHDRAWN] and not play.node.held
+        assert play.outcomes() == [AttemptOutcome.CANCELLED] and not play.node.held
 
     played(story)
 
@@ -130,7 +132,7 @@
         await play.ordered("a")
         play.node.gone(play.node.held["a"].message)
         await play.settle()
-        assert play.outcomes() == [say.NEVER_SENT] and not play.node.held
+        assert play.outcomes() == [AttemptOutcome.NEVER_SENT] and not play.node.held
 
     played(story)
 
@@ -144,7 +146,7 @@
         play.node.gone(play.node.held["a"].message)
         while play.node.held:
             await asyncio.sleep(0.005)
-        assert play.outcomes() == [say.WITHDRAWN]
+        assert play.outcomes() == [AttemptOutcome.CANCELLED]
 
     played(story)
 
@@ -157,14 +159,14 @@
         await play.settle()
         play.node.gone(play.node.held["a"].message)
         await play.settle()
-        for outcome in (say.CUT_OFF, say.RESET):
+        for outcome in (AttemptOutcome.CONNECTION_CLOSED, AttemptOutcome.RESET):
             play.asked[-1].end(outcome)
             await play.settle()
             assert play.outcomes() == [] and play.asked[-1].build() is not None
         assert len(play.asked) == 4
         play.asked[-1].reply(200)
         await play.settle()
-        assert play.outcomes() == [say.WITHDRAWN] and not play.node.held
+        assert play.outcomes() == [AttemptOutcome.CANCELLED] and not play.node.held
 
     played(story)
 
@@ -186,8 +188,8 @@
     async def story(play: HandPlayed) -> None:
         denied, terminated = (play.node.submitted(submission(name)) for name in "ab")
         assert denied is not None and terminated is not None
-        play.node.deny(say.Deny("a", 250_000))
-        play.node.terminate(say.Terminate("b"))
+        play.node.deny(RejectRequest("a", 250_000))
+        play.node.terminate(FailRequest("b"))
         assert denied.result().status == 503 and denied.result().headers == [("Retry-After", "0.250")]
         assert terminated.result().status == 502 and not terminated.result().headers
 
@@ -202,7 +204,7 @@
         status = (await asyncio.wait_for(answer, 5.0)).status
         assert status not in (200, 429, 503)
         await play.settle()
-        assert play.outcomes() == [say.TIMED_OUT] and not play.node.held
+        assert play.outcomes() == [AttemptOutcome.TIMED_OUT] and not play.node.held
         assert play.asked[-1].build().method == "DELETE"  # nobody waits for it any more
 
     played(story)
@@ -244,7 +246,7 @@
         assert answer is not None and (await asyncio.wait_for(answer, 5.0)).status == 504
         assert any("out of sorts" in line for line in play.lines_logged)
         await play.settle()
-        assert type(told[-1]) is say.ClientGone  # nothing more is to be sent for it
+        assert type(told[-1]) is ClientDisconnected  # nothing more is to be sent for it
 
     played(story)
 
@@ -260,7 +262,7 @@
         assert not play.node.held and play.node.tasks
         while play.node.tasks:
             await asyncio.sleep(0.005)
-        assert shot.cancelled and play.outcomes() == [say.DONE]
+        assert shot.cancelled and play.outcomes() == [AttemptOutcome.DONE]
 
     played(story)
 
@@ -271,7 +273,7 @@
         assert answer is not None
         (await play.sent("a")).reply(404)
         await play.settle()
-        assert answer.result().status == 400 and play.outcomes() == [say.UNFIT]
+        assert answer.result().status == 400 and play.outcomes() == [AttemptOutcome.UNPROCESSABLE]
         assert len(play.asked) == 1 and not play.node.held
 
     played(story)
@@ -292,10 +294,10 @@
 
 def test_connections_of_an_earlier_life_are_not_used() -> None:
     async def story(play: HandPlayed) -> None:
-        play.list("w0", say.DRAINING)
+        play.list("w0", EndpointState.DRAINING)
         assert play.forgotten == []
-        play.list("w0", say.READY, started_at=5)
-        play.list("w1", say.GONE)
+        play.list("w0", EndpointState.READY, started_at=5)
+        play.list("w1", EndpointState.GONE)
         assert play.forgotten == ["w0", "w1"]
 
     played(story)
@@ -307,11 +309,15 @@
         shot = await play.sent("a")
         shot.reply(202)
         await play.settle()
-        play.list(shot.worker, say.READY, started_at=play.node.clock.now() - 1_000_000)  # before it was sent
+        play.list(
+            shot.worker, EndpointState.READY, started_at=play.node.clock.now() - 1_000_000
+        )  # before it was sent
         await play.settle()
         assert play.outcomes() == []
-        play.list(shot.worker, say.READY, started_at=play.node.clock.now() + 1)
-        play.list(shot.worker, say.READY, started_at=play.node.clock.now() + 1)  # told twice, withdrawn once
+        play.list(shot.worker, EndpointState.READY, started_at=play.node.clock.now() + 1)
+        play.list(
+            shot.worker, EndpointState.READY, started_at=play.node.clock.now() + 1
+        )  # told twice, withdrawn once
         await play.settle()
         # A zone back cold: what went out anew before the new process had answered was a second copy.
         question = play.asked[-1].build()
@@ -319,7 +325,9 @@
         assert question is not None and (question.method, question.target) == ("DELETE", "/jobs/a")
         play.asked[-1].reply(404)
         await play.settle()
-        assert play.outcomes() == [say.CUT_OFF] and len(play.asked) == 3  # and goes out anew
+        assert (
+            play.outcomes() == [AttemptOutcome.CONNECTION_CLOSED] and len(play.asked) == 3
+        )  # and goes out anew
 
     played(story)
 
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -10,12 +10,12 @@
 from rig import play
 
 from locktide.dispatcher import attempts as dispatches
-from locktide.dispatcher.base import Base
-from locktide.dispatcher.endpoints import Roster
-from locktide.scheduler import interface as say
+from locktide.dispatcher.base import DispatcherBase
+from locktide.dispatcher.endpoints import EndpointFollower
+from locktide.scheduler.types import AttemptOutcome
 from locktide.transport.client_connection import ClientConnection
 from locktide.transport.descriptor_budget import DescriptorBudget
-from locktide.transport.upstream_pool import WorkerConnections
+from locktide.transport.upstream_pool import UpstreamPool
 
 KINDS = [
     "view",
@@ -84,7 +84,11 @@
 
 async def never_ran(self: Any, *given: Any, **named: Any) -> Any:
     found = await ASK(self, *given, **named)
-    return say.NO_CONNECTION if found in (say.RESET, say.CUT_OFF) else found
+    return (
+        AttemptOutcome.NO_CONNECTION
+        if found in (AttemptOutcome.RESET, AttemptOutcome.CONNECTION_CLOSED)
+        else found
+    )
 
 
 def first_list_only(self: Any, update: Any) -> None:
@@ -92,14 +96,20 @@
         TAKE_LIST(self, update)
 
 
-ANSWER, ASK, TAKE_LIST = Base.answer, WorkerConnections.ask, Roster.take_list
+ANSWER, ASK, TAKE_LIST = DispatcherBase.answer, UpstreamPool.ask, EndpointFollower.take_list
 WHILE = "speak " * 20
 SEEDED = [
     ("gone", ClientConnection, "leave", ignore, story("view close", WHILE, "break")),
-    ("drain", Roster, "take_list", first_list_only, story("leaving:0 leaving:1", WHILE, "view " * 4)),
+    (
+        "drain",
+        EndpointFollower,
+        "take_list",
+        first_list_only,
+        story("leaving:0 leaving:1", WHILE, "view " * 4),
+    ),
     ("copies", dispatches, "give_up", told_at_once, story("view take", WHILE)),
-    ("twice", WorkerConnections, "ask", never_ran, story("cash break")),
-    ("lost", Base, "answer", none_to_the_first, story("view take done")),
+    ("twice", UpstreamPool, "ask", never_ran, story("cash break")),
+    ("lost", DispatcherBase, "answer", none_to_the_first, story("view take done")),
     ("descriptors", DescriptorBudget, "release", ignore, story("view take done")),
 ]
 
--- a/tests/test_parsed_values.py
+++ b/tests/test_parsed_values.py
@@ -21,16 +21,28 @@
 
 from locktide.bench_adapter import wire
 from locktide.cluster.bootstrap import terms as accord_terms
-from locktide.cluster.config import Terms as AccordTerms
-from locktide.cluster.fairness.ledger import Terms as LedgerTerms
-from locktide.cluster.quota.local_quota import Budget
+from locktide.cluster.config import ClusterConfig as AccordTerms
+from locktide.cluster.fairness.ledger import FairnessConfig as LedgerTerms
+from locktide.cluster.quota.local_quota import QuotaSpec
 from locktide.config import accord, installation, start
 from locktide.config.checks import Table
 from locktide.durable.bootstrap import terms as durable_terms
-from locktide.durable.job_service import Terms as JobTerms
-from locktide.durable.leases import Terms as LeaseTerms
+from locktide.durable.job_service import JobConfig as JobTerms
+from locktide.durable.leases import LeaseConfig as LeaseTerms
 from locktide.protocol import discovery
-from locktide.scheduler import interface as program
+from locktide.scheduler.config import (
+    ClientConfig,
+    CostConfig,
+    EndpointListConfig,
+    ObjectiveConfig,
+    ProgressConfig,
+    QuotaConfig,
+    RetryConfig,
+    ServiceClass,
+    SlowStartConfig,
+)
+from locktide.scheduler.events import EndpointEntry
+from locktide.scheduler.types import DeduplicationScope, Effect, EndpointState
 from locktide.simulation import rendered_config as told
 from locktide.simulation.model import scenario as script
 from locktide.simulation.model import tenants
@@ -104,27 +116,27 @@
     ),
     tenants.Tenant: ("script-tenant", "name rate weight share skew home idle"),
     tenants.Agreed: ("script-accord", "on reserve spare burst lend resource beyond"),
-    program.Listed: ("listed", "worker zone kind cell state rating started_at"),
-    program.Grade: (
+    EndpointEntry: ("listed", "worker zone kind cell state rating started_at"),
+    ServiceClass: (
         "grade",
         "name effect group memory_span soft_limit stretch time_limit revenue overdue_revenue kind "
         "kinds zones",
     ),
-    program.DispatchTerms: ("dispatch-terms", "most_dispatches may_withdraw counts_unsent"),
-    program.ClientTerms: ("client-terms", "longest_advice"),
-    program.ShareTerms: ("share-terms", "quotas beyond_share"),
-    program.GoalTerms: ("goal-terms", "worst_grade"),
-    program.ColdTerms: ("cold-terms", "factor window cold_from warm_after margin"),
-    program.ListTerms: ("list-terms", "must_ask ask_within live hang_up_within told_within"),
-    program.SignTerms: ("sign-terms", "tells_start progress_every"),
-    program.PriceTerms: ("price-terms", "connection crossing zone idle_close"),
+    RetryConfig: ("dispatch-terms", "most_dispatches may_withdraw counts_unsent"),
+    ClientConfig: ("client-terms", "longest_advice"),
+    QuotaConfig: ("share-terms", "quotas beyond_share"),
+    ObjectiveConfig: ("goal-terms", "worst_grade"),
+    SlowStartConfig: ("cold-terms", "factor window cold_from warm_after margin"),
+    EndpointListConfig: ("list-terms", "must_ask ask_within live hang_up_within told_within"),
+    ProgressConfig: ("sign-terms", "tells_start progress_every"),
+    CostConfig: ("price-terms", "connection crossing zone idle_close"),
     start.Start: (
         "start",
         "name listen discovery seed descriptors memory known connect_within idle_close terms",
     ),
-    discovery.ListUpdate: ("list-update", "version whole entries addresses unclear faults"),
+    discovery.DiscoveryUpdate: ("list-update", "version whole entries addresses unclear faults"),
     AccordTerms: ("accord-terms", "who address electors seeds budgets reserve most seed lend ledger"),
-    Budget: ("budget", "name rate burst lends"),
+    QuotaSpec: ("budget", "name rate burst lends"),
     LedgerTerms: ("ledger-terms", "resources weights needs each longest"),
     JobTerms: ("job-terms", "grades limit keep most_open pace leases"),
     LeaseTerms: ("lease-terms", "start_within beat_within"),
@@ -149,7 +161,17 @@
     "prices",
 )
 # Constants of the program, once they are no plain words any more.
-WORDS: dict[Enum, str] = {}
+WORDS: dict[Enum, str] = {
+    Effect.IDEMPOTENT: "reissuable",
+    Effect.IDEMPOTENT_WITH_KEY: "numbered",
+    Effect.AT_MOST_ONCE: "at-most-once",
+    DeduplicationScope.FLEET: "everyone",
+    DeduplicationScope.ZONE: "same zone",
+    DeduplicationScope.CELL: "same cell",
+    EndpointState.READY: "ready",
+    EndpointState.DRAINING: "draining",
+    EndpointState.GONE: "gone",
+}
 
 
 def sections(configuration: tuple[Any, ...]) -> dict[str, Any]:
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -11,28 +11,34 @@
 from helpers import TAKEN, call, post, submit
 
 from locktide.config import start
-from locktide.config.checks import Faulty
+from locktide.config.checks import ConfigError
 from locktide.protocol import discovery
 from locktide.protocol import server_connection as clients
 from locktide.protocol import worker_messages as workers
-from locktide.protocol.client_connection import Broken, Exchange, Question, Reply
-from locktide.scheduler import interface as say
+from locktide.protocol.client_connection import (
+    ClientHttpConnection,
+    ProtocolError,
+    UpstreamRequest,
+    UpstreamResponse,
+)
+from locktide.scheduler.events import EndpointEntry
+from locktide.scheduler.types import AttemptOutcome, EndpointState
 
 GRADES, NUMBERED = {"view": 6_000_000, "record": 6_000_000}, ("record",)
 
 
 def heard(
-    data: bytes, dice: random.Random | None = None, talk: clients.Conversation | None = None
+    data: bytes, dice: random.Random | None = None, talk: clients.ServerHttpConnection | None = None
 ) -> tuple[list[clients.Message], bytes]:
     """Feeds it in random pieces and answers each message; the messages and what was written."""
-    talk = talk or clients.Conversation(GRADES, NUMBERED)
+    talk = talk or clients.ServerHttpConnection(GRADES, NUMBERED)
     found: list[clients.Message] = []
     written = b""
     while not talk.last:
         message = talk.next()
         if message is not None:
             found.append(message)
-            status = message.status if isinstance(message, clients.Mistaken) else 200
+            status = message.status if isinstance(message, clients.BadRequest) else 200
             written += b"".join(talk.answer(status, b"so\n", [], False))
         elif data:
             size = dice.randint(1, 40) if dice else len(data)
@@ -48,7 +54,7 @@
     dice = random.Random(seed)
     bodies = [bytes(dice.choices(range(256), k=dice.choice([0, 1, 700]))) for _ in range(6)]
     found: list[clients.Message] = []
-    talk = clients.Conversation(GRADES, NUMBERED)
+    talk = clients.ServerHttpConnection(GRADES, NUMBERED)
     for number, body in enumerate(bodies):
         for whole in (
             submit(
@@ -68,17 +74,17 @@
     assert len(found) == 12
     for number, body in enumerate(bodies):
         one = found[2 * number]
-        assert isinstance(one, clients.Submitted)
+        assert isinstance(one, clients.SubmitRequest)
         assert (one.id, one.grade, one.target) == (f"id{number}", "record", f"/record?obj={number}")
         assert (one.body, one.width, one.retry, one.patience) == (body, 2.0, True, 480_000)
         told = workers.job(one, 1234)
         onward = dict(told.headers)
         assert onward[b"Idempotency-Key"] == b"k%d" % number and onward[b"X-Note"] == b"caf\xe9"
         assert onward[b"Req-Deadline"] == b"1234u" and b"Host" not in onward
-        assert found[2 * number + 1] == clients.Called(f"id{number}", "w", "running", 0.25, None, b"")
+        assert found[2 * number + 1] == clients.Callback(f"id{number}", "w", "running", 0.25, None, b"")
         # What we write to the worker is a message that reads the same on the other side.
-        again, _ = heard(b"".join(Exchange("w:1").ask(told)), dice)
-        assert isinstance(again[0], clients.Submitted)
+        again, _ = heard(b"".join(ClientHttpConnection("w:1").ask(told)), dice)
+        assert isinstance(again[0], clients.SubmitRequest)
         assert (again[0].id, again[0].target, again[0].body) == (one.id, one.target, body)
 
 
@@ -89,7 +95,7 @@
     for _ in range(dice.randint(1, 12)):
         whole[dice.randrange(len(whole))] = dice.randrange(256)
     for message in heard(bytes(whole), dice)[0]:
-        if isinstance(message, clients.Mistaken):
+        if isinstance(message, clients.BadRequest):
             assert 400 <= message.status < 500 and message.status != 429
 
 
@@ -147,48 +153,53 @@
 )
 def test_what_is_not_taken_gets_a_plain_4xx(sent: bytes, status: int) -> None:
     found, written = heard(sent)
-    assert isinstance(found[0], clients.Mistaken) and found[0].status == status
+    assert isinstance(found[0], clients.BadRequest) and found[0].status == status
     assert written.startswith(b"HTTP/1.1 %d " % status)
-    assert not any(isinstance(message, clients.Submitted) for message in found)
+    assert not any(isinstance(message, clients.SubmitRequest) for message in found)
 
 
 def test_a_body_of_64_kib_is_taken() -> None:
     found, _ = heard(submit(body=b"x" * 65_536))
-    assert isinstance(found[0], clients.Submitted) and len(found[0].body) == 65_536
+    assert isinstance(found[0], clients.SubmitRequest) and len(found[0].body) == 65_536
 
 
 def test_callbacks_mean_what_the_table_says() -> None:
-    ends = [("done", say.DONE), ("failed", say.ERROR), ("returned", say.FULL), ("lost", say.RESET)]
+    ends = [
+        ("done", AttemptOutcome.DONE),
+        ("failed", AttemptOutcome.ERROR),
+        ("returned", AttemptOutcome.FULL),
+        ("lost", AttemptOutcome.RESET),
+    ]
     for state, outcome in ends:
         found, _ = heard(call(id="a", **{"from": "w"}, state=state, result="r\u00e9\n"))
         result = "r\u00e9\n".encode() if state == "done" else b""
-        assert found == [clients.Called("a", "w", state, 0.0, outcome, result)]
+        assert found == [clients.Callback("a", "w", state, 0.0, outcome, result)]
 
 
 @pytest.mark.parametrize(
     "status, headers, outcome",
     [
         (202, {}, None),
-        (500, {}, say.ERROR),
-        (503, {"srv-declined": "1"}, say.FULL),
-        (504, {"srv-declined": "1"}, say.FULL),
-        (503, {}, say.ERROR),
-        (503, {"srv-declined": "0"}, say.ERROR),
-        (500, {"srv-declined": "1"}, say.ERROR),
-        (400, {}, say.UNFIT),
-        (404, {"srv-declined": "1"}, say.UNFIT),
-        (200, {}, say.ERROR),
+        (500, {}, AttemptOutcome.ERROR),
+        (503, {"srv-declined": "1"}, AttemptOutcome.FULL),
+        (504, {"srv-declined": "1"}, AttemptOutcome.FULL),
+        (503, {}, AttemptOutcome.ERROR),
+        (503, {"srv-declined": "0"}, AttemptOutcome.ERROR),
+        (500, {"srv-declined": "1"}, AttemptOutcome.ERROR),
+        (400, {}, AttemptOutcome.UNPROCESSABLE),
+        (404, {"srv-declined": "1"}, AttemptOutcome.UNPROCESSABLE),
+        (200, {}, AttemptOutcome.ERROR),
     ],
 )
 def test_replies_mean_what_the_table_says(status: int, headers: dict[str, str], outcome: str | None) -> None:
-    assert workers.outcome(Reply(status, headers, b"")) == outcome
+    assert workers.outcome(UpstreamResponse(status, headers, b"")) == outcome
 
 
 @pytest.mark.parametrize("seed", range(10))
 def test_replies_come_out_of_any_pieces(seed: int) -> None:
-    dice, exchange = random.Random(seed), Exchange("w:1")
+    dice, exchange = random.Random(seed), ClientHttpConnection("w:1")
     for body in (b"", b"abc", b"x" * 5000):
-        asked = b"".join(exchange.ask(Question("POST", "/view", [], b"job")))
+        asked = b"".join(exchange.ask(UpstreamRequest("POST", "/view", [], b"job")))
         assert asked.endswith(b"\r\n\r\njob") and not exchange.at_rest
         data = b"HTTP/1.1 100 Continue\r\n\r\n" + TAKEN % len(body) + body
         reply = None
@@ -201,16 +212,16 @@
 
 @pytest.mark.parametrize("told", [b"", b"nonsense\r\n\r\n", TAKEN % 9 + b"half"])
 def test_a_reply_that_breaks_off_is_no_reply(told: bytes) -> None:
-    exchange = Exchange("w:1")
-    exchange.ask(Question("GET", "/", []))
-    with pytest.raises(Broken):
+    exchange = ClientHttpConnection("w:1")
+    exchange.ask(UpstreamRequest("GET", "/", []))
+    with pytest.raises(ProtocolError):
         exchange.feed(told)
         exchange.feed(b"")
 
 
 def test_no_question_follows_where_the_worker_closes() -> None:
-    exchange = Exchange("w:1")
-    exchange.ask(Question("GET", "/", []))
+    exchange = ClientHttpConnection("w:1")
+    exchange.ask(UpstreamRequest("GET", "/", []))
     reply = exchange.feed(b"HTTP/1.1 202 Accepted\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
     assert reply is not None and not exchange.at_rest
 
@@ -229,7 +240,7 @@
 
 def test_a_list_is_read_with_start_times_in_microseconds_of_unix_time() -> None:
     sheet = discovery.parse(json.dumps({"rev": 4, "all": False, "targets": [ENTRY]}).encode())
-    assert sheet.entries == [say.Listed("s-1", "a", "m", 3, say.READY, 1.5, 1796122933760000)]
+    assert sheet.entries == [EndpointEntry("s-1", "a", "m", 3, EndpointState.READY, 1.5, 1796122933760000)]
     assert (sheet.version, sheet.whole, sheet.addresses) == (4, False, {"s-1": ("127.0.0.1", 7070)})
     assert discovery.question(4, 1000).target == "/registry/instances?after=4&wait_ms=1000"
 
@@ -293,7 +304,7 @@
     for step in path[:-1]:
         spot = spot[step]
     spot[path[-1]] = value
-    with pytest.raises(Faulty) as trouble:
+    with pytest.raises(ConfigError) as trouble:
         told(tmp_path, whole)
     assert str(trouble.value).startswith(said)
 
@@ -301,8 +312,8 @@
 def test_what_is_missing_or_no_json_is_named(tmp_path: Path) -> None:
     empty = {**WHOLE, "settings": {}}
     for whole, said in [(empty, "settings.ServiceGrades: is missing"), ("{", "GW_CONFIG: ")]:
-        with pytest.raises(Faulty) as trouble:
+        with pytest.raises(ConfigError) as trouble:
             told(tmp_path, whole)
         assert str(trouble.value).startswith(said)
-    with pytest.raises(Faulty, match=r"known\.targets\[0\]\.state: expected one of"):
+    with pytest.raises(ConfigError, match=r"known\.targets\[0\]\.state: expected one of"):
         discovery.read({"rev": 1, "all": True, "targets": [{**ENTRY, "state": "odd"}]}, "known")
--- a/tests/test_recorded_decisions.py
+++ b/tests/test_recorded_decisions.py
@@ -19,8 +19,49 @@
 
 from locktide.scheduler import commands as command_module
 from locktide.scheduler import events as event_module
-from locktide.scheduler import interface as program
-from locktide.scheduler.policy import Dispatcher
+from locktide.scheduler.commands import (
+    CancelAttempt,
+    CloseIdleConnections,
+    FailRequest,
+    FetchEndpoints,
+    LogMessage,
+    RejectRequest,
+    ReportInternalError,
+    SetTimer,
+    StartAttempt,
+    WatchEndpoints,
+)
+from locktide.scheduler.config import (
+    ClientConfig,
+    CostConfig,
+    EndpointListConfig,
+    ObjectiveConfig,
+    ProgressConfig,
+    QuotaConfig,
+    RetryConfig,
+    ServiceClass,
+    SlowStartConfig,
+)
+from locktide.scheduler.events import (
+    AttemptEnded,
+    AttemptProgressed,
+    AttemptSent,
+    AttemptStarted,
+    ClientDisconnected,
+    ConfigReloaded,
+    EndpointEntry,
+    EndpointListUpdate,
+    ProbeCompleted,
+    QuotaSharesUpdated,
+    QuotaStage,
+    RecoveredAttempt,
+    RequestArrived,
+    RequestRecovered,
+    ResponseStarted,
+    TimerFired,
+)
+from locktide.scheduler.policy import Scheduler
+from locktide.scheduler.types import AttemptOutcome, DeduplicationScope, Effect, EndpointState, ListUpdateKind
 
 # --- translation: the only part that knows the program's names
 
@@ -34,45 +75,45 @@
 
 
 COMMANDS: dict[type, Rendering] = {
-    program.Dispatch: Rendering("dispatch", ("submission", "worker", "before")),
-    program.Withdraw: Rendering("cancel", ("submission", "number")),
-    program.Deny: Rendering("reject", ("submission", "come_back_after")),
-    program.Terminate: Rendering("fail", ("submission",)),
-    program.Wake: Rendering("wake", ("after", "mark")),
-    program.Close: Rendering("close", ("worker",)),
-    program.WatchList: Rendering("watch", ("on",)),
-    program.FetchList: Rendering("fetch", ()),
-    program.BrokeOff: Rendering("internal-error", ("submission",)),  # without the traceback's text
-    program.Log: Rendering("log", ()),  # without its text
+    StartAttempt: Rendering("dispatch", ("submission", "worker", "before")),
+    CancelAttempt: Rendering("cancel", ("submission", "number")),
+    RejectRequest: Rendering("reject", ("submission", "come_back_after")),
+    FailRequest: Rendering("fail", ("submission",)),
+    SetTimer: Rendering("wake", ("after", "mark")),
+    CloseIdleConnections: Rendering("close", ("worker",)),
+    WatchEndpoints: Rendering("watch", ("on",)),
+    FetchEndpoints: Rendering("fetch", ()),
+    ReportInternalError: Rendering("internal-error", ("submission",)),  # without the traceback's text
+    LogMessage: Rendering("log", ()),  # without its text
 }
 NEVER_ORDERED = {"fetch"}  # no rule orders it
 
 EFFECTS = {
-    "idempotent": program.REISSUABLE,
-    "idempotent-with-key": program.NUMBERED,
-    "at-most-once": program.AT_MOST_ONCE,
+    "idempotent": Effect.IDEMPOTENT,
+    "idempotent-with-key": Effect.IDEMPOTENT_WITH_KEY,
+    "at-most-once": Effect.AT_MOST_ONCE,
 }
-SCOPES = {"all": program.EVERYONE, "zone": program.SAME_ZONE, "cell": program.SAME_CELL}
+SCOPES = {"all": DeduplicationScope.FLEET, "zone": DeduplicationScope.ZONE, "cell": DeduplicationScope.CELL}
 OUTCOMES = {
-    "done": program.DONE,
-    "error": program.ERROR,
-    "full": program.FULL,
-    "timed-out": program.TIMED_OUT,
-    "no-connection": program.NO_CONNECTION,
-    "reset": program.RESET,
-    "cancelled": program.WITHDRAWN,
-    "never-sent": program.NEVER_SENT,
-    "unfit": program.UNFIT,
-    "cut-off": program.CUT_OFF,
+    "done": AttemptOutcome.DONE,
+    "error": AttemptOutcome.ERROR,
+    "full": AttemptOutcome.FULL,
+    "timed-out": AttemptOutcome.TIMED_OUT,
+    "no-connection": AttemptOutcome.NO_CONNECTION,
+    "reset": AttemptOutcome.RESET,
+    "cancelled": AttemptOutcome.CANCELLED,
+    "never-sent": AttemptOutcome.NEVER_SENT,
+    "unfit": AttemptOutcome.UNPROCESSABLE,
+    "cut-off": AttemptOutcome.CONNECTION_CLOSED,
 }
 LIST_KINDS = {
-    "whole": program.WHOLE,
-    "changes": program.CHANGES,
-    "remembered": program.REMEMBERED,
-    "failed": program.LIST_FAILED,
-    "silent": program.LIST_SILENT,
+    "whole": ListUpdateKind.SNAPSHOT,
+    "changes": ListUpdateKind.DELTA,
+    "remembered": ListUpdateKind.CACHED,
+    "failed": ListUpdateKind.FETCH_FAILED,
+    "silent": ListUpdateKind.FETCH_TIMED_OUT,
 }
-STATES = {"ready": program.READY, "draining": program.DRAINING, "gone": program.GONE}
+STATES = {"ready": EndpointState.READY, "draining": EndpointState.DRAINING, "gone": EndpointState.GONE}
 
 
 @dataclass
@@ -126,7 +167,7 @@
 
 
 def program_grade(one: Class) -> Any:
-    return program.Grade(
+    return ServiceClass(
         name=one.name,
         effect=EFFECTS[one.effect],
         group=SCOPES[one.scope],
@@ -147,30 +188,30 @@
         settings.step,
         settings.fleet,
         [program_grade(one) for one in settings.classes],
-        program.DispatchTerms(
+        RetryConfig(
             most_dispatches=settings.most_attempts,
             may_withdraw=settings.may_cancel,
             counts_unsent=settings.counts_unsent,
         ),
-        program.ClientTerms(longest_advice=settings.longest_advice),
-        program.ShareTerms(quotas=dict(settings.quotas), beyond_share=settings.beyond_quota),
-        program.GoalTerms(worst_grade=settings.worst_class),
-        program.ColdTerms(
+        ClientConfig(longest_advice=settings.longest_advice),
+        QuotaConfig(quotas=dict(settings.quotas), beyond_share=settings.beyond_quota),
+        ObjectiveConfig(worst_grade=settings.worst_class),
+        SlowStartConfig(
             factor=settings.cold_factor,
             window=settings.cold_window,
             cold_from=settings.cold_from,
             warm_after=settings.warm_after,
             margin=settings.cold_margin,
         ),
-        program.ListTerms(
+        EndpointListConfig(
             must_ask=settings.must_ask,
             ask_within=settings.ask_within,
             live=settings.live,
             hang_up_within=settings.close_within,
             told_within=settings.told_within,
         ),
-        program.SignTerms(tells_start=settings.tells_start, progress_every=settings.progress_every),
-        program.PriceTerms(
+        ProgressConfig(tells_start=settings.tells_start, progress_every=settings.progress_every),
+        CostConfig(
             connection=settings.connection_price,
             crossing=settings.crossing_price,
             zone=settings.zone,
@@ -179,11 +220,11 @@
     )
 
 
-class Scheduler:
+class SchedulerUnderTest:
     """The decision core behind neutral calls."""
 
     def __init__(self, seed: int, settings: Settings) -> None:
-        self._dispatcher = Dispatcher(seed, *program_terms(settings))
+        self._dispatcher = Scheduler(seed, *program_terms(settings))
 
     def step(self, now: int, events: list[Any]) -> list[Any]:
         return self._dispatcher.turn(now, events)
@@ -200,7 +241,7 @@
     patient: bool = False,
     key: int | None = None,
 ) -> Any:
-    return program.Arrival(
+    return RequestArrived(
         submission=request,
         grade=class_name,
         time_limit_at=deadline_at,
@@ -215,51 +256,51 @@
 
 def recovered_attempt(worker: str, zone: str, cell: int, sent_at: int, outcome: str | None) -> Any:
     ended = None if outcome is None else OUTCOMES[outcome]
-    return program.Earlier(worker=worker, zone=zone, cell=cell, sent_at=sent_at, outcome=ended)
+    return RecoveredAttempt(worker=worker, zone=zone, cell=cell, sent_at=sent_at, outcome=ended)
 
 
 def recovered(request_arrival: Any, arrived_at: int, attempts: list[Any]) -> Any:
-    return program.Recovered(arrival=request_arrival, arrived_at=arrived_at, dispatches=attempts)
+    return RequestRecovered(arrival=request_arrival, arrived_at=arrived_at, dispatches=attempts)
 
 
 def sent(request: int, attempt: int) -> Any:
-    return program.Sent(submission=request, number=attempt)
+    return AttemptSent(submission=request, number=attempt)
 
 
 def started(request: int, attempt: int) -> Any:
-    return program.Started(submission=request, number=attempt)
+    return AttemptStarted(submission=request, number=attempt)
 
 
 def progressed(request: int, attempt: int, share: Any) -> Any:
-    return program.Progressed(submission=request, number=attempt, share=share)
+    return AttemptProgressed(submission=request, number=attempt, share=share)
 
 
 def stream_began(request: int, attempt: int) -> Any:
-    return program.StreamBegan(submission=request, number=attempt)
+    return ResponseStarted(submission=request, number=attempt)
 
 
 def ended(request: int, attempt: int, outcome: str, final: bool) -> Any:
-    return program.Ended(submission=request, number=attempt, outcome=OUTCOMES[outcome], final=final)
+    return AttemptEnded(submission=request, number=attempt, outcome=OUTCOMES[outcome], final=final)
 
 
 def client_gone(request: int) -> Any:
-    return program.ClientGone(submission=request)
+    return ClientDisconnected(submission=request)
 
 
 def timer_due(mark: int) -> Any:
-    return program.TimerDue(mark=mark)
+    return TimerFired(mark=mark)
 
 
 def probe_ended(worker: str, outcome: str) -> Any:
-    return program.ProbeEnded(worker=worker, outcome=OUTCOMES[outcome])
+    return ProbeCompleted(worker=worker, outcome=OUTCOMES[outcome])
 
 
 def new_settings(settings: Settings) -> Any:
-    return program.NewTerms(terms=program_terms(settings))
+    return ConfigReloaded(terms=program_terms(settings))
 
 
 def listed(worker: str, zone: str, kind: str, cell: int, state: str, rating: float, started_at: int) -> Any:
-    return program.Listed(
+    return EndpointEntry(
         worker=worker,
         zone=zone,
         kind=kind,
@@ -271,18 +312,22 @@
 
 
 def worker_list(kind: str, entries: list[Any]) -> Any:
-    return program.ListNews(kind=LIST_KINDS[kind], entries=entries)
+    return EndpointListUpdate(kind=LIST_KINDS[kind], entries=entries)
 
 
 def quota_stage(until: int, shares: dict[str, float], lent: dict[str, float]) -> Any:
-    return program.Stage(until=until, parts=shares, lent=lent)
+    return QuotaStage(until=until, parts=shares, lent=lent)
 
 
 def quota_shares(stages: list[Any], over: Iterable[str], over_until: int) -> Any:
-    return program.Parts(stages=stages, over=frozenset(over), over_until=over_until)
+    return QuotaSharesUpdated(stages=stages, over=frozenset(over), over_until=over_until)
 
 
-EVENT_PARTS = {"Listed", "Earlier", "Stage"}  # classes inside events, not events themselves
+EVENT_PARTS = {
+    "EndpointEntry",
+    "RecoveredAttempt",
+    "QuotaStage",
+}  # classes inside events, not events themselves
 
 # --- the driver: neutral words only; nothing below here changes in a renaming
 
@@ -381,7 +426,7 @@
     def __init__(self, workload: Workload) -> None:
         self.workload, self.settings = workload, workload.settings
         self.dice = Dice(workload.seed)
-        self.scheduler = Scheduler(workload.seed, workload.settings)
+        self.scheduler = SchedulerUnderTest(workload.seed, workload.settings)
         self.now = 10_000_000
         self.queue: list[tuple[int, int, Any]] = []
         self.queued = 0
@@ -962,7 +1007,7 @@
         if isinstance(one, type) and one.__module__ == command_module.__name__
     }
     assert set(COMMANDS) == defined
-    left_out = {program.Log: {"line"}, program.BrokeOff: {"what"}}
+    left_out = {LogMessage: {"line"}, ReportInternalError: {"what"}}
     for one, rendering in COMMANDS.items():
         names = {attribute.name for attribute in fields(one)}
         assert set(rendering.attributes) == names - left_out.get(one, set())
--- a/tests/test_rehearse.py
+++ b/tests/test_rehearse.py
@@ -19,8 +19,8 @@
 from locktide.cli.main import main
 from locktide.cli.simulate import seeds_of
 from locktide.config import installation
-from locktide.config.typed import Faults
-from locktide.scheduler import interface as say
+from locktide.config.typed import ConfigErrors
+from locktide.scheduler.config import CostConfig
 from locktide.simulation import compare, plots
 from locktide.simulation.model import random_scenario as rough
 from locktide.simulation.model import scenario as script
@@ -295,14 +295,14 @@
     assert (
         not begun.terms[8].live
         and not begun.terms[8].must_ask
-        and begun.terms[10] == say.PriceTerms(idle_close=15_000_000)
+        and begun.terms[10] == CostConfig(idle_close=15_000_000)
     )
     told.workers.ratings, told.serve.zone, told.serve.ask = "live", "north", True
     told.worth.connection, told.worth.crossing, told.worth.worst_grade = 0.05, 0.02, 0.3
     told.tenant = [installation.Tenant("dairy", 4.0)]
     moved = installation.start(told, 5).terms
     assert moved[8].live and moved[8].must_ask and moved[5].quotas == {"dairy": 4.0}
-    assert moved[10] == say.PriceTerms(0.05, 0.02, "north", 15_000_000) and moved[6].worst_grade == 0.3
+    assert moved[10] == CostConfig(0.05, 0.02, "north", 15_000_000) and moved[6].worst_grade == 0.3
     grades = begun.terms[2]
     assert [grade.effect for grade in grades] == ["reissuable", "numbered"]
     assert grades[1].memory_span == 40_000_000 and grades[1].time_limit == 25_000_000
@@ -331,7 +331,7 @@
 
 @pytest.mark.parametrize("text", BAD_INSTALLATIONS)
 def test_a_faulty_installation_is_refused_with_its_key(text: str) -> None:
-    with pytest.raises(Faults) as found:
+    with pytest.raises(ConfigErrors) as found:
         installation.parse(text)
     assert BAD_INSTALLATIONS[text] in str(found.value)
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -7,21 +7,31 @@
 import pytest
 from helpers import GRADES, STEP, Checked, listed, terms
 
-from locktide.scheduler import interface as say
-from locktide.scheduler.estimators import Chance
-from locktide.scheduler.policy import Dispatcher
+from locktide.scheduler.commands import CancelAttempt, FailRequest, LogMessage, StartAttempt, WatchEndpoints
+from locktide.scheduler.config import ServiceClass
+from locktide.scheduler.estimators import LinearCongruentialGenerator
+from locktide.scheduler.events import (
+    AttemptProgressed,
+    AttemptSent,
+    AttemptStarted,
+    ClientDisconnected,
+    EndpointListUpdate,
+    RequestArrived,
+)
+from locktide.scheduler.policy import Scheduler
+from locktide.scheduler.types import AttemptOutcome, EndpointState, ListUpdateKind
 
 OUTCOMES = [
-    say.DONE,
-    say.DONE,
-    say.DONE,
-    say.DONE,
-    say.ERROR,
-    say.FULL,
-    say.TIMED_OUT,
-    say.NO_CONNECTION,
-    say.RESET,
-    say.NEVER_SENT,
+    AttemptOutcome.DONE,
+    AttemptOutcome.DONE,
+    AttemptOutcome.DONE,
+    AttemptOutcome.DONE,
+    AttemptOutcome.ERROR,
+    AttemptOutcome.FULL,
+    AttemptOutcome.TIMED_OUT,
+    AttemptOutcome.NO_CONNECTION,
+    AttemptOutcome.RESET,
+    AttemptOutcome.NEVER_SENT,
 ]
 
 
@@ -30,7 +40,9 @@
     dice = random.Random(seed)
     service = Checked(seed, fleet=dice.randint(1, 5), must_ask=seed % 2 == 0)
     names = [f"w{n}" for n in range(dice.randint(1, 8))]
-    service.list(*[listed(name, cell=place % 2) for place, name in enumerate(names)], kind=say.REMEMBERED)
+    service.list(
+        *[listed(name, cell=place % 2) for place, name in enumerate(names)], kind=ListUpdateKind.CACHED
+    )
     for submission in range(300):
         hint = dice.choice([20_000, 200_000, 900_000])
         service.arrive(submission, dice.choice(GRADES).name, dice.choice([1.0, 1.0, 2.0, 4.0]), hint)
@@ -38,23 +50,31 @@
         for submitted, shot in service.out():
             draw = dice.random()
             if draw < 0.05:
-                service.turn(say.Started(submitted, shot))
+                service.turn(AttemptStarted(submitted, shot))
             elif draw < 0.10:
-                service.turn(say.Progressed(submitted, shot, dice.random()))
+                service.turn(AttemptProgressed(submitted, shot, dice.random()))
             elif draw < 0.2:
                 service.end(submitted, shot, dice.choice(OUTCOMES))
             elif draw < 0.21 and submitted not in service.answered:
-                service.turn(say.ClientGone(submitted))
-        for order in [order for order in service.orders if type(order) is say.Withdraw]:
+                service.turn(ClientDisconnected(submitted))
+        for order in [order for order in service.orders if type(order) is CancelAttempt]:
             if (order.submission, order.number) in service.out() and dice.random() < 0.7:
-                service.end(order.submission, order.number, say.WITHDRAWN)
+                service.end(order.submission, order.number, AttemptOutcome.CANCELLED)
         if dice.random() < 0.1:
             place = dice.randrange(len(names))
-            state = dice.choice([say.READY, say.READY, say.READY, say.DRAINING, say.GONE])
+            state = dice.choice(
+                [
+                    EndpointState.READY,
+                    EndpointState.READY,
+                    EndpointState.READY,
+                    EndpointState.DRAINING,
+                    EndpointState.GONE,
+                ]
+            )
             started_at = dice.choice([0, service.now])
-            service.list(listed(names[place], state, started_at, place % 2), kind=say.CHANGES)
+            service.list(listed(names[place], state, started_at, place % 2), kind=ListUpdateKind.DELTA)
         if dice.random() < 0.03:
-            service.list(kind=say.LIST_FAILED)
+            service.list(kind=ListUpdateKind.FETCH_FAILED)
     service.pass_time(7_000_000)
     assert set(service.answered) == set(service.arrivals)
     assert not service.dispatcher.submissions, "an ended submission is still held"
@@ -76,7 +96,7 @@
     service.pass_time(STEP)
     service.arrive(2, "cash")
     orders = service.list(listed("w"))
-    assert [order.submission for order in orders if type(order) is say.Dispatch] == [1]
+    assert [order.submission for order in orders if type(order) is StartAttempt] == [1]
 
 
 def test_full_rejoins_and_may_go_anywhere() -> None:
@@ -84,7 +104,7 @@
     service.list(listed("w0", cell=0))
     service.arrive(1, "record")
     service.list(listed("w1", cell=1))
-    service.end(1, 0, say.FULL)
+    service.end(1, 0, AttemptOutcome.FULL)
     service.pass_time(200_000)
     assert [shot["worker"] for shot in service.dispatches[1]] == ["w0", "w1"]
 
@@ -100,20 +120,20 @@
     service = Checked()
     service.list(listed("w"))
     service.arrive(1, "cash")
-    orders = service.end(1, 0, say.ERROR)
-    assert [type(order) for order in orders if type(order) is not say.Log] == [say.Terminate]
+    orders = service.end(1, 0, AttemptOutcome.ERROR)
+    assert [type(order) for order in orders if type(order) is not LogMessage] == [FailRequest]
 
 
 def test_list_is_asked_for_and_asked_again_after_failure() -> None:
     service = Checked(must_ask=True)
-    service.list(kind=say.REMEMBERED)
-    assert say.WatchList(True) in service.pass_time(5_000_000)
-    assert say.WatchList(True) not in service.list(kind=say.LIST_FAILED)
-    assert say.WatchList(True) in service.pass_time(11_000_000)
+    service.list(kind=ListUpdateKind.CACHED)
+    assert WatchEndpoints(True) in service.pass_time(5_000_000)
+    assert WatchEndpoints(True) not in service.list(kind=ListUpdateKind.FETCH_FAILED)
+    assert WatchEndpoints(True) in service.pass_time(11_000_000)
 
 
 def test_chance_is_even() -> None:
-    chance, seen = Chance(7), [0] * 5
+    chance, seen = LinearCongruentialGenerator(7), [0] * 5
     for _ in range(5000):
         seen[chance.below(5)] += 1
     assert min(seen) > 900
@@ -148,9 +168,9 @@
     service = Checked()
     service.list(listed("w0"), listed("w1"))
     service.arrive(1, "view")
-    assert say.Withdraw(1, 0) in service.pass_time(200_000)
-    service.list(listed("w0", say.DRAINING), listed("w1", say.DRAINING))
-    service.end(1, 0, say.WITHDRAWN)
+    assert CancelAttempt(1, 0) in service.pass_time(200_000)
+    service.list(listed("w0", EndpointState.DRAINING), listed("w1", EndpointState.DRAINING))
+    service.end(1, 0, AttemptOutcome.CANCELLED)
     service.pass_time(500_000)
     assert 1 not in service.answered
 
@@ -160,7 +180,7 @@
     service = Checked()
     service.list(listed("w0"), listed("w1"))
     service.arrive(1, "record")
-    assert not [order for order in service.pass_time(2_000_000) if type(order) is say.Withdraw]
+    assert not [order for order in service.pass_time(2_000_000) if type(order) is CancelAttempt]
 
 
 def test_an_unreachable_worker_is_soon_left_alone() -> None:
@@ -172,7 +192,7 @@
         service.pass_time(25_000)
         for submitted, shot in service.out():
             bad = service.dispatches[submitted][shot]["worker"] == "w0"
-            service.end(submitted, shot, say.NO_CONNECTION if bad else say.DONE)
+            service.end(submitted, shot, AttemptOutcome.NO_CONNECTION if bad else AttemptOutcome.DONE)
     tried = [shot["worker"] for shots in service.dispatches.values() for shot in shots].count("w0")
     assert 1 <= tried <= 12
 
@@ -209,8 +229,8 @@
     service.list(listed("w"))
     service.arrive(0, "cash")
     service.pass_time(1_000_000)
-    service.turn(say.Started(0, 0))
-    service.end(0, 0, say.DONE)
+    service.turn(AttemptStarted(0, 0))
+    service.end(0, 0, AttemptOutcome.DONE)
     service.arrive(1, "cash")
     service.pass_time(STEP * 2)
     assert not service.dispatches[1]
@@ -237,7 +257,7 @@
     """In an overload a third of what was served was beyond its tenant's share and earned next to nothing."""
     service = Checked()
     for submission in range(40):
-        service.turn(say.Arrival(submission, "view", service.now + 3_000_000, tenant="dairy"))
+        service.turn(RequestArrived(submission, "view", service.now + 3_000_000, tenant="dairy"))
     held = service.dispatcher.submissions
     assert held[0].leave_at > held[39].leave_at
 
@@ -271,12 +291,12 @@
     service.list(listed("w"))
     worker = service.dispatcher.list.workers["w"]
     service.arrive(0, "view")
-    service.end(0, 0, say.RESET)
+    service.end(0, 0, AttemptOutcome.RESET)
     records = [worker.bad.read(service.now)]
     suspected = [worker.doubtful(service.now)]
     for submission in (1, 2):  # at the same moment: nothing fades
         service.arrive(submission, "view")
-        service.end(submission, 0, say.DONE)
+        service.end(submission, 0, AttemptOutcome.DONE)
         records.append(worker.bad.read(service.now))
         suspected.append(worker.doubtful(service.now))
     assert records == [1.0, 0.5, 0.25] and suspected == [True, True, False]
@@ -287,9 +307,9 @@
     service = Checked()
     service.list(listed("w"))
     service.arrive(1, "record")
-    service.turn(say.Started(1, 0))
+    service.turn(AttemptStarted(1, 0))
     service.pass_time(2_000_000)
-    service.turn(say.Progressed(1, 0, 0.05))
+    service.turn(AttemptProgressed(1, 0, 0.05))
     assert service.dispatcher.list.workers["w"].doubtful(service.now)
 
 
@@ -298,7 +318,7 @@
     service = Checked()
     service.list(listed("w0"), listed("w1"))
     service.arrive(1, "record")
-    assert say.Withdraw(1, 0) in service.pass_time(3_200_000)
+    assert CancelAttempt(1, 0) in service.pass_time(3_200_000)
 
 
 @pytest.mark.parametrize("told", [True, False])
@@ -312,13 +332,21 @@
         service.arrive(submission, "close")
     service.pass_time(100_000)  # past the prompt span: the connection comes up
     if told:
-        service.turn(say.Sent(1, 0), say.Sent(2, 0))
+        service.turn(AttemptSent(1, 0), AttemptSent(2, 0))
     service.pass_time(20_000)
-    service.turn(say.Started(1, 0), say.Started(2, 0))
+    service.turn(AttemptStarted(1, 0), AttemptStarted(2, 0))
     assert (worker.cap > before) == told
 
 
-@pytest.mark.parametrize("outcome", [say.NEVER_SENT, say.UNFIT, say.CUT_OFF, say.FULL])
+@pytest.mark.parametrize(
+    "outcome",
+    [
+        AttemptOutcome.NEVER_SENT,
+        AttemptOutcome.UNPROCESSABLE,
+        AttemptOutcome.CONNECTION_CLOSED,
+        AttemptOutcome.FULL,
+    ],
+)
 def test_what_no_worker_took_up_tells_nothing_of_its_load(outcome: str) -> None:
     """Bad clients on sockets: what workers turned away as such cut their caps and made them doubtful."""
     service = Checked(fleet=1)
@@ -327,7 +355,7 @@
     worker.cap = 3.0
     service.arrive(1, "close")
     service.end(1, 0, outcome)
-    assert (worker.cap < 3.0) == (outcome == say.FULL)
+    assert (worker.cap < 3.0) == (outcome == AttemptOutcome.FULL)
     assert not worker.doubtful(service.now)
 
 
@@ -336,19 +364,21 @@
     service = Checked()
     service.list(listed("w"))
     service.arrive(1, "view")
-    service.turn(say.Started(1, 0))
+    service.turn(AttemptStarted(1, 0))
     service.pass_time(1_000_000)
-    service.turn(say.Progressed(1, 0, 0.4))  # 2.5 s in all, ten times the guess
+    service.turn(AttemptProgressed(1, 0, 0.4))  # 2.5 s in all, ten times the guess
     assert not service.dispatcher.list.workers["w"].doubtful(service.now)
 
 
 @pytest.mark.parametrize("grades, slots", [(GRADES, 1.0), (GRADES[:4], 2.0)])
-def test_two_dispatchers_do_not_leave_half_of_the_slots_empty(grades: list[say.Grade], slots: float) -> None:
+def test_two_dispatchers_do_not_leave_half_of_the_slots_empty(
+    grades: list[ServiceClass], slots: float
+) -> None:
     """Every day on sockets: at half load one submission in ten was denied with half of the slots free."""
     told = list(terms(3, 2, False, 0.4))
     told[2] = grades
-    dispatcher = Dispatcher(1, *told)
-    dispatcher.turn(0, [say.ListNews(say.WHOLE, [listed("w")])])
+    dispatcher = Scheduler(1, *told)
+    dispatcher.turn(0, [EndpointListUpdate(ListUpdateKind.SNAPSHOT, [listed("w")])])
     assert dispatcher.list.workers["w"].cap == slots
 
 
@@ -359,7 +389,7 @@
     workers = service.dispatcher.list.workers
     service.arrive(1, "view")
     first = workers[service.dispatches[1][0]["worker"]]
-    service.end(1, 0, say.FULL)
+    service.end(1, 0, AttemptOutcome.FULL)
     assert not first.has_room(1.0, service.now, 62_000) and first.has_room(1.0, service.now + 300_000, 62_000)
     first.full_until = 0
     service.pass_time(50_000)
@@ -375,7 +405,7 @@
     for worker in service.dispatcher.list.workers.values():
         worker.rest_until = service.now + 950_000  # so that it has to wait where it is back
     service.pass_time(900_000)
-    service.end(1, 0, say.NO_CONNECTION)
+    service.end(1, 0, AttemptOutcome.NO_CONNECTION)
     assert 1 not in service.answered
     service.pass_time(100_000)
     assert {shot["worker"] for shot in service.dispatches[1]} == {"w0", "w1"}
@@ -385,17 +415,17 @@
     """Durable jobs were denied within milliseconds when four workers had no room, with minutes left."""
     service = Checked()
     service.list(*[listed(f"w{number}") for number in range(3)])
-    service.turn(say.Arrival(1, "record", service.now + 60_000_000, patient=True))
+    service.turn(RequestArrived(1, "record", service.now + 60_000_000, patient=True))
     full = 0
     for _ in range(5_000_000 // STEP):
         for submission, shot in service.out():
             full += 1
-            service.end(submission, shot, say.FULL)
+            service.end(submission, shot, AttemptOutcome.FULL)
         service.pass_time(STEP)
     assert not service.answered and service.most < full <= 3 * 8, "once a usual run at each of three"
     while not service.out():
         service.pass_time(STEP)
-    service.end(1, service.out()[0][1], say.DONE)
+    service.end(1, service.out()[0][1], AttemptOutcome.DONE)
     assert service.answered[1] == "done"
 
 
@@ -406,9 +436,9 @@
     """A job that may have run waits on after the window: its client set no end to that."""
     service = Checked()
     service.list(listed("w0"))
-    service.turn(say.Arrival(1, "record", service.now + 60_000_000, patient=True))
+    service.turn(RequestArrived(1, "record", service.now + 60_000_000, patient=True))
     window_ends_at = service.dispatches[1][0]["at"] + service.grades["record"].memory_span
-    service.end(1, 0, say.RESET)
+    service.end(1, 0, AttemptOutcome.RESET)
     service.pass_time(1_000_000)
     assert len(service.dispatches[1]) == 1, "a repeat goes to another worker of its cell, and there is none"
     service.now = window_ends_at - before_the_end
@@ -424,10 +454,10 @@
     worker.cap = 2.0
     service.arrive(1, "record")
     service.arrive(2, "record")
-    service.end(1, 0, say.FULL)
+    service.end(1, 0, AttemptOutcome.FULL)
     rests = worker.full_until
     assert rests > service.now + 250_000
-    service.end(2, 0, say.NO_CONNECTION)
+    service.end(2, 0, AttemptOutcome.NO_CONNECTION)
     assert worker.full_until == rests
 
 
@@ -444,12 +474,12 @@
     for number in range(60):
         bad, submission = number % 2 == 0, number
         limit_at, about = service.now + 3_000_000, key if bad else 9
-        service.turn(say.Arrival(submission, "view", limit_at, tenant=tenant, key=about))
+        service.turn(RequestArrived(submission, "view", limit_at, tenant=tenant, key=about))
         for _ in range(4):
             service.pass_time(STEP)
             for one, shot in service.out():
                 if one == submission:
-                    service.end(one, shot, say.ERROR if bad else say.DONE)
+                    service.end(one, shot, AttemptOutcome.ERROR if bad else AttemptOutcome.DONE)
         if bad:
             assert len(service.dispatches[submission]) == 2 and service.answered[submission] == "denied"
         else:
@@ -464,13 +494,13 @@
     service = Checked(fleet=3)
     service.list(*[listed(f"w{number}") for number in range(6)])
     for submission in range(60):
-        service.turn(say.Arrival(submission, "view", service.now + 3_000_000, tenant="spam"))
+        service.turn(RequestArrived(submission, "view", service.now + 3_000_000, tenant="spam"))
         for _ in range(4):
             service.pass_time(STEP)
             for one, shot in service.out():
                 if one == submission:
                     bad = one % 2 == 0 or service.dispatches[one][shot]["worker"] == "w0"
-                    service.end(one, shot, say.ERROR if bad else say.DONE)
+                    service.end(one, shot, AttemptOutcome.ERROR if bad else AttemptOutcome.DONE)
     doubted = [name for name, one in service.dispatcher.list.workers.items() if one.doubtful(service.now)]
     assert doubted == ["w0"]
 
@@ -481,11 +511,11 @@
     def met(seed: int, key: int, listing: list[str], count: int = 1) -> list[str]:
         service = Checked(seed, fleet=3)
         for submission in range(1_000, 1_040):  # others, for which there is no worker yet
-            service.turn(say.Arrival(submission, "view", service.now + 3_000_000, key=submission))
+            service.turn(RequestArrived(submission, "view", service.now + 3_000_000, key=submission))
         service.pass_time(1_000_000)
         service.list(*[listed(name) for name in listing])
         for submission in range(count):
-            service.turn(say.Arrival(submission, "view", service.now + 3_000_000, key=key))
+            service.turn(RequestArrived(submission, "view", service.now + 3_000_000, key=key))
         service.pass_time(400_000)
         return [shots[0]["worker"] for one, shots in service.dispatches.items() if shots and one < count]
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -12,24 +12,24 @@
 from helpers import GRADES, TAKEN, Clerk, call, free_address, submit
 
 from locktide.protocol import discovery, names
-from locktide.protocol.client_connection import Question, Reply
-from locktide.scheduler import interface as say
+from locktide.protocol.client_connection import UpstreamRequest, UpstreamResponse
+from locktide.scheduler.types import AttemptOutcome
 from locktide.transport import endpoint_watch as watch
-from locktide.transport.client_connection import Peer, State
+from locktide.transport.client_connection import ConnectionState, PeerRole
 from locktide.transport.descriptor_budget import DescriptorBudget
-from locktide.transport.listener import Server
+from locktide.transport.listener import Listener
 from locktide.transport.log import Log
-from locktide.transport.upstream_pool import SPOILT, WorkerConnections
+from locktide.transport.upstream_pool import SPOILT, UpstreamPool
 
 
 async def line_to(
     script: Callable[..., Awaitable[None]], times: int = 1, body: bytes = b"x" * 100
-) -> tuple[list[Reply | str], WorkerConnections]:
+) -> tuple[list[UpstreamResponse | str], UpstreamPool]:
     """Asks a scripted worker some times, one after the other."""
     listening = await asyncio.start_server(script, "127.0.0.1", 0)
     address = listening.sockets[0].getsockname()
-    lines, found = WorkerConnections(DescriptorBudget(10), 500_000, 400_000), []
-    question = Question("POST", "/view", [], body)
+    lines, found = UpstreamPool(DescriptorBudget(10), 500_000, 400_000), []
+    question = UpstreamRequest("POST", "/view", [], body)
     for _ in range(times):
         found.append(await lines.ask("w", address, lambda: question, lambda: None))
     listening.close()
@@ -43,12 +43,12 @@
 
     async def run() -> None:
         found, lines = await line_to(script)
-        assert found == [say.RESET] and lines.descriptors.used == 0
+        assert found == [AttemptOutcome.RESET] and lines.descriptors.used == 0
 
     asyncio.run(run())
 
 
-@pytest.mark.parametrize("word, outcome", [(b"", say.CUT_OFF), (b"HTTP/1.1 ", SPOILT)])
+@pytest.mark.parametrize("word, outcome", [(b"", AttemptOutcome.CONNECTION_CLOSED), (b"HTTP/1.1 ", SPOILT)])
 def test_a_kept_connection_that_breaks_with_no_word_is_cut_off(word: bytes, outcome: str) -> None:
     async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         for reply in (TAKEN % 0, word):
@@ -67,12 +67,12 @@
     async def run() -> None:
         with socket.socket() as taken:  # bound but not listening: nothing comes up
             taken.bind(("127.0.0.1", 0))
-            lines = WorkerConnections(DescriptorBudget(10), 500_000, 400_000)
-            question = Question("POST", "/view", [])
+            lines = UpstreamPool(DescriptorBudget(10), 500_000, 400_000)
+            question = UpstreamRequest("POST", "/view", [])
             outcome = await lines.ask("w", taken.getsockname(), lambda: question, lambda: None)
-            assert outcome == say.NO_CONNECTION and lines.descriptors.used == 0
-        full = WorkerConnections(DescriptorBudget(0), 10_000, 400_000)
-        assert await full.ask("w", ("127.0.0.1", 9), lambda: None, lambda: None) == say.NEVER_SENT
+            assert outcome == AttemptOutcome.NO_CONNECTION and lines.descriptors.used == 0
+        full = UpstreamPool(DescriptorBudget(0), 10_000, 400_000)
+        assert await full.ask("w", ("127.0.0.1", 9), lambda: None, lambda: None) == AttemptOutcome.NEVER_SENT
 
     asyncio.run(run())
 
@@ -85,7 +85,7 @@
 
     async def run() -> None:
         found, lines = await line_to(script, body=b"x" * 50_000_000)  # more than the kernel takes at once
-        assert found == [say.NO_CONNECTION] and lines.descriptors.used == 0
+        assert found == [AttemptOutcome.NO_CONNECTION] and lines.descriptors.used == 0
 
     asyncio.run(run())
 
@@ -104,7 +104,9 @@
 
     async def run() -> None:
         found, lines = await line_to(script, times=3)
-        assert [reply.status for reply in found if isinstance(reply, Reply)] == [202] * 3 and len(met) == 1
+        assert [reply.status for reply in found if isinstance(reply, UpstreamResponse)] == [202] * 3 and len(
+            met
+        ) == 1
         lines.sweep()
         assert lines.descriptors.used == 1
         lines.idle["w"][0].rested_at -= 0.21  # past half of the stated idle time
@@ -123,11 +125,11 @@
     async def run() -> None:
         listening = await asyncio.start_server(script, "127.0.0.1", 0)
         address = listening.sockets[0].getsockname()
-        lines = WorkerConnections(DescriptorBudget(10), 500_000, 400_000)
-        question = Question("POST", "/view", [], b"x" * 100)
+        lines = UpstreamPool(DescriptorBudget(10), 500_000, 400_000)
+        question = UpstreamRequest("POST", "/view", [], b"x" * 100)
         for _ in range(2):
             reply = await lines.ask("w", address, lambda: question, lambda: None)
-            assert isinstance(reply, Reply)
+            assert isinstance(reply, UpstreamResponse)
             while lines.idle["w"] and lines.idle["w"][0].fresh:
                 await asyncio.sleep(0.001)  # until its end has come
         lines.sweep()
@@ -153,8 +155,8 @@
 
     async def run() -> None:
         listening = await asyncio.start_server(agent, "127.0.0.1", 0)
-        sheets: list[discovery.ListUpdate] = []
-        following = watch.Watch(listening.sockets[0].getsockname(), sheets.append, Log("n0"))
+        sheets: list[discovery.DiscoveryUpdate] = []
+        following = watch.EndpointWatch(listening.sockets[0].getsockname(), sheets.append, Log("n0"))
         task = asyncio.create_task(following.run())
         while len(heard) < 4:
             await asyncio.sleep(0.005)
@@ -172,9 +174,9 @@
     asyncio.run(run())
 
 
-async def listening_to(clerk: Clerk, places: int = 64) -> tuple[Server, Any]:
+async def listening_to(clerk: Clerk, places: int = 64) -> tuple[Listener, Any]:
     limits = {grade.name: grade.time_limit for grade in GRADES}
-    server = Server(DescriptorBudget(places), dict(limits), set(), 200_000, clerk, Log("n0"))
+    server = Listener(DescriptorBudget(places), dict(limits), set(), 200_000, clerk, Log("n0"))
     address = free_address()
     server.listen(address)
     return server, address
@@ -334,14 +336,14 @@
 def test_a_stop_ends_kept_connections_at_rest_and_not_those_just_opened() -> None:
     async def play() -> None:
         clerk = Clerk()
-        server = Server(DescriptorBudget(20), {"view": 3_000_000}, set(), 1 << 20, clerk, Log("n0"))
+        server = Listener(DescriptorBudget(20), {"view": 3_000_000}, set(), 1 << 20, clerk, Log("n0"))
         address = free_address()
         server.listen(address)
         kept_reader, kept = await asyncio.open_connection(*address)
         kept.write(b"GET /health/live HTTP/1.1\r\nHost: us\r\n\r\n")
         await kept_reader.readuntil(b"ok\n")
         caller = next(iter(server.callers))
-        caller.peer = Peer.CLIENT  # as by a submission that was answered
+        caller.peer = PeerRole.CLIENT  # as by a submission that was answered
         _, fresh = await asyncio.open_connection(*address)
         while len(server.callers) < 2:
             await asyncio.sleep(0.001)
@@ -359,7 +361,7 @@
 
     async def play() -> None:
         clerk, stop = Clerk(), asyncio.Event()
-        server = Server(DescriptorBudget(20), {"view": 3_000_000}, set(), 1 << 20, clerk, Log("n0"))
+        server = Listener(DescriptorBudget(20), {"view": 3_000_000}, set(), 1 << 20, clerk, Log("n0"))
         address = free_address()
         server.listen(address)
 
@@ -370,9 +372,9 @@
         stopping = asyncio.create_task(stopped())
         kept = socket.create_connection(address)
         kept.sendall(b"GET /health/live HTTP/1.1\r\nHost: us\r\n\r\n")
-        while not server.callers or next(iter(server.callers)).state is not State.AT_REST:
+        while not server.callers or next(iter(server.callers)).state is not ConnectionState.AT_REST:
             await asyncio.sleep(0.001)
-        next(iter(server.callers)).peer = Peer.CLIENT  # as by a submission that was answered
+        next(iter(server.callers)).peer = PeerRole.CLIENT  # as by a submission that was answered
         await asyncio.sleep(0.02)
         kept.sendall(submit())  # nothing of ours runs between this ...
         stop.set()  # ... and that
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -20,13 +20,13 @@
 
 from locktide.cli.jobs import told
 from locktide.durable import leases, recovery
-from locktide.durable.disk import Folder
-from locktide.durable.jobs import Job, Table
+from locktide.durable.disk import DirectoryStorage
+from locktide.durable.jobs import Job, JobTable
 from locktide.durable.log import framing as frames
 from locktide.durable.log import records
 from locktide.durable.log import write_ahead_log as journal
-from locktide.durable.log.write_ahead_log import Found, Journal
-from locktide.scheduler import interface as say
+from locktide.durable.log.write_ahead_log import LogContents, WriteAheadLog
+from locktide.scheduler.types import PROVEN_NOT_RUN, AttemptOutcome
 
 STORED = Path(__file__).parent / "data" / "durable_journal"
 # Unix microseconds at which the first process began. Times in the tables below are relative to it.
@@ -569,7 +569,7 @@
 
 
 def test_a_stored_journal_is_opened_and_recovered_as_before(stored: Path) -> None:
-    log = Journal(Folder(stored), 1 << 30)
+    log = WriteAheadLog(DirectoryStorage(stored), 1 << 30)
     log.open()
     log.close()
     assert (log.found.segments, log.found.records, log.found.bytes) == (5, 90, 8446)
@@ -599,14 +599,14 @@
 
 
 def test_the_stored_open_jobs_are_ended_or_resumed_as_before(stored: Path) -> None:
-    table = Table()
-    journal.read(Folder(stored), table, Found())
-    holders = leases.Leases(leases.Terms(5_000_000, 2_000_000))
-    span = recovery.Span(1_000_000, 2_000_000)
+    table = JobTable()
+    journal.read(DirectoryStorage(stored), table, LogContents())
+    holders = leases.LeaseTable(leases.LeaseConfig(5_000_000, 2_000_000))
+    span = recovery.ElapsedBounds(1_000_000, 2_000_000)
     steps = recovery.plan(table, holders, span, table.last_at + 1_000_000)
-    resumed = [step for step in steps if isinstance(step, recovery.Resume)]
+    resumed = [step for step in steps if isinstance(step, recovery.ResumeJob)]
     assert [(step.job.id, step.limit_at - EPOCH, step.out) for step in resumed] == RESUMED
-    assert [(step.job.id, step.status) for step in steps if isinstance(step, recovery.End)] == ENDED
+    assert [(step.job.id, step.status) for step in steps if isinstance(step, recovery.FinishJob)] == ENDED
     dispatches = next(step.dispatches for step in resumed if step.job.id == "job-16")
     assert [(one.worker, one.zone, one.cell, one.sent_at - EPOCH, one.outcome) for one in dispatches] == [
         ("w3", "zone-1", 11, 15_000_116, "no connection"),
@@ -628,15 +628,15 @@
 
 def test_outcomes_are_stored_in_the_same_words() -> None:
     assert [
-        say.ERROR,
-        say.FULL,
-        say.TIMED_OUT,
-        say.NO_CONNECTION,
-        say.RESET,
-        say.WITHDRAWN,
-        say.NEVER_SENT,
-        say.UNFIT,
-        say.CUT_OFF,
+        AttemptOutcome.ERROR,
+        AttemptOutcome.FULL,
+        AttemptOutcome.TIMED_OUT,
+        AttemptOutcome.NO_CONNECTION,
+        AttemptOutcome.RESET,
+        AttemptOutcome.CANCELLED,
+        AttemptOutcome.NEVER_SENT,
+        AttemptOutcome.UNPROCESSABLE,
+        AttemptOutcome.CONNECTION_CLOSED,
     ] == [
         "error",
         "full",
@@ -648,10 +648,10 @@
         "unfit",
         "cut off",
     ]
-    assert say.PROVEN_NOT_RUN == {"full", "no connection", "never sent", "unfit"}
+    assert PROVEN_NOT_RUN == {"full", "no connection", "never sent", "unfit"}
 
 
 def test_a_stored_job_is_exported_under_the_same_keys(stored: Path) -> None:
-    table = Table()
-    journal.read(Folder(stored), table, Found())
+    table = JobTable()
+    journal.read(DirectoryStorage(stored), table, LogContents())
     assert told(table.jobs["job-05"]) == EXPORTED
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -10,9 +10,9 @@
 from helpers import HandPlayed, begin, free_address, submit
 
 from locktide.protocol import discovery
-from locktide.scheduler import interface as say
+from locktide.scheduler.types import EndpointState
 from locktide.transport import endpoint_watch as watch
-from locktide.transport.endpoint_watch import Watch
+from locktide.transport.endpoint_watch import EndpointWatch
 from locktide.transport.log import Log
 
 
@@ -46,15 +46,17 @@
     async def run() -> None:
         agent = Agent()
         listening = await asyncio.start_server(agent.serve, "127.0.0.1", 0)
-        sheets: list[discovery.ListUpdate] = []
-        task = asyncio.create_task(Watch(listening.sockets[0].getsockname(), sheets.append, Log("n0")).run())
+        sheets: list[discovery.DiscoveryUpdate] = []
+        task = asyncio.create_task(
+            EndpointWatch(listening.sockets[0].getsockname(), sheets.append, Log("n0")).run()
+        )
         while not sheets:
             await asyncio.sleep(0.005)
         agent.silent = True
         await asyncio.sleep(watch.WAIT_MS / 1000 + watch.PATIENCE + 0.4)
         agent.version, agent.changed, agent.silent, calls = 8, ("w1",), False, agent.calls
         await asyncio.sleep(0.25)
-        assert [entry.state for entry in sheets[-1].entries] == [say.DRAINING], "an indented list"
+        assert [entry.state for entry in sheets[-1].entries] == [EndpointState.DRAINING], "an indented list"
         assert calls < 10, "an outage is looked at some times a second, no more"
         task.cancel()
         listening.close()
@@ -78,7 +80,7 @@
             await asyncio.sleep(9)
 
         address = listening.sockets[0].getsockname()
-        told = Watch(address, lambda sheet: None, Log("n0"), patience=30.0, again=again)
+        told = EndpointWatch(address, lambda sheet: None, Log("n0"), patience=30.0, again=again)
         task = asyncio.create_task(told.run())
         while agent.calls < 3:
             await asyncio.sleep(0.005)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -11,7 +11,7 @@
 
 from locktide.bench_adapter import adapter as host
 from locktide.bench_adapter import wire
-from locktide.scheduler import interface as say
+from locktide.scheduler.commands import SetTimer
 
 SETTINGS = json.dumps(
     {
@@ -26,7 +26,7 @@
 
 
 def replies(text: str) -> str:
-    machine, out = host.Host(), b""
+    machine, out = host.BenchAdapter(), b""
     lines = machine.lines(io.BytesIO(text.encode()))
     for opening in lines:
         out += machine.batch(lines, opening)
@@ -59,7 +59,7 @@
 
 def test_times_are_whole_microseconds() -> None:
     assert wire.micros("8412.2504") == 8412250
-    assert wire.line(say.Wake(4001, 7)) == "WAKE_ME Delay=4.001 Cookie=7"
+    assert wire.line(SetTimer(4001, 7)) == "WAKE_ME Delay=4.001 Cookie=7"
 
 
 @pytest.mark.parametrize(
@@ -87,5 +87,5 @@
     def broken(self: object, now: int, news: list[object]) -> list[object]:
         raise ValueError("out of sorts")
 
-    monkeypatch.setattr(host.Dispatcher, "turn", broken)
+    monkeypatch.setattr(host.Scheduler, "turn", broken)
     assert replies(START + "EOB\n") == "AS DispatcherId=3\nGIVE_IN Line=ValueError: out of sorts\nEND\n"
--- a/tests/test_withdrawals.py
+++ b/tests/test_withdrawals.py
@@ -15,7 +15,8 @@
 from helpers import TAKEN, Asked, HandPlayed, free_address, submission, submit, until_serving
 
 from locktide.dispatcher import cancellation as withdrawals
-from locktide.scheduler import interface as say
+from locktide.scheduler.commands import CancelAttempt
+from locktide.scheduler.types import AttemptOutcome
 from locktide.simulation.model import scenario as script
 from locktide.simulation.run import in_virtual_time, with_seed
 
@@ -29,7 +30,7 @@
     if taken:
         asked.reply(202)
     await play.settle()
-    play.node.withdraw(say.Withdraw("a", 0))
+    play.node.withdraw(CancelAttempt("a", 0))
     await play.settle()
     return asked
 
@@ -39,7 +40,7 @@
         while play.asked[-1].ended.done():
             await asyncio.sleep(0.001)
         assert play.asked[-1].build() is not None
-        play.asked[-1].end(say.NO_CONNECTION)
+        play.asked[-1].end(AttemptOutcome.NO_CONNECTION)
         await play.settle()
 
 
@@ -54,7 +55,7 @@
         assert play.outcomes() == [] and len(play.asked) == 10 and play.asked[-1].fresh
         play.asked[-1].reply(404)
         await play.settle()
-        assert play.outcomes() == [say.WITHDRAWN]
+        assert play.outcomes() == [AttemptOutcome.CANCELLED]
 
     asyncio.run(run())
 
@@ -73,7 +74,7 @@
         play.asked[-1].sent()
         while not play.outcomes():
             await asyncio.sleep(0.001)
-        assert play.outcomes() == [say.WITHDRAWN]
+        assert play.outcomes() == [AttemptOutcome.CANCELLED]
 
     asyncio.run(run())
 
@@ -84,7 +85,7 @@
         asked = await withdrawn(play, taken=False)
         assert asked.cancelled
         await fail(play, withdrawals.TRIES)
-        assert play.outcomes() == [say.WITHDRAWN]
+        assert play.outcomes() == [AttemptOutcome.CANCELLED]
 
     asyncio.run(run())
 
@@ -100,12 +101,12 @@
             else:
                 play.node.time_out(play.node.held["a"])
             await play.settle()
-            assert play.outcomes() == [say.DONE if word else say.TIMED_OUT]
+            assert play.outcomes() == [AttemptOutcome.DONE if word else AttemptOutcome.TIMED_OUT]
             for _ in range(2):
                 await asyncio.sleep(0.06)
                 for late in play.asked:
                     if late.fresh and not late.ended.done():
-                        late.end(say.NO_CONNECTION)
+                        late.end(AttemptOutcome.NO_CONNECTION)
             count = sum(asked.fresh for asked in play.asked)
             await asyncio.sleep(0.06)
             assert sum(asked.fresh for asked in play.asked) == count
