--- a/locktide/__main__.py
+++ b/locktide/__main__.py
@@ -17,7 +17,7 @@
     hold_back_reload()
     try:
         told = start.read(os.environ)
-        known = discovery.read(told.known, "known")
+        known = discovery.read(told.cached_endpoints, "known")
     except ConfigError as trouble:
         print(f"locktide: {trouble}", file=sys.stderr)
         return 2
--- a/locktide/bench_adapter/adapter.py
+++ b/locktide/bench_adapter/adapter.py
@@ -91,7 +91,7 @@
         out: list[str] = []
         for instance, pieces in news.items():
             try:
-                orders = [wire.line(order) for order in self.instances[instance].turn(now, pieces)]
+                orders = [wire.line(order) for order in self.instances[instance].step(now, pieces)]
             except Exception as trouble:
                 traceback.print_exc(file=sys.stderr)
                 orders = ["GIVE_IN Line=" + " ".join(f"{type(trouble).__name__}: {trouble}".split())]
--- a/locktide/bench_adapter/wire.py
+++ b/locktide/bench_adapter/wire.py
@@ -159,7 +159,7 @@
         micros(fields.get("Work", 0)),
         None if tenant == "0" else tenant,
         fields.get("Repeat", "0") == "1",
-        key=integer(fields, "NameKey") if "NameKey" in fields else None,
+        affinity_key=integer(fields, "NameKey") if "NameKey" in fields else None,
     )
 
 
@@ -201,23 +201,23 @@
 def line(order: Any) -> str:
     """The wire line of one order."""
     if type(order) is StartAttempt:
-        return f"FORWARD Corr={order.submission} Worker={order.worker}"
+        return f"FORWARD Corr={order.request_id} Worker={order.worker}"
     if type(order) is SetTimer:
-        return f"WAKE_ME Delay={millis(order.after)} Cookie={order.mark}"
+        return f"WAKE_ME Delay={millis(order.delay)} Cookie={order.timer_id}"
     if type(order) is RejectRequest:
-        return f"REJECT Corr={order.submission} ComeBack={millis(order.come_back_after)}"
+        return f"REJECT Corr={order.request_id} ComeBack={millis(order.retry_after)}"
     if type(order) is FailRequest:
-        return f"FINISH_ERROR Corr={order.submission}"
+        return f"FINISH_ERROR Corr={order.request_id}"
     if type(order) is CancelAttempt:
-        return f"WITHDRAW Corr={order.submission} Shot={order.number}"
+        return f"WITHDRAW Corr={order.request_id} Shot={order.attempt}"
     if type(order) is CloseIdleConnections:
         return f"CLOSE Worker={order.worker}"
     if type(order) is WatchEndpoints:
-        return f"STREAM_CHANGES Want={int(order.on)}"
+        return f"STREAM_CHANGES Want={int(order.enabled)}"
     if type(order) is FetchEndpoints:
         return "FETCH"
     if type(order) is ReportInternalError:  # a fault of ours is handed in here, not lived with
-        raise RuntimeError(order.what)
+        raise RuntimeError(order.detail)
     return "WRITE_LOG Line=" + " ".join(order.line.split())
 
 
--- a/locktide/cli/serve.py
+++ b/locktide/cli/serve.py
@@ -73,7 +73,7 @@
     try:
         told = installation.load(file)
         begun = installation.start(told, secrets.randbits(62))
-        known = discovery.read(begun.known, "known")
+        known = discovery.read(begun.cached_endpoints, "known")
     except ConfigErrors as faults:
         refuse(faults, str(file))
     except ConfigError as trouble:
--- a/locktide/cluster/fairness/usage.py
+++ b/locktide/cluster/fairness/usage.py
@@ -53,16 +53,16 @@
     # --- one submission
 
     def arrival(self, piece: RequestArrived) -> None:
-        place, needs = self.places.get(piece.tenant), self.needs.get(piece.grade)
-        if place is None or needs is None or piece.submission in self.open:
+        place, needs = self.places.get(piece.tenant), self.needs.get(piece.service_class)
+        if place is None or needs is None or piece.request_id in self.open:
             return
-        one = self.open[piece.submission] = OpenUsage(
+        one = self.open[piece.request_id] = OpenUsage(
             place, [round(amount * piece.width) for amount in needs]
         )
         self.add(self.waits, one, 1)
 
     def dispatch(self, order: StartAttempt) -> None:
-        if (one := self.open.get(order.submission)) is None:
+        if (one := self.open.get(order.request_id)) is None:
             return
         if not one.out:
             self.add(self.waits, one, -1)
@@ -70,7 +70,7 @@
         self.add(self.held, one, 1)
 
     def ended(self, piece: AttemptEnded) -> None:
-        if (one := self.open.get(piece.submission)) is None:
+        if (one := self.open.get(piece.request_id)) is None:
             return
         if one.out:
             one.out -= 1
@@ -80,16 +80,16 @@
         if piece.final:
             self.answered(piece)
         elif not one.out and one.answered:
-            del self.open[piece.submission]
+            del self.open[piece.request_id]
 
     def answered(self, piece: Any) -> None:
         """It has its answer; what still runs for it counts until that has ended."""
-        if (one := self.open.get(piece.submission)) is None or one.answered:
+        if (one := self.open.get(piece.request_id)) is None or one.answered:
             return
         one.answered = True
         if not one.out:
             self.add(self.waits, one, -1)
-            del self.open[piece.submission]
+            del self.open[piece.request_id]
 
     def add(self, to: dict[int, Vector], one: OpenUsage, by: int) -> None:
         sums = to.setdefault(one.place, [0] * len(self.each))
--- a/locktide/cluster/udp_transport.py
+++ b/locktide/cluster/udp_transport.py
@@ -23,18 +23,18 @@
 
 
 class Log(Protocol):
-    def say(self, line: str, kind: str = "", event: str = "", **fields: Any) -> None: ...
+    def emit(self, line: str, kind: str = "", event: str = "", **fields: Any) -> None: ...
 
 
 class EventSource(Protocol):
     """What the part asks of a node: to be told of news, and to hear the news that it gets."""
 
-    hearers: list[Callable[[Any], None]]
+    observers: list[Callable[[Any], None]]
 
     @property
     def clock(self) -> Any: ...
 
-    def tell(self, piece: Any) -> None: ...
+    def enqueue_event(self, piece: Any) -> None: ...
 
 
 class UdpTransport(asyncio.DatagramProtocol):
@@ -54,7 +54,7 @@
         self.shown_lent: list[tuple[str, str]] = []
         self.shown_over: frozenset[str] = frozenset()
         if node is not None:
-            node.hearers.append(self.heard)
+            node.observers.append(self.heard)
 
     def now(self) -> int:
         return int(self.loop.time() * 1e6)
@@ -95,14 +95,14 @@
             line = f"accord: {row.name} at {at} is {what}"
             if what == "replaced":
                 line = f"accord: a second process under our name at {at}; we step down"
-            self.log.say(line, "accord", event=f"accord-{what}", member=row.name, start=row.start, at=at)
+            self.log.emit(line, "accord", event=f"accord-{what}", member=row.name, start=row.start, at=at)
         self.wake()
 
     def told_parts(self) -> None:
         """What is in force from now on, and until when."""
         purse = self.agent.purse
         shown = ", ".join(f"{name} {part / 1e4:.1f}%" for name, part in purse.parts.items())
-        self.log.say(f"accord: in force {shown}", "accord", event="accord-parts", parts=dict(purse.parts))
+        self.log.emit(f"accord: in force {shown}", "accord", event="accord-parts", parts=dict(purse.parts))
         self.say_more()
         self.tell_node()
         if self.trace is not None:
@@ -125,11 +125,11 @@
                 f"{part / 1e4:.1f}% of {owner} for {borrower}"
                 for (owner, borrower), part in sorted(self.agent.purse.loans.items())
             )
-            self.log.say(f"accord: borrowed {shown or 'nothing'}", "accord", event="accord-lent", loans=lent)
+            self.log.emit(f"accord: borrowed {shown or 'nothing'}", "accord", event="accord-lent", loans=lent)
         if self.agent.over != self.shown_over:
             self.shown_over, over = self.agent.over, sorted(self.agent.over)
             line = f"accord: beyond their fair shares: {', '.join(over) or 'nobody'}"
-            self.log.say(line, "accord", event="accord-over", over=over)
+            self.log.emit(line, "accord", event="accord-over", over=over)
 
     # --- the node
 
@@ -149,7 +149,7 @@
                 if rates[1]:
                     lent[borrower] = lent.get(borrower, 0.0) + part / WHOLE * rates[0] / rates[1]
             stages.insert(0, QuotaStage(min(until, there + max(0, purse.loans_until - now)), parts, lent))
-        self.node.tell(QuotaSharesUpdated(stages, self.agent.over, there + OVER_FOR))
+        self.node.enqueue_event(QuotaSharesUpdated(stages, self.agent.over, there + OVER_FOR))
 
     def heard(self, piece: Any) -> None:
         """News and orders of the node: what clients ask for is the demand that the division follows, and
@@ -186,7 +186,7 @@
         if self.timer is not None:
             self.timer.cancel()
         if self.node is not None:
-            self.node.hearers.remove(self.heard)
+            self.node.observers.remove(self.heard)
         if self.trace is not None:
             self.trace.close()
         await asyncio.sleep(0)
--- a/locktide/config/start.py
+++ b/locktide/config/start.py
@@ -21,10 +21,10 @@
     seed: int
     descriptors: int
     memory: int  # bytes
-    known: Any  # the remembered list, in discovery's form
+    cached_endpoints: Any  # the remembered list, in discovery's form
     connect_within: int
     idle_close: int  # workers close connections that stood idle so long
-    terms: tuple[Any, ...]
+    scheduler_config: tuple[Any, ...]
 
 
 def address(key: str, text: str) -> Address:
--- a/locktide/dispatcher/cancellation.py
+++ b/locktide/dispatcher/cancellation.py
@@ -19,7 +19,7 @@
 
 
 class Asking(Protocol):
-    async def ask(
+    async def send(
         self,
         worker: str,
         address: Address,
@@ -54,7 +54,7 @@
             # As long as a connection may take, and its answer: a silent worker must not hold up the rest.
             async with asyncio.timeout(within if tries == 1 else 2 * within):
                 if at is not None:
-                    told = await connections.ask(
+                    told = await connections.send(
                         worker,
                         at,
                         lambda: question,
--- a/locktide/dispatcher/dispatcher.py
+++ b/locktide/dispatcher/dispatcher.py
@@ -58,14 +58,14 @@
 
 def with_socket_terms(start: Start) -> Start:
     """What the platform's sockets add to the settings; in new terms, as others may hold those given."""
-    dispatching: RetryConfig = start.terms[3]
-    cold: SlowStartConfig = start.terms[7]
-    listing: EndpointListConfig = start.terms[8]
-    terms = list(start.terms)
+    dispatching: RetryConfig = start.scheduler_config[3]
+    cold: SlowStartConfig = start.scheduler_config[7]
+    listing: EndpointListConfig = start.scheduler_config[8]
+    terms = list(start.scheduler_config)
     terms[3] = replace(dispatching, counts_unsent=False)  # one counts once its last byte has come
     terms[7] = replace(cold, margin=COLD_MARGIN)
-    terms[8] = replace(listing, told_within=TOLD_WITHIN)
-    return replace(start, terms=tuple(terms))
+    terms[8] = replace(listing, notified_within=TOLD_WITHIN)
+    return replace(start, scheduler_config=tuple(terms))
 
 
 class Dispatcher(EndpointFollower):
@@ -75,43 +75,43 @@
         super().__init__()
         loop, system, start = asyncio.get_running_loop(), system or RealSystem(), with_socket_terms(start)
         self.loop, self.log, self.clock = loop, log, Clock(loop, system.wall)
-        self.dispatcher = Scheduler(start.seed, *start.terms)
+        self.scheduler = Scheduler(start.seed, *start.scheduler_config)
         to_clients, to_workers = divide(start.descriptors)
-        self.connections = UpstreamPool(to_workers, start.connect_within, start.idle_close)
+        self.upstream = UpstreamPool(to_workers, start.connect_within, start.idle_close)
         most_stored = (start.memory - OURS) // 2
         self.longest_limit = 0
         self.server = Listener(to_clients, {}, set(), most_stored, self, log, system)
-        self.take_terms(start)
+        self.apply_config(start)
         self.discovery, self.listen_at = start.discovery, start.listen
         self.version = known.version if known.entries else None
-        self.orders = {
-            StartAttempt: self.dispatch,
-            CancelAttempt: self.withdraw,
-            RejectRequest: self.deny,
-            FailRequest: self.terminate,
-            ReportInternalError: self.broke_off,
+        self.command_handlers = {
+            StartAttempt: self.start_attempt,
+            CancelAttempt: self.cancel_attempt,
+            RejectRequest: self.reject,
+            FailRequest: self.fail,
+            ReportInternalError: self.fail_after_internal_error,
             SetTimer: self.wake,
-            CloseIdleConnections: lambda order: self.connections.forget(order.worker),
-            LogMessage: lambda order: log.say(order.line),
+            CloseIdleConnections: lambda order: self.upstream.close_idle(order.worker),
+            LogMessage: lambda order: log.emit(order.text),
             # Where the list need not be asked for, the watch is always on.
             WatchEndpoints: lambda order: self.to_ask.set(),
             FetchEndpoints: lambda order: None,
         }
-        self.fleet.take(known)
-        self.tell(EndpointListUpdate(ListUpdateKind.CACHED, known.entries))
+        self.endpoints.apply(known)
+        self.enqueue_event(EndpointListUpdate(ListUpdateKind.CACHED, known.entries))
 
-    def join(self, keeper: JobStore, desk: RequestHandler) -> None:
+    def attach_job_store(self, keeper: JobStore, desk: RequestHandler) -> None:
         """From now on durable jobs are kept by `keeper`, and clients are met at `desk`."""
-        self.keeper, self.server.desk, self.server.keeps_jobs = keeper, desk, True
+        self.job_store, self.server.request_handler, self.server.keeps_jobs = keeper, desk, True
 
     # --- the life of the dispatcher
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serves until `stop`, finishes what it has taken, and returns."""
-        self.watch(self.follow_when_asked() if self.listing.must_ask else self.follow())
+        self.watch(self.follow_when_asked() if self.endpoint_list_config.polled else self.follow())
         sweeping = asyncio.create_task(self.sweep())
         await asyncio.sleep(0)  # the remembered list is handed over before the first submission
-        if not self.listing.must_ask:
+        if not self.endpoint_list_config.polled:
             # What the agent has counts as told from our first moment on. One that is silent does not hold us
             # up for long: then the remembered list is all there is.
             with suppress(TimeoutError):
@@ -120,8 +120,8 @@
         # the strength of a list of before.
         self.server.listen(self.listen_at)
         self.serving = True
-        workers = len(self.fleet.entries)
-        self.log.say(
+        workers = len(self.endpoints.entries)
+        self.log.emit(
             f"serving on {spelled(self.listen_at)}, {workers} workers known",
             event="serving",
             listen=spelled(self.listen_at),
@@ -130,7 +130,7 @@
         await stop.wait()
         begun = self.loop.time()
         grace = min(STOP_WITHIN, self.longest_limit / 1e6) + STOP_BIT
-        self.log.say(f"stopping: {self.open()} submissions open", event="stopping", open=self.open())
+        self.log.emit(f"stopping: {self.open()} submissions open", event="stopping", open=self.open())
         self.loop.call_at(begun + ACCEPT_ON, self.shorten, begun + grace)
         await self.server.wind_down()
         while self.loop.time() - begun < ACCEPT_ON or self.owes():
@@ -141,27 +141,27 @@
             self.watching.cancel()
         sweeping.cancel()
         await self.server.stop()
-        self.log.say("stopped", event="stopped")
+        self.log.emit("stopped", event="stopped")
 
     def owes(self) -> bool:
         """Whether a stop waits: for an answer, a connection not at rest, a worker to be told."""
         return bool(self.open()) or self.server.busy() or self.awaited()
 
-    def take_terms(self, start: Start) -> None:
+    def apply_config(self, start: Start) -> None:
         """The settings that may change while we serve; name, address, seed and limits are the process's."""
-        grades: list[ServiceClass] = start.terms[2]
-        self.listing: EndpointListConfig = start.terms[8]
+        grades: list[ServiceClass] = start.scheduler_config[2]
+        self.endpoint_list_config: EndpointListConfig = start.scheduler_config[8]
         self.connect_within = start.connect_within
-        self.connections.set_spans(start.connect_within, start.idle_close)
+        self.upstream.set_spans(start.connect_within, start.idle_close)
         # In place: connections that are kept go by them, too.
-        self.server.grades.clear()
-        self.server.grades.update({grade.name: grade.time_limit for grade in grades})
-        self.server.numbered.clear()
-        self.server.numbered.update(
+        self.server.timeouts.clear()
+        self.server.timeouts.update({grade.name: grade.timeout for grade in grades})
+        self.server.keyed_classes.clear()
+        self.server.keyed_classes.update(
             [grade.name for grade in grades if grade.effect == Effect.IDEMPOTENT_WITH_KEY]
         )
         # Never less than before: what was taken under a longer limit may still be open.
-        self.longest_limit = max(self.longest_limit, *self.server.grades.values())
+        self.longest_limit = max(self.longest_limit, *self.server.timeouts.values())
 
     def reload(self, start: Start) -> None:
         """Settings and roster in force from now on. What is open keeps its limits and its grade, connections
@@ -169,10 +169,10 @@
         """
         start = with_socket_terms(start)
         self.discovery = start.discovery
-        self.take_terms(start)
-        self.tell(ConfigReloaded(start.terms))
-        at, grades = spelled(self.discovery), ", ".join(self.server.grades)
-        self.log.say(
+        self.apply_config(start)
+        self.enqueue_event(ConfigReloaded(start.scheduler_config))
+        at, grades = spelled(self.discovery), ", ".join(self.server.timeouts)
+        self.log.emit(
             f"reload: settings taken, {self.open()} submissions open; grades {grades}; worker list from {at}",
             event="reloaded",
             roster=at,
@@ -183,11 +183,11 @@
 
     def shorten(self, kill_at: float) -> None:
         """From now on nothing is taken that would not have its answer by then."""
-        self.kill_at = kill_at
+        self.shutdown_deadline = kill_at
 
     async def sweep(self) -> None:
         while True:
             await asyncio.sleep(1.0)
-            self.connections.sweep()
-            for submission in [one for one, until in self.spent.items() if until < self.loop.time()]:
-                del self.spent[submission]
+            self.upstream.sweep()
+            for submission in [one for one, until in self.answered_ids.items() if until < self.loop.time()]:
+                del self.answered_ids[submission]
--- a/locktide/dispatcher/endpoints.py
+++ b/locktide/dispatcher/endpoints.py
@@ -27,12 +27,20 @@
 
     async def follow(self, version: int | None = None) -> None:
         """Follows the list at the address in force, from that version on, or from the whole of it."""
-        if not self.listing.must_ask:
-            await EndpointWatch(self.discovery, self.take_list, self.log, version).run()
+        if not self.endpoint_list_config.polled:
+            await EndpointWatch(self.discovery, self.apply_endpoint_list, self.log, version).run()
         # A call waits its turn there. Given up sooner than it would be it has been work for nothing; but one
         # that is not answered in half of the time in which we have to know was not heard.
-        patience = min(self.listing.ask_within, self.listing.told_within or self.listing.ask_within) / 2e6
-        watch = EndpointWatch(self.discovery, self.take_list, self.log, version, patience, self.ask_again)
+        patience = (
+            min(
+                self.endpoint_list_config.poll_within,
+                self.endpoint_list_config.notified_within or self.endpoint_list_config.poll_within,
+            )
+            / 2e6
+        )
+        watch = EndpointWatch(
+            self.discovery, self.apply_endpoint_list, self.log, version, patience, self.ask_again
+        )
         await watch.run()
 
     async def follow_when_asked(self) -> None:
@@ -42,18 +50,18 @@
 
     async def ask_again(self, silent: bool) -> None:
         self.to_ask.clear()
-        self.tell(
+        self.enqueue_event(
             EndpointListUpdate(ListUpdateKind.FETCH_TIMED_OUT if silent else ListUpdateKind.FETCH_FAILED, [])
         )
         await self.to_ask.wait()
 
-    def take_list(self, update: discovery.DiscoveryUpdate) -> None:
-        for worker in self.fleet.take(update):
-            self.connections.forget(worker)
+    def apply_endpoint_list(self, update: discovery.DiscoveryUpdate) -> None:
+        for worker in self.endpoints.apply(update):
+            self.upstream.close_idle(worker)
             self.lost_at(worker)
-        self.tell(
+        self.enqueue_event(
             EndpointListUpdate(
-                ListUpdateKind.SNAPSHOT if update.whole else ListUpdateKind.DELTA, update.entries
+                ListUpdateKind.SNAPSHOT if update.is_snapshot else ListUpdateKind.DELTA, update.entries
             )
         )
         self.listed.set()
@@ -65,9 +73,11 @@
         loss does not come; and against taking that for its end, which no one but the worker can tell: what
         goes elsewhere before the new process has answered a withdrawal is a second copy.
         """
-        started_at = self.fleet.entries[worker].started_at
-        for held in list(self.held.values()):
-            for dispatch in held.out():
-                earlier = dispatch.worker == worker and dispatch.may_run and dispatch.sent_at < started_at
+        started_at = self.endpoints.entries[worker].started_at
+        for held in list(self.open_requests.values()):
+            for dispatch in held.unfinished_attempts():
+                earlier = (
+                    dispatch.worker == worker and dispatch.possibly_running and dispatch.sent_at < started_at
+                )
                 if earlier:
-                    self.recall(held, dispatch, AttemptOutcome.CONNECTION_CLOSED)
+                    self.cancel_and_finish(held, dispatch, AttemptOutcome.CONNECTION_CLOSED)
--- a/locktide/dispatcher/records.py
+++ b/locktide/dispatcher/records.py
@@ -33,13 +33,13 @@
         "worker",
         "task",
         "stage",
-        "before",
+        "send_before",
         "recalled",
         "taken",
         "outcome",
         "sent_at",
         "fence",
-        "lapsed",
+        "lease_expired",
     )
 
     task: asyncio.Task[None]  # takes it to its worker
@@ -47,13 +47,13 @@
     def __init__(self, number: int, worker: str) -> None:
         self.number, self.worker = number, worker
         self.stage = AttemptStage.ORDERED
-        self.before = 0  # from when on no byte of it may go out; 0 where the time limit alone counts
+        self.send_before = 0  # from when on no byte of it may go out; 0 where the time limit alone counts
         self.recalled = False  # its worker is being told to give it up
         self.taken = False  # its worker has said by 202 or by callback that it has the job
         self.outcome: str | None = None  # once it has ended
         self.sent_at = 0  # when its last byte was written
         self.fence = 0  # of its lease, where the submission is a durable job
-        self.lapsed = False  # that lease has run out: its worker has no claim on it any more
+        self.lease_expired = False  # that lease has run out: its worker has no claim on it any more
 
     def reach(self, stage: AttemptStage) -> None:
         """The one place where its stage changes. It goes on only: what comes late (a 202 after a callback)
@@ -71,7 +71,7 @@
         return True
 
     @property
-    def may_run(self) -> bool:
+    def possibly_running(self) -> bool:
         """All of it was written, and how it ended is not known."""
         return AttemptStage.SENT <= self.stage < AttemptStage.ENDED
 
@@ -79,33 +79,33 @@
 class OpenRequest:
     """One submission, from its last byte until it is answered and each of its dispatches has its outcome."""
 
-    __slots__ = ("message", "limit_at", "answer", "dispatches", "timer")
+    __slots__ = ("message", "deadline", "response", "attempts", "timer")
 
     timer: asyncio.TimerHandle  # of the time limit
 
     def __init__(self, message: SubmitRequest, limit_at: int, answer: asyncio.Future[Response]) -> None:
-        self.message, self.limit_at, self.answer = message, limit_at, answer
-        self.dispatches: list[OpenAttempt] = []
+        self.message, self.deadline, self.response = message, limit_at, answer
+        self.attempts: list[OpenAttempt] = []
 
     @property
-    def open(self) -> bool:
-        return not self.answer.done()
+    def is_open(self) -> bool:
+        return not self.response.done()
 
     @property
-    def settled(self) -> bool:
-        return not self.open and not self.out()
+    def is_settled(self) -> bool:
+        return not self.is_open and not self.unfinished_attempts()
 
-    def out(self) -> list[OpenAttempt]:
-        return [dispatch for dispatch in self.dispatches if dispatch.stage is not AttemptStage.ENDED]
+    def unfinished_attempts(self) -> list[OpenAttempt]:
+        return [dispatch for dispatch in self.attempts if dispatch.stage is not AttemptStage.ENDED]
 
     def taken_earlier(self, later: OpenAttempt) -> bool:
         """Whether that worker had taken one before: a word of it may be about either."""
-        return any(one.taken and one.worker == later.worker for one in self.dispatches[: later.number])
+        return any(one.taken and one.worker == later.worker for one in self.attempts[: later.number])
 
     def out_at(self, worker: str) -> OpenAttempt | None:
         """The dispatch that a word from this worker is about: one that it can have."""
-        for dispatch in self.out():
-            if dispatch.worker == worker and dispatch.may_run:
+        for dispatch in self.unfinished_attempts():
+            if dispatch.worker == worker and dispatch.possibly_running:
                 return dispatch
         return None
 
@@ -117,20 +117,20 @@
         self.entries: dict[str, EndpointEntry] = {}
         self.addresses: dict[str, Address] = {}
 
-    def take(self, update: DiscoveryUpdate) -> Iterable[str]:
+    def apply(self, update: DiscoveryUpdate) -> Iterable[str]:
         """Names the workers to which connections are of no more use; completes the update by what was known.
 
         Guards against an entry that cannot be read: what is said of a worker but not understood may be that
         it drains, so it gets nothing new, while the rest of the list counts as ever.
         """
         stale = []
-        for worker in update.unclear:
+        for worker in update.unreadable:
             if before := self.entries.get(worker):
                 state = EndpointState.DRAINING if before.state == EndpointState.READY else before.state
                 update.entries.append(replace(before, state=state))
                 update.addresses[worker] = self.addresses[worker]
         told = {entry.worker for entry in update.entries}
-        if update.whole:
+        if update.is_snapshot:
             for worker in [worker for worker in self.entries if worker not in told]:
                 self.entries[worker].state = EndpointState.GONE
                 stale.append(worker)
@@ -145,6 +145,6 @@
             self.addresses[worker] = update.addresses[worker]
         return stale
 
-    def may_send(self, worker: str) -> bool:
+    def accepts_requests(self, worker: str) -> bool:
         entry = self.entries.get(worker)
         return entry is not None and entry.state == EndpointState.READY
--- a/locktide/dispatcher/requests.py
+++ b/locktide/dispatcher/requests.py
@@ -22,34 +22,36 @@
 
 
 class RequestLayer(AttemptLayer):
-    def ready(self) -> bool:
+    def is_ready(self) -> bool:
         return self.serving
 
-    def submitted(self, message: clients.SubmitRequest) -> asyncio.Future[Response] | None:
-        if message.id in self.held or message.id in self.spent:
+    def submit(self, message: clients.SubmitRequest) -> asyncio.Future[Response] | None:
+        if message.id in self.open_requests or message.id in self.answered_ids:
             return None
-        now, patience = self.clock.now(), message.patience
-        if self.kill_at is not None and not message.patient:  # the next process goes on with those
-            patience = min(patience, int((self.kill_at - self.loop.time()) * 1e6))
+        now, patience = self.clock.now(), message.timeout
+        if (
+            self.shutdown_deadline is not None and not message.background
+        ):  # the next process goes on with those
+            patience = min(patience, int((self.shutdown_deadline - self.loop.time()) * 1e6))
         limit_at = now + patience - min(ON_THE_WAY, patience // PART_ON_THE_WAY)
         held = OpenRequest(message, limit_at, self.loop.create_future())
-        self.held[message.id] = held
+        self.open_requests[message.id] = held
         held.timer = self.loop.call_at(self.clock.at(limit_at), self.time_out, held)
-        self.tell(self.arrival(message, limit_at))
-        return held.answer
+        self.enqueue_event(self.arrival(message, limit_at))
+        return held.response
 
     @staticmethod
     def arrival(message: clients.SubmitRequest, limit_at: int) -> RequestArrived:
         return RequestArrived(
             message.id,
-            message.grade,
+            message.service_class,
             limit_at,
             message.width,
-            message.hint,
+            message.work_hint,
             message.tenant,
-            message.retry,
-            message.patient,
-            message.key,
+            message.is_retry,
+            message.background,
+            message.affinity_key,
         )
 
     def recover(
@@ -62,63 +64,63 @@
     ) -> asyncio.Future[Response]:
         """Takes up a job of an earlier process; its dispatches without an outcome may still be heard of."""
         held = OpenRequest(message, limit_at, self.loop.create_future())
-        self.held[message.id] = held
+        self.open_requests[message.id] = held
         held.timer = self.loop.call_at(self.clock.at(limit_at), self.time_out, held)
         for earlier, fence in zip(dispatches, fences, strict=True):
-            dispatch = OpenAttempt(len(held.dispatches), earlier.worker)
+            dispatch = OpenAttempt(len(held.attempts), earlier.worker)
             dispatch.reach(AttemptStage.ACCEPTED)
             if earlier.outcome:
                 dispatch.end(earlier.outcome)
             dispatch.sent_at, dispatch.fence = earlier.sent_at, fence
             dispatch.task = self.start(asyncio.sleep(0))  # the connection that carried it is gone
-            held.dispatches.append(dispatch)
-        self.tell(RequestRecovered(self.arrival(message, limit_at), arrived_at, dispatches))
-        return held.answer
-
-    def gone(self, message: clients.SubmitRequest) -> None:
-        held = self.held.get(message.id)
-        if held is not None and held.open:
-            held.answer.cancel()
-            self.tell(ClientDisconnected(message.id))
+            held.attempts.append(dispatch)
+        self.enqueue_event(RequestRecovered(self.arrival(message, limit_at), arrived_at, dispatches))
+        return held.response
+
+    def client_disconnected(self, message: clients.SubmitRequest) -> None:
+        held = self.open_requests.get(message.id)
+        if held is not None and held.is_open:
+            held.response.cancel()
+            self.enqueue_event(ClientDisconnected(message.id))
             self.release_settled(held)
 
-    def deny(self, order: RejectRequest) -> None:
-        advice = [("Retry-After", f"{order.come_back_after / 1e6:.3f}")] if order.come_back_after else []
-        self.answer(order.submission, Response(503, b"denied\n", advice))
+    def reject(self, order: RejectRequest) -> None:
+        advice = [("Retry-After", f"{order.retry_after / 1e6:.3f}")] if order.retry_after else []
+        self.respond(order.request_id, Response(503, b"denied\n", advice))
 
-    def terminate(self, order: FailRequest) -> None:
-        self.answer(order.submission, Response(502, b"terminated\n"))
+    def fail(self, order: FailRequest) -> None:
+        self.respond(order.request_id, Response(502, b"terminated\n"))
 
-    def broke_off(self, order: ReportInternalError) -> None:
+    def fail_after_internal_error(self, order: ReportInternalError) -> None:
         """The decisions have failed on one submission: it is answered at once, what is out is given up."""
-        what = order.what
-        self.log.say(f"the decisions broke off: {what}", event="decisions-broke-off", trouble=what)
-        held = self.held.get(order.submission)
+        what = order.detail
+        self.log.emit(f"the decisions broke off: {what}", event="decisions-broke-off", trouble=what)
+        held = self.open_requests.get(order.request_id)
         if held is not None:
-            self.answer(order.submission, Response(502, b"terminated\n"))
-            for dispatch in held.out():
-                self.withdraw(CancelAttempt(order.submission, dispatch.number))
+            self.respond(order.request_id, Response(502, b"terminated\n"))
+            for dispatch in held.unfinished_attempts():
+                self.cancel_attempt(CancelAttempt(order.request_id, dispatch.number))
 
     def time_out(self, held: OpenRequest) -> None:
         """The time limit: nobody waits any longer, neither for a dispatch nor with the client."""
-        for dispatch in held.out():
+        for dispatch in held.unfinished_attempts():
             if not dispatch.recalled:
                 self.call_off(held, dispatch)
-            self.end(held, dispatch, AttemptOutcome.TIMED_OUT)
+            self.finish_attempt(held, dispatch, AttemptOutcome.TIMED_OUT)
         held.timer = self.loop.call_later(OVERDUE / 1e6, self.overdue, held)
 
     def overdue(self, held: OpenRequest) -> None:
-        if held.open:
+        if held.is_open:
             id = held.message.id
-            self.log.say(
+            self.log.emit(
                 f"submission {id}: no answer from the decisions in time, terminated",
                 event="overdue",
                 submission=id,
             )
-            self.tell(
+            self.enqueue_event(
                 ClientDisconnected(held.message.id)
             )  # for the decisions: nothing more is to be sent for it
-            self.answer(held.message.id, Response(504, b"terminated\n"))
+            self.respond(held.message.id, Response(504, b"terminated\n"))
 
-    def sought(self, message: clients.JobQuery) -> Response:
+    def query_job(self, message: clients.JobQuery) -> Response:
         return Response(404, b"no such job\n")
--- a/locktide/dispatcher/service.py
+++ b/locktide/dispatcher/service.py
@@ -46,7 +46,7 @@
         try:
             node.reload(again())
         except ConfigError as trouble:
-            log.say(f"reload: {trouble}; the old terms stay", event="reload-faulty", trouble=str(trouble))
+            log.emit(f"reload: {trouble}; the old terms stay", event="reload-faulty", trouble=str(trouble))
 
     loop.add_signal_handler(signal.SIGHUP, reload)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
--- a/locktide/durable/job_service.py
+++ b/locktide/durable/job_service.py
@@ -90,7 +90,7 @@
         self.tasks: dict[asyncio.Task[Any], None] = {}
         self.resuming: dict[str, None] = {}  # recovered jobs that the node does not have yet
         self.settled.update(job.id for job in self.table.jobs.values() if job.finished)
-        node.join(self, self)
+        node.attach_job_store(self, self)
 
     @property
     def table(self) -> JobTable:
@@ -116,7 +116,7 @@
         await self.journal.append(WriterStarted(now, moment.boot, moment.boot_at))
         ends = [step for step in steps if isinstance(step, recovery.FinishJob)]
         resumes = [step for step in steps if isinstance(step, recovery.ResumeJob)]
-        self.log.say(
+        self.log.emit(
             f"jobs: {found.records} records in {found.segments} segments: {len(resumes)} to go on with, "
             f"{len(ends)} past their limit, {len(found.torn)} torn ends cut off",
             event="jobs-recovered",
@@ -166,7 +166,7 @@
             told.target,
             list(told.onward),
             told.body,
-            patient=True,
+            background=True,
         )
 
     async def look_after(self) -> None:
@@ -175,14 +175,14 @@
         while True:
             await asyncio.sleep(LOOK_EVERY)
             for lease in self.leases.due(self.now()):
-                self.log.say(
+                self.log.emit(
                     f"job {lease.job}: lease {lease.fence} of worker {lease.worker} has run out",
                     event="lease-expired",
                     job=lease.job,
                     fence=lease.fence,
                     worker=lease.worker,
                 )
-                self.node.expire(lease.job, lease.fence)
+                self.node.expire_lease(lease.job, lease.fence)
             if self.node.loop.time() >= forget_at:
                 forget_at = self.node.loop.time() + FORGET_EVERY
                 if self.table.forget(self.now(), self.terms.keep):
@@ -190,17 +190,17 @@
 
     # --- the server's desk
 
-    def ready(self) -> bool:
-        return self.node.ready()
+    def is_ready(self) -> bool:
+        return self.node.is_ready()
 
-    def submitted(self, message: clients.SubmitRequest) -> asyncio.Future[Response] | None:
-        if message.grade not in self.terms.grades:
-            return self.node.submitted(message)
+    def submit(self, message: clients.SubmitRequest) -> asyncio.Future[Response] | None:
+        if message.service_class not in self.terms.grades:
+            return self.node.submit(message)
         fields = {name.decode().lower(): value.decode("latin-1") for name, value in message.onward}
         wanted, key = read_preference(fields), fields.get(names.NUMBER.lower(), "")
         whole = b"\0".join((message.method.encode(), message.target.encode(), message.body))
         digest = hashlib.sha256(whole).hexdigest()
-        known = self.table.find(message.grade, key) if key else None
+        known = self.table.find(message.service_class, key) if key else None
         answer: asyncio.Future[Response] = self.node.loop.create_future()
         if known is not None:
             if known.accepted.digest != digest:
@@ -208,12 +208,16 @@
                 return answer
             self.follow(known.id, message, wanted, answer)
             return answer
-        if message.id in self.table.jobs or message.id in self.node.held or message.id in self.node.spent:
+        if (
+            message.id in self.table.jobs
+            or message.id in self.node.open_requests
+            or message.id in self.node.answered_ids
+        ):
             return None
         if self.table.opened >= self.terms.most_open or self.journal.broken:
             answer.set_result(self.denied("no more jobs are taken now"))
             return answer
-        patience = max(message.patience, self.terms.limit) if wanted.detached else message.patience
+        patience = max(message.timeout, self.terms.limit) if wanted.detached else message.timeout
         now = self.now()
         prefer = names.PREFER.lower().encode()
         onward = [(name, value) for name, value in message.onward if name.lower() != prefer]
@@ -221,7 +225,7 @@
             message.id,
             key,
             digest,
-            message.grade,
+            message.service_class,
             message.method,
             message.target,
             onward,
@@ -243,14 +247,14 @@
             await written
         except LogWriteError as trouble:
             self.table.drop(record.id)
-            self.log.say(f"jobs: not accepted: {trouble}", event="job-not-accepted", trouble=str(trouble))
+            self.log.emit(f"jobs: not accepted: {trouble}", event="job-not-accepted", trouble=str(trouble))
             self.tell(record.id, self.denied("it could not be written down"))
             return
         finally:
             self.accepting.pop(record.id, None)
         # The limit runs on while the disk is waited for.
         left = patience - (self.now() - record.at)
-        taken = self.node.submitted(replace(self.message(record, max(1, left)), patient=detached))
+        taken = self.node.submit(replace(self.message(record, max(1, left)), background=detached))
         if taken is None:
             self.finish(record.id, Response(503, b"this id is in use\n"))
             return
@@ -276,7 +280,7 @@
             self.spawn(self.detach(id, wanted.wait, answer))
         else:
             # Its own wait may be shorter than the job's time, where it has come to one that was there.
-            self.node.loop.call_later(message.patience / 1e6, self.give_up, id, answer)
+            self.node.loop.call_later(message.timeout / 1e6, self.give_up, id, answer)
 
     def unfollow(self, id: str, answer: asyncio.Future[Response]) -> None:
         left = [one for one in self.followers.get(id, ()) if one is not answer]
@@ -320,7 +324,7 @@
             headers.append(("Retry-After", f"{job.finished.advice / 1e6:.3f}"))
         return Response(job.finished.status, job.finished.body, headers)
 
-    def sought(self, message: clients.JobQuery) -> Response:
+    def query_job(self, message: clients.JobQuery) -> Response:
         """Where a job stands: 202 while it is open, then 200 with its state and what came of it."""
         job = self.table.jobs.get(message.id)
         if job is None or message.id in self.accepting:
@@ -330,23 +334,23 @@
         found = self.final(job)
         return replace(found, status=200)
 
-    def gone(self, message: clients.SubmitRequest) -> None:
+    def client_disconnected(self, message: clients.SubmitRequest) -> None:
         """A client has gone away; its job goes on."""
-        if message.grade not in self.terms.grades:
-            self.node.gone(message)
+        if message.service_class not in self.terms.grades:
+            self.node.client_disconnected(message)
         elif (answer := self.by_submission.get(message.id)) is not None:
             answer.cancel()
 
-    def called(self, message: clients.Callback) -> Awaitable[None] | None:
-        job = self.table.jobs.get(message.submission)
+    def handle_callback(self, message: clients.Callback) -> Awaitable[None] | None:
+        job = self.table.jobs.get(message.request_id)
         if job is None:
-            self.node.called(message)
+            self.node.handle_callback(message)
             return None
         last, started = message.outcome is not None, message.state == names.STARTED
         heard = self.leases.heard(job.id, message.worker, message.fence, self.now(), last, started)
         if heard in (leases.FENCED, leases.UNKNOWN):
             return self.late(job, message) if last else None
-        self.node.called(message)
+        self.node.handle_callback(message)
         if message.outcome == AttemptOutcome.DONE:
             self.finish(job.id, Response(200, message.result))
         # The worker may forget it only once we cannot: until then it calls again.
@@ -368,7 +372,7 @@
         told = told or job.state == DONE and message.outcome == AttemptOutcome.DONE and fence == job.fence
         if told or len(job.late) >= MOST_LATE or ended is not None and ended.outcome == message.outcome:
             return None  # it says what we know
-        self.log.say(
+        self.log.emit(
             f"job {job.id}: a late '{message.state}' of worker {message.worker} under lease {fence}",
             event="late-word",
             job=job.id,
@@ -389,14 +393,14 @@
 
     # --- the node's keeper
 
-    def keeps(self, held: OpenRequest) -> bool:
-        return held.message.grade in self.terms.grades
+    def is_durable(self, held: OpenRequest) -> bool:
+        return held.message.service_class in self.terms.grades
 
-    async def lease(self, held: OpenRequest, dispatch: OpenAttempt) -> bool:
+    async def grant_lease(self, held: OpenRequest, dispatch: OpenAttempt) -> bool:
         job = self.table.jobs.get(held.message.id)
         if job is None or dispatch.outcome:
             return False
-        entry = self.node.fleet.entries[dispatch.worker]
+        entry = self.node.endpoints.entries[dispatch.worker]
         now = self.now()
         lease = self.leases.grant(job.id, dispatch.worker, now, after=job.fence)
         dispatch.fence = lease.fence
@@ -407,12 +411,12 @@
             # Nothing of it went out, whatever the disk says: it is ended in what we hold.
             self.leases.end(job.id, lease.fence)
             self.table.apply(AttemptEnded(job.id, lease.fence, AttemptOutcome.NEVER_SENT, now))
-            self.log.say(f"jobs: no lease: {trouble}", event="lease-not-written", trouble=str(trouble))
+            self.log.emit(f"jobs: no lease: {trouble}", event="lease-not-written", trouble=str(trouble))
             return False
         self.journal.point("lease written")
         return True
 
-    def ended(self, held: OpenRequest, dispatch: OpenAttempt) -> None:
+    def attempt_ended(self, held: OpenRequest, dispatch: OpenAttempt) -> None:
         if not dispatch.fence or dispatch.outcome is None:
             return
         self.leases.end(held.message.id, dispatch.fence)
@@ -449,7 +453,7 @@
                 break
             except LogWriteError as trouble:
                 why = str(trouble)
-                self.log.say(f"jobs: no final answer: {why}", event="final-not-written", trouble=why)
+                self.log.emit(f"jobs: no final answer: {why}", event="final-not-written", trouble=why)
                 await asyncio.sleep(WRITE_AGAIN)
         self.journal.point("after final")
         self.leases.drop(record.id)
--- a/locktide/protocol/discovery.py
+++ b/locktide/protocol/discovery.py
@@ -23,10 +23,10 @@
     """
 
     version: int
-    whole: bool
+    is_snapshot: bool
     entries: list[EndpointEntry]
     addresses: dict[str, Address]
-    unclear: list[str] = field(default_factory=list)
+    unreadable: list[str] = field(default_factory=list)
     faults: list[str] = field(default_factory=list)
 
 
@@ -77,7 +77,7 @@
         update.entries.append(listed)
         update.addresses[listed.worker] = at
     if unclear:  # once, at the end: a list of many thousands must not hold up the loop
-        update.unclear = list(unclear)
+        update.unreadable = list(unclear)
         update.entries = [one for one in update.entries if one.worker not in unclear]
         for worker in unclear:
             update.addresses.pop(worker, None)
--- a/locktide/protocol/server_connection.py
+++ b/locktide/protocol/server_connection.py
@@ -49,28 +49,28 @@
 @dataclass(slots=True)
 class SubmitRequest:
     id: str
-    grade: str
-    patience: int  # how long the client waits for the answer, in microseconds
+    service_class: str
+    timeout: int  # how long the client waits for the answer, in microseconds
     width: float
-    retry: bool
+    is_retry: bool
     method: str
     target: str
     onward: list[tuple[bytes, bytes]]  # header fields that go on to the worker unchanged
     body: bytes
-    patient: bool = False  # nobody waits for it on a connection
-    hint: int = 0  # the work expected, in microseconds; 0 where nothing is told
+    background: bool = False  # nobody waits for it on a connection
+    work_hint: int = 0  # the work expected, in microseconds; 0 where nothing is told
     tenant: str | None = None
-    key: int | None = None  # what it is about, where that is told
+    affinity_key: int | None = None  # what it is about, where that is told
 
 
 @dataclass(slots=True)
 class Callback:
     """What a worker tells of a job. `outcome` is set where that ends the dispatch."""
 
-    submission: str
+    request_id: str
     worker: str
     state: str
-    share: float
+    fraction_done: float
     outcome: str | None
     result: bytes
     fence: int | None = None  # of the lease, from workers that tell it
@@ -249,9 +249,9 @@
             target,
             onward,
             body,
-            hint=hint,
+            work_hint=hint,
             tenant=extras.get(names.TENANT),
-            key=key,
+            affinity_key=key,
         )
 
     def callback(self) -> Message:
--- a/locktide/scheduler/commands.py
+++ b/locktide/scheduler/commands.py
@@ -12,32 +12,32 @@
     it may go out from that moment on; 0 where the time limit alone counts.
     """
 
-    submission: Any
+    request_id: Any
     worker: Any
-    before: int = 0
+    send_before: int = 0
 
 
 @dataclass(slots=True)
 class CancelAttempt:
-    submission: Any
-    number: int
+    request_id: Any
+    attempt: int
 
 
 @dataclass(slots=True)
 class RejectRequest:
-    submission: Any
-    come_back_after: int
+    request_id: Any
+    retry_after: int
 
 
 @dataclass(slots=True)
 class FailRequest:
-    submission: Any
+    request_id: Any
 
 
 @dataclass(slots=True)
 class SetTimer:
-    after: int
-    mark: int
+    delay: int
+    timer_id: int
 
 
 @dataclass(slots=True)
@@ -49,7 +49,7 @@
 
 @dataclass(slots=True)
 class WatchEndpoints:
-    on: bool
+    enabled: bool
 
 
 @dataclass(slots=True)
@@ -63,10 +63,10 @@
     about, which is to be answered by the host, as no order for it will come; None for any other.
     """
 
-    submission: Any
-    what: str
+    request_id: Any
+    detail: str
 
 
 @dataclass(slots=True)
 class LogMessage:
-    line: str
+    text: str
--- a/locktide/scheduler/config.py
+++ b/locktide/scheduler/config.py
@@ -15,22 +15,22 @@
 
     name: str
     effect: str
-    group: str
-    memory_span: int
-    soft_limit: int
+    deduplication_scope: str
+    deduplication_window: int
+    latency_objective: int
     stretch: float
-    time_limit: int
-    revenue: float
-    overdue_revenue: float
-    kind: str | None
-    kinds: frozenset[str] | None = None
-    zones: frozenset[str] | None = None
+    timeout: int
+    priority_weight: float
+    overdue_weight: float
+    worker_type: str | None
+    allowed_worker_types: frozenset[str] | None = None
+    allowed_zones: frozenset[str] | None = None
 
     @property
-    def ground(self) -> PlacementConstraint | None:
+    def placement(self) -> PlacementConstraint | None:
         """To which kinds and zones it is bound; the same for grades that are bound alike."""
-        kinds = self.kinds if self.kind is None else frozenset([self.kind])
-        return None if kinds is None and self.zones is None else (kinds, self.zones)
+        kinds = self.allowed_worker_types if self.worker_type is None else frozenset([self.worker_type])
+        return None if kinds is None and self.allowed_zones is None else (kinds, self.allowed_zones)
 
 
 @dataclass(slots=True)
@@ -40,8 +40,8 @@
     `counts_unsent`: whether one of which no last byte went out is among the most that there may be.
     """
 
-    most_dispatches: int
-    may_withdraw: bool
+    max_attempts: int
+    can_cancel: bool
     counts_unsent: bool = True
 
 
@@ -49,7 +49,7 @@
 class ClientConfig:
     """What clients may be told."""
 
-    longest_advice: int
+    max_retry_after: int
 
 
 @dataclass(slots=True)
@@ -57,14 +57,14 @@
     """How many submissions a second each tenant may ask of all dispatchers; what more than that is worth."""
 
     quotas: dict[Any, float]
-    beyond_share: float
+    beyond_quota_weight: float
 
 
 @dataclass(slots=True)
 class ObjectiveConfig:
     """What service is measured by: how much of it the worst-served grade decides, from 0 to 1."""
 
-    worst_grade: float
+    worst_class_weight: float
 
 
 @dataclass(slots=True)
@@ -73,10 +73,10 @@
     to send `margin`, as sizes and draws differ by chance.
     """
 
-    factor: float
+    overload_factor: float
     window: int
-    cold_from: float
-    warm_after: int
+    initial_capacity: float
+    warmup: int
     margin: float = 1.0
 
 
@@ -86,12 +86,14 @@
     worker holds, as size / (1 + submissions held a core) some time ago; else they tell sizes.
     """
 
-    must_ask: bool
-    ask_within: int
-    live: bool = False
-    hang_up_within: int = 0  # in which idle connections to a draining worker have to be closed; 0: no matter
+    polled: bool
+    poll_within: int
+    live_ratings: bool = False
+    close_idle_within: int = (
+        0  # in which idle connections to a draining worker have to be closed; 0: no matter
+    )
     # So long after it could be had a change counts as told, whatever became of our calls; 0: unbound.
-    told_within: int = 0
+    notified_within: int = 0
 
 
 @dataclass(slots=True)
@@ -101,14 +103,14 @@
     """
 
     connection: float = 0.0
-    crossing: float = 0.0
+    cross_zone: float = 0.0
     zone: str = ""
-    idle_close: int = 0
+    idle_timeout: int = 0
 
 
 @dataclass(slots=True)
 class ProgressConfig:
     """What workers tell: the start of a job, and its progress every so often."""
 
-    tells_start: bool
-    progress_every: int
+    reports_start: bool
+    report_interval: int
--- a/locktide/scheduler/events.py
+++ b/locktide/scheduler/events.py
@@ -10,7 +10,7 @@
 class EndpointEntry:
     worker: Any
     zone: str
-    kind: str
+    worker_type: str
     cell: int
     state: str
     rating: float
@@ -25,15 +25,15 @@
 
 @dataclass(slots=True)
 class RequestArrived:
-    submission: Any
-    grade: str
-    time_limit_at: int
+    request_id: Any
+    service_class: str
+    deadline: int
     width: float = 1.0
     work_hint: int = 0
     tenant: Any = None
-    retry: bool = False
-    patient: bool = False  # nobody waits for it: it is kept to its time limit rather than denied
-    key: int | None = None  # what it is about, where submissions that share one go together
+    is_retry: bool = False
+    background: bool = False  # nobody waits for it: it is kept to its time limit rather than denied
+    affinity_key: int | None = None  # what it is about, where submissions that share one go together
 
 
 @dataclass(slots=True)
@@ -54,7 +54,7 @@
 
     arrival: RequestArrived
     arrived_at: int
-    dispatches: list[RecoveredAttempt]
+    attempts: list[RecoveredAttempt]
 
 
 @dataclass(slots=True)
@@ -62,35 +62,35 @@
     """The last byte of a dispatch is on its way. A host that tells it keeps its own delays from being taken
     for the worker's; where it is not told, a dispatch counts as sent with its order."""
 
-    submission: Any
-    number: int
+    request_id: Any
+    attempt: int
 
 
 @dataclass(slots=True)
 class AttemptStarted:
-    submission: Any
-    number: int
+    request_id: Any
+    attempt: int
 
 
 @dataclass(slots=True)
 class AttemptProgressed:
-    submission: Any
-    number: int
-    share: float
+    request_id: Any
+    attempt: int
+    fraction_done: float
 
 
 @dataclass(slots=True)
 class ResponseStarted:
-    submission: Any
-    number: int
+    request_id: Any
+    attempt: int
 
 
 @dataclass(slots=True)
 class AttemptEnded:
     """The end of one dispatch. `final` says that the submission itself has its answer."""
 
-    submission: Any
-    number: int
+    request_id: Any
+    attempt: int
     outcome: str
     final: bool
     load: dict[str, float] = field(default_factory=dict)
@@ -98,12 +98,12 @@
 
 @dataclass(slots=True)
 class ClientDisconnected:
-    submission: Any
+    request_id: Any
 
 
 @dataclass(slots=True)
 class TimerFired:
-    mark: int
+    timer_id: int
 
 
 @dataclass(slots=True)
@@ -118,7 +118,7 @@
     """The start terms anew, in their order: they hold from now on, also for what is open, but for the grade
     that each submission came with."""
 
-    terms: tuple[Any, ...]
+    config: tuple[Any, ...]
 
 
 @dataclass(slots=True)
@@ -127,8 +127,8 @@
     own, in parts of its own quota."""
 
     until: int
-    parts: dict[Any, float]
-    lent: dict[Any, float] = field(default_factory=dict)
+    shares: dict[Any, float]
+    borrowed: dict[Any, float] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -138,5 +138,5 @@
     than their fair share of a contended fleet, as far as is known before `over_until`."""
 
     stages: list[QuotaStage]
-    over: frozenset[Any] = frozenset()
-    over_until: int = 0
+    over_fair_share: frozenset[Any] = frozenset()
+    over_fair_share_until: int = 0
--- a/locktide/scheduler/policy/base.py
+++ b/locktide/scheduler/policy/base.py
@@ -68,24 +68,25 @@
         prices: CostConfig,
     ) -> None:
         """The terms from now on, at the start and in service. Submissions keep the grade they came with."""
-        self.step, self.grades = step, {grade.name: grade for grade in grades}
+        self.round_interval, self.grades = step, {grade.name: grade for grade in grades}
         self.known |= self.grades
         self.dispatching, self.clients, self.signs, self.prices = dispatching, clients, signs, prices
         self.shares = TenantQuotas(shares, fleet)
         self.cold.terms, self.list.terms = cold, listing
-        self.prompt = min(grade.soft_limit for grade in grades) // 4  # later is late: little is left
+        self.prompt = min(grade.latency_objective for grade in grades) // 4  # later is late: little is left
         once = [grade.effect == Effect.AT_MOST_ONCE for grade in grades]
         self.some_once, self.all_once = any(once), all(once)
         self.runs = {
-            name: self.runs.get(name) or RunTimeEstimator(at.soft_limit) for name, at in self.known.items()
+            name: self.runs.get(name) or RunTimeEstimator(at.latency_objective)
+            for name, at in self.known.items()
         }
         # How far all grades wait alike: long slack put to use serves the whole, an even wait the grade served
         # worst; wholly even from where that grade decides a third of the goal.
-        self.evenness = min(1.0, 0.3 + 2.0 * goal.worst_grade)
+        self.evenness = min(1.0, 0.3 + 2.0 * goal.worst_class_weight)
         self.sparse = 3.0 * self.cold.slots < fleet  # our even part of a worker is under a third of a slot
         # How often a draw holds of a worker to which we have no free connection, beside one to which we have.
         self.stranger = exp(-prices.connection / WEIGHS)
-        if not listing.live:
+        if not listing.live_ratings:
             self.held = 0.0
             for worker in self.list.workers.values():
                 worker.unrated()
@@ -94,8 +95,10 @@
     def sort(self) -> None:
         ready = [worker for worker in self.list.workers.values() if worker.state == EndpointState.READY]
         self.rows = {}
-        self.lone = {grade.kind for grade in self.known.values()}  # kinds to which a grade is bound alone
-        grounds = {None} | {grade.ground for grade in self.known.values()}
+        self.lone = {
+            grade.worker_type for grade in self.known.values()
+        }  # kinds to which a grade is bound alone
+        grounds = {None} | {grade.placement for grade in self.known.values()}
         self.fitting = {
             ground: [worker for worker in ready if ground is None or worker.stands_on(ground)]
             for ground in grounds
@@ -103,7 +106,7 @@
 
     def hang_up(self, worker: Endpoint) -> None:
         """At the notice of a drain and after each end there: what rests is closed, as no more work goes."""
-        if worker.state == EndpointState.DRAINING and self.list.terms.hang_up_within:
+        if worker.state == EndpointState.DRAINING and self.list.terms.close_idle_within:
             worker.kept = []
             self.orders.append(CloseIdleConnections(worker.id))
 
--- a/locktide/scheduler/policy/endpoint.py
+++ b/locktide/scheduler/policy/endpoint.py
@@ -60,7 +60,7 @@
         self.load, self.odds, self.size, self.missed, self.rated = 0.0, 1.0, 0.0, 0, 0.0
 
     def update(self, entry: EndpointEntry) -> None:
-        self.zone, self.kind, self.cell = entry.zone, entry.kind, entry.cell
+        self.zone, self.kind, self.cell = entry.zone, entry.worker_type, entry.cell
         self.state, self.started_at = entry.state, entry.started_at
 
     def stands_on(self, ground: PlacementConstraint) -> bool:
--- a/locktide/scheduler/policy/endpoint_list.py
+++ b/locktide/scheduler/policy/endpoint_list.py
@@ -22,11 +22,11 @@
         many that start or fail together and then ask together: the service works on each call, also where the
         caller was turned away. It can hear all of us within the time in which each should ask; half is enough
         for those that start at once. After a failure we count as told only after four times that time."""
-        span = min(2 * self.terms.ask_within, self.terms.ask_within // 2 << min(self.failures, 8))
-        if self.failures and self.terms.told_within:
+        span = min(2 * self.terms.poll_within, self.terms.poll_within // 2 << min(self.failures, 8))
+        if self.failures and self.terms.notified_within:
             # Guards against sending by a list from before an outage: a third after silence, as the call took
             # up to a half; two where it was turned away, as each call delays the others.
-            span = min(span, self.terms.told_within * (1 if silent else 2) // 3)
+            span = min(span, self.terms.notified_within * (1 if silent else 2) // 3)
         gap = chance.below(span)
         self.watched, self.ask_at = False, now + gap
         return gap
--- a/locktide/scheduler/policy/load_shedding.py
+++ b/locktide/scheduler/policy/load_shedding.py
@@ -8,7 +8,7 @@
 
 def usual_slack(grade: ServiceClass, run: float) -> float:
     # At least a quarter of the soft limit: where the usual run uses it up, a shorter one may still do.
-    return max(0.25 * grade.soft_limit, grade.soft_limit + (grade.stretch - 1.0) * run)
+    return max(0.25 * grade.latency_objective, grade.latency_objective + (grade.stretch - 1.0) * run)
 
 
 class Denials(Base):
@@ -36,7 +36,7 @@
     def last_chance(self, sub: Request) -> int:
         """Until when what may have run waits in the pool. Guards against holding back the answer of one that
         may go nowhere any more: once its repeats are no longer dropped it is given up."""
-        last = sub.limit_at - 2 * self.step
+        last = sub.limit_at - 2 * self.round_interval
         return min(last, sub.repeats_until() or last)
 
     def answer(self, sub: Request) -> None:
@@ -44,7 +44,7 @@
             # The next of ours should end by then; clients that come later take the place of fresh work.
             run, out = self.runs[sub.grade.name].mean(self.now), len(self.submissions) - len(self.pool)
             advice = 1 << 60 if sub.spoilt else int(run / max(1, out))  # what is spoilt would fail again
-            self.orders.append(RejectRequest(sub.id, min(self.clients.longest_advice, advice)))
+            self.orders.append(RejectRequest(sub.id, min(self.clients.max_retry_after, advice)))
             if self.now >= self.quiet_until:  # one line in five seconds tells enough of an overload
                 self.quiet_until = self.now + 5_000_000
                 waits = f"{len(self.pool)} waiting, {self.outstanding:g} slots out"
--- a/locktide/scheduler/policy/outcomes.py
+++ b/locktide/scheduler/policy/outcomes.py
@@ -15,11 +15,11 @@
         return sub.dispatches[number] if sub is not None and number < len(sub.dispatches) else None
 
     def take_sent(self, news: AttemptSent) -> None:
-        if dispatch := self.find(news.submission, news.number):
+        if dispatch := self.find(news.request_id, news.attempt):
             dispatch.sent_at = self.now  # guards against a new connection that makes prompt starts look late
 
     def take_started(self, news: AttemptStarted) -> None:
-        if (dispatch := self.find(news.submission, news.number)) is None:
+        if (dispatch := self.find(news.request_id, news.attempt)) is None:
             return
         worker = dispatch.worker
         dispatch.started_at = dispatch.heard_at = worker.heard_at = self.now
@@ -28,18 +28,18 @@
         self.sparse = 3.0 * self.cold.slots * self.shares.part < 1.0
         if dispatch.blamed:  # it was slow to say so, not silent
             worker.bad.add(-1.0, self.now)
-        if self.signs.progress_every:
-            self.wake(self.signs.progress_every * 3 // 2, dispatch)
+        if self.signs.report_interval:
+            self.wake(self.signs.report_interval * 3 // 2, dispatch)
         self.settle(dispatch, self.now - dispatch.sent_at <= self.prompt)
 
     def take_progress(self, news: AttemptProgressed) -> None:
-        if (dispatch := self.find(news.submission, news.number)) is None:
+        if (dispatch := self.find(news.request_id, news.attempt)) is None:
             return
         dispatch.heard_at = dispatch.worker.heard_at = self.now
         sub = dispatch.submission
         # Four times a hint, or three deviations over the usual run, is past a sound worker and common sizes.
         long = 4.0 * sub.hint or self.runs[sub.grade.name].long(self.now)
-        whole = (self.now - dispatch.started_at) / max(news.share, 0.001)
+        whole = (self.now - dispatch.started_at) / max(news.fraction_done, 0.001)
         if dispatch.started_at and whole > long and not dispatch.blamed:
             dispatch.blamed = True
             self.blame(dispatch.worker, "slow progress")
@@ -58,7 +58,7 @@
                 worker.cap = max(self.floor(), 0.75 * worker.cap)
 
     def take_ended(self, news: AttemptEnded) -> None:
-        dispatch = self.find(news.submission, news.number)
+        dispatch = self.find(news.request_id, news.attempt)
         if dispatch is None or dispatch not in dispatch.submission.out:
             return
         sub, worker = dispatch.submission, dispatch.worker
@@ -66,7 +66,7 @@
         worker.left(self.now - dispatch.sent_at, self.now)
         if news.outcome in (AttemptOutcome.DONE, AttemptOutcome.ERROR, AttemptOutcome.FULL):
             worker.kept = [until for until in worker.kept if until > self.now]
-            worker.kept.append(self.now + self.prices.idle_close)
+            worker.kept.append(self.now + self.prices.idle_timeout)
         self.hang_up(worker)
         sub.out.remove(dispatch)
         self.outstanding -= sub.width
@@ -95,7 +95,7 @@
             worker.heard_at = self.now
             worker.full_until = self.now + int(self.runs[sub.grade.name].mean(self.now))
             # Guards against using up all dispatches while all are full, within a part of the patience.
-            sub.not_before = self.now + self.patience(sub) // self.dispatching.most_dispatches
+            sub.not_before = self.now + self.patience(sub) // self.dispatching.max_attempts
         if news.outcome == AttemptOutcome.NO_CONNECTION:
             # Guards against spinning on what refuses: as long as a connection may take, we ask for no other.
             worker.full_until = max(worker.full_until, self.now + 250_000)
--- a/locktide/scheduler/policy/placement.py
+++ b/locktide/scheduler/policy/placement.py
@@ -54,7 +54,7 @@
 
     def draw(self, fitting: list[Endpoint], any_one: bool) -> Endpoint:
         """One uniform draw, made again until a worker holds; the same in law as one by their odds."""
-        if not self.list.terms.live:
+        if not self.list.terms.live_ratings:
             return fitting[self.chance.below(len(fitting))]
         odds, cold, now = list[float](), list[int](), self.now
         for worker in fitting:
@@ -102,7 +102,7 @@
 
     def holds(self, worker: Endpoint, sub: Request) -> bool:
         """Whether a draw stands: where c tells no slow kind from a fast, and at a cold worker."""
-        blind = self.sparse and not worker.own and not self.list.terms.live
+        blind = self.sparse and not worker.own and not self.list.terms.live_ratings
         if blind and not self.chance.falls(self.paces.taking.get(worker.kind, 1.0)):
             return False
         return not self.cold.is_cold(worker, self.now) or self.cold.allows(
--- a/locktide/scheduler/policy/quotas.py
+++ b/locktide/scheduler/policy/quotas.py
@@ -25,12 +25,12 @@
         if (own := self.levels.get(tenant)) is None:
             return OWN
         stage, quota = self.stage(now), self.terms.quotas[tenant]
-        within = self.take(own, quota * stage.parts.get(tenant, self.part), 1.0, now)
-        if now < self.agreed.over_until and tenant in self.agreed.over:
+        within = self.take(own, quota * stage.shares.get(tenant, self.part), 1.0, now)
+        if now < self.agreed.over_fair_share_until and tenant in self.agreed.over_fair_share:
             return BEYOND  # it holds more of the fleet than it should while others go short
         if within:
             return OWN
-        lent = quota * stage.lent.get(tenant, 0.0)
+        lent = quota * stage.borrowed.get(tenant, 0.0)
         return LENT if self.take(self.lent.setdefault(tenant, [0.0, now]), lent, 0.0, now) else BEYOND
 
     def take(self, bucket: list[float], rate: float, more: float, now: int) -> bool:
--- a/locktide/scheduler/policy/request.py
+++ b/locktide/scheduler/policy/request.py
@@ -35,7 +35,7 @@
         self.at_cap = worker.own + submission.width > worker.cap - 1  # it took the last room there was
         self.started_at = self.heard_at = 0
         # Half the time limit: what has not started by then seldom ends, and elsewhere it still can.
-        self.lost_at = now + submission.grade.time_limit // 2
+        self.lost_at = now + submission.grade.timeout // 2
         self.further, self.blamed = bool(submission.held), False
 
 
@@ -66,19 +66,19 @@
     )
 
     def __init__(self, arrival: RequestArrived, grade: ServiceClass, now: int, order: int) -> None:
-        self.id, self.grade, self.width = arrival.submission, grade, arrival.width
+        self.id, self.grade, self.width = arrival.request_id, grade, arrival.width
         self.hint, self.order = arrival.work_hint, order
-        self.arrived_at, self.limit_at, self.patient = now, arrival.time_limit_at, arrival.patient
+        self.arrived_at, self.limit_at, self.patient = now, arrival.deadline, arrival.background
         self.leave_at = self.limit_at  # when waiting in the pool stops to pay
         self.dispatches: list[Attempt] = []
         self.out: list[Attempt] = []  # dispatches without an outcome
         self.held: list[Attempt] = []  # dispatches not proven never to have run
         self.pooled = self.answered = False
-        self.spoilt, self.key = False, arrival.key
+        self.spoilt, self.key = False, arrival.affinity_key
         # Dispatches that do not count among the most there may be; and after a refusal, when it may go again.
         self.uncounted = self.not_before = 0
         self.erred: list[Endpoint] = []  # sound workers at which it failed
-        self.ground = grade.ground
+        self.ground = grade.placement
         self.borrower: Any = None  # its tenant, where a loan covers it
         self.course: Course
 
@@ -90,17 +90,20 @@
         first = self.held[0]
         if grade.effect == Effect.AT_MOST_ONCE or now >= self.repeats_until():
             return False
-        if grade.group == DeduplicationScope.ZONE:
+        if grade.deduplication_scope == DeduplicationScope.ZONE:
             return worker.zone == first.worker.zone
-        return grade.group == DeduplicationScope.FLEET or worker.cell == first.worker.cell
+        return grade.deduplication_scope == DeduplicationScope.FLEET or worker.cell == first.worker.cell
 
     def repeats_until(self) -> int:
         """Rule two: from when on its repeats are no longer dropped, so none goes out; 0: unbound."""
         bound = self.held and self.grade.effect == Effect.IDEMPOTENT_WITH_KEY
-        return self.held[0].sent_at + self.grade.memory_span if bound else 0
+        return self.held[0].sent_at + self.grade.deduplication_window if bound else 0
 
     def may_deny(self) -> bool:
         """Rule two, for a denial: it promises the client that trying again is harmless."""
         grade = self.grade
-        everywhere = grade.effect == Effect.IDEMPOTENT_WITH_KEY and grade.group == DeduplicationScope.FLEET
+        everywhere = (
+            grade.effect == Effect.IDEMPOTENT_WITH_KEY
+            and grade.deduplication_scope == DeduplicationScope.FLEET
+        )
         return not self.held or grade.effect == Effect.IDEMPOTENT or everywhere
--- a/locktide/scheduler/policy/retries.py
+++ b/locktide/scheduler/policy/retries.py
@@ -37,13 +37,13 @@
                 if sub.spoilt or self.now >= sub.limit_at or not self.may_dispatch(sub):
                     break
                 where = POOL
-                anew = min(sub.limit_at - 2 * self.step, self.now + self.patience(sub))
+                anew = min(sub.limit_at - 2 * self.round_interval, self.now + self.patience(sub))
                 sub.leave_at = max(sub.leave_at, anew)  # what comes back waits its turn once more
         self.answer(sub)
 
     def may_dispatch(self, sub: Request) -> bool:
         once = sub.held and sub.grade.effect == Effect.AT_MOST_ONCE or 0 < sub.repeats_until() <= self.now
-        return len(sub.dispatches) - sub.uncounted < self.dispatching.most_dispatches and not once
+        return len(sub.dispatches) - sub.uncounted < self.dispatching.max_attempts and not once
 
     def doubt(self, dispatch: Attempt) -> None:
         """A further dispatch in the place of one in doubt, while such ones pay."""
@@ -56,7 +56,7 @@
             self.withdraw(dispatch)
 
     def withdraw(self, dispatch: Attempt) -> None:
-        if self.dispatching.may_withdraw:
+        if self.dispatching.can_cancel:
             self.orders.append(CancelAttempt(dispatch.submission.id, dispatch.number))
 
     def advance(self, sub: Request, news: Any) -> None:
@@ -79,10 +79,10 @@
         dispatch, before = Attempt(sub, len(sub.dispatches), worker, self.now), sub.repeats_until()
         if dispatch.further:
             self.credit -= 1.0
-        if self.signs.tells_start:
+        if self.signs.reports_start:
             # An eighth of the slack: several more such waits still fit. Where ratings tell of free cores a
             # third, as it was not drawn blindly; where of none, all: no queue is shorter then.
-            part = 8 if not self.list.terms.live else 3 if self.held < 0.8 else 1
+            part = 8 if not self.list.terms.live_ratings else 3 if self.held < 0.8 else 1
             self.wake(max(self.prompt, int(self.slack(sub)) // part), dispatch)
         sub.dispatches.append(dispatch)
         sub.out.append(dispatch)
@@ -97,7 +97,7 @@
         self.orders.append(StartAttempt(sub.id, worker.id, before))
 
     def check(self, dispatch: Attempt) -> None:  # it should have given a sign by now
-        every, worker = self.signs.progress_every, dispatch.worker
+        every, worker = self.signs.report_interval, dispatch.worker
         if not dispatch.started_at:
             # A queue moves within twice the usual run; before that, no start is no one's fault.
             blame_at = dispatch.sent_at + 2 * int(self.runs[dispatch.submission.grade.name].mean(self.now))
--- a/locktide/scheduler/policy/slow_start.py
+++ b/locktide/scheduler/policy/slow_start.py
@@ -15,14 +15,16 @@
         self.slots = 2.0  # how many a worker has, where no ratings tell: the most of ours seen running on one
 
     def is_cold(self, worker: Endpoint, now: int) -> bool:
-        return worker.started_at != 0 and now < worker.started_at + self.terms.warm_after
+        return worker.started_at != 0 and now < worker.started_at + self.terms.warmup
 
     def warmth(self, worker: Endpoint, now: int) -> float:
         """The least share of its capacity that a cold worker has by now."""
         if not self.is_cold(worker, now):
             return 1.0
         terms = self.terms
-        return terms.cold_from + (1.0 - terms.cold_from) * (now - worker.started_at) / terms.warm_after
+        return (
+            terms.initial_capacity + (1.0 - terms.initial_capacity) * (now - worker.started_at) / terms.warmup
+        )
 
     def allows(
         self,
@@ -33,7 +35,10 @@
         chance: LinearCongruentialGenerator,
         ready: list[Endpoint],
     ) -> bool:
-        need, most = self.need(worker, work), self.terms.margin * self.terms.factor * self.terms.window
+        need, most = (
+            self.need(worker, work),
+            self.terms.margin * self.terms.overload_factor * self.terms.window,
+        )
         whole = most * self.warmth(worker, now)
         if need <= part * whole:
             return worker.sent_cold.read(now) + need <= part * whole
--- a/locktide/simulation/virtual_backend.py
+++ b/locktide/simulation/virtual_backend.py
@@ -40,7 +40,7 @@
         super().__init__(name)
         self.loop, self.lines = loop, lines
 
-    def say(self, line: str, kind: str = "", event: str = "", **fields: Any) -> None:
+    def emit(self, line: str, kind: str = "", event: str = "", **fields: Any) -> None:
         if len(self.lines) < MOST_LINES:
             self.lines.append(f"{self.loop.time():.3f} {self.name} {line}")
 
@@ -135,7 +135,7 @@
         self.all.append(process)
         read = start.from_table(Table(told), {})
         kept = self.kept(number)
-        known = discovery.read(read.known, "known")
+        known = discovery.read(read.cached_endpoints, "known")
         context = process.context()
 
         async def run() -> None:
--- a/locktide/transport/client_connection.py
+++ b/locktide/transport/client_connection.py
@@ -36,27 +36,27 @@
 class RequestHandler(Protocol):
     """Who takes what the server reads."""
 
-    def ready(self) -> bool: ...
+    def is_ready(self) -> bool: ...
 
-    def submitted(self, message: clients.SubmitRequest) -> asyncio.Future[Response] | None:
+    def submit(self, message: clients.SubmitRequest) -> asyncio.Future[Response] | None:
         """The answer to come; None where a submission of that id is open, or was."""
 
-    def gone(self, message: clients.SubmitRequest) -> None: ...
+    def client_disconnected(self, message: clients.SubmitRequest) -> None: ...
 
-    def called(self, message: clients.Callback) -> Awaitable[None] | None:
+    def handle_callback(self, message: clients.Callback) -> Awaitable[None] | None:
         """Where it gives something to wait for, the caller is answered after that."""
 
-    def sought(self, message: clients.JobQuery) -> Response: ...
+    def query_job(self, message: clients.JobQuery) -> Response: ...
 
 
 class ConnectionContext(Protocol):
     """What all connections share: the server that accepted them."""
 
     descriptors: DescriptorBudget
-    grades: dict[str, int]
-    numbered: set[str]
+    timeouts: dict[str, int]
+    keyed_classes: set[str]
     keeps_jobs: bool
-    desk: RequestHandler
+    request_handler: RequestHandler
     log: Log
     waiting: int
     most_waiting: int
@@ -90,7 +90,7 @@
         self, server: ConnectionContext, inlet: SharedBufferProtocol, writer: asyncio.StreamWriter
     ) -> None:
         self.server, self.inlet, self.reader, self.writer = server, inlet, inlet.reader, writer
-        self.talk = clients.ServerHttpConnection(server.grades, server.numbered, server.keeps_jobs)
+        self.talk = clients.ServerHttpConnection(server.timeouts, server.keyed_classes, server.keeps_jobs)
         self.reading: asyncio.Task[bytes] | None = None
         self.state, self.peer = ConnectionState.RECEIVING, PeerRole.NEWCOMER
         self.stored = self.taken = 0  # bytes that are kept, and that came in since the start
@@ -165,15 +165,15 @@
                     return
             elif isinstance(message, clients.Callback):
                 self.peer = PeerRole.WORKER
-                taken = self.server.desk.called(message)
+                taken = self.server.request_handler.handle_callback(message)
                 if taken is not None:
                     await taken
                 await self.write(Response(204))
             elif isinstance(message, clients.JobQuery):
                 self.show_client()
-                await self.write(self.server.desk.sought(message))
+                await self.write(self.server.request_handler.query_job(message))
             elif isinstance(message, clients.HealthQuery):
-                good = not message.ready or self.server.desk.ready()
+                good = not message.ready or self.server.request_handler.is_ready()
                 await self.write(Response(200, b"ok\n") if good else Response(500, b"not ready\n"))
             else:
                 await self.turn_away(message)
@@ -210,7 +210,7 @@
         data = self.take()
         if not self.store(self.talk.stored):
             stored = self.server.stored
-            self.server.log.say(
+            self.server.log.emit(
                 f"clients: {stored} bytes stored, no room for more", event="no-room", stored=stored
             )
             await self.turn_away(clients.BadRequest(500, "no room"), last=True)
@@ -219,7 +219,7 @@
 
     async def turn_away(self, message: clients.BadRequest, last: bool = False) -> None:
         self.talk.last = self.talk.last or last
-        self.server.log.say(
+        self.server.log.emit(
             f"clients: not taken, {message.status}: {message.reason}",
             "clients",
             event="not-taken",
@@ -236,12 +236,12 @@
             return False  # it had gone before we came to read it: nothing is begun for it
         if self.server.waiting >= self.server.most_waiting:
             waiting = self.server.waiting
-            self.server.log.say(
+            self.server.log.emit(
                 f"clients: {waiting} wait, no room for more, terminated", event="no-room", waiting=waiting
             )
             await self.write(Response(500, b"no room\n"))
             return True
-        answer = self.server.desk.submitted(message)
+        answer = self.server.request_handler.submit(message)
         if answer is None:
             await self.turn_away(clients.BadRequest(409, "this id is in use or was"))
             return True
@@ -274,7 +274,7 @@
         if self.inlet.at_end is not None:
             self.inlet.at_end = None
             if not answer.done():
-                self.server.desk.gone(message)
+                self.server.request_handler.client_disconnected(message)
 
     async def write(self, answer: Response) -> None:
         last = self.server.stopping and self.peer is not PeerRole.WORKER
--- a/locktide/transport/endpoint_watch.py
+++ b/locktide/transport/endpoint_watch.py
@@ -59,7 +59,7 @@
                 if not self.failing:
                     silent = isinstance(trouble, TimeoutError)
                     what = "silent" if silent else f"{type(trouble).__name__}: {trouble}"
-                    self.log.say(
+                    self.log.emit(
                         f"worker list: no answer ({what}), calling anew", event="roster-silent", trouble=what
                     )
                 self.failing = True
@@ -85,25 +85,25 @@
                 update = discovery.parse(reply.body)
                 if update.faults:
                     count, first = len(update.faults), update.faults[0]
-                    self.log.say(
+                    self.log.emit(
                         f"worker list: {count} entries not taken, the first for {first}",
                         event="roster-entries-faulty",
                         count=count,
                         first=first,
                     )
                 # Guards against a list remembered from elsewhere: this one counts its versions on its own.
-                behind = self.version is not None and update.version < self.version and not update.whole
+                behind = self.version is not None and update.version < self.version and not update.is_snapshot
                 self.version = None if behind else update.version
                 again = self.failing
                 if again:
                     self.failing = False
-                    self.log.say(
+                    self.log.emit(
                         f"worker list: answers again, version {update.version}",
                         event="roster-answers",
                         version=update.version,
                     )
                 # After a failure also what brings nothing: else the gaps of the next begin where these ended.
-                if update.whole or update.entries or again:
+                if update.is_snapshot or update.entries or again:
                     self.take(update)
                 elif asyncio.get_running_loop().time() < asked_at + GAP:
                     # Guards against spinning where an answer comes before its time and brings nothing.
--- a/locktide/transport/listener.py
+++ b/locktide/transport/listener.py
@@ -31,8 +31,8 @@
         log: Log,
         system: System | None = None,
     ) -> None:
-        self.descriptors, self.grades, self.numbered = descriptors, grades, numbered
-        self.desk, self.log = desk, log
+        self.descriptors, self.timeouts, self.keyed_classes = descriptors, grades, numbered
+        self.request_handler, self.log = desk, log
         self.system = system or RealSystem()
         self.keeps_jobs = False  # whether clients may ask for durable jobs
         # In the order in which they came: what is done to all of them is done alike in every run.
@@ -55,7 +55,7 @@
             try:
                 connection, _ = await loop.sock_accept(self.socket)
             except OSError as trouble:
-                self.log.say(
+                self.log.emit(
                     f"clients: cannot accept ({trouble})", event="accept-failed", trouble=str(trouble)
                 )
                 await asyncio.sleep(0.01)
@@ -81,7 +81,9 @@
             pass  # the other side is gone; what it had handed in has been told
         except Exception as trouble:
             what = f"{type(trouble).__name__}: {trouble}"
-            self.log.say(f"clients: a connection ended by {what}", event="connection-broke-off", trouble=what)
+            self.log.emit(
+                f"clients: a connection ended by {what}", event="connection-broke-off", trouble=what
+            )
         finally:
             if caller is None:
                 connection.close()
--- a/locktide/transport/log.py
+++ b/locktide/transport/log.py
@@ -23,7 +23,7 @@
         self.name = name
         self.rates: dict[str, Rate] = {}
 
-    def say(self, line: str, kind: str = "", event: str = "", **fields: Any) -> None:
+    def emit(self, line: str, kind: str = "", event: str = "", **fields: Any) -> None:
         """Kinds are limited each on their own: bad clients must not hide what is said of workers.
 
         `event` and the fields say the same as the line, for a log that is read by programs.
--- a/locktide/transport/upstream_pool.py
+++ b/locktide/transport/upstream_pool.py
@@ -90,7 +90,7 @@
         # Half: what we write must not cross the worker's own closing, however late either of us runs.
         self.idle_for = idle_close / 2e6
 
-    async def ask(
+    async def send(
         self,
         worker: str,
         address: Address,
@@ -180,7 +180,7 @@
             connection.writer.transport.abort()
         self.descriptors.release(connection)
 
-    def forget(self, worker: str) -> None:
+    def close_idle(self, worker: str) -> None:
         """Closes what rests: the worker is gone, has moved, or has started anew."""
         for connection in self.idle.pop(worker, []):
             self.close(connection)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -159,13 +159,13 @@
     def turn(self, *news: Any) -> list[Any]:
         for piece in news:
             self.note(piece)
-        orders = self.dispatcher.turn(self.now, list(news))
+        orders = self.dispatcher.step(self.now, list(news))
         for order in orders:
             self.check(order)
         self.orders += orders
         for submission, arrival in self.arrivals.items():
             if submission not in self.answered:
-                assert self.now <= arrival.time_limit_at + SLACK, "rule one: no answer in time"
+                assert self.now <= arrival.deadline + SLACK, "rule one: no answer in time"
         return orders
 
     def pass_time(self, span: int) -> list[Any]:
@@ -179,14 +179,14 @@
                 AttemptEnded(submission, place, AttemptOutcome.TIMED_OUT, False)
                 for submission, shots in self.dispatches.items()
                 for place, shot in enumerate(shots)
-                if shot["outcome"] is None and self.now >= self.arrivals[submission].time_limit_at
+                if shot["outcome"] is None and self.now >= self.arrivals[submission].deadline
             ]
             if due or late:
                 orders += self.turn(*[TimerFired(mark) for mark in due], *late)
         return orders
 
     def arrive(self, submission: int, grade: str, width: float = 1.0, hint: int = 0) -> list[Any]:
-        limit_at = self.now + self.grades[grade].time_limit
+        limit_at = self.now + self.grades[grade].timeout
         return self.turn(RequestArrived(submission, grade, limit_at, width, hint))
 
     def end(self, submission: int, shot: int, outcome: str) -> list[Any]:
@@ -205,14 +205,14 @@
 
     def note(self, piece: Any) -> None:
         if type(piece) is RequestArrived:
-            self.arrivals[piece.submission] = piece
-            self.dispatches[piece.submission] = []
+            self.arrivals[piece.request_id] = piece
+            self.dispatches[piece.request_id] = []
         elif type(piece) is AttemptEnded:
-            self.dispatches[piece.submission][piece.number]["outcome"] = piece.outcome
+            self.dispatches[piece.request_id][piece.attempt]["outcome"] = piece.outcome
             if piece.final:
-                self.answered.setdefault(piece.submission, "done")
+                self.answered.setdefault(piece.request_id, "done")
         elif type(piece) is ClientDisconnected:
-            self.answered.setdefault(piece.submission, "gone")
+            self.answered.setdefault(piece.request_id, "gone")
         elif type(piece) is EndpointListUpdate:
             if piece.kind in (ListUpdateKind.SNAPSHOT, ListUpdateKind.CACHED):
                 for name in self.workers:
@@ -222,38 +222,38 @@
 
     def check(self, order: Any) -> None:
         if type(order) is SetTimer:
-            assert order.after >= 0
-            self.timers.append((self.now + max(order.after, STEP), order.mark))
+            assert order.delay >= 0
+            self.timers.append((self.now + max(order.delay, STEP), order.timer_id))
         elif type(order) is StartAttempt:
             self.check_dispatch(order)
         elif type(order) in (RejectRequest, FailRequest):
-            assert order.submission not in self.answered, "rule one: a second answer"
-            grade = self.grades[self.arrivals[order.submission].grade]
-            if type(order) is RejectRequest and self.held(order.submission):
-                harmless = (grade.effect, grade.group) == (
+            assert order.request_id not in self.answered, "rule one: a second answer"
+            grade = self.grades[self.arrivals[order.request_id].service_class]
+            if type(order) is RejectRequest and self.held(order.request_id):
+                harmless = (grade.effect, grade.deduplication_scope) == (
                     Effect.IDEMPOTENT_WITH_KEY,
                     DeduplicationScope.FLEET,
                 )
                 assert (
                     harmless or grade.effect == Effect.IDEMPOTENT
                 ), "rule two: a denial of what may have run"
-            self.answered[order.submission] = "denied" if type(order) is RejectRequest else "terminated"
+            self.answered[order.request_id] = "denied" if type(order) is RejectRequest else "terminated"
         elif type(order) is CancelAttempt:
-            assert order.number < len(self.dispatches[order.submission])
+            assert order.attempt < len(self.dispatches[order.request_id])
 
     def held(self, submission: int) -> list[dict[str, Any]]:
         return [shot for shot in self.dispatches[submission] if shot["outcome"] not in PROVEN_NOT_RUN]
 
     def check_dispatch(self, order: StartAttempt) -> None:
-        arrival = self.arrivals[order.submission]
-        grade, worker = self.grades[arrival.grade], self.workers[order.worker]
-        held = self.held(order.submission)
-        assert order.submission not in self.answered, "rule one: a dispatch after the answer"
+        arrival = self.arrivals[order.request_id]
+        grade, worker = self.grades[arrival.service_class], self.workers[order.worker]
+        held = self.held(order.request_id)
+        assert order.request_id not in self.answered, "rule one: a dispatch after the answer"
         assert (
             worker.state == EndpointState.READY
         ), "rule three: a dispatch to a worker that drains or is gone"
-        counted = self.dispatches[order.submission]
-        if arrival.patient:
+        counted = self.dispatches[order.request_id]
+        if arrival.background:
             counted = [shot for shot in counted if shot["outcome"] not in PROVEN_NOT_RUN]
         elif not self.dispatcher.dispatching.counts_unsent:
             counted = [shot for shot in counted if shot["outcome"] not in UNSENT]
@@ -262,25 +262,25 @@
         if held and grade.effect == Effect.AT_MOST_ONCE:
             raise AssertionError("rule two: at-most-once work sent again")
         if held and grade.effect == Effect.IDEMPOTENT_WITH_KEY:
-            assert self.now < held[0]["at"] + grade.memory_span, "rule two: past the memory span"
+            assert self.now < held[0]["at"] + grade.deduplication_window, "rule two: past the memory span"
             for shot in held:
-                if grade.group == DeduplicationScope.CELL:
+                if grade.deduplication_scope == DeduplicationScope.CELL:
                     assert shot["cell"] == worker.cell, "rule two: outside the cell"
-                elif grade.group == DeduplicationScope.ZONE:
+                elif grade.deduplication_scope == DeduplicationScope.ZONE:
                     assert shot["zone"] == worker.zone, "rule two: outside the zone"
         age = self.now - worker.started_at
-        if worker.started_at and age < COLD.warm_after:
+        if worker.started_at and age < COLD.warmup:
             sent = self.cold.setdefault((order.worker, worker.started_at), [])
             sent.append((self.now, arrival.width * arrival.work_hint))
             lately = sum(work for at, work in sent if at > self.now - COLD.window)
             slots = self.dispatcher.cold.slots
-            capacity = slots * (COLD.cold_from + (1.0 - COLD.cold_from) * age / COLD.warm_after)
-            whole = COLD.factor * COLD.window * capacity
+            capacity = slots * (COLD.initial_capacity + (1.0 - COLD.initial_capacity) * age / COLD.warmup)
+            whole = COLD.overload_factor * COLD.window * capacity
             # A sum that fades over a window lets through 1.63 times its level; two covers its growth. A draw
             # lets through one submission of at most half of what all may send, beside our part.
             most = max(2.0 * whole / self.fleet, 0.5 * whole + whole / self.fleet)
             assert not arrival.work_hint or lately <= most, "rule four: over our share"
-        self.dispatches[order.submission].append(
+        self.dispatches[order.request_id].append(
             dict(at=self.now, worker=order.worker, cell=worker.cell, zone=worker.zone, outcome=None)
         )
 
@@ -321,24 +321,24 @@
         )
         self.lines_logged: list[str] = []
         log = Log("n0")
-        log.say = lambda line, *_, **__: self.lines_logged.append(line)  # type: ignore[method-assign]
+        log.emit = lambda line, *_, **__: self.lines_logged.append(line)  # type: ignore[method-assign]
         told = start.Start(
             "n0", here, here, 7, 100, 80 << 20, {}, 250_000, 30_000_000, terms(3, 1, False, 0.4)
         )
         self.node = Dispatcher(told, known, log)
-        self.node.connections = self  # type: ignore[assignment]
+        self.node.upstream = self  # type: ignore[assignment]
         self.asked: list[Asked] = []
         self.forgotten: list[str] = []
         self.turns: list[tuple[int, list[Any]]] = []
-        turn = self.node.dispatcher.turn
+        turn = self.node.scheduler.step
 
         def noted(now: int, news: list[Any]) -> list[Any]:
             self.turns.append((now, news))
             return turn(now, news)
 
-        self.node.dispatcher.turn = noted  # type: ignore[method-assign]
+        self.node.scheduler.step = noted  # type: ignore[method-assign]
 
-    async def ask(
+    async def send(
         self, worker: str, address: Any, build: Any, sent: Any, fresh: bool = False
     ) -> UpstreamResponse | str:
         asked = Asked(worker, build, sent, fresh)
@@ -352,7 +352,7 @@
     def set_spans(self, connect_within: int, idle_close: int) -> None:
         self.spans = connect_within, idle_close
 
-    def forget(self, worker: str) -> None:
+    def close_idle(self, worker: str) -> None:
         self.forgotten.append(worker)
 
     async def settle(self) -> None:
@@ -362,8 +362,8 @@
     async def ordered(self, name: str) -> Asked:
         """The dispatch of that submission, with no byte written."""
         await self.settle()
-        place = list(self.node.held).index(name)
-        assert self.node.held[name].dispatches
+        place = list(self.node.open_requests).index(name)
+        assert self.node.open_requests[name].attempts
         return self.asked[place]
 
     async def sent(self, name: str) -> Asked:
@@ -373,11 +373,15 @@
         return asked
 
     def call(self, name: str, worker: str, state: str, result: bytes = b"") -> None:
-        self.node.called(clients.Callback(name, worker, state, 0.0, wire_names.ENDS.get(state), result))
+        self.node.handle_callback(
+            clients.Callback(name, worker, state, 0.0, wire_names.ENDS.get(state), result)
+        )
 
     def list(self, worker: str, state: str, started_at: int = 0) -> None:
         entry = listed(worker, state, started_at)
-        self.node.take_list(discovery.DiscoveryUpdate(2, False, [entry], {worker: ("127.0.0.1", 9)}))
+        self.node.apply_endpoint_list(
+            discovery.DiscoveryUpdate(2, False, [entry], {worker: ("127.0.0.1", 9)})
+        )
 
     def outcomes(self) -> list[str]:
         return [piece.outcome for _, news in self.turns for piece in news if type(piece) is AttemptEnded]
@@ -391,18 +395,18 @@
         self.left: list[str] = []
         self.answers: list[asyncio.Future[Response]] = []
 
-    def ready(self) -> bool:
+    def is_ready(self) -> bool:
         return True
 
-    def submitted(self, message: clients.SubmitRequest) -> asyncio.Future[Response]:
+    def submit(self, message: clients.SubmitRequest) -> asyncio.Future[Response]:
         self.taken.append(message.id)
         self.answers.append(asyncio.get_running_loop().create_future())
         return self.answers[-1]
 
-    def gone(self, message: clients.SubmitRequest) -> None:
+    def client_disconnected(self, message: clients.SubmitRequest) -> None:
         self.left.append(message.id)
 
-    def called(self, message: clients.Callback) -> None:
+    def handle_callback(self, message: clients.Callback) -> None:
         pass
 
     async def until(self, count: int) -> None:
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -274,10 +274,10 @@
                     self.fault(f"lost: {asked.id} was sent on and has no answer")
             elif got == 1 and not asked.peer.buffer.partition(b"\r\n\r\n")[1]:
                 self.fault(f"half: {asked.id} has a part of its answer")
-        if node.held or node.tasks or node.server.tasks:
-            self.fault(f"left: {list(node.held)}, {len(node.tasks)} tasks")
-        for name, budget in (("clients", node.server.descriptors), ("workers", node.connections.descriptors)):
-            rest = 0 if name == "clients" else sum(map(len, node.connections.idle.values()))
+        if node.open_requests or node.tasks or node.server.tasks:
+            self.fault(f"left: {list(node.open_requests)}, {len(node.tasks)} tasks")
+        for name, budget in (("clients", node.server.descriptors), ("workers", node.upstream.descriptors)):
+            rest = 0 if name == "clients" else sum(map(len, node.upstream.idle.values()))
             if budget.used != rest:
                 self.fault(f"descriptors: {budget.used} of {name} not given back, {rest} at rest")
 
@@ -294,11 +294,11 @@
         for number in range(3):
             rig.net.listen(lambda number=number: Peer(rig.worker(number)), f"w{number}", 1)  # type: ignore
         log = Log("d")
-        log.say = lambda line, *_, **__: rig.lines.append(line)  # type: ignore[method-assign]
+        log.emit = lambda line, *_, **__: rig.lines.append(line)  # type: ignore[method-assign]
         node = Dispatcher(told, discovery.DiscoveryUpdate(0, True, [], {}), log, rig)
         stop = asyncio.Event()
         running = asyncio.create_task(node.run(stop))
-        while not node.ready():
+        while not node.is_ready():
             await asyncio.sleep(0.01)
         for kind, number, gap in events:
             await asyncio.sleep(gap)
@@ -315,7 +315,7 @@
                 await running
         except TimeoutError:
             rig.fault("lost: the stop waits for ever")
-        node.connections.set_spans(1, 0)
+        node.upstream.set_spans(1, 0)
         await asyncio.sleep(1.0)
         rig.settle(node)
 
--- a/tests/test_accord_processes.py
+++ b/tests/test_accord_processes.py
@@ -245,18 +245,18 @@
         driver = await open_udp_transport(terms, play.node.log, play.node, here)
         asked = submission("a")
         asked.tenant = "dairy"
-        play.node.submitted(asked)
+        play.node.submit(asked)
         assert driver.agent.purse.wants == {"dairy": 1}
         await play.settle()
         told = [piece for _, news in play.turns for piece in news if type(piece) is QuotaSharesUpdated]
-        assert [stage.parts for stage in told[0].stages] == [{"dairy": 0.1}] * 2
-        assert play.node.dispatcher.shares.agreed is told[-1]
+        assert [stage.shares for stage in told[0].stages] == [{"dairy": 0.1}] * 2
+        assert play.node.scheduler.shares.agreed is told[-1]
         count = len(play.turns)
-        play.node.tell(ConfigReloaded(terms_of(3, 1, False, 0.4)))
+        play.node.enqueue_event(ConfigReloaded(terms_of(3, 1, False, 0.4)))
         await asyncio.sleep(0.01)
         assert len(play.turns) > count
-        assert play.node.dispatcher.shares.agreed.stages[-1].parts == {"dairy": 0.1}
+        assert play.node.scheduler.shares.agreed.stages[-1].shares == {"dairy": 0.1}
         await driver.close()
-        assert play.node.hearers == []
+        assert play.node.observers == []
 
     asyncio.run(run())
--- a/tests/test_bound.py
+++ b/tests/test_bound.py
@@ -25,16 +25,16 @@
 def bound(hang_up: int = 0, **where: Any) -> tuple[Any, ...]:
     told = list(terms(3, 1, False, 0.4))
     told[2] = [replace(GRADES[0], **where), *told[2][1:]]
-    told[8] = replace(told[8], hang_up_within=hang_up)
+    told[8] = replace(told[8], close_idle_within=hang_up)
     return tuple(told)
 
 
 @pytest.mark.parametrize(
     "where",
     [
-        {"zones": frozenset(["zone-1"])},
-        {"kinds": frozenset(["other"])},
-        {"zones": frozenset(["zone-1"]), "kinds": frozenset(["other"])},
+        {"allowed_zones": frozenset(["zone-1"])},
+        {"allowed_worker_types": frozenset(["other"])},
+        {"allowed_zones": frozenset(["zone-1"]), "allowed_worker_types": frozenset(["other"])},
     ],
 )
 def test_a_bound_grade_is_held_while_its_workers_are_down_and_goes_nowhere_else(where: Any) -> None:
@@ -96,12 +96,12 @@
         known = discovery.DiscoveryUpdate(1, True, [listed("w0")], {"w0": here})
         told = start.Start("n0", here, here, 7, 100, 80 << 20, {}, 250_000, 30_000_000, bound(100_000))
         node = Dispatcher(told, known, Log("n0"))
-        node.submitted(submission("a"))
+        node.submit(submission("a"))
         await asyncio.wait_for(asked.wait(), 2.0)
         if not late:
             answer.set()
             await asyncio.sleep(0.05)
-        node.take_list(
+        node.apply_endpoint_list(
             discovery.DiscoveryUpdate(2, False, [listed("w0", EndpointState.DRAINING)], {"w0": here})
         )
         begun = loop.time()
@@ -110,7 +110,7 @@
             assert not closed.is_set(), "it is at work"
             answer.set()
             await asyncio.sleep(0.05)
-            node.called(clients.Callback("a", "w0", "done", 0.0, AttemptOutcome.DONE, b""))
+            node.handle_callback(clients.Callback("a", "w0", "done", 0.0, AttemptOutcome.DONE, b""))
         await asyncio.wait_for(closed.wait(), 1.0)
         assert loop.time() - begun < 0.2
         listening.close()
@@ -128,8 +128,8 @@
         "KindsAllowed": ["big", "small"],
     }
     told = settings.terms(Table({"ServiceGrades": [grade], "Rules": {"HangUpWithin": 250.0}}))
-    assert told[2][0].ground == (frozenset(["big", "small"]), frozenset(["a"]))
-    assert told[8].hang_up_within == 250_000
+    assert told[2][0].placement == (frozenset(["big", "small"]), frozenset(["a"]))
+    assert told[8].close_idle_within == 250_000
     text = '[workers]\nhang_up = 0.25\n[[grade]]\nname = "view"\nmodels = ["big", "small"]\nzones = ["a"]\n'
     read = start.from_table(
         Table(
@@ -145,10 +145,13 @@
         ),
         {},
     )
-    assert read.terms[2][0].ground == told[2][0].ground and read.terms[8].hang_up_within == 250_000
+    assert (
+        read.scheduler_config[2][0].placement == told[2][0].placement
+        and read.scheduler_config[8].close_idle_within == 250_000
+    )
     plain = settings.terms(Table({"ServiceGrades": [{**grade, "ConfinedTo": ["a"]}]}))
     del grade["ConfinedTo"], grade["KindsAllowed"]
-    assert settings.terms(Table({"ServiceGrades": [grade]}))[2][0].ground is None and plain[2][0].ground
+    assert settings.terms(Table({"ServiceGrades": [grade]}))[2][0].placement is None and plain[2][0].placement
 
 
 @pytest.mark.parametrize(
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -77,27 +77,27 @@
         able = self.ready()
         return able[self.turns % len(able)]
 
-    def turn(self, now: int, news: list[Any]) -> list[Any]:
+    def step(self, now: int, news: list[Any]) -> list[Any]:
         orders: list[Any] = []
         for piece in news:
             if type(piece) is EndpointListUpdate:
                 self.workers |= {entry.worker: entry for entry in piece.entries}
             elif type(piece) is RequestArrived:
-                self.kept[piece.submission] = piece
+                self.kept[piece.request_id] = piece
                 orders += self.arrived(now, piece)
             elif type(piece) is AttemptEnded and not piece.final:
                 orders += self.ended(now, piece)
             elif type(piece) is TimerFired:
-                orders += self.due(now, piece.mark)
+                orders += self.due(now, piece.timer_id)
             else:
                 orders += self.other(now, piece)
         return orders
 
     def arrived(self, now: int, piece: RequestArrived) -> list[Any]:
-        return [StartAttempt(piece.submission, self.next())]
+        return [StartAttempt(piece.request_id, self.next())]
 
     def ended(self, now: int, piece: AttemptEnded) -> list[Any]:
-        return [FailRequest(piece.submission)]
+        return [FailRequest(piece.request_id)]
 
     def due(self, now: int, mark: int) -> list[Any]:
         return []
@@ -118,12 +118,12 @@
     """Doubled: dispatches again after an error, whatever the grade."""
 
     def ended(self, now: int, piece: AttemptEnded) -> list[Any]:
-        return [StartAttempt(piece.submission, self.next())]
+        return [StartAttempt(piece.request_id, self.next())]
 
 
 class DeniesWhatRan(Plain):
     def ended(self, now: int, piece: AttemptEnded) -> list[Any]:
-        return [RejectRequest(piece.submission, 0)]
+        return [RejectRequest(piece.request_id, 0)]
 
 
 class Copies(Plain):
@@ -131,7 +131,7 @@
 
     def arrived(self, now: int, piece: RequestArrived) -> list[Any]:
         first = super().arrived(now, piece)
-        return first + super().arrived(now, piece) if piece.grade == "view" else first
+        return first + super().arrived(now, piece) if piece.service_class == "view" else first
 
 
 class Deaf(Plain):
@@ -154,8 +154,8 @@
     def arrived(self, now: int, piece: RequestArrived) -> list[Any]:
         self.turns += 1
         mark = len(self.kept)
-        self.marks = getattr(self, "marks", {}) | {mark: piece.submission}
-        return [RejectRequest(piece.submission, 0), SetTimer(300_000, mark)]
+        self.marks = getattr(self, "marks", {}) | {mark: piece.request_id}
+        return [RejectRequest(piece.request_id, 0), SetTimer(300_000, mark)]
 
     def due(self, now: int, mark: int) -> list[Any]:
         return [StartAttempt(self.marks[mark], self.next())]
@@ -225,7 +225,7 @@
     if decisions is Silent:
         monkeypatch.setattr(node_module.Dispatcher, "overdue", lambda self, held: None)
     if decisions is Deaf:
-        monkeypatch.setattr(records.EndpointDirectory, "may_send", lambda self, worker: True)
+        monkeypatch.setattr(records.EndpointDirectory, "accepts_requests", lambda self, worker: True)
     text = (change or str)(QUIET) + incident
     text = text.replace("incident = []\n", "" if incident else "incident = []\n")
     quick = "[roster]\nnotice = 0.2\nadd = 0.2\n[worker]\ncold_from = 0.1\nqueue = 99"
@@ -239,34 +239,34 @@
     release_settled = node_module.Dispatcher.release_settled
 
     def forgetful(self: Any, held: Any) -> None:
-        if held.dispatches:
+        if held.attempts:
             release_settled(self, held)
 
     monkeypatch.setattr(node_module.Dispatcher, "release_settled", forgetful)
     monkeypatch.setattr(
         records.OpenRequest,
-        "open",
-        property(lambda self: not self.dispatches or not all(shot.outcome for shot in self.dispatches)),
+        "is_open",
+        property(lambda self: not self.attempts or not all(shot.outcome for shot in self.attempts)),
     )
-    answer = node_module.Dispatcher.answer
+    answer = node_module.Dispatcher.respond
 
     def once(self: Any, submission: str, given: Any) -> None:
-        held = self.held.get(submission)
-        if held is not None and not held.answer.done():
+        held = self.open_requests.get(submission)
+        if held is not None and not held.response.done():
             answer(self, submission, given)
 
-    monkeypatch.setattr(node_module.Dispatcher, "answer", once)
+    monkeypatch.setattr(node_module.Dispatcher, "respond", once)
     assert "after" in broken(play(monkeypatch, AfterAll))
 
 
 def test_a_late_answer_and_one_that_no_worker_made_are_seen(monkeypatch: pytest.MonkeyPatch) -> None:
-    answer = node_module.Dispatcher.answer
+    answer = node_module.Dispatcher.respond
 
     def late(self: Any, submission: str, given: Any) -> None:
-        held = self.held[submission]
-        self.loop.call_at(self.clock.at(held.limit_at) + 0.3, answer, self, submission, given)
+        held = self.open_requests[submission]
+        self.loop.call_at(self.clock.at(held.deadline) + 0.3, answer, self, submission, given)
 
-    monkeypatch.setattr(node_module.Dispatcher, "answer", late)
+    monkeypatch.setattr(node_module.Dispatcher, "respond", late)
     monkeypatch.setattr(node_module.Dispatcher, "time_out", lambda self, held: None)
     told = play(monkeypatch, Plain)
     assert broken(told) == {"late"} and set(told["answers"]) == {"late"}
@@ -275,7 +275,7 @@
         given.body = b"made up"
         answer(self, submission, given)
 
-    monkeypatch.setattr(node_module.Dispatcher, "answer", forged)
+    monkeypatch.setattr(node_module.Dispatcher, "respond", forged)
     assert broken(play(monkeypatch, Plain)) == {"forged"}
 
 
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -136,11 +136,11 @@
         self.tell(one, RequestArrived(number, grade, self.now + 25_000_000))
 
     def tell(self, one: int, news: Any) -> None:
-        for order in self.fleet[one].turn(self.now, [news]):
+        for order in self.fleet[one].step(self.now, [news]):
             if type(order) is SetTimer:
-                self.at(self.now + max(STEP, order.after), self.tell, one, TimerFired(order.mark))
+                self.at(self.now + max(STEP, order.delay), self.tell, one, TimerFired(order.timer_id))
             elif type(order) is StartAttempt:
-                self.at(self.now + WAY, self.reach, one, order.submission, order.worker)
+                self.at(self.now + WAY, self.reach, one, order.request_id, order.worker)
             elif type(order) is CancelAttempt:
                 self.at(self.now + 2 * WAY, self.give_up, one, order)
 
@@ -169,9 +169,9 @@
 
     def give_up(self, one: int, order: CancelAttempt) -> None:
         for queue in self.queue.values():
-            if (one, order.submission) in queue:
-                queue.remove((one, order.submission))
-                self.tell(one, AttemptEnded(order.submission, order.number, AttemptOutcome.CANCELLED, False))
+            if (one, order.request_id) in queue:
+                queue.remove((one, order.request_id))
+                self.tell(one, AttemptEnded(order.request_id, order.attempt, AttemptOutcome.CANCELLED, False))
                 return
 
 
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -421,12 +421,12 @@
     decisions = Scheduler(1, *terms(3, 1, False, False, 0.4))
     now = 10_000_000
     entries = [listed("w0"), listed("w1", cell=1), listed("w2")]
-    decisions.turn(now, [EndpointListUpdate(ListUpdateKind.SNAPSHOT, entries)])
-    arrival = RequestArrived("a", grade, now + 5 * S, patient=True)
-    orders = decisions.turn(now, [RequestRecovered(arrival, now - S, list(shots))])
+    decisions.step(now, [EndpointListUpdate(ListUpdateKind.SNAPSHOT, entries)])
+    arrival = RequestArrived("a", grade, now + 5 * S, background=True)
+    orders = decisions.step(now, [RequestRecovered(arrival, now - S, list(shots))])
     for _ in range(20):
         now += 100_000
-        orders += decisions.turn(now, [])
+        orders += decisions.step(now, [])
     return decisions, [order for order in orders if not isinstance(order, SetTimer | LogMessage)]
 
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -34,7 +34,7 @@
 def served(story: Callable[[Listener, Clerk, Any], Awaitable[None]], places: int = 64) -> None:
     async def run() -> None:
         clerk, address = Clerk(), free_address()
-        limits = {grade.name: grade.time_limit for grade in GRADES}
+        limits = {grade.name: grade.timeout for grade in GRADES}
         server = Listener(DescriptorBudget(places), limits, set(), 400_000, clerk, Log("n0"))
         server.listen(address)
         await story(server, clerk, address)
@@ -82,7 +82,7 @@
         super().__init__()
         self.begun: list[str] = []
 
-    async def ask(
+    async def send(
         self, worker: str, address: Any, build: Any, sent: Any, fresh: bool = False
     ) -> UpstreamResponse | str:
         question = build()
@@ -90,7 +90,7 @@
             return AttemptOutcome.NEVER_SENT
         self.begun.append(f"{question.method} {worker}")
         sent()
-        return await super().ask(worker, address, build, sent, fresh)
+        return await super().send(worker, address, build, sent, fresh)
 
 
 @pytest.mark.parametrize("go", [socket.socket.close, reset])
@@ -105,11 +105,11 @@
             play.list(worker, EndpointState.DRAINING)
         client = socket.create_connection(address)
         client.sendall(submit(Req_Deadline="3000m"))
-        await until(lambda: play.node.held)
+        await until(lambda: play.node.open_requests)
         await play.settle()
         go(client)
         play.list("w1", EndpointState.READY)  # nothing of ours ran in between
-        await until(lambda: not play.node.held)
+        await until(lambda: not play.node.open_requests)
         assert play.begun == []
 
         client = socket.create_connection(address)
@@ -118,7 +118,7 @@
         play.list("w2", EndpointState.READY)
         go(client)
         play.asked[-1].end(AttemptOutcome.RESET)  # it would go to another
-        await until(lambda: not play.node.held)
+        await until(lambda: not play.node.open_requests)
         assert play.begun == ["POST w1"]
         await play.node.server.stop()
 
@@ -310,9 +310,9 @@
         with pytest.raises(ConnectionRefusedError):
             socket.create_connection(node.listen_at)
         go.set()
-        await until(node.ready)
+        await until(node.is_ready)
         socket.create_connection(node.listen_at).close()
-        assert not any(node.fleet.may_send(worker) for worker in ("w0", "w1", "w2"))
+        assert not any(node.endpoints.accepts_requests(worker) for worker in ("w0", "w1", "w2"))
         running.cancel()
         await node.server.stop()
         listening.close()
@@ -343,7 +343,7 @@
             "POST", "/view", [], b"x" * 20_000_000
         )  # more than the kernel takes at once
         at = listening.getsockname()
-        asking = asyncio.create_task(connections.ask("w", at, lambda: question, lambda: sent.append(True)))
+        asking = asyncio.create_task(connections.send("w", at, lambda: question, lambda: sent.append(True)))
         await until(lambda: made and made[0].writer.transport.get_write_buffer_size())
         worker, received = listening.accept()[0], [0]
 
@@ -385,13 +385,13 @@
         connections = UpstreamPool(DescriptorBudget(10), 500_000, 400_000)
         question = UpstreamRequest("POST", "/view", [], b"x" * 100)
         for _ in range(2):
-            await connections.ask("w", at, lambda: question, lambda: None)
+            await connections.send("w", at, lambda: question, lambda: None)
         assert len(met) == meets
         for kept in connections.idle["w"]:
             kept.usable_at -= 1.0  # it has rested
-        await connections.ask("w", at, lambda: question, lambda: None)
+        await connections.send("w", at, lambda: question, lambda: None)
         assert len(met) == meets and connections.descriptors.used == meets
-        connections.forget("w")
+        connections.close_idle("w")
         listening.close()
 
     asyncio.run(run())
@@ -400,7 +400,7 @@
 @pytest.mark.parametrize("first", ["callback", "break", "refusal"])
 def test_what_a_worker_has_is_given_up_there_before_its_broken_connection_counts(first: str) -> None:
     async def story(play: HandPlayed) -> None:
-        play.node.submitted(submission("a"))
+        play.node.submit(submission("a"))
         shot = await play.sent("a")
         if first != "break":  # it has started: neither a break before the 202 nor a refusal ends that
             play.call("a", shot.worker, "started")
@@ -424,14 +424,14 @@
     async def story(play: HandPlayed) -> None:
         play.list("w1", EndpointState.DRAINING)
         play.list("w2", EndpointState.DRAINING)
-        play.node.submitted(submission("a", grade="cash"))
+        play.node.submit(submission("a", grade="cash"))
         first = await play.sent("a")
         first.reply(202)
         play.call("a", "w0", "returned")
         await play.settle()
-        held, rules = play.node.held["a"], play.node.dispatcher
+        held, rules = play.node.open_requests["a"], play.node.scheduler
         rules.list.workers["w0"].full_until = rules.submissions["a"].not_before = 0
-        await until(lambda: len(held.dispatches) == 2)  # there is nowhere else to go
+        await until(lambda: len(held.attempts) == 2)  # there is nowhere else to go
         await play.settle()
         assert play.asked[-1].build() is not None
         play.asked[-1].sent()
@@ -441,7 +441,7 @@
         play.asked[-1].reply(204)
         await play.settle()
         assert (
-            play.outcomes() == [AttemptOutcome.FULL, AttemptOutcome.CONNECTION_CLOSED] and not held.open
+            play.outcomes() == [AttemptOutcome.FULL, AttemptOutcome.CONNECTION_CLOSED] and not held.is_open
         )  # at-most-once: given up
 
     played(story)
@@ -451,21 +451,21 @@
     """The connection came up late; the order was given in time."""
 
     async def story(play: HandPlayed) -> None:
-        play.node.submitted(submission("a", grade="record", patience=6_000_000))
+        play.node.submit(submission("a", grade="record", patience=6_000_000))
         first = await play.sent("a")
         first.end(AttemptOutcome.RESET)
-        held = play.node.held["a"]
-        await until(lambda: len(held.dispatches) == 2)
+        held = play.node.open_requests["a"]
+        await until(lambda: len(held.attempts) == 2)
         await play.settle()
         late = play.asked[-1]
-        sent_at = held.dispatches[0].sent_at
-        memory = next(grade for grade in GRADES if grade.name == "record").memory_span
-        assert abs(held.dispatches[1].before - sent_at - memory) < 100_000
-        play.node.clock.offset += (held.dispatches[1].before - play.node.clock.now() + 1000) / 1e6
+        sent_at = held.attempts[0].sent_at
+        memory = next(grade for grade in GRADES if grade.name == "record").deduplication_window
+        assert abs(held.attempts[1].send_before - sent_at - memory) < 100_000
+        play.node.clock.offset += (held.attempts[1].send_before - play.node.clock.now() + 1000) / 1e6
         assert late.build() is None
         late.end(AttemptOutcome.NEVER_SENT)
         await play.settle()
-        assert not held.open and held.answer.result().status == 502  # and is given up at once
+        assert not held.is_open and held.response.result().status == 502  # and is given up at once
 
     played(story)
 
@@ -473,10 +473,14 @@
 @pytest.mark.parametrize("when", ["ordered", "sent"])
 def test_a_reload_leaves_what_is_open_its_grade_and_its_memory_span(when: str) -> None:
     async def story(play: HandPlayed) -> None:
-        play.node.submitted(submission("a", grade="record", patience=6_000_000))
+        play.node.submit(submission("a", grade="record", patience=6_000_000))
         first = await (play.ordered if when == "ordered" else play.sent)("a")
         told = list(terms(3, 1, False, 0.4))
-        changed: dict[str, Any] = {"effect": Effect.AT_MOST_ONCE, "memory_span": 0, "time_limit": 50_000}
+        changed: dict[str, Any] = {
+            "effect": Effect.AT_MOST_ONCE,
+            "deduplication_window": 0,
+            "timeout": 50_000,
+        }
         told[2] = [replace(grade, **changed) for grade in told[2]]
         here = ("127.0.0.1", 9)
         play.node.reload(Start("n0", here, here, 7, 100, 80 << 20, {}, 250_000, 30_000_000, tuple(told)))
@@ -485,11 +489,11 @@
             first.sent()
         await play.settle()
         first.end(AttemptOutcome.RESET)
-        held = play.node.held["a"]
-        await until(lambda: len(held.dispatches) == 2)  # numbered, as it came: it may be repeated
-        memory = next(grade for grade in GRADES if grade.name == "record").memory_span
-        assert abs(held.dispatches[1].before - held.dispatches[0].sent_at - memory) < 100_000
-        assert held.limit_at - play.node.clock.now() > 5_000_000
+        held = play.node.open_requests["a"]
+        await until(lambda: len(held.attempts) == 2)  # numbered, as it came: it may be repeated
+        memory = next(grade for grade in GRADES if grade.name == "record").deduplication_window
+        assert abs(held.attempts[1].send_before - held.attempts[0].sent_at - memory) < 100_000
+        assert held.deadline - play.node.clock.now() > 5_000_000
         assert play.node.watching is not None
         play.node.watching.cancel()
 
@@ -506,7 +510,7 @@
     """Four spans of `ask_within` were allowed after it, and used: up to ten seconds by a list from before."""
     for seed in range(20):
         service = Checked(seed, must_ask=True)
-        service.dispatcher.list.terms.told_within = 6_000_000
+        service.dispatcher.list.terms.notified_within = 6_000_000
         service.list(listed("w0"), kind=ListUpdateKind.CACHED)
         while WatchEndpoints(True) not in service.pass_time(100_000):
             pass
@@ -527,8 +531,8 @@
             calls.append(play.node.loop.time())
 
         listening = await asyncio.start_server(silent, "127.0.0.1", 0)
-        listing = EndpointListConfig(True, 10_000_000, told_within=200_000)
-        play.node.listing = play.node.dispatcher.list.terms = listing
+        listing = EndpointListConfig(True, 10_000_000, notified_within=200_000)
+        play.node.endpoint_list_config = play.node.scheduler.list.terms = listing
         play.node.discovery = listening.sockets[0].getsockname()
         play.node.watch(play.node.follow())
         await until(lambda: len(calls) == 2)
@@ -552,7 +556,7 @@
 @pytest.mark.parametrize("where", ["patience", "draw"])
 def test_a_fault_in_the_decisions_costs_the_submission_on_which_it_shows_alone(where: str) -> None:
     async def story(play: HandPlayed) -> None:
-        rules: Any = play.node.dispatcher
+        rules: Any = play.node.scheduler
         sound = getattr(rules, where)
 
         def faulty(*given: Any) -> Any:
@@ -562,40 +566,42 @@
             return sound(*given)
 
         setattr(rules, where, faulty)
-        answers = {name: play.node.submitted(submission(name)) for name in ("one", "poor", "two")}
+        answers = {name: play.node.submit(submission(name)) for name in ("one", "poor", "two")}
         await play.settle()
         assert answers["poor"] is not None and answers["poor"].result().status == 502
-        assert [len(play.node.held[name].dispatches) for name in ("one", "two")] == [1, 1]
-        assert "poor" not in play.node.held and any("out of sorts" in line for line in play.lines_logged)
+        assert [len(play.node.open_requests[name].attempts) for name in ("one", "two")] == [1, 1]
+        assert "poor" not in play.node.open_requests and any(
+            "out of sorts" in line for line in play.lines_logged
+        )
 
     played(story)
 
 
 def test_a_fault_at_a_timer_of_the_decisions_costs_its_submission_alone() -> None:
     async def story(play: HandPlayed) -> None:
-        rules: Any = play.node.dispatcher
+        rules: Any = play.node.scheduler
 
         def faulty(dispatch: Any) -> None:
             raise ValueError("out of sorts")
 
         rules.check = faulty
-        answer = play.node.submitted(submission("a"))
+        answer = play.node.submit(submission("a"))
         (await play.sent("a")).reply(202)
         mark = next(mark for mark, what in rules.timers.items() if what != "round")
-        play.node.tell(TimerFired(mark))
+        play.node.enqueue_event(TimerFired(mark))
         await play.settle()
         assert answer is not None and answer.result().status == 502
         assert play.asked[-1].build().method == "DELETE"  # type: ignore[union-attr]
         play.asked[-1].reply(204)
         await play.settle()
-        assert not play.node.held and not rules.submissions
+        assert not play.node.open_requests and not rules.submissions
 
     played(story)
 
 
 def test_a_round_that_fails_and_a_part_that_fails_cost_no_submission() -> None:
     async def story(play: HandPlayed) -> None:
-        rules: Any = play.node.dispatcher
+        rules: Any = play.node.scheduler
         sound, failed = rules.round, [False]
 
         def once() -> None:
@@ -608,9 +614,9 @@
             raise ValueError("a part of sorts")
 
         rules.round = once
-        play.node.hearers.append(part)
-        play.node.submitted(submission("a"))
-        await until(lambda: play.node.held["a"].dispatches)  # by the next round
+        play.node.observers.append(part)
+        play.node.submit(submission("a"))
+        await until(lambda: play.node.open_requests["a"].attempts)  # by the next round
         assert failed[0] and any("a part of sorts" in line for line in play.lines_logged)
 
     played(story)
@@ -618,17 +624,17 @@
 
 def test_an_order_that_fails_costs_itself_alone() -> None:
     async def story(play: HandPlayed) -> None:
-        carry = play.node.orders[StartAttempt]
+        carry = play.node.command_handlers[StartAttempt]
 
         def faulty(order: StartAttempt) -> None:
-            if order.submission == "poor":
+            if order.request_id == "poor":
                 raise ValueError("out of sorts")
             carry(order)
 
-        play.node.orders[StartAttempt] = faulty
+        play.node.command_handlers[StartAttempt] = faulty
         for name in ("poor", "one", "two"):
-            play.node.submitted(submission(name))
+            play.node.submit(submission(name))
         await play.settle()
-        assert [len(play.node.held[name].dispatches) for name in ("poor", "one", "two")] == [0, 1, 1]
+        assert [len(play.node.open_requests[name].attempts) for name in ("poor", "one", "two")] == [0, 1, 1]
 
     played(story)
--- a/tests/test_hostile.py
+++ b/tests/test_hostile.py
@@ -52,11 +52,11 @@
         others = [entry("w1"), entry("w3"), entry("w4"), entry("w2", state="leaving")]
         told = discovery.parse(sheet(*faulty, *others))
         assert told.faults[0].startswith(said)
-        play.node.take_list(told)
-        open_ones = [number for number in range(5) if play.node.fleet.may_send(f"w{number}")]
+        play.node.apply_endpoint_list(told)
+        open_ones = [number for number in range(5) if play.node.endpoints.accepts_requests(f"w{number}")]
         assert open_ones == [1, 3, 4]
-        play.node.take_list(discovery.parse(sheet(entry("w0"), version=4)))
-        assert play.node.fleet.may_send("w0")  # once it is told properly
+        play.node.apply_endpoint_list(discovery.parse(sheet(entry("w0"), version=4)))
+        assert play.node.endpoints.accepts_requests("w0")  # once it is told properly
 
     asyncio.run(story())
 
@@ -65,12 +65,12 @@
     with pytest.raises(ConfigError, match="expected one of"):
         discovery.parse(sheet(entry("w0", state="odd"), entry("w1", state="odd"), entry("w2")))
     told = discovery.parse(sheet(entry("new", state="odd"), entry("w1")))
-    assert [one.worker for one in told.entries] == ["w1"] and told.unclear == ["new"]
+    assert [one.worker for one in told.entries] == ["w1"] and told.unreadable == ["new"]
 
     async def story() -> None:
         play = HandPlayed()
-        play.node.take_list(told)
-        assert "new" not in play.node.fleet.entries
+        play.node.apply_endpoint_list(told)
+        assert "new" not in play.node.endpoints.entries
 
     asyncio.run(story())
 
@@ -104,10 +104,10 @@
         listening = await asyncio.start_server(script, "127.0.0.1", 0)
         play.node.discovery = listening.sockets[0].getsockname()
         play.node.watch(play.node.follow())
-        while "w5" not in play.node.fleet.entries:
-            assert play.node.fleet.may_send("w0")
+        while "w5" not in play.node.endpoints.entries:
+            assert play.node.endpoints.accepts_requests("w0")
             await asyncio.sleep(0.001)
-        assert calls == len(answers) and not play.node.fleet.may_send("w0")
+        assert calls == len(answers) and not play.node.endpoints.accepts_requests("w0")
         assert [line for line in play.lines_logged if "no answer" in line] != []
         assert play.node.watching is not None
         play.node.watching.cancel()
@@ -144,7 +144,7 @@
         )
         play.node.reload(told)
         play.node.reload(told)
-        while "w5" not in play.node.fleet.entries or not ended:
+        while "w5" not in play.node.endpoints.entries or not ended:
             await asyncio.sleep(0.001)
         assert len(calls) == 1 and sum("reload" in line for line in play.lines_logged) == 2
         assert play.node.watching is not None
@@ -176,7 +176,7 @@
         lines = UpstreamPool(DescriptorBudget(10), 500_000, 400_000)
         question = UpstreamRequest("POST", "/view", [], b"x" * 100)
         for _ in range(2):
-            found = await lines.ask("w", at, lambda: question, lambda: None)
+            found = await lines.send("w", at, lambda: question, lambda: None)
             assert isinstance(found, UpstreamResponse) and found.status == 202
             kept = lines.idle["w"][0]
             while met == 1 and kept.fresh:
@@ -194,6 +194,6 @@
     talk.feed(post("/callback", told.encode()))
     message = talk.next()
     if isinstance(message, clients.Callback):
-        assert 0.0 <= message.share <= 1.0
+        assert 0.0 <= message.fraction_done <= 1.0
     else:
         assert isinstance(message, clients.BadRequest) and message.status == 400
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -33,7 +33,7 @@
     service, events = Calls(150_000, 2_000_000), []
     fleet = [Scheduler(seed * 100 + me, *terms(4, 40, True, False, 0.4)) for me in range(40)]
     for one in fleet:
-        one.list.terms.told_within = told_within
+        one.list.terms.notified_within = told_within
     for me in range(40):
         heappush(events, (0, me, EndpointListUpdate(ListUpdateKind.CACHED, [listed("w")])))
     told: dict[int, int] = {}
@@ -43,9 +43,9 @@
             break
         if type(news) is EndpointListUpdate and news.kind == ListUpdateKind.DELTA:
             told[me] = now
-        for order in fleet[me].turn(now, [news]):
+        for order in fleet[me].step(now, [news]):
             if type(order) is SetTimer:
-                heappush(events, (now + max(STEP, order.after), me, TimerFired(order.mark)))
+                heappush(events, (now + max(STEP, order.delay), me, TimerFired(order.timer_id)))
             elif order == WatchEndpoints(True):
                 at, heard = service.call(now)
                 heappush(
@@ -80,7 +80,7 @@
             if worker in got:
                 got[worker] += 1
     # Two slots, at 0.3 of what they can do: in a window each bears so many such submissions.
-    bears = COLD.factor * COLD.window * COLD.cold_from * 2 / 300_000
+    bears = COLD.overload_factor * COLD.window * COLD.initial_capacity * 2 / 300_000
     assert sum(got.values()) > 0.3 * min(cold * bears, 40 * submissions)
     assert sum(got.values()) <= 0.55 * cold * bears and max(got.values()) <= bears
 
@@ -101,7 +101,7 @@
         service.pass_time(STEP)
     assert not service.answered
     assert 3 < refused <= 3 * 11, "each of three workers is tried four times a second at most"
-    warm = service.now - COLD.warm_after
+    warm = service.now - COLD.warmup
     service.list(*[listed(name, started_at=warm) for name in names], kind=ListUpdateKind.DELTA)
     for _ in range(1_400_000 // STEP):
         service.pass_time(STEP)
@@ -113,20 +113,20 @@
 def test_on_sockets_only_what_was_sent_counts_among_the_dispatches() -> None:
     async def run() -> None:
         player = HandPlayed()
-        player.node.submitted(submission_of("a"))
+        player.node.submit(submission_of("a"))
         for place in range(3):  # as many as there may be
             await player.settle()
             assert len(player.asked) == place + 1
             player.asked[place].end(AttemptOutcome.NO_CONNECTION)
         await player.settle()
-        assert player.node.held["a"].open, "denied while it could still be sent"
+        assert player.node.open_requests["a"].is_open, "denied while it could still be sent"
 
     asyncio.run(run())
 
 
 def told_to_ask() -> HandPlayed:
     player = HandPlayed()
-    player.node.listing = player.node.dispatcher.list.terms = EndpointListConfig(True, 200_000)
+    player.node.endpoint_list_config = player.node.scheduler.list.terms = EndpointListConfig(True, 200_000)
     return player
 
 
@@ -171,10 +171,10 @@
             await asyncio.sleep(0.002)
         assert heard[1] == AFTER % 1
         for _ in range(1000):  # at most: the answer to the second call is there at once
-            if not node.dispatcher.list.failures:
+            if not node.scheduler.list.failures:
                 break
             await asyncio.sleep(0.002)
-        assert node.dispatcher.list.failures == 0, "an answer that brings nothing ends the failures, too"
+        assert node.scheduler.list.failures == 0, "an answer that brings nothing ends the failures, too"
         assert node.watching is not None
         node.watching.cancel()
         listening.close()
@@ -196,7 +196,7 @@
         while len(heard) < 3:
             await asyncio.sleep(0.002)
         assert heard == [AFTER % 41, names.INSTANCES, AFTER % 3]
-        assert [told.whole for told in sheets] == [True]
+        assert [told.is_snapshot for told in sheets] == [True]
         task.cancel()
         listening.close()
 
@@ -225,12 +225,12 @@
     async def run() -> None:
         player, heard = told_to_ask(), []
         node = player.node
-        player.node.listing = player.node.dispatcher.list.terms = EndpointListConfig(True, 20_000)
+        player.node.endpoint_list_config = player.node.scheduler.list.terms = EndpointListConfig(True, 20_000)
         listening = await agent([], heard)
         node.discovery = listening.sockets[0].getsockname()
         node.to_ask.set()
         node.watch(node.follow_when_asked())
-        node.submitted(submission_of("a"))
+        node.submit(submission_of("a"))
         assert (await player.sent("a")).worker in ("w0", "w1", "w2")  # by the remembered list
         for _ in range(200):
             await asyncio.sleep(0.005)
@@ -293,11 +293,11 @@
 def test_a_worker_replaced_under_the_same_address_gets_nothing_meant_for_the_old_one() -> None:
     async def run() -> None:
         player = HandPlayed()
-        here = player.node.fleet.addresses["w0"]
+        here = player.node.endpoints.addresses["w0"]
         gone = [listed(name, EndpointState.GONE) for name in ("w0", "w1", "w2")]
         addresses = dict.fromkeys(["w0", "w1", "w2", "w9"], here)
-        player.node.take_list(discovery.DiscoveryUpdate(2, False, [*gone, listed("w9")], addresses))
-        player.node.submitted(submission_of("a"))
+        player.node.apply_endpoint_list(discovery.DiscoveryUpdate(2, False, [*gone, listed("w9")], addresses))
+        player.node.submit(submission_of("a"))
         assert (await player.sent("a")).worker == "w9"
         assert set(player.forgotten) >= {"w0", "w1", "w2"}, "their connections lead to another process now"
 
@@ -310,12 +310,12 @@
     async def run() -> None:
         player, heard, stop = told_to_ask(), [], asyncio.Event()
         node = player.node
-        node.connections.sweep = lambda: None  # type: ignore[method-assign]
+        node.upstream.sweep = lambda: None  # type: ignore[method-assign]
         listening = await agent([], heard)
         node.discovery, node.listen_at = listening.sockets[0].getsockname(), free_address()
         running = asyncio.create_task(node.run(stop))
         await asyncio.sleep(0.01)
-        answer = node.submitted(submission_of("a"))
+        answer = node.submit(submission_of("a"))
         asked = await player.sent("a")
         stop.set()
         await asyncio.sleep(0.05)
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -110,7 +110,7 @@
     ratings = {f"w{number}": 3.5 for number in range(9)} | {"w9": 8.0}
     begun = 10_000_000 - 1_000_000  # a second ago
     places = first_places(ratings, w9=begun)
-    warmth = COLD.cold_from + (1 - COLD.cold_from) / 8
+    warmth = COLD.initial_capacity + (1 - COLD.initial_capacity) / 8
     assert places["w9"] / 400 < 1.6 * warmth / 10
 
 
@@ -130,13 +130,13 @@
         service.pass_time(500_000)
         work.update(shots[0]["worker"] for shots in service.dispatches.values() if shots)
     # Half of the limit, which is what its warmth allows in a window.
-    warmth = COLD.cold_from + (1 - COLD.cold_from) * 3 / 8
-    assert 0 < work["w0"] * 0.3 / 8 < 0.75 * COLD.factor * warmth
+    warmth = COLD.initial_capacity + (1 - COLD.initial_capacity) * 3 / 8
+    assert 0 < work["w0"] * 0.3 / 8 < 0.75 * COLD.overload_factor * warmth
 
 
 def test_a_connection_that_is_open_is_used_again_where_new_ones_have_a_price() -> None:
     def connections(price: float) -> int:
-        service = Checked(live=True, prices=CostConfig(connection=price, idle_close=5_000_000))
+        service = Checked(live=True, prices=CostConfig(connection=price, idle_timeout=5_000_000))
         service.list(*rated({f"w{number}": 8.0 for number in range(10)}))
         for submission in range(60):
             service.arrive(submission, "view")
@@ -195,8 +195,8 @@
         orders = service.end(1, shot, AttemptOutcome.FULL)
         if shot < service.most - 1:
             service.pass_time(300_000)
-    assert [order.submission for order in orders if type(order) is RejectRequest] == [1]
-    assert service.arrivals[1].time_limit_at - service.now > 4_000_000, "its client has long to wait yet"
+    assert [order.request_id for order in orders if type(order) is RejectRequest] == [1]
+    assert service.arrivals[1].deadline - service.now > 4_000_000, "its client has long to wait yet"
 
 
 # --- settings taken anew --------------------------------------------------------------------------------
@@ -227,8 +227,8 @@
                 ]
                 service.end(submitted, shot, dice.choice(outcomes))
         for order in [order for order in service.orders if type(order) is CancelAttempt]:
-            if (order.submission, order.number) in service.out() and dice.random() < 0.7:
-                service.end(order.submission, order.number, AttemptOutcome.CANCELLED)
+            if (order.request_id, order.attempt) in service.out() and dice.random() < 0.7:
+                service.end(order.request_id, order.attempt, AttemptOutcome.CANCELLED)
         if dice.random() < 0.2:
             place = dice.randrange(6)
             rating = dice.random() * 9
@@ -279,8 +279,8 @@
     message = conversation.next()
     assert isinstance(message, clients.SubmitRequest)
     news = Dispatcher.arrival(message, 9_000_000)
-    assert (news.width, news.work_hint, news.tenant, news.key) == told
-    assert (news.submission, news.grade, news.time_limit_at) == ("a1", "view", 9_000_000)
+    assert (news.width, news.work_hint, news.tenant, news.affinity_key) == told
+    assert (news.request_id, news.service_class, news.deadline) == ("a1", "view", 9_000_000)
 
 
 class Worker:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -43,7 +43,7 @@
         await play.settle()
         before = len(play.turns)
         for number in range(5):
-            play.node.submitted(submission(f"s{number}"))
+            play.node.submit(submission(f"s{number}"))
         await asyncio.sleep(0)
         assert [len(news) for _, news in play.turns[before:]] == [5]
 
@@ -52,7 +52,7 @@
 
 def test_a_result_is_the_answer_and_the_rest_is_acknowledged() -> None:
     async def story(play: HandPlayed) -> None:
-        answer = play.node.submitted(submission("a"))
+        answer = play.node.submit(submission("a"))
         assert answer is not None
         shot = await play.sent("a")
         play.call("a", shot.worker, "started")  # before the 202
@@ -64,7 +64,7 @@
         play.call("a", shot.worker, "done", b"twice")
         shot.reply(202)
         await play.settle()
-        assert play.outcomes() == [AttemptOutcome.DONE] and not play.node.held
+        assert play.outcomes() == [AttemptOutcome.DONE] and not play.node.open_requests
         assert sum(type(piece) is AttemptSent for _, news in play.turns for piece in news) == 1
 
     played(story)
@@ -72,7 +72,7 @@
 
 def test_a_word_on_a_dispatch_that_is_not_written_is_an_old_one() -> None:
     async def story(play: HandPlayed) -> None:
-        play.node.submitted(submission("a"))
+        play.node.submit(submission("a"))
         shot = await play.ordered("a")
         play.call("a", shot.worker, "returned")
         await play.settle()
@@ -84,14 +84,14 @@
 @pytest.mark.parametrize("change", ["draining", "gone", "answered", "late", "none"])
 def test_the_last_look_before_the_first_byte(change: str) -> None:
     async def story(play: HandPlayed) -> None:
-        play.node.submitted(submission("a", patience=800_000 if change == "late" else 3_000_000))
+        play.node.submit(submission("a", patience=800_000 if change == "late" else 3_000_000))
         shot = await play.ordered("a")
         if change == "draining":
             play.list(shot.worker, EndpointState.DRAINING)
         elif change == "gone":
             play.list(shot.worker, EndpointState.GONE)
         elif change == "answered":
-            play.node.held["a"].answer.set_result(Response(502))
+            play.node.open_requests["a"].response.set_result(Response(502))
         elif change == "late":
             play.node.clock.offset += 1.0
         question = shot.build()
@@ -108,12 +108,12 @@
 def test_withdrawn_before_the_202_by_closing_too_and_told_once_the_worker_knows(taken: bool) -> None:
     # The 202 may be on its way: what went elsewhere before the worker's answer was a second copy.
     async def story(play: HandPlayed) -> None:
-        play.node.submitted(submission("b/1"))
+        play.node.submit(submission("b/1"))
         asked = await play.sent("b/1")
         if taken:
             asked.reply(202)
         await play.settle()
-        play.node.gone(play.node.held["b/1"].message)
+        play.node.client_disconnected(play.node.open_requests["b/1"].message)
         await play.settle()
         assert asked.cancelled != taken and play.outcomes() == []
         question = play.asked[-1].build()
@@ -121,18 +121,18 @@
         assert (question.method, question.target) == ("DELETE", "/jobs/b%2F1")
         play.asked[-1].reply(204)
         await play.settle()
-        assert play.outcomes() == [AttemptOutcome.CANCELLED] and not play.node.held
+        assert play.outcomes() == [AttemptOutcome.CANCELLED] and not play.node.open_requests
 
     played(story)
 
 
 def test_a_dispatch_withdrawn_before_its_first_byte_was_never_sent() -> None:
     async def story(play: HandPlayed) -> None:
-        play.node.submitted(submission("a"))
+        play.node.submit(submission("a"))
         await play.ordered("a")
-        play.node.gone(play.node.held["a"].message)
+        play.node.client_disconnected(play.node.open_requests["a"].message)
         await play.settle()
-        assert play.outcomes() == [AttemptOutcome.NEVER_SENT] and not play.node.held
+        assert play.outcomes() == [AttemptOutcome.NEVER_SENT] and not play.node.open_requests
 
     played(story)
 
@@ -140,11 +140,11 @@
 def test_a_silent_worker_does_not_hold_up_a_withdrawal(monkeypatch: pytest.MonkeyPatch) -> None:
     async def story(play: HandPlayed) -> None:
         play.node.connect_within = 1000
-        play.node.submitted(submission("a"))
+        play.node.submit(submission("a"))
         (await play.sent("a")).reply(202)
         await play.settle()
-        play.node.gone(play.node.held["a"].message)
-        while play.node.held:
+        play.node.client_disconnected(play.node.open_requests["a"].message)
+        while play.node.open_requests:
             await asyncio.sleep(0.005)
         assert play.outcomes() == [AttemptOutcome.CANCELLED]
 
@@ -154,10 +154,10 @@
 def test_a_withdrawal_whose_connection_breaks_is_told_again_before_it_counts() -> None:
     # A rough day in virtual time: the worker had not heard it, and the next dispatch was a second copy.
     async def story(play: HandPlayed) -> None:
-        play.node.submitted(submission("a"))
+        play.node.submit(submission("a"))
         (await play.sent("a")).reply(202)
         await play.settle()
-        play.node.gone(play.node.held["a"].message)
+        play.node.client_disconnected(play.node.open_requests["a"].message)
         await play.settle()
         for outcome in (AttemptOutcome.CONNECTION_CLOSED, AttemptOutcome.RESET):
             play.asked[-1].end(outcome)
@@ -166,7 +166,7 @@
         assert len(play.asked) == 4
         play.asked[-1].reply(200)
         await play.settle()
-        assert play.outcomes() == [AttemptOutcome.CANCELLED] and not play.node.held
+        assert play.outcomes() == [AttemptOutcome.CANCELLED] and not play.node.open_requests
 
     played(story)
 
@@ -175,10 +175,10 @@
     async def story(play: HandPlayed) -> None:
         play.node.shorten(play.node.loop.time() + 0.5)
         kept = submission("kept")
-        kept.patient = True
-        play.node.submitted(kept)
-        play.node.submitted(submission("plain"))
-        left = {name: held.limit_at - play.node.clock.now() for name, held in play.node.held.items()}
+        kept.background = True
+        play.node.submit(kept)
+        play.node.submit(submission("plain"))
+        left = {name: held.deadline - play.node.clock.now() for name, held in play.node.open_requests.items()}
         assert left["kept"] > 2_000_000 > left["plain"] and play.node.open() == 1
 
     played(story)
@@ -186,10 +186,10 @@
 
 def test_denials_are_503_with_the_advice_and_terminations_are_not() -> None:
     async def story(play: HandPlayed) -> None:
-        denied, terminated = (play.node.submitted(submission(name)) for name in "ab")
+        denied, terminated = (play.node.submit(submission(name)) for name in "ab")
         assert denied is not None and terminated is not None
-        play.node.deny(RejectRequest("a", 250_000))
-        play.node.terminate(FailRequest("b"))
+        play.node.reject(RejectRequest("a", 250_000))
+        play.node.fail(FailRequest("b"))
         assert denied.result().status == 503 and denied.result().headers == [("Retry-After", "0.250")]
         assert terminated.result().status == 502 and not terminated.result().headers
 
@@ -198,13 +198,13 @@
 
 def test_at_the_time_limit_dispatches_time_out_and_the_answer_is_out() -> None:
     async def story(play: HandPlayed) -> None:
-        answer = play.node.submitted(submission("a", grade="cash", patience=240_000))
+        answer = play.node.submit(submission("a", grade="cash", patience=240_000))
         assert answer is not None
         (await play.sent("a")).reply(202)
         status = (await asyncio.wait_for(answer, 5.0)).status
         assert status not in (200, 429, 503)
         await play.settle()
-        assert play.outcomes() == [AttemptOutcome.TIMED_OUT] and not play.node.held
+        assert play.outcomes() == [AttemptOutcome.TIMED_OUT] and not play.node.open_requests
         assert play.asked[-1].build().method == "DELETE"  # nobody waits for it any more
 
     played(story)
@@ -214,20 +214,20 @@
 def test_some_of_the_clients_time_is_kept_for_the_ways(patience: int, kept: int) -> None:
     async def story(play: HandPlayed) -> None:
         before = play.node.clock.now()
-        play.node.submitted(submission("a", patience=patience))
+        play.node.submit(submission("a", patience=patience))
         after = play.node.clock.now()
-        assert before <= play.node.held["a"].limit_at - patience + kept <= after
+        assert before <= play.node.open_requests["a"].deadline - patience + kept <= after
 
     played(story)
 
 
 def test_in_a_stop_nothing_is_taken_that_a_kill_could_find_open() -> None:
     async def story(play: HandPlayed) -> None:
-        play.node.submitted(submission("a", patience=9_000_000))
+        play.node.submit(submission("a", patience=9_000_000))
         play.node.shorten(play.node.loop.time() + 2.0)
-        play.node.submitted(submission("b", patience=9_000_000))
-        play.node.submitted(submission("c", patience=900_000))
-        left = [play.node.held[name].limit_at - play.node.clock.now() for name in "abc"]
+        play.node.submit(submission("b", patience=9_000_000))
+        play.node.submit(submission("c", patience=900_000))
+        left = [play.node.open_requests[name].deadline - play.node.clock.now() for name in "abc"]
         assert left[0] > 8_000_000 and 1_000_000 < left[1] < 2_000_000 and left[2] < 900_000
 
     played(story)
@@ -241,8 +241,8 @@
             told.extend(news)
             raise ValueError("out of sorts")
 
-        play.node.dispatcher.turn = broken  # type: ignore[method-assign]
-        answer = play.node.submitted(submission("a", patience=60_000))
+        play.node.scheduler.step = broken  # type: ignore[method-assign]
+        answer = play.node.submit(submission("a", patience=60_000))
         assert answer is not None and (await asyncio.wait_for(answer, 5.0)).status == 504
         assert any("out of sorts" in line for line in play.lines_logged)
         await play.settle()
@@ -255,11 +255,11 @@
     monkeypatch.setattr("locktide.dispatcher.attempts.LAST_REPLY", 0.02)
 
     async def story(play: HandPlayed) -> None:
-        play.node.submitted(submission("a", patience=200_000))
+        play.node.submit(submission("a", patience=200_000))
         shot = await play.sent("a")
         play.call("a", shot.worker, "done")
         await play.settle()
-        assert not play.node.held and play.node.tasks
+        assert not play.node.open_requests and play.node.tasks
         while play.node.tasks:
             await asyncio.sleep(0.005)
         assert shot.cancelled and play.outcomes() == [AttemptOutcome.DONE]
@@ -269,25 +269,25 @@
 
 def test_what_a_worker_turns_away_as_such_is_a_400_and_goes_nowhere_else() -> None:
     async def story(play: HandPlayed) -> None:
-        answer = play.node.submitted(submission("a"))
+        answer = play.node.submit(submission("a"))
         assert answer is not None
         (await play.sent("a")).reply(404)
         await play.settle()
         assert answer.result().status == 400 and play.outcomes() == [AttemptOutcome.UNPROCESSABLE]
-        assert len(play.asked) == 1 and not play.node.held
+        assert len(play.asked) == 1 and not play.node.open_requests
 
     played(story)
 
 
 def test_an_id_that_is_open_is_not_taken_twice() -> None:
     async def story(play: HandPlayed) -> None:
-        assert play.node.submitted(submission("a")) is not None
-        assert play.node.submitted(submission("a")) is None
+        assert play.node.submit(submission("a")) is not None
+        assert play.node.submit(submission("a")) is None
         shot = await play.sent("a")
         shot.reply(202)
         play.call("a", shot.worker, "done")
         await play.settle()
-        assert not play.node.held and play.node.submitted(submission("a")) is None
+        assert not play.node.open_requests and play.node.submit(submission("a")) is None
 
     played(story)
 
@@ -305,7 +305,7 @@
 
 def test_a_job_sent_before_the_worker_last_started_is_lost_and_a_later_one_is_not() -> None:
     async def story(play: HandPlayed) -> None:
-        play.node.submitted(submission("a"))
+        play.node.submit(submission("a"))
         shot = await play.sent("a")
         shot.reply(202)
         await play.settle()
@@ -360,10 +360,10 @@
 def test_the_log_is_rate_limited_and_says_so(capsys: pytest.CaptureFixture[str]) -> None:
     log = Log("n0")
     for number in range(3 * BURST):
-        log.say(f"line {number}")
-    log.say("of another kind", "clients")
+        log.emit(f"line {number}")
+    log.emit("of another kind", "clients")
     log.rates[""].level = 1.0
-    log.say("last")
+    log.emit("last")
     lines = capsys.readouterr().err.splitlines()
     assert BURST < len(lines) < 2 * BURST and "lines before this one left out" in lines[-1]
     assert lines[-2].endswith("of another kind")
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -92,24 +92,24 @@
 
 
 def first_list_only(self: Any, update: Any) -> None:
-    if update.whole:
+    if update.is_snapshot:
         TAKE_LIST(self, update)
 
 
-ANSWER, ASK, TAKE_LIST = DispatcherBase.answer, UpstreamPool.ask, EndpointFollower.take_list
+ANSWER, ASK, TAKE_LIST = DispatcherBase.respond, UpstreamPool.send, EndpointFollower.apply_endpoint_list
 WHILE = "speak " * 20
 SEEDED = [
     ("gone", ClientConnection, "leave", ignore, story("view close", WHILE, "break")),
     (
         "drain",
         EndpointFollower,
-        "take_list",
+        "apply_endpoint_list",
         first_list_only,
         story("leaving:0 leaving:1", WHILE, "view " * 4),
     ),
     ("copies", dispatches, "give_up", told_at_once, story("view take", WHILE)),
-    ("twice", UpstreamPool, "ask", never_ran, story("cash break")),
-    ("lost", DispatcherBase, "answer", none_to_the_first, story("view take done")),
+    ("twice", UpstreamPool, "send", never_ran, story("cash break")),
+    ("lost", DispatcherBase, "respond", none_to_the_first, story("view take done")),
     ("descriptors", DescriptorBudget, "release", ignore, story("view take done")),
 ]
 
--- a/tests/test_parsed_values.py
+++ b/tests/test_parsed_values.py
@@ -116,25 +116,38 @@
     ),
     tenants.Tenant: ("script-tenant", "name rate weight share skew home idle"),
     tenants.Agreed: ("script-accord", "on reserve spare burst lend resource beyond"),
-    EndpointEntry: ("listed", "worker zone kind cell state rating started_at"),
+    EndpointEntry: ("listed", "worker zone kind=worker_type cell state rating started_at"),
     ServiceClass: (
         "grade",
-        "name effect group memory_span soft_limit stretch time_limit revenue overdue_revenue kind "
-        "kinds zones",
+        "name effect group=deduplication_scope memory_span=deduplication_window "
+        "soft_limit=latency_objective stretch time_limit=timeout revenue=priority_weight "
+        "overdue_revenue=overdue_weight kind=worker_type "
+        "kinds=allowed_worker_types zones=allowed_zones",
     ),
-    RetryConfig: ("dispatch-terms", "most_dispatches may_withdraw counts_unsent"),
-    ClientConfig: ("client-terms", "longest_advice"),
-    QuotaConfig: ("share-terms", "quotas beyond_share"),
-    ObjectiveConfig: ("goal-terms", "worst_grade"),
-    SlowStartConfig: ("cold-terms", "factor window cold_from warm_after margin"),
-    EndpointListConfig: ("list-terms", "must_ask ask_within live hang_up_within told_within"),
-    ProgressConfig: ("sign-terms", "tells_start progress_every"),
-    CostConfig: ("price-terms", "connection crossing zone idle_close"),
+    RetryConfig: ("dispatch-terms", "most_dispatches=max_attempts may_withdraw=can_cancel counts_unsent"),
+    ClientConfig: ("client-terms", "longest_advice=max_retry_after"),
+    QuotaConfig: ("share-terms", "quotas beyond_share=beyond_quota_weight"),
+    ObjectiveConfig: ("goal-terms", "worst_grade=worst_class_weight"),
+    SlowStartConfig: (
+        "cold-terms",
+        "factor=overload_factor window cold_from=initial_capacity warm_after=warmup " "margin",
+    ),
+    EndpointListConfig: (
+        "list-terms",
+        "must_ask=polled ask_within=poll_within live=live_ratings "
+        "hang_up_within=close_idle_within told_within=notified_within",
+    ),
+    ProgressConfig: ("sign-terms", "tells_start=reports_start progress_every=report_interval"),
+    CostConfig: ("price-terms", "connection crossing=cross_zone zone idle_close=idle_timeout"),
     start.Start: (
         "start",
-        "name listen discovery seed descriptors memory known connect_within idle_close terms",
+        "name listen discovery seed descriptors memory known=cached_endpoints "
+        "connect_within idle_close terms=scheduler_config",
+    ),
+    discovery.DiscoveryUpdate: (
+        "list-update",
+        "version whole=is_snapshot entries addresses unclear=unreadable faults",
     ),
-    discovery.DiscoveryUpdate: ("list-update", "version whole entries addresses unclear faults"),
     AccordTerms: ("accord-terms", "who address electors seeds budgets reserve most seed lend ledger"),
     QuotaSpec: ("budget", "name rate burst lends"),
     LedgerTerms: ("ledger-terms", "resources weights needs each longest"),
@@ -178,7 +191,7 @@
     return dict(zip(SECTIONS, configuration, strict=True))
 
 
-SPECIAL: dict[tuple[type, str], Callable[[Any], Any]] = {(start.Start, "terms"): sections}
+SPECIAL: dict[tuple[type, str], Callable[[Any], Any]] = {(start.Start, "scheduler_config"): sections}
 
 
 def parse_start(path: Path) -> dict[str, Any]:
@@ -190,7 +203,7 @@
         "start": begun,
         "with variables": start.read(variables),
         "again": start.read(variables, again=True),
-        "known list": discovery.read(begun.known, "known"),
+        "known list": discovery.read(begun.cached_endpoints, "known"),
     }
 
 
@@ -200,7 +213,7 @@
     return {
         "installation": parsed,
         "start": begun,
-        "known list": discovery.read(begun.known, "known"),
+        "known list": discovery.read(begun.cached_endpoints, "known"),
         "durable": durable_terms(parsed.durable),
         "accord": accord_terms(parsed),
     }
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -75,8 +75,8 @@
     for number, body in enumerate(bodies):
         one = found[2 * number]
         assert isinstance(one, clients.SubmitRequest)
-        assert (one.id, one.grade, one.target) == (f"id{number}", "record", f"/record?obj={number}")
-        assert (one.body, one.width, one.retry, one.patience) == (body, 2.0, True, 480_000)
+        assert (one.id, one.service_class, one.target) == (f"id{number}", "record", f"/record?obj={number}")
+        assert (one.body, one.width, one.is_retry, one.timeout) == (body, 2.0, True, 480_000)
         told = workers.job(one, 1234)
         onward = dict(told.headers)
         assert onward[b"Idempotency-Key"] == b"k%d" % number and onward[b"X-Note"] == b"caf\xe9"
@@ -241,7 +241,7 @@
 def test_a_list_is_read_with_start_times_in_microseconds_of_unix_time() -> None:
     sheet = discovery.parse(json.dumps({"rev": 4, "all": False, "targets": [ENTRY]}).encode())
     assert sheet.entries == [EndpointEntry("s-1", "a", "m", 3, EndpointState.READY, 1.5, 1796122933760000)]
-    assert (sheet.version, sheet.whole, sheet.addresses) == (4, False, {"s-1": ("127.0.0.1", 7070)})
+    assert (sheet.version, sheet.is_snapshot, sheet.addresses) == (4, False, {"s-1": ("127.0.0.1", 7070)})
     assert discovery.question(4, 1000).target == "/registry/instances?after=4&wait_ms=1000"
 
 
@@ -269,7 +269,7 @@
     assert (one.name, one.listen, one.discovery) == ("n4", ("127.0.0.9", 1), ("127.0.0.1", 8500))
     assert (one.seed, one.descriptors) == (0x8C1F30D27A5BE964, 300)
     assert (one.idle_close, one.connect_within) == (30_000_000, 250_000)
-    assert one.terms[2][0].time_limit == 6_000_000 and one.terms[1] == 1
+    assert one.scheduler_config[2][0].timeout == 6_000_000 and one.scheduler_config[1] == 1
     moved = {"GW_CONFIG": str(tmp_path / "start.json"), "GW_DISCOVERY": "127.0.0.9:2"}
     assert start.read(moved).discovery == ("127.0.0.9", 2)
     assert start.read(moved, again=True).discovery == ("127.0.0.1", 8500)  # at a reload the file counts
--- a/tests/test_recorded_decisions.py
+++ b/tests/test_recorded_decisions.py
@@ -75,15 +75,15 @@
 
 
 COMMANDS: dict[type, Rendering] = {
-    StartAttempt: Rendering("dispatch", ("submission", "worker", "before")),
-    CancelAttempt: Rendering("cancel", ("submission", "number")),
-    RejectRequest: Rendering("reject", ("submission", "come_back_after")),
-    FailRequest: Rendering("fail", ("submission",)),
-    SetTimer: Rendering("wake", ("after", "mark")),
+    StartAttempt: Rendering("dispatch", ("request_id", "worker", "send_before")),
+    CancelAttempt: Rendering("cancel", ("request_id", "attempt")),
+    RejectRequest: Rendering("reject", ("request_id", "retry_after")),
+    FailRequest: Rendering("fail", ("request_id",)),
+    SetTimer: Rendering("wake", ("delay", "timer_id")),
     CloseIdleConnections: Rendering("close", ("worker",)),
-    WatchEndpoints: Rendering("watch", ("on",)),
+    WatchEndpoints: Rendering("watch", ("enabled",)),
     FetchEndpoints: Rendering("fetch", ()),
-    ReportInternalError: Rendering("internal-error", ("submission",)),  # without the traceback's text
+    ReportInternalError: Rendering("internal-error", ("request_id",)),  # without the traceback's text
     LogMessage: Rendering("log", ()),  # without its text
 }
 NEVER_ORDERED = {"fetch"}  # no rule orders it
@@ -170,16 +170,16 @@
     return ServiceClass(
         name=one.name,
         effect=EFFECTS[one.effect],
-        group=SCOPES[one.scope],
-        memory_span=one.memory,
-        soft_limit=one.objective,
+        deduplication_scope=SCOPES[one.scope],
+        deduplication_window=one.memory,
+        latency_objective=one.objective,
         stretch=one.stretch,
-        time_limit=one.deadline,
-        revenue=one.revenue,
-        overdue_revenue=one.overdue,
-        kind=one.kind,
-        kinds=one.kinds,
-        zones=one.zones,
+        timeout=one.deadline,
+        priority_weight=one.revenue,
+        overdue_weight=one.overdue,
+        worker_type=one.kind,
+        allowed_worker_types=one.kinds,
+        allowed_zones=one.zones,
     )
 
 
@@ -189,33 +189,33 @@
         settings.fleet,
         [program_grade(one) for one in settings.classes],
         RetryConfig(
-            most_dispatches=settings.most_attempts,
-            may_withdraw=settings.may_cancel,
+            max_attempts=settings.most_attempts,
+            can_cancel=settings.may_cancel,
             counts_unsent=settings.counts_unsent,
         ),
-        ClientConfig(longest_advice=settings.longest_advice),
-        QuotaConfig(quotas=dict(settings.quotas), beyond_share=settings.beyond_quota),
-        ObjectiveConfig(worst_grade=settings.worst_class),
+        ClientConfig(max_retry_after=settings.longest_advice),
+        QuotaConfig(quotas=dict(settings.quotas), beyond_quota_weight=settings.beyond_quota),
+        ObjectiveConfig(worst_class_weight=settings.worst_class),
         SlowStartConfig(
-            factor=settings.cold_factor,
+            overload_factor=settings.cold_factor,
             window=settings.cold_window,
-            cold_from=settings.cold_from,
-            warm_after=settings.warm_after,
+            initial_capacity=settings.cold_from,
+            warmup=settings.warm_after,
             margin=settings.cold_margin,
         ),
         EndpointListConfig(
-            must_ask=settings.must_ask,
-            ask_within=settings.ask_within,
-            live=settings.live,
-            hang_up_within=settings.close_within,
-            told_within=settings.told_within,
+            polled=settings.must_ask,
+            poll_within=settings.ask_within,
+            live_ratings=settings.live,
+            close_idle_within=settings.close_within,
+            notified_within=settings.told_within,
         ),
-        ProgressConfig(tells_start=settings.tells_start, progress_every=settings.progress_every),
+        ProgressConfig(reports_start=settings.tells_start, report_interval=settings.progress_every),
         CostConfig(
             connection=settings.connection_price,
-            crossing=settings.crossing_price,
+            cross_zone=settings.crossing_price,
             zone=settings.zone,
-            idle_close=settings.idle_close,
+            idle_timeout=settings.idle_close,
         ),
     )
 
@@ -227,7 +227,7 @@
         self._dispatcher = Scheduler(seed, *program_terms(settings))
 
     def step(self, now: int, events: list[Any]) -> list[Any]:
-        return self._dispatcher.turn(now, events)
+        return self._dispatcher.step(now, events)
 
 
 def arrival(
@@ -242,15 +242,15 @@
     key: int | None = None,
 ) -> Any:
     return RequestArrived(
-        submission=request,
-        grade=class_name,
-        time_limit_at=deadline_at,
+        request_id=request,
+        service_class=class_name,
+        deadline=deadline_at,
         width=width,
         work_hint=hint,
         tenant=tenant,
-        retry=retry,
-        patient=patient,
-        key=key,
+        is_retry=retry,
+        background=patient,
+        affinity_key=key,
     )
 
 
@@ -260,35 +260,35 @@
 
 
 def recovered(request_arrival: Any, arrived_at: int, attempts: list[Any]) -> Any:
-    return RequestRecovered(arrival=request_arrival, arrived_at=arrived_at, dispatches=attempts)
+    return RequestRecovered(arrival=request_arrival, arrived_at=arrived_at, attempts=attempts)
 
 
 def sent(request: int, attempt: int) -> Any:
-    return AttemptSent(submission=request, number=attempt)
+    return AttemptSent(request_id=request, attempt=attempt)
 
 
 def started(request: int, attempt: int) -> Any:
-    return AttemptStarted(submission=request, number=attempt)
+    return AttemptStarted(request_id=request, attempt=attempt)
 
 
 def progressed(request: int, attempt: int, share: Any) -> Any:
-    return AttemptProgressed(submission=request, number=attempt, share=share)
+    return AttemptProgressed(request_id=request, attempt=attempt, fraction_done=share)
 
 
 def stream_began(request: int, attempt: int) -> Any:
-    return ResponseStarted(submission=request, number=attempt)
+    return ResponseStarted(request_id=request, attempt=attempt)
 
 
 def ended(request: int, attempt: int, outcome: str, final: bool) -> Any:
-    return AttemptEnded(submission=request, number=attempt, outcome=OUTCOMES[outcome], final=final)
+    return AttemptEnded(request_id=request, attempt=attempt, outcome=OUTCOMES[outcome], final=final)
 
 
 def client_gone(request: int) -> Any:
-    return ClientDisconnected(submission=request)
+    return ClientDisconnected(request_id=request)
 
 
 def timer_due(mark: int) -> Any:
-    return TimerFired(mark=mark)
+    return TimerFired(timer_id=mark)
 
 
 def probe_ended(worker: str, outcome: str) -> Any:
@@ -296,14 +296,14 @@
 
 
 def new_settings(settings: Settings) -> Any:
-    return ConfigReloaded(terms=program_terms(settings))
+    return ConfigReloaded(config=program_terms(settings))
 
 
 def listed(worker: str, zone: str, kind: str, cell: int, state: str, rating: float, started_at: int) -> Any:
     return EndpointEntry(
         worker=worker,
         zone=zone,
-        kind=kind,
+        worker_type=kind,
         cell=cell,
         state=STATES[state],
         rating=rating,
@@ -316,11 +316,13 @@
 
 
 def quota_stage(until: int, shares: dict[str, float], lent: dict[str, float]) -> Any:
-    return QuotaStage(until=until, parts=shares, lent=lent)
+    return QuotaStage(until=until, shares=shares, borrowed=lent)
 
 
 def quota_shares(stages: list[Any], over: Iterable[str], over_until: int) -> Any:
-    return QuotaSharesUpdated(stages=stages, over=frozenset(over), over_until=over_until)
+    return QuotaSharesUpdated(
+        stages=stages, over_fair_share=frozenset(over), over_fair_share_until=over_until
+    )
 
 
 EVENT_PARTS = {
@@ -1007,7 +1009,7 @@
         if isinstance(one, type) and one.__module__ == command_module.__name__
     }
     assert set(COMMANDS) == defined
-    left_out = {LogMessage: {"line"}, ReportInternalError: {"what"}}
+    left_out = {LogMessage: {"text"}, ReportInternalError: {"detail"}}
     for one, rendering in COMMANDS.items():
         names = {attribute.name for attribute in fields(one)}
         assert set(rendering.attributes) == names - left_out.get(one, set())
--- a/tests/test_rehearse.py
+++ b/tests/test_rehearse.py
@@ -293,17 +293,17 @@
     begun = installation.start(told, 5)
     assert begun.listen == ("127.0.0.1", 7070) and begun.idle_close == 15_000_000
     assert (
-        not begun.terms[8].live
-        and not begun.terms[8].must_ask
-        and begun.terms[10] == CostConfig(idle_close=15_000_000)
+        not begun.scheduler_config[8].live_ratings
+        and not begun.scheduler_config[8].polled
+        and begun.scheduler_config[10] == CostConfig(idle_timeout=15_000_000)
     )
     told.workers.ratings, told.serve.zone, told.serve.ask = "live", "north", True
     told.worth.connection, told.worth.crossing, told.worth.worst_grade = 0.05, 0.02, 0.3
     told.tenant = [installation.Tenant("dairy", 4.0)]
-    moved = installation.start(told, 5).terms
-    assert moved[8].live and moved[8].must_ask and moved[5].quotas == {"dairy": 4.0}
+    moved = installation.start(told, 5).scheduler_config
+    assert moved[8].live_ratings and moved[8].polled and moved[5].quotas == {"dairy": 4.0}
     assert moved[10] == CostConfig(0.05, 0.02, "north", 15_000_000) and moved[6].worst_grade == 0.3
-    grades = begun.terms[2]
+    grades = begun.scheduler_config[2]
     assert [grade.effect for grade in grades] == ["reissuable", "numbered"]
     assert grades[1].memory_span == 40_000_000 and grades[1].time_limit == 25_000_000
     for part in ("serve", "limits", "log", "dispatches", "workers", "worth", "accord"):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -58,8 +58,8 @@
             elif draw < 0.21 and submitted not in service.answered:
                 service.turn(ClientDisconnected(submitted))
         for order in [order for order in service.orders if type(order) is CancelAttempt]:
-            if (order.submission, order.number) in service.out() and dice.random() < 0.7:
-                service.end(order.submission, order.number, AttemptOutcome.CANCELLED)
+            if (order.request_id, order.attempt) in service.out() and dice.random() < 0.7:
+                service.end(order.request_id, order.attempt, AttemptOutcome.CANCELLED)
         if dice.random() < 0.1:
             place = dice.randrange(len(names))
             state = dice.choice(
@@ -96,7 +96,7 @@
     service.pass_time(STEP)
     service.arrive(2, "cash")
     orders = service.list(listed("w"))
-    assert [order.submission for order in orders if type(order) is StartAttempt] == [1]
+    assert [order.request_id for order in orders if type(order) is StartAttempt] == [1]
 
 
 def test_full_rejoins_and_may_go_anywhere() -> None:
@@ -378,7 +378,7 @@
     told = list(terms(3, 2, False, 0.4))
     told[2] = grades
     dispatcher = Scheduler(1, *told)
-    dispatcher.turn(0, [EndpointListUpdate(ListUpdateKind.SNAPSHOT, [listed("w")])])
+    dispatcher.step(0, [EndpointListUpdate(ListUpdateKind.SNAPSHOT, [listed("w")])])
     assert dispatcher.list.workers["w"].cap == slots
 
 
@@ -415,7 +415,7 @@
     """Durable jobs were denied within milliseconds when four workers had no room, with minutes left."""
     service = Checked()
     service.list(*[listed(f"w{number}") for number in range(3)])
-    service.turn(RequestArrived(1, "record", service.now + 60_000_000, patient=True))
+    service.turn(RequestArrived(1, "record", service.now + 60_000_000, background=True))
     full = 0
     for _ in range(5_000_000 // STEP):
         for submission, shot in service.out():
@@ -436,8 +436,8 @@
     """A job that may have run waits on after the window: its client set no end to that."""
     service = Checked()
     service.list(listed("w0"))
-    service.turn(RequestArrived(1, "record", service.now + 60_000_000, patient=True))
-    window_ends_at = service.dispatches[1][0]["at"] + service.grades["record"].memory_span
+    service.turn(RequestArrived(1, "record", service.now + 60_000_000, background=True))
+    window_ends_at = service.dispatches[1][0]["at"] + service.grades["record"].deduplication_window
     service.end(1, 0, AttemptOutcome.RESET)
     service.pass_time(1_000_000)
     assert len(service.dispatches[1]) == 1, "a repeat goes to another worker of its cell, and there is none"
@@ -474,7 +474,7 @@
     for number in range(60):
         bad, submission = number % 2 == 0, number
         limit_at, about = service.now + 3_000_000, key if bad else 9
-        service.turn(RequestArrived(submission, "view", limit_at, tenant=tenant, key=about))
+        service.turn(RequestArrived(submission, "view", limit_at, tenant=tenant, affinity_key=about))
         for _ in range(4):
             service.pass_time(STEP)
             for one, shot in service.out():
@@ -511,11 +511,11 @@
     def met(seed: int, key: int, listing: list[str], count: int = 1) -> list[str]:
         service = Checked(seed, fleet=3)
         for submission in range(1_000, 1_040):  # others, for which there is no worker yet
-            service.turn(RequestArrived(submission, "view", service.now + 3_000_000, key=submission))
+            service.turn(RequestArrived(submission, "view", service.now + 3_000_000, affinity_key=submission))
         service.pass_time(1_000_000)
         service.list(*[listed(name) for name in listing])
         for submission in range(count):
-            service.turn(RequestArrived(submission, "view", service.now + 3_000_000, key=key))
+            service.turn(RequestArrived(submission, "view", service.now + 3_000_000, affinity_key=key))
         service.pass_time(400_000)
         return [shots[0]["worker"] for one, shots in service.dispatches.items() if shots and one < count]
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -31,7 +31,7 @@
     lines, found = UpstreamPool(DescriptorBudget(10), 500_000, 400_000), []
     question = UpstreamRequest("POST", "/view", [], body)
     for _ in range(times):
-        found.append(await lines.ask("w", address, lambda: question, lambda: None))
+        found.append(await lines.send("w", address, lambda: question, lambda: None))
     listening.close()
     return found, lines
 
@@ -69,10 +69,10 @@
             taken.bind(("127.0.0.1", 0))
             lines = UpstreamPool(DescriptorBudget(10), 500_000, 400_000)
             question = UpstreamRequest("POST", "/view", [])
-            outcome = await lines.ask("w", taken.getsockname(), lambda: question, lambda: None)
+            outcome = await lines.send("w", taken.getsockname(), lambda: question, lambda: None)
             assert outcome == AttemptOutcome.NO_CONNECTION and lines.descriptors.used == 0
         full = UpstreamPool(DescriptorBudget(0), 10_000, 400_000)
-        assert await full.ask("w", ("127.0.0.1", 9), lambda: None, lambda: None) == AttemptOutcome.NEVER_SENT
+        assert await full.send("w", ("127.0.0.1", 9), lambda: None, lambda: None) == AttemptOutcome.NEVER_SENT
 
     asyncio.run(run())
 
@@ -128,7 +128,7 @@
         lines = UpstreamPool(DescriptorBudget(10), 500_000, 400_000)
         question = UpstreamRequest("POST", "/view", [], b"x" * 100)
         for _ in range(2):
-            reply = await lines.ask("w", address, lambda: question, lambda: None)
+            reply = await lines.send("w", address, lambda: question, lambda: None)
             assert isinstance(reply, UpstreamResponse)
             while lines.idle["w"] and lines.idle["w"][0].fresh:
                 await asyncio.sleep(0.001)  # until its end has come
@@ -175,7 +175,7 @@
 
 
 async def listening_to(clerk: Clerk, places: int = 64) -> tuple[Listener, Any]:
-    limits = {grade.name: grade.time_limit for grade in GRADES}
+    limits = {grade.name: grade.timeout for grade in GRADES}
     server = Listener(DescriptorBudget(places), dict(limits), set(), 200_000, clerk, Log("n0"))
     address = free_address()
     server.listen(address)
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -97,13 +97,13 @@
     async def run() -> None:
         agent, player, stop = Agent(), HandPlayed(), asyncio.Event()
         agent.changed, agent.silent, node = ("w0", "w1"), silent, player.node
-        node.connections.sweep = lambda: None  # type: ignore[method-assign]
+        node.upstream.sweep = lambda: None  # type: ignore[method-assign]
         listening = await asyncio.start_server(agent.serve, "127.0.0.1", 0)
         node.discovery, node.listen_at = listening.sockets[0].getsockname(), free_address()
         running = asyncio.create_task(node.run(stop))
-        while not node.ready():
+        while not node.is_ready():
             await asyncio.sleep(0.002)
-        ready = [worker for worker in ("w0", "w1", "w2") if node.fleet.may_send(worker)]
+        ready = [worker for worker in ("w0", "w1", "w2") if node.endpoints.accepts_requests(worker)]
         assert ready == (["w0", "w1", "w2"] if silent else [])
         running.cancel()
         listening.close()
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -87,5 +87,5 @@
     def broken(self: object, now: int, news: list[object]) -> list[object]:
         raise ValueError("out of sorts")
 
-    monkeypatch.setattr(host.Scheduler, "turn", broken)
+    monkeypatch.setattr(host.Scheduler, "step", broken)
     assert replies(START + "EOB\n") == "AS DispatcherId=3\nGIVE_IN Line=ValueError: out of sorts\nEND\n"
--- a/tests/test_withdrawals.py
+++ b/tests/test_withdrawals.py
@@ -25,12 +25,12 @@
 
 async def withdrawn(play: HandPlayed, taken: bool = True) -> Asked:
     play.node.connect_within = 5_000
-    play.node.submitted(submission("a"))
+    play.node.submit(submission("a"))
     asked = await play.sent("a")
     if taken:
         asked.reply(202)
     await play.settle()
-    play.node.withdraw(CancelAttempt("a", 0))
+    play.node.cancel_attempt(CancelAttempt("a", 0))
     await play.settle()
     return asked
 
@@ -99,7 +99,7 @@
             if word:
                 play.call("a", asked.worker, word, b"result")
             else:
-                play.node.time_out(play.node.held["a"])
+                play.node.time_out(play.node.open_requests["a"])
             await play.settle()
             assert play.outcomes() == [AttemptOutcome.DONE if word else AttemptOutcome.TIMED_OUT]
             for _ in range(2):
