--- a/locktide/bench_adapter/wire.py
+++ b/locktide/bench_adapter/wire.py
@@ -218,7 +218,7 @@
         return "FETCH"
     if type(order) is ReportInternalError:  # a fault of ours is handed in here, not lived with
         raise RuntimeError(order.detail)
-    return "WRITE_LOG Line=" + " ".join(order.line.split())
+    return "WRITE_LOG Line=" + " ".join(order.text.split())
 
 
 def terms(text: str) -> tuple[Any, ...]:
--- a/tests/test_rehearse.py
+++ b/tests/test_rehearse.py
@@ -305,7 +305,7 @@
     assert moved[10] == CostConfig(0.05, 0.02, "north", 15_000_000) and moved[6].worst_grade == 0.3
     grades = begun.scheduler_config[2]
     assert [grade.effect for grade in grades] == ["reissuable", "numbered"]
-    assert grades[1].memory_span == 40_000_000 and grades[1].time_limit == 25_000_000
+    assert grades[1].deduplication_window == 40_000_000 and grades[1].timeout == 25_000_000
     for part in ("serve", "limits", "log", "dispatches", "workers", "worth", "accord"):
         shown = path.read_text().partition(f"[{part}]")[2].partition("\n[")[0]
         for field in getattr(told, part).__struct_fields__:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -11,7 +11,18 @@
 
 from locktide.bench_adapter import adapter as host
 from locktide.bench_adapter import wire
-from locktide.scheduler.commands import SetTimer
+from locktide.scheduler.commands import (
+    CancelAttempt,
+    CloseIdleConnections,
+    FailRequest,
+    FetchEndpoints,
+    LogMessage,
+    RejectRequest,
+    ReportInternalError,
+    SetTimer,
+    StartAttempt,
+    WatchEndpoints,
+)
 
 SETTINGS = json.dumps(
     {
@@ -89,3 +100,25 @@
 
     monkeypatch.setattr(host.Scheduler, "step", broken)
     assert replies(START + "EOB\n") == "AS DispatcherId=3\nGIVE_IN Line=ValueError: out of sorts\nEND\n"
+
+
+@pytest.mark.parametrize(
+    "command, line",
+    [
+        (StartAttempt(5, "w", 9), "FORWARD Corr=5 Worker=w"),
+        (CancelAttempt(5, 2), "WITHDRAW Corr=5 Shot=2"),
+        (RejectRequest(5, 1500), "REJECT Corr=5 ComeBack=1.500"),
+        (FailRequest(5), "FINISH_ERROR Corr=5"),
+        (CloseIdleConnections("w"), "CLOSE Worker=w"),
+        (WatchEndpoints(True), "STREAM_CHANGES Want=1"),
+        (FetchEndpoints(), "FETCH"),
+        (LogMessage("two \n words"), "WRITE_LOG Line=two words"),
+    ],
+)
+def test_each_command_has_its_line(command: object, line: str) -> None:
+    assert wire.line(command) == line
+
+
+def test_an_internal_error_has_no_line() -> None:
+    with pytest.raises(RuntimeError, match="out of sorts"):
+        wire.line(ReportInternalError(5, "out of sorts"))
