--- a/tests/test_rehearse.py
+++ b/tests/test_rehearse.py
@@ -302,7 +302,7 @@
     told.tenant = [installation.Tenant("dairy", 4.0)]
     moved = installation.start(told, 5).scheduler_config
     assert moved[8].live_ratings and moved[8].polled and moved[5].quotas == {"dairy": 4.0}
-    assert moved[10] == CostConfig(0.05, 0.02, "north", 15_000_000) and moved[6].worst_grade == 0.3
+    assert moved[10] == CostConfig(0.05, 0.02, "north", 15_000_000) and moved[6].worst_class_weight == 0.3
     grades = begun.scheduler_config[2]
     assert [grade.effect for grade in grades] == ["reissuable", "numbered"]
     assert grades[1].deduplication_window == 40_000_000 and grades[1].timeout == 25_000_000
