One typed SchedulerConfig in place of a tuple of eleven

Cause: the configuration of the scheduler was a bare tuple read by position. Change: SchedulerConfig names its sections; Scheduler, ConfigReloaded and Start carry it, and config.settings.scheduler_config and bench_adapter.wire.scheduler_config return it.

--- a/locktide/bench_adapter/adapter.py
+++ b/locktide/bench_adapter/adapter.py
@@ -74,8 +74,8 @@
             elif message == "SPAWN":
                 if current is None:
                     raise wire.Malformed("expected a TO line before SPAWN")
-                terms = wire.terms(fields["Config"])
-                self.instances[current] = Scheduler(wire.integer(fields, "RngSeed"), *terms)
+                config = wire.scheduler_config(fields["Config"])
+                self.instances[current] = Scheduler(wire.integer(fields, "RngSeed"), config)
                 news[current] = []
             elif message == "RETIRE":
                 if current is not None:
--- a/locktide/bench_adapter/wire.py
+++ b/locktide/bench_adapter/wire.py
@@ -19,6 +19,7 @@
     StartAttempt,
     WatchEndpoints,
 )
+from locktide.scheduler.config import SchedulerConfig
 from locktide.scheduler.events import (
     AttemptEnded,
     AttemptProgressed,
@@ -221,9 +222,9 @@
     return "WRITE_LOG Line=" + " ".join(order.text.split())
 
 
-def terms(text: str) -> tuple[Any, ...]:
-    """The start terms out of the settings, as `rules.Dispatcher` takes them after the seed."""
+def scheduler_config(text: str) -> SchedulerConfig:
+    """Reads the configuration of the scheduler out of the settings of a SPAWN line."""
     try:
-        return settings.terms(Table(json.loads(text), "Config"))
+        return settings.scheduler_config(Table(json.loads(text), "Config"))
     except (ConfigError, ValueError) as trouble:
         raise Malformed(f"expected settings as on the wire page: {trouble}") from None
--- a/locktide/config/settings.py
+++ b/locktide/config/settings.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from math import inf
-from typing import Any
 
 from locktide.config.checks import ConfigError, Table, number
 from locktide.scheduler.config import (
@@ -14,6 +13,7 @@
     ProgressConfig,
     QuotaConfig,
     RetryConfig,
+    SchedulerConfig,
     ServiceClass,
     SlowStartConfig,
 )
@@ -59,12 +59,12 @@
     return found
 
 
-def terms(told: Table) -> tuple[Any, ...]:
-    """The start terms, as `rules.Dispatcher` takes them after the seed."""
+def scheduler_config(told: Table) -> SchedulerConfig:
+    """Reads the configuration of the scheduler out of the settings; ConfigError names a faulty key."""
     domain, ceilings = told.table("Domain", {}), told.table("Ceilings", {})
     limits, prices = told.table("Rules", {}), told.table("Prices", {})
     quotas = {realm.text("Name"): realm.number("QuotaPerS", 0.0) for realm in told.tables("Realms", [])}
-    return (
+    return SchedulerConfig(
         told.span("Step", 1.0),
         told.whole("FleetSize", 1, least=1),
         grades(told, domain),
--- a/locktide/config/start.py
+++ b/locktide/config/start.py
@@ -8,7 +8,8 @@
 from typing import Any
 
 from locktide.config.checks import ConfigError, Table
-from locktide.config.settings import terms
+from locktide.config.settings import scheduler_config
+from locktide.scheduler.config import SchedulerConfig
 
 Address = tuple[str, int]
 
@@ -24,7 +25,7 @@
     cached_endpoints: Any  # the remembered list, in discovery's form
     connect_within: int
     idle_close: int  # workers close connections that stood idle so long
-    scheduler_config: tuple[Any, ...]
+    scheduler_config: SchedulerConfig
 
 
 def address(key: str, text: str) -> Address:
@@ -75,5 +76,5 @@
         whole.table("known", {"rev": 0, "all": True, "targets": []}).raw,
         ceilings.span("ConnectTimeout", 250.0),
         ceilings.span("IdleClose", 15000.0),
-        terms(told),
+        scheduler_config(told),
     )
--- a/locktide/dispatcher/dispatcher.py
+++ b/locktide/dispatcher/dispatcher.py
@@ -26,7 +26,6 @@
     StartAttempt,
     WatchEndpoints,
 )
-from locktide.scheduler.config import EndpointListConfig, RetryConfig, ServiceClass, SlowStartConfig
 from locktide.scheduler.events import ConfigReloaded, EndpointListUpdate
 from locktide.scheduler.policy import Scheduler
 from locktide.scheduler.types import Effect, ListUpdateKind
@@ -58,14 +57,14 @@
 
 def with_socket_terms(start: Start) -> Start:
     """What the platform's sockets add to the settings; in new terms, as others may hold those given."""
-    dispatching: RetryConfig = start.scheduler_config[3]
-    cold: SlowStartConfig = start.scheduler_config[7]
-    listing: EndpointListConfig = start.scheduler_config[8]
-    terms = list(start.scheduler_config)
-    terms[3] = replace(dispatching, counts_unsent=False)  # one counts once its last byte has come
-    terms[7] = replace(cold, margin=COLD_MARGIN)
-    terms[8] = replace(listing, notified_within=TOLD_WITHIN)
-    return replace(start, scheduler_config=tuple(terms))
+    config = start.scheduler_config
+    config = replace(
+        config,
+        retry=replace(config.retry, counts_unsent=False),  # one counts once its last byte has come
+        slow_start=replace(config.slow_start, margin=COLD_MARGIN),
+        endpoint_list=replace(config.endpoint_list, notified_within=TOLD_WITHIN),
+    )
+    return replace(start, scheduler_config=config)
 
 
 class Dispatcher(EndpointFollower):
@@ -75,7 +74,7 @@
         super().__init__()
         loop, system, start = asyncio.get_running_loop(), system or RealSystem(), with_socket_terms(start)
         self.loop, self.log, self.clock = loop, log, Clock(loop, system.wall)
-        self.scheduler = Scheduler(start.seed, *start.scheduler_config)
+        self.scheduler = Scheduler(start.seed, start.scheduler_config)
         to_clients, to_workers = divide(start.descriptors)
         self.upstream = UpstreamPool(to_workers, start.connect_within, start.idle_close)
         most_stored = (start.memory - OURS) // 2
@@ -149,8 +148,8 @@
 
     def apply_config(self, start: Start) -> None:
         """The settings that may change while we serve; name, address, seed and limits are the process's."""
-        grades: list[ServiceClass] = start.scheduler_config[2]
-        self.endpoint_list_config: EndpointListConfig = start.scheduler_config[8]
+        grades = start.scheduler_config.service_classes
+        self.endpoint_list_config = start.scheduler_config.endpoint_list
         self.connect_within = start.connect_within
         self.upstream.set_spans(start.connect_within, start.idle_close)
         # In place: connections that are kept go by them, too.
--- a/locktide/scheduler/config.py
+++ b/locktide/scheduler/config.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -114,3 +115,34 @@
 
     reports_start: bool
     report_interval: int
+
+
+@dataclass(frozen=True, slots=True)
+class SchedulerConfig:
+    """What a scheduler is configured with at its start and at a reload.
+
+    Attributes:
+        round_interval: time between two rounds of the pool, in microseconds.
+        dispatcher_count: dispatchers that share the workers, this one included.
+        service_classes: the service classes that requests may name; at least one.
+        retry: how often and how a request may be attempted.
+        clients: what clients may be advised.
+        quotas: request rates granted to tenants.
+        objective: what the service is measured by.
+        slow_start: how little a freshly started worker takes.
+        endpoint_list: how the list of workers is obtained.
+        progress: what workers report of a running job.
+        costs: what an attempt costs beside its work.
+    """
+
+    round_interval: int
+    dispatcher_count: int
+    service_classes: Sequence[ServiceClass]
+    retry: RetryConfig
+    clients: ClientConfig
+    quotas: QuotaConfig
+    objective: ObjectiveConfig
+    slow_start: SlowStartConfig
+    endpoint_list: EndpointListConfig
+    progress: ProgressConfig
+    costs: CostConfig
--- a/locktide/scheduler/events.py
+++ b/locktide/scheduler/events.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from locktide.scheduler.config import SchedulerConfig
+
 
 @dataclass(slots=True)
 class EndpointEntry:
@@ -115,10 +117,12 @@
 
 @dataclass(slots=True)
 class ConfigReloaded:
-    """The start terms anew, in their order: they hold from now on, also for what is open, but for the grade
-    that each submission came with."""
+    """A configuration in place of the one before, in force from now on.
+
+    It holds for open requests, too; each of them keeps the service class that it arrived with.
+    """
 
-    config: tuple[Any, ...]
+    config: SchedulerConfig
 
 
 @dataclass(slots=True)
--- a/locktide/scheduler/policy/base.py
+++ b/locktide/scheduler/policy/base.py
@@ -5,17 +5,7 @@
 from typing import Any
 
 from locktide.scheduler.commands import CloseIdleConnections, LogMessage, ReportInternalError, SetTimer
-from locktide.scheduler.config import (
-    ClientConfig,
-    CostConfig,
-    EndpointListConfig,
-    ObjectiveConfig,
-    ProgressConfig,
-    QuotaConfig,
-    RetryConfig,
-    ServiceClass,
-    SlowStartConfig,
-)
+from locktide.scheduler.config import SchedulerConfig, ServiceClass
 from locktide.scheduler.estimators import DecayingSum, LinearCongruentialGenerator, RunTimeEstimator
 from locktide.scheduler.policy.endpoint import Endpoint
 from locktide.scheduler.policy.endpoint_list import EndpointList
@@ -30,7 +20,7 @@
 
 
 class Base:
-    def __init__(self, seed: int, *terms: Any) -> None:
+    def __init__(self, seed: int, config: SchedulerConfig) -> None:
         self.chance = LinearCongruentialGenerator(seed)
         # Ready workers to which what is bound alike may go; None: all of them. And for a key, nearest first.
         self.fitting: dict[PlacementConstraint | None, list[Endpoint]] = {}
@@ -50,24 +40,15 @@
         self.timers, self.round_timer = dict[int, Any](), False
         self.runs: dict[str, RunTimeEstimator] = {}
         self.known: dict[str, ServiceClass] = {}  # also those of earlier terms, as submissions may still come
-        self.cold, self.list = SlowStartBudget(terms[7]), EndpointList(terms[8])
-        self.set_terms(*terms)
+        self.cold, self.list = SlowStartBudget(config.slow_start), EndpointList(config.endpoint_list)
+        self.set_terms(config)
 
-    def set_terms(
-        self,
-        step: int,
-        fleet: int,
-        grades: list[ServiceClass],
-        dispatching: RetryConfig,
-        clients: ClientConfig,
-        shares: QuotaConfig,
-        goal: ObjectiveConfig,
-        cold: SlowStartConfig,
-        listing: EndpointListConfig,
-        signs: ProgressConfig,
-        prices: CostConfig,
-    ) -> None:
+    def set_terms(self, config: SchedulerConfig) -> None:
         """The terms from now on, at the start and in service. Submissions keep the grade they came with."""
+        step, fleet, grades = config.round_interval, config.dispatcher_count, config.service_classes
+        dispatching, clients, shares = config.retry, config.clients, config.quotas
+        goal, cold, listing = config.objective, config.slow_start, config.endpoint_list
+        signs, prices = config.progress, config.costs
         self.round_interval, self.grades = step, {grade.name: grade for grade in grades}
         self.known |= self.grades
         self.dispatching, self.clients, self.signs, self.prices = dispatching, clients, signs, prices
--- a/locktide/scheduler/policy/scheduler.py
+++ b/locktide/scheduler/policy/scheduler.py
@@ -132,7 +132,7 @@
     AttemptProgressed: Scheduler.take_progress,
     AttemptEnded: Scheduler.take_ended,
     ClientDisconnected: Scheduler.take_gone,
-    ConfigReloaded: lambda self, news: self.set_terms(*news.config),
+    ConfigReloaded: lambda self, news: self.set_terms(news.config),
     QuotaSharesUpdated: Scheduler.take_parts,
     TimerFired: Scheduler.take_timer,
 }
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -28,6 +28,7 @@
     ProgressConfig,
     QuotaConfig,
     RetryConfig,
+    SchedulerConfig,
     ServiceClass,
     SlowStartConfig,
 )
@@ -118,8 +119,8 @@
     worst_grade: float,
     live: bool = False,
     prices: CostConfig | None = None,
-) -> tuple[Any, ...]:
-    return (
+) -> SchedulerConfig:
+    return SchedulerConfig(
         STEP,
         fleet,
         [replace(grade) for grade in GRADES],
@@ -146,7 +147,7 @@
     ) -> None:
         self.fleet, self.now = fleet, 10_000_000
         self.most = 3
-        self.dispatcher = Scheduler(seed, *terms(self.most, fleet, must_ask, worst_grade, live, prices))
+        self.dispatcher = Scheduler(seed, terms(self.most, fleet, must_ask, worst_grade, live, prices))
         self.grades = {grade.name: grade for grade in GRADES}
         self.arrivals: dict[int, RequestArrived] = {}
         self.answered: dict[int, str] = {}
--- a/tests/test_bound.py
+++ b/tests/test_bound.py
@@ -17,16 +17,19 @@
 from locktide.protocol import discovery
 from locktide.protocol import server_connection as clients
 from locktide.scheduler.commands import CloseIdleConnections
+from locktide.scheduler.config import SchedulerConfig
 from locktide.scheduler.events import ConfigReloaded
 from locktide.scheduler.types import AttemptOutcome, EndpointState, ListUpdateKind
 from locktide.transport.log import Log
 
 
-def bound(hang_up: int = 0, **where: Any) -> tuple[Any, ...]:
-    told = list(terms(3, 1, False, 0.4))
-    told[2] = [replace(GRADES[0], **where), *told[2][1:]]
-    told[8] = replace(told[8], close_idle_within=hang_up)
-    return tuple(told)
+def bound(hang_up: int = 0, **where: Any) -> SchedulerConfig:
+    told = terms(3, 1, False, 0.4)
+    return replace(
+        told,
+        service_classes=[replace(GRADES[0], **where), *told.service_classes[1:]],
+        endpoint_list=replace(told.endpoint_list, close_idle_within=hang_up),
+    )
 
 
 @pytest.mark.parametrize(
@@ -127,9 +130,9 @@
         "ConfinedTo": ["a"],
         "KindsAllowed": ["big", "small"],
     }
-    told = settings.terms(Table({"ServiceGrades": [grade], "Rules": {"HangUpWithin": 250.0}}))
-    assert told[2][0].placement == (frozenset(["big", "small"]), frozenset(["a"]))
-    assert told[8].close_idle_within == 250_000
+    told = settings.scheduler_config(Table({"ServiceGrades": [grade], "Rules": {"HangUpWithin": 250.0}}))
+    assert told.service_classes[0].placement == (frozenset(["big", "small"]), frozenset(["a"]))
+    assert told.endpoint_list.close_idle_within == 250_000
     text = '[workers]\nhang_up = 0.25\n[[grade]]\nname = "view"\nmodels = ["big", "small"]\nzones = ["a"]\n'
     read = start.from_table(
         Table(
@@ -146,12 +149,13 @@
         {},
     )
     assert (
-        read.scheduler_config[2][0].placement == told[2][0].placement
-        and read.scheduler_config[8].close_idle_within == 250_000
+        read.scheduler_config.service_classes[0].placement == told.service_classes[0].placement
+        and read.scheduler_config.endpoint_list.close_idle_within == 250_000
     )
-    plain = settings.terms(Table({"ServiceGrades": [{**grade, "ConfinedTo": ["a"]}]}))
+    plain = settings.scheduler_config(Table({"ServiceGrades": [{**grade, "ConfinedTo": ["a"]}]}))
     del grade["ConfinedTo"], grade["KindsAllowed"]
-    assert settings.terms(Table({"ServiceGrades": [grade]}))[2][0].placement is None and plain[2][0].placement
+    assert settings.scheduler_config(Table({"ServiceGrades": [grade]})).service_classes[0].placement is None
+    assert plain.service_classes[0].placement
 
 
 @pytest.mark.parametrize(
@@ -165,5 +169,5 @@
 def test_a_faulty_bound_is_named(change: Any, key: str) -> None:
     grade = {"Name": "view", "Semantics": "free", "SoftLimit": 250.0, "TimeLimit": 9000.0}
     with pytest.raises(ConfigError) as found:
-        settings.terms(Table(json.loads(json.dumps({"ServiceGrades": [grade | change]}))))
+        settings.scheduler_config(Table(json.loads(json.dumps({"ServiceGrades": [grade | change]}))))
     assert key in str(found.value)
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -10,6 +10,7 @@
 from locktide.dispatcher import dispatcher as node_module
 from locktide.dispatcher import records
 from locktide.scheduler.commands import FailRequest, RejectRequest, SetTimer, StartAttempt
+from locktide.scheduler.config import SchedulerConfig
 from locktide.scheduler.events import (
     AttemptEnded,
     EndpointEntry,
@@ -64,7 +65,7 @@
 class Plain:
     """Sends each submission to the ready workers in turn, and keeps the rules where nothing goes wrong."""
 
-    def __init__(self, seed: int, *terms: Any) -> None:
+    def __init__(self, seed: int, config: SchedulerConfig) -> None:
         self.workers: dict[str, EndpointEntry] = {}
         self.kept: dict[str, RequestArrived] = {}
         self.turns = 0
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -20,6 +20,7 @@
     ProgressConfig,
     QuotaConfig,
     RetryConfig,
+    SchedulerConfig,
     ServiceClass,
     SlowStartConfig,
 )
@@ -71,7 +72,7 @@
                 None,
             ),
         ]
-        terms = (
+        config = SchedulerConfig(
             STEP,
             fleet,
             grades,
@@ -84,7 +85,7 @@
             ProgressConfig(True, 1_000_000),
             CostConfig(),
         )
-        self.fleet = [Scheduler(seed * 1000 + one, *terms) for one in range(fleet)]
+        self.fleet = [Scheduler(seed * 1000 + one, config) for one in range(fleet)]
         self.begun = 10_000_000
         self.names = [f"warm{one}" for one in range(warm)] + [f"cold{one}" for one in range(cold)]
         self.speed = {name: SPEEDS[place % 3] for place, name in enumerate(self.names)}
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -418,7 +418,7 @@
 
 def recovered(*shots: RecoveredAttempt, grade: str = "record") -> tuple[Scheduler, list[Any]]:
     """What the decisions make of a submission of an earlier process, over two seconds."""
-    decisions = Scheduler(1, *terms(3, 1, False, False, 0.4))
+    decisions = Scheduler(1, terms(3, 1, False, False, 0.4))
     now = 10_000_000
     entries = [listed("w0"), listed("w1", cell=1), listed("w2")]
     decisions.step(now, [EndpointListUpdate(ListUpdateKind.SNAPSHOT, entries)])
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -475,15 +475,16 @@
     async def story(play: HandPlayed) -> None:
         play.node.submit(submission("a", grade="record", patience=6_000_000))
         first = await (play.ordered if when == "ordered" else play.sent)("a")
-        told = list(terms(3, 1, False, 0.4))
+        told = terms(3, 1, False, 0.4)
         changed: dict[str, Any] = {
             "effect": Effect.AT_MOST_ONCE,
             "deduplication_window": 0,
             "timeout": 50_000,
         }
-        told[2] = [replace(grade, **changed) for grade in told[2]]
+        classes = [replace(grade, **changed) for grade in told.service_classes]
+        told = replace(told, service_classes=classes)
         here = ("127.0.0.1", 9)
-        play.node.reload(Start("n0", here, here, 7, 100, 80 << 20, {}, 250_000, 30_000_000, tuple(told)))
+        play.node.reload(Start("n0", here, here, 7, 100, 80 << 20, {}, 250_000, 30_000_000, told))
         if when == "ordered":
             assert first.build() is not None
             first.sent()
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -31,7 +31,7 @@
 def test_forty_that_start_together_all_get_the_list(seed: int, told_within: int) -> None:
     """A release killed 28 of 40 at once: all asked at once, again and again, and hardly one was told."""
     service, events = Calls(150_000, 2_000_000), []
-    fleet = [Scheduler(seed * 100 + me, *terms(4, 40, True, False, 0.4)) for me in range(40)]
+    fleet = [Scheduler(seed * 100 + me, terms(4, 40, True, False, 0.4)) for me in range(40)]
     for one in fleet:
         one.list.terms.notified_within = told_within
     for me in range(40):
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -7,6 +7,7 @@
 import random
 import signal
 from collections import Counter
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 from zlib import crc32
@@ -149,12 +150,11 @@
 
 def test_what_may_go_anywhere_leaves_the_kind_that_a_grade_is_bound_to() -> None:
     service = Checked(live=True)
-    told = list(terms(3, 3, False, 0.4, live=True))
-    told[2] = [
+    classes = [
         *GRADES,
         ServiceClass("bound", Effect.IDEMPOTENT, "", 0, 250_000, 2.0, 3_000_000, 5.0, 0.5, "slow"),
     ]
-    service.turn(ConfigReloaded(tuple(told)))
+    service.turn(ConfigReloaded(replace(terms(3, 3, False, 0.4, live=True), service_classes=classes)))
     service.list(*[listed(f"w{n}", rating=8.0, kind="slow" if n < 5 else "fast") for n in range(10)])
     for submission in range(200):
         service.arrive(submission, "view")
@@ -251,9 +251,8 @@
 def test_what_is_open_keeps_its_grade_when_that_goes() -> None:
     service = Checked()
     service.arrive(1, "cash")
-    told = list(HERE)
-    told[2] = [grade for grade in GRADES if grade.name != "cash"]
-    service.turn(ConfigReloaded(tuple(told)))
+    classes = [grade for grade in GRADES if grade.name != "cash"]
+    service.turn(ConfigReloaded(replace(HERE, service_classes=classes)))
     service.list(listed("w0"))
     assert service.dispatches[1]
     assert [
--- a/tests/test_parsed_values.py
+++ b/tests/test_parsed_values.py
@@ -38,6 +38,7 @@
     ProgressConfig,
     QuotaConfig,
     RetryConfig,
+    SchedulerConfig,
     ServiceClass,
     SlowStartConfig,
 )
@@ -187,8 +188,9 @@
 }
 
 
-def sections(configuration: tuple[Any, ...]) -> dict[str, Any]:
-    return dict(zip(SECTIONS, configuration, strict=True))
+def sections(configuration: SchedulerConfig) -> dict[str, Any]:
+    parts = [getattr(configuration, field.name) for field in dataclasses.fields(configuration)]
+    return dict(zip(SECTIONS, parts, strict=True))
 
 
 SPECIAL: dict[tuple[type, str], Callable[[Any], Any]] = {(start.Start, "scheduler_config"): sections}
@@ -253,7 +255,9 @@
     found = []
     for line in path.read_text(encoding="utf-8").splitlines():
         message, fields = wire.split(line)
-        found.append([message, wire.integer(fields, "RngSeed"), sections(wire.terms(fields["Config"]))])
+        found.append(
+            [message, wire.integer(fields, "RngSeed"), sections(wire.scheduler_config(fields["Config"]))]
+        )
     return {"starts": found}
 
 
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -269,7 +269,10 @@
     assert (one.name, one.listen, one.discovery) == ("n4", ("127.0.0.9", 1), ("127.0.0.1", 8500))
     assert (one.seed, one.descriptors) == (0x8C1F30D27A5BE964, 300)
     assert (one.idle_close, one.connect_within) == (30_000_000, 250_000)
-    assert one.scheduler_config[2][0].timeout == 6_000_000 and one.scheduler_config[1] == 1
+    assert (
+        one.scheduler_config.service_classes[0].timeout == 6_000_000
+        and one.scheduler_config.dispatcher_count == 1
+    )
     moved = {"GW_CONFIG": str(tmp_path / "start.json"), "GW_DISCOVERY": "127.0.0.9:2"}
     assert start.read(moved).discovery == ("127.0.0.9", 2)
     assert start.read(moved, again=True).discovery == ("127.0.0.1", 8500)  # at a reload the file counts
--- a/tests/test_recorded_decisions.py
+++ b/tests/test_recorded_decisions.py
@@ -39,6 +39,7 @@
     ProgressConfig,
     QuotaConfig,
     RetryConfig,
+    SchedulerConfig,
     ServiceClass,
     SlowStartConfig,
 )
@@ -183,8 +184,8 @@
     )
 
 
-def program_terms(settings: Settings) -> tuple[Any, ...]:
-    return (
+def program_config(settings: Settings) -> SchedulerConfig:
+    return SchedulerConfig(
         settings.step,
         settings.fleet,
         [program_grade(one) for one in settings.classes],
@@ -224,7 +225,7 @@
     """The decision core behind neutral calls."""
 
     def __init__(self, seed: int, settings: Settings) -> None:
-        self._dispatcher = Scheduler(seed, *program_terms(settings))
+        self._dispatcher = Scheduler(seed, program_config(settings))
 
     def step(self, now: int, events: list[Any]) -> list[Any]:
         return self._dispatcher.step(now, events)
@@ -296,7 +297,7 @@
 
 
 def new_settings(settings: Settings) -> Any:
-    return ConfigReloaded(config=program_terms(settings))
+    return ConfigReloaded(config=program_config(settings))
 
 
 def listed(worker: str, zone: str, kind: str, cell: int, state: str, rating: float, started_at: int) -> Any:
--- a/tests/test_rehearse.py
+++ b/tests/test_rehearse.py
@@ -293,17 +293,24 @@
     begun = installation.start(told, 5)
     assert begun.listen == ("127.0.0.1", 7070) and begun.idle_close == 15_000_000
     assert (
-        not begun.scheduler_config[8].live_ratings
-        and not begun.scheduler_config[8].polled
-        and begun.scheduler_config[10] == CostConfig(idle_timeout=15_000_000)
+        not begun.scheduler_config.endpoint_list.live_ratings
+        and not begun.scheduler_config.endpoint_list.polled
+        and begun.scheduler_config.costs == CostConfig(idle_timeout=15_000_000)
     )
     told.workers.ratings, told.serve.zone, told.serve.ask = "live", "north", True
     told.worth.connection, told.worth.crossing, told.worth.worst_grade = 0.05, 0.02, 0.3
     told.tenant = [installation.Tenant("dairy", 4.0)]
     moved = installation.start(told, 5).scheduler_config
-    assert moved[8].live_ratings and moved[8].polled and moved[5].quotas == {"dairy": 4.0}
-    assert moved[10] == CostConfig(0.05, 0.02, "north", 15_000_000) and moved[6].worst_class_weight == 0.3
-    grades = begun.scheduler_config[2]
+    assert (
+        moved.endpoint_list.live_ratings
+        and moved.endpoint_list.polled
+        and moved.quotas.quotas == {"dairy": 4.0}
+    )
+    assert (
+        moved.costs == CostConfig(0.05, 0.02, "north", 15_000_000)
+        and moved.objective.worst_class_weight == 0.3
+    )
+    grades = begun.scheduler_config.service_classes
     assert [grade.effect for grade in grades] == ["reissuable", "numbered"]
     assert grades[1].deduplication_window == 40_000_000 and grades[1].timeout == 25_000_000
     for part in ("serve", "limits", "log", "dispatches", "workers", "worth", "accord"):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 
 import pytest
 from helpers import GRADES, STEP, Checked, listed, terms
@@ -375,9 +376,7 @@
     grades: list[ServiceClass], slots: float
 ) -> None:
     """Every day on sockets: at half load one submission in ten was denied with half of the slots free."""
-    told = list(terms(3, 2, False, 0.4))
-    told[2] = grades
-    dispatcher = Scheduler(1, *told)
+    dispatcher = Scheduler(1, replace(terms(3, 2, False, 0.4), service_classes=grades))
     dispatcher.step(0, [EndpointListUpdate(ListUpdateKind.SNAPSHOT, [listed("w")])])
     assert dispatcher.list.workers["w"].cap == slots
 
