--- a/locktide/dispatcher/__init__.py
+++ b/locktide/dispatcher/__init__.py
@@ -1,1 +1,1 @@
-"""One real dispatcher: what it holds, its clock, and what passes between the sockets and the decisions."""
+"""One dispatcher process: passes events from its sockets to the scheduler and carries out its commands."""
--- a/locktide/dispatcher/attempts.py
+++ b/locktide/dispatcher/attempts.py
@@ -1,28 +1,32 @@
-"""A node's dispatches: each from its order to its one outcome."""
+"""Sending each attempt to its worker, up to the worker's reply."""
 
 from __future__ import annotations
 
 import asyncio
-from functools import partial
+from dataclasses import dataclass
 
-from locktide.dispatcher.base import DispatcherBase
-from locktide.dispatcher.cancellation import give_up
+from locktide.dispatcher.background_tasks import BackgroundTasks
+from locktide.dispatcher.cancellation import CancellationService, RequestSender
+from locktide.dispatcher.completion import AttemptCompletion
+from locktide.dispatcher.endpoint_directory import EndpointDirectory
+from locktide.dispatcher.job_store import AttemptLeases
 from locktide.dispatcher.records import AttemptStage, OpenAttempt, OpenRequest
-from locktide.protocol import names
-from locktide.protocol import server_connection as clients
-from locktide.protocol import worker_messages as workers
+from locktide.dispatcher.registry import RequestRegistry
+from locktide.dispatcher.runtime import Runtime
+from locktide.dispatcher.scheduler_bridge import SchedulerBridge
+from locktide.protocol import worker_messages
 from locktide.protocol.client_connection import UpstreamRequest, UpstreamResponse
-from locktide.scheduler.commands import CancelAttempt, StartAttempt
-from locktide.scheduler.events import AttemptEnded, AttemptProgressed, AttemptSent, AttemptStarted
+from locktide.scheduler.commands import StartAttempt
+from locktide.scheduler.events import AttemptSent
 from locktide.scheduler.types import AttemptOutcome
 from locktide.transport.client_connection import Response
 from locktide.transport.upstream_pool import SPOILT
 
-# How long past the time limit a connection may still wait for a reply that no longer matters, in seconds.
-LAST_REPLY = 1.0
-# What a connection may tell of a job of which its worker has said by callback that it runs: no end of it, and
-# a refusal least of all, as that would be sent again.
-NO_WORD = frozenset(
+# How long past the deadline a connection may still wait for a reply that no longer matters, in seconds.
+LATE_REPLY_TIMEOUT = 1.0
+# What a broken connection or a refusal cannot prove of a job of which its worker has said by callback that it
+# has it: that the job has ended. Least of all a refusal, as the job would be sent again.
+UNTRUSTED_ONCE_ACCEPTED = frozenset(
     (
         AttemptOutcome.RESET,
         AttemptOutcome.CONNECTION_CLOSED,
@@ -32,169 +36,105 @@
 )
 
 
-class AttemptLayer(DispatcherBase):
-    def start_attempt(self, order: StartAttempt) -> None:
-        held = self.open_requests.get(order.request_id)
-        if held is None:
-            id = order.request_id
-            self.log.emit(
-                f"submission {id}: a dispatch after its end, not sent",
-                event="dispatch-too-late",
-                submission=id,
+@dataclass(eq=False, slots=True)
+class AttemptRunner:
+    """Runs attempts, one task for each; how the job itself ends is told by callback."""
+
+    registry: RequestRegistry
+    bridge: SchedulerBridge
+    completion: AttemptCompletion
+    cancellations: CancellationService
+    leases: AttemptLeases
+    endpoints: EndpointDirectory
+    upstream: RequestSender
+    tasks: BackgroundTasks
+    runtime: Runtime
+
+    def start_attempt(self, command: StartAttempt) -> None:
+        """Start the next attempt of a request for the scheduler."""
+        request = self.registry.get(command.request_id)
+        if request is None:
+            self.runtime.log.emit(
+                f"request {command.request_id}: an attempt after its end, not sent",
+                event="attempt_discarded",
+                request=command.request_id,
             )
             return
-        dispatch = OpenAttempt(len(held.attempts), order.worker)
-        dispatch.send_before = order.send_before
-        held.attempts.append(dispatch)
-        dispatch.task = self.start(self.run_attempt(held, dispatch), held.message.background)
+        attempt = OpenAttempt(len(request.attempts), command.worker)
+        attempt.send_before = command.send_before
+        request.attempts.append(attempt)
+        attempt.task = self.tasks.start(self._run(request, attempt), request.message.background)
+
+    async def _run(self, request: OpenRequest, attempt: OpenAttempt) -> None:
+        # A reset is reported a loop turn after the poll that found it: what has ended by now is noticed
+        # before the first byte goes out.
+        await asyncio.sleep(0)
+        if await self.leases.grant(request, attempt):
+            self._apply_result(request, attempt, await self._send(request, attempt))
+        else:
+            self.completion.finish(request, attempt, AttemptOutcome.NEVER_SENT)
 
-    async def run_attempt(self, held: OpenRequest, dispatch: OpenAttempt) -> None:
-        """Takes one dispatch to its worker; what becomes of the job is told by callback."""
+    async def _send(self, request: OpenRequest, attempt: OpenAttempt) -> UpstreamResponse | str:
+        """The worker's reply, or the outcome that took its place."""
 
         def build() -> UpstreamRequest | None:
-            now = self.clock.now()
-            left = held.deadline - now
-            ended = dispatch.stage is AttemptStage.ENDED or not held.is_open or left <= 0
-            # Guards against a connection that came up late: repeats are dropped no longer.
-            late = dispatch.send_before and now >= dispatch.send_before
-            if ended or late or not self.endpoints.accepts_requests(dispatch.worker):
-                return None
-            dispatch.reach(AttemptStage.SENDING)
-            return workers.job(held.message, left, dispatch.fence)
-
-        def sent() -> None:
-            dispatch.reach(AttemptStage.SENT)
-            dispatch.sent_at = self.clock.now()
-            self.enqueue_event(AttemptSent(held.message.id, dispatch.number))
-
-        # A reset is told a turn after the poll that found it: what has ended by now is heard before the first
-        # byte goes out.
-        await asyncio.sleep(0)
-        kept = self.job_store is not None and self.job_store.is_durable(held)
-        if self.job_store is not None and kept and not await self.job_store.grant_lease(held, dispatch):
-            self.finish_attempt(held, dispatch, AttemptOutcome.NEVER_SENT)
-            return
+            return self._build_message(request, attempt)
+
+        def note_sent() -> None:
+            attempt.reach(AttemptStage.SENT)
+            attempt.sent_at = self.runtime.clock.now()
+            self.bridge.enqueue_event(AttemptSent(request.message.id, attempt.number))
+
         try:
-            # The time limit ends a dispatch before this does; it is for one that a callback has ended.
-            async with asyncio.timeout_at(self.clock.at(held.deadline) + LAST_REPLY):
-                address = self.endpoints.addresses[dispatch.worker]
-                reply = await self.upstream.send(dispatch.worker, address, build, sent)
-        except Exception as trouble:
-            what = f"{type(trouble).__name__}: {trouble}"
-            self.log.emit(
-                f"worker {dispatch.worker}: a dispatch ended by {what}",
-                event="dispatch-broke-off",
-                worker=dispatch.worker,
-                trouble=what,
+            # The deadline ends an attempt before this does; it is for one that a callback has ended.
+            deadline = self.runtime.clock.to_loop_time(request.deadline)
+            async with asyncio.timeout_at(deadline + LATE_REPLY_TIMEOUT):
+                address = self.endpoints.addresses[attempt.worker]
+                return await self.upstream.send(attempt.worker, address, build, note_sent)
+        except Exception as trouble:  # protects the request: whatever failed, its attempt gets an outcome
+            error = f"{type(trouble).__name__}: {trouble}"
+            self.runtime.log.emit(
+                f"worker {attempt.worker}: an attempt ended by {error}",
+                event="attempt_failed",
+                worker=attempt.worker,
+                error=error,
             )
-            reply = (
-                AttemptOutcome.RESET if dispatch.stage >= AttemptStage.SENDING else AttemptOutcome.NEVER_SENT
-            )
-        outcome = workers.outcome(reply) if isinstance(reply, UpstreamResponse) else reply
-        if outcome == SPOILT or dispatch.taken and outcome in NO_WORD:
+            was_begun = attempt.stage >= AttemptStage.SENDING
+            return AttemptOutcome.RESET if was_begun else AttemptOutcome.NEVER_SENT
+
+    def _build_message(self, request: OpenRequest, attempt: OpenAttempt) -> UpstreamRequest | None:
+        """Right before the first byte: what is sent, or None where nothing may go out any more."""
+        now = self.runtime.clock.now()
+        time_left = request.deadline - now
+        has_ended = attempt.stage is AttemptStage.ENDED or not request.is_open or time_left <= 0
+        # Guards against a connection that came up late: the worker drops repeats no longer.
+        is_late = attempt.send_before and now >= attempt.send_before
+        if has_ended or is_late or not self.endpoints.accepts_requests(attempt.worker):
+            return None
+        attempt.reach(AttemptStage.SENDING)
+        return worker_messages.job(request.message, time_left, attempt.fence)
+
+    def _apply_result(
+        self, request: OpenRequest, attempt: OpenAttempt, result: UpstreamResponse | str
+    ) -> None:
+        outcome = worker_messages.outcome(result) if isinstance(result, UpstreamResponse) else result
+        if outcome == SPOILT or (attempt.was_accepted and outcome in UNTRUSTED_ONCE_ACCEPTED):
             # Guards against a second copy: the worker has it, or may, whatever became of its reply.
-            self.cancel_and_finish(held, dispatch, AttemptOutcome.RESET)
+            self.cancellations.cancel_and_finish(request, attempt, AttemptOutcome.RESET)
         elif outcome is None:
-            dispatch.reach(AttemptStage.ACCEPTED)
-        elif outcome == AttemptOutcome.UNPROCESSABLE:
-            id = held.message.id
-            self.log.emit(
-                f"worker {dispatch.worker}: turned away submission {id}",
-                "clients",
-                event="turned-away",
-                worker=dispatch.worker,
-                submission=id,
-            )
-            self.respond(held.message.id, Response(400, b"turned away by a worker\n"))
-            self.finish_attempt(held, dispatch, outcome)
+            attempt.reach(AttemptStage.ACCEPTED)
         else:
-            self.finish_attempt(held, dispatch, outcome)
-
-    def finish_attempt(self, held: OpenRequest, dispatch: OpenAttempt, outcome: str) -> None:
-        """The one outcome of a dispatch; the first that is known counts."""
-        if not dispatch.end(outcome):
-            return
-        if self.job_store is not None and self.job_store.is_durable(held):
-            self.job_store.attempt_ended(held, dispatch)
-        self.enqueue_event(AttemptEnded(held.message.id, dispatch.number, outcome, final=not held.is_open))
-        self.release_settled(held)
-
-    def cancel_attempt(self, order: CancelAttempt) -> None:
-        held = self.open_requests.get(order.request_id)
-        if held is None or order.attempt >= len(held.attempts):
-            return
-        dispatch = held.attempts[order.attempt]
-        if dispatch.stage is AttemptStage.ENDED or dispatch.recalled:
-            return
-        dispatch.recalled = True
-        if not self.call_off(held, dispatch):
-            self.finish_attempt(
-                held,
-                dispatch,
-                AttemptOutcome.CANCELLED
-                if dispatch.stage >= AttemptStage.SENDING
-                else AttemptOutcome.NEVER_SENT,
-            )
-
-    def expire_lease(self, submission: str, fence: int) -> None:
-        """The lease of a dispatch has run out: it is withdrawn, and ends once its worker knows or cannot be
-        told. Sooner, what is dispatched elsewhere would be a second copy.
-        """
-        held = self.open_requests.get(submission)
-        for dispatch in held.unfinished_attempts() if held is not None else ():
-            if dispatch.fence == fence:
-                dispatch.lease_expired = True
-                self.cancel_attempt(CancelAttempt(submission, dispatch.number))
-
-    def cancel_and_finish(self, held: OpenRequest, dispatch: OpenAttempt, outcome: str) -> None:
-        """It ends with that outcome, once its worker has been told to give it up."""
-        if dispatch.possibly_running and not dispatch.recalled:
-            dispatch.recalled = True
-            self.call_off(held, dispatch, outcome)
-
-    def call_off(
-        self, held: OpenRequest, dispatch: OpenAttempt, outcome: str = AttemptOutcome.CANCELLED
-    ) -> bool:
-        """Before the 202 by closing the connection; whether a message follows, on which to wait. Then the
-        dispatch has that outcome.
-        """
-        dispatch.task.cancel()  # which closes the connection, where its reply is still waited for
-        # Guards against a 202 that is on its way to us: the worker has taken the job, and what is dispatched
-        # elsewhere before the message has reached it is a second copy.
-        if dispatch.possibly_running:
-            self.start(self.delete(held, dispatch, outcome))
-        return dispatch.possibly_running
-
-    async def delete(self, held: OpenRequest, dispatch: OpenAttempt, outcome: str) -> None:
-        def vain() -> bool:
-            # Before the 202 the closed connection has given it up; the message is for one on its way.
-            return dispatch.stage is not AttemptStage.ACCEPTED or not held.is_open or dispatch.lease_expired
-
-        address = partial(self.endpoints.addresses.get, dispatch.worker)
-        id, within = held.message.id, self.connect_within
-        if not await give_up(self.upstream, dispatch.worker, address, id, within, vain):
-            self.log.emit(
-                f"worker {dispatch.worker}: no answer to a withdrawal",
-                event="withdrawal-unanswered",
-                worker=dispatch.worker,
-            )
-        self.finish_attempt(held, dispatch, outcome)
-
-    def handle_callback(self, message: clients.Callback) -> None:
-        held = self.open_requests.get(message.request_id)
-        dispatch = held.out_at(message.worker) if held is not None else None
-        if held is None or dispatch is None:
-            return  # late, or for nobody: it is acknowledged all the same
-        dispatch.reach(AttemptStage.ACCEPTED)
-        if message.state == names.STARTED:
-            self.enqueue_event(AttemptStarted(message.request_id, dispatch.number))
-        elif message.state == names.RUNNING:
-            self.enqueue_event(AttemptProgressed(message.request_id, dispatch.number, message.fraction_done))
-        elif message.outcome is not None:
-            if message.outcome == AttemptOutcome.DONE:
-                self.respond(message.request_id, Response(200, message.result))
-            elif held.taken_earlier(dispatch):
-                # Guards against a word told again of the earlier one there: this one may run all the same.
-                self.cancel_and_finish(held, dispatch, AttemptOutcome.CONNECTION_CLOSED)
-                return
-            self.finish_attempt(held, dispatch, message.outcome)
+            if outcome == AttemptOutcome.UNPROCESSABLE:
+                self._respond_unprocessable(request, attempt)
+            self.completion.finish(request, attempt, outcome)
+
+    def _respond_unprocessable(self, request: OpenRequest, attempt: OpenAttempt) -> None:
+        request_id = request.message.id
+        self.runtime.log.emit(
+            f"worker {attempt.worker}: refused request {request_id}",
+            "clients",
+            event="request_refused",
+            worker=attempt.worker,
+            request=request_id,
+        )
+        self.registry.respond(request_id, Response(400, b"turned away by a worker\n"))
--- /dev/null
+++ b/locktide/dispatcher/callbacks.py
@@ -0,0 +1,49 @@
+"""The workers' callbacks: what they report of the attempts that they have."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from locktide.dispatcher.cancellation import CancellationService
+from locktide.dispatcher.completion import AttemptCompletion
+from locktide.dispatcher.records import AttemptStage
+from locktide.dispatcher.registry import RequestRegistry
+from locktide.dispatcher.scheduler_bridge import SchedulerBridge
+from locktide.protocol import names
+from locktide.protocol.server_connection import Callback
+from locktide.scheduler.events import AttemptProgressed, AttemptStarted
+from locktide.scheduler.types import AttemptOutcome
+from locktide.transport.client_connection import Response
+
+
+@dataclass(eq=False, slots=True)
+class CallbackHandler:
+    """Applies the workers' callbacks to the open requests."""
+
+    registry: RequestRegistry
+    bridge: SchedulerBridge
+    completion: AttemptCompletion
+    cancellations: CancellationService
+
+    def handle_callback(self, message: Callback) -> None:
+        """Apply one callback; one that is late, or about nothing that is open, changes nothing."""
+        request = self.registry.get(message.request_id)
+        attempt = request.attempt_running_at(message.worker) if request is not None else None
+        if request is None or attempt is None:
+            return
+        attempt.reach(AttemptStage.ACCEPTED)
+        if message.state == names.STARTED:
+            self.bridge.enqueue_event(AttemptStarted(message.request_id, attempt.number))
+        elif message.state == names.RUNNING:
+            self.bridge.enqueue_event(
+                AttemptProgressed(message.request_id, attempt.number, message.fraction_done)
+            )
+        elif message.outcome == AttemptOutcome.DONE:
+            self.registry.respond(message.request_id, Response(200, message.result))
+            self.completion.finish(request, attempt, message.outcome)
+        elif message.outcome is not None:
+            if request.accepted_there_before(attempt):
+                # Guards against a repeated callback about the earlier attempt there: this one may run.
+                self.cancellations.cancel_and_finish(request, attempt, AttemptOutcome.CONNECTION_CLOSED)
+            else:
+                self.completion.finish(request, attempt, message.outcome)
--- a/locktide/dispatcher/clock.py
+++ b/locktide/dispatcher/clock.py
@@ -1,4 +1,4 @@
-"""One clock for everything: Unix time in whole microseconds, as the list's start times are."""
+"""The dispatcher's clock: Unix time in whole microseconds, as the endpoint list's start times are."""
 
 from __future__ import annotations
 
@@ -14,8 +14,9 @@
         self.offset = wall() - loop.time()
 
     def now(self) -> int:
+        """The current time in microseconds."""
         return int((self.offset + self.loop.time()) * 1e6)
 
-    def at(self, moment: int) -> float:
-        """That moment by the loop's clock, for its timers."""
+    def to_loop_time(self, moment: int) -> float:
+        """Convert a time of this clock to the event loop's, in seconds, for its timers."""
         return moment / 1e6 - self.offset
--- /dev/null
+++ b/locktide/dispatcher/completion.py
@@ -0,0 +1,30 @@
+"""The one outcome of each attempt."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from locktide.dispatcher.job_store import AttemptLeases
+from locktide.dispatcher.records import OpenAttempt, OpenRequest
+from locktide.dispatcher.registry import RequestRegistry
+from locktide.dispatcher.scheduler_bridge import SchedulerBridge
+from locktide.scheduler.events import AttemptEnded
+
+
+@dataclass(eq=False, slots=True)
+class AttemptCompletion:
+    """Ends attempts and reports their outcomes to the job store and the scheduler."""
+
+    registry: RequestRegistry
+    bridge: SchedulerBridge
+    leases: AttemptLeases
+
+    def finish(self, request: OpenRequest, attempt: OpenAttempt, outcome: str) -> None:
+        """End the attempt; the first outcome that is known counts."""
+        if not attempt.end(outcome):
+            return
+        self.leases.end(request, attempt)
+        self.bridge.enqueue_event(
+            AttemptEnded(request.message.id, attempt.number, outcome, final=not request.is_open)
+        )
+        self.registry.release_settled(request)
--- /dev/null
+++ b/locktide/dispatcher/endpoint_directory.py
@@ -0,0 +1,67 @@
+"""The workers by the endpoint list that this dispatcher had last."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import replace
+
+from locktide.config.start import Address
+from locktide.protocol.discovery import DiscoveryUpdate
+from locktide.scheduler.events import EndpointEntry
+from locktide.scheduler.types import EndpointState
+
+
+class EndpointDirectory:
+    """The state and the address of each worker, as the scheduler is told them."""
+
+    def __init__(self) -> None:
+        self.entries: dict[str, EndpointEntry] = {}
+        self.addresses: dict[str, Address] = {}
+
+    def apply(self, update: DiscoveryUpdate) -> Iterable[str]:
+        """Apply an update of the list; the workers to which idle connections are of no more use.
+
+        Adds to `update` what was known of entries that it names but that could not be read.
+        """
+        self._keep_unreadable(update)
+        stale = self._remove_absent(update) if update.is_snapshot else []
+        for entry in update.entries:
+            address = update.addresses[entry.worker]
+            if self._is_replaced(entry, address):
+                stale.append(entry.worker)
+            self.entries[entry.worker] = entry
+            self.addresses[entry.worker] = address
+        return stale
+
+    def accepts_requests(self, worker: str) -> bool:
+        """Whether attempts may be sent to the worker."""
+        entry = self.entries.get(worker)
+        return entry is not None and entry.state == EndpointState.READY
+
+    def _keep_unreadable(self, update: DiscoveryUpdate) -> None:
+        """Treat a known worker as draining where its entry cannot be read.
+
+        Guards against an entry that cannot be read: it may say that the worker drains, so the worker gets
+        nothing new, while the rest of the list counts as ever.
+        """
+        for worker in update.unreadable:
+            if known := self.entries.get(worker):
+                state = EndpointState.DRAINING if known.state == EndpointState.READY else known.state
+                update.entries.append(replace(known, state=state))
+                update.addresses[worker] = self.addresses[worker]
+
+    def _remove_absent(self, snapshot: DiscoveryUpdate) -> list[str]:
+        """Mark the workers that are not in the snapshot as gone; their names."""
+        listed = {entry.worker for entry in snapshot.entries}
+        absent = [worker for worker in self.entries if worker not in listed]
+        for worker in absent:
+            self.entries[worker].state = EndpointState.GONE
+        return absent
+
+    def _is_replaced(self, entry: EndpointEntry, address: Address) -> bool:
+        """Whether a known worker has moved, started anew or gone."""
+        known = self.entries.get(entry.worker)
+        if known is None:
+            return False
+        moved = self.addresses.get(entry.worker) != address
+        return moved or known.started_at != entry.started_at or entry.state == EndpointState.GONE
--- a/locktide/dispatcher/records.py
+++ b/locktide/dispatcher/records.py
@@ -1,24 +1,18 @@
-"""What one dispatcher holds: the open submissions with their dispatches, and the workers' addresses."""
+"""The open requests of a dispatcher and the attempts of each."""
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterable
-from dataclasses import replace
 from enum import IntEnum
 
-from locktide.config.start import Address
-from locktide.protocol.discovery import DiscoveryUpdate
 from locktide.protocol.server_connection import SubmitRequest
-from locktide.scheduler.events import EndpointEntry
-from locktide.scheduler.types import EndpointState
 from locktide.transport.client_connection import Response
 
 
 class AttemptStage(IntEnum):
-    """How far a dispatch has come; `docs/design/endings.md` says what is owed at each."""
+    """How far an attempt has come; `docs/design/endings.md` says what is owed at each stage."""
 
-    ORDERED = 0  # no byte is out: it may wait for a connection
+    PENDING = 0  # no byte is out: it may wait for a connection
     SENDING = 1  # some of its bytes are out
     SENT = 2  # its last byte is with the kernel: it may run
     ACCEPTED = 3  # its worker has it: it has answered 202, or called back
@@ -26,7 +20,7 @@
 
 
 class OpenAttempt:
-    """One dispatch, until its outcome is told to the decisions."""
+    """One attempt, until its outcome is reported to the scheduler."""
 
     __slots__ = (
         "number",
@@ -34,36 +28,38 @@
         "task",
         "stage",
         "send_before",
-        "recalled",
-        "taken",
+        "is_cancelling",
+        "was_accepted",
         "outcome",
         "sent_at",
         "fence",
         "lease_expired",
     )
 
-    task: asyncio.Task[None]  # takes it to its worker
+    task: asyncio.Task[None]  # sends it to its worker
 
     def __init__(self, number: int, worker: str) -> None:
-        self.number, self.worker = number, worker
-        self.stage = AttemptStage.ORDERED
-        self.send_before = 0  # from when on no byte of it may go out; 0 where the time limit alone counts
-        self.recalled = False  # its worker is being told to give it up
-        self.taken = False  # its worker has said by 202 or by callback that it has the job
+        self.number = number
+        self.worker = worker
+        self.stage = AttemptStage.PENDING
+        self.send_before = 0  # from when on no byte of it may go out; 0 where the deadline alone counts
+        self.is_cancelling = False
+        self.was_accepted = False  # its worker has said by 202 or by callback that it has the job
         self.outcome: str | None = None  # once it has ended
         self.sent_at = 0  # when its last byte was written
-        self.fence = 0  # of its lease, where the submission is a durable job
-        self.lease_expired = False  # that lease has run out: its worker has no claim on it any more
+        self.fence = 0  # of its lease, where the request is a durable job
+        self.lease_expired = False  # its worker has no claim on the job any more
 
     def reach(self, stage: AttemptStage) -> None:
-        """The one place where its stage changes. It goes on only: what comes late (a 202 after a callback)
-        takes nothing back.
+        """Advance the stage, in this one place.
+
+        A stage never goes back: what comes late, such as a 202 after a callback, changes nothing.
         """
-        self.taken = self.taken or stage is AttemptStage.ACCEPTED
+        self.was_accepted = self.was_accepted or stage is AttemptStage.ACCEPTED
         self.stage = max(self.stage, stage)
 
     def end(self, outcome: str) -> bool:
-        """Whether that is its outcome: the first that is known counts."""
+        """Set the outcome; False where it has one already, as the first that is known counts."""
         if self.stage is AttemptStage.ENDED:
             return False
         self.outcome = outcome
@@ -77,74 +73,40 @@
 
 
 class OpenRequest:
-    """One submission, from its last byte until it is answered and each of its dispatches has its outcome."""
+    """One request, from its last byte until it has its response and each of its attempts its outcome."""
 
     __slots__ = ("message", "deadline", "response", "attempts", "timer")
 
-    timer: asyncio.TimerHandle  # of the time limit
+    timer: asyncio.TimerHandle  # of the deadline
 
-    def __init__(self, message: SubmitRequest, limit_at: int, answer: asyncio.Future[Response]) -> None:
-        self.message, self.deadline, self.response = message, limit_at, answer
+    def __init__(self, message: SubmitRequest, deadline: int, response: asyncio.Future[Response]) -> None:
+        self.message = message
+        self.deadline = deadline
+        self.response = response
         self.attempts: list[OpenAttempt] = []
 
     @property
     def is_open(self) -> bool:
+        """Whether its client still waits for the response."""
         return not self.response.done()
 
     @property
     def is_settled(self) -> bool:
+        """Whether nothing is owed any more: it has its response, each attempt its outcome."""
         return not self.is_open and not self.unfinished_attempts()
 
     def unfinished_attempts(self) -> list[OpenAttempt]:
-        return [dispatch for dispatch in self.attempts if dispatch.stage is not AttemptStage.ENDED]
-
-    def taken_earlier(self, later: OpenAttempt) -> bool:
-        """Whether that worker had taken one before: a word of it may be about either."""
-        return any(one.taken and one.worker == later.worker for one in self.attempts[: later.number])
-
-    def out_at(self, worker: str) -> OpenAttempt | None:
-        """The dispatch that a word from this worker is about: one that it can have."""
-        for dispatch in self.unfinished_attempts():
-            if dispatch.worker == worker and dispatch.possibly_running:
-                return dispatch
+        """The attempts that have no outcome yet, in order of their numbers."""
+        return [attempt for attempt in self.attempts if attempt.stage is not AttemptStage.ENDED]
+
+    def accepted_there_before(self, later: OpenAttempt) -> bool:
+        """Whether its worker had accepted an earlier attempt: a callback from there may be about either."""
+        earlier = self.attempts[: later.number]
+        return any(attempt.was_accepted and attempt.worker == later.worker for attempt in earlier)
+
+    def attempt_running_at(self, worker: str) -> OpenAttempt | None:
+        """The attempt that a callback from this worker is about: one that the worker can have."""
+        for attempt in self.unfinished_attempts():
+            if attempt.worker == worker and attempt.possibly_running:
+                return attempt
         return None
-
-
-class EndpointDirectory:
-    """The workers as this dispatcher's list last named them, in the state that counts for the decisions."""
-
-    def __init__(self) -> None:
-        self.entries: dict[str, EndpointEntry] = {}
-        self.addresses: dict[str, Address] = {}
-
-    def apply(self, update: DiscoveryUpdate) -> Iterable[str]:
-        """Names the workers to which connections are of no more use; completes the update by what was known.
-
-        Guards against an entry that cannot be read: what is said of a worker but not understood may be that
-        it drains, so it gets nothing new, while the rest of the list counts as ever.
-        """
-        stale = []
-        for worker in update.unreadable:
-            if before := self.entries.get(worker):
-                state = EndpointState.DRAINING if before.state == EndpointState.READY else before.state
-                update.entries.append(replace(before, state=state))
-                update.addresses[worker] = self.addresses[worker]
-        told = {entry.worker for entry in update.entries}
-        if update.is_snapshot:
-            for worker in [worker for worker in self.entries if worker not in told]:
-                self.entries[worker].state = EndpointState.GONE
-                stale.append(worker)
-        for entry in update.entries:
-            worker, before = entry.worker, self.entries.get(entry.worker)
-            moved = self.addresses.get(worker) != update.addresses[worker]
-            if before and (
-                moved or before.started_at != entry.started_at or entry.state == EndpointState.GONE
-            ):
-                stale.append(worker)
-            self.entries[worker] = entry
-            self.addresses[worker] = update.addresses[worker]
-        return stale
-
-    def accepts_requests(self, worker: str) -> bool:
-        entry = self.entries.get(worker)
-        return entry is not None and entry.state == EndpointState.READY
--- a/locktide/dispatcher/service.py
+++ b/locktide/dispatcher/service.py
@@ -11,48 +11,51 @@
 from locktide.config.checks import ConfigError
 from locktide.config.start import Start
 from locktide.dispatcher.dispatcher import Dispatcher
-from locktide.protocol import discovery
+from locktide.protocol.discovery import DiscoveryUpdate
 from locktide.transport.log import Log
 
 
 def hold_back_reload() -> None:
-    """Until there is one to take it: by itself SIGHUP would end the process."""
+    """Block SIGHUP while nothing handles it: by itself it would end the process."""
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
 
 
 class AttachedService(Protocol):
-    """What was joined to the node, until it is closed."""
+    """A service that was attached to the dispatcher, until it is closed."""
 
-    async def close(self) -> None: ...
+    async def close(self) -> None:
+        """End the service, after the dispatcher has stopped."""
 
 
 async def serve(
-    told: Start,
-    known: discovery.DiscoveryUpdate,
+    start: Start,
+    known: DiscoveryUpdate,
     log: Log,
-    again: Callable[[], Start],
-    join: Sequence[Callable[[Dispatcher], Awaitable[AttachedService]]] = (),
+    read_start: Callable[[], Start],
+    attach: Sequence[Callable[[Dispatcher], Awaitable[AttachedService]]] = (),
 ) -> None:
-    """Serves until SIGTERM or SIGINT; `again` reads the terms anew at SIGHUP and may raise Faulty. Each of
-    `join` adds a part to the node before it serves, and may raise what ends the start.
+    """Serve until SIGTERM or SIGINT.
+
+    `read_start` reads the settings anew at SIGHUP and may raise ConfigError. Each of `attach` adds a service
+    to the dispatcher before it serves, and may raise what ends the start.
     """
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    node = Dispatcher(told, known, log)
+    dispatcher = Dispatcher(start, known, log)
 
     def reload() -> None:
         try:
-            node.reload(again())
-        except ConfigError as trouble:
-            log.emit(f"reload: {trouble}; the old terms stay", event="reload-faulty", trouble=str(trouble))
+            dispatcher.reload(read_start())
+        except ConfigError as error:
+            log.emit(f"reload: {error}; the old settings stay", event="config_rejected", error=str(error))
 
     loop.add_signal_handler(signal.SIGHUP, reload)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
     gc.freeze()  # what stands by now stays; collections have less to go through
-    parts = [await begin(node) for begin in join]
-    await node.run(stop)
-    for part in parts:
-        await part.close()
+    services = [await attach_service(dispatcher) for attach_service in attach]
+    await dispatcher.run(stop)
+    for service in services:
+        await service.close()
     hold_back_reload()
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -326,8 +326,7 @@
         told = start.Start(
             "n0", here, here, 7, 100, 80 << 20, {}, 250_000, 30_000_000, terms(3, 1, False, 0.4)
         )
-        self.node = Dispatcher(told, known, log)
-        self.node.upstream = self  # type: ignore[assignment]
+        self.node = Dispatcher(told, known, log, upstream=self)  # type: ignore[arg-type]
         self.asked: list[Asked] = []
         self.forgotten: list[str] = []
         self.turns: list[tuple[int, list[Any]]] = []
@@ -380,7 +379,7 @@
 
     def list(self, worker: str, state: str, started_at: int = 0) -> None:
         entry = listed(worker, state, started_at)
-        self.node.apply_endpoint_list(
+        self.node.follower.apply_endpoint_list(
             discovery.DiscoveryUpdate(2, False, [entry], {worker: ("127.0.0.1", 9)})
         )
 
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from typing import Any
 
 import pytest
 
 from locktide.dispatcher import dispatcher as node_module
-from locktide.dispatcher import records
+from locktide.dispatcher import endpoint_directory, records
+from locktide.dispatcher.registry import RequestRegistry
+from locktide.dispatcher.requests import RequestService
 from locktide.scheduler.commands import FailRequest, RejectRequest, SetTimer, StartAttempt
 from locktide.scheduler.config import SchedulerConfig
 from locktide.scheduler.events import (
@@ -224,9 +227,11 @@
 ) -> None:
     monkeypatch.setattr(node_module, "Scheduler", decisions)
     if decisions is Silent:
-        monkeypatch.setattr(node_module.Dispatcher, "overdue", lambda self, held: None)
+        monkeypatch.setattr(RequestService, "fail_overdue", lambda self, request: None)
     if decisions is Deaf:
-        monkeypatch.setattr(records.EndpointDirectory, "accepts_requests", lambda self, worker: True)
+        monkeypatch.setattr(
+            endpoint_directory.EndpointDirectory, "accepts_requests", lambda self, worker: True
+        )
     text = (change or str)(QUIET) + incident
     text = text.replace("incident = []\n", "" if incident else "incident = []\n")
     quick = "[roster]\nnotice = 0.2\nadd = 0.2\n[worker]\ncold_from = 0.1\nqueue = 99"
@@ -237,38 +242,39 @@
 
 def test_nothing_may_be_sent_after_the_answer(monkeypatch: pytest.MonkeyPatch) -> None:
     """The node itself refuses such an order; without that the checker must see it."""
-    release_settled = node_module.Dispatcher.release_settled
+    release_settled = RequestRegistry.release_settled
 
     def forgetful(self: Any, held: Any) -> None:
         if held.attempts:
             release_settled(self, held)
 
-    monkeypatch.setattr(node_module.Dispatcher, "release_settled", forgetful)
+    monkeypatch.setattr(RequestRegistry, "release_settled", forgetful)
     monkeypatch.setattr(
         records.OpenRequest,
         "is_open",
         property(lambda self: not self.attempts or not all(shot.outcome for shot in self.attempts)),
     )
-    answer = node_module.Dispatcher.respond
+    answer = RequestRegistry.respond
 
     def once(self: Any, submission: str, given: Any) -> None:
         held = self.open_requests.get(submission)
         if held is not None and not held.response.done():
             answer(self, submission, given)
 
-    monkeypatch.setattr(node_module.Dispatcher, "respond", once)
+    monkeypatch.setattr(RequestRegistry, "respond", once)
     assert "after" in broken(play(monkeypatch, AfterAll))
 
 
 def test_a_late_answer_and_one_that_no_worker_made_are_seen(monkeypatch: pytest.MonkeyPatch) -> None:
-    answer = node_module.Dispatcher.respond
+    answer = RequestRegistry.respond
 
     def late(self: Any, submission: str, given: Any) -> None:
         held = self.open_requests[submission]
-        self.loop.call_at(self.clock.at(held.deadline) + 0.3, answer, self, submission, given)
+        loop, deadline = asyncio.get_running_loop(), held.timer.when()
+        loop.call_at(deadline + 0.3, answer, self, submission, given)
 
-    monkeypatch.setattr(node_module.Dispatcher, "respond", late)
-    monkeypatch.setattr(node_module.Dispatcher, "time_out", lambda self, held: None)
+    monkeypatch.setattr(RequestRegistry, "respond", late)
+    monkeypatch.setattr(RequestService, "time_out", lambda self, held: None)
     told = play(monkeypatch, Plain)
     assert broken(told) == {"late"} and set(told["answers"]) == {"late"}
 
@@ -276,7 +282,7 @@
         given.body = b"made up"
         answer(self, submission, given)
 
-    monkeypatch.setattr(node_module.Dispatcher, "respond", forged)
+    monkeypatch.setattr(RequestRegistry, "respond", forged)
     assert broken(play(monkeypatch, Plain)) == {"forged"}
 
 
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -10,7 +10,7 @@
 import pytest
 from helpers import listed
 
-from locktide.dispatcher.dispatcher import COLD_MARGIN
+from locktide.dispatcher.settings import SLOW_START_MARGIN
 from locktide.scheduler.commands import CancelAttempt, SetTimer, StartAttempt
 from locktide.scheduler.config import (
     ClientConfig,
@@ -178,5 +178,5 @@
 
 @pytest.mark.parametrize("warm, cold", [(6, 6), (0, 12)])
 def test_thirty_together_stay_under_what_fells_a_cold_worker(warm: int, cold: int) -> None:
-    worst = [Burst(seed, 30, warm, cold, COLD_MARGIN).run() for seed in range(8)]
+    worst = [Burst(seed, 30, warm, cold, SLOW_START_MARGIN).run() for seed in range(8)]
     assert 0.3 < max(worst) <= 1.0, worst
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -100,7 +100,7 @@
 
     async def run() -> None:
         play, address = Prompt(), free_address()
-        play.node.server.listen(address)
+        play.node.listener.listen(address)
         for worker in ("w0", "w1", "w2"):
             play.list(worker, EndpointState.DRAINING)
         client = socket.create_connection(address)
@@ -120,7 +120,7 @@
         play.asked[-1].end(AttemptOutcome.RESET)  # it would go to another
         await until(lambda: not play.node.open_requests)
         assert play.begun == ["POST w1"]
-        await play.node.server.stop()
+        await play.node.listener.stop()
 
     asyncio.run(run())
 
@@ -304,17 +304,20 @@
 
         listening = await asyncio.start_server(agent, "127.0.0.1", 0)
         node = play.node
-        node.discovery, node.listen_at = listening.sockets[0].getsockname(), free_address()
+        node.settings.discovery, node.lifecycle.listen_address = (
+            listening.sockets[0].getsockname(),
+            free_address(),
+        )
         running = asyncio.create_task(node.run(stop))
         await asked.wait()
         with pytest.raises(ConnectionRefusedError):
-            socket.create_connection(node.listen_at)
+            socket.create_connection(node.lifecycle.listen_address)
         go.set()
         await until(node.is_ready)
-        socket.create_connection(node.listen_at).close()
+        socket.create_connection(node.lifecycle.listen_address).close()
         assert not any(node.endpoints.accepts_requests(worker) for worker in ("w0", "w1", "w2"))
         running.cancel()
-        await node.server.stop()
+        await node.listener.stop()
         listening.close()
 
     asyncio.run(run())
@@ -495,8 +498,8 @@
         memory = next(grade for grade in GRADES if grade.name == "record").deduplication_window
         assert abs(held.attempts[1].send_before - held.attempts[0].sent_at - memory) < 100_000
         assert held.deadline - play.node.clock.now() > 5_000_000
-        assert play.node.watching is not None
-        play.node.watching.cancel()
+        assert play.node.follower.watch_task is not None
+        play.node.follower.watch_task.cancel()
 
     played(story)
 
@@ -533,9 +536,9 @@
 
         listening = await asyncio.start_server(silent, "127.0.0.1", 0)
         listing = EndpointListConfig(True, 10_000_000, notified_within=200_000)
-        play.node.endpoint_list_config = play.node.scheduler.list.terms = listing
-        play.node.discovery = listening.sockets[0].getsockname()
-        play.node.watch(play.node.follow())
+        play.node.settings.endpoint_list = play.node.scheduler.list.terms = listing
+        play.node.settings.discovery = listening.sockets[0].getsockname()
+        play.node.follower.watch(play.node.follower.follow())
         await until(lambda: len(calls) == 2)
         # It may wait as long as we ask it to (WAIT_MS), and half of that time beyond.
         assert calls[1] - calls[0] < WAIT_MS / 1000 + 1.0
@@ -544,8 +547,8 @@
                 EndpointListUpdate(ListUpdateKind.FETCH_TIMED_OUT, []) in news for _, news in play.turns
             )
         )
-        assert play.node.watching is not None
-        play.node.watching.cancel()
+        assert play.node.follower.watch_task is not None
+        play.node.follower.watch_task.cancel()
         listening.close()
 
     played(story)
@@ -625,14 +628,14 @@
 
 def test_an_order_that_fails_costs_itself_alone() -> None:
     async def story(play: HandPlayed) -> None:
-        carry = play.node.command_handlers[StartAttempt]
+        carry = play.node.bridge.command_handlers[StartAttempt]
 
         def faulty(order: StartAttempt) -> None:
             if order.request_id == "poor":
                 raise ValueError("out of sorts")
             carry(order)
 
-        play.node.command_handlers[StartAttempt] = faulty
+        play.node.bridge.command_handlers[StartAttempt] = faulty
         for name in ("poor", "one", "two"):
             play.node.submit(submission(name))
         await play.settle()
--- a/tests/test_hostile.py
+++ b/tests/test_hostile.py
@@ -52,10 +52,10 @@
         others = [entry("w1"), entry("w3"), entry("w4"), entry("w2", state="leaving")]
         told = discovery.parse(sheet(*faulty, *others))
         assert told.faults[0].startswith(said)
-        play.node.apply_endpoint_list(told)
+        play.node.follower.apply_endpoint_list(told)
         open_ones = [number for number in range(5) if play.node.endpoints.accepts_requests(f"w{number}")]
         assert open_ones == [1, 3, 4]
-        play.node.apply_endpoint_list(discovery.parse(sheet(entry("w0"), version=4)))
+        play.node.follower.apply_endpoint_list(discovery.parse(sheet(entry("w0"), version=4)))
         assert play.node.endpoints.accepts_requests("w0")  # once it is told properly
 
     asyncio.run(story())
@@ -69,7 +69,7 @@
 
     async def story() -> None:
         play = HandPlayed()
-        play.node.apply_endpoint_list(told)
+        play.node.follower.apply_endpoint_list(told)
         assert "new" not in play.node.endpoints.entries
 
     asyncio.run(story())
@@ -102,15 +102,15 @@
     async def story() -> None:
         play = HandPlayed()
         listening = await asyncio.start_server(script, "127.0.0.1", 0)
-        play.node.discovery = listening.sockets[0].getsockname()
-        play.node.watch(play.node.follow())
+        play.node.settings.discovery = listening.sockets[0].getsockname()
+        play.node.follower.watch(play.node.follower.follow())
         while "w5" not in play.node.endpoints.entries:
             assert play.node.endpoints.accepts_requests("w0")
             await asyncio.sleep(0.001)
         assert calls == len(answers) and not play.node.endpoints.accepts_requests("w0")
         assert [line for line in play.lines_logged if "no answer" in line] != []
-        assert play.node.watching is not None
-        play.node.watching.cancel()
+        assert play.node.follower.watch_task is not None
+        play.node.follower.watch_task.cancel()
         listening.close()
 
     asyncio.run(story())
@@ -134,8 +134,8 @@
         play = HandPlayed()
         old = await asyncio.start_server(silent, "127.0.0.1", 0)
         new = await asyncio.start_server(answering, "127.0.0.1", 0)
-        play.node.discovery = old.sockets[0].getsockname()
-        play.node.watch(play.node.follow())
+        play.node.settings.discovery = old.sockets[0].getsockname()
+        play.node.follower.watch(play.node.follower.follow())
         while not calls:
             await asyncio.sleep(0.001)
         here = new.sockets[0].getsockname()
@@ -147,8 +147,8 @@
         while "w5" not in play.node.endpoints.entries or not ended:
             await asyncio.sleep(0.001)
         assert len(calls) == 1 and sum("reload" in line for line in play.lines_logged) == 2
-        assert play.node.watching is not None
-        play.node.watching.cancel()
+        assert play.node.follower.watch_task is not None
+        play.node.follower.watch_task.cancel()
         old.close()
         new.close()
 
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -128,7 +128,7 @@
 
 def told_to_ask() -> HandPlayed:
     player = HandPlayed()
-    player.node.endpoint_list_config = player.node.scheduler.list.terms = EndpointListConfig(True, 200_000)
+    player.node.settings.endpoint_list = player.node.scheduler.list.terms = EndpointListConfig(True, 200_000)
     return player
 
 
@@ -160,15 +160,15 @@
         player, heard = told_to_ask(), []
         node = player.node
         listening = await agent([BUSY, sheet(2, False)], heard)
-        node.discovery = listening.sockets[0].getsockname()
-        node.watch(node.follow_when_asked())
+        node.settings.discovery = listening.sockets[0].getsockname()
+        node.follower.watch(node.follower.follow_when_requested())
         await asyncio.sleep(0.01)
         assert not heard, "called before it was to"
-        node.to_ask.set()
+        node.follower.watch_requested.set()
         failed = EndpointListUpdate(ListUpdateKind.FETCH_FAILED, [])
         while not any(failed in news for _, news in player.turns):
             await asyncio.sleep(0.002)
-        assert heard == [AFTER % 1] and not node.to_ask.is_set()
+        assert heard == [AFTER % 1] and not node.follower.watch_requested.is_set()
         while len(heard) < 2:  # once the decisions' own gap is over
             await asyncio.sleep(0.002)
         assert heard[1] == AFTER % 1
@@ -177,8 +177,8 @@
                 break
             await asyncio.sleep(0.002)
         assert node.scheduler.list.failures == 0, "an answer that brings nothing ends the failures, too"
-        assert node.watching is not None
-        node.watching.cancel()
+        assert node.follower.watch_task is not None
+        node.follower.watch_task.cancel()
         listening.close()
 
     asyncio.run(run())
@@ -227,11 +227,13 @@
     async def run() -> None:
         player, heard = told_to_ask(), []
         node = player.node
-        player.node.endpoint_list_config = player.node.scheduler.list.terms = EndpointListConfig(True, 20_000)
+        player.node.settings.endpoint_list = player.node.scheduler.list.terms = EndpointListConfig(
+            True, 20_000
+        )
         listening = await agent([], heard)
-        node.discovery = listening.sockets[0].getsockname()
-        node.to_ask.set()
-        node.watch(node.follow_when_asked())
+        node.settings.discovery = listening.sockets[0].getsockname()
+        node.follower.watch_requested.set()
+        node.follower.watch(node.follower.follow_when_requested())
         node.submit(submission_of("a"))
         assert (await player.sent("a")).worker in ("w0", "w1", "w2")  # by the remembered list
         for _ in range(200):
@@ -241,8 +243,8 @@
         failed = EndpointListUpdate(ListUpdateKind.FETCH_TIMED_OUT, [])
         told = sum(failed in news for _, news in player.turns)
         assert len(heard) == 4 and 3 <= told <= 4, "one call for each time that the decisions said so"
-        assert node.watching is not None
-        node.watching.cancel()
+        assert node.follower.watch_task is not None
+        node.follower.watch_task.cancel()
         listening.close()
 
     asyncio.run(run())
@@ -285,8 +287,8 @@
         assert EndpointListUpdate(ListUpdateKind.FETCH_FAILED, []) in [
             piece for _, news in player.turns for piece in news
         ]
-        assert node.watching is not None
-        node.watching.cancel()
+        assert node.follower.watch_task is not None
+        node.follower.watch_task.cancel()
         listening.close()
 
     asyncio.run(run())
@@ -298,7 +300,9 @@
         here = player.node.endpoints.addresses["w0"]
         gone = [listed(name, EndpointState.GONE) for name in ("w0", "w1", "w2")]
         addresses = dict.fromkeys(["w0", "w1", "w2", "w9"], here)
-        player.node.apply_endpoint_list(discovery.DiscoveryUpdate(2, False, [*gone, listed("w9")], addresses))
+        player.node.follower.apply_endpoint_list(
+            discovery.DiscoveryUpdate(2, False, [*gone, listed("w9")], addresses)
+        )
         player.node.submit(submission_of("a"))
         assert (await player.sent("a")).worker == "w9"
         assert set(player.forgotten) >= {"w0", "w1", "w2"}, "their connections lead to another process now"
@@ -307,14 +311,17 @@
 
 
 def test_a_stop_while_discovery_says_nothing_finishes_what_was_taken(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("locktide.dispatcher.dispatcher.ACCEPT_ON", 0.02)
+    monkeypatch.setattr("locktide.dispatcher.lifecycle.ACCEPT_AFTER_STOP", 0.02)
 
     async def run() -> None:
         player, heard, stop = told_to_ask(), [], asyncio.Event()
         node = player.node
         node.upstream.sweep = lambda: None  # type: ignore[method-assign]
         listening = await agent([], heard)
-        node.discovery, node.listen_at = listening.sockets[0].getsockname(), free_address()
+        node.settings.discovery, node.lifecycle.listen_address = (
+            listening.sockets[0].getsockname(),
+            free_address(),
+        )
         running = asyncio.create_task(node.run(stop))
         await asyncio.sleep(0.01)
         answer = node.submit(submission_of("a"))
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -15,7 +15,7 @@
 import pytest
 from helpers import COLD, GRADES, STEP, Checked, begin, call, listed, submit, terms
 
-from locktide.dispatcher.dispatcher import Dispatcher
+from locktide.dispatcher.requests import arrival_event
 from locktide.protocol import server_connection as clients
 from locktide.scheduler.commands import CancelAttempt, FailRequest, LogMessage, RejectRequest, WatchEndpoints
 from locktide.scheduler.config import CostConfig, ServiceClass
@@ -277,7 +277,7 @@
     conversation.feed(submit(target, Req_Extra=extras, Req_Kind="view"))
     message = conversation.next()
     assert isinstance(message, clients.SubmitRequest)
-    news = Dispatcher.arrival(message, 9_000_000)
+    news = arrival_event(message, 9_000_000)
     assert (news.width, news.work_hint, news.tenant, news.affinity_key) == told
     assert (news.request_id, news.service_class, news.deadline) == ("a1", "view", 9_000_000)
 
@@ -375,5 +375,5 @@
     assert worker.runs == Counter(dict.fromkeys(done, 1)), "what was done ran once, what was denied never"
     told = [line for line in log if b"reload: " in line]
     assert len(told) == 5 and sum(b"settings taken" in line for line in told) == 4
-    assert b"settings.WeightKind: expected one of" in told[2] and b"the old terms stay" in told[2]
-    assert any(b" 0 submissions open" not in line for line in told[1:])
+    assert b"settings.WeightKind: expected one of" in told[2] and b"the old settings stay" in told[2]
+    assert any(b" 0 requests open" not in line for line in told[1:])
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -139,7 +139,7 @@
 
 def test_a_silent_worker_does_not_hold_up_a_withdrawal(monkeypatch: pytest.MonkeyPatch) -> None:
     async def story(play: HandPlayed) -> None:
-        play.node.connect_within = 1000
+        play.node.settings.connect_within = 1000
         play.node.submit(submission("a"))
         (await play.sent("a")).reply(202)
         await play.settle()
@@ -173,13 +173,13 @@
 
 def test_a_stop_does_not_cut_short_a_job_that_the_next_process_goes_on_with() -> None:
     async def story(play: HandPlayed) -> None:
-        play.node.shorten(play.node.loop.time() + 0.5)
+        play.node.lifecycle.limit_new_requests(play.node.loop.time() + 0.5)
         kept = submission("kept")
         kept.background = True
         play.node.submit(kept)
         play.node.submit(submission("plain"))
         left = {name: held.deadline - play.node.clock.now() for name, held in play.node.open_requests.items()}
-        assert left["kept"] > 2_000_000 > left["plain"] and play.node.open() == 1
+        assert left["kept"] > 2_000_000 > left["plain"] and play.node.registry.open_count() == 1
 
     played(story)
 
@@ -188,8 +188,8 @@
     async def story(play: HandPlayed) -> None:
         denied, terminated = (play.node.submit(submission(name)) for name in "ab")
         assert denied is not None and terminated is not None
-        play.node.reject(RejectRequest("a", 250_000))
-        play.node.fail(FailRequest("b"))
+        play.node.requests.reject(RejectRequest("a", 250_000))
+        play.node.requests.fail(FailRequest("b"))
         assert denied.result().status == 503 and denied.result().headers == [("Retry-After", "0.250")]
         assert terminated.result().status == 502 and not terminated.result().headers
 
@@ -224,7 +224,7 @@
 def test_in_a_stop_nothing_is_taken_that_a_kill_could_find_open() -> None:
     async def story(play: HandPlayed) -> None:
         play.node.submit(submission("a", patience=9_000_000))
-        play.node.shorten(play.node.loop.time() + 2.0)
+        play.node.lifecycle.limit_new_requests(play.node.loop.time() + 2.0)
         play.node.submit(submission("b", patience=9_000_000))
         play.node.submit(submission("c", patience=900_000))
         left = [play.node.open_requests[name].deadline - play.node.clock.now() for name in "abc"]
@@ -252,7 +252,7 @@
 
 
 def test_a_reply_that_never_comes_is_not_waited_for_without_end(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("locktide.dispatcher.attempts.LAST_REPLY", 0.02)
+    monkeypatch.setattr("locktide.dispatcher.attempts.LATE_REPLY_TIMEOUT", 0.02)
 
     async def story(play: HandPlayed) -> None:
         play.node.submit(submission("a", patience=200_000))
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -9,9 +9,9 @@
 from hypothesis import strategies as st
 from rig import play
 
-from locktide.dispatcher import attempts as dispatches
-from locktide.dispatcher.base import DispatcherBase
-from locktide.dispatcher.endpoints import EndpointFollower
+from locktide.dispatcher import cancellation
+from locktide.dispatcher.endpoint_follower import EndpointFollower
+from locktide.dispatcher.registry import RequestRegistry
 from locktide.scheduler.types import AttemptOutcome
 from locktide.transport.client_connection import ClientConnection
 from locktide.transport.descriptor_budget import DescriptorBudget
@@ -96,7 +96,7 @@
         TAKE_LIST(self, update)
 
 
-ANSWER, ASK, TAKE_LIST = DispatcherBase.respond, UpstreamPool.send, EndpointFollower.apply_endpoint_list
+ANSWER, ASK, TAKE_LIST = RequestRegistry.respond, UpstreamPool.send, EndpointFollower.apply_endpoint_list
 WHILE = "speak " * 20
 SEEDED = [
     ("gone", ClientConnection, "leave", ignore, story("view close", WHILE, "break")),
@@ -107,9 +107,9 @@
         first_list_only,
         story("leaving:0 leaving:1", WHILE, "view " * 4),
     ),
-    ("copies", dispatches, "give_up", told_at_once, story("view take", WHILE)),
+    ("copies", cancellation, "deliver_cancellation", told_at_once, story("view take", WHILE)),
     ("twice", UpstreamPool, "send", never_ran, story("cash break")),
-    ("lost", DispatcherBase, "respond", none_to_the_first, story("view take done")),
+    ("lost", RequestRegistry, "respond", none_to_the_first, story("view take done")),
     ("descriptors", DescriptorBudget, "release", ignore, story("view take done")),
 ]
 
--- a/tests/test_rehearse.py
+++ b/tests/test_rehearse.py
@@ -115,7 +115,7 @@
 def test_rough_days_break_no_rule(seed: int) -> None:
     told = in_virtual_time(rough.draw(seed))
     assert not any(told.told["rules"].values()), told.told["broken"][:3]
-    assert not [line for line in told.said if "broke off" in line]
+    assert not [line for line in told.said if "the scheduler failed" in line]
 
 
 def test_loopback_plays_the_same_script_breaks_no_rule_and_comes_close(short: Path, tmp_path: Path) -> None:
@@ -356,12 +356,12 @@
     assert process.stderr is not None
     while (told := json.loads(process.stderr.readline()))["event"] == "roster-silent":
         pass
-    assert (told["event"], told["listen"], told["workers"]) == ("serving", f"{here}:7070", 0)
+    assert (told["event"], told["listen"], told["workers"]) == ("dispatcher_serving", f"{here}:7070", 0)
     path.write_text("[serve]\nlisten = 3\n")
     process.send_signal(signal.SIGHUP)  # a faulty file changes nothing
     while (told := json.loads(process.stderr.readline()))["event"] == "roster-silent":
         pass
-    assert told["event"] == "reload-faulty" and "serve.listen" in told["trouble"]
+    assert told["event"] == "config_rejected" and "serve.listen" in told["error"]
     process.terminate()
     assert process.wait(timeout=20) == 0
 
--- a/tests/test_withdrawals.py
+++ b/tests/test_withdrawals.py
@@ -24,13 +24,13 @@
 
 
 async def withdrawn(play: HandPlayed, taken: bool = True) -> Asked:
-    play.node.connect_within = 5_000
+    play.node.settings.connect_within = 5_000
     play.node.submit(submission("a"))
     asked = await play.sent("a")
     if taken:
         asked.reply(202)
     await play.settle()
-    play.node.cancel_attempt(CancelAttempt("a", 0))
+    play.node.cancellations.cancel_attempt(CancelAttempt("a", 0))
     await play.settle()
     return asked
 
@@ -84,7 +84,7 @@
         play = HandPlayed()
         asked = await withdrawn(play, taken=False)
         assert asked.cancelled
-        await fail(play, withdrawals.TRIES)
+        await fail(play, withdrawals.IMMEDIATE_TRIES)
         assert play.outcomes() == [AttemptOutcome.CANCELLED]
 
     asyncio.run(run())
@@ -95,11 +95,11 @@
         for word in ("done", ""):
             play = HandPlayed()
             asked = await withdrawn(play)
-            await fail(play, withdrawals.TRIES)
+            await fail(play, withdrawals.IMMEDIATE_TRIES)
             if word:
                 play.call("a", asked.worker, word, b"result")
             else:
-                play.node.time_out(play.node.open_requests["a"])
+                play.node.requests.time_out(play.node.open_requests["a"])
             await play.settle()
             assert play.outcomes() == [AttemptOutcome.DONE if word else AttemptOutcome.TIMED_OUT]
             for _ in range(2):
@@ -197,5 +197,5 @@
     async def gullible(*_: object) -> bool:
         return True
 
-    monkeypatch.setattr("locktide.dispatcher.attempts.give_up", gullible)
+    monkeypatch.setattr("locktide.dispatcher.cancellation.deliver_cancellation", gullible)
     assert in_virtual_time(script.load(ZONE_LOST)).told["rules"]["copies"] > 0
