--- a/locktide/cli/jobs.py
+++ b/locktide/cli/jobs.py
@@ -1,4 +1,4 @@
-"""`locktide jobs`: reads a journal of jobs, also while its dispatcher runs; it changes nothing."""
+"""`locktide jobs`: reads the write-ahead log of durable jobs without changing it, also while it is in use."""
 
 from __future__ import annotations
 
@@ -12,66 +12,85 @@
 import click
 
 from locktide.durable.disk import DirectoryStorage
-from locktide.durable.jobs import Job, JobTable
-from locktide.durable.log import framing as frames
-from locktide.durable.log import write_ahead_log as journal
+from locktide.durable.errors import ForeignFileError, NewerFormatError
+from locktide.durable.jobs import Job, JobState, JobTable
+from locktide.durable.log.reader import LogContents, read_log
+from locktide.durable.log.records import LateReport, LeaseGranted
 
 
-def look(directory: Path) -> tuple[JobTable, journal.LogContents]:
+def read_directory(directory: Path) -> tuple[JobTable, LogContents]:
+    """Reads the log of a directory; exits with 2 where there is none, with 1 where it cannot be read."""
     if not directory.is_dir():
         print(f"locktide: {directory}: no such directory", file=sys.stderr)
         sys.exit(2)
-    table, found = JobTable(), journal.LogContents()
     try:
-        journal.read(DirectoryStorage(directory), table, found)
-    except (frames.NewerFormatError, frames.ForeignFileError) as trouble:
-        print(f"locktide: {trouble}", file=sys.stderr)
+        return _read(directory)
+    except (NewerFormatError, ForeignFileError) as error:
+        print(f"locktide: {error}", file=sys.stderr)
         sys.exit(1)
     except FileNotFoundError:  # compacted while we read: what is there now holds all
-        table, found = JobTable(), journal.LogContents()
-        journal.read(DirectoryStorage(directory), table, found)
-    return table, found
+        return _read(directory)
 
 
-def moment(at: int) -> str:
-    return datetime.fromtimestamp(at / 1e6, UTC).isoformat(timespec="milliseconds")
+def _read(directory: Path) -> tuple[JobTable, LogContents]:
+    table = JobTable()
+    contents = read_log(DirectoryStorage(directory), table)
+    return table, contents
 
 
-def told(job: Job) -> dict[str, Any]:
-    """A job as plain values; bodies in base64."""
-    accepted, finished = job.accepted, job.finished
+def format_time(unix_microseconds: int) -> str:
+    """Returns a time as ISO 8601 in UTC."""
+    return datetime.fromtimestamp(unix_microseconds / 1e6, UTC).isoformat(timespec="milliseconds")
+
+
+def export_job(job: Job) -> dict[str, Any]:
+    """Returns a job as plain values, under the keys of the exported JSON; bodies are in base64."""
+    accepted = job.accepted
+    finished = job.finished
     return {
-        "id": job.id,
-        "grade": accepted.grade,
+        "id": job.job_id,
+        "grade": accepted.service_class,
         "key": accepted.key,
-        "state": job.state,
-        "accepted_at": moment(accepted.at),
-        "time_limit_at": moment(accepted.limit_at),
+        "state": job.state.value,
+        "accepted_at": format_time(accepted.recorded_at),
+        "time_limit_at": format_time(accepted.deadline),
         "target": accepted.target,
         "body": base64.b64encode(accepted.body).decode(),
-        "may_have_run": job.may_have_run(),
-        "leases": [
-            {
-                "fence": lease.fence,
-                "worker": lease.worker,
-                "zone": lease.zone,
-                "cell": lease.cell,
-                "at": moment(lease.at),
-                "until_at_first": moment(lease.until),
-                "outcome": job.ended[lease.fence].outcome if lease.fence in job.ended else None,
-            }
-            for lease in job.leases
-        ],
-        "late_words": [
-            {"fence": one.fence, "worker": one.worker, "state": one.state, "at": moment(one.at)}
-            for one in job.late
-        ],
-        "finished_at": moment(finished.at) if finished else None,
+        "may_have_run": job.possibly_executed(),
+        "leases": [_export_lease(job, lease) for lease in job.leases],
+        "late_words": [_export_late_report(report) for report in job.late_reports],
+        "finished_at": format_time(finished.recorded_at) if finished else None,
         "status": finished.status if finished else None,
         "result": base64.b64encode(finished.body).decode() if finished else None,
     }
 
 
+def _export_lease(job: Job, lease: LeaseGranted) -> dict[str, Any]:
+    ended = job.ended_attempts.get(lease.fence)
+    return {
+        "fence": lease.fence,
+        "worker": lease.worker,
+        "zone": lease.zone,
+        "cell": lease.cell,
+        "at": format_time(lease.recorded_at),
+        "until_at_first": format_time(lease.expires_at),
+        "outcome": ended.outcome if ended else None,
+    }
+
+
+def _export_late_report(report: LateReport) -> dict[str, Any]:
+    return {
+        "fence": report.fence,
+        "worker": report.worker,
+        "state": report.state,
+        "at": format_time(report.recorded_at),
+    }
+
+
+def _oldest_first(table: JobTable) -> list[Job]:
+    return sorted(table.jobs.values(), key=lambda job: job.accepted.recorded_at)
+
+
 @click.group()
 def jobs() -> None:
     """Read a journal of durable jobs: list, show, verify, export. Nothing is changed."""
@@ -82,49 +101,52 @@
 
 @jobs.command("list")
 @DIRECTORY
-@click.option("--state", type=click.Choice(["open", "done", "denied", "terminated"]), help="Only these.")
+@click.option("--state", type=click.Choice([state.value for state in JobState]), help="Only these.")
 def list_jobs(directory: Path, state: str | None) -> None:
     """One line for each job that is open or kept, oldest first."""
-    table, _ = look(directory)
-    for job in sorted(table.jobs.values(), key=lambda job: job.accepted.at):
+    table, _ = read_directory(directory)
+    for job in _oldest_first(table):
         if state in (None, job.state):
-            grade = job.accepted.grade
-            click.echo(f"{job.id}  {grade}  {job.state}  {moment(job.accepted.at)}  {len(job.leases)} leases")
+            service_class = job.accepted.service_class
+            accepted_at = format_time(job.accepted.recorded_at)
+            click.echo(f"{job.job_id}  {service_class}  {job.state}  {accepted_at}  {len(job.leases)} leases")
 
 
 @jobs.command()
 @DIRECTORY
-@click.argument("id")
-def show(directory: Path, id: str) -> None:
+@click.argument("job_id", metavar="ID")
+def show(directory: Path, job_id: str) -> None:
     """All that is known of one job, as JSON; also late words of workers whose lease had ended."""
-    table, _ = look(directory)
-    if id not in table.jobs:
-        print(f"locktide: {id}: no such job in {directory}", file=sys.stderr)
+    table, _ = read_directory(directory)
+    if job_id not in table.jobs:
+        print(f"locktide: {job_id}: no such job in {directory}", file=sys.stderr)
         sys.exit(1)
-    click.echo(json.dumps(told(table.jobs[id]), indent=1))
+    click.echo(json.dumps(export_job(table.jobs[job_id]), indent=1))
 
 
 @jobs.command()
 @DIRECTORY
 def verify(directory: Path) -> None:
     """Read everything and say what is wrong. Exit code 1 for damage; a torn end is not damage."""
-    table, found = look(directory)
-    click.echo(f"{found.segments} segments, {found.records} records, {found.bytes} bytes")
-    click.echo(f"{table.opened} jobs open, {len(table.jobs) - table.opened} finished and kept")
-    for what in found.torn:
-        click.echo(f"torn end, never promised to anybody: {what}")
-    for what in found.damaged:
-        click.echo(f"DAMAGED: {what}")
-    sys.exit(1 if found.damaged else 0)
+    table, contents = read_directory(directory)
+    click.echo(
+        f"{contents.segment_count} segments, {contents.record_count} records, {contents.byte_count} bytes"
+    )
+    click.echo(f"{table.open_count} jobs open, {len(table.jobs) - table.open_count} finished and kept")
+    for fault in contents.torn:
+        click.echo(f"torn end, never promised to anybody: {fault}")
+    for fault in contents.damaged:
+        click.echo(f"DAMAGED: {fault}")
+    sys.exit(1 if contents.damaged else 0)
 
 
 @jobs.command()
 @DIRECTORY
 def export(directory: Path) -> None:
     """Every job as a line of JSON."""
-    table, _ = look(directory)
-    for job in sorted(table.jobs.values(), key=lambda job: job.accepted.at):
-        click.echo(json.dumps(told(job)))
+    table, _ = read_directory(directory)
+    for job in _oldest_first(table):
+        click.echo(json.dumps(export_job(job)))
 
 
 @jobs.command()
@@ -134,17 +156,21 @@
 @click.option("--times", default=3, show_default=True, type=click.IntRange(1, 100), help="Recoveries each.")
 def measure(directory: Path, count: int, sizes: str, times: int) -> None:
     """What a journal below DIRECTORY costs on its disk. Takes a minute; what it writes is removed again."""
-    from locktide.durable import measure as ours  # noqa: PLC0415
+    # Imported here: only this command needs it.
+    from locktide.durable.measure import measure_acceptances, measure_recoveries
 
-    each, group = ours.acceptances(directory, count)
-    for name, cost in (("one sync each", each), ("group commit", group)):
+    single, group = measure_acceptances(directory, count)
+    for name, cost in (("one sync each", single), ("group commit", group)):
         click.echo(
             f"{name}: {cost.rate:.0f} jobs/s, accepted in {cost.p50 * 1000:.2f} ms (half), "
-            f"{cost.p99 * 1000:.2f} ms (99%), {cost.syncs} syncs for {cost.count} jobs"
+            f"{cost.p99 * 1000:.2f} ms (99%), {cost.sync_count} syncs for {cost.count} jobs"
         )
     click.echo(
-        f"group commit over one sync each: {group.rate / each.rate:.1f} times the jobs, "
-        f"{group.p99 / each.p99:.2f} of the 99% wait"
+        f"group commit over one sync each: {group.rate / single.rate:.1f} times the jobs, "
+        f"{group.p99 / single.p99:.2f} of the 99% wait"
     )
-    for took in ours.recoveries(directory, [int(size) for size in sizes.split(",")], times):
-        click.echo(f"recovery of {took.jobs} open jobs: {took.mean:.3f} s mean, {took.worst:.3f} worst")
+    for recovery in measure_recoveries(directory, [int(size) for size in sizes.split(",")], times):
+        click.echo(
+            f"recovery of {recovery.job_count} open jobs: {recovery.mean:.3f} s mean, "
+            f"{recovery.worst:.3f} worst"
+        )
--- a/locktide/cli/serve.py
+++ b/locktide/cli/serve.py
@@ -44,21 +44,13 @@
         found.append(accord)
     if not told.durable.on:
         return found
-    from locktide.durable import bootstrap as start  # noqa: PLC0415
-    from locktide.durable import disk  # noqa: PLC0415
-    from locktide.durable.log import framing as frames  # noqa: PLC0415
-    from locktide.durable.log import write_ahead_log as journal  # noqa: PLC0415
+    from locktide.durable.bootstrap import attach_job_service
+    from locktide.durable.errors import LogOpenError
 
     async def durable(node: Dispatcher) -> AttachedService:
         try:
-            return await start.join(node, told.durable, log)
-        except (
-            disk.DirectoryInUseError,
-            frames.NewerFormatError,
-            frames.ForeignFileError,
-            journal.DamagedLogError,
-            OSError,
-        ) as trouble:
+            return await attach_job_service(node, told.durable, log)
+        except (LogOpenError, OSError) as trouble:
             raise Refused(f"durable.directory: {trouble}") from None
 
     return [durable, *found]
--- /dev/null
+++ b/locktide/durable/acceptance.py
@@ -0,0 +1,134 @@
+"""Accepts durable jobs: a job is on the disk before it is acknowledged or dispatched."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+from dataclasses import dataclass
+
+from locktide.durable.completion import JobCompletion
+from locktide.durable.errors import LogWriteError
+from locktide.durable.job_context import JobContext
+from locktide.durable.jobs import Job
+from locktide.durable.log.records import JobAccepted
+from locktide.durable.preference import Preference, read_preference
+from locktide.durable.responses import denied_response, id_conflict_response, key_conflict_response
+from locktide.durable.waiters import JobWaiters
+from locktide.protocol import names
+from locktide.protocol.server_connection import SubmitRequest
+from locktide.transport.client_connection import Response
+
+
+@dataclass(frozen=True, slots=True)
+class JobRequest:
+    """A request for a durable job, with what its headers say."""
+
+    request: SubmitRequest
+    preference: Preference
+    idempotency_key: str  # empty for none
+    digest: str  # of method, target and body
+
+    @classmethod
+    def read(cls, request: SubmitRequest) -> JobRequest:
+        """Reads the headers of a request."""
+        headers = {name.decode().lower(): value.decode("latin-1") for name, value in request.onward}
+        content = b"\0".join((request.method.encode(), request.target.encode(), request.body))
+        return cls(
+            request,
+            read_preference(headers),
+            headers.get(names.NUMBER.lower(), ""),
+            hashlib.sha256(content).hexdigest(),
+        )
+
+    def accepted_record(self, now: int, timeout: int) -> JobAccepted:
+        """Returns the record that accepts this job."""
+        request = self.request
+        prefer = names.PREFER.lower().encode()
+        return JobAccepted(
+            job_id=request.id,
+            key=self.idempotency_key,
+            digest=self.digest,
+            service_class=request.service_class,
+            method=request.method,
+            target=request.target,
+            forwarded_headers=[(name, value) for name, value in request.onward if name.lower() != prefer],
+            body=request.body,
+            recorded_at=now,
+            deadline=now + timeout,
+            width=request.width,
+        )
+
+
+class JobAcceptance:
+    """Accepts new jobs, and lets repeated requests wait for the job that they repeat."""
+
+    def __init__(self, context: JobContext, waiters: JobWaiters, completion: JobCompletion) -> None:
+        self.config = context.config
+        self.state = context.state
+        self.write_ahead_log = context.write_ahead_log
+        self.waiters = waiters
+        self.completion = completion
+        self.tasks = context.tasks
+        self.dispatcher = context.dispatcher
+        self.log = context.log
+
+    def submit(self, request: SubmitRequest) -> asyncio.Future[Response] | None:
+        """Returns the response to come; None where the request's id is in use or was."""
+        job_request = JobRequest.read(request)
+        response: asyncio.Future[Response] = asyncio.get_running_loop().create_future()
+        existing = self._find_existing(job_request)
+        if existing is not None:
+            self._wait_for_existing(existing, job_request, response)
+            return response
+        if request.id in self.state.table.jobs or self.dispatcher.is_id_in_use(request.id):
+            return None
+        if self.state.table.open_count >= self.config.max_open_jobs or self.write_ahead_log.failure:
+            response.set_result(denied_response("no more jobs are taken now"))
+            return response
+        self._accept(job_request, response)
+        return response
+
+    def _find_existing(self, job_request: JobRequest) -> Job | None:
+        if not job_request.idempotency_key:
+            return None
+        service_class = job_request.request.service_class
+        return self.state.table.find_by_key(service_class, job_request.idempotency_key)
+
+    def _wait_for_existing(
+        self, job: Job, job_request: JobRequest, response: asyncio.Future[Response]
+    ) -> None:
+        if job.accepted.digest != job_request.digest:
+            response.set_result(key_conflict_response())
+            return
+        self.waiters.add(job.job_id, job_request.request, job_request.preference, response)
+
+    def _accept(self, job_request: JobRequest, response: asyncio.Future[Response]) -> None:
+        request = job_request.request
+        respond_async = job_request.preference.respond_async
+        timeout = max(request.timeout, self.config.detached_timeout) if respond_async else request.timeout
+        record = job_request.accepted_record(self.dispatcher.now(), timeout)
+        write = self.write_ahead_log.append(record)
+        self.state.accepting[request.id] = write
+        self.waiters.add(request.id, request, job_request.preference, response)
+        self.tasks.spawn(self._dispatch_once_written(record, write, timeout, respond_async))
+
+    async def _dispatch_once_written(
+        self, record: JobAccepted, write: asyncio.Future[None], time_limit: int, background: bool
+    ) -> None:
+        """Dispatches a job once it is on the disk; where it cannot be written it was never accepted."""
+        try:
+            await write
+        except LogWriteError as error:
+            self.state.table.drop(record.job_id)
+            self.log.emit(f"jobs: not accepted: {error}", event="job-not-accepted", trouble=str(error))
+            self.waiters.resolve(record.job_id, denied_response("it could not be written down"))
+            return
+        finally:
+            self.state.accepting.pop(record.job_id, None)
+        # The deadline comes nearer while the disk is waited for.
+        remaining = time_limit - (self.dispatcher.now() - record.recorded_at)
+        response = self.dispatcher.submit(record, max(1, remaining), background)
+        if response is None:
+            self.completion.finish(record.job_id, id_conflict_response())
+            return
+        self.completion.finish_with(record.job_id, response)
--- a/locktide/durable/bootstrap.py
+++ b/locktide/durable/bootstrap.py
@@ -1,4 +1,4 @@
-"""Joins durable jobs to a node by an installation's settings."""
+"""Attaches durable jobs to a dispatcher by an installation's settings."""
 
 from __future__ import annotations
 
@@ -7,42 +7,59 @@
 
 from locktide.config.installation import Durable
 from locktide.dispatcher.dispatcher import Dispatcher
-from locktide.durable import leases
 from locktide.durable.disk import DirectoryStorage, Storage
-from locktide.durable.job_service import JobConfig, JobService
+from locktide.durable.job_config import JobConfig
+from locktide.durable.job_service import JobService
+from locktide.durable.leases import LeaseConfig
 from locktide.durable.log.write_ahead_log import WriteAheadLog
 from locktide.durable.recovery import ClockReading
 from locktide.transport.log import Log
 
 BOOT_ID = Path("/proc/sys/kernel/random/boot_id")
+MEGABYTE = 1 << 20
 
 
-def moment(boot_id: Path = BOOT_ID) -> ClockReading:
-    """The machine's clocks. Where it does not say which boot this is, none is like another."""
+def read_clocks(boot_id_file: Path = BOOT_ID) -> ClockReading:
+    """Reads the machine's clocks; where it does not tell its boot, the id given is like no other."""
     try:
-        boot = boot_id.read_text(encoding="ascii").strip()
+        boot_id = boot_id_file.read_text(encoding="ascii").strip()
     except OSError:
-        boot = f"unknown-{time.time_ns()}"
-    return ClockReading(time.time_ns() // 1000, boot, time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1000)
+        boot_id = f"unknown-{time.time_ns()}"
+    wall_time = time.time_ns() // 1000
+    uptime = time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1000
+    return ClockReading(wall_time, boot_id, uptime)
 
 
-def terms(told: Durable) -> JobConfig:
+def job_config(settings: Durable) -> JobConfig:
+    """Returns the configuration of jobs by the installation's settings."""
     return JobConfig(
-        frozenset(told.grades),
-        round(told.limit * 1e6),
-        round(told.keep * 1e6),
-        told.most_open,
-        told.pace,
-        leases.LeaseConfig(round(told.start_within * 1e6), round(told.beat_within * 1e6)),
+        service_classes=frozenset(settings.grades),
+        detached_timeout=_microseconds(settings.limit),
+        retention=_microseconds(settings.keep),
+        max_open_jobs=settings.most_open,
+        resume_rate=settings.pace,
+        leases=LeaseConfig(_microseconds(settings.start_within), _microseconds(settings.beat_within)),
     )
 
 
-async def join(
-    node: Dispatcher, told: Durable, log: Log, disk: Storage | None = None, now: ClockReading | None = None
+def _microseconds(seconds: float) -> int:
+    return round(seconds * 1e6)
+
+
+async def attach_job_service(
+    dispatcher: Dispatcher,
+    settings: Durable,
+    log: Log,
+    storage: Storage | None = None,
+    clocks: ClockReading | None = None,
 ) -> JobService:
-    """Raises Taken, Newer, Foreign, Damaged or OSError, and has changed nothing then."""
-    journal = WriteAheadLog(disk or DirectoryStorage(Path(told.directory)), int(told.segment_mb * (1 << 20)))
-    journal.open(skip_damaged=told.damaged == "skip")
-    desk = JobService(node, journal, terms(told), log)
-    await desk.recover(now or moment())
-    return desk
+    """Opens the write-ahead log, attaches a job service to the dispatcher and recovers its jobs.
+
+    Raises LogOpenError or OSError, and has changed nothing then.
+    """
+    storage = storage or DirectoryStorage(Path(settings.directory))
+    write_ahead_log = WriteAheadLog(storage, int(settings.segment_mb * MEGABYTE))
+    write_ahead_log.open(skip_damaged=settings.damaged == "skip")
+    service = JobService(dispatcher, write_ahead_log, job_config(settings), log)
+    await service.recover(clocks or read_clocks())
+    return service
--- a/locktide/durable/disk.py
+++ b/locktide/durable/disk.py
@@ -1,4 +1,4 @@
-"""The disk under a journal: one directory of files that grow at their ends, and the promise of a sync."""
+"""Storage under the write-ahead log: a directory of append-only files, with durable syncs."""
 
 from __future__ import annotations
 
@@ -11,107 +11,129 @@
 from pathlib import Path
 from typing import Protocol
 
-LOCK = "LOCK"
+from locktide.durable.errors import DirectoryInUseError
 
-
-class DirectoryInUseError(Exception):
-    """Another process has this directory."""
+LOCK_FILE = "LOCK"
+FILE_MODE = 0o600
 
 
 class Storage(Protocol):
-    """What has been appended is safe from a crash of the machine once a `sync` that began later has ended."""
+    """A directory of files; appended data survives a crash once a `sync` begun later has ended."""
 
-    def names(self) -> list[str]: ...
+    def list_files(self) -> list[str]:
+        """Returns the names of all files, sorted."""
 
-    def read(self, name: str) -> bytes: ...
+    def read(self, name: str) -> bytes:
+        """Returns the whole content of a file."""
 
     def create(self, name: str) -> None:
-        """A new empty file, its name safe at once; raises FileExistsError."""
+        """Creates an empty file whose name is durable at once; raises FileExistsError."""
 
     def append(self, name: str, data: bytes) -> None:
-        """Raises OSError; some of the data may stand in the file then."""
+        """Appends to a file; raises OSError, after which part of the data may be in the file."""
 
-    def truncate(self, name: str, size: int) -> None: ...
+    def truncate(self, name: str, size: int) -> None:
+        """Cuts a file down to `size` bytes, durably."""
 
-    async def sync(self, name: str) -> None: ...
+    async def sync(self, name: str) -> None:
+        """Makes what has been appended to a file durable; raises OSError."""
 
-    def remove(self, name: str) -> None: ...
+    def remove(self, name: str) -> None:
+        """Removes a file, if it is there."""
 
-    def take(self) -> None:
-        """Keeps every other process out until this one ends or gives it back; raises Taken."""
+    def acquire_lock(self) -> None:
+        """Keeps other processes out until this one ends or releases it; raises DirectoryInUseError."""
 
-    def give_back(self) -> None: ...
+    def release_lock(self) -> None:
+        """Releases the lock and closes all files."""
 
 
 class DirectoryStorage:
-    """A directory of the file system; it is made if it is not there."""
+    """Storage in a directory of the file system, which is made if it is not there."""
 
     def __init__(self, path: Path) -> None:
         self.path = path
         path.mkdir(parents=True, exist_ok=True)
-        self.open: dict[str, int] = {}  # descriptors that are appended to
-        self.lock: int | None = None
-        # One thread: syncs of one file do not overtake each other, and the loop turns on meanwhile.
-        self.thread = ThreadPoolExecutor(1, thread_name_prefix="sync")
+        self.append_descriptors: dict[str, int] = {}
+        self.lock_descriptor: int | None = None
+        # One thread: syncs of one file do not overtake each other, and the event loop runs on meanwhile.
+        self.sync_thread = ThreadPoolExecutor(1, thread_name_prefix="sync")
 
-    def names(self) -> list[str]:
+    def list_files(self) -> list[str]:
+        """Returns the names of all files, sorted."""
         return sorted(entry.name for entry in self.path.iterdir() if entry.is_file())
 
     def read(self, name: str) -> bytes:
+        """Returns the whole content of a file."""
         return (self.path / name).read_bytes()
 
-    def descriptor(self, name: str) -> int:
-        if name not in self.open:
-            self.open[name] = os.open(self.path / name, os.O_WRONLY | os.O_APPEND | os.O_CLOEXEC)
-        return self.open[name]
-
     def create(self, name: str) -> None:
+        """Creates an empty file whose name is durable at once; raises FileExistsError."""
         flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT | os.O_EXCL | os.O_CLOEXEC
-        self.open[name] = os.open(self.path / name, flags, 0o600)
-        self.sync_names()
+        self.append_descriptors[name] = os.open(self.path / name, flags, FILE_MODE)
+        self._sync_directory()
 
     def append(self, name: str, data: bytes) -> None:
-        descriptor, view = self.descriptor(name), memoryview(data)
-        while view:
-            view = view[os.write(descriptor, view) :]
+        """Appends to a file; raises OSError, after which part of the data may be in the file."""
+        descriptor = self._append_descriptor(name)
+        remaining = memoryview(data)
+        while remaining:
+            written = os.write(descriptor, remaining)
+            remaining = remaining[written:]
 
     def truncate(self, name: str, size: int) -> None:
-        os.ftruncate(self.descriptor(name), size)
-        os.fsync(self.descriptor(name))
+        """Cuts a file down to `size` bytes, durably."""
+        descriptor = self._append_descriptor(name)
+        os.ftruncate(descriptor, size)
+        os.fsync(descriptor)
 
     async def sync(self, name: str) -> None:
-        await asyncio.get_running_loop().run_in_executor(self.thread, os.fdatasync, self.descriptor(name))
+        """Makes what has been appended to a file durable; raises OSError."""
+        loop = asyncio.get_running_loop()
+        await loop.run_in_executor(self.sync_thread, os.fdatasync, self._append_descriptor(name))
 
     def remove(self, name: str) -> None:
-        if name in self.open:
-            os.close(self.open.pop(name))
+        """Removes a file, if it is there."""
+        if name in self.append_descriptors:
+            os.close(self.append_descriptors.pop(name))
         (self.path / name).unlink(missing_ok=True)
-        self.sync_names()
+        self._sync_directory()
 
-    def sync_names(self) -> None:
-        directory = os.open(self.path, os.O_RDONLY | os.O_DIRECTORY)
+    def acquire_lock(self) -> None:
+        """Keeps other processes out until this one ends or releases it; raises DirectoryInUseError."""
+        self.lock_descriptor = os.open(
+            self.path / LOCK_FILE, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, FILE_MODE
+        )
         try:
-            os.fsync(directory)
-        finally:
-            os.close(directory)
-
-    def take(self) -> None:
-        self.lock = os.open(self.path / LOCK, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
-        try:
-            fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-        except OSError as trouble:
-            os.close(self.lock)
-            self.lock = None
-            if trouble.errno in (errno.EAGAIN, errno.EACCES):
-                raise DirectoryInUseError(f"{self.path}: another dispatcher has it") from None
+            fcntl.flock(self.lock_descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError as error:
+            os.close(self.lock_descriptor)
+            self.lock_descriptor = None
+            if error.errno in (errno.EAGAIN, errno.EACCES):
+                path = str(self.path)
+                raise DirectoryInUseError(f"{path}: another dispatcher has it", path) from error
             raise
 
-    def give_back(self) -> None:
-        self.thread.shutdown(wait=True)
-        for descriptor in self.open.values():
+    def release_lock(self) -> None:
+        """Releases the lock and closes all files."""
+        self.sync_thread.shutdown(wait=True)
+        for descriptor in self.append_descriptors.values():
             with suppress(OSError):
                 os.close(descriptor)
-        self.open.clear()
-        if self.lock is not None:
-            os.close(self.lock)
-            self.lock = None
+        self.append_descriptors.clear()
+        if self.lock_descriptor is not None:
+            os.close(self.lock_descriptor)
+            self.lock_descriptor = None
+
+    def _append_descriptor(self, name: str) -> int:
+        if name not in self.append_descriptors:
+            flags = os.O_WRONLY | os.O_APPEND | os.O_CLOEXEC
+            self.append_descriptors[name] = os.open(self.path / name, flags)
+        return self.append_descriptors[name]
+
+    def _sync_directory(self) -> None:
+        directory = os.open(self.path, os.O_RDONLY | os.O_DIRECTORY)
+        try:
+            os.fsync(directory)
+        finally:
+            os.close(directory)
--- /dev/null
+++ b/locktide/durable/job_context.py
@@ -0,0 +1,26 @@
+"""The collaborators that all parts of a job service share."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from locktide.durable.background_tasks import BackgroundTasks
+from locktide.durable.durable_state import DurableState
+from locktide.durable.job_config import JobConfig
+from locktide.durable.job_dispatcher import JobDispatcher
+from locktide.durable.leases import LeaseTable
+from locktide.durable.log.write_ahead_log import WriteAheadLog
+from locktide.transport.log import Log
+
+
+@dataclass(frozen=True, slots=True)
+class JobContext:
+    """Shared by the parts of one job service."""
+
+    config: JobConfig
+    write_ahead_log: WriteAheadLog
+    state: DurableState
+    leases: LeaseTable
+    tasks: BackgroundTasks
+    dispatcher: JobDispatcher
+    log: Log
--- a/locktide/durable/jobs.py
+++ b/locktide/durable/jobs.py
@@ -1,133 +1,163 @@
-"""The state that the journal's records make: the same when they are written and when they are read again."""
+"""The state of all jobs, made by the log's records: the same when they are written and when read again."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from enum import StrEnum
 
-from locktide.durable.log import records
 from locktide.durable.log.records import (
+    AnyRecord,
     AttemptEnded,
     JobAccepted,
     JobFinished,
     JobSnapshot,
     LateReport,
     LeaseGranted,
+    SnapshotComplete,
+    WriterStarted,
 )
 from locktide.scheduler.types import PROVEN_NOT_RUN
 
-OPEN, DONE, DENIED, TERMINATED = "open", "done", "denied", "terminated"
+
+class JobState(StrEnum):
+    """The state of a job, as clients and operators are shown it."""
+
+    OPEN = "open"
+    DONE = "done"
+    DENIED = "denied"
+    TERMINATED = "terminated"
+
+
+STATE_BY_STATUS = {200: JobState.DONE, 503: JobState.DENIED}
 
 
 @dataclass(slots=True)
 class Job:
+    """All that was recorded of one job."""
+
     accepted: JobAccepted
     leases: list[LeaseGranted] = field(default_factory=list)
-    ended: dict[int, AttemptEnded] = field(default_factory=dict)  # by fence
+    ended_attempts: dict[int, AttemptEnded] = field(default_factory=dict)  # by fence
     finished: JobFinished | None = None
-    late: list[LateReport] = field(default_factory=list)
+    late_reports: list[LateReport] = field(default_factory=list)
+
+    @classmethod
+    def from_snapshot(cls, snapshot: JobSnapshot) -> Job:
+        """Returns the job that a snapshot holds."""
+        ended_attempts = {ended.fence: ended for ended in snapshot.ended_attempts}
+        return cls(
+            snapshot.accepted,
+            list(snapshot.leases),
+            ended_attempts,
+            snapshot.finished,
+            list(snapshot.late_reports),
+        )
+
+    def snapshot(self) -> JobSnapshot:
+        """Returns the job as one record."""
+        ended_attempts = list(self.ended_attempts.values())
+        return JobSnapshot(self.accepted, self.leases, ended_attempts, self.finished, self.late_reports)
 
     @property
-    def id(self) -> str:
-        return self.accepted.id
+    def job_id(self) -> str:
+        """The id that its client gave it."""
+        return self.accepted.job_id
 
     @property
-    def state(self) -> str:
+    def state(self) -> JobState:
+        """The state by its final response."""
         if self.finished is None:
-            return OPEN
-        return {200: DONE, 503: DENIED}.get(self.finished.status, TERMINATED)
+            return JobState.OPEN
+        return STATE_BY_STATUS.get(self.finished.status, JobState.TERMINATED)
 
     @property
     def fence(self) -> int:
-        """Of the last lease; 0 for none."""
+        """The fencing number of the last lease; 0 for none."""
         return self.leases[-1].fence if self.leases else 0
 
-    def out(self) -> list[LeaseGranted]:
-        """Leases without an end."""
-        return [lease for lease in self.leases if lease.fence not in self.ended]
-
-    def may_have_run(self) -> bool:
+    def possibly_executed(self) -> bool:
+        """Whether a worker may have run it."""
         return any(
-            lease.fence not in self.ended or self.ended[lease.fence].outcome not in PROVEN_NOT_RUN
+            lease.fence not in self.ended_attempts
+            or self.ended_attempts[lease.fence].outcome not in PROVEN_NOT_RUN
             for lease in self.leases
         )
 
-    def kept(self) -> JobSnapshot:
-        return JobSnapshot(self.accepted, self.leases, list(self.ended.values()), self.finished, self.late)
-
 
 class JobTable:
-    """All jobs that are open, or finished and kept for their clients."""
+    """All jobs that are open, or finished and retained for their clients."""
 
     def __init__(self) -> None:
         self.jobs: dict[str, Job] = {}
-        self.by_key: dict[tuple[str, str], str] = {}  # grade and key -> id
-        self.opened = 0
-        self.last_at = 0  # the latest time that any record tells
-        self.began: records.WriterStarted | None = None  # of the last process
+        self.job_ids_by_key: dict[tuple[str, str], str] = {}  # by service class and idempotency key
+        self.open_count = 0
+        self.last_recorded_at = 0  # the latest time in any record
+        self.writer: WriterStarted | None = None  # the last process that wrote
 
-    def apply(self, record: records.AnyRecord) -> None:
-        """What is said of a job that is not known is of one whose client's time to ask has gone by."""
+    def apply(self, record: AnyRecord) -> None:
+        """Applies one record; one of an unknown job is of a job whose retention has passed."""
         if isinstance(record, JobSnapshot):
-            self.add(
-                Job(
-                    record.accepted,
-                    list(record.leases),
-                    {one.fence: one for one in record.ended},
-                    record.finished,
-                    list(record.late),
-                )
-            )
+            self._put(Job.from_snapshot(record))
             return
-        if isinstance(record, records.SnapshotComplete):
+        if isinstance(record, SnapshotComplete):
             return
-        self.last_at = max(self.last_at, record.at)
-        if isinstance(record, records.WriterStarted):
-            self.began = record
+        self.last_recorded_at = max(self.last_recorded_at, record.recorded_at)
+        if isinstance(record, WriterStarted):
+            self.writer = record
         elif isinstance(record, JobAccepted):
-            if record.id not in self.jobs:
-                self.add(Job(record))
-        elif job := self.jobs.get(record.id):
-            if isinstance(record, LeaseGranted):
-                job.leases.append(record)
-            elif isinstance(record, AttemptEnded):
-                job.ended.setdefault(record.fence, record)
-            elif isinstance(record, LateReport):
-                job.late.append(record)
-            elif job.finished is None:  # the first final answer is the one
-                job.finished = record
-                self.opened -= 1
-
-    def add(self, job: Job) -> None:
-        before = self.jobs.get(job.id)
-        if before is not None:
-            self.opened -= before.finished is None
-        self.jobs[job.id] = job
-        self.opened += job.finished is None
-        if job.accepted.key:
-            self.by_key[job.accepted.grade, job.accepted.key] = job.id
-        self.last_at = max(self.last_at, job.accepted.at)
-
-    def drop(self, id: str) -> None:
-        """It was never accepted after all."""
-        job = self.jobs.pop(id, None)
-        if job is not None:
-            self.opened -= job.finished is None
-            if self.by_key.get((job.accepted.grade, job.accepted.key)) == id:
-                del self.by_key[job.accepted.grade, job.accepted.key]
-
-    def find(self, grade: str, key: str) -> Job | None:
-        return self.jobs.get(self.by_key.get((grade, key), ""))
-
-    def open(self) -> list[Job]:
-        """Oldest first."""
-        return sorted(
-            (job for job in self.jobs.values() if job.finished is None),
-            key=lambda job: (job.accepted.at, job.id),
-        )
-
-    def forget(self, now: int, keep: int) -> int:
-        """Drops what is finished and was kept long enough; how many."""
-        gone = [job for job in self.jobs.values() if job.finished and job.finished.at + keep <= now]
-        for job in gone:
-            self.drop(job.id)
-        return len(gone)
+            if record.job_id not in self.jobs:
+                self._put(Job(record))
+        elif job := self.jobs.get(record.job_id):
+            self._apply_to_job(job, record)
+
+    def _apply_to_job(self, job: Job, record: LeaseGranted | AttemptEnded | LateReport | JobFinished) -> None:
+        if isinstance(record, LeaseGranted):
+            job.leases.append(record)
+        elif isinstance(record, AttemptEnded):
+            job.ended_attempts.setdefault(record.fence, record)
+        elif isinstance(record, LateReport):
+            job.late_reports.append(record)
+        elif job.finished is None:  # only the first final response counts
+            job.finished = record
+            self.open_count -= 1
+
+    def _put(self, job: Job) -> None:
+        previous = self.jobs.get(job.job_id)
+        if previous is not None and previous.finished is None:
+            self.open_count -= 1
+        self.jobs[job.job_id] = job
+        if job.finished is None:
+            self.open_count += 1
+        accepted = job.accepted
+        if accepted.key:
+            self.job_ids_by_key[accepted.service_class, accepted.key] = job.job_id
+        self.last_recorded_at = max(self.last_recorded_at, accepted.recorded_at)
+
+    def drop(self, job_id: str) -> None:
+        """Forgets a job, if it is there."""
+        job = self.jobs.pop(job_id, None)
+        if job is None:
+            return
+        if job.finished is None:
+            self.open_count -= 1
+        class_and_key = (job.accepted.service_class, job.accepted.key)
+        if self.job_ids_by_key.get(class_and_key) == job_id:
+            del self.job_ids_by_key[class_and_key]
+
+    def find_by_key(self, service_class: str, key: str) -> Job | None:
+        """Returns the job with that idempotency key."""
+        return self.jobs.get(self.job_ids_by_key.get((service_class, key), ""))
+
+    def open_jobs(self) -> list[Job]:
+        """Returns the jobs without a final response, oldest first."""
+        jobs = [job for job in self.jobs.values() if job.finished is None]
+        return sorted(jobs, key=lambda job: (job.accepted.recorded_at, job.job_id))
+
+    def drop_expired(self, now: int, retention: int) -> int:
+        """Forgets the jobs that finished `retention` microseconds ago; returns how many."""
+        expired = [
+            job for job in self.jobs.values() if job.finished and job.finished.recorded_at + retention <= now
+        ]
+        for job in expired:
+            self.drop(job.job_id)
+        return len(expired)
--- /dev/null
+++ b/locktide/durable/late_reports.py
@@ -0,0 +1,64 @@
+"""Records what workers report under leases that have ended."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+
+from locktide.durable.completion import JobCompletion
+from locktide.durable.job_context import JobContext
+from locktide.durable.jobs import Job, JobState
+from locktide.durable.log.records import LateReport
+from locktide.durable.log.write_ahead_log import wait_or_lose
+from locktide.protocol.server_connection import Callback
+from locktide.scheduler.types import AttemptOutcome
+
+# Late reports recorded of one job: four attempts have a few each, and a bad peer could send for ever.
+MAX_LATE_REPORTS = 16
+
+
+class LateReports:
+    """Records late reports for operators; they change nothing else."""
+
+    def __init__(self, context: JobContext, completion: JobCompletion) -> None:
+        self.write_ahead_log = context.write_ahead_log
+        self.completion = completion
+        self.tasks = context.tasks
+        self.dispatcher = context.dispatcher
+        self.log = context.log
+
+    def record(self, job: Job, callback: Callback) -> Awaitable[None] | None:
+        """Writes down a final report under a lease that has ended; returns what its worker waits for."""
+        if (write := self.completion.writes.get(job.job_id)) is not None:
+            return asyncio.shield(write)  # the same report once more
+        fence = _fence_of(job, callback)
+        if len(job.late_reports) >= MAX_LATE_REPORTS or _is_known(job, callback, fence):
+            return None
+        self.log.emit(
+            f"job {job.job_id}: a late '{callback.state}' of worker {callback.worker} under lease {fence}",
+            event="late-word",
+            job=job.job_id,
+            fence=fence,
+            worker=callback.worker,
+            state=callback.state,
+        )
+        report = LateReport(job.job_id, fence, callback.worker, callback.state, self.dispatcher.now())
+        return self.tasks.spawn(wait_or_lose(self.write_ahead_log.append(report)))
+
+
+def _fence_of(job: Job, callback: Callback) -> int:
+    """Returns the fence that a worker names, or that of its latest lease; 0 where it had none."""
+    if callback.fence is not None:
+        return callback.fence
+    return max((lease.fence for lease in job.leases if lease.worker == callback.worker), default=0)
+
+
+def _is_known(job: Job, callback: Callback, fence: int) -> bool:
+    """Whether the report says what is on record."""
+    for report in job.late_reports:
+        if (report.fence, report.worker, report.state) == (fence, callback.worker, callback.state):
+            return True
+    if job.state is JobState.DONE and callback.outcome == AttemptOutcome.DONE and fence == job.fence:
+        return True  # the report that made the job done, once more: its final response says so
+    ended = job.ended_attempts.get(fence)
+    return ended is not None and ended.outcome == callback.outcome
--- a/locktide/durable/log/framing.py
+++ b/locktide/durable/log/framing.py
@@ -1,4 +1,4 @@
-"""How records stand in a segment: a header, then length, checksum and payload of each.
+"""How records are framed in a segment: a header, then length, checksum and payload of each record.
 
 CRC-32 finds every burst of up to 32 flipped bits, and misses one in four milliards of other damage; it is in
 the standard library. Guards against what a disk and a crash can leave: a last record that was not wholly
@@ -11,97 +11,111 @@
 import zlib
 from collections.abc import Iterator
 from dataclasses import dataclass
+from enum import StrEnum
+
+from locktide.durable.errors import ForeignFileError, NewerFormatError
 
 MAGIC = b"LKTDJOBS"
 VERSION = 1
 HEADER = struct.Struct("<8sHxxI")  # magic, format version, number of the segment
 FRAME = struct.Struct("<II")  # length and checksum of the payload
-LARGEST = 16 << 20  # bytes of a payload: far over the largest body with its result
-SECTOR = 512  # what a disk writes whole; the rest of an unfinished write reads as zeros
-
-TORN, DAMAGED = "torn", "damaged"
-
+MAX_PAYLOAD = 16 << 20  # bytes: far over the largest body with its result
+MIN_SEARCHED_PAYLOAD = 8  # bytes: a shorter record is not looked for inside a damaged segment
+SECTOR = 512  # bytes that a disk writes whole; the rest of an unfinished write reads as zeros
 
-class NewerFormatError(Exception):
-    """A segment of a later format: written by a later locktide, and not to be touched by this one."""
 
+class FaultKind(StrEnum):
+    """Why bytes of a segment are no record."""
 
-class ForeignFileError(Exception):
-    """Not a segment at all."""
+    TORN = "torn"  # a crash cut a write short
+    DAMAGED = "damaged"  # what had been written whole has changed
 
 
 @dataclass(slots=True)
 class FramingFault:
-    """What a segment holds from `at` on that is no record."""
+    """Where a segment stops holding records, and why."""
+
+    kind: FaultKind
+    offset: int
+    reason: str
+
 
-    kind: str  # TORN: a write that was under way; DAMAGED: what had been written has changed
-    at: int
-    why: str
+@dataclass(frozen=True, slots=True)
+class FramedPayload:
+    """A payload whose checksum fits, with the offset of its frame in the segment."""
 
+    offset: int
+    payload: bytes
 
-def header(number: int) -> bytes:
-    return HEADER.pack(MAGIC, VERSION, number)
 
+def encode_header(segment_number: int) -> bytes:
+    """Returns the first bytes of a segment."""
+    return HEADER.pack(MAGIC, VERSION, segment_number)
 
-def frame(payload: bytes) -> bytes:
-    """Raises ValueError for a payload that no reader would take."""
-    if not 0 < len(payload) <= LARGEST:
+
+def encode_frame(payload: bytes) -> bytes:
+    """Frames a payload; raises ValueError for a size that no reader would take."""
+    if not 0 < len(payload) <= MAX_PAYLOAD:
         raise ValueError(f"a record of {len(payload)} bytes")
     return FRAME.pack(len(payload), zlib.crc32(payload)) + payload
 
 
 def check_header(data: bytes, name: str) -> int:
-    """The segment's number; raises Newer or Foreign."""
+    """Returns the segment's number; raises NewerFormatError or ForeignFileError."""
     if len(data) < HEADER.size:
-        raise ForeignFileError(f"{name}: {len(data)} bytes, no header")
-    magic, version, number = HEADER.unpack_from(data)
+        raise ForeignFileError(f"{name}: {len(data)} bytes, no header", name)
+    magic, version, segment_number = HEADER.unpack_from(data)
     if magic != MAGIC:
-        raise ForeignFileError(f"{name}: not a journal of jobs")
+        raise ForeignFileError(f"{name}: not a journal of jobs", name)
     if version > VERSION:
-        raise NewerFormatError(f"{name}: format {version}, this locktide knows up to {VERSION}")
-    return int(number)
+        raise NewerFormatError(f"{name}: format {version}, this locktide knows up to {VERSION}", name)
+    return int(segment_number)
 
 
-def records(data: bytes) -> Iterator[tuple[int, bytes] | FramingFault]:
-    """Each payload with its place, and at the end what is no record, if anything is."""
-    at = HEADER.size
-    while at < len(data):
-        if at + FRAME.size > len(data):
-            yield FramingFault(TORN, at, f"{len(data) - at} bytes of a record's head")
+def read_frames(data: bytes) -> Iterator[FramedPayload | FramingFault]:
+    """Yields each payload of a segment, and at the end the fault that stops the reading, if there is one."""
+    offset = HEADER.size
+    while offset < len(data):
+        payload_start = offset + FRAME.size
+        if payload_start > len(data):
+            yield FramingFault(FaultKind.TORN, offset, f"{len(data) - offset} bytes of a record's head")
             return
-        length, checksum = FRAME.unpack_from(data, at)
-        begin, end = at + FRAME.size, at + FRAME.size + length
-        if 0 < length <= LARGEST and end <= len(data) and zlib.crc32(data[begin:end]) == checksum:
-            yield at, data[begin:end]
-            at = end
-            continue
-        yield trouble(data, at, length, end)
-        return
+        length, checksum = FRAME.unpack_from(data, offset)
+        end = payload_start + length
+        payload = data[payload_start:end]
+        if not (0 < length <= MAX_PAYLOAD and end <= len(data) and zlib.crc32(payload) == checksum):
+            yield classify_fault(data, offset, length, end)
+            return
+        yield FramedPayload(offset, payload)
+        offset = end
 
 
-def trouble(data: bytes, at: int, length: int, end: int) -> FramingFault:
-    """A write that a crash cut short, or one that was whole and has changed.
+def classify_fault(data: bytes, offset: int, length: int, end: int) -> FramingFault:
+    """Tells a write that a crash cut short from one that was whole and has changed.
 
     Torn is only what a crash can leave behind: the file ends within the record, or is zeros from a sector's
-    edge to its end. Whatever else is wrong was once read as good, and nothing of it may be dropped unseen.
+    edge to its end. Whatever else is wrong was once read as good, and must not be dropped silently.
     """
-    if not any(data[at:]):
-        return FramingFault(TORN, at, "nothing but zeros")
+    if not any(data[offset:]):
+        return FramingFault(FaultKind.TORN, offset, "nothing but zeros")
     zeros = len(data) - len(data.rstrip(b"\0"))
-    edge = -(-(len(data) - zeros) // SECTOR) * SECTOR
-    if zeros and edge < len(data) and edge < end:
-        return FramingFault(TORN, at, "a record that ends in sectors of zeros")
-    if 0 < length <= LARGEST and end > len(data) and not follows(data, at):
-        return FramingFault(TORN, at, f"{len(data) - at} bytes of a record of {end - at}")
-    return FramingFault(DAMAGED, at, "a record whose checksum does not fit")
-
-
-def follows(data: bytes, at: int) -> bool:
-    """Whether a good record stands somewhere after `at`: then what is before it was not the last write."""
-    for place in range(at + 1, len(data) - FRAME.size):
-        length, checksum = FRAME.unpack_from(data, place)
-        if 8 <= length <= len(data) - place - FRAME.size:
-            begin = place + FRAME.size
-            if zlib.crc32(data[begin : begin + length]) == checksum:
-                return True
+    sector_edge = -(-(len(data) - zeros) // SECTOR) * SECTOR
+    if zeros and sector_edge < len(data) and sector_edge < end:
+        return FramingFault(FaultKind.TORN, offset, "a record that ends in sectors of zeros")
+    if 0 < length <= MAX_PAYLOAD and end > len(data) and not has_record_after(data, offset):
+        reason = f"{len(data) - offset} bytes of a record of {end - offset}"
+        return FramingFault(FaultKind.TORN, offset, reason)
+    return FramingFault(FaultKind.DAMAGED, offset, "a record whose checksum does not fit")
+
+
+def has_record_after(data: bytes, offset: int) -> bool:
+    """Whether a good record follows somewhere after `offset`, so that it was not the last write."""
+    for candidate in range(offset + 1, len(data) - FRAME.size):
+        length, checksum = FRAME.unpack_from(data, candidate)
+        payload_start = candidate + FRAME.size
+        end = payload_start + length
+        if length < MIN_SEARCHED_PAYLOAD or end > len(data):
+            continue
+        if zlib.crc32(data[payload_start:end]) == checksum:
+            return True
     return False
--- a/locktide/durable/log/records.py
+++ b/locktide/durable/log/records.py
@@ -1,5 +1,7 @@
-"""What the journal says, one record for each thing that came about. Times are Unix microseconds of the
-writer.
+"""The records of the write-ahead log, one for each change of a job.
+
+Times are Unix microseconds of the process that wrote the record. Records are stored as arrays: the tags and
+the order of the fields are the stored format, the names of the fields are not.
 """
 
 from __future__ import annotations
@@ -8,86 +10,88 @@
 
 
 class Record(msgspec.Struct, array_like=True):
-    pass
+    """Base of all records."""
 
 
 class WriterStarted(Record, tag="Began"):
-    """A dispatcher has taken over the journal. `boot` and `boot_at` tell how time went on if its clock is
-    set.
-    """
+    """A dispatcher has taken over the log; boot and uptime tell elapsed time even if its clock is set."""
 
-    at: int
-    boot: str
-    boot_at: int  # microseconds since the machine's start
+    recorded_at: int
+    boot_id: str
+    uptime: int  # microseconds since the machine's start
 
 
 class JobAccepted(Record, tag="Accepted"):
-    id: str
-    key: str  # the number of a numbered one, or what its client calls it by; empty for none
-    digest: str
-    grade: str
+    """A job was accepted from its client."""
+
+    job_id: str
+    key: str  # the idempotency key; empty for none
+    digest: str  # of method, target and body
+    service_class: str
     method: str
     target: str
-    onward: list[tuple[bytes, bytes]]
+    forwarded_headers: list[tuple[bytes, bytes]]
     body: bytes
-    at: int
-    limit_at: int
+    recorded_at: int
+    deadline: int
     width: float
 
 
 class LeaseGranted(Record, tag="Leased"):
-    """Written before the first byte of the dispatch: from here on it may have run."""
+    """A worker has a lease; written before the attempt's first byte: from here on it may have run."""
 
-    id: str
+    job_id: str
     fence: int
     worker: str
     zone: str
     cell: int
-    at: int
-    until: int
+    recorded_at: int
+    expires_at: int
 
 
 class AttemptEnded(Record, tag="Ended"):
-    id: str
+    """An attempt under a lease has its outcome."""
+
+    job_id: str
     fence: int
     outcome: str
-    at: int
+    recorded_at: int
 
 
 class JobFinished(Record, tag="Finished"):
-    """The one final answer."""
+    """The one final response of a job."""
 
-    id: str
+    job_id: str
     status: int
     body: bytes
-    advice: int  # microseconds of Retry-After
-    at: int
+    retry_after: int  # microseconds; 0 for none
+    recorded_at: int
 
 
 class LateReport(Record, tag="Late"):
-    """What a worker said under a lease that had ended: kept for who looks, of no effect."""
+    """What a worker reported under a lease that had ended: kept for operators, without effect."""
 
-    id: str
+    job_id: str
     fence: int
     worker: str
     state: str
-    at: int
+    recorded_at: int
 
 
 class JobSnapshot(Record, tag="Kept"):
-    """A job as it stood, in a snapshot: everything that was said of it before."""
+    """All that was recorded of a job before, written by compaction."""
 
     accepted: JobAccepted
     leases: list[LeaseGranted]
-    ended: list[AttemptEnded]
+    ended_attempts: list[AttemptEnded]
     finished: JobFinished | None
-    late: list[LateReport]
+    late_reports: list[LateReport]
 
 
 class SnapshotComplete(Record, tag="Whole"):
-    """The snapshot in this segment is complete: older segments are of no more use."""
+    """The snapshot in this segment is complete: older segments are no longer needed."""
 
-    jobs: int
+    job_count: int
 
 
 AnyRecord = (
@@ -105,5 +109,5 @@
 
 
 def decode(payload: bytes) -> AnyRecord:
-    """Raises msgspec.DecodeError."""
+    """Decodes one record; raises msgspec.DecodeError."""
     return _decoder.decode(payload)
--- a/locktide/durable/log/write_ahead_log.py
+++ b/locktide/durable/log/write_ahead_log.py
@@ -1,222 +1,171 @@
-"""The journal of jobs: records appended to segments, many to one sync; read again at a start; compacted by
-snapshots.
-"""
+"""The write-ahead log of jobs: records appended to segments by group commit, compacted by snapshots."""
 
 from __future__ import annotations
 
 import asyncio
-import re
-from collections.abc import Callable
-from dataclasses import dataclass, field
-
-import msgspec
+from collections.abc import Callable, Sequence
+from contextlib import suppress
+from dataclasses import dataclass
 
 from locktide.durable.disk import Storage
+from locktide.durable.errors import DamagedLogError, LogWriteError
 from locktide.durable.jobs import JobTable
-from locktide.durable.log import framing as frames
-from locktide.durable.log import records
+from locktide.durable.log import framing, records
+from locktide.durable.log.crash_point import CrashPoint, ignore_crash_point
+from locktide.durable.log.reader import LogContents, list_segments, read_log, segment_name, segment_number
 
-SEGMENT = re.compile(r"(\d{10})\.journal")
 # Records of a snapshot that are written before other work has its turn again: about a millisecond of it.
-CHUNK = 100
-
-
-class DamagedLogError(Exception):
-    """The journal holds what was once good and is not any more. Nothing was changed."""
-
-
-class LogWriteError(Exception):
-    """The disk is full or broken: what was to be written does not stand."""
+SNAPSHOT_BATCH = 100
 
 
 @dataclass(slots=True)
-class LogContents:
-    """What a start found, for the log and for `locktide jobs verify`."""
-
-    segments: int = 0
-    records: int = 0
-    bytes: int = 0
-    torn: list[str] = field(default_factory=list)
-    damaged: list[str] = field(default_factory=list)
-
-
-def segment_name(number: int) -> str:
-    return f"{number:010d}.journal"
-
-
-def unfinished(data: bytes, name: str) -> bool:
-    """Whether a crash came before the header of this segment was on the disk, so before any record of it."""
-    whole = frames.header(int(name.partition(".")[0]))
-    return data[: len(whole)] != whole and whole.startswith(data.rstrip(b"\0"))
-
-
-def read(disk: Storage, table: JobTable, found: LogContents) -> dict[str, int]:
-    """Applies all good records; the size up to which each segment is good. Raises Newer and Foreign.
-
-    What is damaged is noted and the rest of its segment is left out; whether that is borne is the caller's to
-    say.
-    """
-    sizes: dict[str, int] = {}
-    names = [name for name in disk.names() if SEGMENT.fullmatch(name)]
-    for place, name in enumerate(names):
-        data = disk.read(name)
-        last = place == len(names) - 1
-        if last and unfinished(data, name):  # made just before a crash
-            found.torn.append(f"{name}: {len(data)} bytes, no whole header")
-            sizes[name] = 0
-            continue
-        frames.check_header(data, name)
-        found.segments += 1
-        sizes[name] = len(data)
-        for item in frames.records(data):
-            if isinstance(item, frames.FramingFault):
-                what = f"{name}: at byte {item.at}: {item.why}"
-                # Only the segment that was written last can have been cut short.
-                torn = item.kind == frames.TORN and last
-                (found.torn if torn else found.damaged).append(what)
-                sizes[name] = item.at
-                break
-            at, payload = item
-            try:
-                table.apply(records.decode(payload))
-            except msgspec.DecodeError as trouble:
-                found.damaged.append(f"{name}: at byte {at}: {trouble}")
-                sizes[name] = at
-                break
-            found.records += 1
-        found.bytes += len(data)
-    return sizes
+class PendingWrite:
+    """A framed record that waits for its sync."""
+
+    frame: bytes
+    done: asyncio.Future[None]
 
 
 class WriteAheadLog:
-    """Owns the segments of one directory. `append` returns once the record is on the disk."""
+    """Owns the segments of one directory, and the table of jobs that its records make."""
 
-    def __init__(self, disk: Storage, segment_bytes: int, group: bool = True) -> None:
-        self.disk, self.segment_bytes, self.group = disk, segment_bytes, group
+    def __init__(self, storage: Storage, segment_bytes: int, group_commit: bool = True) -> None:
+        self.storage = storage
+        self.segment_bytes = segment_bytes  # size after which the log is compacted
+        self.group_commit = group_commit
         self.table = JobTable()
-        self.found = LogContents()
-        self.name, self.size = "", 0
-        self.waiting: list[tuple[bytes, asyncio.Future[None]]] = []
+        self.contents = LogContents()  # as found when it was opened
+        self.segment = ""  # file name of the segment that is appended to
+        self.segment_size = 0
+        self.pending: list[PendingWrite] = []
         self.writing: asyncio.Task[None] | None = None
         self.compacting: asyncio.Task[None] | None = None
-        self.broken = ""  # why nothing can be written any more
-        self.syncs = self.appended = 0
-        self.point: Callable[[str], None] = lambda name: None  # where a test may let the process die
+        self.failure = ""  # why nothing can be written any more
+        self.sync_count = 0
+        self.written_count = 0
+        self.reach_crash_point: Callable[[CrashPoint], None] = ignore_crash_point
 
     # --- opening
 
     def open(self, skip_damaged: bool = False) -> None:
-        """Takes the directory and reads it. Raises Taken, Newer, Foreign, Damaged or OSError, and has changed
-        nothing then."""
-        self.disk.take()
+        """Locks the directory, reads it and begins a new segment.
+
+        Raises LogOpenError or OSError, and has changed nothing then.
+        """
+        self.storage.acquire_lock()
         try:
-            sizes = read(self.disk, self.table, self.found)
-            if self.found.damaged and not skip_damaged:
-                raise DamagedLogError("; ".join(self.found.damaged))
+            self.contents = read_log(self.storage, self.table)
+            if self.contents.damaged and not skip_damaged:
+                raise DamagedLogError("; ".join(self.contents.damaged))
         except BaseException:
-            self.disk.give_back()
+            self.storage.release_lock()
             raise
-        last = max(sizes, default="")
-        if self.found.torn and last:
-            if sizes[last]:
-                self.disk.truncate(last, sizes[last])
-            else:
-                self.disk.remove(last)
+        last = max(self.contents.valid_sizes, default="")
+        if self.contents.torn and last:
+            self._cut_torn_end(last)
         # A segment of our own, so that what an older process wrote is never written to again.
-        number = int(SEGMENT.fullmatch(last)[1]) if last else 0  # type: ignore[index]
-        self.begin_segment(number + 1)
+        self._begin_segment(segment_number(last) + 1 if last else 1)
 
-    def begin_segment(self, number: int) -> None:
-        name = segment_name(number)
-        self.disk.create(name)
-        self.disk.append(name, frames.header(number))
-        self.name, self.size = name, frames.HEADER.size
+    def _cut_torn_end(self, name: str) -> None:
+        valid_size = self.contents.valid_sizes[name]
+        if valid_size:
+            self.storage.truncate(name, valid_size)
+        else:
+            self.storage.remove(name)
 
-    @property
-    def number(self) -> int:
-        return int(self.name.partition(".")[0])
+    def _begin_segment(self, number: int) -> None:
+        name = segment_name(number)
+        self.storage.create(name)
+        self.storage.append(name, framing.encode_header(number))
+        self.segment = name
+        self.segment_size = framing.HEADER.size
 
     # --- writing
 
     def append(self, record: records.AnyRecord) -> asyncio.Future[None]:
-        """Applies it and writes it behind all that was appended before; done once it is on the disk.
+        """Applies a record and writes it after all that was appended before; done once it is on the disk.
 
-        Raises Unwritable out of the future; the caller must not go on as if it stood.
+        The future raises LogWriteError; the caller must not go on as if the record were stored.
         """
         done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        if self.broken:
-            done.set_exception(LogWriteError(self.broken))
+        if self.failure:
+            done.set_exception(LogWriteError(self.failure, self.segment))
             return done
         self.table.apply(record)
-        self.waiting.append((frames.frame(records.encode(record)), done))
+        self.pending.append(PendingWrite(framing.encode_frame(records.encode(record)), done))
         if self.writing is None:
-            self.writing = asyncio.create_task(self.write())
+            self.writing = asyncio.create_task(self._write_pending())
         return done
 
-    async def write(self) -> None:
-        """Writes what waits, in one batch for each sync: what comes meanwhile makes the next batch."""
+    async def _write_pending(self) -> None:
+        """Writes one batch for each sync: what is appended meanwhile makes the next batch."""
         try:
-            while self.waiting:
-                count = len(self.waiting) if self.group else 1
-                batch, self.waiting = self.waiting[:count], self.waiting[count:]
-                await self.write_batch(batch)
-                if self.size > self.segment_bytes and self.compacting is None and not self.broken:
-                    self.rotate()
+            while self.pending:
+                count = len(self.pending) if self.group_commit else 1
+                batch = self.pending[:count]
+                self.pending = self.pending[count:]
+                await self._write_batch(batch)
+                is_full = self.segment_size > self.segment_bytes
+                if is_full and self.compacting is None and not self.failure:
+                    self._rotate()
         finally:
             self.writing = None
 
-    def rotate(self) -> None:
-        """Between two batches: what was written is on the disk, and what follows goes to a new segment."""
-        older = [name for name in self.disk.names() if SEGMENT.fullmatch(name)]
+    def _rotate(self) -> None:
+        """Begins a new segment between two batches, and the compaction of the older ones."""
+        older = list_segments(self.storage)
         try:
-            self.begin_segment(self.number + 1)
+            self._begin_segment(segment_number(self.segment) + 1)
         except OSError:
-            return  # no room for one: the old segment goes on
-        self.compacting = asyncio.create_task(self.compact(older))
+            return  # no space for a new segment: the old one is still appended to
+        self.compacting = asyncio.create_task(self._compact(older))
 
-    async def write_batch(self, batch: list[tuple[bytes, asyncio.Future[None]]]) -> None:
-        data, name = b"".join(framed for framed, _ in batch), self.name
-        self.point("before write")
+    async def _write_batch(self, batch: list[PendingWrite]) -> None:
+        data = b"".join(write.frame for write in batch)
+        segment = self.segment
+        self.reach_crash_point(CrashPoint.BEFORE_WRITE)
         try:
-            self.disk.append(name, data)
-        except OSError as trouble:
-            self.cut_back(str(trouble))
-            self.fail(batch, str(trouble))
+            self.storage.append(segment, data)
+        except OSError as error:
+            self._undo_partial_write(str(error))
+            self._fail(batch, str(error))
             return
-        self.size += len(data)
-        self.point("between write and sync")
+        self.segment_size += len(data)
+        self.reach_crash_point(CrashPoint.BETWEEN_WRITE_AND_SYNC)
         try:
-            await self.disk.sync(name)
-        except OSError as trouble:
-            # What a failed sync leaves on the disk is not known, and the next one may say that all is well
+            await self.storage.sync(segment)
+        except OSError as error:
+            # What a failed sync leaves on the disk is not known, and the next one may report success
             # (Rebello et al., "Can applications recover from fsync failures?", USENIX ATC 2020).
-            self.broken = f"sync failed: {trouble}"
-            self.fail(batch, self.broken)
-            self.fail(self.waiting, self.broken)
-            self.waiting = []
+            self.failure = f"sync failed: {error}"
+            self._fail(batch, self.failure)
+            self._fail_pending(self.failure)
             return
-        self.point("after sync")
-        self.syncs += 1
-        self.appended += len(batch)
-        for _, done in batch:
-            if not done.done():
-                done.set_result(None)
-
-    def cut_back(self, why: str) -> None:
-        """Takes away what stands of a batch that could not be written whole."""
+        self.reach_crash_point(CrashPoint.AFTER_SYNC)
+        self.sync_count += 1
+        self.written_count += len(batch)
+        for write in batch:
+            if not write.done.done():
+                write.done.set_result(None)
+
+    def _undo_partial_write(self, reason: str) -> None:
+        """Removes what was written of a batch that could not be written whole."""
         try:
-            self.disk.truncate(self.name, self.size)
-        except OSError as trouble:
-            self.broken = f"{why}; and it could not be taken back: {trouble}"
-
-    @staticmethod
-    def fail(batch: list[tuple[bytes, asyncio.Future[None]]], why: str) -> None:
-        for _, done in batch:
-            if not done.done():
-                done.set_exception(LogWriteError(why))
-
-    async def settle(self) -> None:
-        """Until nothing waits to be written."""
+            self.storage.truncate(self.segment, self.segment_size)
+        except OSError as error:
+            self.failure = f"{reason}; and it could not be taken back: {error}"
+
+    def _fail(self, batch: Sequence[PendingWrite], reason: str) -> None:
+        for write in batch:
+            if not write.done.done():
+                write.done.set_exception(LogWriteError(reason, self.segment))
+
+    def _fail_pending(self, reason: str) -> None:
+        self._fail(self.pending, reason)
+        self.pending = []
+
+    async def wait_until_idle(self) -> None:
+        """Returns once nothing is being written or compacted."""
         while self.writing is not None or self.compacting is not None:
             task = self.writing or self.compacting
             assert task is not None
@@ -224,34 +173,44 @@
 
     # --- compaction
 
-    async def compact(self, older: list[str]) -> None:
-        """Writes the jobs that count into a new segment, and then drops the older ones.
+    async def _compact(self, older: list[str]) -> None:
+        """Writes a snapshot of the jobs into the new segment, and then removes the older segments.
 
-        What comes meanwhile goes into the new segment too. A job's snapshot holds all that was said of it
-        before, so it does not matter whether such a record stands before or after it.
+        What is appended meanwhile goes into the new segment too. The snapshot of a job holds all that was
+        recorded of it before, so it does not matter whether such a record is before or after it.
         """
         try:
-            ids = list(self.table.jobs)
-            if self.table.began is not None:
-                await self.append(self.table.began)
-            for place in range(0, len(ids), CHUNK):
-                jobs = [self.table.jobs[id] for id in ids[place : place + CHUNK] if id in self.table.jobs]
-                if jobs:
-                    await asyncio.gather(*(self.append(job.kept()) for job in jobs))
-            await self.append(records.SnapshotComplete(len(ids)))
-            self.point("before old segments go")
+            await self._write_snapshot()
+            self.reach_crash_point(CrashPoint.BEFORE_OLD_SEGMENTS_REMOVED)
             for name in older:
-                self.disk.remove(name)
-            self.point("after old segments went")
+                self.storage.remove(name)
+            self.reach_crash_point(CrashPoint.AFTER_OLD_SEGMENTS_REMOVED)
         except (LogWriteError, OSError):
-            pass  # the older segments stand, and are read with the new one
+            pass  # the older segments are kept, and are read with the new one
         finally:
             self.compacting = None
 
+    async def _write_snapshot(self) -> None:
+        job_ids = list(self.table.jobs)
+        if self.table.writer is not None:
+            await self.append(self.table.writer)
+        for start in range(0, len(job_ids), SNAPSHOT_BATCH):
+            batch = job_ids[start : start + SNAPSHOT_BATCH]
+            jobs = [self.table.jobs[job_id] for job_id in batch if job_id in self.table.jobs]
+            if jobs:
+                await asyncio.gather(*(self.append(job.snapshot()) for job in jobs))
+        await self.append(records.SnapshotComplete(len(job_ids)))
+
     def close(self) -> None:
+        """Stops writing, fails what was not written and releases the directory."""
         for task in (self.writing, self.compacting):
             if task is not None:
                 task.cancel()
-        self.fail(self.waiting, "closed")
-        self.waiting = []
-        self.disk.give_back()
+        self._fail_pending("closed")
+        self.storage.release_lock()
+
+
+async def wait_or_lose(write: asyncio.Future[None]) -> None:
+    """Waits for a record that may be lost: without it recovery assumes more has run, never less."""
+    with suppress(LogWriteError):
+        await write
--- /dev/null
+++ b/locktide/durable/queries.py
@@ -0,0 +1,26 @@
+"""Answers clients that ask for a job by its id."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from locktide.durable.durable_state import DurableState
+from locktide.durable.responses import final_response, pending_response, unknown_job_response
+from locktide.protocol.server_connection import JobQuery
+from locktide.transport.client_connection import Response
+
+
+class JobQueries:
+    """Answers `GET /jobs/ID`."""
+
+    def __init__(self, state: DurableState) -> None:
+        self.state = state
+
+    def answer(self, query: JobQuery) -> Response:
+        """Returns 202 while the job is open, then 200 with its state and result, or 404."""
+        if not self.state.is_accepted(query.id):
+            return unknown_job_response()
+        job = self.state.table.jobs[query.id]
+        if not self.state.is_settled(query.id):
+            return pending_response(job)
+        return replace(final_response(job), status=200)
--- a/locktide/durable/recovery.py
+++ b/locktide/durable/recovery.py
@@ -1,60 +1,39 @@
-"""What to do with each open job after a crash: end it, or take it up with what may have run of it. No I/O, no
-clock.
-"""
+"""Plans what to do with each open job after a crash: finish it, or resume it. No I/O, no clock."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 
 from locktide.durable.jobs import Job, JobTable
-from locktide.durable.leases import LeaseTable
-from locktide.durable.log.records import WriterStarted
+from locktide.durable.leases import Lease, LeaseTable
+from locktide.durable.log.records import LeaseGranted, WriterStarted
 from locktide.scheduler.events import RecoveredAttempt
 
-DENIED_STATUS, TERMINATED_STATUS = 503, 502
+DENIED_STATUS = 503
+TERMINATED_STATUS = 502
+UNKNOWN_SPAN = 10**15  # microseconds; longer than any deduplication window: nothing can be counted on
 
 
 @dataclass(frozen=True, slots=True)
 class ClockReading:
-    """The machine's clocks: Unix time, which may be set, and time since its start, which may not.
-    Microseconds.
-    """
+    """The machine's clocks in microseconds: Unix time, which may be set, and its uptime, which may not."""
 
-    at: int
-    boot: str
-    boot_at: int
+    wall_time: int
+    boot_id: str
+    uptime: int
 
 
 @dataclass(frozen=True, slots=True)
 class ElapsedBounds:
-    """How much time has gone by since the last process wrote: between `least` and `most`."""
-
-    least: int
-    most: int
-
-
-UNKNOWN_SPAN = 10**15  # longer than any memory: nothing can be counted on
-
+    """Bounds on the time since the last process wrote, in microseconds."""
 
-def elapsed_since(began: WriterStarted | None, last_at: int, now: ClockReading) -> ElapsedBounds:
-    """Since the last record. On the same boot it is known whatever the clock was set to.
-
-    Guards against a clock that was stepped back: on another boot it is all there is, and where it shows a
-    time before the last record, nothing is known of how long we were away.
-    """
-    if began is None:
-        return ElapsedBounds(0, 0)
-    if began.boot == now.boot and now.boot_at >= began.boot_at:
-        gone = max(0, began.at + (now.boot_at - began.boot_at) - last_at)
-        return ElapsedBounds(gone, gone)
-    if now.at < last_at:
-        return ElapsedBounds(0, UNKNOWN_SPAN)
-    return ElapsedBounds(now.at - last_at, now.at - last_at)
+    at_least: int
+    at_most: int
 
 
 @dataclass(slots=True)
 class FinishJob:
-    """A job whose time is up: its one final answer, for its client to fetch."""
+    """A job whose deadline has passed: its final response, for its client to fetch."""
 
     job: Job
     status: int
@@ -62,43 +41,73 @@
 
 @dataclass(slots=True)
 class ResumeJob:
-    """A job to go on with. Of each dispatch what is known; those still out are waited for."""
+    """A job to resume, with what is known of each attempt; those without an outcome are waited for."""
 
     job: Job
-    limit_at: int
-    dispatches: list[RecoveredAttempt]
-    out: list[int]  # the places in `dispatches` that have no outcome
+    deadline: int
+    attempts: list[RecoveredAttempt]
+    pending: list[int]  # indexes of the attempts without an outcome
 
 
 RecoveryStep = FinishJob | ResumeJob
 
 
-def plan(table: JobTable, leases: LeaseTable, span: ElapsedBounds, now: int) -> list[RecoveryStep]:
-    """For all open jobs, oldest first; `now` is our clock, on which the leases are taken over.
+def elapsed_since(writer: WriterStarted | None, last_recorded_at: int, now: ClockReading) -> ElapsedBounds:
+    """Returns the time since the last record. On the same boot it is known whatever the clock was set to.
 
-    Times of the last process are brought onto our clock by the least time that has gone by, so that a limit
-    is not cut short; the memory of repeats is counted by the most, so that nothing is repeated past it.
+    Guards against a clock that was stepped back: on another boot it is all there is, and where it shows a
+    time before the last record, nothing is known of how long no dispatcher ran.
+    """
+    if writer is None:
+        return ElapsedBounds(0, 0)
+    if writer.boot_id == now.boot_id and now.uptime >= writer.uptime:
+        now_on_writer_clock = writer.recorded_at + (now.uptime - writer.uptime)
+        elapsed = max(0, now_on_writer_clock - last_recorded_at)
+        return ElapsedBounds(elapsed, elapsed)
+    if now.wall_time < last_recorded_at:
+        return ElapsedBounds(0, UNKNOWN_SPAN)
+    elapsed = now.wall_time - last_recorded_at
+    return ElapsedBounds(elapsed, elapsed)
+
+
+def plan(table: JobTable, leases: LeaseTable, elapsed: ElapsedBounds, now: int) -> list[RecoveryStep]:
+    """Plans a step for each open job, oldest first, and takes over the leases without an end.
+
+    Times of the last process are brought onto our clock, on which `now` is, by the least time that can have
+    gone by, so that a deadline is not cut short; the deduplication window is counted by the most, so that
+    nothing is retried past it.
     """
     steps: list[RecoveryStep] = []
-    ours, memory = now - table.last_at - span.least, now - table.last_at - span.most
-    for job in table.open():
-        limit_at = job.accepted.limit_at + ours
-        if limit_at <= now:
-            steps.append(FinishJob(job, TERMINATED_STATUS if job.may_have_run() else DENIED_STATUS))
+    offset = now - table.last_recorded_at - elapsed.at_least
+    attempt_offset = now - table.last_recorded_at - elapsed.at_most
+    for job in table.open_jobs():
+        deadline = job.accepted.deadline + offset
+        if deadline <= now:
+            status = TERMINATED_STATUS if job.possibly_executed() else DENIED_STATUS
+            steps.append(FinishJob(job, status))
             continue
-        dispatches, out = [], []
-        for place, lease in enumerate(job.leases):
-            ended = job.ended.get(lease.fence)
+        step = ResumeJob(job, deadline, [], [])
+        for index, granted in enumerate(job.leases):
+            ended = job.ended_attempts.get(granted.fence)
             outcome = ended.outcome if ended else None
             if outcome is None:
-                taken = leases.take_over(
-                    job.id, lease.worker, lease.fence, lease.at + ours, lease.until + ours, now
-                )
-                if taken.until > limit_at:
-                    taken.until = limit_at
-                out.append(place)
-            dispatches.append(
-                RecoveredAttempt(lease.worker, lease.zone, lease.cell, lease.at + memory, outcome)
+                _take_over_lease(granted, leases, offset, deadline, now)
+                step.pending.append(index)
+            sent_at = granted.recorded_at + attempt_offset
+            step.attempts.append(
+                RecoveredAttempt(granted.worker, granted.zone, granted.cell, sent_at, outcome)
             )
-        steps.append(ResumeJob(job, limit_at, dispatches, out))
+        steps.append(step)
     return steps
+
+
+def _take_over_lease(granted: LeaseGranted, leases: LeaseTable, offset: int, deadline: int, now: int) -> None:
+    lease = Lease(
+        granted.job_id,
+        granted.fence,
+        granted.worker,
+        granted.recorded_at + offset,
+        granted.expires_at + offset,
+    )
+    leases.take_over(lease, now)
+    lease.expires_at = min(lease.expires_at, deadline)
--- /dev/null
+++ b/locktide/durable/resumption.py
@@ -0,0 +1,75 @@
+"""Recovers the jobs of an earlier process: finishes those past their deadline, and resumes the others."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+
+from locktide.durable import recovery
+from locktide.durable.completion import JobCompletion
+from locktide.durable.job_context import JobContext
+from locktide.durable.log.records import WriterStarted
+from locktide.durable.recovery import ClockReading, FinishJob, RecoveryStep, ResumeJob
+from locktide.transport.client_connection import Response
+
+RESUME_INTERVAL = 0.05  # seconds between two batches of resumed jobs
+BATCHES_PER_SECOND = 20
+
+
+class JobResumption:
+    """Carries out the recovery plan, at a limited rate."""
+
+    def __init__(self, context: JobContext, completion: JobCompletion) -> None:
+        self.batch_size = max(1, int(context.config.resume_rate / BATCHES_PER_SECOND))
+        self.write_ahead_log = context.write_ahead_log
+        self.leases = context.leases
+        self.completion = completion
+        self.tasks = context.tasks
+        self.dispatcher = context.dispatcher
+        self.log = context.log
+
+    async def recover(self, clocks: ClockReading) -> None:
+        """Recovers all open jobs, after the log was opened and before the dispatcher serves."""
+        table = self.write_ahead_log.table
+        elapsed = recovery.elapsed_since(table.writer, table.last_recorded_at, clocks)
+        now = self.dispatcher.now()
+        steps = recovery.plan(table, self.leases, elapsed, now)
+        await self.write_ahead_log.append(WriterStarted(now, clocks.boot_id, clocks.uptime))
+        self._log_plan(steps)
+        for step in steps:
+            if isinstance(step, FinishJob):
+                response = Response(step.status, b"its time was up while no dispatcher ran\n")
+                self.completion.finish(step.job.job_id, response)
+        resumed = [step for step in steps if isinstance(step, ResumeJob)]
+        # Those that may still run are only waited for: no new load, and their workers may call at any moment.
+        for step in resumed:
+            if step.pending:
+                self._resume(step)
+        self.tasks.spawn(self._resume_at_rate([step for step in resumed if not step.pending]))
+
+    def _log_plan(self, steps: Sequence[RecoveryStep]) -> None:
+        contents = self.write_ahead_log.contents
+        finished_count = sum(isinstance(step, FinishJob) for step in steps)
+        resumed_count = len(steps) - finished_count
+        self.log.emit(
+            f"jobs: {contents.record_count} records in {contents.segment_count} segments: "
+            f"{resumed_count} to go on with, {finished_count} past their limit, "
+            f"{len(contents.torn)} torn ends cut off",
+            event="jobs-recovered",
+            records=contents.record_count,
+            segments=contents.segment_count,
+            resumed=resumed_count,
+            ended=finished_count,
+            torn=len(contents.torn),
+            damaged=len(contents.damaged),
+        )
+
+    async def _resume_at_rate(self, steps: Sequence[ResumeJob]) -> None:
+        """Resumes jobs oldest first, so many a second: a start must not overload the workers."""
+        for index, step in enumerate(steps):
+            if index and index % self.batch_size == 0:
+                await asyncio.sleep(RESUME_INTERVAL)
+            self._resume(step)
+
+    def _resume(self, step: ResumeJob) -> None:
+        self.completion.finish_with(step.job.job_id, self.dispatcher.resume(step))
--- a/locktide/simulation/virtual_backend.py
+++ b/locktide/simulation/virtual_backend.py
@@ -15,7 +15,7 @@
 from locktide.config.checks import Table
 from locktide.config.installation import Durable
 from locktide.dispatcher.dispatcher import Dispatcher
-from locktide.durable.bootstrap import join
+from locktide.durable.bootstrap import attach_job_service
 from locktide.durable.recovery import ClockReading
 from locktide.protocol import discovery
 from locktide.simulation.backend import TALK_PORT, Address, net_address
@@ -142,17 +142,19 @@
             await asyncio.sleep(UP_AFTER)
             log = Kept(name, self.loop, self.said)
             node = Dispatcher(read, known, log, self)
-            desk = None
+            job_service = None
             if kept is not None:
                 told_durable, platter = kept
-                desk = await join(node, told_durable, log, platter.mount(), self.moment())
-                desk.journal.point = partial(self.on_point, number)
+                job_service = await attach_job_service(
+                    node, told_durable, log, platter.mount(), self.moment()
+                )
+                job_service.write_ahead_log.reach_crash_point = partial(self.on_point, number)
             driver = await self.joined(number, process, node, log) if self.agree is not None else None
             await node.run(stop)
             if driver is not None:
                 await driver.close()
-            if desk is not None:
-                await desk.close()
+            if job_service is not None:
+                await job_service.close()
             self.died(process)
             self.net.kill(process)
 
--- a/locktide/simulation/virtual_time/disk.py
+++ b/locktide/simulation/virtual_time/disk.py
@@ -5,7 +5,7 @@
 import asyncio
 import errno
 
-from locktide.durable.disk import DirectoryInUseError
+from locktide.durable.errors import DirectoryInUseError
 from locktide.simulation.model import random_streams as chance
 
 SECTOR = 512
@@ -56,7 +56,7 @@
     def __init__(self, platter: Platter) -> None:
         self.platter, self.alive = platter, True
 
-    def names(self) -> list[str]:
+    def list_files(self) -> list[str]:
         return sorted(self.platter.files)
 
     def read(self, name: str) -> bytes:
@@ -102,12 +102,12 @@
         if self.alive and name in self.platter.files:
             del self.platter.files[name], self.platter.synced[name]
 
-    def take(self) -> None:
+    def acquire_lock(self) -> None:
         if self.platter.mounted is not None:
             raise DirectoryInUseError("another dispatcher has it")
         self.platter.mounted = self
 
-    def give_back(self) -> None:
+    def release_lock(self) -> None:
         if self.platter.mounted is self:
             self.platter.mounted = None
         self.alive = False
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -19,15 +19,23 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from locktide.cli.jobs import told
-from locktide.durable import leases, recovery
-from locktide.durable.disk import DirectoryInUseError, DirectoryStorage
+from locktide.cli.jobs import export_job
+from locktide.durable import recovery
+from locktide.durable.disk import DirectoryStorage
+from locktide.durable.errors import (
+    DamagedLogError,
+    DirectoryInUseError,
+    ForeignFileError,
+    LogWriteError,
+    NewerFormatError,
+)
 from locktide.durable.jobs import JobTable
-from locktide.durable.log import framing as frames
-from locktide.durable.log import records
-from locktide.durable.log import write_ahead_log as journal
+from locktide.durable.leases import LeaseAnswer, LeaseConfig, LeaseTable, WorkerReport
+from locktide.durable.log import framing, records
+from locktide.durable.log.framing import FaultKind, FramedPayload, FramingFault
+from locktide.durable.log.reader import read_log, segment_name
 from locktide.durable.log.records import AttemptEnded, JobAccepted, JobFinished, LeaseGranted, WriterStarted
-from locktide.durable.log.write_ahead_log import DamagedLogError, LogContents, LogWriteError, WriteAheadLog
+from locktide.durable.log.write_ahead_log import WriteAheadLog
 from locktide.durable.recovery import ClockReading, ElapsedBounds, FinishJob, ResumeJob
 from locktide.scheduler.commands import FailRequest, LogMessage, SetTimer, StartAttempt
 from locktide.scheduler.events import EndpointListUpdate, RecoveredAttempt, RequestArrived, RequestRecovered
@@ -57,7 +65,7 @@
 
 
 def opened(platter: Platter, **more: Any) -> WriteAheadLog:
-    one = WriteAheadLog(platter.mount(), more.pop("segment_bytes", 1 << 30), more.pop("group", True))
+    one = WriteAheadLog(platter.mount(), more.pop("segment_bytes", 1 << 30), more.pop("group_commit", True))
     one.open(**more)
     return one
 
@@ -70,45 +78,42 @@
 def test_whatever_a_crash_cuts_off_what_stands_before_is_read_and_nothing_else(
     payloads: list[bytes], data: Any
 ) -> None:
-    framed = [frames.frame(payload) for payload in payloads]
-    whole = frames.header(1) + b"".join(framed)
-    cut = data.draw(st.integers(frames.HEADER.size, len(whole)))
-    read = list(frames.records(whole[:cut]))
-    good = [item[1] for item in read if isinstance(item, tuple)]
+    framed = [framing.encode_frame(payload) for payload in payloads]
+    whole = framing.encode_header(1) + b"".join(framed)
+    cut = data.draw(st.integers(framing.HEADER.size, len(whole)))
+    read = list(framing.read_frames(whole[:cut]))
+    good = [item.payload for item in read if isinstance(item, FramedPayload)]
     assert good == payloads[: len(good)]
-    ends = [frames.HEADER.size + sum(map(len, framed[: n + 1])) for n in range(len(framed))]
+    ends = [framing.HEADER.size + sum(map(len, framed[: n + 1])) for n in range(len(framed))]
     assert len(good) == sum(end <= cut for end in ends)
     if len(read) > len(good):
-        assert read[-1].kind == frames.TORN  # type: ignore[union-attr]
+        assert read[-1].kind == FaultKind.TORN  # type: ignore[union-attr]
 
 
 @settings(max_examples=60, deadline=None)
 @given(st.integers(0, 2**31), st.integers(0, 7))
 def test_a_flipped_bit_before_the_last_record_is_always_told_as_damage(place: int, bit: int) -> None:
-    framed = [frames.frame(records.encode(accepted(f"job-{number}"))) for number in range(6)]
-    whole = bytearray(frames.header(1) + b"".join(framed))
-    place = frames.HEADER.size + place % (len(whole) - frames.HEADER.size - len(framed[-1]))
+    framed = [framing.encode_frame(records.encode(accepted(f"job-{number}"))) for number in range(6)]
+    whole = bytearray(framing.encode_header(1) + b"".join(framed))
+    place = framing.HEADER.size + place % (len(whole) - framing.HEADER.size - len(framed[-1]))
     whole[place] ^= 1 << bit
-    read = list(frames.records(bytes(whole)))
-    assert isinstance(read[-1], frames.FramingFault) and read[-1].kind == frames.DAMAGED
+    read = list(framing.read_frames(bytes(whole)))
+    assert isinstance(read[-1], FramingFault) and read[-1].kind == FaultKind.DAMAGED
 
 
 def test_sectors_of_zeros_at_the_end_are_what_a_crash_leaves() -> None:
-    whole = frames.header(1) + frames.frame(b"x" * 100) + frames.frame(b"y" * 3000)
-    edge = 2 * frames.SECTOR
-    torn = list(frames.records(whole[:edge] + bytes(len(whole) - edge)))
-    assert [item[1] for item in torn[:-1]] == [b"x" * 100]  # type: ignore[index]
-    assert torn[-1].kind == frames.TORN  # type: ignore[union-attr]
+    whole = framing.encode_header(1) + framing.encode_frame(b"x" * 100) + framing.encode_frame(b"y" * 3000)
+    edge = 2 * framing.SECTOR
+    torn = list(framing.read_frames(whole[:edge] + bytes(len(whole) - edge)))
+    assert [item.payload for item in torn[:-1]] == [b"x" * 100]  # type: ignore[union-attr]
+    assert torn[-1].kind == FaultKind.TORN  # type: ignore[union-attr]
 
 
 def test_a_newer_format_and_a_foreign_file_are_refused_and_left_alone(tmp_path: Path) -> None:
-    name = tmp_path / journal.segment_name(1)
-    newer = bytearray(frames.header(1))
-    newer[8] = frames.VERSION + 1
-    for data, refusal in (
-        (bytes(newer), frames.NewerFormatError),
-        (b"something else entirely", frames.ForeignFileError),
-    ):
+    name = tmp_path / segment_name(1)
+    newer = bytearray(framing.encode_header(1))
+    newer[8] = framing.VERSION + 1
+    for data, refusal in ((bytes(newer), NewerFormatError), (b"something else entirely", ForeignFileError)):
         name.write_bytes(data)
         with pytest.raises(refusal):
             WriteAheadLog(DirectoryStorage(tmp_path), 1 << 20).open()
@@ -122,13 +127,13 @@
         for number in range(5):
             await one.append(accepted(f"j{number}"))
         platter.crash()
-        platter.files[journal.segment_name(1)][200] ^= 4
-        before = bytes(platter.files[journal.segment_name(1)])
+        platter.files[segment_name(1)][200] ^= 4
+        before = bytes(platter.files[segment_name(1)])
         with pytest.raises(DamagedLogError, match="at byte"):
             opened(platter)
-        assert bytes(platter.files[journal.segment_name(1)]) == before and platter.mounted is None
+        assert bytes(platter.files[segment_name(1)]) == before and platter.mounted is None
         other = opened(platter, skip_damaged=True)
-        assert 0 < len(other.table.jobs) < 5 and other.found.damaged
+        assert 0 < len(other.table.jobs) < 5 and other.contents.damaged
 
     virtually(play())
 
@@ -162,10 +167,10 @@
 def test_many_records_share_a_sync_and_one_each_do_not() -> None:
     async def play(group: bool) -> tuple[int, float]:
         platter = Platter(1, 0.01)
-        one = opened(platter, group=group)
+        one = opened(platter, group_commit=group)
         begun = asyncio.get_running_loop().time()
         await asyncio.gather(*(one.append(accepted(f"j{number}")) for number in range(100)))
-        return one.syncs, asyncio.get_running_loop().time() - begun
+        return one.sync_count, asyncio.get_running_loop().time() - begun
 
     (shared, quick), (each, slow) = virtually(play(True)), virtually(play(False))
     assert shared <= 2 and each == 100 and slow > 20 * quick
@@ -187,7 +192,7 @@
         kept = set(promised)
         platter.crash()
         again = opened(platter)
-        assert kept <= again.table.jobs.keys() and not again.found.damaged
+        assert kept <= again.table.jobs.keys() and not again.contents.damaged
         for task in adding:
             task.cancel()
         # Killed while it recovers, three times in a row.
@@ -215,7 +220,7 @@
         await one.append(accepted("after"))
         platter.crash()
         again = opened(platter)
-        assert again.table.jobs.keys() == {"before", "after"} and not again.found.torn
+        assert again.table.jobs.keys() == {"before", "after"} and not again.contents.torn
 
     virtually(play())
 
@@ -244,22 +249,22 @@
             if name == point:
                 platter.crash()
 
-        one.point = die
+        one.reach_crash_point = die
         for number in range(400):
             id = f"j{number}"
             await one.append(accepted(id, number))
             if number % 10:
                 await one.append(leased(id))
                 await one.append(JobFinished(id, 200, b"result", 0, number))
-                one.table.forget(number, 50)
+                one.table.drop_expired(number, 50)
             if platter.mounted is None:
                 break
         last = number
         if not point:
-            await one.settle()
+            await one.wait_until_idle()
             platter.crash()
         again = opened(platter)
-        assert [job.id for job in again.table.open()] == [f"j{n}" for n in range(0, last + 1, 10)]
+        assert [job.job_id for job in again.table.open_jobs()] == [f"j{n}" for n in range(0, last + 1, 10)]
         if not point:
             assert sum(map(len, platter.files.values())) < 45_000  # 400 jobs were 90,000 bytes
 
@@ -269,7 +274,7 @@
 # --- leases
 
 
-TERMS = leases.LeaseConfig(20 * S, 5 * S)
+TERMS = LeaseConfig(20 * S, 5 * S)
 
 
 class Model(RuleBasedStateMachine):
@@ -277,7 +282,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.leases = leases.LeaseTable(TERMS)
+        self.leases = LeaseTable(TERMS)
         self.now = 0
         self.granted: list[dict[str, Any]] = []
 
@@ -305,11 +310,13 @@
         same = [other for other in self.granted if (other["job"], other["worker"]) == both]
         meant = one if told else same[-1]
         fence = one["fence"] if told else None
-        heard = self.leases.heard(one["job"], one["worker"], fence, self.now, last, started)
+        heard = self.leases.apply_report(
+            WorkerReport(one["job"], one["worker"], fence, last, started), self.now
+        )
         if meant["over"] or self.now >= meant["until"]:
-            assert heard == leases.FENCED
+            assert heard == LeaseAnswer.FENCED
             return
-        assert heard == (leases.ENDS if last else leases.RENEWS)
+        assert heard == (LeaseAnswer.ENDS if last else LeaseAnswer.RENEWS)
         if last:
             meant["over"] = True
             return
@@ -321,7 +328,7 @@
 
     @rule()
     def look(self) -> None:
-        due = [(lease.job, lease.fence) for lease in self.leases.due(self.now)]
+        due = [(lease.job_id, lease.fence) for lease in self.leases.expire(self.now)]
         ours = [one for one in self.granted if not one["over"] and self.now >= one["until"]]
         assert sorted(due) == sorted((one["job"], one["fence"]) for one in ours)
         for one in ours:
@@ -329,9 +336,9 @@
 
     @invariant()
     def no_lease_outlasts_its_time(self) -> None:
-        for held in self.leases.held.values():
+        for held in self.leases.leases_by_job.values():
             for lease in held:
-                assert lease.ended or lease.until <= self.now + 20 * S
+                assert lease.has_ended or lease.expires_at <= self.now + 20 * S
 
 
 TestLeases = Model.TestCase
@@ -339,14 +346,19 @@
 
 
 def test_a_worker_that_lives_and_says_nothing_holds_a_job_no_longer_than_its_lease() -> None:
-    held = leases.LeaseTable(TERMS)
+    held = LeaseTable(TERMS)
     held.grant("a", "x", 0)
-    assert held.heard("a", "x", 1, S, False, True) == leases.RENEWS
-    assert not held.due(6 * S - 1)
-    assert [lease.fence for lease in held.due(6 * S)] == [1] and not held.due(7 * S)
+    assert held.apply_report(WorkerReport("a", "x", 1, False, True), S) == LeaseAnswer.RENEWS
+    assert not held.expire(6 * S - 1)
+    assert [lease.fence for lease in held.expire(6 * S)] == [1] and not held.expire(7 * S)
     second = held.grant("a", "x", 7 * S)
-    assert held.heard("a", "x", 1, 8 * S, True, False) == leases.FENCED  # its late word, under the old fence
-    assert second.fence == 2 and held.heard("a", "x", 2, 8 * S, True, False) == leases.ENDS
+    assert (
+        held.apply_report(WorkerReport("a", "x", 1, True, False), 8 * S) == LeaseAnswer.FENCED
+    )  # its late word, under the old fence
+    assert (
+        second.fence == 2
+        and held.apply_report(WorkerReport("a", "x", 2, True, False), 8 * S) == LeaseAnswer.ENDS
+    )
 
 
 # --- recovery
@@ -392,15 +404,15 @@
         JobFinished("done", 200, b"", 0, 1006 * S),
     )
     now = 5000 * S
-    steps = recovery.plan(table, leases.LeaseTable(TERMS), ElapsedBounds(4 * S, 4 * S), now)
-    assert [step.job.id for step in steps] == ["gone", "gone and ran", "old", "ran", "new"]
+    steps = recovery.plan(table, LeaseTable(TERMS), ElapsedBounds(4 * S, 4 * S), now)
+    assert [step.job.job_id for step in steps] == ["gone", "gone and ran", "old", "ran", "new"]
     ends = [step for step in steps if isinstance(step, FinishJob)]
     assert [end.status for end in ends] == [503, 502]
     old, ran, new = (step for step in steps if isinstance(step, ResumeJob))
     # Written at 1001 s and open for 100: 9 s later, on our clock, 91 are left.
-    assert old.limit_at == now + 91 * S and old.out == [0] and old.dispatches[0].outcome is None
-    assert old.dispatches[0].sent_at == now - 6 * S
-    assert ran.out == [] and ran.dispatches[0].outcome == AttemptOutcome.RESET and new.dispatches == []
+    assert old.deadline == now + 91 * S and old.pending == [0] and old.attempts[0].outcome is None
+    assert old.attempts[0].sent_at == now - 6 * S
+    assert ran.pending == [] and ran.attempts[0].outcome == AttemptOutcome.RESET and new.attempts == []
 
 
 def test_after_a_clock_that_stepped_back_nothing_is_repeated() -> None:
@@ -410,10 +422,8 @@
         leased("a", at=1002 * S),
         AttemptEnded("a", 1, AttemptOutcome.RESET, 1003 * S),
     )
-    (step,) = recovery.plan(
-        table, leases.LeaseTable(TERMS), ElapsedBounds(0, recovery.UNKNOWN_SPAN), 5000 * S
-    )
-    assert isinstance(step, ResumeJob) and step.dispatches[0].sent_at < -recovery.UNKNOWN_SPAN // 2
+    (step,) = recovery.plan(table, LeaseTable(TERMS), ElapsedBounds(0, recovery.UNKNOWN_SPAN), 5000 * S)
+    assert isinstance(step, ResumeJob) and step.attempts[0].sent_at < -recovery.UNKNOWN_SPAN // 2
 
 
 def recovered(*shots: RecoveredAttempt, grade: str = "record") -> tuple[Scheduler, list[Any]]:
@@ -663,8 +673,7 @@
     for word in ("verify", "export"):
         done = command("jobs", word, folder)
         assert done.returncode == 0 and done.stdout and "DAMAGED" not in done.stdout
-    found = LogContents()
     table = JobTable()
-    journal.read(DirectoryStorage(folder), table, found)
-    shown = told(table.jobs["a1"])
+    read_log(DirectoryStorage(folder), table)
+    shown = export_job(table.jobs["a1"])
     assert shown["state"] == "done" and [one["worker"] for one in shown["late_words"]] == ["w9"]
--- a/tests/test_parsed_values.py
+++ b/tests/test_parsed_values.py
@@ -26,8 +26,8 @@
 from locktide.cluster.quota.local_quota import QuotaSpec
 from locktide.config import accord, installation, start
 from locktide.config.checks import Table
-from locktide.durable.bootstrap import terms as durable_terms
-from locktide.durable.job_service import JobConfig as JobTerms
+from locktide.durable.bootstrap import job_config as durable_terms
+from locktide.durable.job_config import JobConfig as JobTerms
 from locktide.durable.leases import LeaseConfig as LeaseTerms
 from locktide.protocol import discovery
 from locktide.scheduler.config import (
@@ -152,8 +152,12 @@
     AccordTerms: ("accord-terms", "who address electors seeds budgets reserve most seed lend ledger"),
     QuotaSpec: ("budget", "name rate burst lends"),
     LedgerTerms: ("ledger-terms", "resources weights needs each longest"),
-    JobTerms: ("job-terms", "grades limit keep most_open pace leases"),
-    LeaseTerms: ("lease-terms", "start_within beat_within"),
+    JobTerms: (
+        "job-terms",
+        "grades=service_classes limit=detached_timeout keep=retention most_open=max_open_jobs "
+        "pace=resume_rate leases",
+    ),
+    LeaseTerms: ("lease-terms", "start_within=start_timeout beat_within=heartbeat_timeout"),
 }
 # What differs at each start, and what a description may say anew.
 LEFT_OUT: dict[type, frozenset[str]] = {
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -18,14 +18,14 @@
 import msgspec
 import pytest
 
-from locktide.cli.jobs import told
-from locktide.durable import leases, recovery
+from locktide.cli.jobs import export_job
+from locktide.durable import recovery
 from locktide.durable.disk import DirectoryStorage
 from locktide.durable.jobs import Job, JobTable
-from locktide.durable.log import framing as frames
-from locktide.durable.log import records
-from locktide.durable.log import write_ahead_log as journal
-from locktide.durable.log.write_ahead_log import LogContents, WriteAheadLog
+from locktide.durable.leases import LeaseConfig, LeaseTable
+from locktide.durable.log import framing, records
+from locktide.durable.log.reader import read_log, segment_name
+from locktide.durable.log.write_ahead_log import WriteAheadLog
 from locktide.scheduler.types import PROVEN_NOT_RUN, AttemptOutcome
 
 STORED = Path(__file__).parent / "data" / "durable_journal"
@@ -546,25 +546,35 @@
 def row(job: Job) -> tuple[Any, ...]:
     accepted, final = job.accepted, job.finished
     return (
-        job.id,
+        job.job_id,
         job.state,
-        accepted.grade,
+        accepted.service_class,
         accepted.key,
         accepted.digest,
         accepted.method,
         accepted.target,
-        accepted.onward,
+        accepted.forwarded_headers,
         accepted.body,
-        accepted.at - EPOCH,
-        accepted.limit_at - EPOCH,
+        accepted.recorded_at - EPOCH,
+        accepted.deadline - EPOCH,
         accepted.width,
         [
-            (lease.fence, lease.worker, lease.zone, lease.cell, lease.at - EPOCH, lease.until - EPOCH)
+            (
+                lease.fence,
+                lease.worker,
+                lease.zone,
+                lease.cell,
+                lease.recorded_at - EPOCH,
+                lease.expires_at - EPOCH,
+            )
             for lease in job.leases
         ],
-        [(fence, end.fence, end.outcome, end.at - EPOCH) for fence, end in job.ended.items()],
-        (final.status, final.body, final.advice, final.at - EPOCH) if final else None,
-        [(late.fence, late.worker, late.state, late.at - EPOCH) for late in job.late],
+        [
+            (fence, end.fence, end.outcome, end.recorded_at - EPOCH)
+            for fence, end in job.ended_attempts.items()
+        ],
+        (final.status, final.body, final.retry_after, final.recorded_at - EPOCH) if final else None,
+        [(late.fence, late.worker, late.state, late.recorded_at - EPOCH) for late in job.late_reports],
     )
 
 
@@ -572,23 +582,23 @@
     log = WriteAheadLog(DirectoryStorage(stored), 1 << 30)
     log.open()
     log.close()
-    assert (log.found.segments, log.found.records, log.found.bytes) == (5, 90, 8446)
-    assert log.found.torn == ["0000000005.journal: at byte 142: 42 bytes of a record of 51"]
-    assert log.found.damaged == []
+    assert (log.contents.segment_count, log.contents.record_count, log.contents.byte_count) == (5, 90, 8446)
+    assert log.contents.torn == ["0000000005.journal: at byte 142: 42 bytes of a record of 51"]
+    assert log.contents.damaged == []
     table = log.table
     assert [row(job) for job in table.jobs.values()] == JOBS
-    assert [id for id, job in table.jobs.items() if not job.may_have_run()] == [
+    assert [id for id, job in table.jobs.items() if not job.possibly_executed()] == [
         "job-01",
         "job-07",
         "job-11",
         "job-13",
         "job-14",
     ]
-    assert table.by_key == {(job[2], job[3]): job[0] for job in JOBS if job[3]}
-    assert (table.opened, table.last_at - EPOCH) == (18, 25_000_002)
-    began = table.began
+    assert table.job_ids_by_key == {(job[2], job[3]): job[0] for job in JOBS if job[3]}
+    assert (table.open_count, table.last_recorded_at - EPOCH) == (18, 25_000_002)
+    began = table.writer
     assert began is not None
-    assert (began.at - EPOCH, began.boot, began.boot_at) == (25_000_000, "boot-b", 8_000_000)
+    assert (began.recorded_at - EPOCH, began.boot_id, began.uptime) == (25_000_000, "boot-b", 8_000_000)
     # The torn end is cut off, the rest stands as it was, and a segment of our own has begun.
     assert {path.name: path.stat().st_size for path in stored.glob("*.journal")} == SEGMENTS | {
         "0000000006.journal": 16
@@ -600,14 +610,14 @@
 
 def test_the_stored_open_jobs_are_ended_or_resumed_as_before(stored: Path) -> None:
     table = JobTable()
-    journal.read(DirectoryStorage(stored), table, LogContents())
-    holders = leases.LeaseTable(leases.LeaseConfig(5_000_000, 2_000_000))
+    read_log(DirectoryStorage(stored), table)
+    holders = LeaseTable(LeaseConfig(5_000_000, 2_000_000))
     span = recovery.ElapsedBounds(1_000_000, 2_000_000)
-    steps = recovery.plan(table, holders, span, table.last_at + 1_000_000)
+    steps = recovery.plan(table, holders, span, table.last_recorded_at + 1_000_000)
     resumed = [step for step in steps if isinstance(step, recovery.ResumeJob)]
-    assert [(step.job.id, step.limit_at - EPOCH, step.out) for step in resumed] == RESUMED
-    assert [(step.job.id, step.status) for step in steps if isinstance(step, recovery.FinishJob)] == ENDED
-    dispatches = next(step.dispatches for step in resumed if step.job.id == "job-16")
+    assert [(step.job.job_id, step.deadline - EPOCH, step.pending) for step in resumed] == RESUMED
+    assert [(step.job.job_id, step.status) for step in steps if isinstance(step, recovery.FinishJob)] == ENDED
+    dispatches = next(step.attempts for step in resumed if step.job.job_id == "job-16")
     assert [(one.worker, one.zone, one.cell, one.sent_at - EPOCH, one.outcome) for one in dispatches] == [
         ("w3", "zone-1", 11, 15_000_116, "no connection"),
         ("w4", "zone-2", 11, 23_000_012, None),
@@ -618,11 +628,13 @@
     tags = set()
     for number, (name, size) in enumerate(SEGMENTS.items(), start=1):
         data = (STORED / name).read_bytes()
-        payloads = [item[1] for item in frames.records(data) if isinstance(item, tuple)]
+        payloads = [
+            item.payload for item in framing.read_frames(data) if isinstance(item, framing.FramedPayload)
+        ]
         tags |= {msgspec.msgpack.decode(payload)[0] for payload in payloads}
-        again = [frames.frame(records.encode(records.decode(payload))) for payload in payloads]
-        assert journal.segment_name(number) == name
-        assert frames.header(number) + b"".join(again) == data[:size]
+        again = [framing.encode_frame(records.encode(records.decode(payload))) for payload in payloads]
+        assert segment_name(number) == name
+        assert framing.encode_header(number) + b"".join(again) == data[:size]
     assert tags == {"Began", "Accepted", "Leased", "Ended", "Finished", "Late", "Kept", "Whole"}
 
 
@@ -653,5 +665,5 @@
 
 def test_a_stored_job_is_exported_under_the_same_keys(stored: Path) -> None:
     table = JobTable()
-    journal.read(DirectoryStorage(stored), table, LogContents())
-    assert told(table.jobs["job-05"]) == EXPORTED
+    read_log(DirectoryStorage(stored), table)
+    assert export_job(table.jobs["job-05"]) == EXPORTED
