Protocol: messages, submissions and callbacks parsed in modules of their own

Messages, submissions, callbacks and errors are modules now; a rejected message is a typed error until the boundary.

--- a/locktide/errors.py
+++ b/locktide/errors.py
@@ -1,5 +1,7 @@
-"""The base class of all errors of this package."""
+"""The base class of the errors that locktide raises."""
+
+from __future__ import annotations
 
 
 class LocktideError(Exception):
-    """Base of the errors that locktide raises on purpose."""
+    """Base of all errors of this project; each package derives its own base from it."""
--- a/locktide/protocol/__init__.py
+++ b/locktide/protocol/__init__.py
@@ -1,1 +1,4 @@
-"""What is said on the sockets: state machines that are fed bytes and know no socket."""
+"""HTTP messages between dispatcher, clients, workers and discovery, as state machines that are fed bytes.
+
+Nothing here opens a socket, reads a clock or waits.
+"""
--- /dev/null
+++ b/locktide/protocol/messages.py
@@ -0,0 +1,90 @@
+"""The messages that clients and workers send to a dispatcher."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from locktide.scheduler.types import AttemptOutcome
+
+
+@dataclass(slots=True)
+class SubmitRequest:
+    """A job that a client hands in.
+
+    Attributes:
+        id: Identifies the request; unique among those that are open.
+        service_class: Name of its service class.
+        timeout: How long the client waits for the response, in microseconds.
+        width: How many slots of a worker the job takes.
+        is_retry: Whether the client says that it has sent this request before.
+        method: HTTP method, passed on to the worker.
+        target: HTTP request target, passed on to the worker.
+        onward: Header fields that are passed on to the worker unchanged.
+        body: Payload, at most `names.LARGEST_BODY` bytes.
+        background: Whether no client waits for the response on a connection.
+        work_hint: The expected run time in microseconds; 0 where the client gives none.
+        tenant: Who is charged for the job, where the client says so.
+        affinity_key: Hash of the object that the job is about, where the target names one.
+    """
+
+    id: str
+    service_class: str
+    timeout: int
+    width: float
+    is_retry: bool
+    method: str
+    target: str
+    onward: list[tuple[bytes, bytes]]
+    body: bytes
+    background: bool = False
+    work_hint: int = 0
+    tenant: str | None = None
+    affinity_key: int | None = None
+
+
+@dataclass(slots=True)
+class Callback:
+    """What a worker reports of a job.
+
+    Attributes:
+        request_id: The request that the job belongs to.
+        worker: Name of the worker that reports.
+        state: The state as it stands in the message: `names.STARTED`, `names.RUNNING` or of `names.ENDS`.
+        fraction_done: Progress from 0.0 to 1.0.
+        outcome: How the attempt ended; None where it goes on.
+        result: Body of the response to the client, of a job that is done.
+        fence: Fencing token of the attempt's lease, from workers that report it.
+    """
+
+    request_id: str
+    worker: str
+    state: str
+    fraction_done: float
+    outcome: AttemptOutcome | None
+    result: bytes
+    fence: int | None = None
+
+
+@dataclass(slots=True)
+class JobQuery:
+    """Asks for the state of a durable job."""
+
+    id: str
+
+
+@dataclass(slots=True)
+class HealthQuery:
+    """Asks whether the dispatcher is ready, or only whether its process lives."""
+
+    ready: bool
+
+
+@dataclass(slots=True)
+class BadRequest:
+    """A message that is not accepted; `status` is the HTTP status to answer with."""
+
+    status: int
+    reason: str
+
+
+Message = SubmitRequest | Callback | JobQuery | HealthQuery | BadRequest
--- a/locktide/protocol/names.py
+++ b/locktide/protocol/names.py
@@ -1,4 +1,4 @@
-"""The names on the sockets, all in one place."""
+"""The names of header fields, paths and states on the wire; they stand nowhere else."""
 
 from __future__ import annotations
 
@@ -13,12 +13,12 @@
 EXTRAS = "Req-Extra"
 DECLINED = "Srv-Declined"
 PREFER = "Prefer"  # RFC 7240
-FENCE = "Lease-Fence"  # of a durable job's lease; a worker may tell it back as `fence`
+FENCE = "Lease-Fence"  # of a durable job's lease; a worker may report it back as `fence`
 JOB_STATE = "Job-State"
 WIDTH = "slots"  # among the extras
 HINT = "hint"  # among the extras: the work expected, in milliseconds
 TENANT = "tenant"  # among the extras
-OBJECT = "obj"  # in the query: what a submission is about
+OBJECT = "obj"  # in the query: what a job is about
 
 READY = "/health/ready"
 LIVE = "/health/live"
@@ -26,11 +26,12 @@
 JOBS = "/jobs/"
 INSTANCES = "/registry/instances"
 
-# What a worker tells by callback. The last four end a dispatch.
+# What a worker reports by callback. Those of `ENDS` end an attempt.
 STARTED = "started"
 RUNNING = "running"
+DONE = "done"
 ENDS = {
-    "done": AttemptOutcome.DONE,
+    DONE: AttemptOutcome.DONE,
     "failed": AttemptOutcome.ERROR,
     "returned": AttemptOutcome.FULL,
     "lost": AttemptOutcome.RESET,
@@ -38,4 +39,4 @@
 
 LIST_STATES = {"active": EndpointState.READY, "leaving": EndpointState.DRAINING, "left": EndpointState.GONE}
 
-LARGEST_BODY = 64 * 1024
+LARGEST_BODY = 64 * 1024  # bytes, of a request or a response
--- a/locktide/protocol/worker_messages.py
+++ b/locktide/protocol/worker_messages.py
@@ -1,4 +1,4 @@
-"""What is said to workers, and what their replies mean."""
+"""The requests to workers, and what their responses mean."""
 
 from __future__ import annotations
 
@@ -6,30 +6,35 @@
 
 from locktide.protocol import names
 from locktide.protocol.client_connection import UpstreamRequest, UpstreamResponse
-from locktide.protocol.server_connection import SubmitRequest
+from locktide.protocol.messages import SubmitRequest
 from locktide.scheduler.types import AttemptOutcome
 
 
-def job(submitted: SubmitRequest, time_left: int, fence: int = 0) -> UpstreamRequest:
-    """One dispatch: the submission as it came, with the time that we will wait, and the lease if it is on
-    one.
+def job(submission: SubmitRequest, time_left: int, fence: int = 0) -> UpstreamRequest:
+    """Returns the request that hands a job to a worker.
+
+    Args:
+        submission: The client's request, which is passed on.
+        time_left: How long we will wait for the job, in microseconds.
+        fence: Fencing token of the attempt's lease; 0 where it has none.
     """
-    headers = [*submitted.onward, (names.TIME_LIMIT.encode(), b"%du" % time_left)]
+    headers = [*submission.onward, (names.TIME_LIMIT.encode(), b"%du" % time_left)]
     if fence:
         headers.append((names.FENCE.encode(), b"%d" % fence))
-    return UpstreamRequest(submitted.method, submitted.target, headers, submitted.body)
+    return UpstreamRequest(submission.method, submission.target, headers, submission.body)
 
 
-def withdrawal(submission: str) -> UpstreamRequest:
-    return UpstreamRequest("DELETE", names.JOBS + quote(submission, safe=""), [])
+def withdrawal(request_id: str) -> UpstreamRequest:
+    """Returns the request that cancels a job at a worker."""
+    return UpstreamRequest("DELETE", names.JOBS + quote(request_id, safe=""), [])
 
 
-def outcome(reply: UpstreamResponse) -> str | None:
-    """How the reply ends the dispatch; None where the worker has taken the job."""
-    if reply.status == 202:
+def outcome(response: UpstreamResponse) -> AttemptOutcome | None:
+    """Returns how the response ends the attempt; None where the worker has accepted the job."""
+    if response.status == 202:
         return None
-    if 400 <= reply.status < 500:
+    if 400 <= response.status < 500:
         return AttemptOutcome.UNPROCESSABLE
-    if reply.status in (503, 504) and reply.headers.get(names.DECLINED.lower()) == "1":
+    if response.status in (503, 504) and response.headers.get(names.DECLINED.lower()) == "1":
         return AttemptOutcome.FULL
     return AttemptOutcome.ERROR
--- a/locktide/simulation/client_site.py
+++ b/locktide/simulation/client_site.py
@@ -233,7 +233,7 @@
         """Whether a kept connection was closed before what was sent on it can have been read."""
         there = self.stage.dispatchers[tried.dispatcher].machine
         both_ways = 2 * self.stage.links.most(self.machine, there) + CROSSING
-        return line.kept and not line.exchange.heard and self.stage.host.now() - sent_at <= both_ways
+        return line.kept and not line.exchange.has_received and self.stage.host.now() - sent_at <= both_ways
 
     def heard_at(self, tried: Try) -> int:
         """When the dispatcher knows at the latest that this client has gone away."""
--- a/locktide/simulation/connection_pool.py
+++ b/locktide/simulation/connection_pool.py
@@ -24,11 +24,11 @@
 
     @property
     def fresh(self) -> bool:
-        return self.exchange.at_rest and not self.reader.at_eof() and not self.writer.is_closing()
+        return self.exchange.is_idle and not self.reader.at_eof() and not self.writer.is_closing()
 
     async def ask(self, question: UpstreamRequest) -> UpstreamResponse:
         """Raises Broken or OSError where the connection ends before the reply is whole."""
-        self.writer.writelines(self.exchange.ask(question))
+        self.writer.writelines(self.exchange.encode_request(question))
         while (reply := self.exchange.feed(await self.reader.read(READ))) is None:
             pass
         return reply
--- a/locktide/transport/client_connection.py
+++ b/locktide/transport/client_connection.py
@@ -153,8 +153,8 @@
         """Message after message, until one side ends it."""
         # So that a written answer is in the kernel's hands and no close cuts it short.
         self.writer.transport.set_write_buffer_limits(high=0)
-        while not self.talk.last:
-            message = self.talk.next()
+        while not self.talk.is_final:
+            message = self.talk.next_message()
             if message is None:
                 if not await self.more():
                     return
@@ -184,9 +184,9 @@
 
         Of those that have not proven themselves, none may rest or be half-way for long.
         """
-        if self.talk.wants_go_ahead():
-            self.writer.writelines(self.talk.go_ahead())
-        resting = self.talk.between
+        if self.talk.expects_continue():
+            self.writer.writelines(self.talk.encode_continue())
+        resting = self.talk.is_idle
         self.enter(ConnectionState.AT_REST if resting else ConnectionState.RECEIVING)
         if resting or not self.proven:
             self.server.descriptors.mark_idle(self, self.writer.close, self.proven)
@@ -208,7 +208,7 @@
             await self.turn_away(clients.BadRequest(408, "half a message"), last=True)
             return False
         data = self.take()
-        if not self.store(self.talk.stored):
+        if not self.store(self.talk.buffered_bytes):
             stored = self.server.stored
             self.server.log.emit(
                 f"clients: {stored} bytes stored, no room for more", event="no-room", stored=stored
@@ -218,7 +218,7 @@
         return bool(data)
 
     async def turn_away(self, message: clients.BadRequest, last: bool = False) -> None:
-        self.talk.last = self.talk.last or last
+        self.talk.is_final = self.talk.is_final or last
         self.server.log.emit(
             f"clients: not taken, {message.status}: {message.reason}",
             "clients",
@@ -227,7 +227,7 @@
             reason=message.reason,
         )
         await self.write(Response(message.status, message.reason.encode() + b"\n"))
-        if self.talk.last:
+        if self.talk.is_final:
             await self.linger(DROPPED_FOR)
 
     async def submission(self, message: clients.SubmitRequest) -> bool:
@@ -278,7 +278,7 @@
 
     async def write(self, answer: Response) -> None:
         last = self.server.stopping and self.peer is not PeerRole.WORKER
-        self.writer.writelines(self.talk.answer(answer.status, answer.body, answer.headers, last))
+        self.writer.writelines(self.talk.encode_response(answer.status, answer.body, answer.headers, last))
         await asyncio.wait_for(self.writer.drain(), TAKEN_WITHIN)
         self.due = self.now() + WHOLE_WITHIN
 
--- a/locktide/transport/endpoint_watch.py
+++ b/locktide/transport/endpoint_watch.py
@@ -70,13 +70,13 @@
         connecting = asyncio.open_connection(*self.address, limit=READ)
         reader, writer = await asyncio.wait_for(connecting, PATIENCE)
         try:
-            exchange = ClientHttpConnection(spelled(self.address), discovery.LARGEST_LIST)
+            exchange = ClientHttpConnection(spelled(self.address), discovery.MAX_LIST_SIZE)
             patience = self.patience
-            while exchange.at_rest:
+            while exchange.is_idle:
                 asked_at = asyncio.get_running_loop().time()
                 looking = self.failing and self.again is soon
                 wait = 0 if looking else WAIT_MS
-                writer.writelines(exchange.ask(discovery.question(self.version, wait)))
+                writer.writelines(exchange.encode_request(discovery.list_request(self.version, wait)))
                 async with asyncio.timeout(LOOK if looking else wait / 1000 + patience):
                     reply = await reply_on(reader, exchange)
                 patience = PATIENCE
--- a/locktide/transport/upstream_pool.py
+++ b/locktide/transport/upstream_pool.py
@@ -60,7 +60,7 @@
         transport = self.writer.transport
         self.outlet.taken = whole
         try:
-            self.writer.writelines(self.exchange.ask(question))
+            self.writer.writelines(self.exchange.encode_request(question))
             if not transport.is_closing() and not transport.get_write_buffer_size():
                 whole()
             else:
@@ -130,7 +130,7 @@
         except (OSError, ProtocolError):
             if not whole:
                 return AttemptOutcome.NO_CONNECTION
-            if connection.exchange.heard:
+            if connection.exchange.has_received:
                 return SPOILT
             # Guards against blaming a worker that has closed a kept connection before it would have to.
             return AttemptOutcome.CONNECTION_CLOSED if connection.kept else AttemptOutcome.RESET
@@ -162,7 +162,7 @@
 
     def rest(self, connection: UpstreamConnection) -> None:
         connection.kept = False  # what came up to here came for the question
-        if not connection.exchange.at_rest or not connection.fresh:
+        if not connection.exchange.is_idle or not connection.fresh:
             self.close(connection)
             return
         connection.kept, connection.read_by_then = True, connection.reader.counted
--- a/tests/test_hostile.py
+++ b/tests/test_hostile.py
@@ -192,7 +192,7 @@
     talk = clients.ServerHttpConnection({"view": 3_000_000}, [])
     told = f'{{"id": "a", "from": "w0", "state": "running", "share": {share}}}'
     talk.feed(post("/callback", told.encode()))
-    message = talk.next()
+    message = talk.next_message()
     if isinstance(message, clients.Callback):
         assert 0.0 <= message.fraction_done <= 1.0
     else:
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -275,7 +275,7 @@
 ) -> None:
     conversation = clients.ServerHttpConnection({"view": 3_000_000}, ())
     conversation.feed(submit(target, Req_Extra=extras, Req_Kind="view"))
-    message = conversation.next()
+    message = conversation.next_message()
     assert isinstance(message, clients.SubmitRequest)
     news = arrival_event(message, 9_000_000)
     assert (news.width, news.work_hint, news.tenant, news.affinity_key) == told
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -34,12 +34,12 @@
     talk = talk or clients.ServerHttpConnection(GRADES, NUMBERED)
     found: list[clients.Message] = []
     written = b""
-    while not talk.last:
-        message = talk.next()
+    while not talk.is_final:
+        message = talk.next_message()
         if message is not None:
             found.append(message)
             status = message.status if isinstance(message, clients.BadRequest) else 200
-            written += b"".join(talk.answer(status, b"so\n", [], False))
+            written += b"".join(talk.encode_response(status, b"so\n", [], False))
         elif data:
             size = dice.randint(1, 40) if dice else len(data)
             talk.feed(data[:size])
@@ -83,7 +83,7 @@
         assert onward[b"Req-Deadline"] == b"1234u" and b"Host" not in onward
         assert found[2 * number + 1] == clients.Callback(f"id{number}", "w", "running", 0.25, None, b"")
         # What we write to the worker is a message that reads the same on the other side.
-        again, _ = heard(b"".join(ClientHttpConnection("w:1").ask(told)), dice)
+        again, _ = heard(b"".join(ClientHttpConnection("w:1").encode_request(told)), dice)
         assert isinstance(again[0], clients.SubmitRequest)
         assert (again[0].id, again[0].target, again[0].body) == (one.id, one.target, body)
 
@@ -199,21 +199,21 @@
 def test_replies_come_out_of_any_pieces(seed: int) -> None:
     dice, exchange = random.Random(seed), ClientHttpConnection("w:1")
     for body in (b"", b"abc", b"x" * 5000):
-        asked = b"".join(exchange.ask(UpstreamRequest("POST", "/view", [], b"job")))
-        assert asked.endswith(b"\r\n\r\njob") and not exchange.at_rest
+        asked = b"".join(exchange.encode_request(UpstreamRequest("POST", "/view", [], b"job")))
+        assert asked.endswith(b"\r\n\r\njob") and not exchange.is_idle
         data = b"HTTP/1.1 100 Continue\r\n\r\n" + TAKEN % len(body) + body
         reply = None
         while data:
             assert reply is None
             size = dice.randint(1, 60)
             reply, data = exchange.feed(data[:size]), data[size:]
-        assert reply is not None and (reply.status, reply.body) == (202, body) and exchange.at_rest
+        assert reply is not None and (reply.status, reply.body) == (202, body) and exchange.is_idle
 
 
 @pytest.mark.parametrize("told", [b"", b"nonsense\r\n\r\n", TAKEN % 9 + b"half"])
 def test_a_reply_that_breaks_off_is_no_reply(told: bytes) -> None:
     exchange = ClientHttpConnection("w:1")
-    exchange.ask(UpstreamRequest("GET", "/", []))
+    exchange.encode_request(UpstreamRequest("GET", "/", []))
     with pytest.raises(ProtocolError):
         exchange.feed(told)
         exchange.feed(b"")
@@ -221,9 +221,9 @@
 
 def test_no_question_follows_where_the_worker_closes() -> None:
     exchange = ClientHttpConnection("w:1")
-    exchange.ask(UpstreamRequest("GET", "/", []))
+    exchange.encode_request(UpstreamRequest("GET", "/", []))
     reply = exchange.feed(b"HTTP/1.1 202 Accepted\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
-    assert reply is not None and not exchange.at_rest
+    assert reply is not None and not exchange.is_idle
 
 
 ENTRY = {
@@ -242,7 +242,7 @@
     sheet = discovery.parse(json.dumps({"rev": 4, "all": False, "targets": [ENTRY]}).encode())
     assert sheet.entries == [EndpointEntry("s-1", "a", "m", 3, EndpointState.READY, 1.5, 1796122933760000)]
     assert (sheet.version, sheet.is_snapshot, sheet.addresses) == (4, False, {"s-1": ("127.0.0.1", 7070)})
-    assert discovery.question(4, 1000).target == "/registry/instances?after=4&wait_ms=1000"
+    assert discovery.list_request(4, 1000).target == "/registry/instances?after=4&wait_ms=1000"
 
 
 FIRST = ["settings", "ServiceGrades", 0]
