--- a/locktide/durable/acceptance.py
+++ b/locktide/durable/acceptance.py
@@ -36,7 +36,7 @@
         return cls(
             request,
             read_preference(headers),
-            headers.get(names.NUMBER.lower(), ""),
+            headers.get(names.IDEMPOTENCY_KEY.lower(), ""),
             hashlib.sha256(content).hexdigest(),
         )
 
--- a/locktide/protocol/callbacks.py
+++ b/locktide/protocol/callbacks.py
@@ -35,4 +35,4 @@
     if state == names.STARTED:
         return Callback(request_id, worker, state, 0.0, None, b"", fence)
     result = document["result"].encode("utf-8", "surrogatepass") if state == names.DONE else b""
-    return Callback(request_id, worker, state, 0.0, names.ENDS[state], result, fence)
+    return Callback(request_id, worker, state, 0.0, names.CALLBACK_OUTCOMES[state], result, fence)
--- a/locktide/protocol/client_connection.py
+++ b/locktide/protocol/client_connection.py
@@ -40,7 +40,7 @@
         has_received: Whether any byte has been read since the request.
     """
 
-    def __init__(self, host: str, max_body_size: int = names.LARGEST_BODY) -> None:
+    def __init__(self, host: str, max_body_size: int = names.MAX_BODY_SIZE) -> None:
         """Begins a connection to `host`, whose response bodies hold at most so many bytes."""
         self.machine = h11.Connection(h11.CLIENT)
         self.host = host
--- a/locktide/protocol/discovery.py
+++ b/locktide/protocol/discovery.py
@@ -49,7 +49,7 @@
         table.text("az", ""),
         table.text("model", ""),
         table.whole("pod_group", 0),
-        table.one_of(names.LIST_STATES, "state"),
+        table.one_of(names.ENDPOINT_STATES, "state"),
         table.number("capacity_hint", 1.0),
         table.span("boot_ms", 0),
     )
--- a/locktide/protocol/messages.py
+++ b/locktide/protocol/messages.py
@@ -20,7 +20,7 @@
         method: HTTP method, passed on to the worker.
         target: HTTP request target, passed on to the worker.
         onward: Header fields that are passed on to the worker unchanged.
-        body: Payload, at most `names.LARGEST_BODY` bytes.
+        body: Payload, at most `names.MAX_BODY_SIZE` bytes.
         background: Whether no client waits for the response on a connection.
         work_hint: The expected run time in microseconds; 0 where the client gives none.
         tenant: Who is charged for the job, where the client says so.
@@ -49,7 +49,8 @@
     Attributes:
         request_id: The request that the job belongs to.
         worker: Name of the worker that reports.
-        state: The state as it stands in the message: `names.STARTED`, `names.RUNNING` or of `names.ENDS`.
+        state: The state as it stands in the message: `names.STARTED`, `names.RUNNING`, or a key of
+            `names.CALLBACK_OUTCOMES`.
         fraction_done: Progress from 0.0 to 1.0.
         outcome: How the attempt ended; None where it goes on.
         result: Body of the response to the client, of a job that is done.
--- a/locktide/protocol/names.py
+++ b/locktide/protocol/names.py
@@ -5,10 +5,10 @@
 from locktide.scheduler.types import AttemptOutcome, EndpointState
 
 # Header fields, as they go out; they are compared in lower case.
-ID = "Req-Id"
-GRADE = "Req-Kind"
-NUMBER = "Idempotency-Key"
-TIME_LIMIT = "Req-Deadline"
+REQUEST_ID = "Req-Id"
+SERVICE_CLASS = "Req-Kind"
+IDEMPOTENCY_KEY = "Idempotency-Key"
+TIMEOUT = "Req-Deadline"
 RETRY = "Req-Retry"
 EXTRAS = "Req-Extra"
 DECLINED = "Srv-Declined"
@@ -16,7 +16,7 @@
 FENCE = "Lease-Fence"  # of a durable job's lease; a worker may report it back as `fence`
 JOB_STATE = "Job-State"
 WIDTH = "slots"  # among the extras
-HINT = "hint"  # among the extras: the work expected, in milliseconds
+WORK_HINT = "hint"  # among the extras: the work expected, in milliseconds
 TENANT = "tenant"  # among the extras
 OBJECT = "obj"  # in the query: what a job is about
 
@@ -26,17 +26,21 @@
 JOBS = "/jobs/"
 INSTANCES = "/registry/instances"
 
-# What a worker reports by callback. Those of `ENDS` end an attempt.
+# What a worker reports by callback. Those of `CALLBACK_OUTCOMES` end an attempt.
 STARTED = "started"
 RUNNING = "running"
 DONE = "done"
-ENDS = {
+CALLBACK_OUTCOMES = {
     DONE: AttemptOutcome.DONE,
     "failed": AttemptOutcome.ERROR,
     "returned": AttemptOutcome.FULL,
     "lost": AttemptOutcome.RESET,
 }
 
-LIST_STATES = {"active": EndpointState.READY, "leaving": EndpointState.DRAINING, "left": EndpointState.GONE}
+ENDPOINT_STATES = {
+    "active": EndpointState.READY,
+    "leaving": EndpointState.DRAINING,
+    "left": EndpointState.GONE,
+}
 
-LARGEST_BODY = 64 * 1024  # bytes, of a request or a response
+MAX_BODY_SIZE = 64 * 1024  # bytes, of a request or a response
--- a/locktide/protocol/server_connection.py
+++ b/locktide/protocol/server_connection.py
@@ -122,9 +122,9 @@
 
     def check_body_size(self, size: int) -> None:
         """Raises RejectedMessageError where a body of that many bytes is too large."""
-        if size > names.LARGEST_BODY:
+        if size > names.MAX_BODY_SIZE:
             self.is_final = True
-            raise RejectedMessageError(413, f"a body holds at most {names.LARGEST_BODY} bytes")
+            raise RejectedMessageError(413, f"a body holds at most {names.MAX_BODY_SIZE} bytes")
 
     def complete_head(self) -> h11.Request:
         """Returns the head of the message that is complete."""
--- a/locktide/protocol/submissions.py
+++ b/locktide/protocol/submissions.py
@@ -28,13 +28,20 @@
         "upgrade",
         "expect",
         "content-length",
-        names.TIME_LIMIT.lower(),
+        names.TIMEOUT.lower(),
     )
 )
 # Each of these is sent once or not at all; two of one would mean one thing to us and another to a worker.
 UNIQUE_FIELDS = frozenset(
     name.lower()
-    for name in (names.ID, names.GRADE, names.NUMBER, names.TIME_LIMIT, names.RETRY, names.EXTRAS)
+    for name in (
+        names.REQUEST_ID,
+        names.SERVICE_CLASS,
+        names.IDEMPOTENCY_KEY,
+        names.TIMEOUT,
+        names.RETRY,
+        names.EXTRAS,
+    )
 )
 DURATION_PATTERN = re.compile(r"(\d{1,12}(?:\.\d{1,9})?)([mu])", re.ASCII)
 WIDTH_PATTERN = re.compile(r"\d{1,3}(\.\d{1,6})?", re.ASCII)
@@ -71,8 +78,8 @@
         Raises:
             RejectedMessageError: A header field is missing or holds what it may not.
         """
-        if fields.get(names.GRADE.lower()) != service_class:
-            raise RejectedMessageError(400, f"{names.GRADE} and the path differ")
+        if fields.get(names.SERVICE_CLASS.lower()) != service_class:
+            raise RejectedMessageError(400, f"{names.SERVICE_CLASS} and the path differ")
         request_id = parse_request_id(fields)
         timeout = parse_timeout(fields, self.timeouts[service_class])
         check_idempotency_key(fields, is_required=service_class in self.keyed_classes)
@@ -105,28 +112,28 @@
 
 def parse_request_id(fields: Mapping[str, str]) -> str:
     """Returns the request id; raises RejectedMessageError where it is missing or malformed."""
-    request_id = fields.get(names.ID.lower(), "")
+    request_id = fields.get(names.REQUEST_ID.lower(), "")
     if not IDENTIFIER_PATTERN.fullmatch(request_id):
-        raise RejectedMessageError(400, f"{names.ID} is missing or not an id")
+        raise RejectedMessageError(400, f"{names.REQUEST_ID} is missing or not an id")
     return request_id
 
 
 def parse_timeout(fields: Mapping[str, str], class_timeout: int) -> int:
     """Returns how long the client waits, in microseconds; `class_timeout` is that of its service class."""
-    duration = DURATION_PATTERN.fullmatch(fields.get(names.TIME_LIMIT.lower(), ""))
+    duration = DURATION_PATTERN.fullmatch(fields.get(names.TIMEOUT.lower(), ""))
     if not duration:
-        raise RejectedMessageError(400, f"{names.TIME_LIMIT}: expected a number and m or u")
+        raise RejectedMessageError(400, f"{names.TIMEOUT}: expected a number and m or u")
     timeout = round(float(duration[1]) * (1000 if duration[2] == "m" else 1))
     if not 0 < timeout <= MAX_TIMEOUT_FACTOR * class_timeout:
-        raise RejectedMessageError(400, f"{names.TIME_LIMIT}: no time at all, or far over that of the grade")
+        raise RejectedMessageError(400, f"{names.TIMEOUT}: no time at all, or far over that of the grade")
     return timeout
 
 
 def check_idempotency_key(fields: Mapping[str, str], is_required: bool) -> None:
     """Raises RejectedMessageError where the key is malformed, or missing though required."""
-    key = fields.get(names.NUMBER.lower(), "" if is_required else "-")
+    key = fields.get(names.IDEMPOTENCY_KEY.lower(), "" if is_required else "-")
     if not IDENTIFIER_PATTERN.fullmatch(key):
-        raise RejectedMessageError(400, f"{names.NUMBER} is missing or not a number")
+        raise RejectedMessageError(400, f"{names.IDEMPOTENCY_KEY} is missing or not a number")
 
 
 def parse_extra_pairs(fields: Mapping[str, str]) -> list[tuple[str, str]]:
@@ -146,7 +153,7 @@
 
 def parse_work_hint(extras: Mapping[str, str]) -> int:
     """Returns the expected run time in microseconds; 0 where it is malformed, as it only advises."""
-    milliseconds = extras.get(names.HINT, "")
+    milliseconds = extras.get(names.WORK_HINT, "")
     return round(float(milliseconds) * 1000) if WORK_HINT_PATTERN.fullmatch(milliseconds) else 0
 
 
--- a/locktide/protocol/worker_messages.py
+++ b/locktide/protocol/worker_messages.py
@@ -18,7 +18,7 @@
         time_left: How long we will wait for the job, in microseconds.
         fence: Fencing token of the attempt's lease; 0 where it has none.
     """
-    headers = [*submission.onward, (names.TIME_LIMIT.encode(), b"%du" % time_left)]
+    headers = [*submission.onward, (names.TIMEOUT.encode(), b"%du" % time_left)]
     if fence:
         headers.append((names.FENCE.encode(), b"%d" % fence))
     return UpstreamRequest(submission.method, submission.target, headers, submission.body)
--- a/locktide/simulation/client_site.py
+++ b/locktide/simulation/client_site.py
@@ -148,15 +148,15 @@
     def question(self, tried: Try) -> UpstreamRequest:
         ask = tried.ask
         headers = [
-            (names.ID.encode(), tried.id.encode()),
-            (names.GRADE.encode(), ask.grade.name.encode()),
-            (names.TIME_LIMIT.encode(), b"%dm" % (ask.limit // 1000)),
+            (names.REQUEST_ID.encode(), tried.id.encode()),
+            (names.SERVICE_CLASS.encode(), ask.grade.name.encode()),
+            (names.TIMEOUT.encode(), b"%dm" % (ask.limit // 1000)),
         ]
         kept = ask.grade.name in self.stage.kept_grades
         if kept:
             headers.append((names.PREFER.encode(), b"respond-async"))
         if ask.grade.effect == "numbered" or kept:
-            headers.append((names.NUMBER.encode(), ask.key.encode()))
+            headers.append((names.IDEMPOTENCY_KEY.encode(), ask.key.encode()))
         extras = [f"{names.WIDTH}={ask.width}"] if ask.width != 1 else []
         extras += [f"{names.TENANT}={ask.tenant}"] if ask.tenant else []
         if extras:
--- a/locktide/simulation/cluster/processes.py
+++ b/locktide/simulation/cluster/processes.py
@@ -121,9 +121,9 @@
                 number += 1
                 fields = {
                     "Host": "us",
-                    names.ID: f"{self.seed}-{number}",
-                    names.GRADE: "view",
-                    names.TIME_LIMIT: "900m",
+                    names.REQUEST_ID: f"{self.seed}-{number}",
+                    names.SERVICE_CLASS: "view",
+                    names.TIMEOUT: "900m",
                     names.EXTRAS: f"{names.WIDTH}=1,{names.TENANT}={tenant}",
                     "Content-Length": "0",
                 }
--- a/locktide/simulation/worker_site.py
+++ b/locktide/simulation/worker_site.py
@@ -193,7 +193,7 @@
 
     def dispatched(self, end: WorkerEnd, message: Message) -> None:
         stage, now = self.stage, self.stage.host.now()
-        id = message.fields.get(names.ID.lower(), "")
+        id = message.fields.get(names.REQUEST_ID.lower(), "")
         tried = stage.tries.get(id)
         ask = tried.ask if tried else None
         if (
