Transport: session and connection apart, typed failures, names of the field

client_connection.py (319 lines, one class for socket and conversation) is a connection, a session and the request handler's interface; the string SPOILT next to the attempt outcomes is an enum of transport failures; constants and fields say what they hold, with units.

--- a/locktide/dispatcher/attempts.py
+++ b/locktide/dispatcher/attempts.py
@@ -20,7 +20,7 @@
 from locktide.scheduler.events import AttemptSent
 from locktide.scheduler.types import AttemptOutcome
 from locktide.transport.client_connection import Response
-from locktide.transport.upstream_pool import SPOILT
+from locktide.transport.upstream_pool import TransportFailure
 
 # How long past the deadline a connection may still wait for a reply that no longer matters, in seconds.
 LATE_REPLY_TIMEOUT = 1.0
@@ -118,7 +118,7 @@
         self, request: OpenRequest, attempt: OpenAttempt, result: UpstreamResponse | str
     ) -> None:
         outcome = worker_messages.outcome(result) if isinstance(result, UpstreamResponse) else result
-        if outcome == SPOILT or (attempt.was_accepted and outcome in UNTRUSTED_ONCE_ACCEPTED):
+        if outcome == TransportFailure.INVALID_RESPONSE or (attempt.was_accepted and outcome in UNTRUSTED_ONCE_ACCEPTED):
             # Guards against a second copy: the worker has it, or may, whatever became of its reply.
             self.cancellations.cancel_and_finish(request, attempt, AttemptOutcome.RESET)
         elif outcome is None:
--- a/locktide/dispatcher/lifecycle.py
+++ b/locktide/dispatcher/lifecycle.py
@@ -102,5 +102,5 @@
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_INTERVAL)
-            self.upstream.sweep()
+            self.upstream.close_expired()
             self.registry.forget_answered()
--- a/locktide/transport/__init__.py
+++ b/locktide/transport/__init__.py
@@ -1,1 +1,1 @@
-"""The sockets: thin drivers that read and write for the state machines in locktide.protocol."""
+"""The sockets: reads and writes for the state machines in `locktide.protocol`."""
--- /dev/null
+++ b/locktide/transport/client_session.py
@@ -0,0 +1,181 @@
+"""Serves the messages of an accepted connection, one after another."""
+
+from __future__ import annotations
+
+import asyncio
+from functools import partial
+from typing import Any
+
+from locktide.protocol.messages import BadRequest, Callback, HealthQuery, JobQuery, Message, SubmitRequest
+from locktide.transport.client_connection import ClientConnection, ConnectionState, PeerRole
+from locktide.transport.request_handler import Response
+
+# Seconds in which what comes after our side is shut is read and dropped: closed sooner, what is under way
+# would meet a reset, which can take the last response with it. After an early response the rest of its
+# message comes: 60 MB take under one at a fifth of a core. Else no more than what crossed it, within a round
+# trip.
+REJECTED_LINGER_TIMEOUT = 3.5
+LINGER_TIMEOUT = 1.0
+
+
+class ClientSession:
+    """Serves one accepted connection."""
+
+    def __init__(self, connection: ClientConnection) -> None:
+        self.connection = connection
+        self.context = connection.context
+
+    async def run(self) -> None:
+        """Serves message after message, until one side ends the connection; raises OSError."""
+        connection = self.connection
+        # So that a written response is in the kernel's hands and no close cuts it short.
+        connection.writer.transport.set_write_buffer_limits(high=0)
+        while not connection.http.is_final:
+            message = connection.http.next_message()
+            if message is None:
+                if not await self.receive():
+                    return
+                continue
+            connection.enter(ConnectionState.SERVING)
+            if not await self.handle(message):
+                return
+        await connection.linger(LINGER_TIMEOUT)
+
+    async def receive(self) -> bool:
+        """Waits for more of a message, as long as it takes if none has begun; returns whether there is more.
+
+        Of those that have not proven themselves, none may be idle or half-way for long.
+        """
+        connection = self.connection
+        if connection.http.expects_continue():
+            connection.writer.writelines(connection.http.encode_continue())
+        was_idle = connection.http.is_idle
+        connection.enter(ConnectionState.IDLE if was_idle else ConnectionState.RECEIVING)
+        has_arrived = await self.wait_readable(was_idle)
+        # Closed by us while idle: what came all the same was not read, and is sent anew elsewhere.
+        if connection.writer.is_closing():
+            return False
+        is_silent_newcomer = was_idle and not has_arrived
+        if connection.state is ConnectionState.LINGERING or is_silent_newcomer:
+            await connection.linger(LINGER_TIMEOUT)
+            return False
+        if was_idle and connection.is_proven:
+            connection.restart_message_timeout()
+        connection.enter(ConnectionState.RECEIVING)
+        if not has_arrived:
+            await self.reject(BadRequest(408, "half a message"), is_final=True)
+            return False
+        return await self.consume()
+
+    async def wait_readable(self, is_idle: bool) -> bool:
+        """Waits for bytes, closable meanwhile where nothing is lost by it; returns whether some have come."""
+        connection = self.connection
+        if is_idle or not connection.is_proven:
+            connection.mark_idle()
+        has_no_timeout = is_idle and connection.is_proven
+        timeout = None if has_no_timeout else max(0.0, connection.message_due - connection.now())
+        has_arrived = await connection.wait_readable(timeout)
+        connection.mark_busy()
+        return has_arrived
+
+    async def consume(self) -> bool:
+        """Feeds what was read; returns whether the stream goes on and there is room for it."""
+        connection = self.connection
+        data = connection.consume()
+        if connection.store(connection.http.buffered_bytes):
+            return bool(data)
+        stored = self.context.stored_bytes
+        self.context.log.emit(
+            f"clients: {stored} bytes stored, no room for more", event="memory_limit_reached", stored=stored
+        )
+        await self.reject(BadRequest(500, "no room"), is_final=True)
+        return False
+
+    async def handle(self, message: Message) -> bool:
+        """Serves one message; returns whether the next may follow."""
+        connection, handler = self.connection, self.context.request_handler
+        if isinstance(message, SubmitRequest):
+            return await self.handle_submission(message)
+        if isinstance(message, Callback):
+            connection.peer = PeerRole.WORKER
+            accepted = handler.handle_callback(message)
+            if accepted is not None:
+                await accepted
+            await connection.write(Response(204))
+        elif isinstance(message, JobQuery):
+            connection.mark_client()
+            await connection.write(handler.query_job(message))
+        elif isinstance(message, HealthQuery):
+            is_healthy = not message.ready or handler.is_ready()
+            await connection.write(Response(200, b"ok\n") if is_healthy else Response(500, b"not ready\n"))
+        else:
+            await self.reject(message)
+        return True
+
+    async def handle_submission(self, message: SubmitRequest) -> bool:
+        """Submits a request and waits for its response, or for the client to go away."""
+        connection, context = self.connection, self.context
+        if connection.protocol.has_ended:
+            return False  # it had gone before we came to read it: nothing is begun for it
+        if context.waiting_clients >= context.max_waiting_clients:
+            waiting = context.waiting_clients
+            context.log.emit(
+                f"clients: {waiting} wait, no room for more, terminated",
+                event="client_limit_reached",
+                waiting=waiting,
+            )
+            await connection.write(Response(500, b"no room\n"))
+            return True
+        response = context.request_handler.submit(message)
+        if response is None:
+            await self.reject(BadRequest(409, "this id is in use or was"))
+            return True
+        connection.mark_client()
+        connection.store(len(message.body))
+        return await self.respond(message, response)
+
+    async def respond(self, message: SubmitRequest, response: asyncio.Future[Response]) -> bool:
+        """Writes the response once it is there; returns whether the next message may follow."""
+        connection = self.connection
+        self.context.waiting_clients += 1
+        connection.protocol.on_end = abandon = partial(self.abandon, message, response)
+        try:
+            if not response.done():
+                awaited: list[asyncio.Future[Any]] = [response, connection.read()]
+                await asyncio.wait(awaited, return_when=asyncio.FIRST_COMPLETED)
+            if response.done():
+                if response.cancelled():
+                    return False  # its client has gone
+                await connection.write(response.result())
+                return True
+            if not connection.consume():
+                return False
+        finally:
+            self.context.waiting_clients -= 1
+            connection.store(0)
+            abandon()
+        # A client hands in one at a time: what follows was meant as part of the first.
+        await self.reject(BadRequest(400, "something follows before the answer"), is_final=True)
+        return False
+
+    def abandon(self, message: SubmitRequest, response: asyncio.Future[Response]) -> None:
+        """Notes that the client has gone, or was given up: nothing more is begun for it from now on."""
+        if self.connection.protocol.on_end is not None:
+            self.connection.protocol.on_end = None
+            if not response.done():
+                self.context.request_handler.client_disconnected(message)
+
+    async def reject(self, message: BadRequest, is_final: bool = False) -> None:
+        """Answers a message that is not accepted, and ends the connection where nothing can follow."""
+        connection = self.connection
+        connection.http.is_final = connection.http.is_final or is_final
+        self.context.log.emit(
+            f"clients: not taken, {message.status}: {message.reason}",
+            "clients",
+            event="message_rejected",
+            status=message.status,
+            reason=message.reason,
+        )
+        await connection.write(Response(message.status, message.reason.encode() + b"\n"))
+        if connection.http.is_final:
+            await connection.linger(REJECTED_LINGER_TIMEOUT)
--- a/locktide/transport/listener.py
+++ b/locktide/transport/listener.py
@@ -1,4 +1,4 @@
-"""The one address on which clients hand in submissions and workers call back."""
+"""The listening socket on which clients hand in jobs and workers call back."""
 
 from __future__ import annotations
 
@@ -6,116 +6,145 @@
 import socket
 
 from locktide.config.start import Address
-from locktide.transport.client_connection import LINGER_FOR, ClientConnection, PeerRole, RequestHandler
+from locktide.transport.client_connection import ClientConnection, PeerRole
+from locktide.transport.client_session import LINGER_TIMEOUT, ClientSession
 from locktide.transport.descriptor_budget import DescriptorBudget, read_first
 from locktide.transport.log import Log
+from locktide.transport.request_handler import RequestHandler
 from locktide.transport.streams import SharedBufferProtocol
 from locktide.transport.system import RealSystem, System
 
-BACKLOG = 1024
+BACKLOG = 1024  # connections in the kernel's queue
+ACCEPT_RETRY_DELAY = 0.01  # seconds
 # The part of the places that no waiting client may hold, so that workers can always call back and readiness
 # be asked: one in eight, as a callback takes a thousandth of the time that a client waits.
-FOR_CALLBACKS = 8
+CALLBACK_PART = 8
 
 
 class Listener:
-    """Owns the listening socket and the connections that it accepted."""
+    """Owns the listening socket and the connections that it accepted.
 
-    def __init__(
+    Its attributes are those of `ConnectionContext`, and:
+
+    Attributes:
+        connections: The open connections, in the order in which they came: what is done to all of them is
+            done alike in every run.
+        tasks: One for each connection, for as long as it holds a place.
+        is_placing: Whether an accepted connection waits for its place.
+    """
+
+    def __init__(  # noqa: PLR0913 - collaborators and settings, handed over once
         self,
         descriptors: DescriptorBudget,
-        grades: dict[str, int],
-        numbered: set[str],
-        most_stored: int,
-        desk: RequestHandler,
+        timeouts: dict[str, int],
+        keyed_classes: set[str],
+        max_stored_bytes: int,
+        request_handler: RequestHandler,
         log: Log,
         system: System | None = None,
     ) -> None:
-        self.descriptors, self.timeouts, self.keyed_classes = descriptors, grades, numbered
-        self.request_handler, self.log = desk, log
+        """Begins before it listens.
+
+        Args:
+            descriptors: Budget of the accepted connections.
+            timeouts: Timeout of each service class in microseconds; may be changed at any time.
+            keyed_classes: Service classes whose requests need an idempotency key; may be changed, too.
+            max_stored_bytes: How many bytes of messages may be kept, in part or whole.
+            request_handler: Handles the messages.
+            log: The log.
+            system: Opens the listening socket; the operating system by default.
+        """
+        self.descriptors = descriptors
+        self.timeouts = timeouts
+        self.keyed_classes = keyed_classes
+        self.request_handler = request_handler
+        self.log = log
         self.system = system or RealSystem()
-        self.keeps_jobs = False  # whether clients may ask for durable jobs
-        # In the order in which they came: what is done to all of them is done alike in every run.
-        self.callers: dict[ClientConnection, None] = {}
-        self.tasks: dict[asyncio.Task[None], None] = {}  # one for each connection, from place to place
-        self.waiting = 0  # callers that wait for their answer
-        self.most_waiting = descriptors.limit - descriptors.limit // FOR_CALLBACKS
-        self.stored, self.most_stored = 0, most_stored  # bytes of messages that came in, in part or whole
-        self.placing = False  # whether an accepted connection waits for its place
+        self.keeps_jobs = False
+        self.connections: dict[ClientConnection, None] = {}
+        self.tasks: dict[asyncio.Task[None], None] = {}
+        self.waiting_clients = 0
+        self.max_waiting_clients = descriptors.limit - descriptors.limit // CALLBACK_PART
+        self.stored_bytes = 0
+        self.max_stored_bytes = max_stored_bytes
+        self.is_placing = False
         self.stopping = False
 
     def listen(self, address: Address) -> None:
+        """Listens, and accepts from now on; raises OSError."""
         self.socket = self.system.listening(address, BACKLOG)
         self.socket.setblocking(False)
         self.accepting = asyncio.create_task(self.accept())
 
     async def accept(self) -> None:
+        """Accepts connections until it is cancelled."""
         loop = asyncio.get_running_loop()
         while True:
             try:
-                connection, _ = await loop.sock_accept(self.socket)
-            except OSError as trouble:
-                self.log.emit(
-                    f"clients: cannot accept ({trouble})", event="accept-failed", trouble=str(trouble)
-                )
-                await asyncio.sleep(0.01)
+                accepted, _ = await loop.sock_accept(self.socket)
+            except OSError as error:
+                self.log.emit(f"clients: cannot accept ({error})", event="accept_failed", trouble=str(error))
+                await asyncio.sleep(ACCEPT_RETRY_DELAY)
                 continue
             # The one just accepted waits for its place, the others in the kernel's queue.
-            self.placing = True
+            self.is_placing = True
             await self.descriptors.acquire()
-            self.placing = False
-            task = asyncio.create_task(self.serve(connection))
+            self.is_placing = False
+            task = asyncio.create_task(self.serve(accepted))
             self.tasks[task] = None
             task.add_done_callback(self.tasks.pop)
 
-    async def serve(self, connection: socket.socket) -> None:
-        """One connection, until it and its place are given back."""
-        caller = None
+    async def serve(self, accepted: socket.socket) -> None:
+        """Serves one connection, until it and its place are given back."""
+        connection = None
         try:
-            inlet, loop = SharedBufferProtocol(), asyncio.get_running_loop()
-            transport, _ = await loop.connect_accepted_socket(lambda: inlet, connection)
-            caller = ClientConnection(self, inlet, asyncio.StreamWriter(transport, inlet, inlet.reader, loop))
-            self.callers[caller] = None
-            await caller.converse()
+            connection = await self.open_connection(accepted)
+            self.connections[connection] = None
+            await ClientSession(connection).run()
         except OSError:
-            pass  # the other side is gone; what it had handed in has been told
-        except Exception as trouble:
-            what = f"{type(trouble).__name__}: {trouble}"
-            self.log.emit(
-                f"clients: a connection ended by {what}", event="connection-broke-off", trouble=what
-            )
+            pass  # the other side is gone; the handler of what it had handed in has been notified
+        except Exception as error:  # a fault at one connection must not end the others
+            cause = f"{type(error).__name__}: {error}"
+            self.log.emit(f"clients: a connection ended by {cause}", event="connection_failed", trouble=cause)
         finally:
-            if caller is None:
-                connection.close()
+            if connection is None:
+                accepted.close()
             else:
-                await caller.close()
-                self.callers.pop(caller, None)
-            self.descriptors.release(caller)
+                await connection.close()
+                self.connections.pop(connection, None)
+            self.descriptors.release(connection)
+
+    async def open_connection(self, accepted: socket.socket) -> ClientConnection:
+        """Attaches an accepted socket to the event loop; raises OSError."""
+        protocol, loop = SharedBufferProtocol(), asyncio.get_running_loop()
+        transport, _ = await loop.connect_accepted_socket(lambda: protocol, accepted)
+        writer = asyncio.StreamWriter(transport, protocol, protocol.reader, loop)
+        return ClientConnection(self, protocol, writer)
 
     async def wind_down(self) -> None:
-        """From now on connections end with their answers; those of clients that are at rest end now.
+        """Ends connections with their next response, and those of clients that are idle now.
 
         Guards against ending one that was just opened: its first message may be on its way, and nobody sends
-        that anew as on a connection that was kept. It has its time to come in, as ever. And against ending
-        one whose next message has come but was not read yet: the word to stop takes a shorter way through
+        that anew as on a connection that was reused. It has its time to come in, as ever. And against ending
+        one whose next message has come but was not read yet: the call to stop takes a shorter way through
         our loop than bytes do. Seen on loopback, three and four lost at once some 100 ms after SIGTERM.
         """
         self.stopping = True
         await read_first()
-        for caller in self.callers:
-            if caller.at_rest and caller.peer is not PeerRole.WORKER:
-                caller.shut(LINGER_FOR)
+        for connection in self.connections:
+            if connection.is_idle and connection.peer is not PeerRole.WORKER:
+                connection.half_close(LINGER_TIMEOUT)
 
     def busy(self) -> bool:
-        """Whether a message is on its way in, or may be, or an answer on its way out.
+        """Returns whether a message is on its way in, or may be, or a response on its way out.
 
-        Guards against closing with no word a connection that was just opened: its first message may be on its
-        way, and nobody sends that anew. Those that send nothing are closed in their time.
+        Guards against closing without a response a connection that was just opened: its first message may be
+        on its way, and nobody sends that anew. Those that send nothing are closed in their time.
         """
-        return self.placing or len(self.tasks) > sum(caller.at_rest for caller in self.callers)
+        return self.is_placing or len(self.tasks) > sum(connection.is_idle for connection in self.connections)
 
     async def stop(self) -> None:
-        """Takes in nothing more; ends what is left."""
+        """Accepts nothing more; ends what is left."""
         self.accepting.cancel()
         self.socket.close()
         for task in self.tasks:
--- a/locktide/transport/system.py
+++ b/locktide/transport/system.py
@@ -1,6 +1,4 @@
-"""What a dispatcher asks of the machine it runs on, beside its event loop: the time of day and a listening
-socket.
-"""
+"""What a dispatcher needs of its machine beside the event loop: the time of day and a listening socket."""
 
 from __future__ import annotations
 
@@ -12,18 +10,22 @@
 
 
 class System(Protocol):
-    """Given by whoever hosts a dispatcher: the operating system, or a rehearsal in virtual time."""
+    """Given by whoever hosts a dispatcher: the operating system, or a simulation in virtual time."""
 
     def wall(self) -> float:
-        """Unix time in seconds."""
+        """Returns Unix time in seconds."""
 
     def listening(self, address: Address, backlog: int) -> socket.socket:
-        """A socket on which the event loop can accept; raises OSError."""
+        """Returns a socket on which the event loop can accept; raises OSError."""
 
 
 class RealSystem:
+    """The operating system."""
+
     def wall(self) -> float:
+        """Returns Unix time in seconds."""
         return time.time()
 
     def listening(self, address: Address, backlog: int) -> socket.socket:
+        """Returns a listening socket; raises OSError."""
         return socket.create_server(address, backlog=backlog)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -374,7 +374,7 @@
 
     def call(self, name: str, worker: str, state: str, result: bytes = b"") -> None:
         self.node.handle_callback(
-            clients.Callback(name, worker, state, 0.0, wire_names.ENDS.get(state), result)
+            clients.Callback(name, worker, state, 0.0, wire_names.CALLBACK_OUTCOMES.get(state), result)
         )
 
     def list(self, worker: str, state: str, started_at: int = 0) -> None:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -23,7 +23,7 @@
 from locktide.transport.endpoint_watch import WAIT_MS
 from locktide.transport.listener import Listener
 from locktide.transport.log import Log
-from locktide.transport.upstream_pool import SPOILT, UpstreamConnection, UpstreamPool
+from locktide.transport.upstream_pool import TransportFailure, UpstreamConnection, UpstreamPool
 
 
 def reset(client: socket.socket) -> None:
@@ -39,7 +39,9 @@
         server.listen(address)
         await story(server, clerk, address)
         await server.stop()
-        assert server.descriptors.used == server.stored == server.waiting == 0  # all was given back
+        assert (
+            server.descriptors.used == server.stored_bytes == server.waiting_clients == 0
+        )  # all was given back
 
     asyncio.run(run())
 
@@ -141,7 +143,7 @@
         client.sendall(submit(Req_Deadline="3000m"))
         await clerk.until(1)
         server.stopping = True
-        caller = next(iter(server.callers))
+        caller = next(iter(server.connections))
         clerk.answers[0].set_result(Response(200, result))
         await until(lambda: caller.state is ConnectionState.LINGERING or caller.writer.is_closing())
         client.sendall(submit(Req_Id="a2"))
@@ -160,10 +162,10 @@
     async def story(server: Listener, clerk: Clerk, address: Any) -> None:
         client = socket.create_connection(address)
         client.setblocking(False)
-        await until(lambda: server.callers)
-        caller = next(iter(server.callers))
+        await until(lambda: server.connections)
+        caller = next(iter(server.connections))
         caller.peer = PeerRole.CLIENT  # as by a submission that was answered
-        await until(lambda: caller.state is ConnectionState.AT_REST)
+        await until(lambda: caller.state is ConnectionState.IDLE)
         if first == "bytes":
             client.sendall(submit())
             await server.wind_down()
@@ -184,14 +186,14 @@
 
 
 def test_a_lingering_connection_ends_in_its_time(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("locktide.transport.listener.LINGER_FOR", 0.05)
+    monkeypatch.setattr("locktide.transport.listener.LINGER_TIMEOUT", 0.05)
 
     async def story(server: Listener, clerk: Clerk, address: Any) -> None:
         client = socket.create_connection(address)  # rests, and never ends its side
-        await until(lambda: server.callers)
-        caller = next(iter(server.callers))
+        await until(lambda: server.connections)
+        caller = next(iter(server.connections))
         caller.peer = PeerRole.CLIENT
-        await until(lambda: caller.state is ConnectionState.AT_REST)
+        await until(lambda: caller.state is ConnectionState.IDLE)
         await server.wind_down()
         assert server.busy()
         await until(lambda: not server.busy())
@@ -228,8 +230,8 @@
 def test_a_message_that_has_come_goes_before_an_eviction() -> None:
     async def story(server: Listener, clerk: Clerk, address: Any) -> None:
         clients, loop = [socket.create_connection(address) for _ in range(2)], asyncio.get_running_loop()
-        await until(lambda: len(server.callers) == 2)
-        await until(lambda: all(one.state is ConnectionState.AT_REST for one in server.callers))
+        await until(lambda: len(server.connections) == 2)
+        await until(lambda: all(one.state is ConnectionState.IDLE for one in server.connections))
         clients[0].sendall(submit())  # the one that rested longest
         clients.append(socket.create_connection(address))
         for one in clients:
@@ -272,14 +274,14 @@
         first = socket.create_connection(address)
         first.sendall(submit())
         await clerk.until(1)
-        caller = next(iter(server.callers))
+        caller = next(iter(server.connections))
         second = socket.create_connection(address)
         await until(lambda: server.descriptors.waiting)
-        caller.state, caller.peer = ConnectionState.AT_REST, PeerRole.CLIENT  # as if nothing else were owed
+        caller.state, caller.peer = ConnectionState.IDLE, PeerRole.CLIENT  # as if nothing else were owed
         assert server.busy()
         caller.state = ConnectionState.SERVING
         reset(first)
-        await until(lambda: len(server.callers) == 1 and caller not in server.callers)
+        await until(lambda: len(server.connections) == 1 and caller not in server.connections)
         second.close()
 
     served(story, places=1)
@@ -391,7 +393,7 @@
             await connections.send("w", at, lambda: question, lambda: None)
         assert len(met) == meets
         for kept in connections.idle["w"]:
-            kept.usable_at -= 1.0  # it has rested
+            kept.reusable_at -= 1.0  # it has rested
         await connections.send("w", at, lambda: question, lambda: None)
         assert len(met) == meets and connections.descriptors.used == meets
         connections.close_idle("w")
@@ -409,7 +411,7 @@
             play.call("a", shot.worker, "started")
             shot.end(AttemptOutcome.RESET if first == "callback" else AttemptOutcome.FULL)
         else:
-            shot.end(SPOILT)  # half a reply: it may have
+            shot.end(TransportFailure.INVALID_RESPONSE)  # half a reply: it may have
         await play.settle()
         assert play.outcomes() == [] and len(play.asked) == 2
         question = play.asked[-1].build()
--- a/tests/test_hostile.py
+++ b/tests/test_hostile.py
@@ -76,7 +76,7 @@
 
 
 def test_spoilt_lists_change_nothing_and_the_next_good_one_is_taken(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(watch_module, "GAP", 0.002)
+    monkeypatch.setattr(watch_module, "RETRY_DELAY", 0.002)
     good = reply(sheet(entry("w5")))
     answers = [
         good[:-9],
@@ -179,7 +179,7 @@
             found = await lines.send("w", at, lambda: question, lambda: None)
             assert isinstance(found, UpstreamResponse) and found.status == 202
             kept = lines.idle["w"][0]
-            while met == 1 and kept.fresh:
+            while met == 1 and kept.is_quiet:
                 await asyncio.sleep(0.001)
         assert met == 2 and lines.descriptors.used == 1
         listening.close()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -352,7 +352,7 @@
         await asyncio.sleep(0)
         places.mark_idle("two", close("two"))  # another waits for its place
         await asyncio.wait_for(waiting[1], 5.0)
-        assert closed == ["one", "two"] and places.used == 2 and not places.resting
+        assert closed == ["one", "two"] and places.used == 2 and not places.idle_proven
 
     asyncio.run(run())
 
@@ -362,7 +362,7 @@
     for number in range(3 * BURST):
         log.emit(f"line {number}")
     log.emit("of another kind", "clients")
-    log.rates[""].level = 1.0
+    log.limits[""].tokens = 1.0
     log.emit("last")
     lines = capsys.readouterr().err.splitlines()
     assert BURST < len(lines) < 2 * BURST and "lines before this one left out" in lines[-1]
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -13,7 +13,7 @@
 from locktide.dispatcher.endpoint_follower import EndpointFollower
 from locktide.dispatcher.registry import RequestRegistry
 from locktide.scheduler.types import AttemptOutcome
-from locktide.transport.client_connection import ClientConnection
+from locktide.transport.client_session import ClientSession
 from locktide.transport.descriptor_budget import DescriptorBudget
 from locktide.transport.upstream_pool import UpstreamPool
 
@@ -99,7 +99,7 @@
 ANSWER, ASK, TAKE_LIST = RequestRegistry.respond, UpstreamPool.send, EndpointFollower.apply_endpoint_list
 WHILE = "speak " * 20
 SEEDED = [
-    ("gone", ClientConnection, "leave", ignore, story("view close", WHILE, "break")),
+    ("gone", ClientSession, "abandon", ignore, story("view close", WHILE, "break")),
     (
         "drain",
         EndpointFollower,
--- a/tests/test_rehearse.py
+++ b/tests/test_rehearse.py
@@ -354,12 +354,12 @@
         text=True,
     )
     assert process.stderr is not None
-    while (told := json.loads(process.stderr.readline()))["event"] == "roster-silent":
+    while (told := json.loads(process.stderr.readline()))["event"] == "discovery_failed":
         pass
     assert (told["event"], told["listen"], told["workers"]) == ("dispatcher_serving", f"{here}:7070", 0)
     path.write_text("[serve]\nlisten = 3\n")
     process.send_signal(signal.SIGHUP)  # a faulty file changes nothing
-    while (told := json.loads(process.stderr.readline()))["event"] == "roster-silent":
+    while (told := json.loads(process.stderr.readline()))["event"] == "discovery_failed":
         pass
     assert told["event"] == "config_rejected" and "serve.listen" in told["error"]
     process.terminate()
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -19,7 +19,7 @@
 from locktide.transport.descriptor_budget import DescriptorBudget
 from locktide.transport.listener import Listener
 from locktide.transport.log import Log
-from locktide.transport.upstream_pool import SPOILT, UpstreamPool
+from locktide.transport.upstream_pool import TransportFailure, UpstreamPool
 
 
 async def line_to(
@@ -48,7 +48,10 @@
     asyncio.run(run())
 
 
-@pytest.mark.parametrize("word, outcome", [(b"", AttemptOutcome.CONNECTION_CLOSED), (b"HTTP/1.1 ", SPOILT)])
+@pytest.mark.parametrize(
+    "word, outcome",
+    [(b"", AttemptOutcome.CONNECTION_CLOSED), (b"HTTP/1.1 ", TransportFailure.INVALID_RESPONSE)],
+)
 def test_a_kept_connection_that_breaks_with_no_word_is_cut_off(word: bytes, outcome: str) -> None:
     async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         for reply in (TAKEN % 0, word):
@@ -107,10 +110,10 @@
         assert [reply.status for reply in found if isinstance(reply, UpstreamResponse)] == [202] * 3 and len(
             met
         ) == 1
-        lines.sweep()
+        lines.close_expired()
         assert lines.descriptors.used == 1
-        lines.idle["w"][0].rested_at -= 0.21  # past half of the stated idle time
-        lines.sweep()
+        lines.idle["w"][0].idle_since -= 0.21  # past half of the stated idle time
+        lines.close_expired()
         assert lines.descriptors.used == 0
 
     asyncio.run(run())
@@ -130,9 +133,9 @@
         for _ in range(2):
             reply = await lines.send("w", address, lambda: question, lambda: None)
             assert isinstance(reply, UpstreamResponse)
-            while lines.idle["w"] and lines.idle["w"][0].fresh:
+            while lines.idle["w"] and lines.idle["w"][0].is_quiet:
                 await asyncio.sleep(0.001)  # until its end has come
-        lines.sweep()
+        lines.close_expired()
         assert lines.descriptors.used == 0
         listening.close()
 
@@ -141,7 +144,7 @@
 
 def test_the_watch_calls_anew_where_discovery_is_silent(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(watch, "WAIT_MS", 20)
-    monkeypatch.setattr(watch, "PATIENCE", 0.1)
+    monkeypatch.setattr(watch, "ANSWER_TIMEOUT", 0.1)
     heard: list[str] = []
 
     async def agent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -183,7 +186,7 @@
 
 
 def test_a_client_that_closes_has_gone_and_half_a_message_is_a_408(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("locktide.transport.client_connection.WHOLE_WITHIN", 0.02)
+    monkeypatch.setattr("locktide.transport.client_connection.MESSAGE_TIMEOUT", 0.02)
 
     async def run() -> None:
         clerk = Clerk()
@@ -217,7 +220,7 @@
 def test_a_silent_or_dripping_newcomer_is_closed_and_a_kept_connection_is_not(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr("locktide.transport.client_connection.WHOLE_WITHIN", 0.1)
+    monkeypatch.setattr("locktide.transport.client_connection.MESSAGE_TIMEOUT", 0.1)
 
     async def run() -> None:
         server, address = await listening_to(Clerk())
@@ -236,7 +239,7 @@
         for writer in (proven, silent_writer, drip):
             writer.close()
         await server.stop()
-        assert server.descriptors.used == server.stored == 0
+        assert server.descriptors.used == server.stored_bytes == 0
 
     asyncio.run(run())
 
@@ -265,8 +268,8 @@
         for _ in range(300):
             writer.write(b"x" * 200_000)
             await writer.drain()
-            caller = next(iter(server.callers))
-            assert server.stored < 200_000 and len(caller.inlet.reader._buffer) < 100_000  # type: ignore
+            caller = next(iter(server.connections))
+            assert server.stored_bytes < 200_000 and len(caller.protocol.reader._buffer) < 100_000  # type: ignore
         writer.write_eof()
         assert (await reader.read()).startswith(b"HTTP/1.1 413 ")
         writer.close()
@@ -283,10 +286,10 @@
             reader, writer = await asyncio.open_connection(*address)
             found.append((reader, writer))
             writer.write(submit(body=b"x" * 60_000)[:-1])
-            while number < 3 and server.stored < (number + 1) * 50_000:
+            while number < 3 and server.stored_bytes < (number + 1) * 50_000:
                 await asyncio.sleep(0.001)
         assert (await found[5][0].readline()).startswith(b"HTTP/1.1 500 ")
-        assert server.stored <= 200_000
+        assert server.stored_bytes <= 200_000
         for _, writer in found:
             writer.close()
         await server.stop()
@@ -342,10 +345,10 @@
         kept_reader, kept = await asyncio.open_connection(*address)
         kept.write(b"GET /health/live HTTP/1.1\r\nHost: us\r\n\r\n")
         await kept_reader.readuntil(b"ok\n")
-        caller = next(iter(server.callers))
+        caller = next(iter(server.connections))
         caller.peer = PeerRole.CLIENT  # as by a submission that was answered
         _, fresh = await asyncio.open_connection(*address)
-        while len(server.callers) < 2:
+        while len(server.connections) < 2:
             await asyncio.sleep(0.001)
         await server.wind_down()
         assert await kept_reader.read() == b""
@@ -372,9 +375,9 @@
         stopping = asyncio.create_task(stopped())
         kept = socket.create_connection(address)
         kept.sendall(b"GET /health/live HTTP/1.1\r\nHost: us\r\n\r\n")
-        while not server.callers or next(iter(server.callers)).state is not ConnectionState.AT_REST:
+        while not server.connections or next(iter(server.connections)).state is not ConnectionState.IDLE:
             await asyncio.sleep(0.001)
-        next(iter(server.callers)).peer = PeerRole.CLIENT  # as by a submission that was answered
+        next(iter(server.connections)).peer = PeerRole.CLIENT  # as by a submission that was answered
         await asyncio.sleep(0.02)
         kept.sendall(submit())  # nothing of ours runs between this ...
         stop.set()  # ... and that
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -53,7 +53,7 @@
         while not sheets:
             await asyncio.sleep(0.005)
         agent.silent = True
-        await asyncio.sleep(watch.WAIT_MS / 1000 + watch.PATIENCE + 0.4)
+        await asyncio.sleep(watch.WAIT_MS / 1000 + watch.ANSWER_TIMEOUT + 0.4)
         agent.version, agent.changed, agent.silent, calls = 8, ("w1",), False, agent.calls
         await asyncio.sleep(0.25)
         assert [entry.state for entry in sheets[-1].entries] == [EndpointState.DRAINING], "an indented list"
@@ -69,7 +69,7 @@
 ) -> None:
     # It was waited for as long as a first call may take: news counted as told before.
     monkeypatch.setattr(watch, "WAIT_MS", 50)
-    monkeypatch.setattr(watch, "PATIENCE", 0.1)
+    monkeypatch.setattr(watch, "ANSWER_TIMEOUT", 0.1)
 
     async def run() -> None:
         agent, failed = Agent(), asyncio.Event()
@@ -97,7 +97,7 @@
     async def run() -> None:
         agent, player, stop = Agent(), HandPlayed(), asyncio.Event()
         agent.changed, agent.silent, node = ("w0", "w1"), silent, player.node
-        node.upstream.sweep = lambda: None  # type: ignore[method-assign]
+        node.upstream.close_expired = lambda: None  # type: ignore[method-assign]
         listening = await asyncio.start_server(agent.serve, "127.0.0.1", 0)
         node.settings.discovery, node.lifecycle.listen_address = (
             listening.sockets[0].getsockname(),
