--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -316,7 +316,7 @@
     async def run() -> None:
         player, heard, stop = told_to_ask(), [], asyncio.Event()
         node = player.node
-        node.upstream.sweep = lambda: None  # type: ignore[method-assign]
+        node.upstream.close_expired = lambda: None  # type: ignore[method-assign]
         listening = await agent([], heard)
         node.settings.discovery, node.lifecycle.listen_address = (
             listening.sockets[0].getsockname(),
