--- a/locktide/dispatcher/attempts.py
+++ b/locktide/dispatcher/attempts.py
@@ -118,7 +118,8 @@
         self, request: OpenRequest, attempt: OpenAttempt, result: UpstreamResponse | str
     ) -> None:
         outcome = worker_messages.outcome(result) if isinstance(result, UpstreamResponse) else result
-        if outcome == TransportFailure.INVALID_RESPONSE or (attempt.was_accepted and outcome in UNTRUSTED_ONCE_ACCEPTED):
+        is_untrusted = attempt.was_accepted and outcome in UNTRUSTED_ONCE_ACCEPTED
+        if outcome == TransportFailure.INVALID_RESPONSE or is_untrusted:
             # Guards against a second copy: the worker has it, or may, whatever became of its reply.
             self.cancellations.cancel_and_finish(request, attempt, AttemptOutcome.RESET)
         elif outcome is None:
