--- a/locktide/cluster/borrowing/loan_allocator.py
+++ b/locktide/cluster/borrowing/loan_allocator.py
@@ -27,19 +27,19 @@
 @dataclass(slots=True)
 class Lender:
     rate: int  # of its whole, in millionths of a token a second
-    movable: int  # millionths that may be divided at all
-    wanted_at: int
-    used: int = 0  # in millionths of a token a second
-    used_at: int = 0
-    came_at: int = 0  # when it last came back
-    holds_until: int = 0  # it lends nothing before
-    kept: int = WHOLE  # of its whole, beside what was planned to be lent
-
-    def asked(self, rate: int, now: int) -> None:
+    divisible: int  # millionths that may be divided at all
+    last_demand_at: int
+    used_rate: int = 0  # in millionths of a token a second
+    used_rate_at: int = 0
+    reclaimed_at: int = 0  # when it last came back
+    lends_again_at: int = 0  # it lends nothing before
+    retained: int = WHOLE  # of its whole, beside what was planned to be lent
+
+    def record_rate(self, rate: int, now: int) -> None:
         """What it is asked for now, in millionths of a token a second."""
-        fades = min(FADES, now - self.used_at)
-        self.used = max(rate, self.used - self.used * fades // (2 * FADES))
-        self.used_at = now
+        fades = min(FADES, now - self.used_rate_at)
+        self.used_rate = max(rate, self.used_rate - self.used_rate * fades // (2 * FADES))
+        self.used_rate_at = now
 
 
 def rate_of(wants: int) -> int:
@@ -54,72 +54,77 @@
         """`rates` of the budgets that may be lent, in millionths of a token a second; `lend`: how many
         millionths of what is not used may be.
         """
-        self.lend = lend
-        self.owners = {
-            name: Lender(rate, movable[name], now, used=rate, used_at=now) for name, rate in rates.items()
+        self.lent_fraction = lend
+        self.lenders = {
+            name: Lender(rate, movable[name], now, used_rate=rate, used_rate_at=now)
+            for name, rate in rates.items()
         }
-        self.plan: Loans = {}
+        self.planned_loans: Loans = {}
 
-    def wanted(self, name: int, now: int) -> bool:
+    def record_demand(self, name: int, now: int) -> bool:
         """It was asked for; whether its loans have to be called back for it."""
-        owner = self.owners.get(name)
+        owner = self.lenders.get(name)
         if owner is None:
             return False
-        back = now - owner.wanted_at >= QUIET
-        owner.wanted_at = now
-        return back and self.back(name, now)
+        back = now - owner.last_demand_at >= QUIET
+        owner.last_demand_at = now
+        return back and self.reclaim(name, now)
 
-    def back(self, name: int, now: int) -> bool:
+    def reclaim(self, name: int, now: int) -> bool:
         """The owner needs all of its own again."""
-        owner = self.owners[name]
-        owner.came_at, owner.holds_until, owner.kept = now, now + QUIET, WHOLE
-        ours = [pair for pair in self.plan if pair[0] == name]
+        owner = self.lenders[name]
+        owner.reclaimed_at, owner.lends_again_at, owner.retained = now, now + QUIET, WHOLE
+        ours = [pair for pair in self.planned_loans if pair[0] == name]
         for pair in ours:
-            del self.plan[pair]
+            del self.planned_loans[pair]
         return bool(ours)
 
-    def lendable(self, name: int, now: int) -> int:
+    def lendable_share(self, name: int, now: int) -> int:
         """Millionths of its whole that it may have lent."""
-        owner = self.owners[name]
-        if now < owner.holds_until or not owner.rate:
+        owner = self.lenders[name]
+        if now < owner.lends_again_at or not owner.rate:
             return 0
-        free = owner.movable - HEADROOM * owner.used * WHOLE // owner.rate
-        return max(0, free * self.lend // WHOLE)
+        free = owner.divisible - HEADROOM * owner.used_rate * WHOLE // owner.rate
+        return max(0, free * self.lent_fraction // WHOLE)
 
-    def divide(self, wants: dict[int, int], order: list[int], out: Loans, now: int) -> list[int]:
+    def replan(self, wants: dict[int, int], order: list[int], out: Loans, now: int) -> list[int]:
         """Plans anew, from what all want; `out` is what may be lent just now, `order` says who borrows first.
         Gives the owners whose loans have to be called back.
         """
         called: list[int] = []
-        asked = {name: rate_of(wants.get(name, 0)) for name in self.owners}
-        for name, owner in self.owners.items():
-            owner.asked(asked[name], now)
-            lends = any(pair[0] == name for pair in self.plan)
-            if lends and asked[name] * WHOLE > owner.kept * owner.rate and self.back(name, now):
+        asked = {name: rate_of(wants.get(name, 0)) for name in self.lenders}
+        for name, owner in self.lenders.items():
+            owner.record_rate(asked[name], now)
+            lends = any(pair[0] == name for pair in self.planned_loans)
+            if lends and asked[name] * WHOLE > owner.retained * owner.rate and self.reclaim(name, now):
                 called.append(name)
         lending, borrowing = {pair[0] for pair in out}, {pair[1] for pair in out}
         # Short is who is asked for more than its whole, by a twentieth at least.
         short = {
             name: asked[name] - owner.rate
-            for name, owner in self.owners.items()
+            for name, owner in self.lenders.items()
             if 20 * asked[name] > 21 * owner.rate and name not in lending
         }
         free = {
-            name: lendable * self.owners[name].rate // WHOLE
-            for name in sorted(self.owners)
-            if name not in borrowing and name not in short and (lendable := self.lendable(name, now)) >= LEAST
+            name: lendable * self.lenders[name].rate // WHOLE
+            for name in sorted(self.lenders)
+            if name not in borrowing
+            and name not in short
+            and (lendable := self.lendable_share(name, now)) >= LEAST
         }
         first = [name for name in order if name in short]
         short = {name: short[name] for name in [*first, *sorted(short.keys() - set(first))]}
-        before = {pair: part * self.owners[pair[0]].rate // WHOLE for pair, part in self.plan.items()}
-        self.plan = {}
+        before = {
+            pair: part * self.lenders[pair[0]].rate // WHOLE for pair, part in self.planned_loans.items()
+        }
+        self.planned_loans = {}
         shared = match(fill(short, sum(free.values())), free, before)
         for (name, borrower), rate in shared.items():
-            part = rate * WHOLE // self.owners[name].rate
+            part = rate * WHOLE // self.lenders[name].rate
             if part:
-                self.plan[name, borrower] = part
-        for name, owner in self.owners.items():
-            owner.kept = WHOLE - sum(part for pair, part in self.plan.items() if pair[0] == name)
+                self.planned_loans[name, borrower] = part
+        for name, owner in self.lenders.items():
+            owner.retained = WHOLE - sum(part for pair, part in self.planned_loans.items() if pair[0] == name)
         return called
 
 
--- a/locktide/cluster/fairness/anti_entropy.py
+++ b/locktide/cluster/fairness/anti_entropy.py
@@ -32,57 +32,65 @@
 class AntiEntropy:
     """`book` is this member's ledger, `sum_` tells that both sides number tenants and resources alike."""
 
-    book: ReplicatedLedger
-    sum_: int
-    cursor: str = ""
+    replica: ReplicatedLedger
+    schema_checksum: int
+    next_name: str = ""
 
-    def open(self) -> Message:
+    def opening_digest(self) -> Message:
         """The digest alone: mostly that is all there is to say."""
-        return Digest(self.sum_, self.book.digest, [], [], "", "", True)
+        return Digest(self.schema_checksum, self.replica.digest, [], [], "", "", True)
 
-    def heard(self, word: Digest) -> list[Message]:
-        if word.sum != self.sum_ or word.digest == self.book.digest:
+    def handle_digest(self, word: Digest) -> list[Message]:
+        if word.schema_checksum != self.schema_checksum or word.digest == self.replica.digest:
             return []
         for name, start, version in word.closed:
-            self.book.close(name, (start, version))
-        if not word.upto:  # only a digest, another than ours
-            return [self.page(True)]
-        heads = {(name, start): version for name, start, version in word.heads}
-        ours = self.within(word.after, word.upto)
-        answers: list[Message] = list(self.lacking(ours, heads))
-        behind = any(version > self.book.head(who) for who, version in heads.items())
-        if word.answer and (behind or self.closings(word.after, word.upto) != sorted(word.closed)):
-            answers.append(self.range(word.after, word.upto, False))
+            self.replica.close(name, (start, version))
+        if not word.up_to_name:  # only a digest, another than ours
+            return [self.next_page(True)]
+        heads = {(name, start): version for name, start, version in word.versions}
+        ours = self.writers_between(word.after_name, word.up_to_name)
+        answers: list[Message] = list(self.deltas_after(ours, heads))
+        behind = any(version > self.replica.read_version(who) for who, version in heads.items())
+        if word.reply_expected and (
+            behind or self.closed_between(word.after_name, word.up_to_name) != sorted(word.closed)
+        ):
+            answers.append(self.digest_between(word.after_name, word.up_to_name, False))
         return answers
 
-    def within(self, after: str, upto: str) -> list[MemberId]:
-        return sorted(who for who in self.book.writers if after < who[0] <= upto)
+    def writers_between(self, after: str, upto: str) -> list[MemberId]:
+        return sorted(who for who in self.replica.writers if after < who[0] <= upto)
 
-    def closings(self, after: str, upto: str) -> list[tuple[str, int, int]]:
-        closed = self.book.closed
+    def closed_between(self, after: str, upto: str) -> list[tuple[str, int, int]]:
+        closed = self.replica.closed
         return sorted((name, *closed[name]) for name in closed if after < name <= upto)
 
-    def page(self, answer: bool) -> Message:
+    def next_page(self, answer: bool) -> Message:
         """The next page of heads, and where it begins and ends by name; round and round."""
-        names = sorted({who[0] for who in self.book.writers} | self.book.closed.keys())
-        rest = [name for name in names if name > self.cursor]
-        after, taken, count = self.cursor, "", 0
+        names = sorted({who[0] for who in self.replica.writers} | self.replica.closed.keys())
+        rest = [name for name in names if name > self.next_name]
+        after, taken, count = self.next_name, "", 0
         for name in rest:
-            count += 1 + sum(who[0] == name for who in self.book.writers)
+            count += 1 + sum(who[0] == name for who in self.replica.writers)
             if taken and count > PAGE:
                 break
             taken = name
         upto = LAST if not rest or taken == rest[-1] else taken
-        self.cursor = "" if upto == LAST else upto
-        return self.range(after, upto, answer)
+        self.next_name = "" if upto == LAST else upto
+        return self.digest_between(after, upto, answer)
 
-    def range(self, after: str, upto: str, answer: bool) -> Message:
-        heads = [(*who, self.book.head(who)) for who in self.within(after, upto)]
+    def digest_between(self, after: str, upto: str, answer: bool) -> Message:
+        heads = [(*who, self.replica.read_version(who)) for who in self.writers_between(after, upto)]
         return Digest(
-            self.sum_, self.book.digest, heads[:PAGE], self.closings(after, upto)[:PAGE], after, upto, answer
+            self.schema_checksum,
+            self.replica.digest,
+            heads[:PAGE],
+            self.closed_between(after, upto)[:PAGE],
+            after,
+            upto,
+            answer,
         )
 
-    def lacking(self, writers: list[MemberId], heads: dict[MemberId, int]) -> list[Delta]:
+    def deltas_after(self, writers: list[MemberId], heads: dict[MemberId, int]) -> list[Delta]:
         """What the other has not read yet, as far as some datagrams reach."""
         found: list[Delta] = []
         groups: list[WriterDelta] = []
@@ -90,28 +98,28 @@
         for who in writers:
             after = heads.get(who, 0)
             group = WriterDelta(*who, after, [])
-            for row in self.book.since(who, after):
-                bytes_ = encoded_size(row) + (0 if group.entries else encoded_size(group))
+            for row in self.replica.rows_after(who, after):
+                bytes_ = encoded_size(row) + (0 if group.rows else encoded_size(group))
                 if used + bytes_ > ROOM:
-                    found.append(Delta(self.sum_, groups + ([group] if group.entries else [])))
+                    found.append(Delta(self.schema_checksum, groups + ([group] if group.rows else [])))
                     if len(found) == MOST:
                         return found
-                    last = group.entries[-1].version if group.entries else after
+                    last = group.rows[-1].version if group.rows else after
                     groups, group, used = [], WriterDelta(*who, last, []), 0
                     bytes_ = encoded_size(row) + encoded_size(group)
-                group.entries.append(row)
+                group.rows.append(row)
                 used += bytes_
-            if group.entries:
+            if group.rows:
                 groups.append(group)
         if groups:
-            found.append(Delta(self.sum_, groups))
+            found.append(Delta(self.schema_checksum, groups))
         return found
 
-    def fresh(self, who: MemberId, entries: list[LedgerRow], after: int) -> list[Delta]:
+    def deltas_of(self, who: MemberId, entries: list[LedgerRow], after: int) -> list[Delta]:
         """What this member has just written, to be told at once."""
-        return self.lacking([who], {who: after}) if entries else []
+        return self.deltas_after([who], {who: after}) if entries else []
 
-    def rows(self, word: Delta) -> bool:
-        if word.sum != self.sum_:
+    def handle_delta(self, word: Delta) -> bool:
+        if word.schema_checksum != self.schema_checksum:
             return False
-        return any([self.book.merge(group) for group in word.groups])
+        return any([self.replica.merge(group) for group in word.writer_deltas])
--- a/locktide/cluster/fairness/ledger.py
+++ b/locktide/cluster/fairness/ledger.py
@@ -32,8 +32,8 @@
     resources: list[str]
     weights: dict[str, int]
     needs: dict[str, Vector]
-    each: Vector
-    longest: int
+    worker_capacity: Vector
+    max_job_time: int
 
 
 @dataclass(frozen=True)
@@ -42,111 +42,113 @@
 
     digest: int = 0
     order: list[str] = field(default_factory=list)  # of tenants, who has least for its weight first
-    held: dict[str, int] = field(default_factory=dict)  # dominant shares
-    fair: dict[str, int] = field(default_factory=dict)
+    dominant_shares: dict[str, int] = field(default_factory=dict)  # dominant shares
+    fair_shares: dict[str, int] = field(default_factory=dict)
     contended: bool = False
-    over: frozenset[str] = frozenset()  # who holds more than it should while others go short
+    over_share: frozenset[str] = frozenset()  # who holds more than it should while others go short
 
 
 class FairnessLedger:
     def __init__(
         self, terms: FairnessConfig, who: MemberId, chance: LinearCongruentialGenerator, now: int
     ) -> None:
-        self.terms, self.who, self.chance = terms, who, chance
-        self.names = sorted(terms.weights)
-        self.weights = {place: terms.weights[name] for place, name in enumerate(self.names)}
-        places = {name: place for place, name in enumerate(self.names)}
-        self.holdings = UsageTracker(places, terms.needs, terms.each)
-        self.book = ReplicatedLedger()
-        numbered = "\0".join([*self.names, "", *terms.resources]).encode()
-        self.gossip = AntiEntropy(self.book, crc32(numbered))
+        self.config, self.member_id, self.random = terms, who, chance
+        self.tenants = sorted(terms.weights)
+        self.weights = {place: terms.weights[name] for place, name in enumerate(self.tenants)}
+        places = {name: place for place, name in enumerate(self.tenants)}
+        self.usage = UsageTracker(places, terms.needs, terms.worker_capacity)
+        self.replica = ReplicatedLedger()
+        numbered = "\0".join([*self.tenants, "", *terms.resources]).encode()
+        self.anti_entropy = AntiEntropy(self.replica, crc32(numbered))
         self.version = 0
-        self.round_at = self.write_at = self.look_at = self.reckon_at = now
-        self.gone_at: dict[MemberId, int] = {}
+        self.next_round_at = self.next_write_at = self.next_closing_at = self.next_recompute_at = now
+        self.gone_since: dict[MemberId, int] = {}
         self.standing = FairnessStanding()
 
     @property
     def due(self) -> int:
-        return min(self.round_at, self.write_at, self.look_at, self.reckon_at)
+        return min(self.next_round_at, self.next_write_at, self.next_closing_at, self.next_recompute_at)
 
     def tick(self, alive: list[str], starts: dict[str, int], now: int) -> list[tuple[str, Message]]:
         """`alive` are those that may live, `starts` when the latest known process of each name began."""
         sends: list[tuple[str, Message]] = []
-        others = [name for name in alive if name != self.who[0]]
-        if now >= self.write_at:
-            self.write_at = now + max(WRITES, len(alive) * len(self.names) * 1_000_000 // ROWS_A_SECOND)
+        others = [name for name in alive if name != self.member_id[0]]
+        if now >= self.next_write_at:
+            self.next_write_at = now + max(
+                WRITES, len(alive) * len(self.tenants) * 1_000_000 // ROWS_A_SECOND
+            )
             before = self.version
-            written = self.write()
-            for word in self.gossip.fresh(self.who, written, before):
-                sends += [(name, word) for name in self.some(others)]
-        if now >= self.round_at:
-            self.round_at = now + ROUND
-            sends += [(name, self.gossip.open()) for name in self.some(others)]
-        if now >= self.look_at:
-            self.look_at = now + LOOK
-            self.close_the_dead(set(alive), starts, now)
-        if now >= self.reckon_at:
-            self.reckon_at = now + WRITES
-            self.reckon()
+            written = self.write_rows()
+            for word in self.anti_entropy.deltas_of(self.member_id, written, before):
+                sends += [(name, word) for name in self.choose_peers(others)]
+        if now >= self.next_round_at:
+            self.next_round_at = now + ROUND
+            sends += [(name, self.anti_entropy.opening_digest()) for name in self.choose_peers(others)]
+        if now >= self.next_closing_at:
+            self.next_closing_at = now + LOOK
+            self.close_dead_writers(set(alive), starts, now)
+        if now >= self.next_recompute_at:
+            self.next_recompute_at = now + WRITES
+            self.recompute()
         return sends
 
-    def hear(self, sender: str, word: Digest | Delta) -> list[tuple[str, Message]]:
+    def handle(self, sender: str, word: Digest | Delta) -> list[tuple[str, Message]]:
         if isinstance(word, Delta):
-            self.gossip.rows(word)
+            self.anti_entropy.handle_delta(word)
             return []
-        return [(sender, answer) for answer in self.gossip.heard(word)]
+        return [(sender, answer) for answer in self.anti_entropy.handle_digest(word)]
 
-    def some(self, others: list[str]) -> list[str]:
+    def choose_peers(self, others: list[str]) -> list[str]:
         left = list(others)
-        return [left.pop(self.chance.below(len(left))) for _ in range(min(OTHERS, len(left)))]
+        return [left.pop(self.random.below(len(left))) for _ in range(min(OTHERS, len(left)))]
 
     # --- own rows
 
-    def write(self) -> list[LedgerRow]:
+    def write_rows(self) -> list[LedgerRow]:
         """Rows that have changed, and all of them where others have closed what we wrote."""
-        holdings, pages = self.holdings, self.book.writers.get(self.who)
-        start, closed = self.book.closed.get(self.who[0], (0, 0))
-        if start == self.who[1]:
+        holdings, pages = self.usage, self.replica.writers.get(self.member_id)
+        start, closed = self.replica.closed.get(self.member_id[0], (0, 0))
+        if start == self.member_id[1]:
             self.version = max(self.version, closed)  # they thought that we were dead
-        none = [0] * len(self.terms.resources)
+        none = [0] * len(self.config.resources)
         wanted = {CAPACITY: (holdings.capacity(), none)}
-        for place in holdings.held.keys() | holdings.waits.keys():
-            wanted[place] = (holdings.held.get(place, none), holdings.waits.get(place, none))
+        for place in holdings.in_use.keys() | holdings.waiting.keys():
+            wanted[place] = (holdings.in_use.get(place, none), holdings.waiting.get(place, none))
         written = []
         for place, (held, waits) in sorted(wanted.items()):
             before = pages.rows.get(place) if pages is not None else None
-            if before is None or (before.held, before.waits) != (held, waits):
+            if before is None or (before.in_use, before.waiting) != (held, waits):
                 self.version += 1
                 row = LedgerRow(place, self.version, list(held), list(waits))
-                self.book.put(self.who, row)
+                self.replica.put(self.member_id, row)
                 written.append(row)
         return written
 
     # --- the dead
 
-    def close_the_dead(self, alive: set[str], starts: dict[str, int], now: int) -> None:
+    def close_dead_writers(self, alive: set[str], starts: dict[str, int], now: int) -> None:
         """Rows of a process that is gone count until its jobs must have ended, and are closed then: for all
         as soon as for anyone. Who lives all the same writes them anew.
         """
         gone = {
             who
-            for who in self.book.writers
-            if who != self.who and (who[0] not in alive or starts.get(who[0], 0) > who[1])
+            for who in self.replica.writers
+            if who != self.member_id and (who[0] not in alive or starts.get(who[0], 0) > who[1])
         }
-        self.gone_at = {who: self.gone_at.get(who, now) for who in gone}
+        self.gone_since = {who: self.gone_since.get(who, now) for who in gone}
         for who in sorted(gone):
-            older = [other for other in self.book.writers if other[0] == who[0] and other[1] < who[1]]
-            if now >= self.gone_at[who] + self.terms.longest and not older:
-                self.book.close(who[0], (who[1], self.book.head(who)))
+            older = [other for other in self.replica.writers if other[0] == who[0] and other[1] < who[1]]
+            if now >= self.gone_since[who] + self.config.max_job_time and not older:
+                self.replica.close(who[0], (who[1], self.replica.read_version(who)))
 
     # --- what follows
 
-    def reckon(self) -> None:
-        if self.standing.digest == self.book.digest and self.standing.held:
+    def recompute(self) -> None:
+        if self.standing.digest == self.replica.digest and self.standing.dominant_shares:
             return
-        count = len(self.terms.resources)
-        capacity = capacity_of(self.book, count)
-        held, asked = totals(self.book, count)
+        count = len(self.config.resources)
+        capacity = capacity_of(self.replica, count)
+        held, asked = totals(self.replica, count)
         held = {place: amounts for place, amounts in held.items() if place in self.weights}
         fair = fill(capacity, {place: asked[place] for place in held}, self.weights)
         shares = {place: dominant(amounts, capacity) for place, amounts in held.items()}
@@ -160,9 +162,9 @@
         order = sorted(
             self.weights, key=lambda place: (shares.get(place, 0) * (whole // self.weights[place]), place)
         )
-        names = self.names
+        names = self.tenants
         self.standing = FairnessStanding(
-            self.book.digest,
+            self.replica.digest,
             [names[place] for place in order],
             {names[place]: part for place, part in sorted(shares.items())},
             {names[place]: part for place, part in sorted(fair.items())},
--- a/locktide/cluster/fairness/usage.py
+++ b/locktide/cluster/fairness/usage.py
@@ -14,9 +14,9 @@
 
 @dataclass(slots=True)
 class OpenUsage:
-    place: int  # of its tenant
+    tenant_index: int  # of its tenant
     needs: Vector
-    out: int = 0  # dispatches without an outcome
+    running: int = 0  # dispatches without an outcome
     answered: bool = False
 
 
@@ -26,82 +26,84 @@
     """
 
     def __init__(self, places: dict[str, int], needs: dict[str, Vector], each: Vector) -> None:
-        self.places, self.needs, self.each = places, needs, each
-        self.open: dict[Any, OpenUsage] = {}
-        self.ready: set[Any] = set()  # workers
-        self.held: dict[int, Vector] = {}
-        self.waits: dict[int, Vector] = {}
-        self.hearing: dict[type, Callable[[Any], None]] = {
-            RequestArrived: self.arrival,
-            StartAttempt: self.dispatch,
-            AttemptEnded: self.ended,
+        self.tenant_indices, self.needs, self.worker_capacity = places, needs, each
+        self.open_requests: dict[Any, OpenUsage] = {}
+        self.ready_workers: set[Any] = set()  # workers
+        self.in_use: dict[int, Vector] = {}
+        self.waiting: dict[int, Vector] = {}
+        self.handlers: dict[type, Callable[[Any], None]] = {
+            RequestArrived: self.on_arrival,
+            StartAttempt: self.on_attempt_started,
+            AttemptEnded: self.on_attempt_ended,
             # Guards against counting for ever as waiting what its client has left: no order tells of that.
-            ClientDisconnected: self.answered,
-            RejectRequest: self.answered,
-            FailRequest: self.answered,
-            EndpointListUpdate: self.listed,
+            ClientDisconnected: self.on_answered,
+            RejectRequest: self.on_answered,
+            FailRequest: self.on_answered,
+            EndpointListUpdate: self.on_endpoint_list,
         }
 
-    def hear(self, piece: Any) -> None:
+    def observe(self, piece: Any) -> None:
         """A piece of news, or an order, in the order in which they come about."""
-        if (take := self.hearing.get(type(piece))) is not None:
+        if (take := self.handlers.get(type(piece))) is not None:
             take(piece)
 
     def capacity(self) -> Vector:
-        return [amount * len(self.ready) for amount in self.each]
+        return [amount * len(self.ready_workers) for amount in self.worker_capacity]
 
     # --- one submission
 
-    def arrival(self, piece: RequestArrived) -> None:
-        place, needs = self.places.get(piece.tenant), self.needs.get(piece.service_class)
-        if place is None or needs is None or piece.request_id in self.open:
+    def on_arrival(self, piece: RequestArrived) -> None:
+        place, needs = self.tenant_indices.get(piece.tenant), self.needs.get(piece.service_class)
+        if place is None or needs is None or piece.request_id in self.open_requests:
             return
-        one = self.open[piece.request_id] = OpenUsage(
+        one = self.open_requests[piece.request_id] = OpenUsage(
             place, [round(amount * piece.width) for amount in needs]
         )
-        self.add(self.waits, one, 1)
+        self.add_needs(self.waiting, one, 1)
 
-    def dispatch(self, order: StartAttempt) -> None:
-        if (one := self.open.get(order.request_id)) is None:
+    def on_attempt_started(self, order: StartAttempt) -> None:
+        if (one := self.open_requests.get(order.request_id)) is None:
             return
-        if not one.out:
-            self.add(self.waits, one, -1)
-        one.out += 1
-        self.add(self.held, one, 1)
+        if not one.running:
+            self.add_needs(self.waiting, one, -1)
+        one.running += 1
+        self.add_needs(self.in_use, one, 1)
 
-    def ended(self, piece: AttemptEnded) -> None:
-        if (one := self.open.get(piece.request_id)) is None:
+    def on_attempt_ended(self, piece: AttemptEnded) -> None:
+        if (one := self.open_requests.get(piece.request_id)) is None:
             return
-        if one.out:
-            one.out -= 1
-            self.add(self.held, one, -1)
-            if not one.out and not one.answered:
-                self.add(self.waits, one, 1)
+        if one.running:
+            one.running -= 1
+            self.add_needs(self.in_use, one, -1)
+            if not one.running and not one.answered:
+                self.add_needs(self.waiting, one, 1)
         if piece.final:
-            self.answered(piece)
-        elif not one.out and one.answered:
-            del self.open[piece.request_id]
+            self.on_answered(piece)
+        elif not one.running and one.answered:
+            del self.open_requests[piece.request_id]
 
-    def answered(self, piece: Any) -> None:
+    def on_answered(self, piece: Any) -> None:
         """It has its answer; what still runs for it counts until that has ended."""
-        if (one := self.open.get(piece.request_id)) is None or one.answered:
+        if (one := self.open_requests.get(piece.request_id)) is None or one.answered:
             return
         one.answered = True
-        if not one.out:
-            self.add(self.waits, one, -1)
-            del self.open[piece.request_id]
+        if not one.running:
+            self.add_needs(self.waiting, one, -1)
+            del self.open_requests[piece.request_id]
 
-    def add(self, to: dict[int, Vector], one: OpenUsage, by: int) -> None:
-        sums = to.setdefault(one.place, [0] * len(self.each))
+    def add_needs(self, to: dict[int, Vector], one: OpenUsage, by: int) -> None:
+        sums = to.setdefault(one.tenant_index, [0] * len(self.worker_capacity))
         for place, amount in enumerate(one.needs):
             sums[place] += by * amount
 
     # --- workers
 
-    def listed(self, piece: EndpointListUpdate) -> None:
+    def on_endpoint_list(self, piece: EndpointListUpdate) -> None:
         if piece.kind in (ListUpdateKind.FETCH_FAILED, ListUpdateKind.FETCH_TIMED_OUT):
             return
         if piece.kind in (ListUpdateKind.SNAPSHOT, ListUpdateKind.CACHED):
-            self.ready = set()
+            self.ready_workers = set()
         for entry in piece.entries:
-            (self.ready.add if entry.state == EndpointState.READY else self.ready.discard)(entry.worker)
+            (self.ready_workers.add if entry.state == EndpointState.READY else self.ready_workers.discard)(
+                entry.worker
+            )
--- a/locktide/cluster/inspection.py
+++ b/locktide/cluster/inspection.py
@@ -9,7 +9,7 @@
 def inspect(agent: ClusterMember, now: int) -> dict[str, object]:
     """What this member sees, as plain values."""
     leads = agent.candidate is not None and agent.candidate.leads(now)
-    held = agent.holder.in_force(now)
+    held = agent.holder.current_shares(now)
     return {
         "name": agent.who[0],
         "start": agent.who[1],
@@ -18,10 +18,10 @@
         "term": list(agent.holder.term) if agent.holder.term else None,
         "health": agent.swim.health.score,
         "stepped_down": agent.stepped_down,
-        "parts": dict(sorted(agent.purse.parts.items())),
+        "parts": dict(sorted(agent.purse.shares.items())),
         "loans": [[*pair, part] for pair, part in sorted(agent.purse.loans.items())],
         "ledger": inspect_ledger(agent),
-        "for_us": max(0, agent.holder.until - now) if held else 0,
+        "for_us": max(0, agent.holder.shares_until - now) if held else 0,
         "members": [
             {
                 "name": row.name,
@@ -43,7 +43,7 @@
         "digest": f"{standing.digest:016x}",
         "contended": standing.contended,
         "order": standing.order,
-        "held": standing.held,
-        "fair": standing.fair,
-        "over": sorted(standing.over),
+        "held": standing.dominant_shares,
+        "fair": standing.fair_shares,
+        "over": sorted(standing.over_share),
     }
--- a/locktide/cluster/member.py
+++ b/locktide/cluster/member.py
@@ -54,11 +54,11 @@
         self.names = sorted(budget.name for budget in terms.budgets)
         self.places = {name: place for place, name in enumerate(self.names)}
         self.book = crc32("\0".join(self.names).encode())
-        self.movable = {place: self.purse.movable for place in range(len(self.names))}
+        self.movable = {place: self.purse.divisible for place in range(len(self.names))}
         self.lendable = {
             self.places[budget.name]: int(budget.rate * MILLION)
             for budget in terms.budgets
-            if terms.lend and budget.lends and budget.rate
+            if terms.lend and budget.lendable and budget.rate
         }
         self.lead_at = self.fade_at = now
         self.stepped_down = False
@@ -82,7 +82,7 @@
             times.append(self.lead_at)
         if self.ledger is not None and not self.stepped_down:
             times.append(self.ledger.due)
-        times += [until for until in (self.purse.until, self.purse.loans_until) if until]
+        times += [until for until in (self.purse.shares_until, self.purse.loans_until) if until]
         return min(times)
 
     def tick(self, now: int) -> Outgoing:
@@ -108,7 +108,7 @@
             self.giver, self.lead_at = self.divider(term, now), now
         if self.ledger is not None:
             order = self.ledger.standing.order
-            self.giver.order = [self.places[name] for name in order if name in self.places]
+            self.giver.borrowing_order = [self.places[name] for name in order if name in self.places]
         if now < self.lead_at:
             return []
         self.lead_at = now + ASK
@@ -117,17 +117,17 @@
     def divider(self, term: Ballot, now: int) -> Allocator:
         lend = int(self.terms.lend * MILLION)
         broker = LoanAllocator(self.lendable, self.movable, lend, now) if self.lendable else None
-        return Allocator(term, self.movable, now, floor=self.purse.floor, broker=broker)
+        return Allocator(term, self.movable, now, floor=self.purse.guaranteed_minimum, broker=broker)
 
     def ask(self, now: int) -> Outgoing:
         """The next question, where it is time."""
-        wants = {self.places[name]: want for name, want in self.purse.wants.items() if want}
-        if (ask := self.holder.ask(wants, now)) is None:
+        wants = {self.places[name]: want for name, want in self.purse.demand.items() if want}
+        if (ask := self.holder.next_request(wants, now)) is None:
             return []
-        ask.book = self.book
+        ask.names_checksum = self.book
         if now >= self.fade_at:
             self.fade_at = now + ASK
-            self.purse.fade()
+            self.purse.decay_demand()
         return self.to(ask.term[1], ask)
 
     # --- words
@@ -143,26 +143,26 @@
         """A word on budgets. Who was not chosen for a vote has none, whatever it says."""
         word, sender = said.word, said.sender
         if isinstance(word, Digest | Delta):
-            return self.named(self.ledger.hear(sender, word)) if self.ledger is not None else []
+            return self.named(self.ledger.handle(sender, word)) if self.ledger is not None else []
         elector, candidate = self.elector, self.candidate
         if isinstance(word, LeaderHeartbeat):
             # The term names who leads: nobody is believed to do so for another.
             if word.term[1:] == (sender, said.start):
-                self.holder.led(word.term, now)
+                self.holder.observe_leader(word.term, now)
                 return self.ask(now)
         elif isinstance(word, LeaseGrant):
             if word.term[1:] == (sender, said.start):
-                self.holder.granted(word, now)
+                self.holder.accept_grant(word, now)
         elif isinstance(word, LeaseRequest):
             self.lead(now)
-            if self.giver is not None and word.term == self.giver.term and word.book == self.book:
-                grant = self.giver.asked((sender, said.start), word, now)
-                recalls, self.giver.recalls = self.giver.recalls, []
+            if self.giver is not None and word.term == self.giver.term and word.names_checksum == self.book:
+                grant = self.giver.handle_request((sender, said.start), word, now)
+                recalls, self.giver.revocations = self.giver.revocations, []
                 sends = [send for who, recall in recalls for send in self.to(who[0], recall)]
                 return sends + (self.to(sender, grant) if grant is not None else [])
         elif isinstance(word, LeaseRevocation):
             if word.term[1:] == (sender, said.start):
-                self.holder.recalled(word, now)
+                self.holder.accept_revocation(word, now)
                 return self.ask(now)
         elif elector is not None and candidate is not None:
             if isinstance(word, Prepare):
@@ -184,8 +184,8 @@
         """One token for a submission of that budget: out of which budget, or None. What was not wanted lately
         is told at once, as its owner may have come back; a host calls `tick` when it is due.
         """
-        if self.purse.wanted(name):
-            self.holder.hurry(now)
+        if self.purse.record_demand(name):
+            self.holder.request_soon(now)
         return self.purse.spend(name, now)
 
     # --- the end
@@ -205,11 +205,11 @@
     def step_down(self, now: int) -> None:
         """Another process of our name began after us: nothing is spent by us any more, floors neither."""
         self.stepped_down = True
-        self.holder.parts, self.holder.until, self.holder.loans = {}, 0, {}
+        self.holder.shares, self.holder.shares_until, self.holder.loans = {}, 0, {}
         if self.candidate is not None:
             self.candidate.resign()
         self.giver = None
-        self.purse.floor = 0
+        self.purse.guaranteed_minimum = 0
 
     # --- between
 
@@ -232,10 +232,10 @@
                 sends += self.agree(Envelope(VERSION, self.who[0], self.who[1], word), now)
         if self.swim.replaced and not self.stepped_down:
             self.step_down(now)
-        held, loans = self.holder.in_force(now), self.holder.lent(now)
-        until, loans_until = self.holder.until if held else 0, self.holder.loans_until if loans else 0
+        held, loans = self.holder.current_shares(now), self.holder.current_loans(now)
+        until, loans_until = self.holder.shares_until if held else 0, self.holder.loans_until if loans else 0
         names = self.names
-        moved = self.purse.settle(
+        moved = self.purse.update(
             {names[place]: part for place, part in held.items() if place < len(names)},
             until,
             {
@@ -246,8 +246,8 @@
             loans_until,
             now,
         )
-        if self.ledger is not None and self.ledger.standing.over != self.over:
-            self.over, moved = self.ledger.standing.over, True
+        if self.ledger is not None and self.ledger.standing.over_share != self.over:
+            self.over, moved = self.ledger.standing.over_share, True
         self.news = MemberUpdate(self.news.moved or moved, self.news.events + self.swim.events)
         self.swim.events = []
         return sends
--- a/locktide/cluster/messages.py
+++ b/locktide/cluster/messages.py
@@ -115,13 +115,13 @@
 
     term: Ballot
     number: int
-    of: Ballot | None
+    held_term: Ballot | None
     seq: int
-    held: dict[QuotaIndex, Millionths]
-    wants: dict[QuotaIndex, Count]
+    held_shares: dict[QuotaIndex, Millionths]
+    demand: dict[QuotaIndex, Count]
     loans: list[LoanTriple]
     leaving: bool
-    book: int = 0
+    names_checksum: int = 0
 
 
 class LeaseGrant(Message, tag="Grant"):
@@ -132,9 +132,9 @@
     term: Ballot
     number: int
     seq: int
-    parts: dict[QuotaIndex, Millionths]
+    shares: dict[QuotaIndex, Millionths]
     loans: list[LoanTriple]
-    soon: bool
+    more_expected: bool
 
 
 class LeaseRevocation(Message, tag="Recall"):
@@ -143,16 +143,16 @@
     """
 
     term: Ballot
-    owners: list[QuotaIndex]
+    lenders: list[QuotaIndex]
 
 
 class LedgerRow(msgspec.Struct, array_like=True, frozen=True):
     """A row of the ledger: of a tenant, by its place, what it holds of each resource and what waits."""
 
-    place: Count
+    index: Count
     version: Count
-    held: list[Count]
-    waits: list[Count]
+    in_use: list[Count]
+    waiting: list[Count]
 
 
 class WriterDelta(msgspec.Struct, array_like=True):
@@ -160,8 +160,8 @@
 
     name: str
     start: int
-    after: Count
-    entries: list[LedgerRow]
+    after_version: Count
+    rows: list[LedgerRow]
 
 
 class Digest(Message, tag="Heads"):
@@ -169,18 +169,18 @@
     what is closed of these; only its digest, where `upto` is empty. `sum` is of the tenants and resources.
     """
 
-    sum: int
+    schema_checksum: int
     digest: int
-    heads: list[tuple[str, int, Count]]
+    versions: list[tuple[str, int, Count]]
     closed: list[tuple[str, int, Count]]
-    after: str
-    upto: str
-    answer: bool
+    after_name: str
+    up_to_name: str
+    reply_expected: bool
 
 
 class Delta(Message, tag="Rows"):
-    sum: int
-    groups: list[WriterDelta]
+    schema_checksum: int
+    writer_deltas: list[WriterDelta]
 
 
 class InspectionRequest(Message, tag="Look"):
--- a/locktide/cluster/quota/account.py
+++ b/locktide/cluster/quota/account.py
@@ -19,64 +19,68 @@
     """Parts count before `until`, loans before `loans_until`, which is no later."""
 
     seq: int
-    parts: Parts
+    shares: Parts
     loans: Loans
-    until: int
+    shares_until: int
     loans_until: int
 
-    def amounts(self, now: int) -> Parts:
+    def amounts_at(self, now: int) -> Parts:
         """Of each budget, its part and what is lent of it."""
-        own = self.parts if now < self.until else {}
-        if lent := self.lent(now):
+        own = self.shares if now < self.shares_until else {}
+        if lent := self.loans_at(now):
             own = dict(own)
             for (owner, _), part in lent.items():
                 own[owner] = own.get(owner, 0) + part
         return own
 
-    def lent(self, now: int) -> Loans:
+    def loans_at(self, now: int) -> Loans:
         return self.loans if now < self.loans_until else {}
 
-    def ends(self, now: int) -> list[int]:
+    def expiries_after(self, now: int) -> list[int]:
         """When it counts less."""
-        ends = (self.until, self.loans_until if self.loans else 0)
+        ends = (self.shares_until, self.loans_until if self.loans else 0)
         return [end for end in ends if now < end]
 
 
 @dataclass(slots=True)
 class HolderAccount:
-    number: int = 0  # of the last Ask that was heard
+    request_number: int = 0  # of the last Ask that was heard
     heard_at: int = 0
-    wants: Parts = field(default_factory=dict)
-    held: OutstandingGrant | None = None  # as it said, in force there until then at the latest
-    under_way: OutstandingGrant | None = None  # a later grant, of which it has not told yet
-    moved_at: int = -(1 << 62)  # when its parts last made a damped step
+    demand: Parts = field(default_factory=dict)
+    confirmed: OutstandingGrant | None = None  # as it said, in force there until then at the latest
+    unconfirmed: OutstandingGrant | None = None  # a later grant, of which it has not told yet
+    stepped_at: int = -(1 << 62)  # when its parts last made a damped step
     counted: Parts = field(default_factory=dict)  # its worst as it stands in the totals
 
-    def promised(self, now: int) -> list[OutstandingGrant]:
-        return [one for one in (self.held, self.under_way) if one is not None and now < one.until]
+    def outstanding(self, now: int) -> list[OutstandingGrant]:
+        return [
+            one for one in (self.confirmed, self.unconfirmed) if one is not None and now < one.shares_until
+        ]
 
-    def worst(self, now: int) -> Parts:
+    def worst_case(self, now: int) -> Parts:
         found: Parts = {}
-        for one in self.promised(now):
-            for budget, amount in one.amounts(now).items():
+        for one in self.outstanding(now):
+            for budget, amount in one.amounts_at(now).items():
                 if amount > found.get(budget, 0):
                     found[budget] = amount
         return found
 
-    def lent(self, now: int) -> Loans:
+    def worst_case_loans(self, now: int) -> Loans:
         """The larger of what it may hold of each loan."""
         found: Loans = {}
-        for one in self.promised(now):
-            for pair, part in one.lent(now).items():
+        for one in self.outstanding(now):
+            for pair, part in one.loans_at(now).items():
                 found[pair] = max(part, found.get(pair, 0))
         return found
 
-    def told(self, word: LeaseRequest, until: int, loans_until: int, same_term: bool) -> None:
+    def confirm(self, word: LeaseRequest, until: int, loans_until: int, same_term: bool) -> None:
         """It holds what it says, and no grant before this question can count there any more. What was counted
         with an earlier end keeps that.
         """
-        for one in (self.held, self.under_way):
+        for one in (self.confirmed, self.unconfirmed):
             if same_term and one is not None and one.seq == word.seq:
-                until, loans_until = min(until, one.until), min(loans_until, one.loans_until)
-        self.held = OutstandingGrant(word.seq, dict(word.held), loans_of(word.loans), until, loans_until)
-        self.under_way = None
+                until, loans_until = min(until, one.shares_until), min(loans_until, one.loans_until)
+        self.confirmed = OutstandingGrant(
+            word.seq, dict(word.held_shares), loans_of(word.loans), until, loans_until
+        )
+        self.unconfirmed = None
--- a/locktide/cluster/quota/allocator.py
+++ b/locktide/cluster/quota/allocator.py
@@ -40,184 +40,199 @@
         loan: int = LOAN,
         broker: LoanAllocator | None = None,
     ) -> None:
-        self.floor = floor  # what each has beside that, of every budget
-        self.term, self.movable, self.gap = term, movable, every // 2
-        self.lasts, self.quiet = stretched(span), int(span * QUIET)
-        self.loan_lasts, self.broker = stretched(loan), broker
-        self.renews_until = now + self.lasts  # by then all that others gave is over
+        self.guaranteed_minimum = floor  # what each has beside that, of every budget
+        self.term, self.divisible, self.replan_interval = term, movable, every // 2
+        self.share_lifetime, self.demand_lifetime = stretched(span), int(span * QUIET)
+        self.loan_lifetime, self.loan_allocator = stretched(loan), broker
+        self.renew_only_until = now + self.share_lifetime  # by then all that others gave is over
         self.accounts: dict[MemberId, HolderAccount] = {}
         self.seq = 0
         # The sum of what all accounts count, and when each may count less. Between the two moments the sum is
         # too large, never too small.
         self.totals = dict.fromkeys(movable, 0)
-        self.less_at: list[tuple[int, MemberId]] = []
+        self.expiries: list[tuple[int, MemberId]] = []
         self.targets: dict[int, dict[MemberId, int]] = {}
-        self.shares: dict[MemberId, Loans] = {}  # of the planned loans, by member
-        self.targets_at = -(1 << 62)
-        self.order: list[int] = []
-        self.recalls: list[tuple[MemberId, LeaseRevocation]] = []  # to be sent
-
-    def asked(self, who: MemberId, word: LeaseRequest, now: int) -> LeaseGrant | None:
-        while self.less_at and self.less_at[0][0] <= now:
-            _, other = heappop(self.less_at)
+        self.planned_loans: dict[MemberId, Loans] = {}  # of the planned loans, by member
+        self.targets_planned_at = -(1 << 62)
+        self.borrowing_order: list[int] = []
+        self.revocations: list[tuple[MemberId, LeaseRevocation]] = []  # to be sent
+
+    def handle_request(self, who: MemberId, word: LeaseRequest, now: int) -> LeaseGrant | None:
+        while self.expiries and self.expiries[0][0] <= now:
+            _, other = heappop(self.expiries)
             if other in self.accounts:
-                self.count(other, now)
+                self.update_totals(other, now)
         account = self.accounts.setdefault(who, HolderAccount())
-        if word.number <= account.number:
+        if word.number <= account.request_number:
             return None  # late, or doubled: what it says is of before
-        account.number, account.heard_at = word.number, now
-        account.wants = {} if word.leaving else word.wants
-        account.told(word, now + self.lasts, now + self.loan_lasts, word.of == self.term)
-        self.count(who, now)
-        if self.broker is not None:
-            self.recall(
-                [name for name, want in account.wants.items() if want and self.broker.wanted(name, now)], now
+        account.request_number, account.heard_at = word.number, now
+        account.demand = {} if word.leaving else word.demand
+        account.confirm(
+            word, now + self.share_lifetime, now + self.loan_lifetime, word.held_term == self.term
+        )
+        self.update_totals(who, now)
+        if self.loan_allocator is not None:
+            self.revoke(
+                [
+                    name
+                    for name, want in account.demand.items()
+                    if want and self.loan_allocator.record_demand(name, now)
+                ],
+                now,
             )
         if word.leaving:
             return None
-        steps = now >= account.moved_at + self.gap
+        steps = now >= account.stepped_at + self.replan_interval
         if steps:
-            account.moved_at = now
-        held = word.held
-        parts = {budget: self.part(who, budget, held.get(budget, 0), steps, now) for budget in self.movable}
-        loans = self.lend(who, parts, now)
+            account.stepped_at = now
+        held = word.held_shares
+        parts = {
+            budget: self.share_for(who, budget, held.get(budget, 0), steps, now) for budget in self.divisible
+        }
+        loans = self.loans_for(who, parts, now)
         self.seq += 1
-        loans_until = now + self.loan_lasts if loans else now
-        account.under_way = OutstandingGrant(self.seq, parts, loans, now + self.lasts, loans_until)
-        self.count(who, now)
+        loans_until = now + self.loan_lifetime if loans else now
+        account.unconfirmed = OutstandingGrant(self.seq, parts, loans, now + self.share_lifetime, loans_until)
+        self.update_totals(who, now)
         told = [(owner, borrower, part) for (owner, borrower), part in loans.items()]
-        return LeaseGrant(self.term, word.number, self.seq, parts, told, self.waits(who, account, parts, now))
+        return LeaseGrant(
+            self.term, word.number, self.seq, parts, told, self.awaits_reclaim(who, account, parts, now)
+        )
 
-    def count(self, who: MemberId, now: int) -> None:
+    def update_totals(self, who: MemberId, now: int) -> None:
         """Brings the totals up to date with one account; forgets it once nothing of it can be in force."""
         account = self.accounts[who]
-        worst, counted = account.worst(now), account.counted
-        for budget in self.movable:
+        worst, counted = account.worst_case(now), account.counted
+        for budget in self.divisible:
             self.totals[budget] += worst.get(budget, 0) - counted.get(budget, 0)
         account.counted = worst
-        if ends := [end for one in account.promised(now) for end in one.ends(now)]:
-            heappush(self.less_at, (min(ends), who))
-        elif now - account.heard_at > 10 * self.lasts:
+        if ends := [end for one in account.outstanding(now) for end in one.expiries_after(now)]:
+            heappush(self.expiries, (min(ends), who))
+        elif now - account.heard_at > 10 * self.share_lifetime:
             del self.accounts[who]
         else:
-            heappush(self.less_at, (account.heard_at + 11 * self.lasts, who))
+            heappush(self.expiries, (account.heard_at + 11 * self.share_lifetime, who))
 
-    def part(self, who: MemberId, budget: int, held: int, steps: bool, now: int) -> int:
-        whole = self.movable[budget]
+    def share_for(self, who: MemberId, budget: int, held: int, steps: bool, now: int) -> int:
+        whole = self.divisible[budget]
         others = self.totals[budget] - self.accounts[who].counted.get(budget, 0)
-        if now < self.renews_until:
+        if now < self.renew_only_until:
             return min(held, whole - others)
         # Guards against a step for each of the questions that tell at once of what was given back.
         wanted = held
-        if self.back(budget, now):
-            wanted = self.target(who, budget, now)  # its owner has come again: no damping
+        if self.is_reclaiming(budget, now):
+            wanted = self.target_share(who, budget, now)  # its owner has come again: no damping
         elif steps:
-            wanted = divide.moved(held, self.target(who, budget, now), whole // len(self.targets[budget]))
+            wanted = divide.moved(
+                held, self.target_share(who, budget, now), whole // len(self.targets[budget])
+            )
         return max(0, min(wanted, whole - others))
 
-    def target(self, who: MemberId, budget: int, now: int) -> int:
-        targets = self.divided(now)[budget]
+    def target_share(self, who: MemberId, budget: int, now: int) -> int:
+        targets = self.current_targets(now)[budget]
         if who not in targets:
-            self.targets_at = -(1 << 62)  # it has come since
-            targets = self.divided(now)[budget]
+            self.targets_planned_at = -(1 << 62)  # it has come since
+            targets = self.current_targets(now)[budget]
         return targets[who]
 
-    def waits(self, who: MemberId, account: HolderAccount, parts: Parts, now: int) -> bool:
+    def awaits_reclaim(self, who: MemberId, account: HolderAccount, parts: Parts, now: int) -> bool:
         """Whether it should have more of what its owner has come back for, once that is given back."""
-        if now < self.renews_until:
+        if now < self.renew_only_until:
             return False
         short = [
             budget
-            for budget, want in account.wants.items()
-            if self.back(budget, now)
-            and parts.get(budget, 0) < self.target(who, budget, now) * (1.0 - divide.STILL)
+            for budget, want in account.demand.items()
+            if self.is_reclaiming(budget, now)
+            and parts.get(budget, 0) < self.target_share(who, budget, now) * (1.0 - divide.STILL)
         ]
-        self.call(short, now, anew=True)
+        self.queue_revocations(short, now, anew=True)
         return bool(short)
 
     # --- loans
 
-    def back(self, budget: int, now: int) -> bool:
+    def is_reclaiming(self, budget: int, now: int) -> bool:
         """Whether the owner has come back so lately that its parts follow at once."""
-        owner = self.broker.owners.get(budget) if self.broker is not None else None
-        return owner is not None and now < owner.holds_until
+        owner = self.loan_allocator.lenders.get(budget) if self.loan_allocator is not None else None
+        return owner is not None and now < owner.lends_again_at
 
-    def lend(self, who: MemberId, parts: Parts, now: int) -> Loans:
+    def loans_for(self, who: MemberId, parts: Parts, now: int) -> Loans:
         """What this member may spend of others' budgets, within what is free of them."""
-        if self.broker is None or now < self.renews_until:
+        if self.loan_allocator is None or now < self.renew_only_until:
             return {}
         given: Loans = {}
-        planned = self.shares.get(who, {})
+        planned = self.planned_loans.get(who, {})
         for pair in sorted(planned, key=lambda pair: (-planned[pair], pair))[:MOST_LOANS]:
             owner, part = pair[0], planned[pair]
-            if pair not in self.broker.plan:
+            if pair not in self.loan_allocator.planned_loans:
                 continue  # called back since
             others = self.totals[owner] - self.accounts[who].counted.get(owner, 0)
             ours = parts[owner] + sum(lent for (of, _), lent in given.items() if of == owner)
-            part = min(part, self.movable[owner] - others - ours)
+            part = min(part, self.divisible[owner] - others - ours)
             if part > 0:
                 given[pair] = part
         return given
 
-    def out(self, now: int) -> Loans:
+    def outstanding_loans(self, now: int) -> Loans:
         """All that may be lent just now."""
         found: Loans = {}
         for account in self.accounts.values():
-            for pair, part in account.lent(now).items():
+            for pair, part in account.worst_case_loans(now).items():
                 found[pair] = found.get(pair, 0) + part
         return found
 
-    def recall(self, owners: list[int], now: int) -> None:
+    def revoke(self, owners: list[int], now: int) -> None:
         if owners:
-            self.targets_at = -(1 << 62)
-            self.call(owners, now, anew=False)
+            self.targets_planned_at = -(1 << 62)
+            self.queue_revocations(owners, now, anew=False)
 
-    def call(self, owners: list[int], now: int, anew: bool) -> None:
+    def queue_revocations(self, owners: list[int], now: int, anew: bool) -> None:
         """To all that hold something of it; anew to those that have not asked since the owner came back."""
         for who, account in self.accounts.items():
-            worst = account.worst(now)
+            worst = account.worst_case(now)
             theirs = [
                 owner
                 for owner in owners
-                if worst.get(owner) and not (anew and account.heard_at >= self.came_back(owner))
+                if worst.get(owner) and not (anew and account.heard_at >= self.reclaimed_at(owner))
             ]
             if theirs:
-                self.recalls.append((who, LeaseRevocation(self.term, theirs)))
+                self.revocations.append((who, LeaseRevocation(self.term, theirs)))
 
-    def came_back(self, owner: int) -> int:
-        assert self.broker is not None
-        return self.broker.owners[owner].came_at
+    def reclaimed_at(self, owner: int) -> int:
+        assert self.loan_allocator is not None
+        return self.loan_allocator.lenders[owner].reclaimed_at
 
     # --- the division
 
-    def divided(self, now: int) -> dict[int, dict[MemberId, int]]:
+    def current_targets(self, now: int) -> dict[int, dict[MemberId, int]]:
         """The targets of all that ask; once in half of the time between two questions of one member."""
-        if now >= self.targets_at + self.gap:
-            self.targets_at = now
-            asking = [(who, one) for who, one in self.accounts.items() if now - one.heard_at < self.quiet]
-            lent = self.plan(asking, now)
-            for budget, whole in self.movable.items():
-                wants = {who: one.wants.get(budget, 0) for who, one in asking}
+        if now >= self.targets_planned_at + self.replan_interval:
+            self.targets_planned_at = now
+            asking = [
+                (who, one) for who, one in self.accounts.items() if now - one.heard_at < self.demand_lifetime
+            ]
+            lent = self.plan_loans(asking, now)
+            for budget, whole in self.divisible.items():
+                wants = {who: one.demand.get(budget, 0) for who, one in asking}
                 left = max(0, whole - lent.get(budget, 0))
-                self.targets[budget] = divide.targets(wants, left, self.floor)
+                self.targets[budget] = divide.targets(wants, left, self.guaranteed_minimum)
         return self.targets
 
-    def plan(self, asking: list[tuple[MemberId, HolderAccount]], now: int) -> Parts:
+    def plan_loans(self, asking: list[tuple[MemberId, HolderAccount]], now: int) -> Parts:
         """Plans the loans and each member's part of them; how much of each budget is to be lent."""
-        if self.broker is None or now < self.renews_until:
+        if self.loan_allocator is None or now < self.renew_only_until:
             return {}
         wants: Parts = {}
         for _, one in asking:
-            for budget, want in one.wants.items():
+            for budget, want in one.demand.items():
                 wants[budget] = wants.get(budget, 0) + want
-        called = self.broker.divide(wants, self.order, self.out(now), now)
-        self.recall(called, now)
-        self.targets_at = now
+        called = self.loan_allocator.replan(wants, self.borrowing_order, self.outstanding_loans(now), now)
+        self.revoke(called, now)
+        self.targets_planned_at = now
         lent: Parts = {}
-        self.shares = {who: {} for who, _ in asking}
-        for (owner, borrower), part in self.broker.plan.items():
+        self.planned_loans = {who: {} for who, _ in asking}
+        for (owner, borrower), part in self.loan_allocator.planned_loans.items():
             lent[owner] = lent.get(owner, 0) + part
             for who, one in asking:
-                if theirs := part * one.wants.get(borrower, 0) // max(1, wants.get(borrower, 0)):
-                    self.shares[who][owner, borrower] = theirs
+                if theirs := part * one.demand.get(borrower, 0) // max(1, wants.get(borrower, 0)):
+                    self.planned_loans[who][owner, borrower] = theirs
         return lent
--- a/locktide/cluster/quota/lease_holder.py
+++ b/locktide/cluster/quota/lease_holder.py
@@ -15,87 +15,99 @@
 
 class LeaseHolder:
     def __init__(self, who: MemberId, now: int, span: int = PART, every: int = ASK, loan: int = LOAN) -> None:
-        self.who, self.span, self.every, self.loan = who, span, every, loan
-        self.soon = every // 4  # who waits for more than it has asks so soon again
-        self.parts: Parts = {}
-        self.until = 0  # in force before that
+        self.member_id, self.share_span, self.request_interval, self.loan_span = who, span, every, loan
+        self.retry_interval = every // 4  # who waits for more than it has asks so soon again
+        self.shares: Parts = {}
+        self.shares_until = 0  # in force before that
         self.loans: Loans = {}
         self.loans_until = 0
-        self.of: Ballot | None = None
+        self.grant_term: Ballot | None = None
         self.seq = 0
         self.term: Ballot | None = None  # under which we ask
-        self.number, self.asked_at = 0, 0
-        self.ask_at = now
+        self.request_number, self.requested_at = 0, 0
+        self.next_request_at = now
         self.urgent_until = 0  # before that we ask anew soon while there is no answer
         self.leaving = False
 
-    def in_force(self, now: int) -> Parts:
-        if now >= self.until and self.parts:
-            self.parts = {}
-        return self.parts
+    def current_shares(self, now: int) -> Parts:
+        if now >= self.shares_until and self.shares:
+            self.shares = {}
+        return self.shares
 
-    def lent(self, now: int) -> Loans:
+    def current_loans(self, now: int) -> Loans:
         """What we may spend of others' budgets."""
-        if now >= min(self.until, self.loans_until) and self.loans:
+        if now >= min(self.shares_until, self.loans_until) and self.loans:
             self.loans = {}
         return self.loans
 
-    def led(self, term: Ballot, now: int) -> None:
+    def observe_leader(self, term: Ballot, now: int) -> None:
         """Somebody says that it divides."""
         if self.term is None or term > self.term:
-            self.term, self.ask_at = term, now
+            self.term, self.next_request_at = term, now
 
     @property
     def due(self) -> int:
-        return self.ask_at
+        return self.next_request_at
 
-    def hurry(self, now: int) -> None:
+    def request_soon(self, now: int) -> None:
         """Something is wanted that was not: who divides should know at once."""
-        self.urgent_until = now + self.span
-        self.ask_at = min(self.ask_at, max(now, self.asked_at + self.every // 8))
+        self.urgent_until = now + self.share_span
+        self.next_request_at = min(
+            self.next_request_at, max(now, self.requested_at + self.request_interval // 8)
+        )
 
-    def ask(self, wants: Parts, now: int) -> LeaseRequest | None:
+    def next_request(self, wants: Parts, now: int) -> LeaseRequest | None:
         """The next question, if it is time; to the name in its term."""
-        if self.term is None or now < self.ask_at or self.leaving:
+        if self.term is None or now < self.next_request_at or self.leaving:
             return None
-        return self.question(wants, now)
+        return self.build_request(wants, now)
 
-    def question(self, wants: Parts, now: int) -> LeaseRequest:
+    def build_request(self, wants: Parts, now: int) -> LeaseRequest:
         assert self.term is not None
-        self.number += 1
-        self.asked_at, self.ask_at = now, now + (self.soon if now < self.urgent_until else self.every)
-        held, lent = dict(self.in_force(now)), self.lent(now)
+        self.request_number += 1
+        self.requested_at, self.next_request_at = (
+            now,
+            now + (self.retry_interval if now < self.urgent_until else self.request_interval),
+        )
+        held, lent = dict(self.current_shares(now)), self.current_loans(now)
         loans = [(owner, borrower, part) for (owner, borrower), part in lent.items()]
-        of = self.of if held or loans else None
-        return LeaseRequest(self.term, self.number, of, self.seq, held, wants, loans, self.leaving)
+        of = self.grant_term if held or loans else None
+        return LeaseRequest(self.term, self.request_number, of, self.seq, held, wants, loans, self.leaving)
 
-    def granted(self, word: LeaseGrant, now: int) -> bool:
+    def accept_grant(self, word: LeaseGrant, now: int) -> bool:
         """Whether it counts from now on."""
-        if word.term != self.term or word.number != self.number or self.leaving:
+        if word.term != self.term or word.number != self.request_number or self.leaving:
             return False
-        if now >= self.asked_at + self.span:
+        if now >= self.requested_at + self.share_span:
             return False
-        before, lent = self.in_force(now), self.lent(now)
+        before, lent = self.current_shares(now), self.current_loans(now)
         self.urgent_until = 0
-        self.ask_at = self.asked_at + (self.soon if word.soon else self.every)
-        self.parts, self.of, self.seq = dict(word.parts), word.term, word.seq
+        self.next_request_at = self.requested_at + (
+            self.retry_interval if word.more_expected else self.request_interval
+        )
+        self.shares, self.grant_term, self.seq = dict(word.shares), word.term, word.seq
         self.loans = {(owner, borrower): part for owner, borrower, part in word.loans}
-        less = any(self.parts.get(budget, 0) < held for budget, held in before.items())
+        less = any(self.shares.get(budget, 0) < held for budget, held in before.items())
         if less or any(self.loans.get(pair, 0) < held for pair, held in lent.items()):
             # Tells soon that it has given something back: only then others can have it.
-            self.ask_at = min(self.ask_at, now + self.every // 8)
-        self.until, self.loans_until = self.asked_at + self.span, self.asked_at + self.loan
+            self.next_request_at = min(self.next_request_at, now + self.request_interval // 8)
+        self.shares_until, self.loans_until = (
+            self.requested_at + self.share_span,
+            self.requested_at + self.loan_span,
+        )
         return True
 
-    def recalled(self, word: LeaseRevocation, now: int) -> None:
+    def accept_revocation(self, word: LeaseRevocation, now: int) -> None:
         """Lets go of loans at once, and asks anew, so that parts that it does not need move, too."""
         if word.term != self.term:
             return
-        for pair in [pair for pair in self.loans if pair[0] in word.owners]:
+        for pair in [pair for pair in self.loans if pair[0] in word.lenders]:
             del self.loans[pair]
-        self.ask_at = min(self.ask_at, max(now, self.asked_at + self.every // 8))
+        self.next_request_at = min(
+            self.next_request_at, max(now, self.requested_at + self.request_interval // 8)
+        )
 
     def leave(self, now: int) -> LeaseRequest | None:
         """Gives all back."""
-        self.parts, self.until, self.loans, self.leaving = {}, 0, {}, True
-        return self.question({}, now) if self.term is not None else None
+        self.shares, self.shares_until, self.loans, self.leaving = {}, 0, {}, True
+        return self.build_request({}, now) if self.term is not None else None
--- a/locktide/cluster/quota/local_quota.py
+++ b/locktide/cluster/quota/local_quota.py
@@ -22,92 +22,94 @@
     name: str
     rate: float = 0.0
     burst: float = 0.0
-    lends: bool = False
+    lendable: bool = False
 
 
 class LocalQuota:
     def __init__(self, budgets: list[QuotaSpec], reserve: float, most: int, now: int) -> None:
         """`reserve`: the part of each whole that is spread evenly as floors over `most` processes."""
-        self.floor = int(WHOLE * reserve) // most
-        self.movable = WHOLE - self.floor * most
-        self.budgets = {budget.name: budget for budget in budgets}
-        self.parts: Parts = {budget.name: self.floor for budget in budgets}
-        self.until = 0
+        self.guaranteed_minimum = int(WHOLE * reserve) // most
+        self.divisible = WHOLE - self.guaranteed_minimum * most
+        self.specs = {budget.name: budget for budget in budgets}
+        self.shares: Parts = {budget.name: self.guaranteed_minimum for budget in budgets}
+        self.shares_until = 0
         self.buckets = {
-            budget.name: TokenBucket(budget.rate, budget.burst, self.floor, now)
+            budget.name: TokenBucket(budget.rate, budget.burst, self.guaranteed_minimum, now)
             for budget in budgets
             if budget.rate
         }
-        self.counts: Parts = {budget.name: 0 for budget in budgets}  # of what was asked for; they fade
-        self.peaks: Parts = dict(self.counts)  # the same, just before they last faded
+        self.demand_counts: Parts = {budget.name: 0 for budget in budgets}  # of what was asked for; they fade
+        self.demand_peaks: Parts = dict(self.demand_counts)  # the same, just before they last faded
         self.loans: Loans = {}
         self.loans_until = 0
-        self.borrowed: dict[tuple[str, str], TokenBucket] = {}
+        self.loan_buckets: dict[tuple[str, str], TokenBucket] = {}
 
-    def settle(self, held: Parts, until: int, loans: Loans, loans_until: int, now: int) -> bool:
+    def update(self, held: Parts, until: int, loans: Loans, loans_until: int, now: int) -> bool:
         """Takes in what is held now, until then; whether anything has moved."""
-        moved = self.lapse(now)
-        for name, part in self.parts.items():
-            own = self.floor + held.get(name, 0)
+        moved = self.expire(now)
+        for name, part in self.shares.items():
+            own = self.guaranteed_minimum + held.get(name, 0)
             if own != part:
                 moved = True
-                self.parts[name] = own
+                self.shares[name] = own
                 if name in self.buckets:
-                    self.buckets[name].move(own, now)
+                    self.buckets[name].set_share(own, now)
         if loans != self.loans:
             moved = True
-            self.borrow(loans, now)
-        self.until, self.loans_until = until, loans_until
+            self.set_loans(loans, now)
+        self.shares_until, self.loans_until = until, loans_until
         return moved
 
-    def borrow(self, loans: Loans, now: int) -> None:
+    def set_loans(self, loans: Loans, now: int) -> None:
         """A loan that has grown brings no tokens, as any part; one that is over takes them with it."""
-        for pair in self.borrowed.keys() - loans.keys():
-            del self.borrowed[pair]
+        for pair in self.loan_buckets.keys() - loans.keys():
+            del self.loan_buckets[pair]
         for pair, part in loans.items():
-            of = self.budgets[pair[0]]
-            if pair not in self.borrowed:
-                self.borrowed[pair] = TokenBucket(of.rate, of.burst, part, now)
-            self.borrowed[pair].move(part, now)
+            of = self.specs[pair[0]]
+            if pair not in self.loan_buckets:
+                self.loan_buckets[pair] = TokenBucket(of.rate, of.burst, part, now)
+            self.loan_buckets[pair].set_share(part, now)
         self.loans = dict(loans)
 
-    def lapse(self, now: int) -> bool:
+    def expire(self, now: int) -> bool:
         """Back to the floors, from the very moment on at which what was held is over; loans before that."""
         moved = False
-        if self.loans and now >= min(self.loans_until, self.until):
-            self.borrow({}, now)
+        if self.loans and now >= min(self.loans_until, self.shares_until):
+            self.set_loans({}, now)
             moved = True
-        if now < self.until or all(part == self.floor for part in self.parts.values()):
+        if now < self.shares_until or all(part == self.guaranteed_minimum for part in self.shares.values()):
             return moved
-        for name in self.parts:
-            self.parts[name] = self.floor
+        for name in self.shares:
+            self.shares[name] = self.guaranteed_minimum
             if name in self.buckets:
-                self.buckets[name].move(self.floor, self.until)
+                self.buckets[name].set_share(self.guaranteed_minimum, self.shares_until)
         return True
 
-    def wanted(self, name: str, tokens: int = 1) -> bool:
+    def record_demand(self, name: str, tokens: int = 1) -> bool:
         """Counts as demand, which the division follows; whether there was none before."""
-        before = self.counts.get(name, 0)
-        self.counts[name] = before + tokens
+        before = self.demand_counts.get(name, 0)
+        self.demand_counts[name] = before + tokens
         return not before
 
-    def fade(self) -> None:
+    def decay_demand(self) -> None:
         """By half, with each regular question."""
-        self.peaks = dict(self.counts)
-        self.counts = {name: count // 2 for name, count in self.counts.items()}
+        self.demand_peaks = dict(self.demand_counts)
+        self.demand_counts = {name: count // 2 for name, count in self.demand_counts.items()}
 
     @property
-    def wants(self) -> Parts:
+    def demand(self) -> Parts:
         """The demand as it is told: the same at whatever moment between two fadings, while it is steady."""
-        return {name: max(count, self.peaks.get(name, 0)) for name, count in self.counts.items()}
+        return {
+            name: max(count, self.demand_peaks.get(name, 0)) for name, count in self.demand_counts.items()
+        }
 
     def spend(self, name: str, now: int, tokens: int = 1) -> str | None:
         """Of which budget so much was there: its own, or one that it has been lent of."""
-        self.lapse(now)
+        self.expire(now)
         bucket = self.buckets.get(name)
         if bucket is not None and bucket.spend(now, tokens):
             return name
-        for (owner, borrower), lent in self.borrowed.items():
+        for (owner, borrower), lent in self.loan_buckets.items():
             if borrower == name and lent.spend(now, tokens):
                 return owner
         return None
--- a/locktide/cluster/quota/token_bucket.py
+++ b/locktide/cluster/quota/token_bucket.py
@@ -19,25 +19,25 @@
         # By the slowest clock that may be right: a fast one must not make more tokens.
         self.rate = int(rate * TOKEN) * (1_000_000 - SKEW) // 1_000_000
         self.burst = int(burst * TOKEN)
-        self.part, self.level, self.at, self.left = part, 0, now, 0
+        self.share, self.level, self.filled_at, self.remainder = part, 0, now, 0
 
-    def fill(self, now: int) -> None:
-        if now <= self.at:
+    def refill(self, now: int) -> None:
+        if now <= self.filled_at:
             return
         # Units times millionths times microseconds; what is under one unit is kept for the next time.
-        made = self.rate * self.part * (now - self.at) + self.left
-        added, self.left = divmod(made, 1_000_000 * 1_000_000)
-        self.at = now
-        full = self.burst * self.part // 1_000_000
+        made = self.rate * self.share * (now - self.filled_at) + self.remainder
+        added, self.remainder = divmod(made, 1_000_000 * 1_000_000)
+        self.filled_at = now
+        full = self.burst * self.share // 1_000_000
         self.level = min(full, self.level + added)
 
-    def move(self, part: int, now: int) -> None:
-        self.fill(now)
-        self.part = part
+    def set_share(self, part: int, now: int) -> None:
+        self.refill(now)
+        self.share = part
         self.level = min(self.level, self.burst * part // 1_000_000)
 
     def spend(self, now: int, tokens: int = 1) -> bool:
-        self.fill(now)
+        self.refill(now)
         if self.level < tokens * TOKEN:
             return False
         self.level -= tokens * TOKEN
--- a/locktide/cluster/udp_transport.py
+++ b/locktide/cluster/udp_transport.py
@@ -101,16 +101,16 @@
     def told_parts(self) -> None:
         """What is in force from now on, and until when."""
         purse = self.agent.purse
-        shown = ", ".join(f"{name} {part / 1e4:.1f}%" for name, part in purse.parts.items())
-        self.log.emit(f"accord: in force {shown}", "accord", event="accord-parts", parts=dict(purse.parts))
+        shown = ", ".join(f"{name} {part / 1e4:.1f}%" for name, part in purse.shares.items())
+        self.log.emit(f"accord: in force {shown}", "accord", event="accord-parts", parts=dict(purse.shares))
         self.say_more()
         self.tell_node()
         if self.trace is not None:
             told = {
                 "at": self.now(),
-                "parts": purse.parts,
-                "until": purse.until,
-                "floor": purse.floor,
+                "parts": purse.shares,
+                "until": purse.shares_until,
+                "floor": purse.guaranteed_minimum,
                 "loans": [[*pair, part] for pair, part in purse.loans.items()],
                 "loans_until": purse.loans_until,
             }
@@ -139,13 +139,16 @@
             return
         purse, now, there = self.agent.purse, self.now(), self.node.clock.now()
         # What is held from now on by this loop's clock, on the decisions' one; they differ by a constant.
-        until = there + max(0, purse.until - now)
-        parts = {name: part / WHOLE for name, part in purse.parts.items()}
-        stages = [QuotaStage(until, parts), QuotaStage(1 << 62, dict.fromkeys(parts, purse.floor / WHOLE))]
+        until = there + max(0, purse.shares_until - now)
+        parts = {name: part / WHOLE for name, part in purse.shares.items()}
+        stages = [
+            QuotaStage(until, parts),
+            QuotaStage(1 << 62, dict.fromkeys(parts, purse.guaranteed_minimum / WHOLE)),
+        ]
         if purse.loans:
             lent: dict[str, float] = {}
             for (owner, borrower), part in purse.loans.items():
-                rates = purse.budgets[owner].rate, purse.budgets[borrower].rate
+                rates = purse.specs[owner].rate, purse.specs[borrower].rate
                 if rates[1]:
                     lent[borrower] = lent.get(borrower, 0.0) + part / WHOLE * rates[0] / rates[1]
             stages.insert(0, QuotaStage(min(until, there + max(0, purse.loans_until - now)), parts, lent))
@@ -159,7 +162,7 @@
             self.loop.call_soon(self.tell_node)  # which made a new reckoning of shares
             return
         if (ledger := self.agent.ledger) is not None:
-            ledger.holdings.hear(piece)
+            ledger.usage.observe(piece)
         if type(piece) is RequestArrived and piece.tenant in self.budgets:
             due = self.agent.due
             self.agent.spend(piece.tenant, self.now())
--- a/locktide/simulation/cluster/cost.py
+++ b/locktide/simulation/cluster/cost.py
@@ -67,10 +67,10 @@
             tenant = budgets[(step + place) % tenants].name
             process.spend(tenant)
             assert process.agent.ledger is not None
-            holdings, job = process.agent.ledger.holdings, f"j{step}"
-            holdings.hear(RequestArrived(job, "plain", 1 << 60, tenant=tenant))
-            holdings.hear(StartAttempt(job, "w0"))
-            holdings.hear(AttemptEnded(f"j{step - 2}", 0, AttemptOutcome.DONE, True))
+            holdings, job = process.agent.ledger.usage, f"j{step}"
+            holdings.observe(RequestArrived(job, "plain", 1 << 60, tenant=tenant))
+            holdings.observe(StartAttempt(job, "w0"))
+            holdings.observe(AttemptEnded(f"j{step - 2}", 0, AttemptOutcome.DONE, True))
         world.run(world.now + SECOND // 2)
     counting, spent = False, time.process_time() - begun
     leader = next((one.name for one in world.all if one.agent.giver is not None), "")
--- a/locktide/simulation/cluster/fairness_runs.py
+++ b/locktide/simulation/cluster/fairness_runs.py
@@ -79,12 +79,12 @@
         for name in names:
             process = self.world.begin(name)
             assert process.agent.ledger is not None
-            process.agent.ledger.holdings.hear(EndpointListUpdate(ListUpdateKind.SNAPSHOT, entries))
+            process.agent.ledger.usage.observe(EndpointListUpdate(ListUpdateKind.SNAPSHOT, entries))
 
     def tell(self, member: str, piece: object) -> None:
         process = self.world.live(member)
         if process is not None and process.agent.ledger is not None:
-            process.agent.ledger.holdings.hear(piece)
+            process.agent.ledger.usage.observe(piece)
 
     def step(self) -> None:
         """A few jobs come, go out, and end; dairy's mostly at one member."""
@@ -127,7 +127,7 @@
         begun = self.world.now
         while self.world.now < begun + most * SECOND:
             ledgers = [one.agent.ledger for one in self.world.all if one.alive]
-            digests = {(one.book.digest, one.standing.digest) for one in ledgers if one is not None}
+            digests = {(one.replica.digest, one.standing.digest) for one in ledgers if one is not None}
             if len(digests) == 1 and len(set(next(iter(digests)))) == 1 and self.written():
                 return (self.world.now - begun) / SECOND
             self.world.run(self.world.now + 50_000)
@@ -139,11 +139,11 @@
             ledger = one.agent.ledger
             if not one.alive or ledger is None:
                 continue
-            pages = ledger.book.writers.get(ledger.who)
-            for place, held in ledger.holdings.held.items():
+            pages = ledger.replica.writers.get(ledger.member_id)
+            for place, held in ledger.usage.in_use.items():
                 row = pages.rows.get(place) if pages is not None else None
-                now = held, ledger.holdings.waits[place]
-                if any(held) and (row is None or (row.held, row.waits) != now):
+                now = held, ledger.usage.waiting[place]
+                if any(held) and (row is None or (row.in_use, row.waiting) != now):
                     return False
         return True
 
@@ -168,6 +168,6 @@
             standing = one.agent.ledger.standing
             for place, name in enumerate(names):
                 true = max(a / c for a, c in zip(held[place], capacity, strict=True))
-                worst = max(worst, abs(standing.held.get(name, 0) / (1 << 40) - true))
-                worst = max(worst, abs(standing.fair.get(name, 0) / (1 << 40) - fair[place]))
+                worst = max(worst, abs(standing.dominant_shares.get(name, 0) / (1 << 40) - true))
+                worst = max(worst, abs(standing.fair_shares.get(name, 0) / (1 << 40) - fair[place]))
         return worst
--- a/locktide/simulation/cluster/model_checking.py
+++ b/locktide/simulation/cluster/model_checking.py
@@ -66,7 +66,7 @@
                 self.lead_at = now + ASK
                 sends += [(name, LeaderHeartbeat(self.giver.term)) for name in NAMES]
         # The one that does not stand wants all, so that parts have to move.
-        if ask := self.holder.ask({0: 9 if self.who[0] == "c" else 1}, now):
+        if ask := self.holder.next_request({0: 9 if self.who[0] == "c" else 1}, now):
             sends.append((ask.term[1], ask))
         return sends
 
@@ -82,12 +82,12 @@
         elif isinstance(word, Accepted) and self.candidate is not None:
             self.candidate.was_accepted(sender, word, now)
         elif isinstance(word, LeaderHeartbeat):
-            self.holder.led(word.term, now)
+            self.holder.observe_leader(word.term, now)
         elif isinstance(word, LeaseGrant):
-            self.holder.granted(word, now)
+            self.holder.accept_grant(word, now)
         elif isinstance(word, LeaseRequest) and self.candidate is not None and self.candidate.leads(now):
             if self.giver is not None and word.term == self.giver.term:
-                reply = self.giver.asked(by, word, now)
+                reply = self.giver.handle_request(by, word, now)
         return [(sender, reply)] if reply is not None else []
 
 
@@ -109,7 +109,7 @@
                 self.under_way.append((who, name, word))
 
     def in_force(self) -> int:
-        return sum(one.holder.in_force(self.now).get(0, 0) for one in self.members.values())
+        return sum(one.holder.current_shares(self.now).get(0, 0) for one in self.members.values())
 
     def leaders(self) -> int:
         return sum(
--- a/locktide/simulation/cluster/random_runs.py
+++ b/locktide/simulation/cluster/random_runs.py
@@ -107,19 +107,19 @@
     def work(self, process: Process) -> None:
         """Jobs of that process come, go out and end."""
         assert process.agent.ledger is not None
-        holdings = process.agent.ledger.holdings
-        if not holdings.ready:
+        holdings = process.agent.ledger.usage
+        if not holdings.ready_workers:
             entries = [EndpointEntry(f"w{n}", "z", "k", 0, EndpointState.READY, 1.0, 0) for n in range(8)]
-            holdings.hear(EndpointListUpdate(ListUpdateKind.SNAPSHOT, entries))
+            holdings.observe(EndpointListUpdate(ListUpdateKind.SNAPSHOT, entries))
         self.jobs += 1
         tenant = self.random.choice(("dairy", "goats", "sheep"))
-        holdings.hear(RequestArrived(f"j{self.jobs}", "plain", 1 << 60, tenant=tenant))
-        for job, one in list(holdings.open.items()):
+        holdings.observe(RequestArrived(f"j{self.jobs}", "plain", 1 << 60, tenant=tenant))
+        for job, one in list(holdings.open_requests.items()):
             draw = self.random.random()
-            if not one.out and draw < 0.3:
-                holdings.hear(StartAttempt(job, "w0"))
-            elif one.out and draw < 0.1:
-                holdings.hear(AttemptEnded(job, 0, AttemptOutcome.DONE, True))
+            if not one.running and draw < 0.3:
+                holdings.observe(StartAttempt(job, "w0"))
+            elif one.running and draw < 0.1:
+                holdings.observe(AttemptEnded(job, 0, AttemptOutcome.DONE, True))
 
     def some(self) -> Process | None:
         live = [process for process in self.world.all if process.alive and not process.paused]
@@ -200,9 +200,9 @@
         views = {tuple(one.agent.swim.alive()) for one in live}
         leads = [one for one in live if one.agent.candidate is not None and one.agent.giver is not None]
         able = sum(one.agent.elector is not None for one in live) > self.electors // 2
-        total = sum(one.agent.purse.parts["dairy"] for one in live)
+        total = sum(one.agent.purse.shares["dairy"] for one in live)
         purse = live[0].agent.purse if live else None
-        most = purse.movable + purse.floor * len(live) if purse is not None else 0
+        most = purse.divisible + purse.guaranteed_minimum * len(live) if purse is not None else 0
         return Outcome(
             self.seed,
             len(self.names),
--- a/locktide/simulation/cluster/virtual_cluster.py
+++ b/locktide/simulation/cluster/virtual_cluster.py
@@ -64,10 +64,10 @@
 
     def log(self) -> None:
         purse = self.agent.purse
-        until = self.shared(purse.until) if purse.until else 0
+        until = self.shared(purse.shares_until) if purse.shares_until else 0
         lent = self.shared(purse.loans_until) if purse.loans_until else 0
         self.world.meter.in_force(
-            self.key, self.world.now, purse.parts, until, purse.floor, purse.loans, lent
+            self.key, self.world.now, purse.shares, until, purse.guaranteed_minimum, purse.loans, lent
         )
 
     def wake(self) -> None:
@@ -102,7 +102,7 @@
     def spend(self, budget: str) -> bool:
         if not self.alive or self.paused:
             return False
-        if self.agent.purse.lapse(self.clock()):
+        if self.agent.purse.expire(self.clock()):
             self.log()
         self.world.meter.ask(budget, self.world.now)
         due, of = self.agent.due, self.agent.spend(budget, self.clock())
--- a/tests/test_accord.py
+++ b/tests/test_accord.py
@@ -165,7 +165,7 @@
     world.begin("d3", 9500)
     world.run(11 * SECOND)
     assert world.all[3].agent.stepped_down and not world.all[5].agent.stepped_down
-    assert world.all[3].agent.purse.parts == {"dairy": 0, "cold": 0}
+    assert world.all[3].agent.purse.shares == {"dairy": 0, "cold": 0}
     assert [name for _, name, what, _ in world.events if what == "replaced"] == ["d3"]
     assert not world.meter.overruns()
 
@@ -218,7 +218,7 @@
         now += span
         free = 1_000_000 - sum(parts) + parts[place]
         parts[place] = min(part, free)
-        buckets[place].move(parts[place], now)
+        buckets[place].set_share(parts[place], now)
         for one in buckets:
             while one.spend(now):
                 meter.spend("x", now)
@@ -236,11 +236,11 @@
 
     world.at(world.now, ask)
     world.run(10 * SECOND)
-    assert busy.agent.purse.parts["dairy"] > 600_000
+    assert busy.agent.purse.shares["dairy"] > 600_000
     busy.kill()
     world.run(10 * SECOND + spans.PART + SECOND)
-    left = [one.agent.purse.parts["dairy"] for one in world.all if one.alive]
-    assert sum(left) > 900_000 - busy.agent.purse.floor
+    left = [one.agent.purse.shares["dairy"] for one in world.all if one.alive]
+    assert sum(left) > 900_000 - busy.agent.purse.guaranteed_minimum
     assert not world.meter.overruns()
 
 
@@ -251,7 +251,7 @@
     world.run(14 * SECOND)
     live = [one for one in world.all if one.alive]
     assert sum(one.agent.giver is not None for one in live) == 1
-    assert sum(one.agent.purse.parts["dairy"] for one in live) > 800_000
+    assert sum(one.agent.purse.shares["dairy"] for one in live) > 800_000
     assert not world.meter.overruns()
 
 
@@ -260,7 +260,7 @@
     alone = world.all[4]
     world.net.cut = {pair for name in world.names for pair in (("d4", name), (name, "d4"))}
     world.run(13 * SECOND)  # also if it led: its lease, and what it gave itself at the end of that
-    assert alone.agent.purse.parts["dairy"] == alone.agent.purse.floor > 0
+    assert alone.agent.purse.shares["dairy"] == alone.agent.purse.guaranteed_minimum > 0
     spent = alone.spent
     for _ in range(200):
         world.run(world.now + 50_000)
@@ -276,7 +276,7 @@
 
     def tokens_at(now: int) -> int:
         quota = purse.LocalQuota([whole], reserve=0.15, most=5, now=0)
-        quota.settle({"dairy": 500_000}, expiry, {}, 0, 0)
+        quota.update({"dairy": 500_000}, expiry, {}, 0, 0)
         return sum(quota.spend("dairy", now) is not None for _ in range(100))
 
     assert tokens_at(expiry - 1) == 53
@@ -287,15 +287,15 @@
     world = settled()
     stopped = next(process for process in world.all if process.agent.giver is None)
     agent, rate, burst = stopped.agent, 60, 60
-    held, floor = agent.purse.parts["dairy"], agent.purse.floor
+    held, floor = agent.purse.shares["dairy"], agent.purse.guaranteed_minimum
     assert held > 3 * floor > 0
     stopped.pause()
-    while stopped.clock() < agent.purse.until:
+    while stopped.clock() < agent.purse.shares_until:
         world.run(world.now + 100_000)
-    assert agent.purse.parts["dairy"] == held, "nothing has told it yet"
+    assert agent.purse.shares["dairy"] == held, "nothing has told it yet"
     spent = sum(agent.spend("dairy", stopped.clock()) is not None for _ in range(rate + burst))
     assert spent <= burst * floor // 1_000_000
-    assert agent.purse.parts["dairy"] == floor
+    assert agent.purse.shares["dairy"] == floor
 
 
 @pytest.mark.parametrize("seed", range(6))
@@ -318,16 +318,16 @@
 
 
 def forgets_expiry(monkeypatch: pytest.MonkeyPatch) -> None:
-    settle = purse.LocalQuota.settle
+    settle = purse.LocalQuota.update
 
     def kept(self: Any, held: Any, until: int, loans: Any, loans_until: int, now: int) -> bool:
         moved = settle(self, held, until, loans, loans_until, now)
-        self.until = 1 << 61 if held else 0
+        self.shares_until = 1 << 61 if held else 0
         return moved
 
-    monkeypatch.setattr(holder.LeaseHolder, "in_force", lambda self, now: self.parts)
-    monkeypatch.setattr(purse.LocalQuota, "lapse", lambda self, now: False)
-    monkeypatch.setattr(purse.LocalQuota, "settle", kept)
+    monkeypatch.setattr(holder.LeaseHolder, "current_shares", lambda self, now: self.shares)
+    monkeypatch.setattr(purse.LocalQuota, "expire", lambda self, now: False)
+    monkeypatch.setattr(purse.LocalQuota, "update", kept)
 
 
 def waits_out_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -335,21 +335,21 @@
 
     def eager(self: Any, *args: Any, **more: Any) -> None:
         begin(self, *args, **more)
-        self.renews_until = 0
+        self.renew_only_until = 0
 
     monkeypatch.setattr(giver.Allocator, "__init__", eager)
 
 
 def doubles_the_burst(monkeypatch: pytest.MonkeyPatch) -> None:
-    move = bucket.TokenBucket.move
+    move = bucket.TokenBucket.set_share
 
     def brings(self: Any, part: int, now: int) -> None:
-        self.fill(now)
-        grown = self.burst * max(0, part - self.part) // 1_000_000
+        self.refill(now)
+        grown = self.burst * max(0, part - self.share) // 1_000_000
         move(self, part, now)
         self.level += grown
 
-    monkeypatch.setattr(bucket.TokenBucket, "move", brings)
+    monkeypatch.setattr(bucket.TokenBucket, "set_share", brings)
 
 
 def elects_two(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -414,9 +414,9 @@
 
 def test_the_search_finds_a_giver_that_does_not_wait(monkeypatch: pytest.MonkeyPatch) -> None:
     def grasping(self: Any, who: Any, budget: str, held: int, steps: bool, now: int) -> int:
-        return int(self.movable[budget])
+        return int(self.divisible[budget])
 
-    monkeypatch.setattr(giver.Allocator, "part", grasping)
+    monkeypatch.setattr(giver.Allocator, "share_for", grasping)
     found = search.search(4_000)
     assert found.breach
 
--- a/tests/test_accord_ledger.py
+++ b/tests/test_accord_ledger.py
@@ -37,7 +37,7 @@
 
 def versioned(row: LedgerRow) -> LedgerRow:
     """What a version of a row says: the same wherever it is read."""
-    return LedgerRow(row.place, row.version, [row.version, row.place], [0, row.version])
+    return LedgerRow(row.index, row.version, [row.version, row.index], [0, row.version])
 
 
 STEPS = st.lists(
@@ -60,7 +60,7 @@
 
 
 def plain(book: ReplicatedLedger) -> Any:
-    return sorted((who, row.place, row.version) for who, row in book.rows()), sorted(book.closed.items())
+    return sorted((who, row.index, row.version) for who, row in book.rows()), sorted(book.closed.items())
 
 
 @given(STEPS, st.randoms())
@@ -74,8 +74,8 @@
 def test_a_group_that_leaves_a_hole_is_not_taken() -> None:
     here = ReplicatedLedger()
     row = LedgerRow(0, 5, [1], [0])
-    assert not here.merge(WriterDelta("a", 1, 3, [row])) and here.head(("a", 1)) == 0
-    assert here.merge(WriterDelta("a", 1, 0, [row])) and here.head(("a", 1)) == 5
+    assert not here.merge(WriterDelta("a", 1, 3, [row])) and here.read_version(("a", 1)) == 0
+    assert here.merge(WriterDelta("a", 1, 0, [row])) and here.read_version(("a", 1)) == 5
     assert not here.merge(WriterDelta("a", 1, 5, [])), "nothing new"
 
 
@@ -166,24 +166,24 @@
 
 def test_what_waits_and_what_is_out_follows_the_news_and_orders() -> None:
     here = UsageTracker({"dairy": 0}, {"view": [1000, 50]}, [4000, 0])
-    here.hear(RequestArrived("a", "view", 9, width=2.0, tenant="dairy"))
-    here.hear(RequestArrived("b", "view", 9, tenant="nobody"))
-    assert here.waits == {0: [2000, 100]} and not here.held
-    here.hear(StartAttempt("a", "w"))
-    here.hear(StartAttempt("a", "v"))
-    assert here.held == {0: [4000, 200]} and here.waits == {0: [0, 0]}
-    here.hear(AttemptEnded("a", 0, AttemptOutcome.FULL, False))
-    here.hear(AttemptEnded("a", 1, AttemptOutcome.FULL, False))
-    assert here.held == {0: [0, 0]} and here.waits == {0: [2000, 100]}
-    here.hear(StartAttempt("a", "w"))
-    here.hear(FailRequest("a"))
-    assert here.held == {0: [2000, 100]} and here.open, "it runs on"
-    here.hear(AttemptEnded("a", 2, AttemptOutcome.CANCELLED, False))
-    assert not here.open and here.held == here.waits == {0: [0, 0]}
+    here.observe(RequestArrived("a", "view", 9, width=2.0, tenant="dairy"))
+    here.observe(RequestArrived("b", "view", 9, tenant="nobody"))
+    assert here.waiting == {0: [2000, 100]} and not here.in_use
+    here.observe(StartAttempt("a", "w"))
+    here.observe(StartAttempt("a", "v"))
+    assert here.in_use == {0: [4000, 200]} and here.waiting == {0: [0, 0]}
+    here.observe(AttemptEnded("a", 0, AttemptOutcome.FULL, False))
+    here.observe(AttemptEnded("a", 1, AttemptOutcome.FULL, False))
+    assert here.in_use == {0: [0, 0]} and here.waiting == {0: [2000, 100]}
+    here.observe(StartAttempt("a", "w"))
+    here.observe(FailRequest("a"))
+    assert here.in_use == {0: [2000, 100]} and here.open_requests, "it runs on"
+    here.observe(AttemptEnded("a", 2, AttemptOutcome.CANCELLED, False))
+    assert not here.open_requests and here.in_use == here.waiting == {0: [0, 0]}
     entry = EndpointEntry("w", "z", "k", 0, EndpointState.READY, 1.0, 0)
-    here.hear(EndpointListUpdate(ListUpdateKind.SNAPSHOT, [entry]))
+    here.observe(EndpointListUpdate(ListUpdateKind.SNAPSHOT, [entry]))
     assert here.capacity() == [4000, 0]
-    here.hear(
+    here.observe(
         EndpointListUpdate(
             ListUpdateKind.DELTA, [EndpointEntry("w", "z", "k", 0, EndpointState.DRAINING, 1.0, 0)]
         )
@@ -194,13 +194,13 @@
 def test_what_its_client_has_left_waits_no_more() -> None:
     here = UsageTracker({"dairy": 0}, {"view": [1000]}, [4000])
     for job in ("a", "b"):
-        here.hear(RequestArrived(job, "view", 9, tenant="dairy"))
-    here.hear(StartAttempt("b", "w"))
-    here.hear(ClientDisconnected("a"))
-    here.hear(ClientDisconnected("b"))
-    assert here.waits == {0: [0]} and here.held == {0: [1000]} and list(here.open) == ["b"]
-    here.hear(AttemptEnded("b", 0, AttemptOutcome.CANCELLED, False))
-    assert not here.open and here.held == {0: [0]}
+        here.observe(RequestArrived(job, "view", 9, tenant="dairy"))
+    here.observe(StartAttempt("b", "w"))
+    here.observe(ClientDisconnected("a"))
+    here.observe(ClientDisconnected("b"))
+    assert here.waiting == {0: [0]} and here.in_use == {0: [1000]} and list(here.open_requests) == ["b"]
+    here.observe(AttemptEnded("b", 0, AttemptOutcome.CANCELLED, False))
+    assert not here.open_requests and here.in_use == {0: [0]}
 
 
 def test_a_peer_that_tells_of_writers_without_end_fills_no_memory(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -224,8 +224,8 @@
     assert here.until_equal() <= 2.0
     assert here.distance() < 1e-3
     standings = [one.agent.ledger.standing for one in here.world.all]
-    assert len({(str(one.held), str(one.fair), tuple(one.order)) for one in standings}) == 1
-    assert standings[0].contended and standings[0].over
+    assert len({(str(one.dominant_shares), str(one.fair_shares), tuple(one.order)) for one in standings}) == 1
+    assert standings[0].contended and standings[0].over_share
 
 
 def test_rows_of_the_dead_count_until_their_jobs_must_have_ended_and_are_closed_for_all() -> None:
@@ -236,9 +236,9 @@
     dead.kill()
     here.world.run(here.world.now + 4 * SECOND)
     rest = here.world.all[1:]
-    assert all(who in one.agent.ledger.book.writers for one in rest), "its jobs may run"
+    assert all(who in one.agent.ledger.replica.writers for one in rest), "its jobs may run"
     here.world.run(here.world.now + 25 * SECOND)
-    assert not any(who in one.agent.ledger.book.writers for one in rest)
+    assert not any(who in one.agent.ledger.replica.writers for one in rest)
     here.quiet()
     assert here.until_equal() <= 2.0
 
@@ -250,10 +250,10 @@
     pairs = {pair for one in here.world.names for pair in ((alone.name, one), (one, alone.name))}
     here.world.net.cut = set(pairs)
     here.world.run(here.world.now + 30 * SECOND)
-    assert alone.agent.who not in here.world.all[0].agent.ledger.book.writers
+    assert alone.agent.who not in here.world.all[0].agent.ledger.replica.writers
     here.world.net.cut = set()
     here.world.run(here.world.now + 25 * SECOND)
-    assert alone.agent.who in here.world.all[0].agent.ledger.book.writers
+    assert alone.agent.who in here.world.all[0].agent.ledger.replica.writers
     here.quiet()
     assert here.until_equal() <= 2.0
 
@@ -261,8 +261,8 @@
 def test_a_row_counted_twice_is_found_by_a_recount(monkeypatch: pytest.MonkeyPatch) -> None:
     def twice(book: ReplicatedLedger, resources: int) -> Any:
         held, asked = totals(book, resources)
-        who, row = next((who, row) for who, row in book.rows() if row.place != CAPACITY and any(row.held))
-        return held | {row.place: [a + b for a, b in zip(held[row.place], row.held, strict=True)]}, asked
+        who, row = next((who, row) for who, row in book.rows() if row.index != CAPACITY and any(row.in_use))
+        return held | {row.index: [a + b for a, b in zip(held[row.index], row.in_use, strict=True)]}, asked
 
     here = Fair(3, 3)
     here.run(6.0)
--- a/tests/test_accord_lending.py
+++ b/tests/test_accord_lending.py
@@ -51,45 +51,45 @@
     rates = {0: 100 * 10**6, 1: 100 * 10**6, 2: 50 * 10**6}
     made = LoanAllocator(rates, dict.fromkeys(range(3), 900_000), 800_000, 0)
     for step in range(120):
-        made.divide({0: wants(250)}, [], {}, step * SECOND // 4)
+        made.replan({0: wants(250)}, [], {}, step * SECOND // 4)
     return made
 
 
 def test_what_an_owner_does_not_use_is_lent_and_it_lends_nothing_for_a_while_after_it_is_back() -> None:
     here, now = broker(), 30 * SECOND
-    assert here.plan[1, 0] == pytest.approx(720_000, abs=9_000)
-    assert here.plan[2, 0] == pytest.approx(720_000, abs=9_000)
-    assert here.wanted(1, now) and not here.wanted(1, now + 1), "it is called back once"
-    assert (1, 0) not in here.plan
+    assert here.planned_loans[1, 0] == pytest.approx(720_000, abs=9_000)
+    assert here.planned_loans[2, 0] == pytest.approx(720_000, abs=9_000)
+    assert here.record_demand(1, now) and not here.record_demand(1, now + 1), "it is called back once"
+    assert (1, 0) not in here.planned_loans
     for step in range(1, 12):
-        here.divide({0: wants(250)}, [], {}, now + step * QUIET // 12)
-        assert (1, 0) not in here.plan, "it flaps at its own cost, not at others'"
+        here.replan({0: wants(250)}, [], {}, now + step * QUIET // 12)
+        assert (1, 0) not in here.planned_loans, "it flaps at its own cost, not at others'"
     for step in range(12, 30):
-        here.divide({0: wants(250)}, [], {}, now + step * QUIET // 12)
-    assert (1, 0) in here.plan
+        here.replan({0: wants(250)}, [], {}, now + step * QUIET // 12)
+    assert (1, 0) in here.planned_loans
 
 
 def test_an_owner_that_uses_a_part_lends_the_rest_and_calls_it_back_once_it_wants_more() -> None:
     here, now = broker(), 30 * SECOND
     for step in range(40):
-        here.wanted(1, now)
+        here.record_demand(1, now)
         now += SECOND // 4
-        assert not here.divide({0: wants(250), 1: wants(20)}, [], {}, now) or step < 2
-    lent = here.plan[1, 0]
+        assert not here.replan({0: wants(250), 1: wants(20)}, [], {}, now) or step < 2
+    lent = here.planned_loans[1, 0]
     assert 300_000 < lent < 500_000
-    assert here.divide({0: wants(250), 1: wants(95)}, [], {(1, 0): lent}, now + 1) == [1]
-    assert (1, 0) not in here.plan
+    assert here.replan({0: wants(250), 1: wants(95)}, [], {(1, 0): lent}, now + 1) == [1]
+    assert (1, 0) not in here.planned_loans
 
 
 def test_nobody_lends_while_it_borrows_nor_borrows_while_it_lends() -> None:
     here, now = broker(), 30 * SECOND
-    lent = dict(here.plan)
+    lent = dict(here.planned_loans)
     assert lent
     # Who lent is short itself now; all that it lent is still out, by the books.
-    here.divide({0: wants(250), 1: wants(300)}, [], lent, now)
-    assert not any(1 in pair for pair in here.plan)
-    here.divide({2: wants(300)}, [], {(1, 0): 700_000}, now + 1)
-    assert not any(pair[0] == 0 for pair in here.plan), "what it was lent may still be spent"
+    here.replan({0: wants(250), 1: wants(300)}, [], lent, now)
+    assert not any(1 in pair for pair in here.planned_loans)
+    here.replan({2: wants(300)}, [], {(1, 0): 700_000}, now + 1)
+    assert not any(pair[0] == 0 for pair in here.planned_loans), "what it was lent may still be spent"
 
 
 @pytest.mark.parametrize("trouble", [trouble for trouble in idle.TROUBLES if trouble != "who divides killed"])
@@ -145,26 +145,26 @@
 
 def passed_on(monkeypatch: pytest.MonkeyPatch) -> None:
     """Who is lent something lends it to another."""
-    settle = purse.LocalQuota.settle
+    settle = purse.LocalQuota.update
 
     def hands_on(self: Any, held: Any, until: int, loans: Any, loans_until: int, now: int) -> bool:
         more = {(borrower, "other"): part // 2 for (_, borrower), part in loans.items()}
         return settle(self, held, until, loans | more, loans_until, now)
 
-    monkeypatch.setattr(purse.LocalQuota, "settle", hands_on)
+    monkeypatch.setattr(purse.LocalQuota, "update", hands_on)
 
 
 def kept(monkeypatch: pytest.MonkeyPatch) -> None:
     """A loan's end is ignored, and so is its recall."""
-    settle = purse.LocalQuota.settle
+    settle = purse.LocalQuota.update
 
     def endless(self: Any, held: Any, until: int, loans: Any, loans_until: int, now: int) -> bool:
         return settle(self, held, until, loans, 1 << 60 if loans else 0, now)
 
-    monkeypatch.setattr(holder.LeaseHolder, "lent", lambda self, now: self.loans)
-    monkeypatch.setattr(holder.LeaseHolder, "recalled", lambda self, word, now: None)
-    monkeypatch.setattr(purse.LocalQuota, "settle", endless)
-    monkeypatch.setattr(purse.LocalQuota, "lapse", lambda self, now: False)
+    monkeypatch.setattr(holder.LeaseHolder, "current_loans", lambda self, now: self.loans)
+    monkeypatch.setattr(holder.LeaseHolder, "accept_revocation", lambda self, word, now: None)
+    monkeypatch.setattr(purse.LocalQuota, "update", endless)
+    monkeypatch.setattr(purse.LocalQuota, "expire", lambda self, now: False)
 
 
 @pytest.mark.parametrize("fault", [None, passed_on, kept])
--- a/tests/test_accord_processes.py
+++ b/tests/test_accord_processes.py
@@ -44,7 +44,8 @@
         "-c",
         (
             "from locktide.cluster.quota import allocator\n"
-            "allocator.Allocator.part = lambda self, who, budget, held, steps, now: self.movable[budget]\n"
+            "def whole(self, who, budget, held, steps, now): return self.divisible[budget]\n"
+            "allocator.Allocator.share_for = whole\n"
             "from locktide.cli.main import main; main()"
         ),
     )
@@ -246,7 +247,7 @@
         asked = submission("a")
         asked.tenant = "dairy"
         play.node.submit(asked)
-        assert driver.agent.purse.wants == {"dairy": 1}
+        assert driver.agent.purse.demand == {"dairy": 1}
         await play.settle()
         told = [piece for _, news in play.turns for piece in news if type(piece) is QuotaSharesUpdated]
         assert [stage.shares for stage in told[0].stages] == [{"dairy": 0.1}] * 2
--- a/tests/test_accord_rehearse.py
+++ b/tests/test_accord_rehearse.py
@@ -46,9 +46,9 @@
 
 def test_an_overrun_of_whole_dispatchers_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
     def whole(self: Any, who: Any, budget: int, held: int, steps: bool, now: int) -> int:
-        return int(self.movable[budget])
+        return int(self.divisible[budget])
 
-    monkeypatch.setattr(giver.Allocator, "part", whole)
+    monkeypatch.setattr(giver.Allocator, "share_for", whole)
     told = play.in_virtual_time(shorter("accord-calm")).told
     assert told["accord"]["overruns"] and outcome.broken(told)
 
--- a/tests/test_datagram_bytes.py
+++ b/tests/test_datagram_bytes.py
@@ -29,7 +29,7 @@
 BALLOT, LATER = (3, "d1", 7), (2**40, "d2", 8)
 ROW = MemberRecord(name="d1", start=1_700_000_000_000_000, turn=2, state=3, address=("127.0.0.1", 9001))
 OTHER_ROW = MemberRecord(name="d2", start=5, turn=0, state=1, address=("10.0.0.2", 65_535))
-ENTRY = LedgerRow(place=65_535, version=2, held=[1000, 0], waits=[500])
+ENTRY = LedgerRow(index=65_535, version=2, in_use=[1000, 0], waiting=[500])
 
 # Each message with its whole datagram in hex: CRC-32, then [version, sender, its start, [tag, fields...]].
 DATAGRAMS: list[tuple[Any, str]] = [
@@ -83,47 +83,57 @@
         words.LeaseRequest(
             term=LATER,
             number=5,
-            of=BALLOT,
+            held_term=BALLOT,
             seq=6,
-            held={0: 250_000},
-            wants={1: 70_000},
+            held_shares={0: 250_000},
+            demand={1: 70_000},
             loans=[(0, 1, 9)],
             leaving=True,
-            book=0xFEDCBA98,
+            names_checksum=0xFEDCBA98,
         ),
         "2ad2c9ba9402a26430cf00060a24181e40019aa341736b93cf0000010000000000a2643208059303a2643107068100ce"
         "0003d0908101ce000111709193000109c3cefedcba98",
     ),
     (
-        words.LeaseRequest(term=LATER, number=5, of=None, seq=0, held={}, wants={}, loans=[], leaving=False),
+        words.LeaseRequest(
+            term=LATER, number=5, held_term=None, seq=0, held_shares={}, demand={}, loans=[], leaving=False
+        ),
         "3470393b9402a26430cf00060a24181e40019aa341736b93cf0000010000000000a264320805c000808090c200",
     ),
     (
         words.LeaseGrant(
-            term=BALLOT, number=7, seq=8, parts={0: 1_000_000, 255: 1}, loans=[(2, 3, 400)], soon=True
+            term=BALLOT,
+            number=7,
+            seq=8,
+            shares={0: 1_000_000, 255: 1},
+            loans=[(2, 3, 400)],
+            more_expected=True,
         ),
         "1331e0879402a26430cf00060a24181e400197a54772616e749303a264310707088200ce000f4240ccff0191930203cd"
         "0190c3",
     ),
     (
-        words.LeaseRevocation(term=BALLOT, owners=[0, 4]),
+        words.LeaseRevocation(term=BALLOT, lenders=[0, 4]),
         "a0b153339402a26430cf00060a24181e400193a6526563616c6c9303a2643107920004",
     ),
     (
         words.Digest(
-            sum=11,
+            schema_checksum=11,
             digest=2**63 + 1,
-            heads=[("d1", 7, 12)],
+            versions=[("d1", 7, 12)],
             closed=[("d2", 8, 13)],
-            after="d0",
-            upto="d9",
-            answer=True,
+            after_name="d0",
+            up_to_name="d9",
+            reply_expected=True,
         ),
         "8f800ca29402a26430cf00060a24181e400198a548656164730bcf80000000000000019193a26431070c9193a2643208"
         "0da26430a26439c3",
     ),
     (
-        words.Delta(sum=14, groups=[words.WriterDelta(name="d1", start=7, after=15, entries=[ENTRY])]),
+        words.Delta(
+            schema_checksum=14,
+            writer_deltas=[words.WriterDelta(name="d1", start=7, after_version=15, rows=[ENTRY])],
+        ),
         "8267cded9402a26430cf00060a24181e400193a4526f77730e9194a26431070f9194cdffff0292cd03e80091cd01f4",
     ),
     (words.InspectionRequest(number=16), "3bd44a1d9402a26430cf00060a24181e400192a44c6f6f6b10"),
@@ -217,7 +227,7 @@
 def test_digests_and_sums_that_members_compare_are_the_same() -> None:
     agent = ClusterMember(terms(("127.0.0.1", 9000)), 0)
     assert agent.ledger is not None
-    assert (agent.book, agent.ledger.gossip.sum_) == (443426513, 1457360318)
+    assert (agent.book, agent.ledger.anti_entropy.schema_checksum) == (443426513, 1457360318)
     book = ReplicatedLedger()
     book.put(("d1", 7), ENTRY)
     assert book.digest == 2019037609288762282
--- a/tests/test_parsed_values.py
+++ b/tests/test_parsed_values.py
@@ -150,8 +150,8 @@
         "version whole=is_snapshot entries addresses unclear=unreadable faults",
     ),
     AccordTerms: ("accord-terms", "who address electors seeds budgets reserve most seed lend ledger"),
-    QuotaSpec: ("budget", "name rate burst lends"),
-    LedgerTerms: ("ledger-terms", "resources weights needs each longest"),
+    QuotaSpec: ("budget", "name rate burst lends=lendable"),
+    LedgerTerms: ("ledger-terms", "resources weights needs each=worker_capacity longest=max_job_time"),
     JobTerms: (
         "job-terms",
         "grades=service_classes limit=detached_timeout keep=retention most_open=max_open_jobs "
