Quota and borrowing: accounts, planner and revocations apart; the safety argument in one place

Cause: one class kept accounts, plans, loans and revocations; loans were pairs; the argument was spread.

--- a/locktide/cluster/borrowing/__init__.py
+++ b/locktide/cluster/borrowing/__init__.py
@@ -1,1 +1,1 @@
-"""Idle capacity lent: what an owner does not use, to whom, and its way back."""
+"""Idle quota lent to members of other quotas, and revoked once its own demand returns."""
--- a/locktide/cluster/election/acceptor.py
+++ b/locktide/cluster/election/acceptor.py
@@ -7,14 +7,14 @@
 from __future__ import annotations
 
 from locktide.cluster.messages import Accepted, Ballot, MemberId, Prepare, Promise, Propose
-from locktide.cluster.quota.lease_timing import LEAD, stretched
+from locktide.cluster.quota.lease_timing import LEADER_LEASE, lifetime_at_grantor
 
 NONE: Ballot = (0, "", 0)
 
 
 class Acceptor:
-    def __init__(self, now: int, lead: int = LEAD) -> None:
-        self.lasts = stretched(lead)
+    def __init__(self, now: int, lead: int = LEADER_LEASE) -> None:
+        self.lasts = lifetime_at_grantor(lead)
         self.silent_until = now + self.lasts
         self.promised = NONE
         self.owner: MemberId | None = None
--- a/locktide/cluster/election/proposer.py
+++ b/locktide/cluster/election/proposer.py
@@ -9,7 +9,7 @@
 
 from locktide.cluster.election.acceptor import NONE
 from locktide.cluster.messages import Accepted, Ballot, MemberId, Message, Prepare, Promise, Propose
-from locktide.cluster.quota.lease_timing import LEAD, RENEW
+from locktide.cluster.quota.lease_timing import LEADER_LEASE, LEADER_RENEWAL_INTERVAL
 from locktide.scheduler.estimators.random import LinearCongruentialGenerator
 
 Outgoing = list[tuple[str, Message]]
@@ -22,8 +22,8 @@
         electors: list[str],
         chance: LinearCongruentialGenerator,
         now: int,
-        lead: int = LEAD,
-        renew: int = RENEW,
+        lead: int = LEADER_LEASE,
+        renew: int = LEADER_RENEWAL_INTERVAL,
     ) -> None:
         self.who, self.electors, self.chance = who, electors, chance
         self.lead, self.renew = lead, renew
--- a/locktide/cluster/member.py
+++ b/locktide/cluster/member.py
@@ -31,9 +31,9 @@
     Promise,
     Propose,
 )
-from locktide.cluster.quota.allocator import Allocator
+from locktide.cluster.quota.allocator import Allocator, AllocatorConfig
 from locktide.cluster.quota.lease_holder import LeaseHolder
-from locktide.cluster.quota.lease_timing import ASK
+from locktide.cluster.quota.lease_timing import REQUEST_INTERVAL
 from locktide.cluster.quota.local_quota import LocalQuota
 from locktide.scheduler.estimators.random import LinearCongruentialGenerator
 
@@ -108,16 +108,17 @@
             self.giver, self.lead_at = self.divider(term, now), now
         if self.ledger is not None:
             order = self.ledger.standing.order
-            self.giver.borrowing_order = [self.places[name] for name in order if name in self.places]
+            self.giver.set_borrowing_order([self.places[name] for name in order if name in self.places])
         if now < self.lead_at:
             return []
-        self.lead_at = now + ASK
+        self.lead_at = now + REQUEST_INTERVAL
         return [send for name in self.swim.alive() for send in self.to(name, LeaderHeartbeat(term))]
 
     def divider(self, term: Ballot, now: int) -> Allocator:
         lend = int(self.terms.lend * MILLION)
         broker = LoanAllocator(self.lendable, self.movable, lend, now) if self.lendable else None
-        return Allocator(term, self.movable, now, floor=self.purse.guaranteed_minimum, broker=broker)
+        config = AllocatorConfig(self.movable, self.purse.guaranteed_minimum)
+        return Allocator(term, config, now, broker)
 
     def ask(self, now: int) -> Outgoing:
         """The next question, where it is time."""
@@ -126,7 +127,7 @@
             return []
         ask.names_checksum = self.book
         if now >= self.fade_at:
-            self.fade_at = now + ASK
+            self.fade_at = now + REQUEST_INTERVAL
             self.purse.decay_demand()
         return self.to(ask.term[1], ask)
 
@@ -157,7 +158,7 @@
             self.lead(now)
             if self.giver is not None and word.term == self.giver.term and word.names_checksum == self.book:
                 grant = self.giver.handle_request((sender, said.start), word, now)
-                recalls, self.giver.revocations = self.giver.revocations, []
+                recalls = self.giver.take_revocations()
                 sends = [send for who, recall in recalls for send in self.to(who[0], recall)]
                 return sends + (self.to(sender, grant) if grant is not None else [])
         elif isinstance(word, LeaseRevocation):
@@ -205,7 +206,7 @@
     def step_down(self, now: int) -> None:
         """Another process of our name began after us: nothing is spent by us any more, floors neither."""
         self.stepped_down = True
-        self.holder.shares, self.holder.shares_until, self.holder.loans = {}, 0, {}
+        self.holder.drop()
         if self.candidate is not None:
             self.candidate.resign()
         self.giver = None
--- a/locktide/cluster/quota/__init__.py
+++ b/locktide/cluster/quota/__init__.py
@@ -1,1 +1,1 @@
-"""Parts of budgets: divided by one member at a time, held as leases."""
+"""Quotas divided by the leader and held by members as leases."""
--- a/locktide/cluster/quota/account.py
+++ b/locktide/cluster/quota/account.py
@@ -1,86 +1,94 @@
-"""What one member may hold at worst, as the one that divides counts it, by its own clock."""
+"""What one member may hold at worst, as the allocator counts it, by the allocator's clock."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass, field
 
-from locktide.cluster.messages import LeaseRequest, LoanTriple
+from locktide.cluster.messages import LeaseRequest
+from locktide.cluster.quota.types import Loans, QuotaDemand, QuotaShares, loans_from_wire
 
-Parts = dict[int, int]  # by the budget's place
-Loans = dict[tuple[int, int], int]  # by owner and borrower
-
-
-def loans_of(told: list[LoanTriple]) -> Loans:
-    return {(owner, borrower): part for owner, borrower, part in told}
+LONG_AGO = -(1 << 62)  # before any time of any clock
 
 
 @dataclass(slots=True)
 class OutstandingGrant:
-    """Parts count before `until`, loans before `loans_until`, which is no later."""
+    """A grant that may be in force: shares before `shares_until`, loans before `loans_until`.
+
+    Loans end no later than shares.
+    """
 
     seq: int
-    shares: Parts
+    shares: QuotaShares
     loans: Loans
     shares_until: int
     loans_until: int
 
-    def amounts_at(self, now: int) -> Parts:
-        """Of each budget, its part and what is lent of it."""
-        own = self.shares if now < self.shares_until else {}
-        if lent := self.loans_at(now):
-            own = dict(own)
-            for (owner, _), part in lent.items():
-                own[owner] = own.get(owner, 0) + part
-        return own
+    def amounts_at(self, now: int) -> QuotaShares:
+        """Return, for each quota, its share and what is lent of it."""
+        amounts = self.shares if now < self.shares_until else {}
+        if loans := self.loans_at(now):
+            amounts = dict(amounts)
+            for key, share in loans.items():
+                amounts[key.lender] = amounts.get(key.lender, 0) + share
+        return amounts
 
     def loans_at(self, now: int) -> Loans:
+        """Return the loans that may be in force."""
         return self.loans if now < self.loans_until else {}
 
     def expiries_after(self, now: int) -> list[int]:
-        """When it counts less."""
-        ends = (self.shares_until, self.loans_until if self.loans else 0)
-        return [end for end in ends if now < end]
+        """Return the times at which it will count less."""
+        expiries = (self.shares_until, self.loans_until if self.loans else 0)
+        return [expiry for expiry in expiries if now < expiry]
 
 
 @dataclass(slots=True)
 class HolderAccount:
-    request_number: int = 0  # of the last Ask that was heard
+    """What the allocator knows of one member: its demand, and the two grants that it may hold."""
+
+    request_number: int = 0  # of the last request that was received
     heard_at: int = 0
-    demand: Parts = field(default_factory=dict)
-    confirmed: OutstandingGrant | None = None  # as it said, in force there until then at the latest
-    unconfirmed: OutstandingGrant | None = None  # a later grant, of which it has not told yet
-    stepped_at: int = -(1 << 62)  # when its parts last made a damped step
-    counted: Parts = field(default_factory=dict)  # its worst as it stands in the totals
+    demand: QuotaDemand = field(default_factory=dict)
+    # What the member reported, in force there until then at the latest.
+    confirmed: OutstandingGrant | None = None
+    # A later grant, which the member has not reported yet.
+    unconfirmed: OutstandingGrant | None = None
+    stepped_at: int = LONG_AGO  # when its shares last made a damped step
+    counted: QuotaShares = field(default_factory=dict)  # its worst case as it stands in the totals
 
     def outstanding(self, now: int) -> list[OutstandingGrant]:
-        return [
-            one for one in (self.confirmed, self.unconfirmed) if one is not None and now < one.shares_until
-        ]
-
-    def worst_case(self, now: int) -> Parts:
-        found: Parts = {}
-        for one in self.outstanding(now):
-            for budget, amount in one.amounts_at(now).items():
-                if amount > found.get(budget, 0):
-                    found[budget] = amount
-        return found
+        """Return the grants that may be in force."""
+        grants = (self.confirmed, self.unconfirmed)
+        return [grant for grant in grants if grant is not None and now < grant.shares_until]
+
+    def worst_case(self, now: int) -> QuotaShares:
+        """Return the most that the member may hold of each quota, loans of it included."""
+        worst: QuotaShares = {}
+        for grant in self.outstanding(now):
+            for quota, amount in grant.amounts_at(now).items():
+                if amount > worst.get(quota, 0):
+                    worst[quota] = amount
+        return worst
 
     def worst_case_loans(self, now: int) -> Loans:
-        """The larger of what it may hold of each loan."""
-        found: Loans = {}
-        for one in self.outstanding(now):
-            for pair, part in one.loans_at(now).items():
-                found[pair] = max(part, found.get(pair, 0))
-        return found
-
-    def confirm(self, word: LeaseRequest, until: int, loans_until: int, same_term: bool) -> None:
-        """It holds what it says, and no grant before this question can count there any more. What was counted
-        with an earlier end keeps that.
+        """Return the most that the member may hold of each loan."""
+        worst: Loans = {}
+        for grant in self.outstanding(now):
+            for key, share in grant.loans_at(now).items():
+                worst[key] = max(share, worst.get(key, 0))
+        return worst
+
+    def confirm(self, request: LeaseRequest, shares_until: int, loans_until: int, same_term: bool) -> None:
+        """Record what the member reports to hold.
+
+        No grant that was sent before this request can come into force there any more. A grant of the same
+        term that was counted with an earlier end keeps that end.
         """
-        for one in (self.confirmed, self.unconfirmed):
-            if same_term and one is not None and one.seq == word.seq:
-                until, loans_until = min(until, one.shares_until), min(loans_until, one.loans_until)
+        for grant in (self.confirmed, self.unconfirmed):
+            if same_term and grant is not None and grant.seq == request.seq:
+                shares_until = min(shares_until, grant.shares_until)
+                loans_until = min(loans_until, grant.loans_until)
         self.confirmed = OutstandingGrant(
-            word.seq, dict(word.held_shares), loans_of(word.loans), until, loans_until
+            request.seq, dict(request.held_shares), loans_from_wire(request.loans), shares_until, loans_until
         )
         self.unconfirmed = None
--- /dev/null
+++ b/locktide/cluster/quota/allocation_planner.py
@@ -0,0 +1,92 @@
+"""Target shares and planned loans of all members that have demand; what is in force is the allocator's."""
+
+from __future__ import annotations
+
+from locktide.cluster.borrowing.loan_allocator import LoanAllocator
+from locktide.cluster.messages import MemberId, QuotaIndex
+from locktide.cluster.quota.account import LONG_AGO, HolderAccount
+from locktide.cluster.quota.allocation import target_shares
+from locktide.cluster.quota.lease_timing import LeaseTiming
+from locktide.cluster.quota.outstanding_grants import OutstandingGrants
+from locktide.cluster.quota.revocations import RevocationQueue
+from locktide.cluster.quota.types import Loans, QuotaDemand, QuotaShares
+
+# The demand of a member that has sent no request for so long does not count, in parts of a share's lease: it
+# may have died.
+DEMAND_LIFETIME = 0.5
+
+RecentAccounts = list[tuple[MemberId, HolderAccount]]
+
+
+class AllocationPlanner:
+    """Plans anew once in half of the time between two requests of one member."""
+
+    def __init__(
+        self,
+        grants: OutstandingGrants,
+        revocations: RevocationQueue,
+        loan_allocator: LoanAllocator | None,
+        guaranteed_minimum: int,
+        timing: LeaseTiming,
+    ) -> None:
+        self.grants = grants
+        self.revocations = revocations
+        self.loan_allocator = loan_allocator
+        self.guaranteed_minimum = guaranteed_minimum
+        self.replan_interval = timing.request_interval // 2
+        self.demand_lifetime = int(timing.share_lease * DEMAND_LIFETIME)
+        self.targets: dict[QuotaIndex, dict[MemberId, int]] = {}
+        self.planned_loans: dict[MemberId, Loans] = {}
+        self.planned_at = LONG_AGO
+        self.borrowing_order: list[QuotaIndex] = []
+
+    def invalidate(self) -> None:
+        """Plan anew the next time that a target is asked for."""
+        self.planned_at = LONG_AGO
+
+    def target(self, member_id: MemberId, quota: QuotaIndex, now: int, may_lend: bool) -> int:
+        """Return the member's target share of the quota."""
+        targets = self._current_targets(now, may_lend)[quota]
+        if member_id not in targets:  # its first request came after the last planning
+            self.invalidate()
+            targets = self._current_targets(now, may_lend)[quota]
+        return targets[member_id]
+
+    def even_share(self, quota: QuotaIndex) -> int:
+        """Return an even share of the quota among the members of the last plan."""
+        return self.grants.divisible[quota] // len(self.targets[quota])
+
+    def _current_targets(self, now: int, may_lend: bool) -> dict[QuotaIndex, dict[MemberId, int]]:
+        if now >= self.planned_at + self.replan_interval:
+            self.planned_at = now
+            recent = [
+                (member_id, account)
+                for member_id, account in self.grants.accounts.items()
+                if now - account.heard_at < self.demand_lifetime
+            ]
+            lent = self._plan_loans(recent, now) if may_lend else {}
+            for quota, divisible in self.grants.divisible.items():
+                demand = {member_id: account.demand.get(quota, 0) for member_id, account in recent}
+                left = max(0, divisible - lent.get(quota, 0))
+                self.targets[quota] = target_shares(demand, left, self.guaranteed_minimum)
+        return self.targets
+
+    def _plan_loans(self, recent: RecentAccounts, now: int) -> QuotaShares:
+        """Plan the loans and each member's part of them; return how much of each quota is to be lent."""
+        if self.loan_allocator is None:
+            return {}
+        demand: QuotaDemand = {}
+        for _, account in recent:
+            for quota, amount in account.demand.items():
+                demand[quota] = demand.get(quota, 0) + amount
+        reclaimed = self.loan_allocator.replan(demand, self.borrowing_order, self.grants.loans(now), now)
+        self.revocations.revoke(reclaimed, now)
+        lent: QuotaShares = {}
+        self.planned_loans = {member_id: {} for member_id, _ in recent}
+        for key, share in self.loan_allocator.planned_loans.items():
+            lent[key.lender] = lent.get(key.lender, 0) + share
+            total = max(1, demand.get(key.borrower, 0))
+            for member_id, account in recent:
+                if member_share := share * account.demand.get(key.borrower, 0) // total:
+                    self.planned_loans[member_id][key] = member_share
+        return lent
--- /dev/null
+++ b/locktide/cluster/quota/outstanding_grants.py
@@ -0,0 +1,66 @@
+"""The allocator's accounts of all members, with the sum of what they may hold at worst."""
+
+from __future__ import annotations
+
+from heapq import heappop, heappush
+
+from locktide.cluster.messages import MemberId, QuotaIndex
+from locktide.cluster.quota.account import HolderAccount
+from locktide.cluster.quota.types import Loans, QuotaShares
+
+# Lifetimes of a share for which a silent member's account is kept once nothing of it can be in force.
+RETENTION_LIFETIMES = 10
+
+
+class OutstandingGrants:
+    """Accounts by member. `totals` is the sum over them of what each may hold at worst.
+
+    An account is brought up to date when it changes and when something in it expires. Between an expiry and
+    that moment the total is too large, never too small.
+    """
+
+    def __init__(self, divisible: QuotaShares, share_lifetime: int) -> None:
+        self.divisible = divisible
+        self.share_lifetime = share_lifetime
+        self.accounts: dict[MemberId, HolderAccount] = {}
+        self.totals: QuotaShares = dict.fromkeys(divisible, 0)
+        self.expiries: list[tuple[int, MemberId]] = []  # a heap: when each account may count less
+
+    def expire(self, now: int) -> None:
+        """Bring up to date the accounts of which something has expired."""
+        while self.expiries and self.expiries[0][0] <= now:
+            _, member_id = heappop(self.expiries)
+            if member_id in self.accounts:
+                self.update(member_id, now)
+
+    def account(self, member_id: MemberId) -> HolderAccount:
+        """Return the member's account, a new one if there is none."""
+        return self.accounts.setdefault(member_id, HolderAccount())
+
+    def update(self, member_id: MemberId, now: int) -> None:
+        """Bring the totals up to date with one account; forget it once nothing of it can be in force."""
+        account = self.accounts[member_id]
+        worst, counted = account.worst_case(now), account.counted
+        for quota in self.divisible:
+            self.totals[quota] += worst.get(quota, 0) - counted.get(quota, 0)
+        account.counted = worst
+        if ends := [end for grant in account.outstanding(now) for end in grant.expiries_after(now)]:
+            heappush(self.expiries, (min(ends), member_id))
+        elif now - account.heard_at > RETENTION_LIFETIMES * self.share_lifetime:
+            del self.accounts[member_id]
+        else:
+            forget_at = account.heard_at + (RETENTION_LIFETIMES + 1) * self.share_lifetime
+            heappush(self.expiries, (forget_at, member_id))
+
+    def available(self, member_id: MemberId, quota: QuotaIndex) -> int:
+        """Return what is left of the quota beside what all other members may hold."""
+        others = self.totals[quota] - self.accounts[member_id].counted.get(quota, 0)
+        return self.divisible[quota] - others
+
+    def loans(self, now: int) -> Loans:
+        """Return all that may be lent at this moment, summed over the members."""
+        total: Loans = {}
+        for account in self.accounts.values():
+            for key, share in account.worst_case_loans(now).items():
+                total[key] = total.get(key, 0) + share
+        return total
--- a/locktide/simulation/cluster/model_checking.py
+++ b/locktide/simulation/cluster/model_checking.py
@@ -26,14 +26,16 @@
     Promise,
     Propose,
 )
-from locktide.cluster.quota.allocator import Allocator
+from locktide.cluster.quota.allocator import Allocator, AllocatorConfig
 from locktide.cluster.quota.lease_holder import LeaseHolder
+from locktide.cluster.quota.lease_timing import LeaseTiming
 from locktide.scheduler.estimators.random import LinearCongruentialGenerator
 
 NAMES = ("a", "b", "c")
 WHOLE = 100
-# Spans in steps of the search: a lease outlives two questions, and what is stretched is longer by two.
+# Spans in steps of the search: a lease outlives two questions, and the grantor counts one as longer by two.
 LEAD, PART, RENEW, ASK = 4, 4, 2, 2
+TIMING = LeaseTiming(share_lease=PART, request_interval=ASK)
 MOST_UNDER_WAY = 5
 
 
@@ -50,7 +52,7 @@
             else None
         )
         self.giver: Allocator | None = None
-        self.holder = LeaseHolder(self.who, now, PART, ASK)
+        self.holder = LeaseHolder(self.who, now, TIMING)
         self.lead_at = now
 
     def tick(self, now: int) -> list[tuple[str, Message]]:
@@ -61,7 +63,8 @@
                 self.giver = None
             elif self.giver is None or self.giver.term != self.candidate.term:
                 assert self.candidate.term is not None
-                self.giver, self.lead_at = Allocator(self.candidate.term, {0: WHOLE}, now, PART, ASK), now
+                config = AllocatorConfig({0: WHOLE}, timing=TIMING)
+                self.giver, self.lead_at = Allocator(self.candidate.term, config, now), now
             if self.giver is not None and now >= self.lead_at:
                 self.lead_at = now + ASK
                 sends += [(name, LeaderHeartbeat(self.giver.term)) for name in NAMES]
--- a/locktide/simulation/cluster/virtual_cluster.py
+++ b/locktide/simulation/cluster/virtual_cluster.py
@@ -17,7 +17,7 @@
 from locktide.cluster.fairness.ledger import FairnessConfig
 from locktide.cluster.member import ClusterMember
 from locktide.cluster.messages import decode, encode
-from locktide.cluster.quota.lease_timing import SKEW
+from locktide.cluster.quota.lease_timing import MAX_CLOCK_DRIFT
 from locktide.cluster.quota.local_quota import QuotaSpec
 from locktide.simulation.cluster.quota_checker import QuotaChecker
 
@@ -181,7 +181,7 @@
 
     def begin(self, name: str, port: int = 0) -> Process:
         """Starts a process of that name; at a port of its own where one of that name may still run."""
-        skew = self.random.choice((-1, 1)) * SKEW / 1e6 * 0.99 if self.skewed else 0.0
+        skew = self.random.choice((-1, 1)) * MAX_CLOCK_DRIFT / 1e6 * 0.99 if self.skewed else 0.0
         process = Process(self, name, port or 9000 + self.names.index(name), skew)
         self.bound[process.address] = process
         self.all.append(process)
--- a/tests/test_accord.py
+++ b/tests/test_accord.py
@@ -192,20 +192,20 @@
 # --- budgets
 
 
-@given(st.integers(1, 10**12), st.integers(0, spans.SKEW), st.integers(0, spans.SKEW))
+@given(st.integers(1, 10**12), st.integers(0, spans.MAX_CLOCK_DRIFT), st.integers(0, spans.MAX_CLOCK_DRIFT))
 def test_who_holds_stops_before_who_gave_whatever_their_clocks(span: int, fast: int, slow: int) -> None:
     holder_real = span * 1_000_000 / (1_000_000 - slow)
-    giver_real = spans.stretched(span) * 1_000_000 / (1_000_000 + fast)
+    giver_real = spans.lifetime_at_grantor(span) * 1_000_000 / (1_000_000 + fast)
     assert holder_real <= giver_real
 
 
 @given(st.dictionaries(st.text(max_size=5), st.integers(0, 10**6), max_size=9), st.integers(0, 10**6))
 def test_targets_never_sum_to_more_than_there_is(wants: dict[str, int], whole: int) -> None:
     for floor in (0, 1, whole // 7, 10**6):
-        found = divide.targets(wants, whole, floor)
+        found = divide.target_shares(wants, whole, floor)
         assert found.keys() == wants.keys()
         assert sum(found.values()) <= whole and all(part >= 0 for part in found.values())
-        assert found == divide.targets(dict(reversed(wants.items())), whole, floor)
+        assert found == divide.target_shares(dict(reversed(wants.items())), whole, floor)
 
 
 @settings(max_examples=60)
@@ -238,7 +238,7 @@
     world.run(10 * SECOND)
     assert busy.agent.purse.shares["dairy"] > 600_000
     busy.kill()
-    world.run(10 * SECOND + spans.PART + SECOND)
+    world.run(10 * SECOND + spans.SHARE_LEASE + SECOND)
     left = [one.agent.purse.shares["dairy"] for one in world.all if one.alive]
     assert sum(left) > 900_000 - busy.agent.purse.guaranteed_minimum
     assert not world.meter.overruns()
@@ -275,7 +275,7 @@
     whole, expiry = purse.QuotaSpec("dairy", 100.0, 100.0), 3 * SECOND
 
     def tokens_at(now: int) -> int:
-        quota = purse.LocalQuota([whole], reserve=0.15, most=5, now=0)
+        quota = purse.LocalQuota([whole], reserve=0.15, max_processes=5, now=0)
         quota.update({"dairy": 500_000}, expiry, {}, 0, 0)
         return sum(quota.spend("dairy", now) is not None for _ in range(100))
 
@@ -382,7 +382,7 @@
     """Of three electors one leads by the vote of another, which begins anew and votes for the third."""
     begin = elector.Acceptor.__init__
 
-    def talks(self: Any, now: int, lead: int = spans.LEAD) -> None:
+    def talks(self: Any, now: int, lead: int = spans.LEADER_LEASE) -> None:
         begin(self, now, lead)
         self.silent_until = 0
 
--- a/tests/test_accord_lending.py
+++ b/tests/test_accord_lending.py
@@ -8,7 +8,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from locktide.cluster.borrowing.loan_allocator import QUIET, LoanAllocator, fill, match
+from locktide.cluster.borrowing.lender import IDLE_AFTER
+from locktide.cluster.borrowing.loan_allocator import LoanAllocator
+from locktide.cluster.borrowing.matching import fill_evenly, match_loans
 from locktide.cluster.quota import lease_holder as holder
 from locktide.cluster.quota import local_quota as purse
 from locktide.cluster.quota.local_quota import QuotaSpec
@@ -27,10 +29,10 @@
 def test_no_more_is_matched_than_is_free_and_nothing_is_left_that_somebody_is_short_of(
     short: dict[int, int], free: dict[int, int], before: dict[tuple[int, int], int]
 ) -> None:
-    given_ = fill(short, sum(free.values()))
+    given_ = fill_evenly(short, sum(free.values()))
     assert sum(given_.values()) == min(sum(short.values()), sum(free.values()))
     assert all(given_[name] <= short[name] for name in short)
-    found = match(given_, free, before)
+    found = match_loans(given_, free, before)
     for owner, has in free.items():
         assert sum(part for pair, part in found.items() if pair[0] == owner) <= has
     for name, amount in given_.items():
@@ -38,8 +40,8 @@
 
 
 def test_who_is_short_of_less_gets_all_of_it_and_the_order_decides_on_the_rest() -> None:
-    assert fill({1: 10, 2: 100, 3: 100}, 70) == {1: 10, 2: 30, 3: 30}
-    assert fill({5: 9, 4: 9}, 1) == {5: 1, 4: 0}
+    assert fill_evenly({1: 10, 2: 100, 3: 100}, 70) == {1: 10, 2: 30, 3: 30}
+    assert fill_evenly({5: 9, 4: 9}, 1) == {5: 1, 4: 0}
 
 
 def wants(rate: float) -> int:
@@ -62,10 +64,10 @@
     assert here.record_demand(1, now) and not here.record_demand(1, now + 1), "it is called back once"
     assert (1, 0) not in here.planned_loans
     for step in range(1, 12):
-        here.replan({0: wants(250)}, [], {}, now + step * QUIET // 12)
+        here.replan({0: wants(250)}, [], {}, now + step * IDLE_AFTER // 12)
         assert (1, 0) not in here.planned_loans, "it flaps at its own cost, not at others'"
     for step in range(12, 30):
-        here.replan({0: wants(250)}, [], {}, now + step * QUIET // 12)
+        here.replan({0: wants(250)}, [], {}, now + step * IDLE_AFTER // 12)
     assert (1, 0) in here.planned_loans
 
 
