--- /dev/null
+++ b/tests/scheduler/test_random.py
@@ -0,0 +1,40 @@
+"""Random draws: even, weighted as asked for, and the same for a seed for ever."""
+
+from __future__ import annotations
+
+import pytest
+
+from locktide.scheduler.estimators.random import LinearCongruentialGenerator
+
+
+def test_draws_below_a_bound_are_even() -> None:
+    generator, seen = LinearCongruentialGenerator(7), [0] * 5
+    for _ in range(5000):
+        seen[generator.below(5)] += 1
+    assert min(seen) > 900
+
+
+def test_a_seed_gives_the_same_draws_on_every_platform() -> None:
+    generator = LinearCongruentialGenerator(7)
+    assert [generator.below(1000) for _ in range(6)] == [493, 955, 906, 272, 266, 138]
+
+
+def test_of_a_seed_the_lower_64_bits_count() -> None:
+    assert LinearCongruentialGenerator(7 + (1 << 64)).below(1 << 32) == LinearCongruentialGenerator(7).below(
+        1 << 32
+    )
+
+
+@pytest.mark.parametrize(
+    ("probability", "least", "most"), [(0.0, 0, 0), (0.25, 1150, 1350), (1.0, 5000, 5000)]
+)
+def test_an_event_happens_as_often_as_its_probability_says(probability: float, least: int, most: int) -> None:
+    generator = LinearCongruentialGenerator(7)
+    assert least <= sum(generator.falls(probability) for _ in range(5000)) <= most
+
+
+def test_an_index_is_drawn_in_proportion_to_its_weight() -> None:
+    generator, seen = LinearCongruentialGenerator(7), [0] * 3
+    for _ in range(6000):
+        seen[generator.by([1.0, 0.0, 2.0])] += 1
+    assert seen[1] == 0 and 1850 < seen[0] < 2150
--- /dev/null
+++ b/tests/scheduler/test_run_time.py
@@ -0,0 +1,54 @@
+"""Run times: the mean of the last ends, and what counts as long beside it."""
+
+from __future__ import annotations
+
+import pytest
+
+from locktide.scheduler.estimators.run_time import NEVER_LONG, RunTimeEstimator
+
+SECOND = 1_000_000
+
+
+def ended(*run_times: int, now: int = SECOND) -> RunTimeEstimator:
+    """An estimator that was told of these run times, all at one moment."""
+    estimator = RunTimeEstimator(300_000)
+    for run_time in run_times:
+        estimator.add(run_time, now)
+    return estimator
+
+
+def test_the_mean_is_the_hint_or_else_the_initial_estimate_while_no_end_is_known() -> None:
+    estimator = ended()
+    assert estimator.mean(SECOND) == 300_000
+    assert estimator.mean(SECOND, 70_000) == 70_000
+
+
+def test_the_mean_is_that_of_the_ends_whatever_the_hint() -> None:
+    assert ended(100_000, 300_000).mean(SECOND, 70_000) == pytest.approx(200_000)
+
+
+def test_the_mean_is_the_initial_estimate_again_long_after_the_last_end() -> None:
+    assert ended(100_000).mean(60 * SECOND) == 300_000
+
+
+def test_the_mean_follows_the_latest_ends() -> None:
+    estimator = ended(*[100_000] * 5)
+    estimator.add(700_000, 31 * SECOND)
+    assert 550_000 < estimator.mean(31 * SECOND) < 600_000
+
+
+def test_a_run_time_of_zero_counts_as_one_microsecond() -> None:
+    assert ended(0).mean(SECOND) == 1.0
+
+
+def test_nothing_is_long_while_fewer_than_five_ends_are_known() -> None:
+    assert ended(*[100_000] * 4).long(SECOND) == NEVER_LONG
+
+
+def test_long_is_three_standard_deviations_over_the_mean() -> None:
+    run_times = [100_000, 300_000] * 4
+    assert ended(*run_times).long(SECOND) == pytest.approx(200_000 + 3 * 100_000)
+
+
+def test_equal_run_times_have_no_deviation() -> None:
+    assert ended(*[100_000] * 8).long(SECOND) == pytest.approx(100_000)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -10,7 +10,6 @@
 
 from locktide.scheduler.commands import CancelAttempt, FailRequest, LogMessage, StartAttempt, WatchEndpoints
 from locktide.scheduler.config import ServiceClass
-from locktide.scheduler.estimators.random import LinearCongruentialGenerator
 from locktide.scheduler.events import (
     AttemptProgressed,
     AttemptSent,
@@ -134,13 +133,6 @@
     assert WatchEndpoints(True) in service.pass_time(11_000_000)
 
 
-def test_chance_is_even() -> None:
-    chance, seen = LinearCongruentialGenerator(7), [0] * 5
-    for _ in range(5000):
-        seen[chance.below(5)] += 1
-    assert min(seen) > 900
-
-
 # --- failures found -------------------------------------------------------------------------------------
 
 
