Tests of durable jobs by module under tests/durable

Cause: one file of 670 lines for framing, log, leases, recovery, crashes and HTTP. Change: tests/test_durable.py split into tests/durable/test_*.py and tests/durable/log/test_*.py, builders in tests/durable_helpers.py; names say condition and result; the lease model holds typed leases.

--- /dev/null
+++ b/tests/durable/log/test_write_ahead_log.py
@@ -0,0 +1,157 @@
+"""The write-ahead log: refused files, group commit, full and failing disks, compaction."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import pytest
+from durable_helpers import accepted_job, granted_lease, open_log, run_in_virtual_time
+
+from locktide.durable.disk import DirectoryStorage
+from locktide.durable.errors import DamagedLogError, ForeignFileError, LogWriteError, NewerFormatError
+from locktide.durable.log import framing
+from locktide.durable.log.crash_point import CrashPoint
+from locktide.durable.log.reader import segment_name
+from locktide.durable.log.records import JobFinished, WriterStarted
+from locktide.durable.log.write_ahead_log import WriteAheadLog
+from locktide.simulation.virtual_time.disk import Platter
+
+
+def test_newer_format_and_foreign_file_are_refused_and_left_unchanged(tmp_path: Path) -> None:
+    name = tmp_path / segment_name(1)
+    newer = bytearray(framing.encode_header(1))
+    newer[8] = framing.VERSION + 1
+    for data, error in ((bytes(newer), NewerFormatError), (b"something else entirely", ForeignFileError)):
+        name.write_bytes(data)
+        with pytest.raises(error):
+            WriteAheadLog(DirectoryStorage(tmp_path), 1 << 20).open()
+        assert name.read_bytes() == data and len(list(tmp_path.glob("*.journal"))) == 1
+
+
+def test_damaged_log_is_refused_unless_damage_is_skipped() -> None:
+    async def scenario() -> None:
+        platter = Platter(1, 0.001)
+        log = open_log(platter)
+        for number in range(5):
+            await log.append(accepted_job(f"j{number}"))
+        platter.crash()
+        platter.files[segment_name(1)][200] ^= 4
+        before = bytes(platter.files[segment_name(1)])
+        with pytest.raises(DamagedLogError, match="at byte"):
+            open_log(platter)
+        assert bytes(platter.files[segment_name(1)]) == before and platter.mounted is None
+        reopened = open_log(platter, skip_damaged=True)
+        assert 0 < len(reopened.table.jobs) < 5 and reopened.contents.damaged
+
+    run_in_virtual_time(scenario())
+
+
+def test_group_commit_shares_a_sync_between_records() -> None:
+    async def append_100_records(group: bool) -> tuple[int, float]:
+        platter = Platter(1, 0.01)
+        log = open_log(platter, group_commit=group)
+        started_at = asyncio.get_running_loop().time()
+        await asyncio.gather(*(log.append(accepted_job(f"j{number}")) for number in range(100)))
+        return log.sync_count, asyncio.get_running_loop().time() - started_at
+
+    (shared_syncs, shared_time), (single_syncs, single_time) = (
+        run_in_virtual_time(append_100_records(True)),
+        run_in_virtual_time(append_100_records(False)),
+    )
+    assert shared_syncs <= 2 and single_syncs == 100 and single_time > 20 * shared_time
+
+
+def test_acknowledged_records_survive_a_crash() -> None:
+    async def scenario(seed: int) -> None:
+        platter = Platter(seed, 0.01, zeros=0.5)
+        log = open_log(platter)
+        acknowledged: list[str] = []
+
+        async def add(number: int) -> None:
+            await asyncio.sleep(number * 0.003)
+            await log.append(accepted_job(f"j{number}"))
+            acknowledged.append(f"j{number}")
+
+        writers = [asyncio.create_task(add(number)) for number in range(40)]
+        await asyncio.sleep(0.02 + seed * 0.0017)
+        acknowledged_before_crash = set(acknowledged)
+        platter.crash()
+        reopened = open_log(platter)
+        assert acknowledged_before_crash <= reopened.table.jobs.keys() and not reopened.contents.damaged
+        for task in writers:
+            task.cancel()
+        # Killed while it recovers, three times in a row.
+        for _ in range(3):
+            appended = reopened.append(WriterStarted(0, "boot", 0))
+            await asyncio.sleep(0)
+            platter.crash()
+            appended.cancel()
+            reopened = open_log(platter)
+            assert acknowledged_before_crash <= reopened.table.jobs.keys()
+
+    for seed in range(25):
+        run_in_virtual_time(scenario(seed))
+
+
+def test_full_disk_rejects_a_record_and_loses_no_other() -> None:
+    async def scenario() -> None:
+        platter = Platter(1, 0.001)
+        log = open_log(platter)
+        await log.append(accepted_job("before"))
+        platter.room = 50
+        with pytest.raises(LogWriteError, match="no space"):
+            await log.append(accepted_job("too much"))
+        platter.room = None
+        await log.append(accepted_job("after"))
+        platter.crash()
+        reopened = open_log(platter)
+        assert reopened.table.jobs.keys() == {"before", "after"} and not reopened.contents.torn
+
+    run_in_virtual_time(scenario())
+
+
+def test_no_write_succeeds_after_a_failed_sync() -> None:
+    async def scenario() -> None:
+        platter = Platter(1, 0.001)
+        log = open_log(platter)
+        platter.fails_sync = True
+        with pytest.raises(LogWriteError):
+            await log.append(accepted_job("a"))
+        platter.fails_sync = False
+        with pytest.raises(LogWriteError, match="sync failed"):
+            await log.append(accepted_job("b"))
+
+    run_in_virtual_time(scenario())
+
+
+@pytest.mark.parametrize("point", ["", "before old segments go", "after old segments went"])
+def test_compaction_keeps_open_jobs_and_drops_finished_ones(point: str) -> None:
+    async def scenario() -> None:
+        platter = Platter(3, 0.001)
+        log = open_log(platter, segment_bytes=20_000)
+
+        def crash_at_point(reached: CrashPoint) -> None:
+            if reached == point:
+                platter.crash()
+
+        log.reach_crash_point = crash_at_point
+        for number in range(400):
+            job_id = f"j{number}"
+            await log.append(accepted_job(job_id, number))
+            if number % 10:
+                await log.append(granted_lease(job_id))
+                await log.append(JobFinished(job_id, 200, b"result", 0, number))
+                log.table.drop_expired(number, 50)
+            if platter.mounted is None:
+                break
+        last = number
+        if not point:
+            await log.wait_until_idle()
+            platter.crash()
+        reopened = open_log(platter)
+        assert [job.job_id for job in reopened.table.open_jobs()] == [f"j{n}" for n in range(0, last + 1, 10)]
+        if not point:
+            assert sum(map(len, platter.files.values())) < 45_000  # 400 jobs were 90,000 bytes
+
+    run_in_virtual_time(scenario())
--- /dev/null
+++ b/tests/durable/test_job_service.py
@@ -0,0 +1,139 @@
+"""The job service over HTTP, as `locktide serve` runs it, and `locktide jobs`."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+from durable_helpers import ROOT
+from helpers import free_address
+
+from locktide.cli.jobs import export_job
+from locktide.durable.disk import DirectoryStorage
+from locktide.durable.jobs import JobTable
+from locktide.durable.log.reader import read_log
+
+
+def send(
+    address: Any, method: str, path: str, body: str = "", **header_fields: str
+) -> tuple[int, dict[str, str], bytes]:
+    connection = http.client.HTTPConnection(*address, timeout=10)
+    headers = {name.replace("_", "-"): value for name, value in header_fields.items()}
+    connection.request(method, path, body, headers)
+    response = connection.getresponse()
+    data = response.read()
+    connection.close()
+    return response.status, {name.lower(): value for name, value in response.getheaders()}, data
+
+
+def submit(address: Any, request_id: str, key: str, body: str = "milk", prefer: str = "respond-async") -> Any:
+    return send(
+        address,
+        "POST",
+        "/record",
+        body,
+        Req_Id=request_id,
+        Req_Kind="record",
+        Req_Deadline="9000m",
+        Idempotency_Key=key,
+        Prefer=prefer,
+    )
+
+
+def run_cli(*arguments: Any) -> subprocess.CompletedProcess[str]:
+    return subprocess.run(
+        [sys.executable, "-m", "locktide.cli.main", *map(str, arguments)],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
+
+
+def serve(path: Path) -> subprocess.Popen[str]:
+    process = subprocess.Popen(
+        [sys.executable, "-m", "locktide.cli.main", "serve", str(path), "--log-format", "json"],
+        cwd=ROOT,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+    assert process.stderr is not None
+    line = process.stderr.readline()
+    while line and json.loads(line)["event"] != "serving":
+        line = process.stderr.readline()
+    return process
+
+
+def test_jobs_are_accepted_queried_and_recovered_after_a_kill(tmp_path: Path) -> None:
+    address = free_address()
+    silent = socket.create_server(("127.0.0.1", 0))  # takes connections and says nothing
+    worker = silent.getsockname()
+    path = tmp_path / "here.toml"
+    directory = tmp_path / "jobs"
+    path.write_text(f"""
+[serve]
+listen = "{address[0]}:{address[1]}"
+roster = "127.0.0.1:9"
+[durable]
+on = true
+directory = "{directory}"
+grades = ["record"]
+[[known]]
+uid = "w0"
+endpoint = "{worker[0]}:{worker[1]}"
+[[grade]]
+name = "record"
+effect = "numbered"
+limit = 9.0
+""")
+    process = serve(path)
+    status, headers, _ = submit(address, "a1", "k1")
+    assert (status, headers["location"], headers["preference-applied"]) == (202, "/jobs/a1", "respond-async")
+    assert headers["retry-after"]
+    status, headers, body = submit(address, "a2", "k1")  # the same again is the same job
+    assert (status, headers["location"]) == (202, "/jobs/a1")
+    assert submit(address, "a3", "k1", body="other")[0] == 422
+    assert send(address, "GET", "/jobs/nobody")[0] == 404
+    status, _, body = send(address, "GET", "/jobs/a1")
+    assert status == 202 and json.loads(body)["state"] == "open"
+    assert list(json.loads(body)) == ["id", "state", "dispatches"]  # keys that clients read
+    refused = run_cli("serve", path)
+    assert refused.returncode == 1 and "another dispatcher has it" in refused.stderr
+    process.send_signal(signal.SIGKILL)
+    process.wait()
+    process = serve(path)
+    status, headers, body = send(address, "GET", "/jobs/a1")
+    assert status == 202, body
+
+    def report_done(worker: str) -> int:
+        report = {"id": "a1", "from": worker, "state": "done", "result": "collected"}
+        return send(address, "POST", "/callback", json.dumps(report))[0]
+
+    assert report_done("w9") == 204  # who has no lease on it: written down, of no effect
+    assert send(address, "GET", "/jobs/a1")[0] == 202
+    assert report_done("w0") == 204  # under the lease of the process that was killed
+    status, headers, body = send(address, "GET", "/jobs/a1")
+    assert (status, headers["job-state"], body) == (200, "done", b"collected")
+    status, headers, body = submit(address, "a4", "k1")  # submitted once more with its key
+    assert (status, headers["location"], body) == (200, "/jobs/a1", b"collected")
+    assert submit(address, "b1", "k2")[0] == 202
+    listing = run_cli("jobs", "list", directory)  # while the dispatcher runs
+    assert [line.split()[2] for line in listing.stdout.splitlines()] == ["done", "open"]
+    stopped_at = time.monotonic()
+    process.terminate()
+    # An open job does not hold up a stop.
+    assert process.wait(timeout=20) == 0 and time.monotonic() - stopped_at < 5
+    for subcommand in ("verify", "export"):
+        result = run_cli("jobs", subcommand, directory)
+        assert result.returncode == 0 and result.stdout and "DAMAGED" not in result.stdout
+    table = JobTable()
+    read_log(DirectoryStorage(directory), table)
+    exported = export_job(table.jobs["a1"])
+    assert exported["state"] == "done" and [report["worker"] for report in exported["late_words"]] == ["w9"]
--- /dev/null
+++ b/tests/durable/test_leases.py
@@ -0,0 +1,110 @@
+"""Leases against a model."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from durable_helpers import SECOND
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from locktide.durable.leases import LeaseAnswer, LeaseConfig, LeaseTable, WorkerReport
+
+LEASE_CONFIG = LeaseConfig(20 * SECOND, 5 * SECOND)
+
+
+@dataclass
+class ModelLease:
+    """What the model knows of one lease."""
+
+    job_id: str
+    worker: str
+    fence: int
+    expires_at: int
+    has_started: bool = False
+    has_ended: bool = False
+
+
+class LeaseModel(RuleBasedStateMachine):
+    """The lease table against a plain list of what was granted and reported."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.leases = LeaseTable(LEASE_CONFIG)
+        self.now = 0
+        self.granted: list[ModelLease] = []
+
+    @rule(job_id=st.sampled_from("ab"), worker=st.sampled_from("xyz"))
+    def grant(self, job_id: str, worker: str) -> None:
+        lease = self.leases.grant(job_id, worker, self.now)
+        earlier_fences = [granted.fence for granted in self.granted if granted.job_id == job_id]
+        assert lease.fence == max(earlier_fences, default=0) + 1
+        self.granted.append(ModelLease(job_id, worker, lease.fence, self.now + 20 * SECOND))
+
+    @rule(span=st.integers(1, 9 * SECOND))
+    def wait(self, span: int) -> None:
+        self.now += span
+
+    @rule(
+        index=st.integers(0, 30), is_final=st.booleans(), has_started=st.booleans(), names_fence=st.booleans()
+    )
+    def report(self, index: int, is_final: bool, has_started: bool, names_fence: bool) -> None:
+        if not self.granted:
+            return
+        chosen = self.granted[index % len(self.granted)]
+        of_same_worker = [
+            granted
+            for granted in self.granted
+            if (granted.job_id, granted.worker) == (chosen.job_id, chosen.worker)
+        ]
+        lease = chosen if names_fence else of_same_worker[-1]
+        fence = chosen.fence if names_fence else None
+        report = WorkerReport(chosen.job_id, chosen.worker, fence, is_final, has_started)
+        answer = self.leases.apply_report(report, self.now)
+        if lease.has_ended or self.now >= lease.expires_at:
+            assert answer == LeaseAnswer.FENCED
+            return
+        assert answer == (LeaseAnswer.ENDS if is_final else LeaseAnswer.RENEWS)
+        if is_final:
+            lease.has_ended = True
+            return
+        lease.has_started |= has_started
+        if lease.has_started:
+            lease.expires_at = self.now + 5 * SECOND
+        else:
+            lease.expires_at = max(lease.expires_at, self.now + 20 * SECOND)
+
+    @rule()
+    def expire(self) -> None:
+        expired = [(lease.job_id, lease.fence) for lease in self.leases.expire(self.now)]
+        expected = [
+            granted for granted in self.granted if not granted.has_ended and self.now >= granted.expires_at
+        ]
+        assert sorted(expired) == sorted((granted.job_id, granted.fence) for granted in expected)
+        for granted in expected:
+            granted.has_ended = True
+
+    @invariant()
+    def no_lease_outlasts_its_time(self) -> None:
+        for leases in self.leases.leases_by_job.values():
+            for lease in leases:
+                assert lease.has_ended or lease.expires_at <= self.now + 20 * SECOND
+
+
+TestLeases = LeaseModel.TestCase
+TestLeases.settings = settings(max_examples=60, stateful_step_count=40, deadline=None)
+
+
+def test_silent_worker_holds_a_job_no_longer_than_its_lease() -> None:
+    leases = LeaseTable(LEASE_CONFIG)
+    leases.grant("a", "x", 0)
+    started = WorkerReport("a", "x", 1, is_final=False, has_started=True)
+    assert leases.apply_report(started, SECOND) == LeaseAnswer.RENEWS
+    assert not leases.expire(6 * SECOND - 1)
+    assert [lease.fence for lease in leases.expire(6 * SECOND)] == [1] and not leases.expire(7 * SECOND)
+    second = leases.grant("a", "x", 7 * SECOND)
+    late = WorkerReport("a", "x", 1, is_final=True, has_started=False)  # under the first fence
+    assert leases.apply_report(late, 8 * SECOND) == LeaseAnswer.FENCED
+    final = WorkerReport("a", "x", 2, is_final=True, has_started=False)
+    assert second.fence == 2 and leases.apply_report(final, 8 * SECOND) == LeaseAnswer.ENDS
