--- a/locktide/cluster/config.py
+++ b/locktide/cluster/config.py
@@ -14,19 +14,19 @@
 class ClusterConfig:
     """`electors` by name, with where they are; an odd number. `seeds` are where others are met."""
 
-    who: MemberId
+    member_id: MemberId
     address: Address
-    electors: dict[str, Address]
+    acceptors: dict[str, Address]
     seeds: list[Address]
-    budgets: list[QuotaSpec]
-    reserve: float
-    most: int
-    seed: int = 1
-    lend: float = 0.0  # part of what an owner does not use that may be lent
-    ledger: FairnessConfig | None = None
+    quotas: list[QuotaSpec]
+    reserved_fraction: float
+    max_members: int
+    random_seed: int = 1
+    lendable_fraction: float = 0.0  # part of what an owner does not use that may be lent
+    fairness: FairnessConfig | None = None
 
 
 @dataclass(slots=True)
 class MemberUpdate:
-    moved: bool = False
+    quotas_changed: bool = False
     events: list[tuple[str, MemberRecord]] = field(default_factory=list)
--- a/locktide/cluster/election/acceptor.py
+++ b/locktide/cluster/election/acceptor.py
@@ -14,24 +14,28 @@
 
 class Acceptor:
     def __init__(self, now: int, lead: int = LEADER_LEASE) -> None:
-        self.lasts = lifetime_at_grantor(lead)
-        self.silent_until = now + self.lasts
+        self.lease_duration = lifetime_at_grantor(lead)
+        self.silent_until = now + self.lease_duration
         self.promised = NONE
-        self.owner: MemberId | None = None
-        self.until = 0
+        self.lease_owner: MemberId | None = None
+        self.lease_until = 0
 
-    def prepare(self, word: Prepare, now: int) -> Promise | None:
+    def handle_prepare(self, word: Prepare, now: int) -> Promise | None:
         if now < self.silent_until:
             return None
         if word.ballot < self.promised:
             return Promise(word.ballot, self.promised, None, True)
         self.promised = word.ballot
-        return Promise(word.ballot, word.ballot, self.owner if now < self.until else None, False)
+        return Promise(word.ballot, word.ballot, self.lease_owner if now < self.lease_until else None, False)
 
-    def propose(self, word: Propose, now: int) -> Accepted | None:
+    def handle_propose(self, word: Propose, now: int) -> Accepted | None:
         if now < self.silent_until:
             return None
         if word.ballot < self.promised:
             return Accepted(word.ballot, self.promised, True)
-        self.promised, self.owner, self.until = word.ballot, word.owner, now + self.lasts
+        self.promised, self.lease_owner, self.lease_until = (
+            word.ballot,
+            word.lease_owner,
+            now + self.lease_duration,
+        )
         return Accepted(word.ballot, word.ballot, False)
--- a/locktide/cluster/election/proposer.py
+++ b/locktide/cluster/election/proposer.py
@@ -25,69 +25,71 @@
         lead: int = LEADER_LEASE,
         renew: int = LEADER_RENEWAL_INTERVAL,
     ) -> None:
-        self.who, self.electors, self.chance = who, electors, chance
-        self.lead, self.renew = lead, renew
-        self.ballot, self.highest = NONE, NONE
-        self.promises: set[str] = set()
-        self.accepted: set[str] = set()
-        self.proposed_until = 0  # of the ballot under way; 0 before its proposals are out
-        self.until = 0  # the lease is ours before that, by our clock
+        self.member_id, self.acceptors, self.generator = who, electors, chance
+        self.lease_duration, self.renew_interval = lead, renew
+        self.ballot, self.highest_seen = NONE, NONE
+        self.promised_by: set[str] = set()
+        self.accepted_by: set[str] = set()
+        self.proposal_until = 0  # of the ballot under way; 0 before its proposals are out
+        self.lease_until = 0  # the lease is ours before that, by our clock
         self.term: Ballot | None = None
-        self.other_until = 0  # somebody else holds it, as far as we were told: no use in standing before
-        self.stand_at = now + chance.below(renew)
+        self.other_leader_until = (
+            0  # somebody else holds it, as far as we were told: no use in standing before
+        )
+        self.next_prepare_at = now + chance.below(renew)
 
     @property
-    def enough(self) -> int:
-        return len(self.electors) // 2 + 1
+    def quorum(self) -> int:
+        return len(self.acceptors) // 2 + 1
 
-    def leads(self, now: int) -> bool:
-        if now >= self.until:
+    def is_leader(self, now: int) -> bool:
+        if now >= self.lease_until:
             self.term = None
         return self.term is not None
 
     @property
-    def due(self) -> int:
-        return self.stand_at
+    def next_wakeup(self) -> int:
+        return self.next_prepare_at
 
     def tick(self, now: int) -> Outgoing:
-        self.leads(now)
-        if now < self.stand_at:
+        self.is_leader(now)
+        if now < self.next_prepare_at:
             return []
         # Drawn, so that those that stand at the same moment do not go on doing so.
-        self.stand_at = now + self.renew // 2 + self.chance.below(self.renew // 2)
-        if self.term is None and now < self.other_until:
+        self.next_prepare_at = now + self.renew_interval // 2 + self.generator.below(self.renew_interval // 2)
+        if self.term is None and now < self.other_leader_until:
             return []
-        count = max(self.ballot, self.highest)[0] + 1
-        self.ballot, self.promises, self.accepted = (count, *self.who), set(), set()
-        self.proposed_until = 0
-        return [(name, Prepare(self.ballot)) for name in self.electors]
+        count = max(self.ballot, self.highest_seen)[0] + 1
+        self.ballot, self.promised_by, self.accepted_by = (count, *self.member_id), set(), set()
+        self.proposal_until = 0
+        return [(name, Prepare(self.ballot)) for name in self.acceptors]
 
-    def promise(self, sender: str, word: Promise, now: int) -> Outgoing:
-        self.highest = max(self.highest, word.ballot)
-        if word.asked != self.ballot or self.proposed_until or sender not in self.electors:
+    def handle_promise(self, sender: str, word: Promise, now: int) -> Outgoing:
+        self.highest_seen = max(self.highest_seen, word.promised)
+        if word.requested != self.ballot or self.proposal_until or sender not in self.acceptors:
             return []
         if word.refused:
             return []
-        if word.owner is not None and word.owner != self.who:
-            self.other_until = now + self.renew
+        if word.lease_owner is not None and word.lease_owner != self.member_id:
+            self.other_leader_until = now + self.renew_interval
             return []
-        self.promises.add(sender)
-        if len(self.promises) < self.enough:
+        self.promised_by.add(sender)
+        if len(self.promised_by) < self.quorum:
             return []
-        self.proposed_until = now + self.lead
-        return [(name, Propose(self.ballot, self.who)) for name in self.electors]
+        self.proposal_until = now + self.lease_duration
+        return [(name, Propose(self.ballot, self.member_id)) for name in self.acceptors]
 
-    def was_accepted(self, sender: str, word: Accepted, now: int) -> None:
-        self.highest = max(self.highest, word.ballot)
-        if word.asked != self.ballot or word.refused or sender not in self.electors:
+    def handle_accepted(self, sender: str, word: Accepted, now: int) -> None:
+        self.highest_seen = max(self.highest_seen, word.promised)
+        if word.requested != self.ballot or word.refused or sender not in self.acceptors:
             return
-        self.accepted.add(sender)
-        if len(self.accepted) >= self.enough and now < self.proposed_until:
-            held = self.leads(now)
-            self.until = self.proposed_until
+        self.accepted_by.add(sender)
+        if len(self.accepted_by) >= self.quorum and now < self.proposal_until:
+            held = self.is_leader(now)
+            self.lease_until = self.proposal_until
             if not held:
                 self.term = self.ballot
 
     def resign(self) -> None:
         """Gives the lease up early: what electors still count only delays the next."""
-        self.until, self.term, self.stand_at = 0, None, 1 << 62
+        self.lease_until, self.term, self.next_prepare_at = 0, None, 1 << 62
--- a/locktide/cluster/inspection.py
+++ b/locktide/cluster/inspection.py
@@ -8,29 +8,29 @@
 
 def inspect(agent: ClusterMember, now: int) -> dict[str, object]:
     """What this member sees, as plain values."""
-    leads = agent.candidate is not None and agent.candidate.leads(now)
-    held = agent.holder.current_shares(now)
+    leads = agent.proposer is not None and agent.proposer.is_leader(now)
+    held = agent.lease_holder.current_shares(now)
     return {
-        "name": agent.who[0],
-        "start": agent.who[1],
+        "name": agent.member_id[0],
+        "start": agent.member_id[1],
         "leads": leads,
-        "led_by": agent.holder.term[1] if agent.holder.term else None,
-        "term": list(agent.holder.term) if agent.holder.term else None,
+        "led_by": agent.lease_holder.term[1] if agent.lease_holder.term else None,
+        "term": list(agent.lease_holder.term) if agent.lease_holder.term else None,
         "health": agent.swim.health.score,
         "stepped_down": agent.stepped_down,
-        "parts": dict(sorted(agent.purse.shares.items())),
-        "loans": [[*pair, part] for pair, part in sorted(agent.purse.loans.items())],
+        "parts": dict(sorted(agent.local_quota.shares.items())),
+        "loans": [[*pair, part] for pair, part in sorted(agent.local_quota.loans.items())],
         "ledger": inspect_ledger(agent),
-        "for_us": max(0, agent.holder.shares_until - now) if held else 0,
+        "for_us": max(0, agent.lease_holder.shares_until - now) if held else 0,
         "members": [
             {
                 "name": row.name,
-                "start": row.start,
-                "turn": row.turn,
+                "start": row.generation,
+                "turn": row.incarnation,
                 "state": STATES[row.state],
                 "address": f"{row.address[0]}:{row.address[1]}",
             }
-            for row in sorted(agent.swim.table.rows.values(), key=lambda row: row.name)
+            for row in sorted(agent.swim.table.records.values(), key=lambda row: row.name)
         ],
     }
 
--- a/locktide/cluster/member.py
+++ b/locktide/cluster/member.py
@@ -42,141 +42,149 @@
 
 class ClusterMember:
     def __init__(self, terms: ClusterConfig, now: int) -> None:
-        self.terms, self.who = terms, terms.who
-        chance = LinearCongruentialGenerator(terms.seed)
-        self.swim = Swim(terms.who, terms.address, terms.seeds, chance, now)
-        names = sorted(terms.electors)
-        self.elector = Acceptor(now) if terms.who[0] in names else None
-        self.candidate = Proposer(terms.who, names, chance, now) if self.elector else None
-        self.giver: Allocator | None = None
-        self.holder = LeaseHolder(terms.who, now)
-        self.purse = LocalQuota(terms.budgets, terms.reserve, terms.most, now)
-        self.names = sorted(budget.name for budget in terms.budgets)
-        self.places = {name: place for place, name in enumerate(self.names)}
-        self.book = crc32("\0".join(self.names).encode())
-        self.movable = {place: self.purse.divisible for place in range(len(self.names))}
+        self.config, self.member_id = terms, terms.member_id
+        chance = LinearCongruentialGenerator(terms.random_seed)
+        self.swim = Swim(terms.member_id, terms.address, terms.seeds, chance, now)
+        names = sorted(terms.acceptors)
+        self.acceptor = Acceptor(now) if terms.member_id[0] in names else None
+        self.proposer = Proposer(terms.member_id, names, chance, now) if self.acceptor else None
+        self.allocator: Allocator | None = None
+        self.lease_holder = LeaseHolder(terms.member_id, now)
+        self.local_quota = LocalQuota(terms.quotas, terms.reserved_fraction, terms.max_members, now)
+        self.quota_names = sorted(budget.name for budget in terms.quotas)
+        self.quota_indices = {name: place for place, name in enumerate(self.quota_names)}
+        self.quota_names_checksum = crc32("\0".join(self.quota_names).encode())
+        self.movable = {place: self.local_quota.divisible for place in range(len(self.quota_names))}
         self.lendable = {
-            self.places[budget.name]: int(budget.rate * MILLION)
-            for budget in terms.budgets
-            if terms.lend and budget.lendable and budget.rate
+            self.quota_indices[budget.name]: int(budget.rate * MILLION)
+            for budget in terms.quotas
+            if terms.lendable_fraction and budget.lendable and budget.rate
         }
-        self.lead_at = self.fade_at = now
+        self.next_heartbeat_at = self.next_demand_decay_at = now
         self.stepped_down = False
-        self.said_by_us: list[Any] = []  # words to ourselves
+        self.loopback: list[Any] = []  # words to ourselves
         self.ledger = (
-            FairnessLedger(terms.ledger, terms.who, chance, now) if terms.ledger is not None else None
+            FairnessLedger(terms.fairness, terms.member_id, chance, now)
+            if terms.fairness is not None
+            else None
         )
-        self.over: frozenset[str] = frozenset()  # tenants that hold more than they should
-        self.news = MemberUpdate()
+        self.tenants_over_share: frozenset[str] = frozenset()  # tenants that hold more than they should
+        self.update = MemberUpdate()
 
     # --- time
 
     @property
-    def due(self) -> int:
-        times = [self.swim.due]
-        if self.holder.term is not None and not self.stepped_down:
-            times.append(self.holder.due)
-        if self.candidate is not None:
-            times.append(self.candidate.due)
-        if self.giver is not None:
-            times.append(self.lead_at)
+    def next_wakeup(self) -> int:
+        times = [self.swim.next_wakeup]
+        if self.lease_holder.term is not None and not self.stepped_down:
+            times.append(self.lease_holder.due)
+        if self.proposer is not None:
+            times.append(self.proposer.next_wakeup)
+        if self.allocator is not None:
+            times.append(self.next_heartbeat_at)
         if self.ledger is not None and not self.stepped_down:
             times.append(self.ledger.due)
-        times += [until for until in (self.purse.shares_until, self.purse.loans_until) if until]
+        times += [until for until in (self.local_quota.shares_until, self.local_quota.loans_until) if until]
         return min(times)
 
     def tick(self, now: int) -> Outgoing:
-        self.news = MemberUpdate()
+        self.update = MemberUpdate()
         sends = self.swim.tick(now)
         if not self.stepped_down:
-            if self.candidate is not None:
-                sends += self.named(self.candidate.tick(now))
-            sends += self.lead(now)
-            sends += self.ask(now)
+            if self.proposer is not None:
+                sends += self.address_all(self.proposer.tick(now))
+            sends += self.act_as_leader(now)
+            sends += self.request_lease(now)
             if self.ledger is not None:
-                starts = {name: row.start for name, row in self.swim.table.rows.items()}
-                sends += self.named(self.ledger.tick(self.swim.alive(), starts, now))
-        return self.close(sends, now)
+                starts = {name: row.generation for name, row in self.swim.table.records.items()}
+                sends += self.address_all(self.ledger.tick(self.swim.alive(), starts, now))
+        return self.finish_step(sends, now)
 
-    def lead(self, now: int) -> Outgoing:
+    def act_as_leader(self, now: int) -> Outgoing:
         """While the lease is ours: tells those that live, some times a second."""
-        term = self.candidate.term if self.candidate is not None and self.candidate.leads(now) else None
+        term = self.proposer.term if self.proposer is not None and self.proposer.is_leader(now) else None
         if term is None:
-            self.giver = None
+            self.allocator = None
             return []
-        if self.giver is None or self.giver.term != term:
-            self.giver, self.lead_at = self.divider(term, now), now
+        if self.allocator is None or self.allocator.term != term:
+            self.allocator, self.next_heartbeat_at = self.new_allocator(term, now), now
         if self.ledger is not None:
             order = self.ledger.standing.order
-            self.giver.set_borrowing_order([self.places[name] for name in order if name in self.places])
-        if now < self.lead_at:
+            self.allocator.set_borrowing_order(
+                [self.quota_indices[name] for name in order if name in self.quota_indices]
+            )
+        if now < self.next_heartbeat_at:
             return []
-        self.lead_at = now + REQUEST_INTERVAL
-        return [send for name in self.swim.alive() for send in self.to(name, LeaderHeartbeat(term))]
+        self.next_heartbeat_at = now + REQUEST_INTERVAL
+        return [send for name in self.swim.alive() for send in self.address_to(name, LeaderHeartbeat(term))]
 
-    def divider(self, term: Ballot, now: int) -> Allocator:
-        lend = int(self.terms.lend * MILLION)
+    def new_allocator(self, term: Ballot, now: int) -> Allocator:
+        lend = int(self.config.lendable_fraction * MILLION)
         broker = LoanAllocator(self.lendable, self.movable, lend, now) if self.lendable else None
-        config = AllocatorConfig(self.movable, self.purse.guaranteed_minimum)
+        config = AllocatorConfig(self.movable, self.local_quota.guaranteed_minimum)
         return Allocator(term, config, now, broker)
 
-    def ask(self, now: int) -> Outgoing:
+    def request_lease(self, now: int) -> Outgoing:
         """The next question, where it is time."""
-        wants = {self.places[name]: want for name, want in self.purse.demand.items() if want}
-        if (ask := self.holder.next_request(wants, now)) is None:
+        wants = {self.quota_indices[name]: want for name, want in self.local_quota.demand.items() if want}
+        if (ask := self.lease_holder.next_request(wants, now)) is None:
             return []
-        ask.names_checksum = self.book
-        if now >= self.fade_at:
-            self.fade_at = now + REQUEST_INTERVAL
-            self.purse.decay_demand()
-        return self.to(ask.term[1], ask)
+        ask.names_checksum = self.quota_names_checksum
+        if now >= self.next_demand_decay_at:
+            self.next_demand_decay_at = now + REQUEST_INTERVAL
+            self.local_quota.decay_demand()
+        return self.address_to(ask.term[1], ask)
 
     # --- words
 
-    def hear(self, said: Envelope, now: int) -> Outgoing:
-        self.news = MemberUpdate()
-        sends = self.swim.hear(said, now)
+    def handle(self, said: Envelope, now: int) -> Outgoing:
+        self.update = MemberUpdate()
+        sends = self.swim.handle(said, now)
         if not self.stepped_down:
             sends += self.agree(said, now)
-        return self.close(sends, now)
+        return self.finish_step(sends, now)
 
     def agree(self, said: Envelope, now: int) -> Outgoing:
         """A word on budgets. Who was not chosen for a vote has none, whatever it says."""
-        word, sender = said.word, said.sender
+        word, sender = said.message, said.sender
         if isinstance(word, Digest | Delta):
-            return self.named(self.ledger.handle(sender, word)) if self.ledger is not None else []
-        elector, candidate = self.elector, self.candidate
+            return self.address_all(self.ledger.handle(sender, word)) if self.ledger is not None else []
+        elector, candidate = self.acceptor, self.proposer
         if isinstance(word, LeaderHeartbeat):
             # The term names who leads: nobody is believed to do so for another.
-            if word.term[1:] == (sender, said.start):
-                self.holder.observe_leader(word.term, now)
-                return self.ask(now)
+            if word.term[1:] == (sender, said.generation):
+                self.lease_holder.observe_leader(word.term, now)
+                return self.request_lease(now)
         elif isinstance(word, LeaseGrant):
-            if word.term[1:] == (sender, said.start):
-                self.holder.accept_grant(word, now)
+            if word.term[1:] == (sender, said.generation):
+                self.lease_holder.accept_grant(word, now)
         elif isinstance(word, LeaseRequest):
-            self.lead(now)
-            if self.giver is not None and word.term == self.giver.term and word.names_checksum == self.book:
-                grant = self.giver.handle_request((sender, said.start), word, now)
-                recalls = self.giver.take_revocations()
-                sends = [send for who, recall in recalls for send in self.to(who[0], recall)]
-                return sends + (self.to(sender, grant) if grant is not None else [])
+            self.act_as_leader(now)
+            if (
+                self.allocator is not None
+                and word.term == self.allocator.term
+                and word.names_checksum == self.quota_names_checksum
+            ):
+                grant = self.allocator.handle_request((sender, said.generation), word, now)
+                recalls = self.allocator.take_revocations()
+                sends = [send for who, recall in recalls for send in self.address_to(who[0], recall)]
+                return sends + (self.address_to(sender, grant) if grant is not None else [])
         elif isinstance(word, LeaseRevocation):
-            if word.term[1:] == (sender, said.start):
-                self.holder.accept_revocation(word, now)
-                return self.ask(now)
+            if word.term[1:] == (sender, said.generation):
+                self.lease_holder.accept_revocation(word, now)
+                return self.request_lease(now)
         elif elector is not None and candidate is not None:
             if isinstance(word, Prepare):
-                reply = elector.prepare(word, now)
-                return self.to(sender, reply) if reply is not None else []
+                reply = elector.handle_prepare(word, now)
+                return self.address_to(sender, reply) if reply is not None else []
             if isinstance(word, Propose):
-                accepted = elector.propose(word, now)
-                return self.to(sender, accepted) if accepted is not None else []
+                accepted = elector.handle_propose(word, now)
+                return self.address_to(sender, accepted) if accepted is not None else []
             if isinstance(word, Promise):
-                return self.named(candidate.promise(sender, word, now))
+                return self.address_all(candidate.handle_promise(sender, word, now))
             if isinstance(word, Accepted):
-                candidate.was_accepted(sender, word, now)
-                return self.lead(now)
+                candidate.handle_accepted(sender, word, now)
+                return self.act_as_leader(now)
         return []
 
     # --- spending
@@ -185,58 +193,61 @@
         """One token for a submission of that budget: out of which budget, or None. What was not wanted lately
         is told at once, as its owner may have come back; a host calls `tick` when it is due.
         """
-        if self.purse.record_demand(name):
-            self.holder.request_soon(now)
-        return self.purse.spend(name, now)
+        if self.local_quota.record_demand(name):
+            self.lease_holder.request_soon(now)
+        return self.local_quota.spend(name, now)
 
     # --- the end
 
     def leave(self, now: int) -> Outgoing:
         """A clean end: gives back what is held, resigns, and tells some that it goes."""
-        self.news = MemberUpdate()
+        self.update = MemberUpdate()
         sends: Outgoing = []
-        if not self.stepped_down and (ask := self.holder.leave(now)) is not None:
-            sends += self.to(ask.term[1], ask)
-        if self.candidate is not None:
-            self.candidate.resign()
-        self.giver = None
+        if not self.stepped_down and (ask := self.lease_holder.leave(now)) is not None:
+            sends += self.address_to(ask.term[1], ask)
+        if self.proposer is not None:
+            self.proposer.resign()
+        self.allocator = None
         sends += self.swim.leave()
-        return self.close(sends, now)
+        return self.finish_step(sends, now)
 
     def step_down(self, now: int) -> None:
         """Another process of our name began after us: nothing is spent by us any more, floors neither."""
         self.stepped_down = True
-        self.holder.drop()
-        if self.candidate is not None:
-            self.candidate.resign()
-        self.giver = None
-        self.purse.guaranteed_minimum = 0
+        self.lease_holder.drop()
+        if self.proposer is not None:
+            self.proposer.resign()
+        self.allocator = None
+        self.local_quota.guaranteed_minimum = 0
 
     # --- between
 
-    def to(self, name: str, word: Message) -> Outgoing:
+    def address_to(self, name: str, word: Message) -> Outgoing:
         """Electors are where the configuration says, whoever else claims their names."""
-        if name == self.who[0]:
-            self.said_by_us.append(word)
+        if name == self.member_id[0]:
+            self.loopback.append(word)
             return []
-        address = self.terms.electors.get(name) or self.swim.address(name)
+        address = self.config.acceptors.get(name) or self.swim.address_of(name)
         return [(address, word)] if address is not None else []
 
-    def named(self, sends: list[tuple[str, Message]]) -> Outgoing:
-        return [send for name, word in sends for send in self.to(name, word)]
+    def address_all(self, sends: list[tuple[str, Message]]) -> Outgoing:
+        return [send for name, word in sends for send in self.address_to(name, word)]
 
-    def close(self, sends: Outgoing, now: int) -> Outgoing:
+    def finish_step(self, sends: Outgoing, now: int) -> Outgoing:
         """What we have told ourselves is heard; then the parts in force are settled."""
-        while self.said_by_us:
-            word = self.said_by_us.pop(0)
+        while self.loopback:
+            word = self.loopback.pop(0)
             if not self.stepped_down:
-                sends += self.agree(Envelope(VERSION, self.who[0], self.who[1], word), now)
-        if self.swim.replaced and not self.stepped_down:
+                sends += self.agree(Envelope(VERSION, self.member_id[0], self.member_id[1], word), now)
+        if self.swim.superseded and not self.stepped_down:
             self.step_down(now)
-        held, loans = self.holder.current_shares(now), self.holder.current_loans(now)
-        until, loans_until = self.holder.shares_until if held else 0, self.holder.loans_until if loans else 0
-        names = self.names
-        moved = self.purse.update(
+        held, loans = self.lease_holder.current_shares(now), self.lease_holder.current_loans(now)
+        until, loans_until = (
+            self.lease_holder.shares_until if held else 0,
+            self.lease_holder.loans_until if loans else 0,
+        )
+        names = self.quota_names
+        moved = self.local_quota.update(
             {names[place]: part for place, part in held.items() if place < len(names)},
             until,
             {
@@ -247,9 +258,9 @@
             loans_until,
             now,
         )
-        if self.ledger is not None and self.ledger.standing.over_share != self.over:
-            self.over, moved = self.ledger.standing.over_share, True
-        self.news = MemberUpdate(self.news.moved or moved, self.news.events + self.swim.events)
+        if self.ledger is not None and self.ledger.standing.over_share != self.tenants_over_share:
+            self.tenants_over_share, moved = self.ledger.standing.over_share, True
+        self.update = MemberUpdate(self.update.quotas_changed or moved, self.update.events + self.swim.events)
         self.swim.events = []
         return sends
 
--- a/locktide/cluster/membership/dissemination.py
+++ b/locktide/cluster/membership/dissemination.py
@@ -14,22 +14,22 @@
 
 class DisseminationQueue:
     def __init__(self) -> None:
-        self.told: dict[str, tuple[MemberRecord, int]] = {}
+        self.queued: dict[str, tuple[MemberRecord, int]] = {}
 
     def add(self, row: MemberRecord) -> None:
         """In place of an earlier one on the same member."""
-        self.told[row.name] = (row, 0)
+        self.queued[row.name] = (row, 0)
 
     def take(self, members: int) -> list[MemberRecord]:
         """The least told first; forgets what has been told often enough."""
         most = RETELL * ceil(log10(members + 1.0))
-        chosen = sorted(self.told, key=lambda name: (self.told[name][1], name))[:MOST]
+        chosen = sorted(self.queued, key=lambda name: (self.queued[name][1], name))[:MOST]
         rows = []
         for name in chosen:
-            row, count = self.told[name]
+            row, count = self.queued[name]
             rows.append(row)
             if count + 1 >= most:
-                del self.told[name]
+                del self.queued[name]
             else:
-                self.told[name] = (row, count + 1)
+                self.queued[name] = (row, count + 1)
         return rows
--- a/locktide/cluster/membership/member_table.py
+++ b/locktide/cluster/membership/member_table.py
@@ -18,34 +18,34 @@
 
 
 def order(row: MemberRecord) -> tuple[int, int, int, tuple[str, int]]:
-    return row.start, row.turn, row.state, row.address
+    return row.generation, row.incarnation, row.state, row.address
 
 
 class MemberTable:
     def __init__(self) -> None:
-        self.rows: dict[str, MemberRecord] = {}
+        self.records: dict[str, MemberRecord] = {}
         self.changed_at: dict[str, int] = {}
-        self.living: list[str] | None = None  # reckoned anew after a change
+        self.alive_cache: list[str] | None = None  # reckoned anew after a change
 
     def merge(self, row: MemberRecord, now: int) -> MemberRecord | None:
         """Takes a row in; what was known before, or None where this is no news.
 
         A member of which nothing was known is told as one of start 0.
         """
-        before = self.rows.get(row.name)
+        before = self.records.get(row.name)
         if before is not None and order(row) <= order(before):
             return None
-        self.rows[row.name], self.changed_at[row.name] = row, now
-        self.living = None
+        self.records[row.name], self.changed_at[row.name] = row, now
+        self.alive_cache = None
         return before or MemberRecord(row.name, 0, 0, LEFT, row.address)
 
     def alive(self) -> list[str]:
         """Those that may be alive, in the order of their names: the same wherever the rows are the same."""
-        if self.living is None:
-            self.living = sorted([name for name, row in self.rows.items() if row.state <= SUSPECT])
-        return self.living
+        if self.alive_cache is None:
+            self.alive_cache = sorted([name for name, row in self.records.items() if row.state <= SUSPECT])
+        return self.alive_cache
 
     def forget(self, now: int) -> None:
-        for name in [name for name, row in self.rows.items() if row.state >= DEAD]:
+        for name in [name for name, row in self.records.items() if row.state >= DEAD]:
             if now - self.changed_at[name] > FORGET:
-                del self.rows[name], self.changed_at[name]
+                del self.records[name], self.changed_at[name]
--- a/locktide/cluster/membership/partition_healing.py
+++ b/locktide/cluster/membership/partition_healing.py
@@ -15,40 +15,40 @@
     def __init__(
         self, table: MemberTable, seeds: list[tuple[str, int]], chance: LinearCongruentialGenerator
     ) -> None:
-        self.table, self.seeds, self.chance = table, seeds, chance
+        self.table, self.seeds, self.generator = table, seeds, chance
         # Earlier processes of a name, as they were known, where a later one has another address.
-        self.outdone: dict[str, MemberRecord] = {}
+        self.superseded: dict[str, MemberRecord] = {}
 
-    def note(self, row: MemberRecord, now_known: MemberRecord) -> None:
+    def note_superseded(self, row: MemberRecord, now_known: MemberRecord) -> None:
         """Of a row that was known, or is told, where another one of its name counts."""
-        if 0 < row.start < now_known.start and row.address != now_known.address:
-            self.outdone[row.name] = row
+        if 0 < row.generation < now_known.generation and row.address != now_known.address:
+            self.superseded[row.name] = row
 
-    def doubts(self, said: Envelope) -> list[MemberRecord]:
+    def records_to_refute(self, said: Envelope) -> list[MemberRecord]:
         """What we hold against who speaks to us, or know of another start of that name, to be refuted."""
-        row = self.table.rows.get(said.sender)
-        if row is None or row.start == said.start and row.state not in (SUSPECT, DEAD):
+        row = self.table.records.get(said.sender)
+        if row is None or row.generation == said.generation and row.state not in (SUSPECT, DEAD):
             return []
         return [row]
 
-    def outdo(self, said: Envelope) -> tuple[tuple[str, int], MemberRecord] | None:
+    def superseding_record(self, said: Envelope) -> tuple[tuple[str, int], MemberRecord] | None:
         """For an earlier process of a name: its address, and the row of the later one. What goes to the name
         goes to the later one's address, also when that is dead: the earlier would never hear it.
         """
-        earlier, row = self.outdone.get(said.sender), self.table.rows.get(said.sender)
-        if earlier is None or row is None or said.start != earlier.start:
+        earlier, row = self.superseded.get(said.sender), self.table.records.get(said.sender)
+        if earlier is None or row is None or said.generation != earlier.generation:
             return None
         return earlier.address, row
 
-    def forget(self) -> None:
+    def prune(self) -> None:
         """Of names that the table has forgotten, nothing is kept here either."""
-        self.outdone = {name: row for name, row in self.outdone.items() if name in self.table.rows}
+        self.superseded = {name: row for name, row in self.superseded.items() if name in self.table.records}
 
-    def lost(self) -> tuple[str, int] | None:
+    def draw_lost_address(self) -> tuple[str, int] | None:
         """One that counts as dead, or a seed where nobody is known to live, drawn. It may have been cut off
         with others, who hold the same of us, also for so long that both have forgotten each other.
         """
-        living = {self.table.rows[name].address for name in self.table.alive()}
-        dead = [row.address for row in self.table.rows.values() if row.state == DEAD]
+        living = {self.table.records[name].address for name in self.table.alive()}
+        dead = [row.address for row in self.table.records.values() if row.state == DEAD]
         dead += [seed for seed in self.seeds if seed not in living and seed not in dead]
-        return dead[self.chance.below(len(dead))] if dead else None
+        return dead[self.generator.below(len(dead))] if dead else None
--- a/locktide/cluster/membership/probing.py
+++ b/locktide/cluster/membership/probing.py
@@ -9,17 +9,17 @@
 class ProbeInProgress:
     """The probe under way. `nacks` are the indirect probers that have not said that they heard."""
 
-    name: str
-    number: int
-    ask_others_at: int
-    until: int
-    asked: bool = False
-    acked: bool = False
-    nacks: set[str] = field(default_factory=set)
+    target: str
+    sequence: int
+    indirect_at: int
+    deadline: int
+    is_indirect: bool = False
+    is_acked: bool = False
+    silent_relays: set[str] = field(default_factory=set)
 
 
 @dataclass(slots=True)
 class Suspicion:
-    since: int
-    by: set[str]
-    over_at: int = 0
+    started_at: int
+    accusers: set[str]
+    deadline: int = 0
--- a/locktide/cluster/membership/suspicion.py
+++ b/locktide/cluster/membership/suspicion.py
@@ -35,8 +35,8 @@
     def __init__(self) -> None:
         self.score = 0
 
-    def note(self, by: int) -> None:
+    def adjust(self, by: int) -> None:
         self.score = min(WORST, max(0, self.score + by))
 
-    def stretch(self, span: int) -> int:
+    def scale(self, span: int) -> int:
         return span * (self.score + 1)
--- a/locktide/cluster/membership/swim.py
+++ b/locktide/cluster/membership/swim.py
@@ -40,225 +40,270 @@
         chance: LinearCongruentialGenerator,
         now: int,
     ) -> None:
-        self.who, self.seeds, self.chance = who, seeds, chance
-        self.me = MemberRecord(who[0], who[1], 0, ALIVE, address)
-        self.table, self.rumours, self.health = MemberTable(), DisseminationQueue(), LocalHealth()
-        self.table.merge(self.me, now)
-        self.rumours.add(self.me)
-        self.order: list[str] = []  # whom to probe next: a drawn order, anew each time round
-        self.probe_at, self.whole_at = now, now
-        self.probed: ProbeInProgress | None = None
-        self.suspected: dict[str, Suspicion] = {}
-        self.relayed: dict[int, tuple[str, int]] = {}  # probes made for others: by number, for whom
-        self.number = 0
+        self.member_id, self.seeds, self.chance = who, seeds, chance
+        self.own_record = MemberRecord(who[0], who[1], 0, ALIVE, address)
+        self.table, self.gossip, self.health = MemberTable(), DisseminationQueue(), LocalHealth()
+        self.table.merge(self.own_record, now)
+        self.gossip.add(self.own_record)
+        self.probe_order: list[str] = []  # whom to probe next: a drawn order, anew each time round
+        self.next_probe_at, self.next_full_sync_at = now, now
+        self.probe: ProbeInProgress | None = None
+        self.suspicions: dict[str, Suspicion] = {}
+        self.relayed_probes: dict[int, tuple[str, int]] = {}  # probes made for others: by number, for whom
+        self.last_sequence = 0
         self.events: list[tuple[str, MemberRecord]] = []
-        self.replaced = False  # a later process of our name was heard of
-        self.reunion = PartitionHealing(self.table, seeds, chance)
+        self.superseded = False  # a later process of our name was heard of
+        self.partition_healing = PartitionHealing(self.table, seeds, chance)
 
     # --- what others ask
 
     def alive(self) -> list[str]:
         return self.table.alive()
 
-    def address(self, name: str) -> Address | None:
-        row = self.table.rows.get(name)
+    def address_of(self, name: str) -> Address | None:
+        row = self.table.records.get(name)
         return row.address if row is not None else None
 
     @property
-    def due(self) -> int:
-        times = [self.probe_at, self.whole_at]
-        if self.probed is not None:
-            over = self.probed.asked or self.probed.acked
-            times.append(self.probed.until if over else self.probed.ask_others_at)
-        times += [one.over_at for one in self.suspected.values()]
+    def next_wakeup(self) -> int:
+        times = [self.next_probe_at, self.next_full_sync_at]
+        if self.probe is not None:
+            over = self.probe.is_indirect or self.probe.is_acked
+            times.append(self.probe.deadline if over else self.probe.indirect_at)
+        times += [one.deadline for one in self.suspicions.values()]
         return min(times)
 
     # --- news
 
-    def learn(self, row: MemberRecord, now: int, by: str) -> None:
-        if row.name == self.who[0]:
-            self.of_us(row, now)
+    def merge(self, row: MemberRecord, now: int, by: str) -> None:
+        if row.name == self.member_id[0]:
+            self.merge_own(row, now)
             return
         before = self.table.merge(row, now)
-        if row.state == SUSPECT and (held := self.suspected.get(row.name)) and by != self.who[0]:
-            known = self.table.rows[row.name]
-            if (known.start, known.turn) == (row.start, row.turn) and by not in held.by:
-                held.by.add(by)  # one more that does not hear it
-                held.over_at = held.since + self.lasts(held)
-                self.rumours.add(row)
+        if row.state == SUSPECT and (held := self.suspicions.get(row.name)) and by != self.member_id[0]:
+            known = self.table.records[row.name]
+            if (known.generation, known.incarnation) == (
+                row.generation,
+                row.incarnation,
+            ) and by not in held.accusers:
+                held.accusers.add(by)  # one more that does not hear it
+                held.deadline = held.started_at + self.suspicion_timeout(held)
+                self.gossip.add(row)
         if before is None:
-            self.reunion.note(row, self.table.rows[row.name])
+            self.partition_healing.note_superseded(row, self.table.records[row.name])
             return
-        self.reunion.note(before, row)
-        self.rumours.add(row)
+        self.partition_healing.note_superseded(before, row)
+        self.gossip.add(row)
         if row.state == SUSPECT:
-            held = self.suspected[row.name] = Suspicion(now, {by})
-            held.over_at = now + self.lasts(held)
+            held = self.suspicions[row.name] = Suspicion(now, {by})
+            held.deadline = now + self.suspicion_timeout(held)
         else:
-            self.suspected.pop(row.name, None)
-        if (before.start, before.state) != (row.start, row.state):
+            self.suspicions.pop(row.name, None)
+        if (before.generation, before.state) != (row.generation, row.state):
             self.events.append((STATES[row.state], row))
 
-    def of_us(self, row: MemberRecord, now: int) -> None:
+    def merge_own(self, row: MemberRecord, now: int) -> None:
         """What others say of us: a suspicion is refuted by a higher turn; an earlier process of our name is
         outdone by our start; a later one is another under our name.
         """
-        if row.start > self.me.start:
-            if not self.replaced:
-                self.replaced = True
+        if row.generation > self.own_record.generation:
+            if not self.superseded:
+                self.superseded = True
                 self.events.append(("replaced", row))
             return
-        if row.start == self.me.start and row.state > ALIVE and row.turn >= self.me.turn:
-            self.health.note(+1)  # we were too slow for somebody
-            self.me = MemberRecord(self.me.name, self.me.start, row.turn + 1, self.me.state, self.me.address)
-        if row != self.me:
-            self.table.merge(self.me, now)
-            self.rumours.add(self.me)
+        if (
+            row.generation == self.own_record.generation
+            and row.state > ALIVE
+            and row.incarnation >= self.own_record.incarnation
+        ):
+            self.health.adjust(+1)  # we were too slow for somebody
+            self.own_record = MemberRecord(
+                self.own_record.name,
+                self.own_record.generation,
+                row.incarnation + 1,
+                self.own_record.state,
+                self.own_record.address,
+            )
+        if row != self.own_record:
+            self.table.merge(self.own_record, now)
+            self.gossip.add(self.own_record)
 
-    def hear(self, said: Envelope, now: int) -> Outgoing:
-        if self.me.state == LEFT or (said.sender, said.start) == self.who:
+    def handle(self, said: Envelope, now: int) -> Outgoing:
+        if self.own_record.state == LEFT or (said.sender, said.generation) == self.member_id:
             return []
-        sender, word = said.sender, said.word
-        for row in getattr(word, "rumours", ()):
-            self.learn(row, now, sender)
+        sender, word = said.sender, said.message
+        for row in getattr(word, "gossip", ()):
+            self.merge(row, now, sender)
         if isinstance(word, Ping):
-            if word.row is not None:
-                self.learn(word.row, now, sender)  # Lifeguard's buddy: who is suspected hears it first
-            ack = Ack(word.number, self.reunion.doubts(said) + self.tell())
-            return self.to(sender, ack) + self.outdo(said)
+            if word.target_record is not None:
+                self.merge(
+                    word.target_record, now, sender
+                )  # Lifeguard's buddy: who is suspected hears it first
+            ack = Ack(word.sequence, self.partition_healing.records_to_refute(said) + self.take_gossip())
+            return self.address_to(sender, ack) + self.notify_superseded(said)
         if isinstance(word, IndirectProbe):
-            return self.relay(sender, word)
+            return self.relay_probe(sender, word)
         if isinstance(word, Ack):
-            return self.acked(word)
-        if isinstance(word, Nack) and self.probed is not None and word.number == self.probed.number:
-            self.probed.nacks.discard(sender)
+            return self.handle_ack(word)
+        if isinstance(word, Nack) and self.probe is not None and word.sequence == self.probe.sequence:
+            self.probe.silent_relays.discard(sender)
         if isinstance(word, FullSync):
-            for row in word.rows:
-                self.learn(row, now, sender)
+            for row in word.records:
+                self.merge(row, now, sender)
             # Only what asks is answered: two that are both outdone would tell each other for ever.
-            return self.whole(self.address(sender), answer=False) + self.outdo(said) if word.answer else []
+            return (
+                self.full_sync(self.address_of(sender), answer=False) + self.notify_superseded(said)
+                if word.reply_wanted
+                else []
+            )
         return []
 
-    def outdo(self, said: Envelope) -> Outgoing:
-        earlier = self.reunion.outdo(said)
+    def notify_superseded(self, said: Envelope) -> Outgoing:
+        earlier = self.partition_healing.superseding_record(said)
         return [(earlier[0], FullSync([earlier[1]], False))] if earlier else []
 
-    def acked(self, word: Ack) -> Outgoing:
-        if (relayed := self.relayed.pop(word.number, None)) is not None:
-            return self.to(relayed[0], Ack(relayed[1], self.tell()))
-        if self.probed is not None and word.number == self.probed.number:
-            self.probed.acked = True
+    def handle_ack(self, word: Ack) -> Outgoing:
+        if (relayed := self.relayed_probes.pop(word.sequence, None)) is not None:
+            return self.address_to(relayed[0], Ack(relayed[1], self.take_gossip()))
+        if self.probe is not None and word.sequence == self.probe.sequence:
+            self.probe.is_acked = True
         return []
 
-    def relay(self, sender: str, word: IndirectProbe) -> Outgoing:
-        if len(self.relayed) >= 256:  # guards the memory: those not answered by now will not be
-            self.relayed.clear()
-        self.number += 1
-        self.relayed[self.number] = (sender, word.number)
-        row = self.table.rows.get(word.name)
-        pinged = self.to(word.name, Ping(self.number, row, self.tell()))
-        return pinged + self.to(sender, Nack(word.number))
+    def relay_probe(self, sender: str, word: IndirectProbe) -> Outgoing:
+        if len(self.relayed_probes) >= 256:  # guards the memory: those not answered by now will not be
+            self.relayed_probes.clear()
+        self.last_sequence += 1
+        self.relayed_probes[self.last_sequence] = (sender, word.sequence)
+        row = self.table.records.get(word.target)
+        pinged = self.address_to(word.target, Ping(self.last_sequence, row, self.take_gossip()))
+        return pinged + self.address_to(sender, Nack(word.sequence))
 
     # --- time
 
     def tick(self, now: int) -> Outgoing:
-        if self.me.state == LEFT:
+        if self.own_record.state == LEFT:
             return []
         sends: Outgoing = []
-        for name, held in list(self.suspected.items()):
-            if now >= held.over_at:
-                row = self.table.rows[name]
-                self.learn(MemberRecord(name, row.start, row.turn, DEAD, row.address), now, self.who[0])
-        probed = self.probed
-        if probed is not None and not probed.acked and not probed.asked and now >= probed.ask_others_at:
-            sends += self.ask_others(probed)
-        if probed is not None and now >= probed.until:
-            self.judge(probed, now)
-        if now >= self.probe_at:
-            sends += self.probe(now)
-        if now >= self.whole_at:
-            self.whole_at = now + WHOLE_EVERY // 2 + self.chance.below(WHOLE_EVERY)
+        for name, held in list(self.suspicions.items()):
+            if now >= held.deadline:
+                row = self.table.records[name]
+                self.merge(
+                    MemberRecord(name, row.generation, row.incarnation, DEAD, row.address),
+                    now,
+                    self.member_id[0],
+                )
+        probed = self.probe
+        if (
+            probed is not None
+            and not probed.is_acked
+            and not probed.is_indirect
+            and now >= probed.indirect_at
+        ):
+            sends += self.start_indirect_probes(probed)
+        if probed is not None and now >= probed.deadline:
+            self.finish_probe(probed, now)
+        if now >= self.next_probe_at:
+            sends += self.start_probe(now)
+        if now >= self.next_full_sync_at:
+            self.next_full_sync_at = now + WHOLE_EVERY // 2 + self.chance.below(WHOLE_EVERY)
             self.table.forget(now)
-            self.reunion.forget()
-            others = self.others()
-            drawn = self.address(others[self.chance.below(len(others))]) if others else None
+            self.partition_healing.prune()
+            others = self.other_members()
+            drawn = self.address_of(others[self.chance.below(len(others))]) if others else None
             for address in [drawn] if drawn else self.seeds:
-                sends += self.whole(address, answer=True)
-            sends += self.whole(self.reunion.lost(), answer=True)
+                sends += self.full_sync(address, answer=True)
+            sends += self.full_sync(self.partition_healing.draw_lost_address(), answer=True)
         return sends
 
-    def probe(self, now: int) -> Outgoing:
-        span = self.health.stretch(PERIOD)
-        self.probe_at = now + span
-        if not self.others():
+    def start_probe(self, now: int) -> Outgoing:
+        span = self.health.scale(PERIOD)
+        self.next_probe_at = now + span
+        if not self.other_members():
             # Nobody is known yet, or any more: the seeds are told that we are here.
-            return [send for address in self.seeds for send in self.whole(address, answer=True)]
-        name = self.next_one()
-        self.number += 1
-        answer = min(self.health.stretch(ANSWER), span // 2)
-        self.probed = ProbeInProgress(name, self.number, now + answer, now + span - 1)
-        return self.to(name, Ping(self.number, self.table.rows[name], self.tell()))
+            return [send for address in self.seeds for send in self.full_sync(address, answer=True)]
+        name = self.next_probe_target()
+        self.last_sequence += 1
+        answer = min(self.health.scale(ANSWER), span // 2)
+        self.probe = ProbeInProgress(name, self.last_sequence, now + answer, now + span - 1)
+        return self.address_to(name, Ping(self.last_sequence, self.table.records[name], self.take_gossip()))
 
-    def next_one(self) -> str:
-        others = set(self.others())
+    def next_probe_target(self) -> str:
+        others = set(self.other_members())
         while True:
-            while self.order:
-                if (name := self.order.pop()) in others:
+            while self.probe_order:
+                if (name := self.probe_order.pop()) in others:
                     return name
-            self.order = sorted(others)
-            for place in range(len(self.order) - 1, 0, -1):  # Fisher and Yates
+            self.probe_order = sorted(others)
+            for place in range(len(self.probe_order) - 1, 0, -1):  # Fisher and Yates
                 drawn = self.chance.below(place + 1)
-                self.order[place], self.order[drawn] = self.order[drawn], self.order[place]
+                self.probe_order[place], self.probe_order[drawn] = (
+                    self.probe_order[drawn],
+                    self.probe_order[place],
+                )
 
-    def ask_others(self, probed: ProbeInProgress) -> Outgoing:
-        probed.asked = True
-        able = [name for name in self.others() if name != probed.name and name not in self.suspected]
+    def start_indirect_probes(self, probed: ProbeInProgress) -> Outgoing:
+        probed.is_indirect = True
+        able = [
+            name for name in self.other_members() if name != probed.target and name not in self.suspicions
+        ]
         chosen = [able.pop(self.chance.below(len(able))) for _ in range(min(INDIRECT, len(able)))]
-        probed.nacks = set(chosen)
+        probed.silent_relays = set(chosen)
         return [
             send
             for name in chosen
-            for send in self.to(name, IndirectProbe(probed.number, probed.name, self.tell()))
+            for send in self.address_to(
+                name, IndirectProbe(probed.sequence, probed.target, self.take_gossip())
+            )
         ]
 
-    def judge(self, probed: ProbeInProgress, now: int) -> None:
-        self.probed = None
-        if probed.acked:
-            self.health.note(-1)
+    def finish_probe(self, probed: ProbeInProgress, now: int) -> None:
+        self.probe = None
+        if probed.is_acked:
+            self.health.adjust(-1)
             return
         # Who was asked in our place and says nothing either: it is rather we who do not hear.
-        self.health.note(len(probed.nacks) if probed.asked and probed.nacks else +1)
-        row = self.table.rows.get(probed.name)
+        self.health.adjust(len(probed.silent_relays) if probed.is_indirect and probed.silent_relays else +1)
+        row = self.table.records.get(probed.target)
         if row is not None and row.state == ALIVE:
-            self.learn(MemberRecord(row.name, row.start, row.turn, SUSPECT, row.address), now, self.who[0])
+            self.merge(
+                MemberRecord(row.name, row.generation, row.incarnation, SUSPECT, row.address),
+                now,
+                self.member_id[0],
+            )
 
     def leave(self) -> Outgoing:
         """Tells some that we go by ourselves; nothing is sent after that."""
-        self.me = MemberRecord(self.me.name, self.me.start, self.me.turn, LEFT, self.me.address)
-        others = self.others()
+        self.own_record = MemberRecord(
+            self.own_record.name,
+            self.own_record.generation,
+            self.own_record.incarnation,
+            LEFT,
+            self.own_record.address,
+        )
+        others = self.other_members()
         chosen = [others.pop(self.chance.below(len(others))) for _ in range(min(2 * INDIRECT, len(others)))]
-        return [send for name in chosen for send in self.to(name, FullSync([self.me], False))]
+        return [send for name in chosen for send in self.address_to(name, FullSync([self.own_record], False))]
 
     # --- words
 
-    def others(self) -> list[str]:
-        return [name for name in self.table.alive() if name != self.who[0]]
+    def other_members(self) -> list[str]:
+        return [name for name in self.table.alive() if name != self.member_id[0]]
 
-    def lasts(self, held: Suspicion) -> int:
-        return suspicion.suspicion_timeout(len(self.table.alive()), len(held.by) - 1, self.health.score)
+    def suspicion_timeout(self, held: Suspicion) -> int:
+        return suspicion.suspicion_timeout(len(self.table.alive()), len(held.accusers) - 1, self.health.score)
 
-    def tell(self) -> list[MemberRecord]:
-        return self.rumours.take(len(self.table.alive()))
+    def take_gossip(self) -> list[MemberRecord]:
+        return self.gossip.take(len(self.table.alive()))
 
-    def to(self, name: str, word: Message) -> Outgoing:
-        address = self.address(name)
+    def address_to(self, name: str, word: Message) -> Outgoing:
+        address = self.address_of(name)
         return [(address, word)] if address is not None else []
 
-    def whole(self, address: Address | None, answer: bool) -> Outgoing:
+    def full_sync(self, address: Address | None, answer: bool) -> Outgoing:
         """All we know, in as many datagrams as that takes; the last asks for as much."""
         if address is None:
             return []
-        rows = sorted(self.table.rows.values(), key=lambda row: row.name)
+        rows = sorted(self.table.records.values(), key=lambda row: row.name)
         pages = [rows[place : place + MOST] for place in range(0, len(rows), MOST)]
         last = len(pages) - 1
         return [(address, FullSync(page, answer and place == last)) for place, page in enumerate(pages)]
--- a/locktide/cluster/messages.py
+++ b/locktide/cluster/messages.py
@@ -34,8 +34,8 @@
     """One member as somebody knows it. `turn` is what it raises itself to refute a suspicion."""
 
     name: str
-    start: int
-    turn: Count
+    generation: int
+    incarnation: Count
     state: Annotated[int, Meta(ge=0, le=3)]
     address: tuple[str, Annotated[int, Meta(ge=0, le=65535)]]
 
@@ -47,35 +47,35 @@
 class Ping(Message, tag="Ping"):
     """Answered by an Ack of the same number. `row` is what its sender believes of who is asked."""
 
-    number: int
-    row: MemberRecord | None
-    rumours: list[MemberRecord]
+    sequence: int
+    target_record: MemberRecord | None
+    gossip: list[MemberRecord]
 
 
 class IndirectProbe(Message, tag="Probe"):
     """Asks for a ping of `name`: an indirect probe."""
 
-    number: int
-    name: str
-    rumours: list[MemberRecord]
+    sequence: int
+    target: str
+    gossip: list[MemberRecord]
 
 
 class Ack(Message, tag="Ack"):
-    number: int
-    rumours: list[MemberRecord]
+    sequence: int
+    gossip: list[MemberRecord]
 
 
 class Nack(Message, tag="Nack"):
     """In answer to a Probe: it was heard, and the one probed has not answered yet."""
 
-    number: int
+    sequence: int
 
 
 class FullSync(Message, tag="Whole"):
     """A part of a full exchange; the last that was asked for answers in kind."""
 
-    rows: list[MemberRecord]
-    answer: bool
+    records: list[MemberRecord]
+    reply_wanted: bool
 
 
 class Prepare(Message, tag="Prepare"):
@@ -85,20 +85,20 @@
 class Promise(Message, tag="Promise"):
     """`owner` holds the lease, as far as this elector knows; `refused` where it has promised `ballot`."""
 
-    asked: Ballot
-    ballot: Ballot
-    owner: MemberId | None
+    requested: Ballot
+    promised: Ballot
+    lease_owner: MemberId | None
     refused: bool
 
 
 class Propose(Message, tag="Propose"):
     ballot: Ballot
-    owner: MemberId
+    lease_owner: MemberId
 
 
 class Accepted(Message, tag="Accepted"):
-    asked: Ballot
-    ballot: Ballot
+    requested: Ballot
+    promised: Ballot
     refused: bool
 
 
@@ -186,15 +186,15 @@
 class InspectionRequest(Message, tag="Look"):
     """Of `locktide cluster show`: answered on loopback only."""
 
-    number: int
+    request_id: int
 
 
 class InspectionPage(Message, tag="Seen"):
     """A page of what a member sees, as JSON; `pages` in all."""
 
-    number: int
-    page: int
-    pages: int
+    request_id: int
+    page_index: int
+    page_count: int
     text: str
 
 
@@ -211,8 +211,8 @@
 
     version: int
     sender: str
-    start: int
-    word: AnyMessage
+    generation: int
+    message: AnyMessage
 
 
 READER: msgspec.msgpack.Decoder[Envelope] = msgspec.msgpack.Decoder(Envelope)
--- a/locktide/cluster/udp_transport.py
+++ b/locktide/cluster/udp_transport.py
@@ -46,65 +46,67 @@
         self, terms: ClusterConfig, log: Log, node: EventSource | None, trace: TextIO | None = None
     ) -> None:
         self.trace = trace  # where each change of what is in force goes, with its moment
-        self.loop, self.terms, self.log, self.node = asyncio.get_running_loop(), terms, log, node
-        self.agent = ClusterMember(terms, self.now())
+        self.loop, self.config, self.log, self.event_source = asyncio.get_running_loop(), terms, log, node
+        self.member = ClusterMember(terms, self.now())
         self.timer: asyncio.TimerHandle | None = None
-        self.refused = 0  # datagrams of which nothing was believed
-        self.budgets = {budget.name for budget in terms.budgets}
-        self.shown_lent: list[tuple[str, str]] = []
-        self.shown_over: frozenset[str] = frozenset()
+        self.rejected_datagrams = 0  # datagrams of which nothing was believed
+        self.quota_names = {budget.name for budget in terms.quotas}
+        self.logged_loans: list[tuple[str, str]] = []
+        self.logged_over_share: frozenset[str] = frozenset()
         if node is not None:
-            node.observers.append(self.heard)
+            node.observers.append(self.on_event)
 
     def now(self) -> int:
         return int(self.loop.time() * 1e6)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport  # type: ignore[assignment]
-        self.told_parts()
-        self.wake()
+        self.report_quotas()
+        self.schedule_wakeup()
 
     def datagram_received(self, data: bytes, source: Any) -> None:
         said = decode(data)
         if said is None:
-            self.refused += 1
-        elif isinstance(said.word, InspectionRequest):
-            self.show(said.word, source)
+            self.rejected_datagrams += 1
+        elif isinstance(said.message, InspectionRequest):
+            self.answer_inspection(said.message, source)
         else:
-            self.carry_out(self.agent.hear(said, self.now()))  # the clock is read after the datagram
+            self.send_and_report(self.member.handle(said, self.now()))  # the clock is read after the datagram
 
     def error_received(self, trouble: Exception) -> None:
         pass  # nobody listens there any more: it will be missed
 
-    def due(self) -> None:
-        self.carry_out(self.agent.tick(self.now()))
+    def on_timer(self) -> None:
+        self.send_and_report(self.member.tick(self.now()))
 
-    def wake(self) -> None:
+    def schedule_wakeup(self) -> None:
         if self.timer is not None:
             self.timer.cancel()
-        at = max(self.agent.due / 1e6, self.loop.time() + SMALLEST_WAIT)
-        self.timer = self.loop.call_at(at, self.due)
+        at = max(self.member.next_wakeup / 1e6, self.loop.time() + SMALLEST_WAIT)
+        self.timer = self.loop.call_at(at, self.on_timer)
 
-    def carry_out(self, sends: Outgoing) -> None:
+    def send_and_report(self, sends: Outgoing) -> None:
         for address, word in sends:
-            self.transport.sendto(encode(self.terms.who, word), address)
-        if self.agent.news.moved:
-            self.told_parts()
-        for what, row in self.agent.news.events:
+            self.transport.sendto(encode(self.config.member_id, word), address)
+        if self.member.update.quotas_changed:
+            self.report_quotas()
+        for what, row in self.member.update.events:
             at = f"{row.address[0]}:{row.address[1]}"
             line = f"accord: {row.name} at {at} is {what}"
             if what == "replaced":
                 line = f"accord: a second process under our name at {at}; we step down"
-            self.log.emit(line, "accord", event=f"accord-{what}", member=row.name, start=row.start, at=at)
-        self.wake()
+            self.log.emit(
+                line, "accord", event=f"accord-{what}", member=row.name, start=row.generation, at=at
+            )
+        self.schedule_wakeup()
 
-    def told_parts(self) -> None:
+    def report_quotas(self) -> None:
         """What is in force from now on, and until when."""
-        purse = self.agent.purse
+        purse = self.member.local_quota
         shown = ", ".join(f"{name} {part / 1e4:.1f}%" for name, part in purse.shares.items())
         self.log.emit(f"accord: in force {shown}", "accord", event="accord-parts", parts=dict(purse.shares))
-        self.say_more()
-        self.tell_node()
+        self.log_loans_and_fairness()
+        self.emit_quota_shares()
         if self.trace is not None:
             told = {
                 "at": self.now(),
@@ -116,28 +118,31 @@
             }
             print(json.dumps(told), file=self.trace, flush=True)
 
-    def say_more(self) -> None:
+    def log_loans_and_fairness(self) -> None:
         """Loans and who holds too much, once each time that changes."""
-        lent = sorted(self.agent.purse.loans)
-        if lent != self.shown_lent:
-            self.shown_lent = lent
+        lent = sorted(self.member.local_quota.loans)
+        if lent != self.logged_loans:
+            self.logged_loans = lent
             shown = ", ".join(
                 f"{part / 1e4:.1f}% of {owner} for {borrower}"
-                for (owner, borrower), part in sorted(self.agent.purse.loans.items())
+                for (owner, borrower), part in sorted(self.member.local_quota.loans.items())
             )
             self.log.emit(f"accord: borrowed {shown or 'nothing'}", "accord", event="accord-lent", loans=lent)
-        if self.agent.over != self.shown_over:
-            self.shown_over, over = self.agent.over, sorted(self.agent.over)
+        if self.member.tenants_over_share != self.logged_over_share:
+            self.logged_over_share, over = (
+                self.member.tenants_over_share,
+                sorted(self.member.tenants_over_share),
+            )
             line = f"accord: beyond their fair shares: {', '.join(over) or 'nobody'}"
             self.log.emit(line, "accord", event="accord-over", over=over)
 
     # --- the node
 
-    def tell_node(self) -> None:
+    def emit_quota_shares(self) -> None:
         """The parts that the decisions go by, and on their clock until when."""
-        if self.node is None:
+        if self.event_source is None:
             return
-        purse, now, there = self.agent.purse, self.now(), self.node.clock.now()
+        purse, now, there = self.member.local_quota, self.now(), self.event_source.clock.now()
         # What is held from now on by this loop's clock, on the decisions' one; they differ by a constant.
         until = there + max(0, purse.shares_until - now)
         parts = {name: part / WHOLE for name, part in purse.shares.items()}
@@ -152,44 +157,47 @@
                 if rates[1]:
                     lent[borrower] = lent.get(borrower, 0.0) + part / WHOLE * rates[0] / rates[1]
             stages.insert(0, QuotaStage(min(until, there + max(0, purse.loans_until - now)), parts, lent))
-        self.node.enqueue_event(QuotaSharesUpdated(stages, self.agent.over, there + OVER_FOR))
+        self.event_source.enqueue_event(
+            QuotaSharesUpdated(stages, self.member.tenants_over_share, there + OVER_FOR)
+        )
 
-    def heard(self, piece: Any) -> None:
+    def on_event(self, piece: Any) -> None:
         """News and orders of the node: what clients ask for is the demand that the division follows, and
         what they hold of the fleet goes into the ledger.
         """
         if type(piece) is ConfigReloaded:
-            self.loop.call_soon(self.tell_node)  # which made a new reckoning of shares
+            self.loop.call_soon(self.emit_quota_shares)  # which made a new reckoning of shares
             return
-        if (ledger := self.agent.ledger) is not None:
+        if (ledger := self.member.ledger) is not None:
             ledger.usage.observe(piece)
-        if type(piece) is RequestArrived and piece.tenant in self.budgets:
-            due = self.agent.due
-            self.agent.spend(piece.tenant, self.now())
-            if self.agent.due < due:
-                self.wake()  # its owner has come back: that is told at once
+        if type(piece) is RequestArrived and piece.tenant in self.quota_names:
+            due = self.member.next_wakeup
+            self.member.spend(piece.tenant, self.now())
+            if self.member.next_wakeup < due:
+                self.schedule_wakeup()  # its owner has come back: that is told at once
 
     # --- a look from outside
 
-    def show(self, word: InspectionRequest, source: Any) -> None:
+    def answer_inspection(self, word: InspectionRequest, source: Any) -> None:
         """On loopback only: what members see is nobody else's."""
         if not ip_address(source[0]).is_loopback:
             return
-        told = json.dumps(inspect(self.agent, self.now()) | {"refused_datagrams": self.refused})
+        told = json.dumps(inspect(self.member, self.now()) | {"refused_datagrams": self.rejected_datagrams})
         pages = [told[place : place + PAGE] for place in range(0, len(told), PAGE)]
         for place, text in enumerate(pages):
             self.transport.sendto(
-                encode(self.terms.who, InspectionPage(word.number, place, len(pages), text)), source
+                encode(self.config.member_id, InspectionPage(word.request_id, place, len(pages), text)),
+                source,
             )
 
     async def close(self) -> None:
         """A clean end: gives back what it holds and says that it goes."""
-        for address, word in self.agent.leave(self.now()):
-            self.transport.sendto(encode(self.terms.who, word), address)
+        for address, word in self.member.leave(self.now()):
+            self.transport.sendto(encode(self.config.member_id, word), address)
         if self.timer is not None:
             self.timer.cancel()
-        if self.node is not None:
-            self.node.observers.remove(self.heard)
+        if self.event_source is not None:
+            self.event_source.observers.remove(self.on_event)
         if self.trace is not None:
             self.trace.close()
         await asyncio.sleep(0)
@@ -220,9 +228,9 @@
     class Looking(asyncio.DatagramProtocol):
         def datagram_received(self, data: bytes, source: Any) -> None:
             said: Envelope | None = decode(data)
-            if said is not None and isinstance(said.word, InspectionPage) and not whole.done():
-                pages[said.word.page] = said.word.text
-                if len(pages) == said.word.pages:
+            if said is not None and isinstance(said.message, InspectionPage) and not whole.done():
+                pages[said.message.page_index] = said.message.text
+                if len(pages) == said.message.page_count:
                     whole.set_result("".join(pages[page] for page in sorted(pages)))
 
         def error_received(self, trouble: Exception) -> None:
--- a/locktide/simulation/cluster/borrowing_runs.py
+++ b/locktide/simulation/cluster/borrowing_runs.py
@@ -73,8 +73,8 @@
 
     def borrower(self) -> Process:
         """One that holds loans and does not divide."""
-        able = [one for one in self.world.all if one.alive and one.agent.giver is None]
-        return max(able, key=lambda one: sum(one.agent.purse.loans.values()))
+        able = [one for one in self.world.all if one.alive and one.agent.allocator is None]
+        return max(able, key=lambda one: sum(one.agent.local_quota.loans.values()))
 
 
 def worth(seed: int, lend: float) -> Lent:
@@ -96,7 +96,7 @@
         del fleet.asked[f"t{number}", "d0"]
     fleet.run(WARM)
     victim = fleet.borrower()
-    leader = next((one for one in world.all if one.agent.giver is not None), victim)
+    leader = next((one for one in world.all if one.agent.allocator is not None), victim)
     if trouble == "a tenth lost":
         world.net.lose = 0.1
     elif trouble == "a borrower paused":
--- a/locktide/simulation/cluster/cost.py
+++ b/locktide/simulation/cluster/cost.py
@@ -73,7 +73,7 @@
             holdings.observe(AttemptEnded(f"j{step - 2}", 0, AttemptOutcome.DONE, True))
         world.run(world.now + SECOND // 2)
     counting, spent = False, time.process_time() - begun
-    leader = next((one.name for one in world.all if one.agent.giver is not None), "")
+    leader = next((one.name for one in world.all if one.agent.allocator is not None), "")
     victim = next(one for one in reversed(world.all) if one.name != leader)
     victim.kill()
     died, first, last = world.now, 0, 0
@@ -102,8 +102,8 @@
     tracemalloc.start()
     before = tracemalloc.take_snapshot()
     agent: ClusterMember = world.make(world.all[0])
-    for row in world.all[0].agent.swim.table.rows.values():
-        agent.swim.learn(row, world.all[0].clock(), "")
+    for row in world.all[0].agent.swim.table.records.values():
+        agent.swim.merge(row, world.all[0].clock(), "")
     after = tracemalloc.take_snapshot()
     tracemalloc.stop()
     return sum(stat.size_diff for stat in after.compare_to(before, "filename")) / 1e6
--- a/locktide/simulation/cluster/model_checking.py
+++ b/locktide/simulation/cluster/model_checking.py
@@ -59,7 +59,7 @@
         sends: list[tuple[str, Message]] = []
         if self.candidate is not None:
             sends += self.candidate.tick(now)
-            if not self.candidate.leads(now):
+            if not self.candidate.is_leader(now):
                 self.giver = None
             elif self.giver is None or self.giver.term != self.candidate.term:
                 assert self.candidate.term is not None
@@ -77,18 +77,18 @@
         reply: Message | None = None
         sender = by[0]
         if isinstance(word, Prepare):
-            reply = self.elector.prepare(word, now)
+            reply = self.elector.handle_prepare(word, now)
         elif isinstance(word, Propose):
-            reply = self.elector.propose(word, now)
+            reply = self.elector.handle_propose(word, now)
         elif isinstance(word, Promise) and self.candidate is not None:
-            return self.candidate.promise(sender, word, now)
+            return self.candidate.handle_promise(sender, word, now)
         elif isinstance(word, Accepted) and self.candidate is not None:
-            self.candidate.was_accepted(sender, word, now)
+            self.candidate.handle_accepted(sender, word, now)
         elif isinstance(word, LeaderHeartbeat):
             self.holder.observe_leader(word.term, now)
         elif isinstance(word, LeaseGrant):
             self.holder.accept_grant(word, now)
-        elif isinstance(word, LeaseRequest) and self.candidate is not None and self.candidate.leads(now):
+        elif isinstance(word, LeaseRequest) and self.candidate is not None and self.candidate.is_leader(now):
             if self.giver is not None and word.term == self.giver.term:
                 reply = self.giver.handle_request(by, word, now)
         return [(sender, reply)] if reply is not None else []
@@ -116,7 +116,7 @@
 
     def leaders(self) -> int:
         return sum(
-            one.candidate is not None and one.candidate.leads(self.now) for one in self.members.values()
+            one.candidate is not None and one.candidate.is_leader(self.now) for one in self.members.values()
         )
 
 
--- a/locktide/simulation/cluster/skewed_demand.py
+++ b/locktide/simulation/cluster/skewed_demand.py
@@ -54,11 +54,11 @@
 
 
 def begin(world: VirtualCluster, trouble: str) -> None:
-    other = next(one for one in world.all if one.name != "d0" and one.agent.giver is None)
+    other = next(one for one in world.all if one.name != "d0" and one.agent.allocator is None)
     if trouble == "kill of another":
         other.kill()
     elif trouble == "kill of who divides":
-        leader = next((one for one in world.all if one.agent.giver is not None), other)
+        leader = next((one for one in world.all if one.agent.allocator is not None), other)
         (other if leader.name == "d0" else leader).kill()
     elif trouble == "partition":
         world.net.cut = {pair for name in world.names for pair in ((name, other.name), (other.name, name))}
--- a/locktide/simulation/cluster/virtual_cluster.py
+++ b/locktide/simulation/cluster/virtual_cluster.py
@@ -63,7 +63,7 @@
         return self.begun + -int(-(local - self.offset) // self.rate)
 
     def log(self) -> None:
-        purse = self.agent.purse
+        purse = self.agent.local_quota
         until = self.shared(purse.shares_until) if purse.shares_until else 0
         lent = self.shared(purse.loans_until) if purse.loans_until else 0
         self.world.meter.in_force(
@@ -72,12 +72,12 @@
 
     def wake(self) -> None:
         self.woken += 1  # of all that were set only the last counts
-        self.world.at(max(self.world.now + 1, self.shared(self.agent.due)), self.tick, self.woken)
+        self.world.at(max(self.world.now + 1, self.shared(self.agent.next_wakeup)), self.tick, self.woken)
 
     def tick(self, woken: int = 0) -> None:
         if not self.alive or self.paused or woken != self.woken:
             return
-        if self.clock() >= self.agent.due:
+        if self.clock() >= self.agent.next_wakeup:
             self.done(self.agent.tick(self.clock()))
         self.wake()
 
@@ -89,24 +89,26 @@
             return
         said = decode(datagram)
         if said is not None:
-            self.done(self.agent.hear(said, self.clock()))
+            self.done(self.agent.handle(said, self.clock()))
             self.wake()
 
     def done(self, sends: list[Any]) -> None:
         for address, word in sends:
             self.world.send(self, address, encode((self.name, self.start), word))
-        if self.agent.news.moved:
+        if self.agent.update.quotas_changed:
             self.log()
-        self.world.events += [(self.world.now, self.name, what, row) for what, row in self.agent.news.events]
+        self.world.events += [
+            (self.world.now, self.name, what, row) for what, row in self.agent.update.events
+        ]
 
     def spend(self, budget: str) -> bool:
         if not self.alive or self.paused:
             return False
-        if self.agent.purse.expire(self.clock()):
+        if self.agent.local_quota.expire(self.clock()):
             self.log()
         self.world.meter.ask(budget, self.world.now)
-        due, of = self.agent.due, self.agent.spend(budget, self.clock())
-        if self.agent.due < due:
+        due, of = self.agent.next_wakeup, self.agent.spend(budget, self.clock())
+        if self.agent.next_wakeup < due:
             self.wake()
         if of is None:
             return False
--- a/locktide/simulation/virtual_backend.py
+++ b/locktide/simulation/virtual_backend.py
@@ -166,14 +166,16 @@
         self.traces.append((number, process, trace))
         terms = self.agree(number, process.name, process.address)
         # Its start tells it from an earlier process, as the clock does elsewhere.
-        terms = replace(terms, who=(process.name, round(self.wall() * 1e6)), seed=len(self.traces))
+        terms = replace(
+            terms, member_id=(process.name, round(self.wall() * 1e6)), random_seed=len(self.traces)
+        )
         driver = await open_udp_transport(terms, log, node, (process.address, TALK_PORT), Copied(trace))
         self.drivers[number] = process, driver
         return driver
 
     async def digests(self) -> list[str]:
         """Of the ledgers of all dispatchers that live."""
-        ledgers = [driver.agent.ledger for process, driver in self.drivers.values() if not process.dead]
+        ledgers = [driver.member.ledger for process, driver in self.drivers.values() if not process.dead]
         return [f"{ledger.standing.digest:016x}" for ledger in ledgers if ledger is not None]
 
     def died(self, process: Process) -> None:
--- a/tests/test_accord.py
+++ b/tests/test_accord.py
@@ -107,7 +107,7 @@
         body[drawn.randrange(len(body))] = drawn.randrange(256)
         said = decode(words.crc32(bytes(body)).to_bytes(4, "big") + bytes(body))
         if said is not None:
-            agent.hear(said, agent.lead_at)
+            agent.handle(said, agent.next_heartbeat_at)
 
 
 # --- members
@@ -122,7 +122,7 @@
     drawn.shuffle(mixed)
     for row in mixed:
         second.merge(row, 0)
-    assert first.rows == second.rows and first.alive() == second.alive()
+    assert first.records == second.records and first.alive() == second.alive()
 
 
 def settled(seed: int = 3, members: int = 5, until: int = 8) -> VirtualCluster:
@@ -155,7 +155,7 @@
     world.run(11 * SECOND)
     slow.go_on()
     world.run(20 * SECOND)
-    assert slow.agent.swim.me.turn > 0, "it was suspected"
+    assert slow.agent.swim.own_record.incarnation > 0, "it was suspected"
     assert all(len(one.agent.swim.alive()) == 5 for one in world.all)
     assert not [what for _, _, what, row in world.events if what == "dead"]
 
@@ -165,7 +165,7 @@
     world.begin("d3", 9500)
     world.run(11 * SECOND)
     assert world.all[3].agent.stepped_down and not world.all[5].agent.stepped_down
-    assert world.all[3].agent.purse.shares == {"dairy": 0, "cold": 0}
+    assert world.all[3].agent.local_quota.shares == {"dairy": 0, "cold": 0}
     assert [name for _, name, what, _ in world.events if what == "replaced"] == ["d3"]
     assert not world.meter.overruns()
 
@@ -178,14 +178,14 @@
     first = world.live("d1")
     world.begin("d1", 9500)
     world.run(9 * SECOND)
-    assert first.agent.stepped_down and first.agent.due > first.clock(), "it would spin"
+    assert first.agent.stepped_down and first.agent.next_wakeup > first.clock(), "it would spin"
 
 
 def test_a_swim_that_hears_nobody_asks_its_seeds_and_holds_on() -> None:
     alone = swim.Swim(("d0", 5), HERE, [("127.0.0.1", 9001)], LinearCongruentialGenerator(1), 0)
     asked = 0
     for _ in range(60):
-        asked += sum(type(word) is FullSync for _, word in alone.tick(alone.due))
+        asked += sum(type(word) is FullSync for _, word in alone.tick(alone.next_wakeup))
     assert asked > 20 and alone.alive() == ["d0"]
 
 
@@ -227,7 +227,7 @@
 
 def test_a_part_goes_to_who_is_asked_and_back_within_a_lease_and_a_second_of_its_death() -> None:
     world = settled()
-    busy = world.all[0] if world.all[0].agent.giver is None else world.all[1]
+    busy = world.all[0] if world.all[0].agent.allocator is None else world.all[1]
 
     def ask() -> None:
         for _ in range(30):
@@ -236,22 +236,22 @@
 
     world.at(world.now, ask)
     world.run(10 * SECOND)
-    assert busy.agent.purse.shares["dairy"] > 600_000
+    assert busy.agent.local_quota.shares["dairy"] > 600_000
     busy.kill()
     world.run(10 * SECOND + spans.SHARE_LEASE + SECOND)
-    left = [one.agent.purse.shares["dairy"] for one in world.all if one.alive]
-    assert sum(left) > 900_000 - busy.agent.purse.guaranteed_minimum
+    left = [one.agent.local_quota.shares["dairy"] for one in world.all if one.alive]
+    assert sum(left) > 900_000 - busy.agent.local_quota.guaranteed_minimum
     assert not world.meter.overruns()
 
 
 def test_who_divides_dies_and_nobody_falls_back_for_longer_than_it_takes_to_elect_another() -> None:
     world = settled()
-    leader = next(one for one in world.all if one.agent.giver is not None)
+    leader = next(one for one in world.all if one.agent.allocator is not None)
     leader.kill()
     world.run(14 * SECOND)
     live = [one for one in world.all if one.alive]
-    assert sum(one.agent.giver is not None for one in live) == 1
-    assert sum(one.agent.purse.shares["dairy"] for one in live) > 800_000
+    assert sum(one.agent.allocator is not None for one in live) == 1
+    assert sum(one.agent.local_quota.shares["dairy"] for one in live) > 800_000
     assert not world.meter.overruns()
 
 
@@ -260,7 +260,7 @@
     alone = world.all[4]
     world.net.cut = {pair for name in world.names for pair in (("d4", name), (name, "d4"))}
     world.run(13 * SECOND)  # also if it led: its lease, and what it gave itself at the end of that
-    assert alone.agent.purse.shares["dairy"] == alone.agent.purse.guaranteed_minimum > 0
+    assert alone.agent.local_quota.shares["dairy"] == alone.agent.local_quota.guaranteed_minimum > 0
     spent = alone.spent
     for _ in range(200):
         world.run(world.now + 50_000)
@@ -285,17 +285,17 @@
 
 def test_a_process_stopped_past_its_lease_spends_its_floor_before_its_next_tick() -> None:
     world = settled()
-    stopped = next(process for process in world.all if process.agent.giver is None)
+    stopped = next(process for process in world.all if process.agent.allocator is None)
     agent, rate, burst = stopped.agent, 60, 60
-    held, floor = agent.purse.shares["dairy"], agent.purse.guaranteed_minimum
+    held, floor = agent.local_quota.shares["dairy"], agent.local_quota.guaranteed_minimum
     assert held > 3 * floor > 0
     stopped.pause()
-    while stopped.clock() < agent.purse.shares_until:
+    while stopped.clock() < agent.local_quota.shares_until:
         world.run(world.now + 100_000)
-    assert agent.purse.shares["dairy"] == held, "nothing has told it yet"
+    assert agent.local_quota.shares["dairy"] == held, "nothing has told it yet"
     spent = sum(agent.spend("dairy", stopped.clock()) is not None for _ in range(rate + burst))
     assert spent <= burst * floor // 1_000_000
-    assert agent.purse.shares["dairy"] == floor
+    assert agent.local_quota.shares["dairy"] == floor
 
 
 @pytest.mark.parametrize("seed", range(6))
@@ -353,7 +353,7 @@
 
 
 def elects_two(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(candidate.Proposer, "enough", property(lambda self: 1))
+    monkeypatch.setattr(candidate.Proposer, "quorum", property(lambda self: 1))
 
 
 @pytest.mark.parametrize("doubled", [False, True])
@@ -391,7 +391,7 @@
     both = 0
     for seed in range(6):
         world = settled(seed, 3)
-        leader = next(one for one in world.all if one.agent.giver is not None)
+        leader = next(one for one in world.all if one.agent.allocator is not None)
         first, second = (one for one in world.all if one is not leader)
         pair = {(leader.name, second.name), (second.name, leader.name)}
         world.net.cut = set(pair)
@@ -404,7 +404,8 @@
             live = [one for one in world.all if one.alive]
             both += (
                 sum(
-                    one.agent.candidate is not None and one.agent.candidate.leads(one.clock()) for one in live
+                    one.agent.proposer is not None and one.agent.proposer.is_leader(one.clock())
+                    for one in live
                 )
                 > 1
             )
--- a/tests/test_accord_ledger.py
+++ b/tests/test_accord_ledger.py
@@ -232,7 +232,7 @@
     here = Fair(4, 5)
     here.run(4.0)
     dead = here.world.all[0]
-    who = dead.agent.who
+    who = dead.agent.member_id
     dead.kill()
     here.world.run(here.world.now + 4 * SECOND)
     rest = here.world.all[1:]
@@ -250,10 +250,10 @@
     pairs = {pair for one in here.world.names for pair in ((alone.name, one), (one, alone.name))}
     here.world.net.cut = set(pairs)
     here.world.run(here.world.now + 30 * SECOND)
-    assert alone.agent.who not in here.world.all[0].agent.ledger.replica.writers
+    assert alone.agent.member_id not in here.world.all[0].agent.ledger.replica.writers
     here.world.net.cut = set()
     here.world.run(here.world.now + 25 * SECOND)
-    assert alone.agent.who in here.world.all[0].agent.ledger.replica.writers
+    assert alone.agent.member_id in here.world.all[0].agent.ledger.replica.writers
     here.quiet()
     assert here.until_equal() <= 2.0
 
--- a/tests/test_accord_lending.py
+++ b/tests/test_accord_lending.py
@@ -183,7 +183,7 @@
         )
     )
     asked(made, 14 * SECOND)
-    borrower = next(one for one in made.all if one.agent.purse.loans and one.agent.giver is None)
+    borrower = next(one for one in made.all if one.agent.local_quota.loans and one.agent.allocator is None)
     made.net.cut = {pair for name in made.names for pair in ((borrower.name, name), (name, borrower.name))}
     back = next(one for one in made.all if one is not borrower)
     for _ in range(200):
--- a/tests/test_accord_processes.py
+++ b/tests/test_accord_processes.py
@@ -113,19 +113,19 @@
     sent: list[bytes] = []
 
     class Shown:
-        terms = type("T", (), {"who": ("d0", 1)})
-        refused = 0
-        agent = VirtualCluster(1, ["d0"]).begin("d0").agent
+        config = type("T", (), {"member_id": ("d0", 1)})
+        rejected_datagrams = 0
+        member = VirtualCluster(1, ["d0"]).begin("d0").agent
         transport = type("S", (), {"sendto": lambda self, data, to: sent.append(data)})()
 
         def now(self) -> int:
             return 0
 
-    UdpTransport.show(Shown(), InspectionRequest(1), ("10.0.0.9", 5))  # type: ignore[arg-type]
+    UdpTransport.answer_inspection(Shown(), InspectionRequest(1), ("10.0.0.9", 5))  # type: ignore[arg-type]
     assert not sent
-    UdpTransport.show(Shown(), InspectionRequest(1), ("127.0.0.1", 5))  # type: ignore[arg-type]
+    UdpTransport.answer_inspection(Shown(), InspectionRequest(1), ("127.0.0.1", 5))  # type: ignore[arg-type]
     said = decode(sent[0])
-    assert said is not None and json.loads(said.word.text)["name"] == "d0"  # type: ignore[union-attr]
+    assert said is not None and json.loads(said.message.text)["name"] == "d0"  # type: ignore[union-attr]
     assert encode(("", 0), InspectionRequest(1)) != sent[0]
 
 
@@ -247,7 +247,7 @@
         asked = submission("a")
         asked.tenant = "dairy"
         play.node.submit(asked)
-        assert driver.agent.purse.demand == {"dairy": 1}
+        assert driver.member.local_quota.demand == {"dairy": 1}
         await play.settle()
         told = [piece for _, news in play.turns for piece in news if type(piece) is QuotaSharesUpdated]
         assert [stage.shares for stage in told[0].stages] == [{"dairy": 0.1}] * 2
--- a/tests/test_datagram_bytes.py
+++ b/tests/test_datagram_bytes.py
@@ -27,31 +27,36 @@
 
 SENDER = ("d0", 1_700_000_000_000_001)
 BALLOT, LATER = (3, "d1", 7), (2**40, "d2", 8)
-ROW = MemberRecord(name="d1", start=1_700_000_000_000_000, turn=2, state=3, address=("127.0.0.1", 9001))
-OTHER_ROW = MemberRecord(name="d2", start=5, turn=0, state=1, address=("10.0.0.2", 65_535))
+ROW = MemberRecord(
+    name="d1", generation=1_700_000_000_000_000, incarnation=2, state=3, address=("127.0.0.1", 9001)
+)
+OTHER_ROW = MemberRecord(name="d2", generation=5, incarnation=0, state=1, address=("10.0.0.2", 65_535))
 ENTRY = LedgerRow(index=65_535, version=2, in_use=[1000, 0], waiting=[500])
 
 # Each message with its whole datagram in hex: CRC-32, then [version, sender, its start, [tag, fields...]].
 DATAGRAMS: list[tuple[Any, str]] = [
     (
-        words.Ping(number=300, row=ROW, rumours=[OTHER_ROW]),
+        words.Ping(sequence=300, target_record=ROW, gossip=[OTHER_ROW]),
         "41c041a09402a26430cf00060a24181e400194a450696e67cd012c95a26431cf00060a24181e4000020392a93132372e"
         "302e302e31cd23299195a2643205000192a831302e302e302e32cdffff",
     ),
-    (words.Ping(number=1, row=None, rumours=[]), "7c269ad19402a26430cf00060a24181e400194a450696e6701c090"),
     (
-        words.IndirectProbe(number=2, name="d2", rumours=[ROW]),
+        words.Ping(sequence=1, target_record=None, gossip=[]),
+        "7c269ad19402a26430cf00060a24181e400194a450696e6701c090",
+    ),
+    (
+        words.IndirectProbe(sequence=2, target="d2", gossip=[ROW]),
         "09f3d43e9402a26430cf00060a24181e400194a550726f626502a264329195a26431cf00060a24181e4000020392a931"
         "32372e302e302e31cd2329",
     ),
     (
-        words.Ack(number=3, rumours=[ROW]),
+        words.Ack(sequence=3, gossip=[ROW]),
         "acce7da69402a26430cf00060a24181e400193a341636b039195a26431cf00060a24181e4000020392a93132372e302e"
         "302e31cd2329",
     ),
-    (words.Nack(number=4), "b20b43579402a26430cf00060a24181e400192a44e61636b04"),
+    (words.Nack(sequence=4), "b20b43579402a26430cf00060a24181e400192a44e61636b04"),
     (
-        words.FullSync(rows=[ROW, OTHER_ROW], answer=True),
+        words.FullSync(records=[ROW, OTHER_ROW], reply_wanted=True),
         "7d90ea2e9402a26430cf00060a24181e400193a557686f6c659295a26431cf00060a24181e4000020392a93132372e30"
         "2e302e31cd232995a2643205000192a831302e302e302e32cdffffc3",
     ),
@@ -60,21 +65,21 @@
         "83a8190b9402a26430cf00060a24181e400192a75072657061726593cf0000010000000000a2643208",
     ),
     (
-        words.Promise(asked=BALLOT, ballot=LATER, owner=("d3", 9), refused=True),
+        words.Promise(requested=BALLOT, promised=LATER, lease_owner=("d3", 9), refused=True),
         "d45a12c49402a26430cf00060a24181e400195a750726f6d6973659303a264310793cf0000010000000000a264320892"
         "a2643309c3",
     ),
     (
-        words.Promise(asked=BALLOT, ballot=LATER, owner=None, refused=False),
+        words.Promise(requested=BALLOT, promised=LATER, lease_owner=None, refused=False),
         "536515ec9402a26430cf00060a24181e400195a750726f6d6973659303a264310793cf0000010000000000a2643208c0"
         "c2",
     ),
     (
-        words.Propose(ballot=BALLOT, owner=("d3", 9)),
+        words.Propose(ballot=BALLOT, lease_owner=("d3", 9)),
         "c15507369402a26430cf00060a24181e400193a750726f706f73659303a264310792a2643309",
     ),
     (
-        words.Accepted(asked=BALLOT, ballot=LATER, refused=False),
+        words.Accepted(requested=BALLOT, promised=LATER, refused=False),
         "aca4d2359402a26430cf00060a24181e400194a841636365707465649303a264310793cf0000010000000000a2643208"
         "c2",
     ),
@@ -136,9 +141,9 @@
         ),
         "8267cded9402a26430cf00060a24181e400193a4526f77730e9194a26431070f9194cdffff0292cd03e80091cd01f4",
     ),
-    (words.InspectionRequest(number=16), "3bd44a1d9402a26430cf00060a24181e400192a44c6f6f6b10"),
+    (words.InspectionRequest(request_id=16), "3bd44a1d9402a26430cf00060a24181e400192a44c6f6f6b10"),
     (
-        words.InspectionPage(number=17, page=18, pages=19, text='{"name": "\u00fc"}'),
+        words.InspectionPage(request_id=17, page_index=18, page_count=19, text='{"name": "\u00fc"}'),
         "a28a0aa29402a26430cf00060a24181e400195a45365656e111213ae7b226e616d65223a2022c3bc227d",
     ),
 ]
@@ -169,7 +174,7 @@
 def terms(address: tuple[str, int]) -> ClusterConfig:
     ledger = FairnessConfig(["slots"], {"dairy": 1, "bakery": 2}, {}, [1000], 1_000_000)
     budgets = [QuotaSpec("dairy", 5.0, 25.0, True), QuotaSpec("bakery", 1.0, 1.0)]
-    return ClusterConfig(("d0", 1), address, {"d0": address}, [], budgets, 0.2, 2, ledger=ledger)
+    return ClusterConfig(("d0", 1), address, {"d0": address}, [], budgets, 0.2, 2, fairness=ledger)
 
 
 @pytest.mark.parametrize(("message", "datagram"), DATAGRAMS, ids=lambda value: type(value).__name__)
@@ -177,13 +182,13 @@
     assert encode(SENDER, message).hex() == datagram
     envelope = decode(bytes.fromhex(datagram))
     assert envelope is not None
-    assert (envelope.version, envelope.sender, envelope.start) == (2, *SENDER)
-    assert type(envelope.word) is type(message) and envelope.word == message
+    assert (envelope.version, envelope.sender, envelope.generation) == (2, *SENDER)
+    assert type(envelope.message) is type(message) and envelope.message == message
 
 
 def test_no_message_type_is_left_out() -> None:
     tags = {
-        words.READER.decode(bytes.fromhex(datagram)[4:]).word.__struct_config__.tag
+        words.READER.decode(bytes.fromhex(datagram)[4:]).message.__struct_config__.tag
         for _, datagram in DATAGRAMS
     }
     assert tags == {
@@ -218,7 +223,10 @@
         other = body[:1] + version + body[2:]
         assert decode(crc32(other).to_bytes(4, "big") + other) is None
     for length in (1200, 1201):
-        longest = encode(("d0", 7), words.InspectionPage(number=1, page=0, pages=1, text="x" * (length - 22)))
+        longest = encode(
+            ("d0", 7),
+            words.InspectionPage(request_id=1, page_index=0, page_count=1, text="x" * (length - 22)),
+        )
         assert len(longest) == length
         assert (decode(longest) is not None) is (length == 1200)
     assert (words.MAX_DATAGRAM, words.VERSION) == (1200, 2)
@@ -227,7 +235,7 @@
 def test_digests_and_sums_that_members_compare_are_the_same() -> None:
     agent = ClusterMember(terms(("127.0.0.1", 9000)), 0)
     assert agent.ledger is not None
-    assert (agent.book, agent.ledger.anti_entropy.schema_checksum) == (443426513, 1457360318)
+    assert (agent.quota_names_checksum, agent.ledger.anti_entropy.schema_checksum) == (443426513, 1457360318)
     book = ReplicatedLedger()
     book.put(("d1", 7), ENTRY)
     assert book.digest == 2019037609288762282
@@ -241,7 +249,7 @@
 
 def test_an_inspection_over_the_socket_shows_the_same_keys() -> None:
     class Silent:
-        def say(self, line: str, kind: str = "", event: str = "", **fields: Any) -> None:
+        def emit(self, line: str, kind: str = "", event: str = "", **fields: Any) -> None:
             pass
 
     async def run() -> dict[str, Any]:
--- a/tests/test_parsed_values.py
+++ b/tests/test_parsed_values.py
@@ -149,7 +149,11 @@
         "list-update",
         "version whole=is_snapshot entries addresses unclear=unreadable faults",
     ),
-    AccordTerms: ("accord-terms", "who address electors seeds budgets reserve most seed lend ledger"),
+    AccordTerms: (
+        "accord-terms",
+        "who=member_id address electors=acceptors seeds budgets=quotas reserve=reserved_fraction "
+        "most=max_members seed=random_seed lend=lendable_fraction ledger=fairness",
+    ),
     QuotaSpec: ("budget", "name rate burst lends=lendable"),
     LedgerTerms: ("ledger-terms", "resources weights needs each=worker_capacity longest=max_job_time"),
     JobTerms: (
