--- a/locktide/cluster/fairness/__init__.py
+++ b/locktide/cluster/fairness/__init__.py
@@ -1,1 +1,1 @@
-"""Who holds the fleet: rows written by each dispatcher, merged alike at all, and the shares that follow."""
+"""Dominant resource fairness over usage that all dispatchers replicate to each other."""
--- a/locktide/cluster/fairness/anti_entropy.py
+++ b/locktide/cluster/fairness/anti_entropy.py
@@ -1,125 +1,114 @@
-"""How ledgers become equal: reconciliation as in Scuttlebutt (van Renesse, Dumitriu, Gough, Thomas, 2008).
+"""Anti-entropy between ledgers: reconciliation as in Scuttlebutt.
 
-Some times a second each member tells its digest to two others; who has another one answers with how far it
-has read each writer, a page of them at a time, and is told what it lacks, in the order of versions. Changed:
-a group says after which version it follows, so that a lost or late datagram leaves no hole; and what is
-closed goes along.
+Some times a second each member sends its digest to two others. A member with another one answers with the
+version up to which it has read each writer, a page of writers at a time, and is sent what it lacks, in the
+order of versions. Changed from the source: a delta says after which version it follows, so that a lost or
+late datagram leaves no hole; and closed writers are exchanged along with the versions.
+
+Source: van Renesse, Dumitriu, Gough and Thomas, "Efficient reconciliation and flow control for anti-entropy
+protocols", LADIS 2008.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 
+from locktide.cluster.fairness.delta_packer import DeltaPacker
 from locktide.cluster.fairness.replicated_ledger import ReplicatedLedger
-from locktide.cluster.messages import (
-    MAX_DATAGRAM,
-    Delta,
-    Digest,
-    LedgerRow,
-    MemberId,
-    Message,
-    WriterDelta,
-    encoded_size,
-)
-
-PAGE = 24  # writers whose heads go in one datagram, with their closings; names of sixteen bytes fit
-ROOM = MAX_DATAGRAM - 150  # bytes for rows, beside the rest of a datagram
-MOST = 4  # datagrams of rows in one answer: the next exchange goes on from there
-LAST = "\U0010ffff"  # after all names
+from locktide.cluster.messages import Delta, Digest, LedgerRow, MemberId, Message
+
+WRITERS_PER_DIGEST = 24  # that go in one datagram, with the closed ones; names of sixteen bytes fit
+AFTER_ALL_NAMES = "\U0010ffff"
+
+Versions = dict[MemberId, int]  # up to which each writer was read
 
 
 @dataclass(slots=True)
 class AntiEntropy:
-    """`book` is this member's ledger, `sum_` tells that both sides number tenants and resources alike."""
+    """Messages that make `replica` and another member's equal.
+
+    `schema_checksum` tells that both sides number tenants and resources alike.
+    """
 
     replica: ReplicatedLedger
     schema_checksum: int
-    next_name: str = ""
+    cursor: str = ""  # the last writer's name on the previous page
 
     def opening_digest(self) -> Message:
-        """The digest alone: mostly that is all there is to say."""
+        """Return the digest alone: mostly the other has the same, and that is all."""
         return Digest(self.schema_checksum, self.replica.digest, [], [], "", "", True)
 
-    def handle_digest(self, word: Digest) -> list[Message]:
-        if word.schema_checksum != self.schema_checksum or word.digest == self.replica.digest:
+    def handle_digest(self, digest: Digest) -> list[Message]:
+        """Return the answers: a page of versions, or what the other lacks and our versions of that page."""
+        if digest.schema_checksum != self.schema_checksum or digest.digest == self.replica.digest:
             return []
-        for name, start, version in word.closed:
+        for name, start, version in digest.closed:
             self.replica.close(name, (start, version))
-        if not word.up_to_name:  # only a digest, another than ours
+        if not digest.up_to_name:  # an opening digest, another than ours
             return [self.next_page(True)]
-        heads = {(name, start): version for name, start, version in word.versions}
-        ours = self.writers_between(word.after_name, word.up_to_name)
-        answers: list[Message] = list(self.deltas_after(ours, heads))
-        behind = any(version > self.replica.read_version(who) for who, version in heads.items())
-        if word.reply_expected and (
-            behind or self.closed_between(word.after_name, word.up_to_name) != sorted(word.closed)
-        ):
-            answers.append(self.digest_between(word.after_name, word.up_to_name, False))
+        after, up_to = digest.after_name, digest.up_to_name
+        versions = {(name, start): version for name, start, version in digest.versions}
+        answers: list[Message] = list(self.deltas_after(self.writers_between(after, up_to), versions))
+        is_behind = any(version > self.replica.read_version(writer) for writer, version in versions.items())
+        closed_differ = self.closed_between(after, up_to) != sorted(digest.closed)
+        if digest.reply_expected and (is_behind or closed_differ):
+            answers.append(self.digest_between(after, up_to, False))
         return answers
 
-    def writers_between(self, after: str, upto: str) -> list[MemberId]:
-        return sorted(who for who in self.replica.writers if after < who[0] <= upto)
+    def writers_between(self, after: str, up_to: str) -> list[MemberId]:
+        """Return the writers with names after `after` up to `up_to`, sorted."""
+        return sorted(writer for writer in self.replica.writers if after < writer[0] <= up_to)
 
-    def closed_between(self, after: str, upto: str) -> list[tuple[str, int, int]]:
+    def closed_between(self, after: str, up_to: str) -> list[tuple[str, int, int]]:
+        """Return what is closed of the writers with names after `after` up to `up_to`, sorted."""
         closed = self.replica.closed
-        return sorted((name, *closed[name]) for name in closed if after < name <= upto)
-
-    def next_page(self, answer: bool) -> Message:
-        """The next page of heads, and where it begins and ends by name; round and round."""
-        names = sorted({who[0] for who in self.replica.writers} | self.replica.closed.keys())
-        rest = [name for name in names if name > self.next_name]
-        after, taken, count = self.next_name, "", 0
-        for name in rest:
-            count += 1 + sum(who[0] == name for who in self.replica.writers)
-            if taken and count > PAGE:
+        return sorted((name, *closed[name]) for name in closed if after < name <= up_to)
+
+    def next_page(self, reply_expected: bool) -> Message:
+        """Return the versions of the next page of writers, by name, round and round."""
+        writers = self.replica.writers
+        names = sorted({writer[0] for writer in writers} | self.replica.closed.keys())
+        remaining = [name for name in names if name > self.cursor]
+        after, last, count = self.cursor, "", 0
+        for name in remaining:
+            count += 1 + sum(writer[0] == name for writer in writers)
+            if last and count > WRITERS_PER_DIGEST:
                 break
-            taken = name
-        upto = LAST if not rest or taken == rest[-1] else taken
-        self.next_name = "" if upto == LAST else upto
-        return self.digest_between(after, upto, answer)
-
-    def digest_between(self, after: str, upto: str, answer: bool) -> Message:
-        heads = [(*who, self.replica.read_version(who)) for who in self.writers_between(after, upto)]
+            last = name
+        up_to = AFTER_ALL_NAMES if not remaining or last == remaining[-1] else last
+        self.cursor = "" if up_to == AFTER_ALL_NAMES else up_to
+        return self.digest_between(after, up_to, reply_expected)
+
+    def digest_between(self, after: str, up_to: str, reply_expected: bool) -> Message:
+        """Return the versions of the writers with names after `after` up to `up_to`."""
+        versions = [
+            (*writer, self.replica.read_version(writer)) for writer in self.writers_between(after, up_to)
+        ]
         return Digest(
             self.schema_checksum,
             self.replica.digest,
-            heads[:PAGE],
-            self.closed_between(after, upto)[:PAGE],
+            versions[:WRITERS_PER_DIGEST],
+            self.closed_between(after, up_to)[:WRITERS_PER_DIGEST],
             after,
-            upto,
-            answer,
+            up_to,
+            reply_expected,
         )
 
-    def deltas_after(self, writers: list[MemberId], heads: dict[MemberId, int]) -> list[Delta]:
-        """What the other has not read yet, as far as some datagrams reach."""
-        found: list[Delta] = []
-        groups: list[WriterDelta] = []
-        used = 0
-        for who in writers:
-            after = heads.get(who, 0)
-            group = WriterDelta(*who, after, [])
-            for row in self.replica.rows_after(who, after):
-                bytes_ = encoded_size(row) + (0 if group.rows else encoded_size(group))
-                if used + bytes_ > ROOM:
-                    found.append(Delta(self.schema_checksum, groups + ([group] if group.rows else [])))
-                    if len(found) == MOST:
-                        return found
-                    last = group.rows[-1].version if group.rows else after
-                    groups, group, used = [], WriterDelta(*who, last, []), 0
-                    bytes_ = encoded_size(row) + encoded_size(group)
-                group.rows.append(row)
-                used += bytes_
-            if group.rows:
-                groups.append(group)
-        if groups:
-            found.append(Delta(self.schema_checksum, groups))
-        return found
-
-    def deltas_of(self, who: MemberId, entries: list[LedgerRow], after: int) -> list[Delta]:
-        """What this member has just written, to be told at once."""
-        return self.deltas_after([who], {who: after}) if entries else []
-
-    def handle_delta(self, word: Delta) -> bool:
-        if word.schema_checksum != self.schema_checksum:
+    def deltas_after(self, writers: list[MemberId], versions: Versions) -> list[Delta]:
+        """Return what a member that has read up to `versions` lacks, as far as some datagrams reach."""
+        packer = DeltaPacker(self.schema_checksum)
+        for writer in writers:
+            after_version = versions.get(writer, 0)
+            if not packer.add(writer, after_version, self.replica.rows_after(writer, after_version)):
+                return packer.deltas
+        return packer.finish()
+
+    def deltas_of(self, writer: MemberId, written: list[LedgerRow], after_version: int) -> list[Delta]:
+        """Return what this member has just written, to be sent at once."""
+        return self.deltas_after([writer], {writer: after_version}) if written else []
+
+    def handle_delta(self, delta: Delta) -> bool:
+        """Merge the rows of all writers; return whether anything has changed."""
+        if delta.schema_checksum != self.schema_checksum:
             return False
-        return any([self.replica.merge(group) for group in word.writer_deltas])
+        return any([self.replica.merge(writer_delta) for writer_delta in delta.writer_deltas])
--- /dev/null
+++ b/locktide/cluster/fairness/delta_packer.py
@@ -0,0 +1,47 @@
+"""Packs ledger rows into as few datagrams as they fit in, up to a number of datagrams."""
+
+from __future__ import annotations
+
+from locktide.cluster.messages import MAX_DATAGRAM, Delta, LedgerRow, MemberId, WriterDelta, encoded_size
+
+MAX_ROW_BYTES = MAX_DATAGRAM - 150  # bytes for rows, beside the rest of a datagram
+MAX_DELTAS = 4  # datagrams of rows in one answer: the next exchange goes on from there
+
+
+class DeltaPacker:
+    """Takes rows by writer, in the order of versions; a writer's rows may be split over datagrams."""
+
+    def __init__(self, schema_checksum: int) -> None:
+        self.schema_checksum = schema_checksum
+        self.deltas: list[Delta] = []  # full datagrams
+        self.writer_deltas: list[WriterDelta] = []  # of the datagram that is being filled
+        self.used = 0  # bytes of its rows
+
+    def add(self, writer: MemberId, after_version: int, rows: list[LedgerRow]) -> bool:
+        """Add what the writer wrote after a version; return whether all of it fitted."""
+        group = WriterDelta(*writer, after_version, [])
+        for row in rows:
+            size = encoded_size(row) + (0 if group.rows else encoded_size(group))
+            if self.used + size > MAX_ROW_BYTES:
+                self._close_datagram(group)
+                if len(self.deltas) == MAX_DELTAS:
+                    return False
+                last_version = group.rows[-1].version if group.rows else after_version
+                group = WriterDelta(*writer, last_version, [])
+                size = encoded_size(row) + encoded_size(group)
+            group.rows.append(row)
+            self.used += size
+        if group.rows:
+            self.writer_deltas.append(group)
+        return True
+
+    def finish(self) -> list[Delta]:
+        """Return all datagrams."""
+        if self.writer_deltas:
+            self.deltas.append(Delta(self.schema_checksum, self.writer_deltas))
+        return self.deltas
+
+    def _close_datagram(self, group: WriterDelta) -> None:
+        groups = self.writer_deltas + ([group] if group.rows else [])
+        self.deltas.append(Delta(self.schema_checksum, groups))
+        self.writer_deltas, self.used = [], 0
--- a/locktide/cluster/fairness/ledger.py
+++ b/locktide/cluster/fairness/ledger.py
@@ -1,32 +1,38 @@
-"""One member's ledger: writes its own rows, makes all ledgers equal, closes what the dead left, and reckons.
+"""One member's part in the fairness ledger.
 
-No I/O: words and time in, words out. Times are whole microseconds of the member's own clock.
+It writes its own rows, exchanges all rows, closes dead writers and computes the standing. No I/O: messages and
+time in, messages out. Times are whole microseconds of the member's own clock.
 """
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from zlib import crc32
 
 from locktide.cluster.fairness.anti_entropy import AntiEntropy
-from locktide.cluster.fairness.dominant_share import Vector, dominant, fill
-from locktide.cluster.fairness.replicated_ledger import CAPACITY, ReplicatedLedger, capacity_of, totals
+from locktide.cluster.fairness.dominant_share import Vector
+from locktide.cluster.fairness.replicated_ledger import CAPACITY_INDEX, NOT_CLOSED, ReplicatedLedger
+from locktide.cluster.fairness.standing import FairnessStanding, compute_standing
 from locktide.cluster.fairness.usage import UsageTracker
 from locktide.cluster.messages import Delta, Digest, LedgerRow, MemberId, Message
 from locktide.scheduler.estimators.random import LinearCongruentialGenerator
 
-# Two others are told each round. Of nine all knew within four rounds, of fifty within six.
-ROUND, OTHERS = 250_000, 2
+# Two others are sent the digest each round. Of nine members all knew within four rounds, of fifty within six.
+ROUND_INTERVAL = 250_000
+PEERS_PER_ROUND = 2
 # Own rows are written anew so often at most; of many members less often, so that all together write so many
 # a second: each of them goes to all.
-WRITES, ROWS_A_SECOND = 250_000, 300
-LOOK = 1_000_000  # between two looks for whom to close
+WRITE_INTERVAL = 250_000
+ROWS_PER_SECOND = 300
+CLOSING_INTERVAL = 1_000_000  # between two searches for dead writers
+Outgoing = list[tuple[str, Message]]  # the receiver's name, and the message
 
-
-@dataclass(frozen=True)
+@ dataclass(frozen = True)
 class FairnessConfig:
-    """`weights` by tenant, `needs` by grade and `each` of a worker in thousandths, a vector over `resources`.
-    `longest`: microseconds after which no job of a dispatcher that died is left.
+    """The same at all members. Amounts are in thousandths, vectors go by `resources`.
+
+    `weights` by tenant, `needs` by service class, `worker_capacity` of each worker. `max_job_time`:
+    microseconds after which no job of a dispatcher that died is left.
     """
 
     resources: list[str]
@@ -36,138 +42,118 @@
     max_job_time: int
 
 
-@dataclass(frozen=True)
-class FairnessStanding:
-    """What follows from the rows: all of it is the same wherever the digest is. Shares are in ONEs."""
-
-    digest: int = 0
-    order: list[str] = field(default_factory=list)  # of tenants, who has least for its weight first
-    dominant_shares: dict[str, int] = field(default_factory=dict)  # dominant shares
-    fair_shares: dict[str, int] = field(default_factory=dict)
-    contended: bool = False
-    over_share: frozenset[str] = frozenset()  # who holds more than it should while others go short
-
-
 class FairnessLedger:
-    def __init__(
-        self, terms: FairnessConfig, who: MemberId, chance: LinearCongruentialGenerator, now: int
-    ) -> None:
-        self.config, self.member_id, self.random = terms, who, chance
-        self.tenants = sorted(terms.weights)
-        self.weights = {place: terms.weights[name] for place, name in enumerate(self.tenants)}
-        places = {name: place for place, name in enumerate(self.tenants)}
-        self.usage = UsageTracker(places, terms.needs, terms.worker_capacity)
+    """Keeps a replica equal to those of the other members, and the standing that follows from it."""
+
+    def __init__(self, config: FairnessConfig, member_id: MemberId, random: LinearCongruentialGenerator, now: int) -> None:
+        self.config, self.member_id, self.random = config, member_id, random
+        self.tenants = sorted(config.weights)
+        self.weights = {index: config.weights[name] for index, name in enumerate(self.tenants)}
+        tenant_indices = {name: index for index, name in enumerate(self.tenants)}
+        self.usage = UsageTracker(tenant_indices, config.needs, config.worker_capacity)
         self.replica = ReplicatedLedger()
-        numbered = "\0".join([*self.tenants, "", *terms.resources]).encode()
-        self.anti_entropy = AntiEntropy(self.replica, crc32(numbered))
-        self.version = 0
+        schema = "\0".join([* self.tenants, "", * config.resources]).encode()
+        self.anti_entropy = AntiEntropy(self.replica, crc32(schema))
+        self.version = 0  # of the last row that was written
         self.next_round_at = self.next_write_at = self.next_closing_at = self.next_recompute_at = now
         self.gone_since: dict[MemberId, int] = {}
         self.standing = FairnessStanding()
 
-    @property
+    @ property
     def due(self) -> int:
+        """When `tick` is to be called next."""
         return min(self.next_round_at, self.next_write_at, self.next_closing_at, self.next_recompute_at)
 
-    def tick(self, alive: list[str], starts: dict[str, int], now: int) -> list[tuple[str, Message]]:
-        """`alive` are those that may live, `starts` when the latest known process of each name began."""
-        sends: list[tuple[str, Message]] = []
-        others = [name for name in alive if name != self.member_id[0]]
+    def tick(self, alive: list[str], starts: dict[str, int], now: int) -> Outgoing:
+        """Do what is due; return the messages to send.
+
+        `alive` are the names of members that may live, `starts` when the latest known process of each name
+        began.
+        """
+        outgoing: Outgoing = []
+        peers = [name for name in alive if name != self.member_id[0]]
         if now >= self.next_write_at:
-            self.next_write_at = now + max(
-                WRITES, len(alive) * len(self.tenants) * 1_000_000 // ROWS_A_SECOND
-            )
-            before = self.version
-            written = self.write_rows()
-            for word in self.anti_entropy.deltas_of(self.member_id, written, before):
-                sends += [(name, word) for name in self.choose_peers(others)]
+            rows = len(alive) * len(self.tenants)
+            self.next_write_at = now + max(WRITE_INTERVAL, rows * 1_000_000 // ROWS_PER_SECOND)
+            outgoing += self._publish_rows(peers)
         if now >= self.next_round_at:
-            self.next_round_at = now + ROUND
-            sends += [(name, self.anti_entropy.opening_digest()) for name in self.choose_peers(others)]
+            self.next_round_at = now + ROUND_INTERVAL
+            outgoing += [(name, self.anti_entropy.opening_digest()) for name in self._choose_peers(peers)]
         if now >= self.next_closing_at:
-            self.next_closing_at = now + LOOK
-            self.close_dead_writers(set(alive), starts, now)
+            self.next_closing_at = now + CLOSING_INTERVAL
+            self._close_dead_writers(set(alive), starts, now)
         if now >= self.next_recompute_at:
-            self.next_recompute_at = now + WRITES
-            self.recompute()
-        return sends
-
-    def handle(self, sender: str, word: Digest | Delta) -> list[tuple[str, Message]]:
-        if isinstance(word, Delta):
-            self.anti_entropy.handle_delta(word)
+            self.next_recompute_at = now + WRITE_INTERVAL
+            self._recompute()
+        return outgoing
+
+    def handle(self, sender: str, message: Digest | Delta) -> Outgoing:
+        """Take in a message of another member; return the answers."""
+        if isinstance(message, Delta):
+            self.anti_entropy.handle_delta(message)
             return []
-        return [(sender, answer) for answer in self.anti_entropy.handle_digest(word)]
+        return [(sender, answer) for answer in self.anti_entropy.handle_digest(message)]
 
-    def choose_peers(self, others: list[str]) -> list[str]:
-        left = list(others)
-        return [left.pop(self.random.below(len(left))) for _ in range(min(OTHERS, len(left)))]
+    def _choose_peers(self, peers: list[str]) -> list[str]:
+        left = list(peers)
+        count = min(PEERS_PER_ROUND, len(left))
+        return [left.pop(self.random.below(len(left))) for _ in range(count)]
 
     # --- own rows
 
-    def write_rows(self) -> list[LedgerRow]:
-        """Rows that have changed, and all of them where others have closed what we wrote."""
-        holdings, pages = self.usage, self.replica.writers.get(self.member_id)
-        start, closed = self.replica.closed.get(self.member_id[0], (0, 0))
+    def _publish_rows(self, peers: list[str]) -> Outgoing:
+        previous_version = self.version
+        written = self._write_rows()
+        outgoing: Outgoing = []
+        for delta in self.anti_entropy.deltas_of(self.member_id, written, previous_version):
+            outgoing += [(name, delta) for name in self._choose_peers(peers)]
+        return outgoing
+
+    def _write_rows(self) -> list[LedgerRow]:
+        """Write rows that have changed, and all of them where others have closed what was written."""
+        writer_rows = self.replica.writers.get(self.member_id)
+        start, closed_version = self.replica.closed.get(self.member_id[0], NOT_CLOSED)
         if start == self.member_id[1]:
-            self.version = max(self.version, closed)  # they thought that we were dead
-        none = [0] * len(self.config.resources)
-        wanted = {CAPACITY: (holdings.capacity(), none)}
-        for place in holdings.in_use.keys() | holdings.waiting.keys():
-            wanted[place] = (holdings.in_use.get(place, none), holdings.waiting.get(place, none))
+            self.version = max(self.version, closed_version)  # the others took this process for dead
         written = []
-        for place, (held, waits) in sorted(wanted.items()):
-            before = pages.rows.get(place) if pages is not None else None
-            if before is None or (before.in_use, before.waiting) != (held, waits):
+        for index, (in_use, waiting) in sorted(self._current_amounts().items()):
+            previous = writer_rows.rows.get(index) if writer_rows is not None else None
+            if previous is None or (previous.in_use, previous.waiting) != (in_use, waiting):
                 self.version += 1
-                row = LedgerRow(place, self.version, list(held), list(waits))
+                row = LedgerRow(index, self.version, list(in_use), list(waiting))
                 self.replica.put(self.member_id, row)
                 written.append(row)
         return written
 
-    # --- the dead
+    def _current_amounts(self) -> dict[int, tuple[Vector, Vector]]:
+        """Return what is in use and what waits, by row index, and the capacity as it is seen here."""
+        usage = self.usage
+        none = [0] * len(self.config.resources)
+        amounts = {CAPACITY_INDEX: (usage.capacity(), none)}
+        for index in usage.in_use.keys() | usage.waiting.keys():
+            amounts[index] = (usage.in_use.get(index, none), usage.waiting.get(index, none))
+        return amounts
+
+    # --- dead writers
+
+    def _close_dead_writers(self, alive: set[str], starts: dict[str, int], now: int) -> None:
+        """Close the rows of processes that are gone, once their jobs must have ended.
 
-    def close_dead_writers(self, alive: set[str], starts: dict[str, int], now: int) -> None:
-        """Rows of a process that is gone count until its jobs must have ended, and are closed then: for all
-        as soon as for anyone. Who lives all the same writes them anew.
+        They are closed for all members as soon as for any. A process that lives all the same writes its rows
+        anew.
         """
-        gone = {
-            who
-            for who in self.replica.writers
-            if who != self.member_id and (who[0] not in alive or starts.get(who[0], 0) > who[1])
-        }
-        self.gone_since = {who: self.gone_since.get(who, now) for who in gone}
-        for who in sorted(gone):
-            older = [other for other in self.replica.writers if other[0] == who[0] and other[1] < who[1]]
-            if now >= self.gone_since[who] + self.config.max_job_time and not older:
-                self.replica.close(who[0], (who[1], self.replica.read_version(who)))
-
-    # --- what follows
-
-    def recompute(self) -> None:
+        writers = self.replica.writers
+        gone = {writer for writer in writers if writer != self.member_id and (writer[0] not in alive or starts.get(writer[0], 0) > writer[1])}
+        self.gone_since = {writer: self.gone_since.get(writer, now) for writer in gone}
+        for writer in sorted(gone):
+            name, start = writer
+            has_older = any(other[0] == name and other[1] < start for other in writers)
+            if now >= self.gone_since[writer] + self.config.max_job_time and not has_older:
+                self.replica.close(name, (start, self.replica.read_version(writer)))
+
+    # --- standing
+
+    def _recompute(self) -> None:
         if self.standing.digest == self.replica.digest and self.standing.dominant_shares:
             return
-        count = len(self.config.resources)
-        capacity = capacity_of(self.replica, count)
-        held, asked = totals(self.replica, count)
-        held = {place: amounts for place, amounts in held.items() if place in self.weights}
-        fair = fill(capacity, {place: asked[place] for place in held}, self.weights)
-        shares = {place: dominant(amounts, capacity) for place, amounts in held.items()}
-        wants = {place: dominant(asked[place], capacity) for place in held}
-        short = {place for place in held if fair[place] < wants[place]}
-        over = {place for place in held if short and shares[place] > fair[place]}
-        # By shares for the weight, without a fraction; and by name where they are the same.
-        whole = 1
-        for weight in sorted(set(self.weights.values())):
-            whole *= weight
-        order = sorted(
-            self.weights, key=lambda place: (shares.get(place, 0) * (whole // self.weights[place]), place)
-        )
-        names = self.tenants
-        self.standing = FairnessStanding(
-            self.replica.digest,
-            [names[place] for place in order],
-            {names[place]: part for place, part in sorted(shares.items())},
-            {names[place]: part for place, part in sorted(fair.items())},
-            bool(short),
-            frozenset(names[place] for place in over),
-        )
+        self.standing = compute_standing(self.replica, self.tenants, self.weights, len(self.config.resources))
--- a/locktide/cluster/fairness/replicated_ledger.py
+++ b/locktide/cluster/fairness/replicated_ledger.py
@@ -1,7 +1,7 @@
-"""The ledger as one member has it: rows by writer and tenant, each with a version, and what is closed.
+"""One member's replica of the ledger: rows by writer and index, each with a version, and closed writers.
 
-A writer is one start of a dispatcher; it writes rows of its own only. Of two versions of a row the later
-counts, and what is closed is closed up to a start and a version: both are maxima, so merging is commutative,
+A writer is one process of a dispatcher; it writes rows of its own only. Of two versions of a row the later
+counts, and a writer's name is closed up to a start and a version: both are maxima, so merging is commutative,
 associative and idempotent. Equal digests mean the same rows, but for a chance of one in 2^64.
 """
 
@@ -15,141 +15,178 @@
 from locktide.cluster.fairness.dominant_share import Vector
 from locktide.cluster.messages import LedgerRow, MemberId, WriterDelta
 
-PACK = msgspec.msgpack.Encoder()
-SUM = 1 << 64
-# The place of a row that tells capacities as its writer sees them, beside those of tenants.
-CAPACITY = 65_535
-# Guards the memory against a peer that tells of writers without end: four times the largest fleet in mind.
-MOST_WRITERS = 4096
+ENCODER = msgspec.msgpack.Encoder()
+CHECKSUM_MODULUS = 1 << 64
+# The index of a row that holds capacities as its writer sees them, beside those of tenants.
+CAPACITY_INDEX = 65_535
+MAX_TENANT_INDEX = 255
+# Guards the memory against a peer that names writers without end: four times the largest fleet in mind.
+MAX_WRITERS = 4096
+NOTHING_COUNTS = 1 << 62  # a version beyond all that are written
 
+ClosedUpTo = tuple[int, int]  # a start and a version of it: earlier starts are closed as a whole
+NOT_CLOSED: ClosedUpTo = (0, 0)
 
-def checksum(told: object) -> int:
-    return int.from_bytes(blake2b(PACK.encode(told), digest_size=8).digest(), "big")
+
+def checksum(value: object) -> int:
+    """Return a 64-bit checksum of a value's MessagePack encoding."""
+    return int.from_bytes(blake2b(ENCODER.encode(value), digest_size=8).digest(), "big")
 
 
 @dataclass(slots=True)
 class WriterRows:
-    """One writer's rows. All that it wrote up to version `head` is in them, or outdone by a later one."""
+    """One writer's rows. All that it wrote up to `version` is in them, or superseded by a later row."""
 
     version: int = 0
     rows: dict[int, LedgerRow] = field(default_factory=dict)
 
 
 class ReplicatedLedger:
+    """Rows of all writers, with their digest and the sums over them.
+
+    The sums are brought up to date with each row: recomputing them from thousands of rows some times a second
+    would cost more than all else.
+    """
+
     def __init__(self) -> None:
         self.writers: dict[MemberId, WriterRows] = {}
-        self.closed: dict[str, tuple[int, int]] = {}  # by name: up to which start and version
+        self.closed: dict[str, ClosedUpTo] = {}  # by name
         self.digest = 0
-        # Over all writers, brought up to date with each row: reckoning anew from thousands of rows some times
-        # a second would cost more than all else.
-        self.in_use: dict[int, Vector] = {}
+        self.in_use: dict[int, Vector] = {}  # by tenant
         self.waiting: dict[int, Vector] = {}
-        self.seen_capacities: dict[MemberId, Vector] = {}  # capacities
+        self.seen_capacities: dict[MemberId, Vector] = {}
 
-    # --- what may count
+    # --- what counts
 
-    def is_closed(self, who: MemberId, version: int) -> bool:
-        return (who[1], version) <= self.closed.get(who[0], (0, 0))
+    def is_closed(self, writer: MemberId, version: int) -> bool:
+        """Whether the writer's rows of that version count no more."""
+        return (writer[1], version) <= self.closed.get(writer[0], NOT_CLOSED)
 
-    def read_version(self, who: MemberId) -> int:
-        start, version = self.closed.get(who[0], (0, 0))
-        if who[1] < start:
-            return 1 << 62  # nothing of it will count any more
-        pages = self.writers.get(who)
-        return max(pages.version if pages else 0, version if who[1] == start else 0)
+    def read_version(self, writer: MemberId) -> int:
+        """Return the version up to which all that the writer wrote is known here."""
+        start, version = self.closed.get(writer[0], NOT_CLOSED)
+        if writer[1] < start:
+            return NOTHING_COUNTS
+        writer_rows = self.writers.get(writer)
+        return max(writer_rows.version if writer_rows else 0, version if writer[1] == start else 0)
 
     def rows(self) -> list[tuple[MemberId, LedgerRow]]:
-        return [(who, row) for who, pages in self.writers.items() for row in pages.rows.values()]
+        """Return all rows with their writers."""
+        return [
+            (writer, row) for writer, writer_rows in self.writers.items() for row in writer_rows.rows.values()
+        ]
+
+    def rows_after(self, writer: MemberId, after_version: int) -> list[LedgerRow]:
+        """Return what the writer wrote after that version, in the order of versions."""
+        writer_rows = self.writers.get(writer)
+        if writer_rows is None:
+            return []
+        later = [row for row in writer_rows.rows.values() if row.version > after_version]
+        return sorted(later, key=lambda row: row.version)
 
     # --- merging
 
-    def merge(self, group: WriterDelta) -> bool:
-        """Takes in what a writer wrote after a version; nothing where rows between are missing."""
-        who = (group.name, group.start)
-        if group.after_version > self.read_version(who):
+    def merge(self, delta: WriterDelta) -> bool:
+        """Take in what a writer wrote after a version, unless rows before that are missing here.
+
+        Returns whether anything has changed.
+        """
+        writer = (delta.name, delta.start)
+        if delta.after_version > self.read_version(writer):
             return False
         changed = False
-        for row in group.rows:
-            changed |= self.put(who, row)
+        for row in delta.rows:
+            changed |= self.put(writer, row)
         return changed
 
-    def put(self, who: MemberId, row: LedgerRow) -> bool:
-        if self.is_closed(who, row.version) or row.index > 255 and row.index != CAPACITY:
+    def put(self, writer: MemberId, row: LedgerRow) -> bool:
+        """Take in a row, unless it is closed or superseded; return whether it was taken."""
+        if self.is_closed(writer, row.version):
             return False
-        if who not in self.writers and len(self.writers) >= MOST_WRITERS:
+        if row.index > MAX_TENANT_INDEX and row.index != CAPACITY_INDEX:
             return False
-        pages = self.writers.setdefault(who, WriterRows(self.read_version(who)))
-        before = pages.rows.get(row.index)
-        pages.version = max(pages.version, row.version)
-        if before is not None and before.version >= row.version:
+        if writer not in self.writers and len(self.writers) >= MAX_WRITERS:
             return False
-        if before is not None:
-            self.apply_row(who, before, -1)
-        pages.rows[row.index] = row
-        self.apply_row(who, row, +1)
+        writer_rows = self.writers.setdefault(writer, WriterRows(self.read_version(writer)))
+        previous = writer_rows.rows.get(row.index)
+        writer_rows.version = max(writer_rows.version, row.version)
+        if previous is not None and previous.version >= row.version:
+            return False
+        if previous is not None:
+            self._remove(writer, previous)
+        writer_rows.rows[row.index] = row
+        self._add(writer, row)
         return True
 
-    def close(self, name: str, upto: tuple[int, int]) -> bool:
-        before = self.closed.get(name, (0, 0))
-        if upto <= before or name not in self.closed and len(self.closed) >= MOST_WRITERS:
+    def close(self, name: str, up_to: ClosedUpTo) -> bool:
+        """Drop the rows of the name up to a start and version, for good; return whether that was new."""
+        previous = self.closed.get(name, NOT_CLOSED)
+        if up_to <= previous or name not in self.closed and len(self.closed) >= MAX_WRITERS:
             return False
-        if before != (0, 0):
-            self.add_to_digest(-checksum((name, before)))
-        self.closed[name] = upto
-        self.add_to_digest(checksum((name, upto)))
-        for who in [who for who in self.writers if who[0] == name]:
-            pages = self.writers[who]
-            for place, row in list(pages.rows.items()):
-                if self.is_closed(who, row.version):
-                    del pages.rows[place]
-                    self.apply_row(who, row, -1)
-            if not pages.rows and who[1] <= upto[0]:
-                del self.writers[who]
+        if previous != NOT_CLOSED:
+            self._add_to_digest(-checksum((name, previous)))
+        self.closed[name] = up_to
+        self._add_to_digest(checksum((name, up_to)))
+        for writer in [writer for writer in self.writers if writer[0] == name]:
+            self._drop_closed_rows(writer)
         return True
 
-    def add_to_digest(self, by: int) -> None:
-        self.digest = (self.digest + by) % SUM
-
-    def apply_row(self, who: MemberId, row: LedgerRow, by: int) -> None:
-        self.add_to_digest(by * checksum((who, row)))
-        if row.index == CAPACITY:
-            if by > 0:
-                self.seen_capacities[who] = row.in_use
-            else:
-                self.seen_capacities.pop(who, None)
-            return
+    def _drop_closed_rows(self, writer: MemberId) -> None:
+        writer_rows = self.writers[writer]
+        for index, row in list(writer_rows.rows.items()):
+            if self.is_closed(writer, row.version):
+                del writer_rows.rows[index]
+                self._remove(writer, row)
+        if not writer_rows.rows and writer[1] <= self.closed[writer[0]][0]:
+            del self.writers[writer]
+
+    # --- digest and sums
+
+    def _add_to_digest(self, amount: int) -> None:
+        self.digest = (self.digest + amount) % CHECKSUM_MODULUS
+
+    def _add(self, writer: MemberId, row: LedgerRow) -> None:
+        self._add_to_digest(checksum((writer, row)))
+        if row.index == CAPACITY_INDEX:
+            self.seen_capacities[writer] = row.in_use
+        else:
+            self._add_amounts(row, 1)
+
+    def _remove(self, writer: MemberId, row: LedgerRow) -> None:
+        self._add_to_digest(-checksum((writer, row)))
+        if row.index == CAPACITY_INDEX:
+            self.seen_capacities.pop(writer, None)
+        else:
+            self._add_amounts(row, -1)
+
+    def _add_amounts(self, row: LedgerRow, sign: int) -> None:
         for sums, amounts in ((self.in_use, row.in_use), (self.waiting, row.waiting)):
-            vector = sums.setdefault(row.index, [])
-            vector += [0] * (len(amounts) - len(vector))
-            for place, amount in enumerate(amounts):
-                vector[place] += by * amount
-
-    # --- telling
-
-    def rows_after(self, who: MemberId, after: int) -> list[LedgerRow]:
-        """What it wrote after that version, in the order of versions."""
-        pages = self.writers.get(who)
-        found = [row for row in pages.rows.values() if row.version > after] if pages else []
-        return sorted(found, key=lambda row: row.version)
+            total = sums.setdefault(row.index, [])
+            total += [0] * (len(amounts) - len(total))
+            for resource, amount in enumerate(amounts):
+                total[resource] += sign * amount
 
 
-def capacity_of(book: ReplicatedLedger, resources: int) -> Vector:
-    """The capacities that count: the lower median of what open writers see, for each resource."""
-    seen = [held for held in book.seen_capacities.values() if len(held) == resources]
+def agreed_capacity(replica: ReplicatedLedger, resource_count: int) -> Vector:
+    """Return the capacities that count: of each resource the lower median of what open writers see."""
+    seen = [amounts for amounts in replica.seen_capacities.values() if len(amounts) == resource_count]
     if not seen:
-        return [0] * resources
+        return [0] * resource_count
     return [sorted(values)[(len(values) - 1) // 2] for values in zip(*seen, strict=True)]
 
 
-def totals(book: ReplicatedLedger, resources: int) -> tuple[dict[int, Vector], dict[int, Vector]]:
-    """What each tenant holds, and what it asks for (that and what waits), over all writers."""
-    held = {place: padded(amounts, resources) for place, amounts in book.in_use.items()}
-    waits = {place: padded(book.waiting.get(place, []), resources) for place in held}
-    asked = {
-        place: [has + more for has, more in zip(held[place], waits[place], strict=True)] for place in held
+def tenant_totals(
+    replica: ReplicatedLedger, resource_count: int
+) -> tuple[dict[int, Vector], dict[int, Vector]]:
+    """Return what each tenant uses, and what it demands (that and what waits), over all writers."""
+    in_use = {tenant: _padded(amounts, resource_count) for tenant, amounts in replica.in_use.items()}
+    waiting = {tenant: _padded(replica.waiting.get(tenant, []), resource_count) for tenant in in_use}
+    demand = {
+        tenant: [used + more for used, more in zip(in_use[tenant], waiting[tenant], strict=True)]
+        for tenant in in_use
     }
-    return held, asked
+    return in_use, demand
 
 
-def padded(amounts: Vector, resources: int) -> Vector:
-    return [*amounts[:resources], *[0] * (resources - len(amounts))]
+def _padded(amounts: Vector, length: int) -> Vector:
+    return [*amounts[:length], *[0] * (length - len(amounts))]
--- /dev/null
+++ b/locktide/cluster/fairness/standing.py
@@ -0,0 +1,51 @@
+"""What follows from the ledger's rows: each tenant's share, its fair share, and who has more than that."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from math import prod
+
+from locktide.cluster.fairness.dominant_share import dominant_share, progressive_filling
+from locktide.cluster.fairness.replicated_ledger import ReplicatedLedger, agreed_capacity, tenant_totals
+
+
+@dataclass(frozen=True)
+class FairnessStanding:
+    """The same at every member that has the same digest. Shares are in parts of `dominant_share.ONE`."""
+
+    digest: int = 0
+    order: list[str] = field(default_factory=list)  # of tenants, the least share for its weight first
+    dominant_shares: dict[str, int] = field(default_factory=dict)
+    fair_shares: dict[str, int] = field(default_factory=dict)
+    contended: bool = False
+    over_share: frozenset[str] = frozenset()  # who has more than its fair share while others go short
+
+
+def compute_standing(
+    replica: ReplicatedLedger, tenants: list[str], weights: dict[int, int], resource_count: int
+) -> FairnessStanding:
+    """Compute the standing of all tenants; `weights` by the tenant's index in `tenants`."""
+    capacity = agreed_capacity(replica, resource_count)
+    in_use, demand = tenant_totals(replica, resource_count)
+    in_use = {tenant: amounts for tenant, amounts in in_use.items() if tenant in weights}
+    fair = progressive_filling(capacity, {tenant: demand[tenant] for tenant in in_use}, weights)
+    shares = {tenant: dominant_share(amounts, capacity) for tenant, amounts in in_use.items()}
+    wanted = {tenant: dominant_share(demand[tenant], capacity) for tenant in in_use}
+    contended = any(fair[tenant] < wanted[tenant] for tenant in in_use)
+    over_share = {tenant for tenant in in_use if contended and shares[tenant] > fair[tenant]}
+    return FairnessStanding(
+        replica.digest,
+        [tenants[tenant] for tenant in _by_weighted_share(shares, weights)],
+        {tenants[tenant]: share for tenant, share in sorted(shares.items())},
+        {tenants[tenant]: share for tenant, share in sorted(fair.items())},
+        contended,
+        frozenset(tenants[tenant] for tenant in over_share),
+    )
+
+
+def _by_weighted_share(shares: dict[int, int], weights: dict[int, int]) -> list[int]:
+    """Order tenants by their share for the weight, without a fraction; and by name where these are equal."""
+    common_multiple = prod(set(weights.values()))
+    return sorted(
+        weights, key=lambda tenant: (shares.get(tenant, 0) * (common_multiple // weights[tenant]), tenant)
+    )
--- a/locktide/cluster/fairness/usage.py
+++ b/locktide/cluster/fairness/usage.py
@@ -1,4 +1,4 @@
-"""What this dispatcher's tenants hold of the fleet and what waits here, from a node's own news and orders."""
+"""What tenants use through this dispatcher and what waits here, from its events and commands."""
 
 from __future__ import annotations
 
@@ -11,99 +11,114 @@
 from locktide.scheduler.events import AttemptEnded, ClientDisconnected, EndpointListUpdate, RequestArrived
 from locktide.scheduler.types import EndpointState, ListUpdateKind
 
+Answered = AttemptEnded | ClientDisconnected | RejectRequest | FailRequest
+
 
 @dataclass(slots=True)
 class OpenUsage:
-    tenant_index: int  # of its tenant
+    """A request that waits, or of which attempts may be running."""
+
+    tenant_index: int
     needs: Vector
-    running: int = 0  # dispatches without an outcome
+    running: int = 0  # attempts without an outcome
     answered: bool = False
 
 
 class UsageTracker:
-    """`places` of tenants, `needs` by service grade for each slot of width, `each` of a worker; all amounts
-    in thousandths.
+    """Sums of needs by tenant; all amounts are in thousandths.
+
+    `tenant_indices` by tenant, `needs` by service class for each slot of a request's width,
+    `worker_capacity` of one worker.
     """
 
-    def __init__(self, places: dict[str, int], needs: dict[str, Vector], each: Vector) -> None:
-        self.tenant_indices, self.needs, self.worker_capacity = places, needs, each
-        self.open_requests: dict[Any, OpenUsage] = {}
-        self.ready_workers: set[Any] = set()  # workers
-        self.in_use: dict[int, Vector] = {}
+    def __init__(
+        self, tenant_indices: dict[str, int], needs: dict[str, Vector], worker_capacity: Vector
+    ) -> None:
+        self.tenant_indices = tenant_indices
+        self.needs = needs
+        self.worker_capacity = worker_capacity
+        self.open_requests: dict[Any, OpenUsage] = {}  # by request id
+        self.ready_workers: set[Any] = set()
+        self.in_use: dict[int, Vector] = {}  # by tenant index
         self.waiting: dict[int, Vector] = {}
         self.handlers: dict[type, Callable[[Any], None]] = {
-            RequestArrived: self.on_arrival,
-            StartAttempt: self.on_attempt_started,
-            AttemptEnded: self.on_attempt_ended,
-            # Guards against counting for ever as waiting what its client has left: no order tells of that.
-            ClientDisconnected: self.on_answered,
-            RejectRequest: self.on_answered,
-            FailRequest: self.on_answered,
-            EndpointListUpdate: self.on_endpoint_list,
+            RequestArrived: self._on_arrival,
+            StartAttempt: self._on_attempt_started,
+            AttemptEnded: self._on_attempt_ended,
+            # Without it a request whose client has left would count as waiting for ever: no command tells of
+            # that.
+            ClientDisconnected: self._on_answered,
+            RejectRequest: self._on_answered,
+            FailRequest: self._on_answered,
+            EndpointListUpdate: self._on_endpoint_list,
         }
 
-    def observe(self, piece: Any) -> None:
-        """A piece of news, or an order, in the order in which they come about."""
-        if (take := self.handlers.get(type(piece))) is not None:
-            take(piece)
+    def observe(self, event_or_command: Any) -> None:
+        """Take in an event or a command of the scheduler, in the order in which they come about."""
+        if (handler := self.handlers.get(type(event_or_command))) is not None:
+            handler(event_or_command)
 
     def capacity(self) -> Vector:
+        """Return the capacity of all ready workers."""
         return [amount * len(self.ready_workers) for amount in self.worker_capacity]
 
-    # --- one submission
+    # --- requests
 
-    def on_arrival(self, piece: RequestArrived) -> None:
-        place, needs = self.tenant_indices.get(piece.tenant), self.needs.get(piece.service_class)
-        if place is None or needs is None or piece.request_id in self.open_requests:
+    def _on_arrival(self, event: RequestArrived) -> None:
+        tenant_index, needs = self.tenant_indices.get(event.tenant), self.needs.get(event.service_class)
+        if tenant_index is None or needs is None or event.request_id in self.open_requests:
             return
-        one = self.open_requests[piece.request_id] = OpenUsage(
-            place, [round(amount * piece.width) for amount in needs]
-        )
-        self.add_needs(self.waiting, one, 1)
+        usage = OpenUsage(tenant_index, [round(amount * event.width) for amount in needs])
+        self.open_requests[event.request_id] = usage
+        self._add(self.waiting, usage, 1)
 
-    def on_attempt_started(self, order: StartAttempt) -> None:
-        if (one := self.open_requests.get(order.request_id)) is None:
+    def _on_attempt_started(self, command: StartAttempt) -> None:
+        usage = self.open_requests.get(command.request_id)
+        if usage is None:
             return
-        if not one.running:
-            self.add_needs(self.waiting, one, -1)
-        one.running += 1
-        self.add_needs(self.in_use, one, 1)
-
-    def on_attempt_ended(self, piece: AttemptEnded) -> None:
-        if (one := self.open_requests.get(piece.request_id)) is None:
+        if not usage.running:
+            self._add(self.waiting, usage, -1)
+        usage.running += 1
+        self._add(self.in_use, usage, 1)
+
+    def _on_attempt_ended(self, event: AttemptEnded) -> None:
+        usage = self.open_requests.get(event.request_id)
+        if usage is None:
             return
-        if one.running:
-            one.running -= 1
-            self.add_needs(self.in_use, one, -1)
-            if not one.running and not one.answered:
-                self.add_needs(self.waiting, one, 1)
-        if piece.final:
-            self.on_answered(piece)
-        elif not one.running and one.answered:
-            del self.open_requests[piece.request_id]
-
-    def on_answered(self, piece: Any) -> None:
-        """It has its answer; what still runs for it counts until that has ended."""
-        if (one := self.open_requests.get(piece.request_id)) is None or one.answered:
+        if usage.running:
+            usage.running -= 1
+            self._add(self.in_use, usage, -1)
+            if not usage.running and not usage.answered:
+                self._add(self.waiting, usage, 1)
+        if event.final:
+            self._on_answered(event)
+        elif not usage.running and usage.answered:
+            del self.open_requests[event.request_id]
+
+    def _on_answered(self, event: Answered) -> None:
+        """The request has its response; attempts that still run for it count until they have ended."""
+        usage = self.open_requests.get(event.request_id)
+        if usage is None or usage.answered:
             return
-        one.answered = True
-        if not one.running:
-            self.add_needs(self.waiting, one, -1)
-            del self.open_requests[piece.request_id]
+        usage.answered = True
+        if not usage.running:
+            self._add(self.waiting, usage, -1)
+            del self.open_requests[event.request_id]
 
-    def add_needs(self, to: dict[int, Vector], one: OpenUsage, by: int) -> None:
-        sums = to.setdefault(one.tenant_index, [0] * len(self.worker_capacity))
-        for place, amount in enumerate(one.needs):
-            sums[place] += by * amount
+    def _add(self, sums: dict[int, Vector], usage: OpenUsage, sign: int) -> None:
+        total = sums.setdefault(usage.tenant_index, [0] * len(self.worker_capacity))
+        for resource, amount in enumerate(usage.needs):
+            total[resource] += sign * amount
 
     # --- workers
 
-    def on_endpoint_list(self, piece: EndpointListUpdate) -> None:
-        if piece.kind in (ListUpdateKind.FETCH_FAILED, ListUpdateKind.FETCH_TIMED_OUT):
+    def _on_endpoint_list(self, event: EndpointListUpdate) -> None:
+        if event.kind in (ListUpdateKind.FETCH_FAILED, ListUpdateKind.FETCH_TIMED_OUT):
             return
-        if piece.kind in (ListUpdateKind.SNAPSHOT, ListUpdateKind.CACHED):
+        if event.kind in (ListUpdateKind.SNAPSHOT, ListUpdateKind.CACHED):
             self.ready_workers = set()
-        for entry in piece.entries:
-            (self.ready_workers.add if entry.state == EndpointState.READY else self.ready_workers.discard)(
-                entry.worker
-            )
+        for entry in event.entries:
+            if entry.state == EndpointState.READY:
+                self.ready_workers.add(entry.worker)
+            else:
+                self.ready_workers.discard(entry.worker)
--- a/locktide/cluster/messages.py
+++ b/locktide/cluster/messages.py
@@ -13,38 +13,36 @@
 from msgspec import Meta
 
 VERSION = 2  # 1 knew no loans and no ledger
-MAX_DATAGRAM = (
-    1200  # bytes of a datagram: less than any path's smallest unit, so that none is cut into pieces
-)
+MAX_DATAGRAM = (1200  # bytes of a datagram: less than any path's smallest unit, so that none is cut into pieces
+    )
 
-Count = Annotated[int, Meta(ge=0)]
-Millionths = Annotated[int, Meta(ge=0, le=1_000_000)]  # millionths of a whole
+Count = Annotated[int, Meta(ge = 0)]
+Millionths = Annotated[int, Meta(ge = 0, le = 1_000_000)]  # millionths of a whole
 # Who somebody is: the name, and when this process of it started (whole microseconds of Unix time).
 MemberId = tuple[str, int]
 # The order of elections: a count, and who stands.
 Ballot = tuple[Count, str, int]
-# Budgets go by their place among the names in order, which is the same wherever `book`, the sum of the names,
-# is: fifty of them and the loans between them fit one datagram.
-QuotaIndex = Annotated[int, Meta(ge=0, le=255)]
-# A loan: whose budget, who may spend of it, and how many millionths of that budget's whole.
+# Quotas go by their place among the sorted names, which is the same wherever `names_checksum` is: fifty of them and the loans between them fit one datagram.
+QuotaIndex = Annotated[int, Meta(ge = 0, le = 255)]
+# A loan: whose quota, which quota's requests may spend of it, and how many millionths of the lender's whole.
 LoanTriple = tuple[QuotaIndex, QuotaIndex, Millionths]
 
 
-class MemberRecord(msgspec.Struct, array_like=True, frozen=True):
+class MemberRecord(msgspec.Struct, array_like = True, frozen = True):
     """One member as somebody knows it. `turn` is what it raises itself to refute a suspicion."""
 
     name: str
     generation: int
     incarnation: Count
-    state: Annotated[int, Meta(ge=0, le=3)]
-    address: tuple[str, Annotated[int, Meta(ge=0, le=65535)]]
+    state: Annotated[int, Meta(ge = 0, le = 3)]
+    address: tuple[str, Annotated[int, Meta(ge = 0, le = 65535)]]
 
 
-class Message(msgspec.Struct, array_like=True):
+class Message(msgspec.Struct, array_like = True):
     pass
 
 
-class Ping(Message, tag="Ping"):
+class Ping(Message, tag = "Ping"):
     """Answered by an Ack of the same number. `row` is what its sender believes of who is asked."""
 
     sequence: int
@@ -52,7 +50,7 @@
     gossip: list[MemberRecord]
 
 
-class IndirectProbe(Message, tag="Probe"):
+class IndirectProbe(Message, tag = "Probe"):
     """Asks for a ping of `name`: an indirect probe."""
 
     sequence: int
@@ -60,29 +58,29 @@
     gossip: list[MemberRecord]
 
 
-class Ack(Message, tag="Ack"):
+class Ack(Message, tag = "Ack"):
     sequence: int
     gossip: list[MemberRecord]
 
 
-class Nack(Message, tag="Nack"):
+class Nack(Message, tag = "Nack"):
     """In answer to a Probe: it was heard, and the one probed has not answered yet."""
 
     sequence: int
 
 
-class FullSync(Message, tag="Whole"):
+class FullSync(Message, tag = "Whole"):
     """A part of a full exchange; the last that was asked for answers in kind."""
 
     records: list[MemberRecord]
     reply_wanted: bool
 
 
-class Prepare(Message, tag="Prepare"):
+class Prepare(Message, tag = "Prepare"):
     ballot: Ballot
 
 
-class Promise(Message, tag="Promise"):
+class Promise(Message, tag = "Promise"):
     """`owner` holds the lease, as far as this elector knows; `refused` where it has promised `ballot`."""
 
     requested: Ballot
@@ -91,26 +89,28 @@
     refused: bool
 
 
-class Propose(Message, tag="Propose"):
+class Propose(Message, tag = "Propose"):
     ballot: Ballot
     lease_owner: MemberId
 
 
-class Accepted(Message, tag="Accepted"):
+class Accepted(Message, tag = "Accepted"):
     requested: Ballot
     promised: Ballot
     refused: bool
 
 
-class LeaderHeartbeat(Message, tag="Lead"):
+class LeaderHeartbeat(Message, tag = "Lead"):
     """The owner of the lease says so; `term` is the ballot with which it began to hold it."""
 
     term: Ballot
 
 
-class LeaseRequest(Message, tag="Ask"):
-    """A member tells what it holds and wants. `held` and `loans` are in force as of grant `seq` of term `of`;
-    `wants` is its demand by budget, in whatever unit the budget has.
+class LeaseRequest(Message, tag = "Ask"):
+    """A member's request for leases: what it holds and what it has demand for.
+
+    `held_shares` and `loans` are in force by grant `seq` of `held_term`; `demand` is by quota, in whatever
+    unit the quota has. `names_checksum` is of the quotas' names, which number them.
     """
 
     term: Ballot
@@ -124,9 +124,10 @@
     names_checksum: int = 0
 
 
-class LeaseGrant(Message, tag="Grant"):
-    """In answer to the Ask of that number: parts in millionths, counted from when the Ask was sent. `soon`:
-    there is more to come, once others have let go of it.
+class LeaseGrant(Message, tag = "Grant"):
+    """The answer to the request of that number: leases counted from when the request was sent.
+
+    `more_expected`: the member should have more, once others have let go of it.
     """
 
     term: Ballot
@@ -137,17 +138,18 @@
     more_expected: bool
 
 
-class LeaseRevocation(Message, tag="Recall"):
-    """Who divides calls back what was lent of these budgets, as their owners have come again. It only makes
-    haste: a loan ends by itself.
+class LeaseRevocation(Message, tag = "Recall"):
+    """Revokes what was lent of these quotas, as they have demand again.
+
+    It only makes haste: a loan ends by itself.
     """
 
     term: Ballot
     lenders: list[QuotaIndex]
 
 
-class LedgerRow(msgspec.Struct, array_like=True, frozen=True):
-    """A row of the ledger: of a tenant, by its place, what it holds of each resource and what waits."""
+class LedgerRow(msgspec.Struct, array_like = True, frozen = True):
+    """What a tenant, by its index, uses of each resource through the writer, and what waits there."""
 
     index: Count
     version: Count
@@ -155,8 +157,8 @@
     waiting: list[Count]
 
 
-class WriterDelta(msgspec.Struct, array_like=True):
-    """Rows of one writer: all that it wrote after that version, as far as they go, in order."""
+class WriterDelta(msgspec.Struct, array_like = True):
+    """Rows of one writer: all that it wrote after a version, as far as they go, in the order of versions."""
 
     name: str
     start: int
@@ -164,9 +166,11 @@
     rows: list[LedgerRow]
 
 
-class Digest(Message, tag="Heads"):
-    """How far the sender has read each writer whose name is after `after` and no further than `upto`, and
-    what is closed of these; only its digest, where `upto` is empty. `sum` is of the tenants and resources.
+class Digest(Message, tag = "Heads"):
+    """Up to which version the sender has read each writer of a range of names, and which are closed.
+
+    The range begins after `after_name` and goes up to `up_to_name`; where that is empty, there is only the
+    digest of all rows. `schema_checksum` is of the names of tenants and resources, which number them.
     """
 
     schema_checksum: int
@@ -178,18 +182,20 @@
     reply_expected: bool
 
 
-class Delta(Message, tag="Rows"):
+class Delta(Message, tag = "Rows"):
+    """Rows that the receiver lacks, by writer."""
+
     schema_checksum: int
     writer_deltas: list[WriterDelta]
 
 
-class InspectionRequest(Message, tag="Look"):
+class InspectionRequest(Message, tag = "Look"):
     """Of `locktide cluster show`: answered on loopback only."""
 
     request_id: int
 
 
-class InspectionPage(Message, tag="Seen"):
+class InspectionPage(Message, tag = "Seen"):
     """A page of what a member sees, as JSON; `pages` in all."""
 
     request_id: int
@@ -199,14 +205,12 @@
 
 
 MembershipMessage = Ping | IndirectProbe | Ack | Nack | FullSync
-QuotaMessage = (
-    Prepare | Promise | Propose | Accepted | LeaderHeartbeat | LeaseRequest | LeaseGrant | LeaseRevocation
-)
+QuotaMessage = (Prepare | Promise | Propose | Accepted | LeaderHeartbeat | LeaseRequest | LeaseGrant | LeaseRevocation)
 FairnessMessage = Digest | Delta
 AnyMessage = MembershipMessage | QuotaMessage | FairnessMessage | InspectionRequest | InspectionPage
 
 
-class Envelope(msgspec.Struct, array_like=True):
+class Envelope(msgspec.Struct, array_like = True):
     """A word, and by whom it was said."""
 
     version: int
@@ -231,10 +235,10 @@
 
 def decode(datagram: bytes) -> Envelope | None:
     """None for what is garbled, cut short, too long, of another version or nothing of ours."""
-    if not 4 < len(datagram) <= MAX_DATAGRAM or crc32(datagram[4:]) != int.from_bytes(datagram[:4], "big"):
+    if not 4 < len(datagram) <= MAX_DATAGRAM or crc32(datagram[4:]) != int.from_bytes(datagram[: 4], "big"):
         return None
     try:
         said = READER.decode(datagram[4:])
-    except (msgspec.DecodeError, RecursionError):
+    except(msgspec.DecodeError, RecursionError):
         return None
     return said if said.version == VERSION else None
