--- a/locktide/cluster/fairness/ledger.py
+++ b/locktide/cluster/fairness/ledger.py
@@ -1,7 +1,7 @@
 """One member's part in the fairness ledger.
 
-It writes its own rows, exchanges all rows, closes dead writers and computes the standing. No I/O: messages and
-time in, messages out. Times are whole microseconds of the member's own clock.
+It writes its own rows, exchanges all rows, closes dead writers and computes the standing. No I/O: messages
+and time in, messages out. Times are whole microseconds of the member's own clock.
 """
 
 from __future__ import annotations
@@ -26,7 +26,6 @@
 ROWS_PER_SECOND = 300
 CLOSING_INTERVAL = 1_000_000  # between two searches for dead writers
 Outgoing = list[tuple[str, Message]]  # the receiver's name, and the message
-
 @ dataclass(frozen = True)
 class FairnessConfig:
     """The same at all members. Amounts are in thousandths, vectors go by `resources`.
--- a/locktide/cluster/messages.py
+++ b/locktide/cluster/messages.py
@@ -22,7 +22,8 @@
 MemberId = tuple[str, int]
 # The order of elections: a count, and who stands.
 Ballot = tuple[Count, str, int]
-# Quotas go by their place among the sorted names, which is the same wherever `names_checksum` is: fifty of them and the loans between them fit one datagram.
+# Quotas go by their place among the sorted names, which is the same wherever `names_checksum` is: fifty
+# of them and the loans between them fit one datagram.
 QuotaIndex = Annotated[int, Meta(ge = 0, le = 255)]
 # A loan: whose quota, which quota's requests may spend of it, and how many millionths of the lender's whole.
 LoanTriple = tuple[QuotaIndex, QuotaIndex, Millionths]
