--- /dev/null
+++ b/tests/cluster/test_borrowing.py
@@ -0,0 +1,217 @@
+"""Borrowing: within the lender's whole, never passed on, and reclaimed within a second of its return."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from locktide.cluster.borrowing.lender import IDLE_AFTER
+from locktide.cluster.borrowing.loan_allocator import LoanAllocator
+from locktide.cluster.borrowing.matching import fill_evenly, match_loans
+from locktide.cluster.quota.lease_holder import LeaseHolder
+from locktide.cluster.quota.local_quota import LocalQuota, QuotaSpec
+from locktide.simulation.cluster import borrowing_runs
+from locktide.simulation.cluster.quota_checker import QuotaChecker
+from locktide.simulation.cluster.virtual_cluster import VirtualCluster
+
+SECOND = 1_000_000
+
+# --- matching
+
+AMOUNTS = st.dictionaries(st.integers(0, 9), st.integers(1, 10**9), max_size=6)
+PAIRS = st.dictionaries(st.tuples(st.integers(0, 9), st.integers(0, 9)), st.integers(0, 10**9))
+
+
+@given(AMOUNTS, AMOUNTS, PAIRS)
+def test_matched_loans_stay_within_what_is_free_and_leave_no_shortfall_that_could_be_met(
+    shortfalls: dict[int, int], free: dict[int, int], previous: dict[Any, int]
+) -> None:
+    filled = fill_evenly(shortfalls, sum(free.values()))
+    assert sum(filled.values()) == min(sum(shortfalls.values()), sum(free.values()))
+    assert all(filled[borrower] <= shortfalls[borrower] for borrower in shortfalls)
+    loans = match_loans(filled, free, previous)
+    for lender, amount in free.items():
+        assert sum(lent for key, lent in loans.items() if key[0] == lender) <= amount
+    for borrower, amount in filled.items():
+        assert sum(lent for key, lent in loans.items() if key[1] == borrower) == amount
+
+
+def test_smallest_shortfall_is_met_in_full_and_the_remainder_goes_by_order() -> None:
+    assert fill_evenly({1: 10, 2: 100, 3: 100}, 70) == {1: 10, 2: 30, 3: 30}
+    assert fill_evenly({5: 9, 4: 9}, 1) == {5: 1, 4: 0}
+
+
+# --- planning
+
+
+def demand_of(rate: float) -> int:
+    """The demand that a steady rate is reported as."""
+    return int(rate * 0.6)
+
+
+def settled_allocator() -> LoanAllocator:
+    """Quota 0 has been short for thirty seconds, 1 and 2 have been idle."""
+    rates = {0: 100 * 10**6, 1: 100 * 10**6, 2: 50 * 10**6}
+    allocator = LoanAllocator(rates, dict.fromkeys(range(3), 900_000), 800_000, 0)
+    for step in range(120):
+        allocator.replan({0: demand_of(250)}, [], {}, step * SECOND // 4)
+    return allocator
+
+
+def test_idle_quota_is_lent_and_once_its_demand_returns_lends_nothing_for_a_while() -> None:
+    allocator, now = settled_allocator(), 30 * SECOND
+    assert allocator.planned_loans[1, 0] == pytest.approx(720_000, abs=9_000)
+    assert allocator.planned_loans[2, 0] == pytest.approx(720_000, abs=9_000)
+    assert allocator.record_demand(1, now) and not allocator.record_demand(1, now + 1), "revoked once"
+    assert (1, 0) not in allocator.planned_loans
+    for step in range(1, 12):
+        allocator.replan({0: demand_of(250)}, [], {}, now + step * IDLE_AFTER // 12)
+        assert (1, 0) not in allocator.planned_loans, "it flaps at its own cost, not at others'"
+    for step in range(12, 30):
+        allocator.replan({0: demand_of(250)}, [], {}, now + step * IDLE_AFTER // 12)
+    assert (1, 0) in allocator.planned_loans
+
+
+def test_partly_used_quota_lends_the_rest_and_is_reclaimed_once_demand_exceeds_what_it_retained() -> None:
+    allocator, now = settled_allocator(), 30 * SECOND
+    for step in range(40):
+        allocator.record_demand(1, now)
+        now += SECOND // 4
+        assert not allocator.replan({0: demand_of(250), 1: demand_of(20)}, [], {}, now) or step < 2
+    lent = allocator.planned_loans[1, 0]
+    assert 300_000 < lent < 500_000
+    assert allocator.replan({0: demand_of(250), 1: demand_of(95)}, [], {(1, 0): lent}, now + 1) == [1]
+    assert (1, 0) not in allocator.planned_loans
+
+
+def test_no_quota_lends_while_it_borrows_nor_borrows_while_it_lends() -> None:
+    allocator, now = settled_allocator(), 30 * SECOND
+    outstanding = dict(allocator.planned_loans)
+    assert outstanding
+    # The lender is short itself now; all that it lent is still out, by the accounts.
+    allocator.replan({0: demand_of(250), 1: demand_of(300)}, [], outstanding, now)
+    assert not any(1 in key for key in allocator.planned_loans)
+    allocator.replan({2: demand_of(300)}, [], {(1, 0): 700_000}, now + 1)
+    assert not any(key[0] == 0 for key in allocator.planned_loans), "what it borrowed may still be spent"
+
+
+# --- many members
+
+
+@pytest.mark.parametrize(
+    "fault", [fault for fault in borrowing_runs.TROUBLES if fault != "who divides killed"]
+)
+def test_returning_lender_has_its_whole_again_within_a_second(fault: str) -> None:
+    result = borrowing_runs.returns(2, fault)
+    assert not result.overruns and len(result.reclaims) == 3
+    assert all(reclaim.loans_over <= SECOND for reclaim in result.reclaims)
+    assert all(0 <= reclaim.whole <= SECOND for reclaim in result.reclaims)
+    assert result.after > 0.85
+
+
+def test_loans_end_within_a_second_when_no_leader_is_left_to_revoke_them() -> None:
+    result = borrowing_runs.returns(2, "who divides killed")
+    assert not result.overruns and result.reclaims[0].loans_over <= SECOND
+
+
+def test_lending_serves_more_requests_and_overruns_nothing() -> None:
+    without, lending = borrowing_runs.worth(2, 0.0), borrowing_runs.worth(2, 0.8)
+    assert not lending.overruns and lending.served > without.served + 0.3
+
+
+def cluster_with(budgets: tuple[QuotaSpec, ...]) -> VirtualCluster:
+    cluster = VirtualCluster(3, ["d0", "d1", "d2"], 3, 4, budgets=budgets, lend=0.8)
+    for name in cluster.names:
+        cluster.begin(name)
+    return cluster
+
+
+def run_with_busy_demand(cluster: VirtualCluster, until: int) -> None:
+    while cluster.now < until:
+        cluster.run(cluster.now + 20_000)
+        for process in cluster.all:
+            for _ in range(3):
+                process.spend("busy")
+
+
+def test_quota_that_is_not_lendable_is_never_lent() -> None:
+    """The capacity of workers that are warming up, in particular."""
+    cluster = cluster_with(
+        (
+            QuotaSpec("busy", 20.0, 20.0, True),
+            QuotaSpec("cold"),
+            QuotaSpec("cold windows", 50.0, 50.0, False),
+            QuotaSpec("idle", 50.0, 50.0, True),
+        )
+    )
+    run_with_busy_demand(cluster, 14 * SECOND)
+    reports = [report for process_reports in cluster.meter.told.values() for report in process_reports]
+    lenders = {names[0] for report in reports for names in report.loans}
+    assert lenders == {"idle"} and not cluster.meter.overruns()
+
+
+# --- faults that the checker must find
+
+
+def loans_passed_on(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A member that was lent something lends it to another."""
+    update = LocalQuota.update
+
+    def lend_on(self: Any, held: Any, until: int, loans: Any, loans_until: int, now: int) -> bool:
+        more = {(borrower, "other"): share // 2 for (_, borrower), share in loans.items()}
+        return update(self, held, until, loans | more, loans_until, now)
+
+    monkeypatch.setattr(LocalQuota, "update", lend_on)
+
+
+def loans_kept(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A loan's end is ignored, and so is its revocation."""
+    update = LocalQuota.update
+
+    def keep(self: Any, held: Any, until: int, loans: Any, loans_until: int, now: int) -> bool:
+        return update(self, held, until, loans, 1 << 60 if loans else 0, now)
+
+    monkeypatch.setattr(LeaseHolder, "current_loans", lambda self, now: self.loans)
+    monkeypatch.setattr(LeaseHolder, "accept_revocation", lambda self, revocation, now: None)
+    monkeypatch.setattr(LocalQuota, "update", keep)
+    monkeypatch.setattr(LocalQuota, "expire", lambda self, now: False)
+
+
+@pytest.mark.parametrize("fault", [None, loans_passed_on, loans_kept])
+def test_checker_finds_a_loan_that_is_passed_on_or_kept(fault: Any, monkeypatch: pytest.MonkeyPatch) -> None:
+    if fault:
+        fault(monkeypatch)
+    cluster = cluster_with(
+        (
+            QuotaSpec("busy", 20.0, 20.0, True),
+            QuotaSpec("idle", 50.0, 50.0, True),
+            QuotaSpec("other", 50.0, 50.0),
+        )
+    )
+    run_with_busy_demand(cluster, 14 * SECOND)
+    borrower = next(
+        process for process in cluster.all if process.agent.purse.loans and process.agent.giver is None
+    )
+    cluster.net.cut = {
+        link for name in cluster.names for link in ((borrower.name, name), (name, borrower.name))
+    }
+    returning = next(process for process in cluster.all if process is not borrower)
+    for _ in range(200):
+        cluster.run(cluster.now + 20_000)
+        returning.spend("idle")
+    assert bool(cluster.meter.overruns()) == bool(fault)
+
+
+def test_checker_measures_how_long_a_reclaim_takes() -> None:
+    checker = QuotaChecker({"x": (0.0, 0.0)})
+    checker.in_force("a", 0, {"x": 200_000}, 10**9, 0, {("x", "y"): 700_000}, 10**9)
+    checker.ask("x", 0)
+    checker.ask("x", 5 * SECOND)
+    checker.in_force("a", 5 * SECOND + 300, {"x": 200_000}, 10**9, 0)
+    checker.in_force("a", 5 * SECOND + 900, {"x": 950_000}, 10**9, 0)
+    reclaims = checker.reclaims(3 * SECOND)
+    assert [(reclaim.loans_over, reclaim.whole) for reclaim in reclaims] == [(300, 900)]
+    assert not checker.reclaims(6 * SECOND) and not checker.overruns()
--- /dev/null
+++ b/tests/cluster/test_fairness.py
@@ -0,0 +1,293 @@
+"""Fairness: replicas merge alike in any order and are soon equal, and shares are fair as published."""
+
+from __future__ import annotations
+
+import random
+from fractions import Fraction
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from locktide.cluster.fairness import replicated_ledger as replicated_ledger_module
+from locktide.cluster.fairness import standing as standing_module
+from locktide.cluster.fairness.dominant_share import ONE, dominant_share, progressive_filling
+from locktide.cluster.fairness.replicated_ledger import (
+    CAPACITY_INDEX,
+    ReplicatedLedger,
+    agreed_capacity,
+    tenant_totals,
+)
+from locktide.cluster.fairness.usage import UsageTracker
+from locktide.cluster.messages import LedgerRow, WriterDelta
+from locktide.scheduler.commands import FailRequest, StartAttempt
+from locktide.scheduler.events import (
+    AttemptEnded,
+    ClientDisconnected,
+    EndpointEntry,
+    EndpointListUpdate,
+    RequestArrived,
+)
+from locktide.scheduler.types import AttemptOutcome, EndpointState, ListUpdateKind
+from locktide.simulation.cluster.fairness_runs import Fair, solved
+
+SECOND = 1_000_000
+
+# --- replicas
+
+
+ROWS = st.builds(LedgerRow, st.integers(0, 3), st.integers(1, 9), st.just([1, 2]), st.just([0, 0]))
+OPERATIONS = st.lists(
+    st.one_of(
+        st.tuples(st.just("put"), st.sampled_from("ab"), st.integers(1, 2), ROWS),
+        st.tuples(st.just("close"), st.sampled_from("ab"), st.integers(1, 2), st.integers(0, 9)),
+    ),
+    max_size=14,
+)
+
+
+def row_of_version(row: LedgerRow) -> LedgerRow:
+    """A version of a row has the same amounts wherever it is read."""
+    return LedgerRow(row.index, row.version, [row.version, row.index], [0, row.version])
+
+
+def replica_after(operations: list[Any]) -> ReplicatedLedger:
+    replica = ReplicatedLedger()
+    for operation, name, start, value in operations:
+        if operation == "put":
+            replica.put((name, start), row_of_version(value))
+        else:
+            replica.close(name, (start, value))
+    return replica
+
+
+def contents(replica: ReplicatedLedger) -> Any:
+    rows = sorted((writer, row.index, row.version) for writer, row in replica.rows())
+    return rows, sorted(replica.closed.items())
+
+
+@given(OPERATIONS, st.randoms())
+def test_merging_gives_the_same_replica_in_any_order_and_when_repeated(
+    operations: list[Any], drawn: random.Random
+) -> None:
+    shuffled = operations * 2
+    drawn.shuffle(shuffled)
+    first, second = replica_after(operations), replica_after(shuffled)
+    assert contents(first) == contents(second) and first.digest == second.digest
+
+
+def test_delta_that_would_leave_a_hole_is_not_merged() -> None:
+    replica = ReplicatedLedger()
+    row = LedgerRow(0, 5, [1], [0])
+    assert not replica.merge(WriterDelta("a", 1, 3, [row])) and replica.read_version(("a", 1)) == 0
+    assert replica.merge(WriterDelta("a", 1, 0, [row])) and replica.read_version(("a", 1)) == 5
+    assert not replica.merge(WriterDelta("a", 1, 5, [])), "nothing new"
+
+
+def test_agreed_capacity_is_the_lower_median_of_what_open_writers_see() -> None:
+    replica = ReplicatedLedger()
+    for number, seen in enumerate((8, 12, 100)):
+        replica.put((f"d{number}", 1), LedgerRow(CAPACITY_INDEX, 1, [seen], [0]))
+    assert agreed_capacity(replica, 1) == [12]
+    replica.close("d2", (1, 1))
+    assert agreed_capacity(replica, 1) == [8]
+
+
+def test_peer_that_names_writers_without_end_fills_no_memory(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(replicated_ledger_module, "MAX_WRITERS", 5)
+    replica = ReplicatedLedger()
+    for number in range(50):
+        replica.put((f"x{number}", 1), LedgerRow(0, 1, [1], [0]))
+        replica.put(("x0", 1), LedgerRow(1000 + number, 2, [1], [0]))
+        replica.close(f"y{number}", (1, 1))
+    assert len(replica.writers) == len(replica.closed) == 5
+    assert len(replica.writers["x0", 1].rows) == 1
+
+
+# --- progressive filling
+
+
+def test_published_example_gives_each_two_thirds_of_its_dominant_resource() -> None:
+    """Nine processors, eighteen of memory; tasks of (1, 4) and (3, 1): three of one and two of the other."""
+    demands = {0: [100_000, 400_000], 1: [300_000, 100_000]}
+    shares = progressive_filling([9_000, 18_000], demands, {0: 1, 1: 1})
+    assert all(abs(Fraction(share, ONE) - Fraction(2, 3)) < Fraction(1, 10**9) for share in shares.values())
+
+
+VECTORS = st.lists(st.integers(0, 5_000), min_size=2, max_size=2)
+CAPACITIES = st.lists(st.integers(500, 5_000), min_size=2, max_size=2)
+DEMANDS = st.dictionaries(st.integers(0, 5), VECTORS, min_size=1, max_size=6)
+TOLERANCE = 1e-6
+
+
+def served_fraction(share: int, demand: list[int], capacity: list[int], needed: list[int]) -> float:
+    """How much of `needed` one could do with what a dominant share of `demand` gives."""
+    whole = dominant_share(demand, capacity)
+    fraction = share / whole if whole else 0.0
+    return min([1.0, *[fraction * demand[place] / need for place, need in enumerate(needed) if need]])
+
+
+@settings(max_examples=300)
+@given(CAPACITIES, DEMANDS, st.lists(st.integers(1, 4), min_size=6, max_size=6))
+def test_fair_shares_are_those_of_an_independent_solver_and_exceed_no_capacity(
+    capacity: list[int], demands: Any, weight_list: list[int]
+) -> None:
+    weights = dict(enumerate(weight_list))
+    fair = progressive_filling(capacity, demands, weights)
+    for tenant, share in solved(capacity, demands, weights).items():
+        assert abs(fair[tenant] / ONE - share) < TOLERANCE
+    for place, whole in enumerate(capacity):
+        used = sum(
+            fair[tenant] / max(1, dominant_share(demand, capacity)) * demand[place]
+            for tenant, demand in demands.items()
+        )
+        assert used <= whole * (1 + TOLERANCE)
+
+
+@given(CAPACITIES, DEMANDS)
+def test_each_tenant_has_at_least_an_even_share_or_all_it_demands(capacity: list[int], demands: Any) -> None:
+    fair = progressive_filling(capacity, demands, dict.fromkeys(demands, 1))
+    for tenant, demand in demands.items():
+        wanted = dominant_share(demand, capacity) / ONE
+        assert fair[tenant] / ONE >= min(wanted, 1 / len(demands)) - TOLERANCE
+
+
+@given(CAPACITIES, DEMANDS)
+def test_no_tenant_would_do_more_with_what_another_has(capacity: list[int], demands: Any) -> None:
+    fair = progressive_filling(capacity, demands, dict.fromkeys(demands, 1))
+
+    def served_with(tenant: int, other: int) -> float:
+        return served_fraction(fair[other], demands[other], capacity, demands[tenant])
+
+    for tenant in demands:
+        if any(demands[tenant]):
+            best = max(served_with(tenant, other) for other in demands)
+            assert served_with(tenant, tenant) >= best - TOLERANCE
+
+
+@settings(max_examples=200)
+@given(CAPACITIES, DEMANDS, VECTORS)
+def test_tenant_that_misstates_its_demand_gains_nothing(
+    capacity: list[int], demands: Any, misstated: Any
+) -> None:
+    tenant = min(demands)
+    if not any(demands[tenant]):
+        return
+
+    def served_when_stating(stated: Any) -> float:
+        fair = progressive_filling(capacity, demands | {tenant: stated}, dict.fromkeys(demands, 1))
+        return served_fraction(fair[tenant], stated, capacity, demands[tenant])
+
+    assert served_when_stating(misstated) <= served_when_stating(demands[tenant]) + TOLERANCE
+
+
+# --- usage of one dispatcher
+
+
+def test_usage_in_use_and_waiting_follows_events_and_commands() -> None:
+    tracker = UsageTracker({"dairy": 0}, {"view": [1000, 50]}, [4000, 0])
+    tracker.observe(RequestArrived("a", "view", 9, width=2.0, tenant="dairy"))
+    tracker.observe(RequestArrived("b", "view", 9, tenant="nobody"))
+    assert tracker.waiting == {0: [2000, 100]} and not tracker.in_use
+    tracker.observe(StartAttempt("a", "w"))
+    tracker.observe(StartAttempt("a", "v"))
+    assert tracker.in_use == {0: [4000, 200]} and tracker.waiting == {0: [0, 0]}
+    tracker.observe(AttemptEnded("a", 0, AttemptOutcome.FULL, False))
+    tracker.observe(AttemptEnded("a", 1, AttemptOutcome.FULL, False))
+    assert tracker.in_use == {0: [0, 0]} and tracker.waiting == {0: [2000, 100]}
+    tracker.observe(StartAttempt("a", "w"))
+    tracker.observe(FailRequest("a"))
+    assert tracker.in_use == {0: [2000, 100]} and tracker.open_requests, "it runs on"
+    tracker.observe(AttemptEnded("a", 2, AttemptOutcome.CANCELLED, False))
+    assert not tracker.open_requests and tracker.in_use == tracker.waiting == {0: [0, 0]}
+
+
+def test_capacity_counts_ready_workers_only() -> None:
+    tracker = UsageTracker({"dairy": 0}, {"view": [1000, 50]}, [4000, 0])
+    ready = EndpointEntry("w", "z", "k", 0, EndpointState.READY, 1.0, 0)
+    tracker.observe(EndpointListUpdate(ListUpdateKind.SNAPSHOT, [ready]))
+    assert tracker.capacity() == [4000, 0]
+    draining = EndpointEntry("w", "z", "k", 0, EndpointState.DRAINING, 1.0, 0)
+    tracker.observe(EndpointListUpdate(ListUpdateKind.DELTA, [draining]))
+    assert tracker.capacity() == [0, 0]
+
+
+def test_request_whose_client_has_left_waits_no_more() -> None:
+    tracker = UsageTracker({"dairy": 0}, {"view": [1000]}, [4000])
+    for job in ("a", "b"):
+        tracker.observe(RequestArrived(job, "view", 9, tenant="dairy"))
+    tracker.observe(StartAttempt("b", "w"))
+    tracker.observe(ClientDisconnected("a"))
+    tracker.observe(ClientDisconnected("b"))
+    assert tracker.waiting == {0: [0]} and tracker.in_use == {0: [1000]}
+    assert list(tracker.open_requests) == ["b"]
+    tracker.observe(AttemptEnded("b", 0, AttemptOutcome.CANCELLED, False))
+    assert not tracker.open_requests and tracker.in_use == {0: [0]}
+
+
+# --- many members
+
+
+@pytest.mark.parametrize("lose", [0.0, 0.1])
+def test_replicas_are_equal_within_two_seconds_of_quiet_and_standings_are_fair(lose: float) -> None:
+    run = Fair(3, 9, lose=lose)
+    run.run(8.0)
+    run.world.net.lose = 0.0
+    assert run.until_equal() <= 2.0
+    assert run.distance() < 1e-3
+    standings = [process.agent.ledger.standing for process in run.world.all]
+    distinct = {
+        (str(standing.dominant_shares), str(standing.fair_shares), tuple(standing.order))
+        for standing in standings
+    }
+    assert len(distinct) == 1
+    assert standings[0].contended and standings[0].over_share
+
+
+def test_rows_of_a_dead_writer_count_until_its_jobs_have_ended_and_are_closed_for_all() -> None:
+    run = Fair(4, 5)
+    run.run(4.0)
+    dead = run.world.all[0]
+    writer = dead.agent.who
+    dead.kill()
+    run.world.run(run.world.now + 4 * SECOND)
+    rest = run.world.all[1:]
+    assert all(writer in process.agent.ledger.replica.writers for process in rest), "its jobs may run"
+    run.world.run(run.world.now + 25 * SECOND)
+    assert not any(writer in process.agent.ledger.replica.writers for process in rest)
+    run.quiet()
+    assert run.until_equal() <= 2.0
+
+
+def test_writer_that_was_taken_for_dead_writes_its_rows_anew() -> None:
+    run = Fair(4, 5)
+    run.run(4.0)
+    isolated, other = run.world.all[4], run.world.all[0]
+    run.world.net.cut = {
+        link for name in run.world.names for link in ((isolated.name, name), (name, isolated.name))
+    }
+    run.world.run(run.world.now + 30 * SECOND)
+    assert isolated.agent.who not in other.agent.ledger.replica.writers
+    run.world.net.cut = set()
+    run.world.run(run.world.now + 25 * SECOND)
+    assert isolated.agent.who in other.agent.ledger.replica.writers
+    run.quiet()
+    assert run.until_equal() <= 2.0
+
+
+def test_recount_finds_a_row_that_is_counted_twice(monkeypatch: pytest.MonkeyPatch) -> None:
+    def count_one_row_twice(replica: ReplicatedLedger, resource_count: int) -> Any:
+        in_use, demand = tenant_totals(replica, resource_count)
+        row = next(row for _, row in replica.rows() if row.index != CAPACITY_INDEX and any(row.in_use))
+        doubled = [used + more for used, more in zip(in_use[row.index], row.in_use, strict=True)]
+        return in_use | {row.index: doubled}, demand
+
+    run = Fair(3, 3)
+    run.run(6.0)
+    assert run.until_equal() <= 2.0 and run.distance() < 1e-3
+    monkeypatch.setattr(standing_module, "tenant_totals", count_one_row_twice)
+    run.run(1.0)
+    run.until_equal()
+    assert run.distance() > 1e-3
+    assert replicated_ledger_module.tenant_totals is tenant_totals
