--- a/locktide/cluster/borrowing/loan_allocator.py
+++ b/locktide/cluster/borrowing/loan_allocator.py
@@ -79,8 +79,8 @@
         """
         demanded = {quota: rate_of_demand(demand.get(quota, 0)) for quota in self.lenders}
         reclaimed = self._reclaim_exceeded(demanded, now)
-        lending = {key[0] for key in outstanding}
-        borrowing = {key[1] for key in outstanding}
+        lending = {lender for lender, _ in outstanding}
+        borrowing = {borrower for _, borrower in outstanding}
         shortfalls = self._shortfalls(demanded, lending, borrowing_order)
         lendable = self._lendable_rates(borrowing | shortfalls.keys(), now)
         previous = self._planned_rates()
--- a/locktide/cluster/quota/allocator.py
+++ b/locktide/cluster/quota/allocator.py
@@ -15,7 +15,7 @@
    or the next request replaces it.
 3. A grant is limited to the divisible part less what all other members may hold by step 2. Loans count
    against the lender's quota, beside its shares, whoever holds them. So the sum of all bounds never exceeds
-   the divisible part, and neither does what is in force. Totals are corrected downwards only after an expiry.
+   the divisible part, and neither does what is in force. A total shrinks only after an expiry or a report.
 4. A new leader does not know what its predecessors granted. The election lets at most one member lead at a
    time, so all earlier grants are over one lifetime after the new term's first moment. Until then the new
    allocator only renews what a member reports to hold, which its predecessor counted, too; it grants nothing
