--- a/locktide/cli/cluster.py
+++ b/locktide/cli/cluster.py
@@ -22,7 +22,7 @@
 @click.option("--json", "as_json", is_flag=True, help="Print all of it as JSON.")
 def show(address: str, as_json: bool) -> None:
     """Show members and parts as the dispatcher at ADDRESS (its accord.listen) sees them, on its machine."""
-    from locktide.cluster.udp_transport import inspect_member  # noqa: PLC0415
+    from locktide.cluster.inspection_client import inspect_member  # noqa: PLC0415
 
     try:
         seen = asyncio.run(inspect_member(parsed("ADDRESS", address)))
--- a/locktide/cluster/__init__.py
+++ b/locktide/cluster/__init__.py
@@ -1,3 +1,4 @@
-"""What dispatchers agree upon: who is alive, and how much of each budget is whose. Off unless it is switched
-on; docs/design/accord.md tells the promises and their proofs.
+"""What dispatchers agree upon: which of them are alive, and how much of each quota each may use.
+
+Off unless it is switched on; docs/design/accord.md has the promises and their proofs.
 """
--- a/locktide/cluster/bootstrap.py
+++ b/locktide/cluster/bootstrap.py
@@ -1,61 +1,91 @@
-"""Joins the accord to a node by an installation's settings."""
+"""Starts the cluster member of a dispatcher from an installation's settings."""
 
 from __future__ import annotations
 
 import secrets
 import time
+from pathlib import Path
+from typing import TextIO
 
 from locktide.cluster.config import ClusterConfig
+from locktide.cluster.dispatcher_link import EventSource
 from locktide.cluster.fairness.ledger import FairnessConfig
 from locktide.cluster.quota.local_quota import QuotaSpec
-from locktide.cluster.udp_transport import EventSource, Log, UdpTransport, open_udp_transport
+from locktide.cluster.reporting import Log
+from locktide.cluster.udp_transport import UdpTransport, open_udp_transport
 from locktide.config.installation import Installation
-from locktide.config.start import Address, address
+from locktide.config.start import address
 
+RANDOM_SEED_BITS = 60
+THOUSANDTHS = 1000
+# Seconds added to the longest time limit of a job: for what is on its way.
+LEDGER_MARGIN = 1.0
 
-def place(key: str, text: str) -> Address:
-    return address(key, text)
 
+def cluster_config(installation: Installation) -> ClusterConfig:
+    """Return the configuration of this process's member: one quota for each tenant.
 
-def terms(told: Installation) -> ClusterConfig:
-    """One budget for each tenant; our start tells this process from any other of our name."""
-    accord = told.accord
-    electors = {one.name: place("accord.electors", one.address) for one in accord.electors}
-    seeds = [place("accord.seeds", seed) for seed in accord.seeds]
-    reached = place("accord.reach", accord.reach or accord.listen)
+    The generation, the time of the start, tells this process from any other of its name.
+
+    Raises:
+        ConfigError: an address is malformed.
+    """
+    accord = installation.accord
+    acceptors = {elector.name: address("accord.electors", elector.address) for elector in accord.electors}
+    seeds = [address("accord.seeds", seed) for seed in accord.seeds]
+    own_address = address("accord.reach", accord.reach or accord.listen)
     return ClusterConfig(
-        (told.serve.name, time.time_ns() // 1000),
-        reached,
-        electors,
-        [seed for seed in [*electors.values(), *seeds] if seed != reached],
-        [QuotaSpec(tenant.name, tenant.rate, tenant.rate * accord.burst, True) for tenant in told.tenant],
-        accord.reserve,
-        accord.most,
-        secrets.randbits(60),
-        accord.lend,
-        ledger(told) if accord.resource else None,
+        member_id=(installation.serve.name, time.time_ns() // 1000),
+        address=own_address,
+        acceptors=acceptors,
+        seeds=[seed for seed in [*acceptors.values(), *seeds] if seed != own_address],
+        quotas=[
+            QuotaSpec(tenant.name, tenant.rate, tenant.rate * accord.burst, True)
+            for tenant in installation.tenant
+        ],
+        reserved_fraction=accord.reserve,
+        max_members=accord.most,
+        random_seed=secrets.randbits(RANDOM_SEED_BITS),
+        lendable_fraction=accord.lend,
+        fairness=fairness_config(installation) if accord.resource else None,
     )
 
 
-def ledger(told: Installation) -> FairnessConfig:
-    """Amounts and weights in thousandths. A job may run until its time limit, and its withdrawal is tried no
-    longer; a second more for what is on its way.
+def fairness_config(installation: Installation) -> FairnessConfig:
+    """Return the configuration of the fairness ledger; amounts and weights are in thousandths.
+
+    A job may run until its time limit, and its cancellation is tried no longer.
     """
-    resources = told.accord.resource
-    longest = max(grade.limit for grade in told.grade) + 1.0
+    resources = installation.accord.resource
+    longest = max(grade.limit for grade in installation.grade) + LEDGER_MARGIN
+    weights = {tenant.name: max(1, round(THOUSANDTHS * tenant.weight)) for tenant in installation.tenant}
+    needs = {
+        grade.name: [round(THOUSANDTHS * grade.holds.get(resource.name, 0.0)) for resource in resources]
+        for grade in installation.grade
+    }
     return FairnessConfig(
-        [one.name for one in resources],
-        {tenant.name: max(1, round(1000 * tenant.weight)) for tenant in told.tenant},
-        {
-            grade.name: [round(1000 * grade.holds.get(one.name, 0.0)) for one in resources]
-            for grade in told.grade
-        },
-        [round(1000 * one.each) for one in resources],
+        [resource.name for resource in resources],
+        weights,
+        needs,
+        [round(THOUSANDTHS * resource.each) for resource in resources],
         round(longest * 1e6),
     )
 
 
-async def join(node: EventSource, told: Installation, log: Log) -> UdpTransport:
-    """Raises OSError."""
-    trace = open(told.accord.trace, "a", encoding="utf-8") if told.accord.trace else None
-    return await open_udp_transport(terms(told), log, node, place("accord.listen", told.accord.listen), trace)
+def open_trace(path: str) -> TextIO | None:
+    """Open the trace file, which the transport closes; None where no path is set."""
+    if not path:
+        return None
+    return Path(path).open("a", encoding="utf-8")  # noqa: SIM115 - it stays open while the member runs
+
+
+async def join(event_source: EventSource, installation: Installation, log: Log) -> UdpTransport:
+    """Join the cluster on behalf of a dispatcher.
+
+    Raises:
+        ConfigError: an address is malformed.
+        OSError: the address cannot be bound, or the trace cannot be opened.
+    """
+    trace = open_trace(installation.accord.trace)
+    listen = address("accord.listen", installation.accord.listen)
+    return await open_udp_transport(cluster_config(installation), log, event_source, listen, trace)
--- a/locktide/cluster/config.py
+++ b/locktide/cluster/config.py
@@ -1,18 +1,32 @@
-"""What an agent is given at its start, and what it tells its host after each call."""
+"""Configuration of a cluster member, and what a member reports to its host after each call."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass, field
 
 from locktide.cluster.fairness.ledger import FairnessConfig
-from locktide.cluster.membership.swim import Address
-from locktide.cluster.messages import MemberId, MemberRecord
+from locktide.cluster.membership.events import MembershipEvent
+from locktide.cluster.membership.view import Address
+from locktide.cluster.messages import MemberId
 from locktide.cluster.quota.local_quota import QuotaSpec
 
 
 @dataclass(frozen=True, slots=True)
 class ClusterConfig:
-    """`electors` by name, with where they are; an odd number. `seeds` are where others are met."""
+    """Configuration of one member.
+
+    Attributes:
+        member_id: name and generation of this process.
+        address: where the other members reach it.
+        acceptors: addresses by name of the members that elect the leader; an odd number.
+        seeds: addresses at which other members are first contacted.
+        quotas: what is divided among the members.
+        reserved_fraction: part of each quota that is spread evenly as guaranteed minimums.
+        max_members: how many processes may run at once.
+        random_seed: of the member's random choices.
+        lendable_fraction: part of what a quota's owner leaves idle that may be lent.
+        fairness: configuration of the fairness ledger; None for no ledger.
+    """
 
     member_id: MemberId
     address: Address
@@ -22,11 +36,13 @@
     reserved_fraction: float
     max_members: int
     random_seed: int = 1
-    lendable_fraction: float = 0.0  # part of what an owner does not use that may be lent
+    lendable_fraction: float = 0.0
     fairness: FairnessConfig | None = None
 
 
 @dataclass(slots=True)
 class MemberUpdate:
+    """What the last call has changed: whether the quotas in force did, and events of the membership."""
+
     quotas_changed: bool = False
-    events: list[tuple[str, MemberRecord]] = field(default_factory=list)
+    events: list[MembershipEvent] = field(default_factory=list)
--- /dev/null
+++ b/locktide/cluster/dispatcher_link.py
@@ -0,0 +1,109 @@
+"""Connects a cluster member to its dispatcher: demand goes in, quota shares come out."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Protocol
+
+from locktide.cluster.member import ClusterMember
+from locktide.cluster.quota.allocation import WHOLE
+from locktide.scheduler.events import ConfigReloaded, QuotaSharesUpdated, QuotaStage, RequestArrived
+
+# Microseconds for which the scheduler believes that a tenant is over its share: it is told anew with each
+# change, and where no update comes for so long no tenant is.
+OVER_SHARE_VALIDITY = 5_000_000
+FOREVER = 1 << 62
+
+
+class Clock(Protocol):
+    """The dispatcher's clock."""
+
+    def now(self) -> int:
+        """Return the time in whole microseconds."""
+
+
+class EventSource(Protocol):
+    """What the cluster needs of a dispatcher: to observe its events and commands, and to give it events."""
+
+    observers: list[Callable[[object], None]]
+
+    @property
+    def clock(self) -> Clock:
+        """The clock of the dispatcher's decisions."""
+
+    def enqueue_event(self, event: object, /) -> None:
+        """Hand an event to the scheduler."""
+
+
+class MemberHost(Protocol):
+    """Who runs the member and knows its time."""
+
+    def now(self) -> int:
+        """Return the time of the member's clock in whole microseconds."""
+
+    def schedule_wakeup(self) -> None:
+        """Set the timer to the member's next wakeup."""
+
+
+class DispatcherLink:
+    """Counts a dispatcher's requests as demand, and tells its scheduler which quota shares are in force."""
+
+    def __init__(self, event_source: EventSource, member: ClusterMember, host: MemberHost) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.event_source = event_source
+        self.member = member
+        self.host = host
+        self.quota_names = {quota.name for quota in member.config.quotas}
+
+    def attach(self) -> None:
+        """Begin to observe the dispatcher."""
+        self.event_source.observers.append(self.on_event)
+
+    def detach(self) -> None:
+        """Stop observing the dispatcher."""
+        self.event_source.observers.remove(self.on_event)
+
+    def on_event(self, event: object) -> None:
+        """Take in an event or command of the dispatcher.
+
+        What clients request is the demand that the allocation follows, and what they hold of the workers goes
+        into the ledger.
+        """
+        if type(event) is ConfigReloaded:
+            # The scheduler has begun with new shares, and has to be told those in force once more.
+            self.loop.call_soon(self.emit_quota_shares)
+            return
+        if self.member.ledger is not None:
+            self.member.ledger.usage.observe(event)
+        if type(event) is RequestArrived and event.tenant in self.quota_names:
+            previous_wakeup = self.member.next_wakeup
+            self.member.spend(event.tenant, self.host.now())
+            if self.member.next_wakeup < previous_wakeup:
+                self.host.schedule_wakeup()  # demand after a pause is told to the leader at once
+
+    def emit_quota_shares(self) -> None:
+        """Tell the scheduler the shares in force, and on its clock until when."""
+        quota, own_now, their_now = self.member.local_quota, self.host.now(), self.event_source.clock.now()
+        # The two clocks differ by a constant.
+        until = their_now + max(0, quota.shares_until - own_now)
+        shares = {name: part / WHOLE for name, part in quota.shares.items()}
+        minimums = dict.fromkeys(shares, quota.guaranteed_minimum / WHOLE)
+        stages = [QuotaStage(until, shares), QuotaStage(FOREVER, minimums)]
+        if quota.loans:
+            loans_until = min(until, their_now + max(0, quota.loans_until - own_now))
+            stages.insert(0, QuotaStage(loans_until, shares, self.borrowed_shares()))
+        self.event_source.enqueue_event(
+            QuotaSharesUpdated(stages, self.member.tenants_over_share, their_now + OVER_SHARE_VALIDITY)
+        )
+
+    def borrowed_shares(self) -> dict[str, float]:
+        """Return what each quota borrows, as a part of its own rate."""
+        quota = self.member.local_quota
+        borrowed: dict[str, float] = {}
+        for (lender, borrower), part in quota.loans.items():
+            lender_rate, borrower_rate = quota.specs[lender].rate, quota.specs[borrower].rate
+            if borrower_rate:
+                share = part / WHOLE * lender_rate / borrower_rate
+                borrowed[borrower] = borrowed.get(borrower, 0.0) + share
+        return borrowed
--- a/locktide/cluster/election/proposer.py
+++ b/locktide/cluster/election/proposer.py
@@ -1,76 +1,101 @@
-"""Stands for the lease and holds it: a proposer of PaxosLease.
+"""Proposer of the leader lease: acquires, renews and resigns it (PaxosLease).
 
-The span of the lease begins before the first proposal is sent, and each elector's after it has taken one, so
-the owner stops first. A lease is renewed by a new ballot while it runs: electors that tell of our own lease
-count as open ones. It keeps a `term`, the ballot with which it began, as long as there was no gap.
+The duration of the lease begins before the first proposal is sent, and each acceptor's after it has accepted,
+so the owner stops first. A lease is renewed by a new ballot while it runs: acceptors that name our own lease
+count as free. A leader keeps its `term`, the ballot with which it acquired the lease, as long as there was no
+gap. The package docstring has the safety argument.
 """
 
 from __future__ import annotations
 
-from locktide.cluster.election.acceptor import NONE
+from dataclasses import dataclass
+
+from locktide.cluster.election.acceptor import LOWEST_BALLOT
 from locktide.cluster.messages import Accepted, Ballot, MemberId, Message, Prepare, Promise, Propose
 from locktide.cluster.quota.lease_timing import LEADER_LEASE, LEADER_RENEWAL_INTERVAL
 from locktide.scheduler.estimators.random import LinearCongruentialGenerator
 
 Outgoing = list[tuple[str, Message]]
+"""Messages to send, each with the name of its receiver."""
+NEVER = 1 << 62
+
+
+@dataclass(frozen=True, slots=True)
+class LeaderLeaseTiming:
+    """How long the leader lease lasts and how often it is renewed, in microseconds."""
+
+    duration: int = LEADER_LEASE
+    renew_interval: int = LEADER_RENEWAL_INTERVAL
 
 
 class Proposer:
+    """One candidate for the leader lease. Times are microseconds of its own clock."""
+
     def __init__(
         self,
-        who: MemberId,
-        electors: list[str],
-        chance: LinearCongruentialGenerator,
+        member_id: MemberId,
+        acceptors: list[str],
+        generator: LinearCongruentialGenerator,
         now: int,
-        lead: int = LEADER_LEASE,
-        renew: int = LEADER_RENEWAL_INTERVAL,
+        timing: LeaderLeaseTiming | None = None,
     ) -> None:
-        self.member_id, self.acceptors, self.generator = who, electors, chance
-        self.lease_duration, self.renew_interval = lead, renew
-        self.ballot, self.highest_seen = NONE, NONE
+        timing = timing or LeaderLeaseTiming()
+        self.member_id = member_id
+        self.acceptors = acceptors
+        self.generator = generator
+        self.lease_duration = timing.duration
+        self.renew_interval = timing.renew_interval
+        self.ballot = LOWEST_BALLOT
+        self.highest_seen = LOWEST_BALLOT
         self.promised_by: set[str] = set()
         self.accepted_by: set[str] = set()
-        self.proposal_until = 0  # of the ballot under way; 0 before its proposals are out
+        self.proposal_until = 0  # end of the proposed lease; 0 before its proposals are sent
         self.lease_until = 0  # the lease is ours before that, by our clock
         self.term: Ballot | None = None
-        self.other_leader_until = (
-            0  # somebody else holds it, as far as we were told: no use in standing before
-        )
-        self.next_prepare_at = now + chance.below(renew)
+        # Another member has the lease before that, as far as we know: a ballot would be useless.
+        self.other_leader_until = 0
+        self.next_prepare_at = now + generator.below(self.renew_interval)
 
     @property
     def quorum(self) -> int:
+        """How many acceptors are a majority."""
         return len(self.acceptors) // 2 + 1
 
     def is_leader(self, now: int) -> bool:
+        """Whether the lease is ours; ends the term once it has expired."""
         if now >= self.lease_until:
             self.term = None
         return self.term is not None
 
     @property
     def next_wakeup(self) -> int:
+        """When `tick` has to be called next."""
         return self.next_prepare_at
 
     def tick(self, now: int) -> Outgoing:
-        self.is_leader(now)
+        """Begin a ballot where it is time to acquire or renew the lease."""
+        was_leader = self.is_leader(now)
         if now < self.next_prepare_at:
             return []
-        # Drawn, so that those that stand at the same moment do not go on doing so.
-        self.next_prepare_at = now + self.renew_interval // 2 + self.generator.below(self.renew_interval // 2)
-        if self.term is None and now < self.other_leader_until:
+        # Random, so that proposers that begin at the same moment do not go on doing so.
+        half = self.renew_interval // 2
+        self.next_prepare_at = now + half + self.generator.below(half)
+        if not was_leader and now < self.other_leader_until:
             return []
-        count = max(self.ballot, self.highest_seen)[0] + 1
-        self.ballot, self.promised_by, self.accepted_by = (count, *self.member_id), set(), set()
+        counter = max(self.ballot, self.highest_seen)[0] + 1
+        self.ballot = (counter, *self.member_id)
+        self.promised_by = set()
+        self.accepted_by = set()
         self.proposal_until = 0
         return [(name, Prepare(self.ballot)) for name in self.acceptors]
 
-    def handle_promise(self, sender: str, word: Promise, now: int) -> Outgoing:
-        self.highest_seen = max(self.highest_seen, word.promised)
-        if word.requested != self.ballot or self.proposal_until or sender not in self.acceptors:
-            return []
-        if word.refused:
+    def handle_promise(self, sender: str, message: Promise, now: int) -> Outgoing:
+        """Count a promise; once a majority has promised, propose the lease for ourselves."""
+        self.highest_seen = max(self.highest_seen, message.promised)
+        is_current = message.requested == self.ballot and not self.proposal_until
+        if not is_current or message.refused or sender not in self.acceptors:
             return []
-        if word.lease_owner is not None and word.lease_owner != self.member_id:
+        if message.lease_owner is not None and message.lease_owner != self.member_id:
             self.other_leader_until = now + self.renew_interval
             return []
         self.promised_by.add(sender)
@@ -79,17 +104,20 @@
         self.proposal_until = now + self.lease_duration
         return [(name, Propose(self.ballot, self.member_id)) for name in self.acceptors]
 
-    def handle_accepted(self, sender: str, word: Accepted, now: int) -> None:
-        self.highest_seen = max(self.highest_seen, word.promised)
-        if word.requested != self.ballot or word.refused or sender not in self.acceptors:
+    def handle_accepted(self, sender: str, message: Accepted, now: int) -> None:
+        """Count an acceptance; once a majority has accepted, the lease is ours."""
+        self.highest_seen = max(self.highest_seen, message.promised)
+        if message.requested != self.ballot or message.refused or sender not in self.acceptors:
             return
         self.accepted_by.add(sender)
         if len(self.accepted_by) >= self.quorum and now < self.proposal_until:
-            held = self.is_leader(now)
+            was_leader = self.is_leader(now)
             self.lease_until = self.proposal_until
-            if not held:
+            if not was_leader:
                 self.term = self.ballot
 
     def resign(self) -> None:
-        """Gives the lease up early: what electors still count only delays the next."""
-        self.lease_until, self.term, self.next_prepare_at = 0, None, 1 << 62
+        """Give the lease up early; what acceptors still count only delays the next leader."""
+        self.lease_until = 0
+        self.term = None
+        self.next_prepare_at = NEVER
--- a/locktide/cluster/fairness/ledger.py
+++ b/locktide/cluster/fairness/ledger.py
@@ -26,7 +26,9 @@
 ROWS_PER_SECOND = 300
 CLOSING_INTERVAL = 1_000_000  # between two searches for dead writers
 Outgoing = list[tuple[str, Message]]  # the receiver's name, and the message
-@ dataclass(frozen = True)
+
+
+@dataclass(frozen=True)
 class FairnessConfig:
     """The same at all members. Amounts are in thousandths, vectors go by `resources`.
 
@@ -44,21 +46,23 @@
 class FairnessLedger:
     """Keeps a replica equal to those of the other members, and the standing that follows from it."""
 
-    def __init__(self, config: FairnessConfig, member_id: MemberId, random: LinearCongruentialGenerator, now: int) -> None:
+    def __init__(
+        self, config: FairnessConfig, member_id: MemberId, random: LinearCongruentialGenerator, now: int
+    ) -> None:
         self.config, self.member_id, self.random = config, member_id, random
         self.tenants = sorted(config.weights)
         self.weights = {index: config.weights[name] for index, name in enumerate(self.tenants)}
         tenant_indices = {name: index for index, name in enumerate(self.tenants)}
         self.usage = UsageTracker(tenant_indices, config.needs, config.worker_capacity)
         self.replica = ReplicatedLedger()
-        schema = "\0".join([* self.tenants, "", * config.resources]).encode()
+        schema = "\0".join([*self.tenants, "", *config.resources]).encode()
         self.anti_entropy = AntiEntropy(self.replica, crc32(schema))
         self.version = 0  # of the last row that was written
         self.next_round_at = self.next_write_at = self.next_closing_at = self.next_recompute_at = now
         self.gone_since: dict[MemberId, int] = {}
         self.standing = FairnessStanding()
 
-    @ property
+    @property
     def due(self) -> int:
         """When `tick` is to be called next."""
         return min(self.next_round_at, self.next_write_at, self.next_closing_at, self.next_recompute_at)
@@ -142,7 +146,11 @@
         anew.
         """
         writers = self.replica.writers
-        gone = {writer for writer in writers if writer != self.member_id and (writer[0] not in alive or starts.get(writer[0], 0) > writer[1])}
+        gone = {
+            writer
+            for writer in writers
+            if writer != self.member_id and (writer[0] not in alive or starts.get(writer[0], 0) > writer[1])
+        }
         self.gone_since = {writer: self.gone_since.get(writer, now) for writer in gone}
         for writer in sorted(gone):
             name, start = writer
--- a/locktide/cluster/inspection.py
+++ b/locktide/cluster/inspection.py
@@ -1,44 +1,52 @@
-"""What a member sees, as plain values: for `locktide cluster show`."""
+"""Renders a member's view of the cluster as plain values, for `locktide cluster show`.
+
+The keys are part of the JSON that the command prints, and stay as they are.
+"""
 
 from __future__ import annotations
 
 from locktide.cluster.member import ClusterMember
-from locktide.cluster.membership.member_table import STATES
+from locktide.cluster.messages import MemberRecord
+
+
+def inspect(member: ClusterMember, now: int) -> dict[str, object]:
+    """Return what this member knows of the cluster, its quotas and its ledger."""
+    is_leader = member.election is not None and member.election.term_as_leader(now) is not None
+    lease_holder, local_quota = member.lease_holder, member.local_quota
+    held = lease_holder.current_shares(now)
+    records = sorted(member.swim.view.table.records.values(), key=lambda record: record.name)
+    return {
+        "name": member.member_id[0],
+        "start": member.member_id[1],
+        "leads": is_leader,
+        "led_by": lease_holder.term[1] if lease_holder.term else None,
+        "term": list(lease_holder.term) if lease_holder.term else None,
+        "health": member.swim.view.health.score,
+        "stepped_down": member.stepped_down,
+        "parts": dict(sorted(local_quota.shares.items())),
+        "loans": [[*pair, part] for pair, part in sorted(local_quota.loans.items())],
+        "ledger": inspect_ledger(member),
+        "for_us": max(0, lease_holder.shares_until - now) if held else 0,
+        "members": [inspect_record(record) for record in records],
+    }
 
 
-def inspect(agent: ClusterMember, now: int) -> dict[str, object]:
-    """What this member sees, as plain values."""
-    leads = agent.proposer is not None and agent.proposer.is_leader(now)
-    held = agent.lease_holder.current_shares(now)
+def inspect_record(record: MemberRecord) -> dict[str, object]:
+    """Return one member's record."""
     return {
-        "name": agent.member_id[0],
-        "start": agent.member_id[1],
-        "leads": leads,
-        "led_by": agent.lease_holder.term[1] if agent.lease_holder.term else None,
-        "term": list(agent.lease_holder.term) if agent.lease_holder.term else None,
-        "health": agent.swim.health.score,
-        "stepped_down": agent.stepped_down,
-        "parts": dict(sorted(agent.local_quota.shares.items())),
-        "loans": [[*pair, part] for pair, part in sorted(agent.local_quota.loans.items())],
-        "ledger": inspect_ledger(agent),
-        "for_us": max(0, agent.lease_holder.shares_until - now) if held else 0,
-        "members": [
-            {
-                "name": row.name,
-                "start": row.generation,
-                "turn": row.incarnation,
-                "state": STATES[row.state],
-                "address": f"{row.address[0]}:{row.address[1]}",
-            }
-            for row in sorted(agent.swim.table.records.values(), key=lambda row: row.name)
-        ],
+        "name": record.name,
+        "start": record.generation,
+        "turn": record.incarnation,
+        "state": record.state.name.lower(),
+        "address": f"{record.address[0]}:{record.address[1]}",
     }
 
 
-def inspect_ledger(agent: ClusterMember) -> dict[str, object]:
-    if agent.ledger is None:
+def inspect_ledger(member: ClusterMember) -> dict[str, object]:
+    """Return the standing of the fairness ledger; empty where there is none."""
+    if member.ledger is None:
         return {}
-    standing = agent.ledger.standing
+    standing = member.ledger.standing
     return {
         "digest": f"{standing.digest:016x}",
         "contended": standing.contended,
--- a/locktide/cluster/membership/dissemination.py
+++ b/locktide/cluster/membership/dissemination.py
@@ -1,35 +1,47 @@
-"""News of members that rides on other datagrams, each so often as reaches everybody with good odds."""
+"""Queue of membership changes that are piggybacked on other messages until all have probably seen them."""
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from math import ceil, log10
 
 from locktide.cluster.messages import MemberRecord
 
-# Each is told so many times log10(n + 1): memberlist's four reaches all of a thousand with a tenth lost.
-RETELL = 4
-# Rows on one datagram: ten of the longest names and addresses stay below 1,200 bytes.
-MOST = 10
+# Each change is sent this often times log10(n + 1): memberlist's four reaches all of a thousand members with
+# a tenth of the datagrams lost.
+RETRANSMIT_FACTOR = 4
+# Records in one datagram: ten with the longest names and addresses stay below 1,200 bytes.
+MAX_RECORDS = 10
+
+
+@dataclass(frozen=True, slots=True)
+class QueuedRecord:
+    """A record, and how often it was sent."""
+
+    record: MemberRecord
+    sent: int = 0
 
 
 class DisseminationQueue:
+    """The changes that are still to be sent, one for each member."""
+
     def __init__(self) -> None:
-        self.queued: dict[str, tuple[MemberRecord, int]] = {}
+        self.queued: dict[str, QueuedRecord] = {}
 
-    def add(self, row: MemberRecord) -> None:
-        """In place of an earlier one on the same member."""
-        self.queued[row.name] = (row, 0)
+    def add(self, record: MemberRecord) -> None:
+        """Queue a record in place of an earlier one of the same member."""
+        self.queued[record.name] = QueuedRecord(record)
 
     def take(self, members: int) -> list[MemberRecord]:
-        """The least told first; forgets what has been told often enough."""
-        most = RETELL * ceil(log10(members + 1.0))
-        chosen = sorted(self.queued, key=lambda name: (self.queued[name][1], name))[:MOST]
-        rows = []
+        """Return the records sent least, and drop those that were sent often enough for so many members."""
+        transmit_limit = RETRANSMIT_FACTOR * ceil(log10(members + 1.0))
+        chosen = sorted(self.queued, key=lambda name: (self.queued[name].sent, name))[:MAX_RECORDS]
+        records = []
         for name in chosen:
-            row, count = self.queued[name]
-            rows.append(row)
-            if count + 1 >= most:
+            entry = self.queued[name]
+            records.append(entry.record)
+            if entry.sent + 1 >= transmit_limit:
                 del self.queued[name]
             else:
-                self.queued[name] = (row, count + 1)
-        return rows
+                self.queued[name] = QueuedRecord(entry.record, entry.sent + 1)
+        return records
--- /dev/null
+++ b/locktide/cluster/membership/events.py
@@ -0,0 +1,34 @@
+"""Changes of the membership that are reported to the host."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from locktide.cluster.messages import MemberRecord, MemberState
+
+
+class MembershipEventKind(StrEnum):
+    """What happened to a member; the values are parts of log events."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    DEAD = "dead"
+    LEFT = "left"
+    SUPERSEDED = "replaced"
+
+
+EVENT_OF_STATE = {
+    MemberState.ALIVE: MembershipEventKind.ALIVE,
+    MemberState.SUSPECT: MembershipEventKind.SUSPECT,
+    MemberState.DEAD: MembershipEventKind.DEAD,
+    MemberState.LEFT: MembershipEventKind.LEFT,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class MembershipEvent:
+    """A member's new state; SUPERSEDED: a later process of our own name was found, with its record."""
+
+    kind: MembershipEventKind
+    record: MemberRecord
--- a/locktide/cluster/membership/member_table.py
+++ b/locktide/cluster/membership/member_table.py
@@ -1,51 +1,58 @@
-"""What is known of each member, merged so that the order of news does not matter.
+"""What a member knows of each other one, merged so that the order of arrival does not matter.
 
-A row is (start, turn, state); the greatest counts. So merging is commutative, associative and idempotent: a
-later start of a name goes before all that was said of an earlier one, a refutation (a higher turn) before the
-suspicion, and of two words on one turn the worse. As in SWIM (Das, Gupta, Motivala, 2002), but that a member
-that was declared dead while it was cut off may refute that, too.
+Records of one member are ordered by (generation, incarnation, state), and the greatest counts. So merging is
+commutative, associative and idempotent: a later generation of a name goes before all that was said of an
+earlier one, a refutation (a higher incarnation) before the suspicion, and of two records of one incarnation
+the worse state. As in SWIM (Das, Gupta, Motivala, 2002), except that a member that was declared dead while it
+was partitioned may refute that as well.
 """
 
 from __future__ import annotations
 
-from locktide.cluster.messages import MemberRecord
+from locktide.cluster.messages import MemberRecord, MemberState
 
-ALIVE, SUSPECT, DEAD, LEFT = range(4)
-STATES = ("alive", "suspect", "dead", "left")
-# Rows of those that are gone are kept against old news that would bring them back, and no longer: four times
-# what any datagram or full exchange is known to lag.
-FORGET = 60_000_000
+# Records of dead members are kept against old gossip that would bring them back, and no longer: four times
+# what any datagram or full sync is known to lag. Microseconds.
+DEAD_RETENTION = 60_000_000
 
 
-def order(row: MemberRecord) -> tuple[int, int, int, tuple[str, int]]:
-    return row.generation, row.incarnation, row.state, row.address
+def precedence(record: MemberRecord) -> tuple[int, int, int, tuple[str, int]]:
+    """Return the key by which records of one member are ordered."""
+    return record.generation, record.incarnation, record.state, record.address
 
 
 class MemberTable:
+    """The record that counts of each member by name, and when it last changed."""
+
     def __init__(self) -> None:
         self.records: dict[str, MemberRecord] = {}
         self.changed_at: dict[str, int] = {}
-        self.alive_cache: list[str] | None = None  # reckoned anew after a change
+        self.alive_cache: list[str] | None = None  # None after a change
 
-    def merge(self, row: MemberRecord, now: int) -> MemberRecord | None:
-        """Takes a row in; what was known before, or None where this is no news.
+    def merge(self, record: MemberRecord, now: int) -> MemberRecord | None:
+        """Take in a record; return the one that counted before, or None where nothing changes.
 
-        A member of which nothing was known is told as one of start 0.
+        For a member that was unknown the result is a record of generation 0.
         """
-        before = self.records.get(row.name)
-        if before is not None and order(row) <= order(before):
+        previous = self.records.get(record.name)
+        if previous is not None and precedence(record) <= precedence(previous):
             return None
-        self.records[row.name], self.changed_at[row.name] = row, now
+        self.records[record.name] = record
+        self.changed_at[record.name] = now
         self.alive_cache = None
-        return before or MemberRecord(row.name, 0, 0, LEFT, row.address)
+        return previous or MemberRecord(record.name, 0, 0, MemberState.LEFT, record.address)
 
     def alive(self) -> list[str]:
-        """Those that may be alive, in the order of their names: the same wherever the rows are the same."""
+        """Return the sorted names of members alive or suspected: the same wherever the records are."""
         if self.alive_cache is None:
-            self.alive_cache = sorted([name for name, row in self.records.items() if row.state <= SUSPECT])
+            self.alive_cache = sorted(
+                [name for name, record in self.records.items() if record.state <= MemberState.SUSPECT]
+            )
         return self.alive_cache
 
     def forget(self, now: int) -> None:
-        for name in [name for name, row in self.records.items() if row.state >= DEAD]:
-            if now - self.changed_at[name] > FORGET:
+        """Drop members that have been dead or gone for longer than the retention time."""
+        gone = [name for name, record in self.records.items() if record.state >= MemberState.DEAD]
+        for name in gone:
+            if now - self.changed_at[name] > DEAD_RETENTION:
                 del self.records[name], self.changed_at[name]
--- a/locktide/cluster/membership/partition_healing.py
+++ b/locktide/cluster/membership/partition_healing.py
@@ -1,54 +1,76 @@
-"""How members find each other again that hold each other dead, and an earlier process hears of the later one.
+"""Lets members that consider each other dead meet again, and tells a superseded process of the later one.
 
-Nobody asks anything of who counts as dead, and news of it is told only so often: without this such an error
-stayed for good, and with it two ledgers (6 and 7 of 300 drawn days).
+Nobody probes a member that counts as dead, and gossip about it is sent only a bounded number of times:
+without this module such an error stayed for good, and with it two ledgers (6 and 7 of 300 random runs).
 """
 
 from __future__ import annotations
 
-from locktide.cluster.membership.member_table import DEAD, SUSPECT, MemberTable
-from locktide.cluster.messages import Envelope, MemberRecord
+from dataclasses import dataclass
+
+from locktide.cluster.membership.member_table import MemberTable
+from locktide.cluster.messages import Envelope, MemberRecord, MemberState
 from locktide.scheduler.estimators.random import LinearCongruentialGenerator
 
 
+@dataclass(frozen=True, slots=True)
+class SupersededNotice:
+    """Where an earlier process of a name is reached, and the record of the later one that it has to learn."""
+
+    address: tuple[str, int]
+    record: MemberRecord
+
+
 class PartitionHealing:
+    """Finds what a member has to be told that others consider dead or that a later process has superseded."""
+
     def __init__(
-        self, table: MemberTable, seeds: list[tuple[str, int]], chance: LinearCongruentialGenerator
+        self, table: MemberTable, seeds: list[tuple[str, int]], generator: LinearCongruentialGenerator
     ) -> None:
-        self.table, self.seeds, self.generator = table, seeds, chance
+        self.table = table
+        self.seeds = seeds
+        self.generator = generator
         # Earlier processes of a name, as they were known, where a later one has another address.
         self.superseded: dict[str, MemberRecord] = {}
 
-    def note_superseded(self, row: MemberRecord, now_known: MemberRecord) -> None:
-        """Of a row that was known, or is told, where another one of its name counts."""
-        if 0 < row.generation < now_known.generation and row.address != now_known.address:
-            self.superseded[row.name] = row
+    def note_superseded(self, record: MemberRecord, current: MemberRecord) -> None:
+        """Remember a record that was known, or was received, where another one of its name counts."""
+        if 0 < record.generation < current.generation and record.address != current.address:
+            self.superseded[record.name] = record
 
-    def records_to_refute(self, said: Envelope) -> list[MemberRecord]:
-        """What we hold against who speaks to us, or know of another start of that name, to be refuted."""
-        row = self.table.records.get(said.sender)
-        if row is None or row.generation == said.generation and row.state not in (SUSPECT, DEAD):
+    def records_to_refute(self, envelope: Envelope) -> list[MemberRecord]:
+        """Return our record of a sender for it to refute: suspected, dead or of another generation."""
+        record = self.table.records.get(envelope.sender)
+        if record is None:
             return []
-        return [row]
+        is_doubted = record.state in (MemberState.SUSPECT, MemberState.DEAD)
+        return [record] if is_doubted or record.generation != envelope.generation else []
+
+    def superseded_notice(self, envelope: Envelope) -> SupersededNotice | None:
+        """Return what an earlier process of a name that has just sent a message must be told.
 
-    def superseding_record(self, said: Envelope) -> tuple[tuple[str, int], MemberRecord] | None:
-        """For an earlier process of a name: its address, and the row of the later one. What goes to the name
-        goes to the later one's address, also when that is dead: the earlier would never hear it.
+        Messages to a name go to the later process's address, also when that one is dead: without a notice to
+        its own address the earlier process would never learn of the later.
         """
-        earlier, row = self.superseded.get(said.sender), self.table.records.get(said.sender)
-        if earlier is None or row is None or said.generation != earlier.generation:
+        earlier = self.superseded.get(envelope.sender)
+        current = self.table.records.get(envelope.sender)
+        if earlier is None or current is None or envelope.generation != earlier.generation:
             return None
-        return earlier.address, row
+        return SupersededNotice(earlier.address, current)
 
     def prune(self) -> None:
-        """Of names that the table has forgotten, nothing is kept here either."""
-        self.superseded = {name: row for name, row in self.superseded.items() if name in self.table.records}
+        """Forget names that the member table has forgotten."""
+        self.superseded = {
+            name: record for name, record in self.superseded.items() if name in self.table.records
+        }
 
     def draw_lost_address(self) -> tuple[str, int] | None:
-        """One that counts as dead, or a seed where nobody is known to live, drawn. It may have been cut off
-        with others, who hold the same of us, also for so long that both have forgotten each other.
+        """Return the address of a random member that counts as dead, or of a seed at which nobody is alive.
+
+        It may have been partitioned with others, who consider us dead, also for so long that both sides have
+        forgotten each other.
         """
-        living = {self.table.records[name].address for name in self.table.alive()}
-        dead = [row.address for row in self.table.records.values() if row.state == DEAD]
-        dead += [seed for seed in self.seeds if seed not in living and seed not in dead]
-        return dead[self.generator.below(len(dead))] if dead else None
+        alive = {self.table.records[name].address for name in self.table.alive()}
+        lost = [record.address for record in self.table.records.values() if record.state == MemberState.DEAD]
+        lost += [seed for seed in self.seeds if seed not in alive and seed not in lost]
+        return lost[self.generator.below(len(lost))] if lost else None
--- a/locktide/cluster/membership/suspicion.py
+++ b/locktide/cluster/membership/suspicion.py
@@ -1,42 +1,53 @@
 """How long a member is suspected before it counts as dead.
 
-Lifeguard (Dadgar, Phillips, Currey, 2018): it begins long and falls with each further member that suspects
-too, so that one that is slow itself does not declare others dead; and a member whose own probes fail, or that
-is suspected itself, holds that against itself and probes more slowly.
+Lifeguard (Dadgar, Phillips, Currey, 2018): the timeout begins long and falls with each further member that
+suspects as well, so that a member that is slow itself does not declare others dead; and a member whose own
+probes fail, or that is suspected itself, counts that against its own health and probes more slowly.
 """
 
 from __future__ import annotations
 
 from math import log, log10
 
-# Probe periods: 1 s as memberlist's LAN profile has it, a third of one for the answer; a fleet on one site.
-PERIOD, ANSWER = 1_000_000, 300_000
-INDIRECT = 3  # members asked to probe in our place
-LEAST, MOST = 4.0, 6.0  # suspicion in periods times log10(n), and how much longer it is at first
-CONFIRMERS = 3  # further suspectors that bring it down to the least
-WORST = 8  # of the local health
-
-
-def suspicion_timeout(members: int, confirmers: int, health: int) -> int:
-    """Whole microseconds. `members` are those alive, `confirmers` the others that suspect, too."""
-    least = LEAST * max(1.0, log10(max(1, members))) * PERIOD
-    most = MOST * least
-    # Of three there is nobody left to confirm it but one.
-    wanted = min(CONFIRMERS, max(0, members - 2))
-    if wanted == 0:
-        return int(least) * (health + 1)
-    part = log(confirmers + 1.0) / log(wanted + 1.0)
-    return int(max(least, most - (most - least) * part))
+# Microseconds. 1 s between probes as in memberlist's LAN profile, a third of it for the answer: all members
+# are on one site.
+PROBE_INTERVAL = 1_000_000
+ACK_TIMEOUT = 300_000
+INDIRECT_PROBES = 3  # members that are asked to probe on our behalf
+MIN_SUSPICION_INTERVALS = 4.0  # shortest timeout in probe intervals, times log10(n)
+MAX_SUSPICION_FACTOR = 6.0  # how many times longer the timeout is at first
+MAX_CONFIRMATIONS = 3  # further accusers that bring the timeout down to the shortest
+MAX_HEALTH_SCORE = 8
+
+
+def suspicion_timeout(members: int, confirmations: int, health: int) -> int:
+    """Return the timeout in whole microseconds.
+
+    Args:
+        members: how many members are alive.
+        confirmations: how many members suspect the same one besides the first.
+        health: this member's own health score.
+    """
+    shortest = MIN_SUSPICION_INTERVALS * max(1.0, log10(max(1, members))) * PROBE_INTERVAL
+    longest = MAX_SUSPICION_FACTOR * shortest
+    # Of three members there is nobody left to confirm but one.
+    needed = min(MAX_CONFIRMATIONS, max(0, members - 2))
+    if needed == 0:
+        return int(shortest) * (health + 1)
+    progress = log(confirmations + 1.0) / log(needed + 1.0)
+    return int(max(shortest, longest - (longest - shortest) * progress))
 
 
 class LocalHealth:
-    """The local health multiplier: 0 is good. It only ever slows us down."""
+    """Lifeguard's local health multiplier: 0 is healthy. It only ever makes this member's probes slower."""
 
     def __init__(self) -> None:
         self.score = 0
 
-    def adjust(self, by: int) -> None:
-        self.score = min(WORST, max(0, self.score + by))
+    def adjust(self, change: int) -> None:
+        """Add to the score, within its bounds."""
+        self.score = min(MAX_HEALTH_SCORE, max(0, self.score + change))
 
-    def scale(self, span: int) -> int:
-        return span * (self.score + 1)
+    def scale(self, interval: int) -> int:
+        """Return an interval lengthened by the score."""
+        return interval * (self.score + 1)
--- a/locktide/cluster/membership/swim.py
+++ b/locktide/cluster/membership/swim.py
@@ -1,309 +1,254 @@
-"""Who is alive, as one member finds it out: SWIM with Lifeguard's refinements, without I/O.
+"""Failure detection by SWIM with Lifeguard's refinements, without I/O: which members are alive.
 
-A host calls `hear` with each word that came, and `tick` at `due`; both give what is to be sent, as (address,
-word). `events` are what there is to tell. It says whom we hear; no promise rests on it.
+A host calls `handle` with each message and `tick` at `next_wakeup`; both return the messages to send, with
+their addresses. The view's `events` are the changes to report. Membership says with whom to talk; no safety
+property rests on it. Times are whole microseconds of this member's own clock.
 """
 
 from __future__ import annotations
 
-from locktide.cluster.membership import suspicion
-from locktide.cluster.membership.dissemination import MOST, DisseminationQueue
-from locktide.cluster.membership.member_table import ALIVE, DEAD, LEFT, STATES, SUSPECT, MemberTable
-from locktide.cluster.membership.partition_healing import PartitionHealing
-from locktide.cluster.membership.probing import ProbeInProgress, Suspicion
-from locktide.cluster.membership.suspicion import ANSWER, INDIRECT, PERIOD, LocalHealth
+from locktide.cluster.membership.dissemination import MAX_RECORDS
+from locktide.cluster.membership.probing import ProbeInProgress, ProbeOrder, RelayedProbe
+from locktide.cluster.membership.suspicion import ACK_TIMEOUT, INDIRECT_PROBES, PROBE_INTERVAL
+from locktide.cluster.membership.view import Address, MembershipView
 from locktide.cluster.messages import (
     Ack,
     Envelope,
     FullSync,
     IndirectProbe,
     MemberId,
-    MemberRecord,
+    MemberState,
     Message,
     Nack,
     Ping,
 )
 from locktide.scheduler.estimators.random import LinearCongruentialGenerator
 
-Address = tuple[str, int]
 Outgoing = list[tuple[Address, Message]]
-# A full exchange with one drawn member: mends what rumours missed, also after a partition.
-WHOLE_EVERY = 10_000_000
+"""Messages to send, each with the address of its receiver."""
+# Mean time between full syncs with one random member: they repair what gossip missed, also after a partition.
+FULL_SYNC_INTERVAL = 10_000_000
+# Guards the memory: probes that are not answered by the time that so many are relayed will not be.
+MAX_RELAYED_PROBES = 256
 
 
 class Swim:
+    """One member's view of the cluster, and its part in keeping everybody's view up to date."""
+
     def __init__(
         self,
-        who: MemberId,
+        member_id: MemberId,
         address: Address,
         seeds: list[Address],
-        chance: LinearCongruentialGenerator,
+        generator: LinearCongruentialGenerator,
         now: int,
     ) -> None:
-        self.member_id, self.seeds, self.chance = who, seeds, chance
-        self.own_record = MemberRecord(who[0], who[1], 0, ALIVE, address)
-        self.table, self.gossip, self.health = MemberTable(), DisseminationQueue(), LocalHealth()
-        self.table.merge(self.own_record, now)
-        self.gossip.add(self.own_record)
-        self.probe_order: list[str] = []  # whom to probe next: a drawn order, anew each time round
-        self.next_probe_at, self.next_full_sync_at = now, now
+        self.member_id = member_id
+        self.seeds = seeds
+        self.generator = generator
+        self.view = MembershipView(member_id, address, seeds, generator, now)
+        self.probe_order = ProbeOrder(generator)
+        self.next_probe_at = now
+        self.next_full_sync_at = now
         self.probe: ProbeInProgress | None = None
-        self.suspicions: dict[str, Suspicion] = {}
-        self.relayed_probes: dict[int, tuple[str, int]] = {}  # probes made for others: by number, for whom
+        self.relayed_probes: dict[int, RelayedProbe] = {}  # by our own sequence number
         self.last_sequence = 0
-        self.events: list[tuple[str, MemberRecord]] = []
-        self.superseded = False  # a later process of our name was heard of
-        self.partition_healing = PartitionHealing(self.table, seeds, chance)
 
-    # --- what others ask
+    # --- queries
 
     def alive(self) -> list[str]:
-        return self.table.alive()
+        """Return the sorted names of members that are alive or suspected, our own among them."""
+        return self.view.alive()
 
     def address_of(self, name: str) -> Address | None:
-        row = self.table.records.get(name)
-        return row.address if row is not None else None
+        """Return the address of a member, or None where it is not known."""
+        return self.view.address_of(name)
 
     @property
     def next_wakeup(self) -> int:
+        """When `tick` has to be called next."""
         times = [self.next_probe_at, self.next_full_sync_at]
         if self.probe is not None:
-            over = self.probe.is_indirect or self.probe.is_acked
-            times.append(self.probe.deadline if over else self.probe.indirect_at)
-        times += [one.deadline for one in self.suspicions.values()]
+            times.append(self.probe.next_wakeup)
+        times += [suspicion.deadline for suspicion in self.view.suspicions.values()]
         return min(times)
 
-    # --- news
-
-    def merge(self, row: MemberRecord, now: int, by: str) -> None:
-        if row.name == self.member_id[0]:
-            self.merge_own(row, now)
-            return
-        before = self.table.merge(row, now)
-        if row.state == SUSPECT and (held := self.suspicions.get(row.name)) and by != self.member_id[0]:
-            known = self.table.records[row.name]
-            if (known.generation, known.incarnation) == (
-                row.generation,
-                row.incarnation,
-            ) and by not in held.accusers:
-                held.accusers.add(by)  # one more that does not hear it
-                held.deadline = held.started_at + self.suspicion_timeout(held)
-                self.gossip.add(row)
-        if before is None:
-            self.partition_healing.note_superseded(row, self.table.records[row.name])
-            return
-        self.partition_healing.note_superseded(before, row)
-        self.gossip.add(row)
-        if row.state == SUSPECT:
-            held = self.suspicions[row.name] = Suspicion(now, {by})
-            held.deadline = now + self.suspicion_timeout(held)
-        else:
-            self.suspicions.pop(row.name, None)
-        if (before.generation, before.state) != (row.generation, row.state):
-            self.events.append((STATES[row.state], row))
+    # --- messages
 
-    def merge_own(self, row: MemberRecord, now: int) -> None:
-        """What others say of us: a suspicion is refuted by a higher turn; an earlier process of our name is
-        outdone by our start; a later one is another under our name.
-        """
-        if row.generation > self.own_record.generation:
-            if not self.superseded:
-                self.superseded = True
-                self.events.append(("replaced", row))
-            return
-        if (
-            row.generation == self.own_record.generation
-            and row.state > ALIVE
-            and row.incarnation >= self.own_record.incarnation
-        ):
-            self.health.adjust(+1)  # we were too slow for somebody
-            self.own_record = MemberRecord(
-                self.own_record.name,
-                self.own_record.generation,
-                row.incarnation + 1,
-                self.own_record.state,
-                self.own_record.address,
-            )
-        if row != self.own_record:
-            self.table.merge(self.own_record, now)
-            self.gossip.add(self.own_record)
-
-    def handle(self, said: Envelope, now: int) -> Outgoing:
-        if self.own_record.state == LEFT or (said.sender, said.generation) == self.member_id:
+    def handle(self, envelope: Envelope, now: int) -> Outgoing:
+        """Take in a message, and return the replies; messages of other protocols are ignored."""
+        if self.view.has_left() or envelope.sender_id == self.member_id:
             return []
-        sender, word = said.sender, said.message
-        for row in getattr(word, "gossip", ()):
-            self.merge(row, now, sender)
-        if isinstance(word, Ping):
-            if word.target_record is not None:
-                self.merge(
-                    word.target_record, now, sender
-                )  # Lifeguard's buddy: who is suspected hears it first
-            ack = Ack(word.sequence, self.partition_healing.records_to_refute(said) + self.take_gossip())
-            return self.address_to(sender, ack) + self.notify_superseded(said)
-        if isinstance(word, IndirectProbe):
-            return self.relay_probe(sender, word)
-        if isinstance(word, Ack):
-            return self.handle_ack(word)
-        if isinstance(word, Nack) and self.probe is not None and word.sequence == self.probe.sequence:
-            self.probe.silent_relays.discard(sender)
-        if isinstance(word, FullSync):
-            for row in word.records:
-                self.merge(row, now, sender)
-            # Only what asks is answered: two that are both outdone would tell each other for ever.
-            return (
-                self.full_sync(self.address_of(sender), answer=False) + self.notify_superseded(said)
-                if word.reply_wanted
-                else []
-            )
+        message = envelope.message
+        if isinstance(message, Ping | IndirectProbe | Ack):
+            for record in message.gossip:
+                self.view.merge(record, now, envelope.sender)
+        match message:
+            case Ping():
+                return self.handle_ping(envelope, message, now)
+            case IndirectProbe():
+                return self.relay_probe(envelope.sender, message)
+            case Ack():
+                return self.handle_ack(message)
+            case Nack():
+                self.handle_nack(envelope.sender, message)
+            case FullSync():
+                return self.handle_full_sync(envelope, message, now)
         return []
 
-    def notify_superseded(self, said: Envelope) -> Outgoing:
-        earlier = self.partition_healing.superseding_record(said)
-        return [(earlier[0], FullSync([earlier[1]], False))] if earlier else []
-
-    def handle_ack(self, word: Ack) -> Outgoing:
-        if (relayed := self.relayed_probes.pop(word.sequence, None)) is not None:
-            return self.address_to(relayed[0], Ack(relayed[1], self.take_gossip()))
-        if self.probe is not None and word.sequence == self.probe.sequence:
+    def handle_ping(self, envelope: Envelope, ping: Ping, now: int) -> Outgoing:
+        """Answer a probe."""
+        if ping.target_record is not None:
+            # Lifeguard's buddy system: who is suspected learns it first of all.
+            self.view.merge(ping.target_record, now, envelope.sender)
+        gossip = self.view.partition_healing.records_to_refute(envelope) + self.view.take_gossip()
+        return self.address_to(envelope.sender, Ack(ping.sequence, gossip)) + self.notify_superseded(envelope)
+
+    def handle_ack(self, ack: Ack) -> Outgoing:
+        """Pass the answer to a relayed probe on, or note the answer to our own."""
+        relayed = self.relayed_probes.pop(ack.sequence, None)
+        if relayed is not None:
+            return self.address_to(relayed.requester, Ack(relayed.sequence, self.view.take_gossip()))
+        if self.probe is not None and ack.sequence == self.probe.sequence:
             self.probe.is_acked = True
         return []
 
-    def relay_probe(self, sender: str, word: IndirectProbe) -> Outgoing:
-        if len(self.relayed_probes) >= 256:  # guards the memory: those not answered by now will not be
+    def handle_nack(self, sender: str, nack: Nack) -> None:
+        """Note that a relay of the probe in progress is reachable."""
+        if self.probe is not None and nack.sequence == self.probe.sequence:
+            self.probe.silent_relays.discard(sender)
+
+    def handle_full_sync(self, envelope: Envelope, sync: FullSync, now: int) -> Outgoing:
+        """Take in a page of records, and reply with all of ours where that is wanted."""
+        for record in sync.records:
+            self.view.merge(record, now, envelope.sender)
+        # A notice is no request, and is not answered: two superseded processes would go on for ever.
+        if not sync.reply_wanted:
+            return []
+        reply = self.full_sync(self.address_of(envelope.sender), reply_wanted=False)
+        return reply + self.notify_superseded(envelope)
+
+    def relay_probe(self, requester: str, probe: IndirectProbe) -> Outgoing:
+        """Ping a member on behalf of another one."""
+        if len(self.relayed_probes) >= MAX_RELAYED_PROBES:
             self.relayed_probes.clear()
         self.last_sequence += 1
-        self.relayed_probes[self.last_sequence] = (sender, word.sequence)
-        row = self.table.records.get(word.target)
-        pinged = self.address_to(word.target, Ping(self.last_sequence, row, self.take_gossip()))
-        return pinged + self.address_to(sender, Nack(word.sequence))
+        self.relayed_probes[self.last_sequence] = RelayedProbe(requester, probe.sequence)
+        record = self.view.table.records.get(probe.target)
+        ping = self.address_to(probe.target, Ping(self.last_sequence, record, self.view.take_gossip()))
+        return ping + self.address_to(requester, Nack(probe.sequence))
+
+    def notify_superseded(self, envelope: Envelope) -> Outgoing:
+        """Tell a superseded process, at its own address, of the later one."""
+        notice = self.view.partition_healing.superseded_notice(envelope)
+        return [(notice.address, FullSync([notice.record], False))] if notice is not None else []
 
     # --- time
 
     def tick(self, now: int) -> Outgoing:
-        if self.own_record.state == LEFT:
+        """Do what is due, and return the messages to send."""
+        if self.view.has_left():
             return []
-        sends: Outgoing = []
-        for name, held in list(self.suspicions.items()):
-            if now >= held.deadline:
-                row = self.table.records[name]
-                self.merge(
-                    MemberRecord(name, row.generation, row.incarnation, DEAD, row.address),
-                    now,
-                    self.member_id[0],
-                )
-        probed = self.probe
-        if (
-            probed is not None
-            and not probed.is_acked
-            and not probed.is_indirect
-            and now >= probed.indirect_at
-        ):
-            sends += self.start_indirect_probes(probed)
-        if probed is not None and now >= probed.deadline:
-            self.finish_probe(probed, now)
+        self.view.expire_suspicions(now)
+        outgoing = self.check_probe(now)
         if now >= self.next_probe_at:
-            sends += self.start_probe(now)
+            outgoing += self.start_probe(now)
         if now >= self.next_full_sync_at:
-            self.next_full_sync_at = now + WHOLE_EVERY // 2 + self.chance.below(WHOLE_EVERY)
-            self.table.forget(now)
-            self.partition_healing.prune()
-            others = self.other_members()
-            drawn = self.address_of(others[self.chance.below(len(others))]) if others else None
-            for address in [drawn] if drawn else self.seeds:
-                sends += self.full_sync(address, answer=True)
-            sends += self.full_sync(self.partition_healing.draw_lost_address(), answer=True)
-        return sends
+            outgoing += self.start_full_sync(now)
+        return outgoing
 
     def start_probe(self, now: int) -> Outgoing:
-        span = self.health.scale(PERIOD)
-        self.next_probe_at = now + span
-        if not self.other_members():
-            # Nobody is known yet, or any more: the seeds are told that we are here.
-            return [send for address in self.seeds for send in self.full_sync(address, answer=True)]
-        name = self.next_probe_target()
+        """Ping the next member; where none is known, contact the seeds."""
+        interval = self.view.health.scale(PROBE_INTERVAL)
+        self.next_probe_at = now + interval
+        others = self.view.other_members()
+        if not others:
+            return [send for address in self.seeds for send in self.full_sync(address, reply_wanted=True)]
+        target = self.probe_order.next_target(others)
         self.last_sequence += 1
-        answer = min(self.health.scale(ANSWER), span // 2)
-        self.probe = ProbeInProgress(name, self.last_sequence, now + answer, now + span - 1)
-        return self.address_to(name, Ping(self.last_sequence, self.table.records[name], self.take_gossip()))
-
-    def next_probe_target(self) -> str:
-        others = set(self.other_members())
-        while True:
-            while self.probe_order:
-                if (name := self.probe_order.pop()) in others:
-                    return name
-            self.probe_order = sorted(others)
-            for place in range(len(self.probe_order) - 1, 0, -1):  # Fisher and Yates
-                drawn = self.chance.below(place + 1)
-                self.probe_order[place], self.probe_order[drawn] = (
-                    self.probe_order[drawn],
-                    self.probe_order[place],
-                )
-
-    def start_indirect_probes(self, probed: ProbeInProgress) -> Outgoing:
-        probed.is_indirect = True
-        able = [
-            name for name in self.other_members() if name != probed.target and name not in self.suspicions
+        ack_timeout = min(self.view.health.scale(ACK_TIMEOUT), interval // 2)
+        self.probe = ProbeInProgress(target, self.last_sequence, now + ack_timeout, now + interval - 1)
+        ping = Ping(self.last_sequence, self.view.table.records[target], self.view.take_gossip())
+        return self.address_to(target, ping)
+
+    def check_probe(self, now: int) -> Outgoing:
+        """Probe indirectly once the direct probe has timed out, and conclude the probe at its deadline."""
+        probe = self.probe
+        if probe is None:
+            return []
+        outgoing: Outgoing = []
+        if not probe.is_acked and not probe.is_indirect and now >= probe.indirect_at:
+            outgoing = self.start_indirect_probes(probe)
+        if now >= probe.deadline:
+            self.finish_probe(probe, now)
+        return outgoing
+
+    def start_indirect_probes(self, probe: ProbeInProgress) -> Outgoing:
+        """Ask some members that are not suspected to probe the target."""
+        probe.is_indirect = True
+        candidates = [
+            name
+            for name in self.view.other_members()
+            if name != probe.target and name not in self.view.suspicions
         ]
-        chosen = [able.pop(self.chance.below(len(able))) for _ in range(min(INDIRECT, len(able)))]
-        probed.silent_relays = set(chosen)
+        relays = self.draw(candidates, INDIRECT_PROBES)
+        probe.silent_relays = set(relays)
         return [
             send
-            for name in chosen
+            for name in relays
             for send in self.address_to(
-                name, IndirectProbe(probed.sequence, probed.target, self.take_gossip())
+                name, IndirectProbe(probe.sequence, probe.target, self.view.take_gossip())
             )
         ]
 
-    def finish_probe(self, probed: ProbeInProgress, now: int) -> None:
+    def finish_probe(self, probe: ProbeInProgress, now: int) -> None:
+        """Suspect the target where neither it nor a relay has answered for it."""
         self.probe = None
-        if probed.is_acked:
-            self.health.adjust(-1)
+        if probe.is_acked:
+            self.view.health.adjust(-1)
             return
-        # Who was asked in our place and says nothing either: it is rather we who do not hear.
-        self.health.adjust(len(probed.silent_relays) if probed.is_indirect and probed.silent_relays else +1)
-        row = self.table.records.get(probed.target)
-        if row is not None and row.state == ALIVE:
-            self.merge(
-                MemberRecord(row.name, row.generation, row.incarnation, SUSPECT, row.address),
-                now,
-                self.member_id[0],
-            )
+        # Where the relays are silent as well it is rather we who do not receive.
+        is_our_fault = probe.is_indirect and bool(probe.silent_relays)
+        self.view.health.adjust(len(probe.silent_relays) if is_our_fault else +1)
+        record = self.view.table.records.get(probe.target)
+        if record is not None and record.state == MemberState.ALIVE:
+            self.view.conclude(record, MemberState.SUSPECT, now)
+
+    def start_full_sync(self, now: int) -> Outgoing:
+        """Exchange all records with a random member, or the seeds, and with one that counts as dead."""
+        self.next_full_sync_at = now + FULL_SYNC_INTERVAL // 2 + self.generator.below(FULL_SYNC_INTERVAL)
+        self.view.prune(now)
+        others = self.view.other_members()
+        drawn = self.address_of(others[self.generator.below(len(others))]) if others else None
+        outgoing: Outgoing = []
+        for address in [drawn] if drawn else self.seeds:
+            outgoing += self.full_sync(address, reply_wanted=True)
+        lost = self.view.partition_healing.draw_lost_address()
+        return outgoing + self.full_sync(lost, reply_wanted=True)
 
     def leave(self) -> Outgoing:
-        """Tells some that we go by ourselves; nothing is sent after that."""
-        self.own_record = MemberRecord(
-            self.own_record.name,
-            self.own_record.generation,
-            self.own_record.incarnation,
-            LEFT,
-            self.own_record.address,
-        )
-        others = self.other_members()
-        chosen = [others.pop(self.chance.below(len(others))) for _ in range(min(2 * INDIRECT, len(others)))]
-        return [send for name in chosen for send in self.address_to(name, FullSync([self.own_record], False))]
-
-    # --- words
-
-    def other_members(self) -> list[str]:
-        return [name for name in self.table.alive() if name != self.member_id[0]]
+        """Tell some members that this one leaves; nothing is sent after that."""
+        self.view.leave()
+        receivers = self.draw(self.view.other_members(), 2 * INDIRECT_PROBES)
+        notice = FullSync([self.view.own_record], False)
+        return [send for name in receivers for send in self.address_to(name, notice)]
 
-    def suspicion_timeout(self, held: Suspicion) -> int:
-        return suspicion.suspicion_timeout(len(self.table.alive()), len(held.accusers) - 1, self.health.score)
+    # --- sending
 
-    def take_gossip(self) -> list[MemberRecord]:
-        return self.gossip.take(len(self.table.alive()))
+    def draw(self, names: list[str], count: int) -> list[str]:
+        """Return so many random names, or all where there are fewer; takes them out of the list."""
+        return [names.pop(self.generator.below(len(names))) for _ in range(min(count, len(names)))]
 
-    def address_to(self, name: str, word: Message) -> Outgoing:
+    def address_to(self, name: str, message: Message) -> Outgoing:
+        """Return a message with the member's address, or nothing where that is not known."""
         address = self.address_of(name)
-        return [(address, word)] if address is not None else []
+        return [(address, message)] if address is not None else []
 
-    def full_sync(self, address: Address | None, answer: bool) -> Outgoing:
-        """All we know, in as many datagrams as that takes; the last asks for as much."""
+    def full_sync(self, address: Address | None, reply_wanted: bool) -> Outgoing:
+        """Return all our records in as many datagrams as they take; only the last may want a reply."""
         if address is None:
             return []
-        rows = sorted(self.table.records.values(), key=lambda row: row.name)
-        pages = [rows[place : place + MOST] for place in range(0, len(rows), MOST)]
+        records = sorted(self.view.table.records.values(), key=lambda record: record.name)
+        pages = [records[start : start + MAX_RECORDS] for start in range(0, len(records), MAX_RECORDS)]
         last = len(pages) - 1
-        return [(address, FullSync(page, answer and place == last)) for place, page in enumerate(pages)]
+        return [(address, FullSync(page, reply_wanted and index == last)) for index, page in enumerate(pages)]
--- /dev/null
+++ b/locktide/cluster/membership/view.py
@@ -0,0 +1,144 @@
+"""One member's view of the cluster: records, gossip, suspicions, and the changes to report."""
+
+from __future__ import annotations
+
+from locktide.cluster.membership.dissemination import DisseminationQueue
+from locktide.cluster.membership.events import EVENT_OF_STATE, MembershipEvent, MembershipEventKind
+from locktide.cluster.membership.member_table import MemberTable
+from locktide.cluster.membership.partition_healing import PartitionHealing
+from locktide.cluster.membership.probing import Suspicion
+from locktide.cluster.membership.suspicion import LocalHealth, suspicion_timeout
+from locktide.cluster.messages import MemberId, MemberRecord, MemberState
+from locktide.scheduler.estimators.random import LinearCongruentialGenerator
+
+Address = tuple[str, int]
+"""Host and UDP port."""
+
+
+class MembershipView:
+    """What one member knows of all, itself among them. Times are microseconds of its own clock."""
+
+    def __init__(
+        self,
+        member_id: MemberId,
+        address: Address,
+        seeds: list[Address],
+        generator: LinearCongruentialGenerator,
+        now: int,
+    ) -> None:
+        self.member_id = member_id
+        self.own_record = MemberRecord(*member_id, 0, MemberState.ALIVE, address)
+        self.table = MemberTable()
+        self.gossip = DisseminationQueue()
+        self.health = LocalHealth()
+        self.suspicions: dict[str, Suspicion] = {}
+        self.events: list[MembershipEvent] = []
+        self.superseded = False  # a later process of our name was found
+        self.partition_healing = PartitionHealing(self.table, seeds, generator)
+        self.table.merge(self.own_record, now)
+        self.gossip.add(self.own_record)
+
+    def alive(self) -> list[str]:
+        """Return the sorted names of members that are alive or suspected, our own among them."""
+        return self.table.alive()
+
+    def other_members(self) -> list[str]:
+        """Return the sorted names of the other members that are alive or suspected."""
+        return [name for name in self.table.alive() if name != self.member_id[0]]
+
+    def address_of(self, name: str) -> Address | None:
+        """Return the address of a member, or None where it is not known."""
+        record = self.table.records.get(name)
+        return record.address if record is not None else None
+
+    def take_gossip(self) -> list[MemberRecord]:
+        """Return the records to piggyback on the next message."""
+        return self.gossip.take(len(self.table.alive()))
+
+    def merge(self, record: MemberRecord, now: int, accuser: str) -> None:
+        """Take in a record that `accuser` sent, or that we concluded ourselves."""
+        if record.name == self.member_id[0]:
+            self.merge_own(record, now)
+            return
+        previous = self.table.merge(record, now)
+        self.confirm_suspicion(record, accuser)
+        if previous is None:
+            self.partition_healing.note_superseded(record, self.table.records[record.name])
+            return
+        self.partition_healing.note_superseded(previous, record)
+        self.gossip.add(record)
+        if record.state == MemberState.SUSPECT:
+            suspicion = self.suspicions[record.name] = Suspicion(now, {accuser})
+            suspicion.deadline = now + self.suspicion_timeout(suspicion)
+        else:
+            self.suspicions.pop(record.name, None)
+        if (previous.generation, previous.state) != (record.generation, record.state):
+            self.events.append(MembershipEvent(EVENT_OF_STATE[record.state], record))
+
+    def confirm_suspicion(self, record: MemberRecord, accuser: str) -> None:
+        """Shorten the timeout of a suspicion that one more member shares."""
+        suspicion = self.suspicions.get(record.name)
+        if suspicion is None or record.state != MemberState.SUSPECT or accuser == self.member_id[0]:
+            return
+        known = self.table.records[record.name]
+        if (known.generation, known.incarnation) != (record.generation, record.incarnation):
+            return
+        if accuser not in suspicion.accusers:
+            suspicion.accusers.add(accuser)
+            suspicion.deadline = suspicion.started_at + self.suspicion_timeout(suspicion)
+            self.gossip.add(record)
+
+    def merge_own(self, record: MemberRecord, now: int) -> None:
+        """Take in what another member says of us.
+
+        A suspicion is refuted by a higher incarnation. A record of an earlier generation of our name is
+        superseded by ours; one of a later generation shows that we are superseded.
+        """
+        own = self.own_record
+        if record.generation > own.generation:
+            if not self.superseded:
+                self.superseded = True
+                self.events.append(MembershipEvent(MembershipEventKind.SUPERSEDED, record))
+            return
+        is_accusation = record.generation == own.generation and record.state > MemberState.ALIVE
+        if is_accusation and record.incarnation >= own.incarnation:
+            self.health.adjust(+1)  # we were too slow for somebody
+            self.own_record = MemberRecord(*self.member_id, record.incarnation + 1, own.state, own.address)
+        if record != self.own_record:
+            self.table.merge(self.own_record, now)
+            self.gossip.add(self.own_record)
+
+    def suspicion_timeout(self, suspicion: Suspicion) -> int:
+        """Return how long a suspicion lasts from its start, in microseconds."""
+        confirmations = len(suspicion.accusers) - 1
+        return suspicion_timeout(len(self.table.alive()), confirmations, self.health.score)
+
+    def expire_suspicions(self, now: int) -> None:
+        """Declare members dead whose suspicion was not refuted in time."""
+        for name, suspicion in list(self.suspicions.items()):
+            if now >= suspicion.deadline:
+                self.conclude(self.table.records[name], MemberState.DEAD, now)
+
+    def conclude(self, record: MemberRecord, state: MemberState, now: int) -> None:
+        """Merge a state that we concluded ourselves of a member."""
+        concluded = MemberRecord(record.name, record.generation, record.incarnation, state, record.address)
+        self.merge(concluded, now, self.member_id[0])
+
+    def has_left(self) -> bool:
+        """Whether this member has left the cluster."""
+        return self.own_record.state == MemberState.LEFT
+
+    def leave(self) -> None:
+        """Mark this member as one that has left."""
+        own = self.own_record
+        self.own_record = MemberRecord(*self.member_id, own.incarnation, MemberState.LEFT, own.address)
+
+    def prune(self, now: int) -> None:
+        """Forget members that have been gone for long."""
+        self.table.forget(now)
+        self.partition_healing.prune()
+
+    def take_events(self) -> list[MembershipEvent]:
+        """Return the events since the last call."""
+        events, self.events = self.events, []
+        return events
--- a/locktide/cluster/messages.py
+++ b/locktide/cluster/messages.py
@@ -1,88 +1,117 @@
-"""What dispatchers say to each other: typed structs in MessagePack, one datagram each.
+"""Messages between dispatchers: typed structs in MessagePack, one datagram each.
 
-A datagram is four bytes of CRC-32 and the packed list [version, sender, its start, word]. The sum is there so
-that nothing is believed of a datagram that was garbled under way; it keeps out accidents, no enemy.
+A datagram is four bytes of CRC-32 (big-endian) followed by the packed list [version, sender, generation of
+the sender, message]. Structs are packed as arrays: the position of a field and the tag of a message are the
+wire format, their names are not. The checksum rejects datagrams that were corrupted on the way; it does not
+authenticate the sender.
 """
 
 from __future__ import annotations
 
+from enum import IntEnum
 from typing import Annotated
 from zlib import crc32
 
 import msgspec
 from msgspec import Meta
 
-VERSION = 2  # 1 knew no loans and no ledger
-MAX_DATAGRAM = (1200  # bytes of a datagram: less than any path's smallest unit, so that none is cut into pieces
-    )
+VERSION = 2  # version 1 had neither loans nor the fairness ledger
+# Bytes of a datagram: less than the smallest MTU of any path, so that none is fragmented.
+MAX_DATAGRAM = 1200
+CHECKSUM_BYTES = 4
 
-Count = Annotated[int, Meta(ge = 0)]
-Millionths = Annotated[int, Meta(ge = 0, le = 1_000_000)]  # millionths of a whole
-# Who somebody is: the name, and when this process of it started (whole microseconds of Unix time).
+Count = Annotated[int, Meta(ge=0)]
+Millionths = Annotated[int, Meta(ge=0, le=1_000_000)]
+"""Millionths of a whole."""
 MemberId = tuple[str, int]
-# The order of elections: a count, and who stands.
+"""A member's name, and its generation: when this process started, in whole microseconds of Unix time."""
 Ballot = tuple[Count, str, int]
-# Quotas go by their place among the sorted names, which is the same wherever `names_checksum` is: fifty
-# of them and the loans between them fit one datagram.
-QuotaIndex = Annotated[int, Meta(ge = 0, le = 255)]
-# A loan: whose quota, which quota's requests may spend of it, and how many millionths of the lender's whole.
+"""A ballot of the election: a counter and the proposer's member id; ballots are totally ordered."""
+# Quotas are sent as their index among the sorted names, which is the same wherever the checksum of the names
+# is: fifty of them and the loans between them fit one datagram.
+QuotaIndex = Annotated[int, Meta(ge=0, le=255)]
+"""Index of a quota among the sorted names of all quotas."""
 LoanTriple = tuple[QuotaIndex, QuotaIndex, Millionths]
+"""A loan: the lending quota, the borrowing quota, and millionths of the lender's whole."""
 
 
-class MemberRecord(msgspec.Struct, array_like = True, frozen = True):
-    """One member as somebody knows it. `turn` is what it raises itself to refute a suspicion."""
+class MemberState(IntEnum):
+    """State of a member as another one knows it; of two states of one incarnation the higher number wins."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+    LEFT = 3
+
+
+class MemberRecord(msgspec.Struct, array_like=True, frozen=True):
+    """One member as some member knows it.
+
+    A member raises its own `incarnation` to refute a suspicion.
+    """
 
     name: str
     generation: int
     incarnation: Count
-    state: Annotated[int, Meta(ge = 0, le = 3)]
-    address: tuple[str, Annotated[int, Meta(ge = 0, le = 65535)]]
+    state: MemberState
+    address: tuple[str, Annotated[int, Meta(ge=0, le=65535)]]
+
 
+class Message(msgspec.Struct, array_like=True):
+    """Base of all messages; each has a tag of its own."""
 
-class Message(msgspec.Struct, array_like = True):
-    pass
 
+class Ping(Message, tag="Ping"):
+    """A direct probe, answered by an Ack of the same sequence number.
 
-class Ping(Message, tag = "Ping"):
-    """Answered by an Ack of the same number. `row` is what its sender believes of who is asked."""
+    `target_record` is what the sender knows of the member it probes, so that a suspected one can refute it.
+    """
 
     sequence: int
     target_record: MemberRecord | None
     gossip: list[MemberRecord]
 
 
-class IndirectProbe(Message, tag = "Probe"):
-    """Asks for a ping of `name`: an indirect probe."""
+class IndirectProbe(Message, tag="Probe"):
+    """Asks the receiver to ping `target` on the sender's behalf."""
 
     sequence: int
     target: str
     gossip: list[MemberRecord]
 
 
-class Ack(Message, tag = "Ack"):
+class Ack(Message, tag="Ack"):
+    """The answer to a Ping."""
+
     sequence: int
     gossip: list[MemberRecord]
 
 
-class Nack(Message, tag = "Nack"):
-    """In answer to a Probe: it was heard, and the one probed has not answered yet."""
+class Nack(Message, tag="Nack"):
+    """The immediate answer to an IndirectProbe: it arrived, and the target has not answered yet."""
 
     sequence: int
 
 
-class FullSync(Message, tag = "Whole"):
-    """A part of a full exchange; the last that was asked for answers in kind."""
+class FullSync(Message, tag="Whole"):
+    """One page of all records of the sender; where a reply is wanted the receiver sends its own records."""
 
     records: list[MemberRecord]
     reply_wanted: bool
 
 
-class Prepare(Message, tag = "Prepare"):
+class Prepare(Message, tag="Prepare"):
+    """First phase of a ballot, from a proposer to each acceptor."""
+
     ballot: Ballot
 
 
-class Promise(Message, tag = "Promise"):
-    """`owner` holds the lease, as far as this elector knows; `refused` where it has promised `ballot`."""
+class Promise(Message, tag="Promise"):
+    """An acceptor's answer to a Prepare of ballot `requested`.
+
+    `promised` is the highest ballot it has promised; `refused` where that is higher than the requested one.
+    `lease_owner` holds the lease as far as this acceptor knows.
+    """
 
     requested: Ballot
     promised: Ballot
@@ -90,24 +119,28 @@
     refused: bool
 
 
-class Propose(Message, tag = "Propose"):
+class Propose(Message, tag="Propose"):
+    """Second phase of a ballot: the lease for `lease_owner`."""
+
     ballot: Ballot
     lease_owner: MemberId
 
 
-class Accepted(Message, tag = "Accepted"):
+class Accepted(Message, tag="Accepted"):
+    """An acceptor's answer to a Propose of ballot `requested`; `promised` and `refused` as in a Promise."""
+
     requested: Ballot
     promised: Ballot
     refused: bool
 
 
-class LeaderHeartbeat(Message, tag = "Lead"):
-    """The owner of the lease says so; `term` is the ballot with which it began to hold it."""
+class LeaderHeartbeat(Message, tag="Lead"):
+    """Sent by the owner of the leader lease; `term` is the ballot with which it acquired the lease."""
 
     term: Ballot
 
 
-class LeaseRequest(Message, tag = "Ask"):
+class LeaseRequest(Message, tag="Ask"):
     """A member's request for leases: what it holds and what it has demand for.
 
     `held_shares` and `loans` are in force by grant `seq` of `held_term`; `demand` is by quota, in whatever
@@ -125,7 +158,7 @@
     names_checksum: int = 0
 
 
-class LeaseGrant(Message, tag = "Grant"):
+class LeaseGrant(Message, tag="Grant"):
     """The answer to the request of that number: leases counted from when the request was sent.
 
     `more_expected`: the member should have more, once others have let go of it.
@@ -139,7 +172,7 @@
     more_expected: bool
 
 
-class LeaseRevocation(Message, tag = "Recall"):
+class LeaseRevocation(Message, tag="Recall"):
     """Revokes what was lent of these quotas, as they have demand again.
 
     It only makes haste: a loan ends by itself.
@@ -149,7 +182,7 @@
     lenders: list[QuotaIndex]
 
 
-class LedgerRow(msgspec.Struct, array_like = True, frozen = True):
+class LedgerRow(msgspec.Struct, array_like=True, frozen=True):
     """What a tenant, by its index, uses of each resource through the writer, and what waits there."""
 
     index: Count
@@ -158,7 +191,7 @@
     waiting: list[Count]
 
 
-class WriterDelta(msgspec.Struct, array_like = True):
+class WriterDelta(msgspec.Struct, array_like=True):
     """Rows of one writer: all that it wrote after a version, as far as they go, in the order of versions."""
 
     name: str
@@ -167,7 +200,7 @@
     rows: list[LedgerRow]
 
 
-class Digest(Message, tag = "Heads"):
+class Digest(Message, tag="Heads"):
     """Up to which version the sender has read each writer of a range of names, and which are closed.
 
     The range begins after `after_name` and goes up to `up_to_name`; where that is empty, there is only the
@@ -183,21 +216,21 @@
     reply_expected: bool
 
 
-class Delta(Message, tag = "Rows"):
+class Delta(Message, tag="Rows"):
     """Rows that the receiver lacks, by writer."""
 
     schema_checksum: int
     writer_deltas: list[WriterDelta]
 
 
-class InspectionRequest(Message, tag = "Look"):
-    """Of `locktide cluster show`: answered on loopback only."""
+class InspectionRequest(Message, tag="Look"):
+    """Request of `locktide cluster show`; answered on loopback only."""
 
     request_id: int
 
 
-class InspectionPage(Message, tag = "Seen"):
-    """A page of what a member sees, as JSON; `pages` in all."""
+class InspectionPage(Message, tag="Seen"):
+    """One of `page_count` pages of a member's view, as JSON text."""
 
     request_id: int
     page_index: int
@@ -206,40 +239,51 @@
 
 
 MembershipMessage = Ping | IndirectProbe | Ack | Nack | FullSync
-QuotaMessage = (Prepare | Promise | Propose | Accepted | LeaderHeartbeat | LeaseRequest | LeaseGrant | LeaseRevocation)
+QuotaMessage = (
+    Prepare | Promise | Propose | Accepted | LeaderHeartbeat | LeaseRequest | LeaseGrant | LeaseRevocation
+)
 FairnessMessage = Digest | Delta
 AnyMessage = MembershipMessage | QuotaMessage | FairnessMessage | InspectionRequest | InspectionPage
 
 
-class Envelope(msgspec.Struct, array_like = True):
-    """A word, and by whom it was said."""
+class Envelope(msgspec.Struct, array_like=True):
+    """A message with its sender."""
 
     version: int
     sender: str
     generation: int
     message: AnyMessage
 
+    @property
+    def sender_id(self) -> MemberId:
+        """Name and generation of the sender."""
+        return self.sender, self.generation
+
 
 READER: msgspec.msgpack.Decoder[Envelope] = msgspec.msgpack.Decoder(Envelope)
 WRITER = msgspec.msgpack.Encoder()
 
 
 def encoded_size(part: msgspec.Struct) -> int:
-    """Bytes of a part of a word."""
+    """Return the size of a part of a message in bytes."""
     return len(WRITER.encode(part))
 
 
-def encode(who: MemberId, word: Message) -> bytes:
-    body = WRITER.encode((VERSION, who[0], who[1], word))
-    return crc32(body).to_bytes(4, "big") + body
+def encode(sender: MemberId, message: Message) -> bytes:
+    """Return the datagram of a message."""
+    body = WRITER.encode((VERSION, *sender, message))
+    return crc32(body).to_bytes(CHECKSUM_BYTES, "big") + body
 
 
 def decode(datagram: bytes) -> Envelope | None:
-    """None for what is garbled, cut short, too long, of another version or nothing of ours."""
-    if not 4 < len(datagram) <= MAX_DATAGRAM or crc32(datagram[4:]) != int.from_bytes(datagram[: 4], "big"):
+    """Return the message of a datagram; None where it is corrupt, too long or of another version."""
+    if not CHECKSUM_BYTES < len(datagram) <= MAX_DATAGRAM:
+        return None
+    body = datagram[CHECKSUM_BYTES:]
+    if crc32(body) != int.from_bytes(datagram[:CHECKSUM_BYTES], "big"):
         return None
     try:
-        said = READER.decode(datagram[4:])
-    except(msgspec.DecodeError, RecursionError):
+        envelope = READER.decode(body)
+    except (msgspec.DecodeError, RecursionError):
         return None
-    return said if said.version == VERSION else None
+    return envelope if envelope.version == VERSION else None
--- /dev/null
+++ b/locktide/cluster/reporting.py
@@ -0,0 +1,95 @@
+"""Writes what changes at a member to the log and to the trace file."""
+
+from __future__ import annotations
+
+import json
+from typing import Protocol, TextIO
+
+from locktide.cluster.member import ClusterMember
+from locktide.cluster.membership.events import MembershipEvent, MembershipEventKind
+
+LOG_KIND = "accord"  # lines of one kind are rate-limited together
+
+
+class Log(Protocol):
+    """Where log lines go; `event` and the fields say the same as the line, for programs."""
+
+    def emit(self, line: str, kind: str = "", event: str = "", **fields: object) -> None:
+        """Write a line."""
+
+
+class Reporter:
+    """Reports membership events, quotas, loans and fairness of one member."""
+
+    def __init__(self, member: ClusterMember, log: Log, trace: TextIO | None) -> None:
+        """`trace` gets a line of JSON for each change of the quotas in force; None for no trace."""
+        self.member = member
+        self.log = log
+        self.trace = trace
+        self.logged_loans: list[tuple[str, str]] = []
+        self.logged_over_share: frozenset[str] = frozenset()
+
+    def report_event(self, event: MembershipEvent) -> None:
+        """Log a change of the membership."""
+        record = event.record
+        address = f"{record.address[0]}:{record.address[1]}"
+        line = f"accord: {record.name} at {address} is {event.kind}"
+        if event.kind is MembershipEventKind.SUPERSEDED:
+            line = f"accord: a second process under our name at {address}; we step down"
+        self.log.emit(
+            line,
+            LOG_KIND,
+            event=f"accord-{event.kind}",
+            member=record.name,
+            start=record.generation,
+            at=address,
+        )
+
+    def report_quotas(self, now: int) -> None:
+        """Log the quotas in force, and loans and fairness where these have changed."""
+        parts = self.member.local_quota.shares
+        shown = ", ".join(f"{name} {part / 1e4:.1f}%" for name, part in parts.items())
+        self.log.emit(f"accord: in force {shown}", LOG_KIND, event="accord-parts", parts=dict(parts))
+        self.report_loans()
+        self.report_fairness()
+        if self.trace is not None:
+            self.write_trace(self.trace, now)
+
+    def report_loans(self) -> None:
+        """Log who lends to whom, once each time that changes."""
+        loans = sorted(self.member.local_quota.loans.items())
+        pairs = [pair for pair, _ in loans]
+        if pairs == self.logged_loans:
+            return
+        self.logged_loans = pairs
+        shown = ", ".join(
+            f"{part / 1e4:.1f}% of {lender} for {borrower}" for (lender, borrower), part in loans
+        )
+        self.log.emit(f"accord: borrowed {shown or 'nothing'}", LOG_KIND, event="accord-lent", loans=pairs)
+
+    def report_fairness(self) -> None:
+        """Log which tenants hold more than their fair shares, once each time that changes."""
+        if self.member.tenants_over_share == self.logged_over_share:
+            return
+        self.logged_over_share = self.member.tenants_over_share
+        tenants = sorted(self.logged_over_share)
+        line = f"accord: beyond their fair shares: {', '.join(tenants) or 'nobody'}"
+        self.log.emit(line, LOG_KIND, event="accord-over", over=tenants)
+
+    def write_trace(self, trace: TextIO, now: int) -> None:
+        """Write the quotas in force, and until when, as a line of JSON."""
+        quota = self.member.local_quota
+        entry = {
+            "at": now,
+            "parts": quota.shares,
+            "until": quota.shares_until,
+            "floor": quota.guaranteed_minimum,
+            "loans": [[*pair, part] for pair, part in quota.loans.items()],
+            "loans_until": quota.loans_until,
+        }
+        print(json.dumps(entry), file=trace, flush=True)
+
+    def close(self) -> None:
+        """Close the trace."""
+        if self.trace is not None:
+            self.trace.close()
--- a/locktide/cluster/udp_transport.py
+++ b/locktide/cluster/udp_transport.py
@@ -1,246 +1,141 @@
-"""The agent on a UDP socket, joined to a node as a part: bytes and timers, nothing is decided here."""
+"""Runs a cluster member on a UDP socket: bytes and timers; nothing is decided here."""
 
 from __future__ import annotations
 
 import asyncio
 import json
-from collections.abc import Callable
 from ipaddress import ip_address
-from typing import Any, Protocol, TextIO
+from typing import TextIO, cast
 
 from locktide.cluster.config import ClusterConfig
+from locktide.cluster.dispatcher_link import DispatcherLink, EventSource
 from locktide.cluster.inspection import inspect
 from locktide.cluster.member import ClusterMember
 from locktide.cluster.membership.swim import Outgoing
-from locktide.cluster.messages import Envelope, InspectionPage, InspectionRequest, decode, encode
-from locktide.cluster.quota.allocation import WHOLE
-from locktide.scheduler.events import ConfigReloaded, QuotaSharesUpdated, QuotaStage, RequestArrived
+from locktide.cluster.membership.view import Address
+from locktide.cluster.messages import InspectionPage, InspectionRequest, decode, encode
+from locktide.cluster.reporting import Log, Reporter
 
-PAGE = 900  # bytes of what is shown, to a datagram
-# Who holds too much is told anew with each change; where no news comes for so long nobody does.
-OVER_FOR = 5_000_000
-SMALLEST_WAIT = 0.001  # seconds; a due moment that has gone by does not spin
-
-
-class Log(Protocol):
-    def emit(self, line: str, kind: str = "", event: str = "", **fields: Any) -> None: ...
-
-
-class EventSource(Protocol):
-    """What the part asks of a node: to be told of news, and to hear the news that it gets."""
-
-    observers: list[Callable[[Any], None]]
-
-    @property
-    def clock(self) -> Any: ...
-
-    def enqueue_event(self, piece: Any) -> None: ...
+INSPECTION_PAGE_LENGTH = 900  # characters of ASCII: with the rest of the message it fits one datagram
+MIN_TIMER_SECONDS = 0.001  # a wakeup that is overdue must not spin
 
 
 class UdpTransport(asyncio.DatagramProtocol):
-    """Times are those of the loop's clock, which is the machine's monotonic one, in whole microseconds."""
+    """Runs one member. Times are those of the loop's clock, the machine's monotonic one, in microseconds."""
 
     transport: asyncio.DatagramTransport
 
     def __init__(
-        self, terms: ClusterConfig, log: Log, node: EventSource | None, trace: TextIO | None = None
+        self, config: ClusterConfig, log: Log, event_source: EventSource | None, trace: TextIO | None = None
     ) -> None:
-        self.trace = trace  # where each change of what is in force goes, with its moment
-        self.loop, self.config, self.log, self.event_source = asyncio.get_running_loop(), terms, log, node
-        self.member = ClusterMember(terms, self.now())
+        """`event_source` is the dispatcher, if any; `trace` gets each change of the quotas in force."""
+        self.loop = asyncio.get_running_loop()
+        self.config = config
+        self.member = ClusterMember(config, self.now())
         self.timer: asyncio.TimerHandle | None = None
-        self.rejected_datagrams = 0  # datagrams of which nothing was believed
-        self.quota_names = {budget.name for budget in terms.quotas}
-        self.logged_loans: list[tuple[str, str]] = []
-        self.logged_over_share: frozenset[str] = frozenset()
-        if node is not None:
-            node.observers.append(self.on_event)
+        self.rejected_datagrams = 0
+        self.reporter = Reporter(self.member, log, trace)
+        self.link: DispatcherLink | None = None
+        if event_source is not None:
+            self.link = DispatcherLink(event_source, self.member, self)
+            self.link.attach()
 
     def now(self) -> int:
+        """Return the time of the member's clock in whole microseconds."""
         return int(self.loop.time() * 1e6)
 
+    # --- socket and timer
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = transport  # type: ignore[assignment]
+        """Begin to run the member."""
+        self.transport = cast(asyncio.DatagramTransport, transport)
         self.report_quotas()
         self.schedule_wakeup()
 
-    def datagram_received(self, data: bytes, source: Any) -> None:
-        said = decode(data)
-        if said is None:
+    def datagram_received(self, data: bytes, address: Address) -> None:
+        """Hand a datagram to the member, or answer an inspection."""
+        envelope = decode(data)
+        if envelope is None:
             self.rejected_datagrams += 1
-        elif isinstance(said.message, InspectionRequest):
-            self.answer_inspection(said.message, source)
+        elif isinstance(envelope.message, InspectionRequest):
+            self.answer_inspection(envelope.message, address)
         else:
-            self.send_and_report(self.member.handle(said, self.now()))  # the clock is read after the datagram
+            self.send_and_report(self.member.handle(envelope, self.now()))
 
-    def error_received(self, trouble: Exception) -> None:
-        pass  # nobody listens there any more: it will be missed
+    def error_received(self, _: Exception) -> None:
+        """Ignore that nobody listens at an address any more: failure detection finds it."""
 
     def on_timer(self) -> None:
+        """Wake the member."""
         self.send_and_report(self.member.tick(self.now()))
 
     def schedule_wakeup(self) -> None:
+        """Set the timer to the member's next wakeup."""
         if self.timer is not None:
             self.timer.cancel()
-        at = max(self.member.next_wakeup / 1e6, self.loop.time() + SMALLEST_WAIT)
-        self.timer = self.loop.call_at(at, self.on_timer)
+        wakeup = max(self.member.next_wakeup / 1e6, self.loop.time() + MIN_TIMER_SECONDS)
+        self.timer = self.loop.call_at(wakeup, self.on_timer)
 
-    def send_and_report(self, sends: Outgoing) -> None:
-        for address, word in sends:
-            self.transport.sendto(encode(self.config.member_id, word), address)
+    def send_and_report(self, outgoing: Outgoing) -> None:
+        """Send messages, report what the member's last call has changed, and set the timer."""
+        self.send(outgoing)
         if self.member.update.quotas_changed:
             self.report_quotas()
-        for what, row in self.member.update.events:
-            at = f"{row.address[0]}:{row.address[1]}"
-            line = f"accord: {row.name} at {at} is {what}"
-            if what == "replaced":
-                line = f"accord: a second process under our name at {at}; we step down"
-            self.log.emit(
-                line, "accord", event=f"accord-{what}", member=row.name, start=row.generation, at=at
-            )
+        for event in self.member.update.events:
+            self.reporter.report_event(event)
         self.schedule_wakeup()
 
+    def send(self, outgoing: Outgoing) -> None:
+        """Send messages."""
+        for address, message in outgoing:
+            self.transport.sendto(encode(self.config.member_id, message), address)
+
     def report_quotas(self) -> None:
-        """What is in force from now on, and until when."""
-        purse = self.member.local_quota
-        shown = ", ".join(f"{name} {part / 1e4:.1f}%" for name, part in purse.shares.items())
-        self.log.emit(f"accord: in force {shown}", "accord", event="accord-parts", parts=dict(purse.shares))
-        self.log_loans_and_fairness()
-        self.emit_quota_shares()
-        if self.trace is not None:
-            told = {
-                "at": self.now(),
-                "parts": purse.shares,
-                "until": purse.shares_until,
-                "floor": purse.guaranteed_minimum,
-                "loans": [[*pair, part] for pair, part in purse.loans.items()],
-                "loans_until": purse.loans_until,
-            }
-            print(json.dumps(told), file=self.trace, flush=True)
-
-    def log_loans_and_fairness(self) -> None:
-        """Loans and who holds too much, once each time that changes."""
-        lent = sorted(self.member.local_quota.loans)
-        if lent != self.logged_loans:
-            self.logged_loans = lent
-            shown = ", ".join(
-                f"{part / 1e4:.1f}% of {owner} for {borrower}"
-                for (owner, borrower), part in sorted(self.member.local_quota.loans.items())
-            )
-            self.log.emit(f"accord: borrowed {shown or 'nothing'}", "accord", event="accord-lent", loans=lent)
-        if self.member.tenants_over_share != self.logged_over_share:
-            self.logged_over_share, over = (
-                self.member.tenants_over_share,
-                sorted(self.member.tenants_over_share),
-            )
-            line = f"accord: beyond their fair shares: {', '.join(over) or 'nobody'}"
-            self.log.emit(line, "accord", event="accord-over", over=over)
-
-    # --- the node
-
-    def emit_quota_shares(self) -> None:
-        """The parts that the decisions go by, and on their clock until when."""
-        if self.event_source is None:
-            return
-        purse, now, there = self.member.local_quota, self.now(), self.event_source.clock.now()
-        # What is held from now on by this loop's clock, on the decisions' one; they differ by a constant.
-        until = there + max(0, purse.shares_until - now)
-        parts = {name: part / WHOLE for name, part in purse.shares.items()}
-        stages = [
-            QuotaStage(until, parts),
-            QuotaStage(1 << 62, dict.fromkeys(parts, purse.guaranteed_minimum / WHOLE)),
-        ]
-        if purse.loans:
-            lent: dict[str, float] = {}
-            for (owner, borrower), part in purse.loans.items():
-                rates = purse.specs[owner].rate, purse.specs[borrower].rate
-                if rates[1]:
-                    lent[borrower] = lent.get(borrower, 0.0) + part / WHOLE * rates[0] / rates[1]
-            stages.insert(0, QuotaStage(min(until, there + max(0, purse.loans_until - now)), parts, lent))
-        self.event_source.enqueue_event(
-            QuotaSharesUpdated(stages, self.member.tenants_over_share, there + OVER_FOR)
-        )
-
-    def on_event(self, piece: Any) -> None:
-        """News and orders of the node: what clients ask for is the demand that the division follows, and
-        what they hold of the fleet goes into the ledger.
-        """
-        if type(piece) is ConfigReloaded:
-            self.loop.call_soon(self.emit_quota_shares)  # which made a new reckoning of shares
-            return
-        if (ledger := self.member.ledger) is not None:
-            ledger.usage.observe(piece)
-        if type(piece) is RequestArrived and piece.tenant in self.quota_names:
-            due = self.member.next_wakeup
-            self.member.spend(piece.tenant, self.now())
-            if self.member.next_wakeup < due:
-                self.schedule_wakeup()  # its owner has come back: that is told at once
-
-    # --- a look from outside
-
-    def answer_inspection(self, word: InspectionRequest, source: Any) -> None:
-        """On loopback only: what members see is nobody else's."""
-        if not ip_address(source[0]).is_loopback:
+        """Report the quotas in force to the log, the trace and the scheduler."""
+        self.reporter.report_quotas(self.now())
+        if self.link is not None:
+            self.link.emit_quota_shares()
+
+    # --- inspection, and the end
+
+    def answer_inspection(self, request: InspectionRequest, address: Address) -> None:
+        """Send the member's view in pages; on loopback only, as it is no other machine's business."""
+        if not ip_address(address[0]).is_loopback:
             return
-        told = json.dumps(inspect(self.member, self.now()) | {"refused_datagrams": self.rejected_datagrams})
-        pages = [told[place : place + PAGE] for place in range(0, len(told), PAGE)]
-        for place, text in enumerate(pages):
-            self.transport.sendto(
-                encode(self.config.member_id, InspectionPage(word.request_id, place, len(pages), text)),
-                source,
-            )
+        view = inspect(self.member, self.now()) | {"refused_datagrams": self.rejected_datagrams}
+        text = json.dumps(view)
+        length = INSPECTION_PAGE_LENGTH
+        pages = [text[start : start + length] for start in range(0, len(text), length)]
+        for index, page in enumerate(pages):
+            message = InspectionPage(request.request_id, index, len(pages), page)
+            self.transport.sendto(encode(self.config.member_id, message), address)
 
     async def close(self) -> None:
-        """A clean end: gives back what it holds and says that it goes."""
-        for address, word in self.member.leave(self.now()):
-            self.transport.sendto(encode(self.config.member_id, word), address)
+        """Leave the cluster cleanly, and close the socket."""
+        self.send(self.member.leave(self.now()))
         if self.timer is not None:
             self.timer.cancel()
-        if self.event_source is not None:
-            self.event_source.observers.remove(self.on_event)
-        if self.trace is not None:
-            self.trace.close()
+        if self.link is not None:
+            self.link.detach()
+        self.reporter.close()
         await asyncio.sleep(0)
         self.transport.close()
 
 
 async def open_udp_transport(
-    terms: ClusterConfig,
+    config: ClusterConfig,
     log: Log,
-    node: EventSource | None,
-    listen: tuple[str, int],
+    event_source: EventSource | None,
+    listen: Address,
     trace: TextIO | None = None,
 ) -> UdpTransport:
-    """Raises OSError where the address cannot be had: most likely somebody of our name has it."""
-    loop = asyncio.get_running_loop()
-    _, driver = await loop.create_datagram_endpoint(
-        lambda: UdpTransport(terms, log, node, trace), local_addr=listen
-    )
-    return driver
+    """Open the socket, and run a member on it.
 
-
-async def inspect_member(address: tuple[str, int], within: float = 1.0) -> dict[str, Any]:
-    """What the member at that address sees; raises OSError, TimeoutError or ValueError."""
+    Raises:
+        OSError: the address cannot be bound; most likely another process of the same name has it.
+    """
     loop = asyncio.get_running_loop()
-    pages: dict[int, str] = {}
-    whole: asyncio.Future[str] = loop.create_future()
-
-    class Looking(asyncio.DatagramProtocol):
-        def datagram_received(self, data: bytes, source: Any) -> None:
-            said: Envelope | None = decode(data)
-            if said is not None and isinstance(said.message, InspectionPage) and not whole.done():
-                pages[said.message.page_index] = said.message.text
-                if len(pages) == said.message.page_count:
-                    whole.set_result("".join(pages[page] for page in sorted(pages)))
-
-        def error_received(self, trouble: Exception) -> None:
-            if not whole.done():
-                whole.set_exception(trouble)
-
-    transport, _ = await loop.create_datagram_endpoint(Looking, remote_addr=address)
-    try:
-        transport.sendto(encode(("", 0), InspectionRequest(1)))
-        told: dict[str, Any] = json.loads(await asyncio.wait_for(whole, within))
-        return told
-    finally:
-        transport.close()
+    _, transport = await loop.create_datagram_endpoint(
+        lambda: UdpTransport(config, log, event_source, trace), local_addr=listen
+    )
+    return transport
--- a/locktide/simulation/cluster/cost.py
+++ b/locktide/simulation/cluster/cost.py
@@ -102,8 +102,8 @@
     tracemalloc.start()
     before = tracemalloc.take_snapshot()
     agent: ClusterMember = world.make(world.all[0])
-    for row in world.all[0].agent.swim.table.records.values():
-        agent.swim.merge(row, world.all[0].clock(), "")
+    for row in world.all[0].agent.swim.view.table.records.values():
+        agent.swim.view.merge(row, world.all[0].clock(), "")
     after = tracemalloc.take_snapshot()
     tracemalloc.stop()
     return sum(stat.size_diff for stat in after.compare_to(before, "filename")) / 1e6
--- a/locktide/simulation/cluster/model_checking.py
+++ b/locktide/simulation/cluster/model_checking.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 from locktide.cluster.election.acceptor import Acceptor
-from locktide.cluster.election.proposer import Proposer
+from locktide.cluster.election.proposer import LeaderLeaseTiming, Proposer
 from locktide.cluster.messages import (
     Accepted,
     LeaderHeartbeat,
@@ -47,7 +47,9 @@
         self.elector = Acceptor(now, LEAD)
         stands = name in NAMES[:2]
         self.candidate = (
-            Proposer(self.who, list(NAMES), LinearCongruentialGenerator(1), now, LEAD, RENEW)
+            Proposer(
+                self.who, list(NAMES), LinearCongruentialGenerator(1), now, LeaderLeaseTiming(LEAD, RENEW)
+            )
             if stands
             else None
         )
--- a/locktide/simulation/cluster/processes.py
+++ b/locktide/simulation/cluster/processes.py
@@ -17,7 +17,7 @@
 from random import Random
 from typing import Any
 
-from locktide.cluster.udp_transport import inspect_member
+from locktide.cluster.inspection_client import inspect_member
 from locktide.protocol import names
 from locktide.simulation.cluster.datagram_relay import Relay
 from locktide.simulation.cluster.quota_checker import QuotaChecker
--- a/locktide/simulation/cluster/random_runs.py
+++ b/locktide/simulation/cluster/random_runs.py
@@ -198,8 +198,8 @@
         # A double makes the first of its name step down for good; an operator is told, and starts it anew.
         live = [one for one in world.all if one.alive and not one.agent.stepped_down]
         views = {tuple(one.agent.swim.alive()) for one in live}
-        leads = [one for one in live if one.agent.proposer is not None and one.agent.allocator is not None]
-        able = sum(one.agent.acceptor is not None for one in live) > self.electors // 2
+        leads = [one for one in live if one.agent.election is not None and one.agent.allocator is not None]
+        able = sum(one.agent.election is not None for one in live) > self.electors // 2
         total = sum(one.agent.local_quota.shares["dairy"] for one in live)
         purse = live[0].agent.local_quota if live else None
         most = purse.divisible + purse.guaranteed_minimum * len(live) if purse is not None else 0
--- a/locktide/simulation/cluster/virtual_cluster.py
+++ b/locktide/simulation/cluster/virtual_cluster.py
@@ -98,7 +98,7 @@
         if self.agent.update.quotas_changed:
             self.log()
         self.world.events += [
-            (self.world.now, self.name, what, row) for what, row in self.agent.update.events
+            (self.world.now, self.name, event.kind, event.record) for event in self.agent.update.events
         ]
 
     def spend(self, budget: str) -> bool:
--- a/locktide/simulation/process_backend.py
+++ b/locktide/simulation/process_backend.py
@@ -18,7 +18,7 @@
 from pathlib import Path
 from typing import Any
 
-from locktide.cluster.udp_transport import inspect_member
+from locktide.cluster.inspection_client import inspect_member
 from locktide.config.accord import Accord
 from locktide.simulation.backend import DISPATCHER_PORT, REACH_PORT, TALK_PORT, Address, net_address
 from locktide.simulation.cluster_report import Traced
--- a/locktide/simulation/run.py
+++ b/locktide/simulation/run.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from locktide.cluster.bootstrap import terms as terms_of
+from locktide.cluster.bootstrap import cluster_config
 from locktide.cluster.config import ClusterConfig
 from locktide.simulation import cluster_report as agreed
 from locktide.simulation import outcome
@@ -56,7 +56,7 @@
 
         def agree(number: int, name: str, address: str) -> ClusterConfig:
             accord = told_module.agreed(script, places[number], places[number], places, "")
-            return terms_of(told_module.installation(script, name, accord))
+            return cluster_config(told_module.installation(script, name, accord))
 
         host.agree = agree
     # Collected at fixed moments: when what is dropped is collected must not depend on what ran before.
--- a/tests/cluster/test_fairness.py
+++ b/tests/cluster/test_fairness.py
@@ -249,7 +249,7 @@
     run = Fair(4, 5)
     run.run(4.0)
     dead = run.world.all[0]
-    writer = dead.agent.who
+    writer = dead.agent.member_id
     dead.kill()
     run.world.run(run.world.now + 4 * SECOND)
     rest = run.world.all[1:]
@@ -268,10 +268,10 @@
         link for name in run.world.names for link in ((isolated.name, name), (name, isolated.name))
     }
     run.world.run(run.world.now + 30 * SECOND)
-    assert isolated.agent.who not in other.agent.ledger.replica.writers
+    assert isolated.agent.member_id not in other.agent.ledger.replica.writers
     run.world.net.cut = set()
     run.world.run(run.world.now + 25 * SECOND)
-    assert isolated.agent.who in other.agent.ledger.replica.writers
+    assert isolated.agent.member_id in other.agent.ledger.replica.writers
     run.quiet()
     assert run.until_equal() <= 2.0
 
--- a/tests/test_accord.py
+++ b/tests/test_accord.py
@@ -21,6 +21,7 @@
     LeaderHeartbeat,
     LeaseGrant,
     MemberRecord,
+    MemberState,
     Ping,
     decode,
     encode,
@@ -49,7 +50,7 @@
     st.text(max_size=20),
     st.integers(0, 2**53),
     st.integers(0, 99),
-    st.integers(0, 3),
+    st.sampled_from(MemberState),
     st.tuples(st.text(max_size=20), st.integers(0, 65535)),
 )
 PARTS = st.dictionaries(st.integers(0, 255), st.integers(0, 10**6), max_size=5)
@@ -83,7 +84,7 @@
 
 def test_nothing_is_believed_of_a_garbled_datagram_and_nothing_crashes() -> None:
     drawn = random.Random(5)
-    rows = [MemberRecord(f"d{n}", 10**15, 3, n % 4, HERE) for n in range(9)]
+    rows = [MemberRecord(f"d{n}", 10**15, 3, MemberState(n % 4), HERE) for n in range(9)]
     good = [
         encode(("d1", 5), word)
         for word in (
@@ -155,7 +156,7 @@
     world.run(11 * SECOND)
     slow.go_on()
     world.run(20 * SECOND)
-    assert slow.agent.swim.own_record.incarnation > 0, "it was suspected"
+    assert slow.agent.swim.view.own_record.incarnation > 0, "it was suspected"
     assert all(len(one.agent.swim.alive()) == 5 for one in world.all)
     assert not [what for _, _, what, row in world.events if what == "dead"]
 
@@ -404,7 +405,7 @@
             live = [one for one in world.all if one.alive]
             both += (
                 sum(
-                    one.agent.proposer is not None and one.agent.proposer.is_leader(one.clock())
+                    one.agent.election is not None and one.agent.election.proposer.is_leader(one.clock())
                     for one in live
                 )
                 > 1
--- a/tests/test_accord_ledger.py
+++ b/tests/test_accord_ledger.py
@@ -13,11 +13,22 @@
 from locktide.cluster.fairness import replicated_ledger as replicated_ledger_module
 from locktide.cluster.fairness import standing as standing_module
 from locktide.cluster.fairness.dominant_share import ONE, dominant_share, progressive_filling
-from locktide.cluster.fairness.replicated_ledger import (CAPACITY_INDEX, ReplicatedLedger, agreed_capacity, tenant_totals)
+from locktide.cluster.fairness.replicated_ledger import (
+    CAPACITY_INDEX,
+    ReplicatedLedger,
+    agreed_capacity,
+    tenant_totals,
+)
 from locktide.cluster.fairness.usage import UsageTracker
 from locktide.cluster.messages import LedgerRow, WriterDelta
 from locktide.scheduler.commands import FailRequest, StartAttempt
-from locktide.scheduler.events import (AttemptEnded, ClientDisconnected, EndpointEntry, EndpointListUpdate, RequestArrived)
+from locktide.scheduler.events import (
+    AttemptEnded,
+    ClientDisconnected,
+    EndpointEntry,
+    EndpointListUpdate,
+    RequestArrived,
+)
 from locktide.scheduler.types import AttemptOutcome, EndpointState, ListUpdateKind
 from locktide.simulation.cluster.fairness_runs import Fair, solved
 
@@ -34,7 +45,13 @@
     return LedgerRow(row.index, row.version, [row.version, row.index], [0, row.version])
 
 
-STEPS = st.lists(st.one_of(st.tuples(st.just("put"), st.sampled_from("ab"), st.integers(1, 2), ENTRIES), st.tuples(st.just("close"), st.sampled_from("ab"), st.integers(1, 2), st.integers(0, 9))), max_size = 14)
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("put"), st.sampled_from("ab"), st.integers(1, 2), ENTRIES),
+        st.tuples(st.just("close"), st.sampled_from("ab"), st.integers(1, 2), st.integers(0, 9)),
+    ),
+    max_size=14,
+)
 
 
 def taken(steps: list[Any]) -> ReplicatedLedger:
@@ -51,7 +68,7 @@
     return sorted((who, row.index, row.version) for who, row in book.rows()), sorted(book.closed.items())
 
 
-@ given(STEPS, st.randoms())
+@given(STEPS, st.randoms())
 def test_merging_depends_neither_on_order_nor_on_how_often(steps: list[Any], drawn: random.Random) -> None:
     mixed = steps * 2
     drawn.shuffle(mixed)
@@ -81,35 +98,44 @@
 
 def test_the_published_example() -> None:
     """Nine processors, eighteen of memory; tasks of (1, 4) and (3, 1): three of one and two of the other."""
-    shares = progressive_filling([9_000, 18_000], {0: [100_000, 400_000], 1: [300_000, 100_000]}, {0: 1, 1: 1})
-    assert all(abs(Fraction(part, ONE) - Fraction(2, 3)) < Fraction(1, 10 ** 9) for part in shares.values())
+    shares = progressive_filling(
+        [9_000, 18_000], {0: [100_000, 400_000], 1: [300_000, 100_000]}, {0: 1, 1: 1}
+    )
+    assert all(abs(Fraction(part, ONE) - Fraction(2, 3)) < Fraction(1, 10**9) for part in shares.values())
 
 
-VECTORS = st.lists(st.integers(0, 5_000), min_size = 2, max_size = 2)
-DEMANDS = st.dictionaries(st.integers(0, 5), VECTORS, min_size = 1, max_size = 6)
+VECTORS = st.lists(st.integers(0, 5_000), min_size=2, max_size=2)
+DEMANDS = st.dictionaries(st.integers(0, 5), VECTORS, min_size=1, max_size=6)
 NEAR = 1e-6
 
 
-@ settings(max_examples = 300)
-@ given(st.lists(st.integers(500, 5_000), min_size = 2, max_size = 2), DEMANDS, st.lists(st.integers(1, 4), min_size = 6, max_size = 6))
+@settings(max_examples=300)
+@given(
+    st.lists(st.integers(500, 5_000), min_size=2, max_size=2),
+    DEMANDS,
+    st.lists(st.integers(1, 4), min_size=6, max_size=6),
+)
 def test_as_an_independent_solver_has_it(capacity: list[int], demands: Any, weights: list[int]) -> None:
     weigh = dict(enumerate(weights))
     found = progressive_filling(capacity, demands, weigh)
     for name, part in solved(capacity, demands, weigh).items():
         assert abs(found[name] / ONE - part) < NEAR
     for place, whole in enumerate(capacity):
-        used = sum(found[name] / max(1, dominant_share(demand, capacity)) * demand[place] for name, demand in demands.items())
+        used = sum(
+            found[name] / max(1, dominant_share(demand, capacity)) * demand[place]
+            for name, demand in demands.items()
+        )
         assert used <= whole * (1 + NEAR)
 
 
-@ given(st.lists(st.integers(500, 5_000), min_size = 2, max_size = 2), DEMANDS)
+@given(st.lists(st.integers(500, 5_000), min_size=2, max_size=2), DEMANDS)
 def test_each_has_at_least_its_even_part_or_all_it_asks_for(capacity: list[int], demands: Any) -> None:
     found = progressive_filling(capacity, demands, dict.fromkeys(demands, 1))
     for name, demand in demands.items():
         assert found[name] / ONE >= min(dominant_share(demand, capacity) / ONE, 1 / len(demands)) - NEAR
 
 
-@ given(st.lists(st.integers(500, 5_000), min_size = 2, max_size = 2), DEMANDS)
+@given(st.lists(st.integers(500, 5_000), min_size=2, max_size=2), DEMANDS)
 def test_nobody_would_rather_have_what_another_has(capacity: list[int], demands: Any) -> None:
     found = progressive_filling(capacity, demands, dict.fromkeys(demands, 1))
 
@@ -117,15 +143,17 @@
         """How much of its demand one could do with what another was given."""
         most = dominant_share(demands[of], capacity)
         part = found[of] / most if most else 0.0
-        return min([1.0, * [part * demands[of][place] / wants for place, wants in enumerate(demands[name]) if wants]])
+        return min(
+            [1.0, *[part * demands[of][place] / wants for place, wants in enumerate(demands[name]) if wants]]
+        )
 
     for name in demands:
         if any(demands[name]):
             assert tasks(name, name) >= max(tasks(name, of) for of in demands) - NEAR
 
 
-@ settings(max_examples = 200)
-@ given(st.lists(st.integers(500, 5_000), min_size = 2, max_size = 2), DEMANDS, VECTORS)
+@settings(max_examples=200)
+@given(st.lists(st.integers(500, 5_000), min_size=2, max_size=2), DEMANDS, VECTORS)
 def test_who_asks_for_what_it_does_not_need_gains_none(capacity: list[int], demands: Any, lie: Any) -> None:
     name = min(demands)
     if not any(demands[name]):
@@ -135,7 +163,7 @@
         given_ = progressive_filling(capacity, demands | {name: told}, dict.fromkeys(demands, 1))[name]
         most = dominant_share(told, capacity)
         part = given_ / most if most else 0.0
-        return min([1.0, * [part * told[place] / wants for place, wants in enumerate(demands[name]) if wants]])
+        return min([1.0, *[part * told[place] / wants for place, wants in enumerate(demands[name]) if wants]])
 
     assert useful(lie) <= useful(demands[name]) + NEAR
 
@@ -145,8 +173,8 @@
 
 def test_what_waits_and_what_is_out_follows_the_news_and_orders() -> None:
     here = UsageTracker({"dairy": 0}, {"view": [1000, 50]}, [4000, 0])
-    here.observe(RequestArrived("a", "view", 9, width = 2.0, tenant = "dairy"))
-    here.observe(RequestArrived("b", "view", 9, tenant = "nobody"))
+    here.observe(RequestArrived("a", "view", 9, width=2.0, tenant="dairy"))
+    here.observe(RequestArrived("b", "view", 9, tenant="nobody"))
     assert here.waiting == {0: [2000, 100]} and not here.in_use
     here.observe(StartAttempt("a", "w"))
     here.observe(StartAttempt("a", "v"))
@@ -162,14 +190,18 @@
     entry = EndpointEntry("w", "z", "k", 0, EndpointState.READY, 1.0, 0)
     here.observe(EndpointListUpdate(ListUpdateKind.SNAPSHOT, [entry]))
     assert here.capacity() == [4000, 0]
-    here.observe(EndpointListUpdate(ListUpdateKind.DELTA, [EndpointEntry("w", "z", "k", 0, EndpointState.DRAINING, 1.0, 0)]))
+    here.observe(
+        EndpointListUpdate(
+            ListUpdateKind.DELTA, [EndpointEntry("w", "z", "k", 0, EndpointState.DRAINING, 1.0, 0)]
+        )
+    )
     assert here.capacity() == [0, 0]
 
 
 def test_what_its_client_has_left_waits_no_more() -> None:
     here = UsageTracker({"dairy": 0}, {"view": [1000]}, [4000])
     for job in ("a", "b"):
-        here.observe(RequestArrived(job, "view", 9, tenant = "dairy"))
+        here.observe(RequestArrived(job, "view", 9, tenant="dairy"))
     here.observe(StartAttempt("b", "w"))
     here.observe(ClientDisconnected("a"))
     here.observe(ClientDisconnected("b"))
@@ -191,9 +223,9 @@
 # --- many of them
 
 
-@ pytest.mark.parametrize("lose", [0.0, 0.1])
+@pytest.mark.parametrize("lose", [0.0, 0.1])
 def test_ledgers_are_equal_within_two_seconds_of_quiet_and_fair(lose: float) -> None:
-    here = Fair(3, 9, lose = lose)
+    here = Fair(3, 9, lose=lose)
     here.run(8.0)
     here.world.net.lose = 0.0
     assert here.until_equal() <= 2.0
@@ -236,8 +268,10 @@
 def test_a_row_counted_twice_is_found_by_a_recount(monkeypatch: pytest.MonkeyPatch) -> None:
     def twice(book: ReplicatedLedger, resources: int) -> Any:
         held, asked = tenant_totals(book, resources)
-        who, row = next((who, row) for who, row in book.rows() if row.index != CAPACITY_INDEX and any(row.in_use))
-        return held | {row.index: [a + b for a, b in zip(held[row.index], row.in_use, strict = True)]}, asked
+        who, row = next(
+            (who, row) for who, row in book.rows() if row.index != CAPACITY_INDEX and any(row.in_use)
+        )
+        return held | {row.index: [a + b for a, b in zip(held[row.index], row.in_use, strict=True)]}, asked
 
     here = Fair(3, 3)
     here.run(6.0)
--- a/tests/test_accord_members.py
+++ b/tests/test_accord_members.py
@@ -4,10 +4,9 @@
 
 import pytest
 
-from locktide.cluster.membership.member_table import DEAD
-from locktide.cluster.membership.suspicion import PERIOD
-from locktide.cluster.membership.swim import WHOLE_EVERY, Address, Swim
-from locktide.cluster.messages import VERSION, Envelope, FullSync, MemberRecord, Ping
+from locktide.cluster.membership.suspicion import PROBE_INTERVAL
+from locktide.cluster.membership.swim import FULL_SYNC_INTERVAL, Address, Swim
+from locktide.cluster.messages import VERSION, Envelope, FullSync, MemberRecord, MemberState, Ping
 from locktide.scheduler.estimators.random import LinearCongruentialGenerator
 from locktide.simulation.cluster import random_runs as days
 
@@ -21,16 +20,16 @@
 
 def know(of: Swim, *others: Swim) -> None:
     for other in others:
-        of.merge(other.own_record, 0, other.member_id[0])
+        of.view.merge(other.view.own_record, 0, other.member_id[0])
 
 
 def dead(row: MemberRecord) -> MemberRecord:
-    return MemberRecord(row.name, row.generation, row.incarnation, DEAD, row.address)
+    return MemberRecord(row.name, row.generation, row.incarnation, MemberState.DEAD, row.address)
 
 
 def pass_on(sends: list[tuple[Address, object]], sender: Swim, to: Swim, now: int) -> None:
     for address, word in sends:
-        if address == to.own_record.address:
+        if address == to.view.own_record.address:
             to.handle(Envelope(VERSION, *sender.member_id, word), now)
 
 
@@ -39,11 +38,11 @@
     one, other = member("d0"), member("d1")
     know(one, other)
     know(other, one)
-    one.merge(dead(other.own_record), 0, "d0")
-    one.gossip.queued.clear()
+    one.view.merge(dead(other.view.own_record), 0, "d0")
+    one.view.gossip.queued.clear()
     pass_on(one.handle(Envelope(VERSION, *other.member_id, Ping(7, None, [])), 1000), one, other, 1000)
-    assert other.own_record.incarnation == 1
-    pass_on(other.tick(PERIOD), other, one, PERIOD)
+    assert other.view.own_record.incarnation == 1
+    pass_on(other.tick(PROBE_INTERVAL), other, one, PROBE_INTERVAL)
     assert one.alive() == ["d0", "d1"]
 
 
@@ -56,19 +55,19 @@
     for one in all_of_them:
         for other in all_of_them:
             if (all_of_them.index(one) < 2) != (all_of_them.index(other) < 2):
-                one.merge(dead(other.own_record), 0, one.member_id[0])
-        one.gossip.queued.clear()
+                one.view.merge(dead(other.view.own_record), 0, one.member_id[0])
+        one.view.gossip.queued.clear()
         if forgotten:
-            one.table.forget(10 * WHOLE_EVERY)
-            assert len(one.table.records) == 2
+            one.view.table.forget(10 * FULL_SYNC_INTERVAL)
+            assert len(one.view.table.records) == 2
     now = 0
-    while now < 6 * WHOLE_EVERY and any(len(one.alive()) < 4 for one in all_of_them):
+    while now < 6 * FULL_SYNC_INTERVAL and any(len(one.alive()) < 4 for one in all_of_them):
         now = min(one.next_wakeup for one in all_of_them)
         queue = [(one, send) for one in all_of_them if one.next_wakeup <= now for send in one.tick(now)]
         while queue:
             sender, (address, word) = queue.pop(0)
             for to in all_of_them:
-                if to.own_record.address == address:
+                if to.view.own_record.address == address:
                     queue += [
                         (to, send) for send in to.handle(Envelope(VERSION, *sender.member_id, word), now)
                     ]
@@ -80,26 +79,25 @@
     """What was meant for the name went to the later one, also when that was dead; the earlier never heard."""
     one, earlier, later = member("d0"), member("d1"), member("d1", start=5, port=9501)
     know(one, *((earlier, later) if known else (later,)))
-    one.merge(dead(later.own_record), 0, "d0")
+    one.view.merge(dead(later.view.own_record), 0, "d0")
     word = (
-        Ping(7, None, []) if known else FullSync([earlier.own_record], True)
+        Ping(7, None, []) if known else FullSync([earlier.view.own_record], True)
     )  # else its own words tell where it is
     sends = one.handle(Envelope(VERSION, *earlier.member_id, word), 1000)
     assert any(
-        address == earlier.own_record.address and isinstance(word, FullSync) for address, word in sends
+        address == earlier.view.own_record.address and isinstance(word, FullSync) for address, word in sends
     )
     told = [
         word
         for address, word in sends
-        if address == earlier.own_record.address and isinstance(word, FullSync)
+        if address == earlier.view.own_record.address and isinstance(word, FullSync)
     ]
     assert not any(word.reply_wanted for word in told)
     # What only tells is not answered: two that are both outdone would go on for ever (drawn day 59).
-    assert (
-        one.handle(Envelope(VERSION, *earlier.member_id, FullSync([earlier.own_record], False)), 1000) == []
-    )
+    notice = FullSync([earlier.view.own_record], False)
+    assert one.handle(Envelope(VERSION, *earlier.member_id, notice), 1000) == []
     pass_on(sends, one, earlier, 1000)
-    assert earlier.superseded and not later.superseded
+    assert earlier.view.superseded and not later.view.superseded
 
 
 def test_names_that_are_forgotten_leave_nothing_behind() -> None:
@@ -107,10 +105,10 @@
     one = member("d0")
     for number in range(1, 50):
         know(one, member(f"d{number}"), member(f"d{number}", start=5, port=9501))
-        one.merge(dead(one.table.records[f"d{number}"]), 0, "d0")
-    assert len(one.partition_healing.superseded) == 49
-    one.tick(10 * WHOLE_EVERY)
-    assert not one.partition_healing.superseded and list(one.table.records) == ["d0"]
+        one.view.merge(dead(one.view.table.records[f"d{number}"]), 0, "d0")
+    assert len(one.view.partition_healing.superseded) == 49
+    one.tick(10 * FULL_SYNC_INTERVAL)
+    assert not one.view.partition_healing.superseded and list(one.view.table.records) == ["d0"]
 
 
 @pytest.mark.parametrize("seed", [8, 38, 56, 59])
--- a/tests/test_datagram_bytes.py
+++ b/tests/test_datagram_bytes.py
@@ -19,18 +19,25 @@
 from locktide.cluster.fairness.ledger import FairnessConfig
 from locktide.cluster.fairness.replicated_ledger import ReplicatedLedger
 from locktide.cluster.inspection import inspect
+from locktide.cluster.inspection_client import inspect_member
 from locktide.cluster.member import ClusterMember
-from locktide.cluster.messages import LedgerRow, MemberRecord, decode, encode
+from locktide.cluster.messages import LedgerRow, MemberRecord, MemberState, decode, encode
 from locktide.cluster.quota.local_quota import QuotaSpec
-from locktide.cluster.udp_transport import inspect_member, open_udp_transport
+from locktide.cluster.udp_transport import open_udp_transport
 from locktide.simulation.cluster.processes import free_port
 
 SENDER = ("d0", 1_700_000_000_000_001)
 BALLOT, LATER = (3, "d1", 7), (2**40, "d2", 8)
 ROW = MemberRecord(
-    name="d1", generation=1_700_000_000_000_000, incarnation=2, state=3, address=("127.0.0.1", 9001)
+    name="d1",
+    generation=1_700_000_000_000_000,
+    incarnation=2,
+    state=MemberState.LEFT,
+    address=("127.0.0.1", 9001),
+)
+OTHER_ROW = MemberRecord(
+    name="d2", generation=5, incarnation=0, state=MemberState.SUSPECT, address=("10.0.0.2", 65_535)
 )
-OTHER_ROW = MemberRecord(name="d2", generation=5, incarnation=0, state=1, address=("10.0.0.2", 65_535))
 ENTRY = LedgerRow(index=65_535, version=2, in_use=[1000, 0], waiting=[500])
 
 # Each message with its whole datagram in hex: CRC-32, then [version, sender, its start, [tag, fields...]].
@@ -235,7 +242,7 @@
 def test_digests_and_sums_that_members_compare_are_the_same() -> None:
     agent = ClusterMember(terms(("127.0.0.1", 9000)), 0)
     assert agent.ledger is not None
-    assert (agent.quota_names_checksum, agent.ledger.anti_entropy.schema_checksum) == (443426513, 1457360318)
+    assert (agent.quota_names.checksum, agent.ledger.anti_entropy.schema_checksum) == (443426513, 1457360318)
     book = ReplicatedLedger()
     book.put(("d1", 7), ENTRY)
     assert book.digest == 2019037609288762282
--- a/tests/test_parsed_values.py
+++ b/tests/test_parsed_values.py
@@ -20,7 +20,7 @@
 import pytest
 
 from locktide.bench_adapter import wire
-from locktide.cluster.bootstrap import terms as accord_terms
+from locktide.cluster.bootstrap import cluster_config as accord_terms
 from locktide.cluster.config import ClusterConfig as AccordTerms
 from locktide.cluster.fairness.ledger import FairnessConfig as LedgerTerms
 from locktide.cluster.quota.local_quota import QuotaSpec
