Cluster: tests of membership and processes by condition and result; log events by name

Cause: the tests of the package lay beside all others under names of our own, and the log's event ids were no noun_verb ids.

--- a/locktide/cluster/membership/events.py
+++ b/locktide/cluster/membership/events.py
@@ -9,13 +9,13 @@
 
 
 class MembershipEventKind(StrEnum):
-    """What happened to a member; the values are parts of log events."""
+    """What happened to a member; the values are parts of the ids of log events."""
 
     ALIVE = "alive"
     SUSPECT = "suspect"
     DEAD = "dead"
     LEFT = "left"
-    SUPERSEDED = "replaced"
+    SUPERSEDED = "superseded"
 
 
 EVENT_OF_STATE = {
--- /dev/null
+++ b/tests/cluster/test_processes.py
@@ -0,0 +1,217 @@
+"""Dispatcher processes that form a cluster: faults between them, inspection, settings, quota shares."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+from helpers import Checked, HandPlayed, submission
+from helpers import terms as terms_of
+
+from locktide.cluster.config import ClusterConfig
+from locktide.cluster.messages import InspectionRequest, decode, encode
+from locktide.cluster.quota.local_quota import QuotaSpec
+from locktide.cluster.udp_transport import UdpTransport, open_udp_transport
+from locktide.config import installation
+from locktide.config.typed import ConfigErrors
+from locktide.scheduler.commands import RejectRequest
+from locktide.scheduler.events import ConfigReloaded, QuotaSharesUpdated, QuotaStage, RequestArrived
+from locktide.simulation.cluster import processes
+from locktide.simulation.cluster.processes import Processes, free_port
+from locktide.simulation.cluster.virtual_cluster import VirtualCluster
+
+REPOSITORY = Path(__file__).parents[2]
+
+
+def test_three_processes_paused_cut_killed_and_started_twice_overrun_nothing(tmp_path: Path) -> None:
+    faults = [(5.0, "pause"), (5.5, "twice"), (6.0, "cut"), (6.5, "lossy"), (7.0, "kill"), (8.0, "stop")]
+    outcome = asyncio.run(Processes(4, 3, tmp_path).play(9.0, faults))
+    assert not outcome.overruns and outcome.changes > 10 and outcome.datagrams > 100
+    assert sum(outcome.faults.values()) == len(faults)
+
+
+class ProcessesWithGreedyLeader(Processes):
+    """The leader grants the whole to each member."""
+
+    program = ("-c", ("from locktide.cluster.quota import allocator\n" "def whole(self, who, budget, held, steps, now): return self.divisible[budget]\n" "allocator.Allocator.share_for = whole\n" "from locktide.cli.main import main; main()"))
+
+
+def test_a_leader_that_grants_the_whole_to_each_is_found_by_the_checker(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(processes, "QUIET", 0.5)
+    outcome = asyncio.run(ProcessesWithGreedyLeader(4, 3, tmp_path).play(5.0, []))
+    assert outcome.overruns
+
+
+FILE = """
+[serve]
+name = "d0"
+listen = "127.0.0.1:{port}"
+roster = "127.0.0.1:9"
+[accord]
+on = true
+listen = "127.0.0.1:{udp}"
+most = 3
+[[accord.electors]]
+name = "d0"
+address = "127.0.0.1:{udp}"
+[[tenant]]
+name = "dairy"
+rate = 40.0
+[[grade]]
+name = "view"
+"""
+
+
+def test_a_single_dispatcher_can_be_inspected_and_stops_cleanly(tmp_path: Path) -> None:
+    udp, path = free_port(socket.SOCK_DGRAM), tmp_path / "here.toml"
+    path.write_text(FILE.format(port = free_port(socket.SOCK_STREAM), udp = udp))
+    command = [sys.executable, "-m", "locktide.cli.main"]
+    environment = {** os.environ, "PYTHONPATH": str(REPOSITORY)}
+    show = [* command, "accord", "show", f"127.0.0.1:{udp}"]
+
+    def run(arguments: list[str]) -> subprocess.CompletedProcess[str]:
+        return subprocess.run(arguments, env = environment, capture_output = True, text = True)
+
+    process = subprocess.Popen([* command, "serve", str(path)], stderr = subprocess.PIPE, env = environment)
+    try:
+        deadline, shown = time.monotonic() + 15.0, {"parts": {"dairy": 0}}
+        while shown["parts"]["dairy"] < 910_000 and time.monotonic() < deadline:
+            answer = run([* show, "--json"])
+            shown = json.loads(answer.stdout) if answer.returncode == 0 else shown
+        # The whole but for the floors of two that may come, and a step too small to make.
+        assert 910_000 < shown["parts"]["dairy"] <= 1_000_000 - 2 * 33_333 and shown["led_by"] == "d0"
+        printed = run(show).stdout
+        assert "dairy" in printed and "led by d0" in printed and "alive" in printed
+        second = run([* command, "serve", str(path)])
+        assert second.returncode == 1 and "listen" in second.stderr
+    finally:
+        process.terminate()
+    assert process.wait(20) == 0
+    assert run(show).returncode == 1
+
+
+def test_an_inspection_is_answered_on_loopback_only() -> None:
+    sent: list[bytes] = []
+
+    class TransportStandIn:
+        config = type("T", (), {"member_id": ("d0", 1)})
+        rejected_datagrams = 0
+        member = VirtualCluster(1, ["d0"]).begin("d0").agent
+        transport = type("S", (), {"sendto": lambda self, data, address: sent.append(data)})()
+
+        def now(self) -> int:
+            return 0
+
+    UdpTransport.answer_inspection(TransportStandIn(), InspectionRequest(1), ("10.0.0.9", 5))  # type: ignore[arg-type]
+    assert not sent
+    UdpTransport.answer_inspection(TransportStandIn(), InspectionRequest(1), ("127.0.0.1", 5))  # type: ignore[arg-type]
+    envelope = decode(sent[0])
+    assert envelope is not None and json.loads(envelope.message.text)["name"] == "d0"  # type: ignore[union-attr]
+    assert encode(("", 0), InspectionRequest(1)) != sent[0]
+
+
+@ pytest.mark.parametrize(("change", "key"), [(("most = 3", "most = 3\nreserve = 1.5"), "accord.reserve"), (("[[accord.ele", '[[accord.electors]]\nname = "d1"\naddress = "127.0.0.1:7"\n[[accord.ele'), "accord.electors: expected an odd number"), (('address = "127.0.0.1:8"', 'address = "127.0.0.1:9"'), "accord.electors[0].address"), (("rate = 40.0", "rate = 1.0"), "tenant[0].rate"), (("most = 3", "most = 0"), "accord.most"), (("most = 3", 'most = 3\nreach = "nowhere"'), "accord.reach"), (("[[grade]]", "".join(f'[[tenant]]\nname = "t{n}"\nrate = 40.0\n' for n in range(50)) + "[[grade]]"), "tenant: expected 50 at most"), (("[[grade]]", '[[accord.resource]]\nname = "slots"\neach = 4.0\n' * 2 + "[[grade]]"), "accord.resource[1].name"), (('name = "view"', 'name = "view"\nholds = {slots = 1.0}'), "grade[0].holds: expected an accord.resource"), (("most = 3", "most = 3\nlend = 1.5"), "accord.lend")])
+def test_a_faulty_accord_section_names_its_key(change: tuple[str, str], key: str) -> None:
+    text = FILE.format(port = 7, udp = 8)
+    assert installation.parse(text).accord.on
+    with pytest.raises(ConfigErrors) as found:
+        installation.parse(text.replace(* change))
+    assert key in str(found.value)
+
+
+def test_nothing_of_the_cluster_is_imported_while_it_is_off(tmp_path: Path) -> None:
+    code = ("import sys, locktide.__main__, locktide.cli.serve\n" "print([name for name in sys.modules if name.startswith('locktide.cluster')])")
+    told = subprocess.run([sys.executable, "-c", code], capture_output = True, text = True, cwd = REPOSITORY)
+    assert told.stdout.strip() == "[]"
+
+
+def checked(parts: QuotaSharesUpdated | None, after: int = 0) -> Checked:
+    made = Checked(fleet = 10)
+    if parts is not None:
+        made.turn(parts)
+    made.now += after
+    # A second of it, once what was there at the start is used up.
+    for _ in range(100):
+        made.dispatcher.shares.covers("dairy", made.now)
+    return made
+
+
+def taken(made: Checked) -> list[str]:
+    """By what a hundred submissions in four seconds are covered."""
+    found = []
+    for _ in range(100):
+        made.now += 40_000
+        found.append(made.dispatcher.shares.covers("dairy", made.now))
+    return found
+
+
+def test_the_scheduler_uses_shares_until_they_expire_and_even_ones_where_it_has_none() -> None:
+    # A rate of five a second: a tenth of it, all of it, and after its time the floor.
+    assert taken(checked(None)).count("own") == 2
+    stages = [QuotaStage(30_000_000, {"dairy": 1.0}), QuotaStage(1 << 62, {"dairy": 0.1})]
+    assert taken(checked(QuotaSharesUpdated(stages))).count("own") == 20
+    assert taken(checked(QuotaSharesUpdated(stages), after = 30_000_000)).count("own") == 2
+    lent = [QuotaStage(30_000_000, {"dairy": 0.2}, {"dairy": 0.4}), * stages[1:]]
+    found = taken(checked(QuotaSharesUpdated(lent)))
+    assert (found.count("own"), found.count("lent")) == (4, 7)
+    assert "lent" not in taken(checked(QuotaSharesUpdated(lent), after = 30_000_000))
+    over = taken(checked(QuotaSharesUpdated(stages, frozenset(["dairy"]), 20_000_000)))
+    assert set(over) == {"beyond"}
+    assert "own" in taken(checked(QuotaSharesUpdated(stages, frozenset(["dairy"]), 20_000_000), after = 20_000_000))
+
+
+def test_requests_admitted_under_a_loan_that_ends_wait_as_over_quota_or_are_rejected() -> None:
+    """Nobody is ready, so all wait; what may have run is never withdrawn for it, as nothing of it is out."""
+    lent = [QuotaStage(1 << 62, {"dairy": 0.0}, {"dairy": 1.0})]
+    made = Checked(fleet = 1)
+    made.turn(QuotaSharesUpdated(lent))
+    made.dispatcher.shares.levels["dairy"][0] = 0.0
+    made.dispatcher.shares.covers("dairy", made.now)  # from here on a loan makes tokens, it brings none
+    made.now += 1_000_000
+    for number in range(4):
+        made.turn(RequestArrived(f"s{number}", "record", made.now + 6_000_000, tenant = "dairy"))
+    pool = made.dispatcher.pool
+    before = [sub.leave_at for sub in pool]
+    assert [sub.borrower for sub in pool] == ["dairy"] * 4
+    made.turn(QuotaSharesUpdated([QuotaStage(1 << 62, {"dairy": 0.0}, {"dairy": 0.5})]))
+    assert [sub.leave_at for sub in pool] == before, "the loan is smaller, not over"
+    made.turn(QuotaSharesUpdated([QuotaStage(1 << 62, {"dairy": 0.0})]))
+    assert [sub.leave_at < early for sub, early in zip(pool, before, strict = True)] == [True] * 4
+    assert [sub.borrower for sub in pool] == [None] * 4
+    later = max(sub.leave_at for sub in pool)
+    made.now = later
+    orders = made.turn()
+    assert sum(type(order) is RejectRequest for order in orders) == 4
+
+
+def test_the_member_emits_quota_shares_and_counts_requests_as_demand() -> None:
+    async def run() -> None:
+        play = HandPlayed()
+        address = ("127.0.0.1", free_port(socket.SOCK_DGRAM))
+        quotas = [QuotaSpec("dairy", 5.0, 25.0)]
+        config = ClusterConfig(("d0", 1), address, {"d0": address}, [], quotas, 0.2, 2)
+        transport = await open_udp_transport(config, play.node.log, play.node, address)
+        request = submission("a")
+        request.tenant = "dairy"
+        play.node.submit(request)
+        assert transport.member.local_quota.demand == {"dairy": 1}
+        await play.settle()
+        updates = [event for _, events in play.turns for event in events if type(event) is QuotaSharesUpdated]
+        assert [stage.shares for stage in updates[0].stages] == [{"dairy": 0.1}] * 2
+        assert play.node.scheduler.shares.agreed is updates[- 1]
+        count = len(play.turns)
+        play.node.enqueue_event(ConfigReloaded(terms_of(3, 1, False, 0.4)))
+        await asyncio.sleep(0.01)
+        assert len(play.turns) > count
+        assert play.node.scheduler.shares.agreed.stages[- 1].shares == {"dairy": 0.1}
+        await transport.close()
+        assert play.node.observers == []
+
+    asyncio.run(run())
