--- a/locktide/cluster/reporting.py
+++ b/locktide/cluster/reporting.py
@@ -10,10 +10,11 @@
 
 LOG_KIND = "cluster"  # lines of one kind are rate-limited together
 
+
 class Log(Protocol):
     """Where log lines go; `event` and the fields say the same as the line, for programs."""
 
-    def emit(self, line: str, kind: str = "", event: str = "", ** fields: object) -> None:
+    def emit(self, line: str, kind: str = "", event: str = "", **fields: object) -> None:
         """Write a line."""
 
 
@@ -35,13 +36,22 @@
         line = f"cluster: member {record.name} at {address} is {event.kind}"
         if event.kind is MembershipEventKind.SUPERSEDED:
             line = f"cluster: a later process of our name runs at {address}; this one steps down"
-        self.log.emit(line, LOG_KIND, event = f"member_{event.kind}", member = record.name, generation = record.generation, address = address)
+        self.log.emit(
+            line,
+            LOG_KIND,
+            event=f"member_{event.kind}",
+            member=record.name,
+            generation=record.generation,
+            address=address,
+        )
 
     def report_quotas(self, now: int) -> None:
         """Log the quotas in force, and loans and fairness where these have changed."""
         parts = self.member.local_quota.shares
         shown = ", ".join(f"{name} {part / 1e4:.1f}%" for name, part in parts.items())
-        self.log.emit(f"cluster: quotas in force: {shown}", LOG_KIND, event = "quotas_changed", quotas = dict(parts))
+        self.log.emit(
+            f"cluster: quotas in force: {shown}", LOG_KIND, event="quotas_changed", quotas=dict(parts)
+        )
         self.report_loans()
         self.report_fairness()
         if self.trace is not None:
@@ -54,8 +64,10 @@
         if pairs == self.logged_loans:
             return
         self.logged_loans = pairs
-        shown = ", ".join(f"{part / 1e4:.1f}% of {lender} for {borrower}" for (lender, borrower), part in loans)
-        self.log.emit(f"cluster: borrowed {shown or 'nothing'}", LOG_KIND, event = "loans_changed", loans = pairs)
+        shown = ", ".join(
+            f"{part / 1e4:.1f}% of {lender} for {borrower}" for (lender, borrower), part in loans
+        )
+        self.log.emit(f"cluster: borrowed {shown or 'nothing'}", LOG_KIND, event="loans_changed", loans=pairs)
 
     def report_fairness(self) -> None:
         """Log which tenants hold more than their fair shares, once each time that changes."""
@@ -64,13 +76,20 @@
         self.logged_over_share = self.member.tenants_over_share
         tenants = sorted(self.logged_over_share)
         line = f"cluster: tenants over their fair share: {', '.join(tenants) or 'nobody'}"
-        self.log.emit(line, LOG_KIND, event = "fairness_changed", tenants_over_share = tenants)
+        self.log.emit(line, LOG_KIND, event="fairness_changed", tenants_over_share=tenants)
 
     def write_trace(self, trace: TextIO, now: int) -> None:
         """Write the quotas in force, and until when, as a line of JSON."""
         quota = self.member.local_quota
-        entry = {"at": now, "parts": quota.shares, "until": quota.shares_until, "floor": quota.guaranteed_minimum, "loans": [[* pair, part] for pair, part in quota.loans.items()], "loans_until": quota.loans_until}
-        print(json.dumps(entry), file = trace, flush = True)
+        entry = {
+            "at": now,
+            "parts": quota.shares,
+            "until": quota.shares_until,
+            "floor": quota.guaranteed_minimum,
+            "loans": [[*pair, part] for pair, part in quota.loans.items()],
+            "loans_until": quota.loans_until,
+        }
+        print(json.dumps(entry), file=trace, flush=True)
 
     def close(self) -> None:
         """Close the trace."""
--- a/tests/cluster/test_borrowing.py
+++ b/tests/cluster/test_borrowing.py
@@ -193,7 +193,9 @@
     )
     run_with_busy_demand(cluster, 14 * SECOND)
     borrower = next(
-        process for process in cluster.all if process.agent.local_quota.loans and process.agent.allocator is None
+        process
+        for process in cluster.all
+        if process.agent.local_quota.loans and process.agent.allocator is None
     )
     cluster.net.cut = {
         link for name in cluster.names for link in ((borrower.name, name), (name, borrower.name))
--- a/tests/cluster/test_membership.py
+++ b/tests/cluster/test_membership.py
@@ -10,7 +10,7 @@
 from locktide.cluster.membership.swim import FULL_SYNC_INTERVAL, Swim
 from locktide.cluster.membership.view import Address
 from locktide.cluster.messages import VERSION, Envelope, FullSync, MemberRecord, MemberState, Message, Ping
-from locktide.scheduler.estimators import LinearCongruentialGenerator
+from locktide.scheduler.estimators.random import LinearCongruentialGenerator
 from locktide.simulation.cluster import random_runs
 
 SEED_ADDRESS = ("10.0.0.1", 9000)
--- a/tests/cluster/test_probing.py
+++ b/tests/cluster/test_probing.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from locktide.cluster.membership.probing import ProbeOrder
-from locktide.scheduler.estimators import LinearCongruentialGenerator
+from locktide.scheduler.estimators.random import LinearCongruentialGenerator
 
 
 def test_each_round_probes_each_member_once_in_a_new_order() -> None:
--- a/tests/cluster/test_processes.py
+++ b/tests/cluster/test_processes.py
@@ -40,10 +40,20 @@
 class ProcessesWithGreedyLeader(Processes):
     """The leader grants the whole to each member."""
 
-    program = ("-c", ("from locktide.cluster.quota import allocator\n" "def whole(self, who, budget, held, steps, now): return self.divisible[budget]\n" "allocator.Allocator.share_for = whole\n" "from locktide.cli.main import main; main()"))
-
-
-def test_a_leader_that_grants_the_whole_to_each_is_found_by_the_checker(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    program = (
+        "-c",
+        (
+            "from locktide.cluster.quota import allocator\n"
+            "def whole(self, who, budget, held, steps, now): return self.divisible[budget]\n"
+            "allocator.Allocator.share_for = whole\n"
+            "from locktide.cli.main import main; main()"
+        ),
+    )
+
+
+def test_a_leader_that_grants_the_whole_to_each_is_found_by_the_checker(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     monkeypatch.setattr(processes, "QUIET", 0.5)
     outcome = asyncio.run(ProcessesWithGreedyLeader(4, 3, tmp_path).play(5.0, []))
     assert outcome.overruns
@@ -71,25 +81,25 @@
 
 def test_a_single_dispatcher_can_be_inspected_and_stops_cleanly(tmp_path: Path) -> None:
     udp, path = free_port(socket.SOCK_DGRAM), tmp_path / "here.toml"
-    path.write_text(FILE.format(port = free_port(socket.SOCK_STREAM), udp = udp))
+    path.write_text(FILE.format(port=free_port(socket.SOCK_STREAM), udp=udp))
     command = [sys.executable, "-m", "locktide.cli.main"]
-    environment = {** os.environ, "PYTHONPATH": str(REPOSITORY)}
-    show = [* command, "accord", "show", f"127.0.0.1:{udp}"]
+    environment = {**os.environ, "PYTHONPATH": str(REPOSITORY)}
+    show = [*command, "accord", "show", f"127.0.0.1:{udp}"]
 
     def run(arguments: list[str]) -> subprocess.CompletedProcess[str]:
-        return subprocess.run(arguments, env = environment, capture_output = True, text = True)
+        return subprocess.run(arguments, env=environment, capture_output=True, text=True)
 
-    process = subprocess.Popen([* command, "serve", str(path)], stderr = subprocess.PIPE, env = environment)
+    process = subprocess.Popen([*command, "serve", str(path)], stderr=subprocess.PIPE, env=environment)
     try:
         deadline, shown = time.monotonic() + 15.0, {"parts": {"dairy": 0}}
         while shown["parts"]["dairy"] < 910_000 and time.monotonic() < deadline:
-            answer = run([* show, "--json"])
+            answer = run([*show, "--json"])
             shown = json.loads(answer.stdout) if answer.returncode == 0 else shown
         # The whole but for the floors of two that may come, and a step too small to make.
         assert 910_000 < shown["parts"]["dairy"] <= 1_000_000 - 2 * 33_333 and shown["led_by"] == "d0"
         printed = run(show).stdout
         assert "dairy" in printed and "led by d0" in printed and "alive" in printed
-        second = run([* command, "serve", str(path)])
+        second = run([*command, "serve", str(path)])
         assert second.returncode == 1 and "listen" in second.stderr
     finally:
         process.terminate()
@@ -117,23 +127,55 @@
     assert encode(("", 0), InspectionRequest(1)) != sent[0]
 
 
-@ pytest.mark.parametrize(("change", "key"), [(("most = 3", "most = 3\nreserve = 1.5"), "accord.reserve"), (("[[accord.ele", '[[accord.electors]]\nname = "d1"\naddress = "127.0.0.1:7"\n[[accord.ele'), "accord.electors: expected an odd number"), (('address = "127.0.0.1:8"', 'address = "127.0.0.1:9"'), "accord.electors[0].address"), (("rate = 40.0", "rate = 1.0"), "tenant[0].rate"), (("most = 3", "most = 0"), "accord.most"), (("most = 3", 'most = 3\nreach = "nowhere"'), "accord.reach"), (("[[grade]]", "".join(f'[[tenant]]\nname = "t{n}"\nrate = 40.0\n' for n in range(50)) + "[[grade]]"), "tenant: expected 50 at most"), (("[[grade]]", '[[accord.resource]]\nname = "slots"\neach = 4.0\n' * 2 + "[[grade]]"), "accord.resource[1].name"), (('name = "view"', 'name = "view"\nholds = {slots = 1.0}'), "grade[0].holds: expected an accord.resource"), (("most = 3", "most = 3\nlend = 1.5"), "accord.lend")])
+@pytest.mark.parametrize(
+    ("change", "key"),
+    [
+        (("most = 3", "most = 3\nreserve = 1.5"), "accord.reserve"),
+        (
+            ("[[accord.ele", '[[accord.electors]]\nname = "d1"\naddress = "127.0.0.1:7"\n[[accord.ele'),
+            "accord.electors: expected an odd number",
+        ),
+        (('address = "127.0.0.1:8"', 'address = "127.0.0.1:9"'), "accord.electors[0].address"),
+        (("rate = 40.0", "rate = 1.0"), "tenant[0].rate"),
+        (("most = 3", "most = 0"), "accord.most"),
+        (("most = 3", 'most = 3\nreach = "nowhere"'), "accord.reach"),
+        (
+            (
+                "[[grade]]",
+                "".join(f'[[tenant]]\nname = "t{n}"\nrate = 40.0\n' for n in range(50)) + "[[grade]]",
+            ),
+            "tenant: expected 50 at most",
+        ),
+        (
+            ("[[grade]]", '[[accord.resource]]\nname = "slots"\neach = 4.0\n' * 2 + "[[grade]]"),
+            "accord.resource[1].name",
+        ),
+        (
+            ('name = "view"', 'name = "view"\nholds = {slots = 1.0}'),
+            "grade[0].holds: expected an accord.resource",
+        ),
+        (("most = 3", "most = 3\nlend = 1.5"), "accord.lend"),
+    ],
+)
 def test_a_faulty_accord_section_names_its_key(change: tuple[str, str], key: str) -> None:
-    text = FILE.format(port = 7, udp = 8)
+    text = FILE.format(port=7, udp=8)
     assert installation.parse(text).accord.on
     with pytest.raises(ConfigErrors) as found:
-        installation.parse(text.replace(* change))
+        installation.parse(text.replace(*change))
     assert key in str(found.value)
 
 
 def test_nothing_of_the_cluster_is_imported_while_it_is_off(tmp_path: Path) -> None:
-    code = ("import sys, locktide.__main__, locktide.cli.serve\n" "print([name for name in sys.modules if name.startswith('locktide.cluster')])")
-    told = subprocess.run([sys.executable, "-c", code], capture_output = True, text = True, cwd = REPOSITORY)
+    code = (
+        "import sys, locktide.__main__, locktide.cli.serve\n"
+        "print([name for name in sys.modules if name.startswith('locktide.cluster')])"
+    )
+    told = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, cwd=REPOSITORY)
     assert told.stdout.strip() == "[]"
 
 
 def checked(parts: QuotaSharesUpdated | None, after: int = 0) -> Checked:
-    made = Checked(fleet = 10)
+    made = Checked(fleet=10)
     if parts is not None:
         made.turn(parts)
     made.now += after
@@ -157,33 +199,35 @@
     assert taken(checked(None)).count("own") == 2
     stages = [QuotaStage(30_000_000, {"dairy": 1.0}), QuotaStage(1 << 62, {"dairy": 0.1})]
     assert taken(checked(QuotaSharesUpdated(stages))).count("own") == 20
-    assert taken(checked(QuotaSharesUpdated(stages), after = 30_000_000)).count("own") == 2
-    lent = [QuotaStage(30_000_000, {"dairy": 0.2}, {"dairy": 0.4}), * stages[1:]]
+    assert taken(checked(QuotaSharesUpdated(stages), after=30_000_000)).count("own") == 2
+    lent = [QuotaStage(30_000_000, {"dairy": 0.2}, {"dairy": 0.4}), *stages[1:]]
     found = taken(checked(QuotaSharesUpdated(lent)))
     assert (found.count("own"), found.count("lent")) == (4, 7)
-    assert "lent" not in taken(checked(QuotaSharesUpdated(lent), after = 30_000_000))
+    assert "lent" not in taken(checked(QuotaSharesUpdated(lent), after=30_000_000))
     over = taken(checked(QuotaSharesUpdated(stages, frozenset(["dairy"]), 20_000_000)))
     assert set(over) == {"beyond"}
-    assert "own" in taken(checked(QuotaSharesUpdated(stages, frozenset(["dairy"]), 20_000_000), after = 20_000_000))
+    assert "own" in taken(
+        checked(QuotaSharesUpdated(stages, frozenset(["dairy"]), 20_000_000), after=20_000_000)
+    )
 
 
 def test_requests_admitted_under_a_loan_that_ends_wait_as_over_quota_or_are_rejected() -> None:
     """Nobody is ready, so all wait; what may have run is never withdrawn for it, as nothing of it is out."""
     lent = [QuotaStage(1 << 62, {"dairy": 0.0}, {"dairy": 1.0})]
-    made = Checked(fleet = 1)
+    made = Checked(fleet=1)
     made.turn(QuotaSharesUpdated(lent))
     made.dispatcher.shares.levels["dairy"][0] = 0.0
     made.dispatcher.shares.covers("dairy", made.now)  # from here on a loan makes tokens, it brings none
     made.now += 1_000_000
     for number in range(4):
-        made.turn(RequestArrived(f"s{number}", "record", made.now + 6_000_000, tenant = "dairy"))
+        made.turn(RequestArrived(f"s{number}", "record", made.now + 6_000_000, tenant="dairy"))
     pool = made.dispatcher.pool
     before = [sub.leave_at for sub in pool]
     assert [sub.borrower for sub in pool] == ["dairy"] * 4
     made.turn(QuotaSharesUpdated([QuotaStage(1 << 62, {"dairy": 0.0}, {"dairy": 0.5})]))
     assert [sub.leave_at for sub in pool] == before, "the loan is smaller, not over"
     made.turn(QuotaSharesUpdated([QuotaStage(1 << 62, {"dairy": 0.0})]))
-    assert [sub.leave_at < early for sub, early in zip(pool, before, strict = True)] == [True] * 4
+    assert [sub.leave_at < early for sub, early in zip(pool, before, strict=True)] == [True] * 4
     assert [sub.borrower for sub in pool] == [None] * 4
     later = max(sub.leave_at for sub in pool)
     made.now = later
@@ -205,12 +249,12 @@
         await play.settle()
         updates = [event for _, events in play.turns for event in events if type(event) is QuotaSharesUpdated]
         assert [stage.shares for stage in updates[0].stages] == [{"dairy": 0.1}] * 2
-        assert play.node.scheduler.shares.agreed is updates[- 1]
+        assert play.node.scheduler.shares.agreed is updates[-1]
         count = len(play.turns)
         play.node.enqueue_event(ConfigReloaded(terms_of(3, 1, False, 0.4)))
         await asyncio.sleep(0.01)
         assert len(play.turns) > count
-        assert play.node.scheduler.shares.agreed.stages[- 1].shares == {"dairy": 0.1}
+        assert play.node.scheduler.shares.agreed.stages[-1].shares == {"dairy": 0.1}
         await transport.close()
         assert play.node.observers == []
 
--- a/tests/cluster/test_reporting.py
+++ b/tests/cluster/test_reporting.py
@@ -73,4 +73,4 @@
     Reporter(member, RecordingLog(), trace).report_quotas(5)
     entry = json.loads(trace.getvalue())
     assert list(entry) == ["at", "parts", "until", "floor", "loans", "loans_until"]
-    assert (entry["at"], entry["parts"]) == (5, member.local_quota.parts)
+    assert (entry["at"], entry["parts"]) == (5, member.local_quota.shares)
--- /dev/null
+++ b/tests/cluster_helpers.py
@@ -0,0 +1,27 @@
+"""What tests of the cluster share."""
+
+from __future__ import annotations
+
+from hypothesis import strategies as st
+
+from locktide.cluster.messages import MemberRecord, MemberState
+from locktide.simulation.cluster.virtual_cluster import VirtualCluster
+
+SECOND = 1_000_000  # microseconds
+MEMBER_RECORDS = st.builds(
+    MemberRecord,
+    st.text(max_size=20),
+    st.integers(0, 2**53),
+    st.integers(0, 99),
+    st.sampled_from(MemberState),
+    st.tuples(st.text(max_size=20), st.integers(0, 65535)),
+)
+
+
+def settled_cluster(seed: int = 3, members: int = 5, seconds: int = 8) -> VirtualCluster:
+    """A cluster in virtual time, once it has elected a leader and divided its quotas."""
+    cluster = VirtualCluster(seed, [f"d{number}" for number in range(members)], 3 if members < 5 else 5)
+    for name in cluster.names:
+        cluster.begin(name)
+    cluster.run(seconds * SECOND)
+    return cluster
