--- a/locktide/transport/descriptor_budget.py
+++ b/locktide/transport/descriptor_budget.py
@@ -14,13 +14,13 @@
 READ_ROUNDS = 6
 
 
-async def read_first() -> None:
+async def run_pending_reads() -> None:
     """Lets all be read that has come by now: the call to close takes a shorter way than bytes do."""
     for _ in range(READ_ROUNDS):
         await asyncio.sleep(0)
 
 
-def divide(descriptors: int) -> tuple[DescriptorBudget, DescriptorBudget]:
+def split_descriptors(descriptors: int) -> tuple[DescriptorBudget, DescriptorBudget]:
     """Divides a process's descriptors into the budget of clients and that of workers.
 
     A worker connection serves one attempt after another, a client's is held for as long as the request runs:
@@ -105,7 +105,7 @@
         """Closes an idle connection for each that waits."""
         try:
             # Guards against closing one in the turn in which its message comes.
-            await read_first()
+            await run_pending_reads()
             wanted = sum(not place.done() for place in self.waiting) - len(self.evicted)
             for _ in range(wanted):
                 if candidates := self.idle_unproven or self.idle_proven:
--- a/locktide/transport/listener.py
+++ b/locktide/transport/listener.py
@@ -8,7 +8,7 @@
 from locktide.config.start import Address
 from locktide.transport.client_connection import ClientConnection, PeerRole
 from locktide.transport.client_session import LINGER_TIMEOUT, ClientSession
-from locktide.transport.descriptor_budget import DescriptorBudget, read_first
+from locktide.transport.descriptor_budget import DescriptorBudget, run_pending_reads
 from locktide.transport.log import Log
 from locktide.transport.request_handler import RequestHandler
 from locktide.transport.streams import SharedBufferProtocol
@@ -130,7 +130,7 @@
         our loop than bytes do. Seen on loopback, three and four lost at once some 100 ms after SIGTERM.
         """
         self.stopping = True
-        await read_first()
+        await run_pending_reads()
         for connection in self.connections:
             if connection.is_idle and connection.peer is not PeerRole.WORKER:
                 connection.half_close(LINGER_TIMEOUT)
--- /dev/null
+++ b/tests/protocol/test_client_connection.py
@@ -0,0 +1,42 @@
+"""Responses of workers, fed to the client side in random pieces."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from helpers import TAKEN
+
+from locktide.protocol.client_connection import ClientHttpConnection, UpstreamRequest
+from locktide.protocol.errors import ProtocolError
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_responses_fed_in_any_pieces_are_read_as_sent(seed: int) -> None:
+    generator, http = random.Random(seed), ClientHttpConnection("w:1")
+    for body in (b"", b"abc", b"x" * 5000):
+        request = b"".join(http.encode_request(UpstreamRequest("POST", "/view", [], b"job")))
+        assert request.endswith(b"\r\n\r\njob") and not http.is_idle
+        data = b"HTTP/1.1 100 Continue\r\n\r\n" + TAKEN % len(body) + body
+        response = None
+        while data:
+            assert response is None
+            size = generator.randint(1, 60)
+            response, data = http.feed(data[:size]), data[size:]
+        assert response is not None and (response.status, response.body) == (202, body) and http.is_idle
+
+
+@pytest.mark.parametrize("data", [b"", b"nonsense\r\n\r\n", TAKEN % 9 + b"half"])
+def test_response_that_breaks_off_is_a_protocol_error(data: bytes) -> None:
+    http = ClientHttpConnection("w:1")
+    http.encode_request(UpstreamRequest("GET", "/", []))
+    with pytest.raises(ProtocolError):
+        http.feed(data)
+        http.feed(b"")
+
+
+def test_connection_that_the_worker_closes_is_not_idle() -> None:
+    http = ClientHttpConnection("w:1")
+    http.encode_request(UpstreamRequest("GET", "/", []))
+    response = http.feed(b"HTTP/1.1 202 Accepted\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+    assert response is not None and not http.is_idle
--- /dev/null
+++ b/tests/protocol/test_discovery.py
@@ -0,0 +1,83 @@
+"""Endpoint lists as discovery sends them, well-formed and malformed."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import Any
+
+import pytest
+from endpoint_lists import list_body, list_entry
+from helpers import HandPlayed
+
+from locktide.config.checks import ConfigError
+from locktide.protocol import discovery
+from locktide.scheduler.events import EndpointEntry
+from locktide.scheduler.types import EndpointState
+
+ENTRY = {
+    "uid": "s-1",
+    "endpoint": "127.0.0.1:7070",
+    "az": "a",
+    "model": "m",
+    "pod_group": 3,
+    "state": "active",
+    "capacity_hint": 1.5,
+    "boot_ms": 1796122933760,
+}
+
+
+def test_list_is_read_with_start_times_in_microseconds_of_unix_time() -> None:
+    update = discovery.parse(json.dumps({"rev": 4, "all": False, "targets": [ENTRY]}).encode())
+    assert update.entries == [EndpointEntry("s-1", "a", "m", 3, EndpointState.READY, 1.5, 1796122933760000)]
+    assert (update.version, update.is_snapshot, update.addresses) == (4, False, {"s-1": ("127.0.0.1", 7070)})
+    assert discovery.list_request(4, 1000).target == "/registry/instances?after=4&wait_ms=1000"
+
+
+@pytest.mark.parametrize(
+    ("faulty", "message"),
+    [
+        ([list_entry("w0", state="warming")], "list.targets[0].state: expected one of"),
+        ([list_entry("w0", endpoint="nowhere")], "list.targets[0].endpoint: expected HOST:PORT"),
+        ([list_entry("w0", boot_ms=10**400)], "list.targets[0].boot_ms: expected a number"),
+        ([list_entry("w0"), list_entry("w0", state="leaving")], "list.targets[1].uid: 'w0' is told twice"),
+        ([list_entry("w0"), list_entry("w0"), list_entry("w0")], "list.targets[1].uid: 'w0' is told twice"),
+        (["w0", list_entry("w0", state="leaving")], "list.targets[0]: expected an object"),
+    ],
+)
+def test_unreadable_entry_costs_its_worker_alone(faulty: list[Any], message: str) -> None:
+    """One entry with a new name for a state would have kept out all drains that were announced after it."""
+
+    async def run() -> None:
+        play = HandPlayed()
+        others = [list_entry("w1"), list_entry("w3"), list_entry("w4"), list_entry("w2", state="leaving")]
+        update = discovery.parse(list_body(*faulty, *others))
+        assert update.faults[0].startswith(message)
+        play.node.apply_endpoint_list(update)
+        accepting = [number for number in range(5) if play.node.endpoints.accepts_requests(f"w{number}")]
+        assert accepting == [1, 3, 4]
+        play.node.apply_endpoint_list(discovery.parse(list_body(list_entry("w0"), version=4)))
+        assert play.node.endpoints.accepts_requests("w0")  # once it is listed properly
+
+    asyncio.run(run())
+
+
+def test_strict_list_with_a_malformed_entry_is_refused_with_the_key_named() -> None:
+    with pytest.raises(ConfigError, match=r"known\.targets\[0\]\.state: expected one of"):
+        discovery.read({"rev": 1, "all": True, "targets": [{**ENTRY, "state": "odd"}]}, "known")
+
+
+def test_mostly_unreadable_list_is_refused_and_an_unknown_worker_is_not_added() -> None:
+    with pytest.raises(ConfigError, match="expected one of"):
+        discovery.parse(
+            list_body(list_entry("w0", state="odd"), list_entry("w1", state="odd"), list_entry("w2"))
+        )
+    update = discovery.parse(list_body(list_entry("new", state="odd"), list_entry("w1")))
+    assert [entry.worker for entry in update.entries] == ["w1"] and update.unreadable == ["new"]
+
+    async def run() -> None:
+        play = HandPlayed()
+        play.node.apply_endpoint_list(update)
+        assert "new" not in play.node.endpoints.entries
+
+    asyncio.run(run())
--- /dev/null
+++ b/tests/protocol/test_server_connection.py
@@ -0,0 +1,188 @@
+"""Messages of clients and workers, fed to the server side in random pieces."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from helpers import call, post, submit
+
+from locktide.protocol import worker_messages
+from locktide.protocol.client_connection import ClientHttpConnection
+from locktide.protocol.messages import BadRequest, Callback, Message, SubmitRequest
+from locktide.protocol.server_connection import ServerHttpConnection
+from locktide.scheduler.types import AttemptOutcome
+
+TIMEOUTS, KEYED_CLASSES = {"view": 6_000_000, "record": 6_000_000}, ("record",)
+
+
+def exchange_messages(
+    data: bytes, generator: random.Random | None = None, http: ServerHttpConnection | None = None
+) -> tuple[list[Message], bytes]:
+    """Feeds data in random pieces and answers each message; returns the messages and what was written."""
+    http = http or ServerHttpConnection(TIMEOUTS, KEYED_CLASSES)
+    found: list[Message] = []
+    written = b""
+    while not http.is_final:
+        message = http.next_message()
+        if message is not None:
+            found.append(message)
+            status = message.status if isinstance(message, BadRequest) else 200
+            written += b"".join(http.encode_response(status, b"so\n", [], False))
+        elif data:
+            size = generator.randint(1, 40) if generator else len(data)
+            http.feed(data[:size])
+            data = data[size:]
+        else:
+            break
+    return found, written
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_messages_fed_in_any_pieces_are_read_as_sent(seed: int) -> None:
+    generator = random.Random(seed)
+    bodies = [bytes(generator.choices(range(256), k=generator.choice([0, 1, 700]))) for _ in range(6)]
+    found: list[Message] = []
+    http = ServerHttpConnection(TIMEOUTS, KEYED_CLASSES)
+    for number, body in enumerate(bodies):
+        for whole in (
+            submit(
+                f"/record?obj={number}",
+                body,
+                Req_Id=f"id{number}",
+                Idempotency_Key=f"k{number}",
+                Req_Extra="memory=3,slots=2",
+                Req_Retry="1",
+                X_Note="caf\xe9",
+            ),
+            call(id=f"id{number}", **{"from": "w"}, state="running", share=0.25),
+        ):
+            messages, written = exchange_messages(whole, generator, http)
+            found += messages
+            assert written.count(b"HTTP/1.1 200") == 1
+    assert len(found) == 12
+    for number, body in enumerate(bodies):
+        submission = found[2 * number]
+        assert isinstance(submission, SubmitRequest)
+        assert (submission.id, submission.service_class, submission.target) == (
+            f"id{number}",
+            "record",
+            f"/record?obj={number}",
+        )
+        assert (submission.body, submission.width, submission.is_retry, submission.timeout) == (
+            body,
+            2.0,
+            True,
+            480_000,
+        )
+        upstream_request = worker_messages.job(submission, 1234)
+        onward = dict(upstream_request.headers)
+        assert onward[b"Idempotency-Key"] == b"k%d" % number and onward[b"X-Note"] == b"caf\xe9"
+        assert onward[b"Req-Deadline"] == b"1234u" and b"Host" not in onward
+        assert found[2 * number + 1] == Callback(f"id{number}", "w", "running", 0.25, None, b"")
+        # What we write to the worker is a message that reads the same on the other side.
+        again, _ = exchange_messages(
+            b"".join(ClientHttpConnection("w:1").encode_request(upstream_request)), generator
+        )
+        assert isinstance(again[0], SubmitRequest)
+        assert (again[0].id, again[0].target, again[0].body) == (submission.id, submission.target, body)
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_noise_is_rejected_with_a_4xx(seed: int) -> None:
+    generator = random.Random(seed)
+    whole = bytearray(submit(body=b"x" * 30) + call(id="a", **{"from": "w"}, state="done", result="r"))
+    for _ in range(generator.randint(1, 12)):
+        whole[generator.randrange(len(whole))] = generator.randrange(256)
+    for message in exchange_messages(bytes(whole), generator)[0]:
+        if isinstance(message, BadRequest):
+            assert 400 <= message.status < 500 and message.status != 429
+
+
+@pytest.mark.parametrize(
+    "data, status",
+    [
+        (b"what is this\r\n\r\n", 400),
+        (b"GET /view HTTP/1.1\r\n\r\n", 400),
+        (b"GET /health/ready HTTP/1.1\r\nHost: us\r\n" + b"X: " + b"y" * 70_000, 431),
+        (submit("/nowhere"), 404),
+        (post("/"), 404),
+        (submit().replace(b"POST", b"GET", 1), 405),
+        (submit("/health/ready"), 405),
+        (call(id="a").replace(b"POST", b"PUT", 1), 405),
+        (post("/view", Req_Deadline="480m"), 400),
+        (post("/view", Req_Id="a1"), 400),
+        (submit(Req_Deadline="soon"), 400),
+        (submit(Req_Deadline="480"), 400),
+        (submit(Req_Kind="record"), 400),
+        (submit("/record"), 400),
+        (submit(Req_Extra="slots=none"), 400),
+        (submit(Req_Extra="slots=0"), 400),
+        (submit(Req_Extra="slots=99999"), 400),
+        (submit(Req_Extra="slots=1,slots=2"), 400),
+        (submit(Req_Deadline="0m"), 400),
+        (submit(Req_Deadline="-5m"), 400),
+        (submit(Req_Deadline="999999999999m"), 400),
+        (submit(Req_Id="a b"), 400),
+        (submit().replace(b"\r\n\r\n", b"\r\nReq-Id: a2\r\n\r\n"), 400),
+        (submit().replace(b"Req-Kind: view\r\n", b""), 400),
+        (submit() + submit(Req_Id="hidden"), 400),
+        (submit("/vie%77", Req_Kind="view"), 404),
+        (submit(body=b"x" * 65_537), 413),
+        (
+            submit().replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+            + b"10000\r\n"
+            + b"x" * 65_536
+            + b"\r\n1\r\nx\r\n0\r\n\r\n",
+            413,
+        ),
+        (submit().replace(b"Content-Length: 0", b"Transfer-Encoding: gzip"), 400),
+        (submit(Transfer_Encoding="chunked") + b"0\r\n\r\n" + submit(Req_Id="hidden"), 400),
+        (
+            submit().replace(b"Content-Length: 0", b"Transfer-Encoding: chunked").replace(b"/1.1", b"/1.0", 1)
+            + b"0\r\n\r\n",
+            400,
+        ),
+        (post("/callback", b"{"), 400),
+        (post("/callback", b"[1]"), 400),
+        (call(id="a", **{"from": "w"}, state="asleep"), 400),
+        (call(id="a", **{"from": "w"}, state="running", share=None), 400),
+        (call(id="a", **{"from": "w"}, state="done"), 400),
+        (call(id=7, **{"from": "w"}, state="lost"), 400),
+    ],
+)
+def test_bad_request_is_rejected_with_its_4xx(data: bytes, status: int) -> None:
+    found, written = exchange_messages(data)
+    assert isinstance(found[0], BadRequest) and found[0].status == status
+    assert written.startswith(b"HTTP/1.1 %d " % status)
+    assert not any(isinstance(message, SubmitRequest) for message in found)
+
+
+def test_body_of_64_kib_is_accepted() -> None:
+    found, _ = exchange_messages(submit(body=b"x" * 65_536))
+    assert isinstance(found[0], SubmitRequest) and len(found[0].body) == 65_536
+
+
+def test_final_callback_states_end_an_attempt_with_their_outcome() -> None:
+    ends = [
+        ("done", AttemptOutcome.DONE),
+        ("failed", AttemptOutcome.ERROR),
+        ("returned", AttemptOutcome.FULL),
+        ("lost", AttemptOutcome.RESET),
+    ]
+    for state, outcome in ends:
+        found, _ = exchange_messages(call(id="a", **{"from": "w"}, state=state, result="r\u00e9\n"))
+        result = "r\u00e9\n".encode() if state == "done" else b""
+        assert found == [Callback("a", "w", state, 0.0, outcome, result)]
+
+
+@pytest.mark.parametrize("share", ["NaN", "-3", "1e999", "1" + 400 * "0", '"half"', "null", "{}"])
+def test_progress_out_of_range_is_clamped_or_rejected(share: str) -> None:
+    http = ServerHttpConnection({"view": 3_000_000}, [])
+    callback = f'{{"id": "a", "from": "w0", "state": "running", "share": {share}}}'
+    http.feed(post("/callback", callback.encode()))
+    message = http.next_message()
+    if isinstance(message, Callback):
+        assert 0.0 <= message.fraction_done <= 1.0
+    else:
+        assert isinstance(message, BadRequest) and message.status == 400
--- /dev/null
+++ b/tests/transport/test_endpoint_watch.py
@@ -0,0 +1,141 @@
+"""The watch on the endpoint list, with scripted agents on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+
+import pytest
+from endpoint_lists import list_body, list_entry
+from helpers import HandPlayed, free_address, terms
+
+from locktide.config import start
+from locktide.protocol import names
+from locktide.protocol.discovery import DiscoveryUpdate
+from locktide.transport import endpoint_watch as watch_module
+from locktide.transport.endpoint_watch import EndpointWatch
+from locktide.transport.log import Log
+
+
+def http_response(body: bytes) -> bytes:
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+
+
+def test_silent_discovery_is_called_anew(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(watch_module, "WAIT_MS", 20)
+    monkeypatch.setattr(watch_module, "ANSWER_TIMEOUT", 0.1)
+    targets: list[str] = []
+
+    async def agent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while head := await reader.readline():
+            if head.startswith(b"GET"):
+                targets.append(head.split()[1].decode())
+            if head == b"\r\n" and len(targets) != 2:  # the second call meets silence
+                body = json.dumps(
+                    {"rev": 40 + len(targets), "all": len(targets) == 1, "targets": []}
+                ).encode()
+                writer.write(http_response(body))
+        writer.close()
+
+    async def run() -> None:
+        listening = await asyncio.start_server(agent, "127.0.0.1", 0)
+        updates: list[DiscoveryUpdate] = []
+        watch = EndpointWatch(listening.sockets[0].getsockname(), updates.append, Log("n0"))
+        task = asyncio.create_task(watch.run())
+        while len(targets) < 4:
+            await asyncio.sleep(0.005)
+        task.cancel()
+        assert [update.version for update in updates] == [41, 43]  # what brings nothing only after a failure
+        wait = "&wait_ms=20"
+        assert targets[:4] == [
+            names.INSTANCES,
+            names.INSTANCES + "?after=41" + wait,
+            names.INSTANCES + "?after=41&wait_ms=0",
+            names.INSTANCES + "?after=43" + wait,
+        ]
+        listening.close()
+
+    asyncio.run(run())
+
+
+def test_malformed_lists_change_nothing_and_the_next_good_one_is_applied(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(watch_module, "RETRY_DELAY", 0.002)
+    good = http_response(list_body(list_entry("w5")))
+    answers = [
+        good[:-9],
+        http_response(b'{"rev": 3'),
+        http_response(b"[]"),
+        http_response(b"[" * 100_000),
+        http_response(list_body(list_entry("w0", state=7))),
+        b"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n",
+        b"what is this\r\n\r\n",
+        b"",
+        good,
+    ]
+    calls = 0
+
+    async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        nonlocal calls
+        await reader.readuntil(b"\r\n\r\n")
+        calls += 1
+        writer.write(answers[calls - 1])
+        if calls < len(answers):
+            writer.close()  # the good one is followed by silence
+
+    async def run() -> None:
+        play = HandPlayed()
+        listening = await asyncio.start_server(script, "127.0.0.1", 0)
+        play.node.discovery = listening.sockets[0].getsockname()
+        play.node.watch(play.node.follow())
+        while "w5" not in play.node.endpoints.entries:
+            assert play.node.endpoints.accepts_requests("w0")
+            await asyncio.sleep(0.001)
+        assert calls == len(answers) and not play.node.endpoints.accepts_requests("w0")
+        assert [line for line in play.lines_logged if "no answer" in line] != []
+        assert play.node.watching is not None
+        play.node.watching.cancel()
+        listening.close()
+
+    asyncio.run(run())
+
+
+def test_two_reloads_during_a_call_leave_one_watch_and_no_connection() -> None:
+    ended: list[bytes] = []
+    calls: list[Callable[[], None]] = []
+
+    async def silent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        calls.append(writer.close)
+        ended.append(await reader.read())
+
+    async def answering(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(http_response(list_body(list_entry("w5"))))
+        await reader.read()
+
+    async def run() -> None:
+        play = HandPlayed()
+        old = await asyncio.start_server(silent, "127.0.0.1", 0)
+        new = await asyncio.start_server(answering, "127.0.0.1", 0)
+        play.node.discovery = old.sockets[0].getsockname()
+        play.node.watch(play.node.follow())
+        while not calls:
+            await asyncio.sleep(0.001)
+        here = new.sockets[0].getsockname()
+        changed = start.Start(
+            "n0", free_address(), here, 7, 100, 80 << 20, {}, 250_000, 30_000_000, terms(3, 1, False, 0.4)
+        )
+        play.node.reload(changed)
+        play.node.reload(changed)
+        while "w5" not in play.node.endpoints.entries or not ended:
+            await asyncio.sleep(0.001)
+        assert len(calls) == 1 and sum("reload" in line for line in play.lines_logged) == 2
+        assert play.node.watching is not None
+        play.node.watching.cancel()
+        old.close()
+        new.close()
+
+    asyncio.run(run())
--- /dev/null
+++ b/tests/transport/test_listener.py
@@ -0,0 +1,227 @@
+"""The listener and the connections that it accepts, on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import Any
+
+import pytest
+from helpers import GRADES, Clerk, call, free_address, submit
+
+from locktide.transport.client_connection import ConnectionState, PeerRole
+from locktide.transport.descriptor_budget import DescriptorBudget
+from locktide.transport.listener import Listener
+from locktide.transport.log import Log
+
+
+async def start_listener(handler: Clerk, places: int = 64) -> tuple[Listener, Any]:
+    timeouts = {grade.name: grade.timeout for grade in GRADES}
+    listener = Listener(DescriptorBudget(places), dict(timeouts), set(), 200_000, handler, Log("n0"))
+    address = free_address()
+    listener.listen(address)
+    return listener, address
+
+
+def test_closed_client_is_disconnected_and_half_a_message_is_a_408(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("locktide.transport.client_connection.MESSAGE_TIMEOUT", 0.02)
+
+    async def run() -> None:
+        handler = Clerk()
+        listener, address = await start_listener(handler)
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(submit(Req_Id="a", Req_Deadline="9000m"))
+        await handler.until(1)
+        writer.close()
+        while not handler.left:
+            await asyncio.sleep(0.001)
+        assert handler.left == ["a"]
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(submit(Req_Id="b", Req_Deadline="9000m")[:30])
+        assert (await reader.read()).startswith(b"HTTP/1.1 408 ")
+        writer.close()
+        await listener.stop()
+        assert listener.descriptors.used == 0
+
+    asyncio.run(run())
+
+
+async def open_proven(address: Any) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Returns an idle connection whose peer has shown that it is a worker."""
+    reader, writer = await asyncio.open_connection(*address)
+    writer.write(call(id="s0", state="started", **{"from": "w"}))
+    assert (await reader.readline()).startswith(b"HTTP/1.1 204 ")
+    await reader.readline()
+    return reader, writer
+
+
+def test_silent_or_dripping_newcomer_is_closed_and_a_proven_connection_is_not(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("locktide.transport.client_connection.MESSAGE_TIMEOUT", 0.1)
+
+    async def run() -> None:
+        listener, address = await start_listener(Clerk())
+        proven_reader, proven = await open_proven(address)
+        silent, silent_writer = await asyncio.open_connection(*address)
+        dripping, drip = await asyncio.open_connection(*address)
+        for byte in submit():
+            drip.write(bytes([byte]))
+            await asyncio.sleep(0.01)
+            if dripping.at_eof():
+                break
+        assert (await dripping.read()).startswith(b"HTTP/1.1 408 ")
+        assert await silent.read() == b""
+        proven.write(b"GET /health/ready HTTP/1.1\r\nHost: us\r\n\r\n")
+        assert (await proven_reader.readline()).startswith(b"HTTP/1.1 200 ")
+        for writer in (proven, silent_writer, drip):
+            writer.close()
+        await listener.stop()
+        assert listener.descriptors.used == listener.stored_bytes == 0
+
+    asyncio.run(run())
+
+
+def test_flood_of_newcomers_displaces_only_newcomers() -> None:
+    async def run() -> None:
+        listener, address = await start_listener(Clerk(), places=8)
+        reader, writer = await open_proven(address)
+        flood = [await asyncio.open_connection(*address) for _ in range(30)]
+        for silent, _ in flood[:22]:
+            assert await silent.read() == b""
+        writer.write(b"GET /health/ready HTTP/1.1\r\nHost: us\r\n\r\n")
+        assert (await reader.readline()).startswith(b"HTTP/1.1 200 ")
+        for flood_writer in [writer, *(flooding for _, flooding in flood)]:
+            flood_writer.close()
+        await listener.stop()
+
+    asyncio.run(run())
+
+
+def test_early_response_outlives_a_large_body_and_nothing_of_it_is_stored() -> None:
+    async def run() -> None:
+        listener, address = await start_listener(Clerk())
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(submit()[:-4].replace(b"Length: 0", b"Length: 60000000") + b"\r\n\r\n")
+        for _ in range(300):
+            writer.write(b"x" * 200_000)
+            await writer.drain()
+            connection = next(iter(listener.connections))
+            assert listener.stored_bytes < 200_000 and len(connection.protocol.reader._buffer) < 100_000  # type: ignore
+        writer.write_eof()
+        assert (await reader.read()).startswith(b"HTTP/1.1 413 ")
+        writer.close()
+        await listener.stop()
+
+    asyncio.run(run())
+
+
+def test_incomplete_messages_beyond_the_memory_limit_are_rejected() -> None:
+    async def run() -> None:
+        listener, address = await start_listener(Clerk())
+        found = []
+        for number in range(6):
+            reader, writer = await asyncio.open_connection(*address)
+            found.append((reader, writer))
+            writer.write(submit(body=b"x" * 60_000)[:-1])
+            while number < 3 and listener.stored_bytes < (number + 1) * 50_000:
+                await asyncio.sleep(0.001)
+        assert (await found[5][0].readline()).startswith(b"HTTP/1.1 500 ")
+        assert listener.stored_bytes <= 200_000
+        for _, writer in found:
+            writer.close()
+        await listener.stop()
+
+    asyncio.run(run())
+
+
+def test_bytes_before_the_response_end_the_request_with_400() -> None:
+    async def run() -> None:
+        handler = Clerk()
+        listener, address = await start_listener(handler)
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(submit(Req_Id="a", Req_Deadline="9000m"))
+        await handler.until(1)
+        writer.write(b"the rest of a body whose length was wrong")
+        assert (await reader.read()).startswith(b"HTTP/1.1 400 ") and handler.left == ["a"]
+        writer.close()
+        await listener.stop()
+
+    asyncio.run(run())
+
+
+def test_waiting_clients_leave_room_for_callbacks() -> None:
+    async def run() -> None:
+        handler = Clerk()
+        listener, address = await start_listener(handler, places=8)
+        writers = []
+        for number in range(8):
+            reader, writer = await asyncio.open_connection(*address)
+            writers.append(writer)
+            if number < 7:
+                writer.write(submit(Req_Id=f"s{number}", Req_Deadline="9000m"))
+        await handler.until(7)
+        # One more fails and is not shed: that is for the scheduler to do.
+        writers[-1].write(submit(Req_Id="one-more", Req_Deadline="9000m"))
+        assert (await reader.readline()).startswith(b"HTTP/1.1 500 ")
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(call(id="s0", state="started", **{"from": "w"}))
+        assert (await reader.readline()).startswith(b"HTTP/1.1 204 ")
+        for open_writer in [*writers, writer]:
+            open_writer.close()
+        await listener.stop()
+
+    asyncio.run(run())
+
+
+def test_wind_down_ends_idle_connections_and_not_those_just_opened() -> None:
+    async def run() -> None:
+        handler = Clerk()
+        listener = Listener(DescriptorBudget(20), {"view": 3_000_000}, set(), 1 << 20, handler, Log("n0"))
+        address = free_address()
+        listener.listen(address)
+        kept_reader, kept = await asyncio.open_connection(*address)
+        kept.write(b"GET /health/live HTTP/1.1\r\nHost: us\r\n\r\n")
+        await kept_reader.readuntil(b"ok\n")
+        connection = next(iter(listener.connections))
+        connection.peer = PeerRole.CLIENT  # as by a submission that was answered
+        _, fresh = await asyncio.open_connection(*address)
+        while len(listener.connections) < 2:
+            await asyncio.sleep(0.001)
+        await listener.wind_down()
+        assert await kept_reader.read() == b""
+        fresh.write(submit())
+        await handler.until(1)
+        await listener.stop()
+
+    asyncio.run(run())
+
+
+def test_wind_down_reads_what_has_come_before_it_ends_idle_connections() -> None:
+    """Bytes that were at the socket before the call to stop are a message that was handed in."""
+
+    async def run() -> None:
+        handler, stop = Clerk(), asyncio.Event()
+        listener = Listener(DescriptorBudget(20), {"view": 3_000_000}, set(), 1 << 20, handler, Log("n0"))
+        address = free_address()
+        listener.listen(address)
+
+        async def stopped() -> None:
+            await stop.wait()
+            await listener.wind_down()
+
+        stopping = asyncio.create_task(stopped())
+        kept = socket.create_connection(address)
+        kept.sendall(b"GET /health/live HTTP/1.1\r\nHost: us\r\n\r\n")
+        while not listener.connections or next(iter(listener.connections)).state is not ConnectionState.IDLE:
+            await asyncio.sleep(0.001)
+        next(iter(listener.connections)).peer = PeerRole.CLIENT  # as by a submission that was answered
+        await asyncio.sleep(0.02)
+        kept.sendall(submit())  # nothing of ours runs between this ...
+        stop.set()  # ... and that
+        await asyncio.wait_for(handler.until(1), 2.0)
+        await stopping
+        await listener.stop()
+        kept.close()
+
+    asyncio.run(run())
--- /dev/null
+++ b/tests/transport/test_upstream_pool.py
@@ -0,0 +1,169 @@
+"""The pool of connections to workers, on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Awaitable, Callable
+
+import pytest
+from helpers import TAKEN
+
+from locktide.protocol.client_connection import UpstreamRequest, UpstreamResponse
+from locktide.scheduler.types import AttemptOutcome
+from locktide.transport.descriptor_budget import DescriptorBudget
+from locktide.transport.upstream_pool import TransportFailure, UpstreamPool
+
+
+async def send_repeatedly(
+    script: Callable[..., Awaitable[None]], times: int = 1, body: bytes = b"x" * 100
+) -> tuple[list[UpstreamResponse | AttemptOutcome | TransportFailure], UpstreamPool]:
+    """Sends requests to a scripted worker, one after the other."""
+    listening = await asyncio.start_server(script, "127.0.0.1", 0)
+    address = listening.sockets[0].getsockname()
+    pool, outcomes = UpstreamPool(DescriptorBudget(10), 500_000, 400_000), []
+    request = UpstreamRequest("POST", "/view", [], body)
+    for _ in range(times):
+        outcomes.append(await pool.send("w", address, lambda: request, lambda: None))
+    listening.close()
+    return outcomes, pool
+
+
+def test_break_after_the_last_byte_is_a_reset() -> None:
+    async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"x" * 100)
+        writer.transport.abort()
+
+    async def run() -> None:
+        outcomes, pool = await send_repeatedly(script)
+        assert outcomes == [AttemptOutcome.RESET] and pool.descriptors.used == 0
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    "second_reply, outcome",
+    [(b"", AttemptOutcome.CONNECTION_CLOSED), (b"HTTP/1.1 ", TransportFailure.INVALID_RESPONSE)],
+)
+def test_break_of_a_reused_connection_is_closed_or_an_invalid_response(
+    second_reply: bytes, outcome: str
+) -> None:
+    async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        for reply in (TAKEN % 0, second_reply):
+            await reader.readuntil(b"x" * 100)
+            writer.write(reply)
+        writer.close()
+
+    async def run() -> None:
+        outcomes, _ = await send_repeatedly(script, times=2)
+        assert outcomes[1] == outcome
+
+    asyncio.run(run())
+
+
+def test_connection_that_does_not_come_up_is_no_connection_and_gives_back_its_place() -> None:
+    async def run() -> None:
+        with socket.socket() as taken:  # bound but not listening: nothing comes up
+            taken.bind(("127.0.0.1", 0))
+            pool = UpstreamPool(DescriptorBudget(10), 500_000, 400_000)
+            request = UpstreamRequest("POST", "/view", [])
+            outcome = await pool.send("w", taken.getsockname(), lambda: request, lambda: None)
+            assert outcome == AttemptOutcome.NO_CONNECTION and pool.descriptors.used == 0
+        full = UpstreamPool(DescriptorBudget(0), 10_000, 400_000)
+        assert await full.send("w", ("127.0.0.1", 9), lambda: None, lambda: None) == AttemptOutcome.NEVER_SENT
+
+    asyncio.run(run())
+
+
+def test_break_before_the_last_byte_is_no_connection() -> None:
+    async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.transport.pause_reading()  # type: ignore[attr-defined]
+        await asyncio.sleep(0.2)
+        writer.transport.abort()
+
+    async def run() -> None:
+        more_than_the_kernel_takes = b"x" * 50_000_000
+        outcomes, pool = await send_repeatedly(script, body=more_than_the_kernel_takes)
+        assert outcomes == [AttemptOutcome.NO_CONNECTION] and pool.descriptors.used == 0
+
+    asyncio.run(run())
+
+
+def test_connection_is_reused_and_closed_at_half_the_idle_time() -> None:
+    accepted: list[bool] = []
+
+    async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        accepted.append(True)
+        try:
+            while True:
+                await reader.readuntil(b"x" * 100)
+                writer.write(TAKEN % 0)
+        except asyncio.IncompleteReadError:
+            writer.close()
+
+    async def run() -> None:
+        outcomes, pool = await send_repeatedly(script, times=3)
+        statuses = [outcome.status for outcome in outcomes if isinstance(outcome, UpstreamResponse)]
+        assert statuses == [202] * 3 and len(accepted) == 1
+        pool.close_expired()
+        assert pool.descriptors.used == 1
+        pool.idle["w"][0].idle_since -= 0.21  # past half of the stated idle time
+        pool.close_expired()
+        assert pool.descriptors.used == 0
+
+    asyncio.run(run())
+
+
+def test_connection_closed_by_the_worker_is_not_reused() -> None:
+    async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"x" * 100)
+        writer.write(TAKEN % 0)
+        writer.close()
+
+    async def run() -> None:
+        listening = await asyncio.start_server(script, "127.0.0.1", 0)
+        address = listening.sockets[0].getsockname()
+        pool = UpstreamPool(DescriptorBudget(10), 500_000, 400_000)
+        request = UpstreamRequest("POST", "/view", [], b"x" * 100)
+        for _ in range(2):
+            reply = await pool.send("w", address, lambda: request, lambda: None)
+            assert isinstance(reply, UpstreamResponse)
+            while pool.idle["w"] and pool.idle["w"][0].is_quiet:
+                await asyncio.sleep(0.001)  # until its end has come
+        pool.close_expired()
+        assert pool.descriptors.used == 0
+        listening.close()
+
+    asyncio.run(run())
+
+
+def test_response_sent_twice_is_not_taken_for_the_response_to_the_next_request() -> None:
+    """The second would have been read as the next job's: a 503 there, and the job goes out a second time."""
+    accepted = 0
+
+    async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        nonlocal accepted
+        accepted += 1
+        await reader.readuntil(b"x" * 100)
+        writer.write(TAKEN % 0)
+        if accepted == 1:
+            await asyncio.sleep(0.01)  # the first was read by then
+            writer.write(b"HTTP/1.1 503 Twice\r\nContent-Length: 0\r\n\r\n")
+        await reader.read()
+        writer.close()
+
+    async def run() -> None:
+        listening = await asyncio.start_server(script, "127.0.0.1", 0)
+        address = listening.sockets[0].getsockname()
+        pool = UpstreamPool(DescriptorBudget(10), 500_000, 400_000)
+        request = UpstreamRequest("POST", "/view", [], b"x" * 100)
+        for _ in range(2):
+            response = await pool.send("w", address, lambda: request, lambda: None)
+            assert isinstance(response, UpstreamResponse) and response.status == 202
+            connection = pool.idle["w"][0]
+            while accepted == 1 and connection.is_quiet:
+                await asyncio.sleep(0.001)
+        assert accepted == 2 and pool.descriptors.used == 1
+        listening.close()
+
+    asyncio.run(run())
