--- a/locktide/transport/upstream_pool.py
+++ b/locktide/transport/upstream_pool.py
@@ -31,6 +31,22 @@
     INVALID_RESPONSE = "invalid response"
 
 
+class CallOnce:
+    """Passes on the first of its calls, and notes that it came."""
+
+    __slots__ = ("callback", "was_called")
+
+    def __init__(self, callback: Callable[[], None]) -> None:
+        self.callback = callback
+        self.was_called = False
+
+    def __call__(self) -> None:
+        """Calls the callback, the first time."""
+        if not self.was_called:
+            self.was_called = True
+            self.callback()
+
+
 class UpstreamConnection:
     """A connection to a worker, which carries one request at a time.
 
@@ -153,14 +169,7 @@
             return AttemptOutcome.NO_CONNECTION
         if connection is None:
             return AttemptOutcome.NEVER_SENT
-        is_sent = False
-
-        def on_written() -> None:
-            nonlocal is_sent
-            if not is_sent:
-                is_sent = True
-                sent()
-
+        on_written = CallOnce(sent)
         try:
             request = build()
             if request is None:
@@ -168,7 +177,9 @@
             await connection.write(request, on_written)
             return await self.receive(connection)
         except (OSError, ProtocolError):
-            return self.classify_failure(connection) if is_sent else AttemptOutcome.NO_CONNECTION
+            if not on_written.was_called:
+                return AttemptOutcome.NO_CONNECTION
+            return self.classify_failure(connection)
         finally:
             self.give_back(connection)
 
