--- a/locktide/dispatcher/cancellation.py
+++ b/locktide/dispatcher/cancellation.py
@@ -44,7 +44,7 @@
 
 
 @dataclass(eq=False, slots=True)
-class CancelRequest:
+class Cancellation:
     """One cancellation to deliver: of which request, at which worker."""
 
     request_id: str
@@ -54,7 +54,7 @@
     is_obsolete: Callable[[], bool]  # whether nothing depends on it any more
 
 
-async def deliver_cancellation(upstream: RequestSender, cancel: CancelRequest) -> bool:
+async def deliver_cancellation(upstream: RequestSender, cancellation: Cancellation) -> bool:
     """Tell the worker to cancel, for as long as it takes; whether it has been told.
 
     It is told once it has answered, or has the whole message on a connection that came up for it: it is
@@ -62,37 +62,41 @@
     more, and one that is refused or does not come up has carried nothing: what went elsewhere on the strength
     of such silence was a second copy. Once the cancellation is obsolete it ends with its first tries.
     """
-    timeout = cancel.connect_within / 1e6
+    timeout = cancellation.connect_within / 1e6
     tries = 0
     while True:
         tries += 1
-        if await _try_to_deliver(upstream, cancel, timeout if tries == 1 else 2 * timeout, fresh=tries > 1):
+        is_first = tries == 1
+        within = timeout if is_first else 2 * timeout
+        if await _try_to_deliver(upstream, cancellation, within, fresh=not is_first):
             return True
         if tries >= IMMEDIATE_TRIES:
-            if cancel.is_obsolete():
+            if cancellation.is_obsolete():
                 return False
             await asyncio.sleep(RETRY_PAUSE * timeout)
 
 
-async def _try_to_deliver(upstream: RequestSender, cancel: CancelRequest, within: float, fresh: bool) -> bool:
+async def _try_to_deliver(
+    upstream: RequestSender, cancellation: Cancellation, within: float, fresh: bool
+) -> bool:
     """One try; whether the worker has been told.
 
     `within` is in seconds, as long as a connection and its reply may take: a silent worker must not hold up
     the others.
     """
-    message = worker_messages.withdrawal(cancel.request_id)
+    message = worker_messages.withdrawal(cancellation.request_id)
     wholly_sent = False
 
     def note_sent() -> None:
         nonlocal wholly_sent
         wholly_sent = True
 
-    address = cancel.address()
+    address = cancellation.address()
     try:
         async with asyncio.timeout(within):
             if address is None:
                 return False
-            reply = await upstream.send(cancel.worker, address, lambda: message, note_sent, fresh=fresh)
+            reply = await upstream.send(cancellation.worker, address, lambda: message, note_sent, fresh=fresh)
             return isinstance(reply, UpstreamResponse)
     except TimeoutError:
         return wholly_sent and fresh
@@ -166,14 +170,14 @@
             is_accepted = attempt.stage is AttemptStage.ACCEPTED
             return not is_accepted or not request.is_open or attempt.lease_expired
 
-        cancel = CancelRequest(
+        cancellation = Cancellation(
             request.message.id,
             attempt.worker,
             partial(self.endpoints.addresses.get, attempt.worker),
             self.settings.connect_within,
             is_obsolete,
         )
-        if not await deliver_cancellation(self.upstream, cancel):
+        if not await deliver_cancellation(self.upstream, cancellation):
             self.log.emit(
                 f"worker {attempt.worker}: no answer to a cancellation",
                 event="cancellation_unanswered",
--- a/locktide/dispatcher/dispatcher.py
+++ b/locktide/dispatcher/dispatcher.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from locktide.config.start import Start, spelled
+from locktide.config.start import Address, Start
 from locktide.dispatcher.attempts import AttemptRunner
 from locktide.dispatcher.background_tasks import BackgroundTasks
 from locktide.dispatcher.callbacks import CallbackHandler
@@ -16,6 +16,7 @@
 from locktide.dispatcher.job_store import AttemptLeases, JobStore
 from locktide.dispatcher.lifecycle import Lifecycle
 from locktide.dispatcher.registry import RequestRegistry
+from locktide.dispatcher.reload import ConfigReloader
 from locktide.dispatcher.requests import RequestService
 from locktide.dispatcher.runtime import Runtime, ServingState
 from locktide.dispatcher.scheduler_bridge import CommandHandler, SchedulerBridge
@@ -23,11 +24,11 @@
 from locktide.protocol.discovery import DiscoveryUpdate
 from locktide.protocol.server_connection import Callback, JobQuery, SubmitRequest
 from locktide.scheduler import commands
-from locktide.scheduler.events import ConfigReloaded, EndpointListUpdate, RecoveredAttempt
-from locktide.scheduler.policy import Scheduler
+from locktide.scheduler.events import EndpointListUpdate, RecoveredAttempt
+from locktide.scheduler.scheduler import Scheduler
 from locktide.scheduler.types import ListUpdateKind
 from locktide.transport.client_connection import RequestHandler, Response
-from locktide.transport.descriptor_budget import divide
+from locktide.transport.descriptor_budget import split_descriptors
 from locktide.transport.listener import Listener
 from locktide.transport.log import Log
 from locktide.transport.system import RealSystem, System
@@ -58,8 +59,10 @@
         self.clock = Clock(self.loop, system.wall)
         self.log = log
         self.scheduler = Scheduler(start.seed, start.scheduler_config)
-        to_clients, to_workers = divide(start.descriptors)
-        self.upstream = upstream or UpstreamPool(to_workers, start.connect_within, start.idle_close)
+        to_clients, to_workers = split_descriptors(start.descriptors)
+        if upstream is None:
+            upstream = UpstreamPool(to_workers, start.connect_within, start.idle_close)
+        self.upstream = upstream
         most_stored = (start.memory - BASE_MEMORY) // 2
         self.listener = Listener(to_clients, {}, set(), most_stored, self, log, system)
         self.settings = DispatcherSettings(
@@ -67,62 +70,64 @@
         )
         self.settings.apply(start, self.upstream, self.listener)
         self.endpoints = EndpointDirectory()
-        self._assemble(start, known.version if known.entries else None)
+        self.state = ServingState()
+        self.tasks = BackgroundTasks()
+        self.leases = AttemptLeases()
+        runtime = Runtime(self.loop, self.clock, log)
+        self._assemble_requests(runtime)
+        self._assemble_process(runtime, start.listen, known.version if known.entries else None)
+        # What attached services read of the parts.
+        self.observers = self.bridge.observers
+        self.open_requests = self.registry.open_requests
+        self.answered_ids = self.registry.answered_ids
         self.bridge.register_handlers(self._command_handlers())
         self.endpoints.apply(known)
         self.enqueue_event(EndpointListUpdate(ListUpdateKind.CACHED, known.entries))
 
-    def _assemble(self, start: Start, cached_version: int | None) -> None:
-        """Build the parts, each from those before it."""
-        runtime = Runtime(self.loop, self.clock, self.log)
-        self.state = ServingState()
-        self.tasks = BackgroundTasks()
-        self.leases = AttemptLeases()
-        self.registry = RequestRegistry(self.loop, self.settings)
-        self.bridge = SchedulerBridge(self.scheduler, self.registry, runtime, self.state)
-        completion = AttemptCompletion(self.registry, self.bridge, self.leases)
-        self.cancellations = CancellationService(
-            self.registry, completion, self.endpoints, self.upstream, self.tasks, self.settings, self.log
+    def _assemble_requests(self, runtime: Runtime) -> None:
+        """Build what keeps and carries requests and their attempts."""
+        state, tasks, leases = self.state, self.tasks, self.leases
+        registry = self.registry = RequestRegistry(self.loop, self.settings)
+        bridge = self.bridge = SchedulerBridge(self.scheduler, registry, runtime, state)
+        completion = AttemptCompletion(registry, bridge, leases)
+        cancellations = self.cancellations = CancellationService(
+            registry, completion, self.endpoints, self.upstream, tasks, self.settings, self.log
         )
         self.attempts = AttemptRunner(
-            self.registry,
-            self.bridge,
-            completion,
-            self.cancellations,
-            self.leases,
-            self.endpoints,
-            self.upstream,
-            self.tasks,
-            runtime,
-        )
-        self.callbacks = CallbackHandler(self.registry, self.bridge, completion, self.cancellations)
-        self.requests = RequestService(
-            self.registry, self.bridge, completion, self.cancellations, self.tasks, runtime, self.state
+            registry, bridge, completion, cancellations, leases, self.endpoints, self.upstream, tasks, runtime
         )
+        self.callbacks = CallbackHandler(registry, bridge, completion, cancellations)
+        self.requests = RequestService(registry, bridge, completion, cancellations, tasks, runtime, state)
+
+    def _assemble_process(
+        self, runtime: Runtime, listen_address: Address, cached_version: int | None
+    ) -> None:
+        """Build what follows the endpoint list, reloads, starts and shuts down."""
+        registry, bridge, settings = self.registry, self.bridge, self.settings
         self.follower = EndpointFollower(
             self.endpoints,
-            self.registry,
-            self.bridge,
+            registry,
+            bridge,
             self.cancellations,
             self.upstream,
-            self.settings,
+            settings,
             self.log,
             cached_version,
         )
+        self.reloader = ConfigReloader(
+            settings, self.upstream, self.listener, bridge, registry, self.follower, self.log
+        )
         self.lifecycle = Lifecycle(
             self.listener,
             self.upstream,
-            self.registry,
+            registry,
             self.tasks,
             self.follower,
-            self.settings,
+            settings,
             self.state,
             runtime,
-            start.listen,
+            listen_address,
         )
-        self.observers = self.bridge.observers
-        self.open_requests = self.registry.open_requests
-        self.answered_ids = self.registry.answered_ids
 
     def _command_handlers(self) -> dict[type, CommandHandler]:
         return {
@@ -145,25 +150,8 @@
         await self.lifecycle.run(stop)
 
     def reload(self, start: Start) -> None:
-        """Put new settings and the worker list's address in force.
-
-        Open requests keep their deadlines and their service class, connections and jobs go on, and the way
-        back is the same step.
-        """
-        start = with_socket_settings(start)
-        self.settings.apply(start, self.upstream, self.listener)
-        self.enqueue_event(ConfigReloaded(start.scheduler_config))
-        discovery, classes = spelled(self.settings.discovery), ", ".join(self.listener.timeouts)
-        count = self.registry.open_count()
-        self.log.emit(
-            f"reload: settings taken, {count} requests open; service classes {classes}; "
-            f"worker list from {discovery}",
-            event="config_reloaded",
-            discovery=discovery,
-            open=count,
-            service_classes=classes,
-        )
-        self.follower.restart()
+        """Put new settings in force; see `ConfigReloader.reload`."""
+        self.reloader.reload(start)
 
     # --- what attached services use
 
--- a/locktide/dispatcher/lifecycle.py
+++ b/locktide/dispatcher/lifecycle.py
@@ -12,7 +12,7 @@
 from locktide.dispatcher.registry import RequestRegistry
 from locktide.dispatcher.runtime import Runtime, ServingState
 from locktide.dispatcher.settings import DispatcherSettings
-from locktide.transport.descriptor_budget import read_first
+from locktide.transport.descriptor_budget import run_pending_reads
 from locktide.transport.listener import Listener
 from locktide.transport.upstream_pool import UpstreamPool
 
@@ -93,7 +93,7 @@
         while loop.time() - began_at < ACCEPT_AFTER_STOP or self._has_unfinished_work():
             # However long that takes: a kill costs what is open then no more than giving it up would.
             await asyncio.sleep(SHUTDOWN_POLL)
-            await read_first()  # so that the last check is past all that has come
+            await run_pending_reads()  # so that the last check is past all that has come
 
     def _has_unfinished_work(self) -> bool:
         """Whether a shutdown waits: for a response, a connection not idle, a worker to be told."""
--- /dev/null
+++ b/locktide/dispatcher/reload.py
@@ -0,0 +1,53 @@
+"""Putting new settings in force while the process serves."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from locktide.config.start import Start, spelled
+from locktide.dispatcher.endpoint_follower import EndpointFollower
+from locktide.dispatcher.registry import RequestRegistry
+from locktide.dispatcher.scheduler_bridge import SchedulerBridge
+from locktide.dispatcher.settings import DispatcherSettings, with_socket_settings
+from locktide.scheduler.events import ConfigReloaded
+from locktide.transport.listener import Listener
+from locktide.transport.log import Log
+from locktide.transport.upstream_pool import UpstreamPool
+
+
+@dataclass(eq=False, slots=True)
+class ConfigReloader:
+    """Passes new settings to the parts that go by them, and to the scheduler."""
+
+    settings: DispatcherSettings
+    upstream: UpstreamPool
+    listener: Listener
+    bridge: SchedulerBridge
+    registry: RequestRegistry
+    follower: EndpointFollower
+    log: Log
+
+    def reload(self, start: Start) -> None:
+        """Put new settings and the worker list's address in force.
+
+        Open requests keep their deadlines and their service class, connections and jobs go on, and the way
+        back is the same step.
+        """
+        start = with_socket_settings(start)
+        self.settings.apply(start, self.upstream, self.listener)
+        self.bridge.enqueue_event(ConfigReloaded(start.scheduler_config))
+        self._log_reload()
+        self.follower.restart()
+
+    def _log_reload(self) -> None:
+        discovery = spelled(self.settings.discovery)
+        service_classes = ", ".join(self.listener.timeouts)
+        open_count = self.registry.open_count()
+        self.log.emit(
+            f"reload: settings taken, {open_count} requests open; service classes {service_classes}; "
+            f"worker list from {discovery}",
+            event="config_reloaded",
+            discovery=discovery,
+            open=open_count,
+            service_classes=service_classes,
+        )
--- a/locktide/dispatcher/scheduler_bridge.py
+++ b/locktide/dispatcher/scheduler_bridge.py
@@ -10,7 +10,7 @@
 from locktide.dispatcher.runtime import Runtime, ServingState
 from locktide.scheduler.commands import SetTimer
 from locktide.scheduler.events import TimerFired
-from locktide.scheduler.policy import Scheduler
+from locktide.scheduler.scheduler import Scheduler
 
 Observer = Callable[[Any], None]
 CommandHandler = Callable[[Any], None]
--- /dev/null
+++ b/tests/transport/test_descriptor_budget.py
@@ -0,0 +1,33 @@
+"""Descriptors: which idle connection makes room for a new one."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from locktide.transport.descriptor_budget import DescriptorBudget
+
+
+def test_at_the_limit_the_connection_idle_longest_is_evicted() -> None:
+    async def run() -> None:
+        places, closed = DescriptorBudget(2), []
+
+        def close(name: str) -> Callable[[], None]:
+            return lambda: (closed.append(name), places.release(name))[0]
+
+        await places.acquire()
+        await places.acquire()
+        places.mark_idle("one", close("one"))
+        places.mark_idle("two", close("two"))
+        await places.acquire()
+        assert closed == ["one"] and places.used == 2
+        places.mark_busy("two")
+        waiting = [asyncio.create_task(places.acquire()) for _ in range(2)]
+        await asyncio.sleep(0)
+        waiting[0].cancel()
+        await asyncio.sleep(0)
+        places.mark_idle("two", close("two"))  # another waits for its place
+        await asyncio.wait_for(waiting[1], 5.0)
+        assert closed == ["one", "two"] and places.used == 2 and not places.idle_proven
+
+    asyncio.run(run())
