--- a/locktide/cli/check.py
+++ b/locktide/cli/check.py
@@ -21,7 +21,7 @@
     except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError):
         return "installation"  # whose reader tells what is wrong
     ours = {field.encode_name for field in msgspec.structs.fields(installation.Installation)}
-    theirs = {field.encode_name for field in msgspec.structs.fields(script.Script)}
+    theirs = {field.encode_name for field in msgspec.structs.fields(script.Scenario)}
     return "rehearsal" if len(keys & theirs - ours) > len(keys & ours - theirs) else "installation"
 
 
@@ -43,7 +43,7 @@
     if keys:
         of: type[msgspec.Struct] = installation.Installation
         if kind == "rehearsal":
-            of = script.Script
+            of = script.Scenario
         for key, default, says in typed.keys(of):
             click.echo(f"{key:32} {default:24} {says}")
         return
--- a/locktide/cli/simulate.py
+++ b/locktide/cli/simulate.py
@@ -27,9 +27,16 @@
 from locktide.simulation import tables as table
 from locktide.simulation.model import random_scenario as rough
 from locktide.simulation.model import scenario as script
-from locktide.simulation.model.scenario import Script
-from locktide.simulation.run import Glance, Played, Troubled, in_virtual_time, on_loopback, with_seed
-from locktide.simulation.scenario_runner import NotReady
+from locktide.simulation.model.scenario import Scenario
+from locktide.simulation.run import (
+    ProgressCallback,
+    RunFailedError,
+    RunResult,
+    in_virtual_time,
+    on_loopback,
+    with_seed,
+)
+from locktide.simulation.scenario_runner import NotReadyError
 
 ROOT = Path(__file__).resolve().parents[2]
 MOST_SEEDS = 100_000
@@ -42,11 +49,11 @@
     """What is played: a script, by the dispatchers of a checkout."""
 
     name: str
-    script: Script | None  # none: a rough day of its own for each seed
+    script: Scenario | None  # none: a rough day of its own for each seed
     program: Path
     durable: bool = False  # rough days with durable jobs
 
-    def of(self, seed: int) -> Script:
+    def of(self, seed: int) -> Scenario:
         return rough.draw(seed, self.durable) if self.script is None else with_seed(self.script, seed)
 
 
@@ -63,7 +70,7 @@
     return list(dict.fromkeys(found))
 
 
-def play(side: Side, seed: int, host: str, glance: Glance | None = None) -> Played:
+def play(side: Side, seed: int, host: str, glance: ProgressCallback | None = None) -> RunResult:
     chosen = side.of(seed)
     if host == "virtual":
         return in_virtual_time(chosen, glance)
@@ -77,7 +84,7 @@
 def play_quietly(job: tuple[Side, int, str]) -> tuple[int, dict[str, Any]]:
     """In a process of its own. Interrupted once, it plays nothing more: others may be queued for it."""
     if interrupted:
-        raise Troubled("interrupted")
+        raise RunFailedError("interrupted")
     side, seed, host = job
     told = play(side, seed, host).told
     if not told["complete"]:
@@ -208,7 +215,7 @@
         if len(numbers) == times == 1 and second is None:
             sys.exit(one(first, numbers[0], host, out, as_json, logs, console))
         sys.exit(several(first, second, numbers * times, host, jobs, out, as_json, console))
-    except (NotReady, Troubled) as trouble:
+    except (NotReadyError, RunFailedError) as trouble:
         print(f"locktide: {trouble}", file=sys.stderr)
         sys.exit(BROKEN)
     except KeyboardInterrupt:
--- a/locktide/simulation/backend.py
+++ b/locktide/simulation/backend.py
@@ -7,7 +7,7 @@
 from typing import Any, Protocol
 
 from locktide.simulation.model.network import DISPATCHER, WORKER, Machine
-from locktide.simulation.peer_links import Talk
+from locktide.simulation.peer_links import PeerLinks
 
 Address = tuple[str, int]
 WORKER_PORT = 7000  # of a worker, plus the dispatcher's number: each link has an address of its own
@@ -15,17 +15,17 @@
 TALK_PORT, REACH_PORT = 7200, 7201  # of dispatchers among themselves: where each listens and is reached
 
 
-class Open(Protocol):
+class Closable(Protocol):
     """A listening place that can be given up."""
 
     def close(self) -> None: ...
 
 
-class Host(Protocol):
+class Backend(Protocol):
     """Times in whole microseconds since `begin`; all calls from the event loop."""
 
     slack: int  # microseconds by which what is measured here may be off
-    talk: Talk  # of the dispatchers among themselves
+    talk: PeerLinks  # of the dispatchers among themselves
 
     def now(self) -> int: ...
 
@@ -39,7 +39,7 @@
 
     async def listen(
         self, here: Machine, there: Machine, address: Address, factory: Callable[[], asyncio.Protocol]
-    ) -> Open: ...
+    ) -> Closable: ...
 
     async def connect(
         self, here: Machine, there: Machine, address: Address
--- a/locktide/simulation/client_site.py
+++ b/locktide/simulation/client_site.py
@@ -7,10 +7,10 @@
 from locktide.protocol import names
 from locktide.protocol.client_connection import ProtocolError, UpstreamRequest, UpstreamResponse
 from locktide.simulation.connection_pool import ClientConnectionPool, IdleConnection
-from locktide.simulation.interfaces import ClientScene
+from locktide.simulation.interfaces import ClientContext
 from locktide.simulation.model import traffic
 from locktide.simulation.model.network import CLIENT, Machine
-from locktide.simulation.model.traffic import Ask, Front, Try
+from locktide.simulation.model.traffic import ClientRequest, LoadBalancer, RequestTry
 
 # How long a client's machine still listens past the time limit, so that a late answer is seen; microseconds.
 LISTENS_ON = 400_000
@@ -22,20 +22,20 @@
 
 
 class ClientSite:
-    def __init__(self, stage: ClientScene, zone: int) -> None:
+    def __init__(self, stage: ClientContext, zone: int) -> None:
         self.stage, self.zone = stage, zone
         self.machine = Machine(CLIENT, zone, zone)
         dispatchers = [m.number for m in stage.dispatcher_machines if m.zone == zone]
         everybody = [m.number for m in stage.dispatcher_machines]
         notice = int(stage.script.front.notice * 1e6)
-        self.front = Front(dispatchers or everybody, notice, stage.script.seed, zone)
+        self.front = LoadBalancer(dispatchers or everybody, notice, stage.script.seed, zone)
         host = stage.host
         self.lines = [
             ClientConnectionPool(host, self.machine, there, (host.address(there), stage.dispatcher_port))
             for there in stage.dispatcher_machines
         ]
 
-    async def play(self, ask: Ask) -> None:
+    async def play(self, ask: ClientRequest) -> None:
         """One job, over all its tries."""
         if ask.grade.name in self.stage.kept_grades:
             await self.play_kept(ask)
@@ -43,7 +43,7 @@
         host, stage = self.stage.host, self.stage
         while True:
             now = host.now()
-            tried = Try(
+            tried = RequestTry(
                 f"{stage.script.seed:x}-{ask.number:x}-{len(ask.tries)}", ask, len(ask.tries), -1, now
             )
             ask.tries.append(tried)
@@ -59,14 +59,14 @@
                 ask.answered_at = tried.ended_at
                 stage.waits(ask)
                 return
-            wait = traffic.again_after(ask, tried, stage.script)
+            wait = traffic.retry_delay(ask, tried, stage.script)
             if wait is None:
                 return
             await asyncio.sleep(wait / 1e6)
 
     # --- durable jobs
 
-    async def play_kept(self, ask: Ask) -> None:
+    async def play_kept(self, ask: ClientRequest) -> None:
         """Hands the job in at one dispatcher until that has accepted it, and asks there for what came of it.
 
         It counts as lost where it was accepted and no final answer can be had, for as long as it may take.
@@ -77,7 +77,7 @@
         limit_at = ask.at + ask.limit
         place = ""
         while not place and host.now() < limit_at:
-            tried = Try(
+            tried = RequestTry(
                 f"{stage.script.seed:x}-{ask.number:x}-{len(ask.tries)}",
                 ask,
                 len(ask.tries),
@@ -103,7 +103,7 @@
         stage.records["accepted"] += 1
         await self.follow_kept(ask, place, home)
 
-    async def follow_kept(self, ask: Ask, place: str, home: int) -> None:
+    async def follow_kept(self, ask: ClientRequest, place: str, home: int) -> None:
         host, stage = self.stage.host, self.stage
         until = host.now() + int((stage.script.durable.limit + KEPT_GRACE) * 1e6)
         tried = stage.tries[place[len(names.JOBS) :]]
@@ -145,7 +145,7 @@
         lines.give_back(line)
         return reply
 
-    def question(self, tried: Try) -> UpstreamRequest:
+    def question(self, tried: RequestTry) -> UpstreamRequest:
         ask = tried.ask
         headers = [
             (names.REQUEST_ID.encode(), tried.id.encode()),
@@ -163,7 +163,7 @@
             headers.append((names.EXTRAS.encode(), ", ".join(extras).encode()))
         return UpstreamRequest("POST", f"/{ask.grade.name}", headers, self.stage.body(ask))
 
-    async def attempt(self, tried: Try) -> None:
+    async def attempt(self, tried: RequestTry) -> None:
         """Sets how the try ended, and tells the checker."""
         stage, ask, host = self.stage, tried.ask, self.stage.host
         dispatcher = stage.dispatchers[tried.dispatcher]
@@ -196,13 +196,13 @@
             dispatcher.open.pop(tried.id, None)
         self.answered(tried, reply)
 
-    def blame(self, tried: Try, life: int, how: str) -> None:
+    def blame(self, tried: RequestTry, life: int, how: str) -> None:
         dispatcher = self.stage.dispatchers[tried.dispatcher]
         if dispatcher.life != life or not dispatcher.alive or self.cut_off(tried):
             self.stage.checker.killed([tried])
         self.stage.checker.unanswered(tried, self.stage.host.now(), how)
 
-    async def ask(self, tried: Try) -> UpstreamResponse:
+    async def ask(self, tried: RequestTry) -> UpstreamResponse:
         """Raises OSError where it was never handed in, Broken where it was and no answer came."""
         lines = self.lines[tried.dispatcher]
         for anew in (False, True):
@@ -229,20 +229,20 @@
             return reply
         raise ProtocolError("closed twice")
 
-    def crossed(self, line: IdleConnection, tried: Try, sent_at: int) -> bool:
+    def crossed(self, line: IdleConnection, tried: RequestTry, sent_at: int) -> bool:
         """Whether a kept connection was closed before what was sent on it can have been read."""
         there = self.stage.dispatchers[tried.dispatcher].machine
         both_ways = 2 * self.stage.links.most(self.machine, there) + CROSSING
         return line.kept and not line.exchange.has_received and self.stage.host.now() - sent_at <= both_ways
 
-    def heard_at(self, tried: Try) -> int:
+    def heard_at(self, tried: RequestTry) -> int:
         """When the dispatcher knows at the latest that this client has gone away."""
         now, there = self.stage.host.now(), self.stage.dispatchers[tried.dispatcher].machine
         if self.stage.links.cut(self.machine, there):
             return tried.limit_at
         return now + self.stage.links.most(self.machine, there) + CROSSING
 
-    def cut_off(self, tried: Try) -> bool:
+    def cut_off(self, tried: RequestTry) -> bool:
         """Whether the link to the dispatcher was cut at any time while the try was open: nobody is to blame
         then.
         """
@@ -252,12 +252,12 @@
         links = self.stage.links
         return links.cut(self.machine, there) or self.stage.links_changed_at() >= tried.sent_at
 
-    def more(self, tried: Try, line: IdleConnection) -> None:
+    def more(self, tried: RequestTry, line: IdleConnection) -> None:
         """What follows an answer unasked is a second one."""
         if line.exchange.machine.trailing_data[0]:
             self.stage.checker.answered(tried, self.stage.host.now(), 0, b"")
 
-    def answered(self, tried: Try, reply: UpstreamResponse) -> None:
+    def answered(self, tried: RequestTry, reply: UpstreamResponse) -> None:
         now = self.stage.host.now()
         late = now > tried.limit_at + self.stage.checker.terms.slack
         if late and self.cut_off(tried):
--- a/locktide/simulation/cluster/__main__.py
+++ b/locktide/simulation/cluster/__main__.py
@@ -32,7 +32,7 @@
 def run_days(seeds: str, jobs: int) -> None:
     """Days of faults drawn by their seeds, in virtual time, of 3, 5 and 9 members in turn."""
     first, _, last = seeds.partition("-")
-    begun, counts, broken = time.monotonic(), Counter[str](), list[days.Outcome]()
+    begun, counts, broken = time.monotonic(), Counter[str](), list[days.RunOutcome]()
     played, disagree, unled, spent, borrowed, returns, unequal = 0, 0, 0, 0, 0, 0, 0
     with ProcessPoolExecutor(jobs) as pool:
         for told in pool.map(days.play, range(int(first), int(last or first) + 1), chunksize=8):
@@ -165,7 +165,7 @@
     for lose in (0.0, 0.01, 0.1):
         under_way, after, equal = [], [], []
         for seed in range(1, seeds + 1):
-            here = fair.Fair(seed, members, lose)
+            here = fair.FairnessRun(seed, members, lose)
             here.run(6.0)
             for _ in range(20):
                 here.run(0.2)
--- a/locktide/simulation/cluster/borrowing_runs.py
+++ b/locktide/simulation/cluster/borrowing_runs.py
@@ -11,8 +11,8 @@
 from random import Random
 
 from locktide.cluster.quota.local_quota import QuotaSpec
-from locktide.simulation.cluster.quota_checker import Reclaim
-from locktide.simulation.cluster.virtual_cluster import Process, VirtualCluster
+from locktide.simulation.cluster.quota_checker import LoanReclaim
+from locktide.simulation.cluster.virtual_cluster import VirtualCluster, VirtualMember
 
 SECOND, STEP = 1_000_000, 20_000
 TENANTS, IDLE, RATE, BY = 10, 6, 60.0, 2.5
@@ -28,15 +28,15 @@
 
 
 @dataclass
-class Lent:
+class BorrowingResult:
     served: float  # of what was asked for, of tenants that are not idle
     oracle: float
     overruns: int
-    reclaims: list[Reclaim] = field(default_factory=list)
+    reclaims: list[LoanReclaim] = field(default_factory=list)
     after: float = 0.0  # served of what returned owners ask for from a second after on
 
 
-class Fleet:
+class BorrowingRun:
     def __init__(self, seed: int, lend: float) -> None:
         self.random = Random(seed)
         names = [f"d{number}" for number in range(5)]
@@ -71,23 +71,23 @@
                     row[0], row[1], asked, served = row[0] + 1, row[1] + got, asked + 1, served + got
         return asked, served, by
 
-    def borrower(self) -> Process:
+    def borrower(self) -> VirtualMember:
         """One that holds loans and does not divide."""
         able = [one for one in self.world.all if one.alive and one.agent.allocator is None]
         return max(able, key=lambda one: sum(one.agent.local_quota.loans.values()))
 
 
-def worth(seed: int, lend: float) -> Lent:
-    fleet = Fleet(seed, lend)
+def worth(seed: int, lend: float) -> BorrowingResult:
+    fleet = BorrowingRun(seed, lend)
     fleet.run(WARM)
     asked, served, _ = fleet.run(LENGTH)
     oracle = min(1.0, TENANTS / ((TENANTS - IDLE) * BY))
-    return Lent(served / asked, oracle, len(fleet.world.meter.overruns()))
+    return BorrowingResult(served / asked, oracle, len(fleet.world.meter.overruns()))
 
 
-def returns(seed: int, trouble: str) -> Lent:
+def returns(seed: int, trouble: str) -> BorrowingResult:
     """Three idle owners come back, one after another, the first just as the trouble begins."""
-    fleet = Fleet(seed, 0.8)
+    fleet = BorrowingRun(seed, 0.8)
     world = fleet.world
     # So that each return is one after a quiet: what nobody ever asked for has not been away.
     fleet.asked |= {(f"t{number}", "d0"): 2.0 for number in range(3)}
@@ -121,4 +121,6 @@
         asked, served = asked + row[0], served + row[1]
         del fleet.asked[f"t{number}", where]
     meter = world.meter
-    return Lent(0.0, 0.0, len(meter.overruns()), meter.reclaims(3 * SECOND), served / max(1, asked))
+    return BorrowingResult(
+        0.0, 0.0, len(meter.overruns()), meter.reclaims(3 * SECOND), served / max(1, asked)
+    )
--- a/locktide/simulation/cluster/datagram_relay.py
+++ b/locktide/simulation/cluster/datagram_relay.py
@@ -9,17 +9,17 @@
 from random import Random
 from typing import Any
 
-from locktide.simulation.cluster.virtual_cluster import Net
+from locktide.simulation.cluster.virtual_cluster import ClusterNetwork
 
 Address = tuple[str, int]
 
 
-class Way(asyncio.DatagramProtocol):
+class RelayedPath(asyncio.DatagramProtocol):
     """All that goes to one process."""
 
     transport: asyncio.DatagramTransport
 
-    def __init__(self, relay: Relay, name: str, target: Address) -> None:
+    def __init__(self, relay: DatagramRelay, name: str, target: Address) -> None:
         self.relay, self.name, self.target = relay, name, target
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -51,18 +51,18 @@
         pass  # nobody listens there just now
 
 
-class Relay:
+class DatagramRelay:
     def __init__(self, seed: int) -> None:
-        self.net, self.random = Net(), Random(seed)
+        self.net, self.random = ClusterNetwork(), Random(seed)
         self.senders: dict[Address, str] = {}
-        self.ways: list[Way] = []
+        self.ways: list[RelayedPath] = []
         self.passed = self.lost = 0
 
     async def way(self, name: str, target: Address) -> Address:
         """Where that process is reached from now on."""
         loop = asyncio.get_running_loop()
         transport, way = await loop.create_datagram_endpoint(
-            lambda: Way(self, name, target), local_addr=(target[0], 0)
+            lambda: RelayedPath(self, name, target), local_addr=(target[0], 0)
         )
         self.senders[target] = name
         self.ways.append(way)
--- a/locktide/simulation/cluster/fairness_runs.py
+++ b/locktide/simulation/cluster/fairness_runs.py
@@ -61,7 +61,7 @@
     return fixed
 
 
-class Fair:
+class FairnessRun:
     """Members at which tenants' jobs come and go, drawn; `jobs` is what truly is out and waits."""
 
     def __init__(self, seed: int, members: int, lose: float = 0.0) -> None:
--- a/locktide/simulation/cluster/model_checking.py
+++ b/locktide/simulation/cluster/model_checking.py
@@ -39,7 +39,7 @@
 MOST_UNDER_WAY = 5
 
 
-class Member:
+class ModelMember:
     """The four machines of one process. Only the first two stand: more would be the same with other names."""
 
     def __init__(self, name: str, start: int, now: int) -> None:
@@ -97,11 +97,11 @@
 
 
 @dataclass
-class State:
+class ModelState:
     now: int = 0
     starts: int = 0
     restarts: int = 0
-    members: dict[str, Member] = field(default_factory=dict)
+    members: dict[str, ModelMember] = field(default_factory=dict)
     under_way: list[tuple[MemberId, str, Any]] = field(default_factory=list)  # sender, receiver, word
 
     def add(self, sender: str, sends: list[tuple[str, Any]]) -> None:
@@ -122,9 +122,9 @@
         )
 
 
-def begin() -> State:
+def begin() -> ModelState:
     """Nothing is lost or late until one leads and the others hold parts."""
-    state = State(members={name: Member(name, 0, 0) for name in NAMES})
+    state = ModelState(members={name: ModelMember(name, 0, 0) for name in NAMES})
     while state.now < 60 and not (state.in_force() >= WHOLE * 0.9 and state.leaders()):
         state.now += 1
         for name, member in state.members.items():
@@ -136,11 +136,11 @@
     return state
 
 
-def steps(state: bytes, restarts: int) -> Iterator[tuple[str, State]]:
+def steps(state: bytes, restarts: int) -> Iterator[tuple[str, ModelState]]:
     """Each state that may follow, and by what."""
 
-    def copy() -> State:
-        made: State = pickle.loads(state)
+    def copy() -> ModelState:
+        made: ModelState = pickle.loads(state)
         return made
 
     first = copy()
@@ -156,7 +156,7 @@
         if first.restarts < restarts:
             anew = copy()
             anew.starts, anew.restarts = anew.starts + 1, anew.restarts + 1
-            anew.members[name] = Member(name, anew.starts, anew.now)
+            anew.members[name] = ModelMember(name, anew.starts, anew.now)
             yield f"{name} begins anew", anew
     for place, (sender, receiver, word) in enumerate(first.under_way):
         for what in ("arrives", "is doubled", "is lost"):
@@ -169,13 +169,15 @@
 
 
 @dataclass
-class Found:
+class SearchResult:
     states: int
     depth: int  # to which all were looked at
     breach: list[str]  # the steps that led to the first one
 
 
-def search(most_states: int, restarts: int = 1, good: Callable[[State], bool] | None = None) -> Found:
+def search(
+    most_states: int, restarts: int = 1, good: Callable[[ModelState], bool] | None = None
+) -> SearchResult:
     """Breadth first until so many states were seen, or a breach was."""
     good = good or (lambda state: state.in_force() <= WHOLE)
     first = pickle.dumps(begin())
@@ -185,16 +187,16 @@
         for state, path in layer:
             for what, made in steps(state, restarts):
                 if not good(made):
-                    return Found(len(seen), depth + 1, [*unrolled(path), what])
+                    return SearchResult(len(seen), depth + 1, [*unrolled(path), what])
                 made.under_way.sort(key=repr)
                 frozen = pickle.dumps(made)
                 if hash(frozen) not in seen:
                     seen.add(hash(frozen))
                     after.append((frozen, (path, what)))
             if len(seen) >= most_states:
-                return Found(len(seen), depth, [])
+                return SearchResult(len(seen), depth, [])
         layer, depth = after, depth + 1
-    return Found(len(seen), depth, [])
+    return SearchResult(len(seen), depth, [])
 
 
 def unrolled(path: Any) -> list[str]:
--- a/locktide/simulation/cluster/processes.py
+++ b/locktide/simulation/cluster/processes.py
@@ -19,9 +19,9 @@
 
 from locktide.cluster.inspection_client import inspect_member
 from locktide.protocol import names
-from locktide.simulation.cluster.datagram_relay import Relay
+from locktide.simulation.cluster.datagram_relay import DatagramRelay
 from locktide.simulation.cluster.quota_checker import QuotaChecker
-from locktide.simulation.cluster.virtual_cluster import Net
+from locktide.simulation.cluster.virtual_cluster import ClusterNetwork
 
 HOST = "127.0.0.1"
 FAULTS = (
@@ -55,7 +55,7 @@
 
 
 @dataclass
-class Life:
+class MemberProcess:
     """One process, from its start to its end."""
 
     name: str
@@ -70,7 +70,7 @@
 
 
 @dataclass
-class Outcome:
+class ProcessOutcome:
     seed: int
     processes: int
     faults: dict[str, int] = field(default_factory=dict)
@@ -89,16 +89,16 @@
         return asdict(self)
 
 
-class Processes:
+class ProcessCluster:
     program = ("-m", "locktide.cli.main")  # a test puts one with a fault in its place
 
     def __init__(self, seed: int, count: int, folder: Path) -> None:
-        self.seed, self.random, self.folder, self.relay = seed, Random(seed), folder, Relay(seed)
+        self.seed, self.random, self.folder, self.relay = seed, Random(seed), folder, DatagramRelay(seed)
         self.names = [f"d{number}" for number in range(count)]
         self.electors = self.names[: 3 if count < 5 else 5]
         self.listen = {name: (HOST, free_port(socket.SOCK_DGRAM)) for name in self.names}
         self.reach: dict[str, tuple[str, int]] = {}
-        self.lives: list[Life] = []
+        self.lives: list[MemberProcess] = []
         self.counts = Counter[str]()
         # Where the latest process of each name takes submissions.
         self.serving: dict[str, tuple[str, int]] = {}
@@ -178,7 +178,7 @@
         path.write_text("\n".join(lines) + "\n")
         return path
 
-    def begin(self, name: str, double: bool = False) -> Life:
+    def begin(self, name: str, double: bool = False) -> MemberProcess:
         trace = self.folder / f"{name}-{len(self.lives)}.trace"
         listen = (HOST, free_port(socket.SOCK_DGRAM)) if double else self.listen[name]
         path = self.file(name, listen, listen if double else self.reach[name], trace)
@@ -192,14 +192,14 @@
                 stdin=subprocess.DEVNULL,
                 env={**os.environ, "PYTHONPATH": str(Path(__file__).parents[3])},
             )
-        life = Life(name, process, trace)
+        life = MemberProcess(name, process, trace)
         self.lives.append(life)
         return life
 
-    def live(self) -> list[Life]:
+    def live(self) -> list[MemberProcess]:
         return [life for life in self.lives if life.alive and not life.paused]
 
-    def kill(self, life: Life, how: signal.Signals = signal.SIGKILL) -> None:
+    def kill(self, life: MemberProcess, how: signal.Signals = signal.SIGKILL) -> None:
         if life.alive:
             life.process.send_signal(how)
             if how == signal.SIGTERM:
@@ -257,7 +257,7 @@
 
     # --- the run
 
-    async def play(self, length: float, faults: list[tuple[float, str]]) -> Outcome:
+    async def play(self, length: float, faults: list[tuple[float, str]]) -> ProcessOutcome:
         try:
             for name in self.names:
                 self.reach[name] = await self.relay.way(name, self.listen[name])
@@ -272,7 +272,7 @@
             asking = asyncio.create_task(self.ask())
             await asyncio.sleep(length)
             await asyncio.gather(*under_way)
-            self.relay.net = Net()
+            self.relay.net = ClusterNetwork()
             await asyncio.sleep(max(0.0, QUIET - SETTLES))
             asking.cancel()
             await asyncio.sleep(SETTLES)
@@ -288,7 +288,7 @@
         await asyncio.sleep(at)
         await self.fault(what)
 
-    async def outcome(self) -> Outcome:
+    async def outcome(self) -> ProcessOutcome:
         views, digests = [], set()
         for life in self.live():
             with suppress(OSError, TimeoutError, ValueError):
@@ -314,7 +314,7 @@
         for at, tenant in self.asked:
             meter.ask(tenant, at)
         reclaims = [one.loans_over / 1e6 for one in meter.reclaims(3_000_000)]
-        return Outcome(
+        return ProcessOutcome(
             self.seed,
             len(self.names),
             dict(self.counts),
@@ -335,7 +335,9 @@
     return [(random.uniform(4.0, 4.0 + length), random.choice(FAULTS)) for _ in range(faults)]
 
 
-def play(seed: int, count: int, folder: Path, length: float = 16.0, faults: int = 6) -> Outcome:
+def play(seed: int, count: int, folder: Path, length: float = 16.0, faults: int = 6) -> ProcessOutcome:
     """One run of `count` processes with so many faults at drawn moments; seconds."""
     folder.mkdir(parents=True, exist_ok=True)
-    return asyncio.run(Processes(seed, count, folder).play(4.0 + length, drawn(seed, count, length, faults)))
+    return asyncio.run(
+        ProcessCluster(seed, count, folder).play(4.0 + length, drawn(seed, count, length, faults))
+    )
--- a/locktide/simulation/cluster/quota_checker.py
+++ b/locktide/simulation/cluster/quota_checker.py
@@ -17,14 +17,14 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Overrun:
+class QuotaOverrun:
     at: int
     budget: str
     what: str
 
 
 @dataclass(frozen=True, slots=True)
-class Reclaim:
+class LoanReclaim:
     """How long after its owner's return at `at`, in microseconds; -1 where that never came."""
 
     at: int
@@ -34,7 +34,7 @@
 
 
 @dataclass
-class Told:
+class AppliedQuota:
     """`parts` of a process from `at` until `until`; from then on what it has without talk, `floor`. `loans`
     by owner and borrower are parts of the owner's whole, from `at` until `loans_until`.
     """
@@ -50,7 +50,7 @@
 @dataclass
 class QuotaChecker:
     rates: dict[str, tuple[float, float]]  # of each budget: tokens a second, and the burst
-    told: dict[Any, list[Told]] = field(default_factory=lambda: defaultdict(list))
+    told: dict[Any, list[AppliedQuota]] = field(default_factory=lambda: defaultdict(list))
     ended: dict[Any, int] = field(default_factory=dict)
     spent: dict[str, list[tuple[int, int]]] = field(default_factory=lambda: defaultdict(list))
     asked: dict[str, list[int]] = field(default_factory=lambda: defaultdict(list))  # when, of each budget
@@ -65,7 +65,7 @@
         loans: dict[tuple[str, str], int] | None = None,
         loans_until: int = 0,
     ) -> None:
-        self.told[process].append(Told(at, dict(parts), until, floor, dict(loans or {}), loans_until))
+        self.told[process].append(AppliedQuota(at, dict(parts), until, floor, dict(loans or {}), loans_until))
 
     def end(self, process: Any, at: int) -> None:
         self.ended.setdefault(process, at)
@@ -76,7 +76,7 @@
     def ask(self, budget: str, at: int) -> None:
         self.asked[budget].append(at)
 
-    def overruns(self) -> list[Overrun]:
+    def overruns(self) -> list[QuotaOverrun]:
         found = []
         for budget, (rate, burst) in self.rates.items():
             found += self.sums(budget)
@@ -85,7 +85,7 @@
         found += self.passed_on()
         return sorted(found, key=lambda one: one.at)
 
-    def stretches(self) -> Iterator[tuple[Told, int]]:
+    def stretches(self) -> Iterator[tuple[AppliedQuota, int]]:
         """What each process told, and when it told something else or ended."""
         for process, row in self.told.items():
             end = self.ended.get(process, 1 << 62)
@@ -110,7 +110,7 @@
                     changes += [(begin, part), (over, -part)]
         return changes
 
-    def sums(self, budget: str) -> list[Overrun]:
+    def sums(self, budget: str) -> list[QuotaOverrun]:
         """Adds up all that changes, in order; at one instant what ends goes before what begins."""
         changes = self.changes(budget)
         for begin, over, owner, _, part in self.lent():
@@ -120,10 +120,10 @@
         for at, by in sorted(changes):
             total += by
             if total > WHOLE and by > 0:
-                found.append(Overrun(at, budget, f"{total} millionths in force"))
+                found.append(QuotaOverrun(at, budget, f"{total} millionths in force"))
         return found
 
-    def passed_on(self) -> list[Overrun]:
+    def passed_on(self) -> list[QuotaOverrun]:
         """Nobody has a loan in force while another has one of it: that would hand on what is borrowed."""
         changes = []
         for begin, over, owner, borrower, _ in self.lent():
@@ -136,10 +136,12 @@
             lends[owner] += by
             borrows[borrower] += by
             if begins and (borrows[owner] or lends[borrower]):
-                found.append(Overrun(at, owner, f"lent to {borrower}, and one of both lends and borrows"))
+                found.append(
+                    QuotaOverrun(at, owner, f"lent to {borrower}, and one of both lends and borrows")
+                )
         return found
 
-    def flow(self, budget: str, rate: float, burst: float) -> list[Overrun]:
+    def flow(self, budget: str, rate: float, burst: float) -> list[QuotaOverrun]:
         """A bucket of the whole, filled at the whole rate by the shared clock, must never run dry."""
         level, last, found = burst, None, []
         for at, tokens in sorted(self.spent[budget]):
@@ -147,10 +149,10 @@
                 level = min(burst, level + (at - last) * rate / 1e6)
             last, level = at, level - tokens
             if level < -1e-6:
-                found.append(Overrun(at, budget, f"{-level:.3f} tokens over rate and burst"))
+                found.append(QuotaOverrun(at, budget, f"{-level:.3f} tokens over rate and burst"))
         return found
 
-    def reclaims(self, quiet: int) -> list[Reclaim]:
+    def reclaims(self, quiet: int) -> list[LoanReclaim]:
         """Each return of an owner after so long without a submission, while something of it was lent: how
         long until none of its loans was in force, and until its own parts were nine tenths of its whole.
         """
@@ -166,7 +168,7 @@
                     if begin <= free < over or begin < at < over:
                         free = max(free, over)
                 whole = next((when for when, sum_ in own if when >= at and sum_ >= WHOLE * 9 // 10), 0)
-                found.append(Reclaim(at, budget, free - at, whole - at if whole else -1))
+                found.append(LoanReclaim(at, budget, free - at, whole - at if whole else -1))
         return sorted(found, key=lambda one: one.at)
 
     def own(self, budget: str) -> list[tuple[int, int]]:
--- a/locktide/simulation/cluster/random_runs.py
+++ b/locktide/simulation/cluster/random_runs.py
@@ -14,7 +14,7 @@
 from locktide.scheduler.commands import StartAttempt
 from locktide.scheduler.events import AttemptEnded, EndpointEntry, EndpointListUpdate, RequestArrived
 from locktide.scheduler.types import AttemptOutcome, EndpointState, ListUpdateKind
-from locktide.simulation.cluster.virtual_cluster import Net, Process, VirtualCluster
+from locktide.simulation.cluster.virtual_cluster import ClusterNetwork, VirtualCluster, VirtualMember
 
 SECOND = 1_000_000
 LENGTH = 42 * SECOND
@@ -49,7 +49,7 @@
 
 
 @dataclass
-class Outcome:
+class RunOutcome:
     seed: int
     members: int
     faults: dict[str, int] = field(default_factory=dict)
@@ -68,7 +68,7 @@
         return asdict(self)
 
 
-class Day:
+class RandomRun:
     """One world with its traffic; each fault is a method that undoes itself after a drawn time."""
 
     def __init__(self, seed: int, members: int, of: Callable[..., ClusterMember] = ClusterMember) -> None:
@@ -104,7 +104,7 @@
             self.busy = self.random.sample(self.names, len(self.busy))
         self.world.at(self.world.now + self.random.randrange(20_000, 120_000), self.traffic)
 
-    def work(self, process: Process) -> None:
+    def work(self, process: VirtualMember) -> None:
         """Jobs of that process come, go out and end."""
         assert process.agent.ledger is not None
         holdings = process.agent.ledger.usage
@@ -121,7 +121,7 @@
             elif one.running and draw < 0.1:
                 holdings.observe(AttemptEnded(job, 0, AttemptOutcome.DONE, True))
 
-    def some(self) -> Process | None:
+    def some(self) -> VirtualMember | None:
         live = [process for process in self.world.all if process.alive and not process.paused]
         return self.random.choice(live) if live else None
 
@@ -170,7 +170,7 @@
                 double = world.begin(process.name, 9500 + self.doubles)
                 self.later(span, double.kill)
 
-    def end(self, process: Process, away: int) -> None:
+    def end(self, process: VirtualMember, away: int) -> None:
         process.kill()
         if away and process.address[1] < 9500:
             self.later(away, self.again, process.name)
@@ -179,7 +179,7 @@
         if self.world.live(name) is None and name not in self.gone:
             self.world.begin(name)
 
-    def play(self) -> Outcome:
+    def play(self) -> RunOutcome:
         world = self.world
         world.at(0, self.traffic)
         # Faults overlap: some at any moment, a few of which are rare.
@@ -189,11 +189,11 @@
                 self.fault,
                 self.random.choice(FAULTS[:-4] * 3 + FAULTS[-4:]),
             )
-        world.at(LENGTH - QUIET, setattr, world, "net", Net())
+        world.at(LENGTH - QUIET, setattr, world, "net", ClusterNetwork())
         world.run(LENGTH)
         return self.outcome(world.meter.overruns())
 
-    def outcome(self, overruns: list[Any]) -> Outcome:
+    def outcome(self, overruns: list[Any]) -> RunOutcome:
         world = self.world
         # A double makes the first of its name step down for good; an operator is told, and starts it anew.
         live = [one for one in world.all if one.alive and not one.agent.stepped_down]
@@ -203,7 +203,7 @@
         total = sum(one.agent.local_quota.shares["dairy"] for one in live)
         purse = live[0].agent.local_quota if live else None
         most = purse.divisible + purse.guaranteed_minimum * len(live) if purse is not None else 0
-        return Outcome(
+        return RunOutcome(
             self.seed,
             len(self.names),
             dict(self.counts),
@@ -219,6 +219,6 @@
         )
 
 
-def play(seed: int, members: int = 0, of: Callable[..., ClusterMember] = ClusterMember) -> Outcome:
+def play(seed: int, members: int = 0, of: Callable[..., ClusterMember] = ClusterMember) -> RunOutcome:
     """The same day for the same seed; 3, 5 or 9 members in turn where it is not said how many."""
-    return Day(seed, members or (3, 5, 9)[seed % 3], of).play()
+    return RandomRun(seed, members or (3, 5, 9)[seed % 3], of).play()
--- a/locktide/simulation/cluster/skewed_demand.py
+++ b/locktide/simulation/cluster/skewed_demand.py
@@ -17,14 +17,14 @@
 
 
 @dataclass(frozen=True)
-class Skewed:
+class SkewResult:
     trouble: str
     static: float  # served of what was asked for, with even parts
     divided: float
     overruns: int
 
 
-def play(trouble: str, seed: int) -> Skewed:
+def play(trouble: str, seed: int) -> SkewResult:
     names, budgets = [f"d{number}" for number in range(5)], (QuotaSpec("dairy", RATE, 5 * RATE),)
     world = VirtualCluster(seed, names, 5, 7, reserve=0.1, budgets=budgets)
     for name in world.names:
@@ -50,7 +50,7 @@
                 levels[place] -= level
                 if step >= WARM * 50:
                     asked, served, even = asked + 1, served + got, even + level
-    return Skewed(trouble, even / asked, served / asked, len(world.meter.overruns()))
+    return SkewResult(trouble, even / asked, served / asked, len(world.meter.overruns()))
 
 
 def begin(world: VirtualCluster, trouble: str) -> None:
--- a/locktide/simulation/cluster/virtual_cluster.py
+++ b/locktide/simulation/cluster/virtual_cluster.py
@@ -27,7 +27,7 @@
 
 
 @dataclass
-class Net:
+class ClusterNetwork:
     """Odds for each datagram, and delays in microseconds."""
 
     lose: float = 0.0
@@ -40,7 +40,7 @@
     cut: set[tuple[str, str]] = field(default_factory=set)  # one way each, by name
 
 
-class Process:
+class VirtualMember:
     def __init__(self, world: VirtualCluster, name: str, port: int, skew: float) -> None:
         self.world, self.name, self.address = world, name, ("10.0.0.1", port)
         self.rate = 1.0 + skew
@@ -158,14 +158,14 @@
         self.names, self.budgets, self.reserve, self.of = names, list(budgets), reserve, of
         self.most = most or len(names) + 2
         self.electors = {name: ("10.0.0.1", 9000 + place) for place, name in enumerate(names[:electors])}
-        self.net, self.skewed, self.lend, self.ledger = Net(), skewed, lend, ledger
+        self.net, self.skewed, self.lend, self.ledger = ClusterNetwork(), skewed, lend, ledger
         self.meter = QuotaChecker({budget.name: (budget.rate, budget.burst) for budget in budgets})
         self.events: list[tuple[int, str, str, Any]] = []
-        self.bound: dict[Address, Process] = {}
-        self.all: list[Process] = []
+        self.bound: dict[Address, VirtualMember] = {}
+        self.all: list[VirtualMember] = []
         self.sent = self.bytes = 0
 
-    def make(self, process: Process) -> ClusterMember:
+    def make(self, process: VirtualMember) -> ClusterMember:
         seeds = list(self.electors.values())
         terms = ClusterConfig(
             (process.name, process.start),
@@ -181,15 +181,15 @@
         )
         return self.of(terms, process.clock())
 
-    def begin(self, name: str, port: int = 0) -> Process:
+    def begin(self, name: str, port: int = 0) -> VirtualMember:
         """Starts a process of that name; at a port of its own where one of that name may still run."""
         skew = self.random.choice((-1, 1)) * MAX_CLOCK_DRIFT / 1e6 * 0.99 if self.skewed else 0.0
-        process = Process(self, name, port or 9000 + self.names.index(name), skew)
+        process = VirtualMember(self, name, port or 9000 + self.names.index(name), skew)
         self.bound[process.address] = process
         self.all.append(process)
         return process
 
-    def live(self, name: str) -> Process | None:
+    def live(self, name: str) -> VirtualMember | None:
         process = self.bound.get(("10.0.0.1", 9000 + self.names.index(name)))
         return process if process is not None and process.alive else None
 
@@ -203,7 +203,7 @@
             what(*args)
         self.now = until
 
-    def send(self, sender: Process, address: Address, datagram: bytes) -> None:
+    def send(self, sender: VirtualMember, address: Address, datagram: bytes) -> None:
         net, draw = self.net, self.random.random
         self.sent, self.bytes = self.sent + 1, self.bytes + len(datagram)
         target = self.bound.get(address)
--- a/locktide/simulation/cluster_report.py
+++ b/locktide/simulation/cluster_report.py
@@ -9,8 +9,8 @@
 from typing import Any
 
 from locktide.simulation.cluster.quota_checker import QuotaChecker
-from locktide.simulation.model.scenario import Script
-from locktide.simulation.model.traffic import Ask
+from locktide.simulation.model.scenario import Scenario
+from locktide.simulation.model.traffic import ClientRequest
 
 SECOND = 1_000_000
 RECLAIM = SECOND  # within which all that a returning owner had lent is over
@@ -19,7 +19,7 @@
 
 
 @dataclass(frozen=True)
-class Traced:
+class QuotaTrace:
     """One process of a dispatcher: what it traced, and when it was killed, by the trace's clock; 0 if not."""
 
     number: int
@@ -28,7 +28,7 @@
 
 
 def figures(
-    script: Script, traces: Iterable[Traced], asks: list[Ask], begun: int, digests: list[str]
+    script: Scenario, traces: Iterable[QuotaTrace], asks: list[ClientRequest], begun: int, digests: list[str]
 ) -> dict[str, Any]:
     """`begun` is when the rehearsal's time began, in microseconds of the traces' clock; `digests` are those
     of the ledgers of all that live, after QUIET.
--- a/locktide/simulation/compare.py
+++ b/locktide/simulation/compare.py
@@ -14,7 +14,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Spread:
+class Summary:
     count: int
     mean: float
     least: float
@@ -23,7 +23,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Difference:
+class PairedDifference:
     """The second less the first, paired by seed; in 95 of 100 comparisons the interval holds the mean."""
 
     count: int
@@ -36,17 +36,17 @@
         return self.low > 0 or self.high < 0
 
 
-def spread(values: list[float]) -> Spread:
+def spread(values: list[float]) -> Summary:
     """Raises ValueError for no values."""
     if not values:
         raise ValueError("no values")
     mean = sum(values) / len(values)
     square = sum((value - mean) ** 2 for value in values)
     deviation = sqrt(square / (len(values) - 1)) if len(values) > 1 else 0.0
-    return Spread(len(values), mean, min(values), max(values), deviation)
+    return Summary(len(values), mean, min(values), max(values), deviation)
 
 
-def paired(first: dict[int, float], second: dict[int, float]) -> Difference:
+def paired(first: dict[int, float], second: dict[int, float]) -> PairedDifference:
     """By seed; raises ValueError where fewer than two seeds are in both."""
     seeds = sorted(first.keys() & second.keys())
     if len(seeds) < 2:
@@ -54,4 +54,4 @@
     found = spread([second[seed] - first[seed] for seed in seeds])
     t = T95[found.count - 2] if found.count - 2 < len(T95) else NORMAL
     half = t * found.deviation / sqrt(found.count)
-    return Difference(found.count, found.mean, found.mean - half, found.mean + half)
+    return PairedDifference(found.count, found.mean, found.mean - half, found.mean + half)
--- a/locktide/simulation/connection_pool.py
+++ b/locktide/simulation/connection_pool.py
@@ -10,7 +10,7 @@
     UpstreamRequest,
     UpstreamResponse,
 )
-from locktide.simulation.backend import Address, Host
+from locktide.simulation.backend import Address, Backend
 from locktide.simulation.model.network import Machine
 
 READ = 65536
@@ -40,7 +40,7 @@
 class ClientConnectionPool:
     """Owns the connections from one machine to one dispatcher."""
 
-    def __init__(self, host: Host, here: Machine, there: Machine, address: Address) -> None:
+    def __init__(self, host: Backend, here: Machine, there: Machine, address: Address) -> None:
         self.host, self.here, self.there, self.address = host, here, there, address
         self.idle: list[IdleConnection] = []
         self.all: dict[IdleConnection, None] = {}
--- a/locktide/simulation/discovery_site.py
+++ b/locktide/simulation/discovery_site.py
@@ -10,22 +10,22 @@
 import h11
 
 from locktide.protocol import names
-from locktide.simulation.backend import Host
-from locktide.simulation.http import Answering, Message, as_json
+from locktide.simulation.backend import Backend
+from locktide.simulation.http import Message, ServerMessages, as_json
 from locktide.simulation.model import random_streams as chance
-from locktide.simulation.model.discovery import Agent, Calls
+from locktide.simulation.model.discovery import CallCapacity, DiscoveryAgent
 
 LONGEST_WAIT_MS = 60_000
 WATCH_GAP = 200_000  # a watch goes on while the next call comes so soon after the last answer
 
 
-class AgentEnd(asyncio.Protocol):
+class DiscoveryConnection(asyncio.Protocol):
     """One connection of the dispatcher to its agent."""
 
     transport: asyncio.Transport
 
-    def __init__(self, site: AgentSite) -> None:
-        self.site, self.talk = site, Answering()
+    def __init__(self, site: DiscoverySite) -> None:
+        self.site, self.talk = site, ServerMessages()
         self.asked: Message | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.heard = False  # its question has had its turn
@@ -77,21 +77,21 @@
             self.timer.cancel()
 
 
-class AgentSite:
+class DiscoverySite:
     def __init__(
         self,
-        host: Host,
+        host: Backend,
         number: int,
-        agent: Agent,
+        agent: DiscoveryAgent,
         seed: int,
         whole: float,
         endpoint: Callable[[int], str],
-        calls: Calls | None = None,
+        calls: CallCapacity | None = None,
     ) -> None:
         self.calls, self.watch_until = calls, 0
         self.host, self.number, self.agent, self.seed, self.whole = host, number, agent, seed, whole
         self.endpoint = endpoint
-        self.ends: dict[AgentEnd, None] = {}
+        self.ends: dict[DiscoveryConnection, None] = {}
         self.timer: asyncio.TimerHandle | None = None
         self.answers = 0
 
@@ -101,7 +101,7 @@
             return now, True
         return self.calls.call(now)
 
-    def answer(self, end: AgentEnd, waited: bool) -> None:
+    def answer(self, end: DiscoveryConnection, waited: bool) -> None:
         if end.asked is None or self.agent.silent or not end.heard:
             return
         after = parse_qs(end.asked.query).get("after")
--- a/locktide/simulation/fault_injector.py
+++ b/locktide/simulation/fault_injector.py
@@ -4,12 +4,12 @@
 
 from typing import Protocol
 
-from locktide.simulation.discovery_site import AgentSite
-from locktide.simulation.interfaces import Dispatcher, Scene
+from locktide.simulation.discovery_site import DiscoverySite
+from locktide.simulation.interfaces import EmulatedDispatcher, RunContext
 from locktide.simulation.model import random_streams as chance
 from locktide.simulation.model import traffic
-from locktide.simulation.model.scenario import DISPATCHERS, WORKERS, Incident, whom
-from locktide.simulation.model.worker import Shared
+from locktide.simulation.model.scenario import DISPATCHERS, WORKERS, FaultSpec, whom
+from locktide.simulation.model.worker import SharedCapacity
 from locktide.simulation.worker_site import WorkerSite
 
 # A planned restart: what has not ended so long after SIGTERM is killed, in seconds; the platform gives no
@@ -20,13 +20,13 @@
 NEVER = 10**15
 
 
-class Acted(Scene, Protocol):
+class FaultTarget(RunContext, Protocol):
     """Those on whom incidents act."""
 
     workers: list[WorkerSite]
-    agent_sites: list[AgentSite]
-    dispatchers: list[Dispatcher]
-    shared: Shared
+    agent_sites: list[DiscoverySite]
+    dispatchers: list[EmulatedDispatcher]
+    shared: SharedCapacity
     traps: dict[int, tuple[str, int]]
 
     def zone_of(self, number: int) -> int: ...
@@ -42,15 +42,15 @@
     def gone(self, number: int) -> None: ...
 
 
-class Timeline:
-    def __init__(self, stage: Acted) -> None:
+class FaultInjector:
+    def __init__(self, stage: FaultTarget) -> None:
         self.stage = stage
         self.links_changed_at = -NEVER
-        self.chosen: list[tuple[Incident, list[int]]] = [
+        self.chosen: list[tuple[FaultSpec, list[int]]] = [
             (incident, self.choose(place, incident)) for place, incident in enumerate(stage.script.incident)
         ]
 
-    def choose(self, place: int, incident: Incident) -> list[int]:
+    def choose(self, place: int, incident: FaultSpec) -> list[int]:
         script = self.stage.script
         if incident.what not in WORKERS | DISPATCHERS:
             return []
@@ -84,7 +84,7 @@
 
     # --- the dispatchers' talk
 
-    def do_talk_cut(self, incident: Incident, number: int, until: int, both: bool = True) -> None:
+    def do_talk_cut(self, incident: FaultSpec, number: int, until: int, both: bool = True) -> None:
         """All that it says and hears goes nowhere."""
         others = [f"d{one}" for one in range(len(self.stage.dispatchers)) if one != number]
         pairs = {(f"d{number}", other) for other in others}
@@ -94,35 +94,35 @@
         net.cut |= pairs
         self.later(until, net.cut.difference_update, pairs)
 
-    def do_talk_cut_one_way(self, incident: Incident, number: int, until: int) -> None:
+    def do_talk_cut_one_way(self, incident: FaultSpec, number: int, until: int) -> None:
         self.do_talk_cut(incident, number, until, both=False)
 
-    def odds(self, name: str, incident: Incident, until: int) -> None:
+    def odds(self, name: str, incident: FaultSpec, until: int) -> None:
         net = self.stage.host.talk.net
         setattr(net, name, incident.share)
         self.later(until, setattr, net, name, 0.0)
 
-    def do_talk_lossy(self, incident: Incident, number: int, until: int) -> None:
+    def do_talk_lossy(self, incident: FaultSpec, number: int, until: int) -> None:
         self.odds("lose", incident, until)
 
-    def do_talk_late(self, incident: Incident, number: int, until: int) -> None:
+    def do_talk_late(self, incident: FaultSpec, number: int, until: int) -> None:
         self.odds("late", incident, until)
 
-    def do_talk_doubled(self, incident: Incident, number: int, until: int) -> None:
+    def do_talk_doubled(self, incident: FaultSpec, number: int, until: int) -> None:
         self.odds("double", incident, until)
 
-    def do_talk_garbled(self, incident: Incident, number: int, until: int) -> None:
+    def do_talk_garbled(self, incident: FaultSpec, number: int, until: int) -> None:
         self.odds("garble", incident, until)
 
     # --- workers
 
-    def do_kill(self, incident: Incident, number: int, until: int) -> None:
+    def do_kill(self, incident: FaultSpec, number: int, until: int) -> None:
         site = self.stage.workers[number]
         site.die()
         if incident.length:
             self.later(until, site.come_back)
 
-    def do_vanish(self, incident: Incident, number: int, until: int) -> None:
+    def do_vanish(self, incident: FaultSpec, number: int, until: int) -> None:
         site = self.stage.workers[number]
         if not site.worker.up:
             return
@@ -138,22 +138,22 @@
         if incident.length:
             self.later(until, back)
 
-    def do_hang(self, incident: Incident, number: int, until: int) -> None:
+    def do_hang(self, incident: FaultSpec, number: int, until: int) -> None:
         site = self.stage.workers[number]
         if site.worker.up:
             site.hang(until)
 
-    def do_pause(self, incident: Incident, number: int, until: int) -> None:
+    def do_pause(self, incident: FaultSpec, number: int, until: int) -> None:
         site = self.stage.workers[number]
         if site.worker.up:
             site.pause(until)
 
-    def do_slow(self, incident: Incident, number: int, until: int) -> None:
+    def do_slow(self, incident: FaultSpec, number: int, until: int) -> None:
         site = self.stage.workers[number]
         site.slow(incident.factor)
         self.later(until, site.slow, 1.0 / incident.factor)
 
-    def do_shared_slow(self, incident: Incident, number: int, until: int) -> None:
+    def do_shared_slow(self, incident: FaultSpec, number: int, until: int) -> None:
         factors = self.stage.shared.factors
         factors.append(incident.factor)
         self.stage.reshare()
@@ -164,7 +164,7 @@
 
         self.later(until, over)
 
-    def do_drain(self, incident: Incident, number: int, until: int) -> None:
+    def do_drain(self, incident: FaultSpec, number: int, until: int) -> None:
         """Drains, ends once it is empty, comes back cold so long after the drain began."""
         site = self.stage.workers[number]
         site.drain()
@@ -183,26 +183,26 @@
 
         self.later(self.stage.host.now() + LOOK_EVERY, look)
 
-    def do_reset(self, incident: Incident, number: int, until: int) -> None:
+    def do_reset(self, incident: FaultSpec, number: int, until: int) -> None:
         self.stage.workers[number].reset_connections()
 
-    def do_trap(self, incident: Incident, number: int, until: int) -> None:
+    def do_trap(self, incident: FaultSpec, number: int, until: int) -> None:
         site = self.stage.workers[number]
         site.trap = incident.point
         site.trap_back_after = max(1, until - self.stage.host.now())
 
     # --- dispatchers
 
-    def do_kill_dispatcher(self, incident: Incident, number: int, until: int) -> None:
+    def do_kill_dispatcher(self, incident: FaultSpec, number: int, until: int) -> None:
         self.stage.kill_dispatcher(number)
         if incident.length:
             self.later(until, self.stage.start_dispatcher, number)
 
-    def do_trap_dispatcher(self, incident: Incident, number: int, until: int) -> None:
+    def do_trap_dispatcher(self, incident: FaultSpec, number: int, until: int) -> None:
         away = max(1, until - self.stage.host.now())
         self.stage.traps[number] = (incident.point, away)
 
-    def do_restart_dispatcher(self, incident: Incident, number: int, until: int) -> None:
+    def do_restart_dispatcher(self, incident: FaultSpec, number: int, until: int) -> None:
         stage = self.stage
         stage.stop_dispatcher(number)
         life, begun = stage.dispatchers[number].life, stage.host.now()
@@ -224,7 +224,7 @@
 
     # --- the roster and the links
 
-    def do_roster_stale(self, incident: Incident, number: int, until: int) -> None:
+    def do_roster_stale(self, incident: FaultSpec, number: int, until: int) -> None:
         """News takes `factor` seconds longer."""
         by = int(incident.factor * 1e6)
         for site in self.stage.agent_sites:
@@ -237,7 +237,7 @@
 
         self.later(until, over)
 
-    def do_roster_silent(self, incident: Incident, number: int, until: int) -> None:
+    def do_roster_silent(self, incident: FaultSpec, number: int, until: int) -> None:
         for site in self.stage.agent_sites:
             site.speak(silent=True)
 
@@ -247,7 +247,7 @@
 
         self.later(until, over)
 
-    def do_partition(self, incident: Incident, number: int, until: int) -> None:
+    def do_partition(self, incident: FaultSpec, number: int, until: int) -> None:
         zones = [int(word.strip()[4:]) for word in incident.whom.split(",")]
         stage = self.stage
         # What the roster has to tell does not get in either.
--- a/locktide/simulation/http.py
+++ b/locktide/simulation/http.py
@@ -18,7 +18,7 @@
     first_at: int  # when its first byte came
 
 
-class Answering:
+class ServerMessages:
     """Fed bytes; raises h11.RemoteProtocolError at what is no HTTP."""
 
     def __init__(self) -> None:
--- a/locktide/simulation/interfaces.py
+++ b/locktide/simulation/interfaces.py
@@ -7,66 +7,66 @@
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
-from locktide.simulation.backend import Host
-from locktide.simulation.model.checker import Came, Checker
-from locktide.simulation.model.discovery import Agent, Entry
-from locktide.simulation.model.network import Links, Machine
-from locktide.simulation.model.scenario import Script
-from locktide.simulation.model.traffic import Ask, Try
+from locktide.simulation.backend import Backend
+from locktide.simulation.model.checker import Checker, ReceivedAttempt
+from locktide.simulation.model.discovery import DiscoveryAgent, ListedWorker
+from locktide.simulation.model.network import Machine, NetworkLinks
+from locktide.simulation.model.scenario import Scenario
+from locktide.simulation.model.traffic import ClientRequest, RequestTry
 
 
 @dataclass
-class Dispatcher:
+class EmulatedDispatcher:
     machine: Machine
     life: int = 0
     alive: bool = False
     stopping: bool = False
-    open: dict[str, Try] = field(default_factory=dict)  # what clients have handed in there
+    open: dict[str, RequestTry] = field(default_factory=dict)  # what clients have handed in there
 
 
-class Scene(Protocol):
+class RunContext(Protocol):
     """What all of them need."""
 
-    script: Script
-    host: Host
-    links: Links
+    script: Scenario
+    host: Backend
+    links: NetworkLinks
     checker: Checker
-    tries: dict[str, Try]
+    tries: dict[str, RequestTry]
     dispatcher_machines: list[Machine]
     dispatcher_port: int
 
-    def body(self, ask: Ask) -> bytes: ...
+    def body(self, ask: ClientRequest) -> bytes: ...
 
 
-class ClientScene(Scene, Protocol):
-    dispatchers: list[Dispatcher]
+class ClientContext(RunContext, Protocol):
+    dispatchers: list[EmulatedDispatcher]
     kept_grades: frozenset[str]
     records: dict[str, int]
 
     def links_changed_at(self) -> int:
         """When a link was last cut or made whole, in microseconds."""
 
-    def waits(self, ask: Ask) -> None: ...
+    def waits(self, ask: ClientRequest) -> None: ...
 
 
-class WorkerScene(Scene, Protocol):
-    agents: list[Agent]
+class WorkerContext(RunContext, Protocol):
+    agents: list[DiscoveryAgent]
     half_open: list[Any]  # connections whose worker has vanished
     sprung: int  # traps that have killed somebody
 
     def zone_of(self, number: int) -> int: ...
 
-    def entry(self, number: int, boot_at: int = 0) -> Entry: ...
+    def entry(self, number: int, boot_at: int = 0) -> ListedWorker: ...
 
     def next_key(self) -> int: ...
 
     def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]: ...
 
-    def audible(self, came: Came) -> bool: ...
+    def audible(self, came: ReceivedAttempt) -> bool: ...
 
     def held_back(self, one: Machine, other: Machine, came_at: int) -> int | None: ...
 
-    def list_change(self, entry: Entry, state: str, after: float) -> None: ...
+    def list_change(self, entry: ListedWorker, state: str, after: float) -> None: ...
 
     def running(self, by: int) -> None: ...
 
--- a/locktide/simulation/latency.py
+++ b/locktide/simulation/latency.py
@@ -8,21 +8,21 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from locktide.simulation.model.network import Links, Machine
+from locktide.simulation.model.network import Machine, NetworkLinks
 
 # Less than this is not waited for: loopback and the turn of the loop take about as long. Microseconds.
 NOT_WORTH = 600
 
 
-class Clocked(Protocol):
-    links: Links
-    ways: dict[Way, None]
+class LatencySource(Protocol):
+    links: NetworkLinks
+    ways: dict[DelayedDirection, None]
 
 
-class Way:
+class DelayedDirection:
     """One direction of one connection: in order, each piece after its delay; over a cut link it waits."""
 
-    def __init__(self, host: Clocked, source: Machine, target: Machine) -> None:
+    def __init__(self, host: LatencySource, source: Machine, target: Machine) -> None:
         self.host, self.source, self.target = host, source, target
         self.loop = asyncio.get_running_loop()
         self.last_due = 0.0
@@ -56,15 +56,15 @@
         self.host.ways.pop(self, None)
 
 
-class Lagged(asyncio.Protocol):
+class DelayedProtocol(asyncio.Protocol):
     """Stands between a real connection and the protocol that it is for."""
 
     real: asyncio.Transport
 
-    def __init__(self, host: Clocked, here: Machine, there: Machine, inner: Any) -> None:
+    def __init__(self, host: LatencySource, here: Machine, there: Machine, inner: Any) -> None:
         self.inner = inner
-        self.coming, self.going = Way(host, there, here), Way(host, here, there)
-        self.facade = Facade(self)
+        self.coming, self.going = DelayedDirection(host, there, here), DelayedDirection(host, here, there)
+        self.facade = DelayedTransport(self)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.real = transport  # type: ignore[assignment]
@@ -98,10 +98,10 @@
         self.inner.connection_lost(trouble)
 
 
-class Facade(asyncio.Transport):
+class DelayedTransport(asyncio.Transport):
     """The transport that the inner protocol sees."""
 
-    def __init__(self, lagged: Lagged) -> None:
+    def __init__(self, lagged: DelayedProtocol) -> None:
         super().__init__()
         self.lagged, self.closing = lagged, False
 
--- a/locktide/simulation/model/checker.py
+++ b/locktide/simulation/model/checker.py
@@ -11,16 +11,16 @@
 from dataclasses import dataclass, field
 
 from locktide.simulation.model import traffic
-from locktide.simulation.model.traffic import Try
-from locktide.simulation.model.worker import Sent
+from locktide.simulation.model.traffic import RequestTry
+from locktide.simulation.model.worker import ColdLoadSample
 
 # How a dispatch stands, as its dispatcher can know it.
-OUT, NEVER, MAYBE, GIVEN_UP = "out", "never ran", "may have run", "given up"
-MOST_TOLD = 200  # breaches kept with their words; the counts go on
+IN_FLIGHT, NEVER_EXECUTED, POSSIBLY_EXECUTED, GIVEN_UP = "out", "never ran", "may have run", "given up"
+MAX_REPORTED = 200  # breaches kept with their words; the counts go on
 
 
 @dataclass(slots=True)
-class Came:
+class ReceivedAttempt:
     """A dispatch that reached a worker whole."""
 
     worker: int
@@ -29,19 +29,19 @@
     at: int
     sent_at: int  # at the earliest
     held_back: bool = False  # by a cut link: when it was sent is not known
-    stands: str = OUT
+    stands: str = IN_FLIGHT
     accepted_at: int | None = None  # when its 202 went out, where no cut link can have held that back
 
 
 @dataclass(slots=True)
-class Breach:
+class Violation:
     at: int
     rule: str
     what: str
 
 
 @dataclass
-class Terms:
+class CheckerConfig:
     """What counts, in microseconds."""
 
     slack: int = 50_000  # a final answer counts that much past the time limit, as on the platform
@@ -65,11 +65,11 @@
 
 
 class Checker:
-    def __init__(self, terms: Terms) -> None:
+    def __init__(self, terms: CheckerConfig) -> None:
         self.terms = terms
         self.counts = dict.fromkeys(RULES, 0)
-        self.breaches: list[Breach] = []
-        self.came: dict[str, list[Came]] = {}
+        self.breaches: list[Violation] = []
+        self.came: dict[str, list[ReceivedAttempt]] = {}
         self.results: dict[str, set[bytes]] = {}
         self.ended: dict[str, tuple[int, str]] = {}  # the final answer that a client got
         self.effects: dict[str, list[str]] = {}  # by the number of a job: the submissions that had an effect
@@ -78,14 +78,14 @@
 
     def breach(self, at: int, rule: str, what: str) -> None:
         self.counts[rule] += 1
-        if len(self.breaches) < MOST_TOLD:
-            self.breaches.append(Breach(at, rule, what))
+        if len(self.breaches) < MAX_REPORTED:
+            self.breaches.append(Violation(at, rule, what))
 
     # --- dispatches
 
     def reached(
         self,
-        tried: Try,
+        tried: RequestTry,
         worker: int,
         pod: int,
         dispatcher: int,
@@ -93,14 +93,14 @@
         at: int,
         told_at: int | None,
         most_delay: int,
-        audible: Callable[[Came], bool],
+        audible: Callable[[ReceivedAttempt], bool],
         cut_at: int | None = None,
-    ) -> Came:
+    ) -> ReceivedAttempt:
         """A dispatch came whole. `told_at`: when its dispatcher was told to send this worker nothing more;
         `cut_at`: when the link was cut, where that has held it back.
         """
         # A send is no earlier than the longest that the link may take before the first byte came.
-        came = Came(worker, pod, dispatcher, at, first_at - most_delay, cut_at is not None)
+        came = ReceivedAttempt(worker, pod, dispatcher, at, first_at - most_delay, cut_at is not None)
         if cut_at is not None:
             came.sent_at = min(came.sent_at, cut_at)
         earlier = self.came.setdefault(tried.id, [])
@@ -114,10 +114,12 @@
             )
         # What a cut link has held back was given up by closing its connection, and comes after what took its
         # place: that one is no copy of it.
-        open_ones = [one for one in earlier if one.stands == OUT and not came.held_back and audible(one)]
+        open_ones = [
+            one for one in earlier if one.stands == IN_FLIGHT and not came.held_back and audible(one)
+        ]
         if open_ones:
             self.breach(at, "copies", f"{name}: still out at w{open_ones[0].worker}")
-        maybe = [one for one in earlier if one.stands != NEVER]
+        maybe = [one for one in earlier if one.stands != NEVER_EXECUTED]
         if maybe and grade.effect == "at-most-once":
             self.breach(at, "doubled", f"{name}: may have run at w{maybe[0].worker}")
         elif maybe and grade.effect == "numbered":
@@ -134,15 +136,15 @@
         self.breach(at, "strays", what)
 
     @staticmethod
-    def stands(came: Came, how: str) -> None:
+    def stands(came: ReceivedAttempt, how: str) -> None:
         """The first word on a dispatch counts, but for what had been given up or was lost."""
-        if came.stands == OUT or how == NEVER and came.stands == GIVEN_UP:
+        if came.stands == IN_FLIGHT or how == NEVER_EXECUTED and came.stands == GIVEN_UP:
             came.stands = how
 
     def made(self, id: str, result: bytes) -> None:
         self.results.setdefault(id, set()).add(result)
 
-    def effect(self, at: int, tried: Try, came: Came | None = None) -> None:
+    def effect(self, at: int, tried: RequestTry, came: ReceivedAttempt | None = None) -> None:
         """A job has had its effect: it has started, and was no repeat that its pod drops. One that was sent
         in time and held back by the network past its pod's memory is nobody's fault; the record is double all
         the same.
@@ -161,7 +163,7 @@
 
     # --- answers
 
-    def answered(self, tried: Try, now: int, status: int, body: bytes) -> None:
+    def answered(self, tried: RequestTry, now: int, status: int, body: bytes) -> None:
         if tried.id in self.ended:
             self.breach(now, "extra", f"{tried.id}: a second answer, {status}")
             return
@@ -173,28 +175,30 @@
         if status == 200 and body not in self.results.get(tried.id, ()):
             self.breach(now, "forged", f"{tried.id}: done with a result that no worker made")
         if status in (429, 503) and tried.ask.grade.effect != "reissuable":
-            maybe = [one for one in self.came.get(tried.id, ()) if one.stands != NEVER]
+            maybe = [one for one in self.came.get(tried.id, ()) if one.stands != NEVER_EXECUTED]
             if maybe:
                 self.breach(now, "doubled", f"{tried.id}: denied, but may have run at w{maybe[0].worker}")
 
-    def unanswered(self, tried: Try, now: int, how: str) -> None:
+    def unanswered(self, tried: RequestTry, now: int, how: str) -> None:
         """The client has stopped waiting, or its connection was ended with no whole answer."""
         if tried.id not in self.ended and tried.id not in self.excused:
             what = f"{tried.id} ({tried.ask.grade.name}) at d{tried.dispatcher}: {how}"
             self.breach(now, "lost", what)
         self.ended.setdefault(tried.id, (now, how))
 
-    def closed(self, tried: Try, now: int) -> None:
+    def closed(self, tried: RequestTry, now: int) -> None:
         """The client has gone away by itself: nothing is owed to it."""
         self.ended.setdefault(tried.id, (now, traffic.CLOSED))
 
-    def killed(self, held: list[Try]) -> None:
+    def killed(self, held: list[RequestTry]) -> None:
         """What a killed dispatcher held is the client's to retry."""
         self.excused.update(tried.id for tried in held)
 
     # --- cold workers
 
-    def pushed_over(self, now: int, worker: int, sent: list[Sent], told: Callable[[int, int], bool]) -> None:
+    def pushed_over(
+        self, now: int, worker: int, sent: list[ColdLoadSample], told: Callable[[int, int], bool]
+    ) -> None:
         """A cold worker fell over. Blamed where two thirds of it came from dispatchers that knew of its
         start.
         """
--- a/locktide/simulation/model/discovery.py
+++ b/locktide/simulation/model/discovery.py
@@ -12,7 +12,7 @@
 
 
 @dataclass(slots=True)
-class Entry:
+class ListedWorker:
     number: int  # of the worker
     uid: str
     zone: str
@@ -24,13 +24,13 @@
 
 
 @dataclass(slots=True, order=True)
-class Change:
+class PendingChange:
     due_at: int  # when the agent has it
     version: int
-    entry: Entry = field(compare=False)
+    entry: ListedWorker = field(compare=False)
 
 
-class Calls:
+class CallCapacity:
     """The one service behind all agents, where the list must be asked for: it takes calls in turn.
 
     Each costs `work` microseconds, also one that has waited `longest` and was turned away.
@@ -47,14 +47,14 @@
         return min(self.busy_until, now + self.longest), self.busy_until <= now + self.longest
 
 
-class Agent:
+class DiscoveryAgent:
     """The list on one dispatcher's machine. Answers come at once, from what has reached it."""
 
-    def __init__(self, entries: list[Entry]) -> None:
+    def __init__(self, entries: list[ListedWorker]) -> None:
         self.entries = {entry.number: entry for entry in entries}
         self.versions = dict.fromkeys(self.entries, 1)  # when each entry last changed
         self.version = 1
-        self.coming: list[Change] = []
+        self.coming: list[PendingChange] = []
         self.silent = False
         self.stale_by = 0
         self.told: dict[tuple[int, str, int], int] = {}  # (worker, state, start) -> when it was told
@@ -62,15 +62,15 @@
         for entry in entries:
             self.note(entry, 0)
 
-    def note(self, entry: Entry, now: int) -> None:
+    def note(self, entry: ListedWorker, now: int) -> None:
         """Told: when each state was first told, and which was told last."""
         what = (entry.number, entry.state, entry.boot_at)
         self.told.setdefault(what, now)
         if self.last[entry.number] != what:
             self.last[entry.number] = what
 
-    def change(self, due_at: int, entry: Entry) -> None:
-        insort(self.coming, Change(due_at, len(self.coming), entry))
+    def change(self, due_at: int, entry: ListedWorker) -> None:
+        insort(self.coming, PendingChange(due_at, len(self.coming), entry))
 
     def advance(self, now: int) -> bool:
         """Takes in what has reached it; whether that was anything."""
--- a/locktide/simulation/model/network.py
+++ b/locktide/simulation/model/network.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from locktide.simulation.model import random_streams as chance
-from locktide.simulation.model.scenario import Network
+from locktide.simulation.model.scenario import NetworkSpec
 
 WORKER, DISPATCHER, CLIENT = "worker", "dispatcher", "client"
 
@@ -18,10 +18,10 @@
     zone: int
 
 
-class Links:
+class NetworkLinks:
     """Delays in whole microseconds. A cut machine or zone lets nothing through, and says nothing."""
 
-    def __init__(self, terms: Network, seed: int) -> None:
+    def __init__(self, terms: NetworkSpec, seed: int) -> None:
         self.terms, self.seed, self.drawn = terms, seed, 0
         self.cut_machines: dict[Machine, int] = {}  # how many incidents hold it cut
         self.cut_zones: dict[int, int] = {}
--- a/locktide/simulation/model/random_scenario.py
+++ b/locktide/simulation/model/random_scenario.py
@@ -8,25 +8,25 @@
 
 from locktide.simulation.model import random_streams as chance
 from locktide.simulation.model.scenario import (
-    WORKER_POINTS,
-    Clients,
-    Dispatcher,
-    Durable,
-    Fleet,
-    Grade,
-    Incident,
-    Kind,
-    Network,
-    Point,
-    Roster,
-    Script,
-    What,
-    Worker,
+    WORKER_CRASH_POINTS,
+    ClientSpec,
+    CrashPoint,
+    DiscoverySpec,
+    DispatcherSpec,
+    DurableSpec,
+    FaultKind,
+    FaultSpec,
+    FleetSpec,
+    NetworkSpec,
+    Scenario,
+    ServiceClassSpec,
+    WorkerSpec,
+    WorkerTypeSpec,
     check,
 )
 
-MOST_INCIDENTS = 5
-DEATHS = 5  # of dispatchers on a durable day: so many leave time to recover between them
+MAX_FAULTS = 5
+FATAL_FAULTS = 5  # of dispatchers on a durable day: so many leave time to recover between them
 LENGTH = 16.0  # seconds: long enough for a return from cold, short enough for a thousand of them
 
 
@@ -34,12 +34,16 @@
     return choices[int(rng.integers(len(choices)))]
 
 
-def incident(rng: Generator, fleet: Fleet, length: float, durable: bool) -> Incident:
+def incident(rng: Generator, fleet: FleetSpec, length: float, durable: bool) -> FaultSpec:
     # Dispatchers of a drawn day do not talk to each other.
-    kinds = [what for what in get_args(What) if not what.startswith("talk-")]
+    kinds = [what for what in get_args(FaultKind) if not what.startswith("talk-")]
     kinds = [what for what in kinds if durable or what != "trap-dispatcher"]
     what = one_of(rng, kinds)
-    points = [point for point in get_args(Point) if (point in WORKER_POINTS) != (what == "trap-dispatcher")]
+    points = [
+        point
+        for point in get_args(CrashPoint)
+        if (point in WORKER_CRASH_POINTS) != (what == "trap-dispatcher")
+    ]
     if "dispatcher" in what:
         whom = f"d{int(rng.integers(fleet.dispatchers))}"
     elif what == "partition":
@@ -49,7 +53,7 @@
     span = float(rng.uniform(0.3, 6.0))
     if what in ("pause", "hang"):
         span = float(rng.uniform(0.1, 4.0))
-    return Incident(
+    return FaultSpec(
         at=float(rng.uniform(0.5, length - 1)),
         length=span,
         what=what,
@@ -62,10 +66,10 @@
     )
 
 
-def death(rng: Generator, fleet: Fleet, length: float) -> Incident:
+def draw_fatal_fault(rng: Generator, fleet: FleetSpec, length: float) -> FaultSpec:
     """Of a dispatcher: at a drawn moment, or at a point that is named."""
-    points = [point for point in get_args(Point) if point not in WORKER_POINTS]
-    return Incident(
+    points = [point for point in get_args(CrashPoint) if point not in WORKER_CRASH_POINTS]
+    return FaultSpec(
         at=float(rng.uniform(0.3, length - 1)),
         length=float(rng.uniform(0.2, 2.0)),
         what=one_of(rng, ["kill-dispatcher", "trap-dispatcher", "trap-dispatcher"]),
@@ -74,22 +78,25 @@
     )
 
 
-def draw(seed: int, durable: bool = False) -> Script:
+def draw(seed: int, durable: bool = False) -> Scenario:
     """The same script for the same seed, on every machine. With durable jobs: dispatchers die more often than
     anything else does, at any moment and at each point that is named.
     """
     rng = chance.stream(seed, "rough", "durable" if durable else "plain")
-    fleet = Fleet(
+    fleet = FleetSpec(
         dispatchers=int(rng.integers(1, 5)),
         workers=int(rng.integers(4, 13)),
         zones=int(rng.integers(1, 4)),
         pod=int(rng.integers(1, 5)),
-        kinds=[Kind(name="box", cores=int(rng.integers(2, 5))), Kind(name="old", cores=2, speed=0.6)],
+        kinds=[
+            WorkerTypeSpec(name="box", cores=int(rng.integers(2, 5))),
+            WorkerTypeSpec(name="old", cores=2, speed=0.6),
+        ],
     )
     work = float(rng.uniform(0.5, 1.5))  # so that a thousand days stay short
     grades = [
-        Grade(name="view", work=0.3, limit=4.0, effect="reissuable"),
-        Grade(
+        ServiceClassSpec(name="view", work=0.3, limit=4.0, effect="reissuable"),
+        ServiceClassSpec(
             name="record",
             work=work,
             soft=1.0,
@@ -98,18 +105,18 @@
             memory=float(rng.uniform(1, 20)),
             width=int(rng.integers(1, 3)),
         ),
-        Grade(name="cash", work=work / 2, soft=1.0, limit=7.0, effect="at-most-once"),
+        ServiceClassSpec(name="cash", work=work / 2, soft=1.0, limit=7.0, effect="at-most-once"),
     ]
-    count = 1 + int(rng.integers(MOST_INCIDENTS))
+    count = 1 + int(rng.integers(MAX_FAULTS))
     return check(
-        Script(
+        Scenario(
             name="rough",
             says="drawn at random",
             seed=seed,
             length=LENGTH,
             fleet=fleet,
             grade=grades,
-            worker=Worker(
+            worker=WorkerSpec(
                 cold_for=float(rng.uniform(1, 8)),
                 cold_from=float(rng.uniform(0.15, 0.6)),
                 early=0.2,
@@ -121,17 +128,19 @@
                 hands_back=bool(rng.integers(2)),
                 progress=one_of(rng, [0.0, 0.5, 1.0]),
             ),
-            roster=Roster(notice=float(rng.uniform(0.1, 3)), add=float(rng.uniform(0.1, 2)), whole=0.2),
-            clients=Clients(
+            roster=DiscoverySpec(
+                notice=float(rng.uniform(0.1, 3)), add=float(rng.uniform(0.1, 2)), whole=0.2
+            ),
+            clients=ClientSpec(
                 load=float(rng.uniform(0.3, 1.3)), retries=float(rng.uniform(0, 2)), impatient=0.05
             ),
-            network=Network(
+            network=NetworkSpec(
                 cross=float(rng.uniform(0.001, 0.03)),
                 jitter=float(rng.uniform(0, 1)),
                 shred=float(rng.uniform(0, 0.3)),
             ),
-            dispatcher=Dispatcher(dispatches=int(rng.integers(1, 6))),
-            durable=Durable(
+            dispatcher=DispatcherSpec(dispatches=int(rng.integers(1, 6))),
+            durable=DurableSpec(
                 on=durable,
                 limit=40.0,
                 start_within=float(rng.uniform(2, 15)),
@@ -141,6 +150,6 @@
                 zeros=0.4,
             ),
             incident=[incident(rng, fleet, LENGTH, durable) for _ in range(count)]
-            + [death(rng, fleet, LENGTH) for _ in range(DEATHS if durable else 0)],
+            + [draw_fatal_fault(rng, fleet, LENGTH) for _ in range(FATAL_FAULTS if durable else 0)],
         )
     )
--- a/locktide/simulation/model/scenario.py
+++ b/locktide/simulation/model/scenario.py
@@ -12,32 +12,31 @@
 
 from locktide.config import typed
 from locktide.config.typed import ConfigErrors, Section, key, seconds
-from locktide.simulation.model.tenants import Agreed, Tenant
-from locktide.simulation.model.tenants import faults as tenant_faults
+from locktide.simulation.model.tenants import ClusterSpec, TenantSpec, tenant_faults
 
 
-class Kind(Section):
+class WorkerTypeSpec(Section):
     name: Annotated[str, key("what the roster calls this kind of machine")] = "standard"
     share: Annotated[float, key("part of the fleet, against the other kinds' parts", gt=0)] = 1.0
     cores: Annotated[int, key("jobs of width 1 that run at once", ge=1, le=256)] = 3
     speed: Annotated[float, key("work a second and core; 1 does a second's work in a second", gt=0)] = 1.0
 
 
-class Fleet(Section):
+class FleetSpec(Section):
     dispatchers: Annotated[int, key("processes of locktide", ge=1, le=200)] = 3
     workers: Annotated[int, key("workers at the start", ge=1, le=2000)] = 12
     zones: Annotated[int, key("data centres, over which both are dealt out in turn", ge=1, le=20)] = 2
     pod: Annotated[int, key("workers of one zone that share a memory of numbered repeats", ge=1)] = 3
-    kinds: list[Kind] = msgspec.field(
+    kinds: list[WorkerTypeSpec] = msgspec.field(
         default_factory=lambda: [
-            Kind(name="fast", share=4, speed=1.5),
-            Kind(name="standard", share=4),
-            Kind(name="slow", share=4, speed=0.6),
+            WorkerTypeSpec(name="fast", share=4, speed=1.5),
+            WorkerTypeSpec(name="standard", share=4),
+            WorkerTypeSpec(name="slow", share=4, speed=0.6),
         ]
     )
 
 
-class Worker(Section):
+class WorkerSpec(Section):
     queue: Annotated[int, key("jobs that wait for each core before 'full'", ge=0)] = 7
     cold_from: Annotated[float, key("part of its speed that a worker has at its start", gt=0, le=1)] = 0.35
     cold_for: Annotated[float, seconds("until it is warm; the speed rises evenly")] = 7.0
@@ -61,13 +60,13 @@
     hands_back: Annotated[bool, key("a worker that drains hands back what has not started")] = True
 
 
-class Shared(Section):
+class SharedCapacitySpec(Section):
     capacity: Annotated[
         float, key("jobs that the thing all depend on bears at full speed; 0 for no bound", ge=0)
     ] = 0.0
 
 
-class Roster(Section):
+class DiscoverySpec(Section):
     notice: Annotated[float, seconds("until the roster sees that a process has died")] = 2.0
     add: Annotated[float, seconds("until it lists one that has started")] = 1.0
     spread: Annotated[float, seconds("by which dispatchers hear at different times, at most")] = 0.1
@@ -77,7 +76,7 @@
     ask_within: Annotated[float, seconds("within which each dispatcher should ask", gt=0)] = 10.0
 
 
-class Clients(Section):
+class ClientSpec(Section):
     load: Annotated[float, key("work asked for, as a part of what the warm fleet can do", gt=0)] = 0.6
     retries: Annotated[float, key("tries after the first, on average", ge=0)] = 1.0
     backoff: Annotated[float, seconds("before the first retry; doubled each time")] = 0.05
@@ -88,7 +87,7 @@
     bodies: Annotated[int, key("bytes of a submission's body", ge=0, le=65536)] = 200
 
 
-class Grade(Section):
+class ServiceClassSpec(Section):
     name: Annotated[str, key("as in the path", pattern="^[a-z][a-z0-9-]{0,40}$")]
     share: Annotated[float, key("part of the submissions", gt=0)] = 1.0
     work: Annotated[float, seconds("of running at speed 1, on average", gt=0)] = 0.5
@@ -106,7 +105,7 @@
     holds: Annotated[dict[str, float], key("of each accord.resource, for each of its width")] = {}
 
 
-class Network(Section):
+class NetworkSpec(Section):
     same: Annotated[float, seconds("one way within a zone")] = 0.0003
     cross: Annotated[float, seconds("one way between zones")] = 0.007
     client: Annotated[float, seconds("one way between clients and dispatchers")] = 0.0007
@@ -116,12 +115,12 @@
     ] = 0.02
 
 
-class Front(Section):
+class LoadBalancerSpec(Section):
     notice: Annotated[float, seconds("until the front sees that a dispatcher is dead")] = 2.0
     check: Annotated[float, seconds("between two questions whether one is ready", gt=0)] = 0.2
 
 
-class Durable(Section):
+class DurableSpec(Section):
     on: Annotated[bool, key("jobs of these grades are kept on a disk (in virtual time)")] = False
     grades: Annotated[list[str], key("names of grades; none: all of them")] = []
     asks: Annotated[bool, key("clients ask for what came of their jobs; if not, they wait")] = True
@@ -133,7 +132,7 @@
     zeros: Annotated[float, key("part of the crashes that leave sectors of zeros", ge=0, le=1)] = 0.3
 
 
-class Dispatcher(Section):
+class DispatcherSpec(Section):
     dispatches: Annotated[int, key("of one submission at most", ge=1, le=20)] = 4
     drain_grace: Annotated[float, seconds("after which nothing new may go to a draining worker", gt=0)] = 0.25
     longest_advice: Annotated[float, seconds("the longest Retry-After; 0 for none")] = 2.0
@@ -143,7 +142,7 @@
     settings: Annotated[dict[str, Any], key("laid over the start settings, for experiments")] = {}
 
 
-What = Literal[
+FaultKind = Literal[
     "kill",
     "vanish",
     "hang",
@@ -170,7 +169,7 @@
     "talk-garbled",
 ]
 # Where a trap kills: a worker at the first four, a dispatcher at the others.
-Point = Literal[
+CrashPoint = Literal[
     "before-202",
     "after-202",
     "before-started",
@@ -186,25 +185,27 @@
     "before old segments go",
     "after old segments went",
 ]
-WORKER_POINTS = ("before-202", "after-202", "before-started", "before-done")
+WORKER_CRASH_POINTS = ("before-202", "after-202", "before-started", "before-done")
 
 
-class Incident(Section):
+class FaultSpec(Section):
     at: Annotated[float, seconds("from the start of the rehearsal")]
     length: Annotated[float, seconds("how long it lasts")] = msgspec.field(name="for", default=0.0)
-    what: Annotated[What, key("what happens")] = "kill"
+    what: Annotated[FaultKind, key("what happens")] = "kill"
     whom: Annotated[str, key("w3, d1, zone0, a kind, 25%, or all; several by comma")] = "25%"
     factor: Annotated[float, key("how much slower, more or heavier", gt=0)] = 3.0
     share: Annotated[float, key("part of the submissions concerned ('heavy')", ge=0, le=1)] = 0.02
     gap: Annotated[float, seconds("between one of whom and the next (rolling)")] = 0.0
-    point: Annotated[Point, key("where a trap kills")] = "before-202"
+    point: Annotated[CrashPoint, key("where a trap kills")] = "before-202"
     spread: Annotated[float, seconds("within which several come back, evenly drawn")] = 0.5
 
 
-def default_grades() -> list[Grade]:
+def default_service_classes() -> list[ServiceClassSpec]:
     return [
-        Grade(name="round-view", share=0.36, work=0.5, soft=0.25, stretch=2.0, limit=6.0, revenue=5),
-        Grade(
+        ServiceClassSpec(
+            name="round-view", share=0.36, work=0.5, soft=0.25, stretch=2.0, limit=6.0, revenue=5
+        ),
+        ServiceClassSpec(
             name="pickup-record",
             share=0.34,
             work=3.0,
@@ -214,7 +215,7 @@
             revenue=10,
             effect="numbered",
         ),
-        Grade(
+        ServiceClassSpec(
             name="round-replan",
             share=0.3,
             work=3.0,
@@ -227,38 +228,38 @@
     ]
 
 
-class Script(Section):
+class Scenario(Section):
     name: Annotated[str, key("stands in the report", pattern="^[A-Za-z0-9_.-]{1,60}$")] = "unnamed"
     says: Annotated[str, key("one line on what is rehearsed")] = ""
     seed: Annotated[int, key("of all chance in the rehearsal", ge=0, lt=2**62)] = 1
     length: Annotated[float, seconds("of traffic; what is open then is waited for", gt=0, le=86400)] = 40.0
-    fleet: Fleet = msgspec.field(default_factory=Fleet)
-    worker: Worker = msgspec.field(default_factory=Worker)
-    shared: Shared = msgspec.field(default_factory=Shared)
-    roster: Roster = msgspec.field(default_factory=Roster)
-    clients: Clients = msgspec.field(default_factory=Clients)
-    network: Network = msgspec.field(default_factory=Network)
-    front: Front = msgspec.field(default_factory=Front)
-    dispatcher: Dispatcher = msgspec.field(default_factory=Dispatcher)
-    durable: Durable = msgspec.field(default_factory=Durable)
-    grade: list[Grade] = msgspec.field(default_factory=default_grades)
-    tenant: list[Tenant] = []
-    accord: Agreed = msgspec.field(default_factory=Agreed)
-    incident: list[Incident] = []
-
-
-def embedded() -> Script:
+    fleet: FleetSpec = msgspec.field(default_factory=FleetSpec)
+    worker: WorkerSpec = msgspec.field(default_factory=WorkerSpec)
+    shared: SharedCapacitySpec = msgspec.field(default_factory=SharedCapacitySpec)
+    roster: DiscoverySpec = msgspec.field(default_factory=DiscoverySpec)
+    clients: ClientSpec = msgspec.field(default_factory=ClientSpec)
+    network: NetworkSpec = msgspec.field(default_factory=NetworkSpec)
+    front: LoadBalancerSpec = msgspec.field(default_factory=LoadBalancerSpec)
+    dispatcher: DispatcherSpec = msgspec.field(default_factory=DispatcherSpec)
+    durable: DurableSpec = msgspec.field(default_factory=DurableSpec)
+    grade: list[ServiceClassSpec] = msgspec.field(default_factory=default_service_classes)
+    tenant: list[TenantSpec] = []
+    accord: ClusterSpec = msgspec.field(default_factory=ClusterSpec)
+    incident: list[FaultSpec] = []
+
+
+def embedded() -> Scenario:
     """What is played where no file is named: a quarter of the workers dead together and back cold, while all
     that is left slows down; the two overlap. Many short jobs, so that one run is much like another.
     """
     return check(
-        Script(
+        Scenario(
             name="overlap",
             says="a quarter dead and back cold, while everything slows",
             length=60.0,
             grade=[
-                Grade(name="round-view", share=0.36, work=0.2, soft=0.25, revenue=5.0),
-                Grade(
+                ServiceClassSpec(name="round-view", share=0.36, work=0.2, soft=0.25, revenue=5.0),
+                ServiceClassSpec(
                     name="pickup-record",
                     share=0.34,
                     work=0.6,
@@ -268,7 +269,7 @@
                     revenue=10.0,
                     effect="numbered",
                 ),
-                Grade(
+                ServiceClassSpec(
                     name="round-replan",
                     share=0.3,
                     work=0.6,
@@ -280,8 +281,8 @@
                 ),
             ],
             incident=[
-                Incident(at=14.0, length=10.0, what="kill", whom="25%"),
-                Incident(at=19.0, length=14.0, what="shared-slow", factor=1.8),
+                FaultSpec(at=14.0, length=10.0, what="kill", whom="25%"),
+                FaultSpec(at=19.0, length=14.0, what="shared-slow", factor=1.8),
             ],
         )
     )
@@ -294,7 +295,7 @@
 PART = re.compile(r"(\d{1,3})%")
 
 
-def whom(script: Script, incident: Incident) -> tuple[list[int], float]:
+def whom(script: Scenario, incident: FaultSpec) -> tuple[list[int], float]:
     """The numbers named, and the part of the rest to draw; raises ValueError with what was found."""
     count = script.fleet.dispatchers if incident.what in DISPATCHERS else script.fleet.workers
     letter = "d" if incident.what in DISPATCHERS else "w"
@@ -311,14 +312,14 @@
         elif re.fullmatch(r"zone\d{1,2}", word) and int(word[4:]) < script.fleet.zones:
             named += [place for place in range(count) if place % script.fleet.zones == int(word[4:])]
         elif letter == "w" and word in (kind.name for kind in script.fleet.kinds):
-            kinds = deal_kinds(script)
+            kinds = assign_worker_types(script)
             named += [place for place in range(count) if kinds[place].name == word]
         else:
             raise ValueError(word)
     return sorted(set(named)), 0.0
 
 
-def deal_kinds(script: Script) -> list[Kind]:
+def assign_worker_types(script: Scenario) -> list[WorkerTypeSpec]:
     """Each worker's kind: dealt out so that any run of workers has about each kind's share."""
     kinds, total = script.fleet.kinds, sum(kind.share for kind in script.fleet.kinds)
     due, dealt = [0.0] * len(kinds), []
@@ -330,7 +331,7 @@
     return dealt
 
 
-def check(script: Script) -> Script:
+def check(script: Scenario) -> Scenario:
     """What the types cannot say: raises Faults with all of it."""
     faults = []
     names = [grade.name for grade in script.grade]
@@ -354,7 +355,7 @@
             faults.append(f"durable.grades[{place}]: expected one of {', '.join(names)}, found {name!r}")
     for place, incident in enumerate(script.incident):
         where = f"incident[{place}]"
-        at_worker = incident.point in WORKER_POINTS
+        at_worker = incident.point in WORKER_CRASH_POINTS
         if incident.what == "trap" and not at_worker or incident.what == "trap-dispatcher" and at_worker:
             faults.append(f"{where}.point: expected a point of who is trapped, found {incident.point!r}")
         if incident.at >= script.length:
@@ -378,10 +379,10 @@
     return script
 
 
-def load(path: Path) -> Script:
+def load(path: Path) -> Scenario:
     """Raises Faults."""
-    return check(typed.read_file(Script, path))
+    return check(typed.read_file(Scenario, path))
 
 
-def parse(text: str, name: str = "script") -> Script:
-    return check(typed.read_text(Script, text, name))
+def parse(text: str, name: str = "script") -> Scenario:
+    return check(typed.read_text(Scenario, text, name))
--- a/locktide/simulation/model/tenants.py
+++ b/locktide/simulation/model/tenants.py
@@ -9,11 +9,11 @@
 from locktide.simulation.model import random_streams as chance
 
 if TYPE_CHECKING:
-    from locktide.simulation.model.scenario import Script
-    from locktide.simulation.model.traffic import Ask
+    from locktide.simulation.model.scenario import Scenario
+    from locktide.simulation.model.traffic import ClientRequest
 
 
-class Tenant(Section):
+class TenantSpec(Section):
     name: Annotated[str, key("as submissions name it", pattern="^[a-z][a-z0-9-]{0,40}$")]
     rate: Annotated[float, key("submissions a second that it may ask of all dispatchers", gt=0)]
     weight: Annotated[float, key("its share of a contended fleet, beside others'", gt=0, le=1000)] = 1.0
@@ -23,7 +23,7 @@
     idle: Annotated[list[list[float]], key("[from, to] in seconds: when it asks for nothing")] = []
 
 
-class Agreed(Section):
+class ClusterSpec(Section):
     """Whether dispatchers agree upon tenants' rates, over UDP; all of it as in an installation's file."""
 
     on: Annotated[bool, key("dispatchers divide tenants' rates")] = False
@@ -35,7 +35,7 @@
     beyond: Annotated[float, key("worth of what is beyond its tenant's share", ge=0, le=1)] = 0.1
 
 
-def deal(script: Script, asks: list[Ask]) -> list[Ask]:
+def assign_tenants(script: Scenario, asks: list[ClientRequest]) -> list[ClientRequest]:
     """Gives each job its tenant, and takes out those of tenants that are idle then."""
     if not script.tenant:
         return asks
@@ -58,7 +58,7 @@
     return kept
 
 
-def faults(script: Script) -> list[str]:
+def tenant_faults(script: Scenario) -> list[str]:
     """What the types cannot say."""
     found = []
     if script.accord.on and not script.tenant:
--- a/locktide/simulation/model/traffic.py
+++ b/locktide/simulation/model/traffic.py
@@ -8,7 +8,7 @@
 
 from locktide.simulation.model import random_streams as chance
 from locktide.simulation.model import tenants
-from locktide.simulation.model.scenario import Grade, Script, deal_kinds
+from locktide.simulation.model.scenario import Scenario, ServiceClassSpec, assign_worker_types
 
 ANSWERED, DENIED, TERMINATED, REFUSED, BROKEN, LATE, SILENT, CLOSED = (
     "done",
@@ -25,12 +25,12 @@
 
 
 @dataclass(slots=True)
-class Ask:
+class ClientRequest:
     """One job that a client wants done, over all its tries."""
 
     number: int
     at: int  # of its first try
-    grade: Grade
+    grade: ServiceClassSpec
     work: int
     width: int
     zone: int
@@ -40,7 +40,7 @@
     key: str  # the number of a numbered one
     tenant: str = ""
     home: int = -1  # the dispatcher that its tenant's clients prefer
-    tries: list[Try] = field(default_factory=list)
+    tries: list[RequestTry] = field(default_factory=list)
     answered_at: int = 0  # when it was done, 0 while it is not
 
     @property
@@ -63,11 +63,11 @@
 
 
 @dataclass(slots=True)
-class Try:
+class RequestTry:
     """One submission: it has an id of its own, also a retry."""
 
     id: str
-    ask: Ask
+    ask: ClientRequest
     number: int
     dispatcher: int
     sent_at: int
@@ -80,12 +80,12 @@
         return self.sent_at + self.ask.limit
 
 
-def capacity(script: Script) -> float:
+def capacity(script: Scenario) -> float:
     """What the warm fleet can do: seconds of work a second."""
-    return sum(kind.cores * kind.speed for kind in deal_kinds(script))
+    return sum(kind.cores * kind.speed for kind in assign_worker_types(script))
 
 
-def draw(script: Script) -> list[Ask]:
+def draw_requests(script: Scenario) -> list[ClientRequest]:
     """All that will be asked for, oldest first, the same for the same script and seed on every host."""
     rng = chance.stream(script.seed, "traffic")
     shares = np.array([grade.share for grade in script.grade])
@@ -107,13 +107,13 @@
     most = usual
     for one in surges:
         most *= max(1.0, one.factor)
-    asks: list[Ask] = []
+    asks: list[ClientRequest] = []
     at = 0.0
     while True:
         # Thinning (Lewis and Shedler 1979): drawn at the highest rate, kept by the rate of the moment.
         at += float(rng.exponential(1.0 / most))
         if at >= script.length:
-            return tenants.deal(script, asks)
+            return tenants.assign_tenants(script, asks)
         kept = rng.random() * most < rate(at)
         grade = script.grade[int(rng.choice(len(shares), p=shares))]
         work = grade.work * float(np.exp(rng.normal(-(grade.sigma**2) / 2, grade.sigma)))
@@ -131,7 +131,7 @@
         patience = dice[2] / script.clients.impatient if script.clients.impatient else 2.0
         number = len(asks)
         asks.append(
-            Ask(
+            ClientRequest(
                 number,
                 int(at * 1e6),
                 grade,
@@ -146,7 +146,7 @@
         )
 
 
-def again_after(ask: Ask, last: Try, script: Script) -> int | None:
+def retry_delay(ask: ClientRequest, last: RequestTry, script: Scenario) -> int | None:
     """How long after the end of a try the next one goes out, in microseconds; None where there is none."""
     if len(ask.tries) > ask.retries or last.ended in (ANSWERED, CLOSED, SILENT, LATE):
         return None
@@ -163,7 +163,7 @@
     return wait
 
 
-class Front:
+class LoadBalancer:
     """Deals the clients of a zone out among the dispatchers it takes to be alive; it notices a death late."""
 
     def __init__(self, dispatchers: list[int], notice: int, seed: int, zone: int) -> None:
--- a/locktide/simulation/model/worker.py
+++ b/locktide/simulation/model/worker.py
@@ -18,7 +18,7 @@
 
 
 @dataclass(slots=True)
-class Job:
+class RunningJob:
     """One dispatch as its worker has it."""
 
     key: int  # of this dispatch, among all of a rehearsal
@@ -31,22 +31,22 @@
     ends_at: float = 0.0  # of the worker's own count of work
     begins_at: float = 0.0
     told_at: int = 0  # when its progress was last told
-    seen: Seen | None = None  # of a numbered one: what its pod knew when it was taken
+    seen: DeduplicationRecord | None = None  # of a numbered one: what its pod knew when it was taken
     given_up: bool = False  # the dispatcher has withdrawn it: nothing more is told of it
 
 
 @dataclass(slots=True)
-class Word:
+class JobReport:
     """What a worker has to tell of a job."""
 
     at: int
-    job: Job
+    job: RunningJob
     state: str
     share: float = 0.0
 
 
 @dataclass(slots=True)
-class Terms:
+class WorkerConfig:
     """How one worker is made; spans in microseconds."""
 
     cores: int
@@ -62,7 +62,7 @@
 
 
 @dataclass(slots=True)
-class Sent:
+class ColdLoadSample:
     """Work that reached a worker while it was cold, for the rule on pushing one over."""
 
     at: int
@@ -70,8 +70,8 @@
     sender: int
 
 
-class Worker:
-    def __init__(self, terms: Terms, now: int, cold: bool = False) -> None:
+class EmulatedWorker:
+    def __init__(self, terms: WorkerConfig, now: int, cold: bool = False) -> None:
         self.terms = terms
         self.slow = self.shared = 1.0  # how many times slower, by itself and with all others
         self.held_until = 0  # paused or hung till then
@@ -83,11 +83,11 @@
         self.at, self.done = now, 0.0  # up to when it has worked, and how much work each busy core has done
         self.begun_at = now if cold else now - self.terms.cold_for
         self.up, self.draining, self.held_until = True, False, 0
-        self.queue: deque[Job] = deque()
-        self.jobs: dict[int, Job] = {}  # running
+        self.queue: deque[RunningJob] = deque()
+        self.jobs: dict[int, RunningJob] = {}  # running
         self.free = self.terms.cores
-        self.reached: deque[Sent] = deque()
-        self.words: list[Word] = []
+        self.reached: deque[ColdLoadSample] = deque()
+        self.words: list[JobReport] = []
 
     # --- how fast it is
 
@@ -150,7 +150,7 @@
             moments.append(self.held_until)
         return min(moments) if moments else None
 
-    def advance(self, now: int) -> list[Word]:
+    def advance(self, now: int) -> list[JobReport]:
         """Works up to `now`; what there is to tell of it, in order."""
         if not self.up:
             return []
@@ -171,17 +171,17 @@
             for job in self.jobs.values():
                 if now - job.told_at >= self.terms.progress:
                     job.told_at = now
-                    self.words.append(Word(now, job, RUNNING, self.share(job)))
+                    self.words.append(JobReport(now, job, RUNNING, self.share(job)))
         words, self.words = self.words, []
         return words
 
-    def share(self, job: Job) -> float:
+    def share(self, job: RunningJob) -> float:
         return min(1.0, max(0.0, (self.done - job.begins_at) / max(1.0, job.ends_at - job.begins_at)))
 
-    def finish(self, job: Job) -> None:
+    def finish(self, job: RunningJob) -> None:
         del self.jobs[job.key]
         self.free += job.width
-        self.words.append(Word(self.at, job, FAILED if job.fails else DONE, 1.0))
+        self.words.append(JobReport(self.at, job, FAILED if job.fails else DONE, 1.0))
         self.fill()
 
     def fill(self) -> None:
@@ -194,21 +194,21 @@
             job.told_at = self.at
             job.begins_at, job.ends_at = self.done, self.done + job.work
             self.jobs[job.key] = job
-            self.words.append(Word(self.at, job, STARTED))
+            self.words.append(JobReport(self.at, job, STARTED))
 
     # --- what is asked of it
 
-    def offer(self, now: int, job: Job) -> str:
+    def offer(self, now: int, job: RunningJob) -> str:
         """TAKEN or FULL. The caller advances it before and after."""
         if self.cold(now):
-            self.reached.append(Sent(now, float(job.work * job.width), job.sender))
+            self.reached.append(ColdLoadSample(now, float(job.work * job.width), job.sender))
         if self.draining or len(self.queue) >= self.terms.queue * self.terms.cores:
             return FULL
         job.taken_at = now
         self.queue.append(job)
         return TAKEN
 
-    def withdraw(self, id: str, sender: int) -> list[Job]:
+    def withdraw(self, id: str, sender: int) -> list[RunningJob]:
         """What that has stopped, of what the sender gave it; running work goes on unless `cancels` says
         otherwise.
         """
@@ -232,15 +232,15 @@
         """Stands still till then: a pause, or a hang that is as long as it lasts."""
         self.held_until = max(self.held_until, until)
 
-    def drain(self, now: int) -> list[Word]:
+    def drain(self, now: int) -> list[JobReport]:
         """Finishes what runs, takes nothing new; gives back what has not started, where it does that."""
         self.draining = True
         if not self.terms.hands_back:
             return []
         waiting, self.queue = list(self.queue), deque()
-        return [Word(now, job, RETURNED) for job in waiting]
+        return [JobReport(now, job, RETURNED) for job in waiting]
 
-    def kill(self) -> list[Job]:
+    def kill(self) -> list[RunningJob]:
         """Dies with all it holds."""
         lost = [*self.jobs.values(), *self.queue]
         self.up, self.jobs, self.queue, self.words = False, {}, deque(), []
@@ -251,7 +251,7 @@
 
     # --- being pushed over
 
-    def pushed_over(self, now: int) -> list[Sent]:
+    def pushed_over(self, now: int) -> list[ColdLoadSample]:
         """What pushed it over, or nothing: work within the window above so many times what it can do now."""
         while self.reached and self.reached[0].at <= now - self.terms.fall_for:
             self.reached.popleft()
@@ -266,7 +266,7 @@
 
 
 @dataclass(slots=True)
-class Seen:
+class DeduplicationRecord:
     """What a pod knows of one number."""
 
     since: int  # when it was first taken
@@ -274,21 +274,21 @@
 
 
 @dataclass
-class Pod:
+class DeduplicationCell:
     """Workers that share the memory of numbered submissions: what is taken within the span is known as a
     repeat, and has no effect if what it repeats had one."""
 
     span: int
-    seen: dict[str, Seen] = field(default_factory=dict)
+    seen: dict[str, DeduplicationRecord] = field(default_factory=dict)
 
-    def takes(self, number: str, now: int) -> Seen:
+    def takes(self, number: str, now: int) -> DeduplicationRecord:
         known = self.seen.get(number)
         if known is None or now - known.since >= self.span:
-            known = self.seen[number] = Seen(now)
+            known = self.seen[number] = DeduplicationRecord(now)
         return known
 
 
-class Shared:
+class SharedCapacity:
     """A thing that all workers depend on: slower by a script, or by more jobs at once than it bears."""
 
     def __init__(self, capacity: float) -> None:
--- a/locktide/simulation/outcome.py
+++ b/locktide/simulation/outcome.py
@@ -11,8 +11,8 @@
 from locktide.simulation.cluster_report import breaches
 from locktide.simulation.model import traffic
 from locktide.simulation.model.checker import BLAMED
-from locktide.simulation.model.traffic import Ask
-from locktide.simulation.scenario_runner import Stage
+from locktide.simulation.model.traffic import ClientRequest
+from locktide.simulation.scenario_runner import ScenarioRunner
 
 FORMAT = 1
 WINDOW_S = 5  # of the shape; the platform's bench prints its incidents in such windows
@@ -24,22 +24,22 @@
     return round(part / whole, 6) if whole else None
 
 
-def on_time(asks: Iterable[Ask]) -> float:
+def on_time(asks: Iterable[ClientRequest]) -> float:
     return sum(ask.revenue for ask in asks if ask.answered_at and ask.answered_at - ask.at <= ask.soft_limit)
 
 
-def service(asks: Iterable[Ask]) -> float | None:
+def service(asks: Iterable[ClientRequest]) -> float | None:
     """Revenue answered within the soft limit over revenue asked for."""
     asks = list(asks)
     return share(on_time(asks), sum(ask.revenue for ask in asks))
 
 
-def asked(stage: Stage) -> list[Ask]:
+def asked(stage: ScenarioRunner) -> list[ClientRequest]:
     """What was asked for by clients that stayed: who goes away by himself cannot be served."""
     return [ask for ask in stage.asks if ask.tries and ask.tries[-1].ended not in ("", traffic.CLOSED)]
 
 
-def worst(asks: list[Ask], length: float) -> float | None:
+def worst(asks: list[ClientRequest], length: float) -> float | None:
     """Service of the worst ten seconds, by when it was asked for."""
     found = []
     for begin in range(max(1, int(length) - WORST_S + 1)):
@@ -50,14 +50,14 @@
     return min(found, default=None)
 
 
-def windows(asks: list[Ask], length: float, span: int = WINDOW_S) -> list[float | None]:
+def windows(asks: list[ClientRequest], length: float, span: int = WINDOW_S) -> list[float | None]:
     return [
         service(ask for ask in asks if begin <= ask.at / 1e6 < begin + span)
         for begin in range(0, max(1, int(length)), span)
     ]
 
 
-def waits(stage: Stage) -> dict[str, dict[str, float]]:
+def waits(stage: ScenarioRunner) -> dict[str, dict[str, float]]:
     """Seconds from the first try to the answer, of what was done."""
     return {
         grade: {
@@ -68,7 +68,7 @@
     }
 
 
-def of(stage: Stage, host: str, complete: bool = True) -> dict[str, Any]:
+def of(stage: ScenarioRunner, host: str, complete: bool = True) -> dict[str, Any]:
     """All figures are of an emulated fleet."""
     script, asks = stage.script, asked(stage)
     ends = Counter(tried.ended or "open" for tried in stage.tries.values())
--- a/locktide/simulation/peer_links.py
+++ b/locktide/simulation/peer_links.py
@@ -4,16 +4,16 @@
 
 from random import Random
 
-from locktide.simulation.cluster.virtual_cluster import Net
+from locktide.simulation.cluster.virtual_cluster import ClusterNetwork
 
 LATE = 1_000_000  # microseconds that a late datagram takes at most
 
 
-class Talk:
+class PeerLinks:
     """By the names of dispatchers, with the odds of `world.Net`; drawn from the script's seed."""
 
     def __init__(self, seed: int) -> None:
-        self.net, self.random = Net(), Random(seed)
+        self.net, self.random = ClusterNetwork(), Random(seed)
         self.passed = self.lost = 0
 
     def carried(self, sender: str, receiver: str, delay: int, data: bytes) -> list[tuple[int, bytes]]:
--- a/locktide/simulation/process_backend.py
+++ b/locktide/simulation/process_backend.py
@@ -21,10 +21,10 @@
 from locktide.cluster.inspection_client import inspect_member
 from locktide.config.accord import Accord
 from locktide.simulation.backend import DISPATCHER_PORT, REACH_PORT, TALK_PORT, Address, net_address
-from locktide.simulation.cluster_report import Traced
-from locktide.simulation.latency import Facade, Lagged, Way
-from locktide.simulation.model.network import Links, Machine
-from locktide.simulation.peer_links import Talk
+from locktide.simulation.cluster_report import QuotaTrace
+from locktide.simulation.latency import DelayedDirection, DelayedProtocol, DelayedTransport
+from locktide.simulation.model.network import Machine, NetworkLinks
+from locktide.simulation.peer_links import PeerLinks
 
 # A run counts only if our own loop kept up: it looks every so often how late it was woken. A wake later than
 # LATE is seen in the waits; more than one in a hundred, or one by VERY_LATE, moves the figures. Seconds.
@@ -33,15 +33,20 @@
 NETS = range(2, 250)
 
 
-class NoRoom(OSError):
+class NoAddressError(OSError):
     """No part of 127.0.0.0/8 is free for a rehearsal."""
 
 
-class Door:
+class DelayedListener:
     """One listening place. Over a cut link it stands full, so that connections never come up."""
 
     def __init__(
-        self, host: Loopback, here: Machine, there: Machine, address: Address, factory: Callable[[], Any]
+        self,
+        host: ProcessBackend,
+        here: Machine,
+        there: Machine,
+        address: Address,
+        factory: Callable[[], Any],
     ) -> None:
         self.host, self.here, self.there, self.address, self.factory = host, here, there, address, factory
         self.server: asyncio.Server | None = None
@@ -50,7 +55,9 @@
 
     async def open(self) -> None:
         self.server = await asyncio.get_running_loop().create_server(
-            lambda: Lagged(self.host, self.here, self.there, self.factory()), *self.address, backlog=256
+            lambda: DelayedProtocol(self.host, self.here, self.there, self.factory()),
+            *self.address,
+            backlog=256,
         )
         if self.closed:
             self.server.close()
@@ -87,12 +94,12 @@
         self.host.doors.pop(self, None)
 
 
-class Talking(asyncio.DatagramProtocol):
+class PeerDatagrams(asyncio.DatagramProtocol):
     """All talk that goes to one dispatcher."""
 
     transport: asyncio.DatagramTransport
 
-    def __init__(self, host: Loopback, names: dict[str, Machine], target: Machine) -> None:
+    def __init__(self, host: ProcessBackend, names: dict[str, Machine], target: Machine) -> None:
         self.host, self.names, self.target = host, names, target
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -114,8 +121,8 @@
         pass  # nobody listens there just now
 
 
-class Loopback:
-    links: Links
+class ProcessBackend:
+    links: NetworkLinks
     slack = 30_000  # microseconds by which two processes of one machine may see a moment differently
 
     def __init__(self, program: Path, folder: Path) -> None:
@@ -123,15 +130,15 @@
         self.program, self.folder = program, folder
         self.loop = asyncio.get_running_loop()
         self.begun, self.unix_begun = self.loop.time(), time.time()
-        self.ways: dict[Way, None] = {}
-        self.doors: dict[Door, None] = {}
+        self.ways: dict[DelayedDirection, None] = {}
+        self.doors: dict[DelayedListener, None] = {}
         self.whole = asyncio.Event()  # set at each change of the links
         self.processes: dict[int, subprocess.Popen[bytes]] = {}
         # Where jobs are durable: what a dispatcher is told, as an installation's file with that directory.
         self.as_file: Callable[[dict[str, Any], Path, Accord | None], str] | None = None
         # Where dispatchers agree: the accord of one, by where it listens and is reached, and its trace.
         self.agree: Callable[[int, Path], Accord] | None = None
-        self.talk = Talk(os.getpid())
+        self.talk = PeerLinks(os.getpid())
         self.reached: dict[int, asyncio.DatagramTransport] = {}
         self.told_at: dict[int, str] = {}
         self.lives: list[tuple[int, Path, subprocess.Popen[bytes]]] = []
@@ -154,7 +161,7 @@
             with suppress(OSError), socket.socket() as probe:
                 probe.bind((f"127.{net}.99.1", DISPATCHER_PORT))
                 return net
-        raise NoRoom("no free part of 127.0.0.0/8")
+        raise NoAddressError("no free part of 127.0.0.0/8")
 
     def spawn(self, work: Any) -> None:
         task = asyncio.create_task(work)
@@ -182,8 +189,8 @@
 
     async def listen(
         self, here: Machine, there: Machine, address: Address, factory: Callable[[], asyncio.Protocol]
-    ) -> Door:
-        door = Door(self, here, there, address, factory)
+    ) -> DelayedListener:
+        door = DelayedListener(self, here, there, address, factory)
         self.doors[door] = None
         await door.open()
         return door
@@ -198,12 +205,12 @@
         reader = asyncio.StreamReader()
         inner = asyncio.StreamReaderProtocol(reader)
         _, lagged = await self.loop.create_connection(
-            lambda: Lagged(self, here, there, inner), *address, local_addr=(self.address(here), 0)
+            lambda: DelayedProtocol(self, here, there, inner), *address, local_addr=(self.address(here), 0)
         )
         return reader, asyncio.StreamWriter(lagged.facade, inner, reader, self.loop)
 
     def reset(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, Facade)
+        assert isinstance(transport, DelayedTransport)
         transport.reset()
 
     def links_changed(self) -> None:
@@ -261,7 +268,7 @@
         for machine in machines:
             here = self.address(machine)
             transport, _ = await self.loop.create_datagram_endpoint(
-                partial(Talking, self, names, machine), local_addr=(here, REACH_PORT)
+                partial(PeerDatagrams, self, names, machine), local_addr=(here, REACH_PORT)
             )
             self.reached[machine.number] = transport
             self.told_at[machine.number] = here
@@ -276,10 +283,10 @@
                     found.append(str(seen["ledger"].get("digest", "")))
         return found
 
-    def traced(self) -> tuple[list[Traced], int]:
+    def traced(self) -> tuple[list[QuotaTrace], int]:
         """What dispatchers traced, and when the rehearsal began by its clock."""
         return [
-            Traced(
+            QuotaTrace(
                 number,
                 path.read_text().splitlines() if path.exists() else [],
                 self.ended_at.get(process.pid, 0),
--- a/locktide/simulation/rendered_config.py
+++ b/locktide/simulation/rendered_config.py
@@ -10,10 +10,10 @@
 
 from locktide.config.accord import Accord, Elector
 from locktide.config.installation import EFFECTS, Durable, Grade, Installation, Serve, Tenant
-from locktide.simulation.model.scenario import Script
+from locktide.simulation.model.scenario import Scenario
 
 
-def settings(script: Script) -> dict[str, Any]:
+def settings(script: Scenario) -> dict[str, Any]:
     """The fleet's terms in the form of the deployment's settings; times in milliseconds."""
     terms, dispatcher = script.worker, script.dispatcher
     grades = [
@@ -74,7 +74,7 @@
     return made
 
 
-def config(script: Script, number: int, listen: str, discovery: str, known: Any) -> dict[str, Any]:
+def config(script: Scenario, number: int, listen: str, discovery: str, known: Any) -> dict[str, Any]:
     return {
         "name": f"d{number}",
         "listen": listen,
@@ -90,14 +90,14 @@
     }
 
 
-def kept_grades(script: Script) -> list[str]:
+def kept_grades(script: Scenario) -> list[str]:
     """The grades whose jobs are durable."""
     if not script.durable.on:
         return []
     return script.durable.grades or [grade.name for grade in script.grade]
 
 
-def durable(script: Script) -> Durable:
+def durable(script: Scenario) -> Durable:
     terms = script.durable
     return Durable(
         on=True,
@@ -110,12 +110,12 @@
     )
 
 
-def electors(script: Script) -> int:
+def electors(script: Scenario) -> int:
     """So many dispatchers, the first ones, choose who divides: three or five."""
     return 5 if script.fleet.dispatchers >= 5 else 3 if script.fleet.dispatchers >= 3 else 1
 
 
-def agreed(script: Script, listen: str, reach: str, places: list[str], trace: str) -> Accord:
+def agreed(script: Scenario, listen: str, reach: str, places: list[str], trace: str) -> Accord:
     """The accord of one dispatcher, as an installation has it; `places` are where all are reached."""
     terms = script.accord
     return Accord(
@@ -132,7 +132,7 @@
     )
 
 
-def installation(script: Script, name: str, accord: Accord) -> Installation:
+def installation(script: Scenario, name: str, accord: Accord) -> Installation:
     """As much of an installation as the accord is told by."""
     return Installation(
         serve=Serve(name=name),
@@ -142,7 +142,7 @@
     )
 
 
-def as_file(script: Script, told: dict[str, Any], directory: Path, accord: Accord | None = None) -> str:
+def as_file(script: Scenario, told: dict[str, Any], directory: Path, accord: Accord | None = None) -> str:
     """What `config` tells, as an installation's file, with durable jobs in that directory or with an accord.
 
     For `locktide serve`: the platform's start has no such parts.
--- a/locktide/simulation/run.py
+++ b/locktide/simulation/run.py
@@ -17,41 +17,43 @@
 from locktide.simulation import outcome
 from locktide.simulation import rendered_config as told_module
 from locktide.simulation.backend import REACH_PORT, TALK_PORT
-from locktide.simulation.model.scenario import Script
-from locktide.simulation.peer_links import Talk
-from locktide.simulation.process_backend import Loopback
-from locktide.simulation.scenario_runner import Stage
-from locktide.simulation.virtual_backend import InTime
+from locktide.simulation.model.scenario import Scenario
+from locktide.simulation.peer_links import PeerLinks
+from locktide.simulation.process_backend import ProcessBackend
+from locktide.simulation.scenario_runner import ScenarioRunner
+from locktide.simulation.virtual_backend import VirtualBackend
 from locktide.simulation.virtual_time.loop import VirtualLoop
 
-Glance = Callable[[Stage, int], None]  # called now and then while it plays, with the time in microseconds
+ProgressCallback = Callable[
+    [ScenarioRunner, int], None
+]  # called now and then while it plays, with the time in microseconds
 
 
-class Troubled(RuntimeError):
+class RunFailedError(RuntimeError):
     """Something in the rehearsal itself broke off: its figures count for nothing."""
 
 
 @dataclass
-class Played:
+class RunResult:
     told: dict[str, Any]
     said: list[str] = field(default_factory=list)  # what the dispatchers logged
 
 
-def with_seed(script: Script, seed: int) -> Script:
+def with_seed(script: Scenario, seed: int) -> Scenario:
     return msgspec.structs.replace(script, seed=seed)
 
 
-def in_virtual_time(script: Script, glance: Glance | None = None) -> Played:
+def in_virtual_time(script: Scenario, glance: ProgressCallback | None = None) -> RunResult:
     """Raises Troubled where code of ours broke off unseen: a fault that a rehearsal must not hide."""
     loop = VirtualLoop()  # type: ignore[abstract]
-    host = InTime(loop)
-    stage = Stage(script, host)
+    host = VirtualBackend(loop)
+    stage = ScenarioRunner(script, host)
     host.links, host.on_point = stage.links, stage.dispatcher_at
     if script.durable.on:
         terms = script.durable
         host.durable = (told_module.durable(script), script.seed, terms.sync, terms.zeros)
     if script.accord.on:
-        host.talk = Talk(script.seed)
+        host.talk = PeerLinks(script.seed)
         places = [f"{host.address(machine)}:{TALK_PORT}" for machine in stage.dispatcher_machines]
 
         def agree(number: int, name: str, address: str) -> ClusterConfig:
@@ -91,20 +93,22 @@
         gc.enable()
         loop.close()
     if troubles:
-        raise Troubled("; ".join(troubles[:5]))
-    return Played(told, host.said)
+        raise RunFailedError("; ".join(troubles[:5]))
+    return RunResult(told, host.said)
 
 
-async def on_loopback(script: Script, program: Path, folder: Path, glance: Glance | None = None) -> Played:
+async def on_loopback(
+    script: Scenario, program: Path, folder: Path, glance: ProgressCallback | None = None
+) -> RunResult:
     """In real time. Cancelled in the middle, it gives what there is, and leaves no process behind."""
-    host = Loopback(program, folder)
+    host = ProcessBackend(program, folder)
     if script.durable.on or script.accord.on:
         refuse_on_loopback(script)
         host.as_file = lambda told, directory, accord: told_module.as_file(script, told, directory, accord)
-    stage = Stage(script, host)
+    stage = ScenarioRunner(script, host)
     host.links = stage.links
     if script.accord.on:
-        host.talk = Talk(script.seed)
+        host.talk = PeerLinks(script.seed)
         here = [host.address(machine) for machine in stage.dispatcher_machines]
         places = [f"{address}:{REACH_PORT}" for address in here]
         host.agree = lambda number, trace: told_module.agreed(
@@ -130,23 +134,27 @@
         told = outcome.of(stage, "loopback", complete) | host.measures()
         if script.accord.on:
             told["accord"] = figures(stage, *host.traced(), await host.digests())
-        return Played(told, host.logs())
+        return RunResult(told, host.logs())
     finally:
         looking.cancel()
         stage.close()
         await host.clear_away()
 
 
-def figures(stage: Stage, traces: list[agreed.Traced], begun: int, digests: list[str]) -> dict[str, Any]:
+def figures(
+    stage: ScenarioRunner, traces: list[agreed.QuotaTrace], begun: int, digests: list[str]
+) -> dict[str, Any]:
     return agreed.figures(stage.script, traces, outcome.asked(stage), begun, digests)
 
 
-def refuse_on_loopback(script: Script) -> None:
+def refuse_on_loopback(script: Scenario) -> None:
     """What an installation's file and a real disk cannot be told; raises Troubled."""
     if any(incident.what == "trap-dispatcher" for incident in script.incident):
-        raise Troubled("points of a journal at which dispatchers are trapped are for --host virtual only")
+        raise RunFailedError(
+            "points of a journal at which dispatchers are trapped are for --host virtual only"
+        )
     if script.dispatcher.settings or script.roster.call:
-        raise Troubled(
+        raise RunFailedError(
             "with durable jobs or an accord dispatcher.settings and roster.call are for --host virtual only"
         )
 
--- a/locktide/simulation/scenario_runner.py
+++ b/locktide/simulation/scenario_runner.py
@@ -10,22 +10,21 @@
 from hdrh.histogram import HdrHistogram
 
 from locktide.simulation import rendered_config as told
-from locktide.simulation.backend import DISPATCHER_PORT, ROSTER_PORT, WORKER_PORT, Host
+from locktide.simulation.backend import DISPATCHER_PORT, ROSTER_PORT, WORKER_PORT, Backend
 from locktide.simulation.client_site import ClientSite
 from locktide.simulation.connection_pool import ClientConnectionPool, ProtocolError, UpstreamRequest
-from locktide.simulation.discovery_site import AgentEnd, AgentSite
-from locktide.simulation.fault_injector import Timeline
-from locktide.simulation.interfaces import Dispatcher
+from locktide.simulation.discovery_site import DiscoveryConnection, DiscoverySite
+from locktide.simulation.fault_injector import FaultInjector
+from locktide.simulation.interfaces import EmulatedDispatcher
 from locktide.simulation.model import random_streams as chance
 from locktide.simulation.model import traffic
-from locktide.simulation.model.checker import Came, Checker, Terms
-from locktide.simulation.model.discovery import ACTIVE, LEAVING, Agent, Calls, Entry
-from locktide.simulation.model.network import DISPATCHER, WORKER, Links, Machine
-from locktide.simulation.model.scenario import Script, deal_kinds
-from locktide.simulation.model.traffic import Ask, Try
-from locktide.simulation.model.worker import Pod, Shared, Worker
-from locktide.simulation.model.worker import Terms as WorkerTerms
-from locktide.simulation.worker_site import UNSETTLED, WorkerEnd, WorkerSite
+from locktide.simulation.model.checker import Checker, CheckerConfig, ReceivedAttempt
+from locktide.simulation.model.discovery import ACTIVE, LEAVING, CallCapacity, DiscoveryAgent, ListedWorker
+from locktide.simulation.model.network import DISPATCHER, WORKER, Machine, NetworkLinks
+from locktide.simulation.model.scenario import Scenario, assign_worker_types
+from locktide.simulation.model.traffic import ClientRequest, RequestTry
+from locktide.simulation.model.worker import DeduplicationCell, EmulatedWorker, SharedCapacity, WorkerConfig
+from locktide.simulation.worker_site import UNSETTLED, WorkerConnection, WorkerSite
 
 READY_WITHIN = 30.0  # seconds for all dispatchers to be ready before the traffic begins
 TAKEN_OUT_AFTER = 300_000  # microseconds that a front goes on sending to who is stopped: 0.2 to 0.4 s there
@@ -34,7 +33,7 @@
 LONGEST_WAIT = 120_000_000  # microseconds; the waits' histogram ends there
 
 
-class NotReady(Exception):
+class NotReadyError(Exception):
     """A dispatcher did not come up."""
 
 
@@ -52,23 +51,23 @@
     dispatchers: int
 
 
-class Stage:
-    def __init__(self, script: Script, host: Host) -> None:
+class ScenarioRunner:
+    def __init__(self, script: Scenario, host: Backend) -> None:
         self.script, self.host = script, host
-        self.links = Links(script.network, script.seed)
+        self.links = NetworkLinks(script.network, script.seed)
         memory = {g.name: int(g.memory * 1e6) for g in script.grade if g.effect == "numbered"}
         self.checker = Checker(
-            Terms(
-                slack=Terms.slack + host.slack,
+            CheckerConfig(
+                slack=CheckerConfig.slack + host.slack,
                 drain_grace=int(script.dispatcher.drain_grace * 1e6),
                 memory=memory,
             )
         )
-        self.shared = Shared(script.shared.capacity)
-        self.tries: dict[str, Try] = {}
-        self.asks: list[Ask] = traffic.draw(script)
+        self.shared = SharedCapacity(script.shared.capacity)
+        self.tries: dict[str, RequestTry] = {}
+        self.asks: list[ClientRequest] = traffic.draw_requests(script)
         self.tasks: dict[asyncio.Task[Any], None] = {}
-        self.half_open: list[WorkerEnd] = []
+        self.half_open: list[WorkerConnection] = []
         self.samples: list[Sample] = []
         self.wait_by: dict[str, HdrHistogram] = {
             grade.name: HdrHistogram(1, LONGEST_WAIT, 3) for grade in script.grade
@@ -84,39 +83,41 @@
         self.dispatcher_machines = [
             Machine(DISPATCHER, number, self.zone_of(number)) for number in range(fleet.dispatchers)
         ]
-        self.dispatchers = [Dispatcher(machine) for machine in self.dispatcher_machines]
+        self.dispatchers = [EmulatedDispatcher(machine) for machine in self.dispatcher_machines]
         entries = [self.entry(number) for number in range(fleet.workers)]
-        self.agents = [Agent(entries) for _ in self.dispatchers]
+        self.agents = [DiscoveryAgent(entries) for _ in self.dispatchers]
         roster = script.roster
-        self.calls = Calls(int(roster.call * 1e6), int(roster.call_waits * 1e6)) if roster.call else None
+        self.calls = (
+            CallCapacity(int(roster.call * 1e6), int(roster.call_waits * 1e6)) if roster.call else None
+        )
         self.agent_sites = [
-            AgentSite(host, number, agent, script.seed, roster.whole, self.endpoint(number), self.calls)
+            DiscoverySite(host, number, agent, script.seed, roster.whole, self.endpoint(number), self.calls)
             for number, agent in enumerate(self.agents)
         ]
-        pods: dict[int, Pod] = {}
+        pods: dict[int, DeduplicationCell] = {}
         # A tenth of a second more than is promised: a repeat sent in time is taken a little later.
         longest = max(memory.values(), default=0) + 100_000
         self.workers = [
             WorkerSite(
                 self,
                 number,
-                Worker(self.worker_terms(number), 0),
-                pods.setdefault(entry.pod, Pod(longest)),
+                EmulatedWorker(self.worker_terms(number), 0),
+                pods.setdefault(entry.pod, DeduplicationCell(longest)),
                 entry,
             )
             for number, entry in enumerate(entries)
         ]
         self.clients = [ClientSite(self, zone) for zone in range(fleet.zones)]
-        self.timeline = Timeline(self)
+        self.timeline = FaultInjector(self)
 
     # --- how the fleet is made
 
     def zone_of(self, number: int) -> int:
         return number % self.script.fleet.zones
 
-    def worker_terms(self, number: int) -> WorkerTerms:
-        kind, terms = deal_kinds(self.script)[number], self.script.worker
-        return WorkerTerms(
+    def worker_terms(self, number: int) -> WorkerConfig:
+        kind, terms = assign_worker_types(self.script)[number], self.script.worker
+        return WorkerConfig(
             kind.cores,
             kind.speed,
             terms.queue,
@@ -129,12 +130,12 @@
             terms.hands_back,
         )
 
-    def entry(self, number: int, boot_at: int = 0) -> Entry:
-        kind, zone = deal_kinds(self.script)[number], self.zone_of(number)
+    def entry(self, number: int, boot_at: int = 0) -> ListedWorker:
+        kind, zone = assign_worker_types(self.script)[number], self.zone_of(number)
         pod = number // self.script.fleet.zones // self.script.fleet.pod * self.script.fleet.zones + zone
         # Roughly, as a roster knows it: the size of the machine.
         rating = round(kind.cores * kind.speed, 3)
-        return Entry(number, f"w{number}", f"zone{zone}", kind.name, pod, ACTIVE, rating, boot_at)
+        return ListedWorker(number, f"w{number}", f"zone{zone}", kind.name, pod, ACTIVE, rating, boot_at)
 
     def endpoint(self, dispatcher: int) -> Any:
         """A worker's address as that dispatcher is told it."""
@@ -145,7 +146,7 @@
 
         return spell
 
-    def body(self, ask: Ask) -> bytes:
+    def body(self, ask: ClientRequest) -> bytes:
         size = self.script.clients.bodies
         return (f"{ask.number:x}." * (size // 2 + 1))[:size].encode()
 
@@ -164,7 +165,7 @@
     def links_changed_at(self) -> int:
         return self.timeline.links_changed_at
 
-    def audible(self, came: Came) -> bool:
+    def audible(self, came: ReceivedAttempt) -> bool:
         """Whether a dispatcher could have ended that dispatch in a way that both sides know."""
         site = self.workers[came.worker]
         if came.accepted_at is not None and not self.kept_grades:
@@ -184,8 +185,8 @@
             return None
         return since
 
-    def list_change(self, entry: Entry, state: str, after: float) -> None:
-        changed = Entry(
+    def list_change(self, entry: ListedWorker, state: str, after: float) -> None:
+        changed = ListedWorker(
             entry.number, entry.uid, entry.zone, entry.model, entry.pod, state, entry.rating, entry.boot_at
         )
         for number, site in enumerate(self.agent_sites):
@@ -212,7 +213,7 @@
         for site in self.workers:
             site.schedule()
 
-    def waits(self, ask: Ask) -> None:
+    def waits(self, ask: ClientRequest) -> None:
         self.wait_by[ask.grade.name].record_value(min(LONGEST_WAIT, max(1, ask.answered_at - ask.at)))
 
     def pause_later(self, site: WorkerSite) -> None:
@@ -321,7 +322,7 @@
         for number, site in enumerate(self.agent_sites):
             here = self.dispatcher_machines[number]
             address = (self.host.address(here), ROSTER_PORT)
-            await self.host.listen(here, here, address, lambda site=site: AgentEnd(site))  # type: ignore[misc]
+            await self.host.listen(here, here, address, lambda site=site: DiscoveryConnection(site))  # type: ignore[misc]
         for worker in self.workers:
             await worker.open()
         for number in range(len(self.dispatchers)):
@@ -335,7 +336,7 @@
             await asyncio.sleep(0.05)
             waited += 0.05
             if waited > READY_WITHIN:
-                raise NotReady(f"not all dispatchers were ready within {READY_WITHIN:.0f} s")
+                raise NotReadyError(f"not all dispatchers were ready within {READY_WITHIN:.0f} s")
         self.host.begin()
         for worker in self.workers:
             worker.worker.start(self.host.now(), cold=False)
@@ -388,4 +389,4 @@
                 dispatcher.alive = False
 
 
-__all__ = ["LEAVING", "NotReady", "Stage"]
+__all__ = ["LEAVING", "NotReadyError", "ScenarioRunner"]
--- a/locktide/simulation/tables.py
+++ b/locktide/simulation/tables.py
@@ -10,7 +10,7 @@
 from rich.table import Table
 
 from locktide.simulation.model.checker import BLAMED
-from locktide.simulation.scenario_runner import Stage
+from locktide.simulation.scenario_runner import ScenarioRunner
 
 
 def figure(value: Any) -> str:
@@ -72,7 +72,9 @@
         console.print("Interrupted: the figures are of the part that was played.", style="bold yellow")
 
 
-def watched(console: Console, length: float, title: str) -> tuple[Progress, Callable[[Stage, int], None]]:
+def watched(
+    console: Console, length: float, title: str
+) -> tuple[Progress, Callable[[ScenarioRunner, int], None]]:
     """A bar for a rehearsal of that many seconds, and what moves it."""
     progress = Progress(
         TextColumn("{task.description}"),
@@ -85,7 +87,7 @@
     )
     bar = progress.add_task(title, total=length, stand="")
 
-    def glance(stage: Stage, now: int) -> None:
+    def glance(stage: ScenarioRunner, now: int) -> None:
         out = sum(len(one.open) for one in stage.dispatchers)
         up = sum(site.worker.up for site in stage.workers)
         broken = sum(stage.checker.counts.values())
--- a/locktide/simulation/virtual_backend.py
+++ b/locktide/simulation/virtual_backend.py
@@ -19,13 +19,13 @@
 from locktide.durable.recovery import ClockReading
 from locktide.protocol import discovery
 from locktide.simulation.backend import TALK_PORT, Address, net_address
-from locktide.simulation.cluster_report import Traced
+from locktide.simulation.cluster_report import QuotaTrace
 from locktide.simulation.model.network import Machine
-from locktide.simulation.peer_links import Talk
-from locktide.simulation.virtual_time.disk import Platter
+from locktide.simulation.peer_links import PeerLinks
+from locktide.simulation.virtual_time.disk import VirtualDisk
 from locktide.simulation.virtual_time.loop import VirtualLoop
-from locktide.simulation.virtual_time.network import Listener, Net
-from locktide.simulation.virtual_time.process import Process
+from locktide.simulation.virtual_time.network import Listener, VirtualNetwork
+from locktide.simulation.virtual_time.process import VirtualProcess
 from locktide.transport.log import Log
 
 EPOCH = 1_800_000_000  # the Unix time at which every virtual rehearsal begins, in seconds
@@ -33,7 +33,7 @@
 MOST_LINES = 2000  # of the dispatchers' logs that are kept
 
 
-class Kept(Log):
+class RecordingLog(Log):
     """Keeps what dispatchers say, with the virtual time."""
 
     def __init__(self, name: str, loop: VirtualLoop, lines: list[str]) -> None:
@@ -45,7 +45,7 @@
             self.lines.append(f"{self.loop.time():.3f} {self.name} {line}")
 
 
-class Nothing:
+class NoLatency:
     """The wires when all is over: nothing takes any time, or goes anywhere."""
 
     def delay(self, source: Machine, target: Machine) -> int:
@@ -58,7 +58,7 @@
         return False
 
 
-class Copied(io.StringIO):
+class RecordedText(io.StringIO):
     """A trace that stays when who writes it closes it."""
 
     def __init__(self, kept: io.StringIO) -> None:
@@ -69,26 +69,26 @@
         return self.kept.write(text)
 
 
-class InTime:
+class VirtualBackend:
     slack = 0  # nothing is ever late
 
     def __init__(self, loop: VirtualLoop) -> None:
-        self.loop, self.net = loop, Net(loop, self)
+        self.loop, self.net = loop, VirtualNetwork(loop, self)
         self.links: Any = None  # of the stage, once it stands
         self.machines: dict[str, Machine] = {}
-        self.processes: dict[int, tuple[Process, asyncio.Event]] = {}
+        self.processes: dict[int, tuple[VirtualProcess, asyncio.Event]] = {}
         self.begun = 0.0
         self.said: list[str] = []
         self.durable: tuple[Durable, int, float, float] | None = None  # terms, seed, latency, zeros
-        self.platters: dict[int, Platter] = {}
+        self.platters: dict[int, VirtualDisk] = {}
         self.on_point: Callable[[int, str], None] = lambda number, name: None
-        self.all: list[Process] = []  # also those that have died
-        self.talk = Talk(0)
+        self.all: list[VirtualProcess] = []  # also those that have died
+        self.talk = PeerLinks(0)
         # Where dispatchers agree: the terms of one, by its number, name and address.
         self.agree: Callable[[int, str, str], ClusterConfig] | None = None
-        self.traces: list[tuple[int, Process, io.StringIO]] = []
-        self.ended_at: dict[Process, int] = {}
-        self.drivers: dict[int, tuple[Process, UdpTransport]] = {}
+        self.traces: list[tuple[int, VirtualProcess, io.StringIO]] = []
+        self.ended_at: dict[VirtualProcess, int] = {}
+        self.drivers: dict[int, tuple[VirtualProcess, UdpTransport]] = {}
 
     # --- the host
 
@@ -129,7 +129,7 @@
 
     def start_dispatcher(self, number: int, told: dict[str, Any]) -> None:
         name = told["name"]
-        process = Process(name, told["listen"].rpartition(":")[0])
+        process = VirtualProcess(name, told["listen"].rpartition(":")[0])
         stop = asyncio.Event()
         self.processes[number] = (process, stop)
         self.all.append(process)
@@ -140,7 +140,7 @@
 
         async def run() -> None:
             await asyncio.sleep(UP_AFTER)
-            log = Kept(name, self.loop, self.said)
+            log = RecordingLog(name, self.loop, self.said)
             node = Dispatcher(read, known, log, self)
             job_service = None
             if kept is not None:
@@ -160,7 +160,7 @@
 
         self.loop.create_task(run(), context=context).add_done_callback(self.ended)
 
-    async def joined(self, number: int, process: Process, node: Dispatcher, log: Log) -> UdpTransport:
+    async def joined(self, number: int, process: VirtualProcess, node: Dispatcher, log: Log) -> UdpTransport:
         assert self.agree is not None
         trace = io.StringIO()
         self.traces.append((number, process, trace))
@@ -169,7 +169,7 @@
         terms = replace(
             terms, member_id=(process.name, round(self.wall() * 1e6)), random_seed=len(self.traces)
         )
-        driver = await open_udp_transport(terms, log, node, (process.address, TALK_PORT), Copied(trace))
+        driver = await open_udp_transport(terms, log, node, (process.address, TALK_PORT), RecordedText(trace))
         self.drivers[number] = process, driver
         return driver
 
@@ -178,13 +178,13 @@
         ledgers = [driver.member.ledger for process, driver in self.drivers.values() if not process.dead]
         return [f"{ledger.standing.digest:016x}" for ledger in ledgers if ledger is not None]
 
-    def died(self, process: Process) -> None:
+    def died(self, process: VirtualProcess) -> None:
         self.ended_at.setdefault(process, round(self.loop.time() * 1e6))
 
-    def traced(self) -> tuple[list[Traced], int]:
+    def traced(self) -> tuple[list[QuotaTrace], int]:
         """What dispatchers traced, and when the rehearsal began by its clock."""
         return [
-            Traced(number, trace.getvalue().splitlines(), self.ended_at.get(process, 0))
+            QuotaTrace(number, trace.getvalue().splitlines(), self.ended_at.get(process, 0))
             for number, process, trace in self.traces
         ], round(self.begun * 1e6)
 
@@ -207,20 +207,20 @@
         at = round(self.wall() * 1e6)
         return ClockReading(at, "virtual", round(self.loop.time() * 1e6))
 
-    def kept(self, number: int) -> tuple[Durable, Platter] | None:
+    def kept(self, number: int) -> tuple[Durable, VirtualDisk] | None:
         """The terms and the disk of a dispatcher that keeps jobs."""
         if self.durable is None:
             return None
         told, seed, latency, zeros = self.durable
         if number not in self.platters:
-            self.platters[number] = Platter(seed * 1009 + number, latency, zeros)
+            self.platters[number] = VirtualDisk(seed * 1009 + number, latency, zeros)
         return told, self.platters[number]
 
     def dispatcher_runs(self, number: int) -> bool:
         return number in self.processes and not self.processes[number][0].dead
 
     async def clear_away(self) -> None:
-        self.links = Nothing()
+        self.links = NoLatency()
         for process in self.all:
             await process.clear_away()
 
--- a/locktide/simulation/virtual_time/datagrams.py
+++ b/locktide/simulation/virtual_time/datagrams.py
@@ -7,23 +7,23 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from locktide.simulation.virtual_time.process import PROCESS, Process
+from locktide.simulation.virtual_time.process import PROCESS, VirtualProcess
 
 Address = tuple[str, int]
 
 
-class Air(Protocol):
+class DatagramLinkModel(Protocol):
     """What happens to a datagram."""
 
     def carried(self, source: str, target: str, data: bytes) -> list[tuple[int, bytes]]:
         """Each copy that comes, with its delay in microseconds."""
 
 
-class Port(asyncio.DatagramTransport):
-    def __init__(self, ports: Ports, address: Address, protocol: Any) -> None:
+class VirtualDatagramTransport(asyncio.DatagramTransport):
+    def __init__(self, ports: VirtualDatagramNetwork, address: Address, protocol: Any) -> None:
         super().__init__()
         self.ports, self.address, self.protocol = ports, address, protocol
-        self.process: Process | None = PROCESS.get()
+        self.process: VirtualProcess | None = PROCESS.get()
         self.context = contextvars.copy_context()
         self.closed = False
 
@@ -46,22 +46,22 @@
     abort = close
 
 
-class Ports:
-    def __init__(self, loop: Any, air: Air) -> None:
+class VirtualDatagramNetwork:
+    def __init__(self, loop: Any, air: DatagramLinkModel) -> None:
         self.loop, self.air = loop, air
         self.context = contextvars.copy_context()  # of no process: what is under way outlives its sender
-        self.open: dict[Address, Port] = {}
+        self.open: dict[Address, VirtualDatagramTransport] = {}
 
-    def bind(self, factory: Callable[[], Any], address: Address) -> tuple[Port, Any]:
+    def bind(self, factory: Callable[[], Any], address: Address) -> tuple[VirtualDatagramTransport, Any]:
         held = self.open.get(address)
         if held is not None and not (held.process is not None and held.process.dead):
             raise OSError(98, "address in use")
         protocol = factory()
-        port = self.open[address] = Port(self, address, protocol)
+        port = self.open[address] = VirtualDatagramTransport(self, address, protocol)
         protocol.connection_made(port)
         return port, protocol
 
-    def send(self, port: Port, data: bytes, to: Address) -> None:
+    def send(self, port: VirtualDatagramTransport, data: bytes, to: Address) -> None:
         for delay, copy in self.air.carried(port.address[0], to[0], data):
             when = self.loop.time() + delay / 1e6
             self.loop.call_at(when, self.come, port.address, to, copy, context=self.context)
--- a/locktide/simulation/virtual_time/disk.py
+++ b/locktide/simulation/virtual_time/disk.py
@@ -11,20 +11,20 @@
 SECTOR = 512
 
 
-class Platter:
+class VirtualDisk:
     """What lasts from one process to the next."""
 
     def __init__(self, seed: int, latency: float, zeros: float = 0.0) -> None:
         self.seed, self.latency, self.zeros = seed, latency, zeros
         self.files: dict[str, bytearray] = {}
         self.synced: dict[str, int] = {}
-        self.mounted: Mounted | None = None
+        self.mounted: VirtualStorage | None = None
         self.room: int | None = None  # bytes until it is full
         self.fails_sync = False
         self.crashes = self.dropped = 0
 
-    def mount(self) -> Mounted:
-        return Mounted(self)
+    def mount(self) -> VirtualStorage:
+        return VirtualStorage(self)
 
     def crash(self) -> None:
         """The process and the cache of the disk are gone. Of what was not synced some first part stands; or
@@ -50,10 +50,10 @@
             self.synced[name] = len(data)
 
 
-class Mounted:
+class VirtualStorage:
     """The disk as one process has it; once that has died, nothing is done any more."""
 
-    def __init__(self, platter: Platter) -> None:
+    def __init__(self, platter: VirtualDisk) -> None:
         self.platter, self.alive = platter, True
 
     def list_files(self) -> list[str]:
--- a/locktide/simulation/virtual_time/loop.py
+++ b/locktide/simulation/virtual_time/loop.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Coroutine, Generator
 from typing import Any, Protocol
 
-from locktide.simulation.virtual_time.process import PROCESS, Process
+from locktide.simulation.virtual_time.process import PROCESS, VirtualProcess
 
 # A loop that does nothing but call itself would never let time pass: a fault in what runs on it.
 MOST_AT_ONCE = 2_000_000
@@ -23,7 +23,7 @@
     async def connect(self, host: str, port: int, source: str | None) -> Any: ...
 
 
-class Stuck(RuntimeError):
+class DeadlockError(RuntimeError):
     """Nothing is left to do, and what was waited for has not come."""
 
 
@@ -32,8 +32,8 @@
 
     def __init__(self) -> None:
         self.now = 0.0
-        self.ready: deque[tuple[asyncio.Handle, Process | None]] = deque()
-        self.timers: list[tuple[float, int, asyncio.TimerHandle, Process | None]] = []
+        self.ready: deque[tuple[asyncio.Handle, VirtualProcess | None]] = deque()
+        self.timers: list[tuple[float, int, asyncio.TimerHandle, VirtualProcess | None]] = []
         self.made = 0
         self.stopping = self.running = self.closed = False
         self.trouble: list[dict[str, Any]] = []  # what was raised where nobody catches it
@@ -86,14 +86,14 @@
                 if not self.ready:
                     at_once = 0
                     if not self.pass_time():
-                        raise Stuck(f"nothing left to do at {self.now:.6f} s")
+                        raise DeadlockError(f"nothing left to do at {self.now:.6f} s")
                 handle, process = self.ready.popleft()
                 if handle.cancelled() or process is not None and process.dead:
                     continue
                 at_once += 1
                 self.ran += 1
                 if at_once > MOST_AT_ONCE:
-                    raise Stuck(f"no end of work at {self.now:.6f} s: {handle!r}")
+                    raise DeadlockError(f"no end of work at {self.now:.6f} s: {handle!r}")
                 handle._run()
         finally:
             self.running = False
@@ -113,7 +113,7 @@
         return True
 
     @staticmethod
-    def dead(process: Process | None) -> bool:
+    def dead(process: VirtualProcess | None) -> bool:
         return process is not None and process.dead
 
     def run_until_complete(self, future: Any) -> Any:
--- a/locktide/simulation/virtual_time/network.py
+++ b/locktide/simulation/virtual_time/network.py
@@ -12,12 +12,12 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from locktide.simulation.virtual_time.datagrams import Ports
+from locktide.simulation.virtual_time.datagrams import VirtualDatagramNetwork
 from locktide.simulation.virtual_time.loop import VirtualLoop
-from locktide.simulation.virtual_time.process import PROCESS, Process
+from locktide.simulation.virtual_time.process import PROCESS, VirtualProcess
 
 
-class Wires(Protocol):
+class LinkModel(Protocol):
     """How the network behaves between two addresses; spans in microseconds."""
 
     def delay(self, source: str, target: str) -> int: ...
@@ -34,12 +34,16 @@
     """A listening socket, either with a protocol for each connection or with a queue for `sock_accept`."""
 
     def __init__(
-        self, net: Net, factory: Callable[[], Any] | None, address: tuple[str, int], backlog: int = 1024
+        self,
+        net: VirtualNetwork,
+        factory: Callable[[], Any] | None,
+        address: tuple[str, int],
+        backlog: int = 1024,
     ) -> None:
         self.net, self.factory, self.address, self.backlog = net, factory, address, backlog
         self.context = contextvars.copy_context()
         self.process = PROCESS.get()
-        self.queue: deque[Accepted] = deque()
+        self.queue: deque[AcceptedSocket] = deque()
         self.waiter: asyncio.Future[None] | None = None
 
     def setblocking(self, flag: bool) -> None:
@@ -57,15 +61,15 @@
     async def wait_closed(self) -> None:
         pass
 
-    def come(self, end: End) -> None:
+    def come(self, end: VirtualTransport) -> None:
         if self.factory is not None:
             end.begin(self.factory(), self.context)
             return
-        self.queue.append(Accepted(end))
+        self.queue.append(AcceptedSocket(end))
         if self.waiter is not None and not self.waiter.done():
             self.waiter.set_result(None)
 
-    async def accept(self) -> tuple[Accepted, tuple[str, int]]:
+    async def accept(self) -> tuple[AcceptedSocket, tuple[str, int]]:
         while not self.queue:
             self.waiter = self.net.loop.create_future()
             await self.waiter
@@ -73,13 +77,13 @@
         return accepted, accepted.end.peer_address
 
 
-class Accepted:
+class AcceptedSocket:
     """A connection that was accepted and has no protocol yet; what comes meanwhile is kept."""
 
-    def __init__(self, end: End) -> None:
+    def __init__(self, end: VirtualTransport) -> None:
         self.end = end
 
-    def begin(self, protocol: Any) -> End:
+    def begin(self, protocol: Any) -> VirtualTransport:
         self.end.begin(protocol, contextvars.copy_context())
         return self.end
 
@@ -87,14 +91,16 @@
         self.end.reset()
 
 
-class End(asyncio.Transport):
+class VirtualTransport(asyncio.Transport):
     """One side of a connection."""
 
-    def __init__(self, net: Net, here: str, there: str, port: int, process: Process | None) -> None:
+    def __init__(
+        self, net: VirtualNetwork, here: str, there: str, port: int, process: VirtualProcess | None
+    ) -> None:
         super().__init__()
         self.net, self.here, self.there, self.process = net, here, there, process
         self.peer_address = (there, port)
-        self.peer: End
+        self.peer: VirtualTransport
         self.protocol: Any = None
         self.context: contextvars.Context | None = None
         self.sent_until = 0.0  # nothing sent later comes sooner
@@ -241,16 +247,16 @@
         self.protocol.connection_lost(trouble)
 
 
-class Net:
+class VirtualNetwork:
     """All listening sockets and connections of one virtual loop."""
 
-    def __init__(self, loop: VirtualLoop, wires: Wires) -> None:
+    def __init__(self, loop: VirtualLoop, wires: LinkModel) -> None:
         self.loop, self.wires = loop, wires
         self.context = contextvars.copy_context()  # of no process: bytes under way outlive their sender
         self.listeners: dict[tuple[str, int], Listener] = {}
-        self.ends: dict[End, None] = {}
+        self.ends: dict[VirtualTransport, None] = {}
         self.split = self.connected = 0
-        self.ports = Ports(loop, wires)
+        self.ports = VirtualDatagramNetwork(loop, wires)
         loop.network = self
 
     def listen(self, factory: Callable[[], Any] | None, host: str, port: int) -> Listener:
@@ -266,15 +272,15 @@
         listener.backlog = backlog
         return listener
 
-    async def connect(self, protocol: Any, host: str, port: int, source: str | None) -> End:
+    async def connect(self, protocol: Any, host: str, port: int, source: str | None) -> VirtualTransport:
         process = PROCESS.get()
         here = source or (process.address if process else "0.0.0.0")
         await self.trip(here, host)
         listener = self.listeners.get((host, port))
         refused = listener is None or len(listener.queue) >= listener.backlog
         if listener is not None and not refused:
-            mine = End(self, here, host, port, process)
-            theirs = End(self, host, here, 0, listener.process)
+            mine = VirtualTransport(self, here, host, port, process)
+            theirs = VirtualTransport(self, host, here, 0, listener.process)
             mine.peer, theirs.peer = theirs, mine
             self.connected += 1
             listener.come(theirs)
@@ -297,7 +303,7 @@
             if end.held and not self.wires.cut(end.here, end.there):
                 end.send_held()
 
-    def kill(self, process: Process) -> None:
+    def kill(self, process: VirtualProcess) -> None:
         """The process dies: its connections are reset, new ones refused."""
         process.kill()
         for address, listener in list(self.listeners.items()):
--- a/locktide/simulation/virtual_time/process.py
+++ b/locktide/simulation/virtual_time/process.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 
-class Process:
+class VirtualProcess:
     """Once killed, nothing of it runs again; what it had begun is kept, so that no clean-up runs either."""
 
     def __init__(self, name: str, address: str) -> None:
@@ -50,4 +50,4 @@
         return context
 
 
-PROCESS: contextvars.ContextVar[Process | None] = contextvars.ContextVar("process", default=None)
+PROCESS: contextvars.ContextVar[VirtualProcess | None] = contextvars.ContextVar("process", default=None)
--- a/locktide/simulation/worker_site.py
+++ b/locktide/simulation/worker_site.py
@@ -10,13 +10,13 @@
 
 from locktide.protocol import names
 from locktide.protocol.client_connection import ProtocolError, UpstreamRequest
-from locktide.simulation.backend import WORKER_PORT, Open
+from locktide.simulation.backend import WORKER_PORT, Closable
 from locktide.simulation.connection_pool import ClientConnectionPool
-from locktide.simulation.http import Answering, Message, as_json
-from locktide.simulation.interfaces import WorkerScene
+from locktide.simulation.http import Message, ServerMessages, as_json
+from locktide.simulation.interfaces import WorkerContext
 from locktide.simulation.model import random_streams as chance
-from locktide.simulation.model.checker import GIVEN_UP, MAYBE, NEVER, Came
-from locktide.simulation.model.discovery import ACTIVE, LEAVING, LEFT, Entry
+from locktide.simulation.model.checker import GIVEN_UP, NEVER_EXECUTED, POSSIBLY_EXECUTED, ReceivedAttempt
+from locktide.simulation.model.discovery import ACTIVE, LEAVING, LEFT, ListedWorker
 from locktide.simulation.model.network import DISPATCHER, WORKER, Machine
 from locktide.simulation.model.worker import (
     DONE,
@@ -25,10 +25,10 @@
     RETURNED,
     RUNNING,
     STARTED,
-    Job,
-    Pod,
-    Word,
-    Worker,
+    DeduplicationCell,
+    EmulatedWorker,
+    JobReport,
+    RunningJob,
 )
 
 CALL_WITHIN = 2.0  # seconds for the answer to a callback; dispatchers take no time over one
@@ -38,15 +38,15 @@
 UNSETTLED = 3_000_000
 
 
-class WorkerEnd(asyncio.Protocol):
+class WorkerConnection(asyncio.Protocol):
     """One connection from a dispatcher."""
 
     transport: asyncio.Transport
 
     def __init__(self, site: WorkerSite, sender: int) -> None:
-        self.site, self.sender, self.talk = site, sender, Answering()
+        self.site, self.sender, self.talk = site, sender, ServerMessages()
         self.first = True  # no message has come on it yet
-        self.pending: Job | None = None  # taken, and its 202 is not written
+        self.pending: RunningJob | None = None  # taken, and its 202 is not written
         self.waiting = False  # a message has no answer yet
         self.idle: asyncio.TimerHandle | None = None
 
@@ -103,17 +103,24 @@
 
 
 class WorkerSite:
-    def __init__(self, stage: WorkerScene, number: int, worker: Worker, pod: Pod, entry: Entry) -> None:
+    def __init__(
+        self,
+        stage: WorkerContext,
+        number: int,
+        worker: EmulatedWorker,
+        pod: DeduplicationCell,
+        entry: ListedWorker,
+    ) -> None:
         self.stage, self.number, self.worker, self.pod, self.entry = stage, number, worker, pod, entry
         self.machine = Machine(WORKER, number, stage.zone_of(number))
-        self.ends: dict[WorkerEnd, None] = {}
-        self.opened: list[Open] = []
+        self.ends: dict[WorkerConnection, None] = {}
+        self.opened: list[Closable] = []
         self.life = 0  # counts its processes
         self.hung_until = 0
         self.troubled_at = -UNSETTLED
         self.trap = ""  # where it dies next
         self.trap_back_after = 0
-        self.came: dict[int, Came] = {}
+        self.came: dict[int, ReceivedAttempt] = {}
         self.calls: dict[int, asyncio.Task[None]] = {}  # the last callback of each dispatch
         self.timer: asyncio.TimerHandle | None = None
         self.due: int | None = None
@@ -128,7 +135,7 @@
         for number, there in enumerate(self.stage.dispatcher_machines):
 
             def factory(number: int = number) -> asyncio.Protocol:
-                return WorkerEnd(self, number)
+                return WorkerConnection(self, number)
 
             address = (host.address(self.machine), WORKER_PORT + number)
             listening = await host.listen(self.machine, there, address, factory)
@@ -180,7 +187,7 @@
 
     # --- messages
 
-    def message(self, end: WorkerEnd, message: Message) -> None:
+    def message(self, end: WorkerConnection, message: Message) -> None:
         if end.transport.is_closing():
             return
         if message.method == "DELETE" and message.path.startswith(names.JOBS):
@@ -191,7 +198,7 @@
         else:
             end.reply(404)
 
-    def dispatched(self, end: WorkerEnd, message: Message) -> None:
+    def dispatched(self, end: WorkerConnection, message: Message) -> None:
         stage, now = self.stage, self.stage.host.now()
         id = message.fields.get(names.REQUEST_ID.lower(), "")
         tried = stage.tries.get(id)
@@ -220,20 +227,20 @@
             stage.held_back(there, self.machine, message.first_at),
         )
         if self.spring("before-202"):
-            stage.checker.stands(came, MAYBE)  # it died with what it had just read
+            stage.checker.stands(came, POSSIBLY_EXECUTED)  # it died with what it had just read
             return
         stage.dispatcher_at(end.sender, "dispatch reached")
         key = stage.next_key()
         noise = chance.stretch(stage.script.seed, stage.script.worker.spread, "cost", id, key)
         fails = chance.unit(stage.script.seed, "error", key) < stage.script.worker.error_rate
-        job = Job(key, id, end.sender, max(1000, int(ask.work * noise)), ask.width, fails)
+        job = RunningJob(key, id, end.sender, max(1000, int(ask.work * noise)), ask.width, fails)
         self.came[key] = came
         taken = self.worker.offer(now, job)
         self.fall_over()
         if not self.worker.up:
             return
         if taken == FULL:
-            stage.checker.stands(came, NEVER)
+            stage.checker.stands(came, NEVER_EXECUTED)
             end.reply(503, b"", ((names.DECLINED, "1"),))
             return
         if ask.grade.effect == "numbered":
@@ -247,7 +254,7 @@
             self.accept(end, came)
             self.tick()
 
-    def accept(self, end: WorkerEnd, came: Came) -> None:
+    def accept(self, end: WorkerConnection, came: ReceivedAttempt) -> None:
         if not self.cut_from(end.sender):
             came.accepted_at = self.stage.host.now()
         end.reply(202)
@@ -269,7 +276,7 @@
 
     # --- words
 
-    def tell(self, word: Word) -> None:
+    def tell(self, word: JobReport) -> None:
         stage, job = self.stage, word.job
         tried = stage.tries[job.id]
         came = self.came.get(job.key)
@@ -291,7 +298,7 @@
                 stage.running(-1)
             self.came.pop(job.key, None)
             if came is not None:
-                stage.checker.stands(came, NEVER if word.state == RETURNED else MAYBE)
+                stage.checker.stands(came, NEVER_EXECUTED if word.state == RETURNED else POSSIBLY_EXECUTED)
             told["state"] = {DONE: "done", FAILED: "failed", RETURNED: "returned"}[word.state]
             if word.state == DONE:
                 stage.dispatcher_at(job.sender, "done told")
@@ -300,7 +307,7 @@
         if not job.given_up:
             self.call(job, told)
 
-    def call(self, job: Job, told: dict[str, Any]) -> None:
+    def call(self, job: RunningJob, told: dict[str, Any]) -> None:
         """Callbacks of one dispatch go out one after another; those of a dead process never."""
         before = self.calls.get(job.key)
         if told["state"] == names.RUNNING and before is not None and not before.done():
@@ -311,7 +318,7 @@
         )
 
     async def call_until_answered(
-        self, job: Job, told: dict[str, Any], before: asyncio.Task[None] | None
+        self, job: RunningJob, told: dict[str, Any], before: asyncio.Task[None] | None
     ) -> None:
         if before is not None:
             await asyncio.wait([before])
@@ -385,7 +392,7 @@
             came = self.came.pop(job.key, None)
             # Who has the 202 and hears nothing cannot know that it is over: it stays out until given up.
             if came is not None and not (silently and came.accepted_at is not None):
-                self.stage.checker.stands(came, MAYBE)
+                self.stage.checker.stands(came, POSSIBLY_EXECUTED)
         self.came.clear()
         for task in list(self.calls.values()):
             task.cancel()
--- a/tests/cluster/test_fairness.py
+++ b/tests/cluster/test_fairness.py
@@ -30,7 +30,7 @@
     RequestArrived,
 )
 from locktide.scheduler.types import AttemptOutcome, EndpointState, ListUpdateKind
-from locktide.simulation.cluster.fairness_runs import Fair, solved
+from locktide.simulation.cluster.fairness_runs import FairnessRun, solved
 
 SECOND = 1_000_000
 
@@ -231,7 +231,7 @@
 
 @pytest.mark.parametrize("lose", [0.0, 0.1])
 def test_replicas_are_equal_within_two_seconds_of_quiet_and_standings_are_fair(lose: float) -> None:
-    run = Fair(3, 9, lose=lose)
+    run = FairnessRun(3, 9, lose=lose)
     run.run(8.0)
     run.world.net.lose = 0.0
     assert run.until_equal() <= 2.0
@@ -246,7 +246,7 @@
 
 
 def test_rows_of_a_dead_writer_count_until_its_jobs_have_ended_and_are_closed_for_all() -> None:
-    run = Fair(4, 5)
+    run = FairnessRun(4, 5)
     run.run(4.0)
     dead = run.world.all[0]
     writer = dead.agent.member_id
@@ -261,7 +261,7 @@
 
 
 def test_writer_that_was_taken_for_dead_writes_its_rows_anew() -> None:
-    run = Fair(4, 5)
+    run = FairnessRun(4, 5)
     run.run(4.0)
     isolated, other = run.world.all[4], run.world.all[0]
     run.world.net.cut = {
@@ -283,7 +283,7 @@
         doubled = [used + more for used, more in zip(in_use[row.index], row.in_use, strict=True)]
         return in_use | {row.index: doubled}, demand
 
-    run = Fair(3, 3)
+    run = FairnessRun(3, 3)
     run.run(6.0)
     assert run.until_equal() <= 2.0 and run.distance() < 1e-3
     monkeypatch.setattr(standing_module, "tenant_totals", count_one_row_twice)
--- a/tests/cluster/test_processes.py
+++ b/tests/cluster/test_processes.py
@@ -24,7 +24,7 @@
 from locktide.scheduler.commands import RejectRequest
 from locktide.scheduler.events import ConfigReloaded, QuotaSharesUpdated, QuotaStage, RequestArrived
 from locktide.simulation.cluster import processes
-from locktide.simulation.cluster.processes import Processes, free_port
+from locktide.simulation.cluster.processes import ProcessCluster, free_port
 from locktide.simulation.cluster.virtual_cluster import VirtualCluster
 
 REPOSITORY = Path(__file__).parents[2]
@@ -32,12 +32,12 @@
 
 def test_three_processes_paused_cut_killed_and_started_twice_overrun_nothing(tmp_path: Path) -> None:
     faults = [(5.0, "pause"), (5.5, "twice"), (6.0, "cut"), (6.5, "lossy"), (7.0, "kill"), (8.0, "stop")]
-    outcome = asyncio.run(Processes(4, 3, tmp_path).play(9.0, faults))
+    outcome = asyncio.run(ProcessCluster(4, 3, tmp_path).play(9.0, faults))
     assert not outcome.overruns and outcome.changes > 10 and outcome.datagrams > 100
     assert sum(outcome.faults.values()) == len(faults)
 
 
-class ProcessesWithGreedyLeader(Processes):
+class ProcessesWithGreedyLeader(ProcessCluster):
     """The leader grants the whole to each member."""
 
     program = (
--- a/tests/durable/log/test_write_ahead_log.py
+++ b/tests/durable/log/test_write_ahead_log.py
@@ -15,7 +15,7 @@
 from locktide.durable.log.reader import segment_name
 from locktide.durable.log.records import JobFinished, WriterStarted
 from locktide.durable.log.write_ahead_log import WriteAheadLog
-from locktide.simulation.virtual_time.disk import Platter
+from locktide.simulation.virtual_time.disk import VirtualDisk
 
 
 def test_newer_format_and_foreign_file_are_refused_and_left_unchanged(tmp_path: Path) -> None:
@@ -31,7 +31,7 @@
 
 def test_damaged_log_is_refused_unless_damage_is_skipped() -> None:
     async def scenario() -> None:
-        platter = Platter(1, 0.001)
+        platter = VirtualDisk(1, 0.001)
         log = open_log(platter)
         for number in range(5):
             await log.append(accepted_job(f"j{number}"))
@@ -49,7 +49,7 @@
 
 def test_group_commit_shares_a_sync_between_records() -> None:
     async def append_100_records(group: bool) -> tuple[int, float]:
-        platter = Platter(1, 0.01)
+        platter = VirtualDisk(1, 0.01)
         log = open_log(platter, group_commit=group)
         started_at = asyncio.get_running_loop().time()
         await asyncio.gather(*(log.append(accepted_job(f"j{number}")) for number in range(100)))
@@ -64,7 +64,7 @@
 
 def test_acknowledged_records_survive_a_crash() -> None:
     async def scenario(seed: int) -> None:
-        platter = Platter(seed, 0.01, zeros=0.5)
+        platter = VirtualDisk(seed, 0.01, zeros=0.5)
         log = open_log(platter)
         acknowledged: list[str] = []
 
@@ -96,7 +96,7 @@
 
 def test_full_disk_rejects_a_record_and_loses_no_other() -> None:
     async def scenario() -> None:
-        platter = Platter(1, 0.001)
+        platter = VirtualDisk(1, 0.001)
         log = open_log(platter)
         await log.append(accepted_job("before"))
         platter.room = 50
@@ -113,7 +113,7 @@
 
 def test_no_write_succeeds_after_a_failed_sync() -> None:
     async def scenario() -> None:
-        platter = Platter(1, 0.001)
+        platter = VirtualDisk(1, 0.001)
         log = open_log(platter)
         platter.fails_sync = True
         with pytest.raises(LogWriteError):
@@ -128,7 +128,7 @@
 @pytest.mark.parametrize("point", ["", "before old segments go", "after old segments went"])
 def test_compaction_keeps_open_jobs_and_drops_finished_ones(point: str) -> None:
     async def scenario() -> None:
-        platter = Platter(3, 0.001)
+        platter = VirtualDisk(3, 0.001)
         log = open_log(platter, segment_bytes=20_000)
 
         def crash_at_point(reached: CrashPoint) -> None:
--- a/tests/durable/test_crashes.py
+++ b/tests/durable/test_crashes.py
@@ -11,7 +11,7 @@
 
 from locktide.simulation.model import random_scenario
 from locktide.simulation.model import scenario as script
-from locktide.simulation.run import Troubled, in_virtual_time, on_loopback
+from locktide.simulation.run import RunFailedError, in_virtual_time, on_loopback
 
 SCENARIO = """
 length = 8.0
@@ -38,7 +38,7 @@
 limit = 9.0
 effect = "at-most-once"
 """
-POINTS = sorted(set(script.Point.__args__) - set(script.WORKER_POINTS))  # type: ignore[attr-defined]
+POINTS = sorted(set(script.CrashPoint.__args__) - set(script.WORKER_CRASH_POINTS))  # type: ignore[attr-defined]
 
 
 def run_report(text: str) -> dict[str, Any]:
@@ -95,5 +95,5 @@
 
 @pytest.mark.parametrize("unsupported", ["[dispatcher.settings]\nStep = 8.0\n", "[roster]\ncall = 0.1\n"])
 def test_settings_that_a_real_process_does_not_take_are_refused(unsupported: str, tmp_path: Path) -> None:
-    with pytest.raises(Troubled, match="virtual"):
+    with pytest.raises(RunFailedError, match="virtual"):
         asyncio.run(on_loopback(script.parse(SCENARIO + unsupported), ROOT, tmp_path))
--- a/tests/durable_helpers.py
+++ b/tests/durable_helpers.py
@@ -7,7 +7,7 @@
 
 from locktide.durable.log.records import JobAccepted, LeaseGranted
 from locktide.durable.log.write_ahead_log import WriteAheadLog
-from locktide.simulation.virtual_time.disk import Platter
+from locktide.simulation.virtual_time.disk import VirtualDisk
 from locktide.simulation.virtual_time.loop import VirtualLoop
 
 SECOND = 1_000_000  # in microseconds
@@ -41,7 +41,7 @@
     return loop.run_until_complete(work)
 
 
-def open_log(platter: Platter, **options: Any) -> WriteAheadLog:
+def open_log(platter: VirtualDisk, **options: Any) -> WriteAheadLog:
     log = WriteAheadLog(
         platter.mount(), options.pop("segment_bytes", 1 << 30), options.pop("group_commit", True)
     )
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -19,7 +19,7 @@
 from locktide.protocol import discovery
 from locktide.scheduler.types import Effect
 from locktide.simulation.virtual_time.loop import VirtualLoop
-from locktide.simulation.virtual_time.network import Net
+from locktide.simulation.virtual_time.network import VirtualNetwork
 from locktide.transport.log import Log
 
 HERE = ("d", 70)
@@ -75,7 +75,7 @@
 class Rig:
     def __init__(self) -> None:
         self.loop = VirtualLoop()  # type: ignore[abstract]
-        self.net = Net(self.loop, self)  # type: ignore[arg-type]
+        self.net = VirtualNetwork(self.loop, self)  # type: ignore[arg-type]
         self.jobs: list[Job] = []
         self.asked: list[Asked] = []
         self.states = dict.fromkeys(("w0", "w1", "w2"), "active")
--- a/tests/test_accord_rehearse.py
+++ b/tests/test_accord_rehearse.py
@@ -22,7 +22,7 @@
 SHIPPED = sorted((HERE / "deploy" / "scenarios").glob("accord-*.toml"))
 
 
-def shorter(name: str, **changes: Any) -> scripts.Script:
+def shorter(name: str, **changes: Any) -> scripts.Scenario:
     told = scripts.load(HERE / "deploy" / "scenarios" / f"{name}.toml")
     incidents = [msgspec.structs.replace(one, at=one.at / 2, length=one.length / 2) for one in told.incident]
     return msgspec.structs.replace(told, length=told.length / 3, incident=incidents[:3], **changes)
@@ -65,7 +65,7 @@
 
 def test_tenants_are_dealt_by_their_shares_their_homes_and_their_idle_times() -> None:
     script = scripts.load(HERE / "deploy" / "scenarios" / "accord-lend.toml")
-    asks = traffic.draw(script)
+    asks = traffic.draw_requests(script)
     names = [ask.tenant for ask in asks]
     assert set(names) == {"dairy", "goats", "sheep"} and names.count("dairy") > 3 * names.count("goats")
     assert not [ask for ask in asks if ask.tenant == "goats" and 0.5 <= ask.at / 1e6 < 14.0]
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -25,7 +25,7 @@
 from locktide.simulation import outcome
 from locktide.simulation import rendered_config as told_module
 from locktide.simulation.model import scenario as script
-from locktide.simulation.model.scenario import Script
+from locktide.simulation.model.scenario import Scenario
 from locktide.simulation.run import in_virtual_time
 
 QUIET = """
@@ -313,7 +313,9 @@
 
 
 def test_the_settings_given_to_dispatchers_are_those_of_the_script() -> None:
-    settings = told_module.settings(Script(dispatcher=script.Dispatcher(settings={"Rules": {"Cold": 1.0}})))
+    settings = told_module.settings(
+        Scenario(dispatcher=script.DispatcherSpec(settings={"Rules": {"Cold": 1.0}}))
+    )
     assert settings["Rules"]["Cold"] == 1.0 and settings["Rules"]["OverloadFactor"] == 4.0
     assert [grade["Semantics"] for grade in settings["ServiceGrades"]] == ["free", "guarded", "guarded"]
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -13,21 +13,31 @@
 from locktide.simulation.model import random_streams as chance
 from locktide.simulation.model import scenario as script
 from locktide.simulation.model import traffic
-from locktide.simulation.model.discovery import ACTIVE, LEAVING, LEFT, Agent, Entry
-from locktide.simulation.model.network import CLIENT, DISPATCHER, WORKER, Links, Machine
-from locktide.simulation.model.scenario import Incident, Network, Script
-from locktide.simulation.model.traffic import Ask, Front, Try
-from locktide.simulation.model.worker import DONE, FULL, RETURNED, STARTED, TAKEN, Job, Pod, Terms, Worker
+from locktide.simulation.model.discovery import ACTIVE, LEAVING, LEFT, DiscoveryAgent, ListedWorker
+from locktide.simulation.model.network import CLIENT, DISPATCHER, WORKER, Machine, NetworkLinks
+from locktide.simulation.model.scenario import FaultSpec, NetworkSpec, Scenario
+from locktide.simulation.model.traffic import ClientRequest, LoadBalancer, RequestTry
+from locktide.simulation.model.worker import (
+    DONE,
+    FULL,
+    RETURNED,
+    STARTED,
+    TAKEN,
+    DeduplicationCell,
+    EmulatedWorker,
+    RunningJob,
+    WorkerConfig,
+)
 
 S = 1_000_000
-TERMS = Terms(2, 1.0, 4, 0.25, 4 * S, 4.0, 2 * S, S, "queued", True)
+TERMS = WorkerConfig(2, 1.0, 4, 0.25, 4 * S, 4.0, 2 * S, S, "queued", True)
 
 
-def job(key: int, work: float = 1.0, width: int = 1, sender: int = 0) -> Job:
-    return Job(key, f"j{key}", sender, int(work * S), width)
+def job(key: int, work: float = 1.0, width: int = 1, sender: int = 0) -> RunningJob:
+    return RunningJob(key, f"j{key}", sender, int(work * S), width)
 
 
-def run(worker: Worker, until: float) -> list[tuple[float, str, int]]:
+def run(worker: EmulatedWorker, until: float) -> list[tuple[float, str, int]]:
     """Advances from moment to moment, as a driver does."""
     told = []
     while (at := worker.next_at()) is not None and at <= until * S:
@@ -41,7 +51,7 @@
 
 
 def test_jobs_start_in_order_and_the_first_waits_until_it_fits() -> None:
-    worker = Worker(TERMS, 0)
+    worker = EmulatedWorker(TERMS, 0)
     for one in (job(1, 1.0), job(2, 1.0, width=2), job(3, 1.0)):
         assert worker.offer(0, one) == TAKEN
     told = run(worker, 5)
@@ -51,7 +61,7 @@
 
 
 def test_a_cold_worker_takes_as_long_as_its_rising_speed_says() -> None:
-    worker = Worker(TERMS, 0, cold=True)
+    worker = EmulatedWorker(TERMS, 0, cold=True)
     worker.offer(0, job(1, 1.0))
     worker.advance(0)
     # 0.25 t + 0.75 t^2 / 8 = 1: at 2.194 s
@@ -61,7 +71,7 @@
 
 
 def test_pauses_and_slowdowns_lengthen_what_runs() -> None:
-    worker = Worker(TERMS, 0)
+    worker = EmulatedWorker(TERMS, 0)
     worker.offer(0, job(1, 2.0))
     worker.advance(0)
     worker.advance(S // 2)
@@ -72,7 +82,7 @@
 
 
 def test_a_full_queue_and_a_draining_worker_take_nothing() -> None:
-    worker = Worker(TERMS, 0)
+    worker = EmulatedWorker(TERMS, 0)
     taken = 0
     for key in range(11):
         taken += worker.offer(0, job(key)) == TAKEN
@@ -85,7 +95,7 @@
 
 
 def test_a_withdrawal_stops_what_waits_and_leaves_what_runs() -> None:
-    worker = Worker(TERMS, 0)
+    worker = EmulatedWorker(TERMS, 0)
     for key in range(3):
         worker.offer(0, job(key))
     worker.advance(0)
@@ -97,7 +107,7 @@
 
 def test_a_cold_worker_falls_over_by_more_than_it_may_be_sent_and_a_warm_one_does_not() -> None:
     def pushed(cold: bool) -> int:
-        worker = Worker(replace(TERMS, queue=100), 0, cold=cold)
+        worker = EmulatedWorker(replace(TERMS, queue=100), 0, cold=cold)
         for key in range(30):
             worker.advance(key * 10_000)
             worker.offer(key * 10_000, job(key, 1.0))
@@ -111,7 +121,7 @@
 
 
 def test_a_pod_drops_repeats_that_it_took_within_the_span_and_only_those_that_had_an_effect() -> None:
-    pod = Pod(10 * S)
+    pod = DeduplicationCell(10 * S)
     first = pod.takes("k", 0)
     assert pod.takes("k", 9 * S) is first and not first.had_effect  # never ran: the repeat has the effect
     assert pod.takes("k", 10 * S) is not first
@@ -132,7 +142,7 @@
 def test_whatever_is_done_to_a_worker_each_job_ends_once_and_no_core_is_used_twice(
     operations: list[tuple[str, int, int]], cold: bool, cancels: str
 ) -> None:
-    worker = Worker(replace(TERMS, cancels=cancels), 0, cold=cold)
+    worker = EmulatedWorker(replace(TERMS, cancels=cancels), 0, cold=cold)
     ends: dict[int, int] = {}
     taken: list[int] = []
     now = 0
@@ -178,12 +188,12 @@
 # --- the roster
 
 
-def entry(state: str = ACTIVE, boot_at: int = 0, number: int = 0) -> Entry:
-    return Entry(number, f"w{number}", "zone0", "box", 0, state, 1.0, boot_at)
+def entry(state: str = ACTIVE, boot_at: int = 0, number: int = 0) -> ListedWorker:
+    return ListedWorker(number, f"w{number}", "zone0", "box", 0, state, 1.0, boot_at)
 
 
 def test_an_agent_hears_late_tells_changes_and_knows_when_it_told() -> None:
-    agent = Agent([entry(), entry(number=1)])
+    agent = DiscoveryAgent([entry(), entry(number=1)])
     agent.change(2 * S, entry(LEAVING))
     assert not agent.advance(S) and agent.next_at() == 2 * S
     assert agent.advance(2 * S)
@@ -201,7 +211,7 @@
 
 
 def test_news_of_an_older_process_does_not_undo_that_of_a_newer_one() -> None:
-    agent = Agent([entry()])
+    agent = DiscoveryAgent([entry()])
     agent.change(S, entry(ACTIVE, boot_at=5))
     agent.change(2 * S, entry(LEFT))
     agent.advance(3 * S)
@@ -209,7 +219,7 @@
 
 
 def test_a_stale_agent_has_its_news_later() -> None:
-    agent = Agent([entry()])
+    agent = DiscoveryAgent([entry()])
     agent.change(S, entry(LEFT))
     agent.stale_by = 5 * S
     assert not agent.advance(5 * S) and agent.advance(6 * S)
@@ -218,9 +228,9 @@
 # --- clients and their front
 
 
-def ask(effect: str = "reissuable", retries: int = 1) -> Ask:
-    grade = script.Grade(name="view", effect=effect, soft=0.5, stretch=2.0, limit=4.0, late=0.25)  # type: ignore[arg-type]
-    return Ask(0, 0, grade, S, 1, 0, retries, True, 0, "k")
+def ask(effect: str = "reissuable", retries: int = 1) -> ClientRequest:
+    grade = script.ServiceClassSpec(name="view", effect=effect, soft=0.5, stretch=2.0, limit=4.0, late=0.25)  # type: ignore[arg-type]
+    return ClientRequest(0, 0, grade, S, 1, 0, retries, True, 0, "k")
 
 
 def test_revenue_counts_from_the_first_try_and_in_part_after_the_soft_limit() -> None:
@@ -247,22 +257,22 @@
 )
 def test_clients_try_again_only_what_is_harmless(effect: str, ended: str, again: bool) -> None:
     one = ask(effect)
-    tried = Try("x", one, 0, 0, 0, ended, 100_000)
+    tried = RequestTry("x", one, 0, 0, 0, ended, 100_000)
     one.tries.append(tried)
-    assert (traffic.again_after(one, tried, Script()) is not None) == again
+    assert (traffic.retry_delay(one, tried, Scenario()) is not None) == again
 
 
 def test_advice_is_heeded_and_retries_end() -> None:
     one = ask()
-    tried = Try("x", one, 0, 0, 0, traffic.DENIED, 100_000, advice=S)
+    tried = RequestTry("x", one, 0, 0, 0, traffic.DENIED, 100_000, advice=S)
     one.tries.append(tried)
-    assert traffic.again_after(one, tried, Script()) == S
+    assert traffic.retry_delay(one, tried, Scenario()) == S
     one.tries.append(tried)
-    assert traffic.again_after(one, tried, Script()) is None
+    assert traffic.retry_delay(one, tried, Scenario()) is None
 
 
 def test_the_front_notices_a_death_late_and_takes_in_who_is_ready() -> None:
-    front = Front([0, 1], 2 * S, 7, 0)
+    front = LoadBalancer([0, 1], 2 * S, 7, 0)
     assert front.choose(0) is None
     front.ready(0)
     front.ready(1)
@@ -275,21 +285,21 @@
 
 
 def test_traffic_is_the_same_for_a_seed_and_asks_for_the_load_that_was_set() -> None:
-    told = Script(length=400.0)
-    asks = traffic.draw(told)
-    assert [one.work for one in asks] == [one.work for one in traffic.draw(told)]
+    told = Scenario(length=400.0)
+    asks = traffic.draw_requests(told)
+    assert [one.work for one in asks] == [one.work for one in traffic.draw_requests(told)]
     load = sum(one.work * one.width for one in asks) / S / 400 / traffic.capacity(told)
     assert load == pytest.approx(told.clients.load, rel=0.08)
     # One more incident in the traffic moves nothing before it.
-    surge = Incident(at=200.0, length=50.0, what="heavy", factor=3.0, share=1.0)
-    later = traffic.draw(Script(length=400.0, incident=[surge]))
+    surge = FaultSpec(at=200.0, length=50.0, what="heavy", factor=3.0, share=1.0)
+    later = traffic.draw_requests(Scenario(length=400.0, incident=[surge]))
     before = [(one.at, one.work) for one in asks if one.at < 200 * S]
     assert before == [(one.at, one.work) for one in later if one.at < 200 * S]
 
 
 def test_surges_bring_as_much_more_as_they_say() -> None:
-    surge = Incident(at=100.0, length=100.0, what="surge", factor=2.5)
-    asks = traffic.draw(Script(length=300.0, incident=[surge]))
+    surge = FaultSpec(at=100.0, length=100.0, what="surge", factor=2.5)
+    asks = traffic.draw_requests(Scenario(length=300.0, incident=[surge]))
     inside = sum(100 * S <= one.at < 200 * S for one in asks)
     assert inside / (len(asks) - inside) * 2 == pytest.approx(2.5, rel=0.15)
 
@@ -298,7 +308,7 @@
 
 
 def test_cut_zones_and_machines_let_nothing_through_until_all_that_cut_them_is_over() -> None:
-    links = Links(Network(same=0.001, cross=0.01, jitter=0.5), 1)
+    links = NetworkLinks(NetworkSpec(same=0.001, cross=0.01, jitter=0.5), 1)
     near, far = Machine(WORKER, 0, 0), Machine(DISPATCHER, 0, 1)
     assert 10_000 <= links.delay(near, far) <= 15_000 and links.base(near, Machine(DISPATCHER, 1, 0)) == 1000
     links.cut_zone(1, 0)
@@ -357,11 +367,11 @@
 
 
 def test_a_part_of_the_fleet_is_drawn_and_kinds_and_zones_are_named() -> None:
-    told = Script()
-    assert script.whom(told, Incident(at=1.0, whom="25%")) == ([], 0.25)
-    assert script.whom(told, Incident(at=1.0, whom="zone1, w0"))[0] == [0, 1, 3, 5, 7, 9, 11]
-    kinds = script.deal_kinds(told)
-    assert script.whom(told, Incident(at=1.0, whom="slow"))[0] == [
+    told = Scenario()
+    assert script.whom(told, FaultSpec(at=1.0, whom="25%")) == ([], 0.25)
+    assert script.whom(told, FaultSpec(at=1.0, whom="zone1, w0"))[0] == [0, 1, 3, 5, 7, 9, 11]
+    kinds = script.assign_worker_types(told)
+    assert script.whom(told, FaultSpec(at=1.0, whom="slow"))[0] == [
         number for number, kind in enumerate(kinds) if kind.name == "slow"
     ]
     assert len({kind.name for kind in kinds[:3]}) == 3  # dealt out, not in blocks
@@ -369,10 +379,10 @@
 
 def test_rough_days_are_drawn_alike_for_a_seed_and_are_good_scripts() -> None:
     assert rough.draw(5) == rough.draw(5) != rough.draw(6)
-    every = {what for what in script.What.__args__ if not what.startswith("talk-")}  # type: ignore[attr-defined]
+    every = {what for what in script.FaultKind.__args__ if not what.startswith("talk-")}  # type: ignore[attr-defined]
     drawn = {one.what for seed in range(200) for one in rough.draw(seed).incident}
     assert drawn == every - {"trap-dispatcher"}
     kept = [one for seed in range(200) for one in rough.draw(seed, durable=True).incident]
     points = {one.point for one in kept}
     assert {one.what for one in kept} == every
-    assert points == set(script.Point.__args__)  # type: ignore[attr-defined]
+    assert points == set(script.CrashPoint.__args__)  # type: ignore[attr-defined]
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -20,7 +20,7 @@
 from locktide.scheduler.scheduler import Scheduler
 from locktide.scheduler.types import AttemptOutcome, EndpointState, ListUpdateKind
 from locktide.simulation.model import scenario as script
-from locktide.simulation.model.discovery import Calls
+from locktide.simulation.model.discovery import CallCapacity
 from locktide.simulation.run import in_virtual_time
 from locktide.transport import endpoint_watch as watch_module
 from locktide.transport.endpoint_watch import EndpointWatch
@@ -31,7 +31,7 @@
 @pytest.mark.parametrize("seed", range(5))
 def test_forty_that_start_together_all_get_the_list(seed: int, told_within: int) -> None:
     """A release killed 28 of 40 at once: all asked at once, again and again, and hardly one was told."""
-    service, events = Calls(150_000, 2_000_000), []
+    service, events = CallCapacity(150_000, 2_000_000), []
     fleet = [Scheduler(seed * 100 + me, terms(4, 40, True, False, 0.4)) for me in range(40)]
     for one in fleet:
         listing = replace(one.state.config.endpoint_list, notified_within=told_within)
--- a/tests/test_parsed_values.py
+++ b/tests/test_parsed_values.py
@@ -88,35 +88,38 @@
     accord.Elector: ("accord-elector", "name address"),
     accord.Resource: ("accord-resource", "name each"),
     accord.Accord: ("accord", "on listen reach electors seeds reserve most burst lend resource trace"),
-    script.Kind: ("script-kind", "name share cores speed"),
-    script.Fleet: ("script-fleet", "dispatchers workers zones pod kinds"),
-    script.Worker: (
+    script.WorkerTypeSpec: ("script-kind", "name share cores speed"),
+    script.FleetSpec: ("script-fleet", "dispatchers workers zones pod kinds"),
+    script.WorkerSpec: (
         "script-worker",
         "queue cold_from cold_for fall_factor fall_for spread pause_every pause error_rate handshake "
         "connections idle_close progress early twice call_tries call_gap cancels hands_back",
     ),
-    script.Shared: ("script-shared", "capacity"),
-    script.Roster: ("script-roster", "notice add spread whole call call_waits ask_within"),
-    script.Clients: ("script-clients", "load retries backoff honours impatient bodies"),
-    script.Grade: (
+    script.SharedCapacitySpec: ("script-shared", "capacity"),
+    script.DiscoverySpec: ("script-roster", "notice add spread whole call call_waits ask_within"),
+    script.ClientSpec: ("script-clients", "load retries backoff honours impatient bodies"),
+    script.ServiceClassSpec: (
         "script-grade",
         "name share work sigma width soft stretch limit revenue late effect memory holds",
     ),
-    script.Network: ("script-network", "same cross client jitter shred"),
-    script.Front: ("script-front", "notice check"),
-    script.Durable: ("script-durable", "on grades asks limit start_within beat_within sync segment_kb zeros"),
-    script.Dispatcher: (
+    script.NetworkSpec: ("script-network", "same cross client jitter shred"),
+    script.LoadBalancerSpec: ("script-front", "notice check"),
+    script.DurableSpec: (
+        "script-durable",
+        "on grades asks limit start_within beat_within sync segment_kb zeros",
+    ),
+    script.DispatcherSpec: (
         "script-dispatcher",
         "dispatches drain_grace longest_advice connect sockets memory_mb settings",
     ),
-    script.Incident: ("script-incident", "at length what whom factor share gap point spread"),
-    script.Script: (
+    script.FaultSpec: ("script-incident", "at length what whom factor share gap point spread"),
+    script.Scenario: (
         "script",
         "name says seed length fleet worker shared roster clients network front dispatcher durable "
         "grade tenant accord incident",
     ),
-    tenants.Tenant: ("script-tenant", "name rate weight share skew home idle"),
-    tenants.Agreed: ("script-accord", "on reserve spare burst lend resource beyond"),
+    tenants.TenantSpec: ("script-tenant", "name rate weight share skew home idle"),
+    tenants.ClusterSpec: ("script-accord", "on reserve spare burst lend resource beyond"),
     EndpointEntry: ("listed", "worker zone kind=worker_type cell state rating started_at"),
     ServiceClass: (
         "grade",
@@ -166,7 +169,7 @@
 # What differs at each start, and what a description may say anew.
 LEFT_OUT: dict[type, frozenset[str]] = {
     AccordTerms: frozenset({"who", "seed"}),
-    script.Script: frozenset({"says"}),
+    script.Scenario: frozenset({"says"}),
 }
 # The scheduler's configuration: a stable label of each section, in the program's order.
 SECTIONS = (
@@ -237,7 +240,7 @@
     found = {
         "script": parsed,
         "start": start.from_table(Table(config), {}),
-        "kinds": [kind.name for kind in script.deal_kinds(parsed)],
+        "kinds": [kind.name for kind in script.assign_worker_types(parsed)],
         "whom": [named(parsed, incident) for incident in parsed.incident],
     }
     if parsed.durable.on:
@@ -250,7 +253,7 @@
     return found
 
 
-def named(parsed: script.Script, incident: script.Incident) -> Any:
+def named(parsed: script.Scenario, incident: script.FaultSpec) -> Any:
     """Whom an incident concerns; None for those that concern nobody by name."""
     try:
         return script.whom(parsed, incident)
--- a/tests/test_rehearse.py
+++ b/tests/test_rehearse.py
@@ -24,7 +24,7 @@
 from locktide.simulation import compare, plots
 from locktide.simulation.model import random_scenario as rough
 from locktide.simulation.model import scenario as script
-from locktide.simulation.process_backend import Loopback
+from locktide.simulation.process_backend import ProcessBackend
 from locktide.simulation.run import in_virtual_time, on_loopback, with_seed
 
 HERE = Path(__file__).resolve().parents[1]
@@ -188,7 +188,7 @@
 
 def test_a_run_that_came_too_late_does_not_count(tmp_path: Path) -> None:
     async def play() -> dict[str, Any]:
-        host = Loopback(HERE, tmp_path)
+        host = ProcessBackend(HERE, tmp_path)
         host.begin()
         await asyncio.sleep(0.05)
         assert host.kept_up
--- a/tests/test_virtual.py
+++ b/tests/test_virtual.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from locktide.simulation.virtual_time.loop import Stuck, VirtualLoop
-from locktide.simulation.virtual_time.network import Net
-from locktide.simulation.virtual_time.process import Process
+from locktide.simulation.virtual_time.loop import DeadlockError, VirtualLoop
+from locktide.simulation.virtual_time.network import VirtualNetwork
+from locktide.simulation.virtual_time.process import VirtualProcess
 
 
 class Wires:
@@ -32,7 +32,7 @@
     def __init__(self) -> None:
         self.loop = VirtualLoop()  # type: ignore[abstract]
         self.wires = Wires()
-        self.net = Net(self.loop, self.wires)
+        self.net = VirtualNetwork(self.loop, self.wires)
 
     def run(self, work: Any) -> Any:
         return self.loop.run_until_complete(work)
@@ -75,7 +75,7 @@
     async def wait_for_ever() -> None:
         await bench.loop.create_future()
 
-    with pytest.raises(Stuck):
+    with pytest.raises(DeadlockError):
         bench.run(wait_for_ever())
 
 
@@ -133,7 +133,7 @@
 def test_a_killed_process_runs_no_further_and_its_connections_are_reset(bench: Bench) -> None:
     got: list[Any] = []
     ran: list[str] = []
-    process = Process("p", "a")
+    process = VirtualProcess("p", "a")
 
     async def victim() -> None:
         _, writer = await asyncio.open_connection("b", 1)
