--- a/locktide/cluster/member.py
+++ b/locktide/cluster/member.py
@@ -53,7 +53,7 @@
         self.lease_holder = LeaseHolder(config.member_id, now)
         self.local_quota = LocalQuota(config.quotas, config.reserved_fraction, config.max_members, now)
         self.quota_names = QuotaNames([quota.name for quota in config.quotas])
-        self.movable = dict.fromkeys(range(len(self.quota_names)), self.local_quota.divisible)
+        self.divisible = dict.fromkeys(range(len(self.quota_names)), self.local_quota.divisible)
         self.lendable = {
             self.quota_names.indices[quota.name]: int(quota.rate * MILLION)
             for quota in config.quotas
@@ -116,11 +116,11 @@
 
     def new_allocator(self, term: Ballot, now: int) -> Allocator:
         """Return the allocator of a new term."""
-        lendable_millionths = int(self.config.lendable_fraction * MILLION)
-        loan_allocator = (
-            LoanAllocator(self.lendable, self.movable, lendable_millionths, now) if self.lendable else None
-        )
-        allocator_config = AllocatorConfig(self.movable, self.local_quota.guaranteed_minimum)
+        loan_allocator = None
+        if self.lendable:
+            lendable_millionths = int(self.config.lendable_fraction * MILLION)
+            loan_allocator = LoanAllocator(self.lendable, self.divisible, lendable_millionths, now)
+        allocator_config = AllocatorConfig(self.divisible, self.local_quota.guaranteed_minimum)
         return Allocator(term, allocator_config, now, loan_allocator)
 
     def request_lease(self, now: int) -> Outgoing:
@@ -215,8 +215,6 @@
                 self.lease_holder.accept_revocation(message, now)
         return self.request_lease(now)
 
-    # --- spending
-
     def spend(self, name: str, now: int) -> str | None:
         """Take one token for a request of that quota.
 
@@ -230,8 +228,6 @@
             self.lease_holder.request_soon(now)
         return self.local_quota.spend(name, now)
 
-    # --- the end
-
     def leave(self, now: int) -> Outgoing:
         """Leave cleanly: return the leases, resign as the leader, and tell some members."""
         self.update = MemberUpdate()
