Log events of durable jobs are noun_verb, too; errors in one field

Cause: the job store kept its former event ids, and six events named their error `trouble` where the others say `error`.

--- a/locktide/durable/acceptance.py
+++ b/locktide/durable/acceptance.py
@@ -120,7 +120,7 @@
             await write
         except LogWriteError as error:
             self.state.table.drop(record.job_id)
-            self.log.emit(f"jobs: not accepted: {error}", event="job-not-accepted", trouble=str(error))
+            self.log.emit(f"jobs: not accepted: {error}", event="job_write_failed", error=str(error))
             self.waiters.resolve(record.job_id, denied_response("it could not be written down"))
             return
         finally:
--- a/locktide/durable/completion.py
+++ b/locktide/durable/completion.py
@@ -64,7 +64,7 @@
                 break
             except LogWriteError as error:
                 reason = str(error)
-                self.log.emit(f"jobs: no final answer: {reason}", event="final-not-written", trouble=reason)
+                self.log.emit(f"jobs: no final answer: {reason}", event="response_write_failed", error=reason)
                 await asyncio.sleep(WRITE_RETRY_INTERVAL)
         self.write_ahead_log.reach_crash_point(CrashPoint.AFTER_FINAL_RESPONSE)
         self.leases.drop(job_id)
--- a/locktide/durable/late_reports.py
+++ b/locktide/durable/late_reports.py
@@ -36,7 +36,7 @@
             return None
         self.log.emit(
             f"job {job.job_id}: a late '{callback.state}' of worker {callback.worker} under lease {fence}",
-            event="late-word",
+            event="late_report_received",
             job=job.job_id,
             fence=fence,
             worker=callback.worker,
--- a/locktide/durable/lease_service.py
+++ b/locktide/durable/lease_service.py
@@ -52,7 +52,7 @@
             # No byte of it was sent, whatever the disk holds: it is ended in memory.
             self.leases.end(job_id, lease.fence)
             self.state.table.apply(AttemptEnded(job_id, lease.fence, AttemptOutcome.NEVER_SENT, now))
-            self.log.emit(f"jobs: no lease: {error}", event="lease-not-written", trouble=str(error))
+            self.log.emit(f"jobs: no lease: {error}", event="lease_write_failed", error=str(error))
             return False
         self.write_ahead_log.reach_crash_point(CrashPoint.LEASE_WRITTEN)
         return True
@@ -92,7 +92,7 @@
         for lease in self.leases.expire(self.dispatcher.now()):
             self.log.emit(
                 f"job {lease.job_id}: lease {lease.fence} of worker {lease.worker} has run out",
-                event="lease-expired",
+                event="lease_expired",
                 job=lease.job_id,
                 fence=lease.fence,
                 worker=lease.worker,
--- a/locktide/durable/resumption.py
+++ b/locktide/durable/resumption.py
@@ -55,7 +55,7 @@
             f"jobs: {contents.record_count} records in {contents.segment_count} segments: "
             f"{resumed_count} to go on with, {finished_count} past their limit, "
             f"{len(contents.torn)} torn ends cut off",
-            event="jobs-recovered",
+            event="jobs_recovered",
             records=contents.record_count,
             segments=contents.segment_count,
             resumed=resumed_count,
--- a/locktide/transport/endpoint_watch.py
+++ b/locktide/transport/endpoint_watch.py
@@ -86,7 +86,7 @@
                     self.log.emit(
                         f"worker list: no answer ({cause}), calling anew",
                         event="discovery_failed",
-                        trouble=cause,
+                        error=cause,
                     )
                 self.is_failing = True
                 await self.wait_for_retry(was_silent)
--- a/locktide/transport/listener.py
+++ b/locktide/transport/listener.py
@@ -83,7 +83,7 @@
             try:
                 accepted, _ = await loop.sock_accept(self.socket)
             except OSError as error:
-                self.log.emit(f"clients: cannot accept ({error})", event="accept_failed", trouble=str(error))
+                self.log.emit(f"clients: cannot accept ({error})", event="accept_failed", error=str(error))
                 await asyncio.sleep(ACCEPT_RETRY_DELAY)
                 continue
             # The one just accepted waits for its place, the others in the kernel's queue.
@@ -105,7 +105,7 @@
             pass  # the other side is gone; the handler of what it had handed in has been notified
         except Exception as error:  # a fault at one connection must not end the others
             cause = f"{type(error).__name__}: {error}"
-            self.log.emit(f"clients: a connection ended by {cause}", event="connection_failed", trouble=cause)
+            self.log.emit(f"clients: a connection ended by {cause}", event="connection_failed", error=cause)
         finally:
             if connection is None:
                 accepted.close()
--- a/tests/durable/test_crashes.py
+++ b/tests/durable/test_crashes.py
@@ -90,7 +90,7 @@
     assert durable["lost"] == 0 and played.told["doubled_records"] == 0 and durable["kills"] == 2
     assert not any(played.told["rules"].values()), played.told["broken"][:3]
     assert durable["accepted"] == durable["done"] + durable["denied"] + durable["terminated"] > 15
-    assert any("jobs-recovered" in line and "records=0" not in line for line in played.said)
+    assert any("jobs_recovered" in line and "records=0" not in line for line in played.said)
 
 
 @pytest.mark.parametrize("unsupported", ["[dispatcher.settings]\nStep = 8.0\n", "[roster]\ncall = 0.1\n"])
