--- a/locktide/dispatcher/settings.py
+++ b/locktide/dispatcher/settings.py
@@ -16,7 +16,7 @@
 # A worker in its slow start that may get N usual requests falls at N + 2 root N + 2 of all dispatchers, in
 # work. Where some worker types run at 0.6 of the usual speed and work differs by a lognormal, thirty
 # dispatchers came to more in 12 of 600 seeded bursts with the whole of N planned, in 1 with three quarters
-# (tests/test_cold.py).
+# (tests/scheduler/test_slow_start.py).
 SLOW_START_MARGIN = 0.75
 
 
--- a/tests/test_accord_rehearse.py
+++ b/tests/simulation/test_cluster_scenarios.py
@@ -18,7 +18,7 @@
 from locktide.simulation.model import scenario as scripts
 from locktide.simulation.model import traffic
 
-HERE = Path(__file__).parents[1]
+HERE = Path(__file__).parents[2]
 SHIPPED = sorted((HERE / "deploy" / "scenarios").glob("accord-*.toml"))
 
 
--- a/tests/test_rehearse.py
+++ b/tests/simulation/test_simulate.py
@@ -27,7 +27,7 @@
 from locktide.simulation.process_backend import ProcessBackend
 from locktide.simulation.run import in_virtual_time, on_loopback, with_seed
 
-HERE = Path(__file__).resolve().parents[1]
+HERE = Path(__file__).resolve().parents[2]
 SCRIPTS = sorted((HERE / "deploy" / "scenarios").glob("*.toml"))
 SHORT = """
 name = "short"
