--- a/locktide/scheduler/policy/slow_start.py
+++ b/locktide/scheduler/policy/slow_start.py
@@ -38,8 +38,8 @@
         # request is drawn for once a window. All keep to half of what would push one over; the other half is
         # for the odds of many draws, and for two that fall together.
         # A third: two large ones beside the usual draws still stay under what chance is allowed, where a half
-        # went over it five times as often (tests/scheduler/test_slow_start.py); two slots for a size count double
-        # and more.
+        # went over it five times as often (tests/scheduler/test_slow_start.py); two slots for a size count
+        # double and more.
         if need > (0.25 if endpoint.capacity else 0.35) * whole:
             return False
         left = (0.2 if endpoint.capacity else 0.5) * share * most * self._total_factor()
