Signals are held back before the first import and until the process has gone

What callers saw: a SIGHUP in the first 0.4 s of 'python -m locktide', or 0.8 s of 'locktide serve', ended the process with -1; a second SIGTERM in the last moments of an exit made it -15.

Cause: SIGHUP was blocked in main, after all imports; the event loop removes its handlers when it closes, before the interpreter has ended.

Fix: a module of its own, which imports nothing that takes long, blocks SIGHUP, SIGTERM and SIGINT first; serve lets them through when their handlers are in place and blocks them again before the loop closes. Blocked signals wait in the kernel, so none is lost.

--- a/locktide/__main__.py
+++ b/locktide/__main__.py
@@ -2,19 +2,23 @@
 
 from __future__ import annotations
 
+from locktide.dispatcher.signals import hold_back_signals
+
+if __name__ == "__main__":
+    hold_back_signals()  # before the imports below, which take a good part of the start
+
 import asyncio
 import os
 import sys
 
 from locktide.config.errors import ConfigError
 from locktide.config.start import read_start
-from locktide.dispatcher.service import hold_back_reload, serve
+from locktide.dispatcher.service import serve
 from locktide.protocol import discovery
 from locktide.transport.log import Log
 
 
 def main() -> int:
-    hold_back_reload()
     try:
         told = read_start(os.environ)
         known = discovery.read(told.cached_endpoints, "known")
--- a/locktide/cli/serve.py
+++ b/locktide/cli/serve.py
@@ -18,7 +18,7 @@
 from locktide.config.installation.start import start_from_installation
 from locktide.config.start import Start
 from locktide.dispatcher.dispatcher import Dispatcher
-from locktide.dispatcher.service import AttachedService, hold_back_reload
+from locktide.dispatcher.service import AttachedService
 from locktide.dispatcher.service import serve as run
 from locktide.protocol import discovery
 from locktide.transport.log import Log
@@ -60,7 +60,6 @@
 @click.option("--log-format", type=click.Choice(FORMATS), help="Overrides log.format of the file.")
 def serve(file: Path, log_format: str | None) -> None:
     """Run one dispatcher by an installation's FILE, until SIGTERM. SIGHUP reads the file's roster anew."""
-    hold_back_reload()
     try:
         told = load_installation(file)
         begun = start_from_installation(told, secrets.randbits(62))
--- a/locktide/dispatcher/service.py
+++ b/locktide/dispatcher/service.py
@@ -11,15 +11,11 @@
 from locktide.config.errors import ConfigError
 from locktide.config.start import Start
 from locktide.dispatcher.dispatcher import Dispatcher
+from locktide.dispatcher.signals import hold_back_signals, let_signals_through
 from locktide.protocol.discovery import DiscoveryUpdate
 from locktide.transport.log import Log
 
 
-def hold_back_reload() -> None:
-    """Block SIGHUP while nothing handles it: by itself it would end the process."""
-    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
-
-
 class AttachedService(Protocol):
     """A service that was attached to the dispatcher, until it is closed."""
 
@@ -43,6 +39,7 @@
         read_start: Reads the settings again at SIGHUP; may raise ConfigError.
         attach: Each adds a service to the dispatcher before it serves, and may raise what ends the start.
     """
+    hold_back_signals()
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -56,10 +53,10 @@
             log.emit(f"reload: {error}; the old settings stay", event="config_rejected", error=str(error))
 
     loop.add_signal_handler(signal.SIGHUP, reload)
-    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+    let_signals_through()
     gc.freeze()  # the objects of the start stay; later collections need not look at them
     services = [await attach_service(dispatcher) for attach_service in attach]
     await dispatcher.run(stop)
     for service in services:
         await service.close()
-    hold_back_reload()
+    hold_back_signals()  # the loop removes its handlers when it closes
