A reload after the endpoint list is no longer followed begins no watch

What callers saw: a SIGHUP while a shutdown ended its last connections left a process that never exited. Cause: EndpointFollower.restart began a watch after stop, and close awaited it: it has no end. Evidence: the new test fails on the code of before (close not done after 1 s), passes now. Fix: stop is for good; a coroutine that comes later is closed unstarted.

--- a/locktide/dispatcher/endpoint_follower.py
+++ b/locktide/dispatcher/endpoint_follower.py
@@ -33,6 +33,7 @@
         cached_version: Version of the cached list; None where there is none.
         watch_task: Runs the watch in force.
         watch_requested: Set while the scheduler wants the list watched and no call is under way for that.
+        is_stopped: Whether the list is not followed any more.
     """
 
     settings: DispatcherSettings
@@ -42,6 +43,7 @@
     cached_version: int | None
     watch_task: asyncio.Task[None] | None = None
     watch_requested: asyncio.Event = field(default_factory=asyncio.Event)
+    is_stopped: bool = False
 
     def start(self) -> None:
         """Follow the list from now on; where calls cost others work, once the scheduler requests it."""
@@ -52,7 +54,15 @@
         self.watch(self.follow())
 
     def stop(self) -> None:
-        """Cancel the watch."""
+        """Cancel the watch for good: a reload in the last moments of a shutdown begins none.
+
+        `close` awaited such a watch, which has no end, and the process stayed until it was killed
+        (test_reload_between_the_stop_and_the_close_of_a_follower_begins_no_watch).
+        """
+        self.is_stopped = True
+        self._cancel_watch()
+
+    def _cancel_watch(self) -> None:
         if self.watch_task is not None:
             self.watch_task.cancel()
 
@@ -63,8 +73,11 @@
                 await self.watch_task
 
     def watch(self, following: Coroutine[Any, Any, None]) -> None:
-        """Run `following` in place of the watch so far."""
-        self.stop()
+        """Run `following` in place of the watch so far, unless the list is not followed any more."""
+        if self.is_stopped:
+            following.close()
+            return
+        self._cancel_watch()
         self.watch_task = asyncio.create_task(following)
 
     def request_watch(self) -> None:
--- a/tests/dispatcher/test_endpoint_follower.py
+++ b/tests/dispatcher/test_endpoint_follower.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from helpers import HandPlayed, run_story, submission
 
 from locktide.scheduler.types import AttemptOutcome, EndpointState
@@ -56,3 +58,21 @@
         )  # and goes out anew
 
     run_story(story)
+
+
+def test_reload_between_the_stop_and_the_close_of_a_follower_begins_no_watch() -> None:
+    """A SIGHUP came while a shutdown ended its last connections.
+
+    It began a new watch of the endpoint list, for whose end the shutdown then waited for ever: the process
+    stayed until it was killed.
+    """
+
+    async def story(play: HandPlayed) -> None:
+        follower = play.node.follower
+        follower.stop()
+        follower.restart()
+        closing = asyncio.ensure_future(follower.close())
+        done, _ = await asyncio.wait([closing], timeout=1)
+        assert done, "it waits for a watch that has no end"
+
+    run_story(story)
