The scheduler is notified of each renewal of quota leases, loans and fair-share verdicts

What callers saw: a tenant whose lease of 89.4% was renewed was admitted by the guaranteed minimum of 10% from the first expiry on; a loan ended after 0.5 s; a tenant over its fair share was forgotten after 5 s.

Cause: the scheduler was notified of changes only, with an expiry; a renewal changes only the expiry.

--- a/locktide/cluster/config.py
+++ b/locktide/cluster/config.py
@@ -46,8 +46,10 @@
 
     Attributes:
         quotas_changed: whether the quotas in force have, or which tenants are over their fair shares.
+        leases_renewed: whether the leases in force end at other times.
         events: changes of the membership.
     """
 
     quotas_changed: bool = False
+    leases_renewed: bool = False
     events: list[MembershipEvent] = field(default_factory=list)
--- a/locktide/cluster/dispatcher_link.py
+++ b/locktide/cluster/dispatcher_link.py
@@ -10,9 +10,10 @@
 from locktide.cluster.quota.allocation import WHOLE
 from locktide.scheduler.events import ConfigReloaded, QuotaSharesUpdated, QuotaStage, RequestArrived
 
-#: For how long the scheduler takes a tenant to be over its share, in microseconds from the last update.
-#: Updates come with changes only, so a set of tenants that stays the same counts for so long.
+#: For how long the scheduler takes a tenant to be over its share, in microseconds from the last update, and
+#: after how long it is notified again while a tenant is: a member that is stuck holds nobody back for good.
 OVER_SHARE_VALIDITY = 5_000_000
+OVER_SHARE_REFRESH = OVER_SHARE_VALIDITY // 2
 #: Later than any time of any clock, in microseconds.
 FOREVER = 1 << 62
 
@@ -56,6 +57,7 @@
         member: the cluster member.
         host: what runs the member.
         quota_names: the tenants that have a quota.
+        notified_at: when the scheduler was notified last, by its own clock.
     """
 
     def __init__(self, event_source: EventSource, member: ClusterMember, host: MemberHost) -> None:
@@ -64,6 +66,7 @@
         self.member = member
         self.host = host
         self.quota_names = {quota.name for quota in member.config.quotas}
+        self.notified_at = 0
 
     def attach(self) -> None:
         """Begin to observe the dispatcher."""
@@ -92,6 +95,13 @@
             if self.member.next_wakeup < previous_wakeup:
                 self.host.schedule_wakeup()  # demand after a pause is reported to the leader at once
 
+    def refresh_over_share(self) -> None:
+        """Notify the scheduler anew before it forgets which tenants are over their fair shares."""
+        if not self.member.tenants_over_share:
+            return
+        if self.event_source.clock.now() >= self.notified_at + OVER_SHARE_REFRESH:
+            self.emit_quota_shares()
+
     def emit_quota_shares(self) -> None:
         """Notify the scheduler of the shares in force, and until when by its own clock."""
         quota = self.member.local_quota
@@ -110,6 +120,7 @@
             over_fair_share=self.member.tenants_over_share,
             over_fair_share_until=their_now + OVER_SHARE_VALIDITY,
         )
+        self.notified_at = their_now
         self.event_source.enqueue_event(update)
 
     def borrowed_shares(self) -> dict[str, float]:
--- a/locktide/cluster/member.py
+++ b/locktide/cluster/member.py
@@ -250,10 +250,11 @@
                 outgoing += self._dispatch(self.member_id, message, now)
         if self.swim.view.superseded and not self.stepped_down:
             self._step_down()
-        quotas_changed = self.quota_client.settle(now)
+        settled = self.quota_client.settle(now)
         fairness_changed = self._settle_fairness()
         self.update = MemberUpdate(
-            quotas_changed=self.update.quotas_changed or quotas_changed or fairness_changed,
+            quotas_changed=self.update.quotas_changed or settled.changed or fairness_changed,
+            leases_renewed=settled.renewed,
             events=self.update.events + self.swim.view.take_events(),
         )
         return outgoing
--- a/locktide/cluster/quota/quota_client.py
+++ b/locktide/cluster/quota/quota_client.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from locktide.cluster.messages import LeaseRequest
 from locktide.cluster.quota.lease_holder import LeaseHolder
 from locktide.cluster.quota.lease_timing import REQUEST_INTERVAL
@@ -9,6 +11,19 @@
 from locktide.cluster.quota_names import QuotaNames
 
 
+@dataclass(frozen=True, slots=True)
+class SettledQuotas:
+    """What `QuotaClient.settle` has done.
+
+    Attributes:
+        changed: whether shares or loans in force are others.
+        renewed: whether the leases of those in force end at other times.
+    """
+
+    changed: bool
+    renewed: bool
+
+
 class QuotaClient:
     """The member's side of the quota leases; times are microseconds of its clock."""
 
@@ -50,17 +65,19 @@
             self.lease_holder.request_soon(now)
         return self.local_quota.spend(name, now)
 
-    def settle(self, now: int) -> bool:
-        """Put the leases and loans that are held now in force; return whether that changes anything."""
+    def settle(self, now: int) -> SettledQuotas:
+        """Put the leases and loans that are held now in force."""
         shares = self.lease_holder.current_shares(now)
         loans = self.lease_holder.current_loans(now)
-        return self.local_quota.update(
+        previous_expiries = self.expiries
+        changed = self.local_quota.update(
             held=self.quota_names.amounts_by_name(shares),
             shares_until=self.lease_holder.shares_until if shares else 0,
             loans=self.quota_names.loans_by_name(loans),
             loans_until=self.lease_holder.loans_until if loans else 0,
             now=now,
         )
+        return SettledQuotas(changed=changed, renewed=self.expiries != previous_expiries)
 
     def step_down(self) -> None:
         """Drop everything for good, the guaranteed minimum as well."""
--- a/locktide/cluster/reporting.py
+++ b/locktide/cluster/reporting.py
@@ -27,7 +27,7 @@
     Attributes:
         member: the member.
         log: where lines go.
-        trace: gets a line of JSON for each change of the quotas in force; None for no trace.
+        trace: gets a line of JSON for each change of the quotas in force and of their end; None for no trace.
         logged_loans: lender and borrower of the loans that the log names last.
         logged_over_share: the tenants over their fair share that the log names last.
     """
@@ -64,6 +64,10 @@
         )
         self.report_loans()
         self.report_fairness()
+        self.trace_quotas(now)
+
+    def trace_quotas(self, now: int) -> None:
+        """Write the quotas in force to the trace, if there is one."""
         if self.trace is not None:
             self.write_trace(self.trace, now)
 
--- a/locktide/cluster/udp_transport.py
+++ b/locktide/cluster/udp_transport.py
@@ -95,6 +95,10 @@
         self.send(outgoing)
         if self.member.update.quotas_changed:
             self.report_quotas()
+        elif self.member.update.leases_renewed:
+            self.report_renewal()
+        elif self.link is not None:
+            self.link.refresh_over_share()
         for event in self.member.update.events:
             self.reporter.report_event(event)
         self.schedule_wakeup()
@@ -110,6 +114,16 @@
         if self.link is not None:
             self.link.emit_quota_shares()
 
+    def report_renewal(self) -> None:
+        """Report the new end of leases that are as before, where it is taken for their end otherwise.
+
+        Notified of changes only, the scheduler fell back to the guaranteed minimum at the end that it knew
+        of, while the lease was renewed (tests/cluster/test_dispatcher_link.py).
+        """
+        self.reporter.trace_quotas(self.now())
+        if self.link is not None:
+            self.link.emit_quota_shares()
+
     # --- inspection, and the end
 
     def answer_inspection(self, request: InspectionRequest, address: Address) -> None:
--- a/locktide/simulation/cluster/virtual_cluster.py
+++ b/locktide/simulation/cluster/virtual_cluster.py
@@ -95,7 +95,7 @@
     def done(self, sends: list[Any]) -> None:
         for address, word in sends:
             self.world.send(self, address, encode((self.name, self.start), word))
-        if self.agent.update.quotas_changed:
+        if self.agent.update.quotas_changed or self.agent.update.leases_renewed:
             self.log()
         self.world.events += [
             (self.world.now, self.name, event.kind, event.record) for event in self.agent.update.events
--- a/tests/cluster/test_dispatcher_link.py
+++ b/tests/cluster/test_dispatcher_link.py
@@ -7,6 +7,9 @@
 from dataclasses import dataclass, field
 
 from locktide.cluster.config import ClusterConfig
+from locktide.cluster.dispatcher_link import FOREVER
+from locktide.cluster.fairness.ledger import FairnessConfig
+from locktide.cluster.fairness.standing import FairnessStanding
 from locktide.cluster.quota.allocation import WHOLE
 from locktide.cluster.quota.local_quota import QuotaSpec
 from locktide.cluster.udp_transport import UdpTransport
@@ -49,6 +52,16 @@
         return next(stage for stage in self.last_update.stages if self.now() < stage.until)
 
 
+@dataclass(frozen=True)
+class Observed:
+    """What the scheduler of a member goes by at the end of a run."""
+
+    stage: QuotaStage
+    update: QuotaSharesUpdated
+    now: int
+    has_loans: bool
+
+
 def test_scheduler_admits_by_the_leased_share_for_as_long_as_the_lease_is_renewed() -> None:
     """All demand of a tenant came through one dispatcher, which held nearly the whole of its quota.
 
@@ -77,3 +90,59 @@
         assert stage.shares["dairy"] == share / WHOLE
 
     VirtualLoop().run_until_complete(run())  # type: ignore[abstract]
+
+
+def run_one_member(config: ClusterConfig, seconds: float, demanded: str) -> Observed:
+    """Run one member whose dispatcher has demand of one tenant; return what its scheduler goes by."""
+
+    async def run() -> Observed:
+        loop = asyncio.get_running_loop()
+        dispatcher = RecordingDispatcher(loop)
+        network = VirtualDatagramNetwork(loop, ReliableNetwork())
+        _, transport = network.bind(lambda: UdpTransport(config, Log("d0"), dispatcher), ADDRESS)
+        assert isinstance(transport, UdpTransport)
+        for _ in range(int(seconds / REQUEST_INTERVAL)):
+            if transport.member.ledger is not None:  # as the ledger does while the fleet is contended
+                transport.member.ledger.standing = FairnessStanding(over_share=frozenset([demanded]))
+                transport.member.ledger.next_recompute_at = FOREVER
+            transport.member.spend(demanded, transport.now())
+            await asyncio.sleep(REQUEST_INTERVAL)
+        observed = Observed(
+            stage=dispatcher.stage_in_force(),
+            update=dispatcher.last_update,
+            now=dispatcher.now(),
+            has_loans=bool(transport.member.local_quota.loans),
+        )
+        await transport.close()
+        return observed
+
+    observed: Observed = VirtualLoop().run_until_complete(run())  # type: ignore[abstract]
+    return observed
+
+
+def test_scheduler_admits_by_a_loan_for_as_long_as_the_loan_is_renewed() -> None:
+    """One tenant left its quota idle, and another one borrowed it.
+
+    A loan is renewed every 0.3 s and lasts for 0.5 s. The scheduler was notified of its first end only, so
+    that it ended half a second after each change, though the loan went on.
+    """
+    quotas = [QuotaSpec("dairy", 10.0, 50.0, lendable=True), QuotaSpec("goats", 50.0, 250.0, lendable=True)]
+    config = ClusterConfig(("d0", 1), ADDRESS, {"d0": ADDRESS}, [], quotas, 0.2, 2, lendable_fraction=0.5)
+    observed = run_one_member(config, 20.0, "dairy")
+    assert observed.has_loans, "the idle quota is lent"
+    assert observed.stage.borrowed.get("dairy", 0.0) > 0.0
+
+
+def test_scheduler_holds_a_tenant_over_its_fair_share_for_as_long_as_the_ledger_does() -> None:
+    """A tenant held more than its fair share of a contended fleet for a minute, and nobody else changed.
+
+    The scheduler was notified when the set of such tenants changed, and forgot it after 5 s: the tenant was
+    served beyond its share again, though the ledger still named it. Nobody leads here, so that no lease is
+    renewed either.
+    """
+    fairness = FairnessConfig(["slots"], {"dairy": 1000, "goats": 1000}, {"view": [1000]}, [1000], 1_000_000)
+    quotas = [QuotaSpec("dairy", 50.0, 250.0), QuotaSpec("goats", 50.0, 250.0)]
+    config = ClusterConfig(("d0", 1), ADDRESS, {}, [], quotas, 0.2, 2, fairness=fairness)
+    observed = run_one_member(config, 60.0, "dairy")
+    assert observed.update.over_fair_share == {"dairy"}
+    assert observed.now < observed.update.over_fair_share_until
