No request gets the id of a recovered job that is not resumed yet

What callers saw: a request of a class that is not durable, with the id of a recovered job that waited for its turn, was accepted; the job then displaced it among the open requests: no response. Cause: only durable classes were checked against the jobs, and the registry knows a job once resumed. Evidence: the new test fails on the code of before (a pending response), passes now. Fix: every id of a job in the table is in use, a request with it gets its 409 at once.

--- a/locktide/durable/job_service.py
+++ b/locktide/durable/job_service.py
@@ -103,9 +103,13 @@
 
     def submit(self, message: SubmitRequest) -> asyncio.Future[Response] | None:
         """Return the response to come; None where the request's id is in use or was."""
-        if message.service_class not in self.config.service_classes:
-            return self.dispatcher.submit(message)
-        return self.acceptance.submit(message)
+        if message.service_class in self.config.service_classes:
+            return self.acceptance.submit(message)
+        # The dispatcher does not know a recovered job before it is resumed: it would take the id, and the job
+        # would then displace the request (test_no_request_gets_the_id_of_a_job_that_is_not_resumed_yet).
+        if message.id in self.state.table.jobs:
+            return None
+        return self.dispatcher.submit(message)
 
     def client_disconnected(self, message: SubmitRequest) -> None:
         """Drop the response of a client that has disconnected; a durable job goes on."""
--- /dev/null
+++ b/tests/durable/test_recovered_jobs.py
@@ -0,0 +1,61 @@
+"""Jobs of an earlier process beside requests of this one: ids, leases, and for whom they count."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Collection
+from dataclasses import replace
+
+from durable_helpers import JOB_CONFIG, accepted_job, open_log
+from helpers import HandPlayed, run_story, submission, until
+
+from locktide.durable.job_service import JobService
+from locktide.durable.log.records import JobAccepted
+from locktide.durable.recovery import ClockReading
+from locktide.scheduler.events import RequestArrived, RequestRecovered
+from locktide.simulation.virtual_time.disk import VirtualDisk
+from locktide.transport.log import Log
+
+CLOCKS = ClockReading(wall_time=0, boot_id="same", uptime=0)
+
+
+async def recover(
+    play: HandPlayed, jobs: list[JobAccepted], durable_classes: Collection[str] = ("record",)
+) -> JobService:
+    """Write jobs by one process, and return the service of the next one, which has begun to resume them."""
+    disk = VirtualDisk(1, 0.0)
+    earlier = open_log(disk)
+    await asyncio.gather(*[earlier.append(job) for job in jobs])
+    disk.crash()
+    config = replace(JOB_CONFIG, service_classes=durable_classes)
+    service = JobService(play.node, open_log(disk), config, Log("d0"))
+    await service.recover(CLOCKS)
+    return service
+
+
+async def wait_until_resumed(play: HandPlayed, job_id: str) -> None:
+    await until(lambda: job_id in play.node.registry.open_requests)
+
+
+def test_no_request_gets_the_id_of_a_job_that_is_not_resumed_yet() -> None:
+    """Many jobs were recovered, which are resumed at a limited rate, and a client used the id of one of them.
+
+    Its request, of a class that is not durable, was accepted; the job then displaced it among the open
+    requests, and its client got no response. An id of a job is in use, whether or not the job is resumed.
+    """
+
+    async def story(play: HandPlayed) -> None:
+        service = await recover(play, [accepted_job("a"), accepted_job("b")])
+        await wait_until_resumed(play, "a")
+        assert "b" not in play.node.registry.open_requests, "it is resumed later"
+        assert service.submit(submission("b")) is None
+        await wait_until_resumed(play, "b")
+        assert play.node.registry.open_requests["b"].message.background
+        await service.close()
+
+    run_story(story)
+
+
+def arrivals_in(events: list[object]) -> list[RequestArrived]:
+    recovered = [event.arrival for event in events if isinstance(event, RequestRecovered)]
+    return recovered + [event for event in events if isinstance(event, RequestArrived)]
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -424,6 +424,13 @@
         return [piece.outcome for _, news in self.turns for piece in news if type(piece) is AttemptEnded]
 
 
+async def until(condition: Callable[[], object], seconds: float = 10.0) -> None:
+    """Wait until the condition holds, which raises no event."""
+    async with asyncio.timeout(seconds):
+        while not condition():
+            await asyncio.sleep(0)
+
+
 def run_story(story: Callable[[HandPlayed], Awaitable[None]]) -> None:
     """Runs a story against a dispatcher whose connections to workers are played by hand."""
 
