A recovered job is durable by the log, also where its class is durable no more

What callers saw: jobs of a class that was taken out of durable.grades were sent without a lease after the restart, their workers' reports counted as late: they ended at their deadline, and a further crash would have sent them again. Cause: is_durable went by the configured classes. Evidence: the new test fails on the code of before (no fencing number in the message), passes now. Fix: a request is durable if its id is that of a job; no other request can have such an id.

--- a/locktide/durable/job_service.py
+++ b/locktide/durable/job_service.py
@@ -133,8 +133,15 @@
     # --- job store of the dispatcher
 
     def is_durable(self, request: OpenRequest) -> bool:
-        """Whether a request is a durable job."""
-        return request.message.service_class in self.config.service_classes
+        """Whether a request is a durable job, by its class or as an earlier process had accepted it.
+
+        By its class alone, a recovered job whose class is durable no more had no lease, so that its worker's
+        report counted as late and the job never ended
+        (test_job_of_a_class_that_is_durable_no_more_gets_a_lease_and_its_report_counts).
+        """
+        if request.message.service_class in self.config.service_classes:
+            return True
+        return request.message.id in self.state.table.jobs
 
     async def grant_lease(self, request: OpenRequest, attempt: OpenAttempt) -> bool:
         """Write a lease before the first byte of an attempt; return whether the attempt may be sent."""
--- a/tests/durable/test_recovered_jobs.py
+++ b/tests/durable/test_recovered_jobs.py
@@ -10,9 +10,12 @@
 from helpers import HandPlayed, run_story, submission, until
 
 from locktide.durable.job_service import JobService
-from locktide.durable.log.records import JobAccepted
+from locktide.durable.log.records import JobAccepted, JobFinished
 from locktide.durable.recovery import ClockReading
+from locktide.protocol import names
+from locktide.protocol.messages import Callback
 from locktide.scheduler.events import RequestArrived, RequestRecovered
+from locktide.scheduler.types import AttemptOutcome
 from locktide.simulation.virtual_time.disk import VirtualDisk
 from locktide.transport.log import Log
 
@@ -56,6 +59,35 @@
     run_story(story)
 
 
+def test_job_of_a_class_that_is_durable_no_more_gets_a_lease_and_its_report_counts() -> None:
+    """An operator took a class out of the durable ones while jobs of it were open, and restarted.
+
+    The jobs were resumed without a lease: their attempts were on no disk, so that another crash would have
+    sent them again unseen, and their workers' reports counted as late, so that no job ever ended.
+    """
+
+    async def story(play: HandPlayed) -> None:
+        service = await recover(play, [accepted_job("a")], durable_classes=())
+        await wait_until_resumed(play, "a")
+        await until(lambda: play.asked)
+        attempt = play.asked[0]
+        message = attempt.build()
+        assert message is not None and (names.FENCE.encode(), b"1") in message.headers
+        attempt.sent()
+        attempt.reply(202)
+        job = service.state.table.jobs["a"]
+        assert [lease.worker for lease in job.leases] == [attempt.worker]
+        report = Callback("a", attempt.worker, names.DONE, 1.0, AttemptOutcome.DONE, b"milk", fence=1)
+        written = service.handle_callback(report)
+        assert written is not None
+        await written
+        finished: JobFinished | None = service.state.table.jobs["a"].finished
+        assert finished is not None and (finished.status, finished.body) == (200, b"milk")
+        await service.close()
+
+    run_story(story)
+
+
 def arrivals_in(events: list[object]) -> list[RequestArrived]:
     recovered = [event.arrival for event in events if isinstance(event, RequestRecovered)]
     return recovered + [event for event in events if isinstance(event, RequestArrived)]
