Durable jobs keep tenant, work hint and affinity key on their way to the scheduler

What callers saw: durable jobs counted against no quota and no fair share; hints and keys had no effect. Cause: the request that is built from a job's record left them out. Evidence: the new test fails on the code of before (tenant None, hint 0), for a new job and for a recovered one, and passes now.

--- a/locktide/durable/job_dispatcher.py
+++ b/locktide/durable/job_dispatcher.py
@@ -9,7 +9,9 @@
 from locktide.durable.leases import Lease
 from locktide.durable.log.records import JobAccepted
 from locktide.durable.recovery import ResumeJob
-from locktide.protocol.messages import Callback, SubmitRequest
+from locktide.protocol import names
+from locktide.protocol.messages import Callback, Headers, SubmitRequest
+from locktide.protocol.submissions import parse_affinity_key, parse_extra_pairs, parse_work_hint
 from locktide.scheduler.events import EndpointEntry
 from locktide.transport.interfaces import Response
 
@@ -66,6 +68,8 @@
 
 
 def _request_of(accepted: JobAccepted, timeout: int, background: bool) -> SubmitRequest:
+    """Return the request of a job; what the record has no field for is read from its header fields again."""
+    extras = dict(parse_extra_pairs(_fields_by_name(accepted.forwarded_headers)))
     return SubmitRequest(
         id=accepted.job_id,
         service_class=accepted.service_class,
@@ -77,4 +81,11 @@
         forwarded_headers=list(accepted.forwarded_headers),
         body=accepted.body,
         background=background,
+        work_hint=parse_work_hint(extras),
+        tenant=extras.get(names.TENANT),
+        affinity_key=parse_affinity_key(accepted.target),
     )
+
+
+def _fields_by_name(headers: Headers) -> dict[str, str]:
+    return {name.decode("ascii").lower(): value.decode("latin-1") for name, value in headers}
--- a/tests/durable/test_recovered_jobs.py
+++ b/tests/durable/test_recovered_jobs.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Collection
 from dataclasses import replace
+from zlib import crc32
 
 from durable_helpers import JOB_CONFIG, accepted_job, open_log
 from helpers import HandPlayed, run_story, submission, until
@@ -88,6 +89,34 @@
     run_story(story)
 
 
+def test_durable_job_counts_for_its_tenant_with_its_hint_and_its_affinity_key() -> None:
+    """A tenant sent durable jobs far beyond its quota, and was not held back.
+
+    A durable job lost its tenant, its work hint and its affinity key on its way to the scheduler, when it
+    was new as well as when it was recovered. Both must arrive with what their client said.
+    """
+    extras = [(names.EXTRAS.encode(), b"slots=1, tenant=dairy, hint=40")]
+
+    async def story(play: HandPlayed) -> None:
+        events: list[object] = []
+        play.node.bridge.observers.append(events.append)
+        recorded = accepted_job("a")
+        recorded.forwarded_headers = extras
+        recorded.target = "/record?obj=7"
+        service = await recover(play, [recorded])
+        message = replace(submission("b", "record"), forwarded_headers=extras, target="/record?obj=7")
+        service.submit(message)
+        await until(lambda: len(arrivals_in(events)) == 2)
+        arrivals = arrivals_in(events)
+        assert {arrival.request_id for arrival in arrivals} == {"a", "b"}
+        for arrival in arrivals:
+            assert (arrival.tenant, arrival.work_hint) == ("dairy", 40_000)
+            assert arrival.affinity_key == crc32(b"7")
+        await service.close()
+
+    run_story(story)
+
+
 def arrivals_in(events: list[object]) -> list[RequestArrived]:
     recovered = [event.arrival for event in events if isinstance(event, RequestRecovered)]
     return recovered + [event for event in events if isinstance(event, RequestArrived)]
