A final response that can never be written is tried once, and its worker keeps the result

What callers saw: after a failed sync, clients of durable jobs got nothing until their timeout, workers' reports hung, and each job wrote a log line every half second until the restart. Cause: JobCompletion retried every failed write; a log that has failed writes nothing more. Evidence: the new test does not end on the code of before (ended by a limit of 30 s), passes now. Fix: clients are answered at once that the job goes on, the worker's connection ends without a response, so that it reports its result to the next process.

--- a/locktide/durable/completion.py
+++ b/locktide/durable/completion.py
@@ -4,11 +4,11 @@
 
 import asyncio
 
-from locktide.durable.errors import LogWriteError
+from locktide.durable.errors import LogWriteError, ResultNotStoredError
 from locktide.durable.job_context import JobContext
 from locktide.durable.log.crash_point import CrashPoint
 from locktide.durable.log.records import JobFinished
-from locktide.durable.responses import final_response
+from locktide.durable.responses import final_response, wait_timed_out_response
 from locktide.durable.units import MICROSECONDS_PER_SECOND
 from locktide.durable.waiters import JobWaiters
 from locktide.protocol import names
@@ -26,7 +26,7 @@
     """Finishes jobs: the first final response counts, and is sent once it is on the disk.
 
     Attributes:
-        writes: The writes of final responses that are under way, by job.
+        writes: The writes of final responses that are under way, or have failed for good, by job.
     """
 
     def __init__(self, context: JobContext, waiters: JobWaiters) -> None:
@@ -59,15 +59,23 @@
             retry_after=_retry_after(response),
             recorded_at=self.dispatcher.now(),
         )
-        self.writes[job_id] = self.tasks.spawn(self._write_and_respond(record))
+        write = self.tasks.spawn(self._write_and_respond(record))
+        write.add_done_callback(_mark_retrieved)  # who waits for it gets its error; often nobody does
+        self.writes[job_id] = write
 
     async def _write_and_respond(self, record: JobFinished) -> None:
-        """Write a final response, and then send it to the clients that wait."""
+        """Write a final response, and then send it to the clients that wait.
+
+        Raises:
+            ResultNotStoredError: The log has failed for good. The job stays open on the disk, and the next
+                process ends it; its clients are answered that it goes on.
+        """
         job_id = record.job_id
         self.write_ahead_log.reach_crash_point(CrashPoint.BEFORE_FINAL_RESPONSE)
-        while True:
-            if await self._write(record):
-                break
+        while not await self._write(record):
+            if self.write_ahead_log.failure:
+                self.waiters.resolve(job_id, wait_timed_out_response(job_id))
+                raise ResultNotStoredError(f"job {job_id}: {self.write_ahead_log.failure}")
             await asyncio.sleep(WRITE_RETRY_INTERVAL)
         self.write_ahead_log.reach_crash_point(CrashPoint.AFTER_FINAL_RESPONSE)
         self.leases.drop(job_id)
@@ -98,6 +106,12 @@
             await asyncio.wait(list(self.writes.values()), timeout=CLOSE_TIMEOUT)
 
 
+def _mark_retrieved(write: asyncio.Task[None]) -> None:
+    """Look at the error of a write that has ended, which asyncio would report as never retrieved."""
+    if not write.cancelled():
+        write.exception()
+
+
 def _retry_after(response: Response) -> int:
     """Return the advice to come back later, in microseconds; 0 for none."""
     seconds = dict(response.headers).get(names.RETRY_AFTER)
--- a/locktide/durable/errors.py
+++ b/locktide/durable/errors.py
@@ -60,6 +60,14 @@
         self.reason = reason
 
 
+class ResultNotStoredError(DurableError, ConnectionError):
+    """A final response can never be written by this process.
+
+    A connection error, so that the worker's connection ends without a response: it keeps its result then, and
+    reports it to the next process.
+    """
+
+
 class RecordSizeError(DurableError):
     """A record is empty, or too large for its reader.
 
--- a/locktide/transport/interfaces.py
+++ b/locktide/transport/interfaces.py
@@ -40,7 +40,10 @@
         """
 
     def handle_callback(self, message: Callback) -> Awaitable[None] | None:
-        """Take a callback; where something to await is returned, the worker gets its response after that."""
+        """Take a callback; where something to await is returned, the worker gets its response after that.
+
+        Where it raises OSError, the worker gets none and keeps what it has reported.
+        """
 
     def query_job(self, message: JobQuery) -> Response:
         """Return the state of a durable job."""
--- a/tests/durable/test_write_order.py
+++ b/tests/durable/test_write_order.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+import pytest
 from durable_helpers import SECOND, JobParts, open_log, run_in_virtual_time
 
 from locktide.protocol.messages import Callback, SubmitRequest
@@ -160,3 +161,39 @@
         assert finished is not None and finished.body == b"collected"
 
     run_in_virtual_time(scenario())
+
+
+def test_final_response_that_can_never_be_written_is_tried_once_and_its_worker_keeps_the_result() -> None:
+    """A sync failed, so that this process writes nothing any more, and a worker reports a result.
+
+    The write was tried again every half second until the process was restarted, its log line each time, and
+    the client waited for its whole timeout. It must be tried once. The client must hear at once that the job
+    goes on, and the worker get no response, so that it reports its result to the next process.
+    """
+
+    async def scenario() -> None:
+        platter = VirtualDisk(1, SYNC_TIME)
+        parts = JobParts(open_log(platter))
+        lines: list[str] = []
+        parts.completion.log.emit = lambda line, *_, **__: lines.append(line)  # type: ignore[method-assign]
+        response = parts.acceptance.submit(job_request())
+        assert response is not None
+        await asyncio.sleep(2 * SYNC_TIME)
+        parts.leases.grant("a", "w0", parts.dispatcher.now())
+        platter.fails_sync = True
+        done = Callback("a", "w0", "done", 0.0, AttemptOutcome.DONE, b"collected")
+        reported = parts.lease_service.handle_callback(parts.state.table.jobs["a"], done)
+        assert reported is not None
+        with pytest.raises(ConnectionError):
+            await reported
+        assert response.done() and response.result().status == 504
+        await asyncio.sleep(10.0)
+        assert len(lines) == 1
+        again = parts.lease_service.handle_callback(parts.state.table.jobs["a"], done)
+        assert again is not None
+        with pytest.raises(ConnectionError):
+            await again
+        platter.crash()
+        assert open_log(platter).table.jobs["a"].finished is None
+
+    run_in_virtual_time(scenario())
