A deduplication window that ended before the clock's zero is over, not endless

What callers saw: a recovered job past such a window waited for a worker until its own deadline, though nothing could be sent any more. On the platform's clock, Unix time, it does not come up. Cause: repeats_until returned 0 for 'never', and a moment of zero or less was read so. Fix: repeats_until returns None for never. The test that held 0 for an idempotent request holds None, as strict as before. Recorded decisions are unchanged.

--- a/locktide/scheduler/policy/load_shedding.py
+++ b/locktide/scheduler/policy/load_shedding.py
@@ -106,7 +106,9 @@
         if not request.possibly_executed:
             return False
         latest = self.latest_queue_deadline(request)
-        latest = min(latest, repeats_until(request) or latest)
+        window_end = repeats_until(request)
+        if window_end is not None:
+            latest = min(latest, window_end)
         if self.clock.now >= latest:
             return False
         request.queue_deadline = latest
--- a/locktide/scheduler/policy/request_lifecycle.py
+++ b/locktide/scheduler/policy/request_lifecycle.py
@@ -49,7 +49,7 @@
 
     def send(self, request: Request, endpoint: Endpoint) -> None:
         """Start an attempt of a request from the pool."""
-        send_before = repeats_until(request)
+        send_before = repeats_until(request) or 0  # 0 in the command: its deadline alone counts
         attempt = self.attempts.open(request, endpoint)
         self.retries.budget.on_sent(attempt)
         if self.config.current.progress.reports_start:
--- a/locktide/scheduler/policy/retry_eligibility.py
+++ b/locktide/scheduler/policy/retry_eligibility.py
@@ -27,14 +27,14 @@
         return False
     if not request.possibly_executed:
         return True
-    return not request.is_at_most_once and not 0 < repeats_until(request) <= now
+    return not request.is_at_most_once and not is_window_over(request, now)
 
 
 def where_repeatable(request: Request, endpoints: list[Endpoint], now: int) -> list[Endpoint]:
     """Return those of the endpoints to which one more attempt may be sent."""
     if not request.possibly_executed or request.is_idempotent:
         return endpoints
-    if request.is_at_most_once or now >= repeats_until(request):
+    if request.is_at_most_once or is_window_over(request, now):
         return []
     scope = request.service_class.deduplication_scope
     first = request.possibly_executed[0].endpoint
@@ -45,13 +45,23 @@
     return [endpoint for endpoint in endpoints if endpoint.cell == first.cell]
 
 
-def repeats_until(request: Request) -> int:
-    """Return from when on its repeats are no longer dropped, so none may be sent; 0: never."""
+def repeats_until(request: Request) -> int | None:
+    """Return from when on its repeats are no longer dropped, so none may be sent; None: never.
+
+    The moment may be zero or less: an attempt of an earlier process may have been sent before this clock's
+    zero (test_recovered_request_sent_before_the_zero_of_the_clock_fails_at_once).
+    """
     if not request.possibly_executed or request.is_idempotent or request.is_at_most_once:
-        return 0
+        return None
     return request.possibly_executed[0].sent_at + request.service_class.deduplication_window
 
 
+def is_window_over(request: Request, now: int) -> bool:
+    """Return whether its repeats are no longer dropped."""
+    until = repeats_until(request)
+    return until is not None and now >= until
+
+
 def may_reject(request: Request) -> bool:
     """Return whether the request may be rejected rather than failed."""
     scope = request.service_class.deduplication_scope
--- a/tests/durable/test_recovery.py
+++ b/tests/durable/test_recovery.py
@@ -178,6 +178,16 @@
     assert not [command for command in commands if isinstance(command, StartAttempt)]
 
 
+def test_recovered_request_sent_before_the_zero_of_the_clock_fails_at_once() -> None:
+    """A job was sent long ago, at a time that is negative on this process's clock, and may have run.
+
+    The end of its deduplication window was negative, too, and was taken for "its repeats are always dropped":
+    nothing could be sent, but the job waited for a worker until its own deadline. It must fail at once.
+    """
+    commands = recover_request(earlier_attempt(AttemptOutcome.RESET, age=NOW + 5 * SECOND))
+    assert [type(command) for command in commands] == [FailRequest]
+
+
 def test_recovered_request_that_runs_at_most_once_fails_if_it_may_have_run() -> None:
     """A job that must not run twice was sent before the crash, and may have run or not.
 
--- a/tests/scheduler/test_retry_eligibility.py
+++ b/tests/scheduler/test_retry_eligibility.py
@@ -58,7 +58,7 @@
     request = attempted_request(Effect.IDEMPOTENT_WITH_KEY, attempts=2)
     request.attempts[1].sent_at = SENT_AT + WINDOW // 2
     assert repeats_until(request) == SENT_AT + WINDOW
-    assert repeats_until(attempted_request(Effect.IDEMPOTENT)) == 0
+    assert repeats_until(attempted_request(Effect.IDEMPOTENT)) is None
 
 
 def test_attempts_are_limited_and_uncounted_ones_do_not_count() -> None:
