A background job whose repeats are no longer dropped fails then, not at its deadline

What callers saw: a durable job that could not be sent any more stayed open until its own deadline. Cause: a background request waits for its deadline; the end of its window was not looked at meanwhile. Evidence: no command within 3.2 s in the new test on the code of before, its window ends after 3.0 s. Fix: background requests wait no longer than another attempt may follow; interactive ones as before.

--- a/locktide/scheduler/policy/admission.py
+++ b/locktide/scheduler/policy/admission.py
@@ -46,6 +46,7 @@
         request = self._admit(event.arrival)
         request.arrived_at = event.arrived_at
         self.recovery.restore(request, event.attempts)
+        request.queue_deadline = self.shedder.end_of_repeats(request)  # now that it has attempts
         self.lifecycle.begin(request)
 
     def on_disconnect(self, event: ClientDisconnected) -> None:
--- a/locktide/scheduler/policy/load_shedding.py
+++ b/locktide/scheduler/policy/load_shedding.py
@@ -96,19 +96,23 @@
         """Return the moment until which the request may wait at the latest."""
         return request.deadline - ROUNDS_BEFORE_DEADLINE * self.config.current.round_interval
 
+    def end_of_repeats(self, request: Request) -> int:
+        """Return the moment until which waiting may still bring another attempt.
+
+        Once its repeats are no longer dropped nothing can be sent, and it would wait for nothing.
+        """
+        latest = self.latest_queue_deadline(request)
+        window_end = repeats_until(request)
+        return latest if window_end is None else min(latest, window_end)
+
     def extend_queue_deadline(self, request: Request) -> bool:
         """Let a request that may have run wait on, if another attempt can still help; return whether it does.
 
-        A late response is better than none for what may have run. Once its repeats are no longer dropped
-        nothing can be sent, and its client would wait for nothing until the deadline: then it is not
-        extended, and is answered at once.
+        A late response is better than none for what may have run.
         """
         if not request.possibly_executed:
             return False
-        latest = self.latest_queue_deadline(request)
-        window_end = repeats_until(request)
-        if window_end is not None:
-            latest = min(latest, window_end)
+        latest = self.end_of_repeats(request)
         if self.clock.now >= latest:
             return False
         request.queue_deadline = latest
--- a/locktide/scheduler/policy/retries.py
+++ b/locktide/scheduler/policy/retries.py
@@ -68,7 +68,14 @@
         request.not_before = self._clock.now + timeout // self._config.current.retry.max_attempts
 
     def renew_queue_deadline(self, request: Request) -> None:
-        """Let the request, which comes back to the pool, wait for its queue timeout once more."""
+        """Let the request, which comes back to the pool, wait for its queue timeout once more.
+
+        A background request waits for as long as another attempt may follow: without that end it waited for
+        its own deadline (test_background_job_is_failed_once_its_repeats_are_no_longer_dropped).
+        """
+        if request.is_background:
+            request.queue_deadline = self._shedder.end_of_repeats(request)
+            return
         renewed = self._clock.now + self._shedder.queue_timeout(request)
         renewed = min(self._shedder.latest_queue_deadline(request), renewed)
         request.queue_deadline = max(request.queue_deadline, renewed)
--- a/tests/durable/test_recovery.py
+++ b/tests/durable/test_recovery.py
@@ -122,7 +122,9 @@
 NOW = 10 * SECOND
 
 
-def recover_request(*attempts: RecoveredAttempt, service_class: str = "record") -> list[Any]:
+def recover_request(
+    *attempts: RecoveredAttempt, service_class: str = "record", seconds: float = 2.0
+) -> list[Any]:
     """Return the commands of a scheduler for a request of an earlier process, over two seconds."""
     config = terms(most=3, fleet=1, must_ask=False, worst_grade=0.4)
     scheduler = Scheduler(1, config)
@@ -131,7 +133,7 @@
     scheduler.step(now, [EndpointListUpdate(ListUpdateKind.SNAPSHOT, entries)])
     arrival = RequestArrived("a", service_class, now + 5 * SECOND, background=True)
     commands = scheduler.step(now, [RequestRecovered(arrival, now - SECOND, list(attempts))])
-    for _ in range(20):
+    for _ in range(round(seconds * 10)):
         now += 100_000
         commands += scheduler.step(now, [])
     return [command for command in commands if not isinstance(command, SetTimer | WriteLog)]
@@ -188,6 +190,18 @@
     assert [type(command) for command in commands] == [FailRequest]
 
 
+def test_background_job_is_failed_once_its_repeats_are_no_longer_dropped() -> None:
+    """A durable job may have run at a worker whose whole cell was lost then, four seconds before its end.
+
+    Only that cell could have it again, and only while it remembered the job's key. When the window was over
+    nothing could be sent any more, but the job waited on, until its own deadline minutes later. It must fail
+    when the window is over, and not before.
+    """
+    attempt = earlier_attempt(AttemptOutcome.RESET, cell=7)
+    assert recover_request(attempt, seconds=2.9) == []  # three seconds of its window were left
+    assert [type(command) for command in recover_request(attempt, seconds=3.2)] == [FailRequest]
+
+
 def test_recovered_request_that_runs_at_most_once_fails_if_it_may_have_run() -> None:
     """A job that must not run twice was sent before the crash, and may have run or not.
 
