A late start takes back what is left of its failure, once

What callers saw: requests went on to a worker that had just begun to fail; a false worker_suspected. Cause: a late start took 1.0 from a decayed count, at each report of the start, so that it went below zero. Fix: the moment of the failure is kept; what has not decayed of it is taken back, once.

--- a/locktide/scheduler/policy/outlier_detection.py
+++ b/locktide/scheduler/policy/outlier_detection.py
@@ -12,6 +12,8 @@
 reason at once, and time fades every count.
 """
 
+from math import exp
+
 from locktide.scheduler.estimators.beta import draw_beta
 from locktide.scheduler.estimators.decaying_sum import DecayingSum
 from locktide.scheduler.estimators.random import LinearCongruentialGenerator
@@ -97,6 +99,7 @@
         """Count an attempt that has not started in time, if its worker gave no sign since it was sent."""
         if attempt.endpoint.last_heard_at < attempt.sent_at and not attempt.failure_recorded:
             attempt.failure_recorded = True
+            attempt.no_start_at = self._clock.now
             self.record_failure(attempt.endpoint, SuspicionReason.NO_START)
 
     def record_no_progress(self, attempt: Attempt) -> None:
@@ -168,9 +171,19 @@
             self.record_failure(failed_at, SuspicionReason.ERROR)
 
     def record_start(self, attempt: Attempt) -> None:
-        """Take back the failure of an attempt that was late to start, not lost."""
-        if attempt.failure_recorded:
-            attempt.endpoint.failures.add(-1.0, self._clock.now)
+        """Take back what is left of the failure of an attempt that was late to start, not lost.
+
+        Taken back whole, or again at a start that is reported twice, it made the count negative: a worker
+        that began to fail then was not suspected
+        (test_a_late_start_takes_back_no_more_than_is_left_of_its_failure).
+        """
+        if not attempt.no_start_at:
+            return
+        now = self._clock.now
+        failures = attempt.endpoint.failures
+        left = exp((attempt.no_start_at - now) / HEALTH_MEMORY)
+        failures.add(-min(left, failures.read(now)), now)
+        attempt.no_start_at = 0
 
     # --- what a suspected endpoint is sent
 
--- a/locktide/scheduler/state/request.py
+++ b/locktide/scheduler/state/request.py
@@ -78,6 +78,7 @@
         "filled_limit",
         "is_retry",
         "failure_recorded",
+        "no_start_at",
     )
 
     def __init__(self, request: Request, number: int, endpoint: Endpoint, now: int) -> None:
@@ -94,3 +95,4 @@
         # Whether an earlier attempt may have run; one after a worker that was full is no retry in this sense.
         self.is_retry = bool(request.possibly_executed)
         self.failure_recorded = False  # whether it has made its endpoint suspected
+        self.no_start_at = 0  # when that was for want of a start, and has not been taken back; else 0
--- a/tests/scheduler/test_outlier_detection.py
+++ b/tests/scheduler/test_outlier_detection.py
@@ -16,6 +16,7 @@
 USUAL_RUN = 100_000  # microseconds
 RUN_SPREAD = 8_000  # microseconds, between one run and the next
 SOME_RUNS = 10
+SECOND = 1_000_000  # microseconds
 
 
 def after_some_runs() -> Checked:
@@ -122,3 +123,25 @@
             admitted.append(service.now)
     gaps = [later - earlier for earlier, later in pairwise(admitted)]
     assert admitted and min(gaps) >= PROBE_INTERVAL
+
+
+@pytest.mark.parametrize("starts", [1, 2])
+def test_a_late_start_takes_back_no_more_than_is_left_of_its_failure(starts: int) -> None:
+    """A worker was suspected for an attempt without a start, which it began seconds later after all.
+
+    The whole failure was taken back from a count that had decayed, and once more where the start was reported
+    twice: the count was negative, so that the worker's next real failure did not make it suspected.
+    """
+    service = Checked(fleet=1)
+    service.list(listed("w"))
+    service.arrive(1, "cash")  # at most once: it is left where it is
+    service.pass_time(4 * USUAL_RUN)
+    while not suspicions(service):
+        service.pass_time(USUAL_RUN)
+    service.pass_time(SECOND)
+    service.turn(*[AttemptStarted(1, 0)] * starts)
+    worker = service.dispatcher.endpoints.by_id["w"]
+    assert worker.failures.read(service.now) == pytest.approx(0.0, abs=1e-9)
+    service.end(1, 0, AttemptOutcome.RESET)
+    assert is_suspected(worker, service.now)
+    assert suspicions(service) == [SuspicionReason.NO_START, SuspicionReason.RESET]
