A change of a worker's zone, cell or type counts without a restart

What callers saw: after a correction in the endpoint list requests bound to a zone or type went on by the old entry until the worker restarted. Cause: the merge compared state and start time only. Evidence: the new test's delta counts as no change on the code of before. Fix: every field but the rating is compared. As entries move now, a repeat goes where the first attempt was sent: by the worker's entry of today it could meet workers that do not know its idempotency key.

--- a/locktide/scheduler/policy/retry_eligibility.py
+++ b/locktide/scheduler/policy/retry_eligibility.py
@@ -37,7 +37,7 @@
     if request.is_at_most_once or is_window_over(request, now):
         return []
     scope = request.service_class.deduplication_scope
-    first = request.possibly_executed[0].endpoint
+    first = request.possibly_executed[0]
     if scope == FLEET:
         return endpoints
     if scope == ZONE:
--- a/locktide/scheduler/state/endpoint.py
+++ b/locktide/scheduler/state/endpoint.py
@@ -78,6 +78,16 @@
         self.state = entry.state
         self.started_at = entry.started_at  # 0 where that is unknown or long ago
 
+    def is_as_listed(self, entry: EndpointEntry) -> bool:
+        """Return whether the endpoint list says of it what it said before, but for the rating."""
+        return (
+            self.state == entry.state
+            and self.started_at == entry.started_at
+            and self.zone == entry.zone
+            and self.cell == entry.cell
+            and self.worker_type == entry.worker_type
+        )
+
     def satisfies(self, constraint: PlacementConstraint | None) -> bool:
         """Return whether its type and zone are among those of the constraint."""
         if constraint is None:
--- a/locktide/scheduler/state/list_update.py
+++ b/locktide/scheduler/state/list_update.py
@@ -37,15 +37,12 @@
 
 
 def _merge_entry(endpoints: dict[WorkerId, Endpoint], entry: EndpointEntry, concurrency_limit: float) -> bool:
-    """Merge one entry; return whether the endpoint is new, or has another state or start time.
-
-    Where both are as before nothing is taken over: a worker keeps the zone, cell and type of its start.
-    """
+    """Merge one entry; return whether the endpoint is new, or more than its rating has changed."""
     endpoint = endpoints.get(entry.worker)
     if endpoint is None:
         endpoints[entry.worker] = Endpoint(entry, concurrency_limit)
         return True
-    if endpoint.state == entry.state and endpoint.started_at == entry.started_at:
+    if endpoint.is_as_listed(entry):
         return False
     endpoint.update(entry)
     return True
--- a/locktide/scheduler/state/request.py
+++ b/locktide/scheduler/state/request.py
@@ -70,6 +70,8 @@
         "request",
         "number",
         "endpoint",
+        "zone",
+        "cell",
         "width",
         "ordered_at",
         "sent_at",
@@ -86,6 +88,8 @@
         self.request = request
         self.number = number
         self.endpoint = endpoint
+        self.zone = endpoint.zone  # where it was sent, also if its worker is listed elsewhere since
+        self.cell = endpoint.cell
         self.width = request.width
         self.ordered_at = now  # when its command was given
         self.sent_at = now  # the same, until its last byte is reported as sent
--- a/tests/scheduler/test_list_update.py
+++ b/tests/scheduler/test_list_update.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from typing import Any
+
+import pytest
 from helpers import listed
 
 from locktide.scheduler.events import EndpointListUpdate
@@ -27,3 +30,20 @@
     assert [endpoint.state for endpoint in endpoints.values()] == [EndpointState.READY, EndpointState.READY]
     changed, _ = merge_update(endpoints, EndpointListUpdate(ListUpdateKind.CACHED, [listed("a")]), 1.0)
     assert changed and endpoints["b"].state == EndpointState.GONE
+
+
+@pytest.mark.parametrize(("changed", "zone"), [({"cell": 4}, "zone-4"), ({"kind": "crate"}, "zone-0")])
+def test_a_delta_that_changes_only_where_or_what_a_worker_is_counts(changed: Any, zone: str) -> None:
+    """An operator corrected the zone, cell or type of a worker in the endpoint list, without a restart.
+
+    The change was dropped: requests bound to that zone or type went on to other workers, or to this one
+    though it was no more of theirs, until the worker restarted.
+    """
+    endpoints: dict[str, Endpoint] = {}
+    merge_update(endpoints, EndpointListUpdate(ListUpdateKind.DELTA, [listed("w")]), 1.0)
+    update = EndpointListUpdate(ListUpdateKind.DELTA, [listed("w", **changed)])
+    assert merge_update(endpoints, update, 1.0) == (True, [])
+    worker = endpoints["w"]
+    assert (worker.zone, worker.cell) == (zone, changed.get("cell", 0))
+    assert worker.worker_type == changed.get("kind", "box")
+    assert merge_update(endpoints, update, 1.0) == (False, []), "nothing has changed any more"
--- a/tests/scheduler/test_retry_eligibility.py
+++ b/tests/scheduler/test_retry_eligibility.py
@@ -9,7 +9,12 @@
 
 from locktide.scheduler.config import ServiceClass
 from locktide.scheduler.events import RequestArrived
-from locktide.scheduler.policy.retry_eligibility import may_attempt, may_reject, repeats_until
+from locktide.scheduler.policy.retry_eligibility import (
+    may_attempt,
+    may_reject,
+    repeats_until,
+    where_repeatable,
+)
 from locktide.scheduler.state import Attempt, Endpoint, Request
 from locktide.scheduler.types import DeduplicationScope, Effect
 
@@ -61,6 +66,21 @@
     assert repeats_until(attempted_request(Effect.IDEMPOTENT)) is None
 
 
+@pytest.mark.parametrize("scope", [DeduplicationScope.CELL, DeduplicationScope.ZONE])
+def test_a_repeat_goes_where_the_first_attempt_was_sent_also_if_its_worker_is_listed_elsewhere(
+    scope: DeduplicationScope,
+) -> None:
+    """A worker was listed in another zone and cell after a request was sent to it.
+
+    Its former neighbours drop the repeat. Its new ones do not know the idempotency key: followed there, the
+    request would have run twice.
+    """
+    request = attempted_request(Effect.IDEMPOTENT_WITH_KEY, scope)
+    request.possibly_executed[0].endpoint.update(listed("w", cell=4))
+    neighbours = [Endpoint(listed(f"n{cell}", cell=cell), concurrency_limit=1.0) for cell in (0, 4)]
+    assert where_repeatable(request, neighbours, SENT_AT + 1) == neighbours[:1]
+
+
 def test_attempts_are_limited_and_uncounted_ones_do_not_count() -> None:
     request = attempted_request(Effect.IDEMPOTENT, attempts=MAX_ATTEMPTS)
     assert not may_attempt(request, SENT_AT, MAX_ATTEMPTS)
