An attempt as good as lost is checked again while only the retry budget is spent

What callers saw: a request at a hung worker waited for its whole deadline though retries were allowed again seconds later. Cause: no timer followed the last check. Evidence: the new test sees no cancellation after the budget is earned on the code of before, one within 0.3 s now; the worker is blamed once. Fix: a check each 250 ms while the budget alone forbids the retry. Recorded digest that changes: sick.

--- a/locktide/scheduler/policy/attempt_timeouts.py
+++ b/locktide/scheduler/policy/attempt_timeouts.py
@@ -14,8 +14,8 @@
 - No progress: one and a half report intervals after the last report. The worker is suspected, and a retry
   may take the attempt's place.
 
-No check follows the last of these: an attempt for which the retry budget had nothing left then is left to
-its deadline. All spans are in microseconds.
+Where only the retry budget forbids the retry at the last of these, it is checked again each
+`BUDGET_CHECK_INTERVAL`. All spans are in microseconds.
 """
 
 from dataclasses import dataclass, field
@@ -45,6 +45,9 @@
 #: An attempt without a start is as good as lost after the timeout of its class divided by this: it seldom
 #: ends in the rest, and a retry still can.
 TIMEOUT_PER_PRESUMED_LOST = 2
+#: Time to the next check of an attempt that is as good as lost while the retry budget is spent, in
+#: microseconds: successes of others earn the budget anew.
+BUDGET_CHECK_INTERVAL = 250_000
 #: Half report intervals without a report after which a running attempt is in doubt.
 MAX_SILENCE_IN_HALF_INTERVALS = 3
 
@@ -95,23 +98,33 @@
         now = self.clock.now
         no_start_at = self._no_start_at(attempt)
         lost_at = presumed_lost_at(attempt)
+        is_lost = now >= lost_at
         if now < no_start_at:
             self.timers.set(no_start_at - now, attempt)
         else:
             self.outliers.record_no_start(attempt)
-            if now < lost_at:
+            if not is_lost:
                 self.timers.set(lost_at - now, attempt)
-        self.retries.cancel_if_retry_pays(attempt, is_presumed_lost=now >= lost_at)
+        self._retry_or_wait(attempt, is_lost=is_lost, is_last_check=is_lost and now >= no_start_at)
 
     def _check_progress(self, attempt: Attempt) -> None:
         interval = self.config.current.progress.report_interval
         if not interval:
             return
-        if self.clock.now - attempt.last_heard_at > max_silence(interval):
-            self.outliers.record_no_progress(attempt)
-            self.retries.cancel_if_retry_pays(attempt, is_presumed_lost=True)
-        else:
+        if self.clock.now - attempt.last_heard_at <= max_silence(interval):
+            attempt.awaits_budget = False
             self.expect_progress(attempt)
+            return
+        if not attempt.awaits_budget:
+            self.outliers.record_no_progress(attempt)
+        self._retry_or_wait(attempt, is_lost=True, is_last_check=True)
+
+    def _retry_or_wait(self, attempt: Attempt, *, is_lost: bool, is_last_check: bool) -> None:
+        """Cancel the attempt where a retry pays; where only the budget forbids it, check again."""
+        awaits_budget = self.retries.cancel_if_retry_pays(attempt, is_presumed_lost=is_lost)
+        attempt.awaits_budget = awaits_budget and is_last_check
+        if attempt.awaits_budget:
+            self.timers.set(BUDGET_CHECK_INTERVAL, attempt)
 
     def _no_start_at(self, attempt: Attempt) -> int:
         usual_run = int(self.estimates.usual_run_time(attempt.request))
--- a/locktide/scheduler/policy/retries.py
+++ b/locktide/scheduler/policy/retries.py
@@ -47,12 +47,20 @@
             self.budget.on_unsent(attempt)
         request.possibly_executed.remove(attempt)
 
-    def cancel_if_retry_pays(self, attempt: Attempt, is_presumed_lost: bool) -> None:
-        """Make room for a retry in the place of an attempt in doubt."""
+    def cancel_if_retry_pays(self, attempt: Attempt, is_presumed_lost: bool) -> bool:
+        """Make room for a retry in the place of an attempt in doubt.
+
+        Returns:
+            Whether nothing but the retry budget stood against it, so that it may pay later.
+        """
         request = attempt.request
         must_stay = not request.is_idempotent and not is_presumed_lost
-        if self.may_attempt(request) and self.budget.allows_retry() and not must_stay:
-            self.cancel(attempt)
+        if must_stay or not self.may_attempt(request):
+            return False
+        if not self.budget.allows_retry():
+            return True
+        self.cancel(attempt)
+        return False
 
     def cancel(self, attempt: Attempt) -> None:
         """Cancel an attempt, where that can be done."""
--- a/locktide/scheduler/state/request.py
+++ b/locktide/scheduler/state/request.py
@@ -82,6 +82,7 @@
         "failure_recorded",
         "no_start_at",
         "cancelled_at",
+        "awaits_budget",
     )
 
     def __init__(self, request: Request, number: int, endpoint: Endpoint, now: int) -> None:
@@ -100,5 +101,6 @@
         # Whether an earlier attempt may have run; one after a worker that was full is no retry in this sense.
         self.is_retry = bool(request.possibly_executed)
         self.failure_recorded = False  # whether it has made its endpoint suspected
+        self.awaits_budget = False  # whether only the retry budget keeps it from being cancelled for a retry
         self.cancelled_at = 0  # when its cancellation was ordered; else 0
         self.no_start_at = 0  # when that was for want of a start, and has not been taken back; else 0
--- a/tests/scheduler/test_retry_budget.py
+++ b/tests/scheduler/test_retry_budget.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import pytest
-from helpers import GRADES, listed
+from helpers import GRADES, Checked, listed
 
-from locktide.scheduler.events import RequestArrived
+from locktide.scheduler.commands import CancelAttempt, WriteLog
+from locktide.scheduler.events import AttemptStarted, RequestArrived
 from locktide.scheduler.policy.retry_budget import MAX_RETRY_BUDGET, RetryBudget
 from locktide.scheduler.state import Attempt, Endpoint, Request
 
@@ -69,3 +70,34 @@
     use_up(budget, retry)
     budget.on_unsent(retry)
     assert budget.allows_retry()
+
+
+@pytest.mark.parametrize("starts", [False, True])
+def test_an_attempt_that_is_as_good_as_lost_is_retried_once_the_budget_allows_it(starts: bool) -> None:
+    """A worker had hung with a request while retries were spent, and others succeeded again soon after.
+
+    No check followed the last one: the request was left to its deadline, though a retry would have been
+    allowed and would have been served. It must be tried again once the budget is earned, and the worker be
+    blamed once.
+    """
+    service = Checked(fleet=1)
+    service.list(listed("w"), listed("x"))
+    service.arrive(1, "view")
+    budget = service.dispatcher.retries.budget
+    _, retry = attempts()
+    use_up(budget, retry)
+    if starts:
+        service.turn(AttemptStarted(1, 0))
+    service.pass_time(2_000_000)  # past half its timeout, and past a progress report and a half
+    assert not cancelled(service)
+    for _ in range(11):
+        budget.on_success()
+    service.pass_time(300_000)
+    assert cancelled(service) == [(1, 0)]
+    logged = [order for order in service.orders if type(order) is WriteLog]
+    assert len(logged) == 1, "it was blamed once"
+
+
+def cancelled(service: Checked) -> list[tuple[object, int]]:
+    orders = [order for order in service.orders if type(order) is CancelAttempt]
+    return [(order.request_id, order.attempt) for order in orders]
--- a/tests/test_recorded_decisions.py
+++ b/tests/test_recorded_decisions.py
@@ -948,9 +948,9 @@
         },
     ),
     "sick": Recorded(
-        "6bfe9e6f0977a30b7823fa06dce4e92f999b4486b336ee8d6f7e16d0db2ac9e4",
+        "1e4f4a679ccd1e7d23bb445a668356166255857a046220f0d8d3f823ce3c0713",
         "a14b12a65ef5a419bee157acbea8941b7e13c0056ebd88c7ede9313ab80bc44f",
-        {"cancel": 8, "dispatch": 292, "internal-error": 3, "log": 22, "reject": 232, "wake": 3721},
+        {"cancel": 8, "dispatch": 292, "internal-error": 3, "log": 22, "reject": 232, "wake": 3813},
     ),
     "restarts": Recorded(
         "b66337a3d664d39f43d98cbd16a968e1211a4806f649d7ffafd48f224f3ae506",
