A reload leaves what tenants have spent of their burst spent

What callers saw: each SIGHUP admitted five seconds of every tenant's rate beyond its quota. Cause: a reload made new buckets, filled from time zero on. Evidence: in the new test a tenant whose burst is spent is covered after a reload on the code of before, beyond its quota now. Fix: a tenant that stays keeps its bucket.

--- a/locktide/scheduler/policy/quotas.py
+++ b/locktide/scheduler/policy/quotas.py
@@ -31,17 +31,25 @@
     def __init__(self, clock: Clock, config: ActiveConfig) -> None:
         self._clock = clock
         self._config = config
+        self.buckets = dict[TenantId, TokenBucket]()
+        self._borrowed_buckets = dict[TenantId, TokenBucket]()  # of what was lent to each tenant
 
     def configure(self) -> None:
-        """Start anew from the configured quotas and even shares."""
+        """Begin with the configured quotas and even shares.
+
+        What a tenant has spent of its burst stays spent: with full buckets each reload admitted every tenant
+        beyond its quota (test_a_reload_gives_no_tenant_its_burst_anew). A new tenant's bucket is full.
+        """
         config = self._config.current
         self.shares = QuotaSharesUpdated([])
         self._quotas = config.quotas.quotas
         self.buckets = {
-            tenant: TokenBucket(BURST * quota / config.dispatcher_count, 0)
+            tenant: self.buckets.get(tenant) or self._full_bucket(quota / config.dispatcher_count)
             for tenant, quota in self._quotas.items()
         }
-        self._borrowed_buckets = dict[TenantId, TokenBucket]()  # of what was lent to each tenant
+
+    def _full_bucket(self, rate: float) -> TokenBucket:
+        return TokenBucket(BURST * rate + MIN_BURST, self._clock.now)
 
     def stage(self) -> QuotaStage:
         """Return the stage of the agreed shares that is in force now."""
--- a/tests/scheduler/test_ratings_and_reload.py
+++ b/tests/scheduler/test_ratings_and_reload.py
@@ -21,7 +21,7 @@
 from locktide.scheduler.commands import CancelAttempt, FailRequest, WatchEndpoints, WriteLog
 from locktide.scheduler.config import CostConfig
 from locktide.scheduler.events import ConfigReloaded, EndpointEntry
-from locktide.scheduler.types import AttemptOutcome, ListUpdateKind
+from locktide.scheduler.types import AttemptOutcome, ListUpdateKind, QuotaCoverage
 
 
 def rated(ratings: dict[str, float], **started: int) -> list[EndpointEntry]:
@@ -223,3 +223,20 @@
     assert len(told) == 5 and sum(b"settings taken" in line for line in told) == 4
     assert b"settings.WeightKind: expected one of" in told[2] and b"the old settings stay" in told[2]
     assert any(b" 0 requests open" not in line for line in told[1:])
+
+
+def test_a_reload_gives_no_tenant_its_burst_anew() -> None:
+    """An operator reloaded the settings a few times in a minute, as a tenant sent far beyond its quota.
+
+    Each reload filled every tenant's bucket: five seconds of its rate were admitted as within the quota each
+    time. What is spent must stay spent, whatever of the settings has changed.
+    """
+    service = Checked(fleet=1)
+    service.list(listed("w"))  # from here on the clock stands
+    quotas = service.dispatcher.admission.quotas
+    within = [quotas.cover("dairy") for _ in range(40)].count(QuotaCoverage.OWN)
+    assert within == 26, "five seconds of five requests each, and one"
+    for config in (HERE, THERE, terms(3, 1, False, 0.4)):
+        service.turn(ConfigReloaded(config))
+        assert quotas.cover("dairy") is QuotaCoverage.BEYOND
+    assert quotas.cover(None) is QuotaCoverage.OWN
