Heartbeats that fall due with a lease request are sent with the grant

Cause: what following the election returned was dropped, though it counted as sent. Evidence: no heartbeat in the new test on the code of before, one to each other member now.

--- a/locktide/cluster/member.py
+++ b/locktide/cluster/member.py
@@ -175,9 +175,13 @@
         return outgoing
 
     def _handle_lease_request(self, sender: MemberId, request: LeaseRequest, now: int) -> Outgoing:
-        """Grant quota leases while we are the leader of the request's term."""
-        self._lead(now)
-        return self._address_all(self.leadership.answer(sender, request, now))
+        """Grant quota leases while we are the leader of the request's term.
+
+        Heartbeats may fall due with the request, and count as sent: dropped here, the next ones came a whole
+        interval later (test_heartbeats_that_fall_due_with_a_lease_request_are_sent).
+        """
+        outgoing = self._lead(now)
+        return outgoing + self._address_all(self.leadership.answer(sender, request, now))
 
     def _handle_leader(
         self, sender: MemberId, message: LeaderHeartbeat | LeaseGrant | LeaseRevocation, now: int
--- a/tests/cluster/test_leases.py
+++ b/tests/cluster/test_leases.py
@@ -2,12 +2,21 @@
 
 from __future__ import annotations
 
-from cluster_helpers import SECOND
+from cluster_helpers import SECOND, live_member, settled_cluster
 
 from locktide.cluster.config import ClusterConfig
 from locktide.cluster.election.participant import ElectionParticipant
 from locktide.cluster.leadership import Leadership
-from locktide.cluster.messages import Accepted, Ballot, LeaseGrant, LeaseRequest, Promise
+from locktide.cluster.messages import (
+    VERSION,
+    Accepted,
+    Ballot,
+    Envelope,
+    LeaderHeartbeat,
+    LeaseGrant,
+    LeaseRequest,
+    Promise,
+)
 from locktide.cluster.quota.allocator import Allocator, AllocatorConfig
 from locktide.cluster.quota.lease_holder import LeaseHolder
 from locktide.cluster.quota.lease_timing import SHARE_LEASE
@@ -108,3 +117,24 @@
     own.term = other.term = ballot
     assert leadership.answer(("d1", 1), other, now) == []
     assert len(leadership.answer(("d1", 1), own, now)) == 1
+
+
+def test_heartbeats_that_fall_due_with_a_lease_request_are_sent() -> None:
+    """A lease request came at the very moment at which the leader's heartbeats fell due.
+
+    They counted as sent and were dropped, so that the members heard of their leader a whole interval later;
+    with requests at the pace of heartbeats that could go on until their leases ended.
+    """
+    cluster = settled_cluster()
+    leader = next(live for name in cluster.names if (live := live_member(cluster, name)).agent.allocator)
+    member = leader.agent
+    requester = next(name for name in cluster.names if name != leader.name)
+    assert member.allocator is not None
+    request = request_of(number=10_000, held=0, names_checksum=member.quota_names.checksum)
+    request.term = member.allocator.term
+    sender = live_member(cluster, requester).agent.member_id
+    envelope = Envelope(VERSION, *sender, request)
+    outgoing = member.handle(envelope, member.leadership.next_heartbeat_at)
+    heartbeats = [message for _, message in outgoing if isinstance(message, LeaderHeartbeat)]
+    assert len(heartbeats) == len(cluster.names) - 1
+    assert any(isinstance(message, LeaseGrant) for _, message in outgoing)
