The log names each failed request, and says when a suspicion ends

What callers saw: a 502 left no line, and nobody on call could see whether a suspected worker was used again. Cause: FailRequest was carried out silently; suspicion fades at no event. Evidence: the extended test of 502 finds no line on the code of before. Fix: request_failed with the request; worker_cleared, looked for at the end of each step among those that the log has named.

--- a/locktide/dispatcher/failure_responses.py
+++ b/locktide/dispatcher/failure_responses.py
@@ -32,7 +32,14 @@
         )
 
     def fail(self, command: FailRequest) -> None:
-        """Respond that the request has failed."""
+        """Respond that the request has failed: it may have run, so that its client must not send it again."""
+        request = command.request_id
+        self.log.emit(
+            f"request {request}: failed, no further attempt is allowed",
+            "failed requests",
+            event="request_failed",
+            request=request,
+        )
         self.registry.respond(command.request_id, Response(HTTPStatus.BAD_GATEWAY, b"terminated\n"))
 
     def fail_after_internal_error(self, command: ReportInternalError) -> None:
--- a/locktide/scheduler/estimators/decaying_sum.py
+++ b/locktide/scheduler/estimators/decaying_sum.py
@@ -31,6 +31,10 @@
             self.updated_at = now
         return self.total
 
+    def peek(self, now: int) -> float:
+        """Return the same as `read`, and leave the rounding of later decay as it is."""
+        return self.total * exp((self.updated_at - now) / self.span)
+
     def add(self, amount: float, now: int) -> None:
         """Add an amount, which may be negative."""
         self.total = self.read(now) + amount
--- a/locktide/scheduler/log_events.py
+++ b/locktide/scheduler/log_events.py
@@ -15,7 +15,7 @@
 class WorkerSuspected:
     """A worker is taken to be unhealthy: it is sent probes only, until it is cleared.
 
-    `policy/outlier_detection` says what clears it. No event is written then.
+    `policy/outlier_detection` says what clears it; `WorkerCleared` follows then.
 
     Attributes:
         worker: the id of the worker.
@@ -27,6 +27,20 @@
     reason: SuspicionReason
 
 
+@dataclass(frozen=True, slots=True)
+class WorkerCleared:
+    """A suspected worker is sent requests again: a success, a renewed rating or time has cleared it.
+
+    Attributes:
+        worker: the id of the worker.
+        suspected_ms: how long it was suspected, in milliseconds.
+    """
+
+    event_id: ClassVar[str] = "worker_cleared"
+    worker: WorkerId
+    suspected_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class RequestRejected:
     """A request was rejected; written at most once in five seconds.
@@ -61,7 +75,7 @@
     retry_in_ms: int
 
 
-LogEvent: TypeAlias = WorkerSuspected | RequestRejected | EndpointListFetchFailed
+LogEvent: TypeAlias = WorkerSuspected | WorkerCleared | RequestRejected | EndpointListFetchFailed
 
 
 def log_fields(event: LogEvent) -> dict[str, str | int | float]:
--- a/locktide/scheduler/policy/outlier_detection.py
+++ b/locktide/scheduler/policy/outlier_detection.py
@@ -17,7 +17,7 @@
 from locktide.scheduler.estimators.beta import draw_beta
 from locktide.scheduler.estimators.decaying_sum import DecayingSum
 from locktide.scheduler.estimators.random import LinearCongruentialGenerator
-from locktide.scheduler.log_events import WorkerSuspected
+from locktide.scheduler.log_events import WorkerCleared, WorkerSuspected
 from locktide.scheduler.state import (
     Attempt,
     Clock,
@@ -28,8 +28,9 @@
     Request,
 )
 from locktide.scheduler.state.endpoint import HEALTH_MEMORY
-from locktide.scheduler.types import SuspicionReason
+from locktide.scheduler.types import EndpointState, SuspicionReason
 
+MICROSECONDS_PER_MILLISECOND = 1000
 #: Decayed failures from which an endpoint is suspected: one failure suspects it for seven seconds (ln 2 of
 #: `HEALTH_MEMORY`), unless a success comes first.
 MIN_FAILURES_TO_SUSPECT = 0.5
@@ -82,6 +83,7 @@
         # Errors lately found to be a request's own, or an endpoint's.
         self._request_errors = DecayingSum(HEALTH_MEMORY)
         self._endpoint_errors = DecayingSum(HEALTH_MEMORY)
+        self._suspected_since: dict[Endpoint, int] = {}  # what the log has named and not cleared since
 
     # --- what suspects an endpoint
 
@@ -89,7 +91,7 @@
         """Count a failure, which makes the endpoint suspected."""
         now = self._clock.now
         if not is_suspected(endpoint, now):
-            self._commands.log(WorkerSuspected(endpoint.id, reason))
+            self._log_suspicion(endpoint, reason)
         # A long good record would keep the probes of a worker going through a fresh outage, each of them an
         # attempt lost; a quarter of the record is left.
         endpoint.successes.add(-SUCCESSES_LOST_BY_FAILURE * endpoint.successes.read(now), now)
@@ -153,7 +155,7 @@
         for endpoint in ready:
             endpoint.stale_ratings += endpoint.load > 0.0
             if endpoint.stale_ratings == MAX_STALE_RATINGS:
-                self._commands.log(WorkerSuspected(endpoint.id, SuspicionReason.STALE_RATING))
+                self._log_suspicion(endpoint, SuspicionReason.STALE_RATING)
 
     # --- what clears it
 
@@ -185,6 +187,26 @@
         failures.add(-min(left, failures.read(now)), now)
         attempt.no_start_at = 0
 
+    # --- what the log says of it
+
+    def _log_suspicion(self, endpoint: Endpoint, reason: SuspicionReason) -> None:
+        self._commands.log(WorkerSuspected(endpoint.id, reason))
+        self._suspected_since.setdefault(endpoint, self._clock.now)
+
+    def log_cleared(self) -> None:
+        """Log the suspicions that have ended since the last call; called with each step."""
+        if not self._suspected_since:
+            return
+        now = self._clock.now
+        for endpoint, since in list(self._suspected_since.items()):
+            failures = endpoint.failures.peek(now)
+            if endpoint.state == EndpointState.GONE:
+                del self._suspected_since[endpoint]  # nothing is sent there, whatever its record
+            elif endpoint.stale_ratings < MAX_STALE_RATINGS and failures < MIN_FAILURES_TO_SUSPECT:
+                del self._suspected_since[endpoint]
+                suspected_ms = (now - since) // MICROSECONDS_PER_MILLISECOND
+                self._commands.log(WorkerCleared(endpoint.id, suspected_ms))
+
     # --- what a suspected endpoint is sent
 
     def admits_probe(self, endpoint: Endpoint) -> bool:
--- a/locktide/scheduler/scheduler.py
+++ b/locktide/scheduler/scheduler.py
@@ -93,6 +93,7 @@
                 self._errors.report(request_id_of(target or event))
         self.endpoint_polling.poll_when_due()
         self.rounds.run()
+        self.outliers.log_cleared()
         return self._commands.collected()
 
     def _create_state(self, seed: int, config: SchedulerConfig) -> None:
--- a/tests/dispatcher/test_requests.py
+++ b/tests/dispatcher/test_requests.py
@@ -20,6 +20,9 @@
         assert denied is not None and terminated is not None
         play.node.failures.reject(RejectRequest("a", 250_000))
         play.node.failures.fail(FailRequest("b"))
+        assert play.lines_logged == [
+            "request b: failed, no further attempt is allowed"
+        ], "which one, at night"
         assert denied.result().status == 503 and denied.result().headers == [("Retry-After", "0.250")]
         assert terminated.result().status == 502 and not terminated.result().headers
 
--- a/tests/scheduler/test_outlier_detection.py
+++ b/tests/scheduler/test_outlier_detection.py
@@ -9,7 +9,7 @@
 
 from locktide.scheduler.commands import WriteLog
 from locktide.scheduler.events import AttemptProgressed, AttemptStarted
-from locktide.scheduler.log_events import WorkerSuspected
+from locktide.scheduler.log_events import WorkerCleared, WorkerSuspected
 from locktide.scheduler.policy.outlier_detection import PROBE_INTERVAL, is_suspected
 from locktide.scheduler.types import AttemptOutcome, SuspicionReason
 
@@ -145,3 +145,29 @@
     service.end(1, 0, AttemptOutcome.RESET)
     assert is_suspected(worker, service.now)
     assert suspicions(service) == [SuspicionReason.NO_START, SuspicionReason.RESET]
+
+
+def test_the_end_of_a_suspicion_is_logged_once() -> None:
+    """At night the log said that a worker was suspected, and never that it was used again.
+
+    Whether a suspicion had ended could only be reckoned from its memory. Each one must be followed by one
+    line once requests may go to the worker again, whatever cleared it, also where nothing else happens.
+    """
+    service = Checked(fleet=1)
+    service.list(listed("w"), listed("x"))
+    service.arrive(1, "cash")
+    worker = service.dispatches[1][0]["worker"]
+    service.end(1, 0, AttemptOutcome.RESET)
+    assert suspicions(service) == [SuspicionReason.RESET]
+    service.pass_time(6 * SECOND)
+    assert cleared(service) == [], "one failure suspects for seven seconds"
+    service.pass_time(2 * SECOND)
+    service.arrive(2, "view")
+    service.pass_time(SECOND)
+    assert [event.worker for event in cleared(service)] == [worker]
+    assert 6_900 <= cleared(service)[0].suspected_ms <= 8_100
+
+
+def cleared(service: Checked) -> list[WorkerCleared]:
+    logged = [command.event for command in service.orders if type(command) is WriteLog]
+    return [event for event in logged if type(event) is WorkerCleared]
