Pieces of a delayed connection that are due at one moment arrive in their order

Cause: equal timers of the event loop have no order, so that an end overtook the data before it. Fix: a timer says when the next piece is due, a queue says which.

--- a/locktide/simulation/latency.py
+++ b/locktide/simulation/latency.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 import struct
+from collections import deque
 from collections.abc import Callable
 from typing import Any, Protocol
 
@@ -26,7 +27,9 @@
         self.host, self.source, self.target = host, source, target
         self.loop = asyncio.get_running_loop()
         self.last_due = 0.0
-        self.under_way = 0
+        # Pieces whose timers are set. A timer says when the next one is due, not which: the event loop keeps
+        # no order among timers of one moment, and an end that overtook its data looked like half a response.
+        self.under_way: deque[tuple[Callable[..., None], Any]] = deque()
         self.held: list[tuple[Callable[..., None], Any]] = []
         host.ways[self] = None
 
@@ -39,11 +42,11 @@
             what(*args)
             return
         self.last_due = max(self.last_due, self.loop.time() + delay / 1e6)
-        self.under_way += 1
-        self.loop.call_at(self.last_due, self.arrive, what, args)
+        self.under_way.append((what, args))
+        self.loop.call_at(self.last_due, self.arrive)
 
-    def arrive(self, what: Callable[..., None], args: Any) -> None:
-        self.under_way -= 1
+    def arrive(self) -> None:
+        what, args = self.under_way.popleft()
         what(*args)
 
     def healed(self) -> None:
