--- a/locktide/simulation/process_backend.py
+++ b/locktide/simulation/process_backend.py
@@ -142,6 +142,7 @@
         self.reached: dict[int, asyncio.DatagramTransport] = {}
         self.told_at: dict[int, str] = {}
         self.lives: list[tuple[int, Path, subprocess.Popen[bytes]]] = []
+        self.files: dict[int, Path] = {}  # what each dispatcher was started with
         self.ended_at: dict[int, int] = {}  # by process id
         self.starts = 0
         self.tasks: dict[asyncio.Task[Any], None] = {}
@@ -247,11 +248,21 @@
                 stdin=subprocess.DEVNULL,
                 env={**environment, "GW_CONFIG": str(path)},
             )
+        self.files[number] = path
         self.lives.append((number, path.with_suffix(".trace"), self.processes[number]))
 
     def stop_dispatcher(self, number: int) -> None:
         self.processes[number].terminate()
 
+    def reload_dispatcher(self, number: int, told: dict[str, Any]) -> bool:
+        """Replace the start file in one step, and send SIGHUP; return True, as it is always taken."""
+        path = self.files[number]
+        beside = path.with_suffix(".new")
+        beside.write_text(json.dumps(told), encoding="utf-8")
+        beside.replace(path)
+        self.processes[number].send_signal(signal.SIGHUP)
+        return True
+
     def kill_dispatcher(self, number: int) -> None:
         process = self.processes[number]
         if process.poll() is None:
--- a/locktide/simulation/virtual_backend.py
+++ b/locktide/simulation/virtual_backend.py
@@ -77,6 +77,7 @@
         self.links: Any = None  # of the stage, once it stands
         self.machines: dict[str, Machine] = {}
         self.processes: dict[int, tuple[VirtualProcess, asyncio.Event]] = {}
+        self.nodes: dict[int, Dispatcher] = {}  # of the processes that have come up
         self.begun = 0.0
         self.said: list[str] = []
         self.durable: tuple[DurableJobsSection, int, float, float] | None = (
@@ -134,6 +135,7 @@
         process = VirtualProcess(name, told["listen"].rpartition(":")[0])
         stop = asyncio.Event()
         self.processes[number] = (process, stop)
+        self.nodes.pop(number, None)
         self.all.append(process)
         read = start_from_document(JsonObject(told), {})
         kept = self.kept(number)
@@ -144,6 +146,7 @@
             await asyncio.sleep(UP_AFTER)
             log = RecordingLog(name, self.loop, self.said)
             node = Dispatcher(read, known, log, self)
+            self.nodes[number] = node
             job_service = None
             if kept is not None:
                 told_durable, platter = kept
@@ -200,6 +203,19 @@
     def stop_dispatcher(self, number: int) -> None:
         self.processes[number][1].set()
 
+    def reload_dispatcher(self, number: int, told: dict[str, Any]) -> bool:
+        """Put other settings in force, as SIGHUP does; return False for a process that is not up yet.
+
+        Such a process goes by the settings of its start here.
+        """
+        process, _ = self.processes[number]
+        node = self.nodes.get(number)
+        if node is None or process.dead:
+            return False
+        read = start_from_document(JsonObject(told), {}, is_reload=True)
+        self.loop.call_soon(node.reload, read, context=process.context())
+        return True
+
     def kill_dispatcher(self, number: int) -> None:
         self.died(self.processes[number][0])
         self.net.kill(self.processes[number][0])
--- /dev/null
+++ b/tests/soak/findings.py
@@ -0,0 +1,43 @@
+"""What a run of the soak has found: faults, and whether the machine let it count."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+
+@dataclass
+class Findings:
+    """The verdict on one run.
+
+    Attributes:
+        seed: the seed of its script.
+        faults: what must not happen, one line each.
+        signals: how many series of signals were played.
+        requests: how many requests clients made.
+        answered: how many of them were done in time.
+        shut_unread: new connections of a crowded dispatcher that it shut unread, which the page allows.
+        counts: False where the machine held up the stand-ins, so that the run says nothing.
+    """
+
+    seed: int
+    faults: list[str] = field(default_factory=list)
+    signals: int = 0
+    requests: int = 0
+    answered: int = 0
+    shut_unread: int = 0
+    counts: bool = True
+
+    @property
+    def verdict(self) -> str:
+        """One word for a table."""
+        if not self.counts:
+            return "does not count"
+        return "broken" if self.faults else "kept"
+
+    def row(self) -> str:
+        """Return the run as a row of the table."""
+        extra = f", {self.shut_unread} shut unread" if self.shut_unread else ""
+        return (
+            f"{self.seed:>5}  {self.verdict:<14}  {self.signals} series, "
+            f"{self.answered} of {self.requests} in time{extra}"
+        )
--- /dev/null
+++ b/tests/soak/loopback.py
@@ -0,0 +1,190 @@
+"""Plays a script with real processes on loopback, and looks at what they leave behind."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import socket
+from collections.abc import Iterator
+from contextlib import contextmanager, suppress
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from locktide.simulation.backend import DISPATCHER_PORT
+from locktide.simulation.process_backend import ProcessBackend
+from soak.findings import Findings
+from soak.script import DESCRIPTORS, SoakScript, draw
+from soak.stage import LOOK_INTERVAL, QUIET, SoakStage
+
+REPOSITORY = Path(__file__).resolve().parents[2]
+#: Seconds within which a dispatcher is ready.
+READY_WITHIN = 10.0
+#: Lines of a log that only a fault of the program writes.
+FAULT_LINES = (
+    "Traceback",
+    "the scheduler failed",
+    "was not carried out",
+    "an observer failed",
+    "a part failed",
+)
+#: State of a socket in /proc/net/tcp whose peer has closed it and whose owner has not.
+CLOSE_WAIT = "08"
+#: Idle clients of a crowd for each descriptor of a dispatcher: more than there is room for.
+CROWD_PER_DESCRIPTOR = 1.5
+#: Seconds between two attempts of the crowd to come back, and after which it first comes.
+CROWD_INTERVAL, CROWD_COMES = 0.5, 1.0
+#: Bytes of half a message, after which a client of the crowd stays and says nothing more.
+HALF_MESSAGE = b"POST /view HTTP/1.1\r\nHost: us\r\nReq-"
+
+
+class SoakProcesses(ProcessBackend):
+    """Dispatchers as processes, whose endings are checked."""
+
+    def __init__(self, program: Path, folder: Path, findings: Findings) -> None:
+        super().__init__(program, folder)
+        self.findings = findings
+        self.terminated: set[int] = set()  # process ids that were sent SIGTERM
+        self.killed: set[int] = set()  # process ids that were sent SIGKILL
+
+    def start_dispatcher(self, number: int, told: dict[str, Any]) -> None:
+        with ignored_reloads():
+            super().start_dispatcher(number, told)
+        host, _, port = told["listen"].rpartition(":")
+        self.spawn(self.check_ready(number, (host, int(port))))
+
+    def stop_dispatcher(self, number: int) -> None:
+        self.terminated.add(self.processes[number].pid)
+        super().stop_dispatcher(number)
+
+    def kill_dispatcher(self, number: int) -> None:
+        if self.dispatcher_runs(number):
+            self.killed.add(self.processes[number].pid)
+        super().kill_dispatcher(number)
+
+    async def check_ready(self, number: int, address: tuple[str, int]) -> None:
+        """Note a process that does not accept connections in time, unless it was ended meanwhile."""
+        process, until = self.processes[number], self.loop.time() + READY_WITHIN
+        while process.poll() is None and process.pid not in self.terminated:
+            with suppress(OSError):
+                _, writer = await asyncio.open_connection(*address)
+                writer.close()
+                return
+            if self.loop.time() > until:
+                self.findings.faults.append(f"d{number} is not ready after {READY_WITHIN:.0f} s")
+                return
+            await asyncio.sleep(LOOK_INTERVAL)
+
+    def check_exits(self) -> None:
+        """No process ends but by SIGKILL, or by SIGTERM with 0."""
+        for number, _, process in self.lives:
+            code = process.poll()
+            if code is None or process.pid in self.killed:
+                continue
+            if process.pid not in self.terminated or code != 0:
+                self.findings.faults.append(f"d{number} ended with {code}")
+
+    def check_logs(self) -> None:
+        for line in self.logs():
+            if any(text in line for text in FAULT_LINES):
+                self.findings.faults.append(f"log: {line}")
+
+    def check_descriptors(self) -> None:
+        """After some quiet no dispatcher holds a socket that its peer has closed."""
+        for number, process in self.processes.items():
+            if process.poll() is not None:
+                continue
+            inodes = set()
+            for descriptor in Path(f"/proc/{process.pid}/fd").iterdir():
+                with suppress(OSError):
+                    inodes.add(str(descriptor.readlink()))
+            left = [inode for inode in closed_by_peer() if f"socket:[{inode}]" in inodes]
+            if left:
+                self.findings.faults.append(f"d{number}: {len(left)} sockets kept that peers have closed")
+
+
+@contextmanager
+def ignored_reloads() -> Iterator[None]:
+    """Have a process start with SIGHUP ignored, as the platform's run line does from its shell on.
+
+    Nothing in the program can hold back a signal that comes while the interpreter itself starts.
+    """
+    previous = signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    try:
+        yield
+    finally:
+        signal.signal(signal.SIGHUP, previous)
+
+
+def closed_by_peer() -> list[str]:
+    """Return the inodes of all TCP sockets of this machine in the state CLOSE_WAIT."""
+    rows = [line.split() for line in Path("/proc/net/tcp").read_text().splitlines()[1:]]
+    return [row[9] for row in rows if row[3] == CLOSE_WAIT]
+
+
+class Crowd:
+    """Idle clients that fill the descriptors of every dispatcher, and come back when they are thrown out."""
+
+    def __init__(self, stage: SoakStage, seed: int) -> None:
+        self.stage = stage
+        self.random = Random(f"crowd {seed}")
+        self.connections: list[socket.socket] = []
+
+    async def run(self) -> None:
+        await asyncio.sleep(CROWD_COMES)
+        while not self.stage.ended:
+            for machine in self.stage.dispatcher_machines:
+                self.fill(self.stage.host.address(machine))
+            await asyncio.sleep(CROWD_INTERVAL)
+            for connection in self.random.sample(self.connections, len(self.connections) // 2):
+                connection.close()
+                self.connections.remove(connection)
+
+    def fill(self, host: str) -> None:
+        for _ in range(int(DESCRIPTORS * CROWD_PER_DESCRIPTOR) // 4):
+            connection = socket.socket()
+            connection.setblocking(False)
+            with suppress(BlockingIOError, OSError):
+                connection.connect((host, DISPATCHER_PORT))
+            if self.random.random() < 0.3:
+                with suppress(OSError):
+                    connection.send(HALF_MESSAGE)
+            self.connections.append(connection)
+
+    def leave(self) -> None:
+        for connection in self.connections:
+            connection.close()
+        self.connections.clear()
+
+
+async def play_script(script: SoakScript, folder: Path, program: Path) -> Findings:
+    """Play one script; processes that it started are ended in any case."""
+    findings = Findings(script.seed)
+    host = SoakProcesses(program, folder, findings)
+    stage = SoakStage(script, host, findings)
+    host.links = stage.links
+    crowd = Crowd(stage, script.seed)
+    try:
+        if script.has_crowd:
+            stage.spawn(crowd.run())
+        await stage.play()
+        crowd.leave()
+        await asyncio.sleep(QUIET)
+        host.sum_up()
+        host.check_exits()
+        host.check_logs()
+        host.check_descriptors()
+        stage.check_reloads(host.logs())
+        stage.collect()
+        findings.counts = host.kept_up
+    finally:
+        crowd.leave()
+        stage.close()
+        await host.clear_away()
+    return findings
+
+
+def play(seed: int, folder: Path, program: Path = REPOSITORY) -> Findings:
+    """Play one seed; logs and start files go to the folder."""
+    folder.mkdir(parents=True, exist_ok=True)
+    return asyncio.run(play_script(draw(seed), folder, program))
--- /dev/null
+++ b/tests/soak/script.py
@@ -0,0 +1,111 @@
+"""What one seed plays: a scenario of the simulation, signals in series, and whether a crowd comes."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from enum import StrEnum
+from random import Random
+
+import msgspec
+
+from locktide.simulation.model import random_scenario
+from locktide.simulation.model.scenario import DISPATCHERS, Scenario
+
+#: Seconds for which clients send.
+LENGTH = 8.0
+#: Work that is asked for, as a part of what the fleet can do: processes share one machine with the stand-ins.
+LOAD = 0.35
+#: Descriptors of each dispatcher: few, so that a crowd can fill them.
+DESCRIPTORS = 128
+#: One script in so many has a crowd of idle clients.
+CROWD_EVERY = 3
+#: Seconds between the first and the last moment at which a series of signals begins.
+FIRST_SIGNAL, LAST_SIGNAL = 0.6, 6.0
+#: Faults that only virtual time can play, or that the signals of the script stand for.
+LEFT_OUT = DISPATCHERS | {"trap-dispatcher"}
+
+
+class Series(StrEnum):
+    """A series of signals to one dispatcher."""
+
+    TERM = "term"
+    TERM_TWICE = "term twice"
+    RELOAD = "reload"
+    RELOADS_IN_A_ROW = "reloads in a row"
+    RELOAD_AFTER_TERM = "reload after term"
+    KILL_AND_START = "kill and start"
+    START_UNDER_RELOADS = "start under reloads"
+
+
+@dataclass(frozen=True)
+class SignalSeries:
+    """One series.
+
+    Attributes:
+        at: when it begins, in seconds.
+        dispatcher: its number.
+        series: which one.
+    """
+
+    at: float
+    dispatcher: int
+    series: Series
+
+
+@dataclass(frozen=True)
+class SoakScript:
+    """One run.
+
+    Attributes:
+        seed: the seed.
+        scenario: fleet, traffic and faults.
+        signals: series of signals, in order of their time.
+        has_crowd: whether idle clients fill the descriptors of all dispatchers, also during a shutdown.
+    """
+
+    seed: int
+    scenario: Scenario
+    signals: list[SignalSeries]
+    has_crowd: bool
+
+
+def draw(seed: int) -> SoakScript:
+    """Return the script of a seed, the same on every machine."""
+    random = Random(f"soak {seed}")
+    scenario = _scenario(seed)
+    return SoakScript(
+        seed=seed,
+        scenario=scenario,
+        signals=sorted(_signals(random, scenario.fleet.dispatchers), key=lambda each: each.at),
+        has_crowd=seed % CROWD_EVERY == 0,
+    )
+
+
+def _scenario(seed: int) -> Scenario:
+    drawn = random_scenario.draw(seed)
+    replace = msgspec.structs.replace
+    # A dispatcher that nobody else stands beside would leave clients without any while it restarts.
+    fleet = replace(drawn.fleet, dispatchers=max(2, drawn.fleet.dispatchers))
+    return replace(
+        drawn,
+        name="soak",
+        length=LENGTH,
+        fleet=fleet,
+        clients=replace(drawn.clients, load=LOAD * drawn.clients.load),
+        dispatcher=replace(drawn.dispatcher, sockets=DESCRIPTORS),
+        incident=[fault for fault in drawn.incident if fault.what not in LEFT_OUT and fault.at < LENGTH],
+    )
+
+
+def _signals(random: Random, dispatchers: int) -> Iterator[SignalSeries]:
+    """Draw one or two series for each dispatcher, far enough apart for a restart between them."""
+    for number in range(dispatchers):
+        first = random.uniform(FIRST_SIGNAL, LAST_SIGNAL)
+        yield SignalSeries(first, number, Series(random.choice(list(Series))))
+        if random.random() < 0.5:
+            yield SignalSeries(random.uniform(0.1, 0.4), number, Series.RELOAD)
+    if dispatchers > 1 and random.random() < 0.5:  # two that end within 0.3 s of each other
+        at = random.uniform(FIRST_SIGNAL, LAST_SIGNAL)
+        yield SignalSeries(at, 0, Series.TERM)
+        yield SignalSeries(at + random.uniform(0.0, 0.3), 1, Series.TERM)
--- /dev/null
+++ b/tests/soak/stage.py
@@ -0,0 +1,305 @@
+"""The stand-ins of a soak: the simulation's, with signals in series and clients that stay until the kill."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from functools import partial
+from typing import Any
+
+from locktide.protocol import names
+from locktide.protocol.client_connection import UpstreamRequest, UpstreamResponse
+from locktide.protocol.errors import ProtocolError
+from locktide.simulation import rendered_config
+from locktide.simulation.backend import ROSTER_PORT
+from locktide.simulation.client_site import ClientSite
+from locktide.simulation.fault_injector import FaultInjector
+from locktide.simulation.model import traffic
+from locktide.simulation.model.traffic import RequestTry
+from locktide.simulation.scenario_runner import TAKEN_OUT_AFTER, ScenarioRunner
+from soak.findings import Findings
+from soak.script import Series, SignalSeries, SoakScript
+
+#: A kill comes no sooner after SIGTERM than the smaller of this and the longest timeout, in seconds ...
+SHUTDOWN_TIMEOUT = 3.0
+#: ... and this many seconds more: the soak kills at that very moment.
+SHUTDOWN_EXTRA = 0.7
+#: What comes later than this after SIGTERM has to have its response before the kill, in seconds ...
+LATE_REQUESTS_AFTER = 0.5
+#: ... unless it comes within this of it: the way, and what a client needs to read.
+LAST_MOMENT = 0.3
+#: Seconds more than are left to the client that an attempt may tell its worker, by the page.
+TOLD_TOO_MUCH = 0.15
+#: Seconds between two looks at a process that is ending, and between a kill and the next start.
+LOOK_INTERVAL = 0.02
+RESTART_PAUSE = 0.1
+#: Reloads in a row, and seconds between them.
+RELOADS = 4
+RELOAD_INTERVAL = 0.01
+#: What a client says of a request whose connection was closed unread, with nobody there to take it anew.
+ENDED_AND_NOBODY_THERE = "ended while it was handed in, and none is there"
+#: Seconds within which a process that runs acts on SIGHUP; one that starts does so once it is up.
+RELOAD_NOTICED_WITHIN = 2.0
+#: Seconds of quiet after a run, in which what is left must settle.
+QUIET = 2.0
+
+
+@dataclass(frozen=True)
+class Reload:
+    """A SIGHUP: to which process of a dispatcher, and when."""
+
+    dispatcher: int
+    life: int
+    at: int
+
+
+@dataclass
+class Ending:
+    """A dispatcher that was sent SIGTERM: when, and whether it is over."""
+
+    began_at: int
+    is_over: bool = False
+
+
+class SoakTimeline(FaultInjector):
+    """The faults of the scenario, and the signals of the soak beside them."""
+
+    def __init__(self, stage: SoakStage) -> None:
+        super().__init__(stage)
+        self.soak_stage = stage
+
+    def set(self) -> None:
+        """Set all timers, once the traffic begins."""
+        super().set()
+        self.soak_stage.set_signals()
+
+
+class SoakStage(ScenarioRunner):
+    """Plays the script; what it sees goes to `findings`."""
+
+    def __init__(self, script: SoakScript, host: Any, findings: Findings) -> None:
+        super().__init__(script.scenario, host)
+        self.soak = script
+        self.reloading_host = host
+        self.findings = findings
+        self.endings: dict[int, Ending] = {}
+        self.timeline = SoakTimeline(self)
+        self.reloads: list[Reload] = []
+        self.killed_at: dict[tuple[int, int], int] = {}  # by dispatcher and life
+        self.generation = 0  # of the settings, changed with each reload
+        for site in self.workers:
+            site.dispatched = partial(self.check_time_told, site.dispatched)  # type: ignore[method-assign]
+        self.sent_at: dict[str, int] = {}
+        for client in self.clients:
+            client.question = partial(self.note_sent, client.question)  # type: ignore[method-assign]
+            client.ask = partial(self.ask, client.ask)  # type: ignore[method-assign]
+            choose = partial(self.choose, client, client.front.choose)
+            client.front.choose = choose  # type: ignore[method-assign]
+
+    # --- clients of a dispatcher that ends
+
+    def choose(self, client: ClientSite, choose: Any, now: int, home: float) -> int | None:
+        """Go on with each connection that stays open to a dispatcher that ends; open no new ones there."""
+        for number, dispatcher in enumerate(self.dispatchers):
+            if dispatcher.alive and dispatcher.stopping and any(x.fresh for x in client.lines[number].idle):
+                return number
+        chosen: int | None = choose(now, home)
+        return chosen
+
+    async def ask(self, ask: Any, tried: RequestTry) -> UpstreamResponse:
+        """Ask as ever; what crossed the end of its connection goes elsewhere once nobody is there."""
+        try:
+            response: UpstreamResponse = await ask(tried)
+        except ProtocolError as error:
+            ending = self.endings.get(tried.dispatcher)
+            if ending is not None and str(error) == ENDED_AND_NOBODY_THERE:
+                raise OSError("crossed the end of its dispatcher") from error
+            raise
+        return response
+
+    # --- signals
+
+    def set_signals(self) -> None:
+        """Set a timer for each series."""
+        for series in self.soak.signals:
+            self.host.call_at(round(series.at * 1e6), self.begin_series, series)
+
+    def begin_series(self, series: SignalSeries) -> None:
+        self.findings.signals += 1
+        self.spawn(self.play_series(series))
+
+    async def play_series(self, series: SignalSeries) -> None:
+        number = series.dispatcher
+        dispatcher = self.dispatchers[number]
+        if not dispatcher.alive or dispatcher.stopping:
+            return  # an earlier series has it
+        match series.series:
+            case Series.TERM:
+                await self.end(number)
+            case Series.TERM_TWICE:
+                await self.end(number, again_after=0.2)
+            case Series.RELOAD:
+                self.reload(number)
+            case Series.RELOADS_IN_A_ROW:
+                await self.reload_in_a_row(number)
+            case Series.RELOAD_AFTER_TERM:
+                await self.end(number, reload_after=0.1)
+            case Series.KILL_AND_START:
+                self.kill_dispatcher(number)
+                self.start_dispatcher(number)
+            case Series.START_UNDER_RELOADS:
+                self.kill_dispatcher(number)
+                self.start_dispatcher(number)
+                await self.reload_in_a_row(number)
+
+    def told(self, number: int) -> dict[str, Any]:
+        """Return the start file of a dispatcher with settings that no earlier reload had."""
+        here = self.host.address(self.dispatchers[number].machine)
+        self.generation += 1
+        told = rendered_config.config(
+            self.script,
+            number,
+            f"{here}:{self.dispatcher_port}",
+            f"{here}:{ROSTER_PORT}",
+            self.agent_sites[number].known(),
+        )
+        told["settings"]["Rules"]["AskWithin"] = 10_000 + self.generation
+        return told
+
+    def reload(self, number: int) -> None:
+        if self.host.dispatcher_runs(number):
+            reload = Reload(number, self.dispatchers[number].life, self.host.now())
+            if self.reloading_host.reload_dispatcher(number, self.told(number)):
+                self.reloads.append(reload)
+
+    async def reload_in_a_row(self, number: int) -> None:
+        for _ in range(RELOADS):
+            self.reload(number)
+            await asyncio.sleep(RELOAD_INTERVAL)
+
+    async def end(
+        self, number: int, again_after: float | None = None, reload_after: float | None = None
+    ) -> None:
+        """Send SIGTERM, kill at the earliest moment that the page allows, and start anew."""
+        dispatcher = self.dispatchers[number]
+        dispatcher.stopping = True
+        ending = self.endings[number] = Ending(self.host.now())
+        self.host.stop_dispatcher(number)
+        self.host.call_at(self.host.now() + TAKEN_OUT_AFTER, self.taken_out, number)
+        if again_after is not None:
+            self.host.call_at(self.host.now() + round(again_after * 1e6), self.stop_again, number, ending)
+        if reload_after is not None:
+            self.host.call_at(self.host.now() + round(reload_after * 1e6), self.reload_ending, number, ending)
+        longest = max(grade.limit for grade in self.script.grade)
+        kill_at = ending.began_at + round((min(SHUTDOWN_TIMEOUT, longest) + SHUTDOWN_EXTRA) * 1e6)
+        while self.host.dispatcher_runs(number) and self.host.now() < kill_at:
+            await asyncio.sleep(LOOK_INTERVAL)
+        ending.is_over = True
+        if self.host.dispatcher_runs(number):
+            self.check_open_at_kill(number, ending)
+            self.kill_dispatcher(number)
+        elif dispatcher.alive:
+            dispatcher.alive = False
+            self.gone(number)
+        await asyncio.sleep(RESTART_PAUSE)
+        self.start_dispatcher(number)
+
+    def stop_again(self, number: int, ending: Ending) -> None:
+        if not ending.is_over and self.host.dispatcher_runs(number):
+            self.host.stop_dispatcher(number)
+
+    def reload_ending(self, number: int, ending: Ending) -> None:
+        if not ending.is_over:
+            self.reload(number)
+
+    def stop_dispatcher(self, number: int) -> None:
+        """A restart that a fault of the scenario asks for; the soak has its own."""
+
+    # --- what must hold beside the four rules
+
+    def check_open_at_kill(self, number: int, ending: Ending) -> None:
+        """What came late enough after SIGTERM is answered before the kill."""
+        now = self.host.now()
+        for tried in self.dispatchers[number].open.values():
+            came_after = (tried.sent_at - ending.began_at) / 1e6
+            left = (now - tried.sent_at) / 1e6
+            if came_after > LATE_REQUESTS_AFTER and left > LAST_MOMENT and not self.is_excused(tried):
+                self.findings.faults.append(
+                    f"d{number}: {tried.id} came {came_after:.2f} s after SIGTERM, unanswered at the kill"
+                )
+
+    def is_excused(self, tried: RequestTry) -> bool:
+        """Whether its client leaves by itself, or its link is cut, or a crowd may have it shut unread."""
+        there = self.dispatchers[tried.dispatcher].machine
+        machine = self.clients[tried.ask.zone].machine
+        return bool(tried.ask.closes_after) or self.links.cut(machine, there) or self.soak.has_crowd
+
+    def note_sent(self, question: Any, tried: RequestTry) -> UpstreamRequest:
+        """Keep when a client sends, from which its time counts; opening the connection came before."""
+        self.sent_at[tried.id] = self.host.now()
+        request: UpstreamRequest = question(tried)
+        return request
+
+    def check_time_told(self, dispatched: Any, end: Any, message: Any) -> None:
+        """No attempt tells its worker more time than its client has left, but for the page's allowance."""
+        tried = self.tries.get(message.fields.get(names.REQUEST_ID.lower(), ""))
+        told = message.fields.get(names.TIMEOUT.lower(), "")
+        if tried is not None and told.endswith("u") and not self.was_held_by_network(tried, end, message):
+            # From when its first byte came: a worker that hangs reads late what was sent in time.
+            left = (self.sent_at[tried.id] + tried.ask.limit - message.first_at) / 1e6
+            seconds = int(told[:-1]) / 1e6
+            if seconds > left + TOLD_TOO_MUCH + self.host.slack / 1e6:
+                self.findings.faults.append(f"{tried.id}: {left:.3f} s left, {seconds:.3f} s told")
+        dispatched(end, message)
+
+    def was_held_by_network(self, tried: RequestTry, end: Any, message: Any) -> bool:
+        """Whether a cut link may have held back the request, or the attempt, on its way."""
+        worker, dispatcher = self.workers[end.site.number].machine, self.dispatcher_machines[end.sender]
+        if self.held_back(dispatcher, worker, message.first_at) is not None:
+            return True
+        return self.clients[tried.ask.zone].cut_off(tried)
+
+    def kill_dispatcher(self, number: int) -> None:
+        self.killed_at.setdefault((number, self.dispatchers[number].life), self.host.now())
+        super().kill_dispatcher(number)
+
+    def check_reloads(self, lines: list[str]) -> None:
+        """Each process that was sent SIGHUP says so, unless it was killed right after it."""
+        for number in range(len(self.dispatchers)):
+            noticed = sum(f"d{number} reload: settings taken" in line for line in lines)
+            expected = {
+                reload.life
+                for reload in self.reloads
+                if reload.dispatcher == number and not self.was_killed_soon(reload)
+            }
+            if noticed < len(expected):
+                self.findings.faults.append(
+                    f"d{number}: {len(expected)} processes were sent SIGHUP, {noticed} lines say so"
+                )
+
+    def was_killed_soon(self, reload: Reload) -> bool:
+        killed_at = self.killed_at.get((reload.dispatcher, reload.life))
+        return killed_at is not None and killed_at < reload.at + round(RELOAD_NOTICED_WITHIN * 1e6)
+
+    def collect(self) -> None:
+        """Add what the checker of the four rules has found."""
+        findings = self.findings
+        findings.requests = len(self.asks)
+        findings.answered = sum(1 for ask in self.asks if ask.answered_at)
+        for breach in self.checker.breaches:
+            if self.soak.has_crowd and self.was_shut_unread(breach.rule, breach.what):
+                findings.shut_unread += 1
+            else:
+                findings.faults.append(f"{breach.at / 1e6:.3f} {breach.rule}: {breach.what}")
+        if self.crashed:
+            findings.faults.append(f"{self.crashed} dispatchers ended by themselves")
+
+    def was_shut_unread(self, rule: str, what: str) -> bool:
+        """Whether a crowded dispatcher may have shut a new connection unread, as the page allows.
+
+        That holds for what reached no worker, and ended with nothing.
+        """
+        request_id = what.partition(" ")[0]
+        tried = self.tries.get(request_id)
+        never_sent = request_id not in self.checker.came
+        return rule == "lost" and never_sent and tried is not None and tried.ended == traffic.BROKEN
