--- a/locktide/cli/simulate.py
+++ b/locktide/cli/simulate.py
@@ -42,6 +42,7 @@
 MOST_SEEDS = 100_000
 LOOK_EVERY = 0.5  # seconds between two looks whether the parent still lives
 BROKEN, LATE, INTERRUPTED = 1, 3, 130  # exit codes
+RUNS_A_LINE = 10  # of a series: one line says how far it has come
 
 
 @dataclass(frozen=True)
@@ -264,6 +265,12 @@
     return code(played.told)
 
 
+def show_progress(side: Side, played: int, count: int, as_json: bool, console: Console) -> None:
+    """Print a line each `RUNS_A_LINE` runs, so that a long series is not silent where nothing is drawn."""
+    if played % RUNS_A_LINE == 0 and not as_json:
+        console.print(f"{side.name}: {played} of {count} runs", markup=False, highlight=False)
+
+
 def several(
     first: Side,
     second: Side | None,
@@ -279,7 +286,8 @@
         values: dict[int, list[float]] = {}
         bytes_of: dict[int, set[str]] = {}
         last_of: dict[int, dict[str, Any]] = {}
-        for seed, told in play_all(side, seeds, host, jobs):
+        for played_count, (seed, told) in enumerate(play_all(side, seeds, host, jobs), start=1):
+            show_progress(side, played_count, len(seeds), as_json, console)
             worst = max(worst, code(told))
             if as_json:
                 click.echo(json.dumps({"side": side.name, **told}))
--- a/tests/simulation/test_simulate.py
+++ b/tests/simulation/test_simulate.py
@@ -217,6 +217,20 @@
     assert keys == ["lenght", "incident[0].at", "incident[0].what"]
 
 
+def test_a_long_series_says_how_far_it_has_come(tmp_path: Path) -> None:
+    """A hundred seeds printed nothing for three minutes where the output was no terminal, as in CI.
+
+    Nobody could tell whether it hung. Every tenth run is a line.
+    """
+    path = tmp_path / "brief.toml"
+    path.write_text('name = "brief"\nlength = 0.2\n[fleet]\nworkers = 2\ndispatchers = 1\n')
+    done = CliRunner().invoke(
+        main, ["simulate", str(path), "--seeds", "1-11", "--host", "virtual", "--out", str(tmp_path / "out")]
+    )
+    assert done.exit_code == 0, done.output
+    assert "brief: 10 of 11 runs" in done.output
+
+
 def test_arguments_that_make_no_sense_are_refused() -> None:
     run = CliRunner().invoke
     assert run(main, ["simulate", "--seeds", "3-x"]).exit_code == 2
