A lease that cannot be written is tried twice a second, not thousands of times

What callers saw: with a full disk a dispatcher of durable jobs took a whole core and ever more memory. Cause: an attempt without a lease counts as never sent, and the next one followed at once. Fix: a failed write is followed by the pause that final responses have.

--- a/locktide/durable/completion.py
+++ b/locktide/durable/completion.py
@@ -14,8 +14,8 @@
 from locktide.protocol import names
 from locktide.transport.interfaces import Response
 
-#: Seconds between two attempts to write a final response. Space on a full disk is freed by hand, so a
-#: shorter interval gains nothing.
+#: Seconds between two attempts to write a final response, or a lease of one job. Space on a full disk is
+#: freed by hand, so a shorter interval gains nothing.
 WRITE_RETRY_INTERVAL = 0.5
 #: Seconds that a stop waits for final responses that are being written. The jobs of those that
 #: are not written by then are recovered at the next start.
--- a/locktide/durable/lease_service.py
+++ b/locktide/durable/lease_service.py
@@ -7,7 +7,7 @@
 from http import HTTPStatus
 
 from locktide.dispatcher.records import OpenAttempt
-from locktide.durable.completion import JobCompletion
+from locktide.durable.completion import WRITE_RETRY_INTERVAL, JobCompletion
 from locktide.durable.errors import LogWriteError
 from locktide.durable.job_context import JobContext
 from locktide.durable.jobs import Job
@@ -37,7 +37,12 @@
         self.log = context.log
 
     async def grant(self, job_id: str, attempt: OpenAttempt) -> bool:
-        """Write a lease before the first byte of an attempt; return whether the attempt may be sent."""
+        """Write a lease before the first byte of an attempt; return whether the attempt may be sent.
+
+        A write that fails is followed by a pause: the attempt counts as never sent, and the scheduler gives
+        the next one at once. Without the pause a full disk cost a core and ever more memory
+        (test_full_disk_costs_a_few_leases_a_second_and_the_job_goes_on_once_there_is_space).
+        """
         job = self.state.table.jobs.get(job_id)
         if job is None or attempt.outcome:
             return False
@@ -58,6 +63,7 @@
             await self.write_ahead_log.append(record)
         except LogWriteError as error:
             self._undo_grant(record, error)
+            await asyncio.sleep(WRITE_RETRY_INTERVAL)
             return False
         self.write_ahead_log.reach_crash_point(CrashPoint.LEASE_WRITTEN)
         return True
--- a/tests/durable/test_recovered_jobs.py
+++ b/tests/durable/test_recovered_jobs.py
@@ -7,7 +7,7 @@
 from dataclasses import replace
 from zlib import crc32
 
-from durable_helpers import JOB_CONFIG, accepted_job, open_log
+from durable_helpers import JOB_CONFIG, accepted_job, open_log, run_in_virtual_time
 from helpers import HandPlayed, run_story, submission, until
 
 from locktide.durable.job_service import JobService
@@ -24,10 +24,13 @@
 
 
 async def recover(
-    play: HandPlayed, jobs: list[JobAccepted], durable_classes: Collection[str] = ("record",)
+    play: HandPlayed,
+    jobs: list[JobAccepted],
+    durable_classes: Collection[str] = ("record",),
+    disk: VirtualDisk | None = None,
 ) -> JobService:
     """Write jobs by one process, and return the service of the next one, which has begun to resume them."""
-    disk = VirtualDisk(1, 0.0)
+    disk = disk or VirtualDisk(1, 0.0)
     earlier = open_log(disk)
     await asyncio.gather(*[earlier.append(job) for job in jobs])
     disk.crash()
@@ -120,3 +123,28 @@
 def arrivals_in(events: list[object]) -> list[RequestArrived]:
     recovered = [event.arrival for event in events if isinstance(event, RequestRecovered)]
     return recovered + [event for event in events if isinstance(event, RequestArrived)]
+
+
+def test_full_disk_costs_a_few_leases_a_second_and_the_job_goes_on_once_there_is_space() -> None:
+    """The disk was full when a dispatcher wanted to write the lease of an attempt.
+
+    The attempt counted as never sent, the next one was given at once and failed as well: thousands a second
+    for each job, each kept in memory with its job, until the process was killed. It must try now and then,
+    and the job must be sent once there is space.
+    """
+
+    async def scenario() -> None:
+        play = HandPlayed()
+        disk = VirtualDisk(1, 0.001)
+        service = await recover(play, [accepted_job("a")], disk=disk)
+        disk.room = 5
+        await asyncio.sleep(10.0)
+        attempts = play.node.registry.open_requests["a"].attempts
+        assert 2 <= len(attempts) <= 30, "two a second and what came before"
+        assert not play.asked, "no byte without a lease on the disk"
+        disk.room = None
+        await asyncio.sleep(2.0)
+        assert len(play.asked) == 1
+        await service.close()
+
+    run_in_virtual_time(scenario())
