--- a/locktide/simulation/scenario_runner.py
+++ b/locktide/simulation/scenario_runner.py
@@ -234,20 +234,24 @@
 
     # --- dispatchers
 
-    def start_dispatcher(self, number: int) -> None:
-        dispatcher = self.dispatchers[number]
-        if dispatcher.alive:
-            return
-        dispatcher.life += 1
-        dispatcher.alive, dispatcher.stopping = True, False
-        here = self.host.address(dispatcher.machine)
-        config = told.config(
+    def start_file(self, number: int) -> dict[str, Any]:
+        """Return what a dispatcher is told at its start, with the endpoint list as its agent has it now."""
+        here = self.host.address(self.dispatchers[number].machine)
+        return told.config(
             self.script,
             number,
             f"{here}:{self.dispatcher_port}",
             f"{here}:{ROSTER_PORT}",
             self.agent_sites[number].known(),
         )
+
+    def start_dispatcher(self, number: int) -> None:
+        dispatcher = self.dispatchers[number]
+        if dispatcher.alive:
+            return
+        dispatcher.life += 1
+        dispatcher.alive, dispatcher.stopping = True, False
+        config = self.start_file(number)
         config["seed"] = f"{(self.script.seed * 1_000_003 + number * 1009 + dispatcher.life) & (2**64 - 1):x}"
         self.host.start_dispatcher(number, config)
 
--- a/tests/soak/stage.py
+++ b/tests/soak/stage.py
@@ -3,15 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 from functools import partial
 from typing import Any
 
 from locktide.protocol import names
 from locktide.protocol.client_connection import UpstreamRequest, UpstreamResponse
 from locktide.protocol.errors import ProtocolError
-from locktide.simulation import rendered_config
-from locktide.simulation.backend import ROSTER_PORT
 from locktide.simulation.client_site import ClientSite
 from locktide.simulation.fault_injector import FaultInjector
 from locktide.simulation.model import traffic
@@ -19,6 +16,7 @@
 from locktide.simulation.scenario_runner import TAKEN_OUT_AFTER, ScenarioRunner
 from soak.findings import Findings
 from soak.script import Series, SignalSeries, SoakScript
+from soak.signals import Ending, Reload
 
 #: A kill comes no sooner after SIGTERM than the smaller of this and the longest timeout, in seconds ...
 SHUTDOWN_TIMEOUT = 3.0
@@ -48,23 +46,6 @@
 QUIET = 2.0
 
 
-@dataclass(frozen=True)
-class Reload:
-    """A SIGHUP: to which process of a dispatcher, and when."""
-
-    dispatcher: int
-    life: int
-    at: int
-
-
-@dataclass
-class Ending:
-    """A dispatcher that was sent SIGTERM: when, and whether it is over."""
-
-    began_at: int
-    is_over: bool = False
-
-
 class SoakTimeline(FaultInjector):
     """The faults of the scenario, and the signals of the soak beside them."""
 
@@ -162,15 +143,8 @@
 
     def told(self, number: int) -> dict[str, Any]:
         """Return the start file of a dispatcher with settings that no earlier reload had."""
-        here = self.host.address(self.dispatchers[number].machine)
         self.generation += 1
-        told = rendered_config.config(
-            self.script,
-            number,
-            f"{here}:{self.dispatcher_port}",
-            f"{here}:{ROSTER_PORT}",
-            self.agent_sites[number].known(),
-        )
+        told = self.start_file(number)
         told["settings"]["Rules"]["AskWithin"] = 10_000 + self.generation
         return told
 
