Time in the kernel's queue of connections is taken off a request's timeout

Cause: a deadline is reckoned from when a request is read; how long it had lain there was not asked. Where the system does not say, as before.

--- a/tests/transport/test_listener.py
+++ b/tests/transport/test_listener.py
@@ -9,8 +9,11 @@
 import pytest
 from helpers import GRADES, Clerk, call, free_address, submit
 
+from locktide.protocol.messages import SubmitRequest
 from locktide.transport.client_connection import ConnectionState, PeerRole
 from locktide.transport.descriptor_budget import DescriptorBudget
+from locktide.transport.interfaces import Response
+from locktide.transport.kernel_queue import time_since_data
 from locktide.transport.listener import Listener
 from locktide.transport.log import Log
 
@@ -269,3 +272,55 @@
         kept.close()
 
     asyncio.run(run())
+
+
+class TimeoutClerk(Clerk):
+    """Keeps the timeout of each request, in seconds."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.timeouts: dict[str, float] = {}
+
+    def submit(self, message: SubmitRequest) -> asyncio.Future[Response]:
+        self.timeouts[message.id] = message.timeout / 1e6
+        return super().submit(message)
+
+
+def test_time_in_the_queue_of_connections_is_taken_off_the_timeout() -> None:
+    """Idle clients had filled the descriptors, and connections waited in the kernel with their requests.
+
+    A request lay there for 0.65 s unread. Its deadline was reckoned from when it was read, and its worker was
+    told half a second more than its client had left. What the kernel says of its wait is taken off; a request
+    that came at once, and a later one of the same connection, keep their timeouts.
+    """
+
+    async def run() -> None:
+        handler = TimeoutClerk()
+        listener, address = await start_listener(handler, places=1)
+        first_reader, first = await asyncio.open_connection(*address)
+        first.write(submit(Req_Id="a", Req_Deadline="9000m"))
+        await handler.until(1)
+        second_reader, second = await asyncio.open_connection(*address)
+        second.write(submit(Req_Id="b", Req_Deadline="9000m"))
+        await asyncio.sleep(0.5)  # what is measured: nothing else can stand for time in the kernel
+        assert handler.taken == ["a"], "there is no descriptor for it"
+        handler.answers[0].set_result(Response(200))
+        await handler.until(2)
+        assert handler.timeouts["a"] == 9.0
+        assert handler.timeouts["b"] <= 8.55
+        handler.answers[1].set_result(Response(200))
+        assert (await second_reader.readline()).startswith(b"HTTP/1.1 200 ")
+        second.write(submit(Req_Id="c", Req_Deadline="9000m"))
+        await handler.until(3)
+        assert handler.timeouts["c"] == 9.0
+        first.close()
+        second.close()
+        await listener.stop()
+
+    asyncio.run(run())
+
+
+def test_time_in_the_kernel_is_nothing_where_the_system_does_not_say() -> None:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as no_stream:
+        assert time_since_data(no_stream) == 0
+    assert time_since_data(None) == 0
