--- a/tests/soak/stage.py
+++ b/tests/soak/stage.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from copy import deepcopy
 from functools import partial
 from typing import Any
 
@@ -69,6 +70,7 @@
         self.findings = findings
         self.endings: dict[int, Ending] = {}
         self.timeline = SoakTimeline(self)
+        self.start_files: dict[int, dict[str, Any]] = {}
         self.reloads: list[Reload] = []
         self.lost_at: list[int] = []  # when connections ended under requests that had reached no worker
         self.started_at: dict[tuple[int, int], int] = {}  # by dispatcher and life
@@ -141,10 +143,19 @@
                 self.start_dispatcher(number)
                 await self.reload_in_a_row(number)
 
+    def start_file(self, number: int) -> dict[str, Any]:
+        """Return what a dispatcher is told at its start; reloads change its settings alone."""
+        self.start_files[number] = super().start_file(number)
+        return self.start_files[number]
+
     def told(self, number: int) -> dict[str, Any]:
-        """Return the start file of a dispatcher with settings that no earlier reload had."""
+        """Return the start file of a dispatcher with settings that no earlier reload had.
+
+        Its list stays that of the start: a dispatcher does not take one at a reload, and one that was asked
+        for anew would count as notified of.
+        """
         self.generation += 1
-        told = self.start_file(number)
+        told = deepcopy(self.start_files[number])
         told["settings"]["Rules"]["AskWithin"] = 10_000 + self.generation
         return told
 
