A newcomer is not closed for another one in its first 50 ms

Cause: at the limit the budget closed the unproven connection that had been idle longest, with no least age.

Change: a newcomer may be closed for another one only NEWCOMER_GRACE (50 ms) after its connect, and the next one waits in the kernel's queue. Time in that queue counts, by TCP_INFO, so a flood waits 50 ms at most and each that is accepted late is read before the next choice; what becomes idle during an eviction is left to its next round.

--- a/locktide/transport/client_connection.py
+++ b/locktide/transport/client_connection.py
@@ -10,11 +10,16 @@
 from locktide.transport.client_stream import READ_SIZE, SharedBufferProtocol
 from locktide.transport.connection_context import ConnectionContext
 from locktide.transport.interfaces import Response
+from locktide.transport.kernel_queue import time_since_data
+from locktide.transport.units import MICROSECONDS_PER_SECOND
 
 #: Seconds for a message to come in complete, from the accept for the first, from its first byte for others;
 #: and for a peer that has not proven itself to begin another. An honest client sends at once; any other is
 #: owed a response or a close within 3 s of connecting, of which some may pass before it is accepted.
 MESSAGE_TIMEOUT = 2.0
+#: Seconds from its connect for which a newcomer is not closed for another one: its first message may be on
+#: its way. The next one waits as long in the kernel's queue, which leaves most of its time to each.
+NEWCOMER_GRACE = 0.05
 #: Seconds for the peer to take a response; clients read as it comes.
 WRITE_TIMEOUT = 10.0
 #: Seconds for the transport to report that it is closed, before it is aborted.
@@ -53,6 +58,7 @@
         consumed_bytes: Bytes fed to `http` since the start.
         linger_timer: Closes it after its lingering.
         message_due: When the message that is coming in must be complete, in seconds of the event loop.
+        evictable_at: From when on it may be closed as a newcomer for another one, in seconds of the loop.
     """
 
     def __init__(
@@ -69,6 +75,10 @@
         self.consumed_bytes = 0
         self.linger_timer: asyncio.TimerHandle | None = None
         self.message_due = self.now() + MESSAGE_TIMEOUT
+        # Time in the kernel's queue counts: what came meanwhile is read at once, and a flood that is accepted
+        # late does not hold up those behind it once more.
+        time_queued = time_since_data(writer.get_extra_info("socket")) / MICROSECONDS_PER_SECOND
+        self.evictable_at = self.now() + NEWCOMER_GRACE - time_queued
 
     def enter(self, state: ConnectionState) -> None:
         """Change the state, unless our side is shut: from there the only way leads to CLOSED."""
@@ -144,7 +154,8 @@
 
     def mark_idle(self) -> None:
         """Allow the budget to close this connection for another."""
-        self.context.descriptors.mark_idle(self, self.writer.close, self.is_proven)
+        evictable_at = 0.0 if self.is_proven else self.evictable_at
+        self.context.descriptors.mark_idle(self, self.writer.close, self.is_proven, evictable_at)
 
     def mark_busy(self) -> None:
         """Forbid the budget to close this connection for another."""
--- a/locktide/transport/descriptor_budget.py
+++ b/locktide/transport/descriptor_budget.py
@@ -4,7 +4,9 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable, Hashable
+from collections.abc import Callable, Collection, Hashable
+from dataclasses import dataclass
+from itertools import islice
 
 #: Descriptors kept apart: standard streams (3), the loop's own (3), the listening socket, the one just
 #: accepted, the watch and its successor; the rest for those that are closed but not yet released by the loop.
@@ -30,11 +32,29 @@
     return DescriptorBudget(clients), DescriptorBudget(available - clients)
 
 
+@dataclass(frozen=True, slots=True)
+class IdleConnection:
+    """An idle connection, as the budget sees it.
+
+    Attributes:
+        connection: The connection.
+        close: Closes it for another one.
+        evictable_at: From when on that may be, in seconds of the event loop.
+        number: Counts how often connections became idle.
+    """
+
+    connection: Hashable
+    close: Callable[[], None]
+    evictable_at: float
+    number: int
+
+
 class DescriptorBudget:
     """A number of descriptors for connections.
 
     Where none is free, the connection that has been idle longest is closed for the next one, first of those
-    that have not proven themselves: a flood of newcomers displaces only newcomers.
+    that have not proven themselves: a flood of newcomers displaces only newcomers. While each of these is so
+    new that its first message may be on its way, the next one waits.
 
     One is evicted for each that waits, and no more. An eviction takes some turns of the loop, and connections
     become idle meanwhile, as each does that was just opened: evicted as well, they were closed with their
@@ -43,21 +63,25 @@
     Attributes:
         limit: How many descriptors there are.
         used: How many are in use.
-        idle_unproven: How each idle connection that has not proven itself is closed, idle longest first.
-        idle_proven: The same for the other idle connections.
+        idle_unproven: The idle connections that have not proven themselves, idle longest first.
+        idle_proven: The other idle connections, idle longest first.
+        idle_count: How often connections became idle.
         waiting: One future for each connection that waits for a descriptor, the first one first.
         evicted: Connections that were closed for others and have not returned their descriptors yet.
         eviction: The eviction under way.
+        eviction_timer: Starts the next eviction, once a connection may be evicted that is too new now.
     """
 
     def __init__(self, limit: int) -> None:
         self.limit = limit
         self.used = 0
-        self.idle_unproven: dict[Hashable, Callable[[], None]] = {}
-        self.idle_proven: dict[Hashable, Callable[[], None]] = {}
+        self.idle_unproven: dict[Hashable, IdleConnection] = {}
+        self.idle_proven: dict[Hashable, IdleConnection] = {}
+        self.idle_count = 0
         self.waiting: deque[asyncio.Future[None]] = deque()
         self.evicted: set[Hashable] = set()
         self.eviction: asyncio.Task[None] | None = None
+        self.eviction_timer: asyncio.TimerHandle | None = None
 
     async def acquire(self) -> None:
         """Take a descriptor, once there is one."""
@@ -88,10 +112,20 @@
                 place.set_result(None)
                 return
 
-    def mark_idle(self, connection: Hashable, close: Callable[[], None], proven: bool = True) -> None:
-        """Record that a connection may be closed for another one, by calling `close`."""
+    def mark_idle(
+        self, connection: Hashable, close: Callable[[], None], proven: bool = True, evictable_at: float = 0.0
+    ) -> None:
+        """Record that a connection may be closed for another one.
+
+        Args:
+            connection: The connection.
+            close: Closes it.
+            proven: Whether its peer has shown that it is a client or a worker.
+            evictable_at: From when on it may be closed, in seconds of the event loop; at once by default.
+        """
+        self.idle_count += 1
         idle = self.idle_proven if proven else self.idle_unproven
-        idle[connection] = close
+        idle[connection] = IdleConnection(connection, close, evictable_at, self.idle_count)
         if self.waiting:
             self.schedule_eviction()
 
@@ -105,18 +139,52 @@
         if self.eviction is None:
             self.eviction = asyncio.create_task(self.evict())
 
+    def wanted(self) -> int:
+        """Return how many connections are to be evicted: one for each that waits."""
+        return sum(not place.done() for place in self.waiting) - len(self.evicted)
+
     async def evict(self) -> None:
-        """Close an idle connection for each that waits."""
+        """Close an idle connection for each that waits, or wait until one may be closed."""
         try:
-            # A connection may be closed only after what has come was read: else a request is lost that was at
-            # the socket before the eviction (test_message_that_has_come_is_read_before_an_eviction).
-            await run_pending_reads()
-            wanted = sum(not place.done() for place in self.waiting) - len(self.evicted)
-            for _ in range(wanted):
-                if candidates := self.idle_unproven or self.idle_proven:
-                    connection = next(iter(candidates))
-                    close = candidates.pop(connection)
-                    self.evicted.add(connection)
-                    close()
+            last_number = 0
+            while self.wanted() > 0 and self.idle_count > last_number:
+                last_number = self.idle_count
+                # A connection may be closed only after what has come was read: else a request is lost that
+                # was at the socket before the eviction
+                # (test_message_that_has_come_is_read_before_an_eviction). What becomes idle meanwhile has
+                # not been read in turn, and is left to the next round.
+                await run_pending_reads()
+                self.close_idle(last_number)
         finally:
             self.eviction = None
+        if self.wanted() > 0:
+            self.schedule_next_eviction()
+
+    def candidates(self) -> Collection[IdleConnection]:
+        """Return the idle connections of which one may be closed, idle longest first."""
+        return (self.idle_unproven or self.idle_proven).values()
+
+    def close_idle(self, last_number: int) -> None:
+        """Close an idle connection for each that waits, of those that became idle up to that number."""
+        now = asyncio.get_running_loop().time()
+        evictable = (
+            idle for idle in self.candidates() if idle.evictable_at <= now and idle.number <= last_number
+        )
+        for idle in list(islice(evictable, max(0, self.wanted()))):
+            self.mark_busy(idle.connection)
+            self.evicted.add(idle.connection)
+            idle.close()
+
+    def schedule_next_eviction(self) -> None:
+        """Set a timer for when the first of the connections that are too new now may be evicted."""
+        candidates = self.candidates()
+        if not candidates or self.eviction_timer is not None:
+            return
+        evictable_at = min(idle.evictable_at for idle in candidates)
+        self.eviction_timer = asyncio.get_running_loop().call_at(evictable_at, self.evict_after_wait)
+
+    def evict_after_wait(self) -> None:
+        """Start the eviction for which the timer was set."""
+        self.eviction_timer = None
+        if self.waiting:
+            self.schedule_eviction()
--- a/tests/transport/test_descriptor_budget.py
+++ b/tests/transport/test_descriptor_budget.py
@@ -5,6 +5,8 @@
 import asyncio
 from collections.abc import Callable
 
+import pytest
+
 from locktide.transport.descriptor_budget import DescriptorBudget
 
 
@@ -42,3 +44,29 @@
         assert closed == ["one", "two"] and places.used == 2 and not places.idle_proven
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("proven", [True, False])
+def test_connection_that_is_too_new_is_evicted_once_it_may_be_and_not_before(proven: bool) -> None:
+    """The only idle connection was opened a moment ago, and its first message may be on its way.
+
+    Closed at once it would lose that message. Left alone with no timer, the one that waits would never get
+    its descriptor, as nothing else wakes it.
+    """
+
+    async def run() -> None:
+        loop = asyncio.get_running_loop()
+        places = DescriptorBudget(1)
+        closed_at: list[float] = []
+
+        def close() -> None:
+            closed_at.append(loop.time())
+            places.release("new")
+
+        await places.acquire()
+        evictable_at = loop.time() + 0.02
+        places.mark_idle("new", close, proven, evictable_at)
+        await asyncio.wait_for(places.acquire(), 5.0)
+        assert closed_at[0] >= evictable_at and places.used == 1
+
+    asyncio.run(run())
--- /dev/null
+++ b/tests/transport/test_newcomers.py
@@ -0,0 +1,154 @@
+"""Connections that were just opened, at a listener whose descriptors are all in use; clients in a thread."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+
+import pytest
+from helpers import Clerk, free_address, submit
+
+from locktide.config.address import Address
+from locktide.transport.descriptor_budget import DescriptorBudget
+from locktide.transport.interfaces import Response
+from locktide.transport.listener import Listener
+from locktide.transport.log import Log
+
+#: Descriptors for clients, the requests that wait for their responses, and the idle proven clients: all are
+#: in use.
+DESCRIPTORS, WAITING, PROVEN = 84, 74, 10
+NEWCOMERS = 8
+#: Newcomers that send nothing.
+FLOOD = 40
+#: Seconds from one newcomer to the next, and from its connect to its request.
+INTERVAL = 0.0005
+SEND_DELAYS = (0.0, 0.001, 0.005, 0.02)
+#: Seconds after which a newcomer that the machine held up is no case of the promise.
+LATEST_SEND = 0.03
+#: Seconds in which everything has to be over; where it hangs, the assertion that waits says so.
+TIME_LIMIT = 10.0
+
+
+@dataclass(frozen=True)
+class Newcomer:
+    """What a client saw: seconds from before its connect to after its send, and what it read."""
+
+    sent_after: float
+    response: bytes
+
+    @property
+    def is_in_time(self) -> bool:
+        return self.sent_after <= LATEST_SEND
+
+
+def open_and_send(address: Address, number: int, delay: float) -> Newcomer:
+    """Connect, send a request so many seconds later, and read to the end of the response's first piece."""
+    time.sleep(number * INTERVAL)
+    began = time.monotonic()
+    with socket.create_connection(address, timeout=TIME_LIMIT) as connection:
+        time.sleep(delay)
+        try:
+            connection.sendall(submit(Req_Id=f"new{number}", Req_Deadline="9000m"))
+            sent_after = time.monotonic() - began
+            return Newcomer(sent_after, connection.recv(1024))
+        except ConnectionError:
+            return Newcomer(time.monotonic() - began, b"")
+
+
+class BusyListener:
+    """A listener with every descriptor in use: requests that wait, and proven clients at rest."""
+
+    def __init__(self) -> None:
+        self.handler = Clerk()
+        timeouts = {"view": 3_000_000}
+        self.listener = Listener(
+            DescriptorBudget(DESCRIPTORS), timeouts, set(), 1 << 20, self.handler, Log("n0")
+        )
+        self.address = free_address()
+        self.writers: list[asyncio.StreamWriter] = []
+        self.idle_readers: list[asyncio.StreamReader] = []
+
+    async def start(self) -> None:
+        self.listener.listen(self.address)
+        for number in range(PROVEN):
+            reader, writer = await asyncio.open_connection(*self.address)
+            writer.write(submit(Req_Id=f"proven{number}", Req_Deadline="9000m"))
+            self.writers.append(writer)
+            self.idle_readers.append(reader)
+        await self.handler.until(PROVEN)
+        for answer in self.handler.answers:
+            answer.set_result(Response(200))
+        for reader in self.idle_readers:
+            await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), TIME_LIMIT)
+        for number in range(WAITING):
+            _, writer = await asyncio.open_connection(*self.address)
+            writer.write(submit(Req_Id=f"waits{number}", Req_Deadline="9000m"))
+            self.writers.append(writer)
+        await self.handler.until(PROVEN + WAITING)
+        assert self.listener.descriptors.used == DESCRIPTORS
+
+    def proven_at_rest(self) -> int:
+        return sum(not reader.at_eof() for reader in self.idle_readers)
+
+    async def stop(self) -> None:
+        for writer in self.writers:
+            writer.close()
+        await self.listener.stop()
+
+
+@pytest.mark.parametrize("delay", SEND_DELAYS)
+def test_newcomer_that_sends_at_once_is_not_closed_unread_by_the_next(delay: float) -> None:
+    """Requests that waited had nearly every descriptor, and clients opened new connections all at once.
+
+    Each newcomer was closed for the next one, a millisecond after it had come and with its request on the
+    way, which no client sends again, while connections that had rested for longer stayed open. A newcomer
+    that sends within 20 ms of its connect must have its response.
+    """
+    newcomers = asyncio.run(play_newcomers(delay))
+    in_time = [newcomer for newcomer in newcomers if newcomer.is_in_time]
+    assert in_time, f"the machine held up every client: {newcomers}"
+    assert [newcomer for newcomer in in_time if not newcomer.response.startswith(b"HTTP/1.1 ")] == []
+
+
+async def play_newcomers(delay: float) -> list[Newcomer]:
+    """Let the newcomers come to a busy listener, and return what they saw."""
+    busy = BusyListener()
+    await busy.start()
+    loop = asyncio.get_running_loop()
+    with ThreadPoolExecutor(NEWCOMERS) as threads:
+        clients = [
+            loop.run_in_executor(threads, open_and_send, busy.address, number, delay)
+            for number in range(NEWCOMERS)
+        ]
+        newcomers = await asyncio.gather(*clients)  # each has a limit of its own
+    assert busy.listener.descriptors.used <= DESCRIPTORS
+    await busy.stop()
+    return newcomers
+
+
+def test_flood_of_silent_newcomers_displaces_one_proven_connection_and_then_only_newcomers() -> None:
+    """Newcomers that send nothing come at once, far more than there is room for.
+
+    The first takes the descriptor of a proven connection, as no newcomer is there. Each of the others must
+    take that of a newcomer: else a flood would close the connections of every client.
+    """
+
+    async def run() -> int:
+        busy = BusyListener()
+        await busy.start()
+        flood = [socket.create_connection(busy.address, timeout=TIME_LIMIT) for _ in range(FLOOD)]
+        loop = asyncio.get_running_loop()
+        for silent in flood[:-1]:
+            silent.setblocking(False)
+            assert await asyncio.wait_for(loop.sock_recv(silent, 1), TIME_LIMIT) == b""
+        assert busy.listener.descriptors.used <= DESCRIPTORS
+        proven = busy.proven_at_rest()
+        for silent in flood:
+            silent.close()
+        await busy.stop()
+        return proven
+
+    assert asyncio.run(run()) == PROVEN - 1
