Virtual time: a listener has a connection with the handshake's third leg

Cause: VirtualNetwork.connect handed the connection to the listener with the first leg. Change: it is sent as the first thing on the client's stream, after the second leg; one that comes to a closed listener or a dead process is reset. Both new tests fail on the code of before (three cases), as the connection came at 1 ms and not at 3 ms.

test_writing_to_who_has_gone_away_brings_a_reset closed the server's side at once after the client's connect, when a kernel has not shown it to the server yet: it waits two milliseconds of virtual time now; its assertion stays.

--- a/locktide/simulation/virtual_time/network.py
+++ b/locktide/simulation/virtual_time/network.py
@@ -45,6 +45,7 @@
         self.process = PROCESS.get()
         self.queue: deque[AcceptedSocket] = deque()
         self.waiter: asyncio.Future[None] | None = None
+        self.closed = False
 
     def setblocking(self, flag: bool) -> None:
         pass
@@ -53,6 +54,7 @@
         return self.address
 
     def close(self) -> None:
+        self.closed = True
         if self.net.listeners.get(self.address) is self:
             del self.net.listeners[self.address]
         while self.queue:
@@ -62,6 +64,10 @@
         pass
 
     def come(self, end: VirtualTransport) -> None:
+        """Take a connection whose handshake is over; one that comes after the close is reset."""
+        if self.closed:
+            end.reset()
+            return
         if self.factory is not None:
             end.begin(self.factory(), self.context)
             return
@@ -278,15 +284,15 @@
         await self.trip(here, host)
         listener = self.listeners.get((host, port))
         refused = listener is None or len(listener.queue) >= listener.backlog
-        if listener is not None and not refused:
-            mine = VirtualTransport(self, here, host, port, process)
-            theirs = VirtualTransport(self, host, here, 0, listener.process)
-            mine.peer, theirs.peer = theirs, mine
-            self.connected += 1
-            listener.come(theirs)
         await self.trip(host, here)
-        if refused:
+        if listener is None or refused:
             raise ConnectionRefusedError(111, f"{host}:{port} refused")
+        mine = VirtualTransport(self, here, host, port, process)
+        theirs = VirtualTransport(self, host, here, 0, listener.process)
+        mine.peer, theirs.peer = theirs, mine
+        self.connected += 1
+        # The third leg of the handshake: what is sent from now on comes right behind it.
+        mine.send(listener.come, theirs)
         mine.begin(protocol, contextvars.copy_context())
         await asyncio.sleep(0)
         return mine
@@ -308,6 +314,7 @@
         process.kill()
         for address, listener in list(self.listeners.items()):
             if listener.process is process:
+                listener.closed = True
                 del self.listeners[address]
                 for accepted in listener.queue:
                     accepted.end.reset()
--- a/tests/simulation/test_virtual_time.py
+++ b/tests/simulation/test_virtual_time.py
@@ -170,6 +170,7 @@
         transport, _ = await bench.loop.create_connection(
             lambda: Taking(got, bench.loop), "b", 1, local_addr=("a", 0)
         )
+        await asyncio.sleep(0.002)  # the last leg of the handshake has come
         server.transport.close()
         transport.write(b"too late")
         await asyncio.sleep(1)
@@ -178,6 +179,55 @@
     assert got
 
 
+def test_listener_sees_a_connection_after_three_legs_and_the_first_bytes_right_behind(bench: Bench) -> None:
+    """The stand-in handed a connection to its listener with the first leg of the handshake.
+
+    Between that and the first bytes were two trips in which no kernel shows a connection to anyone, and
+    dispatchers closed such connections for others. It must come with the third leg, and bytes that are
+    written at once must come with it.
+    """
+    came: list[Any] = []
+
+    class Server(Taking):
+        def connection_made(self, transport: Any) -> None:
+            came.append(("open", round(bench.loop.time(), 6)))
+
+        def data_received(self, data: bytes) -> None:
+            came.append((data, round(bench.loop.time(), 6)))
+
+    async def talk() -> None:
+        bench.net.listen(lambda: Server([], bench.loop), "b", 1)
+        _, writer = await asyncio.open_connection("b", 1, local_addr=("a", 0))
+        assert bench.loop.time() == pytest.approx(0.002)
+        writer.write(b"at once")
+        await asyncio.sleep(1)
+
+    bench.run(talk())
+    assert came == [("open", 0.003), (b"at once", 0.003)]
+
+
+@pytest.mark.parametrize("close", ["listener", "process"])
+def test_handshake_that_crosses_the_end_of_its_listener_brings_a_reset(bench: Bench, close: str) -> None:
+    """A listener closes, or its process dies, between the first and the third leg of a handshake.
+
+    The client believes that it is connected. It must be told by a reset, or it waits for ever.
+    """
+    got: list[Any] = []
+    process = VirtualProcess("p", "b")
+
+    async def talk() -> None:
+        async def listen() -> Any:
+            return bench.net.listen(lambda: Taking([], bench.loop), "b", 1)
+
+        listener = await bench.loop.create_task(listen(), context=process.context())
+        bench.loop.call_at(0.0015, listener.close if close == "listener" else lambda: bench.net.kill(process))
+        await bench.loop.create_connection(lambda: Taking(got, bench.loop), "b", 1, local_addr=("a", 0))
+        await asyncio.sleep(1)
+
+    bench.run(talk())
+    assert got == [(0.004, "ConnectionResetError")] and not bench.net.ends
+
+
 def test_accepted_sockets_and_paused_readers_keep_what_comes(bench: Bench) -> None:
     async def talk() -> None:
         listening = bench.net.socket(("b", 1), 8)
