Virtual time: a socket says how long ago its data came

Seen: a dispatcher asks Linux (TCP_INFO) how long a request lay unread, and takes that off its client's time. In virtual time nothing answered, so that path was never played there. The new test fails on the code of before, where there is no socket.

--- a/locktide/simulation/virtual_time/network.py
+++ b/locktide/simulation/virtual_time/network.py
@@ -15,6 +15,7 @@
 from locktide.simulation.virtual_time.datagrams import VirtualDatagramNetwork
 from locktide.simulation.virtual_time.loop import VirtualLoop
 from locktide.simulation.virtual_time.process import PROCESS, VirtualProcess
+from locktide.simulation.virtual_time.socket_info import VirtualSocket
 
 
 class LinkModel(Protocol):
@@ -68,6 +69,7 @@
         if self.closed:
             end.reset()
             return
+        end.data_at = self.net.loop.time()
         if self.factory is not None:
             end.begin(self.factory(), self.context)
             return
@@ -110,6 +112,7 @@
         self.protocol: Any = None
         self.context: contextvars.Context | None = None
         self.sent_until = 0.0  # nothing sent later comes sooner
+        self.data_at: float = net.loop.time()  # when data last came in; before any, when it was opened
         self.held: list[tuple[Callable[..., None], Any]] = []  # sent over a cut link
         self.unread: deque[Any] = deque()  # came while nobody read; None is the end of the stream
         self.paused = self.closing = self.lost = self.ended = False
@@ -118,7 +121,11 @@
     # --- what a protocol may ask
 
     def get_extra_info(self, name: str, default: Any = None) -> Any:
-        return {"peername": self.peer_address, "sockname": (self.here, 0)}.get(name, default)
+        info = {"peername": self.peer_address, "sockname": (self.here, 0), "socket": VirtualSocket(self)}
+        return info.get(name, default)
+
+    def time_since_data(self) -> float:
+        return self.net.loop.time() - self.data_at
 
     def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
         pass  # the kernel takes all at once
@@ -206,6 +213,8 @@
             if data is not None and not self.peer.lost and not self.peer.closing:
                 self.send(self.peer.lose, ConnectionResetError(104, "reset by the other side"))
             return
+        if data is not None:
+            self.data_at = self.net.loop.time()
         self.unread.append(data)
         if self.protocol is not None and len(self.unread) == 1:
             self.net.loop.call_soon(self.read_on, context=self.context)
--- /dev/null
+++ b/locktide/simulation/virtual_time/socket_info.py
@@ -0,0 +1,30 @@
+"""What the socket of a connection in virtual time says of itself, as Linux does."""
+
+from __future__ import annotations
+
+import sys
+from typing import Protocol
+
+#: Where `struct tcp_info` of Linux has the milliseconds since data last came in, and the size of that field.
+LAST_DATA_OFFSET = 52
+LAST_DATA_SIZE = 4
+MILLISECONDS_PER_SECOND = 1000
+
+
+class DataClock(Protocol):
+    """A connection that knows how long ago data last came in, in seconds; before any, since it was open."""
+
+    def time_since_data(self) -> float: ...
+
+
+class VirtualSocket:
+    """Answers TCP_INFO, and nothing else, for one side of a connection."""
+
+    def __init__(self, connection: DataClock) -> None:
+        self.connection = connection
+
+    def getsockopt(self, level: int, option: int, size: int) -> bytes:
+        """Return `struct tcp_info` with the time since data last came in, and zeros."""
+        milliseconds = int(self.connection.time_since_data() * MILLISECONDS_PER_SECOND)
+        info = bytes(LAST_DATA_OFFSET) + milliseconds.to_bytes(LAST_DATA_SIZE, sys.byteorder)
+        return info[:size].ljust(size, b"\0")
--- a/tests/simulation/test_virtual_time.py
+++ b/tests/simulation/test_virtual_time.py
@@ -10,6 +10,7 @@
 from locktide.simulation.virtual_time.loop import DeadlockError, VirtualLoop
 from locktide.simulation.virtual_time.network import VirtualNetwork
 from locktide.simulation.virtual_time.process import VirtualProcess
+from locktide.transport.kernel_queue import time_since_data
 
 
 class Wires:
@@ -206,6 +207,28 @@
     assert came == [("open", 0.003), (b"at once", 0.003)]
 
 
+def test_socket_says_how_long_ago_data_came_read_or_not(bench: Bench) -> None:
+    """A dispatcher asks Linux how long a request lay unread, and takes that off the client's time.
+
+    In virtual time nothing answered, so what it does then was never played. Before any data the time counts
+    from the handshake, as on Linux.
+    """
+    ages: list[int] = []
+
+    async def talk() -> None:
+        listening = bench.net.socket(("b", 1), 8)
+        _, writer = await asyncio.open_connection("b", 1, local_addr=("a", 0))
+        await asyncio.sleep(0.201)
+        accepted, _ = await bench.loop.sock_accept(listening)
+        ages.append(time_since_data(accepted.end.get_extra_info("socket")))
+        writer.write(b"unread")
+        await asyncio.sleep(0.301)
+        ages.append(time_since_data(accepted.end.get_extra_info("socket")))
+
+    bench.run(talk())
+    assert ages == pytest.approx([200_000, 300_000], abs=1_000)
+
+
 @pytest.mark.parametrize("close", ["listener", "process"])
 def test_handshake_that_crosses_the_end_of_its_listener_brings_a_reset(bench: Bench, close: str) -> None:
     """A listener closes, or its process dies, between the first and the third leg of a handshake.
