The log names a request that was held up, for how long and before what

Change: `request_held_up`, from 0.1 s on, where a request is read late, its attempt written late after the look at the clock, or its deadline noticed late; no timer of its own. Its test holds the loop up at three moments and fails on the code of before, which has no such line.

--- a/locktide/dispatcher/job_sender.py
+++ b/locktide/dispatcher/job_sender.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from functools import partial
 
+from locktide.dispatcher.delays import DelayedStep, log_delay
 from locktide.dispatcher.endpoint_directory import EndpointDirectory
 from locktide.dispatcher.records import AttemptStage, OpenAttempt, OpenRequest
 from locktide.dispatcher.runtime import Runtime
@@ -15,6 +16,7 @@
 from locktide.scheduler.events import AttemptSent
 from locktide.scheduler.types import AttemptOutcome
 from locktide.transport.interfaces import RequestSender, SendResult
+from locktide.transport.units import MICROSECONDS_PER_SECOND
 
 #: Seconds past the deadline for which a connection may still wait for a reply. The deadline has ended the
 #: attempt by then; this limits a reply that never comes after a callback has ended the attempt.
@@ -53,6 +55,7 @@
         is_late = bool(attempt.send_before) and now >= attempt.send_before
         if has_ended or is_late or not self.endpoints.accepts_requests(attempt.worker):
             return None
+        attempt.built_at = now
         attempt.reach(AttemptStage.SENDING)
         return worker_messages.job_request(request.message, time_left, attempt.fence)
 
@@ -60,6 +63,8 @@
         """Record that the kernel has the last byte."""
         attempt.reach(AttemptStage.SENT)
         attempt.sent_at = self.runtime.clock.now()
+        delay = (attempt.sent_at - attempt.built_at) / MICROSECONDS_PER_SECOND
+        log_delay(self.runtime.log, request.message.id, DelayedStep.WRITING, delay)
         self.bridge.enqueue_event(AttemptSent(request.message.id, attempt.number))
 
     def _outcome_of_error(self, attempt: OpenAttempt, error: Exception) -> AttemptOutcome:
--- a/locktide/dispatcher/records.py
+++ b/locktide/dispatcher/records.py
@@ -32,6 +32,7 @@
         is_cancelling: Whether its cancellation has begun.
         was_accepted: Whether its worker has reported by 202 or by callback that it has the job.
         outcome: How it ended, once it has.
+        built_at: When the clock was last read before its first byte, in microseconds.
         sent_at: When its last byte was written, in microseconds.
         fence: Fencing number of its lease, where the request is a durable job; else 0.
         lease_expired: Whether its worker has no claim on the job any more.
@@ -46,6 +47,7 @@
         "is_cancelling",
         "was_accepted",
         "outcome",
+        "built_at",
         "sent_at",
         "fence",
         "lease_expired",
@@ -61,6 +63,7 @@
         self.is_cancelling = False
         self.was_accepted = False
         self.outcome: AttemptOutcome | None = None
+        self.built_at = 0
         self.sent_at = 0
         self.fence = 0
         self.lease_expired = False
--- a/locktide/dispatcher/request_timeouts.py
+++ b/locktide/dispatcher/request_timeouts.py
@@ -7,6 +7,7 @@
 
 from locktide.dispatcher.cancellation import CancellationService
 from locktide.dispatcher.completion import AttemptCompletion
+from locktide.dispatcher.delays import DelayedStep, log_delay
 from locktide.dispatcher.records import OpenRequest
 from locktide.dispatcher.registry import RequestRegistry
 from locktide.dispatcher.runtime import Runtime
@@ -37,6 +38,8 @@
 
     def time_out(self, request: OpenRequest) -> None:
         """End every attempt at the deadline: neither the client nor the scheduler waits for it any more."""
+        delay = self.runtime.loop.time() - self.runtime.clock.to_loop_time(request.deadline)
+        log_delay(self.runtime.log, request.message.id, DelayedStep.TIMING_OUT, delay)
         for attempt in request.unfinished_attempts():
             if not attempt.is_cancelling:
                 self.cancellations.start_cancelling(request, attempt)
--- a/locktide/dispatcher/requests.py
+++ b/locktide/dispatcher/requests.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from locktide.dispatcher.background_tasks import BackgroundTasks
+from locktide.dispatcher.delays import DelayedStep, log_delay
 from locktide.dispatcher.records import AttemptStage, OpenAttempt, OpenRequest
 from locktide.dispatcher.registry import RequestRegistry
 from locktide.dispatcher.request_timeouts import RequestTimeouts
@@ -74,6 +75,9 @@
         """Accept a request; return its response to come, or None where its id is known already."""
         if self.registry.is_known(message.id):
             return None
+        if message.received_at is not None:
+            delay = self.runtime.loop.time() - message.received_at
+            log_delay(self.runtime.log, message.id, DelayedStep.READING, delay)
         deadline = self._deadline(message)
         request = self._open(message, deadline)
         self.bridge.enqueue_event(arrival_event(message, deadline))
--- a/tests/dispatcher/test_time_told.py
+++ b/tests/dispatcher/test_time_told.py
@@ -103,6 +103,25 @@
     assert told_too_much(rig) == []
 
 
+@pytest.mark.parametrize(
+    "hold, step",
+    [
+        (hold_in_kernel, "it was read"),
+        (hold_before_read, "it was read"),
+        (hold_before_write, "its attempt was written"),
+    ],
+)
+def test_log_names_the_request_that_was_held_up_and_before_what(
+    hold: Any, step: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Beside heavy load workers were told too much time, and no log said whether the process had been held up
+    or had made a mistake. What is held up for long must say so, and nothing else.
+    """
+    assert not [line for line in play(RETRIES).lines if "held up" in line]
+    hold(monkeypatch, ALLOWED_HOLD)
+    assert f"request r0: held up for 0.150 s before {step}" in play(RETRIES).lines
+
+
 @pytest.mark.parametrize("hold", [hold_before_write, hold_before_read, hold_in_kernel])
 def test_the_oracle_sees_a_dispatcher_held_up_for_as_long_as_the_bench_once_did(
     hold: Any, monkeypatch: pytest.MonkeyPatch
