The log of serve writes the value of an enum, not its Python name

Operators saw: message_rejected with status=<HTTPStatus.BAD_REQUEST: 400>, so that status=400 found nothing. Cause: the text renderer prints the repr of each field. Change: fields that are enums are written as their values where all fields are written. The test fails on the code of before in the text format. Each emit was looked through: this event alone passes an enum.

--- a/locktide/cli/logs.py
+++ b/locktide/cli/logs.py
@@ -4,6 +4,7 @@
 
 import sys
 from contextlib import suppress
+from enum import Enum
 from typing import Any
 
 import structlog
@@ -13,6 +14,11 @@
 FORMATS = ("text", "json")
 
 
+def _plain(value: Any) -> Any:
+    """Return the value of an enum, which a program can compare, and any other value as it is."""
+    return value.value if isinstance(value, Enum) else value
+
+
 class Structured(Log):
     """As the plain log, with the same limits on lines a second."""
 
@@ -30,6 +36,7 @@
     def write(self, line: str, dropped: int, event: str, fields: dict[str, Any]) -> None:
         if dropped:
             fields = {**fields, "left_out": dropped}
+        fields = {name: _plain(value) for name, value in fields.items()}
         if not event:
             # The decisions' own lines: a subject, a colon and what is said of it.
             event, fields = "said", {"line": line, **fields}
