Soak: dispatchers that get no processor; what such a hold explains is told apart

SIGTERM ignored from the shell on and sent 10, 20 or 30 ms after a start is lost: the process runs on. Ended by it, it has accepted nothing.

--- a/locktide/simulation/process_backend.py
+++ b/locktide/simulation/process_backend.py
@@ -263,6 +263,12 @@
         self.processes[number].send_signal(signal.SIGHUP)
         return True
 
+    def hold_up_dispatcher(self, number: int, seconds: float) -> None:
+        """Let a dispatcher get no processor for so long; what is sent to it comes all the same."""
+        process = self.processes[number]
+        process.send_signal(signal.SIGSTOP)
+        self.loop.call_later(seconds, process.send_signal, signal.SIGCONT)
+
     def kill_dispatcher(self, number: int) -> None:
         process = self.processes[number]
         if process.poll() is None:
--- a/locktide/simulation/virtual_backend.py
+++ b/locktide/simulation/virtual_backend.py
@@ -216,6 +216,10 @@
         self.loop.call_soon(node.reload, read, context=process.context())
         return True
 
+    def hold_up_dispatcher(self, number: int, seconds: float) -> None:
+        """Let a dispatcher get no processor for so long; what is sent to it comes all the same."""
+        self.processes[number][0].held_until = self.loop.time() + seconds
+
     def kill_dispatcher(self, number: int) -> None:
         self.died(self.processes[number][0])
         self.net.kill(self.processes[number][0])
--- a/locktide/simulation/virtual_time/loop.py
+++ b/locktide/simulation/virtual_time/loop.py
@@ -33,7 +33,7 @@
     def __init__(self) -> None:
         self.now = 0.0
         self.ready: deque[tuple[asyncio.Handle, VirtualProcess | None]] = deque()
-        self.timers: list[tuple[float, int, asyncio.TimerHandle, VirtualProcess | None]] = []
+        self.timers: list[tuple[float, int, asyncio.Handle, VirtualProcess | None]] = []
         self.made = 0
         self.stopping = self.running = self.closed = False
         self.trouble: list[dict[str, Any]] = []  # what was raised where nobody catches it
@@ -90,6 +90,9 @@
                 handle, process = self.ready.popleft()
                 if handle.cancelled() or process is not None and process.dead:
                     continue
+                if process is not None and process.held_until > self.now:
+                    self.defer(handle, process)
+                    continue
                 at_once += 1
                 self.ran += 1
                 if at_once > MOST_AT_ONCE:
@@ -99,6 +102,11 @@
             self.running = False
             asyncio._set_running_loop(previous)
 
+    def defer(self, handle: asyncio.Handle, process: VirtualProcess) -> None:
+        """Run a callback of a process that is held up once it runs again, in the order of their calls."""
+        self.made += 1
+        heapq.heappush(self.timers, (process.held_until, self.made, handle, process))
+
     def pass_time(self) -> bool:
         """Goes on to the next moment at which something is due; whether there is one."""
         while self.timers and (self.timers[0][2].cancelled() or self.dead(self.timers[0][3])):
--- a/locktide/simulation/virtual_time/process.py
+++ b/locktide/simulation/virtual_time/process.py
@@ -14,6 +14,7 @@
     def __init__(self, name: str, address: str) -> None:
         self.name, self.address = name, address
         self.dead = False
+        self.held_until = 0.0  # nothing of it runs before: it gets no processor
         self.tasks: list[Any] = []
         self.kept: list[Any] = []  # of a dead process, so that nothing is collected while others go on
 
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -6,6 +6,8 @@
 import tempfile
 from collections import Counter
 from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
 
 import click
@@ -16,11 +18,22 @@
 MOST_FAULTS_SHOWN = 8
 
 
-def play(backend: str, seed: int, folder: str) -> Findings:
-    """Play one seed on one backend."""
-    if backend == "virtual":
-        return virtual.play(seed)
-    return loopback.play(seed, Path(folder) / f"seed-{seed}")
+@dataclass(frozen=True)
+class Options:
+    """What is the same for each seed: see the command's help."""
+
+    backend: str
+    folder: Path
+    program: Path
+    hold_up: bool
+
+
+def play(options: Options, seed: int) -> Findings:
+    """Play one seed."""
+    if options.backend == "virtual":
+        return virtual.play(seed, options.hold_up)
+    folder = options.folder / f"seed-{seed}"
+    return loopback.play(seed, folder, options.program, options.hold_up)
 
 
 @click.command()
@@ -28,14 +41,16 @@
 @click.option("--backend", type=click.Choice(["loopback", "virtual"]), default="loopback")
 @click.option("--jobs", default=1, help="runs at once; on loopback more than one disturb each other")
 @click.option("--folder", default="", help="where logs go; a temporary folder by default")
-def main(seeds: str, backend: str, jobs: int, folder: str) -> None:
+@click.option("--program", default=str(loopback.REPOSITORY), help="the checkout whose dispatchers are played")
+@click.option("--hold-up", is_flag=True, help="hold dispatchers up in each run, not in one of five")
+def main(seeds: str, backend: str, jobs: int, folder: str, program: str, hold_up: bool) -> None:
     """Play the soak's scripts of these seeds."""
     first, _, last = seeds.partition("-")
     numbers = range(int(first), int(last or first) + 1)
     verdicts: Counter[str] = Counter()
     with tempfile.TemporaryDirectory() as temporary, ProcessPoolExecutor(jobs) as pool:
-        count = len(numbers)
-        for findings in pool.map(play, [backend] * count, numbers, [folder or temporary] * count):
+        options = Options(backend, Path(folder or temporary), Path(program), hold_up)
+        for findings in pool.map(partial(play, options), numbers):
             verdicts[findings.verdict] += 1
             click.echo(findings.row())
             for fault in findings.faults[:MOST_FAULTS_SHOWN]:
--- /dev/null
+++ b/tests/soak/held_up.py
@@ -0,0 +1,54 @@
+"""What a dispatcher that gets no processor for longer than the page allows may do late, and what shows it."""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass, field
+
+#: Seconds for which the page lets a dispatcher be held up.
+ALLOWED_HOLD = 0.15
+#: Seconds after a hold in which what fell due in it is done.
+CATCH_UP = 0.05
+#: What a dispatcher logs of a request that was held up.
+LINE = re.compile(r"request (\S+): held up for (\d+\.\d+) s before (.+)")
+BEFORE_WRITING, BEFORE_TIMING_OUT = "its attempt was written", "its deadline was noticed"
+
+
+@dataclass
+class HeldUp:
+    """The times in which dispatchers were held up, and the requests of which they say so themselves.
+
+    Attributes:
+        holds: (from, until) in microseconds, by number of the dispatcher.
+        written_late: requests whose attempt was written later than the page allows, by a dispatcher's log.
+        timed_out_late: the same of requests whose deadline was noticed late.
+    """
+
+    holds: dict[int, list[tuple[int, int]]] = field(default_factory=dict)
+    written_late: set[str] = field(default_factory=set)
+    timed_out_late: set[str] = field(default_factory=set)
+
+    def begin(self, dispatcher: int, now: int, length: float) -> None:
+        """Note a hold."""
+        self.holds.setdefault(dispatcher, []).append((now, now + round(length * 1e6)))
+
+    def is_held(self, dispatcher: int, now: int) -> bool:
+        """Whether a hold is under way."""
+        return any(begin <= now < end for begin, end in self.holds.get(dispatcher, ()))
+
+    def covers(self, dispatcher: int, due: int, done: int) -> bool:
+        """Whether a hold over the allowance began before something fell due and lasted until it was done."""
+        return any(
+            begin <= due and done <= end + round(CATCH_UP * 1e6) and end - begin > round(ALLOWED_HOLD * 1e6)
+            for begin, end in self.holds.get(dispatcher, ())
+        )
+
+    def read_log(self, lines: list[str]) -> None:
+        """Note the requests that the dispatchers say were held up."""
+        for line in lines:
+            if (found := LINE.search(line)) is None or float(found[2]) <= ALLOWED_HOLD:
+                continue
+            if found[3] == BEFORE_WRITING:
+                self.written_late.add(found[1])
+            elif found[3] == BEFORE_TIMING_OUT:
+                self.timed_out_late.add(found[1])
--- a/tests/soak/loopback.py
+++ b/tests/soak/loopback.py
@@ -15,7 +15,7 @@
 from locktide.simulation.process_backend import ProcessBackend
 from soak.findings import Findings
 from soak.script import DESCRIPTORS, SoakScript, draw
-from soak.stage import LOOK_INTERVAL, QUIET, START_TIME, SoakStage
+from soak.stage import LOOK_INTERVAL, QUIET, SoakStage
 
 REPOSITORY = Path(__file__).resolve().parents[2]
 #: Seconds within which a dispatcher is ready.
@@ -47,8 +47,8 @@
     def __init__(self, program: Path, folder: Path, findings: Findings) -> None:
         super().__init__(program, folder)
         self.findings = findings
-        self.started_at: dict[int, float] = {}  # by process id, in seconds of the event loop
-        self.terminated: dict[int, float] = {}  # when a process was first sent SIGTERM, the same
+        self.terminated: set[int] = set()  # process ids that were sent SIGTERM ...
+        self.terminated_in_start: set[int] = set()  # ... before the first line of the program ran
         self.killed: set[int] = set()  # process ids that were sent SIGKILL
         self.stalls: list[tuple[int, int]] = []  # when our own loop was held up, from and until, microseconds
         self.spawn(self.note_stalls())
@@ -70,12 +70,14 @@
     def start_dispatcher(self, number: int, told: dict[str, Any]) -> None:
         with ignored_reloads():
             super().start_dispatcher(number, told)
-        self.started_at[self.processes[number].pid] = self.loop.time()
         host, _, port = told["listen"].rpartition(":")
         self.spawn(self.check_ready(number, (host, int(port))))
 
     def stop_dispatcher(self, number: int) -> None:
-        self.terminated.setdefault(self.processes[number].pid, self.loop.time())
+        process_id = self.processes[number].pid
+        if not holds_back_sigterm(process_id):
+            self.terminated_in_start.add(process_id)
+        self.terminated.add(process_id)
         super().stop_dispatcher(number)
 
     def kill_dispatcher(self, number: int) -> None:
@@ -102,14 +104,10 @@
             code = process.poll()
             if code is None or process.pid in self.killed:
                 continue
-            if process.pid not in self.terminated or code != 0:
-                is_timed = code == -signal.SIGTERM and self.was_starting(process.pid)
-                self.findings.add(f"d{number} ended with {code}", is_timed=is_timed)
-
-    def was_starting(self, process_id: int) -> bool:
-        """Whether SIGTERM may have come while the interpreter itself started, which load makes longer."""
-        ended_at = self.terminated.get(process_id)
-        return ended_at is not None and ended_at < self.started_at[process_id] + START_TIME
+            if code == -signal.SIGTERM and process.pid in self.terminated_in_start:
+                self.findings.ended_in_start += 1
+            elif process.pid not in self.terminated or code != 0:
+                self.findings.add(f"d{number} ended with {code}")
 
     def check_logs(self) -> None:
         for line in self.logs():
@@ -143,6 +141,20 @@
         signal.signal(signal.SIGHUP, previous)
 
 
+def holds_back_sigterm(process_id: int) -> bool:
+    """Whether the program runs and holds back or handles SIGTERM: until then the interpreter itself starts.
+
+    Nothing in the program can do so earlier. Ignored from its start on, the signal would be lost, and the
+    process would serve on; ended by it, the process has accepted nothing.
+    """
+    with suppress(OSError):
+        for line in Path(f"/proc/{process_id}/status").read_text().splitlines():
+            name, _, mask = line.partition(":")
+            if name in ("SigBlk", "SigCgt") and int(mask, 16) >> (signal.SIGTERM - 1) & 1:
+                return True
+    return False
+
+
 def closed_by_peer() -> list[str]:
     """Return the inodes of all TCP sockets of this machine in the state CLOSE_WAIT."""
     rows = [line.split() for line in Path("/proc/net/tcp").read_text().splitlines()[1:]]
@@ -202,7 +214,7 @@
         host.check_logs()
         host.check_descriptors()
         stage.check_reloads(host.logs())
-        stage.collect()
+        stage.collect(host.logs())
         findings.counts = host.kept_up and not any(map(host.was_stalled, stage.lost_at))
     finally:
         crowd.leave()
@@ -211,7 +223,7 @@
     return findings
 
 
-def play(seed: int, folder: Path, program: Path = REPOSITORY) -> Findings:
-    """Play one seed; logs and start files go to the folder."""
+def play(seed: int, folder: Path, program: Path = REPOSITORY, always_holds: bool = False) -> Findings:
+    """Play one seed; logs and start files go to the folder, `program` is the checkout that is played."""
     folder.mkdir(parents=True, exist_ok=True)
-    return asyncio.run(play_script(draw(seed), folder, program))
+    return asyncio.run(play_script(draw(seed, always_holds), folder, program))
--- a/tests/soak/script.py
+++ b/tests/soak/script.py
@@ -30,6 +30,12 @@
 LEFT_OUT = DISPATCHERS | {"trap-dispatcher"}
 
 
+#: One script in so many holds dispatchers up; which ones, so that other seeds stay as they were.
+HOLDS_EVERY, HOLDS_AT = 5, 3
+#: Most times that a dispatcher is held up, and for how long, in seconds: the page allows 0.15.
+MOST_HOLDS, SHORTEST_HOLD, LONGEST_HOLD = 5, 0.05, 0.5
+
+
 class Series(StrEnum):
     """A series of signals to one dispatcher."""
 
@@ -57,6 +63,21 @@
     series: Series
 
 
+@dataclass(frozen=True)
+class HoldUp:
+    """A time in which a dispatcher gets no processor.
+
+    Attributes:
+        at: when it begins, in seconds.
+        dispatcher: its number.
+        length: how long it lasts, in seconds.
+    """
+
+    at: float
+    dispatcher: int
+    length: float
+
+
 @dataclass(frozen=True)
 class SoakScript:
     """One run.
@@ -66,23 +87,27 @@
         scenario: fleet, traffic and faults.
         signals: series of signals, in order of their time.
         has_crowd: whether idle clients fill the descriptors of all dispatchers, also during a shutdown.
+        holds: when dispatchers are held up.
     """
 
     seed: int
     scenario: Scenario
     signals: list[SignalSeries]
     has_crowd: bool
+    holds: list[HoldUp]
 
 
-def draw(seed: int) -> SoakScript:
-    """Return the script of a seed, the same on every machine."""
+def draw(seed: int, always_holds: bool = False) -> SoakScript:
+    """Return the script of a seed, the same on every machine; with holds in any case where that is asked."""
     random = Random(f"soak {seed}")
     scenario = _scenario(seed)
+    has_holds = always_holds or seed % HOLDS_EVERY == HOLDS_AT
     return SoakScript(
         seed=seed,
         scenario=scenario,
         signals=sorted(_signals(random, scenario.fleet.dispatchers), key=lambda each: each.at),
         has_crowd=seed % CROWD_EVERY == 0,
+        holds=list(_holds(seed, scenario.fleet.dispatchers)) if has_holds else [],
     )
 
 
@@ -126,3 +151,12 @@
         at = random.uniform(FIRST_SIGNAL, LAST_SIGNAL)
         yield SignalSeries(at, 0, Series.TERM)
         yield SignalSeries(at + random.uniform(0.0, 0.3), 1, Series.TERM)
+
+
+def _holds(seed: int, dispatchers: int) -> Iterator[HoldUp]:
+    """Draw when dispatchers are held up, by a generator of their own."""
+    random = Random(f"soak holds {seed}")
+    for number in range(dispatchers):
+        for _ in range(random.randint(1, MOST_HOLDS)):
+            length = random.uniform(SHORTEST_HOLD, LONGEST_HOLD)
+            yield HoldUp(random.uniform(0.0, LENGTH), number, length)
--- a/tests/soak/stage.py
+++ b/tests/soak/stage.py
@@ -16,7 +16,8 @@
 from locktide.simulation.model.traffic import RequestTry
 from locktide.simulation.scenario_runner import TAKEN_OUT_AFTER, ScenarioRunner
 from soak.findings import Findings
-from soak.script import Series, SignalSeries, SoakScript
+from soak.held_up import HeldUp
+from soak.script import HoldUp, Series, SignalSeries, SoakScript
 from soak.signals import Ending, Reload
 
 #: A kill comes no sooner after SIGTERM than the smaller of this and the longest timeout, in seconds ...
@@ -66,15 +67,17 @@
     def __init__(self, script: SoakScript, host: Any, findings: Findings) -> None:
         super().__init__(script.scenario, host)
         self.soak = script
-        self.reloading_host = host
+        self.soak_host = host
         self.findings = findings
         self.endings: dict[int, Ending] = {}
         self.timeline = SoakTimeline(self)
         self.start_files: dict[int, dict[str, Any]] = {}
         self.reloads: list[Reload] = []
+        self.told_too_much: dict[str, str] = {}  # by request
         self.lost_at: list[int] = []  # when connections ended under requests that had reached no worker
         self.started_at: dict[tuple[int, int], int] = {}  # by dispatcher and life
         self.killed_at: dict[tuple[int, int], int] = {}  # the same
+        self.held_up = HeldUp()
         self.generation = 0  # of the settings, changed with each reload
         for site in self.workers:
             site.dispatched = partial(self.check_time_told, site.dispatched)  # type: ignore[method-assign]
@@ -114,6 +117,15 @@
             self.started_at[number, dispatcher.life] = -round(START_TIME * 1e6)
         for series in self.soak.signals:
             self.host.call_at(round(series.at * 1e6), self.begin_series, series)
+        for hold in self.soak.holds:
+            self.host.call_at(round(hold.at * 1e6), self.hold_up, hold)
+
+    def hold_up(self, hold: HoldUp) -> None:
+        number, now = hold.dispatcher, self.host.now()
+        if self.host.dispatcher_runs(number) and not self.held_up.is_held(number, now):
+            self.held_up.begin(number, now, hold.length)
+            self.soak_host.hold_up_dispatcher(hold.dispatcher, hold.length)
+            self.findings.holds += 1
 
     def begin_series(self, series: SignalSeries) -> None:
         self.findings.signals += 1
@@ -162,7 +174,7 @@
     def reload(self, number: int) -> None:
         if self.host.dispatcher_runs(number):
             reload = Reload(number, self.dispatchers[number].life, self.host.now())
-            if self.reloading_host.reload_dispatcher(number, self.told(number)):
+            if self.soak_host.reload_dispatcher(number, self.told(number)):
                 self.reloads.append(reload)
 
     async def reload_in_a_row(self, number: int) -> None:
@@ -216,7 +228,11 @@
         for tried in self.dispatchers[number].open.values():
             came_after = (tried.sent_at - ending.began_at) / 1e6
             left = (now - tried.sent_at) / 1e6
-            if came_after > LATE_REQUESTS_AFTER and left > LAST_MOMENT and not self.is_excused(tried):
+            if came_after <= LATE_REQUESTS_AFTER or left <= LAST_MOMENT or self.is_excused(tried):
+                continue
+            if self.held_up.covers(number, ending.began_at, ending.began_at):
+                self.findings.held_up += 1  # it learned of SIGTERM that much later
+            else:
                 self.findings.add(
                     f"d{number}: {tried.id} came {came_after:.2f} s after SIGTERM, unanswered at the kill",
                     is_timed=True,
@@ -243,8 +259,7 @@
             left = (self.sent_at[tried.id] + tried.ask.limit - message.first_at) / 1e6
             seconds = int(told[:-1]) / 1e6
             if seconds > left + TOLD_TOO_MUCH + self.host.slack / 1e6:
-                text = f"{tried.id}: {left:.3f} s left, {seconds:.3f} s told"
-                self.findings.add(text, is_timed=True)
+                self.told_too_much[tried.id] = f"{left:.3f} s left, {seconds:.3f} s told"
         dispatched(end, message)
 
     def was_held_by_network(self, tried: RequestTry, end: Any, message: Any) -> bool:
@@ -284,9 +299,26 @@
         has_time = killed_at is None or killed_at >= reload.at + round(RELOAD_NOTICED_WITHIN * 1e6)
         return is_up and has_time
 
-    def collect(self) -> None:
-        """Add what the checker of the four rules has found."""
+    def was_held_past_its_limit(self, rule: str, what: str, answered_at: int) -> bool:
+        """Whether a late response was due in a hold that the page does not allow, or a log says so."""
+        request_id = what.partition(" ")[0].rstrip(":")
+        tried = self.tries.get(request_id)
+        if rule != "late" or tried is None:
+            return False
+        due = tried.limit_at + self.checker.terms.slack
+        if request_id in self.held_up.timed_out_late:
+            return True
+        return self.held_up.covers(tried.dispatcher, due, answered_at)
+
+    def collect(self, lines: list[str]) -> None:
+        """Add what the checker of the four rules has found, given the dispatchers' logs."""
         findings = self.findings
+        self.held_up.read_log(lines)
+        for request_id, text in self.told_too_much.items():
+            if request_id in self.held_up.written_late:
+                findings.held_up += 1
+            else:
+                findings.add(f"{request_id}: {text}", is_timed=True)
         findings.requests = len(self.asks)
         findings.answered = sum(1 for ask in self.asks if ask.answered_at)
         for breach in self.checker.breaches:
@@ -294,6 +326,9 @@
             if is_unseen and self.soak.has_crowd:
                 findings.shut_unread += 1  # the page allows it of a new connection while descriptors are full
                 continue
+            if self.was_held_past_its_limit(breach.rule, breach.what, breach.at):
+                findings.held_up += 1
+                continue
             if is_unseen:
                 self.lost_at.append(breach.at)
             findings.add(
--- a/tests/soak/virtual.py
+++ b/tests/soak/virtual.py
@@ -4,29 +4,30 @@
 
 import asyncio
 import gc
+from dataclasses import replace
 from typing import Any
 
 from locktide.simulation.virtual_backend import VirtualBackend
 from locktide.simulation.virtual_time.loop import VirtualLoop
 from soak.findings import Findings
 from soak.loopback import FAULT_LINES
-from soak.script import SoakScript, draw
+from soak.script import draw
 from soak.stage import QUIET, SoakStage
 
 
-def play(seed: int) -> Findings:
+def play(seed: int, always_holds: bool = False) -> Findings:
     """Play one seed. A crowd needs real descriptors: its script is played without one."""
-    script = draw(seed)
+    script = draw(seed, always_holds)
     findings = Findings(seed)
     loop = VirtualLoop()  # type: ignore[abstract]
     host = VirtualBackend(loop)
-    stage = SoakStage(SoakScript(seed, script.scenario, script.signals, has_crowd=False), host, findings)
+    stage = SoakStage(replace(script, has_crowd=False), host, findings)
     host.links, host.on_point = stage.links, stage.dispatcher_at
     gc.collect()
     gc.disable()
     try:
         loop.run_until_complete(_play(stage, host))
-        stage.collect()
+        stage.collect(host.said)
         stage.close()
         loop.run_until_complete(host.clear_away())
         loop.run_until_complete(asyncio.sleep(1.0))
