Soak: clients with several messages at once or half of one; a crowd in virtual time, too

The soak had no client that sends several messages at once, and a crowd on loopback alone. The crowd fills the descriptors in virtual time by the stand-ins' network; its scripts were played there without it.

--- a/tests/soak/held_up.py
+++ b/tests/soak/held_up.py
@@ -36,6 +36,13 @@
         """Whether a hold is under way."""
         return any(begin <= now < end for begin, end in self.holds.get(dispatcher, ()))
 
+    def overlaps(self, dispatcher: int, since: int) -> bool:
+        """Whether a hold over the allowance ended, or ends, after that moment."""
+        return any(
+            end >= since and end - begin > round(ALLOWED_HOLD * 1e6)
+            for begin, end in self.holds.get(dispatcher, ())
+        )
+
     def covers(self, dispatcher: int, due: int, done: int) -> bool:
         """Whether a hold over the allowance began before something fell due and lasted until it was done."""
         return any(
--- a/tests/soak/loopback.py
+++ b/tests/soak/loopback.py
@@ -4,17 +4,16 @@
 
 import asyncio
 import signal
-import socket
 from collections.abc import Iterator
 from contextlib import contextmanager, suppress
 from pathlib import Path
-from random import Random
 from typing import Any
 
-from locktide.simulation.backend import DISPATCHER_PORT
 from locktide.simulation.process_backend import ProcessBackend
+from soak.crowd import Crowd
 from soak.findings import Findings
-from soak.script import DESCRIPTORS, SoakScript, draw
+from soak.rough import RoughClients
+from soak.script import SoakScript, draw
 from soak.stage import LOOK_INTERVAL, QUIET, SoakStage
 
 REPOSITORY = Path(__file__).resolve().parents[2]
@@ -33,12 +32,6 @@
 )
 #: State of a socket in /proc/net/tcp whose peer has closed it and whose owner has not.
 CLOSE_WAIT = "08"
-#: Idle clients of a crowd for each descriptor of a dispatcher: more than there is room for.
-CROWD_PER_DESCRIPTOR = 1.5
-#: Seconds between two attempts of the crowd to come back, and after which it first comes.
-CROWD_INTERVAL, CROWD_COMES = 0.5, 1.0
-#: Bytes of half a message, after which a client of the crowd stays and says nothing more.
-HALF_MESSAGE = b"POST /view HTTP/1.1\r\nHost: us\r\nReq-"
 
 
 class SoakProcesses(ProcessBackend):
@@ -161,41 +154,6 @@
     return [row[9] for row in rows if row[3] == CLOSE_WAIT]
 
 
-class Crowd:
-    """Idle clients that fill the descriptors of every dispatcher, and come back when they are thrown out."""
-
-    def __init__(self, stage: SoakStage, seed: int) -> None:
-        self.stage = stage
-        self.random = Random(f"crowd {seed}")
-        self.connections: list[socket.socket] = []
-
-    async def run(self) -> None:
-        await asyncio.sleep(CROWD_COMES)
-        while not self.stage.ended:
-            for machine in self.stage.dispatcher_machines:
-                self.fill(self.stage.host.address(machine))
-            await asyncio.sleep(CROWD_INTERVAL)
-            for connection in self.random.sample(self.connections, len(self.connections) // 2):
-                connection.close()
-                self.connections.remove(connection)
-
-    def fill(self, host: str) -> None:
-        for _ in range(int(DESCRIPTORS * CROWD_PER_DESCRIPTOR) // 4):
-            connection = socket.socket()
-            connection.setblocking(False)
-            with suppress(BlockingIOError, OSError):
-                connection.connect((host, DISPATCHER_PORT))
-            if self.random.random() < 0.3:
-                with suppress(OSError):
-                    connection.send(HALF_MESSAGE)
-            self.connections.append(connection)
-
-    def leave(self) -> None:
-        for connection in self.connections:
-            connection.close()
-        self.connections.clear()
-
-
 async def play_script(script: SoakScript, folder: Path, program: Path) -> Findings:
     """Play one script; processes that it started are ended in any case."""
     findings = Findings(script.seed)
@@ -204,6 +162,8 @@
     host.links = stage.links
     crowd = Crowd(stage, script.seed)
     try:
+        if script.has_rough_clients:
+            stage.on_begin.append(RoughClients(stage, script.seed).begin)
         if script.has_crowd:
             stage.spawn(crowd.run())
         await stage.play()
--- a/tests/soak/script.py
+++ b/tests/soak/script.py
@@ -26,6 +26,8 @@
 DESCRIPTORS = 128
 #: One script in so many has a crowd of idle clients.
 CROWD_EVERY = 3
+#: One script in so many has clients that send several messages at once.
+ROUGH_EVERY = 4
 #: Seconds between the first and the last moment at which a series of signals begins.
 FIRST_SIGNAL, LAST_SIGNAL = 0.6, 6.0
 #: Faults that only virtual time can play, or that the signals of the script stand for.
@@ -131,6 +133,7 @@
         scenario: fleet, traffic and faults.
         signals: series of signals, in order of their time.
         has_crowd: whether idle clients fill the descriptors of all dispatchers, also during a shutdown.
+        has_rough_clients: whether clients send several messages at once, or half of one.
         holds: when dispatchers are held up.
         full_disks: when disks are full.
         recovery_after: seconds from a start to a signal that is to meet the recovery of durable jobs.
@@ -140,6 +143,7 @@
     scenario: Scenario
     signals: list[SignalSeries]
     has_crowd: bool
+    has_rough_clients: bool
     holds: list[HoldUp]
     full_disks: list[FullDisk]
     recovery_after: float
@@ -158,6 +162,7 @@
         scenario=scenario,
         signals=sorted(signals, key=lambda each: each.at),
         has_crowd=seed % CROWD_EVERY == 0,
+        has_rough_clients=seed % ROUGH_EVERY == 0,
         holds=list(_holds(seed, scenario.fleet.dispatchers)) if has_holds else [],
         full_disks=list(_full_disks(seed, scenario)),
         recovery_after=Random(f"soak recovery {seed}").uniform(EARLIEST_RECOVERY, LATEST_RECOVERY),
--- a/tests/soak/stage.py
+++ b/tests/soak/stage.py
@@ -84,7 +84,7 @@
         self.started_at: dict[tuple[int, int], int] = {}  # by dispatcher and life
         self.killed_at: dict[tuple[int, int], int] = {}  # the same
         self.held_up = HeldUp()
-        self.on_begin: Callable[[], None] = lambda: None  # called once the traffic begins
+        self.on_begin: list[Callable[[], None]] = []  # called once the traffic begins
         self.recovery_after = script.recovery_after
         self.generation = 0  # of the settings, changed with each reload
         for site in self.workers:
@@ -125,7 +125,8 @@
             self.started_at[number, dispatcher.life] = -round(START_TIME * 1e6)
         for series in self.soak.signals:
             self.host.call_at(round(series.at * 1e6), self.begin_series, series)
-        self.on_begin()
+        for begin in self.on_begin:
+            begin()
         for hold in self.soak.holds:
             self.host.call_at(round(hold.at * 1e6), self.hold_up, hold)
 
@@ -337,6 +338,29 @@
                 return
             await asyncio.sleep(LEDGER_LOOK_INTERVAL)
 
+    def is_serving(self, number: int) -> bool:
+        """Whether clients may come to a dispatcher: it is up and not ending."""
+        dispatcher = self.dispatchers[number]
+        process = (number, dispatcher.life)
+        has_started = self.host.now() >= self.started_at.get(process, 0) + round(START_TIME * 1e6)
+        return dispatcher.alive and not dispatcher.stopping and has_started
+
+    def served_since(self, number: int, since: int) -> bool:
+        """Whether a dispatcher has been there for its clients from then on: up, heard and not held up."""
+        machine = self.dispatcher_machines[number]
+        client = self.clients[machine.zone].machine
+        is_cut = self.links.cut(client, machine) or self.links.cut(machine, client)
+        was_cut = self.timeline.links_changed_at >= since
+        has_ended = self.ending_since(number, since)
+        is_up = self.is_serving(number) and not has_ended
+        return is_up and not is_cut and not was_cut and not self.held_up.overlaps(number, since)
+
+    def ending_since(self, number: int, since: int) -> bool:
+        """Whether a dispatcher has been sent a signal that ends it since then."""
+        ending = self.endings.get(number)
+        was_killed = any(at >= since for (other, _), at in self.killed_at.items() if other == number)
+        return was_killed or (ending is not None and ending.began_at >= since)
+
     def has_cut_dispatchers(self) -> bool:
         """Whether dispatchers do not hear each other."""
         return any(self.links.cut(*pair) for pair in permutations(self.dispatcher_machines, 2))
--- a/tests/soak/virtual.py
+++ b/tests/soak/virtual.py
@@ -4,15 +4,16 @@
 
 import asyncio
 import gc
-from dataclasses import replace
 from functools import partial
 from typing import Any
 
 from locktide.simulation.run import attach_in_virtual_time
 from locktide.simulation.virtual_backend import VirtualBackend
 from locktide.simulation.virtual_time.loop import VirtualLoop
+from soak.crowd import VirtualCrowd
 from soak.findings import Findings
 from soak.loopback import FAULT_LINES
+from soak.rough import RoughClients
 from soak.script import draw
 from soak.stage import QUIET, SoakStage
 
@@ -36,12 +37,12 @@
 
 
 def play(seed: int, always_holds: bool = False) -> Findings:
-    """Play one seed. A crowd needs real descriptors: its script is played without one."""
+    """Play one seed."""
     script = draw(seed, always_holds)
     findings = Findings(seed)
     loop = VirtualLoop()  # type: ignore[abstract]
     host = SoakVirtualBackend(loop)
-    stage = SoakStage(replace(script, has_crowd=False), host, findings)
+    stage = SoakStage(script, host, findings)
     attach_in_virtual_time(script.scenario, stage, host)
     gc.collect()
     gc.disable()
@@ -68,8 +69,14 @@
 
 
 async def _play(stage: SoakStage, host: SoakVirtualBackend) -> None:
-    stage.on_begin = partial(_set_full_disks, stage, host)
+    stage.on_begin.append(partial(_set_full_disks, stage, host))
+    if stage.soak.has_rough_clients:
+        stage.on_begin.append(RoughClients(stage, stage.soak.seed).begin)
+    crowd = VirtualCrowd(stage, stage.soak.seed)
+    if stage.soak.has_crowd:
+        stage.spawn(crowd.run())
     await stage.play()
+    crowd.leave()
     if stage.script.accord.on:
         await stage.watch_ledgers()
         stage.check_quotas(*host.traced())
