--- a/tests/soak/held_up.py
+++ b/tests/soak/held_up.py
@@ -11,7 +11,10 @@
 CATCH_UP = 0.05
 #: What a dispatcher logs of a request that was held up.
 LINE = re.compile(r"request (\S+): held up for (\d+\.\d+) s before (.+)")
-BEFORE_WRITING, BEFORE_TIMING_OUT = "its attempt was written", "its deadline was noticed"
+#: The same in the structured log of `serve`.
+STRUCTURED_LINE = re.compile(r"request_held_up .*request=(\S+) seconds=(\d+\.\d+) step=(\S+)")
+BEFORE_WRITING = frozenset({"its attempt was written", "writing"})
+BEFORE_TIMING_OUT = frozenset({"its deadline was noticed", "timing_out"})
 
 
 @dataclass
@@ -53,9 +56,10 @@
     def read_log(self, lines: list[str]) -> None:
         """Note the requests that the dispatchers say were held up."""
         for line in lines:
-            if (found := LINE.search(line)) is None or float(found[2]) <= ALLOWED_HOLD:
+            found = LINE.search(line) or STRUCTURED_LINE.search(line)
+            if found is None or float(found[2]) <= ALLOWED_HOLD:
                 continue
-            if found[3] == BEFORE_WRITING:
+            if found[3] in BEFORE_WRITING:
                 self.written_late.add(found[1])
-            elif found[3] == BEFORE_TIMING_OUT:
+            elif found[3] in BEFORE_TIMING_OUT:
                 self.timed_out_late.add(found[1])
--- a/tests/soak/loopback.py
+++ b/tests/soak/loopback.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import signal
+import time
 from collections.abc import Iterator
 from contextlib import contextmanager, suppress
 from pathlib import Path
 from typing import Any
 
 from locktide.simulation.process_backend import ProcessBackend
+from locktide.simulation.run import attach_on_loopback
 from soak.crowd import Crowd
 from soak.findings import Findings
 from soak.rough import RoughClients
@@ -22,6 +24,7 @@
 #: Seconds between two looks whether our own loop keeps up, and by how much it may be late: by more, a client
 #: cannot tell a request that crossed the end of its connection from one that was read.
 STALL_LOOK_INTERVAL, STALL = 0.002, 0.01
+NANOSECONDS_PER_MICROSECOND = 1000
 #: Lines of a log that only a fault of the program writes.
 FAULT_LINES = (
     "Traceback",
@@ -29,6 +32,9 @@
     "was not carried out",
     "an observer failed",
     "a part failed",
+    "scheduler_failed",
+    "command_failed",
+    "observer_failed",
 )
 #: State of a socket in /proc/net/tcp whose peer has closed it and whose owner has not.
 CLOSE_WAIT = "08"
@@ -45,6 +51,7 @@
         self.killed: set[int] = set()  # process ids that were sent SIGKILL
         self.stalls: list[tuple[int, int]] = []  # when our own loop was held up, from and until, microseconds
         self.spawn(self.note_stalls())
+        self.spawn(self.note_ends())
 
     async def note_stalls(self) -> None:
         """Note when this process, which plays all clients and workers, was not woken in time."""
@@ -73,11 +80,26 @@
         self.terminated.add(process_id)
         super().stop_dispatcher(number)
 
+    def reload_dispatcher(self, number: int, told: dict[str, Any]) -> bool:
+        """As ever; an installation's file keeps its settings, with all that beside them."""
+        if self.as_file is None:
+            return super().reload_dispatcher(number, told)
+        self.processes[number].send_signal(signal.SIGHUP)
+        return True
+
     def kill_dispatcher(self, number: int) -> None:
         if self.dispatcher_runs(number):
             self.killed.add(self.processes[number].pid)
         super().kill_dispatcher(number)
 
+    async def note_ends(self) -> None:
+        """Note when processes end by themselves: until then what they agreed on counts as in force."""
+        while True:
+            await asyncio.sleep(LOOK_INTERVAL)
+            for _, _, process in self.lives:
+                if process.poll() is not None:
+                    self.ended_at.setdefault(process.pid, time.monotonic_ns() // NANOSECONDS_PER_MICROSECOND)
+
     async def check_ready(self, number: int, address: tuple[str, int]) -> None:
         """Note a process that does not accept connections in time, unless it was ended meanwhile."""
         process, until = self.processes[number], self.loop.time() + READY_WITHIN
@@ -159,7 +181,7 @@
     findings = Findings(script.seed)
     host = SoakProcesses(program, folder, findings)
     stage = SoakStage(script, host, findings)
-    host.links = stage.links
+    await attach_on_loopback(script.scenario, stage, host)
     crowd = Crowd(stage, script.seed)
     try:
         if script.has_rough_clients:
@@ -168,6 +190,9 @@
             stage.spawn(crowd.run())
         await stage.play()
         crowd.leave()
+        if script.scenario.accord.on:
+            await stage.watch_ledgers()
+            stage.check_quotas(*host.traced())
         await asyncio.sleep(QUIET)
         host.sum_up()
         host.check_exits()
--- a/tests/soak/stage.py
+++ b/tests/soak/stage.py
@@ -304,7 +304,10 @@
     def check_reloads(self, lines: list[str]) -> None:
         """Each process that was sent SIGHUP says so, unless it was starting, or was killed right after it."""
         for number in range(len(self.dispatchers)):
-            noticed = sum(f"d{number} reload: settings taken" in line for line in lines)
+            plain, structured = f"d{number} reload: settings taken", f"dispatcher=d{number} "
+            noticed = sum(
+                plain in line or ("config_reloaded" in line and structured in line) for line in lines
+            )
             expected = {
                 reload.life
                 for reload in self.reloads
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -41,9 +41,10 @@
             "1.0 d0 request b: held up for 0.200 s before its attempt was written",
             "1.0 d0 request c: held up for 0.200 s before its deadline was noticed",
             "1.0 d0 request d: held up for 0.200 s before it was read",
+            "Z request_held_up          dispatcher=d0 request=e seconds=0.2 step=writing",
         ]
     )
-    assert (held_up.written_late, held_up.timed_out_late) == ({"b"}, {"c"})
+    assert (held_up.written_late, held_up.timed_out_late) == ({"b", "e"}, {"c"})
 
 
 def test_soak_on_loopback_breaks_no_rule(tmp_path: Path) -> None:
