--- a/locktide/transport/descriptor_budget.py
+++ b/locktide/transport/descriptor_budget.py
@@ -33,8 +33,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class IdleConnection:
-    """An idle connection, as the budget sees it.
+class EvictionCandidate:
+    """An idle connection that may be closed for another one.
 
     Attributes:
         connection: The connection.
@@ -75,8 +75,8 @@
     def __init__(self, limit: int) -> None:
         self.limit = limit
         self.used = 0
-        self.idle_unproven: dict[Hashable, IdleConnection] = {}
-        self.idle_proven: dict[Hashable, IdleConnection] = {}
+        self.idle_unproven: dict[Hashable, EvictionCandidate] = {}
+        self.idle_proven: dict[Hashable, EvictionCandidate] = {}
         self.idle_count = 0
         self.waiting: deque[asyncio.Future[None]] = deque()
         self.evicted: set[Hashable] = set()
@@ -125,7 +125,7 @@
         """
         self.idle_count += 1
         idle = self.idle_proven if proven else self.idle_unproven
-        idle[connection] = IdleConnection(connection, close, evictable_at, self.idle_count)
+        idle[connection] = EvictionCandidate(connection, close, evictable_at, self.idle_count)
         if self.waiting:
             self.schedule_eviction()
 
@@ -160,7 +160,7 @@
         if self.wanted() > 0:
             self.schedule_next_eviction()
 
-    def candidates(self) -> Collection[IdleConnection]:
+    def candidates(self) -> Collection[EvictionCandidate]:
         """Return the idle connections of which one may be closed, idle longest first."""
         return (self.idle_unproven or self.idle_proven).values()
 
