Virtual network split by what its parts do: streams, listening sockets, the network

No behaviour changes: the same code in three files, which see the network by two small protocols; imports go downward.

--- a/locktide/simulation/virtual_backend.py
+++ b/locktide/simulation/virtual_backend.py
@@ -23,8 +23,9 @@
 from locktide.simulation.model.network import Machine
 from locktide.simulation.peer_links import PeerLinks
 from locktide.simulation.virtual_time.disk import VirtualDisk
+from locktide.simulation.virtual_time.listening import Listener
 from locktide.simulation.virtual_time.loop import VirtualLoop
-from locktide.simulation.virtual_time.network import Listener, VirtualNetwork
+from locktide.simulation.virtual_time.network import VirtualNetwork
 from locktide.simulation.virtual_time.process import VirtualProcess
 from locktide.transport.log import Log
 
