--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -11,6 +11,7 @@
 import asyncio
 import json
 import os
+import secrets
 import shutil
 import signal
 import socket
@@ -94,9 +95,13 @@
     return encode(f"HTTP/1.1 {status} {reasons[status]}", fields, body)
 
 
-def free_port() -> int:
-    with socket.create_server((HOST, 0)) as probe:
-        return int(probe.getsockname()[1])
+def free_address() -> str:
+    """Return a free loopback address, outside the range from which the system takes ports for connections."""
+    while True:
+        host = f"127.{secrets.randbelow(200) + 20}.{secrets.randbelow(250)}.{secrets.randbelow(250) + 1}"
+        port = 20000 + secrets.randbelow(10000)
+        with suppress(OSError), socket.create_server((host, port)):
+            return f"{host}:{port}"
 
 
 # --- discovery
@@ -277,12 +282,14 @@
         self.attempts.append(Attempt(self.uid, request_id, message.first_at, back))
         deadline = message.headers["req-deadline"]
         self.record(f"{self.uid}: takes {request_id} of {back} key={key or '-'} deadline={deadline}")
-        self.jobs[request_id] = asyncio.create_task(self._job(request_id, key, back)), back
+        # The time of arrival counts, as a job that waits for a core was sent in time.
+        repeat = bool(key and self.memory and self.memory.is_repeat(key, message.first_at))
+        self.jobs[request_id] = asyncio.create_task(self._job(request_id, key, repeat, back)), back
 
-    async def _job(self, request_id: str, key: str, back: str) -> None:
+    async def _job(self, request_id: str, key: str, repeat: bool, back: str) -> None:
         async with self.cores:
             await self._call(back, {"id": request_id, "state": "started"})
-            if key and self.memory and self.memory.is_repeat(key, self.record.now()):
+            if repeat:
                 self.record(f"{self.uid}: drops {request_id}, a repeat of key {key}")
             else:
                 self.runs.append(Run(self.uid, request_id, key, self.record.now()))
@@ -523,7 +530,7 @@
         for number in range(self.count):
             agent = Agent(f"n{number}", self.record)
             await agent.start()
-            address = f"{HOST}:{free_port()}"
+            address = free_address()
             for worker in self.workers:
                 agent.entries[worker.uid] = entry(worker.uid, await worker.listen(address))
             known = {"rev": agent.rev, "all": True, "targets": list(agent.entries.values())}
