--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -575,6 +575,10 @@
     async def within_limit() -> int:
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(lambda _, context: record(f"stand-in: {context.get('message')}"))
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
         async with asyncio.timeout(limit):
             result = await story(record, temporary, trouble)
         await asyncio.sleep(0.3)  # the connections of the killed dispatchers end
@@ -582,7 +586,7 @@
 
     try:
         result = asyncio.run(within_limit())
-    except Exception as error:  # a fault of the case itself is no verdict
+    except (Exception, asyncio.CancelledError) as error:  # a fault of the case itself is no verdict
         record.say(f"could not run: {type(error).__name__} {error}")
         result = COULD_NOT_RUN
     finally:
