A dispatcher held up in its shutdown answers late requests before the kill

Cause, by trace: late requests were due 0.08 s before the kill, the margin for the transit to a client, whose deadline allows half a second more; a kill allows nothing, and the platform's terms name holds of 0.15 s. Beside it: the time until the kill counted from the callback in which the event loop passed the signal on, so a hold at SIGTERM moved every limit past the kill; the last check read the clock after the connections.

Change: the signal is dated to an interval, from the last beat of the loop (loop_lag.py) to the call of its own handler; the kill counts from the begin, the acceptance from the end. Late requests are due a response time and a hold before the kill, or as long a hold as was seen lately, a millisecond apart. The clock says whether a request is limited, not a timer.

--- a/locktide/dispatcher/command_executor.py
+++ b/locktide/dispatcher/command_executor.py
@@ -10,7 +10,7 @@
 from locktide.dispatcher.endpoint_follower import EndpointFollower
 from locktide.dispatcher.failure_responses import FailureResponder
 from locktide.dispatcher.registry import RequestRegistry
-from locktide.dispatcher.runtime import ServingState
+from locktide.dispatcher.runtime import Runtime, ServingState
 from locktide.dispatcher.scheduler_bridge import SchedulerBridge
 from locktide.dispatcher.scheduler_log import emit_log_event
 from locktide.scheduler.commands import (
@@ -39,6 +39,7 @@
 
     registry: RequestRegistry
     state: ServingState
+    runtime: Runtime
     attempts: AttemptRunner
     cancellations: CancellationService
     failures: FailureResponder
@@ -66,7 +67,7 @@
 
         The next process continues that request from its record on disk, which must stay unchanged.
         """
-        if self.state.shutdown_deadline is None or command.request_id is None:
+        if command.request_id is None or not self.state.is_limited(self.runtime.loop.time()):
             return False
         request = self.registry.get(command.request_id)
         return request is not None and request.message.background
--- a/locktide/dispatcher/dispatcher.py
+++ b/locktide/dispatcher/dispatcher.py
@@ -24,6 +24,7 @@
 from locktide.dispatcher.job_sender import JobSender
 from locktide.dispatcher.job_store import AttemptLeases, JobStore
 from locktide.dispatcher.lifecycle import Lifecycle
+from locktide.dispatcher.loop_lag import LoopLagMonitor
 from locktide.dispatcher.registry import RequestRegistry
 from locktide.dispatcher.reload import ConfigReloader
 from locktide.dispatcher.request_timeouts import RequestTimeouts
@@ -89,6 +90,7 @@
         self.clock = Clock(self.loop, system.wall)
         self.runtime = Runtime(loop=self.loop, clock=self.clock, log=log)
         self.state = ServingState()
+        self.lag = LoopLagMonitor(self.loop)
         self.scheduler = Scheduler(start.seed, start.scheduler_config)
         self._open_transport(start, system, upstream)
         self._apply_settings(start)
@@ -212,6 +214,7 @@
         request_commands = RequestCommandExecutor(
             registry=self.registry,
             state=self.state,
+            runtime=self.runtime,
             attempts=self.attempts,
             cancellations=self.cancellations,
             failures=self.failures,
@@ -249,6 +252,7 @@
             settings=self.settings,
             state=self.state,
             runtime=self.runtime,
+            lag=self.lag,
         )
         self.lifecycle = Lifecycle(
             startup=self.startup,
@@ -256,6 +260,7 @@
             shutdown=self.shutdown,
             follower=self.follower,
             listener=self.listener,
+            lag=self.lag,
             log=self.log,
         )
 
--- a/locktide/dispatcher/job_host.py
+++ b/locktide/dispatcher/job_host.py
@@ -32,6 +32,10 @@
         """Return whether a request with that id is open or was answered recently."""
         return self.registry.is_known(request_id)
 
+    def limit_timeout(self, timeout: int) -> int:
+        """Return for how long a client may wait for a job; see `ServingState.limit_timeout`."""
+        return self.requests.limit_timeout(timeout)
+
     def recover(self, job: RecoveredJob) -> asyncio.Future[Response]:
         """Recover a job of an earlier process; see `RequestService.recover`."""
         return self.requests.recover(job)
--- a/locktide/dispatcher/lifecycle.py
+++ b/locktide/dispatcher/lifecycle.py
@@ -8,6 +8,7 @@
 
 from locktide.dispatcher.cleanup import PeriodicCleanup
 from locktide.dispatcher.endpoint_follower import EndpointFollower
+from locktide.dispatcher.loop_lag import LoopLagMonitor
 from locktide.dispatcher.shutdown import GracefulShutdown
 from locktide.dispatcher.startup import Startup
 from locktide.transport.listener import Listener
@@ -23,16 +24,19 @@
     shutdown: GracefulShutdown
     follower: EndpointFollower
     listener: Listener
+    lag: LoopLagMonitor
     log: Log
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until `stop`, finish the requests that were accepted, and return."""
+        self.lag.start()
         self.follower.start()
         cleaning_up = asyncio.create_task(self.cleanup.run())
         await asyncio.sleep(0)  # lets the scheduler apply the cached list before the first request
         await self.startup.run()
         await stop.wait()
         await self.shutdown.run()
+        self.lag.stop()
         self.follower.stop()
         cleaning_up.cancel()
         await self.listener.stop()
--- a/locktide/dispatcher/requests.py
+++ b/locktide/dispatcher/requests.py
@@ -16,7 +16,6 @@
 from locktide.scheduler.events import ClientDisconnected, RecoveredAttempt, RequestArrived, RequestRecovered
 from locktide.scheduler.types import AttemptOutcome
 from locktide.transport.interfaces import Response
-from locktide.transport.units import MICROSECONDS_PER_SECOND
 
 #: Microseconds by which the deadline here precedes the client's: for the transit of the request and of the
 #: response, and for a late turn of the event loop. With a tenth of a core, which is allotted every 100 ms,
@@ -100,15 +99,18 @@
             self.bridge.enqueue_event(ClientDisconnected(message.id))
             self.registry.release_settled(request)
 
+    def limit_timeout(self, timeout: int) -> int:
+        """Return for how long a client may wait that is read now; see `ServingState.limit_timeout`."""
+        return self.state.limit_timeout(timeout, self.runtime.loop.time())
+
     def _deadline(self, message: SubmitRequest) -> int:
         """Return the deadline of a request that arrives now, in microseconds."""
-        now = self.runtime.clock.now()
-        timeout = message.time_left(self.runtime.loop.time())
-        shutdown_deadline = self.state.shutdown_deadline
-        if shutdown_deadline is not None and not message.background:  # the next process continues these
-            seconds_left = shutdown_deadline - self.runtime.loop.time()
-            timeout = min(timeout, int(seconds_left * MICROSECONDS_PER_SECOND))
-        return now + timeout - min(TRANSIT_MARGIN, timeout // TRANSIT_MARGIN_DIVISOR)
+        loop_time = self.runtime.loop.time()
+        timeout = message.time_left(loop_time)
+        timeout -= min(TRANSIT_MARGIN, timeout // TRANSIT_MARGIN_DIVISOR)
+        if not message.background:  # the next process continues these
+            timeout = self.state.limit_timeout(timeout, loop_time)
+        return self.runtime.clock.now() + timeout
 
     def _open(self, message: SubmitRequest, deadline: int) -> OpenRequest:
         request = OpenRequest(message, deadline, self.runtime.loop.create_future())
--- a/locktide/dispatcher/service.py
+++ b/locktide/dispatcher/service.py
@@ -11,7 +11,7 @@
 from locktide.config.errors import ConfigError
 from locktide.config.start import Start
 from locktide.dispatcher.dispatcher import Dispatcher
-from locktide.dispatcher.signals import block_signals, unblock_signals
+from locktide.dispatcher.signals import block_signals, install_stop_handlers, unblock_signals
 from locktide.protocol.discovery import DiscoveryUpdate
 from locktide.transport.log import Log
 
@@ -43,9 +43,8 @@
     block_signals()
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, stop.set)
     dispatcher = Dispatcher(start, cached_list, log)
+    install_stop_handlers(loop, stop, dispatcher.shutdown.note_signal)
 
     def reload() -> None:
         try:
--- a/locktide/simulation/virtual_time/loop.py
+++ b/locktide/simulation/virtual_time/loop.py
@@ -14,6 +14,8 @@
 # Limit for callbacks at one time: callbacks that keep scheduling each other without delay are a fault in the
 # code that runs, and would never let time advance.
 MAX_CALLBACKS_AT_ONCE = 2_000_000
+# Added to the number of a signal's handle, so that it runs before all other callbacks of that time.
+SIGNAL_ORDER_OFFSET = -(1 << 62)
 
 
 class Network(Protocol):
@@ -108,6 +110,16 @@
         self.handle_count += 1
         heapq.heappush(self.timers, (process.held_until, self.handle_count, handle, process))
 
+    def deliver_signal(self, process: VirtualProcess, handler: Callable[[], Any]) -> None:
+        """Call the signal handler of a process now, or after a hold before all its other callbacks."""
+        if process.held_until <= self.now:
+            self.call_soon(handler, context=process.context())
+            return
+        self.handle_count += 1
+        handle = asyncio.Handle(handler, (), self, process.context())
+        order = SIGNAL_ORDER_OFFSET + self.handle_count
+        heapq.heappush(self.timers, (process.held_until, order, handle, process))
+
     def pass_time(self) -> bool:
         """Advance the time to the next due timer; return whether there is one."""
         while self.timers and (self.timers[0][2].cancelled() or self.dead(self.timers[0][3])):
--- a/tests/dispatcher/test_process.py
+++ b/tests/dispatcher/test_process.py
@@ -108,3 +108,32 @@
         check=False,
     )
     assert result.returncode == 2 and re.fullmatch(r"locktide: GW_CONFIG: .*\n", result.stderr)
+
+
+def test_process_stopped_as_sigterm_comes_answers_late_requests_before_the_earliest_kill(
+    tmp_path: Path,
+) -> None:
+    """A process got no processor for 0.5 s as SIGTERM came, and counted its time from the end of the hold.
+
+    Requests that came 0.9 s after SIGTERM were due 0.3 s after the earliest kill, 3.7 s after SIGTERM. They
+    must have their responses by then.
+    """
+    process, address, listening = start_dispatcher_process(tmp_path)
+    try:
+        process.send_signal(signal.SIGSTOP)
+        time.sleep(0.05)
+        signalled_at = time.monotonic()
+        process.send_signal(signal.SIGTERM)
+        clients = [socket.create_connection(address) for _ in range(3)]
+        time.sleep(0.45)
+        process.send_signal(signal.SIGCONT)
+        time.sleep(signalled_at + 0.9 - time.monotonic())
+        for number, client in enumerate(clients):
+            client.sendall(submit_bytes(Req_Id=f"late{number}", Req_Deadline="9000m"))
+        for client in clients:
+            client.settimeout(signalled_at + 3.7 - time.monotonic())
+            assert client.recv(100).startswith(b"HTTP/1.1 ")
+            client.close()
+    finally:
+        process.kill()
+        listening.close()
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -19,6 +19,7 @@
 
 from locktide.config import start
 from locktide.dispatcher.dispatcher import Dispatcher
+from locktide.dispatcher.shutdown_limit import ShutdownLimit
 from locktide.protocol import discovery
 from locktide.protocol import messages as clients
 from locktide.protocol import names as wire_names
@@ -513,6 +514,13 @@
         """Record that the idle connections to the worker were closed."""
         self.idle_closed_workers.append(worker)
 
+    def limit_new_requests(self, killed_in: float) -> None:
+        """Begin a shutdown whose kill is that many seconds away and which limits requests at once."""
+        now = self.dispatcher.loop.time()
+        self.dispatcher.state.shutdown = ShutdownLimit(
+            accepts_until=now, applies_from=now, killed_at=now + killed_in, lag=self.dispatcher.lag
+        )
+
     async def run_pending_tasks(self) -> None:
         """Let the event loop run ten times, so that tasks without a wait for I/O or time get done."""
         for _ in range(10):
