Durable jobs: a client that waits for an earlier job is answered before a kill

What callers saw: a repeated submission of a durable job that comes in a shutdown waits for the earlier job until its own timeout, and is open at the kill.

Cause: the limit of a shutdown was applied where a request is submitted to the dispatcher; a waiter of an earlier job is not.

Change: JobWaiters limits each wait by the same rule; the job itself goes on in the next process.

Evidence: test_client_that_waits_for_an_earlier_job_gets_its_response_before_a_shutdown_ends; the limit did not exist there before.

--- a/locktide/durable/job_dispatcher.py
+++ b/locktide/durable/job_dispatcher.py
@@ -31,6 +31,10 @@
         """Return whether a request with this id is open, or got its response recently."""
         return self.host.is_id_in_use(request_id)
 
+    def limit_timeout(self, timeout: int) -> int:
+        """Return for how long a client may wait for a job, in microseconds; a shutdown limits it."""
+        return self.host.limit_timeout(timeout)
+
     def submit(
         self, accepted: JobAccepted, timeout: int, background: bool
     ) -> asyncio.Future[Response] | None:
--- a/locktide/durable/job_service.py
+++ b/locktide/durable/job_service.py
@@ -64,7 +64,7 @@
             dispatcher=self.job_dispatcher,
             log=log,
         )
-        self.waiters = JobWaiters(self.state, self.tasks)
+        self.waiters = JobWaiters(self.state, self.tasks, self.job_dispatcher)
         self.completion = JobCompletion(context, self.waiters)
         self.acceptance = JobAcceptance(context, self.waiters, self.completion)
         self.lease_service = LeaseService(context, self.completion, LateReports(context, self.completion))
--- a/locktide/durable/waiters.py
+++ b/locktide/durable/waiters.py
@@ -7,6 +7,7 @@
 
 from locktide.durable.background_tasks import BackgroundTasks
 from locktide.durable.durable_state import DurableState
+from locktide.durable.job_dispatcher import JobDispatcher
 from locktide.durable.preference import Preference
 from locktide.durable.responses import final_response, pending_response, wait_timed_out_response
 from locktide.durable.units import MICROSECONDS_PER_SECOND
@@ -25,9 +26,10 @@
             id in a repeated submission.
     """
 
-    def __init__(self, state: DurableState, tasks: BackgroundTasks) -> None:
+    def __init__(self, state: DurableState, tasks: BackgroundTasks, dispatcher: JobDispatcher) -> None:
         self.state = state
         self.tasks = tasks
+        self.dispatcher = dispatcher
         self.waiters_by_job: dict[str, list[ResponseFuture]] = {}
         self.waiters_by_request: dict[str, ResponseFuture] = {}
 
@@ -43,12 +45,13 @@
         self.waiters_by_job.setdefault(job_id, []).append(response)
         response.add_done_callback(lambda done: self._remove(job_id, done))
         if preference.respond_async:
-            self.tasks.spawn(self._respond_early(job_id, preference.wait, response))
+            wait = self._limit_wait(int(preference.wait * MICROSECONDS_PER_SECOND))
+            self.tasks.spawn(self._respond_early(job_id, wait, response))
         else:
             # The job may be from an earlier submission, and its deadline later than the end of this timeout.
             loop = asyncio.get_running_loop()
-            time_left = request.time_left(loop.time()) / MICROSECONDS_PER_SECOND
-            loop.call_later(time_left, self._time_out, job_id, response)
+            wait = self._limit_wait(request.time_left(loop.time()))
+            loop.call_later(wait, self._time_out, job_id, response)
 
     def resolve(self, job_id: str, response: Response) -> None:
         """Send a response to each client that waits for a job."""
@@ -61,6 +64,14 @@
         if (response := self.waiters_by_request.get(request_id)) is not None:
             response.cancel()
 
+    def _limit_wait(self, timeout: int) -> float:
+        """Return for how long a client waits at most, in seconds; `timeout` is in microseconds.
+
+        A shutdown does not end a job, which the next process continues, but it ends the wait before the kill
+        (test_client_that_waits_for_an_earlier_job_gets_its_response_before_a_shutdown_ends).
+        """
+        return self.dispatcher.limit_timeout(timeout) / MICROSECONDS_PER_SECOND
+
     def _remove(self, job_id: str, response: ResponseFuture) -> None:
         remaining = [waiter for waiter in self.waiters_by_job.get(job_id, ()) if waiter is not response]
         if remaining:
--- a/tests/durable_helpers.py
+++ b/tests/durable_helpers.py
@@ -125,12 +125,14 @@
 
     Attributes:
         submitted: Timeout of each job in microseconds, by job id.
+        longest_wait: For how long a client may wait, in microseconds; a shutdown sets it.
         callbacks: The reports of workers that were forwarded to the dispatcher.
     """
 
     def __init__(self) -> None:
         self.submitted: dict[str, int] = {}
         self.callbacks: list[Callback] = []
+        self.longest_wait = 1000 * SECOND
 
     def now(self) -> int:
         """Return the time in microseconds."""
@@ -140,6 +142,10 @@
         """Return False: no other request has the id."""
         return False
 
+    def limit_timeout(self, timeout: int) -> int:
+        """Limit a timeout as a shutdown does."""
+        return min(timeout, self.longest_wait)
+
     def submit(
         self, accepted: JobAccepted, timeout: int, _background: bool
     ) -> asyncio.Future[Response] | None:
@@ -169,7 +175,7 @@
             dispatcher=self.dispatcher,
             log=Log("d0"),
         )
-        self.waiters = JobWaiters(self.state, tasks)
+        self.waiters = JobWaiters(self.state, tasks, self.dispatcher)
         self.completion = JobCompletion(context, self.waiters)
         self.acceptance = JobAcceptance(context, self.waiters, self.completion)
         self.leases = context.leases
