A keyed request that may have run is failed, never rejected

Cause, by trace: may_reject allowed a rejection where every worker drops repeats, at any time. To ask for the window there would only move the fault: the retry comes after its Retry-After and may wait in the pool of another dispatcher until the window is over.

Change: what may have run is rejected only if it is idempotent.

--- a/locktide/scheduler/policy/retry_eligibility.py
+++ b/locktide/scheduler/policy/retry_eligibility.py
@@ -8,9 +8,10 @@
   after it was sent is over;
 - idempotent: anywhere.
 
-A rejection promises the client that sending the request again is harmless. So a request that may have run is
-rejected only if it is idempotent or if every worker drops its repeats; otherwise it is failed. In addition
-the number of attempts is limited (`max_attempts` of the configuration). Times are in microseconds.
+A rejection promises the client that sending the request again is harmless, at any dispatcher and at any time.
+So a request that may have run is rejected only if it is idempotent; otherwise it is failed, which promises
+nothing. In addition the number of attempts is limited (`max_attempts` of the configuration). Times are in
+microseconds.
 """
 
 from locktide.scheduler.state import Endpoint, Request
@@ -64,6 +65,8 @@
 
 def may_reject(request: Request) -> bool:
     """Return whether the request may be rejected; otherwise it has to be failed."""
-    scope = request.service_class.deduplication_scope
-    is_dropped_everywhere = not request.is_at_most_once and scope == FLEET
-    return not request.possibly_executed or request.is_idempotent or is_dropped_everywhere
+    # A client retried a rejected request after its workers had forgotten its key, and the job ran twice. That
+    # every worker drops repeats now is not enough: the retry comes after its `Retry-After`, and may wait in
+    # the pool of another dispatcher until the deduplication window is over
+    # (test_a_retry_of_a_client_that_waits_at_another_dispatcher_runs_no_job_twice).
+    return not request.possibly_executed or request.is_idempotent
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -330,13 +330,8 @@
             assert command.request_id not in self.finished, "rule one: a second response"
             service_class = self.service_classes[self.arrivals[command.request_id].service_class]
             if type(command) is RejectRequest and self.possibly_executed(command.request_id):
-                is_allowed = (service_class.effect, service_class.deduplication_scope) == (
-                    Effect.IDEMPOTENT_WITH_KEY,
-                    DeduplicationScope.FLEET,
-                )
-                assert (
-                    is_allowed or service_class.effect == Effect.IDEMPOTENT
-                ), "rule two: a rejection of a request that may have run"
+                is_allowed = service_class.effect == Effect.IDEMPOTENT
+                assert is_allowed, "rule two: a rejection of a request that may have run"
             self.finished[command.request_id] = "rejected" if type(command) is RejectRequest else "failed"
         elif type(command) is CancelAttempt:
             assert command.attempt < len(self.attempts[command.request_id])
--- a/tests/scheduler/test_retry_eligibility.py
+++ b/tests/scheduler/test_retry_eligibility.py
@@ -93,7 +93,7 @@
     ("effect", "scope", "is_harmless"),
     [
         (Effect.IDEMPOTENT, DeduplicationScope.CELL, True),
-        (Effect.IDEMPOTENT_WITH_KEY, DeduplicationScope.FLEET, True),
+        (Effect.IDEMPOTENT_WITH_KEY, DeduplicationScope.FLEET, False),
         (Effect.IDEMPOTENT_WITH_KEY, DeduplicationScope.ZONE, False),
         (Effect.IDEMPOTENT_WITH_KEY, DeduplicationScope.CELL, False),
         (Effect.AT_MOST_ONCE, DeduplicationScope.FLEET, False),
@@ -102,10 +102,10 @@
 def test_what_may_have_run_is_rejected_only_where_the_clients_retry_is_harmless(
     effect: Effect, scope: DeduplicationScope, is_harmless: bool
 ) -> None:
-    """A rejection promises the client that it may send the request again, to any dispatcher and worker.
+    """A rejection promises the client that it may send the request again, to any dispatcher, at any time.
 
-    If a worker outside the scope of the first attempt would not drop the repeat, the client's retry could run
-    the job twice. Such a request must be failed instead.
+    If a worker outside the scope of the first attempt would not drop the repeat, or if every worker has
+    forgotten its key by then, the client's retry runs the job twice. Such a request must be failed instead.
     """
     assert may_reject(attempted_request(effect, scope)) == is_harmless
     assert may_reject(attempted_request(effect, scope, attempts=0))
