Durable jobs: what may be on the disk after a failed sync is not rejected

A job whose record could not be synced is answered 503, its client sends it elsewhere, as a rejection allows, and the next process finds the record on the disk and runs it as well, an at-most-once job too.

Cause: LogWriteError meant "not on the disk". After a failed sync, or an append that could not be cut off again, this is not known.

Change: the error says whether the record may be stored. If so the client gets 504, which promises nothing, and a repeated submission by its key too; the job is not dispatched here.

--- a/locktide/durable/acceptance.py
+++ b/locktide/durable/acceptance.py
@@ -1,8 +1,9 @@
 """Accepts durable jobs: a job is on the disk before it is acknowledged or dispatched.
 
-If a job cannot be written, the client gets a 503 and the job counts as never accepted. A request with the
-idempotency key of an earlier job creates no new job: its client waits for the earlier one, or gets a 422 if
-the content of the request differs.
+If a job cannot be written, the client gets a 503 and the job counts as never accepted. If it may be on the
+disk nevertheless, the client gets a 504, as the next process may run it. A request with the idempotency key
+of an earlier job creates no new job: its client waits for the earlier one, or gets a 422 if the content of
+the request differs.
 """
 
 from __future__ import annotations
@@ -17,7 +18,12 @@
 from locktide.durable.jobs import Job
 from locktide.durable.log.records import JobAccepted
 from locktide.durable.preference import Preference, read_preference
-from locktide.durable.responses import id_conflict_response, key_conflict_response, rejected_response
+from locktide.durable.responses import (
+    id_conflict_response,
+    key_conflict_response,
+    rejected_response,
+    wait_timed_out_response,
+)
 from locktide.durable.waiters import JobWaiters
 from locktide.protocol import names
 from locktide.protocol.messages import SubmitRequest
@@ -119,6 +125,9 @@
         if job.accepted.digest != job_request.digest:
             response.set_result(key_conflict_response())
             return
+        if job.job_id in self.state.unconfirmed_jobs:
+            response.set_result(wait_timed_out_response(job.job_id))
+            return
         self.waiters.add(job.job_id, job_request.request, job_request.preference, response)
 
     def _accept(self, job_request: JobRequest, response: asyncio.Future[Response]) -> None:
@@ -139,7 +148,7 @@
         try:
             await write
         except LogWriteError as error:
-            self._undo_acceptance(record, error)
+            self._end_unwritten(record, error)
             return
         finally:
             self.state.acceptance_writes.pop(record.job_id, None)
@@ -151,12 +160,24 @@
             return
         self.completion.finish_with(record.job_id, response)
 
-    def _undo_acceptance(self, record: JobAccepted, error: LogWriteError) -> None:
-        self.state.table.drop(record.job_id)
+    def _end_unwritten(self, record: JobAccepted, error: LogWriteError) -> None:
+        """Answer the clients of a job whose record could not be written.
+
+        After a failed sync a job was rejected that the next process found on the disk and ran, while its
+        client had sent it elsewhere, as a rejection allows
+        (test_job_that_may_be_on_the_disk_is_not_rejected). Such a job stays in the table: this process does
+        not dispatch it, and a repeated submission with its key gets the same response.
+        """
         self.log.emit(
             f"job {record.job_id}: not accepted, because it could not be written: {error}",
             event="job_write_failed",
             job=record.job_id,
             error=str(error),
+            may_be_stored=error.may_be_stored,
         )
+        if error.may_be_stored:
+            self.state.unconfirmed_jobs.add(record.job_id)
+            self.waiters.resolve(record.job_id, wait_timed_out_response(record.job_id))
+            return
+        self.state.table.drop(record.job_id)
         self.waiters.resolve(record.job_id, rejected_response("it could not be written down"))
--- a/locktide/durable/durable_state.py
+++ b/locktide/durable/durable_state.py
@@ -17,16 +17,20 @@
         table: The jobs, including the records that are still being written.
         acceptance_writes: The writes of `JobAccepted` records that are in progress, by job id.
         stored_final_responses: Ids of the jobs whose final response is on the disk.
+        unconfirmed_jobs: Ids of the jobs whose acceptance may or may not be on the disk; they come from the
+            one batch after which the log takes no more records.
     """
 
     def __init__(self, table: JobTable) -> None:
         self.table = table
         self.acceptance_writes: dict[str, asyncio.Future[None]] = {}
         self.stored_final_responses: set[str] = {job.job_id for job in table.jobs.values() if job.finished}
+        self.unconfirmed_jobs: set[str] = set()
 
     def is_accepted(self, job_id: str) -> bool:
         """Return whether the job's acceptance is on the disk."""
-        return job_id in self.table.jobs and job_id not in self.acceptance_writes
+        is_uncertain = job_id in self.acceptance_writes or job_id in self.unconfirmed_jobs
+        return job_id in self.table.jobs and not is_uncertain
 
     def is_final_response_stored(self, job_id: str) -> bool:
         """Return whether the job's final response is on the disk."""
--- a/locktide/durable/errors.py
+++ b/locktide/durable/errors.py
@@ -53,11 +53,14 @@
     Attributes:
         path: The segment to which the record was to be appended.
         reason: Why the record could not be written.
+        may_be_stored: Whether the record may be on the disk nevertheless, so that the next process may read
+            it.
     """
 
-    def __init__(self, reason: str, path: str) -> None:
+    def __init__(self, reason: str, path: str, may_be_stored: bool = False) -> None:
         super().__init__(f"{path}: {reason}", path)
         self.reason = reason
+        self.may_be_stored = may_be_stored
 
 
 class ResultNotStoredError(DurableError, ConnectionError):
--- a/locktide/durable/log/segment_writer.py
+++ b/locktide/durable/log/segment_writer.py
@@ -48,7 +48,7 @@
             self._storage.append(self.name, frames)
         except OSError as error:
             self._undo_append(str(error))
-            raise LogWriteError(str(error), self.name) from error
+            raise LogWriteError(str(error), self.name, may_be_stored=bool(self.failure)) from error
         self.size += len(frames)
 
     def _undo_append(self, reason: str) -> None:
@@ -70,4 +70,4 @@
             await self._storage.sync(name)
         except OSError as error:
             self.failure = f"sync failed: {error}"
-            raise LogWriteError(self.failure, name) from error
+            raise LogWriteError(self.failure, name, may_be_stored=True) from error
--- a/locktide/durable/log/write_ahead_log.py
+++ b/locktide/durable/log/write_ahead_log.py
@@ -50,9 +50,9 @@
     done: asyncio.Future[None]
 
     def fail(self, error: LogWriteError) -> None:
-        """Complete the future with an error: the record is not on the disk."""
+        """Complete the future with an error of its own for each record of a batch."""
         if not self.done.done():
-            self.done.set_exception(LogWriteError(error.reason, error.path))
+            self.done.set_exception(LogWriteError(error.reason, error.path, error.may_be_stored))
 
     def succeed(self) -> None:
         """Complete the future: the record is on the disk."""
@@ -130,7 +130,7 @@
 
         Returns:
             A future that is done once the record is on the disk. If it raises LogWriteError, the record is
-            not stored, and the caller must not continue as if it were.
+            not stored, unless the error says that it may be, and the caller must not continue as if it were.
         """
         done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         if self.failure:
--- a/tests/durable/test_write_order.py
+++ b/tests/durable/test_write_order.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 from durable_helpers import SECOND, JobParts, open_log, run_in_virtual_time
@@ -80,6 +81,34 @@
     run_in_virtual_time(scenario())
 
 
+def test_job_that_may_be_on_the_disk_is_not_rejected() -> None:
+    """Guard against a job that runs twice after a failed sync: once at the next start, once by a retry.
+
+    What a failed sync has written is not known. The job was rejected, its client sent it elsewhere, as a
+    rejection allows, and the next process found it on the disk and ran it. The client, and one that repeats
+    the submission, must get a response that promises nothing, and this process must not dispatch the job.
+    """
+
+    async def scenario() -> None:
+        disk = VirtualDisk(1, SYNC_TIME)
+        parts = JobParts(open_log(disk))
+        disk.fails_sync = True
+        request = replace(job_request(), forwarded_headers=[(b"Idempotency-Key", b"k")])
+        statuses = []
+        for request_id in ("a", "b"):
+            response = parts.acceptance.submit(replace(request, id=request_id))
+            assert response is not None
+            statuses.append((await response).status)
+        assert statuses == [504, 504]
+        assert not parts.dispatcher.submitted and not parts.state.is_accepted("a")
+        new_job = parts.acceptance.submit(replace(job_request(), id="c"))
+        assert new_job is not None and new_job.result().status == 503, "nothing of it is written"
+        parts.log.close()
+        assert open_log(disk).table.jobs.keys() == {"a"}, "the next process runs it"
+
+    run_in_virtual_time(scenario())
+
+
 def test_final_response_is_sent_only_once_it_is_on_the_disk() -> None:
     """Guard against two different final responses of one job, before and after a crash.
 
