Endpoint watch: an overdue call is kept beside fresh ones, so slow discovery is heard

Cause: a call that was not answered in time was given up with its connection, and each call after a failure had 0.15 s, as long as none succeeded. A service that takes longer was never heard again. The short time is needed for an agent that was silent and is back, so neither a longer time-out nor this one will do.

Change: an overdue call is kept for up to 3.5 s while fresh calls are made beside it, on two connections at most; the answer that comes first counts, an older one than that is dropped. Later timeouts allow for the delay that was seen, up to 2 s. Where lists are polled the overdue call is kept while the scheduler lets the next one wait. The connection and the call are modules of their own.

--- a/locktide/transport/endpoint_watch.py
+++ b/locktide/transport/endpoint_watch.py
@@ -1,33 +1,49 @@
-"""Follows the endpoint list at discovery."""
+"""Follows the endpoint list at discovery.
+
+A watch makes one call after another, each of which waits at discovery for a change. A call without a
+response in time is overdue. Its response may still be on its way, from a slow service, or will never come,
+from a service that was silent when the call arrived. So an overdue call is kept while fresh calls are made
+beside it:
+
+- A service that is back from an outage responds to a fresh call.
+- A service that is slower than the timeout responds to the overdue one, and the next timeout allows for that.
+
+At most two calls are outstanding, on two connections.
+"""
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from http import HTTPStatus
 
-from locktide.config.address import Address, format_address
-from locktide.protocol import discovery
-from locktide.protocol.client_connection import ClientHttpConnection
+from locktide.config.address import Address
 from locktide.protocol.discovery import DiscoveryUpdate
-from locktide.protocol.errors import ProtocolError
+from locktide.transport.discovery_call import Answer, Call
+from locktide.transport.discovery_connection import DiscoveryConnection
 from locktide.transport.log import Log
-from locktide.transport.upstream_stream import READ_SIZE, read_response
 
 #: Milliseconds for which discovery holds a call while nothing changes. A change that does not reach us counts
 #: as notified 2 s after the wait has ended, so a short wait limits how long we may miss it. One call per
 #: second costs well under a thousandth of a core.
 WAIT_MS = 1000
-#: Seconds beyond the wait after which a call without a response has timed out: the agent responds at once
-#: when the wait has ended. Also the timeout for opening the connection.
+#: Seconds beyond the wait after which a call without a response is overdue: the agent responds at once when
+#: the wait has ended.
 RESPONSE_TIMEOUT = 0.5
 #: Seconds between a call that failed at once, or returned without changes before its wait had ended, and the
 #: next call, which must follow within 200 ms.
 RETRY_DELAY = 0.1
-#: Seconds after which a call without a wait has timed out; a silent agent is called at this interval. Changes
+#: Seconds after which a call without a wait is overdue; a silent agent is called at this interval. Changes
 #: that the agent has count as notified from the moment at which it responds again, and a drain may be 250 ms
 #: old by the first request after that.
 POLL_TIMEOUT = 0.15
+#: The timeout of a service that has responded late is its latest delay times this: delays vary.
+DELAY_FACTOR = 1.5
+#: Longest timeout of a slow service, in seconds beyond the wait: what a call that waits does not tell by then
+#: counts as notified.
+MAX_RESPONSE_TIMEOUT = 2.0
+#: Seconds beyond its wait for which an overdue call is kept. A change counts as notified after 6 s, and two
+#: calls may be needed: one that was answered just before the change, and the next.
+MAX_PATIENCE = 3.5
 MILLISECONDS_PER_SECOND = 1000
 
 
@@ -35,7 +51,7 @@
     """Wait until the next call to an agent whose calls are cheap.
 
     Args:
-        has_timed_out: Whether the previous call timed out, after which no further wait is needed; otherwise
+        has_timed_out: Whether the previous call is overdue, after which no further wait is needed; otherwise
             it failed at once.
     """
     if not has_timed_out:
@@ -45,13 +61,10 @@
 class EndpointWatch:
     """Calls discovery for changes of the endpoint list until it is cancelled.
 
-    A successful call gets its response at the end of its wait at the latest. Half a second later, a call
-    without a response counts as failed.
-
     Attributes:
         address: Address of discovery.
         version: Version of the present list; None if the whole list has to be fetched.
-        is_failing: Whether the last call failed.
+        is_failing: Whether the last call failed or is overdue.
     """
 
     def __init__(  # noqa: PLR0913 - the last two are options for agents whose calls are expensive
@@ -73,7 +86,7 @@
             version: Version of the list that the caller has already.
             first_response_timeout: Seconds beyond the wait that the response to the first call on a
                 connection may take: an agent whose calls are expensive lets a call wait for its turn.
-            wait_for_retry: Called after a failed call, with whether it timed out; waits until the next call
+            wait_for_retry: Called after a failed call, with whether it is overdue; waits until the next call
                 may be made.
         """
         self.address = address
@@ -83,73 +96,168 @@
         self._log = log
         self._first_response_timeout = first_response_timeout
         self._wait_for_retry = wait_for_retry
+        self._current: Call | None = None
+        self._overdue: Call | None = None
+        self._idle_connection: DiscoveryConnection | None = None
+        self._delay = 0.0  # by how much responses were late recently, in seconds
 
     async def run(self) -> None:
         """Follow the list, and start again after each failure."""
-        while True:
-            try:
-                await self._follow()
-            except Exception as error:  # protects the watch: the list must be followed after any error
-                has_timed_out = isinstance(error, TimeoutError)
-                if not self.is_failing:
-                    self._log_failure(error, has_timed_out)
-                self.is_failing = True
-                await self._wait_for_retry(has_timed_out)
-
-    async def _follow(self) -> None:
-        """Make calls on one connection for as long as each gets a response.
+        try:
+            while True:
+                try:
+                    await self._advance()
+                except Exception as error:  # protects the watch: the list must be followed after any error
+                    await self._pause_after(error)
+        finally:
+            await self._close()
+
+    async def _advance(self) -> None:
+        """Wait for the next answer or timeout, and handle it; make a call if there is none.
 
         Raises:
-            TimeoutError: The connection is not established, or a call gets no response in time.
-            OSError: The connection cannot be opened, or breaks.
+            OSError: The connection of the current call cannot be opened, or breaks.
             ProtocolError: A response is not an HTTP response with status 200.
             ValueError: A response contains no JSON.
             ConfigError: A response contains no endpoint list.
         """
-        connecting = asyncio.open_connection(*self.address, limit=READ_SIZE)
-        reader, writer = await asyncio.wait_for(connecting, RESPONSE_TIMEOUT)
-        try:
-            http = ClientHttpConnection(format_address(self.address), discovery.MAX_LIST_SIZE)
-            response_timeout = self._first_response_timeout
-            while http.is_idle:
-                called_at = asyncio.get_running_loop().time()
-                update = await self._call(http, reader, writer, response_timeout)
-                response_timeout = RESPONSE_TIMEOUT
-                await self._handle(update, called_at)
-        finally:
-            writer.transport.abort()
+        overdue = self._overdue
+        if overdue is not None and overdue.task.done():
+            self._overdue = None
+            await self._handle_overdue(overdue)
+            return
+        current = self._current = self._current or self._begin_call()
+        calls = [current.task] if overdue is None else [current.task, overdue.task]
+        timeout = max(0.0, current.overdue_at - _now())
+        await asyncio.wait(calls, timeout=timeout, return_when=asyncio.FIRST_COMPLETED)
+        if current.task.done():
+            self._current = None
+            await self._handle_current(current)
+        elif _now() >= current.overdue_at:
+            self._current = None
+            self._keep_overdue(current)
+            await self._pause_after(TimeoutError())
 
-    async def _call(
-        self,
-        http: ClientHttpConnection,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        response_timeout: float,
-    ) -> DiscoveryUpdate:
-        """Make one call; `response_timeout` is in seconds beyond the wait. Raise as `_follow` does."""
-        is_polling = self.is_failing and self._wait_for_retry is retry_soon
+    # --- calls
+
+    def _begin_call(self) -> Call:
+        """Make a call; at a cheap agent, one that follows a failure does not wait."""
+        connection, self._idle_connection = self._idle_connection, None
+        is_polling = self.is_failing and self._is_cheap
         wait_ms = 0 if is_polling else WAIT_MS
-        timeout = POLL_TIMEOUT if is_polling else wait_ms / MILLISECONDS_PER_SECOND + response_timeout
-        writer.writelines(http.encode_request(discovery.list_request(self.version, wait_ms)))
-        async with asyncio.timeout(timeout):
-            response = await read_response(reader, http)
-        if response.status != HTTPStatus.OK:
-            raise ProtocolError(f"status {response.status}", peer=format_address(self.address))
-        return discovery.parse(response.body)
-
-    async def _handle(self, update: DiscoveryUpdate, called_at: float) -> None:
+        # Discovery responds to a call for the whole list at once, whatever its wait.
+        wait = 0.0 if self.version is None else wait_ms / MILLISECONDS_PER_SECOND
+        timeout = wait + self._response_timeout(is_first=connection is None, is_polling=is_polling)
+        began_at = _now()
+        task = asyncio.create_task(self._exchange(connection, wait_ms))
+        return Call(task=task, began_at=began_at, wait=wait, overdue_at=began_at + timeout)
+
+    async def _exchange(self, connection: DiscoveryConnection | None, wait_ms: int) -> Answer:
+        """Make one call on a connection, which is opened if there is none."""
+        if connection is None:
+            connection = await DiscoveryConnection.open(self.address)
+        try:
+            return Answer(await connection.call(self.version, wait_ms), connection)
+        except BaseException:  # also a cancellation
+            connection.close()
+            raise
+
+    @property
+    def _is_cheap(self) -> bool:
+        """Whether calls cost the agent nothing, so that it may be called often."""
+        return self._wait_for_retry is retry_soon
+
+    def _response_timeout(self, *, is_first: bool, is_polling: bool) -> float:
+        """Return how long beyond its wait a call may last before it is overdue, in seconds."""
+        if is_first and not self._is_cheap:
+            return self._first_response_timeout
+        usual = POLL_TIMEOUT if is_polling else RESPONSE_TIMEOUT
+        return max(usual, min(MAX_RESPONSE_TIMEOUT, DELAY_FACTOR * self._delay))
+
+    def _keep_overdue(self, call: Call) -> None:
+        """Keep an overdue call beside the next one, or abandon it while an earlier one is kept."""
+        if self._overdue is not None and self._overdue.delay(_now()) < MAX_PATIENCE:
+            call.abandon()
+            return
+        if self._overdue is not None:
+            self._overdue.abandon()
+        self._overdue = call
+
+    async def _close(self) -> None:
+        """End all calls and connections."""
+        calls = [call for call in (self._current, self._overdue) if call is not None]
+        for call in calls:
+            call.abandon()
+        if self._idle_connection is not None:
+            self._idle_connection.close()
+        await asyncio.gather(*[call.task for call in calls], return_exceptions=True)
+
+    # --- answers and failures
+
+    async def _handle_current(self, call: Call) -> None:
+        """Handle the end of the current call; raise its error."""
+        answer = call.task.result()
+        if self._overdue is not None:  # its response would be older
+            self._overdue.abandon()
+            self._overdue = None
+        self._keep_connection(answer.connection)
+        await self._handle(answer.update, call)
+
+    async def _handle_overdue(self, call: Call) -> None:
+        """Handle the end of an overdue call; its error says nothing about calls that were made later."""
+        if call.task.exception() is not None:
+            return
+        answer = call.task.result()
+        if self._current is None:
+            self._keep_connection(answer.connection)
+        else:
+            answer.connection.close()
+        await self._handle(answer.update, call)
+
+    def _keep_connection(self, connection: DiscoveryConnection) -> None:
+        """Keep a connection for the next call, if it can carry one."""
+        if connection.is_reusable:
+            self._idle_connection = connection
+        else:
+            connection.close()
+
+    async def _handle(self, update: DiscoveryUpdate, call: Call) -> None:
         """Pass on the update of a call; wait after a call that returned early without changes."""
+        self._record_delay(call)
         self._log_rejected_entries(update)
         self._accept_version(update)
         # The first update after a failure is passed on even without entries: the scheduler has to know that
         # the list is current again.
         if self._end_failure(update) or update.is_snapshot or update.entries:
             self._on_update(update)
-        elif asyncio.get_running_loop().time() < called_at + RETRY_DELAY:
+        elif _now() < call.began_at + RETRY_DELAY:
             # Without a delay, an agent that always responds at once without changes would be called in a busy
             # loop.
             await asyncio.sleep(RETRY_DELAY)
 
+    def _record_delay(self, call: Call) -> None:
+        """Record how late a response was, and give the current call as much time as the next one."""
+        self._delay = max(call.delay(_now()), self._delay / 2)
+        if self._current is not None:
+            timeout = self._response_timeout(is_first=False, is_polling=True)
+            overdue_at = self._current.began_at + self._current.wait + timeout
+            self._current.overdue_at = max(self._current.overdue_at, overdue_at)
+
+    async def _pause_after(self, error: Exception) -> None:
+        """Wait until the next call may be made after a failure, or until an overdue call has ended."""
+        has_timed_out = isinstance(error, TimeoutError)
+        if not self.is_failing:
+            self._log_failure(error, has_timed_out)
+        self.is_failing = True
+        retry = asyncio.ensure_future(self._wait_for_retry(has_timed_out))
+        awaited: list[asyncio.Future[object]] = [retry]  # type: ignore[list-item]
+        if self._overdue is not None:
+            awaited.append(self._overdue.task)  # type: ignore[arg-type]
+        try:
+            await asyncio.wait(awaited, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            retry.cancel()
+
     def _accept_version(self, update: DiscoveryUpdate) -> None:
         """Store the version of an update, or make the next call fetch the whole list.
 
@@ -188,3 +296,8 @@
             count=count,
             first=first,
         )
+
+
+def _now() -> float:
+    """Return the time of the event loop, in seconds."""
+    return asyncio.get_running_loop().time()
