Endpoint watch: a start in an outage of discovery hears its end at once

What callers saw: a dispatcher killed and started while discovery is down serves from its stored list after 0.5 s; where discovery was back in between, a draining worker got jobs for up to 1.0 s after the notice.

Cause: the first call had the time of a call that waits, 1.5 s, though discovery answers a call for the whole list at once. A call that arrives at a silent agent is never answered.

Change: a call for the whole list is made and timed like those after a failure, where calls are cheap.

--- a/locktide/transport/endpoint_watch.py
+++ b/locktide/transport/endpoint_watch.py
@@ -141,11 +141,13 @@
     # --- calls
 
     def _begin_call(self) -> Call:
-        """Make a call; at a cheap agent, one that follows a failure does not wait."""
+        """Make a call; at a cheap agent, the first one and one that follows a failure do not wait."""
         connection, self._idle_connection = self._idle_connection, None
-        is_polling = self.is_failing and self._is_cheap
+        # Discovery responds to a call for the whole list at once, whatever its wait. A first call with the
+        # time of one that waits would be outstanding when discovery is back from an outage
+        # (test_watch_that_starts_while_discovery_is_silent_hears_it_at_once_when_it_is_back).
+        is_polling = (self.is_failing or self.version is None) and self._is_cheap
         wait_ms = 0 if is_polling else WAIT_MS
-        # Discovery responds to a call for the whole list at once, whatever its wait.
         wait = 0.0 if self.version is None else wait_ms / MILLISECONDS_PER_SECOND
         timeout = wait + self._response_timeout(is_first=connection is None, is_polling=is_polling)
         began_at = _now()
--- a/tests/transport/test_slow_discovery.py
+++ b/tests/transport/test_slow_discovery.py
@@ -205,6 +205,22 @@
     assert watch_agent(lambda: delay, scenario) <= watch_agent(lambda: 0.0, scenario)
 
 
+@pytest.mark.parametrize("outage", [0.05, 0.1, 0.2, 0.9, 1.3, 8.0])
+def test_watch_that_starts_while_discovery_is_silent_hears_it_at_once_when_it_is_back(outage: float) -> None:
+    """The first call of a process had the time of a call that waits, 1.5 s. A process that started right
+    before the end of an outage served from its stored list, and learned of a drain a second late.
+    """
+
+    async def scenario(agent: SlowAgent, updates: list[tuple[float, DiscoveryUpdate]]) -> None:
+        agent.silent = True
+        await asyncio.sleep(outage)
+        agent.silent, back_at = False, agent.loop.time()
+        await asyncio.sleep(2.0)
+        assert updates[0][0] - back_at <= DRAIN_GRACE
+
+    watch_agent(lambda: 0.0, scenario)
+
+
 @pytest.mark.parametrize("outage", [0.05, 1.4, 2.0, 30.0])
 def test_silent_discovery_that_is_back_is_heard_at_once(outage: float) -> None:
     """What the agent has counts as notified from the moment at which it responds again.
