A reload that changes to which workers a class is confined fails no waiting request

Cause: a request carries the constraint of its arrival, and a reload keeps lists of endpoints only for the constraints in force.

Change: after a reload the open requests are confined as the configuration in force says. Effect, window and deadline stay those of their arrival.

--- a/locktide/scheduler/policy/admission.py
+++ b/locktide/scheduler/policy/admission.py
@@ -64,6 +64,16 @@
             if tenant is not None and not request.attempts and not borrowed.get(tenant):
                 self._end_loan(request)
 
+    def on_reload(self) -> None:
+        """Confine the open requests as the configuration in force says; their other guarantees stay.
+
+        A class is sent only to the workers to which it is confined, so an earlier constraint must not count.
+        Nor are the endpoints that satisfy it known any more
+        (test_requests_follow_the_constraints_in_force_and_none_fails_by_an_exception).
+        """
+        for request in self.requests.open.values():
+            request.placement = self.config.known_service_classes[request.service_class.name].placement
+
     def _end_loan(self, request: Request) -> None:
         request.borrowing_tenant = None
         if request.is_background:
--- a/locktide/scheduler/scheduler.py
+++ b/locktide/scheduler/scheduler.py
@@ -267,6 +267,7 @@
     def _on_config_reloaded(self, event: ConfigReloaded) -> None:
         self.config.replace(event.config)
         self._configure()
+        self.admission.on_reload()
 
     def _configure(self) -> None:
         self.estimates.configure()
