--- a/locktide/dispatcher/dispatcher.py
+++ b/locktide/dispatcher/dispatcher.py
@@ -88,9 +88,8 @@
         self.log = log
         self.loop = asyncio.get_running_loop()
         self.clock = Clock(self.loop, system.wall)
-        self.runtime = Runtime(loop=self.loop, clock=self.clock, log=log)
+        self.runtime = Runtime(loop=self.loop, lag=LoopLagMonitor(self.loop), clock=self.clock, log=log)
         self.state = ServingState()
-        self.lag = LoopLagMonitor(self.loop)
         self.scheduler = Scheduler(start.seed, start.scheduler_config)
         self._open_transport(start, system, upstream)
         self._apply_settings(start)
@@ -252,7 +251,6 @@
             settings=self.settings,
             state=self.state,
             runtime=self.runtime,
-            lag=self.lag,
         )
         self.lifecycle = Lifecycle(
             startup=self.startup,
@@ -260,8 +258,7 @@
             shutdown=self.shutdown,
             follower=self.follower,
             listener=self.listener,
-            lag=self.lag,
-            log=self.log,
+            runtime=self.runtime,
         )
 
     # --- running the process
--- a/locktide/dispatcher/lifecycle.py
+++ b/locktide/dispatcher/lifecycle.py
@@ -8,11 +8,10 @@
 
 from locktide.dispatcher.cleanup import PeriodicCleanup
 from locktide.dispatcher.endpoint_follower import EndpointFollower
-from locktide.dispatcher.loop_lag import LoopLagMonitor
+from locktide.dispatcher.runtime import Runtime
 from locktide.dispatcher.shutdown import GracefulShutdown
 from locktide.dispatcher.startup import Startup
 from locktide.transport.listener import Listener
-from locktide.transport.log import Log
 
 
 @dataclass(eq=False, slots=True, kw_only=True)
@@ -24,19 +23,18 @@
     shutdown: GracefulShutdown
     follower: EndpointFollower
     listener: Listener
-    lag: LoopLagMonitor
-    log: Log
+    runtime: Runtime
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until `stop`, finish the requests that were accepted, and return."""
-        self.lag.start()
+        self.runtime.lag.start()
         self.follower.start()
         cleaning_up = asyncio.create_task(self.cleanup.run())
         await asyncio.sleep(0)  # lets the scheduler apply the cached list before the first request
         await self.startup.run()
         await stop.wait()
         await self.shutdown.run()
-        self.lag.stop()
+        self.runtime.lag.stop()
         self.follower.stop()
         cleaning_up.cancel()
         await self.listener.stop()
@@ -44,4 +42,4 @@
         if not cleaning_up.done():
             with suppress(asyncio.CancelledError):
                 await cleaning_up
-        self.log.emit("stopped", event="dispatcher_stopped")
+        self.runtime.log.emit("stopped", event="dispatcher_stopped")
--- a/locktide/dispatcher/runtime.py
+++ b/locktide/dispatcher/runtime.py
@@ -1,4 +1,4 @@
-"""What the components of a dispatcher share: the event loop, the clock, the log and the serving state."""
+"""What the components of a dispatcher share: event loop and its lag, clock, log and serving state."""
 
 from __future__ import annotations
 
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from locktide.dispatcher.clock import Clock
+from locktide.dispatcher.loop_lag import LoopLagMonitor
 from locktide.dispatcher.shutdown_limit import ShutdownLimit
 from locktide.transport.log import Log
 from locktide.transport.units import MICROSECONDS_PER_SECOND
@@ -13,9 +14,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Runtime:
-    """The event loop, the clock and the log of one process."""
+    """The event loop, its lag, the clock and the log of one process."""
 
     loop: asyncio.AbstractEventLoop
+    lag: LoopLagMonitor
     clock: Clock
     log: Log
 
--- a/locktide/dispatcher/shutdown.py
+++ b/locktide/dispatcher/shutdown.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass
 
 from locktide.dispatcher.background_tasks import BackgroundTasks
-from locktide.dispatcher.loop_lag import LoopLagMonitor
 from locktide.dispatcher.registry import RequestRegistry
 from locktide.dispatcher.runtime import Runtime, ServingState
 from locktide.dispatcher.settings import DispatcherSettings
@@ -29,7 +28,6 @@
     settings: DispatcherSettings
     state: ServingState
     runtime: Runtime
-    lag: LoopLagMonitor
 
     def note_signal(self) -> ShutdownLimit:
         """Limit the requests that arrive from now on; the first call counts.
@@ -42,7 +40,7 @@
             self.state.shutdown = ShutdownLimit.at_signal(
                 now=self.runtime.loop.time(),
                 longest_timeout=self.settings.longest_timeout / MICROSECONDS_PER_SECOND,
-                lag=self.lag,
+                lag=self.runtime.lag,
             )
         return self.state.shutdown
 
--- a/locktide/transport/endpoint_watch.py
+++ b/locktide/transport/endpoint_watch.py
@@ -115,11 +115,7 @@
     async def _advance(self) -> None:
         """Wait for the next answer or timeout, and handle it; make a call if there is none.
 
-        Raises:
-            OSError: The connection of the current call cannot be opened, or breaks.
-            ProtocolError: A response is not an HTTP response with status 200.
-            ValueError: A response contains no JSON.
-            ConfigError: A response contains no endpoint list.
+        Raise the error of the current call, as `DiscoveryConnection` does.
         """
         overdue = self._overdue
         if overdue is not None and overdue.task.done():
@@ -233,8 +229,7 @@
         if self._end_failure(update) or update.is_snapshot or update.entries:
             self._on_update(update)
         elif _now() < call.began_at + RETRY_DELAY:
-            # Without a delay, an agent that always responds at once without changes would be called in a busy
-            # loop.
+            # Without a delay, an agent that responds at once without changes would be called in a busy loop.
             await asyncio.sleep(RETRY_DELAY)
 
     def _record_delay(self, call: Call) -> None:
