Connections that become idle at a draining worker are closed, where that is asked for

Where HangUpWithin is set, a connection that carries a cancellation at a deadline, or waits for a 202 after the job's done, becomes idle after the last command to close, and stayed open for half of the idle time.

Cause: the command closed what was idle at that moment.

Change: the pool keeps no connection to such a worker until the list says that it is ready.

Evidence: test_connection_that_becomes_idle_at_a_draining_worker_is_closed; before, the pool had no such state and kept the connection.

--- a/locktide/dispatcher/command_executor.py
+++ b/locktide/dispatcher/command_executor.py
@@ -91,7 +91,7 @@
             case SetTimer():
                 self.bridge.start_timer(command)
             case CloseIdleConnections():
-                self.upstream.close_idle(command.worker)
+                self.upstream.stop_reuse(command.worker)
             case WatchEndpoints():
                 self.follower.request_watch()
             case FetchEndpoints():
--- a/locktide/dispatcher/endpoint_list.py
+++ b/locktide/dispatcher/endpoint_list.py
@@ -10,7 +10,7 @@
 from locktide.dispatcher.scheduler_bridge import SchedulerBridge
 from locktide.protocol.discovery import DiscoveryUpdate
 from locktide.scheduler.events import EndpointListUpdate
-from locktide.scheduler.types import ListUpdateKind
+from locktide.scheduler.types import EndpointState, ListUpdateKind
 from locktide.transport.upstream_pool import UpstreamPool
 
 
@@ -38,6 +38,9 @@
         for worker in self.endpoints.apply(update):
             self.upstream.close_idle(worker)
             self.cancellations.cancel_lost(worker, self.endpoints.entries[worker].started_at)
+        for entry in update.entries:
+            if entry.state is EndpointState.READY:
+                self.upstream.allow_reuse(entry.worker)
         kind = ListUpdateKind.SNAPSHOT if update.is_snapshot else ListUpdateKind.DELTA
         self.bridge.enqueue_event(EndpointListUpdate(kind, update.entries))
         self.received.set()
--- a/locktide/transport/upstream_pool.py
+++ b/locktide/transport/upstream_pool.py
@@ -27,6 +27,7 @@
     Attributes:
         descriptors: Budget of these connections.
         idle: The idle connections.
+        not_reused: Workers to which no connection is kept idle.
         connect_timeout: Timeout for opening a connection, and for the wait for its descriptor, in seconds.
         idle_timeout: How long a connection may be idle, in seconds.
     """
@@ -35,6 +36,7 @@
         """Create a pool without connections; the times are those of `set_timeouts`."""
         self.descriptors = descriptors
         self.idle = IdleConnections()
+        self.not_reused: set[str] = set()
         self.set_timeouts(connect_within, idle_close)
 
     def set_timeouts(self, connect_within: int, idle_close: int) -> None:
@@ -72,6 +74,19 @@
         for connection in self.idle.remove_worker(worker):
             self.close(connection)
 
+    def stop_reuse(self, worker: str) -> None:
+        """Close the idle connections to a worker that drains, and others as soon as they become idle.
+
+        A connection may carry a cancellation or wait for a late response when the idle ones are closed
+        (test_connection_that_becomes_idle_at_a_draining_worker_is_closed).
+        """
+        self.not_reused.add(worker)
+        self.close_idle(worker)
+
+    def allow_reuse(self, worker: str) -> None:
+        """Keep idle connections to a worker that is ready."""
+        self.not_reused.discard(worker)
+
     def close_expired(self) -> None:
         """Close the idle connections that have expired or were closed by the worker."""
         now = asyncio.get_running_loop().time()
@@ -123,7 +138,7 @@
 
     def _give_back(self, connection: UpstreamConnection) -> None:
         """Keep a connection for the next request, or close it if it cannot carry one."""
-        if not connection.end_exchange():
+        if not connection.end_exchange() or connection.worker in self.not_reused:
             self.close(connection)
             return
         connection.become_idle()
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -509,11 +509,18 @@
         """Record that the idle connections to the worker were closed."""
         self.idle_closed_workers.append(worker)
 
+    def stop_reuse(self, worker: str) -> None:
+        """Record that the idle connections to the worker were closed."""
+        self.idle_closed_workers.append(worker)
+
+    def allow_reuse(self, worker: str) -> None:
+        """Accept that connections to the worker may be kept: this pool has none."""
+
     def limit_new_requests(self, killed_in: float) -> None:
         """Begin a shutdown whose kill is that many seconds away and which limits requests at once."""
         now = self.dispatcher.loop.time()
         self.dispatcher.state.shutdown = ShutdownLimit(
-            accepts_until=now, applies_from=now, killed_at=now + killed_in, lag=self.dispatcher.lag
+            accepts_until=now, applies_from=now, killed_at=now + killed_in, lag=self.dispatcher.runtime.lag
         )
 
     async def run_pending_tasks(self) -> None:
--- a/tests/transport/test_upstream_pool.py
+++ b/tests/transport/test_upstream_pool.py
@@ -46,6 +46,40 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("is_ready_again", [False, True])
+def test_connection_that_becomes_idle_at_a_draining_worker_is_closed(is_ready_again: bool) -> None:
+    """A connection to a draining worker carried a cancellation, or waited for a 202 after the job was done.
+
+    It became idle after the idle ones had been closed, and stayed open for half of the idle timeout. It must
+    be closed then; once the worker is ready again, connections to it are kept.
+    """
+
+    async def run() -> None:
+        may_respond = asyncio.Event()
+
+        async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while await reader.readuntil(b"x" * 100):
+                await may_respond.wait()
+                writer.write(ACCEPTED_RESPONSE % 0)
+
+        listening = await asyncio.start_server(script, "127.0.0.1", 0)
+        address = listening.sockets[0].getsockname()
+        pool = UpstreamPool(DescriptorBudget(10), 500_000, 400_000)
+        request, sent = UpstreamRequest("POST", "/view", [], b"x" * 100), asyncio.Event()
+        sending = asyncio.create_task(pool.send("w", address, lambda: request, sent.set))
+        await sent.wait()
+        pool.stop_reuse("w")
+        if is_ready_again:
+            pool.allow_reuse("w")
+        may_respond.set()
+        assert isinstance(await sending, UpstreamResponse)
+        assert pool.descriptors.used == int(is_ready_again)
+        pool.close_idle("w")
+        listening.close()
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize(
     "second_reply, outcome",
     [(b"", AttemptOutcome.CONNECTION_CLOSED), (b"HTTP/1.1 ", TransportFailure.INVALID_RESPONSE)],
