--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -10,6 +10,7 @@
 import contextlib
 import json
 import os
+import random
 import signal
 import socket
 import sys
@@ -32,9 +33,15 @@
 
 
 def free_port(kind: int = socket.SOCK_STREAM) -> int:
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind((HOST, 0))
-        return int(probe.getsockname()[1])
+    """Return a free port below those that outgoing connections take, so that it is free at a restart too."""
+    while True:
+        port = random.randrange(12000, 30000)
+        with socket.socket(socket.AF_INET, kind) as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+            return port
 
 
 class Record:
@@ -118,7 +125,7 @@
         self.writers: set[asyncio.StreamWriter] = set()
 
     async def start(self, port: int = 0) -> None:
-        self.server = await asyncio.start_server(self._serve, HOST, port or self.port)
+        self.server = await asyncio.start_server(self._serve, HOST, port or self.port or free_port())
         self.port = int(self.server.sockets[0].getsockname()[1])
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
