--- a/review/9/case.py
+++ b/review/9/case.py
@@ -18,12 +18,12 @@
 RELOADS, RELOAD_INTERVAL = 6, 1.6
 #: A change counts as told 6 s after discovery had it. The grace is 250 ms, 50 ms on sockets, 150 ms of hold.
 TOLD_WITHIN, GRACE = 6.0, 0.25 + 0.05 + 0.15
-RUN_TIME = 1.0
+RUN_TIME = 0.6
 #: Seconds after the begin of its drain at which the worker, which has nothing of before its drain, ends.
 ENDS_AFTER = 9.5
 PLAY = 18.0
 #: Seconds between two requests.
-INTERVAL = 0.25
+INTERVAL = 0.15
 
 
 async def play(record: rig.Record, folder: Path) -> int:
