--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -395,14 +395,16 @@
     record = Record(folder / "record.txt")
 
     async def limited(temporary: Path) -> int:
+        playing = asyncio.ensure_future(play(record, temporary))
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, playing.cancel)
         async with asyncio.timeout(110):
-            return await play(record, temporary)
+            return await playing
 
     verdict = COULD_NOT_RUN
     with tempfile.TemporaryDirectory() as temporary:
         try:
             verdict = asyncio.run(limited(Path(temporary)))
-        except Exception as error:  # a case that cannot run is no verdict
+        except (Exception, asyncio.CancelledError) as error:  # a case that cannot run is no verdict
             record.add(f"could not run: {type(error).__name__}: {error}")
         for log in sorted(Path(temporary).glob("*.log")):
             record.lines.append(f"--- {log.name}")
