Reloads in a row: calls for the endpoint list outlive a reload

A draining worker got jobs until 9.0 s after the notice, 6.45 s are allowed; at-most-once jobs died with it.

Six calls in a row ended by CancelledError after 0.7 to 1.7 s, though discovery answered each one; none failed or was overdue. Address, pushed or polled, and the name's address made no difference.

Change: the watch that replaces another one awaits its outstanding calls until a call that was made later is answered, two at most. It calls for the whole list at once as before. An address that is no longer in force only gives news of known workers (a later start, a later state), so that a drain is kept and nothing is sent to a worker that only that address lists. The latest delay is kept where the address stays. EndpointWatch.close waits one second at most.

--- a/locktide/dispatcher/endpoint_directory.py
+++ b/locktide/dispatcher/endpoint_directory.py
@@ -10,6 +10,9 @@
 from locktide.scheduler.events import EndpointEntry
 from locktide.scheduler.types import EndpointState
 
+#: The order in which a worker passes through its states between two starts.
+STATE_ORDER = (EndpointState.READY, EndpointState.DRAINING, EndpointState.GONE)
+
 
 class EndpointDirectory:
     """The state and the address of each worker, as the scheduler knows them.
@@ -43,6 +46,19 @@
         entry = self.entries.get(worker)
         return entry is not None and entry.state == EndpointState.READY
 
+    def select_newer(self, update: DiscoveryUpdate) -> DiscoveryUpdate:
+        """Return the entries of known workers that are newer than those known, as an update.
+
+        Agents of discovery may lag behind one another. Between two starts a worker never returns to an
+        earlier state, so the later start is newer, and for the same start the later state.
+        """
+        entries = [entry for entry in update.entries if self._is_newer(entry)]
+        return replace(update, is_snapshot=False, entries=entries, unreadable=[])
+
+    def _is_newer(self, entry: EndpointEntry) -> bool:
+        known = self.entries.get(entry.worker)
+        return known is not None and _progress(entry) > _progress(known)
+
     def _keep_unreadable(self, update: DiscoveryUpdate) -> None:
         """Treat a known worker as draining if its new entry cannot be read.
 
@@ -71,3 +87,8 @@
             return False
         has_moved = self.addresses.get(entry.worker) != address
         return has_moved or known.started_at != entry.started_at or entry.state == EndpointState.GONE
+
+
+def _progress(entry: EndpointEntry) -> tuple[int, int]:
+    """Return how far a worker has come by its entry, as a value that can be compared."""
+    return entry.started_at, STATE_ORDER.index(entry.state)
--- a/locktide/dispatcher/endpoint_follower.py
+++ b/locktide/dispatcher/endpoint_follower.py
@@ -14,8 +14,9 @@
 from locktide.scheduler.config import EndpointListConfig
 from locktide.scheduler.events import EndpointListUpdate
 from locktide.scheduler.types import ListUpdateKind
-from locktide.transport.endpoint_watch import EndpointWatch
+from locktide.transport.endpoint_watch import RESPONSE_TIMEOUT, EndpointWatch, retry_soon
 from locktide.transport.log import Log
+from locktide.transport.superseded_calls import Handover
 from locktide.transport.units import MICROSECONDS_PER_SECOND
 
 #: Seconds that a start waits for the first list: an agent on the same machine responds within milliseconds.
@@ -32,6 +33,7 @@
 
     Attributes:
         cached_version: Version of the cached list; None without a cached list.
+        current_watch: The current watch; None before the first one.
         watch_task: Runs the current watch.
         watch_requested: Set once the scheduler has requested a call; cleared when a call fails.
         is_stopped: Whether `stop` was called.
@@ -42,6 +44,7 @@
     bridge: SchedulerBridge
     log: Log
     cached_version: int | None
+    current_watch: EndpointWatch | None = None
     watch_task: asyncio.Task[None] | None = None
     watch_requested: asyncio.Event = field(default_factory=asyncio.Event)
     is_stopped: bool = False
@@ -53,9 +56,11 @@
     def restart(self) -> None:
         """Follow the list at the address in force, starting with the whole list.
 
-        Versions of the list are not comparable between agents.
+        Versions of the list are not comparable between agents. Calls that are outstanding go on, so that
+        reloads which come sooner than discovery answers do not keep each answer from being heard.
         """
-        self.watch(self.follow())
+        if not self.is_stopped:
+            self.watch(self.follow())
 
     def stop(self) -> None:
         """Cancel the watch for good, so that a reload late in a shutdown starts no new watch.
@@ -75,6 +80,8 @@
         if self.watch_task is not None and not self.watch_task.done():
             with suppress(asyncio.CancelledError):
                 await self.watch_task
+        if self.current_watch is not None:  # its task may have been cancelled before it ran
+            await self.current_watch.close()
 
     def watch(self, following: Coroutine[Any, Any, None]) -> None:
         """Replace the current watch by `following`, unless the follower is stopped."""
@@ -99,10 +106,17 @@
         with suppress(TimeoutError):
             await asyncio.wait_for(self.endpoint_list.received.wait(), FIRST_LIST_TIMEOUT)
 
-    async def follow(self, version: int | None = None) -> None:
-        """Follow the list at the address in force; begin after `version`, or with the whole list if None."""
-        config = self.settings.endpoint_list
-        await (self._polling_watch(config, version) if config.is_polled else self._watch(version)).run()
+    def follow(self, version: int | None = None) -> Coroutine[Any, Any, None]:
+        """Return a coroutine that follows the list at the address in force.
+
+        It takes over the outstanding calls of the current watch, which is to be cancelled.
+
+        Args:
+            version: The version after which it begins; None to begin with the whole list.
+        """
+        replaced = self.current_watch.hand_over() if self.current_watch is not None else None
+        self.current_watch = self._create_watch(version, replaced)
+        return self.current_watch.run()
 
     async def follow_when_requested(self) -> None:
         """Follow the list once the scheduler requests it; begin after the cached version."""
@@ -116,16 +130,21 @@
         self.bridge.enqueue_event(EndpointListUpdate(kind, []))
         await self.watch_requested.wait()
 
-    def _watch(self, version: int | None) -> EndpointWatch:
-        return EndpointWatch(self.settings.discovery, self.endpoint_list.apply, self.log, version)
-
-    def _polling_watch(self, config: EndpointListConfig, version: int | None) -> EndpointWatch:
-        notification_limit = min(config.poll_within, config.notified_within or config.poll_within)
+    def _create_watch(self, version: int | None, replaced: Handover | None) -> EndpointWatch:
+        config = self.settings.endpoint_list
         return EndpointWatch(
             self.settings.discovery,
             self.endpoint_list.apply,
             self.log,
             version,
-            first_response_timeout=POLL_WAIT_FRACTION * notification_limit / MICROSECONDS_PER_SECOND,
-            wait_for_retry=self.retry_when_requested,
+            first_response_timeout=_poll_timeout(config) if config.is_polled else RESPONSE_TIMEOUT,
+            wait_for_retry=self.retry_when_requested if config.is_polled else retry_soon,
+            on_former_update=self.endpoint_list.apply_former,
+            replaced=replaced,
         )
+
+
+def _poll_timeout(config: EndpointListConfig) -> float:
+    """Return how long the first call of a polled watch may take beyond its wait, in seconds."""
+    notification_limit = min(config.poll_within, config.notified_within or config.poll_within)
+    return POLL_WAIT_FRACTION * notification_limit / MICROSECONDS_PER_SECOND
--- a/locktide/dispatcher/endpoint_list.py
+++ b/locktide/dispatcher/endpoint_list.py
@@ -35,6 +35,20 @@
 
     def apply(self, update: DiscoveryUpdate) -> None:
         """Apply an update of the list, and pass it to the scheduler."""
+        self._apply(update)
+        self.received.set()
+
+    def apply_former(self, update: DiscoveryUpdate) -> None:
+        """Apply an update that came late from an address of discovery that is no longer in force.
+
+        It counts as far as it is news of workers in the list: that they are draining, gone or have restarted.
+        Nothing is sent to a worker that only a former address lists.
+        """
+        newer = self.endpoints.select_newer(update)
+        if newer.entries:
+            self._apply(newer)
+
+    def _apply(self, update: DiscoveryUpdate) -> None:
         for worker in self.endpoints.apply(update):
             self.upstream.close_idle(worker)
             self.cancellations.cancel_lost(worker, self.endpoints.entries[worker].started_at)
@@ -43,4 +57,3 @@
                 self.upstream.allow_reuse(entry.worker)
         kind = ListUpdateKind.SNAPSHOT if update.is_snapshot else ListUpdateKind.DELTA
         self.bridge.enqueue_event(EndpointListUpdate(kind, update.entries))
-        self.received.set()
--- a/locktide/transport/discovery_call.py
+++ b/locktide/transport/discovery_call.py
@@ -5,6 +5,7 @@
 import asyncio
 from dataclasses import dataclass
 
+from locktide.config.address import Address
 from locktide.protocol.discovery import DiscoveryUpdate
 from locktide.transport.discovery_connection import DiscoveryConnection
 
@@ -22,12 +23,14 @@
     """One call to discovery; times are in seconds, moments in seconds of the event loop.
 
     Attributes:
+        address: Address of discovery that was called.
         task: Makes the call.
         began_at: When the call was made.
         wait: For how long discovery may wait for a change.
         overdue_at: From when the call is overdue.
     """
 
+    address: Address
     task: asyncio.Task[Answer]
     began_at: float
     wait: float
--- a/locktide/transport/endpoint_watch.py
+++ b/locktide/transport/endpoint_watch.py
@@ -8,19 +8,23 @@
 - A service that is back from an outage responds to a fresh call.
 - A service that is slower than the timeout responds to the overdue one, and the next timeout allows for that.
 
-At most two calls are outstanding, on two connections.
+At most two calls of a watch are outstanding, on two connections. When a watch is replaced, the next one takes
+over its calls (`superseded_calls`).
 """
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 from locktide.config.address import Address
 from locktide.protocol.discovery import DiscoveryUpdate
 from locktide.transport.discovery_call import Answer, Call
 from locktide.transport.discovery_connection import DiscoveryConnection
+from locktide.transport.discovery_log import DiscoveryLog
 from locktide.transport.log import Log
+from locktide.transport.superseded_calls import MAX_PATIENCE, Handover, SupersededCalls
 
 #: Milliseconds for which discovery holds a call while nothing changes. A change that does not reach us counts
 #: as notified 2 s after the wait has ended, so a short wait limits how long we may miss it. One call per
@@ -41,9 +45,9 @@
 #: Longest timeout of a slow service, in seconds beyond the wait: what a call that waits does not tell by then
 #: counts as notified.
 MAX_RESPONSE_TIMEOUT = 2.0
-#: Seconds beyond its wait for which an overdue call is kept. A change counts as notified after 6 s, and two
-#: calls may be needed: one that was answered just before the change, and the next.
-MAX_PATIENCE = 3.5
+#: Seconds after which a closed watch no longer waits for its calls to end; a call ends within a few turns of
+#: the event loop.
+CLOSE_TIMEOUT = 1.0
 MILLISECONDS_PER_SECOND = 1000
 
 
@@ -58,16 +62,24 @@
         await asyncio.sleep(RETRY_DELAY)
 
 
+def ignore_update(update: DiscoveryUpdate) -> None:
+    """Ignore an update."""
+
+
 class EndpointWatch:
     """Calls discovery for changes of the endpoint list until it is cancelled.
 
+    A watch that replaces another one awaits the calls of that one, too. Their answers are passed on, unless a
+    call that was made later has been answered. This watch does not depend on them: its first call fetches the
+    whole list.
+
     Attributes:
         address: Address of discovery.
         version: Version of the present list; None if the whole list has to be fetched.
         is_failing: Whether the last call failed or is overdue.
     """
 
-    def __init__(  # noqa: PLR0913 - the last two are options for agents whose calls are expensive
+    def __init__(  # noqa: PLR0913 - each option stands for itself
         self,
         address: Address,
         on_update: Callable[[DiscoveryUpdate], None],
@@ -76,6 +88,8 @@
         *,
         first_response_timeout: float = RESPONSE_TIMEOUT,
         wait_for_retry: Callable[[bool], Awaitable[None]] = retry_soon,
+        on_former_update: Callable[[DiscoveryUpdate], None] = ignore_update,
+        replaced: Handover | None = None,
     ) -> None:
         """Create a watch that has made no call yet.
 
@@ -88,18 +102,42 @@
                 connection may take: an agent whose calls are expensive lets a call wait for its turn.
             wait_for_retry: Called after a failed call, with whether it is overdue; waits until the next call
                 may be made.
+            on_former_update: Called with each update from another address, which an earlier watch called.
+            replaced: What the watch that this one replaces has handed over.
         """
         self.address = address
         self.version = version
         self.is_failing = False
         self._on_update = on_update
-        self._log = log
+        self._log = DiscoveryLog(log)
         self._first_response_timeout = first_response_timeout
         self._wait_for_retry = wait_for_retry
+        self._on_former_update = on_former_update
         self._current: Call | None = None
         self._overdue: Call | None = None
         self._idle_connection: DiscoveryConnection | None = None
         self._delay = 0.0  # by how much responses were late recently, in seconds
+        self._superseded = SupersededCalls()
+        if replaced is not None:
+            self._take_over(replaced)
+
+    def _take_over(self, replaced: Handover) -> None:
+        self._superseded.take_over(replaced.calls, self.address, _now())
+        if replaced.address == self.address:
+            self._delay = replaced.delay
+
+    def hand_over(self) -> Handover:
+        """Leave the outstanding calls to the watch that replaces this one, which is to be cancelled."""
+        calls = self._outstanding_calls()
+        self._superseded = SupersededCalls()
+        self._overdue = None
+        self._current = None
+        return Handover(address=self.address, delay=self._delay, calls=calls)
+
+    def _outstanding_calls(self) -> list[Call]:
+        """Return the outstanding calls, in the order in which they were made."""
+        own = [call for call in (self._overdue, self._current) if call is not None]
+        return [*self._superseded.calls, *own]
 
     async def run(self) -> None:
         """Follow the list, and start again after each failure."""
@@ -110,22 +148,18 @@
                 except Exception as error:  # protects the watch: the list must be followed after any error
                     await self._pause_after(error)
         finally:
-            await self._close()
+            await self.close()
 
     async def _advance(self) -> None:
         """Wait for the next answer or timeout, and handle it; make a call if there is none.
 
         Raise the error of the current call, as `DiscoveryConnection` does.
         """
-        overdue = self._overdue
-        if overdue is not None and overdue.task.done():
-            self._overdue = None
-            await self._handle_overdue(overdue)
-            return
+        await self._handle_ended_calls()
         current = self._current = self._current or self._begin_call()
-        calls = [current.task] if overdue is None else [current.task, overdue.task]
+        tasks = [call.task for call in self._outstanding_calls()]
         timeout = max(0.0, current.overdue_at - _now())
-        await asyncio.wait(calls, timeout=timeout, return_when=asyncio.FIRST_COMPLETED)
+        await asyncio.wait(tasks, timeout=timeout, return_when=asyncio.FIRST_COMPLETED)
         if current.task.done():
             self._current = None
             await self._handle_current(current)
@@ -148,7 +182,9 @@
         timeout = wait + self._response_timeout(is_first=connection is None, is_polling=is_polling)
         began_at = _now()
         task = asyncio.create_task(self._exchange(connection, wait_ms))
-        return Call(task=task, began_at=began_at, wait=wait, overdue_at=began_at + timeout)
+        return Call(
+            address=self.address, task=task, began_at=began_at, wait=wait, overdue_at=began_at + timeout
+        )
 
     async def _exchange(self, connection: DiscoveryConnection | None, wait_ms: int) -> Answer:
         """Make one call on a connection, which is opened if there is none."""
@@ -181,20 +217,41 @@
             self._overdue.abandon()
         self._overdue = call
 
-    async def _close(self) -> None:
+    async def close(self) -> None:
         """End all calls and connections."""
-        calls = [call for call in (self._current, self._overdue) if call is not None]
+        calls = self._outstanding_calls()
         for call in calls:
             call.abandon()
         if self._idle_connection is not None:
             self._idle_connection.close()
-        await asyncio.gather(*[call.task for call in calls], return_exceptions=True)
+        if not calls:
+            return
+        _, unfinished = await asyncio.wait([call.task for call in calls], timeout=CLOSE_TIMEOUT)
+        if unfinished:
+            # Awaited without a limit, a call that does not end would keep the process from its exit.
+            self._log.calls_left(len(unfinished))
 
     # --- answers and failures
 
+    async def _handle_ended_calls(self) -> bool:
+        """Handle the superseded and overdue calls that have ended; return whether the next call may be made.
+
+        The end of a superseded call says that only if it was answered at the address in force.
+        """
+        is_next_due = False
+        while (superseded := self._superseded.take_ended()) is not None:
+            is_next_due |= self._handle_superseded(superseded)
+        overdue = self._overdue
+        if overdue is not None and overdue.task.done():
+            self._overdue = None
+            await self._handle_overdue(overdue)
+            is_next_due = True
+        return is_next_due
+
     async def _handle_current(self, call: Call) -> None:
         """Handle the end of the current call; raise its error."""
         answer = call.task.result()
+        self._superseded.abandon_before(call)
         if self._overdue is not None:  # its response would be older
             self._overdue.abandon()
             self._overdue = None
@@ -206,12 +263,32 @@
         if call.task.exception() is not None:
             return
         answer = call.task.result()
+        self._superseded.abandon_before(call)
         if self._current is None:
             self._keep_connection(answer.connection)
         else:
             answer.connection.close()
         await self._handle(answer.update, call)
 
+    def _handle_superseded(self, call: Call) -> bool:
+        """Pass on the answer to a call of an earlier watch; return whether the address in force gave one.
+
+        Its error says nothing about later calls. The version is not stored: it may be another agent's, also
+        at the same address.
+        """
+        if call.task.exception() is not None:
+            return False
+        answer = call.task.result()
+        answer.connection.close()
+        self._superseded.abandon_before(call)
+        if call.address != self.address:
+            self._on_former_update(answer.update)
+            return False
+        self._record_delay(call)
+        self._log.rejected_entries(answer.update)
+        self._pass_on(answer.update)
+        return True
+
     def _keep_connection(self, connection: DiscoveryConnection) -> None:
         """Keep a connection for the next call, if it can carry one."""
         if connection.is_reusable:
@@ -222,16 +299,23 @@
     async def _handle(self, update: DiscoveryUpdate, call: Call) -> None:
         """Pass on the update of a call; wait after a call that returned early without changes."""
         self._record_delay(call)
-        self._log_rejected_entries(update)
+        self._log.rejected_entries(update)
         self._accept_version(update)
-        # The first update after a failure is passed on even without entries: the scheduler has to know that
-        # the list is current again.
-        if self._end_failure(update) or update.is_snapshot or update.entries:
-            self._on_update(update)
-        elif _now() < call.began_at + RETRY_DELAY:
+        if not self._pass_on(update) and _now() < call.began_at + RETRY_DELAY:
             # Without a delay, an agent that responds at once without changes would be called in a busy loop.
             await asyncio.sleep(RETRY_DELAY)
 
+    def _pass_on(self, update: DiscoveryUpdate) -> bool:
+        """Pass on an update unless it says nothing new; return whether it was passed on.
+
+        The first update after a failure is passed on even without entries: the scheduler has to know that the
+        list is current again.
+        """
+        is_news = self._end_failure(update) or update.is_snapshot or bool(update.entries)
+        if is_news:
+            self._on_update(update)
+        return is_news
+
     def _record_delay(self, call: Call) -> None:
         """Record how late a response was, and give the current call as much time as the next one."""
         self._delay = max(call.delay(_now()), self._delay / 2)
@@ -244,14 +328,15 @@
         """Wait until the next call may be made after a failure, or until an overdue call has ended."""
         has_timed_out = isinstance(error, TimeoutError)
         if not self.is_failing:
-            self._log_failure(error, has_timed_out)
+            self._log.failed(error)
         self.is_failing = True
         retry = asyncio.ensure_future(self._wait_for_retry(has_timed_out))
-        awaited: list[asyncio.Future[object]] = [retry]  # type: ignore[list-item]
-        if self._overdue is not None:
-            awaited.append(self._overdue.task)  # type: ignore[arg-type]
+        is_next_due = False
         try:
-            await asyncio.wait(awaited, return_when=asyncio.FIRST_COMPLETED)
+            while not is_next_due and not retry.done():
+                awaited: list[asyncio.Future[Any]] = [call.task for call in self._outstanding_calls()]
+                await asyncio.wait([retry, *awaited], return_when=asyncio.FIRST_COMPLETED)
+                is_next_due = await self._handle_ended_calls()
         finally:
             retry.cancel()
 
@@ -269,31 +354,9 @@
         if not self.is_failing:
             return False
         self.is_failing = False
-        self._log.emit(
-            f"endpoint list: discovery responds again, version {update.version}",
-            event="discovery_recovered",
-            version=update.version,
-        )
+        self._log.recovered(update.version)
         return True
 
-    def _log_failure(self, error: Exception, has_timed_out: bool) -> None:
-        cause = "silent" if has_timed_out else f"{type(error).__name__}: {error}"
-        self._log.emit(
-            f"endpoint list: no response ({cause}), retrying", event="discovery_failed", error=cause
-        )
-
-    def _log_rejected_entries(self, update: DiscoveryUpdate) -> None:
-        if not update.faults:
-            return
-        count = len(update.faults)
-        first = update.faults[0]
-        self._log.emit(
-            f"endpoint list: {count} entries rejected, first error: {first}",
-            event="endpoint_entries_rejected",
-            count=count,
-            first=first,
-        )
-
 
 def _now() -> float:
     """Return the time of the event loop, in seconds."""
--- /dev/null
+++ b/locktide/transport/superseded_calls.py
@@ -0,0 +1,93 @@
+"""Calls to discovery that outlive their watch.
+
+A reload replaces the watch of the endpoint list. If the outstanding calls ended with it, a service that
+answers later than the reloads follow one another would never be heard. So the next watch awaits them beside
+its own calls, until a call that was made later is answered.
+
+Their number is limited: with each reload there is one call more.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from locktide.config.address import Address
+from locktide.transport.discovery_call import Call
+
+#: How many calls of earlier watches are awaited at most. The oldest one will be answered first; the second
+#: one is there in case discovery never answers the first.
+MAX_SUPERSEDED = 2
+#: Seconds beyond its wait for which a call is awaited while it keeps another from being awaited. A change
+#: counts as notified after 6 s, and two calls may be needed: one that was answered just before the change,
+#: and the next.
+MAX_PATIENCE = 3.5
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Handover:
+    """What a watch leaves to the one that replaces it.
+
+    Attributes:
+        address: Address of discovery that it followed.
+        delay: By how much the responses from there were late recently, in seconds.
+        calls: The outstanding calls, in the order in which they were made.
+    """
+
+    address: Address
+    delay: float
+    calls: list[Call]
+
+
+class SupersededCalls:
+    """The calls of earlier watches that a watch awaits.
+
+    Attributes:
+        calls: The calls, in the order in which they were made.
+    """
+
+    def __init__(self) -> None:
+        self.calls: list[Call] = []
+
+    def take_over(self, calls: Sequence[Call], address: Address, now: float) -> None:
+        """Await these calls, as far as the limit allows, and abandon the others.
+
+        Args:
+            calls: The calls, in the order in which they were made.
+            address: Address of discovery in force.
+            now: The time of the event loop, in seconds.
+        """
+        self.calls = _select(calls, address, now)
+        for call in calls:
+            if call not in self.calls:
+                call.abandon()
+
+    def take_ended(self) -> Call | None:
+        """Remove and return the earliest call that has ended, if there is one."""
+        ended = next((call for call in self.calls if call.task.done()), None)
+        if ended is not None:
+            self.calls.remove(ended)
+        return ended
+
+    def abandon_before(self, answered: Call) -> None:
+        """Abandon the calls that were made before a call that was answered: their answers would be older."""
+        older = [call for call in self.calls if call.began_at < answered.began_at]
+        self.calls = [call for call in self.calls if call not in older]
+        for call in older:
+            call.abandon()
+
+
+def _select(calls: Sequence[Call], address: Address, now: float) -> list[Call]:
+    """Return the calls that are awaited, in the order in which they were made.
+
+    If there are too many, these are the oldest call to the address in force and the oldest one to another
+    address: where the address alternates, silent calls to one of them must not displace those to the other.
+    """
+    awaited = [call for call in calls if call.task.done() or call.delay(now) < MAX_PATIENCE]
+    if len(awaited) <= MAX_SUPERSEDED:
+        return awaited
+    in_force = [call for call in awaited if call.address == address]
+    others = [call for call in awaited if call.address != address]
+    if not in_force or not others:
+        return awaited[:MAX_SUPERSEDED]
+    return sorted([in_force[0], others[0]], key=lambda call: call.began_at)
--- a/tests/transport/test_slow_discovery.py
+++ b/tests/transport/test_slow_discovery.py
@@ -3,89 +3,21 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import random
 from collections.abc import Callable
 from typing import Any
 
 import pytest
-from rig import Peer, Rig
+from rig import Rig
+from slow_agent import ADDRESS, DRAIN_GRACE, NOTIFIED_WITHIN, SlowAgent
 
 from locktide.protocol.discovery import DiscoveryUpdate
 from locktide.transport.endpoint_watch import EndpointWatch
 from locktide.transport.log import Log
 
-ADDRESS = ("agent", 1)
-#: Seconds after which a change counts as notified, once discovery has it and can be reached.
-NOTIFIED_WITHIN = 6.0
-#: Seconds within which a list is known once a silent agent responds again: the grace of a drain.
-DRAIN_GRACE = 0.25
 DELAYS = (0.0, 0.1, 0.2, 0.6, 1.2, 1.9, 3.0)
 
 
-class SlowAgent:
-    """An agent whose responses leave late; it resets some calls, and never answers others.
-
-    Attributes:
-        version: The version of its list; a change raises it.
-        delay: Returns by how many seconds the next response is late.
-        silent: Whether calls that arrive get no response, and responses on their way get lost.
-        call_count: How many calls have arrived.
-        most_open: How many connections were open at once, at most.
-    """
-
-    def __init__(self, rig: Rig, delay: Callable[[], float]) -> None:
-        self.loop = rig.loop
-        self.version = 1
-        self.delay = delay
-        self.silent = False
-        self.loss: Callable[[], str] = lambda: ""
-        self.call_count = self.most_open = 0
-        self.peers: list[Peer] = []
-        self.waiting: list[tuple[Peer, int, asyncio.TimerHandle]] = []
-        rig.network.listen(self.accept, *ADDRESS)
-
-    def accept(self) -> Peer:
-        peer = Peer(self.receive)
-        self.peers = [each for each in self.peers if not each.ending] + [peer]
-        self.most_open = max(self.most_open, len(self.peers))
-        return peer
-
-    def receive(self, peer: Peer) -> None:
-        while b"\r\n\r\n" in peer.buffer:
-            head, peer.buffer = peer.buffer.split(b"\r\n\r\n", 1)
-            self.call_count += 1
-            loss = "silence" if self.silent else self.loss()
-            if loss == "reset":
-                peer.transport.abort()
-            if loss:
-                continue
-            target = head.split()[1].decode()
-            after = int(target.partition("after=")[2].partition("&")[0] or 0)
-            wait = int(target.partition("wait_ms=")[2] or 0) / 1000 if after >= self.version else 0.0
-            timer = self.loop.call_later(wait, self.respond, peer, after)
-            self.waiting.append((peer, after, timer))
-
-    def change(self) -> None:
-        self.version += 1
-        waiting, self.waiting = self.waiting, []
-        for peer, after, timer in waiting:
-            if not timer.cancelled() and timer.when() > self.loop.time():
-                timer.cancel()
-                self.respond(peer, after)
-
-    def respond(self, peer: Peer, after: int) -> None:
-        state = "leaving" if self.version > 1 else "active"
-        targets = [{"uid": "w0", "endpoint": "w0:1", "state": state}] if self.version > after else []
-        body = json.dumps({"rev": self.version, "all": not after, "targets": targets}).encode()
-        response = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
-        self.loop.call_later(self.delay(), self.deliver, peer, response)
-
-    def deliver(self, peer: Peer, response: bytes) -> None:
-        if not self.silent and not peer.ending:
-            peer.transport.write(response)
-
-
 def watch_agent(delay: Callable[[], float], scenario: Callable[[SlowAgent, list[Any]], Any]) -> Any:
     """Run a scenario beside a watch, with the agent and the updates and their times; return its result.
 
