--- a/locktide/cluster/inspection_client.py
+++ b/locktide/cluster/inspection_client.py
@@ -48,7 +48,8 @@
     transport, _ = await loop.create_datagram_endpoint(lambda: InspectionClient(answer), remote_addr=address)
     try:
         transport.sendto(encode(ANONYMOUS, InspectionRequest(REQUEST_ID)))
-        view: dict[str, Any] = json.loads(await asyncio.wait_for(answer, timeout_seconds))
+        async with asyncio.timeout(timeout_seconds):
+            view: dict[str, Any] = json.loads(await answer)
         return view
     finally:
         transport.close()
--- a/locktide/dispatcher/endpoint_follower.py
+++ b/locktide/dispatcher/endpoint_follower.py
@@ -104,7 +104,8 @@
         if self.settings.endpoint_list.is_polled:
             return
         with suppress(TimeoutError):
-            await asyncio.wait_for(self.endpoint_list.received.wait(), FIRST_LIST_TIMEOUT)
+            async with asyncio.timeout(FIRST_LIST_TIMEOUT):
+                await self.endpoint_list.received.wait()
 
     def follow(self, version: int | None = None) -> Coroutine[Any, Any, None]:
         """Return a coroutine that follows the list at the address in force.
--- a/locktide/transport/client_connection.py
+++ b/locktide/transport/client_connection.py
@@ -179,7 +179,8 @@
         self.writer.writelines(
             self.http.encode_response(response.status, response.body, response.headers, is_final)
         )
-        await asyncio.wait_for(self.writer.drain(), WRITE_TIMEOUT)
+        async with asyncio.timeout(WRITE_TIMEOUT):
+            await self.writer.drain()
         self.restart_message_timeout()
 
     def mark_idle(self) -> None:
--- a/locktide/transport/discovery_connection.py
+++ b/locktide/transport/discovery_connection.py
@@ -28,8 +28,8 @@
     @classmethod
     async def open(cls, address: Address) -> DiscoveryConnection:
         """Open a connection; raise OSError or TimeoutError."""
-        connecting = asyncio.open_connection(*address, limit=READ_SIZE)
-        reader, writer = await asyncio.wait_for(connecting, CONNECT_TIMEOUT)
+        async with asyncio.timeout(CONNECT_TIMEOUT):
+            reader, writer = await asyncio.open_connection(*address, limit=READ_SIZE)
         return cls(address, reader, writer)
 
     @property
--- a/locktide/transport/upstream_pool.py
+++ b/locktide/transport/upstream_pool.py
@@ -112,12 +112,14 @@
     async def _open(self, worker: str, address: Address) -> UpstreamConnection:
         """Return a new connection; raise as `_acquire` does."""
         try:
-            await asyncio.wait_for(self.descriptors.acquire(), self.connect_timeout)
+            async with asyncio.timeout(self.connect_timeout):
+                await self.descriptors.acquire()
         except TimeoutError as error:
             raise NoDescriptorError(worker) from error
         connection = UpstreamConnection(worker, address)
         try:
-            await asyncio.wait_for(connection.connect(), self.connect_timeout)
+            async with asyncio.timeout(self.connect_timeout):
+                await connection.connect()
         except BaseException as error:  # also on cancellation: the descriptor is released in any case
             self.close(connection)
             if isinstance(error, OSError):
