Quotas: a bucket outlives a configuration without its tenant's quota

Found by looking for what a reload begins anew. What callers would see: where configurations come in turns and one lacks a tenant's quota, the tenant may send five seconds of its rate at once with each return.

Cause: TenantQuotas.configure dropped the buckets of tenants without a quota, and a new bucket is full. Change: such a bucket is kept, filling at its former rate, until it would be full.

Measured: the test failed before (covered at once after the return), now the tenant is beyond its quota; a bucket that would be full is dropped.

--- a/locktide/scheduler/estimators/token_bucket.py
+++ b/locktide/scheduler/estimators/token_bucket.py
@@ -17,6 +17,10 @@
         self.level = level
         self.updated_at = now
 
+    def level_at(self, now: int, rate: float) -> float:
+        """Return the level at `now`, in tokens and without a limit, by `rate` tokens per second."""
+        return self.level + (now - self.updated_at) * rate / MICROSECONDS_PER_SECOND
+
     def take(self, rate: float, capacity: float, now: int) -> bool:
         """Take a token if there is one; return whether there was.
 
@@ -25,7 +29,7 @@
             capacity: the maximum number of tokens in the bucket.
             now: the current time, in microseconds.
         """
-        level = min(capacity, self.level + (now - self.updated_at) * rate / MICROSECONDS_PER_SECOND)
+        level = min(capacity, self.level_at(now, rate))
         has_token = level >= 1.0
         self.level = level - has_token
         self.updated_at = now
--- a/locktide/scheduler/policy/quotas.py
+++ b/locktide/scheduler/policy/quotas.py
@@ -34,23 +34,28 @@
         self._config = config
         self.buckets = dict[TenantId, TokenBucket]()
         self._borrowed_buckets = dict[TenantId, TokenBucket]()  # for quota lent to each tenant
+        self._rates = dict[TenantId, float]()  # even shares, of each tenant with a bucket
 
     def configure(self) -> None:
         """Apply the configured quotas, with even shares.
 
         Existing buckets keep their levels: when each reload filled them, every tenant could exceed its quota
-        (test_a_reload_gives_no_tenant_its_burst_anew). The bucket of a new tenant is full.
+        (test_a_reload_gives_no_tenant_its_burst_anew). The bucket of a new tenant is full. The bucket of a
+        tenant that has no quota any more is kept until it would be full, as the quota may come back.
         """
         config = self._config.current
         self.shares = QuotaSharesUpdated([])
+        former_rates = self._rates
         self._quotas = config.quotas.quotas
-        self.buckets = {
-            tenant: self.buckets.get(tenant) or self._full_bucket(quota / config.dispatcher_count)
-            for tenant, quota in self._quotas.items()
+        self._rates = former_rates | {
+            tenant: quota / config.dispatcher_count for tenant, quota in self._quotas.items()
         }
-
-    def _full_bucket(self, rate: float) -> TokenBucket:
-        return TokenBucket(BURST * rate + MIN_BURST, self._clock.now)
+        for tenant, rate in list(self._rates.items()):
+            if tenant in self._quotas:
+                self.buckets.setdefault(tenant, TokenBucket(_capacity(rate), self._clock.now))
+            elif self.buckets[tenant].level_at(self._clock.now, rate) >= _capacity(rate):
+                del self.buckets[tenant]
+                del self._rates[tenant]
 
     def stage(self) -> QuotaStage:
         """Return the stage of agreed shares that is in force now, or an empty one."""
@@ -59,7 +64,7 @@
 
     def cover(self, tenant: TenantId | None) -> QuotaCoverage:
         """Return what covers one more request of the tenant, and take a token for the request."""
-        if tenant is None or tenant not in self.buckets:
+        if tenant is None or tenant not in self._quotas:
             return OWN
         stage = self.stage()
         is_within_share = self._take_own_token(tenant, stage)
@@ -72,7 +77,7 @@
     def _take_own_token(self, tenant: TenantId, stage: QuotaStage) -> bool:
         share = stage.shares.get(tenant, self._config.dispatcher_share)
         rate = self._quotas[tenant] * share
-        return self.buckets[tenant].take(rate, BURST * rate + MIN_BURST, self._clock.now)
+        return self.buckets[tenant].take(rate, _capacity(rate), self._clock.now)
 
     def _take_borrowed_token(self, tenant: TenantId, stage: QuotaStage) -> bool:
         now = self._clock.now
@@ -83,3 +88,8 @@
     def _is_over_fair_share(self, tenant: TenantId) -> bool:
         is_in_force = self._clock.now < self.shares.over_fair_share_until
         return is_in_force and tenant in self.shares.over_fair_share
+
+
+def _capacity(rate: float) -> float:
+    """Return the capacity of the bucket for a tenant's own share, in tokens."""
+    return BURST * rate + MIN_BURST
--- a/tests/scheduler/test_ratings_and_reload.py
+++ b/tests/scheduler/test_ratings_and_reload.py
@@ -263,3 +263,26 @@
         checked.step(ConfigReloaded(config))
         assert quotas.cover("dairy") is QuotaCoverage.BEYOND
     assert quotas.cover(None) is QuotaCoverage.OWN
+
+
+def test_a_quota_that_a_reload_takes_away_and_brings_back_is_not_full_anew() -> None:
+    """A configuration without the tenant's quota and the one before it came in turns.
+
+    With each return the tenant had five seconds of its rate at once. Its bucket must go on as if the quota
+    had always been there, and must not be kept for longer than that makes a difference.
+    """
+    checked = CheckedScheduler(dispatcher_count=1)
+    checked.update_endpoints(endpoint_entry("w"))
+    quotas = checked.scheduler.admission.quotas
+    with_quota = checked.scheduler.config.current
+    without = replace(with_quota, quotas=replace(with_quota.quotas, quotas={}))
+    for _ in range(40):
+        quotas.cover("dairy")
+    checked.step(ConfigReloaded(without))
+    assert quotas.cover("dairy") is QuotaCoverage.OWN, "there is no quota now"
+    checked.step(ConfigReloaded(with_quota))
+    assert quotas.cover("dairy") is QuotaCoverage.BEYOND
+    checked.step(ConfigReloaded(without))
+    checked.now += 6_000_000
+    checked.step(ConfigReloaded(without))
+    assert quotas.buckets == {}
