Endpoint polling: a call is due though its timer fires a microsecond early

Cause, by a trace: the clock rounds down to whole microseconds, TimerFired came at ...004792 for a call planned for ...004793, and there was no later step. Change: a call is due two microseconds before its time.

--- a/locktide/scheduler/policy/endpoint_polling.py
+++ b/locktide/scheduler/policy/endpoint_polling.py
@@ -34,6 +34,9 @@
 THIRDS_AFTER_REJECTION = 2
 #: The same after a call without response.
 THIRDS_AFTER_TIMEOUT = 1
+#: Microseconds by which a timer may fire before its time: hosts round their clock to whole microseconds. An
+#: idle dispatcher has no later step in which the call would be due.
+TIMER_ROUNDING = 2
 MICROSECONDS_PER_MILLISECOND = 1000
 
 
@@ -53,7 +56,8 @@
     def poll_when_due(self) -> None:
         """Command a call for the list if it is polled, not watched, and the next call is due."""
         is_polled = self.config.current.endpoint_list.is_polled
-        if is_polled and not self._is_watched and self.clock.now >= self._next_poll_at:
+        is_due = self.clock.now >= self._next_poll_at - TIMER_ROUNDING
+        if is_polled and not self._is_watched and is_due:
             self._is_watched = True
             self.commands.add(WatchEndpoints(True))
 
--- a/tests/scheduler/test_decisions.py
+++ b/tests/scheduler/test_decisions.py
@@ -8,7 +8,14 @@
 import pytest
 from helpers import ROUND_INTERVAL, SERVICE_CLASSES, CheckedScheduler, endpoint_entry, scheduler_config
 
-from locktide.scheduler.commands import CancelAttempt, FailRequest, StartAttempt, WatchEndpoints, WriteLog
+from locktide.scheduler.commands import (
+    CancelAttempt,
+    FailRequest,
+    SetTimer,
+    StartAttempt,
+    WatchEndpoints,
+    WriteLog,
+)
 from locktide.scheduler.config import ServiceClass
 from locktide.scheduler.events import (
     AttemptProgressed,
@@ -18,6 +25,7 @@
     ConfigReloaded,
     EndpointListUpdate,
     RequestArrived,
+    TimerFired,
 )
 from locktide.scheduler.policy.concurrency_limit import has_capacity
 from locktide.scheduler.policy.outlier_detection import is_suspected
@@ -143,6 +151,18 @@
     assert WatchEndpoints(True) in checked.pass_time(11_000_000)
 
 
+def test_the_endpoint_list_is_polled_though_the_timer_fires_a_microsecond_early() -> None:
+    """A host rounds its clock down, and the call was not due yet when its timer fired.
+
+    A dispatcher without traffic has no later step, so it never called discovery again.
+    """
+    checked = CheckedScheduler(is_polled=True)
+    commands = checked.update_endpoints(kind=ListUpdateKind.CACHED)
+    (timer,) = (command for command in commands if type(command) is SetTimer)
+    checked.now += timer.delay - 1
+    assert WatchEndpoints(True) in checked.step(TimerFired(timer.timer_id))
+
+
 # --- regression tests -----------------------------------------------------------------------------------
 
 
