Durable jobs keep the service class by which they were accepted

Cause, one for both: JobAccepted stored the name of the class alone, and effect, scope and window were looked up in the file in force; an unknown name was a KeyError in Admission._admit, answered as an internal error. Within one process a request keeps the ServiceClass object of its arrival.

Change: JobAccepted stores the class (an appended field with a default). It goes with the event to the scheduler; a name that the file lacks is made known there. The confinement follows the file, as at SIGHUP. A record of an earlier version counts as at-most-once; one with an unknown effect ends the start with segment and byte. A start logs jobs_of_other_classes. Mended once for both cases, as they are one cause.

A segment of this version stands beside those of the earlier one.

--- a/locktide/dispatcher/dispatcher.py
+++ b/locktide/dispatcher/dispatcher.py
@@ -172,6 +172,7 @@
             requests=self.requests,
             cancellations=self.cancellations,
             endpoints=self.endpoints,
+            settings=self.settings,
         )
 
     def _assemble_endpoint_list(self, cached_list: DiscoveryUpdate) -> None:
--- a/locktide/dispatcher/job_host.py
+++ b/locktide/dispatcher/job_host.py
@@ -10,6 +10,8 @@
 from locktide.dispatcher.endpoint_directory import EndpointDirectory
 from locktide.dispatcher.registry import RequestRegistry
 from locktide.dispatcher.requests import RecoveredJob, RequestService
+from locktide.dispatcher.settings import DispatcherSettings
+from locktide.scheduler.config import ServiceClass
 from locktide.scheduler.events import EndpointEntry
 from locktide.transport.interfaces import Response
 
@@ -23,11 +25,16 @@
     requests: RequestService
     cancellations: CancellationService
     endpoints: EndpointDirectory
+    settings: DispatcherSettings
 
     def now(self) -> int:
         """Return the dispatcher's time in microseconds."""
         return self.clock.now()
 
+    def service_class(self, name: str) -> ServiceClass | None:
+        """Return the service class in force with that name; None if there is none."""
+        return self.settings.service_classes.get(name)
+
     def is_id_in_use(self, request_id: str) -> bool:
         """Return whether a request with that id is open or was answered recently."""
         return self.registry.is_known(request_id)
--- a/locktide/dispatcher/requests.py
+++ b/locktide/dispatcher/requests.py
@@ -37,6 +37,7 @@
         is_retry=message.is_retry,
         background=message.background,
         affinity_key=message.affinity_key,
+        accepted_class=message.accepted_class,
     )
 
 
--- a/locktide/dispatcher/settings.py
+++ b/locktide/dispatcher/settings.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
 
 from locktide.config.address import Address
 from locktide.config.start import Start
-from locktide.scheduler.config import EndpointListConfig
+from locktide.scheduler.config import EndpointListConfig, ServiceClass
 from locktide.scheduler.types import Effect
 from locktide.transport.listener import Listener
 from locktide.transport.upstream_pool import UpstreamPool
@@ -45,12 +46,14 @@
         endpoint_list: How the endpoint list is followed.
         connect_within: Timeout for opening a connection to a worker, in microseconds.
         longest_timeout: The longest timeout of all service classes so far, in microseconds.
+        service_classes: The service classes in force by their names.
     """
 
     discovery: Address
     endpoint_list: EndpointListConfig
     connect_within: int
     longest_timeout: int = 0
+    service_classes: Mapping[str, ServiceClass] = field(default_factory=dict)
 
 
 @dataclass(eq=False, slots=True, kw_only=True)
@@ -75,6 +78,7 @@
     def _apply_service_classes(self, start: Start) -> None:
         """Change the listener's tables in place, as open connections use them as well."""
         classes = start.scheduler_config.service_classes
+        self.settings.service_classes = {service_class.name: service_class for service_class in classes}
         keyed = [
             service_class.name
             for service_class in classes
--- a/locktide/durable/acceptance.py
+++ b/locktide/durable/acceptance.py
@@ -17,6 +17,7 @@
 from locktide.durable.job_context import JobContext
 from locktide.durable.jobs import Job
 from locktide.durable.log.records import JobAccepted
+from locktide.durable.log.stored_service_class import StoredServiceClass
 from locktide.durable.preference import Preference, read_preference
 from locktide.durable.responses import (
     id_conflict_response,
@@ -27,6 +28,7 @@
 from locktide.durable.waiters import JobWaiters
 from locktide.protocol import names
 from locktide.protocol.messages import SubmitRequest
+from locktide.scheduler.config import ServiceClass
 from locktide.transport.interfaces import Response
 
 #: Smallest timeout with which a job is submitted, in microseconds. If the deadline of a job passed while its
@@ -64,8 +66,8 @@
             digest=hashlib.sha256(content).hexdigest(),
         )
 
-    def accepted_record(self, now: int, timeout: int) -> JobAccepted:
-        """Return the record that accepts this job; `now` and `timeout` are in microseconds."""
+    def accepted_record(self, now: int, timeout: int, service_class: ServiceClass | None) -> JobAccepted:
+        """Return the record that accepts this job by a class; `now` and `timeout` are in microseconds."""
         request = self.request
         prefer = names.PREFER.lower().encode()
         forwarded = [(name, value) for name, value in request.forwarded_headers if name.lower() != prefer]
@@ -81,6 +83,7 @@
             recorded_at=now,
             deadline=now + timeout,
             width=request.width,
+            accepted_class=StoredServiceClass.of(service_class) if service_class is not None else None,
         )
 
 
@@ -135,7 +138,8 @@
         timeout = request.time_left(asyncio.get_running_loop().time())
         if job_request.preference.respond_async:
             timeout = max(timeout, self.config.detached_timeout)
-        record = job_request.accepted_record(self.dispatcher.now(), timeout)
+        service_class = self.dispatcher.service_class(request.service_class)
+        record = job_request.accepted_record(self.dispatcher.now(), timeout, service_class)
         write = self.write_ahead_log.append(record)
         self.state.acceptance_writes[request.id] = write
         self.waiters.add(request.id, request, job_request.preference, response)
--- a/locktide/durable/log/records.py
+++ b/locktide/durable/log/records.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from locktide.durable.log.stored_outcomes import StoredOutcome
+from locktide.durable.log.stored_service_class import StoredServiceClass
 
 
 class Record(msgspec.Struct, array_like=True):
@@ -45,6 +46,7 @@
         recorded_at: When the job was accepted.
         deadline: When the job ends if it has no final response by then.
         width: How many slots the job takes on a worker.
+        accepted_class: The service class by which it was accepted; None in records of earlier versions.
     """
 
     job_id: str
@@ -58,6 +60,7 @@
     recorded_at: int
     deadline: int
     width: float
+    accepted_class: StoredServiceClass | None = None
 
 
 class LeaseGranted(Record, tag="Leased"):
--- a/locktide/durable/resumption.py
+++ b/locktide/durable/resumption.py
@@ -8,7 +8,9 @@
 from locktide.durable import recovery
 from locktide.durable.completion import JobCompletion
 from locktide.durable.job_context import JobContext
+from locktide.durable.jobs import Job
 from locktide.durable.log.records import WriterStarted
+from locktide.durable.log.stored_service_class import StoredServiceClass
 from locktide.durable.recovery import ClockReading, FinishJob, RecoveryStep, ResumeJob
 from locktide.transport.interfaces import Response
 
@@ -43,6 +45,7 @@
         writer = WriterStarted(recorded_at=now, boot_id=clocks.boot_id, uptime=clocks.uptime)
         await self.write_ahead_log.append(writer)
         self._log_plan(steps)
+        self._log_other_classes([step.job for step in steps if isinstance(step, ResumeJob)])
         self._finish([step for step in steps if isinstance(step, FinishJob)])
         self._resume_all([step for step in steps if isinstance(step, ResumeJob)])
 
@@ -79,6 +82,25 @@
             damaged=len(contents.damaged),
         )
 
+    def _log_other_classes(self, jobs: Sequence[Job]) -> None:
+        """Log how many jobs are of a service class that the file in force lacks or changes."""
+        missing_count = 0
+        changed_count = 0
+        for job in jobs:
+            in_force = self.dispatcher.service_class(job.accepted.service_class)
+            stored = job.accepted.accepted_class
+            missing_count += in_force is None
+            if in_force is not None and stored is not None:
+                changed_count += stored != StoredServiceClass.of(in_force)
+        if missing_count or changed_count:
+            self.log.emit(
+                f"jobs: {missing_count} of a service class that the file lacks, {changed_count} of one that "
+                "it changes; they keep the class by which they were accepted",
+                event="jobs_of_other_classes",
+                missing=missing_count,
+                changed=changed_count,
+            )
+
     async def _resume_at_rate(self, steps: Sequence[ResumeJob]) -> None:
         """Resume jobs oldest first, at the configured rate: a restart must not overload the workers."""
         for index, step in enumerate(steps):
--- a/locktide/protocol/messages.py
+++ b/locktide/protocol/messages.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from locktide.scheduler.config import ServiceClass
 from locktide.scheduler.types import AttemptOutcome
 
 #: Header fields of a message, in order, spelled as they are on the wire.
@@ -41,6 +42,8 @@
         affinity_key: Hash of the object that the job is about, where the target names one.
         received_at: When its last byte reached this machine, in seconds of the event loop; None where that
             is unknown.
+        accepted_class: The service class by which a durable job was accepted; None where the class in force
+            counts.
     """
 
     id: str
@@ -57,6 +60,7 @@
     tenant: str | None = None
     affinity_key: int | None = None
     received_at: float | None = None
+    accepted_class: ServiceClass | None = None
 
     def time_left(self, now: float) -> int:
         """Return how much of the timeout is left, in microseconds; `now` is in seconds of the event loop.
--- a/locktide/scheduler/events.py
+++ b/locktide/scheduler/events.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from typing import TypeAlias
 
-from locktide.scheduler.config import SchedulerConfig
+from locktide.scheduler.config import SchedulerConfig, ServiceClass
 from locktide.scheduler.types import (
     AttemptOutcome,
     EndpointState,
@@ -72,6 +72,8 @@
         background: whether no client waits for the response: the request is kept until its deadline rather
             than rejected.
         affinity_key: a key shared by requests that run better on the same workers; None: no key.
+        accepted_class: the service class by which the request was accepted earlier; None: by the one in
+            force.
     """
 
     request_id: RequestId
@@ -83,6 +85,7 @@
     is_retry: bool = False
     background: bool = False
     affinity_key: int | None = None
+    accepted_class: ServiceClass | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/locktide/scheduler/policy/admission.py
+++ b/locktide/scheduler/policy/admission.py
@@ -84,8 +84,9 @@
     def _admit(self, arrival: RequestArrived) -> Request:
         now = self.clock.now
         self._admitted_count += 1
-        service_class = self.config.known_service_classes[arrival.service_class]
-        request = Request(arrival, service_class, now, self._admitted_count)
+        class_in_force = self.config.known_service_classes[arrival.service_class]
+        request = Request(arrival, arrival.accepted_class or class_in_force, now, self._admitted_count)
+        request.placement = class_in_force.placement
         self.requests.add(request)
         if request.affinity_key is not None:
             self.key_frequencies.count(request.affinity_key, now)
--- a/locktide/scheduler/state/active_config.py
+++ b/locktide/scheduler/state/active_config.py
@@ -13,7 +13,8 @@
     def __init__(self, config: SchedulerConfig) -> None:
         self.current = config
         self.service_classes: dict[str, ServiceClass] = {}
-        # Includes the classes of earlier configurations, as requests of these classes may still arrive.
+        # Includes the classes of earlier configurations, as requests of these classes may still arrive, and
+        # those of requests that an earlier process accepted.
         self.known_service_classes: dict[str, ServiceClass] = {}
         self.dispatcher_share = 1.0  # this dispatcher's even share of the fleet
         self.replace(config)
@@ -24,3 +25,10 @@
         self.service_classes = {each.name: each for each in config.service_classes}
         self.known_service_classes |= self.service_classes
         self.dispatcher_share = 1.0 / config.dispatcher_count
+
+    def add_known_class(self, service_class: ServiceClass) -> bool:
+        """Remember the class of a request that was accepted earlier; return whether its name was unknown."""
+        if service_class.name in self.known_service_classes:
+            return False
+        self.known_service_classes[service_class.name] = service_class
+        return True
--- a/tests/durable/test_recovered_jobs.py
+++ b/tests/durable/test_recovered_jobs.py
@@ -5,18 +5,21 @@
 import asyncio
 from collections.abc import Collection
 from dataclasses import replace
+from typing import Any
 from zlib import crc32
 
+import pytest
 from durable_helpers import JOB_CONFIG, accepted_job, open_log, run_in_virtual_time
-from helpers import DispatcherHarness, run_with_dispatcher, submit_request, wait_until
+from helpers import SERVICE_CLASSES, DispatcherHarness, run_with_dispatcher, submit_request, wait_until
 
 from locktide.durable.job_service import JobService
 from locktide.durable.log.records import JobAccepted, JobFinished
+from locktide.durable.log.stored_service_class import StoredServiceClass
 from locktide.durable.recovery import ClockReading
 from locktide.protocol import names
 from locktide.protocol.messages import Callback
 from locktide.scheduler.events import RequestArrived, RequestRecovered
-from locktide.scheduler.types import AttemptOutcome
+from locktide.scheduler.types import AttemptOutcome, Effect
 from locktide.simulation.virtual_time.disk import VirtualDisk
 from locktide.transport.log import Log
 
@@ -116,6 +119,7 @@
         for arrival in arrivals:
             assert (arrival.tenant, arrival.work_hint) == ("dairy", 40_000)
             assert arrival.affinity_key == crc32(b"7")
+            assert arrival.accepted_class is not None, "a reload before the dispatch would change its class"
         await service.close()
 
     run_with_dispatcher(scenario)
@@ -149,3 +153,55 @@
         await service.close()
 
     run_in_virtual_time(scenario())
+
+
+def stored_class(**changes: Any) -> StoredServiceClass:
+    return StoredServiceClass.of(replace(SERVICE_CLASSES[1], **changes))
+
+
+@pytest.mark.parametrize("accepted_class", [None, stored_class(name="gone")])
+def test_job_of_a_class_that_the_file_lacks_is_resumed(accepted_class: StoredServiceClass | None) -> None:
+    """Each open job of a class that the file no longer had ended by a KeyError at a start (`review/7`).
+
+    Some ran all the same, as their workers had them. Records of earlier versions do not tell the class.
+    """
+
+    async def scenario(harness: DispatcherHarness) -> None:
+        recorded = accepted_job("a", service_class="gone")
+        recorded.accepted_class = accepted_class
+        service = await recover(harness, [recorded])
+        await wait_until(lambda: harness.exchanges)
+        harness.exchanges[0].on_sent()
+        harness.exchanges[0].respond(202)
+        assert service.state.table.jobs["a"].finished is None
+        await service.close()
+
+    run_with_dispatcher(scenario)
+
+
+@pytest.mark.parametrize("accepted_class", [None, stored_class(effect=Effect.AT_MOST_ONCE)])
+def test_recovered_job_keeps_the_effect_with_which_it_was_accepted(
+    accepted_class: StoredServiceClass | None,
+) -> None:
+    """A job was accepted as at-most-once, and the next process read a file in which its class has keys.
+
+    The job was sent again after its worker had reported an error, and ran twice (`review/6`). A record of an
+    earlier version does not tell the effect, so it counts as at-most-once.
+    """
+
+    async def scenario(harness: DispatcherHarness) -> None:
+        recorded = accepted_job("a")
+        recorded.accepted_class = accepted_class
+        service = await recover(harness, [recorded])
+        await wait_until(lambda: harness.exchanges)
+        attempt = harness.exchanges[0]
+        attempt.on_sent()
+        attempt.respond(202)
+        await harness.run_pending_tasks()
+        report = Callback("a", attempt.worker, "failed", 1.0, AttemptOutcome.ERROR, b"", fence=1)
+        service.handle_callback(report)
+        await wait_until(lambda: service.state.table.jobs["a"].finished is not None)
+        assert len(service.state.table.jobs["a"].leases) == 1, "it was sent again"
+        await service.close()
+
+    run_with_dispatcher(scenario)
--- a/tests/durable_helpers.py
+++ b/tests/durable_helpers.py
@@ -9,6 +9,8 @@
 from pathlib import Path
 from typing import Any
 
+from helpers import SERVICE_CLASSES
+
 from locktide.durable.acceptance import JobAcceptance
 from locktide.durable.background_tasks import BackgroundTasks
 from locktide.durable.completion import JobCompletion
@@ -23,6 +25,7 @@
 from locktide.durable.log.write_ahead_log import WriteAheadLog
 from locktide.durable.waiters import JobWaiters
 from locktide.protocol.messages import Callback
+from locktide.scheduler.config import ServiceClass
 from locktide.simulation.virtual_time.disk import VirtualDisk
 from locktide.simulation.virtual_time.loop import VirtualLoop
 from locktide.transport.interfaces import Response
@@ -138,6 +141,10 @@
         """Return the time in microseconds."""
         return round(asyncio.get_running_loop().time() * SECOND)
 
+    def service_class(self, _name: str) -> ServiceClass | None:
+        """Return the class of every job."""
+        return SERVICE_CLASSES[1]
+
     def is_id_in_use(self, _request_id: str) -> bool:
         """Return False: no other request has the id."""
         return False
