Callbacks: a fencing number tells which attempt a worker hands back

Cause: any unsuccessful callback of a worker that had accepted an earlier attempt counted as one that may be about the earlier one, though it had the running attempt's fencing number.

Change: with that number the callback is about the running attempt. Without one nothing changes: a worker repeats a callback until it is answered, so it may be about either (PROTOCOL).

--- a/locktide/dispatcher/callbacks.py
+++ b/locktide/dispatcher/callbacks.py
@@ -43,16 +43,18 @@
             self.registry.respond(message.request_id, Response(HTTPStatus.OK, message.result))
             self.completion.finish(request, attempt, message.outcome)
         elif message.outcome is not None:
-            self._finish_unsuccessful(request, attempt, message.outcome)
+            self._finish_unsuccessful(request, attempt, message, message.outcome)
 
     def _finish_unsuccessful(
-        self, request: OpenRequest, attempt: OpenAttempt, outcome: AttemptOutcome
+        self, request: OpenRequest, attempt: OpenAttempt, message: Callback, outcome: AttemptOutcome
     ) -> None:
         # A worker repeats a callback whose 204 was lost. If the worker had accepted an earlier attempt of
         # this request, the callback may be about the earlier one. If it were taken for the end of the later
         # attempt, a retry would be allowed while the later attempt still runs
-        # (test_repeated_callback_about_an_earlier_attempt_does_not_end_the_later_one_there).
-        if request.worker_accepted_earlier_attempt(attempt):
-            self.cancellations.cancel_and_finish(request, attempt, AttemptOutcome.CONNECTION_CLOSED)
-        else:
+        # (test_repeated_callback_about_an_earlier_attempt_does_not_end_the_later_one_there). The fencing
+        # number of the attempt's own lease rules that out.
+        names_this_attempt = message.fence is not None and message.fence == attempt.fence
+        if names_this_attempt or not request.worker_accepted_earlier_attempt(attempt):
             self.completion.finish(request, attempt, outcome)
+        else:
+            self.cancellations.cancel_and_finish(request, attempt, AttemptOutcome.CONNECTION_CLOSED)
--- a/tests/durable/test_recovered_jobs.py
+++ b/tests/durable/test_recovered_jobs.py
@@ -19,7 +19,7 @@
 from locktide.protocol import names
 from locktide.protocol.messages import Callback
 from locktide.scheduler.events import RequestArrived, RequestRecovered
-from locktide.scheduler.types import AttemptOutcome, Effect
+from locktide.scheduler.types import AttemptOutcome, Effect, EndpointState
 from locktide.simulation.virtual_time.disk import VirtualDisk
 from locktide.transport.log import Log
 
@@ -205,3 +205,51 @@
         await service.close()
 
     run_with_dispatcher(scenario)
+
+
+@pytest.mark.parametrize("state", names.CALLBACK_OUTCOMES)
+@pytest.mark.parametrize("fence", [None, 1, 2, 3])
+def test_report_counts_for_the_attempt_that_its_fencing_number_names(state: str, fence: int | None) -> None:
+    """A worker handed a job back twice, and the second time counted as "may have run" (`review/8`).
+
+    The callback could have been a repeated one about the first attempt there, so an at-most-once job ended as
+    failed that had never run. A fencing number tells: 2 is the running attempt, 1 the one before, 3 nobody's.
+    Without a number only `done` is certain: the job may still run, and is not sent again.
+    """
+
+    async def scenario(harness: DispatcherHarness) -> None:
+        for worker in ("w1", "w2"):
+            harness.update_endpoint(worker, EndpointState.DRAINING)
+        recorded = accepted_job("a")
+        recorded.accepted_class = stored_class(effect=Effect.AT_MOST_ONCE)
+        service = await recover(harness, [recorded])
+        job = service.state.table.jobs["a"]
+        await accept_attempt(harness, 1)
+        service.handle_callback(Callback("a", "w0", "returned", 1.0, AttemptOutcome.FULL, b"", fence=1))
+        await accept_attempt(harness, 2)
+        service.handle_callback(Callback("a", "w0", state, 1.0, names.CALLBACK_OUTCOMES[state], b"", fence))
+        if fence == 2 and state == "returned":
+            await accept_attempt(harness, 3)  # it has never run, and is sent again
+        elif fence == 2 or fence is None:
+            await wait_until(lambda: job.finished is not None or len(harness.exchanges) == 3)
+            if job.finished is None:  # the attempt is cancelled
+                harness.exchanges[2].respond(204)
+            await wait_until(lambda: job.finished is not None)
+            assert job.finished is not None and job.finished.status == (200 if state == "done" else 502)
+        else:
+            await harness.run_pending_tasks()
+            assert job.finished is None and len(job.ended_attempts) == 1, "the second attempt goes on"
+        await service.close()
+
+    run_with_dispatcher(scenario)
+
+
+async def accept_attempt(harness: DispatcherHarness, number: int) -> None:
+    """Wait for the attempt with this number, counted from 1, and let its worker accept it."""
+    await wait_until(lambda: len(harness.exchanges) == number)
+    exchange = harness.exchanges[-1]
+    message = exchange.build()
+    assert message is not None and message.method == "POST"
+    exchange.on_sent()
+    exchange.respond(202)
+    await harness.run_pending_tasks()
