Polled endpoint lists begin with the whole list at a start

Cause: the first call of a polled list asked for the changes after the version in `known`, which was another agent's. Change: it asks for the whole list, as a pushed list and a reload do.

--- a/locktide/dispatcher/dispatcher.py
+++ b/locktide/dispatcher/dispatcher.py
@@ -95,7 +95,7 @@
         self._apply_settings(start)
         self._assemble_attempt_endings()
         self._assemble_requests()
-        self._assemble_endpoint_list(cached_list)
+        self._assemble_endpoint_list()
         self._assemble_commands()
         self._assemble_process(start.listen)
         self.endpoint_list.apply_cached(cached_list)
@@ -175,7 +175,7 @@
             settings=self.settings,
         )
 
-    def _assemble_endpoint_list(self, cached_list: DiscoveryUpdate) -> None:
+    def _assemble_endpoint_list(self) -> None:
         """Create the components that follow and apply the endpoint list."""
         self.endpoint_list = EndpointListHandler(
             endpoints=self.endpoints,
@@ -184,11 +184,7 @@
             bridge=self.bridge,
         )
         self.follower = EndpointFollower(
-            settings=self.settings,
-            endpoint_list=self.endpoint_list,
-            bridge=self.bridge,
-            log=self.log,
-            cached_version=cached_list.version if cached_list.entries else None,
+            settings=self.settings, endpoint_list=self.endpoint_list, bridge=self.bridge, log=self.log
         )
 
     def _assemble_commands(self) -> None:
--- a/locktide/dispatcher/endpoint_follower.py
+++ b/locktide/dispatcher/endpoint_follower.py
@@ -32,7 +32,6 @@
     """Owns the watch of the endpoint list.
 
     Attributes:
-        cached_version: Version of the cached list; None without a cached list.
         current_watch: The current watch; None before the first one.
         watch_task: Runs the current watch.
         watch_requested: Set once the scheduler has requested a call; cleared when a call fails.
@@ -43,7 +42,6 @@
     endpoint_list: EndpointListHandler
     bridge: SchedulerBridge
     log: Log
-    cached_version: int | None
     current_watch: EndpointWatch | None = None
     watch_task: asyncio.Task[None] | None = None
     watch_requested: asyncio.Event = field(default_factory=asyncio.Event)
@@ -107,22 +105,22 @@
             async with asyncio.timeout(FIRST_LIST_TIMEOUT):
                 await self.endpoint_list.received.wait()
 
-    def follow(self, version: int | None = None) -> Coroutine[Any, Any, None]:
-        """Return a coroutine that follows the list at the address in force.
+    def follow(self) -> Coroutine[Any, Any, None]:
+        """Return a coroutine that follows the list at the address in force, beginning with the whole list.
 
-        It takes over the outstanding calls of the current watch, which is to be cancelled.
-
-        Args:
-            version: The version after which it begins; None to begin with the whole list.
+        A version that is known already may be another agent's: of the address before a reload, or of the one
+        from which the cached list came
+        (test_polled_list_begins_with_the_whole_list_whatever_version_is_cached). The coroutine takes over the
+        outstanding calls of the current watch, which is to be cancelled.
         """
         replaced = self.current_watch.hand_over() if self.current_watch is not None else None
-        self.current_watch = self._create_watch(version, replaced)
+        self.current_watch = self._create_watch(replaced)
         return self.current_watch.run()
 
     async def follow_when_requested(self) -> None:
-        """Follow the list once the scheduler requests it; begin after the cached version."""
+        """Follow the list once the scheduler requests it."""
         await self.watch_requested.wait()
-        await self.follow(self.cached_version)
+        await self.follow()
 
     async def retry_when_requested(self, has_timed_out: bool) -> None:
         """Report a failed call to the scheduler, and wait until it requests the next call."""
@@ -131,13 +129,12 @@
         self.bridge.enqueue_event(EndpointListUpdate(kind, []))
         await self.watch_requested.wait()
 
-    def _create_watch(self, version: int | None, replaced: Handover | None) -> EndpointWatch:
+    def _create_watch(self, replaced: Handover | None) -> EndpointWatch:
         config = self.settings.endpoint_list
         return EndpointWatch(
             self.settings.discovery,
             self.endpoint_list.apply,
             self.log,
-            version,
             first_response_timeout=_poll_timeout(config) if config.is_polled else RESPONSE_TIMEOUT,
             wait_for_retry=self.retry_when_requested if config.is_polled else retry_soon,
             on_former_update=self.endpoint_list.apply_former,
