Durable jobs: the location of a job has its id in percent-encoding

Change: protocol/job_paths makes and reads the path; the responses, the router and the cancellation to a worker use it.

--- a/locktide/durable/responses.py
+++ b/locktide/durable/responses.py
@@ -9,6 +9,7 @@
 from locktide.durable.jobs import Job
 from locktide.durable.units import MICROSECONDS_PER_SECOND
 from locktide.protocol import names
+from locktide.protocol.job_paths import job_path
 from locktide.transport.interfaces import Response
 
 #: Seconds after which a client should query an open job again; workers report progress at the same interval.
@@ -21,7 +22,7 @@
     """Return 202 with the state of an open job."""
     body = {"id": job.job_id, "state": JOB_STATE_WORDS[job.state], "dispatches": len(job.leases)}
     headers = [
-        (names.LOCATION, names.JOBS + job.job_id),
+        (names.LOCATION, job_path(job.job_id)),
         (names.RETRY_AFTER, f"{POLL_INTERVAL:g}"),
         ("Preference-Applied", "respond-async"),
         ("Content-Type", "application/json"),
@@ -32,7 +33,7 @@
 def final_response(job: Job) -> Response:
     """Return the final response of a finished job."""
     assert job.finished is not None
-    headers = [(names.JOB_STATE, JOB_STATE_WORDS[job.state]), (names.LOCATION, names.JOBS + job.job_id)]
+    headers = [(names.JOB_STATE, JOB_STATE_WORDS[job.state]), (names.LOCATION, job_path(job.job_id))]
     if job.finished.retry_after:
         headers.append((names.RETRY_AFTER, f"{job.finished.retry_after / MICROSECONDS_PER_SECOND:.3f}"))
     return Response(job.finished.status, job.finished.body, headers)
@@ -46,9 +47,7 @@
 
 def wait_timed_out_response(job_id: str) -> Response:
     """Return 504, for a client whose own timeout has passed while the job continues."""
-    return Response(
-        HTTPStatus.GATEWAY_TIMEOUT, b"it is not done yet\n", [(names.LOCATION, names.JOBS + job_id)]
-    )
+    return Response(HTTPStatus.GATEWAY_TIMEOUT, b"it is not done yet\n", [(names.LOCATION, job_path(job_id))])
 
 
 def key_conflict_response() -> Response:
--- a/locktide/protocol/request_router.py
+++ b/locktide/protocol/request_router.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Collection, Mapping
 from http import HTTPStatus
-from urllib.parse import unquote
 
 import h11
 
@@ -12,6 +11,7 @@
 from locktide.protocol.callbacks import parse_callback
 from locktide.protocol.errors import RejectedMessageError
 from locktide.protocol.header_fields import read_fields
+from locktide.protocol.job_paths import job_id_of
 from locktide.protocol.messages import Callback, HealthQuery, JobQuery, SubmitRequest
 from locktide.protocol.submissions import IDENTIFIER_PATTERN, SubmissionParser
 
@@ -77,7 +77,7 @@
 
 
 def _parse_job_id(path: str) -> str:
-    job_id = unquote(path.removeprefix(names.JOBS))
+    job_id = job_id_of(path)
     if not IDENTIFIER_PATTERN.fullmatch(job_id):
         raise RejectedMessageError(HTTPStatus.NOT_FOUND, "no such job")
     return job_id
--- a/locktide/protocol/worker_messages.py
+++ b/locktide/protocol/worker_messages.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from http import HTTPStatus
-from urllib.parse import quote
 
 from locktide.protocol import names
 from locktide.protocol.client_connection import UpstreamRequest, UpstreamResponse
+from locktide.protocol.job_paths import job_path
 from locktide.protocol.messages import SubmitRequest
 from locktide.scheduler.types import AttemptOutcome
 
@@ -30,7 +30,7 @@
 
 def cancel_request(request_id: str) -> UpstreamRequest:
     """Return the request that cancels a job at a worker."""
-    return UpstreamRequest("DELETE", names.JOBS + quote(request_id, safe=""), headers=[])
+    return UpstreamRequest("DELETE", job_path(request_id), headers=[])
 
 
 def response_outcome(response: UpstreamResponse) -> AttemptOutcome | None:
