Endpoint watch in three parts: its calls, the earlier ones, and the log

DiscoveryClient makes calls and keeps the connection, EarlierCalls holds what is awaited beside the current call, overdue and superseded, and one method handles the end of either. In the scheduler, AcceptedClasses makes the class of an earlier request known, as data beside the other tables.

--- a/locktide/dispatcher/endpoint_follower.py
+++ b/locktide/dispatcher/endpoint_follower.py
@@ -14,9 +14,9 @@
 from locktide.scheduler.config import EndpointListConfig
 from locktide.scheduler.events import EndpointListUpdate
 from locktide.scheduler.types import ListUpdateKind
+from locktide.transport.earlier_calls import Handover
 from locktide.transport.endpoint_watch import RESPONSE_TIMEOUT, EndpointWatch, retry_soon
 from locktide.transport.log import Log
-from locktide.transport.superseded_calls import Handover
 from locktide.transport.units import MICROSECONDS_PER_SECOND
 
 #: Seconds that a start waits for the first list: an agent on the same machine responds within milliseconds.
--- a/locktide/scheduler/policy/admission.py
+++ b/locktide/scheduler/policy/admission.py
@@ -20,6 +20,7 @@
 from locktide.scheduler.policy.quotas import BEYOND, BORROWED, TenantQuotas
 from locktide.scheduler.policy.request_lifecycle import RequestLifecycle
 from locktide.scheduler.state import ActiveConfig, Clock, Request, RequestPool
+from locktide.scheduler.state.accepted_classes import AcceptedClasses
 from locktide.scheduler.state.recovery import AttemptRecovery
 
 
@@ -31,6 +32,7 @@
     config: ActiveConfig
     requests: RequestPool
     recovery: AttemptRecovery
+    accepted_classes: AcceptedClasses
     key_frequencies: KeyFrequencies
     lifecycle: RequestLifecycle
     shedder: LoadShedder
@@ -84,6 +86,8 @@
     def _admit(self, arrival: RequestArrived) -> Request:
         now = self.clock.now
         self._admitted_count += 1
+        if arrival.accepted_class is not None:
+            self.accepted_classes.add(arrival.accepted_class)
         class_in_force = self.config.known_service_classes[arrival.service_class]
         request = Request(arrival, arrival.accepted_class or class_in_force, now, self._admitted_count)
         request.placement = class_in_force.placement
--- a/locktide/scheduler/scheduler.py
+++ b/locktide/scheduler/scheduler.py
@@ -53,6 +53,7 @@
     TimerPurpose,
     Timers,
 )
+from locktide.scheduler.state.accepted_classes import AcceptedClasses
 from locktide.scheduler.state.recovery import AttemptRecovery
 from locktide.scheduler.types import RequestId
 
@@ -229,6 +230,7 @@
             config=self.config,
             requests=self.requests,
             recovery=AttemptRecovery(self.endpoints, self._attempts),
+            accepted_classes=AcceptedClasses(self.config, self.endpoints, self.estimates),
             key_frequencies=self._key_frequencies,
             lifecycle=self.lifecycle,
             shedder=self.load_shedder,
@@ -249,8 +251,8 @@
 
     def _register_handlers(self) -> None:
         self._handle(EndpointListUpdate, self.endpoint_list.on_update)
-        self._handle(RequestArrived, self._on_arrival)
-        self._handle(RequestRecovered, self._on_recovery)
+        self._handle(RequestArrived, self.admission.on_arrival)
+        self._handle(RequestRecovered, self.admission.on_recovery)
         self._handle(AttemptSent, self.outcomes.on_sent)
         self._handle(AttemptStarted, self.outcomes.on_started)
         self._handle(AttemptProgressed, self.outcomes.on_progress)
@@ -269,25 +271,6 @@
         self._configure()
         self.admission.on_reload()
 
-    def _on_arrival(self, event: RequestArrived) -> None:
-        self._learn_accepted_class(event)
-        self.admission.on_arrival(event)
-
-    def _on_recovery(self, event: RequestRecovered) -> None:
-        self._learn_accepted_class(event.arrival)
-        self.admission.on_recovery(event)
-
-    def _learn_accepted_class(self, arrival: RequestArrived) -> None:
-        """Make the class of a request known that was accepted earlier, if the configuration lacks it.
-
-        Without it each such request ended by an exception, after a restart with a file without the class
-        (test_job_of_a_class_that_the_file_lacks_is_resumed).
-        """
-        accepted_class = arrival.accepted_class
-        if accepted_class is not None and self.config.add_known_class(accepted_class):
-            self.estimates.configure()
-            self.endpoint_list.rebuild_candidates()
-
     def _configure(self) -> None:
         self.estimates.configure()
         self.timeouts.configure()
--- a/locktide/scheduler/state/active_config.py
+++ b/locktide/scheduler/state/active_config.py
@@ -25,10 +25,3 @@
         self.service_classes = {each.name: each for each in config.service_classes}
         self.known_service_classes |= self.service_classes
         self.dispatcher_share = 1.0 / config.dispatcher_count
-
-    def add_known_class(self, service_class: ServiceClass) -> bool:
-        """Remember the class of a request that was accepted earlier; return whether its name was unknown."""
-        if service_class.name in self.known_service_classes:
-            return False
-        self.known_service_classes[service_class.name] = service_class
-        return True
--- a/locktide/transport/discovery_call.py
+++ b/locktide/transport/discovery_call.py
@@ -28,6 +28,7 @@
         began_at: When the call was made.
         wait: For how long discovery may wait for a change.
         overdue_at: From when the call is overdue.
+        is_superseded: Whether an earlier watch made it.
     """
 
     address: Address
@@ -35,6 +36,7 @@
     began_at: float
     wait: float
     overdue_at: float
+    is_superseded: bool = False
 
     def delay(self, now: float) -> float:
         """Return by how much a response that arrives now is late."""
--- a/locktide/transport/superseded_calls.py
+++ b/locktide/transport/earlier_calls.py
@@ -1,10 +1,11 @@
-"""Calls to discovery that outlive their watch.
+"""Calls to discovery that are awaited beside the current call of a watch.
 
-A reload replaces the watch of the endpoint list. If the outstanding calls ended with it, a service that
-answers later than the reloads follow one another would never be heard. So the next watch awaits them beside
-its own calls, until a call that was made later is answered.
+An overdue call had no response in time, which may still be on its way.
 
-Their number is limited: with each reload there is one call more.
+A superseded call was made by an earlier watch. A reload replaces the watch of the endpoint list. If the
+outstanding calls ended with it, a service that answers later than the reloads follow one another would never
+be heard. So the next watch awaits them, until a call that was made later is answered. Their number is
+limited: with each reload there is one call more.
 """
 
 from __future__ import annotations
@@ -39,42 +40,65 @@
     calls: list[Call]
 
 
-class SupersededCalls:
-    """The calls of earlier watches that a watch awaits.
+class EarlierCalls:
+    """The calls that a watch awaits beside its current one.
 
     Attributes:
-        calls: The calls, in the order in which they were made.
+        superseded: The calls of earlier watches, in the order in which they were made.
+        overdue: A call of this watch that had no response in time; None if there is none.
     """
 
     def __init__(self) -> None:
-        self.calls: list[Call] = []
+        self.superseded: list[Call] = []
+        self.overdue: Call | None = None
+
+    @property
+    def calls(self) -> list[Call]:
+        """All calls, in the order in which they were made."""
+        return self.superseded if self.overdue is None else [*self.superseded, self.overdue]
 
     def take_over(self, calls: Sequence[Call], address: Address, now: float) -> None:
-        """Await these calls, as far as the limit allows, and abandon the others.
+        """Await the calls of an earlier watch, as far as the limit allows, and abandon the others.
 
         Args:
             calls: The calls, in the order in which they were made.
             address: Address of discovery in force.
             now: The time of the event loop, in seconds.
         """
-        self.calls = _select(calls, address, now)
+        self.superseded = _select(calls, address, now)
         for call in calls:
-            if call not in self.calls:
+            call.is_superseded = True
+            if call not in self.superseded:
                 call.abandon()
 
+    def keep_overdue(self, call: Call, now: float) -> None:
+        """Keep an overdue call, or abandon it while an earlier one is kept."""
+        if self.overdue is not None and self.overdue.delay(now) < MAX_PATIENCE:
+            call.abandon()
+            return
+        if self.overdue is not None:
+            self.overdue.abandon()
+        self.overdue = call
+
     def take_ended(self) -> Call | None:
         """Remove and return the earliest call that has ended, if there is one."""
         ended = next((call for call in self.calls if call.task.done()), None)
         if ended is not None:
-            self.calls.remove(ended)
+            self._remove(ended)
         return ended
 
     def abandon_before(self, answered: Call) -> None:
         """Abandon the calls that were made before a call that was answered: their answers would be older."""
-        older = [call for call in self.calls if call.began_at < answered.began_at]
-        self.calls = [call for call in self.calls if call not in older]
-        for call in older:
-            call.abandon()
+        for call in list(self.calls):
+            if call.began_at < answered.began_at:
+                self._remove(call)
+                call.abandon()
+
+    def _remove(self, call: Call) -> None:
+        if call is self.overdue:
+            self.overdue = None
+        else:
+            self.superseded.remove(call)
 
 
 def _select(calls: Sequence[Call], address: Address, now: float) -> list[Call]:
--- a/locktide/transport/endpoint_watch.py
+++ b/locktide/transport/endpoint_watch.py
@@ -9,7 +9,7 @@
 - A service that is slower than the timeout responds to the overdue one, and the next timeout allows for that.
 
 At most two calls of a watch are outstanding, on two connections. When a watch is replaced, the next one takes
-over its calls (`superseded_calls`).
+over its calls (`earlier_calls`).
 """
 
 from __future__ import annotations
@@ -20,11 +20,11 @@
 
 from locktide.config.address import Address
 from locktide.protocol.discovery import DiscoveryUpdate
-from locktide.transport.discovery_call import Answer, Call
-from locktide.transport.discovery_connection import DiscoveryConnection
+from locktide.transport.discovery_call import Call
+from locktide.transport.discovery_client import DiscoveryClient
 from locktide.transport.discovery_log import DiscoveryLog
+from locktide.transport.earlier_calls import EarlierCalls, Handover
 from locktide.transport.log import Log
-from locktide.transport.superseded_calls import MAX_PATIENCE, Handover, SupersededCalls
 
 #: Milliseconds for which discovery holds a call while nothing changes. A change that does not reach us counts
 #: as notified 2 s after the wait has ended, so a short wait limits how long we may miss it. One call per
@@ -113,31 +113,29 @@
         self._first_response_timeout = first_response_timeout
         self._wait_for_retry = wait_for_retry
         self._on_former_update = on_former_update
+        self._client = DiscoveryClient(address)
         self._current: Call | None = None
-        self._overdue: Call | None = None
-        self._idle_connection: DiscoveryConnection | None = None
+        self._earlier = EarlierCalls()
         self._delay = 0.0  # by how much responses were late recently, in seconds
-        self._superseded = SupersededCalls()
         if replaced is not None:
             self._take_over(replaced)
 
     def _take_over(self, replaced: Handover) -> None:
-        self._superseded.take_over(replaced.calls, self.address, _now())
+        self._earlier.take_over(replaced.calls, self.address, _now())
         if replaced.address == self.address:
             self._delay = replaced.delay
 
     def hand_over(self) -> Handover:
         """Leave the outstanding calls to the watch that replaces this one, which is to be cancelled."""
         calls = self._outstanding_calls()
-        self._superseded = SupersededCalls()
-        self._overdue = None
+        self._earlier = EarlierCalls()
         self._current = None
         return Handover(address=self.address, delay=self._delay, calls=calls)
 
     def _outstanding_calls(self) -> list[Call]:
         """Return the outstanding calls, in the order in which they were made."""
-        own = [call for call in (self._overdue, self._current) if call is not None]
-        return [*self._superseded.calls, *own]
+        earlier = self._earlier.calls
+        return earlier if self._current is None else [*earlier, self._current]
 
     async def run(self) -> None:
         """Follow the list, and start again after each failure."""
@@ -165,37 +163,28 @@
             await self._handle_current(current)
         elif _now() >= current.overdue_at:
             self._current = None
-            self._keep_overdue(current)
+            self._earlier.keep_overdue(current, _now())
             await self._pause_after(TimeoutError())
 
     # --- calls
 
     def _begin_call(self) -> Call:
         """Make a call; at a cheap agent, the first one and one that follows a failure do not wait."""
-        connection, self._idle_connection = self._idle_connection, None
         # Discovery responds to a call for the whole list at once, whatever its wait. A first call with the
         # time of one that waits would be outstanding when discovery is back from an outage
         # (test_watch_that_starts_while_discovery_is_silent_hears_it_at_once_when_it_is_back).
         is_polling = (self.is_failing or self.version is None) and self._is_cheap
         wait_ms = 0 if is_polling else WAIT_MS
         wait = 0.0 if self.version is None else wait_ms / MILLISECONDS_PER_SECOND
-        timeout = wait + self._response_timeout(is_first=connection is None, is_polling=is_polling)
+        timeout = wait + self._response_timeout(
+            is_first=not self._client.has_connection, is_polling=is_polling
+        )
         began_at = _now()
-        task = asyncio.create_task(self._exchange(connection, wait_ms))
+        task = self._client.call(self.version, wait_ms)
         return Call(
             address=self.address, task=task, began_at=began_at, wait=wait, overdue_at=began_at + timeout
         )
 
-    async def _exchange(self, connection: DiscoveryConnection | None, wait_ms: int) -> Answer:
-        """Make one call on a connection, which is opened if there is none."""
-        if connection is None:
-            connection = await DiscoveryConnection.open(self.address)
-        try:
-            return Answer(await connection.call(self.version, wait_ms), connection)
-        except BaseException:  # also a cancellation
-            connection.close()
-            raise
-
     @property
     def _is_cheap(self) -> bool:
         """Whether calls cost the agent nothing, so that it may be called often."""
@@ -208,22 +197,12 @@
         usual = POLL_TIMEOUT if is_polling else RESPONSE_TIMEOUT
         return max(usual, min(MAX_RESPONSE_TIMEOUT, DELAY_FACTOR * self._delay))
 
-    def _keep_overdue(self, call: Call) -> None:
-        """Keep an overdue call beside the next one, or abandon it while an earlier one is kept."""
-        if self._overdue is not None and self._overdue.delay(_now()) < MAX_PATIENCE:
-            call.abandon()
-            return
-        if self._overdue is not None:
-            self._overdue.abandon()
-        self._overdue = call
-
     async def close(self) -> None:
         """End all calls and connections."""
         calls = self._outstanding_calls()
         for call in calls:
             call.abandon()
-        if self._idle_connection is not None:
-            self._idle_connection.close()
+        self._client.close()
         if not calls:
             return
         _, unfinished = await asyncio.wait([call.task for call in calls], timeout=CLOSE_TIMEOUT)
@@ -234,68 +213,52 @@
     # --- answers and failures
 
     async def _handle_ended_calls(self) -> bool:
-        """Handle the superseded and overdue calls that have ended; return whether the next call may be made.
-
-        The end of a superseded call says that only if it was answered at the address in force.
-        """
+        """Handle the earlier calls that have ended; return whether the next call may be made after that."""
         is_next_due = False
-        while (superseded := self._superseded.take_ended()) is not None:
-            is_next_due |= self._handle_superseded(superseded)
-        overdue = self._overdue
-        if overdue is not None and overdue.task.done():
-            self._overdue = None
-            await self._handle_overdue(overdue)
-            is_next_due = True
+        while (call := self._earlier.take_ended()) is not None:
+            is_next_due |= await self._handle_earlier(call)
         return is_next_due
 
     async def _handle_current(self, call: Call) -> None:
         """Handle the end of the current call; raise its error."""
         answer = call.task.result()
-        self._superseded.abandon_before(call)
-        if self._overdue is not None:  # its response would be older
-            self._overdue.abandon()
-            self._overdue = None
-        self._keep_connection(answer.connection)
+        self._earlier.abandon_before(call)
+        self._client.keep(answer.connection)
         await self._handle(answer.update, call)
 
-    async def _handle_overdue(self, call: Call) -> None:
-        """Handle the end of an overdue call; its error says nothing about calls that were made later."""
+    async def _handle_earlier(self, call: Call) -> bool:
+        """Handle the end of an earlier call; its error says nothing about calls that were made later.
+
+        Return whether the next call may be made: the end of a superseded call says that only if it was
+        answered at the address in force.
+        """
         if call.task.exception() is not None:
-            return
+            return not call.is_superseded
         answer = call.task.result()
-        self._superseded.abandon_before(call)
+        self._earlier.abandon_before(call)
+        if call.is_superseded:
+            answer.connection.close()
+            return self._pass_on_superseded(call, answer.update)
         if self._current is None:
-            self._keep_connection(answer.connection)
+            self._client.keep(answer.connection)
         else:
             answer.connection.close()
         await self._handle(answer.update, call)
+        return True
 
-    def _handle_superseded(self, call: Call) -> bool:
-        """Pass on the answer to a call of an earlier watch; return whether the address in force gave one.
+    def _pass_on_superseded(self, call: Call, update: DiscoveryUpdate) -> bool:
+        """Pass on the update of a superseded call; return whether it comes from the address in force.
 
-        Its error says nothing about later calls. The version is not stored: it may be another agent's, also
-        at the same address.
+        The version is not stored: it may be another agent's, also at the same address.
         """
-        if call.task.exception() is not None:
-            return False
-        answer = call.task.result()
-        answer.connection.close()
-        self._superseded.abandon_before(call)
         if call.address != self.address:
-            self._on_former_update(answer.update)
+            self._on_former_update(update)
             return False
         self._record_delay(call)
-        self._log.rejected_entries(answer.update)
-        self._pass_on(answer.update)
+        self._log.rejected_entries(update)
+        self._pass_on(update)
         return True
 
-    def _keep_connection(self, connection: DiscoveryConnection) -> None:
-        """Keep a connection for the next call, if it can carry one."""
-        if connection.is_reusable:
-            self._idle_connection = connection
-        else:
-            connection.close()
-
     async def _handle(self, update: DiscoveryUpdate, call: Call) -> None:
         """Pass on the update of a call; wait after a call that returned early without changes."""
         self._record_delay(call)
