Endpoint watch: a former address outdates only its own earlier calls

Cause: the answer of an address that is not in force any more, which only gives news of some workers, ended earlier calls to the address in force, whose answer is the whole news. A slow address that is in force again after a quick one was heard one call later than need be.

Change: such an answer ends earlier calls to its own address alone.

Measured: test_answer_of_a_former_address_does_not_end_an_earlier_call_to_the_one_in_force fails without the change, pushed and polled.

--- a/locktide/transport/earlier_calls.py
+++ b/locktide/transport/earlier_calls.py
@@ -87,10 +87,19 @@
             self._remove(ended)
         return ended
 
-    def abandon_before(self, answered: Call) -> None:
-        """Abandon the calls that were made before a call that was answered: their answers would be older."""
+    def abandon_before(self, answered: Call, address: Address) -> None:
+        """Abandon the calls that were made before a call that was answered: their answers would be older.
+
+        What an address that is not in force answers is not the whole news, so it only outdates calls to the
+        same address.
+
+        Args:
+            answered: The call that was answered.
+            address: Address of discovery in force.
+        """
         for call in list(self.calls):
-            if call.began_at < answered.began_at:
+            is_outdated = answered.address in (address, call.address)
+            if is_outdated and call.began_at < answered.began_at:
                 self._remove(call)
                 call.abandon()
 
--- a/locktide/transport/endpoint_watch.py
+++ b/locktide/transport/endpoint_watch.py
@@ -222,7 +222,7 @@
     async def _handle_current(self, call: Call) -> None:
         """Handle the end of the current call; raise its error."""
         answer = call.task.result()
-        self._earlier.abandon_before(call)
+        self._earlier.abandon_before(call, self.address)
         self._client.keep(answer.connection)
         await self._handle(answer.update, call)
 
@@ -235,7 +235,7 @@
         if call.task.exception() is not None:
             return not call.is_superseded
         answer = call.task.result()
-        self._earlier.abandon_before(call)
+        self._earlier.abandon_before(call, self.address)
         if call.is_superseded:
             answer.connection.close()
             return self._pass_on_superseded(call, answer.update)
--- a/tests/dispatcher/test_reloads_in_a_row.py
+++ b/tests/dispatcher/test_reloads_in_a_row.py
@@ -218,6 +218,26 @@
     run_reloads(scenario, delay=0.8, is_polled=is_polled)
 
 
+@pytest.mark.parametrize("is_polled", [False, True])
+def test_answer_of_a_former_address_does_not_end_an_earlier_call_to_the_one_in_force(is_polled: bool) -> None:
+    """A quick address was in force for a moment, and does not have the drain yet that a slow one has.
+
+    It only gives news of some workers, so the earlier call to the slow one, in force again, is still awaited.
+    """
+
+    async def scenario(dispatcher: ReloadedDispatcher) -> None:
+        dispatcher.start_agent(OTHER)
+        dispatcher.current[OTHER].delay = lambda: 0.1
+        dispatcher.agents[0].change()
+        for address in (ADDRESS, OTHER, ADDRESS):
+            dispatcher.reload(address)
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(1.83)  # the first call is answered after 1.9 s, the last one after 2.0 s
+        assert not dispatcher.accepts("w0")
+
+    run_reloads(scenario, delay=1.9, is_polled=is_polled)
+
+
 @pytest.mark.parametrize("is_polled", [False, True])
 @pytest.mark.parametrize("delay", [0.2, 0.6, 1.9])
 def test_reloads_cost_a_slow_discovery_no_more_calls_than_a_quick_one(delay: float, is_polled: bool) -> None:
